--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, the load tool and trace replay."""
--- /dev/null
+++ b/src/sassafrasdale/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers and administration."""
--- /dev/null
+++ b/src/sassafrasdale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/sassafrasdale/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure policy: no input or output and no clock of its own."""
--- /dev/null
+++ b/src/sassafrasdale/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to model engines and plain services."""
--- /dev/null
+++ b/src/sassafrasdale/green.py
@@ -0,0 +1,101 @@
+"""The one place that knows which cooperative scheduler the package runs on.
+
+Nothing is monkey-patched: green sockets are asked for by name. So the standard
+library stays as it is for the thread that runs the peers' asyncio loop.
+"""
+
+import socket
+import warnings
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
+
+from sassafrasdale.structures import Address
+
+# eventlet warns on import that it is in maintenance mode; docs/DEVIATIONS.md
+# says why it is used all the same.
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+import eventlet.event  # noqa: E402
+import eventlet.queue  # noqa: E402
+import eventlet.semaphore  # noqa: E402
+import eventlet.wsgi  # noqa: E402
+from eventlet.green import socket as green_socket  # noqa: E402
+
+Queue = eventlet.queue.Queue
+Empty = eventlet.queue.Empty
+Event = eventlet.event.Event
+GreenThread = eventlet.greenthread.GreenThread
+GreenletExit = eventlet.greenlet.GreenletExit
+Semaphore = eventlet.semaphore.Semaphore
+WsgiProtocol = eventlet.wsgi.HttpProtocol
+serve_wsgi = eventlet.wsgi.server
+
+
+def spawn(function: Callable[..., Any], *args: Any, **kwargs: Any) -> GreenThread:
+    """Start ``function`` as a task of its own."""
+    return eventlet.spawn(function, *args, **kwargs)
+
+
+def sleep(pause: timedelta = timedelta()) -> None:
+    """Let other tasks run for ``pause``."""
+    eventlet.sleep(pause.total_seconds())
+
+
+def listen(address: Address, backlog: int = 1024) -> socket.socket:
+    """Return a green listening socket bound to ``address``."""
+    return eventlet.listen((address.host, address.port), backlog=backlog)
+
+
+def timeout(limit: timedelta) -> "eventlet.Timeout":
+    """Return a context manager that raises ``eventlet.Timeout`` after ``limit``."""
+    return eventlet.Timeout(limit.total_seconds())
+
+
+Timeout = eventlet.Timeout
+
+
+class GreenHttpConnection(HTTPConnection):
+    """HTTP connection whose socket yields to other tasks while it waits."""
+
+    def _new_conn(self) -> socket.socket:
+        try:
+            sock = green_socket.create_connection(
+                (self._dns_host, self.port), self.timeout
+            )
+        except TimeoutError as error:
+            raise ConnectTimeoutError(self, str(error)) from error
+        except OSError as error:
+            raise NewConnectionError(self, str(error)) from error
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+
+class GreenHttpPool(urllib3.HTTPConnectionPool):
+    """Pool of green HTTP connections to one address."""
+
+    ConnectionCls = GreenHttpConnection
+
+
+def http_pool(
+    address: Address,
+    *,
+    size: int = 64,
+    connect_timeout: timedelta = timedelta(seconds=1),
+    read_timeout: timedelta = timedelta(seconds=5),
+) -> GreenHttpPool:
+    """Return a connection pool for ``address`` that never retries by itself."""
+    return GreenHttpPool(
+        address.host,
+        address.port,
+        maxsize=size,
+        retries=False,
+        timeout=urllib3.Timeout(
+            connect=connect_timeout.total_seconds(), read=read_timeout.total_seconds()
+        ),
+    )
--- /dev/null
+++ b/src/sassafrasdale/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry instances."""
--- /dev/null
+++ b/src/sassafrasdale/text/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' text: its models and its checks."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, arranged as the package is."""
