Replay recorded traces at the interfaces of the decisions

The policy had no measure. Stream sends of a reclaimed zone are planned within the notice.

With it, sends are mirrored: a change of the own count since a report stands for the same change by each other entry, which acts on the same report.

--- /dev/null
+++ b/bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces at the decisions' own interfaces."""
--- /dev/null
+++ b/bench/replay/entries.py
@@ -0,0 +1,197 @@
+"""An entry of the replay: its own partial picture, and a way of routing."""
+
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from bench.replay.engines import FakeEngine, Job
+from bench.replay.structures import BLOCK, TraceRequest, User
+from sassafrasdale.decisions.affinity import HashRing, PrefixIndex
+from sassafrasdale.decisions.baselines import LeastRequests, PrefixHash, RoundRobin
+from sassafrasdale.decisions.counts import InFlightCount
+from sassafrasdale.decisions.delays import TokenDelays
+from sassafrasdale.decisions.routing import choose
+from sassafrasdale.decisions.structures import (
+    EndpointView,
+    RoutingPolicy,
+    RoutingRequest,
+)
+
+ROUND_ROBIN = "round robin"
+LEAST_REQUESTS = "least requests"
+PREFIX_HASH = "prefix hash"
+OURS = "ours"
+LIMIT = "limit"
+WAYS = (ROUND_ROBIN, LEAST_REQUESTS, PREFIX_HASH, OURS, LIMIT)
+
+TOKENS_OBSERVED = 16
+"""Tokens after which an entry takes the time between them."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """An engine's load as an entry heard of it; the time is in seconds."""
+
+    load: int
+    own: int
+    measured_at: float
+
+
+@dataclass(slots=True)
+class Flight:
+    """A generation or lookup in flight.
+
+    :param request: the request.
+    :param job: its present job at an engine.
+    :param engine: the engine.
+    :param expected_tokens: uncached prompt tokens expected when it was sent.
+    :param generated: tokens that the caller has from earlier engines.
+    :param first_at: when the caller got the first token, in seconds.
+    """
+
+    request: TraceRequest
+    job: Job | None = None
+    engine: FakeEngine | None = None
+    expected_tokens: int = 0
+    generated: int = 0
+    first_at: float | None = None
+
+
+class Entry:
+    """One entry.
+
+    :param number: its place among the entries.
+    :param zone: its availability zone.
+    :param user: whose entry it is.
+    :param way: how it routes.
+    :param policy: constants of its own way.
+    :param truth: all entries, for the way that knows everything.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        zone: str,
+        user: User,
+        way: str,
+        policy: RoutingPolicy,
+        truth: Sequence["Entry"],
+    ) -> None:
+        self.zone = zone
+        self.way = way
+        self.index = PrefixIndex()
+        self.delays = TokenDelays()
+        self.flights: dict[int, Flight] = {}
+        self.in_flight: dict[str, InFlightCount] = defaultdict(InFlightCount)
+        self.own_tokens: dict[str, int] = defaultdict(int)
+        self.reports: dict[str, LoadReport] = {}
+        self._user = user
+        self._policy = policy
+        self._truth = truth
+        self._rng = Random(number)
+        self._ring = HashRing(())
+        self._round_robin = {True: RoundRobin(number), False: RoundRobin(number)}
+        self._least = LeastRequests(Random(number))
+        self._prefix_hash = PrefixHash()
+
+    def set_endpoints(self, names: Sequence[str]) -> None:
+        """Take in which model endpoints there are."""
+        self._ring = HashRing(names)
+
+    def forget(self, engine: FakeEngine) -> None:
+        """Take in that an engine is gone."""
+        self.index.forget(engine.name)
+        self.delays.forget(engine.name)
+        self.reports.pop(engine.name, None)
+
+    def route(
+        self,
+        request: TraceRequest,
+        engines: Sequence[FakeEngine],
+        leaving: set[str],
+        now: float,
+    ) -> tuple[FakeEngine, EndpointView] | None:
+        """Return the engine for a request, and the view that led to it."""
+        views = [self._view(request, engine, leaving, now) for engine in engines]
+        chosen = self._choose(request, views)
+        if chosen is None:
+            return None
+        engine = next(engine for engine in engines if engine.name == chosen.name)
+        return engine, chosen
+
+    def distance(self, engine: FakeEngine) -> float:
+        """Return the one-way delay to an engine, in seconds."""
+        return 0.0 if engine.zone == self.zone else self._user.zone_delay
+
+    def _choose(
+        self, request: TraceRequest, views: Sequence[EndpointView]
+    ) -> EndpointView | None:
+        match self.way:
+            case "round robin":
+                return self._round_robin[request.is_lookup].choose(views)
+            case "least requests":
+                return self._least.choose(views)
+            case "prefix hash" if not request.is_lookup:
+                return self._prefix_hash.choose(views, request.key)
+            case "prefix hash":
+                return self._prefix_hash.choose(views, request.number)
+        asked = RoutingRequest(
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            home_availability_zone=self.zone,
+            home=self._ring.home(request.key) if request.continues else "",
+        )
+        return choose(asked, views, self._policy, self._rng)
+
+    def _view(
+        self,
+        request: TraceRequest,
+        engine: FakeEngine,
+        leaving: set[str],
+        now: float,
+    ) -> EndpointView:
+        name = engine.name
+        perfect = self.way == LIMIT
+        own = self.in_flight[name].now
+        report = self.reports.get(name)
+        if perfect:
+            own = sum(entry.in_flight[name].now for entry in self._truth)
+            report = LoadReport(own, own, now)
+        tokens = self.own_tokens[name]
+        if perfect:
+            tokens = sum(entry.own_tokens[name] for entry in self._truth)
+        return EndpointView(
+            name=name,
+            availability_zone=engine.zone,
+            in_flight=own,
+            own_tokens=tokens,
+            reported_load=report.load if report else 0,
+            own_at_report=report.own if report else 0,
+            report_age=_age(report, now),
+            max_in_flight=engine.shape.slots,
+            distance=timedelta(seconds=self.distance(engine)),
+            cached_tokens=self._cached(request, engine),
+            leaving=name in leaving,
+            slowness=engine.slowness
+            if perfect
+            else self.delays.slowness(name, timedelta(seconds=now)),
+        )
+
+    def _cached(self, request: TraceRequest, engine: FakeEngine) -> int:
+        if self.way == LIMIT:
+            return engine.cached_blocks(request.blocks) * BLOCK
+        if self.way == OURS:
+            return self.index.matched_tokens(engine.name, request.blocks)
+        return 0
+
+
+def _age(report: LoadReport | None, now: float) -> timedelta | None:
+    if report is None:
+        return None
+    return timedelta(seconds=now - report.measured_at)
+
+
+SendFunction = Callable[[Entry, Flight], None]
--- /dev/null
+++ b/bench/replay/measures.py
@@ -0,0 +1,144 @@
+"""What a replay is measured by."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bench.replay.entries import LIMIT, OURS
+from bench.replay.simulation import MODEL_REPLICAS, Outcome, Replay
+from bench.replay.structures import Scenario, TraceRequest, User
+from bench.replay.traces import load_trace
+from sassafrasdale.decisions.structures import RoutingPolicy
+
+SHARE_WANTED = 0.95
+"""Share of first tokens in time at which the cost is taken."""
+
+PRICE_PER_HOUR = 1.0
+"""Price of a model replica, in units."""
+
+SLOWEST = 0.2
+FASTEST = 2.5
+"""Bounds of the compression in time that the cost is sought between."""
+
+COST_STEPS = 7
+"""Halvings of these bounds; the last leaves 2 %."""
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One replay to make.
+
+    :param user: whose trace.
+    :param scenario: what goes wrong.
+    :param way: how the entries route.
+    :param policy: constants; the user's own by default.
+    """
+
+    user: User
+    scenario: Scenario
+    way: str
+    policy: RoutingPolicy | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Measures:
+    """Figures of one replay; times in seconds.
+
+    :param recomputed_tokens: tokens computed again.
+    :param first_token_50: median time to the first token.
+    :param first_token_95: its 95th percentile.
+    :param first_token_99: its 99th percentile.
+    :param lookup_99: 99th percentile of a lookup's time.
+    :param share_in_time: share of first tokens within the user's target.
+    :param by_customer: the same for each customer.
+    :param unfinished: requests that never ended.
+    """
+
+    recomputed_tokens: int
+    first_token_50: float
+    first_token_95: float
+    first_token_99: float
+    lookup_99: float
+    share_in_time: float
+    by_customer: dict[str, float]
+    unfinished: int
+
+
+def measure(case: Case, speed: float = 1.0) -> Measures:
+    """Replay a case and return its figures."""
+    trace = load_trace(case.user)
+    replay = Replay(case.user, trace, case.scenario, case.way, speed, case.policy)
+    outcome = replay.run()
+    delays = sorted(outcome.first_tokens.values())
+    lookups = sorted(outcome.lookups.values())
+    return Measures(
+        recomputed_tokens=outcome.recomputed_tokens,
+        first_token_50=percentile(delays, 0.50),
+        first_token_95=percentile(delays, 0.95),
+        first_token_99=percentile(delays, 0.99),
+        lookup_99=percentile(lookups, 0.99),
+        share_in_time=share_in_time(delays, case.user),
+        by_customer=_by_customer(trace, outcome, case.user),
+        unfinished=len(trace) - outcome.finished,
+    )
+
+
+def cost_at_target(case: Case) -> float:
+    """Return the price of a thousand generations at the latency target.
+
+    The trace is compressed in time until one first token in twenty is late; the
+    fleet's price is then shared by the generations that it served.
+    """
+    low, high = SLOWEST, FASTEST
+    for _ in range(COST_STEPS):
+        middle = (low * high) ** 0.5
+        if measure(case, middle).share_in_time >= SHARE_WANTED:
+            low = middle
+        else:
+            high = middle
+    trace = load_trace(case.user)
+    generations = sum(1 for request in trace if not request.is_lookup)
+    hours = trace[-1].at / low / 3600
+    return MODEL_REPLICAS * PRICE_PER_HOUR * hours / generations * 1000
+
+
+def percentile(ordered: Sequence[float], share: float) -> float:
+    """Return a percentile of values in ascending order."""
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def share_in_time(delays: Sequence[float], user: User) -> float:
+    """Return the share of first tokens within the user's target."""
+    in_time = sum(1 for delay in delays if delay <= user.first_token_target)
+    return in_time / len(delays) if delays else 0.0
+
+
+def same_knowledge(case: Case) -> Case:
+    """Return the case that gives the same figures with the least knowledge of it.
+
+    Only our own way reads load reports and cache events, so one replay stands
+    for the traces that differ in nothing else.
+    """
+    if case.way == OURS or case.scenario.reclaimed_zone or case.scenario.slow_endpoint:
+        return case
+    return Case(case.user, Scenario("launch"), case.way, case.policy)
+
+
+def worst(values: dict[str, float]) -> tuple[str, float]:
+    """Return the customer with the lowest share, and the share."""
+    name = min(values, key=values.__getitem__)
+    return name, values[name]
+
+
+def _by_customer(
+    trace: Sequence[TraceRequest], outcome: Outcome, user: User
+) -> dict[str, float]:
+    delays = defaultdict(list)
+    for number, delay in outcome.first_tokens.items():
+        delays[trace[number].customer].append(delay)
+    return {name: share_in_time(found, user) for name, found in sorted(delays.items())}
+
+
+__all__ = ["LIMIT", "Case", "Measures", "cost_at_target", "measure"]
--- /dev/null
+++ b/bench/replay/tables.py
@@ -0,0 +1,37 @@
+"""Tables of the replays' figures, in Markdown."""
+
+from bench.replay.measures import Case, Measures, worst
+
+HEADER = (
+    "| user | trace | way | cost | recomputed | p50 | p95 | p99 | lookups p99 "
+    "| in time | worst customer |\n"
+    "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | --- |"
+)
+
+
+def row(case: Case, found: Measures, cost: float | None) -> str:
+    """Return a row of the main table."""
+    name, share = worst(found.by_customer)
+    cells = (
+        case.user.name,
+        case.scenario.name,
+        case.way,
+        "-" if cost is None else f"{cost:.2f}",
+        f"{found.recomputed_tokens / 1000:.0f} k",
+        f"{found.first_token_50:.3f} s",
+        f"{found.first_token_95:.3f} s",
+        f"{found.first_token_99:.3f} s",
+        f"{found.lookup_99 * 1000:.1f} ms",
+        f"{found.share_in_time:.2%}",
+        f"{name} {share:.2%}",
+    )
+    return "| " + " | ".join(cells) + " |"
+
+
+def customer_rows(case: Case, found: Measures) -> list[str]:
+    """Return a row for each customer."""
+    return [
+        f"| {case.user.name} | {case.scenario.name} | {case.way} "
+        f"| {name} | {share:.2%} |"
+        for name, share in found.by_customer.items()
+    ]
--- /dev/null
+++ b/bench/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces, their generator, and the outcomes stated for them."""
--- a/src/sassafrasdale/decisions/baselines.py
+++ b/src/sassafrasdale/decisions/baselines.py
@@ -9,10 +9,13 @@
 
 
 class RoundRobin:
-    """Take the endpoints in turn."""
+    """Take the endpoints in turn.
 
-    def __init__(self) -> None:
-        self._turn = 0
+    :param turn: place to begin at; entries begin at different places.
+    """
+
+    def __init__(self, turn: int = 0) -> None:
+        self._turn = turn
 
     def choose(self, views: Sequence[EndpointView]) -> EndpointView | None:
         """Return the next endpoint that is not leaving."""
@@ -41,17 +44,15 @@
 
 
 class PrefixHash:
-    """Take the endpoint that a rendezvous hash of the first block names."""
+    """Take the endpoint that a rendezvous hash of the conversation names."""
 
-    def choose(
-        self, views: Sequence[EndpointView], blocks: Sequence[int]
-    ) -> EndpointView | None:
-        """Return the endpoint of the prefix that is not leaving.
+    def choose(self, views: Sequence[EndpointView], key: int) -> EndpointView | None:
+        """Return the endpoint of a conversation that is not leaving.
 
-        :param blocks: hashes of the prompt's blocks; the first decides.
+        :param views: the endpoints.
+        :param key: hash of what every turn of the conversation begins with.
         """
         staying = [view for view in views if not view.leaving]
         if not staying:
             return None
-        seed = blocks[0] if blocks else 0
-        return max(staying, key=lambda view: xxh64_intdigest(view.name, seed))
+        return max(staying, key=lambda view: xxh64_intdigest(view.name.encode(), key))
--- a/src/sassafrasdale/decisions/reclaims.py
+++ b/src/sassafrasdale/decisions/reclaims.py
@@ -1,6 +1,6 @@
 """What is done with the streams of an endpoint that is about to leave."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 from sassafrasdale.decisions.structures import (
@@ -8,17 +8,21 @@
     ReclaimPolicy,
     Recompute,
     StreamPlan,
+    StreamTarget,
     StreamView,
     WaitOut,
 )
 
+TargetChooser = Callable[[StreamView], StreamTarget | None]
+"""Names the endpoint that would go on with a stream, or None."""
+
 
 def plan_stream(
     stream: StreamView,
     notice: timedelta,
-    target: str | None,
+    target: StreamTarget | None,
     policy: ReclaimPolicy,
-    cached_tokens: int = 0,
+    link_busy: timedelta = timedelta(),
 ) -> StreamPlan:
     """Return what to do with one stream.
 
@@ -26,37 +30,45 @@
     :param notice: time until the endpoint leaves.
     :param target: endpoint that would go on with it; None if there is none.
     :param policy: constants.
-    :param cached_tokens: tokens of the context that the target already holds.
+    :param link_busy: time that the endpoint's link is taken by earlier moves.
     """
     usable = notice - policy.margin
     if stream.remaining_tokens * stream.token_delay <= usable:
         return WaitOut()
     if target is None:
         return WaitOut(fits=False)
-    if move_time(stream, policy) <= usable:
-        return MoveCache(target)
-    return Recompute(target, max(0, stream.context_tokens - cached_tokens))
+    recomputed = max(0, stream.context_tokens - target.cached_tokens)
+    if recomputed and link_busy + move_time(stream, policy) <= usable:
+        return MoveCache(target.name)
+    return Recompute(target.name, recomputed)
 
 
 def plan_streams(
-    streams: Sequence[StreamView],
+    streams: Iterable[StreamView],
     notice: timedelta,
-    target: str | None,
+    choose_target: TargetChooser,
     policy: ReclaimPolicy,
+    link_share: float = 1.0,
 ) -> dict[str, StreamPlan]:
     """Return what to do with each stream of one endpoint, by request id.
 
-    Moves share the endpoint's link, one after the other; the longest contexts
+    Moves go over the endpoint's link one after the other; the longest contexts
     go first, since they save the most tokens.
+
+    :param streams: this entry's streams on the endpoint.
+    :param notice: time until it leaves.
+    :param choose_target: names the endpoint to go on with a stream.
+    :param policy: constants.
+    :param link_share: this entry's part of the requests on the endpoint, and so
+        of its link; the other entries move theirs at the same time.
     """
     plans: dict[str, StreamPlan] = {}
-    left = notice
+    link_busy = timedelta()
     for stream in sorted(streams, key=lambda stream: -stream.context_tokens):
-        plan = plan_stream(stream, left, target, policy)
-        if isinstance(plan, Recompute | MoveCache) and _ends(stream, notice, policy):
-            plan = WaitOut()
+        target = choose_target(stream)
+        plan = plan_stream(stream, notice, target, policy, link_busy)
         if isinstance(plan, MoveCache):
-            left -= move_time(stream, policy)
+            link_busy += move_time(stream, policy) / link_share
         plans[stream.request_id] = plan
     return plans
 
@@ -71,8 +83,3 @@
 def recomputed_tokens(plans: Sequence[StreamPlan]) -> int:
     """Return the tokens that ``plans`` have computed again."""
     return sum(plan.tokens for plan in plans if isinstance(plan, Recompute))
-
-
-def _ends(stream: StreamView, notice: timedelta, policy: ReclaimPolicy) -> bool:
-    """Return whether a stream ends before its endpoint leaves."""
-    return stream.remaining_tokens * stream.token_delay <= notice - policy.margin
--- a/src/sassafrasdale/decisions/routing.py
+++ b/src/sassafrasdale/decisions/routing.py
@@ -31,35 +31,48 @@
     :param policy: weights of the service and constants.
     :param rng: draws the sample and breaks ties.
     """
-    candidates = _candidates(views, policy, rng)
+    candidates = _candidates(request, views, policy, rng)
+    mean = _mean_of_others(candidates)
     best = None
     best_cost = float("inf")
     for view in candidates:
-        cost = expected_cost(request, view, policy)
+        cost = expected_cost(request, view, policy, mean)
         if cost < best_cost or (cost == best_cost and rng.random() < 0.5):
             best = view
             best_cost = cost
     return best
 
 
-def expected_load(view: EndpointView, policy: RoutingPolicy) -> float:
-    """Return the requests expected in flight at an endpoint, of all entries."""
+def expected_load(view: EndpointView, policy: RoutingPolicy, mean: float) -> float:
+    """Return the requests expected in flight at an endpoint, of all entries.
+
+    Own requests are known. Those of the others are as reported, and the older
+    the report, the nearer to their mean: acting on an old report as if it were
+    new sends every entry to the endpoint that was idle then.
+
+    :param view: the endpoint.
+    :param policy: constants.
+    :param mean: mean over the endpoints of the others' reported requests.
+    """
     if view.report_age is None:
-        return float(view.in_flight)
+        return view.in_flight + mean
     others = max(0, view.reported_load - view.own_at_report)
-    half_lives = view.report_age / policy.report_half_life
-    return view.in_flight + others * 0.5**half_lives
+    trust = 0.5 ** (view.report_age / policy.report_half_life)
+    mirrored = (view.in_flight - view.own_at_report) * policy.mirrored_entries
+    return view.in_flight + mean + (others + mirrored - mean) * trust
 
 
 def expected_cost(
-    request: RoutingRequest, view: EndpointView, policy: RoutingPolicy
+    request: RoutingRequest, view: EndpointView, policy: RoutingPolicy, mean: float
 ) -> float:
     """Return the cost of sending ``request`` to an endpoint, in seconds."""
-    load = expected_load(view, policy)
-    uncached = max(0, request.prompt_tokens - view.cached_tokens)
-    compute = uncached / policy.prefill_rate
+    load = expected_load(view, policy, mean)
+    cached = view.cached_tokens
+    if view.name == request.home:
+        cached = max(cached, policy.home_share * request.prompt_tokens)
+    compute = max(0.0, request.prompt_tokens - cached) / policy.prefill_rate
     running = load * policy.queue_delay
-    waiting = max(0.0, load - view.max_in_flight) * policy.wait_delay
+    waiting = max(0.0, load + 1 - view.max_in_flight) * policy.wait_delay
     ahead = view.own_tokens / policy.prefill_rate
     delay = (compute + running + waiting + ahead) * view.slowness
     delay += 2 * view.distance.total_seconds()
@@ -68,13 +81,26 @@
     return latency + recomputed + policy.price_delay * view.price_per_hour
 
 
+def _mean_of_others(views: Sequence[EndpointView]) -> float:
+    """Return the mean of what the other entries have in flight, as reported."""
+    reported = [view for view in views if view.report_age is not None]
+    if not reported:
+        return 0.0
+    others = sum(max(0, view.reported_load - view.own_at_report) for view in reported)
+    return others / len(reported)
+
+
 def _candidates(
-    views: Sequence[EndpointView], policy: RoutingPolicy, rng: Random
+    request: RoutingRequest,
+    views: Sequence[EndpointView],
+    policy: RoutingPolicy,
+    rng: Random,
 ) -> list[EndpointView]:
-    """Return a random sample and every endpoint that has cached tokens."""
+    """Return a random sample, the home, and every endpoint with cached tokens."""
     staying = [view for view in views if not view.leaving]
     if len(staying) <= policy.sample_size:
         return staying
-    sample = rng.sample(staying, policy.sample_size)
-    sample += [view for view in staying if view.cached_tokens and view not in sample]
-    return sample
+    known = [
+        view for view in staying if view.cached_tokens or view.name == request.home
+    ]
+    return known + rng.sample(staying, policy.sample_size)
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -53,6 +53,8 @@
     :param priority: 0 goes first, 7 last.
     :param remaining: time until its deadline.
     :param home_availability_zone: where the entry that holds it runs.
+    :param home: endpoint that the hash of the conversation names, on every entry
+        alike; empty if the request continues none.
     """
 
     prompt_tokens: int = 0
@@ -60,6 +62,7 @@
     priority: int = 3
     remaining: timedelta = timedelta(seconds=30)
     home_availability_zone: str = ""
+    home: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +77,10 @@
     :param queue_delay: seconds that each request in flight adds while it runs.
     :param wait_delay: seconds that each request above ``max_in_flight`` adds.
     :param price_delay: seconds of delay that are worth one unit of price an hour.
-    :param report_half_life: age at which a report counts half.
+    :param report_half_life: age at which a report counts half, and the mean of
+        all reports the other half.
+    :param home_share: share of the prompt expected in the home's cache while
+        nothing better is known.
     :param sample_size: candidates drawn at random when there are more.
     """
 
@@ -85,6 +91,8 @@
     wait_delay: float = 0.2
     price_delay: float = 0.02
     report_half_life: timedelta = timedelta(seconds=4)
+    home_share: float = 0.3
+    mirrored_entries: float = 5.0
     sample_size: int = 8
 
 
@@ -104,6 +112,18 @@
     token_delay: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class StreamTarget:
+    """Endpoint that could go on with a stream.
+
+    :param name: its instance name.
+    :param cached_tokens: tokens of the stream's context that it already holds.
+    """
+
+    name: str
+    cached_tokens: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ReclaimPolicy:
     """Constants of what is done with streams on a leaving endpoint.
--- /dev/null
+++ b/tests/decisions/test_affinity.py
@@ -0,0 +1,60 @@
+"""Tests of the prefix index and the hash ring."""
+
+from sassafrasdale.decisions.affinity import (
+    BLOCK_TOKENS,
+    HashRing,
+    PrefixIndex,
+    conversation_key,
+    prompt_blocks,
+)
+
+
+def test_blocks_of_a_longer_prompt_begin_with_those_of_its_prefix():
+    text = "".join(str(n) for n in range(1000))
+    blocks = prompt_blocks(text)
+    assert blocks[:4] == prompt_blocks(text[:1024])
+    assert len(set(blocks)) == len(blocks)
+
+
+def test_matches_the_prefix_that_was_sent():
+    index = PrefixIndex()
+    index.record("a", (1, 2, 3))
+    assert index.matched_tokens("a", (1, 2, 9)) == 2 * BLOCK_TOKENS
+    assert index.matched_tokens("b", (1, 2, 9)) == 0
+
+
+def test_events_correct_what_own_sends_led_to():
+    index = PrefixIndex()
+    index.record("a", (1, 2, 3))
+    index.removed("a", 3)
+    index.stored("b", 1)
+    assert index.matched_tokens("a", (1, 2, 3)) == 2 * BLOCK_TOKENS
+    assert index.matched_tokens("b", (1, 2, 3)) == BLOCK_TOKENS
+
+
+def test_memory_is_bounded_and_drops_the_end_of_a_prefix_first():
+    index = PrefixIndex(max_blocks=2)
+    index.record("a", (1, 2, 3))
+    assert len(index) == 2
+    assert index.matched_tokens("a", (1, 2, 3)) == 2 * BLOCK_TOKENS
+
+
+def test_forgets_an_endpoint_that_is_gone():
+    """A prompt goes to a replica that has come back with an empty cache.
+
+    The replica was reclaimed and given back under its name. An entry that still
+    counts on the old cache sends all its threads there, and each is recomputed.
+    """
+    index = PrefixIndex()
+    index.record("a", (1, 2))
+    index.forget("a")
+    assert index.matched_tokens("a", (1, 2)) == 0
+
+
+def test_only_the_keys_of_a_lost_endpoint_move():
+    keys = [conversation_key((str(n),)) for n in range(500)]
+    before = HashRing("abcdef")
+    after = HashRing("abcde")
+    moved = {before.home(key) for key in keys if before.home(key) != after.home(key)}
+    assert moved == {"f"}
+    assert HashRing(()).home(1) == ""
--- /dev/null
+++ b/tests/decisions/test_reclaims.py
@@ -0,0 +1,58 @@
+"""Tests of the plan for streams on a leaving endpoint."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.decisions.reclaims import (
+    plan_stream,
+    plan_streams,
+    recomputed_tokens,
+)
+from sassafrasdale.decisions.structures import (
+    MoveCache,
+    ReclaimPolicy,
+    Recompute,
+    StreamTarget,
+    StreamView,
+    WaitOut,
+)
+
+POLICY = ReclaimPolicy()
+TARGET = StreamTarget("b")
+
+
+def _stream(name: str = "s", context: int = 8000, remaining: int = 1000) -> StreamView:
+    return StreamView(name, context, remaining, timedelta(milliseconds=30))
+
+
+@pytest.mark.parametrize(
+    ("seconds", "expected"),
+    [(60, WaitOut()), (10, MoveCache("b")), (1, Recompute("b", 8000))],
+)
+def test_takes_what_fits_the_notice(seconds, expected):
+    plan = plan_stream(_stream(), timedelta(seconds=seconds), TARGET, POLICY)
+    assert plan == expected
+
+
+def test_counts_only_the_tokens_that_the_target_lacks():
+    target = StreamTarget("b", cached_tokens=6000)
+    plan = plan_stream(_stream(), timedelta(seconds=1), target, POLICY)
+    assert recomputed_tokens([plan]) == 2000
+
+
+def test_stays_where_there_is_no_target():
+    plan = plan_stream(_stream(), timedelta(seconds=10), None, POLICY)
+    assert plan == WaitOut(fits=False)
+
+
+def test_moves_share_the_link_longest_context_first():
+    """Every stream of a reclaimed replica is recomputed, though some could move.
+
+    Planned one by one, each move fits the notice; together they don't, and the
+    replica leaves in the middle of them all.
+    """
+    streams = [_stream(str(n), context=n * 10_000) for n in range(1, 11)]
+    plans = plan_streams(streams, timedelta(seconds=5), lambda _: TARGET, POLICY)
+    moved = {name for name, plan in plans.items() if isinstance(plan, MoveCache)}
+    assert moved == {"10", "8"}
