Match a prefix by its deepest known block

The index now goes from the end and takes the deepest known block that enough of its neighbours back. One dictionary over all endpoints makes it one pass a prompt.

--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -1,7 +1,7 @@
 """An entry of the replay: its own partial picture, and a way of routing."""
 
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -114,7 +114,8 @@
         now: float,
     ) -> tuple[FakeEngine, EndpointView] | None:
         """Return the engine for a request, and the view that led to it."""
-        views = [self._view(request, engine, leaving, now) for engine in engines]
+        cached = self._cached(request, engines)
+        views = [self._view(engine, cached, leaving, now) for engine in engines]
         chosen = self._choose(request, views)
         if chosen is None:
             return None
@@ -148,8 +149,8 @@
 
     def _view(
         self,
-        request: TraceRequest,
         engine: FakeEngine,
+        cached: dict[str, int],
         leaving: set[str],
         now: float,
     ) -> EndpointView:
@@ -173,25 +174,29 @@
             report_age=_age(report, now),
             max_in_flight=engine.shape.slots,
             distance=timedelta(seconds=self.distance(engine)),
-            cached_tokens=self._cached(request, engine),
+            cached_tokens=cached.get(name, 0),
             leaving=name in leaving,
             slowness=engine.slowness
             if perfect
             else self.delays.slowness(name, timedelta(seconds=now)),
         )
 
-    def _cached(self, request: TraceRequest, engine: FakeEngine) -> int:
-        if self.way == LIMIT:
-            return engine.cached_blocks(request.blocks) * BLOCK
-        if self.way == OURS:
-            return self.index.matched_tokens(engine.name, request.blocks)
-        return 0
+    def _cached(
+        self, request: TraceRequest, engines: Sequence[FakeEngine]
+    ) -> dict[str, int]:
+        """Return the tokens of a prompt that each engine is thought to have."""
+        match self.way:
+            case "limit":
+                return {
+                    engine.name: engine.cached_blocks(request.blocks) * BLOCK
+                    for engine in engines
+                }
+            case "ours":
+                return self.index.matches(request.blocks)
+        return {}
 
 
 def _age(report: LoadReport | None, now: float) -> timedelta | None:
     if report is None:
         return None
     return timedelta(seconds=now - report.measured_at)
-
-
-SendFunction = Callable[[Entry, Flight], None]
--- a/src/sassafrasdale/decisions/affinity.py
+++ b/src/sassafrasdale/decisions/affinity.py
@@ -20,6 +20,12 @@
 MAX_BLOCKS = 2048
 """Blocks that the index keeps for one endpoint."""
 
+BACKING_SPAN = 8
+"""Blocks before the deepest known one that are looked at."""
+
+BACKING_BLOCKS = 4
+"""Number of them that must be known too."""
+
 RING_POINTS = 64
 """Points that each endpoint has on the ring."""
 
@@ -76,12 +82,18 @@
 class PrefixIndex:
     """Bounded memory of the prefixes that each endpoint has cached.
 
+    A block's hash covers all before it, and an endpoint drops the end of a prefix
+    first. So the deepest block known to be stored tells the whole match, and the
+    gaps that lost events leave before it do no harm.
+
     :param max_blocks: blocks kept for one endpoint; the least recent go first.
     """
 
     def __init__(self, max_blocks: int = MAX_BLOCKS) -> None:
         self._max_blocks = max_blocks
-        self._endpoints: dict[str, OrderedDict[int, None]] = {}
+        self._order: dict[str, OrderedDict[int, None]] = {}
+        self._holders: dict[int, dict[str, int]] = {}
+        self._sequence = 0
 
     def blocks(self, messages_text: str) -> tuple[int, ...]:
         """Return the block hashes of a prompt."""
@@ -89,42 +101,74 @@
 
     def record(self, endpoint: str, prefix: Sequence[int]) -> None:
         """Note that a prompt with the block hashes ``prefix`` was sent."""
-        known = self._endpoints.setdefault(endpoint, OrderedDict())
+        self._sequence += 1
         # The last block is the first to go, as a prefix without its beginning
         # is of no use to the endpoint.
         for block in reversed(prefix):
-            known[block] = None
-            known.move_to_end(block)
-        while len(known) > self._max_blocks:
-            known.popitem(last=False)
+            self._note(endpoint, block, self._sequence)
 
-    def matched_tokens(self, endpoint: str, prefix: Sequence[int]) -> int:
-        """Return the tokens of a prompt that ``endpoint`` is expected to hold.
+    def matches(self, prefix: Sequence[int]) -> dict[str, int]:
+        """Return the tokens of a prompt that each endpoint is expected to hold.
 
-        A search for the end of the prefix stands for a walk along it. A gap that
-        a lost event left can make it fall short or run over, by one prompt.
+        Endpoints that hold none of it are left out.
         """
-        known = self._endpoints.get(endpoint)
-        if not known or not prefix or prefix[0] not in known:
-            return 0
-        return bisect_left(prefix, True, key=lambda b: b not in known) * BLOCK_TOKENS
+        found: dict[str, int] = {}
+        for place in range(len(prefix) - 1, -1, -1):
+            holders = self._holders.get(prefix[place])
+            if holders is None:
+                continue
+            for endpoint in holders:
+                if endpoint not in found and self._backed(endpoint, prefix, place):
+                    found[endpoint] = (place + 1) * BLOCK_TOKENS
+        return found
+
+    def matched_tokens(self, endpoint: str, prefix: Sequence[int]) -> int:
+        """Return the tokens of a prompt that ``endpoint`` is expected to hold."""
+        return self.matches(prefix).get(endpoint, 0)
 
     def stored(self, endpoint: str, prefix: int) -> None:
         """Take in the event that ``endpoint`` cached a block."""
-        known = self._endpoints.setdefault(endpoint, OrderedDict())
-        known[prefix] = None
-        if len(known) > self._max_blocks:
-            known.popitem(last=False)
+        self._sequence += 1
+        self._note(endpoint, prefix, self._sequence)
 
     def removed(self, endpoint: str, prefix: int) -> None:
         """Take in the event that ``endpoint`` dropped a block."""
-        known = self._endpoints.get(endpoint)
-        if known:
-            known.pop(prefix, None)
+        order = self._order.get(endpoint)
+        if order is not None and prefix in order:
+            del order[prefix]
+            self._drop(endpoint, prefix)
 
     def forget(self, endpoint: str) -> None:
         """Drop all that is known of an endpoint, as it is gone or restarted."""
-        self._endpoints.pop(endpoint, None)
+        for block in self._order.pop(endpoint, ()):
+            self._drop(endpoint, block)
+
+    def _backed(self, endpoint: str, prefix: Sequence[int], place: int) -> bool:
+        """Return whether enough blocks just before ``place`` are known as well.
+
+        A block that stands alone was dropped with those around it, and the event
+        of its removal was lost.
+        """
+        before = prefix[max(0, place - BACKING_SPAN) : place]
+        if len(before) < BACKING_SPAN:
+            return True
+        backing = sum(1 for b in before if endpoint in self._holders.get(b, ()))
+        return backing >= BACKING_BLOCKS
+
+    def _note(self, endpoint: str, block: int, sequence: int) -> None:
+        order = self._order.setdefault(endpoint, OrderedDict())
+        order[block] = None
+        order.move_to_end(block)
+        self._holders.setdefault(block, {})[endpoint] = sequence
+        if len(order) > self._max_blocks:
+            oldest, _ = order.popitem(last=False)
+            self._drop(endpoint, oldest)
+
+    def _drop(self, endpoint: str, block: int) -> None:
+        holders = self._holders[block]
+        del holders[endpoint]
+        if not holders:
+            del self._holders[block]
 
     def __len__(self) -> int:
-        return sum(len(known) for known in self._endpoints.values())
+        return sum(len(order) for order in self._order.values())
--- a/tests/decisions/test_affinity.py
+++ b/tests/decisions/test_affinity.py
@@ -58,3 +58,29 @@
     moved = {before.home(key) for key in keys if before.home(key) != after.home(key)}
     assert moved == {"f"}
     assert HashRing(()).home(1) == ""
+
+
+def test_gaps_of_lost_events_do_not_shorten_a_match():
+    """A long thread is recomputed elsewhere though a replica holds all of it.
+
+    Some of the events that told of its blocks were lost. An index that walks
+    from the beginning stops at the first gap and sees next to nothing.
+    """
+    index = PrefixIndex()
+    for block in (1, 3, 5, 6, 8, 9, 10):
+        index.stored("a", block)
+    assert index.matched_tokens("a", tuple(range(1, 13))) == 10 * BLOCK_TOKENS
+
+
+def test_a_leftover_of_lost_removals_is_no_match():
+    """A thread goes to a replica that dropped it, and waits for all of it.
+
+    The replica told of each block that it dropped, but one of these events was
+    lost, so the entry still counts on that block and on all before it.
+    """
+    index = PrefixIndex()
+    prefix = tuple(range(1, 21))
+    index.record("a", prefix)
+    for block in prefix[4:19]:
+        index.removed("a", block)
+    assert index.matched_tokens("a", prefix) == 4 * BLOCK_TOKENS
