Read queues of other entries from own requests that wait

No load report tells of prompts that other entries sent within its lag. A request of the entry's own that waits longer than its computation takes does, and so does its first token when it comes; the cost of an endpoint now counts that time.

--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -12,6 +12,7 @@
 from sassafrasdale.decisions.baselines import LeastRequests, PrefixHash, RoundRobin
 from sassafrasdale.decisions.counts import InFlightCount
 from sassafrasdale.decisions.delays import TokenDelays
+from sassafrasdale.decisions.queues import QueueTimes
 from sassafrasdale.decisions.routing import choose
 from sassafrasdale.decisions.structures import (
     EndpointView,
@@ -83,6 +84,7 @@
         self.way = way
         self.index = PrefixIndex()
         self.delays = TokenDelays()
+        self.queues = QueueTimes()
         self.flights: dict[int, Flight] = {}
         self.in_flight: dict[str, InFlightCount] = defaultdict(InFlightCount)
         self.own_tokens: dict[str, int] = defaultdict(int)
@@ -104,6 +106,7 @@
         """Take in that an engine is gone."""
         self.index.forget(engine.name)
         self.delays.forget(engine.name)
+        self.queues.forget(engine.name)
         self.reports.pop(engine.name, None)
 
     def route(
@@ -176,6 +179,9 @@
             distance=timedelta(seconds=self.distance(engine)),
             cached_tokens=cached.get(name, 0),
             leaving=name in leaving,
+            queueing=timedelta()
+            if perfect
+            else self.queues.queueing(name, timedelta(seconds=now)),
             slowness=engine.slowness
             if perfect
             else self.delays.slowness(name, timedelta(seconds=now)),
--- a/bench/replay/measures.py
+++ b/bench/replay/measures.py
@@ -32,12 +32,14 @@
     :param scenario: what goes wrong.
     :param way: how the entries route.
     :param policy: constants; the user's own by default.
+    :param seed: seed of the balancer and of the lost events.
     """
 
     user: User
     scenario: Scenario
     way: str
     policy: RoutingPolicy | None = None
+    seed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +69,15 @@
 def measure(case: Case, speed: float = 1.0) -> Measures:
     """Replay a case and return its figures."""
     trace = load_trace(case.user)
-    replay = Replay(case.user, trace, case.scenario, case.way, speed, case.policy)
+    replay = Replay(
+        case.user,
+        trace,
+        case.scenario,
+        case.way,
+        speed,
+        case.policy,
+        seed=case.seed,
+    )
     outcome = replay.run()
     delays = sorted(outcome.first_tokens.values())
     lookups = sorted(outcome.lookups.values())
--- a/bench/replay/simulation.py
+++ b/bench/replay/simulation.py
@@ -59,6 +59,7 @@
     :param speed: by how much the trace is compressed in time.
     :param policy: constants of the routing.
     :param reclaims: constants of the reclaims.
+    :param seed: seed of the balancer and of the lost events.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         speed: float = 1.0,
         policy: RoutingPolicy | None = None,
         reclaims: ReclaimPolicy | None = None,
+        seed: int = 0,
     ) -> None:
         self._user = user
         self._trace = trace
@@ -79,8 +81,8 @@
         self._policy = policy or policy_of(user)
         self._reclaims = reclaims or ReclaimPolicy()
         self._events = EventQueue()
-        self._losses = Random(7)
-        self._balancer = Random(11)
+        self._losses = Random(7 + 2 * seed)
+        self._balancer = Random(11 + 2 * seed)
         self._leaving: set[str] = set()
         self._gone: set[str] = set()
         self._computed: set[int] = set()
@@ -168,6 +170,14 @@
             flight.expected_tokens = 0
         entry.flights[request.number] = flight
         entry.own_tokens[engine.name] += flight.expected_tokens
+        if not request.is_lookup:
+            compute = flight.expected_tokens / MODEL.prefill_rate
+            entry.queues.sent(
+                engine.name,
+                str(request.number),
+                timedelta(seconds=self._events.now),
+                timedelta(seconds=compute + 2 * entry.distance(engine)),
+            )
         self._count(entry, engine, 1)
         self._events.after(entry.distance(engine), self._arrive, entry, flight)
 
@@ -189,6 +199,8 @@
         engine = flight.engine
         now = self._events.now
         self._settle_tokens(entry, flight)
+        at = timedelta(seconds=now)
+        entry.queues.answered(engine.name, str(flight.request.number), at)
         if flight.first_at is None and not flight.request.is_lookup:
             flight.first_at = now
             taken = now - flight.request.at / self._speed + entry.distance(engine)
@@ -322,6 +334,8 @@
         flight.engine.drop(flight.job)
         flight.job.dropped = True
         self._settle_tokens(entry, flight)
+        number = str(flight.request.number)
+        entry.queues.withdrawn(flight.engine.name, number)
         self._count(entry, flight.engine, -1)
         entry.flights.pop(flight.request.number, None)
 
--- a/bench/replay/sweeps.py
+++ b/bench/replay/sweeps.py
@@ -20,7 +20,7 @@
 from bench.replay.structures import SCENARIOS, USERS, User
 from sassafrasdale.decisions.structures import RoutingPolicy
 
-PROCESSES = 4
+PROCESSES = 3
 
 HEADER = (
     "| user | {} | cost | recomputed | p95 | p99 | in time | worst trace |\n"
@@ -37,6 +37,7 @@
     cost: bool = False,
     user: str = "",
     way: str = OURS,
+    seeds: int = 3,
 ) -> None:
     """Print the means over all traces for each value of a constant.
 
@@ -45,6 +46,7 @@
     :param cost: seek the cost at the latency target as well.
     :param user: the only user to replay; both by default.
     :param way: way of routing that has the constant.
+    :param seeds: replays of each trace, whose figures are averaged.
     """
     groups = [
         (owner, value)
@@ -53,25 +55,32 @@
         for value in values
     ]
     cases = [
-        Case(owner, scenario, way, _policy(owner, constant, value))
+        Case(owner, scenario, way, _policy(owner, constant, value), seed)
         for owner, value in groups
         for scenario in SCENARIOS
+        for seed in range(seeds)
     ]
     with Pool(PROCESSES) as pool:
         found = pool.map(partial(_figures, cost=cost), cases, chunksize=1)
     print(HEADER.format(constant))
-    size = len(SCENARIOS)
+    size = len(SCENARIOS) * seeds
     for place, (owner, value) in enumerate(groups):
         figures = found[place * size : (place + 1) * size]
-        print(_row(owner, value, figures))
+        print(_row(owner, value, figures, seeds))
 
 
 def _row(
-    user: User, value: float, found: Sequence[tuple[Measures, float | None]]
+    user: User,
+    value: float,
+    found: Sequence[tuple[Measures, float | None]],
+    seeds: int,
 ) -> str:
     measures = [figures for figures, _ in found]
     costs = [cost for _, cost in found if cost is not None]
-    shares = [figures.share_in_time for figures in measures]
+    shares = [
+        fmean(figures.share_in_time for figures in measures[start : start + seeds])
+        for start in range(0, len(measures), seeds)
+    ]
     worst = min(range(len(shares)), key=shares.__getitem__)
     cells = (
         user.name,
--- a/src/sassafrasdale/decisions/routing.py
+++ b/src/sassafrasdale/decisions/routing.py
@@ -74,6 +74,7 @@
     running = load * policy.queue_delay
     waiting = max(0.0, load + 1 - view.max_in_flight) * policy.wait_delay
     ahead = view.own_tokens / policy.prefill_rate
+    ahead += policy.queueing_trust * view.queueing.total_seconds()
     delay = (compute + running + waiting + ahead) * view.slowness
     delay += 2 * view.distance.total_seconds()
     latency = policy.latency_cost * delay
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -24,6 +24,7 @@
     :param distance: one-way delay from this entry.
     :param cached_tokens: prompt tokens of the request expected in its cache.
     :param leaving: whether a reclaim of it was announced.
+    :param queueing: time that requests are seen to queue there.
     :param slowness: recent time for a token over the median of its service; 1 is
         usual.
     """
@@ -41,6 +42,7 @@
     distance: timedelta = timedelta()
     cached_tokens: int = 0
     leaving: bool = False
+    queueing: timedelta = timedelta()
     slowness: float = 1.0
 
 
@@ -81,6 +83,9 @@
         all reports the other half.
     :param home_share: share of the prompt expected in the home's cache while
         nothing better is known.
+    :param mirrored_entries: other entries that are expected to have changed their
+        requests at an endpoint as this one did since the report.
+    :param queueing_trust: part of the queueing seen that is expected again.
     :param sample_size: candidates drawn at random when there are more.
     """
 
@@ -93,6 +98,7 @@
     report_half_life: timedelta = timedelta(seconds=4)
     home_share: float = 0.3
     mirrored_entries: float = 5.0
+    queueing_trust: float = 1.0
     sample_size: int = 8
 
 
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -1,5 +1,6 @@
 """Tests of the choice of an endpoint."""
 
+from datetime import timedelta
 from random import Random
 
 from sassafrasdale.decisions.routing import choose
@@ -38,3 +39,37 @@
     for seed in range(20):
         request = RoutingRequest(prompt_tokens=4000)
         assert choose(request, views, POLICY, Random(seed)).name == "cached"
+
+
+def test_entries_with_the_same_report_do_not_herd():
+    """At each load report the time to the first token jumps on one replica.
+
+    All entries hear that it was idle and each sends it what it has, since none
+    sees what the others sent after the report was measured.
+    """
+    age = timedelta(seconds=2)
+    others = {"a": 0, "b": 6}
+    own = {"a": 0, "b": 0}
+    for seed in range(6):
+        views = [
+            EndpointView(name, "z1", "", own[name], 0, others[name], 0, age)
+            for name in others
+        ]
+        own[choose(RoutingRequest(), views, POLICY, Random(seed)).name] += 1
+    assert own["b"] >= 2
+
+
+def test_prefers_the_home_while_nothing_better_is_known():
+    views = [EndpointView(name, "z1") for name in "abc"]
+    request = RoutingRequest(prompt_tokens=4000, home="b")
+    for seed in range(10):
+        assert choose(request, views, POLICY, Random(seed)).name == "b"
+
+
+def test_avoids_a_slow_endpoint():
+    views = [
+        EndpointView("a", "z1", slowness=4.0, in_flight=1),
+        EndpointView("b", "z1", in_flight=3),
+    ]
+    chosen = choose(RoutingRequest(prompt_tokens=800), views, POLICY, Random(1))
+    assert chosen.name == "b"
