--- a/src/sassafrasdale/decisions/affinity.py
+++ b/src/sassafrasdale/decisions/affinity.py
@@ -120,6 +120,8 @@
             for endpoint in holders:
                 if endpoint not in found and self._backed(endpoint, prefix, place):
                     found[endpoint] = (place + 1) * BLOCK_TOKENS
+            if len(found) == len(self._order):
+                break
         return found
 
     def matched_tokens(self, endpoint: str, prefix: Sequence[int]) -> int:
--- a/src/sassafrasdale/decisions/routing.py
+++ b/src/sassafrasdale/decisions/routing.py
@@ -8,7 +8,7 @@
     view = choose(request, views, RoutingPolicy(), rng)
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
 
 from sassafrasdale.decisions.structures import (
@@ -27,11 +27,11 @@
     """Return the endpoint to send ``request`` to, or None if all are leaving.
 
     :param request: the request.
-    :param views: every endpoint that may serve it, without those already tried.
+    :param views: the candidates, without those already tried.
     :param policy: weights of the service and constants.
     :param rng: draws the sample and breaks ties.
     """
-    candidates = _candidates(request, views, policy, rng)
+    candidates = [view for view in views if not view.leaving]
     mean = _mean_of_others(candidates)
     best = None
     best_cost = float("inf")
@@ -43,6 +43,33 @@
     return best
 
 
+def draw_candidates(
+    names: Sequence[str],
+    matches: Mapping[str, int],
+    home: str,
+    policy: RoutingPolicy,
+    rng: Random,
+) -> list[str]:
+    """Return the endpoints worth a view: a random sample, the home and the best match.
+
+    A view costs more than its part of the choice, so it is drawn from the names.
+
+    :param names: all endpoints of the service that this entry uses.
+    :param matches: expected cached tokens by endpoint.
+    :param home: the conversation's home, or empty.
+    :param policy: constants.
+    :param rng: draws the sample.
+    """
+    if len(names) <= policy.sample_size:
+        return list(names)
+    drawn = dict.fromkeys(rng.sample(names, policy.sample_size))
+    best = sorted(matches, key=matches.__getitem__, reverse=True)
+    drawn.update(dict.fromkeys(best[: policy.best_matches]))
+    if home:
+        drawn[home] = None
+    return list(drawn)
+
+
 def expected_load(view: EndpointView, policy: RoutingPolicy, mean: float) -> float:
     """Return the requests expected in flight at an endpoint, of all entries.
 
@@ -89,19 +116,3 @@
         return 0.0
     others = sum(max(0, view.reported_load - view.own_at_report) for view in reported)
     return others / len(reported)
-
-
-def _candidates(
-    request: RoutingRequest,
-    views: Sequence[EndpointView],
-    policy: RoutingPolicy,
-    rng: Random,
-) -> list[EndpointView]:
-    """Return a random sample, the home, and every endpoint with cached tokens."""
-    staying = [view for view in views if not view.leaving]
-    if len(staying) <= policy.sample_size:
-        return staying
-    known = [
-        view for view in staying if view.cached_tokens or view.name == request.home
-    ]
-    return known + rng.sample(staying, policy.sample_size)
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -87,6 +87,7 @@
         requests at an endpoint as this one did since the report.
     :param queueing_trust: part of the queueing seen that is expected again.
     :param sample_size: candidates drawn at random when there are more.
+    :param best_matches: candidates drawn for their cached tokens besides.
     """
 
     latency_cost: float = 1.0
@@ -100,6 +101,7 @@
     mirrored_entries: float = 5.0
     queueing_trust: float = 1.0
     sample_size: int = 8
+    best_matches: int = 3
 
 
 @dataclass(frozen=True, slots=True)
