--- a/src/sassafrasdale/decisions/capacity.py
+++ b/src/sassafrasdale/decisions/capacity.py
@@ -1,9 +1,15 @@
-"""What runs where: wanted instances under prices, refusals and zone losses."""
+"""What runs where: wanted instances under prices, refusals and zone losses.
 
-from collections.abc import Sequence
+The plan holds no state. Any entry that has the duty makes the same plan from the
+same view, and the same start carries the same request id, so that two holders
+at once, one of them paused past its lease, start an instance only once.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from math import ceil
 
 from sassafrasdale.decisions.structures import (
-    CapacityOrder,
     CapacityPlan,
     CapacityPolicy,
     GiveBack,
@@ -14,6 +20,12 @@
     StartInstance,
 )
 
+Kind = tuple[str, str, bool]
+"""Availability zone, instance class and whether it is reclaimable."""
+
+LARGEST_DOUBLING = 16
+"""Doublings of a pause that are worth computing; it is at its longest by then."""
+
 
 def plan_capacity(
     demand: ServiceDemand,
@@ -25,33 +37,30 @@
 ) -> CapacityPlan:
     """Return the orders that bring a service to the capacity that it needs.
 
-    The need is met without any one availability zone, so that the loss of one
-    leaves enough.
+    The need is met without any one availability zone. While a zone is lost, the
+    others carry the need without room for a second loss.
 
     :param demand: the service's load.
     :param instances: its instances, with those ordered but not yet listed.
     :param offers: kinds of instance that may be started, with prices.
     :param refused: kinds whose starts were refused.
     :param policy: constants.
-    :param round_id: names this round, as part of the starts' request ids.
+    :param round_id: names the planning period, the same for every holder of the
+        duty, as part of the starts' request ids.
     """
     needed = needed_capacity(demand, policy)
-    usable = [offer for offer in offers if _permitted(offer, demand, refused, policy)]
-    capacities = {_kind(offer): offer.capacity for offer in offers}
-    zones = dict.fromkeys(demand.availability_zones, 0.0)
     staying = [instance for instance in instances if not instance.leaving]
-    for instance in staying:
-        zone = instance.availability_zone
-        zones[zone] = zones.get(zone, 0.0) + capacities.get(_kind(instance), 0.0)
-    orders: list[CapacityOrder] = []
-    while usable and _short(zones, needed, len(staying) + len(orders), demand):
-        offer = min(usable, key=lambda offer: _rank(offer, zones, policy))
-        zones[offer.availability_zone] += offer.capacity
-        orders.append(_start(offer, demand.service, f"{round_id}-{len(orders)}"))
-    if orders:
-        return CapacityPlan(tuple(orders), max(0.0, needed - _after_loss(zones)))
-    given_back = _give_back(staying, zones, capacities, offers, needed, demand, policy)
-    return CapacityPlan(given_back, max(0.0, needed - _after_loss(zones)))
+    zones = _zone_capacities(demand, staying, offers)
+    best = _best_offers(demand, offers, refused, policy)
+    room = not _lost_zones(demand, instances, best)
+    wanted = _wanted(zones, best, needed, room)
+    starts = _starts(demand, staying, zones, wanted, best, round_id)
+    after = {zone: max(held, wanted.get(zone, 0.0)) for zone, held in zones.items()}
+    shortfall = max(0.0, needed - _guaranteed(after, room))
+    if starts or shortfall:
+        return CapacityPlan(starts, shortfall)
+    surplus = _Surplus(zones, needed * (1 + policy.give_back_margin), room)
+    return CapacityPlan(_give_back(staying, offers, surplus, demand))
 
 
 def needed_capacity(demand: ServiceDemand, policy: CapacityPolicy) -> float:
@@ -60,56 +69,197 @@
     return grown * policy.headroom
 
 
-def _kind(item: InstanceOffer | RunningInstance | RefusedStart) -> tuple:
+@dataclass(frozen=True, slots=True)
+class _Surplus:
+    """What may be given back: all beyond ``kept``."""
+
+    zones: Mapping[str, float]
+    kept: float
+    room: bool
+
+    def covers(self, zone: str, capacity: float) -> bool:
+        """Return whether enough is left without ``capacity`` in ``zone``."""
+        left = dict(self.zones)
+        left[zone] = left.get(zone, 0.0) - capacity
+        return _guaranteed(left, self.room) >= self.kept
+
+
+def _kind(item: InstanceOffer | RunningInstance | RefusedStart) -> Kind:
     return (item.availability_zone, item.instance_class, item.reclaimable)
 
 
-def _permitted(
-    offer: InstanceOffer,
+def _zone_capacities(
+    demand: ServiceDemand,
+    staying: Sequence[RunningInstance],
+    offers: Sequence[InstanceOffer],
+) -> dict[str, float]:
+    capacities = {_kind(offer): offer.capacity for offer in offers}
+    zones = dict.fromkeys(demand.availability_zones, 0.0)
+    for instance in staying:
+        zone = instance.availability_zone
+        zones[zone] = zones.get(zone, 0.0) + capacities.get(_kind(instance), 0.0)
+    return zones
+
+
+def _best_offers(
     demand: ServiceDemand,
+    offers: Sequence[InstanceOffer],
     refused: Sequence[RefusedStart],
     policy: CapacityPolicy,
+) -> dict[str, InstanceOffer]:
+    """Return the cheapest permitted offer for capacity in each zone."""
+    best: dict[str, InstanceOffer] = {}
+    for offer in offers:
+        zone = offer.availability_zone
+        if zone not in demand.availability_zones or _backed_off(offer, refused, policy):
+            continue
+        if zone not in best or _unit_price(offer, policy) < _unit_price(
+            best[zone], policy
+        ):
+            best[zone] = offer
+    return best
+
+
+def _unit_price(offer: InstanceOffer, policy: CapacityPolicy) -> float:
+    """Return the price of one unit of capacity, with the premium for its loss."""
+    premium = 1 + policy.reclaim_premium if offer.reclaimable else 1.0
+    return offer.price_per_hour * premium / offer.capacity
+
+
+def _backed_off(
+    offer: InstanceOffer, refused: Sequence[RefusedStart], policy: CapacityPolicy
 ) -> bool:
-    """Return whether an offer is in a wanted zone and not backed off from."""
-    if offer.availability_zone not in demand.availability_zones:
-        return False
+    """Return whether the last refusal of an offer is too recent to ask again."""
     for refusal in refused:
-        doubled = policy.refusal_backoff * 2 ** min(16, max(0, refusal.refusals - 1))
-        pause = min(doubled, policy.longest_backoff)
+        doublings = min(LARGEST_DOUBLING, max(0, refusal.refusals - 1))
+        pause = min(policy.refusal_backoff * 2**doublings, policy.longest_backoff)
         if _kind(refusal) == _kind(offer) and refusal.age < pause:
-            return False
-    return True
+            return True
+    return False
 
 
-def _after_loss(zones: dict[str, float]) -> float:
-    """Return the capacity left when the zone with the most of it is lost."""
-    if len(zones) < 2:
-        return sum(zones.values())
-    return sum(zones.values()) - max(zones.values())
+def _lost_zones(
+    demand: ServiceDemand,
+    instances: Sequence[RunningInstance],
+    best: Mapping[str, InstanceOffer],
+) -> set[str]:
+    """Return the zones that are being reclaimed or offer nothing and run nothing."""
+    running = {item.availability_zone for item in instances if not item.leaving}
+    leaving = {item.availability_zone for item in instances if item.leaving}
+    return {
+        zone
+        for zone in demand.availability_zones
+        if zone not in running and (zone in leaving or zone not in best)
+    }
 
 
-def _short(
-    zones: dict[str, float], needed: float, count: int, demand: ServiceDemand
-) -> bool:
-    return _after_loss(zones) < needed or count < demand.least_instances
+def _guaranteed(zones: Mapping[str, float], room: bool) -> float:
+    """Return the capacity that is left for sure."""
+    total = sum(zones.values())
+    if not room or len(zones) < 2:
+        return total
+    return total - max(zones.values())
 
 
-def _rank(
-    offer: InstanceOffer, zones: dict[str, float], policy: CapacityPolicy
-) -> tuple[bool, float, str]:
-    """Order offers: zones with the most capacity last, then by price of capacity."""
-    fullest = max(zones.values())
-    adds_nothing = len(zones) > 1 and zones[offer.availability_zone] >= fullest > 0
-    premium = 1 + policy.reclaim_premium if offer.reclaimable else 1.0
-    price = offer.price_per_hour * premium / offer.capacity
-    return (adds_nothing, price, offer.availability_zone)
+def _wanted(
+    zones: Mapping[str, float],
+    best: Mapping[str, InstanceOffer],
+    needed: float,
+    room: bool,
+) -> dict[str, float]:
+    """Return the capacity wanted in each zone, at the lowest price.
+
+    What the fullest zone has beyond the others doesn't count, since it may be
+    the one that is lost. So for each level that the fullest may have, the zones
+    are filled up to it, cheapest first, until the rest carry the need.
+    """
+    if _guaranteed(zones, room) >= needed or not best:
+        return dict(zones)
+    fills = [
+        _filled(zones, best, needed, room, level) for level in _levels(best, needed)
+    ]
+    return min(fills, key=lambda fill: _fill_rank(fill, zones, best, needed, room))
+
+
+def _levels(best: Mapping[str, InstanceOffer], needed: float) -> list[float]:
+    """Return the capacities that one zone may be filled up to."""
+    step = min(offer.capacity for offer in best.values())
+    return [step * count for count in range(1, ceil(needed / step) + 2)]
+
 
+def _filled(
+    zones: Mapping[str, float],
+    best: Mapping[str, InstanceOffer],
+    needed: float,
+    room: bool,
+    level: float,
+) -> dict[str, float]:
+    """Return the zones' capacities, filled up to ``level`` until they suffice."""
+    filled = dict(zones)
+    by_price = sorted(
+        best.values(),
+        key=lambda offer: (
+            offer.price_per_hour / offer.capacity,
+            offer.availability_zone,
+        ),
+    )
+    for offer in by_price:
+        zone = offer.availability_zone
+        while filled[zone] + offer.capacity <= level + 1e-9:
+            if _guaranteed(filled, room) >= needed:
+                return filled
+            filled[zone] += offer.capacity
+    return filled
+
+
+def _fill_rank(
+    filled: Mapping[str, float],
+    zones: Mapping[str, float],
+    best: Mapping[str, InstanceOffer],
+    needed: float,
+    room: bool,
+) -> tuple[float, float, float]:
+    """Order fills: those that carry most with room, then most at all, then price."""
+    price = sum(
+        (filled[zone] - zones[zone]) / offer.capacity * offer.price_per_hour
+        for zone, offer in best.items()
+    )
+    missing = max(0.0, needed - _guaranteed(filled, room))
+    missing_at_all = max(0.0, needed - sum(filled.values()))
+    return (missing, missing_at_all, price)
 
-def _start(offer: InstanceOffer, service: str, request_id: str) -> StartInstance:
+
+def _starts(
+    demand: ServiceDemand,
+    staying: Sequence[RunningInstance],
+    zones: Mapping[str, float],
+    wanted: Mapping[str, float],
+    best: Mapping[str, InstanceOffer],
+    round_id: str,
+) -> tuple[StartInstance, ...]:
+    """Return the starts that bring each zone from what it has to what is wanted."""
+    orders = []
+    for zone, offer in sorted(best.items()):
+        missing = wanted.get(zone, 0.0) - zones[zone]
+        first = sum(1 for instance in staying if _kind(instance) == _kind(offer))
+        for ordinal in range(first, first + max(0, round(missing / offer.capacity))):
+            orders.append(_start(offer, demand.service, ordinal, round_id))
+    if not orders and len(staying) < demand.least_instances and best:
+        offer = min(best.values(), key=lambda offer: offer.price_per_hour)
+        orders.append(_start(offer, demand.service, len(staying), round_id))
+    return tuple(orders)
+
+
+def _start(
+    offer: InstanceOffer, service: str, ordinal: int, round_id: str
+) -> StartInstance:
+    market = "reclaimable" if offer.reclaimable else "on-demand"
+    zone = offer.availability_zone
+    request_id = f"{service}-{zone}-{offer.instance_class}-{market}"
     return StartInstance(
-        request_id,
+        f"{request_id}-{ordinal}-{round_id}",
         service,
-        offer.availability_zone,
+        zone,
         offer.instance_class,
         offer.reclaimable,
     )
@@ -117,24 +267,27 @@
 
 def _give_back(
     staying: Sequence[RunningInstance],
-    zones: dict[str, float],
-    capacities: dict[tuple, float],
     offers: Sequence[InstanceOffer],
-    needed: float,
+    surplus: _Surplus,
     demand: ServiceDemand,
-    policy: CapacityPolicy,
 ) -> tuple[GiveBack, ...]:
-    """Return an order for the dearest instance that is not needed, if any."""
+    """Return an order for the dearest instance that is not needed, if any.
+
+    One a round, so that the next round sees what the first did.
+    """
     if len(staying) <= demand.least_instances:
         return ()
-    prices = {_kind(offer): offer.price_per_hour for offer in offers}
-    by_price = sorted(
-        staying,
-        key=lambda item: (-prices.get(_kind(item), 0.0), item.in_flight, item.name),
-    )
-    for instance in by_price:
-        left = dict(zones)
-        left[instance.availability_zone] -= capacities.get(_kind(instance), 0.0)
-        if _after_loss(left) >= needed * (1 + policy.give_back_margin):
+    known = {_kind(offer): offer for offer in offers}
+    priced = [instance for instance in staying if _kind(instance) in known]
+    priced.sort(key=lambda item: (-_price(item, known), item.in_flight, item.name))
+    for instance in priced:
+        capacity = known[_kind(instance)].capacity
+        if surplus.covers(instance.availability_zone, capacity):
             return (GiveBack(instance.name),)
     return ()
+
+
+def _price(instance: RunningInstance, known: Mapping[Kind, InstanceOffer]) -> float:
+    """Return the price of an instance for each unit of its capacity."""
+    offer = known[_kind(instance)]
+    return offer.price_per_hour / offer.capacity
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -243,7 +243,7 @@
     """What a service needs of its instances.
 
     :param service: name of the service.
-    :param load: requests in flight to plan for.
+    :param load: requests in flight, as a mean over the last minute.
     :param growth: change of the load in a second.
     :param availability_zones: where its instances may run.
     :param least_instances: number never to go below.
--- /dev/null
+++ b/tests/decisions/test_capacity.py
@@ -0,0 +1,119 @@
+"""Tests of the capacity plan."""
+
+from collections import Counter
+from datetime import timedelta
+
+from sassafrasdale.decisions.capacity import plan_capacity
+from sassafrasdale.decisions.structures import (
+    CapacityPolicy,
+    GiveBack,
+    InstanceOffer,
+    RefusedStart,
+    RunningInstance,
+    ServiceDemand,
+    StartInstance,
+)
+
+ZONES = ("a", "b", "c")
+POLICY = CapacityPolicy(headroom=1.0)
+DEMAND = ServiceDemand("drafts", load=40.0, availability_zones=ZONES)
+OFFERS = [
+    InstanceOffer(zone, "large", reclaimable, price, 10.0)
+    for zone, cheap in zip(ZONES, (0.30, 0.40, 0.35), strict=True)
+    for reclaimable, price in ((True, cheap), (False, 1.0))
+]
+
+
+def _running(**counts: int) -> list[RunningInstance]:
+    return [
+        RunningInstance(f"{zone}{n}", zone, "large", True)
+        for zone, count in counts.items()
+        for n in range(count)
+    ]
+
+
+def _refused(zone: str, refusals: int = 1, age: int = 1) -> list[RefusedStart]:
+    seconds = timedelta(seconds=age)
+    return [RefusedStart(zone, "large", kind, refusals, seconds) for kind in (0, 1)]
+
+
+def _plan(instances, refused=(), demand=DEMAND, round_id="r1"):
+    return plan_capacity(demand, instances, OFFERS, refused, POLICY, round_id)
+
+
+def _starts(plan) -> Counter:
+    return Counter(order.availability_zone for order in plan.orders)
+
+
+def test_keeps_room_for_the_loss_of_any_zone():
+    plan = _plan([])
+    assert _starts(plan) == {"a": 2, "b": 2, "c": 2}
+    assert all(order.reclaimable for order in plan.orders)
+    assert plan.shortfall == 0.0
+
+
+def test_carries_on_in_the_other_zones_when_one_is_refused():
+    """A zone has no machines left, and the service stays short for hours.
+
+    The plan asks the cheapest zone again and again, is refused each time and
+    never turns to the others.
+    """
+    plan = _plan(_running(b=2), _refused("a"))
+    assert _starts(plan) == {"c": 2}
+
+
+def test_asks_a_zone_again_after_its_pause():
+    assert "a" not in _starts(_plan([], _refused("a", refusals=3, age=30)))
+    assert "a" in _starts(_plan([], _refused("a", refusals=3, age=41)))
+
+
+def test_pays_for_lasting_instances_when_reclaimable_ones_are_refused():
+    refused = [RefusedStart(zone, "large", True, 1, timedelta()) for zone in ZONES]
+    plan = _plan([], refused)
+    assert len(plan.orders) == 6
+    assert not any(order.reclaimable for order in plan.orders)
+
+
+def test_replaces_a_zone_that_is_being_reclaimed():
+    leaving = [
+        RunningInstance(f"a{n}", "a", "large", True, leaving=True) for n in range(2)
+    ]
+    plan = _plan([*leaving, *_running(b=2, c=2)], _refused("a"))
+    assert plan.orders == ()
+    grown = ServiceDemand("drafts", 60.0, availability_zones=ZONES)
+    plan = _plan([*leaving, *_running(b=2, c=2)], _refused("a"), grown)
+    assert sum(_starts(plan).values()) == 2
+
+
+def test_says_what_no_offer_can_carry():
+    refused = [*_refused("a"), *_refused("b"), *_refused("c")]
+    plan = _plan(_running(a=1), refused)
+    assert plan.orders == ()
+    assert plan.shortfall == 30.0
+
+
+def test_gives_back_the_dearest_instance_one_a_round():
+    plan = _plan(_running(a=3, b=3, c=3))
+    assert plan.orders == (GiveBack("b0"),)
+
+
+def test_gives_nothing_back_within_the_margin():
+    assert _plan(_running(a=2, b=2, c=2)).orders == ()
+
+
+def test_two_holders_of_the_duty_order_the_same_instance_once():
+    """The cloud starts twice what was asked for, and the bill doubles.
+
+    A holder was paused past its lease. It and its successor order the same
+    start; the request id is made from what is wanted, so the second is a repeat.
+    """
+    first, second = _plan([]), _plan([])
+    assert first == second
+    ids = [order.request_id for order in first.orders]
+    assert len(set(ids)) == len(ids)
+    assert all(isinstance(order, StartInstance) for order in first.orders)
+
+
+def test_plans_for_the_load_at_the_time_that_a_start_serves():
+    growing = ServiceDemand("drafts", 40.0, growth=1.0, availability_zones=ZONES)
+    assert sum(_starts(_plan([], demand=growing)).values()) == 15
