--- a/src/sassafrasdale/decisions/capacity.py
+++ b/src/sassafrasdale/decisions/capacity.py
@@ -59,8 +59,11 @@
     shortfall = max(0.0, needed - _guaranteed(after, room))
     if starts or shortfall:
         return CapacityPlan(starts, shortfall)
-    surplus = _Surplus(zones, needed * (1 + policy.give_back_margin), room)
-    return CapacityPlan(_give_back(staying, offers, surplus, demand))
+    market = _Market(offers, best, policy)
+    serving = [instance for instance in staying if instance.serving]
+    surplus = _Surplus(_zone_capacities(demand, serving, offers), needed, room)
+    given_back = _give_back(serving, market, surplus, demand)
+    return CapacityPlan(given_back or _replace(staying, market, demand, round_id))
 
 
 def needed_capacity(demand: ServiceDemand, policy: CapacityPolicy) -> float:
@@ -69,19 +72,58 @@
     return grown * policy.headroom
 
 
+class _Market:
+    """Prices, and which instances are dear against what can be had now."""
+
+    def __init__(
+        self,
+        offers: Sequence[InstanceOffer],
+        best: Mapping[str, InstanceOffer],
+        policy: CapacityPolicy,
+    ) -> None:
+        self._known = {_kind(offer): offer for offer in offers}
+        self.best = best
+        self.policy = policy
+
+    def knows(self, instance: RunningInstance) -> bool:
+        """Return whether the cloud has a price for an instance."""
+        return _kind(instance) in self._known
+
+    def capacity(self, instance: RunningInstance) -> float:
+        """Return the load that an instance carries."""
+        return self._known[_kind(instance)].capacity
+
+    def unit_price(self, instance: RunningInstance) -> float:
+        """Return the price of an instance for each unit of its capacity."""
+        return _unit_price(self._known[_kind(instance)])
+
+    def cheapest(self) -> InstanceOffer | None:
+        """Return the cheapest offer for capacity that may be started."""
+        offers = self.best.values()
+        return min(offers, key=_unit_price, default=None)
+
+    def is_dear(self, instance: RunningInstance) -> bool:
+        """Return whether an instance is worth replacing."""
+        cheapest = self.cheapest()
+        if cheapest is None:
+            return False
+        limit = self.policy.dear * _unit_price(cheapest)
+        return self.unit_price(instance) > limit
+
+
 @dataclass(frozen=True, slots=True)
 class _Surplus:
-    """What may be given back: all beyond ``kept``."""
+    """What serves, and how much of it has to stay."""
 
     zones: Mapping[str, float]
-    kept: float
+    needed: float
     room: bool
 
-    def covers(self, zone: str, capacity: float) -> bool:
-        """Return whether enough is left without ``capacity`` in ``zone``."""
+    def covers(self, zone: str, capacity: float, margin: float) -> bool:
+        """Return whether enough serves without ``capacity`` in ``zone``."""
         left = dict(self.zones)
         left[zone] = left.get(zone, 0.0) - capacity
-        return _guaranteed(left, self.room) >= self.kept
+        return _guaranteed(left, self.room) >= self.needed * (1 + margin)
 
 
 def _kind(item: InstanceOffer | RunningInstance | RefusedStart) -> Kind:
@@ -113,17 +155,14 @@
         zone = offer.availability_zone
         if zone not in demand.availability_zones or _backed_off(offer, refused, policy):
             continue
-        if zone not in best or _unit_price(offer, policy) < _unit_price(
-            best[zone], policy
-        ):
+        if zone not in best or _unit_price(offer) < _unit_price(best[zone]):
             best[zone] = offer
     return best
 
 
-def _unit_price(offer: InstanceOffer, policy: CapacityPolicy) -> float:
-    """Return the price of one unit of capacity, with the premium for its loss."""
-    premium = 1 + policy.reclaim_premium if offer.reclaimable else 1.0
-    return offer.price_per_hour * premium / offer.capacity
+def _unit_price(offer: InstanceOffer) -> float:
+    """Return the price of one unit of capacity."""
+    return offer.price_per_hour / offer.capacity
 
 
 def _backed_off(
@@ -199,7 +238,7 @@
     by_price = sorted(
         best.values(),
         key=lambda offer: (
-            offer.price_per_hour / offer.capacity,
+            _unit_price(offer),
             offer.availability_zone,
         ),
     )
@@ -266,28 +305,45 @@
 
 
 def _give_back(
-    staying: Sequence[RunningInstance],
-    offers: Sequence[InstanceOffer],
+    serving: Sequence[RunningInstance],
+    market: _Market,
     surplus: _Surplus,
     demand: ServiceDemand,
 ) -> tuple[GiveBack, ...]:
     """Return an order for the dearest instance that is not needed, if any.
 
-    One a round, so that the next round sees what the first did.
+    One a round, so that the next round sees what the first did. A dear instance
+    goes without the margin, as its replacement serves already.
     """
-    if len(staying) <= demand.least_instances:
+    if len(serving) <= demand.least_instances:
         return ()
-    known = {_kind(offer): offer for offer in offers}
-    priced = [instance for instance in staying if _kind(instance) in known]
-    priced.sort(key=lambda item: (-_price(item, known), item.in_flight, item.name))
+    priced = [instance for instance in serving if market.knows(instance)]
+    priced.sort(key=lambda item: (-market.unit_price(item), item.in_flight, item.name))
     for instance in priced:
-        capacity = known[_kind(instance)].capacity
-        if surplus.covers(instance.availability_zone, capacity):
+        margin = 0.0 if market.is_dear(instance) else market.policy.give_back_margin
+        zone = instance.availability_zone
+        if surplus.covers(zone, market.capacity(instance), margin):
             return (GiveBack(instance.name),)
     return ()
 
 
-def _price(instance: RunningInstance, known: Mapping[Kind, InstanceOffer]) -> float:
-    """Return the price of an instance for each unit of its capacity."""
-    offer = known[_kind(instance)]
-    return offer.price_per_hour / offer.capacity
+def _replace(
+    staying: Sequence[RunningInstance],
+    market: _Market,
+    demand: ServiceDemand,
+    round_id: str,
+) -> tuple[StartInstance, ...]:
+    """Return a start of what will replace a dear instance, if there is one.
+
+    Nothing is started while an earlier start has not come up.
+    """
+    if not all(instance.serving for instance in staying):
+        return ()
+    for instance in staying:
+        if not market.knows(instance) or not market.is_dear(instance):
+            continue
+        offer = market.best.get(instance.availability_zone) or market.cheapest()
+        if _unit_price(offer) < market.unit_price(instance):
+            held = sum(1 for other in staying if _kind(other) == _kind(offer))
+            return (_start(offer, demand.service, held, round_id),)
+    return ()
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -228,6 +228,7 @@
     :param reclaimable: whether the platform may take it back.
     :param in_flight: its requests in flight.
     :param leaving: whether a reclaim of it was announced.
+    :param serving: whether it has come up.
     """
 
     name: str
@@ -236,6 +237,7 @@
     reclaimable: bool
     in_flight: int = 0
     leaving: bool = False
+    serving: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,18 +266,18 @@
     :param start_time: time from an order to an instance that serves.
     :param refusal_backoff: pause after one refused start; it doubles each time.
     :param longest_backoff: longest such pause.
-    :param reclaim_premium: share of its price that a reclaimable instance is
-        held to cost more than it does, for the work that its loss repeats.
     :param give_back_margin: spare capacity, as a share of what is needed, that is
         kept before an instance is given back.
+    :param dear: multiple of the cheapest price of capacity from which an instance
+        is replaced by a cheaper one.
     """
 
     headroom: float = 1.25
     start_time: timedelta = timedelta(seconds=60)
-    refusal_backoff: timedelta = timedelta(seconds=10)
-    longest_backoff: timedelta = timedelta(minutes=5)
-    reclaim_premium: float = 0.1
-    give_back_margin: float = 0.2
+    refusal_backoff: timedelta = timedelta(seconds=20)
+    longest_backoff: timedelta = timedelta(minutes=2)
+    give_back_margin: float = 0.1
+    dear: float = 1.5
 
 
 @dataclass(frozen=True, slots=True)
