Give each conversation a second home

Entries that found the home too busy spilled a conversation to whichever endpoint each thought idle, so its prefix was computed on several. Now all turn to the same second home.

--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -141,12 +141,14 @@
                 return self._prefix_hash.choose(views, request.key)
             case "prefix hash":
                 return self._prefix_hash.choose(views, request.number)
+        homes = self._ring.homes(request.key) if request.continues else ("", "")
         asked = RoutingRequest(
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
             priority=request.priority,
             home_availability_zone=self.zone,
-            home=self._ring.home(request.key) if request.continues else "",
+            home=homes[0],
+            second_home=homes[1],
         )
         return choose(asked, views, self._policy, self._rng)
 
--- a/src/sassafrasdale/decisions/affinity.py
+++ b/src/sassafrasdale/decisions/affinity.py
@@ -71,12 +71,21 @@
         self._hashes = [point for point, _ in points]
         self._names = [name for _, name in points]
 
-    def home(self, key: int) -> str:
-        """Return the endpoint of ``key``; empty if there are no endpoints."""
+    def homes(self, key: int) -> tuple[str, str]:
+        """Return the home of ``key`` and its second home; empty if there is none.
+
+        All entries turn to the same second home when the first is busy, so that
+        a conversation is computed there once and not on every endpoint.
+        """
         if not self._names:
-            return ""
+            return "", ""
         place = bisect_left(self._hashes, key)
-        return self._names[place % len(self._names)]
+        first = self._names[place % len(self._names)]
+        for step in range(1, len(self._names)):
+            second = self._names[(place + step) % len(self._names)]
+            if second != first:
+                return first, second
+        return first, ""
 
 
 class PrefixIndex:
--- a/src/sassafrasdale/decisions/routing.py
+++ b/src/sassafrasdale/decisions/routing.py
@@ -46,17 +46,17 @@
 def draw_candidates(
     names: Sequence[str],
     matches: Mapping[str, int],
-    home: str,
+    homes: Sequence[str],
     policy: RoutingPolicy,
     rng: Random,
 ) -> list[str]:
-    """Return the endpoints worth a view: a random sample, the home and the best match.
+    """Return the endpoints worth a view: a sample, the homes and the best matches.
 
     A view costs more than its part of the choice, so it is drawn from the names.
 
     :param names: all endpoints of the service that this entry uses.
     :param matches: expected cached tokens by endpoint.
-    :param home: the conversation's home, or empty.
+    :param homes: the conversation's homes; an empty one is left out.
     :param policy: constants.
     :param rng: draws the sample.
     """
@@ -65,8 +65,7 @@
     drawn = dict.fromkeys(rng.sample(names, policy.sample_size))
     best = sorted(matches, key=matches.__getitem__, reverse=True)
     drawn.update(dict.fromkeys(best[: policy.best_matches]))
-    if home:
-        drawn[home] = None
+    drawn.update(dict.fromkeys(home for home in homes if home))
     return list(drawn)
 
 
@@ -97,6 +96,8 @@
     cached = view.cached_tokens
     if view.name == request.home:
         cached = max(cached, policy.home_share * request.prompt_tokens)
+    elif view.name == request.second_home:
+        cached = max(cached, policy.second_home_share * request.prompt_tokens)
     compute = max(0.0, request.prompt_tokens - cached) / policy.prefill_rate
     running = load * policy.queue_delay
     waiting = max(0.0, load + 1 - view.max_in_flight) * policy.wait_delay
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -57,6 +57,7 @@
     :param home_availability_zone: where the entry that holds it runs.
     :param home: endpoint that the hash of the conversation names, on every entry
         alike; empty if the request continues none.
+    :param second_home: where it goes when the home is too busy, likewise.
     """
 
     prompt_tokens: int = 0
@@ -65,6 +66,7 @@
     remaining: timedelta = timedelta(seconds=30)
     home_availability_zone: str = ""
     home: str = ""
+    second_home: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
         all reports the other half.
     :param home_share: share of the prompt expected in the home's cache while
         nothing better is known.
+    :param second_home_share: the same for the second home.
     :param mirrored_entries: other entries that are expected to have changed their
         requests at an endpoint as this one did since the report.
     :param queueing_trust: part of the queueing seen that is expected again.
@@ -97,7 +100,8 @@
     wait_delay: float = 0.2
     price_delay: float = 0.02
     report_half_life: timedelta = timedelta(seconds=4)
-    home_share: float = 0.3
+    home_share: float = 0.5
+    second_home_share: float = 0.4
     mirrored_entries: float = 5.0
     queueing_trust: float = 1.0
     sample_size: int = 8
