--- a/bench/replay/choices.py
+++ b/bench/replay/choices.py
@@ -5,6 +5,7 @@
     python -m bench.replay.choices
 """
 
+import tracemalloc
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
@@ -12,7 +13,7 @@
 from statistics import median
 from time import process_time
 
-from sassafrasdale.decisions.affinity import PrefixIndex
+from sassafrasdale.decisions.affinity import MAX_BLOCKS, PrefixIndex
 from sassafrasdale.decisions.routing import choose, draw_candidates
 from sassafrasdale.decisions.structures import (
     EndpointView,
@@ -23,6 +24,8 @@
 ROUNDS = 7
 CALLS = 500
 PROMPT_BLOCKS = 100
+BIG = 2**40
+"""Distance between block numbers, which are as large as hashes."""
 
 
 def main() -> None:
@@ -31,6 +34,10 @@
     for count in (6, 12, 30, 100):
         for name, call in _calls(count).items():
             print(f"| {name} | {count} | {_taken(call):.1f} |")
+    print("\n| endpoints | blocks | bytes a block |\n| ---: | ---: | ---: |")
+    for count in (6, 30):
+        blocks, size = _index_size(count)
+        print(f"| {count} | {blocks} | {size / blocks:.0f} |")
 
 
 def _calls(count: int) -> dict[str, Callable[[], object]]:
@@ -76,6 +83,18 @@
     return index, prompt
 
 
+def _index_size(count: int) -> tuple[int, int]:
+    """Return the blocks in a full index and the bytes of memory that it takes."""
+    tracemalloc.start()
+    index = PrefixIndex()
+    for n in range(count):
+        first = n * MAX_BLOCKS * BIG
+        index.record(f"e{n}", range(first, first + MAX_BLOCKS * BIG, BIG))
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return len(index), size
+
+
 def _taken(function: Callable[[], object]) -> float:
     rounds = []
     for _ in range(ROUNDS):
--- a/bench/replay/engines.py
+++ b/bench/replay/engines.py
@@ -101,7 +101,7 @@
     :param zone: its availability zone.
     :param shape: its speed and size.
     :param events: the replay's event queue.
-    :param on_cache: called with the kind and hash of each cache event.
+    :param on_cache: called with the blocks stored and those removed.
     """
 
     def __init__(
@@ -110,7 +110,7 @@
         zone: str,
         shape: EngineShape,
         events: EventQueue,
-        on_cache: Callable[[str, str, int], None],
+        on_cache: Callable[[str, list[int], list[int]], None],
     ) -> None:
         self.name = name
         self.zone = zone
@@ -178,14 +178,15 @@
 
     def store(self, blocks: Sequence[int]) -> None:
         """Put blocks into the cache and drop the least recent beyond its size."""
+        cache = self._cache
+        stored = [block for block in reversed(blocks) if block not in cache]
         for block in reversed(blocks):
-            if block not in self._cache:
-                self._on_cache(self.name, "stored", block)
-            self._cache[block] = None
-            self._cache.move_to_end(block)
-        while len(self._cache) * BLOCK > self.shape.cache_tokens:
-            block, _ = self._cache.popitem(last=False)
-            self._on_cache(self.name, "removed", block)
+            cache[block] = None
+            cache.move_to_end(block)
+        surplus = len(cache) - self.shape.cache_tokens // BLOCK
+        removed = [cache.popitem(last=False)[0] for _ in range(surplus)]
+        if stored or removed:
+            self._on_cache(self.name, stored, removed)
 
     def _start(self, job: Job) -> None:
         self.running.add(job)
--- a/bench/replay/simulation.py
+++ b/bench/replay/simulation.py
@@ -250,21 +250,24 @@
         if engine not in self._gone:
             entry.reports[engine] = report
 
-    def _cache_event(self, engine: str, kind: str, block: int) -> None:
+    def _cache_event(self, engine: str, stored: list[int], removed: list[int]) -> None:
+        """Publish cache events; each may get lost on its own."""
         if self._way != OURS:
             return
-        if self._losses.random() < self._scenario.event_loss:
-            return
-        self._events.after(
-            self._scenario.event_delay, self._hear_cache, engine, kind, block
-        )
+        loss, draw = self._scenario.event_loss, self._losses.random
+        stored = [block for block in stored if draw() >= loss]
+        removed = [block for block in removed if draw() >= loss]
+        delay = self._scenario.event_delay
+        self._events.after(delay, self._hear_cache, engine, stored, removed)
 
-    def _hear_cache(self, engine: str, kind: str, block: int) -> None:
+    def _hear_cache(self, engine: str, stored: list[int], removed: list[int]) -> None:
         if engine in self._gone:
             return
         for entry in self._entries:
-            hear = entry.index.stored if kind == "stored" else entry.index.removed
-            hear(engine, block)
+            for block in stored:
+                entry.index.stored(engine, block)
+            for block in removed:
+                entry.index.removed(engine, block)
 
     # Reclaims
 
--- a/src/sassafrasdale/decisions/affinity.py
+++ b/src/sassafrasdale/decisions/affinity.py
@@ -88,6 +88,19 @@
         return first, ""
 
 
+class _CachedBlocks:
+    """Blocks expected in one endpoint's cache, the least recent first.
+
+    :param mark: bit that stands for the endpoint.
+    """
+
+    __slots__ = ("mark", "order")
+
+    def __init__(self, mark: int) -> None:
+        self.mark = mark
+        self.order: OrderedDict[int, None] = OrderedDict()
+
+
 class PrefixIndex:
     """Bounded memory of the prefixes that each endpoint has cached.
 
@@ -100,9 +113,9 @@
 
     def __init__(self, max_blocks: int = MAX_BLOCKS) -> None:
         self._max_blocks = max_blocks
-        self._order: dict[str, OrderedDict[int, None]] = {}
-        self._holders: dict[int, dict[str, int]] = {}
-        self._sequence = 0
+        self._endpoints: dict[str, _CachedBlocks] = {}
+        self._names: dict[int, str] = {}
+        self._marks: dict[int, int] = {}
 
     def blocks(self, messages_text: str) -> tuple[int, ...]:
         """Return the block hashes of a prompt."""
@@ -110,26 +123,29 @@
 
     def record(self, endpoint: str, prefix: Sequence[int]) -> None:
         """Note that a prompt with the block hashes ``prefix`` was sent."""
-        self._sequence += 1
+        cached = self._cached(endpoint)
         # The last block is the first to go, as a prefix without its beginning
         # is of no use to the endpoint.
         for block in reversed(prefix):
-            self._note(endpoint, block, self._sequence)
+            self._add(cached, block)
 
     def matches(self, prefix: Sequence[int]) -> dict[str, int]:
         """Return the tokens of a prompt that each endpoint is expected to hold.
 
         Endpoints that hold none of it are left out.
         """
+        marks = [self._marks.get(block, 0) for block in prefix]
         found: dict[str, int] = {}
-        for place in range(len(prefix) - 1, -1, -1):
-            holders = self._holders.get(prefix[place])
-            if holders is None:
-                continue
-            for endpoint in holders:
-                if endpoint not in found and self._backed(endpoint, prefix, place):
-                    found[endpoint] = (place + 1) * BLOCK_TOKENS
-            if len(found) == len(self._order):
+        missing = sum(self._names)
+        for place in range(len(marks) - 1, -1, -1):
+            new = marks[place] & missing
+            while new:
+                mark = new & -new
+                new ^= mark
+                if _backed(marks, place, mark):
+                    missing ^= mark
+                    found[self._names[mark]] = (place + 1) * BLOCK_TOKENS
+            if not missing:
                 break
         return found
 
@@ -139,47 +155,66 @@
 
     def stored(self, endpoint: str, prefix: int) -> None:
         """Take in the event that ``endpoint`` cached a block."""
-        self._sequence += 1
-        self._note(endpoint, prefix, self._sequence)
+        self._add(self._cached(endpoint), prefix)
 
     def removed(self, endpoint: str, prefix: int) -> None:
         """Take in the event that ``endpoint`` dropped a block."""
-        order = self._order.get(endpoint)
-        if order is not None and prefix in order:
-            del order[prefix]
-            self._drop(endpoint, prefix)
+        cached = self._endpoints.get(endpoint)
+        if cached is not None and prefix in cached.order:
+            del cached.order[prefix]
+            self._unmark(prefix, cached.mark)
 
     def forget(self, endpoint: str) -> None:
         """Drop all that is known of an endpoint, as it is gone or restarted."""
-        for block in self._order.pop(endpoint, ()):
-            self._drop(endpoint, block)
-
-    def _backed(self, endpoint: str, prefix: Sequence[int], place: int) -> bool:
-        """Return whether enough blocks just before ``place`` are known as well.
-
-        A block that stands alone was dropped with those around it, and the event
-        of its removal was lost.
-        """
-        before = prefix[max(0, place - BACKING_SPAN) : place]
-        if len(before) < BACKING_SPAN:
-            return True
-        backing = sum(1 for b in before if endpoint in self._holders.get(b, ()))
-        return backing >= BACKING_BLOCKS
-
-    def _note(self, endpoint: str, block: int, sequence: int) -> None:
-        order = self._order.setdefault(endpoint, OrderedDict())
+        cached = self._endpoints.pop(endpoint, None)
+        if cached is None:
+            return
+        for block in cached.order:
+            self._unmark(block, cached.mark)
+        del self._names[cached.mark]
+
+    def _cached(self, endpoint: str) -> _CachedBlocks:
+        cached = self._endpoints.get(endpoint)
+        if cached is None:
+            cached = _CachedBlocks(self._free_mark())
+            self._endpoints[endpoint] = cached
+            self._names[cached.mark] = endpoint
+        return cached
+
+    def _free_mark(self) -> int:
+        """Return the lowest bit that stands for no endpoint."""
+        taken = sum(self._names)
+        return ~taken & (taken + 1)
+
+    def _add(self, cached: _CachedBlocks, block: int) -> None:
+        order = cached.order
+        if block in order:
+            order.move_to_end(block)
+            return
         order[block] = None
-        order.move_to_end(block)
-        self._holders.setdefault(block, {})[endpoint] = sequence
+        self._marks[block] = self._marks.get(block, 0) | cached.mark
         if len(order) > self._max_blocks:
             oldest, _ = order.popitem(last=False)
-            self._drop(endpoint, oldest)
+            self._unmark(oldest, cached.mark)
 
-    def _drop(self, endpoint: str, block: int) -> None:
-        holders = self._holders[block]
-        del holders[endpoint]
-        if not holders:
-            del self._holders[block]
+    def _unmark(self, block: int, mark: int) -> None:
+        left = self._marks[block] & ~mark
+        if left:
+            self._marks[block] = left
+        else:
+            del self._marks[block]
 
     def __len__(self) -> int:
-        return sum(len(order) for order in self._order.values())
+        return sum(len(cached.order) for cached in self._endpoints.values())
+
+
+def _backed(marks: Sequence[int], place: int, mark: int) -> bool:
+    """Return whether enough blocks just before ``place`` are known as well.
+
+    A block that stands alone was dropped with those around it, and the event of
+    its removal was lost.
+    """
+    if place < BACKING_SPAN:
+        return True
+    before = marks[place - BACKING_SPAN : place]
+    return sum(1 for held in before if held & mark) >= BACKING_BLOCKS
