Add thin stand-ins for the platform, model engines and plain services

Cause: the store, cloud, engine and service clients need something to be tested against. Change: one eventlet process for each, after docs/PROTOCOLS.md, with injected faults.

--- /dev/null
+++ b/standins/cache.py
@@ -0,0 +1,114 @@
+"""Prefix cache of limited size, and the events that tell of it."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from hashlib import blake2b
+
+BLOCK_TOKENS = 16
+"""Tokens in one cached block."""
+
+HASH_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A block was stored or removed."""
+
+    sequence: int
+    kind: str
+    prefix: str
+    visible_at: timedelta
+
+
+def block_hashes(tokens: Sequence[str]) -> Iterator[str]:
+    """Yield the chained hash of each whole block of the prompt."""
+    before = b""
+    for end in range(BLOCK_TOKENS, len(tokens) + 1, BLOCK_TOKENS):
+        block = " ".join(tokens[end - BLOCK_TOKENS : end]).encode()
+        before = blake2b(before + block, digest_size=HASH_BYTES).digest()
+        yield before.hex()
+
+
+class PrefixCache:
+    """Least-recently-used cache of prompt blocks.
+
+    :param capacity: tokens that it holds.
+    :param elapsed: time since an arbitrary start.
+    :param event_lag: how late an event shows.
+    :param event_loss: share of the events that never show.
+    """
+
+    def __init__(
+        self,
+        capacity: int,
+        elapsed: Callable[[], timedelta],
+        rng: random.Random,
+        event_lag: timedelta = timedelta(),
+        event_loss: float = 0.0,
+    ) -> None:
+        self._capacity = capacity
+        self._max_blocks = capacity // BLOCK_TOKENS
+        self._elapsed = elapsed
+        self._rng = rng
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+        self._events: list[CacheEvent] = []
+        self._sequence = 0
+        self.event_lag = event_lag
+        self.event_loss = event_loss
+
+    @property
+    def capacity(self) -> int:
+        """Tokens that it can hold."""
+        return self._capacity
+
+    @property
+    def tokens(self) -> int:
+        """Tokens held."""
+        return len(self._blocks) * BLOCK_TOKENS
+
+    def lookup(self, tokens: Sequence[str]) -> int:
+        """Return how many leading tokens are cached, and mark them used."""
+        cached = 0
+        for block in block_hashes(tokens):
+            if block not in self._blocks:
+                break
+            self._blocks.move_to_end(block)
+            cached += BLOCK_TOKENS
+        return cached
+
+    def store(self, tokens: Sequence[str]) -> None:
+        """Hold the prompt's blocks, dropping the least recently used."""
+        for block in block_hashes(tokens):
+            known = block in self._blocks
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+            if not known:
+                self._note("stored", block)
+        while len(self._blocks) > self._max_blocks:
+            block, _ = self._blocks.popitem(last=False)
+            self._note("removed", block)
+
+    def clear(self) -> None:
+        """Drop every block."""
+        while self._blocks:
+            block, _ = self._blocks.popitem(last=False)
+            self._note("removed", block)
+
+    def events_after(self, sequence: int) -> list[CacheEvent]:
+        """Return the events above ``sequence`` that show by now."""
+        now = self._elapsed()
+        return [
+            event
+            for event in self._events
+            if event.sequence > sequence and event.visible_at <= now
+        ]
+
+    def _note(self, kind: str, block: str) -> None:
+        self._sequence += 1
+        if self._rng.random() < self.event_loss:
+            return
+        visible_at = self._elapsed() + self.event_lag
+        self._events.append(CacheEvent(self._sequence, kind, block, visible_at))
--- /dev/null
+++ b/standins/cloud.py
@@ -0,0 +1,206 @@
+"""The cloud API: a lagging instance list, notices, prices and starts."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.green import Empty, Queue
+from standins.web import Answer, Request, Route
+
+RETRY_AFTER_SECONDS = "2"
+INSTANCE_DEFAULTS: dict[str, Any] = {
+    "role": "endpoint",
+    "availability_zone": "",
+    "address": "",
+    "peer_address": None,
+    "service": "",
+    "instance_class": "",
+    "reclaimable": True,
+    "checks_fencing": False,
+    "state": "running",
+}
+
+
+@dataclass(slots=True)
+class CloudFaults:
+    """What is wrong with the cloud API at present."""
+
+    list_lag: timedelta = timedelta()
+    refuse_starts: bool = False
+    reclaimed_zones: set[str] = field(default_factory=set)
+
+
+class Cloud:
+    """Instances, notices and prices.
+
+    :param clock: decides what the lagging list shows.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._instances: dict[str, dict[str, Any]] = {}
+        self._snapshots: list[tuple[timedelta, list[dict[str, Any]]]] = []
+        self._notices: list[dict[str, Any]] = []
+        self._waiting: set[Queue] = set()
+        self._prices: list[dict[str, Any]] = []
+        self._starts: dict[str, dict[str, Any]] = {}
+        self._given_back: list[str] = []
+        self.faults = CloudFaults()
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes of the API and of its controls."""
+        return (
+            Route("GET", "/cloud/v1/instances", self._list),
+            Route("POST", "/cloud/v1/instances", self._start),
+            Route("DELETE", "/cloud/v1/instances/{name}", self._give_back),
+            Route("GET", "/cloud/v1/notices", self._wait_for_notices),
+            Route("GET", "/cloud/v1/prices", self._list_prices),
+            Route("GET", "/standin/instances", self._list_at_once),
+            Route("POST", "/standin/instances", self._register),
+            Route("DELETE", "/standin/instances/{name}", self._remove),
+            Route("POST", "/standin/notices", self._give_notice),
+            Route("POST", "/standin/prices", self._set_prices),
+            Route("POST", "/standin/zones/{zone}", self._change_zone),
+            Route("GET", "/standin/starts", self._list_starts),
+        )
+
+    def _list(self, _request: Request) -> Answer:
+        horizon = self._clock.elapsed() - self.faults.list_lag
+        while len(self._snapshots) > 1 and self._snapshots[1][0] <= horizon:
+            self._snapshots.pop(0)
+        shown: list[dict[str, Any]] = []
+        if self._snapshots and self._snapshots[0][0] <= horizon:
+            shown = self._snapshots[0][1]
+        return Answer({"instances": shown})
+
+    def _list_at_once(self, _request: Request) -> Answer:
+        return Answer({"instances": list(self._instances.values())})
+
+    def _register(self, request: Request) -> Answer:
+        instance = {**INSTANCE_DEFAULTS, **request.json()}
+        self._instances[instance["name"]] = instance
+        self._changed()
+        return Answer(instance, status=201)
+
+    def _remove(self, _request: Request, name: str) -> Answer:
+        self._instances.pop(name, None)
+        self._changed()
+        return Answer({})
+
+    def _give_back(self, _request: Request, name: str) -> Answer:
+        if name not in self._instances:
+            return Answer({"error": f"no instance {name}"}, status=404)
+        self._instances.pop(name)
+        self._given_back.append(name)
+        self._changed()
+        return Answer({})
+
+    def _start(self, request: Request) -> Answer:
+        body = request.json()
+        request_id = body["request_id"]
+        if request_id in self._starts:
+            return Answer(self._starts[request_id], status=201)
+        zone = body.get("availability_zone", "")
+        if self.faults.refuse_starts or zone in self.faults.reclaimed_zones:
+            return Answer(
+                {"error": "no capacity"},
+                status=409,
+                headers=(("Retry-After", RETRY_AFTER_SECONDS),),
+            )
+        started = {"name": f"i-{len(self._starts) + 1}", **body}
+        self._starts[request_id] = started
+        return Answer(started, status=201)
+
+    def _list_starts(self, _request: Request) -> Answer:
+        starts = list(self._starts.values())
+        return Answer({"starts": starts, "given_back": self._given_back})
+
+    def _wait_for_notices(self, request: Request) -> Answer:
+        after = int(request.query.get("after", 0))
+        limit = timedelta(milliseconds=int(request.query.get("wait_ms", 0)))
+        deadline = self._clock.elapsed() + limit
+        while not self._notices_after(after):
+            if not self._wait(deadline - self._clock.elapsed()):
+                break
+        found = self._notices_after(after)
+        last = found[-1]["sequence"] if found else after
+        return Answer({"notices": found, "next": last})
+
+    def _notices_after(self, after: int) -> list[dict[str, Any]]:
+        return [notice for notice in self._notices if notice["sequence"] > after]
+
+    def _wait(self, limit: timedelta) -> bool:
+        if limit <= timedelta():
+            return False
+        inbox: Queue = Queue()
+        self._waiting.add(inbox)
+        try:
+            inbox.get(timeout=limit.total_seconds())
+        except Empty:
+            return False
+        finally:
+            self._waiting.discard(inbox)
+        return True
+
+    def _give_notice(self, request: Request) -> Answer:
+        body = request.json()
+        seconds = timedelta(seconds=float(body.get("seconds", 30)))
+        names = [body["instance"]] if "instance" in body else []
+        if "availability_zone" in body:
+            names.extend(self._reclaimable_in(body["availability_zone"]))
+        given = []
+        for _ in range(int(body.get("times", 1))):
+            given.extend(self._notify(names, seconds))
+        return Answer({"notices": given}, status=201)
+
+    def _reclaimable_in(self, zone: str) -> list[str]:
+        return [
+            instance["name"]
+            for instance in self._instances.values()
+            if instance["availability_zone"] == zone and instance["reclaimable"]
+        ]
+
+    def _notify(self, names: list[str], limit: timedelta) -> list[dict[str, Any]]:
+        leaves_at = (self._clock.now() + limit).isoformat()
+        given = []
+        for name in names:
+            notice = {
+                "sequence": len(self._notices) + 1,
+                "instance": name,
+                "leaves_at": leaves_at,
+            }
+            self._notices.append(notice)
+            given.append(notice)
+            if name in self._instances:
+                self._instances[name] = {**self._instances[name], "state": "leaving"}
+        self._changed()
+        for inbox in list(self._waiting):
+            inbox.put(None)
+        return given
+
+    def _change_zone(self, request: Request, zone: str) -> Answer:
+        body = request.json()
+        match body["state"]:
+            case "reclaimed":
+                self.faults.reclaimed_zones.add(zone)
+                seconds = timedelta(seconds=float(body.get("seconds", 30)))
+                return Answer(
+                    {"notices": self._notify(self._reclaimable_in(zone), seconds)}
+                )
+            case "given_back":
+                self.faults.reclaimed_zones.discard(zone)
+                return Answer({"notices": []})
+            case other:
+                raise ValueError(f"zone state {other!r}")
+
+    def _set_prices(self, request: Request) -> Answer:
+        self._prices = request.json()["prices"]
+        return Answer({})
+
+    def _list_prices(self, _request: Request) -> Answer:
+        return Answer({"prices": self._prices})
+
+    def _changed(self) -> None:
+        now = self._clock.elapsed()
+        self._snapshots.append((now, list(self._instances.values())))
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,407 @@
+"""Stand-in for a model engine with continuous batching.
+
+Usage::
+
+    python -m standins.engine --address 127.0.0.1:0 --name engine-1
+
+It prints ``{"address": "host:port"}`` and speaks the API for model engines in
+docs/PROTOCOLS.md. Controls: ``POST /standin/faults`` (see
+:class:`standins.faults.Faults`), ``GET /standin/log``, ``GET /standin/counts``.
+"""
+
+import argparse
+import json
+import random
+import uuid
+from collections import Counter
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from typing import Any
+
+from sassafrasdale.clock import Clock, SystemClock
+from sassafrasdale.green import http_pool, listen, sleep, spawn
+from sassafrasdale.structures import Address
+from standins.batch import Batch, Speed, Stream
+from standins.cache import PrefixCache
+from standins.faults import REFUSED, Faults
+from standins.generation import TokenSource, prompt_tokens
+from standins.web import (
+    Answer,
+    Application,
+    Request,
+    Route,
+    announce,
+    bound_address,
+    serve,
+)
+
+RECONNECT_WINDOW = timedelta(seconds=10)
+"""How long a stream goes on with nobody reading it."""
+
+EVENT_POLL = timedelta(milliseconds=50)
+DEFAULT_MAX_TOKENS = 16
+DEFAULT_PRIORITY = 4
+
+
+class Engine:
+    """One model engine."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        name: str,
+        speed: Speed,
+        cache: PrefixCache,
+        *,
+        checks_fencing: bool,
+        load_lag: timedelta,
+    ) -> None:
+        self._clock = clock
+        self._name = name
+        self._cache = cache
+        self._checks_fencing = checks_fencing
+        self._load_lag = load_lag
+        self._faults = Faults(clock)
+        self._batch = Batch(clock, speed, cache, self._faults, self._is_abandoned)
+        self._streams: dict[str, Stream] = {}
+        self._exports: dict[str, Stream] = {}
+        self._imports: set[str] = set()
+        self._log: list[dict[str, Any]] = []
+        self._orders: dict[str, Any] = {}
+        self._fencing_number = 0
+        self._load: dict[str, Any] = {}
+
+    def start(self) -> None:
+        """Start the batch loop and the load report."""
+        spawn(self._batch.run)
+        spawn(self._report_load)
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes of the API and of the controls."""
+        return (
+            Route("POST", "/v1/chat/completions", self._complete),
+            Route("GET", "/v1/streams/{id}", self._resume),
+            Route("POST", "/v1/streams/{id}/cancel", self._cancel),
+            Route("POST", "/v1/streams/{id}/export", self._export),
+            Route("GET", "/v1/exports/{handle}", self._fetch_export),
+            Route("POST", "/v1/cache/import", self._import),
+            Route("GET", "/v1/load", self._show_load),
+            Route("GET", "/v1/cache/events", self._cache_events),
+            Route("POST", "/v1/orders", self._order),
+            Route("GET", "/v1/orders", self._show_orders),
+            Route("GET", "/v1/health", self._health),
+            Route("GET", "/standin/log", self._list_log),
+            Route("GET", "/standin/counts", self._count),
+            *self._faults.routes(),
+        )
+
+    @property
+    def around(self) -> Callable[[Request, Callable[[Request], Answer]], Answer]:
+        """What puts the present faults around a request."""
+        return self._faults.around
+
+    def _complete(self, request: Request) -> Answer:
+        body = request.json()
+        if self._batch.full:
+            return Answer({"error": "queue is full"}, status=429, headers=REFUSED)
+        stream = self._open_stream(request, body)
+        self._streams[stream.stream_id] = stream
+        self._batch.add(stream)
+        if body.get("stream"):
+            return self._stream_answer(request, stream, stream.first)
+        return self._whole_answer(stream)
+
+    def _open_stream(self, request: Request, body: dict[str, Any]) -> Stream:
+        stream_id = request.header("X-Request-Id") or uuid.uuid4().hex
+        first = int(body.get("continue_from", 0))
+        transfer = body.get("kv_transfer_params")
+        recompute = not (transfer and self._fetch(transfer))
+        messages = body["messages"]
+        model = body.get("model", "")
+        stream = Stream(
+            stream_id,
+            model,
+            TokenSource(model, messages),
+            prompt_tokens(messages),
+            int(body.get("max_tokens", DEFAULT_MAX_TOKENS)),
+            int(body.get("priority", DEFAULT_PRIORITY)),
+            first,
+            recompute,
+        )
+        stream.created = int(self._clock.now().timestamp())
+        self._log.append(
+            {
+                "request_id": stream_id,
+                "idempotency_key": request.header("Idempotency-Key"),
+                "continue_from": first,
+                "recomputed_tokens": stream.recomputed,
+                "at": self._clock.now().isoformat(),
+            }
+        )
+        return stream
+
+    def _fetch(self, transfer: dict[str, Any]) -> bool:
+        handle = transfer["kv_handle"]
+        if handle in self._exports or handle in self._imports:
+            return True
+        pool = http_pool(Address.parse(transfer["remote_address"]))
+        try:
+            found = pool.request("GET", f"/v1/exports/{handle}").status == 200
+        except Exception:
+            return False
+        finally:
+            pool.close()
+        return found
+
+    def _is_abandoned(self, stream: Stream) -> bool:
+        if stream.readers or stream.lost_at is None:
+            return False
+        return self._clock.elapsed() - stream.lost_at > RECONNECT_WINDOW
+
+    def _stream_answer(self, request: Request, stream: Stream, after: int) -> Answer:
+        stream.readers += 1
+        return Answer(
+            chunks=self._events(request, stream, after),
+            content_type="text/event-stream",
+        )
+
+    def _events(self, request: Request, stream: Stream, after: int) -> Iterator[bytes]:
+        try:
+            while True:
+                while after >= stream.position and not stream.ended:
+                    stream.wait()
+                self._faults.hold_if_silent(request)
+                last = stream.position
+                lines = [
+                    _event(stream, position) for position in range(after + 1, last + 1)
+                ]
+                after = last
+                if stream.ended:
+                    lines.append(_last_event(stream))
+                yield b"".join(lines)
+                if stream.ended:
+                    return
+        finally:
+            stream.readers -= 1
+            stream.lost_at = self._clock.elapsed()
+
+    def _whole_answer(self, stream: Stream) -> Answer:
+        stream.readers += 1
+        try:
+            while not stream.ended:
+                stream.wait()
+        finally:
+            stream.readers -= 1
+            stream.lost_at = self._clock.elapsed()
+        if stream.state != "stop":
+            return Answer({"error": stream.state}, status=409)
+        text = "".join(stream.source.tokens(stream.first + 1, stream.position))
+        choice = {
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": stream.state,
+        }
+        return Answer(
+            {
+                "id": stream.stream_id,
+                "object": "chat.completion",
+                "created": stream.created,
+                "model": stream.model,
+                "choices": [choice],
+                "usage": _usage(stream),
+            }
+        )
+
+    def _resume(self, request: Request, stream_id: str) -> Answer:
+        stream = self._streams.get(stream_id)
+        if stream is None or stream.state in ("cancelled", "exported"):
+            return _unknown_stream(stream_id)
+        after = int(request.query.get("after", stream.first))
+        return self._stream_answer(request, stream, max(after, stream.first))
+
+    def _cancel(self, _request: Request, stream_id: str) -> Answer:
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            return _unknown_stream(stream_id)
+        stream.end("cancelled")
+        return Answer({"tokens": stream.position})
+
+    def _export(self, _request: Request, stream_id: str) -> Answer:
+        stream = self._streams.get(stream_id)
+        if stream is None or stream.state == "cancelled":
+            return _unknown_stream(stream_id)
+        stream.end("exported")
+        handle = f"kv-{stream_id}"
+        self._exports[handle] = stream
+        return Answer({"kv_handle": handle, "tokens": stream.position})
+
+    def _fetch_export(self, _request: Request, handle: str) -> Answer:
+        if handle not in self._exports:
+            return Answer({"error": f"no handle {handle}"}, status=404)
+        return Answer({"tokens": self._exports[handle].position})
+
+    def _import(self, request: Request) -> Answer:
+        body = request.json()
+        if not self._fetch(body):
+            return Answer({"error": "handle is gone"}, status=404)
+        self._imports.add(body["kv_handle"])
+        return Answer({})
+
+    def _report_load(self) -> None:
+        while True:
+            self._load = self._measure_load()
+            sleep(max(self._load_lag, EVENT_POLL))
+
+    def _measure_load(self) -> dict[str, Any]:
+        return {
+            "running": self._batch.running,
+            "waiting": self._batch.waiting,
+            "kv_used_tokens": self._cache.tokens + self._batch.running_tokens,
+            "kv_total_tokens": self._cache.capacity,
+            "measured_at": self._clock.now().isoformat(),
+        }
+
+    def _show_load(self, _request: Request) -> Answer:
+        return Answer(self._load)
+
+    def _cache_events(self, request: Request) -> Answer:
+        after = int(request.query.get("after", 0))
+        limit = timedelta(milliseconds=int(request.query.get("wait_ms", 0)))
+        deadline = self._clock.elapsed() + limit
+        found = self._cache.events_after(after)
+        while not found and self._clock.elapsed() < deadline:
+            sleep(EVENT_POLL)
+            found = self._cache.events_after(after)
+        events = [
+            {"sequence": event.sequence, "kind": event.kind, "prefix": event.prefix}
+            for event in found
+        ]
+        return Answer(
+            {"events": events, "next": events[-1]["sequence"] if events else after}
+        )
+
+    def _order(self, request: Request) -> Answer:
+        body = request.json()
+        number = int(body["fencing_number"])
+        if self._checks_fencing and number < self._fencing_number:
+            message = f"fencing number {number} is below {self._fencing_number}"
+            return Answer({"error": message}, status=409)
+        self._fencing_number = max(number, self._fencing_number)
+        self._orders[body["kind"]] = {**body, "fencing_number": number}
+        return self._show_orders(request)
+
+    def _show_orders(self, _request: Request) -> Answer:
+        state = {kind: order["value"] for kind, order in self._orders.items()}
+        return Answer({"fencing_number": self._fencing_number, "state": state})
+
+    def _health(self, _request: Request) -> Answer:
+        return Answer({"status": "ok"})
+
+    def _list_log(self, _request: Request) -> Answer:
+        return Answer({"executions": self._log})
+
+    def _count(self, _request: Request) -> Answer:
+        return Answer(
+            {
+                "executions": len(self._log),
+                "by_request_id": Counter(item["request_id"] for item in self._log),
+                "recomputed_tokens": sum(
+                    item["recomputed_tokens"] for item in self._log
+                ),
+            }
+        )
+
+
+def _unknown_stream(stream_id: str) -> Answer:
+    return Answer({"error": f"no stream {stream_id}"}, status=404)
+
+
+def _usage(stream: Stream) -> dict[str, Any]:
+    return {
+        "prompt_tokens": len(stream.prompt),
+        "completion_tokens": stream.position,
+        "total_tokens": len(stream.prompt) + stream.position,
+        "recomputed_tokens": stream.recomputed,
+        "prompt_tokens_details": {"cached_tokens": stream.cached},
+    }
+
+
+def _chunk(
+    stream: Stream, delta: dict[str, str], finish_reason: str | None
+) -> dict[str, Any]:
+    return {
+        "id": stream.stream_id,
+        "object": "chat.completion.chunk",
+        "created": stream.created,
+        "model": stream.model,
+        "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
+    }
+
+
+def _event(stream: Stream, position: int) -> bytes:
+    chunk = _chunk(stream, {"content": stream.source.token(position)}, None)
+    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
+
+
+def _last_event(stream: Stream) -> bytes:
+    chunk = _chunk(stream, {}, stream.state)
+    chunk["usage"] = _usage(stream)
+    return b"data: " + json.dumps(chunk).encode() + b"\n\ndata: [DONE]\n\n"
+
+
+def _speed(arguments: argparse.Namespace) -> Speed:
+    return Speed(
+        step=timedelta(milliseconds=arguments.step_ms),
+        step_per_stream=timedelta(milliseconds=arguments.step_per_stream_ms),
+        prefill_per_token=timedelta(milliseconds=arguments.prefill_ms_per_token),
+        max_batch=arguments.max_batch,
+        max_waiting=arguments.max_waiting,
+    )
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    add = parser.add_argument
+    add("--address", type=Address.parse, default="127.0.0.1:0")
+    add("--name", default="engine")
+    add("--step-ms", type=float, default=10.0)
+    add("--step-per-stream-ms", type=float, default=0.05)
+    add("--prefill-ms-per-token", type=float, default=0.05)
+    add("--max-batch", type=int, default=64)
+    add("--max-waiting", type=int, default=256)
+    add("--cache-tokens", type=int, default=65_536)
+    add("--event-lag-ms", type=float, default=200.0)
+    add("--event-loss", type=float, default=0.05)
+    add("--load-lag-ms", type=float, default=500.0)
+    add("--checks-fencing", action="store_true")
+    add("--seed", type=int, default=1)
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    arguments = _parse()
+    clock = SystemClock()
+    cache = PrefixCache(
+        arguments.cache_tokens,
+        clock.elapsed,
+        random.Random(arguments.seed),
+        timedelta(milliseconds=arguments.event_lag_ms),
+        arguments.event_loss,
+    )
+    engine = Engine(
+        clock,
+        arguments.name,
+        _speed(arguments),
+        cache,
+        checks_fencing=arguments.checks_fencing,
+        load_lag=timedelta(milliseconds=arguments.load_lag_ms),
+    )
+    listener = listen(arguments.address)
+    engine.start()
+    announce(address=bound_address(listener))
+    serve(listener, Application(engine.routes(), engine.around))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/gateway.py
@@ -0,0 +1,303 @@
+"""JSON of the etcd v3 gateway in front of the store's state."""
+
+import json
+from base64 import b64decode, b64encode
+from collections.abc import Callable, Iterator, Mapping
+from datetime import timedelta
+from typing import Any
+
+from sassafrasdale.green import Empty
+from standins.store import (
+    KeyRange,
+    LeaseNotFoundError,
+    Store,
+    StoredKey,
+    Transaction,
+    ValueTooLargeError,
+    Watch,
+)
+from standins.web import Answer, Connection, Request, Route
+
+WATCH_POLL = timedelta(seconds=0.5)
+INVALID_ARGUMENT = 3
+NOT_FOUND = 5
+CLUSTER_ID = "1"
+
+
+class Gateway:
+    """Handlers of ``/v3/...``.
+
+    :param store: the state.
+    :param deaf: tells whether open watches are to deliver nothing.
+    """
+
+    def __init__(self, store: Store, deaf: Callable[[], bool]) -> None:
+        self._store = store
+        self._deaf = deaf
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes of the gateway."""
+        return (
+            Route("POST", "/v3/kv/range", self._guarded(self._range)),
+            Route("POST", "/v3/kv/put", self._guarded(self._put)),
+            Route("POST", "/v3/kv/txn", self._guarded(self._txn)),
+            Route("POST", "/v3/kv/deleterange", self._guarded(self._delete)),
+            Route("POST", "/v3/lease/grant", self._guarded(self._grant)),
+            Route("POST", "/v3/lease/keepalive", self._guarded(self._keep_alive)),
+            Route("POST", "/v3/lease/revoke", self._guarded(self._revoke)),
+            Route("POST", "/v3/kv/lease/revoke", self._guarded(self._revoke)),
+            Route("POST", "/v3/watch", self._watch),
+        )
+
+    def _guarded(self, handler: Callable[[dict[str, Any]], Any]) -> Callable:
+        def handle(request: Request) -> Answer:
+            try:
+                return Answer(handler(request.json()))
+            except ValueTooLargeError as error:
+                return error_answer(400, INVALID_ARGUMENT, str(error))
+            except LeaseNotFoundError:
+                message = "etcdserver: requested lease not found"
+                return error_answer(404, NOT_FOUND, message)
+
+        return handle
+
+    def _header(self) -> dict[str, str]:
+        return {
+            "cluster_id": CLUSTER_ID,
+            "member_id": CLUSTER_ID,
+            "revision": str(self._store.revision),
+            "raft_term": "1",
+        }
+
+    def _range(self, body: dict[str, Any]) -> dict[str, Any]:
+        found = self._store.range(_key_range(body))
+        return {"header": self._header(), **_range_result(body, found)}
+
+    def _put(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._store.transact(lambda txn: _run_put(txn, body))
+        return {"header": self._header()}
+
+    def _delete(self, body: dict[str, Any]) -> dict[str, Any]:
+        results: list[dict[str, Any]] = []
+        self._store.transact(lambda txn: results.append(_run_delete(txn, body)))
+        return {"header": self._header(), **results[0]}
+
+    def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
+        succeeded = all(self._holds(compare) for compare in body.get("compare", ()))
+        operations = body.get("success" if succeeded else "failure", ())
+        responses: list[dict[str, Any]] = []
+
+        def run(transaction: Transaction) -> None:
+            for operation in operations:
+                responses.append(_run(transaction, operation))
+
+        self._store.transact(run)
+        result: dict[str, Any] = {"header": self._header()}
+        if succeeded:
+            result["succeeded"] = True
+        if responses:
+            result["responses"] = responses
+        return result
+
+    def _holds(self, compare: dict[str, Any]) -> bool:
+        found = self._store.range(KeyRange(_bytes(compare, "key")))
+        stored = found[0] if found else StoredKey(b"", b"", 0, 0, 0)
+        actual, wanted = _compared(stored, compare)
+        match compare.get("result", "EQUAL"):
+            case "EQUAL":
+                return actual == wanted
+            case "NOT_EQUAL":
+                return actual != wanted
+            case "GREATER":
+                return actual > wanted
+            case "LESS":
+                return actual < wanted
+            case other:
+                raise ValueError(f"compare result {other!r}")
+
+    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        ttl = timedelta(seconds=int(body["TTL"]))
+        lease = self._store.grant(ttl, int(body.get("ID", 0)))
+        return {
+            "header": self._header(),
+            "ID": str(lease.lease_id),
+            "TTL": str(int(lease.ttl.total_seconds())),
+        }
+
+    def _keep_alive(self, body: dict[str, Any]) -> dict[str, Any]:
+        lease_id = int(body["ID"])
+        result: dict[str, Any] = {"header": self._header(), "ID": str(lease_id)}
+        try:
+            lease = self._store.keep_alive(lease_id)
+        except LeaseNotFoundError:
+            return {"result": result}
+        result["TTL"] = str(int(lease.ttl.total_seconds()))
+        return {"result": result}
+
+    def _revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._store.revoke(int(body["ID"]))
+        return {"header": self._header()}
+
+    def _watch(self, request: Request) -> Answer:
+        body = request.json()
+        wanted = body.get("create_request") or body["createRequest"]
+        start = int(_field(wanted, "start_revision", "0"))
+        watch = self._store.watch(_key_range(wanted), start)
+        return Answer(chunks=self._watch_lines(watch, request.connection))
+
+    def _watch_lines(self, watch: Watch, connection: Connection) -> Iterator[bytes]:
+        try:
+            yield self._line({"created": True})
+            while not connection.is_closed():
+                try:
+                    batch = watch.inbox.get(timeout=WATCH_POLL.total_seconds())
+                except Empty:
+                    continue
+                if not self._deaf():
+                    yield self._line({"events": [_event(item) for item in batch]})
+        finally:
+            watch.close()
+
+    def _line(self, result: dict[str, Any]) -> bytes:
+        message = {"result": {"header": self._header(), **result}}
+        return json.dumps(message).encode() + b"\n"
+
+
+def error_answer(status: int, code: int, message: str) -> Answer:
+    """Return an error as the gateway writes it."""
+    return Answer({"error": message, "code": code, "message": message}, status)
+
+
+def is_write(path: str, body: Mapping[str, Any]) -> bool:
+    """Return whether a call counts as a write of the store."""
+    match path:
+        case "/v3/kv/put" | "/v3/kv/deleterange":
+            return True
+        case "/v3/lease/grant" | "/v3/lease/revoke" | "/v3/kv/lease/revoke":
+            return True
+        case "/v3/kv/txn":
+            operations = [*body.get("success", ()), *body.get("failure", ())]
+            return any(_kind(operation) != "range" for operation in operations)
+        case _:
+            return False
+
+
+def written_keys(path: str, body: Mapping[str, Any]) -> list[bytes]:
+    """Return the keys that a call may write."""
+    if path != "/v3/kv/txn":
+        return [_bytes(body, "key")] if "key" in body else []
+    operations = [*body.get("success", ()), *body.get("failure", ())]
+    return [
+        _bytes(_argument(operation), "key")
+        for operation in operations
+        if _kind(operation) != "range"
+    ]
+
+
+def _field(body: Mapping[str, Any], name: str, default: Any = None) -> Any:
+    """Return a field by its proto name or its JSON name, as the gateway takes both."""
+    if name in body:
+        return body[name]
+    first, *rest = name.split("_")
+    return body.get(first + "".join(word.capitalize() for word in rest), default)
+
+
+def _bytes(body: Mapping[str, Any], name: str) -> bytes:
+    return b64decode(_field(body, name, "") or "", validate=True)
+
+
+def _key_range(body: Mapping[str, Any]) -> KeyRange:
+    return KeyRange(_bytes(body, "key"), _bytes(body, "range_end"))
+
+
+def _kv(stored: StoredKey, *, keys_only: bool = False) -> dict[str, str]:
+    message = {
+        "key": b64encode(stored.key).decode(),
+        "create_revision": str(stored.create_revision),
+        "mod_revision": str(stored.mod_revision),
+        "version": str(stored.version),
+    }
+    if stored.value and not keys_only:
+        message["value"] = b64encode(stored.value).decode()
+    if stored.lease:
+        message["lease"] = str(stored.lease)
+    return message
+
+
+def _event(change: StoredKey) -> dict[str, Any]:
+    if change.version:
+        return {"kv": _kv(change)}
+    kv = {
+        "key": b64encode(change.key).decode(),
+        "mod_revision": str(change.mod_revision),
+    }
+    return {"type": "DELETE", "kv": kv}
+
+
+def _range_result(body: Mapping[str, Any], found: list[StoredKey]) -> dict[str, Any]:
+    limit = int(_field(body, "limit", 0))
+    result: dict[str, Any] = {}
+    shown = found[:limit] if limit else found
+    keys_only = bool(_field(body, "keys_only", False))
+    if shown and not _field(body, "count_only", False):
+        result["kvs"] = [_kv(stored, keys_only=keys_only) for stored in shown]
+    if len(shown) < len(found):
+        result["more"] = True
+    if found:
+        result["count"] = str(len(found))
+    return result
+
+
+def _compared(stored: StoredKey, compare: Mapping[str, Any]) -> tuple[Any, Any]:
+    match compare.get("target", "VERSION"):
+        case "VERSION":
+            return stored.version, int(_field(compare, "version", 0))
+        case "CREATE":
+            return stored.create_revision, int(_field(compare, "create_revision", 0))
+        case "MOD":
+            return stored.mod_revision, int(_field(compare, "mod_revision", 0))
+        case "VALUE":
+            return stored.value, _bytes(compare, "value")
+        case other:
+            raise ValueError(f"compare target {other!r}")
+
+
+_OPERATIONS = {
+    "request_put": "put",
+    "requestPut": "put",
+    "request_range": "range",
+    "requestRange": "range",
+    "request_delete_range": "delete_range",
+    "requestDeleteRange": "delete_range",
+}
+
+
+def _kind(operation: Mapping[str, Any]) -> str:
+    return _OPERATIONS[next(iter(operation))]
+
+
+def _argument(operation: Mapping[str, Any]) -> Mapping[str, Any]:
+    return next(iter(operation.values()))
+
+
+def _run(transaction: Transaction, operation: Mapping[str, Any]) -> dict[str, Any]:
+    argument = _argument(operation)
+    match _kind(operation):
+        case "put":
+            _run_put(transaction, argument)
+            return {"response_put": {}}
+        case "range":
+            found = transaction.range(_key_range(argument))
+            return {"response_range": _range_result(argument, found)}
+        case _:
+            return {"response_delete_range": _run_delete(transaction, argument)}
+
+
+def _run_put(transaction: Transaction, body: Mapping[str, Any]) -> None:
+    lease = int(_field(body, "lease", 0))
+    transaction.put(_bytes(body, "key"), _bytes(body, "value"), lease)
+
+
+def _run_delete(transaction: Transaction, body: Mapping[str, Any]) -> dict[str, Any]:
+    deleted = transaction.delete(_key_range(body))
+    return {"deleted": str(len(deleted))} if deleted else {}
--- /dev/null
+++ b/standins/generation.py
@@ -0,0 +1,53 @@
+"""Deterministic text: any engine continues what another one began."""
+
+from collections.abc import Iterator, Sequence
+from hashlib import blake2b
+from typing import Any
+
+WORDS = (
+    "amber", "basil", "cedar", "delta", "ember", "fjord", "grove", "heron",
+    "ivory", "jetty", "knoll", "lotus", "maple", "north", "ocean", "pearl",
+    "quill", "river", "stone", "tidal", "umber", "vapor", "water", "xenon",
+    "yield", "zonal", "alder", "birch", "clove", "dunes", "elder", "flint",
+)  # fmt: skip
+"""Vocabulary of the generated text."""
+
+SEED_BYTES = 8
+
+
+def prompt_tokens(messages: Sequence[dict[str, Any]]) -> list[str]:
+    """Return the prompt's tokens: its words, with each message's role first."""
+    tokens: list[str] = []
+    for message in messages:
+        tokens.append(f"<{message.get('role', '')}>")
+        tokens.extend(str(message.get("content", "")).split())
+    return tokens
+
+
+class TokenSource:
+    """The tokens that a model answers to a prompt.
+
+    Token i depends on the model, the prompt and i alone.
+    """
+
+    def __init__(self, model: str, messages: Sequence[dict[str, Any]]) -> None:
+        text = "\0".join([model, *prompt_tokens(messages)])
+        digest = blake2b(text.encode(), digest_size=SEED_BYTES).digest()
+        self._seed = int.from_bytes(digest, "big")
+
+    def token(self, position: int) -> str:
+        """Return the token at ``position``, counted from 1, with its space."""
+        mixed = (self._seed + position * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+        mixed = (mixed ^ (mixed >> 31)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+        return f"{WORDS[(mixed >> 40) % len(WORDS)]}{position} "
+
+    def tokens(self, first: int, last: int) -> Iterator[str]:
+        """Yield the tokens from ``first`` to ``last``, both included."""
+        return (self.token(position) for position in range(first, last + 1))
+
+
+def reference_text(
+    model: str, messages: Sequence[dict[str, Any]], max_tokens: int
+) -> str:
+    """Return the whole answer that every engine gives to a prompt."""
+    return "".join(TokenSource(model, messages).tokens(1, max_tokens))
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,257 @@
+"""Revisioned key-value state with leases and watches, as etcd v3 keeps it."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.green import Queue
+
+
+class ValueTooLargeError(ValueError):
+    """A value is larger than the store holds."""
+
+
+class LeaseNotFoundError(KeyError):
+    """The lease has lapsed or was never granted."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredKey:
+    """One key at one revision; ``version`` 0 says that it was deleted."""
+
+    key: bytes
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease: int = 0
+
+
+@dataclass(slots=True)
+class Lease:
+    """A lease with the keys attached to it."""
+
+    lease_id: int
+    ttl: timedelta
+    expires_at: timedelta
+    keys: set[bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRange:
+    """Keys from ``start`` up to but without ``end``; empty ``end`` for one key."""
+
+    start: bytes
+    end: bytes = b""
+
+    def __contains__(self, key: bytes) -> bool:
+        """Return whether ``key`` lies in the range."""
+        if not self.end:
+            return key == self.start
+        return key >= self.start and (self.end == b"\0" or key < self.end)
+
+
+MAX_VALUE_BYTES = 1024 * 1024
+
+
+class Store:
+    """The whole state of the stand-in's store.
+
+    :param clock: decides when leases expire.
+    :param max_value_bytes: size limit of a value.
+    """
+
+    def __init__(self, clock: Clock, max_value_bytes: int = MAX_VALUE_BYTES) -> None:
+        self._clock = clock
+        self._max_value_bytes = max_value_bytes
+        self._revision = 1
+        self._keys: dict[bytes, StoredKey] = {}
+        self._history: list[StoredKey] = []
+        self._leases: dict[int, Lease] = {}
+        self._next_lease = 1
+        self._watchers: dict[int, tuple[KeyRange, Queue]] = {}
+        self._next_watcher = 1
+
+    @property
+    def revision(self) -> int:
+        """Revision of the last change."""
+        return self._revision
+
+    @property
+    def watchers(self) -> int:
+        """Number of watches that wait."""
+        return len(self._watchers)
+
+    def range(self, keys: KeyRange) -> list[StoredKey]:
+        """Return the keys in the range, in order."""
+        if not keys.end:
+            found = self._keys.get(keys.start)
+            return [found] if found else []
+        return sorted(
+            (stored for key, stored in self._keys.items() if key in keys),
+            key=lambda stored: stored.key,
+        )
+
+    def transact(self, change: Callable[["Transaction"], None]) -> None:
+        """Run ``change``; all that it writes gets one new revision."""
+        transaction = Transaction(self, self._revision + 1)
+        change(transaction)
+        self._commit(transaction.changes)
+
+    def grant(self, ttl: timedelta, lease_id: int = 0) -> Lease:
+        """Grant a lease."""
+        if not lease_id:
+            lease_id = self._next_lease
+            self._next_lease += 1
+        if lease_id in self._leases:
+            raise ValueError("lease already exists")
+        lease = Lease(lease_id, ttl, self._clock.elapsed() + ttl, set())
+        self._leases[lease_id] = lease
+        return lease
+
+    def keep_alive(self, lease_id: int) -> Lease:
+        """Extend a lease by its TTL.
+
+        :raises LeaseNotFoundError: if it has lapsed.
+        """
+        lease = self.lease(lease_id)
+        lease.expires_at = self._clock.elapsed() + lease.ttl
+        return lease
+
+    def lease(self, lease_id: int) -> Lease:
+        """Return a live lease.
+
+        :raises LeaseNotFoundError: if it has lapsed.
+        """
+        self.expire_leases()
+        if lease_id not in self._leases:
+            raise LeaseNotFoundError(lease_id)
+        return self._leases[lease_id]
+
+    def revoke(self, lease_id: int) -> None:
+        """End a lease and delete its keys.
+
+        :raises LeaseNotFoundError: if it has lapsed.
+        """
+        if lease_id not in self._leases:
+            raise LeaseNotFoundError(lease_id)
+        lease = self._leases.pop(lease_id)
+        self.transact(lambda txn: _delete_all(txn, sorted(lease.keys)))
+
+    def expire_leases(self) -> None:
+        """Revoke every lease whose time has passed."""
+        now = self._clock.elapsed()
+        for lease in list(self._leases.values()):
+            if lease.expires_at <= now:
+                self.revoke(lease.lease_id)
+
+    def watch(self, keys: KeyRange, start_revision: int) -> "Watch":
+        """Return a watch that first replays history from ``start_revision``.
+
+        :param start_revision: 0 for changes from now on.
+        """
+        inbox: Queue = Queue()
+        if start_revision:
+            past = [
+                change
+                for change in self._history
+                if change.mod_revision >= start_revision and change.key in keys
+            ]
+            for batch in _by_revision(past):
+                inbox.put(batch)
+        watcher = self._next_watcher
+        self._next_watcher += 1
+        self._watchers[watcher] = (keys, inbox)
+        return Watch(inbox, lambda: self._watchers.pop(watcher, None))
+
+    def _commit(self, changes: list[StoredKey]) -> None:
+        if not changes:
+            return
+        self._revision += 1
+        for change in changes:
+            self._apply(change)
+        self._history.extend(changes)
+        for keys, inbox in list(self._watchers.values()):
+            seen = [change for change in changes if change.key in keys]
+            if seen:
+                inbox.put(seen)
+
+    def _apply(self, change: StoredKey) -> None:
+        before = self._keys.pop(change.key, None)
+        if before is not None and before.lease in self._leases:
+            self._leases[before.lease].keys.discard(change.key)
+        if not change.version:
+            return
+        self._keys[change.key] = change
+        if change.lease:
+            self._leases[change.lease].keys.add(change.key)
+
+
+class Watch:
+    """Batches of changes for one watcher."""
+
+    def __init__(self, inbox: Queue, close: Callable[[], None]) -> None:
+        self.inbox = inbox
+        self.close = close
+
+
+class Transaction:
+    """Reads and writes that take effect together."""
+
+    def __init__(self, store: Store, revision: int) -> None:
+        self._store = store
+        self._revision = revision
+        self.changes: list[StoredKey] = []
+
+    def range(self, keys: KeyRange) -> list[StoredKey]:
+        """Return the keys in the range with this transaction's own writes."""
+        found = {stored.key: stored for stored in self._store.range(keys)}
+        for change in self.changes:
+            if change.key in keys:
+                found[change.key] = change
+        return [found[key] for key in sorted(found) if found[key].version]
+
+    def put(self, key: bytes, value: bytes, lease: int = 0) -> StoredKey | None:
+        """Write a key and return what it held before."""
+        if len(value) > self._store._max_value_bytes:
+            raise ValueTooLargeError("etcdserver: request is too large")
+        if lease:
+            self._store.lease(lease)
+        before = next(iter(self.range(KeyRange(key))), None)
+        if before is None:
+            after = StoredKey(key, value, self._revision, self._revision, 1, lease)
+        else:
+            after = replace(
+                before,
+                value=value,
+                mod_revision=self._revision,
+                version=before.version + 1,
+                lease=lease,
+            )
+        self.changes.append(after)
+        return before
+
+    def delete(self, keys: KeyRange) -> list[StoredKey]:
+        """Delete the keys in the range and return them."""
+        found = self.range(keys)
+        self.changes.extend(
+            StoredKey(stored.key, b"", 0, self._revision, 0) for stored in found
+        )
+        return found
+
+
+def _delete_all(transaction: Transaction, keys: list[bytes]) -> None:
+    for key in keys:
+        transaction.delete(KeyRange(key))
+
+
+def _by_revision(changes: list[StoredKey]) -> Iterator[list[StoredKey]]:
+    batch: list[StoredKey] = []
+    for change in changes:
+        if batch and batch[0].mod_revision != change.mod_revision:
+            yield batch
+            batch = []
+        batch.append(change)
+    if batch:
+        yield batch
