--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,6 +23,7 @@
 from sassafrasdale.structures import Address
 from standins.batch import Batch, Speed, Stream
 from standins.cache import PrefixCache
+from standins.command import announce, argument_parser
 from standins.faults import REFUSED, Faults
 from standins.generation import TokenSource, prompt_tokens
 from standins.web import (
@@ -30,7 +31,6 @@
     Application,
     Request,
     Route,
-    announce,
     bound_address,
     serve,
 )
@@ -360,7 +360,7 @@
 
 
 def _parse() -> argparse.Namespace:
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser = argument_parser(__doc__)
     add = parser.add_argument
     add("--address", type=Address.parse, default="127.0.0.1:0")
     add("--name", default="engine")
@@ -373,7 +373,7 @@
     add("--event-lag-ms", type=float, default=200.0)
     add("--event-loss", type=float, default=0.05)
     add("--load-lag-ms", type=float, default=500.0)
-    add("--checks-fencing", action="store_true")
+    add("--fencing", action="store_true")
     add("--seed", type=int, default=1)
     return parser.parse_args()
 
@@ -394,12 +394,12 @@
         arguments.name,
         _speed(arguments),
         cache,
-        checks_fencing=arguments.checks_fencing,
+        checks_fencing=arguments.fencing,
         load_lag=timedelta(milliseconds=arguments.load_lag_ms),
     )
     listener = listen(arguments.address)
     engine.start()
-    announce(address=bound_address(listener))
+    announce(arguments, address=bound_address(listener))
     serve(listener, Application(engine.routes(), engine.around))
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -26,7 +26,6 @@
 - ``GET /standin/counts`` gives the store's and the cloud's calls by kind.
 """
 
-import argparse
 from collections import Counter
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -36,6 +35,7 @@
 from sassafrasdale.green import listen, sleep, spawn
 from sassafrasdale.structures import Address
 from standins.cloud import Cloud
+from standins.command import announce, argument_parser
 from standins.faults import Faults
 from standins.gateway import Gateway, error_answer, is_write, written_keys
 from standins.store import Store
@@ -45,7 +45,6 @@
     Application,
     Request,
     Route,
-    announce,
     bound_address,
     serve,
 )
@@ -186,7 +185,7 @@
 
 def main() -> None:
     """Serve until the process is ended."""
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser = argument_parser(__doc__)
     parser.add_argument("--store", type=Address.parse, default="127.0.0.1:0")
     parser.add_argument("--cloud", type=Address.parse, default="127.0.0.1:0")
     arguments = parser.parse_args()
@@ -214,7 +213,11 @@
     cloud_listener = listen(arguments.cloud)
     spawn(store.expire_leases)
     spawn(serve, store_listener, store_application)
-    announce(store=bound_address(store_listener), cloud=bound_address(cloud_listener))
+    announce(
+        arguments,
+        store=bound_address(store_listener),
+        cloud=bound_address(cloud_listener),
+    )
     serve(cloud_listener, cloud_application)
 
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -11,7 +11,6 @@
 ``GET /standin/log``, ``GET /standin/counts``.
 """
 
-import argparse
 import uuid
 from collections import Counter
 from collections.abc import Callable
@@ -21,13 +20,13 @@
 from sassafrasdale.clock import Clock, SystemClock
 from sassafrasdale.green import listen, sleep
 from sassafrasdale.structures import Address
+from standins.command import announce, argument_parser
 from standins.faults import Faults
 from standins.web import (
     Answer,
     Application,
     Request,
     Route,
-    announce,
     bound_address,
     serve,
 )
@@ -112,7 +111,7 @@
 
 def main() -> None:
     """Serve until the process is ended."""
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser = argument_parser(__doc__)
     parser.add_argument("--address", type=Address.parse, default="127.0.0.1:0")
     parser.add_argument("--name", default="service")
     parser.add_argument("--delay-ms", type=float, default=1.0)
@@ -120,7 +119,7 @@
     delay = timedelta(milliseconds=arguments.delay_ms)
     service = PlainService(SystemClock(), arguments.name, delay)
     listener = listen(arguments.address)
-    announce(address=bound_address(listener))
+    announce(arguments, address=bound_address(listener))
     serve(listener, Application(service.routes(), service.around))
 
 
--- a/standins/web.py
+++ b/standins/web.py
@@ -213,8 +213,3 @@
     """Return ``host:port`` of a listening socket."""
     host, port = listener.getsockname()[:2]
     return f"{host}:{port}"
-
-
-def announce(**addresses: str) -> None:
-    """Print the bound addresses as one JSON line, for whoever started us."""
-    print(json.dumps(addresses), flush=True)
