Add the callers' side and the life of requests

Cause: an entry needs HTTP for callers, engine streams that outlive their connections, and calls of plain services that are sent at most once. Ruled out: letting a caller's connection own the engine's stream, since a caller that comes back by request id needs the events that went by meanwhile.

--- /dev/null
+++ b/src/sassafrasdale/callers/app.py
@@ -0,0 +1,201 @@
+"""What callers may ask an entry."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from sassafrasdale.callers.exceptions import CallerError, NotReady
+from sassafrasdale.callers.generations import generation_answer
+from sassafrasdale.callers.headers import read_call, read_customer
+from sassafrasdale.callers.messages import (
+    HttpAnswer,
+    HttpRequest,
+    json_answer,
+    outcome_answer,
+    problem,
+)
+from sassafrasdale.callers.models import parse_chat
+from sassafrasdale.callers.routes import Route, route
+from sassafrasdale.clock import Clock
+from sassafrasdale.endpoints.adapters import HOP_BY_HOP
+from sassafrasdale.requests.dispatcher import Dispatcher
+from sassafrasdale.requests.exceptions import (
+    KeyReused,
+    RequestIdTaken,
+    RequestNotHeld,
+)
+from sassafrasdale.requests.structures import ModelCall, ServiceCall
+from sassafrasdale.text.current import CurrentText
+from sassafrasdale.text.structures import Service, ServiceKind, Text
+
+NOT_READY_RETRY = timedelta(seconds=1)
+# Headers of a caller that are this system's own and do not pass through.
+OWN_HEADERS = frozenset(
+    {
+        "x-customer",
+        "x-request-id",
+        "x-timeout-ms",
+        "x-relayed",
+        "idempotency-key",
+        "priority",
+        "content-length",
+        "host",
+        "expect",
+    }
+)
+
+Relay = Callable[[HttpRequest, str], HttpAnswer | None]
+
+
+class CallerApp:
+    """The callers' side of one entry.
+
+    :param current: the text in force.
+    :param dispatcher: runs the calls.
+    :param is_ready: whether the entry takes new work.
+    :param relay: fetches a request that a peer holds, or gives None.
+    :param clock: source of time.
+    :param rng: source of request ids.
+    """
+
+    def __init__(
+        self,
+        *,
+        current: CurrentText,
+        dispatcher: Dispatcher,
+        is_ready: Callable[[], bool],
+        relay: Relay,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._current = current
+        self._dispatcher = dispatcher
+        self._is_ready = is_ready
+        self._relay = relay
+        self._clock = clock
+        self._rng = rng
+
+    def routes(self) -> list[Route]:
+        """Return the routes of this side."""
+        return [
+            route("POST", "/v1/chat/completions", self.chat),
+            route("*", "/v1/services/(?P<service>[^/]+)(?P<rest>/.*)", self.service),
+            route("GET", "/v1/requests/(?P<request_id>[^/]+)", self.fetch),
+            route("GET", "/health/live", self.live),
+            route("GET", "/health/ready", self.ready),
+        ]
+
+    def live(self, request: HttpRequest) -> HttpAnswer:
+        """Answer that the process runs."""
+        return json_answer({"live": True})
+
+    def ready(self, request: HttpRequest) -> HttpAnswer:
+        """Answer whether the balancer should send callers here."""
+        ready = self._is_ready()
+        return json_answer({"ready": ready}, status=200 if ready else 503)
+
+    def chat(self, request: HttpRequest) -> HttpAnswer:
+        """Run a model call."""
+        text = self._text()
+        chat = parse_chat(request.body)
+        service = _service(text, chat.model, ServiceKind.MODEL, "model")
+        call = read_call(
+            request, text, service, idempotent=True, clock=self._clock, rng=self._rng
+        )
+        generation = self._dispatcher.generate(
+            ModelCall(
+                call=call,
+                prompt=chat.prompt(),
+                body=chat.engine_body(service.model),
+                max_tokens=chat.max_tokens,
+                streamed=chat.stream,
+            )
+        )
+        return generation_answer(generation)
+
+    def service(self, request: HttpRequest, service: str, rest: str) -> HttpAnswer:
+        """Pass a call through to a plain service."""
+        text = self._text()
+        found = _service(text, service, ServiceKind.PLAIN, "service")
+        call = read_call(
+            request,
+            text,
+            found,
+            idempotent=found.is_idempotent(request.method, rest),
+            clock=self._clock,
+            rng=self._rng,
+        )
+        target = request.target.removeprefix(f"/v1/services/{service}")
+        outcome = self._dispatcher.serve(
+            ServiceCall(call, request.method, target, _passed_on(request), request.body)
+        )
+        return outcome_answer(outcome).with_headers(("X-Request-Id", call.request_id))
+
+    def fetch(self, request: HttpRequest, request_id: str) -> HttpAnswer:
+        """Give the answer to an earlier request, or the rest of its stream."""
+        customer = read_customer(request, self._text_or_fail())
+        after = _last_event(request)
+        try:
+            generation = self._dispatcher.registry.find(request_id, customer)
+        except RequestNotHeld as error:
+            relayed = self._relay(request, request_id)
+            if relayed is not None:
+                return relayed
+            return problem(404, "Not found", error.message, field="request_id")
+        return generation_answer(generation, after)
+
+    def _text(self) -> Text:
+        if not self._is_ready():
+            raise NotReady("this entry takes no new work", retry_after=NOT_READY_RETRY)
+        return self._text_or_fail()
+
+    def _text_or_fail(self) -> Text:
+        if self._current.text is None:
+            raise NotReady("no text is in force yet", retry_after=NOT_READY_RETRY)
+        return self._current.text
+
+
+def _service(text: Text, name: str, kind: ServiceKind, field: str) -> Service:
+    service = text.services.get(name)
+    if service is None or service.kind is not kind:
+        raise CallerError(
+            f"there is no {kind.value} service {name[:128]!r}", field=field, status=404
+        )
+    return service
+
+
+def _passed_on(request: HttpRequest) -> tuple[tuple[str, str], ...]:
+    dropped = HOP_BY_HOP | OWN_HEADERS
+    return tuple(
+        (name, value) for name, value in request.headers.items() if name not in dropped
+    )
+
+
+def _last_event(request: HttpRequest) -> int:
+    given = request.header("Last-Event-ID")
+    if given is None:
+        return 0
+    if not given.isdecimal() or len(given) > 9:
+        raise CallerError(
+            "Last-Event-ID must be the position of an event", field="Last-Event-ID"
+        )
+    return int(given)
+
+
+def error_answer(error: Exception) -> HttpAnswer | None:
+    """Return what a caller is told of an error, or None if it is unforeseen."""
+    match error:
+        case CallerError():
+            return problem(
+                error.status, "Bad request", error.message, field=error.field
+            )
+        case NotReady():
+            return problem(
+                503, "Not ready", error.message, retry_after=error.retry_after
+            )
+        case KeyReused():
+            return problem(422, "Key reused", error.message, field=error.field)
+        case RequestIdTaken():
+            return problem(409, "Request id taken", error.message, field=error.field)
+        case _:
+            return None
--- /dev/null
+++ b/src/sassafrasdale/callers/generations.py
@@ -0,0 +1,99 @@
+"""What a caller gets of a generation: events as they come, or a whole answer."""
+
+import json
+from collections.abc import Iterator
+from datetime import timedelta
+
+from sassafrasdale.callers.messages import (
+    JSON,
+    HttpAnswer,
+    outcome_answer,
+)
+from sassafrasdale.endpoints.engines import DONE
+from sassafrasdale.requests.generation import Generation, whole_answer
+from sassafrasdale.requests.structures import Answered, OutcomeName
+
+EVENT_STREAM = "text/event-stream"
+# A reader wakes this often without an event, so that deadlines are seen.
+READ_LIMIT = timedelta(seconds=5)
+# Milliseconds after which an event source reconnects to another entry.
+RECONNECT_MS = 50
+
+
+def generation_answer(generation: Generation, after: int = 0) -> HttpAnswer:
+    """Return the answer to a caller of ``generation``.
+
+    :param after: position of the last event that the caller has.
+    """
+    request_id = ("X-Request-Id", generation.call.call.request_id)
+    if not generation.call.streamed:
+        return _whole(generation).with_headers(request_id)
+    events = _first_events(generation, after)
+    if not events and generation.outcome is not None and after == 0:
+        if not isinstance(generation.outcome, Answered):
+            return outcome_answer(generation.outcome).with_headers(request_id)
+    headers = (
+        ("Content-Type", EVENT_STREAM),
+        ("Cache-Control", "no-store"),
+        ("X-Outcome", OutcomeName.ANSWERED.value),
+        request_id,
+    )
+    return HttpAnswer(200, headers, _event_parts(generation, after, events))
+
+
+def _first_events(generation: Generation, after: int) -> list[bytes]:
+    """Wait for the first event, so that a refusal still gets its own status."""
+    while True:
+        events = generation.read(after, READ_LIMIT)
+        if events or generation.ended:
+            return events
+
+
+def _event_parts(
+    generation: Generation, position: int, events: list[bytes]
+) -> Iterator[bytes]:
+    while True:
+        if events:
+            yield _join(position, events)
+            position += len(events)
+            if events[-1] == DONE:
+                return
+        elif generation.ended:
+            yield _end_event(generation)
+            return
+        events = generation.read(position, READ_LIMIT)
+
+
+def _join(position: int, events: list[bytes]) -> bytes:
+    """Return events with their positions; those that wait together go together."""
+    return b"".join(
+        b"id: %d\n%b\n\n" % (number, event)
+        for number, event in enumerate(events, position + 1)
+    )
+
+
+def _end_event(generation: Generation) -> bytes:
+    """Return the event that ends a stream which is not whole.
+
+    Without it a stream cut off here could pass for a whole one.
+    """
+    if generation.handed_over:
+        where = {"location": f"/v1/requests/{generation.call.call.request_id}"}
+        return b"event: moved\nretry: %d\ndata: %b\n\n" % (
+            RECONNECT_MS,
+            json.dumps(where).encode(),
+        )
+    answer = outcome_answer(generation.outcome)
+    return b"event: error\ndata: %b\n\n" % answer.body.strip()
+
+
+def _whole(generation: Generation) -> HttpAnswer:
+    while not generation.ended:
+        generation.read(len(generation.events), READ_LIMIT)
+    if generation.handed_over:
+        location = f"/v1/requests/{generation.call.call.request_id}"
+        return HttpAnswer(303, (("Location", location),), b"")
+    if not isinstance(generation.outcome, Answered):
+        return outcome_answer(generation.outcome)
+    headers = (("Content-Type", JSON), ("X-Outcome", OutcomeName.ANSWERED.value))
+    return HttpAnswer(200, headers, whole_answer(generation))
--- /dev/null
+++ b/src/sassafrasdale/callers/models.py
@@ -0,0 +1,53 @@
+"""Validated models of what callers send."""
+
+from typing import Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from sassafrasdale.callers.exceptions import CallerError
+
+MAX_TOKENS = 32_768
+DEFAULT_MAX_TOKENS = 256
+
+
+class ChatMessage(BaseModel):
+    """One message of a conversation."""
+
+    model_config = ConfigDict(extra="allow")
+
+    role: Literal["system", "developer", "user", "assistant", "tool"]
+    content: str
+
+
+class ChatRequest(BaseModel):
+    """Body of ``POST /v1/chat/completions``; other fields go to the engine."""
+
+    model_config = ConfigDict(extra="allow")
+
+    model: str = Field(min_length=1, max_length=128)
+    messages: list[ChatMessage] = Field(min_length=1)
+    max_tokens: int = Field(default=DEFAULT_MAX_TOKENS, ge=1, le=MAX_TOKENS)
+    stream: bool = False
+    n: Literal[1] = 1
+
+    def prompt(self) -> str:
+        """Return the text of all messages."""
+        return "\n".join(f"{m.role}: {m.content}" for m in self.messages)
+
+    def engine_body(self, model: str) -> dict[str, Any]:
+        """Return the body for an engine that serves ``model``."""
+        body = self.model_dump(exclude={"stream", "n"})
+        return {**body, "model": model, "max_tokens": self.max_tokens}
+
+
+def parse_chat(body: bytes) -> ChatRequest:
+    """Return the checked body.
+
+    :raises CallerError: naming the first faulty field.
+    """
+    try:
+        return ChatRequest.model_validate_json(body)
+    except ValidationError as error:
+        fault = error.errors(include_url=False, include_input=False)[0]
+        field = ".".join(str(part) for part in fault["loc"]) or "body"
+        raise CallerError(f"{field}: {fault['msg']}", field=field) from error
--- /dev/null
+++ b/src/sassafrasdale/requests/exceptions.py
@@ -0,0 +1,19 @@
+"""Errors of a request's life. What a caller is told is an Outcome, not an error."""
+
+from sassafrasdale.exceptions import SassafrasdaleError
+
+
+class RequestError(SassafrasdaleError):
+    """Base class of the errors of one request's life."""
+
+
+class RequestNotHeld(RequestError):
+    """No request of that id is held here for that customer."""
+
+
+class RequestIdTaken(RequestError):
+    """The request id already names another request."""
+
+
+class KeyReused(RequestError):
+    """An idempotency key came back with another request."""
--- /dev/null
+++ b/src/sassafrasdale/requests/execution.py
@@ -0,0 +1,110 @@
+"""One call of a plain service: where it goes, how often, and how it ended."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from sassafrasdale.charts import Lifecycle, load_chart
+from sassafrasdale.clock import Clock
+from sassafrasdale.endpoints.adapters import EndpointAnswer, EndpointRequest
+from sassafrasdale.endpoints.directory import Endpoint
+from sassafrasdale.endpoints.exceptions import AnswerLost, NotSent, Refused
+from sassafrasdale.requests.structures import (
+    Answered,
+    NotRun,
+    Outcome,
+    ServiceCall,
+    Unknown,
+)
+
+RETRY_AFTER = timedelta(seconds=1)
+# An attempt of an idempotent call gets this share of the time that is left, so
+# that a silent endpoint leaves time for another one.
+ATTEMPT_SHARE = 0.4
+MIN_ATTEMPT = timedelta(milliseconds=250)
+
+Choose = Callable[[frozenset[str]], Endpoint | None]
+
+
+class IdempotentExecution:
+    """A call that may be sent more than once.
+
+    :param call: what the caller asked for.
+    :param choose: gives an endpoint, or None; its argument names endpoints not
+        to take.
+    :param may_retry: whether the retry budget allows one more attempt.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        call: ServiceCall,
+        choose: Choose,
+        may_retry: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._call = call
+        self._choose = choose
+        self._may_retry = may_retry
+        self._clock = clock
+        self._life = Lifecycle(load_chart("request"))
+        self._sent = False
+
+    @property
+    def state(self) -> str:
+        """State of the request's chart."""
+        return self._life.state
+
+    def run(self) -> Outcome:
+        """Send the call until it is answered or given up."""
+        self._life.fire("admit")
+        outcome = self._attempt_all()
+        event = {Answered: "answer", NotRun: "refuse", Unknown: "lose"}[type(outcome)]
+        if self._life.allows(event):
+            self._life.fire(event)
+        return outcome
+
+    def _attempt_all(self) -> Outcome:
+        avoid: set[str] = set()
+        while True:
+            remaining = self._call.call.deadline - self._clock.elapsed()
+            if remaining <= timedelta():
+                return self._give_up("the deadline has passed")
+            endpoint = self._choose(frozenset(avoid))
+            if endpoint is None:
+                return self._give_up("no endpoint takes the request now")
+            try:
+                answer = self._attempt(endpoint, remaining)
+                return Answered(answer.status, answer.headers, answer.body)
+            except (NotSent, Refused) as error:
+                reason = error.message
+            except AnswerLost as error:
+                self._sent = True
+                reason = error.message
+            avoid.add(endpoint.name)
+            if not self._may_retry():
+                return self._give_up(f"{reason}; the retry budget is spent")
+            if self._life.allows("retry"):
+                self._life.fire("retry")
+
+    def _attempt(self, endpoint: Endpoint, remaining: timedelta) -> EndpointAnswer:
+        if self._life.allows("send"):
+            self._life.fire("send")
+        limit = min(remaining, max(remaining * ATTEMPT_SHARE, MIN_ATTEMPT))
+        endpoint.in_flight += 1
+        try:
+            return endpoint.adapter.send(endpoint_request(self._call), limit)
+        finally:
+            endpoint.in_flight -= 1
+
+    def _give_up(self, reason: str) -> Outcome:
+        if self._sent:
+            return Unknown(reason, RETRY_AFTER)
+        return NotRun(reason, RETRY_AFTER)
+
+
+def endpoint_request(call: ServiceCall) -> EndpointRequest:
+    """Return the HTTP request that carries ``call`` to an endpoint."""
+    headers = [*call.headers, ("X-Request-Id", call.call.request_id)]
+    if call.call.idempotency_key:
+        headers.append(("Idempotency-Key", call.call.idempotency_key))
+    return EndpointRequest(call.method, call.target, tuple(headers), call.body)
--- /dev/null
+++ b/src/sassafrasdale/requests/generation.py
@@ -0,0 +1,414 @@
+"""One model request: its events, whoever reads them, and what interrupts it.
+
+A generation is a task of its own. It reads the engine's stream and keeps every
+event; callers read the kept events at their own pace, so a caller may leave and
+come back by request id, and the engine may change under way, without either
+noticing. Each event has a position, counted from 1.
+"""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from sassafrasdale.charts import Lifecycle, load_chart
+from sassafrasdale.clock import Clock
+from sassafrasdale.endpoints.adapters import EventStream
+from sassafrasdale.endpoints.directory import Endpoint
+from sassafrasdale.endpoints.engines import (
+    DONE,
+    FromCache,
+    FromPrompt,
+    Reattach,
+    Recompute,
+    Start,
+    Usage,
+    cancel,
+    export_cache,
+    open_stream,
+    parse_chunk,
+)
+from sassafrasdale.endpoints.exceptions import (
+    AnswerLost,
+    EndpointError,
+    NotSent,
+    Refused,
+    StreamUnknown,
+)
+from sassafrasdale.green import Event, GreenThread, spawn
+from sassafrasdale.requests.structures import (
+    Answered,
+    ModelCall,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+
+# Longest silence of an engine before the stream is asked for again on a fresh
+# connection: the old one may be silent for good while the engine works on.
+SILENCE_LIMIT = timedelta(seconds=2)
+# Engines that went silent or away in a row before the generation is given up.
+MAX_INTERRUPTIONS = 8
+RETRY_AFTER = timedelta(seconds=1)
+# First byte of a server-sent comment, which carries nothing for the caller.
+COMMENT = b":"
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """What the events so far amount to."""
+
+    tokens: int
+    text: str
+    finished: bool
+    usage: Usage | None
+
+
+class Generation:
+    """One model request that this entry holds.
+
+    :param call: what the caller asked for.
+    :param choose: gives an endpoint for the call, or None if there is none; its
+        argument names endpoints not to take.
+    :param clock: source of time.
+    :param events: events received by an earlier holder.
+    :param endpoint: where the earlier holder's stream runs.
+    :param on_end: called once with the generation when it has ended.
+
+    Usage::
+
+        generation.start()
+        events = generation.read(after=0, limit=timedelta(seconds=5))
+    """
+
+    def __init__(
+        self,
+        call: ModelCall,
+        choose: Callable[[ModelCall, frozenset[str]], Endpoint | None],
+        clock: Clock,
+        *,
+        events: list[bytes] | None = None,
+        endpoint: Endpoint | None = None,
+        on_end: Callable[["Generation"], None] = lambda generation: None,
+    ) -> None:
+        self._call = call
+        self._choose = choose
+        self._clock = clock
+        self._events = events or []
+        self._endpoint = endpoint
+        self._on_end = on_end
+        self._life = Lifecycle(load_chart("request"))
+        self._outcome: Outcome | None = None
+        self._waiters: list[Event] = []
+        self._thread: GreenThread | None = None
+        self._opened = False
+        self._pending: FromCache | None = None
+        self._moving: Event | None = None
+        self._handed_over = False
+        self._sent = bool(events) or endpoint is not None
+        self._started_at = clock.elapsed()
+        self._first_event_at: timedelta | None = None
+        self._last_read_at = self._started_at
+
+    @property
+    def call(self) -> ModelCall:
+        """What the caller asked for."""
+        return self._call
+
+    @property
+    def state(self) -> str:
+        """State of the request's chart."""
+        return self._life.state
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """How the request ended, or None while it runs."""
+        return self._outcome
+
+    @property
+    def ended(self) -> bool:
+        """Whether no event will come any more from this holder."""
+        return self._outcome is not None or self._handed_over
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether another entry holds the request now."""
+        return self._handed_over
+
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """Where the stream runs now."""
+        return self._endpoint
+
+    @property
+    def events(self) -> list[bytes]:
+        """Events so far; the first has position 1."""
+        return self._events
+
+    @property
+    def started_at(self) -> timedelta:
+        """Elapsed time of the clock at which this holder began."""
+        return self._started_at
+
+    @property
+    def first_event_at(self) -> timedelta | None:
+        """Elapsed time of the clock at the first event."""
+        return self._first_event_at
+
+    @property
+    def last_read_at(self) -> timedelta:
+        """Elapsed time of the clock at which somebody last asked for events."""
+        return self._last_read_at
+
+    def received(self) -> Received:
+        """Parse the events so far."""
+        text: list[str] = []
+        finished = False
+        usage = None
+        for event in self._events:
+            if event == DONE:
+                continue
+            chunk = parse_chunk(event)
+            if chunk.content:
+                text.append(chunk.content)
+            finished = finished or chunk.finish_reason is not None
+            usage = chunk.usage or usage
+        return Received(len(text), "".join(text), finished, usage)
+
+    def start(self) -> None:
+        """Begin in a task of its own."""
+        self._thread = spawn(self.run)
+
+    def run(self) -> None:
+        """Bring the generation to its end."""
+        self._life.fire("admit")
+        try:
+            outcome = self._complete()
+        except EndpointError as error:
+            outcome = Unknown(str(error), RETRY_AFTER)
+        if not self._handed_over:
+            self._end(outcome)
+
+    def read(self, after: int, limit: timedelta) -> list[bytes]:
+        """Return the events after position ``after``, waiting for at least one.
+
+        :param limit: longest wait; an empty list is returned after it, or when
+            the generation has ended.
+        """
+        self._last_read_at = self._clock.elapsed()
+        if self._last_read_at >= self._call.call.deadline:
+            self.abandon("the deadline has passed")
+        if len(self._events) <= after and not self.ended:
+            waiter = Event()
+            self._waiters.append(waiter)
+            remaining = self._call.call.deadline - self._last_read_at
+            waiter.wait(timeout=min(limit, remaining).total_seconds())
+        return self._events[after:]
+
+    def move(self, endpoint: Endpoint) -> bool:
+        """Move the KV cache off ``endpoint`` before it leaves.
+
+        :returns: whether the engine exported it.
+        """
+        if self._endpoint is not endpoint or self.ended or self._moving:
+            return False
+        self._moving = Event()
+        try:
+            handle = export_cache(endpoint.adapter, self._call.call.request_id)
+            self._pending = FromCache(0, "", endpoint.instance.address, handle)
+        except EndpointError:
+            # The stream may still run there, or be lost with the engine; its
+            # end will show, and the tokens are then computed again.
+            return False
+        finally:
+            moving, self._moving = self._moving, None
+            moving.send(None)
+        return True
+
+    def recompute(self, endpoint: Endpoint) -> None:
+        """Leave ``endpoint`` now and compute the tokens again elsewhere."""
+        if self._endpoint is endpoint and not self.ended:
+            self._cancel()
+
+    def release(self) -> None:
+        """Stop reading: another entry holds the request now."""
+        if self.ended:
+            return
+        self._handed_over = True
+        self._life.fire("hand_over")
+        self._stop_reading()
+        self._wake()
+
+    def abandon(self, reason: str) -> None:
+        """End the generation at once, for ``reason``."""
+        if self.ended:
+            return
+        self._cancel()
+        self._stop_reading()
+        self._end(self._give_up(reason))
+
+    def _complete(self) -> Outcome:
+        """Return the outcome, after as many engines as it takes."""
+        start: Start = self._first_start()
+        avoid: set[str] = set()
+        interruptions = 0
+        while not self.ended:
+            endpoint = self._endpoint or self._choose(self._call, frozenset(avoid))
+            if endpoint is None:
+                return self._give_up("no endpoint takes the request now")
+            try:
+                if self._follow(endpoint, start):
+                    return self._answer()
+            except Refused as error:
+                avoid.add(endpoint.name)
+                if interruptions + len(avoid) > MAX_INTERRUPTIONS:
+                    return self._give_up(str(error), error.retry_after)
+            except NotSent:
+                avoid.add(endpoint.name)
+            except (AnswerLost, StreamUnknown):
+                interruptions += not self._opened
+            if interruptions > MAX_INTERRUPTIONS:
+                return self._give_up("too many engines broke off")
+            if self._clock.elapsed() >= self._call.call.deadline:
+                return self._give_up("the deadline has passed")
+            start = self._next_start(endpoint, start, avoid)
+        return self._outcome or Unknown("handed over", RETRY_AFTER)
+
+    def _first_start(self) -> Start:
+        if self._endpoint is None and not self._events:
+            return FromPrompt()
+        received = self.received()
+        if self._endpoint is None:
+            return Recompute(received.tokens, received.text)
+        return Reattach(received.tokens)
+
+    def _follow(self, endpoint: Endpoint, start: Start) -> bool:
+        """Read the stream from ``endpoint``; return whether it came to its end."""
+        self._endpoint = endpoint
+        self._opened = False
+        if self._life.allows("send"):
+            self._life.fire("send")
+        endpoint.in_flight += 1
+        try:
+            remaining = self._call.call.deadline - self._clock.elapsed()
+            stream = open_stream(
+                endpoint.adapter,
+                self._call.call.request_id,
+                self._call.body,
+                start,
+                min(SILENCE_LIMIT, max(remaining, timedelta(milliseconds=1))),
+            )
+            self._sent = self._opened = True
+            return self._pass_on(stream)
+        except AnswerLost:
+            self._sent = True
+            raise
+        finally:
+            endpoint.in_flight -= 1
+
+    def _pass_on(self, stream: EventStream) -> bool:
+        for events in stream:
+            kept = [event for event in events if not event.startswith(COMMENT)]
+            if not kept:
+                continue
+            if self._first_event_at is None:
+                self._first_event_at = self._clock.elapsed()
+            self._events.extend(kept)
+            self._wake()
+            if kept[-1] == DONE:
+                return True
+        return False
+
+    def _next_start(self, endpoint: Endpoint, start: Start, avoid: set[str]) -> Start:
+        """Return how to go on after the stream from ``endpoint`` broke off."""
+        if self._moving is not None:
+            self._moving.wait()
+        received = self.received()
+        if self._pending is not None:
+            pending, self._pending = self._pending, None
+            self._endpoint = None
+            return FromCache(
+                received.tokens, received.text, pending.address, pending.handle
+            )
+        # A stream that broke off may still run on the engine, behind a connection
+        # that went silent: it is asked for on a fresh connection before its
+        # tokens are computed again. An engine that answers there is alive,
+        # however long it takes for the next token.
+        unreachable = isinstance(start, Reattach) and not self._opened
+        if self._sent and not unreachable and endpoint.name not in avoid:
+            endpoint.adapter.drop_connections()
+            return Reattach(received.tokens)
+        self._endpoint = None
+        if not self._sent:
+            return FromPrompt()
+        if not self._call.call.idempotent:
+            # Computing again would be a second execution.
+            raise AnswerLost("the engine that ran the request is gone")
+        avoid.add(endpoint.name)
+        return Recompute(received.tokens, received.text)
+
+    def _answer(self) -> Outcome:
+        received = self.received()
+        if not received.finished:
+            raise AnswerLost("the engine ended its stream without a reason")
+        return Answered(200, (), b"")
+
+    def _give_up(self, reason: str, retry_after: timedelta | None = None) -> Outcome:
+        retry_after = retry_after or RETRY_AFTER
+        if self._sent:
+            return Unknown(reason, retry_after)
+        return NotRun(reason, retry_after)
+
+    def _cancel(self) -> None:
+        endpoint = self._endpoint
+        if endpoint is not None:
+            spawn(_cancel_quietly, endpoint, self._call.call.request_id)
+
+    def _stop_reading(self) -> None:
+        """End the task, which closes its own connection as it unwinds."""
+        if self._thread is not None:
+            self._thread.kill()
+
+    def _end(self, outcome: Outcome) -> None:
+        if self._outcome is not None:
+            return
+        self._outcome = outcome
+        event = {Answered: "answer", NotRun: "refuse", Unknown: "lose"}[type(outcome)]
+        if self._life.allows(event):
+            self._life.fire(event)
+        self._wake()
+        self._on_end(self)
+
+    def _wake(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.ready():
+                waiter.send(None)
+
+
+def _cancel_quietly(endpoint: Endpoint, stream_id: str) -> None:
+    """Cancel a stream; an engine that can't be told stops it by itself."""
+    try:
+        cancel(endpoint.adapter, stream_id)
+    except EndpointError:
+        return
+
+
+def whole_answer(generation: Generation) -> bytes:
+    """Return the OpenAI-style whole answer of a generation that was answered."""
+    received = generation.received()
+    usage = received.usage or Usage()
+    first = json.loads(generation.events[0].removeprefix(b"data: "))
+    message = {"role": "assistant", "content": received.text}
+    document = {
+        "id": generation.call.call.request_id,
+        "object": "chat.completion",
+        "model": first.get("model", ""),
+        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+        "usage": {
+            "prompt_tokens": usage.prompt,
+            "completion_tokens": received.tokens,
+            "total_tokens": usage.prompt + received.tokens,
+        },
+    }
+    return json.dumps(document).encode()
--- /dev/null
+++ b/src/sassafrasdale/requests/registry.py
@@ -0,0 +1,89 @@
+"""The requests that this entry holds, by id, and answers kept for a while."""
+
+from collections import OrderedDict
+from datetime import timedelta
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.requests.exceptions import RequestIdTaken, RequestNotHeld
+from sassafrasdale.requests.generation import Generation
+
+# How long an ended answer can still be fetched, and how many are kept.
+KEEP_ENDED = timedelta(seconds=60)
+MAX_ENDED = 2000
+# A caller that lost its connection has this long to come back for the rest.
+UNREAD_LIMIT = timedelta(seconds=15)
+
+
+class Registry:
+    """Generations held here, by request id.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._running: dict[str, Generation] = {}
+        self._ended: OrderedDict[str, tuple[timedelta, Generation]] = OrderedDict()
+
+    @property
+    def running(self) -> tuple[Generation, ...]:
+        """Generations that have not ended."""
+        return tuple(self._running.values())
+
+    def add(self, generation: Generation) -> None:
+        """Hold ``generation``.
+
+        :raises RequestIdTaken: its id names another request.
+        """
+        request_id = generation.call.call.request_id
+        if request_id in self._running or request_id in self._ended:
+            raise RequestIdTaken(
+                f"request id {request_id!r} is in use", field="X-Request-Id"
+            )
+        self._running[request_id] = generation
+
+    def find(self, request_id: str, customer: str) -> Generation:
+        """Return the customer's generation of that id.
+
+        :raises RequestNotHeld: there is none here, or it is another customer's.
+        """
+        self._forget_old()
+        generation = self._running.get(request_id)
+        if generation is None and request_id in self._ended:
+            generation = self._ended[request_id][1]
+        if generation is None or generation.call.call.customer != customer:
+            raise RequestNotHeld(f"no request {request_id!r} is held here")
+        return generation
+
+    def holds(self, request_id: str) -> bool:
+        """Return whether the id is held here, whoever's it is."""
+        return request_id in self._running or request_id in self._ended
+
+    def end(self, generation: Generation) -> None:
+        """Keep an ended generation for a while, so that it can be fetched."""
+        request_id = generation.call.call.request_id
+        self._running.pop(request_id, None)
+        self._ended[request_id] = (self._clock.elapsed(), generation)
+        self._forget_old()
+
+    def drop(self, generation: Generation) -> None:
+        """Forget a generation that another entry holds now."""
+        self._running.pop(generation.call.call.request_id, None)
+
+    def sweep(self) -> None:
+        """Abandon generations that nobody reads or whose deadline has passed."""
+        now = self._clock.elapsed()
+        for generation in self.running:
+            if now >= generation.call.call.deadline:
+                generation.abandon("the deadline has passed")
+            elif now - generation.last_read_at > UNREAD_LIMIT:
+                generation.abandon("nobody waited for the answer")
+        self._forget_old()
+
+    def _forget_old(self) -> None:
+        oldest_kept = self._clock.elapsed() - KEEP_ENDED
+        while self._ended:
+            ended_at, _ = next(iter(self._ended.values()))
+            if ended_at >= oldest_kept and len(self._ended) <= MAX_ENDED:
+                return
+            self._ended.popitem(last=False)
