Read and check the operators' text and the entry's settings

Cause: the entry needs its settings and the operators' text as data classes before anything else can run.

Change: settings.py reads flags before environment variables and raises one exception group with every fault. text/ composes YAML with ruamel.yaml, keeps the line of each field, validates with pydantic and checks references, dependency cycles, times and duplicate keys on the plain data, so that faults of both kinds come at once with field and line. Depth, size and number of values are bounded before anything is built; anchors, aliases and tags are refused. Both deployments ship as example texts.

Ruled out: aliases with a bounded expansion; a fault in an aliased part has no single line to name.

--- /dev/null
+++ b/src/sassafrasdale/cli/exits.py
@@ -0,0 +1,14 @@
+"""Exit codes of the command line."""
+
+from enum import IntEnum
+
+
+class Exit(IntEnum):
+    """What a command's exit code tells a script."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    NOT_REACHED = 4
+    UNKNOWN = 5
--- /dev/null
+++ b/src/sassafrasdale/text/checks.py
@@ -0,0 +1,161 @@
+"""Checks across the fields of a text.
+
+They read the plain data and skip what has the wrong type, which the models
+report; so one pass finds faults of both kinds.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from difflib import get_close_matches
+from graphlib import CycleError, TopologicalSorter
+from typing import Any
+
+from sassafrasdale.text.documents import Document, Path
+from sassafrasdale.text.durations import parse_duration
+from sassafrasdale.text.exceptions import Fault
+
+
+def check_references(document: Document) -> Iterator[Fault]:
+    """Yield every fault that lies between fields rather than in one."""
+    data = document.data
+    zones = _mapping(data, "availability_zones")
+    services = _mapping(data, "services")
+    classes = [name for _, name in _names(data, "instance_classes", ())]
+    yield from _duplicates(document, data, "instance_classes", ())
+    yield from _check_delays(document, zones)
+    for name, service in services.items():
+        path = ("services", name)
+        yield from _check_dependencies(document, service, path, services)
+        yield from _check_pools(document, service, path, zones, classes)
+        yield from _check_times(document, service, path)
+    yield from _check_cycles(document, services)
+
+
+def _mapping(data: Any, key: str) -> dict[str, Any]:
+    value = data.get(key) if isinstance(data, dict) else None
+    return value if isinstance(value, dict) else {}
+
+
+def _sequence(data: Any, key: str) -> list[Any]:
+    value = data.get(key) if isinstance(data, dict) else None
+    return value if isinstance(value, list) else []
+
+
+def _names(data: Any, key: str, around: Path) -> Iterator[tuple[Path, str]]:
+    for index, name in enumerate(_sequence(data, key)):
+        if isinstance(name, str):
+            yield (*around, key, index), name
+
+
+def _duplicates(
+    document: Document, data: Any, key: str, around: Path
+) -> Iterator[Fault]:
+    seen: Counter[str] = Counter()
+    for path, name in _names(data, key, around):
+        seen[name] += 1
+        if seen[name] == 2:
+            yield document.fault(path, f"{name} stands twice in {key}")
+
+
+def _unknown(
+    document: Document, path: Path, what: str, name: str, known: Any
+) -> Iterator[Fault]:
+    if name in known:
+        return
+    close = get_close_matches(name, list(known), 1)
+    hint = f"; did you mean {close[0]}?" if close else ""
+    yield document.fault(path, f"there is no {what} {name}{hint}")
+
+
+def _check_delays(document: Document, zones: dict[str, Any]) -> Iterator[Fault]:
+    for name, zone in zones.items():
+        path = ("availability_zones", name, "one_way_delay")
+        delays = _mapping(zone, "one_way_delay")
+        for other in delays:
+            inner = (*path, other)
+            if other == name:
+                yield document.fault(inner, "a zone has no delay to itself")
+                continue
+            yield from _unknown(document, inner, "availability zone", other, zones)
+        missing = [other for other in zones if other not in delays and other != name]
+        if delays and missing:
+            yield document.fault(path, f"names no delay to {', '.join(missing)}")
+
+
+def _check_dependencies(
+    document: Document, service: Any, around: Path, services: dict[str, Any]
+) -> Iterator[Fault]:
+    yield from _duplicates(document, service, "depends_on", around)
+    for path, name in _names(service, "depends_on", around):
+        yield from _unknown(document, path, "service", name, services)
+
+
+def _check_pools(
+    document: Document,
+    service: Any,
+    around: Path,
+    zones: dict[str, Any],
+    classes: list[str],
+) -> Iterator[Fault]:
+    for index, pool in enumerate(_sequence(service, "pools")):
+        path = (*around, "pools", index)
+        yield from _duplicates(document, pool, "availability_zones", path)
+        for inner, name in _names(pool, "availability_zones", path):
+            yield from _unknown(document, inner, "availability zone", name, zones)
+        used = pool.get("instance_class") if isinstance(pool, dict) else None
+        if isinstance(used, str):
+            inner = (*path, "instance_class")
+            yield from _unknown(document, inner, "instance class", used, classes)
+
+
+def _check_times(document: Document, service: Any, around: Path) -> Iterator[Fault]:
+    objective = _mapping(service, "objective")
+    latency = _duration(objective, "latency")
+    first_token = _duration(objective, "first_token")
+    limit = _duration(service, "timeout")
+    if latency and first_token and first_token > latency:
+        path = (*around, "objective", "first_token")
+        yield document.fault(path, "must be at most the objective's latency")
+    if latency and limit and limit < latency:
+        path = (*around, "timeout")
+        yield document.fault(path, "must be at least the objective's latency")
+    if isinstance(service, dict) and service.get("kind") == "plain" and first_token:
+        path = (*around, "objective", "first_token")
+        yield document.fault(path, "is for services of kind model")
+
+
+def _duration(data: Any, key: str) -> Any:
+    value = data.get(key) if isinstance(data, dict) else None
+    try:
+        return parse_duration(value)
+    except ValueError:
+        return None
+
+
+def _check_cycles(document: Document, services: dict[str, Any]) -> Iterator[Fault]:
+    graph = {
+        name: [other for _, other in _names(service, "depends_on", ())]
+        for name, service in services.items()
+    }
+    for cycle in _cycles(graph):
+        written = " -> ".join((*cycle, cycle[0]))
+        path = ("services", cycle[0], "depends_on")
+        yield document.fault(path, f"depends on itself: {written}")
+
+
+def _cycles(graph: dict[str, list[str]]) -> Iterator[list[str]]:
+    edges = {name: set(others) for name, others in graph.items()}
+    while cycle := _find_cycle(edges):
+        yield cycle
+        for name, other in zip(cycle, [*cycle[1:], cycle[0]], strict=True):
+            edges[name].discard(other)
+
+
+def _find_cycle(edges: dict[str, set[str]]) -> list[str]:
+    try:
+        TopologicalSorter(edges).prepare()
+    except CycleError as error:
+        # graphlib names the nodes against the direction of the dependency, and
+        # the first one twice.
+        return error.args[1][:0:-1]
+    return []
--- /dev/null
+++ b/src/sassafrasdale/text/parser.py
@@ -0,0 +1,86 @@
+"""From the operators' text to data classes, with every fault at once.
+
+Usage::
+
+    text = parse_text(path.read_text())
+"""
+
+from collections.abc import Iterator
+from difflib import get_close_matches
+from typing import Any
+
+from pydantic import ValidationError
+
+from sassafrasdale.text.checks import check_references
+from sassafrasdale.text.documents import Document, Path, read_document
+from sassafrasdale.text.exceptions import Fault, TextError
+from sassafrasdale.text.models import TextModel
+from sassafrasdale.text.reference import fields_around
+from sassafrasdale.text.structures import Text
+
+
+def parse_text(source: str) -> Text:
+    """Return the text that ``source`` holds.
+
+    :raises TextError: if it has faults; the error carries all of them.
+    """
+    document = read_document(source)
+    if not isinstance(document.data, dict):
+        raise TextError([document.fault((), "must be a mapping of fields")])
+    faults = list(document.faults)
+    model = _validate(document, faults)
+    faults.extend(check_references(document))
+    if faults or model is None:
+        raise TextError(set(faults))
+    return model.build()
+
+
+def _validate(document: Document, faults: list[Fault]) -> TextModel | None:
+    try:
+        return TextModel.model_validate(document.data)
+    except ValidationError as error:
+        faults.extend(_model_faults(document, error))
+        return None
+
+
+def _model_faults(document: Document, error: ValidationError) -> Iterator[Fault]:
+    for detail in error.errors(include_url=False, include_context=True):
+        path = _path_in(document.data, detail["loc"])
+        yield document.fault(path, _message(detail, path))
+
+
+def _path_in(data: Any, location: tuple[str | int, ...]) -> Path:
+    # pydantic adds the branch of a union and marks such as [key] to a location;
+    # they name no field, so they are dropped by walking the data itself.
+    path: list[str | int] = []
+    for part in location:
+        match data:
+            case dict() if part in data:
+                data = data[part]
+                path.append(part)
+            case list() if isinstance(part, int) and part < len(data):
+                data = data[part]
+                path.append(part)
+            case dict() if isinstance(part, str) and part.isidentifier():
+                data = None
+                path.append(part)
+    return tuple(path)
+
+
+def _message(detail: Any, path: Path) -> str:
+    match detail["type"]:
+        case "extra_forbidden":
+            return f"is not a known field{_hint(path)}"
+        case "missing":
+            return "is missing"
+        case "string_pattern_mismatch":
+            return f"{detail['input']!r} does not match {detail['ctx']['pattern']}"
+        case "value_error":
+            return str(detail["ctx"]["error"])
+        case _:
+            return detail["msg"].removeprefix("Input ")
+
+
+def _hint(path: Path) -> str:
+    close = get_close_matches(str(path[-1]), fields_around(path), 1)
+    return f"; did you mean {close[0]}?" if close else ""
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,63 @@
+"""Tests of the settings of an entry process."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.settings import EntrySettings, SettingsError, load_settings
+from sassafrasdale.structures import Address
+
+COMPLETE = {
+    "SASSAFRASDALE_NAME": "entry-1",
+    "SASSAFRASDALE_AVAILABILITY_ZONE": "cairo-a",
+    "SASSAFRASDALE_ADDRESS": "127.0.0.1:8080",
+    "SASSAFRASDALE_PEER_ADDRESS": "127.0.0.1:8081",
+    "SASSAFRASDALE_STORE": "127.0.0.1:2379",
+    "SASSAFRASDALE_CLOUD": "127.0.0.1:9000",
+}
+
+
+def test_variables_suffice_and_the_rest_has_defaults():
+    assert load_settings({}, COMPLETE) == EntrySettings(
+        name="entry-1",
+        availability_zone="cairo-a",
+        address=Address("127.0.0.1", 8080),
+        peer_address=Address("127.0.0.1", 8081),
+        store=Address("127.0.0.1", 2379),
+        cloud=Address("127.0.0.1", 9000),
+    )
+
+
+def test_flags_go_before_variables():
+    environ = {**COMPLETE, "SASSAFRASDALE_DRAIN_TIMEOUT": "5s"}
+
+    settings = load_settings({"name": "entry-2", "drain_timeout": "1m"}, environ)
+
+    assert settings.name == "entry-2"
+    assert settings.drain_timeout == timedelta(minutes=1)
+
+
+def test_every_fault_comes_at_once():
+    environ = {
+        **COMPLETE,
+        "SASSAFRASDALE_STORE": "store",
+        "SASSAFRASDALE_LOG_LEVEL": "loud",
+        "SASSAFRASDALE_MAX_BODY_BYTES": "-1",
+        "SASSAFRASDALE_HEADER_TIMEOUT": "0s",
+    }
+    del environ["SASSAFRASDALE_CLOUD"]
+
+    with pytest.raises(SettingsError) as caught:
+        load_settings({"name": "entry 2", "peer_address": "x:99999"}, environ)
+
+    assert [fault.field for fault in caught.value.faults] == [
+        "name",
+        "peer_address",
+        "store",
+        "cloud",
+        "max_body_bytes",
+        "header_timeout",
+        "log_level",
+    ]
+    missing = caught.value.faults[3]
+    assert missing.message == "--cloud (SASSAFRASDALE_CLOUD): is missing"
--- /dev/null
+++ b/tests/text/test_parser.py
@@ -0,0 +1,324 @@
+"""Tests of reading and checking the operators' text."""
+
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from sassafrasdale.text.exceptions import FaultError, TextError
+from sassafrasdale.text.parser import parse_text
+from sassafrasdale.text.structures import ServiceKind
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+AUTHORITY = (EXAMPLES / "authority.yaml").read_text(encoding="utf-8")
+
+BROKEN = {
+    "not YAML": (
+        "deployment: authority",
+        "deployment: authority: twice",
+        "",
+        "is not YAML: mapping values are not allowed here",
+    ),
+    "unknown field": (
+        "    timeout: 60s",
+        "    timout: 60s",
+        "services.reports.timout",
+        "did you mean timeout?",
+    ),
+    "field of another part": (
+        "count: 3\n        checks",
+        "kind: 3\n        checks",
+        "services.reports.pools[0].kind",
+        "not a known field",
+    ),
+    "missing field": (
+        "    kind: plain\n",
+        "",
+        "services.records.kind",
+        "is missing",
+    ),
+    "wrong type": (
+        "priority: 4",
+        "priority: high",
+        "services.reports.priority",
+        "valid integer",
+    ),
+    "text for a truth value": (
+        "path: /*, idempotent: true",
+        "path: /*, idempotent: yes",
+        "services.records.rules[0].idempotent",
+        "valid boolean",
+    ),
+    "out of range": (
+        "priority: 4",
+        "priority: 8",
+        "services.reports.priority",
+        "less than or equal to 7",
+    ),
+    "not a number": (
+        "weight: 1,",
+        "weight: .nan,",
+        "customers.press-technicians.weight",
+        "finite",
+    ),
+    "no unit": ("timeout: 60s", "timeout: 60", "services.reports.timeout", "units"),
+    "duplicate key": (
+        "  ready-mix-plants:",
+        "  cube-labs:",
+        "customers.cube-labs",
+        "stands twice, first on line",
+    ),
+    "customer without weight": (
+        "{weight: 4, max_in_flight: 200}",
+        "{max_in_flight: 200}",
+        "customers.cube-labs.weight",
+        "is missing",
+    ),
+    "customer with no weight": (
+        "cube-labs: {weight: 4",
+        "cube-labs: {weight: 0",
+        "customers.cube-labs.weight",
+        "greater than 0",
+    ),
+    "service without pool": (
+        "    pools:\n      - instance_class: cpu-small\n        availability_zones: "
+        "[cairo-a, cairo-b, cairo-c]\n        count: 3\n        max_in_flight: 64\n"
+        "        max_waiting: 128\n",
+        "    pools: []\n",
+        "services.records.pools",
+        "at least 1",
+    ),
+    "unknown zone": (
+        "[cairo-a, cairo-b, cairo-c]",
+        "[cairo-a, cairo-bb, cairo-c]",
+        "services.reports.pools[0].availability_zones[1]",
+        "no availability zone cairo-bb; did you mean cairo-b?",
+    ),
+    "unknown class": (
+        "instance_class: gpu-large",
+        "instance_class: gpu-lage",
+        "services.reports.pools[0].instance_class",
+        "did you mean gpu-large?",
+    ),
+    "unknown service": (
+        "[records]",
+        "[recrds]",
+        "services.reports.depends_on[0]",
+        "no service recrds; did you mean records?",
+    ),
+    "dependency cycle": (
+        "    kind: plain\n",
+        "    kind: plain\n    depends_on: [reports]\n",
+        "services.reports.depends_on",
+        "depends on itself: reports -> records -> reports",
+    ),
+    "zone twice in a pool": (
+        "[cairo-a, cairo-b, cairo-c]",
+        "[cairo-a, cairo-a]",
+        "services.reports.pools[0].availability_zones[1]",
+        "cairo-a stands twice",
+    ),
+    "delay to itself": (
+        "one_way_delay: 0.5ms",
+        "one_way_delay: {cairo-a: 0.5ms, cairo-b: 1ms, cairo-c: 1ms}",
+        "availability_zones.cairo-a.one_way_delay.cairo-a",
+        "no delay to itself",
+    ),
+    "delay missing": (
+        "one_way_delay: 0.5ms",
+        "one_way_delay: {cairo-b: 1ms}",
+        "availability_zones.cairo-a.one_way_delay",
+        "names no delay to cairo-c",
+    ),
+    "timeout below objective": (
+        "timeout: 60s",
+        "timeout: 10s",
+        "services.reports.timeout",
+        "at least the objective's latency",
+    ),
+    "first token after the answer": (
+        "first_token: 1s",
+        "first_token: 21s",
+        "services.reports.objective.first_token",
+        "at most the objective's latency",
+    ),
+    "first token of a plain service": (
+        "{latency: 100ms,",
+        "{latency: 100ms, first_token: 10ms,",
+        "services.records.objective.first_token",
+        "kind model",
+    ),
+    "bad name": (
+        "deployment: authority",
+        "deployment: The_Authority",
+        "deployment",
+        "does not match",
+    ),
+    "path without slash": (
+        "path: /certificates",
+        "path: certificates",
+        "services.records.rules[1].path",
+        "does not match",
+    ),
+    "alias": (
+        "deployment: authority",
+        "deployment: &name authority",
+        "",
+        "anchors and aliases",
+    ),
+    "tag": (
+        "deployment: authority",
+        "deployment: !!python/name:os.system authority",
+        "",
+        "tag",
+    ),
+    "two documents": (
+        "instance_classes:",
+        "---\ninstance_classes:",
+        "",
+        "single document",
+    ),
+    "key that is a mapping": (
+        "deployment: authority",
+        "deployment: authority\n{a: b}: c",
+        "",
+        "a key must be a word",
+    ),
+}
+
+
+def faults_of(source: str) -> tuple:
+    with pytest.raises(TextError) as caught:
+        parse_text(source)
+    return caught.value.faults
+
+
+@pytest.mark.parametrize("name", ["authority", "association"])
+def test_examples_hold_the_sizes_of_the_deployments(name):
+    text = parse_text((EXAMPLES / f"{name}.yaml").read_text(encoding="utf-8"))
+
+    replicas = dict.fromkeys(ServiceKind, 0)
+    for service in text.services.values():
+        replicas[service.kind] += sum(pool.count for pool in service.pools)
+    assert text.deployment == name
+    assert len(text.availability_zones) == 3
+    assert replicas == {ServiceKind.MODEL: 6, ServiceKind.PLAIN: 3}
+    assert len(text.customers) == 5
+
+
+def test_delays_are_those_of_the_deployments():
+    authority = parse_text(AUTHORITY).availability_zones["cairo-a"]
+    association = parse_text(
+        (EXAMPLES / "association.yaml").read_text(encoding="utf-8")
+    ).availability_zones["arima"]
+
+    half, whole = timedelta(microseconds=500), timedelta(milliseconds=1)
+    assert authority.one_way_delay == {"cairo-b": half, "cairo-c": half}
+    assert authority.client_delay == whole
+    assert set(association.one_way_delay.values()) == {timedelta(milliseconds=1.5)}
+    assert association.client_delay == timedelta(milliseconds=3)
+
+
+@pytest.mark.parametrize("kind", BROKEN)
+def test_fault_names_field_and_line(kind):
+    old, new, field, message = BROKEN[kind]
+    assert old in AUTHORITY
+    broken = AUTHORITY.replace(old, new, 1)
+
+    faults = faults_of(broken)
+
+    found = [fault for fault in faults if fault.field == field]
+    assert found, faults
+    assert message in found[0].message
+    first_changed = AUTHORITY[: AUTHORITY.index(old)].count("\n") + 1
+    assert 1 <= found[0].line <= first_changed + old.count("\n") + 1
+
+
+def test_open_bracket_names_where_it_began():
+    faults = faults_of(AUTHORITY.replace("[gpu-large, cpu-small]", "[gpu-large"))
+
+    assert "while parsing a flow sequence begun on line 6" in faults[0].message
+
+
+def test_all_faults_come_at_once_in_the_order_of_their_lines():
+    broken = (
+        AUTHORITY.replace("[records]", "[recrds]")
+        .replace("timeout: 60s", "timout: 60s")
+        .replace("cube-labs: {weight: 4,", "cube-labs: {")
+        .replace("instance_class: cpu-small", "instance_class: cpu-smal")
+    )
+
+    faults = faults_of(broken)
+
+    assert [fault.field for fault in faults] == [
+        "services.reports.timeout",
+        "services.reports.depends_on[0]",
+        "services.reports.timout",
+        "services.explanations.depends_on[0]",
+        "services.records.pools[0].instance_class",
+        "customers.cube-labs.weight",
+    ]
+    assert [fault.line for fault in faults] == sorted(fault.line for fault in faults)
+
+
+def test_error_is_a_group_with_one_member_for_each_fault():
+    caught = []
+    try:
+        parse_text("deployment: 1\nservices: 2\n")
+    except* FaultError as group:
+        caught.extend(group.exceptions)
+    assert {error.field for error in caught} >= {"deployment", "services"}
+
+
+def test_deep_nesting_is_refused_before_anything_is_built():
+    """Refuse a text of brackets without end.
+
+    A text of 100,000 opening brackets would end in a RecursionError while its
+    nodes are composed, which takes the whole entry down instead of the edit.
+    """
+    faults = faults_of("a: " + "[" * 100_000)
+
+    assert "nested deeper" in faults[0].message
+
+
+def test_aliases_of_aliases_are_refused():
+    """Refuse the text that grows by aliases.
+
+    Nine lines with nine aliases each to the line before stand for 9**9 values;
+    built, they fill the memory of every entry that takes the text over.
+    """
+    lines = ["l0: &l0 [x, x, x, x, x, x, x, x, x]"]
+    for level in range(1, 10):
+        row = ", ".join([f"*l{level - 1}"] * 9)
+        lines.append(f"l{level}: &l{level} [{row}]")
+
+    faults = faults_of("\n".join(lines))
+
+    assert "anchors and aliases are not accepted" in faults[0].message
+
+
+@pytest.mark.parametrize(
+    ("source", "message"),
+    [
+        ("", "is empty"),
+        ("just words", "must be a mapping"),
+        ("- a\n- b\n", "must be a mapping"),
+        ("a: " + "x" * 2000, "longer than 1024 characters"),
+        ("a: '" + "x\n" * 300_000, "longer than 524288 bytes"),
+        ("[" + "1," * 60_000 + "1]", "more than 50000 values"),
+        ("a: \x00", "not YAML"),
+        ("deployment: " + "9" * 1000, "valid string"),
+    ],
+)
+def test_oversized_and_odd_texts_get_a_fault(source, message):
+    assert any(message in fault.message for fault in faults_of(source))
+
+
+def test_rules_decide_idempotency_and_the_kind_decides_without_one():
+    services = parse_text(AUTHORITY).services
+
+    records, reports = services["records"], services["reports"]
+    assert records.is_idempotent("GET", "/batches/17")
+    assert not records.is_idempotent("POST", "/certificates")
+    assert not records.is_idempotent("DELETE", "/batches/17")
+    assert reports.is_idempotent("POST", "/v1/chat/completions")
