Add admission, limits, budgets, backoff, hedging and health

The entry needs these interfaces before their policies are measured. This is a plain implementation: weighted fair queueing over customers, priority within a customer, a bounded queue, an additive-increase limit from the entry's share of the capacity.

--- /dev/null
+++ b/src/sassafrasdale/decisions/admission.py
@@ -0,0 +1,307 @@
+"""Admission of requests to one service on one entry.
+
+Each service has an ``Admission`` of its own, so lookups never queue behind
+generations. Entries share no counter: the limit on requests in flight comes
+from the entry's share of the capacity, corrected by what endpoints refuse.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+from random import Random
+
+from sassafrasdale.decisions.backoff import spread_retry_after
+from sassafrasdale.decisions.limits import ConcurrencyLimit, TokenBucket
+
+DEFAULT_WEIGHT = 1.0
+"""Weight of a customer that the text doesn't name."""
+
+
+class ShedReason(StrEnum):
+    """Why a request was turned away before it ran."""
+
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    RATE_LIMIT = "rate_limit"
+    CUSTOMER_IN_FLIGHT = "customer_in_flight"
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerShare:
+    """What a customer is entitled to.
+
+    :param weight: share of a busy service, relative to other customers.
+    :param requests_per_second: rate limit over all entries, None for none.
+    :param max_in_flight: most requests in flight over all entries, None for none.
+    """
+
+    weight: float = DEFAULT_WEIGHT
+    requests_per_second: float | None = None
+    max_in_flight: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """One request known to the admission.
+
+    :param number: number of the request, in the order of offers.
+    :param customer: name of the customer.
+    :param priority: RFC 9218 urgency, 0 first to 7 last.
+    :param offered_at: elapsed time of the offer.
+    :param deadline: elapsed time by which the answer is due.
+    """
+
+    number: int
+    customer: str
+    priority: int
+    offered_at: timedelta
+    deadline: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """The request may go to an endpoint now."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """The request waits; ``next_admitted`` returns its ticket later.
+
+    :param position: requests of the same customer that go before it.
+    """
+
+    ticket: Ticket
+    position: int
+
+
+@dataclass(frozen=True, slots=True)
+class Shed:
+    """The request did not run and won't.
+
+    :param retry_after: when it is worth coming back.
+    """
+
+    ticket: Ticket
+    retry_after: timedelta
+    reason: ShedReason
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Constants of admission.
+
+    :param queue_per_slot: waiting requests allowed per request in flight.
+    :param latency_smoothing: weight of a new latency in the moving mean.
+    :param initial_latency: latency assumed before the first answer.
+    """
+
+    queue_per_slot: float = 4.0
+    latency_smoothing: float = 0.1
+    initial_latency: timedelta = timedelta(milliseconds=100)
+
+
+class Admission:
+    """Admission to one service on one entry: fair, bounded and by priority.
+
+    Usage::
+
+        match admission.offer("lab-7", 3, clock.elapsed(), timedelta(seconds=2)):
+            case Admit(ticket): ...
+            case Wait(ticket): ...  # until next_admitted or expire return it
+            case Shed(retry_after=after, reason=reason): ...
+
+    After each ``offer``, ``finish`` and ``cancel`` the caller drains ``expire``
+    (requests turned away while they waited) and then ``next_admitted``.
+
+    :param limit: limit on requests in flight, owned by this admission.
+    :param rng: source of randomness, to spread the times to come back.
+    """
+
+    def __init__(
+        self,
+        limit: ConcurrencyLimit,
+        rng: Random,
+        customers: Mapping[str, CustomerShare] | None = None,
+        settings: AdmissionSettings | None = None,
+    ) -> None:
+        self._limit = limit
+        self._rng = rng
+        self._settings = settings or AdmissionSettings()
+        self._customers: dict[str, CustomerShare] = dict(customers or {})
+        self._live_entries = 1
+        self._buckets: dict[str, TokenBucket] = {}
+        self._waiting: dict[str, list[Ticket]] = {}
+        self._running: dict[int, Ticket] = {}
+        self._virtual: dict[str, float] = {}
+        self._virtual_now = 0.0
+        self._latency = self._settings.initial_latency
+        self._displaced: list[Shed] = []
+        self._offered = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that were admitted and haven't finished."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return sum(len(queue) for queue in self._waiting.values())
+
+    @property
+    def limit(self) -> int:
+        """Requests that may be in flight."""
+        return self._limit.value
+
+    def set_customers(self, customers: Mapping[str, CustomerShare]) -> None:
+        """Take the customers of a new revision of the text."""
+        self._customers = dict(customers)
+        self._buckets.clear()
+
+    def set_share(self, capacity: int, live_entries: int) -> None:
+        """Take the endpoints' capacity and the number of live entries."""
+        self._live_entries = max(live_entries, 1)
+        self._limit.set_share(capacity, live_entries)
+        for name, bucket in self._buckets.items():
+            rate = self._customers[name].requests_per_second
+            bucket.set_rate(rate, self._live_entries)
+
+    def offer(
+        self, customer: str, priority: int, now: timedelta, remaining: timedelta
+    ) -> Admit | Wait | Shed:
+        """Decide on a new request.
+
+        :param customer: who calls.
+        :param priority: 0 first to 7 last.
+        :param now: elapsed time.
+        :param remaining: time until the deadline.
+        """
+        self._offered += 1
+        ticket = Ticket(self._offered, customer, priority, now, now + remaining)
+        bucket = self._bucket(customer)
+        if bucket is not None and not bucket.try_take(now):
+            return self._shed(ticket, bucket.wait(now), ShedReason.RATE_LIMIT)
+        if not self.waiting and self._has_room(customer):
+            self._start(ticket)
+            return Admit(ticket)
+        if self._expected_wait(customer) + self._latency > remaining:
+            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+        queue = self._waiting.setdefault(customer, [])
+        position = sum(other.priority <= priority for other in queue)
+        queue.insert(position, ticket)
+        self._virtual[customer] = max(
+            self._virtual.get(customer, 0.0), self._virtual_now
+        )
+        if self.waiting > self._longest_queue():
+            worst = self._displace()
+            if worst is ticket:
+                return self._shed(ticket, self._drain_time(), ShedReason.QUEUE_FULL)
+            self._displaced.append(
+                self._shed(worst, self._drain_time(), ShedReason.QUEUE_FULL)
+            )
+        return Wait(ticket, position)
+
+    def next_admitted(self, now: timedelta) -> Ticket | None:
+        """Return the next waiting request that may go to an endpoint, if any."""
+        ready = [name for name in self._waiting if self._has_room(name)]
+        if not ready:
+            return None
+        customer = min(ready, key=lambda name: (self._virtual[name], name))
+        ticket = self._take(customer, 0)
+        self._start(ticket)
+        return ticket
+
+    def finish(
+        self, ticket: Ticket, now: timedelta, ok: bool, latency: timedelta
+    ) -> None:
+        """Record the end of an admitted request.
+
+        :param ok: False if the endpoint refused it or was overloaded.
+        """
+        if self._running.pop(ticket.number, None) is None:
+            return
+        if not ok:
+            self._limit.on_refusal(now)
+            return
+        self._limit.on_success(self.in_flight)
+        self._latency += (latency - self._latency) * self._settings.latency_smoothing
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Forget a request, waiting or admitted, that the caller gave up."""
+        self._running.pop(ticket.number, None)
+        queue = self._waiting.get(ticket.customer, [])
+        if ticket in queue:
+            self._take(ticket.customer, queue.index(ticket))
+
+    def expire(self, now: timedelta) -> tuple[Shed, ...]:
+        """Return the waiting requests that are turned away and must be answered."""
+        for customer, queue in list(self._waiting.items()):
+            for ticket in list(queue):
+                if now + self._latency > ticket.deadline:
+                    self._take(customer, queue.index(ticket))
+                    self._displaced.append(
+                        self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+                    )
+        displaced, self._displaced = self._displaced, []
+        return tuple(displaced)
+
+    def _share_of(self, customer: str) -> CustomerShare:
+        return self._customers.get(customer, CustomerShare())
+
+    def _bucket(self, customer: str) -> TokenBucket | None:
+        rate = self._share_of(customer).requests_per_second
+        if rate is None:
+            return None
+        if customer not in self._buckets:
+            self._buckets[customer] = TokenBucket(rate, self._live_entries)
+        return self._buckets[customer]
+
+    def _has_room(self, customer: str) -> bool:
+        if self.in_flight >= self._limit.value:
+            return False
+        most = self._share_of(customer).max_in_flight
+        if most is None:
+            return True
+        own = sum(other.customer == customer for other in self._running.values())
+        return own < max(most / self._live_entries, 1)
+
+    def _start(self, ticket: Ticket) -> None:
+        weight = self._share_of(ticket.customer).weight
+        start = max(self._virtual.get(ticket.customer, 0.0), self._virtual_now)
+        self._virtual_now = start
+        self._virtual[ticket.customer] = start + 1 / weight
+        self._running[ticket.number] = ticket
+
+    def _take(self, customer: str, index: int) -> Ticket:
+        ticket = self._waiting[customer].pop(index)
+        if not self._waiting[customer]:
+            del self._waiting[customer]
+        return ticket
+
+    def _longest_queue(self) -> int:
+        return max(int(self._limit.value * self._settings.queue_per_slot), 1)
+
+    def _displace(self) -> Ticket:
+        def backlog(name: str) -> tuple[float, str]:
+            return len(self._waiting[name]) / self._share_of(name).weight, name
+
+        return self._take(max(self._waiting, key=backlog), -1)
+
+    def _rate(self) -> float:
+        return self._limit.value / max(self._latency.total_seconds(), 1e-6)
+
+    def _expected_wait(self, customer: str) -> timedelta:
+        weight = self._share_of(customer).weight
+        names = set(self._waiting) | {customer}
+        total = sum(self._share_of(name).weight for name in names)
+        ahead = len(self._waiting.get(customer, [])) + 1
+        return timedelta(seconds=ahead / (self._rate() * weight / total))
+
+    def _drain_time(self) -> timedelta:
+        return timedelta(seconds=(self.waiting + 1) / self._rate())
+
+    def _shed(self, ticket: Ticket, after: timedelta, reason: ShedReason) -> Shed:
+        return Shed(ticket, spread_retry_after(after, self._rng), reason)
--- /dev/null
+++ b/src/sassafrasdale/decisions/budgets.py
@@ -0,0 +1,62 @@
+"""Budget for repeated requests, as a share of the successes."""
+
+from datetime import timedelta
+
+RETRY_SHARE = 0.1
+"""Retries per success."""
+
+RETRY_FLOOR_PER_SECOND = 0.5
+"""Retries per second that are allowed without any success."""
+
+BUDGET_DEPTH = 10.0
+"""Most retries that are saved up."""
+
+
+class RetryBudget:
+    """Tokens for retries: successes pay in, retries take out.
+
+    Usage::
+
+        budget.deposit(clock.elapsed())  # after each success
+        if budget.try_spend(clock.elapsed()):
+            ...  # send again
+
+    :param share: retries per success.
+    :param floor: retries per second allowed without successes.
+    :param depth: most retries that are saved up.
+    """
+
+    def __init__(
+        self,
+        share: float = RETRY_SHARE,
+        floor: float = RETRY_FLOOR_PER_SECOND,
+        depth: float = BUDGET_DEPTH,
+    ) -> None:
+        self._share = share
+        self._floor = floor
+        self._depth = depth
+        self._tokens = min(1.0, depth)
+        self._updated = timedelta()
+
+    @property
+    def tokens(self) -> float:
+        """Retries saved up."""
+        return self._tokens
+
+    def deposit(self, now: timedelta) -> None:
+        """Record a success."""
+        self._refill(now)
+        self._tokens = min(self._tokens + self._share, self._depth)
+
+    def try_spend(self, now: timedelta) -> bool:
+        """Take one retry out if the budget has one."""
+        self._refill(now)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _refill(self, now: timedelta) -> None:
+        elapsed = max((now - self._updated).total_seconds(), 0.0)
+        self._updated = max(now, self._updated)
+        self._tokens = min(self._tokens + elapsed * self._floor, self._depth)
--- /dev/null
+++ b/src/sassafrasdale/decisions/health.py
@@ -0,0 +1,121 @@
+"""Outlier ejection of endpoints, with probation and slow start on recovery."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+
+from sassafrasdale.charts import Lifecycle, load_chart
+from sassafrasdale.decisions.backoff import spread_retry_after
+
+
+@dataclass(frozen=True, slots=True)
+class HealthSettings:
+    """Constants of outlier ejection.
+
+    :param failures: consecutive failures that eject an endpoint.
+    :param ejection: length of the first ejection; it doubles each time.
+    :param longest_ejection: longest ejection.
+    :param slow_start: time in which a readmitted endpoint's weight grows to 1.
+    :param smallest_weight: weight of an endpoint that was just readmitted.
+    :param most_ejected: largest share of the endpoints that is ejected.
+    """
+
+    failures: int = 5
+    ejection: timedelta = timedelta(seconds=5)
+    longest_ejection: timedelta = timedelta(seconds=60)
+    slow_start: timedelta = timedelta(seconds=10)
+    smallest_weight: float = 0.1
+    most_ejected: float = 0.5
+
+
+@dataclass(slots=True)
+class _EndpointRecord:
+    life: Lifecycle = field(default_factory=lambda: Lifecycle(_chart()))
+    failures: int = 0
+    ejections: int = 0
+    until: timedelta = timedelta()
+
+
+def _chart():
+    return load_chart("endpoint_health")
+
+
+class Health:
+    """Health of the endpoints of one service, as seen by one entry.
+
+    Usage::
+
+        health.observe("model-1", ok=False, now=clock.elapsed())
+        weights = health.weights(clock.elapsed())
+
+    :param rng: source of randomness, to spread readmissions over entries.
+    """
+
+    def __init__(self, rng: Random, settings: HealthSettings | None = None) -> None:
+        self._rng = rng
+        self._settings = settings or HealthSettings()
+        self._records: dict[str, _EndpointRecord] = {}
+
+    def set_endpoints(self, names: frozenset[str]) -> None:
+        """Take the present endpoints; forget those that left."""
+        kept = {name: self._records.get(name) for name in sorted(names)}
+        self._records = {
+            name: record or _EndpointRecord() for name, record in kept.items()
+        }
+
+    def observe(self, name: str, *, ok: bool, now: timedelta) -> None:
+        """Record that a request to an endpoint succeeded or failed."""
+        record = self._records.get(name)
+        if record is None:
+            return
+        self._advance(record, now)
+        if ok:
+            record.failures = 0
+            return
+        record.failures += 1
+        if self._is_outlier(record) and self._may_eject():
+            self._eject(record, now)
+
+    def weights(self, now: timedelta) -> Mapping[str, float]:
+        """Return each endpoint's weight: 0 ejected, 1 healthy, between on probation."""
+        for record in self._records.values():
+            self._advance(record, now)
+        return {name: self._weight(rec, now) for name, rec in self._records.items()}
+
+    def _is_outlier(self, record: _EndpointRecord) -> bool:
+        if record.life.state == "probation":
+            return True
+        return record.failures >= self._settings.failures
+
+    def _may_eject(self) -> bool:
+        ejected = sum(rec.life.state == "ejected" for rec in self._records.values())
+        return ejected + 1 <= len(self._records) * self._settings.most_ejected
+
+    def _eject(self, record: _EndpointRecord, now: timedelta) -> None:
+        if not record.life.allows("eject"):
+            return
+        record.life.fire("eject")
+        length = self._settings.ejection * 2 ** min(record.ejections, 16)
+        length = min(length, self._settings.longest_ejection)
+        record.until = now + spread_retry_after(length, self._rng)
+        record.ejections += 1
+        record.failures = 0
+
+    def _advance(self, record: _EndpointRecord, now: timedelta) -> None:
+        if record.life.state == "ejected" and now >= record.until:
+            record.life.fire("readmit")
+            record.until = now + self._settings.slow_start
+        if record.life.state == "probation" and now >= record.until:
+            record.life.fire("recover")
+            record.ejections = 0
+
+    def _weight(self, record: _EndpointRecord, now: timedelta) -> float:
+        match record.life.state:
+            case "ejected":
+                return 0.0
+            case "probation":
+                left = (record.until - now) / self._settings.slow_start
+                return max(1 - left, self._settings.smallest_weight)
+            case _:
+                return 1.0
--- /dev/null
+++ b/src/sassafrasdale/decisions/hedging.py
@@ -0,0 +1,66 @@
+"""When to send an idempotent request a second time, before the first answer."""
+
+from bisect import bisect_left, insort
+from collections import deque
+from datetime import timedelta
+
+from sassafrasdale.decisions.budgets import RetryBudget
+
+HEDGE_QUANTILE = 0.95
+"""Quantile of recent latencies after which a request is slow."""
+
+HEDGE_WINDOW = 200
+"""Latencies kept, in requests."""
+
+HEDGE_SHARE = 0.05
+"""Hedges per success."""
+
+HEDGE_FLOOR_PER_SECOND = 0.1
+"""Hedges per second that are allowed without any success."""
+
+HEDGE_MINIMUM_SAMPLES = 20
+"""Latencies needed before any request is hedged, in requests."""
+
+
+class Hedging:
+    """Decides when requests of one service are worth a second try in parallel.
+
+    Usage::
+
+        wait = hedging.delay(idempotent=True)
+        # no answer after ``wait``:
+        if hedging.try_hedge(clock.elapsed(), idempotent=True):
+            ...  # send to another endpoint too
+    """
+
+    def __init__(
+        self,
+        budget: RetryBudget | None = None,
+        quantile: float = HEDGE_QUANTILE,
+        window: int = HEDGE_WINDOW,
+    ) -> None:
+        self._budget = budget or RetryBudget(HEDGE_SHARE, HEDGE_FLOOR_PER_SECOND)
+        self._quantile = quantile
+        self._window = window
+        self._recent: deque[timedelta] = deque()
+        self._sorted: list[timedelta] = []
+
+    def observe(self, latency: timedelta, now: timedelta) -> None:
+        """Record the latency of a success."""
+        self._budget.deposit(now)
+        self._recent.append(latency)
+        insort(self._sorted, latency)
+        if len(self._recent) > self._window:
+            oldest = self._recent.popleft()
+            del self._sorted[bisect_left(self._sorted, oldest)]
+
+    def delay(self, *, idempotent: bool) -> timedelta | None:
+        """Return how long to wait for the first answer, or None: never hedge."""
+        if not idempotent or len(self._sorted) < HEDGE_MINIMUM_SAMPLES:
+            return None
+        index = int(len(self._sorted) * self._quantile)
+        return self._sorted[min(index, len(self._sorted) - 1)]
+
+    def try_hedge(self, now: timedelta, *, idempotent: bool) -> bool:
+        """Take a hedge out of the budget, if the request may be sent twice."""
+        return idempotent and self._budget.try_spend(now)
--- /dev/null
+++ b/src/sassafrasdale/decisions/limits.py
@@ -0,0 +1,131 @@
+"""Limits that each entry adapts by itself, without a counter shared by entries."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Constants of an adaptive concurrency limit.
+
+    :param smallest: requests in flight that are always allowed.
+    :param increase: requests added per full limit's worth of successes.
+    :param decrease: factor applied on a refusal.
+    :param borrow: largest multiple of the entry's share that it may grow to.
+    :param tolerance: multiple of the usual latency that counts as overload.
+    :param cooldown: shortest time between two decreases.
+    """
+
+    smallest: int = 1
+    increase: float = 1.0
+    decrease: float = 0.9
+    borrow: float = 2.0
+    tolerance: float = 2.0
+    cooldown: timedelta = timedelta(seconds=1)
+
+
+class ConcurrencyLimit:
+    """Additive-increase, multiplicative-decrease limit on requests in flight.
+
+    It starts at the entry's share of the capacity (capacity / live entries),
+    grows while requests succeed and the limit is in use, and falls on refusals.
+
+    :param capacity: requests that all endpoints of the service run at once.
+    :param live_entries: entries that share the endpoints.
+    """
+
+    def __init__(
+        self,
+        capacity: int,
+        live_entries: int = 1,
+        settings: LimitSettings | None = None,
+    ) -> None:
+        self._settings = settings or LimitSettings()
+        self._share = max(capacity / max(live_entries, 1), self._settings.smallest)
+        self._value = self._share
+        self._last_decrease: timedelta | None = None
+
+    @property
+    def value(self) -> int:
+        """Requests that may be in flight from this entry."""
+        return max(int(self._value), self._settings.smallest)
+
+    @property
+    def share(self) -> float:
+        """Even share of the capacity that falls to the entry."""
+        return self._share
+
+    def set_share(self, capacity: int, live_entries: int) -> None:
+        """Take a new capacity or number of entries; keep the learned ratio."""
+        share = max(capacity / max(live_entries, 1), self._settings.smallest)
+        self._value *= share / self._share
+        self._share = share
+
+    def on_success(self, in_flight: int) -> None:
+        """Grow if the limit was in use when a request succeeded."""
+        if in_flight + 1 < self.value:
+            return
+        grown = self._value + self._settings.increase / self._value
+        self._value = min(grown, self._share * self._settings.borrow)
+
+    def on_refusal(self, now: timedelta) -> None:
+        """Shrink, at most once per cooldown, since an endpoint refused."""
+        last = self._last_decrease
+        if last is not None and now - last < self._settings.cooldown:
+            return
+        self._last_decrease = now
+        shrunk = self._value * self._settings.decrease
+        self._value = max(shrunk, self._settings.smallest)
+
+
+class TokenBucket:
+    """Token bucket for the rate limit of one customer on one entry.
+
+    :param rate: requests per second over the whole deployment.
+    :param live_entries: entries among which the rate is divided.
+    :param burst: how long unused tokens are kept.
+    :param borrow: multiple of the even share that one entry may use.
+    """
+
+    def __init__(
+        self,
+        rate: float,
+        live_entries: int = 1,
+        burst: timedelta = timedelta(seconds=2),
+        borrow: float = 1.5,
+    ) -> None:
+        self._burst = burst
+        self._borrow = borrow
+        self._updated = timedelta()
+        self.set_rate(rate, live_entries)
+        self._tokens = self._depth
+
+    @property
+    def rate(self) -> float:
+        """Tokens per second on this entry."""
+        return self._rate
+
+    def set_rate(self, rate: float, live_entries: int) -> None:
+        """Take a new rate or number of entries."""
+        entries = max(live_entries, 1)
+        self._rate = min(rate, rate / entries * self._borrow)
+        self._depth = max(self._rate * self._burst.total_seconds(), 1.0)
+
+    def try_take(self, now: timedelta) -> bool:
+        """Take a token if there is one."""
+        self._refill(now)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def wait(self, now: timedelta) -> timedelta:
+        """Return the time until there is a token."""
+        self._refill(now)
+        missing = max(1 - self._tokens, 0.0)
+        return timedelta(seconds=missing / self._rate)
+
+    def _refill(self, now: timedelta) -> None:
+        elapsed = max((now - self._updated).total_seconds(), 0.0)
+        self._updated = now
+        self._tokens = min(self._tokens + elapsed * self._rate, self._depth)
