--- a/src/sassafrasdale/callers/generations.py
+++ b/src/sassafrasdale/callers/generations.py
@@ -11,7 +11,7 @@
 )
 from sassafrasdale.endpoints.engines import DONE
 from sassafrasdale.requests.generation import Generation, whole_answer
-from sassafrasdale.requests.structures import Answered, OutcomeName
+from sassafrasdale.requests.structures import Answered, NotRun, OutcomeName, Unknown
 
 EVENT_STREAM = "text/event-stream"
 # A reader wakes this often without an event, so that deadlines are seen.
@@ -29,9 +29,9 @@
     if not generation.call.streamed:
         return _whole(generation).with_headers(request_id)
     events = _first_events(generation, after)
-    if not events and generation.outcome is not None and after == 0:
-        if not isinstance(generation.outcome, Answered):
-            return outcome_answer(generation.outcome).with_headers(request_id)
+    failed = isinstance(generation.outcome, NotRun | Unknown)
+    if failed and not events and after == 0:
+        return outcome_answer(generation.outcome).with_headers(request_id)
     headers = (
         ("Content-Type", EVENT_STREAM),
         ("Cache-Control", "no-store"),
--- a/src/sassafrasdale/callers/server.py
+++ b/src/sassafrasdale/callers/server.py
@@ -139,7 +139,6 @@
 
     def __init__(self, server: CallerServer, body: bytes | Iterable[bytes]) -> None:
         self._server = server
-        self._body = body
         self._parts = iter([body] if isinstance(body, bytes) else body)
 
     def __iter__(self) -> "_CountedBody":
--- a/src/sassafrasdale/requests/guarded.py
+++ b/src/sassafrasdale/requests/guarded.py
@@ -25,7 +25,6 @@
 from sassafrasdale.requests.claims import (
     Claim,
     ClaimKey,
-    ClaimRefused,
     Claims,
     FingerprintMismatch,
     Granted,
@@ -33,7 +32,7 @@
     OutcomeLost,
     StoredAnswer,
 )
-from sassafrasdale.requests.exceptions import KeyReused
+from sassafrasdale.requests.exceptions import ClaimRefused, KeyReused
 from sassafrasdale.requests.execution import Choose, endpoint_request
 from sassafrasdale.requests.structures import (
     Answered,
