Join admission, routing, health and retry budgets to the request path

Cause: the entry chose the endpoint with the fewest own requests and let every request in. Change: a gate a service that makes requests wait for the admission's decision, a selector that gives the routing policy what the entry knows, a task that reads engines' load at a fixed rate. Ruled out: using engines' cache events, whose hashes can't be mapped to prompts without the engine's tokenizer; affinity rests on the entry's own sends.

--- a/src/sassafrasdale/endpoints/directory.py
+++ b/src/sassafrasdale/endpoints/directory.py
@@ -78,15 +78,16 @@
         if self._life.allows("delist"):
             self._life.fire("delist")
 
-    def report(self, load: int, now: timedelta) -> None:
+    def report(self, load: int, own: int, now: timedelta) -> None:
         """Note the load that the endpoint reported.
 
         :param load: running and waiting requests of all entries.
+        :param own: this entry's requests there when it asked.
         :param now: elapsed time of the entry's clock.
         """
         self.reported_load = load
         self.reported_at = now
-        self.own_at_report = self.in_flight
+        self.own_at_report = own
 
 
 class Directory:
--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -15,6 +15,7 @@
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock, SystemClock
 from sassafrasdale.endpoints.directory import Directory
+from sassafrasdale.endpoints.reports import LoadReader
 from sassafrasdale.green import Event, Queue, listen, sleep, spawn
 from sassafrasdale.platform.clouds import (
     CloudClient,
@@ -22,6 +23,8 @@
     InstanceWatcher,
     NoticeGiven,
     NoticeWatcher,
+    PricesListed,
+    PriceWatcher,
 )
 from sassafrasdale.platform.stores import EtcdStore
 from sassafrasdale.platform.texts import (
@@ -32,12 +35,14 @@
 )
 from sassafrasdale.requests.claims import Claims
 from sassafrasdale.requests.dispatcher import Dispatcher
+from sassafrasdale.requests.gates import Gates
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.requests.selection import Selector
 from sassafrasdale.requests.structures import OutcomeName
 from sassafrasdale.settings import EntrySettings
 from sassafrasdale.text.current import CurrentText
 from sassafrasdale.text.exceptions import TextError
+from sassafrasdale.text.structures import ServiceKind
 
 log = Logger("entry")
 
@@ -79,9 +84,18 @@
         store = EtcdStore(settings.store, self._clock)
         self._register = TextRegister(store, self._clock)
         self._cloud = CloudClient(settings.cloud)
+        self._selector = Selector(
+            self._directory,
+            self._current,
+            settings.availability_zone,
+            self._clock,
+            self._rng,
+        )
+        self._gates = Gates(self._directory, self._clock, self._rng)
         self._dispatcher = Dispatcher(
             settings.name,
-            selector=Selector(self._directory),
+            selector=self._selector,
+            gates=self._gates,
             registry=Registry(self._clock),
             claims=Claims(store, self._clock),
             is_alive=lambda name: True,
@@ -105,6 +119,8 @@
             TextWatcher(self._register, self._inbox, self._rng).run,
             InstanceWatcher(self._cloud, self._inbox, self._rng).run,
             NoticeWatcher(self._cloud, self._inbox, self._rng).run,
+            PriceWatcher(self._cloud, self._inbox, self._rng).run,
+            LoadReader(self._directory, self._is_engine, self._clock, self._rng).run,
             self._heed_messages,
             self._sweep,
         ):
@@ -166,16 +182,33 @@
             case InstancesListed(instances):
                 self._directory.replace(instances)
                 self._listed = True
+                self._refresh()
+            case PricesListed(prices):
+                self._selector.set_prices(prices)
             case NoticeGiven(notice):
                 self._directory.heed(notice)
+                self._refresh()
         self._prepare()
 
     def _accept(self, record: TextRecord) -> None:
         try:
-            if self._current.accept(record):
-                log.info("revision {} is in force", record.revision)
+            accepted = self._current.accept(record)
         except TextError as error:
             log.error("revision {} is faulty: {}", record.revision, error)
+            return
+        if accepted:
+            self._gates.set_text(self._current.text)
+            log.info("revision {} is in force", record.revision)
+
+    def _refresh(self) -> None:
+        """Take over what the directory knows now."""
+        self._selector.refresh()
+        self._gates.refresh()
+
+    def _is_engine(self, service: str) -> bool:
+        text = self._current.text
+        found = text.services.get(service) if text else None
+        return found is not None and found.kind is ServiceKind.MODEL
 
     def _prepare(self) -> None:
         """Become ready once there is a text and a list of instances."""
@@ -187,6 +220,7 @@
         while True:
             sleep(SWEEP_INTERVAL)
             self._dispatcher.registry.sweep()
+            self._gates.sweep()
 
     def _stop(self) -> None:
         """Begin to leave; runs as a signal handler, so it only posts."""
--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -2,20 +2,27 @@
 
 import random
 from collections.abc import Callable
-from datetime import timedelta
 from uuid import UUID
 
 from xxhash import xxh3_128_hexdigest
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.budgets import RetryBudget
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.requests.claims import Claims
 from sassafrasdale.requests.execution import IdempotentExecution
+from sassafrasdale.requests.gates import Gates
 from sassafrasdale.requests.generation import Generation
 from sassafrasdale.requests.guarded import GuardedExecution
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.requests.selection import Selector
-from sassafrasdale.requests.structures import ModelCall, Outcome, ServiceCall
+from sassafrasdale.requests.structures import (
+    Answered,
+    ModelCall,
+    NotRun,
+    Outcome,
+    ServiceCall,
+)
 
 
 class Dispatcher:
@@ -23,6 +30,7 @@
 
     :param name: name of this entry, the holder of its claims.
     :param selector: chooses endpoints.
+    :param gates: let requests into each service.
     :param registry: keeps generations.
     :param claims: claims of non-idempotent calls.
     :param is_alive: whether the entry of a name is alive, as far as is known.
@@ -35,6 +43,7 @@
         name: str,
         *,
         selector: Selector,
+        gates: Gates,
         registry: Registry,
         claims: Claims,
         is_alive: Callable[[str], bool],
@@ -43,12 +52,14 @@
     ) -> None:
         self._name = name
         self._selector = selector
+        self._gates = gates
         self._registry = registry
         self._claims = claims
         self._is_alive = is_alive
         self._clock = clock
         self._rng = rng
         self._calls_running = 0
+        self._budgets: dict[str, RetryBudget] = {}
 
     @property
     def registry(self) -> Registry:
@@ -66,11 +77,18 @@
         :raises KeyReused: its idempotency key names another call.
         """
         execution = self._execution(call)
+        gate = self._gates.of(call.call.service)
+        entered = gate.enter(call.call)
+        if isinstance(entered, NotRun):
+            return entered
         self._calls_running += 1
+        outcome: Outcome | None = None
         try:
-            return execution.run()
+            outcome = execution.run()
+            return outcome
         finally:
             self._calls_running -= 1
+            gate.leave(entered, ok=isinstance(outcome, Answered))
 
     def generate(self, call: ModelCall) -> Generation:
         """Start a model call and return it, held here.
@@ -78,7 +96,12 @@
         :raises RequestIdTaken: its id names another request.
         """
         generation = Generation(
-            call, self._choose_for_model, self._clock, on_end=self._registry.end
+            call,
+            self._chooser(call),
+            self._clock,
+            gate=self._gates.of(call.call.service),
+            observe=self._selector.observe,
+            on_end=self._registry.end,
         )
         self._registry.add(generation)
         generation.start()
@@ -95,10 +118,11 @@
         """
         generation = Generation(
             call,
-            self._choose_for_model,
+            self._chooser(call),
             self._clock,
             events=events,
             endpoint=endpoint,
+            observe=self._selector.observe,
             on_end=self._registry.end,
         )
         self._registry.add(generation)
@@ -106,11 +130,17 @@
         return generation
 
     def _execution(self, call: ServiceCall) -> IdempotentExecution | GuardedExecution:
+        about = call.call
+        wanted = self._selector.wanted(about.service, about.deadline, about.priority)
+        budget = self._budgets.setdefault(about.service, RetryBudget())
+
         def choose(avoid: frozenset[str]) -> Endpoint | None:
-            return self._selector.choose(call.call.service, avoid)
+            return self._selector.choose(wanted, avoid)
 
-        if call.call.idempotent:
-            return IdempotentExecution(call, choose, lambda: True, self._clock)
+        if about.idempotent:
+            return IdempotentExecution(
+                call, choose, self._selector.observe, budget, self._clock
+            )
         return GuardedExecution(
             call,
             claim_id=str(UUID(int=self._rng.getrandbits(128))),
@@ -122,18 +152,18 @@
             clock=self._clock,
         )
 
-    def _choose_for_model(
-        self, call: ModelCall, avoid: frozenset[str]
-    ) -> Endpoint | None:
-        return self._selector.choose(call.call.service, avoid)
+    def _chooser(self, call: ModelCall) -> Callable[[frozenset[str]], Endpoint | None]:
+        wanted = self._selector.wanted(
+            call.call.service,
+            call.call.deadline,
+            call.call.priority,
+            prompt=call.prompt,
+            max_tokens=call.max_tokens,
+        )
+        return lambda avoid: self._selector.choose(wanted, avoid)
 
 
 def fingerprint(call: ServiceCall) -> str:
     """Return a hash of what a call asks for, whoever asks and when."""
     parts = (call.method.encode(), call.target.encode(), call.body)
     return xxh3_128_hexdigest(b"\0".join(parts))
-
-
-def remaining(call: ModelCall | ServiceCall, clock: Clock) -> timedelta:
-    """Return the time left until the call's deadline."""
-    return call.call.deadline - clock.elapsed()
--- a/src/sassafrasdale/requests/execution.py
+++ b/src/sassafrasdale/requests/execution.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Protocol
 
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.budgets import RetryBudget
 from sassafrasdale.endpoints.adapters import EndpointAnswer, EndpointRequest
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.exceptions import AnswerLost, NotSent, Refused
@@ -25,13 +27,21 @@
 Choose = Callable[[frozenset[str]], Endpoint | None]
 
 
+class Observe(Protocol):
+    """Takes note of how an endpoint did."""
+
+    def __call__(self, endpoint: Endpoint, *, ok: bool) -> None:
+        """Note that ``endpoint`` answered, or failed to."""
+
+
 class IdempotentExecution:
     """A call that may be sent more than once.
 
     :param call: what the caller asked for.
     :param choose: gives an endpoint, or None; its argument names endpoints not
         to take.
-    :param may_retry: whether the retry budget allows one more attempt.
+    :param observe: told whether an endpoint answered.
+    :param budget: retries that the service's successes allow.
     :param clock: source of time.
     """
 
@@ -39,12 +49,14 @@
         self,
         call: ServiceCall,
         choose: Choose,
-        may_retry: Callable[[], bool],
+        observe: Observe,
+        budget: RetryBudget,
         clock: Clock,
     ) -> None:
         self._call = call
         self._choose = choose
-        self._may_retry = may_retry
+        self._observe = observe
+        self._budget = budget
         self._clock = clock
         self._life = Lifecycle(load_chart("request"))
         self._sent = False
@@ -74,14 +86,20 @@
                 return self._give_up("no endpoint takes the request now")
             try:
                 answer = self._attempt(endpoint, remaining)
+                self._observe(endpoint, ok=True)
+                self._budget.deposit(self._clock.elapsed())
                 return Answered(answer.status, answer.headers, answer.body)
-            except (NotSent, Refused) as error:
+            except Refused as error:
+                reason = error.message
+            except NotSent as error:
+                self._observe(endpoint, ok=False)
                 reason = error.message
             except AnswerLost as error:
+                self._observe(endpoint, ok=False)
                 self._sent = True
                 reason = error.message
             avoid.add(endpoint.name)
-            if not self._may_retry():
+            if not self._budget.try_spend(self._clock.elapsed()):
                 return self._give_up(f"{reason}; the retry budget is spent")
             if self._life.allows("retry"):
                 self._life.fire("retry")
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -36,6 +36,8 @@
     StreamUnknown,
 )
 from sassafrasdale.green import Event, GreenThread, spawn
+from sassafrasdale.requests.execution import Choose, Observe
+from sassafrasdale.requests.gate import Gate
 from sassafrasdale.requests.structures import (
     Answered,
     ModelCall,
@@ -71,6 +73,8 @@
     :param choose: gives an endpoint for the call, or None if there is none; its
         argument names endpoints not to take.
     :param clock: source of time.
+    :param gate: lets the request into its service; None if it is in already.
+    :param observe: told whether an endpoint answered.
     :param events: events received by an earlier holder.
     :param endpoint: where the earlier holder's stream runs.
     :param on_end: called once with the generation when it has ended.
@@ -84,9 +88,11 @@
     def __init__(
         self,
         call: ModelCall,
-        choose: Callable[[ModelCall, frozenset[str]], Endpoint | None],
+        choose: Choose,
         clock: Clock,
         *,
+        gate: Gate | None = None,
+        observe: Observe,
         events: list[bytes] | None = None,
         endpoint: Endpoint | None = None,
         on_end: Callable[["Generation"], None] = lambda generation: None,
@@ -94,6 +100,8 @@
         self._call = call
         self._choose = choose
         self._clock = clock
+        self._gate = gate
+        self._observe = observe
         self._events = events or []
         self._endpoint = endpoint
         self._on_end = on_end
@@ -181,13 +189,16 @@
 
     def run(self) -> None:
         """Bring the generation to its end."""
+        ticket = self._gate.enter(self._call.call) if self._gate else None
+        if isinstance(ticket, NotRun):
+            self._end(ticket)
+            return
         self._life.fire("admit")
         try:
-            outcome = self._complete()
-        except EndpointError as error:
-            outcome = Unknown(str(error), RETRY_AFTER)
-        if not self._handed_over:
-            self._end(outcome)
+            self._end(self._outcome_of_run())
+        finally:
+            if self._gate:
+                self._gate.leave(ticket, ok=isinstance(self._outcome, Answered))
 
     def read(self, after: int, limit: timedelta) -> list[bytes]:
         """Return the events after position ``after``, waiting for at least one.
@@ -247,23 +258,31 @@
         self._stop_reading()
         self._end(self._give_up(reason))
 
+    def _outcome_of_run(self) -> Outcome:
+        try:
+            return self._complete()
+        except EndpointError as error:
+            return Unknown(error.message, RETRY_AFTER)
+
     def _complete(self) -> Outcome:
         """Return the outcome, after as many engines as it takes."""
         start: Start = self._first_start()
         avoid: set[str] = set()
         interruptions = 0
         while not self.ended:
-            endpoint = self._endpoint or self._choose(self._call, frozenset(avoid))
+            endpoint = self._endpoint or self._choose(frozenset(avoid))
             if endpoint is None:
                 return self._give_up("no endpoint takes the request now")
             try:
                 if self._follow(endpoint, start):
+                    self._observe(endpoint, ok=True)
                     return self._answer()
             except Refused as error:
                 avoid.add(endpoint.name)
                 if interruptions + len(avoid) > MAX_INTERRUPTIONS:
                     return self._give_up(str(error), error.retry_after)
             except NotSent:
+                self._observe(endpoint, ok=False)
                 avoid.add(endpoint.name)
             except (AnswerLost, StreamUnknown):
                 interruptions += not self._opened
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -1,20 +1,190 @@
-"""Which endpoint a request goes to: the directory's view, put to the policy."""
+"""Which endpoint a request goes to: what the entry knows, put to the policy."""
 
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.affinity import PrefixIndex
+from sassafrasdale.decisions.health import Health
+from sassafrasdale.decisions.routing import choose
+from sassafrasdale.decisions.structures import (
+    EndpointView,
+    RoutingPolicy,
+    RoutingRequest,
+)
 from sassafrasdale.endpoints.directory import Directory, Endpoint
+from sassafrasdale.platform.clouds import Price
+from sassafrasdale.requests.gates import max_in_flight
+from sassafrasdale.text.current import CurrentText
+from sassafrasdale.text.structures import Service
+
+# Length of a token, to estimate a prompt's tokens without a tokenizer.
+CHARACTERS_PER_TOKEN = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a choice of an endpoint is for.
+
+    :param service: name of the service.
+    :param blocks: hashes of the prompt's blocks, empty for a plain call.
+    :param prompt_tokens: estimated length of the prompt, in tokens.
+    :param max_tokens: most tokens that the answer may have.
+    :param priority: 0 goes first, 7 last.
+    :param deadline: elapsed time of the clock by which it must be answered.
+    """
+
+    service: str
+    deadline: timedelta
+    priority: int = 3
+    blocks: tuple[int, ...] = ()
+    prompt_tokens: int = 0
+    max_tokens: int = 0
 
 
 class Selector:
-    """Chooses endpoints of one entry.
+    """Chooses endpoints for one entry.
 
     :param directory: the endpoints known.
+    :param current: the text in force.
+    :param availability_zone: where this entry runs.
+    :param clock: source of time.
+    :param rng: source of randomness.
     """
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        current: CurrentText,
+        availability_zone: str,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
         self._directory = directory
+        self._current = current
+        self._availability_zone = availability_zone
+        self._clock = clock
+        self._rng = rng
+        self._prefixes = PrefixIndex()
+        self._prices: dict[tuple[str, str, bool], float] = {}
+        self._health: dict[str, Health] = {}
+
+    def wanted(
+        self,
+        service: str,
+        deadline: timedelta,
+        priority: int,
+        *,
+        prompt: str = "",
+        max_tokens: int = 0,
+    ) -> Wanted:
+        """Return what to choose an endpoint for; hashes the prompt once."""
+        return Wanted(
+            service=service,
+            deadline=deadline,
+            priority=priority,
+            blocks=self._prefixes.blocks(prompt),
+            prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN,
+            max_tokens=max_tokens,
+        )
+
+    def choose(self, wanted: Wanted, avoid: frozenset[str]) -> Endpoint | None:
+        """Return the endpoint for a request, or None if none takes it.
 
-    def choose(self, service: str, avoid: frozenset[str]) -> Endpoint | None:
-        """Return the endpoint for a request to ``service``, or None."""
-        candidates = [
-            e for e in self._directory.serving(service) if e.name not in avoid
+        :param avoid: names of endpoints not to take.
+        """
+        text = self._current.text
+        service = text.services.get(wanted.service) if text else None
+        if service is None:
+            return None
+        now = self._clock.elapsed()
+        weights = self._health_of(wanted.service).weights(now)
+        views = [
+            self._view(endpoint, service, wanted, now)
+            for endpoint in self._directory.serving(wanted.service)
+            if endpoint.name not in avoid and self._is_fit(endpoint, weights)
         ]
-        return min(candidates, key=lambda e: e.in_flight, default=None)
+        request = RoutingRequest(
+            prompt_tokens=wanted.prompt_tokens,
+            max_tokens=wanted.max_tokens,
+            priority=wanted.priority,
+            remaining=wanted.deadline - now,
+            home_availability_zone=self._availability_zone,
+        )
+        policy = RoutingPolicy(
+            latency_cost=service.weights.latency_cost,
+            recomputed_tokens=service.weights.recomputed_tokens,
+        )
+        chosen = choose(request, views, policy, self._rng)
+        if chosen is None:
+            return None
+        if wanted.blocks:
+            self._prefixes.record(chosen.name, wanted.blocks)
+        return self._directory.get(chosen.name)
+
+    def observe(self, endpoint: Endpoint, *, ok: bool) -> None:
+        """Note that an endpoint answered, or failed to."""
+        health = self._health_of(endpoint.instance.service)
+        health.observe(endpoint.name, ok=ok, now=self._clock.elapsed())
+
+    def set_prices(self, prices: Iterable[Price]) -> None:
+        """Take the platform's prices."""
+        self._prices = {
+            (p.availability_zone, p.instance_class, p.reclaimable): p.price_per_hour
+            for p in prices
+        }
+
+    def refresh(self) -> None:
+        """Forget endpoints that the directory does not know any more."""
+        names: dict[str, set[str]] = {}
+        for endpoint in self._directory.endpoints:
+            names.setdefault(endpoint.instance.service, set()).add(endpoint.name)
+        for service, known in names.items():
+            self._health_of(service).set_endpoints(frozenset(known))
+        self._prefixes.keep_only(e.name for e in self._directory.endpoints)
+
+    def _health_of(self, service: str) -> Health:
+        if service not in self._health:
+            self._health[service] = Health(self._rng)
+        return self._health[service]
+
+    def _is_fit(self, endpoint: Endpoint, weights: dict[str, float]) -> bool:
+        """Return whether an endpoint takes part, by its health's weight.
+
+        A readmitted endpoint takes part in a growing share of choices, so that
+        it isn't overrun at once.
+        """
+        weight = weights.get(endpoint.name, 1.0)
+        return weight >= 1.0 or self._rng.random() < weight
+
+    def _view(
+        self, endpoint: Endpoint, service: Service, wanted: Wanted, now: timedelta
+    ) -> EndpointView:
+        instance = endpoint.instance
+        reported_at = endpoint.reported_at
+        price_of = (
+            instance.availability_zone,
+            instance.instance_class,
+            instance.reclaimable,
+        )
+        return EndpointView(
+            name=endpoint.name,
+            availability_zone=instance.availability_zone,
+            instance_class=instance.instance_class,
+            in_flight=endpoint.in_flight,
+            reported_load=endpoint.reported_load,
+            own_at_report=endpoint.own_at_report,
+            report_age=None if reported_at is None else now - reported_at,
+            max_in_flight=max_in_flight(service, instance.instance_class),
+            price_per_hour=self._prices.get(price_of, 0.0),
+            distance=self._distance(instance.availability_zone),
+            cached_tokens=self._prefixes.matched_tokens(endpoint.name, wanted.blocks),
+        )
+
+    def _distance(self, availability_zone: str) -> timedelta:
+        zone = self._current.text.availability_zones.get(self._availability_zone)
+        if zone is None:
+            return timedelta()
+        return zone.one_way_delay.get(availability_zone, timedelta())
