--- a/src/sassafrasdale/requests/exceptions.py
+++ b/src/sassafrasdale/requests/exceptions.py
@@ -17,3 +17,7 @@
 
 class KeyReused(RequestError):
     """An idempotency key came back with another request."""
+
+
+class HandOverFaulty(RequestError):
+    """A hand-over of a peer can't be read."""
