--- /dev/null
+++ b/src/sassafrasdale/platform/clouds.py
@@ -0,0 +1,256 @@
+"""The platform's cloud API: instances, reclaim notices and prices."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from random import Random
+from typing import Any
+
+from urllib3 import HTTPResponse
+from urllib3 import Timeout as HttpTimeout
+from urllib3.exceptions import HTTPError
+
+from sassafrasdale.green import Queue, Timeout, http_pool, sleep, timeout
+from sassafrasdale.platform.exceptions import CloudError, CloudNotReached, StartRefused
+from sassafrasdale.structures import Address, Instance, InstanceState, Notice, Role
+
+CALL_TIMEOUT = timedelta(seconds=2)
+CONNECT_TIMEOUT = timedelta(seconds=1)
+LIST_INTERVAL = timedelta(seconds=1)
+PRICE_INTERVAL = timedelta(seconds=30)
+NOTICE_WAIT = timedelta(seconds=2)
+ERROR_PAUSE = timedelta(milliseconds=300)
+JITTER = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Price:
+    """What an instance class costs in an availability zone."""
+
+    availability_zone: str
+    instance_class: str
+    reclaimable: bool
+    price_per_hour: float
+
+
+@dataclass(frozen=True, slots=True)
+class InstancesListed:
+    """Message: the platform's list of instances, which lags."""
+
+    instances: tuple[Instance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NoticeGiven:
+    """Message: the platform announced a reclaim. It may come twice."""
+
+    notice: Notice
+
+
+@dataclass(frozen=True, slots=True)
+class PricesListed:
+    """Message: the platform's prices."""
+
+    prices: tuple[Price, ...]
+
+
+class CloudClient:
+    """Client of the cloud API.
+
+    :param address: where the API listens.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._pool = self._new_pool()
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return the instances that the platform lists.
+
+        :raises CloudNotReached: if no usable answer came.
+        """
+        answer = self._call("GET", "/cloud/v1/instances")
+        return tuple(_instance(fields) for fields in answer["instances"])
+
+    def notices(self, after: int, wait: timedelta) -> tuple[tuple[Notice, ...], int]:
+        """Return the notices above ``after``, and the sequence to ask from next.
+
+        :param wait: how long the API may wait for a notice.
+        :raises CloudNotReached: if no usable answer came.
+        """
+        wait_ms = int(wait.total_seconds() * 1000)
+        path = f"/cloud/v1/notices?after={after}&wait_ms={wait_ms}"
+        answer = self._call("GET", path, limit=wait + CALL_TIMEOUT)
+        notices = tuple(_notice(fields) for fields in answer["notices"])
+        return notices, int(answer["next"])
+
+    def prices(self) -> tuple[Price, ...]:
+        """Return the prices of instance classes by availability zone.
+
+        :raises CloudNotReached: if no usable answer came.
+        """
+        answer = self._call("GET", "/cloud/v1/prices")
+        return tuple(Price(**fields) for fields in answer["prices"])
+
+    def start_instance(
+        self,
+        request_id: str,
+        *,
+        service: str,
+        availability_zone: str,
+        instance_class: str,
+        reclaimable: bool,
+    ) -> None:
+        """Start an instance; a repeat with the same ``request_id`` starts no other.
+
+        :raises StartRefused: if the cloud has none to give.
+        :raises CloudNotReached: if no usable answer came; repeat the call.
+        """
+        body = {
+            "request_id": request_id,
+            "service": service,
+            "availability_zone": availability_zone,
+            "instance_class": instance_class,
+            "reclaimable": reclaimable,
+        }
+        self._call("POST", "/cloud/v1/instances", body=body)
+
+    def give_back(self, name: str) -> None:
+        """Give the instance ``name`` back.
+
+        :raises CloudNotReached: if no usable answer came.
+        """
+        self._call("DELETE", f"/cloud/v1/instances/{name}")
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Mapping[str, Any] | None = None,
+        limit: timedelta = CALL_TIMEOUT,
+    ) -> dict[str, Any]:
+        pool = self._pool
+        wait = HttpTimeout(
+            connect=CONNECT_TIMEOUT.total_seconds(), read=limit.total_seconds()
+        )
+        headers = {"Content-Type": "application/json"}
+        content = json.dumps(body).encode() if body is not None else None
+        try:
+            with timeout(limit):
+                response = pool.request(
+                    method, path, body=content, headers=headers, timeout=wait
+                )
+            _check_status(response)
+            return json.loads(response.data) if response.data else {}
+        except (Timeout, HTTPError, OSError, ValueError) as error:
+            # A pooled connection may be silent for good while new ones work, and
+            # shows it as a timeout. All from before are dropped.
+            self._drop_connections(pool)
+            raise CloudNotReached(
+                f"no answer of the cloud API to {path}: {error}",
+                retry_after=ERROR_PAUSE,
+            ) from error
+
+    def _drop_connections(self, pool: Any) -> None:
+        if pool is not self._pool:
+            return
+        self._pool = self._new_pool()
+        pool.close()
+
+    def _new_pool(self) -> Any:
+        return http_pool(self._address, size=4, connect_timeout=CONNECT_TIMEOUT)
+
+
+class _PollingTask:
+    """Task that repeats a step and pauses, longer after an error."""
+
+    def __init__(
+        self, client: CloudClient, inbox: Queue, rng: Random | None = None
+    ) -> None:
+        self._client = client
+        self._inbox = inbox
+        self._rng = rng or Random()
+
+    def run(self) -> None:
+        """Repeat the step until the task is killed."""
+        while True:
+            try:
+                pause = self.step()
+            except CloudError as error:
+                pause = error.retry_after or ERROR_PAUSE
+            sleep(pause * self._rng.uniform(1 - JITTER, 1 + JITTER))
+
+    def step(self) -> timedelta:
+        """Ask once, post what came, and return the pause until the next step."""
+        raise NotImplementedError
+
+
+class InstanceWatcher(_PollingTask):
+    """Task that posts the list of instances as ``InstancesListed``."""
+
+    def step(self) -> timedelta:
+        """Post the list and return the pause until the next step."""
+        self._inbox.put(InstancesListed(self._client.instances()))
+        return LIST_INTERVAL
+
+
+class NoticeWatcher(_PollingTask):
+    """Task that posts reclaim notices as ``NoticeGiven``."""
+
+    def __init__(
+        self, client: CloudClient, inbox: Queue, rng: Random | None = None
+    ) -> None:
+        super().__init__(client, inbox, rng)
+        self._after = 0
+
+    def step(self) -> timedelta:
+        """Wait for notices, post them, and return the pause until the next step."""
+        notices, self._after = self._client.notices(self._after, NOTICE_WAIT)
+        for notice in notices:
+            self._inbox.put(NoticeGiven(notice))
+        return timedelta()
+
+
+class PriceWatcher(_PollingTask):
+    """Task that posts the prices as ``PricesListed``."""
+
+    def step(self) -> timedelta:
+        """Post the prices and return the pause until the next step."""
+        self._inbox.put(PricesListed(self._client.prices()))
+        return PRICE_INTERVAL
+
+
+def _check_status(response: HTTPResponse) -> None:
+    if response.status < 300:
+        return
+    fault = response.data.decode(errors="replace")[:200]
+    if response.status == 409:
+        pause = timedelta(seconds=float(response.headers.get("Retry-After", "1")))
+        raise StartRefused(fault, retry_after=pause)
+    raise ValueError(f"status {response.status}: {fault}")
+
+
+def _instance(fields: Mapping[str, Any]) -> Instance:
+    peer_address = fields.get("peer_address")
+    return Instance(
+        name=fields["name"],
+        role=Role(fields["role"]),
+        availability_zone=fields["availability_zone"],
+        address=Address.parse(fields["address"]),
+        peer_address=Address.parse(peer_address) if peer_address else None,
+        service=fields.get("service") or "",
+        instance_class=fields.get("instance_class") or "",
+        reclaimable=bool(fields.get("reclaimable", True)),
+        checks_fencing=bool(fields.get("checks_fencing", False)),
+        state=InstanceState(fields.get("state", "running")),
+    )
+
+
+def _notice(fields: Mapping[str, Any]) -> Notice:
+    return Notice(
+        int(fields["sequence"]),
+        fields["instance"],
+        datetime.fromisoformat(fields["leaves_at"]),
+    )
--- /dev/null
+++ b/src/sassafrasdale/platform/stores.py
@@ -0,0 +1,423 @@
+"""The platform's key-value store: the contract and the etcd v3 client."""
+
+import json
+from abc import ABC, abstractmethod
+from base64 import b64decode, b64encode
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from urllib3 import HTTPResponse
+from urllib3 import Timeout as HttpTimeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.green import Timeout, http_pool, timeout
+from sassafrasdale.platform.breaker import Breaker
+from sassafrasdale.platform.exceptions import (
+    LeaseNotFound,
+    StoreAnswerLost,
+    StoreError,
+    StoreNotReached,
+    StoreOverloaded,
+    StoreRejected,
+)
+from sassafrasdale.structures import Address
+
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+CALL_TIMEOUT = timedelta(seconds=1)
+OVERLOAD_PAUSE = timedelta(seconds=1)
+ABSENT = 0
+"""The ``mod_revision`` of a key that does not exist."""
+GRPC_NOT_FOUND = 5
+
+
+@dataclass(frozen=True, slots=True)
+class StoredValue:
+    """A key with its value and revisions."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    create_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Swap:
+    """Result of a conditional write; true if it was applied.
+
+    :param succeeded: whether the condition held and the write was applied.
+    :param revision: revision of the store after the call.
+    :param current: what the key holds instead, if the condition did not hold.
+    """
+
+    succeeded: bool
+    revision: int
+    current: StoredValue | None = None
+
+    def __bool__(self) -> bool:
+        return self.succeeded
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease of the store; keys attached to it vanish when it expires."""
+
+    id: int
+    ttl: timedelta
+
+
+class BaseStore(ABC):
+    """What the package needs of a key-value store.
+
+    Every method raises ``StoreNotReached`` or ``StoreOverloaded`` if the call
+    certainly had no effect, and ``StoreAnswerLost`` if that is not known.
+    """
+
+    @abstractmethod
+    def get(self, key: str) -> StoredValue | None:
+        """Return what ``key`` holds."""
+
+    @abstractmethod
+    def list(
+        self, prefix: str, *, limit: int = 0, newest_first: bool = False
+    ) -> tuple[StoredValue, ...]:
+        """Return the keys that begin with ``prefix``, in the order of their names.
+
+        :param limit: the most keys to return; 0 for all.
+        :param newest_first: whether to go through the names backwards.
+        """
+
+    @abstractmethod
+    def compare_and_swap(
+        self,
+        key: str,
+        value: bytes,
+        mod_revision: int,
+        *,
+        also: Mapping[str, bytes] | None = None,
+        lease: Lease | None = None,
+    ) -> Swap:
+        """Write ``key`` if it still has ``mod_revision``.
+
+        :param also: further keys to write in the same transaction.
+        :param lease: lease to attach ``key`` to; without one it is detached.
+        :raises LeaseNotFound: if ``lease`` has expired.
+        """
+
+    @abstractmethod
+    def delete(self, key: str) -> None:
+        """Delete ``key``."""
+
+    @abstractmethod
+    def grant_lease(self, ttl: timedelta) -> Lease:
+        """Return a new lease that lasts ``ttl`` unless it is kept alive."""
+
+    @abstractmethod
+    def keep_alive(self, lease: Lease) -> None:
+        """Extend ``lease`` to its whole time to live from now.
+
+        :raises LeaseNotFound: if it has expired.
+        """
+
+    @abstractmethod
+    def revoke(self, lease: Lease) -> None:
+        """End ``lease`` and delete the keys attached to it."""
+
+    @abstractmethod
+    def watch(self, key: str, after: int, limit: timedelta) -> StoredValue | None:
+        """Wait until ``key`` is written at a revision above ``after``.
+
+        :param limit: how long to wait; None is returned when it has passed.
+        """
+
+    def create(self, key: str, value: bytes, *, lease: Lease | None = None) -> Swap:
+        """Write ``key`` if it does not exist."""
+        return self.compare_and_swap(key, value, ABSENT, lease=lease)
+
+
+class EtcdStore(BaseStore):
+    """Store that speaks the etcd v3 API through its JSON gateway.
+
+    :param address: where the gateway listens.
+    :param clock: source of elapsed time.
+    :param rng: source of jitter.
+    :param call_timeout: the longest that one call may take.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        clock: Clock,
+        rng: Random | None = None,
+        *,
+        call_timeout: timedelta = CALL_TIMEOUT,
+    ) -> None:
+        self._address = address
+        self._call_timeout = call_timeout
+        self._breaker = Breaker(clock, rng or Random())
+        self._pool = self._new_pool()
+
+    @property
+    def is_out(self) -> bool:
+        """Whether the store is known to be out of reach."""
+        return self._breaker.is_open
+
+    def get(self, key: str) -> StoredValue | None:
+        """Return what ``key`` holds."""
+        answer = self._read("/v3/kv/range", {"key": _encode(key)})
+        values = _values(answer)
+        return values[0] if values else None
+
+    def list(
+        self, prefix: str, *, limit: int = 0, newest_first: bool = False
+    ) -> tuple[StoredValue, ...]:
+        """Return the keys that begin with ``prefix``, in the order of their names."""
+        question = {
+            "key": _encode(prefix),
+            "range_end": _encode(_prefix_end(prefix)),
+            "limit": str(limit),
+            "sort_target": "KEY",
+            "sort_order": "DESCEND" if newest_first else "ASCEND",
+        }
+        return _values(self._read("/v3/kv/range", question))
+
+    def compare_and_swap(
+        self,
+        key: str,
+        value: bytes,
+        mod_revision: int,
+        *,
+        also: Mapping[str, bytes] | None = None,
+        lease: Lease | None = None,
+    ) -> Swap:
+        """Write ``key`` if it still has ``mod_revision``."""
+        puts = [_put(key, value, lease)]
+        puts += [_put(name, other, None) for name, other in (also or {}).items()]
+        transaction = {
+            "compare": [_compare(key, mod_revision)],
+            "success": puts,
+            "failure": [{"request_range": {"key": _encode(key)}}],
+        }
+        return _swap(self._call("/v3/kv/txn", transaction))
+
+    def delete(self, key: str) -> None:
+        """Delete ``key``."""
+        self._call("/v3/kv/deleterange", {"key": _encode(key)})
+
+    def grant_lease(self, ttl: timedelta) -> Lease:
+        """Return a new lease that lasts ``ttl`` unless it is kept alive."""
+        seconds = int(ttl.total_seconds())
+        answer = self._call("/v3/lease/grant", {"TTL": str(seconds), "ID": "0"})
+        granted = timedelta(seconds=int(answer["TTL"]))
+        return Lease(int(answer["ID"]), granted)
+
+    def keep_alive(self, lease: Lease) -> None:
+        """Extend ``lease`` to its whole time to live from now."""
+        answer = self._call("/v3/lease/keepalive", {"ID": str(lease.id)})
+        if int(answer.get("result", {}).get("TTL", 0)) <= 0:
+            raise LeaseNotFound(f"lease {lease.id} has expired")
+
+    def revoke(self, lease: Lease) -> None:
+        """End ``lease`` and delete the keys attached to it."""
+        self._call("/v3/lease/revoke", {"ID": str(lease.id)})
+
+    def watch(self, key: str, after: int, limit: timedelta) -> StoredValue | None:
+        """Wait until ``key`` is written at a revision above ``after``."""
+        request = {
+            "create_request": {"key": _encode(key), "start_revision": str(after + 1)}
+        }
+        self._refuse_if_out()
+        try:
+            with timeout(limit):
+                return self._first_event(request, limit)
+        except Timeout:
+            return None
+        except (ConnectTimeoutError, NewConnectionError) as error:
+            raise self._not_reached(error) from error
+        except ReadTimeoutError:
+            return None
+        except (HTTPError, OSError, ValueError) as error:
+            raise StoreAnswerLost(
+                f"watch of {key} broke: {error}", retry_after=self._breaker.pause
+            ) from error
+
+    def _first_event(
+        self, request: Mapping[str, Any], limit: timedelta
+    ) -> StoredValue | None:
+        response = self._post("/v3/watch", request, limit, preload_content=False)
+        try:
+            self._check_status(response)
+            for line in response:
+                result = json.loads(line).get("result", {})
+                for event in result.get("events", ()):
+                    return _stored(event["kv"])
+                if result.get("canceled"):
+                    return None
+            return None
+        finally:
+            # A watch is a stream without an end; its connection cannot go back
+            # to the pool.
+            response.close()
+
+    def _read(self, path: str, question: Mapping[str, Any]) -> dict[str, Any]:
+        """Call ``path``, and once more on a fresh connection if no answer came.
+
+        A pooled connection can have gone silent for good while new ones work. It
+        shows as a timeout; by then the pool has been replaced, so the second
+        call is made on a new connection.
+        """
+        try:
+            return self._call(path, question)
+        except StoreAnswerLost:
+            return self._call(path, question)
+
+    def _call(self, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
+        self._refuse_if_out()
+        pool = self._pool
+        try:
+            with timeout(self._call_timeout):
+                response = self._post(path, body, self._call_timeout)
+                self._check_status(response)
+                answer = json.loads(response.data)
+        except (ConnectTimeoutError, NewConnectionError) as error:
+            raise self._not_reached(error) from error
+        except (Timeout, HTTPError, OSError, ValueError) as error:
+            self._drop_connections(pool)
+            raise self._answer_lost(path, error) from error
+        self._breaker.record_success()
+        return answer
+
+    def _post(
+        self,
+        path: str,
+        body: Mapping[str, Any],
+        limit: timedelta,
+        *,
+        preload_content: bool = True,
+    ) -> HTTPResponse:
+        wait = HttpTimeout(
+            connect=CONNECT_TIMEOUT.total_seconds(), read=limit.total_seconds()
+        )
+        return self._pool.request(
+            "POST",
+            path,
+            body=json.dumps(body).encode(),
+            headers={"Content-Type": "application/json"},
+            timeout=wait,
+            preload_content=preload_content,
+        )
+
+    def _check_status(self, response: HTTPResponse) -> None:
+        if response.status == 200:
+            return
+        if response.status == 429:
+            raise StoreOverloaded(
+                "the store refused a call over its rate",
+                retry_after=_retry_after(response),
+            )
+        fault = response.data.decode(errors="replace")[:200]
+        if response.status >= 500:
+            raise ValueError(f"status {response.status}: {fault}")
+        if response.status == 404 or "lease not found" in fault:
+            raise LeaseNotFound(fault)
+        raise StoreRejected(f"status {response.status}: {fault}")
+
+    def _refuse_if_out(self) -> None:
+        pause = self._breaker.refusal()
+        if pause is not None:
+            raise StoreNotReached("the store is out", retry_after=pause)
+
+    def _not_reached(self, error: Exception) -> StoreError:
+        self._breaker.record_failure()
+        return StoreNotReached(
+            f"no connection to the store at {self._address}: {error}",
+            retry_after=self._breaker.pause,
+        )
+
+    def _answer_lost(self, path: str, error: BaseException) -> StoreError:
+        self._breaker.record_failure()
+        return StoreAnswerLost(
+            f"no answer of the store to {path}: {error}",
+            retry_after=self._breaker.pause,
+        )
+
+    def _drop_connections(self, pool: Any) -> None:
+        """Replace ``pool``, unless another task has done so already.
+
+        Connections that were pooled before a timeout may all be silent. Those
+        made since are not suspected, so a late timeout must not drop them.
+        """
+        if pool is not self._pool:
+            return
+        self._pool = self._new_pool()
+        pool.close()
+
+    def _new_pool(self) -> Any:
+        return http_pool(
+            self._address,
+            connect_timeout=CONNECT_TIMEOUT,
+            read_timeout=self._call_timeout,
+        )
+
+
+def _encode(text: str | bytes) -> str:
+    raw = text.encode() if isinstance(text, str) else text
+    return b64encode(raw).decode("ascii")
+
+
+def _prefix_end(prefix: str) -> bytes:
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+def _put(key: str, value: bytes, lease: Lease | None) -> dict[str, Any]:
+    put = {"key": _encode(key), "value": _encode(value)}
+    if lease is not None:
+        put["lease"] = str(lease.id)
+    return {"request_put": put}
+
+
+def _compare(key: str, mod_revision: int) -> dict[str, Any]:
+    return {
+        "key": _encode(key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(mod_revision),
+    }
+
+
+def _stored(kv: Mapping[str, str]) -> StoredValue:
+    return StoredValue(
+        key=b64decode(kv["key"]).decode(),
+        value=b64decode(kv.get("value", "")),
+        mod_revision=int(kv["mod_revision"]),
+        create_revision=int(kv.get("create_revision", 0)),
+    )
+
+
+def _values(answer: Mapping[str, Any]) -> tuple[StoredValue, ...]:
+    return tuple(_stored(kv) for kv in answer.get("kvs", ()))
+
+
+def _swap(answer: Mapping[str, Any]) -> Swap:
+    revision = int(answer["header"]["revision"])
+    if answer.get("succeeded"):
+        return Swap(True, revision)
+    (response,) = answer["responses"]
+    values = _values(response["response_range"])
+    return Swap(False, revision, values[0] if values else None)
+
+
+def _retry_after(response: HTTPResponse) -> timedelta:
+    try:
+        return timedelta(seconds=float(response.headers["Retry-After"]))
+    except (KeyError, ValueError):
+        return OVERLOAD_PAUSE
--- a/src/sassafrasdale/requests/exceptions.py
+++ b/src/sassafrasdale/requests/exceptions.py
@@ -17,3 +17,7 @@
 
 class KeyReused(RequestError):
     """An idempotency key came back with another request."""
+
+
+class ClaimRefused(RequestError):
+    """No claim was granted, and none will be: the request does not run."""
