--- a/src/sassafrasdale/requests/exceptions.py
+++ b/src/sassafrasdale/requests/exceptions.py
@@ -21,3 +21,7 @@
 
 class HandOverFaulty(RequestError):
     """A hand-over of a peer can't be read."""
+
+
+class ClaimRefused(RequestError):
+    """No claim was granted, and none will be: the request does not run."""
