--- a/standins/processes.py
+++ b/standins/processes.py
@@ -307,7 +307,7 @@
         super().__init__(module, name=name, **flags)
         self.name = name
         self.zone = zone
-        self._service = service
+        self.service = service
         self._instance_class = instance_class
         self._reclaimable = reclaimable
         self._checks_fencing = checks_fencing
@@ -324,7 +324,7 @@
             "role": "endpoint",
             "availability_zone": self.zone,
             "address": self.address,
-            "service": self._service,
+            "service": self.service,
             "instance_class": self._instance_class,
             "reclaimable": self._reclaimable,
             "checks_fencing": self._checks_fencing,
