--- a/src/sassafrasdale/peers/__init__.py
+++ b/src/sassafrasdale/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between entry instances."""
+"""Messages between entry instances: probes, news, hand-overs."""
--- /dev/null
+++ b/src/sassafrasdale/peers/rendezvous.py
@@ -0,0 +1,27 @@
+"""Order of the members for a request, the same on every entry."""
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from sassafrasdale.peers.structures import Member
+
+
+def rendezvous(request_id: str, members: Iterable[Member]) -> list[Member]:
+    """Return ``members`` in the order of their weights for ``request_id``.
+
+    A member that comes or goes leaves the order of the others as it is.
+    """
+
+    def weight(member: Member) -> tuple[int, str]:
+        return (xxh3_64_intdigest(f"{member.name}\0{request_id}".encode()), member.name)
+
+    return sorted(members, key=weight, reverse=True)
+
+
+def first_of_each_zone(ordered: Iterable[Member]) -> list[Member]:
+    """Return the first member of each availability zone, in order."""
+    firsts: dict[str, Member] = {}
+    for member in ordered:
+        firsts.setdefault(member.availability_zone, member)
+    return list(firsts.values())
