Serve the whole path thinly through entries, engines and services

A certificate's answer had an empty body: urllib3's connection had read it ahead of time, and the second read gave nothing. Streams ended 40 ms late: accepted sockets had Nagle's algorithm on, and the last small write waited for a delayed acknowledgement. Errors were not logged, as no handler was set up. Change: read answers of fresh connections once; TCP_NODELAY on listeners, which accepted sockets inherit; join peers, hand-over, metrics, burn counts and logs in the entry. Ruled out: the engine's steps as the cause of late streams, since whole answers of the same engine took 15 ms.

--- a/src/sassafrasdale/callers/app.py
+++ b/src/sassafrasdale/callers/app.py
@@ -18,12 +18,14 @@
 from sassafrasdale.callers.routes import Route, route
 from sassafrasdale.clock import Clock
 from sassafrasdale.endpoints.adapters import HOP_BY_HOP
+from sassafrasdale.metrics import Metrics
 from sassafrasdale.requests.dispatcher import Dispatcher
 from sassafrasdale.requests.exceptions import (
     KeyReused,
     RequestIdTaken,
     RequestNotHeld,
 )
+from sassafrasdale.requests.generation import Generation
 from sassafrasdale.requests.structures import ModelCall, ServiceCall
 from sassafrasdale.text.current import CurrentText
 from sassafrasdale.text.structures import Service, ServiceKind, Text
@@ -54,6 +56,7 @@
     :param dispatcher: runs the calls.
     :param is_ready: whether the entry takes new work.
     :param relay: fetches a request that a peer holds, or gives None.
+    :param metrics: the entry's metrics.
     :param clock: source of time.
     :param rng: source of request ids.
     """
@@ -65,6 +68,7 @@
         dispatcher: Dispatcher,
         is_ready: Callable[[], bool],
         relay: Relay,
+        metrics: Metrics,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -72,6 +76,7 @@
         self._dispatcher = dispatcher
         self._is_ready = is_ready
         self._relay = relay
+        self._metrics = metrics
         self._clock = clock
         self._rng = rng
 
@@ -83,6 +88,7 @@
             route("GET", "/v1/requests/(?P<request_id>[^/]+)", self.fetch),
             route("GET", "/health/live", self.live),
             route("GET", "/health/ready", self.ready),
+            route("GET", "/metrics", self.metrics),
         ]
 
     def live(self, request: HttpRequest) -> HttpAnswer:
@@ -94,6 +100,11 @@
         ready = self._is_ready()
         return json_answer({"ready": ready}, status=200 if ready else 503)
 
+    def metrics(self, request: HttpRequest) -> HttpAnswer:
+        """Give the metrics' scrape page."""
+        page = self._metrics.metrics_page()
+        return HttpAnswer(200, (("Content-Type", self._metrics.content_type),), page)
+
     def chat(self, request: HttpRequest) -> HttpAnswer:
         """Run a model call."""
         text = self._text()
@@ -102,16 +113,28 @@
         call = read_call(
             request, text, service, idempotent=True, clock=self._clock, rng=self._rng
         )
-        generation = self._dispatcher.generate(
-            ModelCall(
-                call=call,
-                prompt=chat.prompt(),
-                body=chat.engine_body(service.model),
-                max_tokens=chat.max_tokens,
-                streamed=chat.stream,
-            )
+        model_call = ModelCall(
+            call=call,
+            prompt=chat.prompt(),
+            body=chat.engine_body(service.name),
+            max_tokens=chat.max_tokens,
+            streamed=chat.stream,
         )
-        return generation_answer(generation)
+        if call.idempotent:
+            return generation_answer(self._dispatcher.generate(model_call))
+        return self._chat_once(model_call)
+
+    def _chat_once(self, call: ModelCall) -> HttpAnswer:
+        if call.streamed:
+            raise CallerError(
+                "a request with an Idempotency-Key is answered whole, not streamed",
+                field="stream",
+            )
+        started = self._dispatcher.generate_once(call)
+        if isinstance(started, Generation):
+            return generation_answer(started)
+        request_id = ("X-Request-Id", call.call.request_id)
+        return outcome_answer(started).with_headers(request_id)
 
     def service(self, request: HttpRequest, service: str, rest: str) -> HttpAnswer:
         """Pass a call through to a plain service."""
--- a/src/sassafrasdale/callers/generations.py
+++ b/src/sassafrasdale/callers/generations.py
@@ -5,13 +5,12 @@
 from datetime import timedelta
 
 from sassafrasdale.callers.messages import (
-    JSON,
     HttpAnswer,
     outcome_answer,
 )
 from sassafrasdale.endpoints.engines import DONE
-from sassafrasdale.requests.generation import Generation, whole_answer
-from sassafrasdale.requests.structures import Answered, NotRun, OutcomeName, Unknown
+from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.structures import NotRun, OutcomeName, Unknown
 
 EVENT_STREAM = "text/event-stream"
 # A reader wakes this often without an event, so that deadlines are seen.
@@ -57,6 +56,7 @@
             yield _join(position, events)
             position += len(events)
             if events[-1] == DONE:
+                generation.mark_delivered()
                 return
         elif generation.ended:
             yield _end_event(generation)
@@ -93,7 +93,5 @@
     if generation.handed_over:
         location = f"/v1/requests/{generation.call.call.request_id}"
         return HttpAnswer(303, (("Location", location),), b"")
-    if not isinstance(generation.outcome, Answered):
-        return outcome_answer(generation.outcome)
-    headers = (("Content-Type", JSON), ("X-Outcome", OutcomeName.ANSWERED.value))
-    return HttpAnswer(200, headers, whole_answer(generation))
+    generation.mark_delivered()
+    return outcome_answer(generation.outcome)
--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -222,6 +222,8 @@
                 request.target,
                 body=request.body or None,
                 headers=dict(request.headers),
+                preload_content=False,
+                decode_content=False,
             )
             response = self._connection.getresponse()
         except _ENDED_BY as error:
--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -3,20 +3,35 @@
 import os
 import random
 import signal
-from datetime import timedelta
+import socket
+from datetime import datetime, timedelta
 
 from logbook import Logger
 
 from sassafrasdale.callers.administration import Administration
 from sassafrasdale.callers.app import CallerApp, error_answer
 from sassafrasdale.callers.messages import HttpAnswer, HttpRequest, problem
+from sassafrasdale.callers.relays import Relay
 from sassafrasdale.callers.routes import Router
 from sassafrasdale.callers.server import CallerServer
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock, SystemClock
-from sassafrasdale.endpoints.directory import Directory
+from sassafrasdale.endpoints.directory import Directory, Endpoint
 from sassafrasdale.endpoints.reports import LoadReader
 from sassafrasdale.green import Event, Queue, listen, sleep, spawn
+from sassafrasdale.logs import start_logs
+from sassafrasdale.metrics import Metrics
+from sassafrasdale.peers.node import PeerNode
+from sassafrasdale.peers.structures import (
+    FindAsked,
+    HandOverOffered,
+    Member,
+    MembersChanged,
+    MemberState,
+    NoticeHeard,
+    TextOffered,
+)
+from sassafrasdale.peers.structures import TextRecord as PeerTextRecord
 from sassafrasdale.platform.clouds import (
     CloudClient,
     InstancesListed,
@@ -36,10 +51,14 @@
 from sassafrasdale.requests.claims import Claims
 from sassafrasdale.requests.dispatcher import Dispatcher
 from sassafrasdale.requests.gates import Gates
+from sassafrasdale.requests.ledger import Ledger
+from sassafrasdale.requests.mover import Mover
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.requests.selection import Selector
 from sassafrasdale.requests.structures import OutcomeName
+from sassafrasdale.requests.transfers import Transfers
 from sassafrasdale.settings import EntrySettings
+from sassafrasdale.structures import Address, Instance, InstanceState, Notice
 from sassafrasdale.text.current import CurrentText
 from sassafrasdale.text.exceptions import TextError
 from sassafrasdale.text.structures import ServiceKind
@@ -51,6 +70,11 @@
 # Time for the balancer to see that the entry is not ready any more.
 UNREADY_LEAD = timedelta(seconds=1)
 DRAIN_POLL = timedelta(milliseconds=50)
+# What is left this long before the end of a stop is handed over.
+HAND_OVER_RESERVE = timedelta(seconds=2)
+# A text that came from a peer is trusted to be the newest after this time, in
+# which every peer has been probed or has told of a newer one.
+PEER_TEXT_SETTLE = timedelta(seconds=3)
 
 
 class Entry:
@@ -78,12 +102,17 @@
         self._life = Lifecycle(load_chart("entry"))
         self._inbox: Queue = Queue()
         self._stopped = Event()
-        self._current = CurrentText()
+        self._leave_by: datetime | None = None
         self._listed = False
+        self._text_trusted_at: timedelta | None = None
+        self._current = CurrentText()
         self._directory = Directory(self._clock)
-        store = EtcdStore(settings.store, self._clock)
-        self._register = TextRegister(store, self._clock)
+        self._metrics = Metrics(settings.name, settings.availability_zone)
+        self._ledger = Ledger(self._metrics, self._clock)
         self._cloud = CloudClient(settings.cloud)
+        self._peers = PeerNode(
+            settings, self._clock, random.Random(self._rng.random()), self._inbox
+        )
         self._selector = Selector(
             self._directory,
             self._current,
@@ -92,16 +121,28 @@
             self._rng,
         )
         self._gates = Gates(self._directory, self._clock, self._rng)
+        store = EtcdStore(settings.store, self._clock)
+        self._register = TextRegister(store, self._clock)
         self._dispatcher = Dispatcher(
             settings.name,
             selector=self._selector,
             gates=self._gates,
             registry=Registry(self._clock),
             claims=Claims(store, self._clock),
-            is_alive=lambda name: True,
+            ledger=self._ledger,
+            is_alive=self._is_alive,
             clock=self._clock,
             rng=self._rng,
         )
+        self._mover = Mover(self._dispatcher.registry, self._selector, self._clock)
+        self._transfers = Transfers(
+            settings.name,
+            dispatcher=self._dispatcher,
+            directory=self._directory,
+            peers=self._peers,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
         self._server = CallerServer(
             self._answer,
             name=settings.name,
@@ -111,32 +152,35 @@
         self._router = Router([*self._callers().routes(), *self._operators().routes()])
 
     def run(self) -> None:
-        """Serve until the process is told to stop."""
+        """Serve until the process is told to stop, then finish what is held."""
         listener = listen(self._settings.address)
         signal.signal(signal.SIGTERM, lambda number, frame: self._stop())
         signal.signal(signal.SIGINT, lambda number, frame: self._stop())
+        self._peers.start()
+        watched = (self._cloud, self._inbox, self._rng)
         for task in (
             TextWatcher(self._register, self._inbox, self._rng).run,
-            InstanceWatcher(self._cloud, self._inbox, self._rng).run,
-            NoticeWatcher(self._cloud, self._inbox, self._rng).run,
-            PriceWatcher(self._cloud, self._inbox, self._rng).run,
+            InstanceWatcher(*watched).run,
+            NoticeWatcher(*watched).run,
+            PriceWatcher(*watched).run,
             LoadReader(self._directory, self._is_engine, self._clock, self._rng).run,
             self._heed_messages,
             self._sweep,
         ):
             spawn(task)
-        server = spawn(self._server.serve, listener)
+        spawn(self._server.serve, listener)
         log.info("listening on {}", self._settings.address)
         self._stopped.wait()
         self._drain(listener)
-        server.kill()
+        self._peers.stop()
 
     def _callers(self) -> CallerApp:
         return CallerApp(
             current=self._current,
             dispatcher=self._dispatcher,
             is_ready=lambda: self._life.state == "ready",
-            relay=lambda request, request_id: None,
+            relay=Relay(self._find_holder),
+            metrics=self._metrics,
             clock=self._clock,
             rng=self._rng,
         )
@@ -147,7 +191,7 @@
             register=self._register,
             accept=self._accept,
             status=self._status,
-            burn=dict,
+            burn=self._ledger.burn,
             rng=self._rng,
         )
 
@@ -178,70 +222,158 @@
     def _heed(self, message: object) -> None:
         match message:
             case TextAccepted(record):
+                self._text_trusted_at = self._clock.elapsed()
                 self._accept(record)
+            case TextOffered(record):
+                self._heed_peer_text(record)
             case InstancesListed(instances):
-                self._directory.replace(instances)
-                self._listed = True
-                self._refresh()
+                self._heed_instances(instances)
             case PricesListed(prices):
                 self._selector.set_prices(prices)
             case NoticeGiven(notice):
-                self._directory.heed(notice)
-                self._refresh()
-        self._prepare()
+                self._heed_notice(notice)
+                self._peers.spread_notice(notice)
+            case NoticeHeard(notice):
+                self._heed_notice(notice)
+            case MembersChanged(members):
+                self._heed_members(members)
+            case HandOverOffered(handover, reply):
+                self._transfers.take(handover, reply)
+            case FindAsked(request_id, reply):
+                reply(self._dispatcher.registry.holds(request_id))
+
+    def _heed_peer_text(self, record: PeerTextRecord) -> None:
+        if self._text_trusted_at is None:
+            self._text_trusted_at = self._clock.elapsed() + PEER_TEXT_SETTLE
+        accepted_at = datetime.fromisoformat(record.accepted_at)
+        self._accept(
+            TextRecord(
+                record.revision, record.edit_id, record.author, accepted_at, record.text
+            )
+        )
+
+    def _heed_instances(self, instances: tuple[Instance, ...]) -> None:
+        self._listed = True
+        self._peers.set_candidates(instances)
+        for endpoint in self._directory.replace(instances):
+            self._mover.empty(endpoint)
+        self._refresh()
+        listed = {instance.name: instance for instance in instances}
+        own = listed.get(self._settings.name)
+        if own is not None and own.state is InstanceState.LEAVING:
+            self._stop()
+
+    def _heed_notice(self, notice: Notice) -> None:
+        if notice.instance == self._settings.name:
+            self._leave_by = notice.leaves_at
+            self._stop()
+            return
+        endpoint = self._directory.heed(notice)
+        if endpoint is None:
+            return
+        log.info("endpoint {} leaves at {}", endpoint.name, notice.leaves_at)
+        self._refresh()
+        self._mover.empty(endpoint)
+
+    def _heed_members(self, members: tuple[Member, ...]) -> None:
+        alive = sum(member.is_usable for member in members)
+        self._gates.set_live_entries(alive + 1)
+        for state in MemberState:
+            count = sum(member.state is state for member in members)
+            self._metrics.set_peers(state.name.lower(), count)
 
     def _accept(self, record: TextRecord) -> None:
+        """Put an accepted edit in force here, and tell the peers of it."""
         try:
             accepted = self._current.accept(record)
         except TextError as error:
             log.error("revision {} is faulty: {}", record.revision, error)
             return
-        if accepted:
-            self._gates.set_text(self._current.text)
-            log.info("revision {} is in force", record.revision)
+        if not accepted:
+            return
+        self._gates.set_text(self._current.text)
+        self._ledger.set_text(self._current.text)
+        self._metrics.set_revision(record.revision)
+        self._peers.offer_text(_peer_record(record))
+        log.info("revision {} is in force", record.revision)
 
     def _refresh(self) -> None:
         """Take over what the directory knows now."""
         self._selector.refresh()
         self._gates.refresh()
 
-    def _is_engine(self, service: str) -> bool:
-        text = self._current.text
-        found = text.services.get(service) if text else None
-        return found is not None and found.kind is ServiceKind.MODEL
-
     def _prepare(self) -> None:
-        """Become ready once there is a text and a list of instances."""
-        if self._current.text and self._listed and self._life.allows("prepare"):
-            self._life.fire("prepare")
-            log.info("ready")
+        """Become ready once there is a list of instances and a trusted text.
+
+        An entry that starts while the store is out takes the text from a peer,
+        which may itself be behind; it is trusted once every peer had time to
+        tell of a newer one.
+        """
+        if not self._life.allows("prepare"):
+            return
+        if self._current.text is None or not self._listed:
+            return
+        if self._clock.elapsed() < self._text_trusted_at:
+            return
+        self._life.fire("prepare")
+        log.info("ready with revision {}", self._current.revision)
 
     def _sweep(self) -> None:
         while True:
             sleep(SWEEP_INTERVAL)
+            self._prepare()
             self._dispatcher.registry.sweep()
             self._gates.sweep()
 
+    def _is_engine(self, service: str) -> bool:
+        text = self._current.text
+        found = text.services.get(service) if text else None
+        return found is not None and found.kind is ServiceKind.MODEL
+
+    def _is_alive(self, name: str) -> bool:
+        return any(
+            member.name == name and member.state is not MemberState.DEAD
+            for member in self._peers.members()
+        )
+
+    def _find_holder(self, request_id: str) -> Address | None:
+        member = self._peers.find(request_id)
+        return member.address if member else None
+
     def _stop(self) -> None:
-        """Begin to leave; runs as a signal handler, so it only posts."""
+        """Begin to leave; runs as a signal handler too, so it only posts."""
         if not self._stopped.ready():
             self._stopped.send(None)
 
-    def _drain(self, listener) -> None:
-        """Finish what is in flight, with no new work coming in."""
+    def _drain(self, listener: socket.socket) -> None:
+        """Finish what is in flight, hand over what doesn't fit."""
         self._life.fire("leave")
+        self._peers.announce_leaving()
+        until = self._clock.elapsed() + self._time_to_leave()
         log.info("leaving")
-        until = self._clock.elapsed() + self._settings.drain_timeout
-        sleep(UNREADY_LEAD)
+        self._transfers.give_what_does_not_fit(until - self._clock.elapsed())
+        sleep(min(UNREADY_LEAD, self._time_to_leave() / 4))
         self._server.close_connections()
         listener.close()
-        while self._clock.elapsed() < until and self._busy():
+        while self._clock.elapsed() < until and self._is_busy():
+            if until - self._clock.elapsed() < HAND_OVER_RESERVE:
+                self._transfers.give_what_does_not_fit(timedelta())
+            self._transfers.give_undelivered()
             sleep(DRAIN_POLL)
         self._life.fire("drained")
         log.info("stopped")
 
-    def _busy(self) -> bool:
-        return bool(self._server.open_answers or self._dispatcher.registry.running)
+    def _time_to_leave(self) -> timedelta:
+        limit = self._settings.drain_timeout
+        if self._leave_by is None:
+            return limit
+        return max(timedelta(), min(limit, self._leave_by - self._clock.now()))
+
+    def _is_busy(self) -> bool:
+        registry = self._dispatcher.registry
+        return bool(
+            self._server.open_answers or registry.running or registry.undelivered
+        )
 
     def _status(self) -> dict:
         return {
@@ -249,16 +381,9 @@
             "availability_zone": self._settings.availability_zone,
             "state": self._life.state,
             "revision": self._current.revision,
-            "peers": [],
+            "peers": [_peer_status(member) for member in self._peers.members()],
             "endpoints": [
-                {
-                    "name": endpoint.name,
-                    "service": endpoint.instance.service,
-                    "availability_zone": endpoint.instance.availability_zone,
-                    "state": endpoint.state,
-                    "in_flight": endpoint.in_flight,
-                }
-                for endpoint in self._directory.endpoints
+                _endpoint_status(endpoint) for endpoint in self._directory.endpoints
             ],
             "requests_in_flight": {
                 "generations": len(self._dispatcher.registry.running),
@@ -267,11 +392,42 @@
         }
 
 
+def _peer_record(record: TextRecord) -> PeerTextRecord:
+    return PeerTextRecord(
+        record.revision,
+        record.edit_id,
+        record.author,
+        record.accepted_at.isoformat(),
+        record.text,
+    )
+
+
+def _peer_status(member: Member) -> dict:
+    return {
+        "name": member.name,
+        "availability_zone": member.availability_zone,
+        "state": member.state.name.lower(),
+        "revision": member.revision,
+    }
+
+
+def _endpoint_status(endpoint: Endpoint) -> dict:
+    return {
+        "name": endpoint.name,
+        "service": endpoint.instance.service,
+        "availability_zone": endpoint.instance.availability_zone,
+        "state": endpoint.state,
+        "in_flight": endpoint.in_flight,
+    }
+
+
 def run_entry(settings: EntrySettings) -> None:
     """Run an entry process until it is told to stop.
 
     :param settings: settings of the process.
     """
+    logs = start_logs(settings.name, settings.log_level)
     Entry(settings).run()
+    logs.close()
     # The hub may still hold idle connections; nothing of value is left in them.
     os._exit(0)
--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -49,7 +49,11 @@
 
 def listen(address: Address, backlog: int = 1024) -> socket.socket:
     """Return a green listening socket bound to ``address``."""
-    return eventlet.listen((address.host, address.port), backlog=backlog)
+    listener = eventlet.listen((address.host, address.port), backlog=backlog)
+    # Accepted sockets inherit this. Without it the last small write of a stream
+    # waits for the peer's delayed acknowledgement, 40 ms on Linux.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
 
 
 def timeout(limit: timedelta) -> "eventlet.Timeout":
--- /dev/null
+++ b/src/sassafrasdale/requests/claimant.py
@@ -0,0 +1,128 @@
+"""Obtains the claim that a non-idempotent request needs before it is sent."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.green import sleep
+from sassafrasdale.requests.claims import Answered as ClaimAnswered
+from sassafrasdale.requests.claims import (
+    Claim,
+    ClaimKey,
+    ClaimResult,
+    Claims,
+    FingerprintMismatch,
+    Granted,
+    InProgress,
+    OutcomeLost,
+    StoredAnswer,
+)
+from sassafrasdale.requests.exceptions import ClaimRefused, KeyReused
+from sassafrasdale.requests.structures import (
+    Answered,
+    Call,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+
+RETRY_AFTER = timedelta(seconds=1)
+# Pause between two looks at a claim that another request holds.
+POLL = timedelta(milliseconds=250)
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What identifies one attempt at a claim.
+
+    :param claim_id: unique id of the attempt.
+    :param fingerprint: hash of what is asked, to tell a retry from a reuse.
+    :param holder: this process.
+    """
+
+    claim_id: str
+    fingerprint: str
+    holder: str
+
+
+class Claimant:
+    """Claims one call, or learns what became of its first execution.
+
+    :param call: the call; it has an idempotency key.
+    :param attempt: identifies this attempt.
+    :param is_alive: whether a holder is alive, as far as is known.
+    :param claims: the claims in the platform's store.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        attempt: Attempt,
+        is_alive: Callable[[str], bool],
+        claims: Claims,
+        clock: Clock,
+    ) -> None:
+        self._call = call
+        self._attempt = attempt
+        self._is_alive = is_alive
+        self._claims = claims
+        self._clock = clock
+
+    def obtain(self) -> Claim | Outcome:
+        """Return the claim, or the outcome if this attempt must not run.
+
+        :raises KeyReused: the key names another request.
+        """
+        try:
+            claimed = self._claim()
+            while isinstance(claimed, InProgress):
+                if not self._is_alive(claimed.holder):
+                    return Unknown(
+                        "the entry that ran the request is gone", RETRY_AFTER
+                    )
+                if self._call.deadline - self._clock.elapsed() <= POLL:
+                    return Unknown("the request is still running", RETRY_AFTER)
+                sleep(POLL)
+                claimed = self._claim()
+        except ClaimRefused as error:
+            return NotRun(error.message, error.retry_after or RETRY_AFTER)
+        return _result(claimed)
+
+    def settle(self, claim: Claim, answer: Answered) -> None:
+        """Keep the answer for retries."""
+        stored = StoredAnswer(answer.status, answer.headers, answer.body)
+        self._claims.settle(claim, stored)
+
+    def abandon(self, claim: Claim) -> None:
+        """Give up a claim of which certainly nothing has run, and never will."""
+        self._claims.abandon(claim)
+
+    def mark_unknown(self, claim: Claim) -> None:
+        """Record that the request may have run and gave no answer."""
+        self._claims.mark_unknown(claim)
+
+    def _claim(self) -> ClaimResult:
+        call = self._call
+        attempt = self._attempt
+        return self._claims.claim(
+            ClaimKey(call.service, call.customer, call.idempotency_key),
+            attempt.fingerprint,
+            attempt.claim_id,
+            attempt.holder,
+        )
+
+
+def _result(claimed: ClaimResult) -> Claim | Outcome:
+    match claimed:
+        case Granted(claim):
+            return claim
+        case ClaimAnswered(stored):
+            return Answered(stored.status, stored.headers, stored.body)
+        case FingerprintMismatch():
+            raise KeyReused(
+                "the idempotency key names another request", field="Idempotency-Key"
+            )
+        case OutcomeLost():
+            return Unknown("the first execution's outcome is not known", RETRY_AFTER)
--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -1,5 +1,6 @@
 """Takes checked calls, runs them by their service's rules, keeps what is held."""
 
+import json
 import random
 from collections.abc import Callable
 from uuid import UUID
@@ -9,11 +10,14 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.budgets import RetryBudget
 from sassafrasdale.endpoints.directory import Endpoint
+from sassafrasdale.requests.claim_records import Claim
+from sassafrasdale.requests.claimant import Attempt, Claimant
 from sassafrasdale.requests.claims import Claims
 from sassafrasdale.requests.execution import IdempotentExecution
 from sassafrasdale.requests.gates import Gates
 from sassafrasdale.requests.generation import Generation
 from sassafrasdale.requests.guarded import GuardedExecution
+from sassafrasdale.requests.ledger import Ledger
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.requests.selection import Selector
 from sassafrasdale.requests.structures import (
@@ -28,11 +32,12 @@
 class Dispatcher:
     """Runs calls.
 
-    :param name: name of this entry, the holder of its claims.
+    :param name: name of this entry.
     :param selector: chooses endpoints.
     :param gates: let requests into each service.
     :param registry: keeps generations.
     :param claims: claims of non-idempotent calls.
+    :param ledger: counts how requests end.
     :param is_alive: whether the entry of a name is alive, as far as is known.
     :param clock: source of time.
     :param rng: source of claim ids.
@@ -46,6 +51,7 @@
         gates: Gates,
         registry: Registry,
         claims: Claims,
+        ledger: Ledger,
         is_alive: Callable[[str], bool],
         clock: Clock,
         rng: random.Random,
@@ -55,9 +61,13 @@
         self._gates = gates
         self._registry = registry
         self._claims = claims
-        self._is_alive = is_alive
+        self._ledger = ledger
+        self._is_entry_alive = is_alive
         self._clock = clock
         self._rng = rng
+        # A process that starts again under its name is another holder: it knows
+        # nothing of what the one before it sent.
+        self._holder = f"{name}/{self._unique_id()}"
         self._calls_running = 0
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -76,37 +86,78 @@
 
         :raises KeyReused: its idempotency key names another call.
         """
-        execution = self._execution(call)
-        gate = self._gates.of(call.call.service)
-        entered = gate.enter(call.call)
-        if isinstance(entered, NotRun):
-            return entered
+        began = self._ledger.begin(call.call)
         self._calls_running += 1
         outcome: Outcome | None = None
         try:
-            outcome = execution.run()
+            outcome = self._enter_and_run(call)
             return outcome
         finally:
             self._calls_running -= 1
-            gate.leave(entered, ok=isinstance(outcome, Answered))
+            self._ledger.end(call.call, outcome, began)
 
-    def generate(self, call: ModelCall) -> Generation:
+    def generate(
+        self,
+        call: ModelCall,
+        *,
+        on_end: Callable[[Generation], None] = lambda generation: None,
+    ) -> Generation:
         """Start a model call and return it, held here.
 
+        :param on_end: called when it has ended.
         :raises RequestIdTaken: its id names another request.
         """
+        began = self._ledger.begin(call.call)
+
+        def end(generation: Generation) -> None:
+            self._registry.end(generation)
+            self._ledger.end(call.call, generation.outcome, began)
+            self._ledger.count_usage(generation)
+            on_end(generation)
+
         generation = Generation(
             call,
             self._chooser(call),
             self._clock,
             gate=self._gates.of(call.call.service),
             observe=self._selector.observe,
-            on_end=self._registry.end,
+            on_end=end,
         )
-        self._registry.add(generation)
+        try:
+            self._registry.add(generation)
+        except BaseException:
+            self._ledger.end(call.call, None, began)
+            raise
         generation.start()
         return generation
 
+    def generate_once(self, call: ModelCall) -> Generation | Outcome:
+        """Run a keyed model call at most once; return it, or its first outcome.
+
+        :raises KeyReused: its idempotency key names another call.
+        :raises RequestIdTaken: its id names another request.
+        """
+        body = json.dumps(call.body, sort_keys=True).encode()
+        claimant = self._claimant(call, xxh3_128_hexdigest(body))
+        obtained = claimant.obtain()
+        if not isinstance(obtained, Claim):
+            return obtained
+
+        def conclude(generation: Generation) -> None:
+            match generation.outcome:
+                case Answered() as answered:
+                    claimant.settle(obtained, answered)
+                case NotRun():
+                    claimant.abandon(obtained)
+                case _:
+                    claimant.mark_unknown(obtained)
+
+        try:
+            return self.generate(call, on_end=conclude)
+        except BaseException:
+            claimant.abandon(obtained)
+            raise
+
     def take_over(
         self, call: ModelCall, events: list[bytes], endpoint: Endpoint | None
     ) -> Generation:
@@ -129,28 +180,42 @@
         generation.start()
         return generation
 
+    def is_alive(self, holder: str) -> bool:
+        """Return whether the process that made a claim may still run it."""
+        name = holder.rpartition("/")[0]
+        if name == self._name:
+            return holder == self._holder
+        return self._is_entry_alive(name)
+
+    def _enter_and_run(self, call: ServiceCall) -> Outcome:
+        gate = self._gates.of(call.call.service)
+        ticket = gate.enter(call.call)
+        if isinstance(ticket, NotRun):
+            return ticket
+        outcome: Outcome | None = None
+        try:
+            outcome = self._execution(call).run()
+            return outcome
+        finally:
+            gate.leave(ticket, ok=isinstance(outcome, Answered))
+
     def _execution(self, call: ServiceCall) -> IdempotentExecution | GuardedExecution:
         about = call.call
         wanted = self._selector.wanted(about.service, about.deadline, about.priority)
-        budget = self._budgets.setdefault(about.service, RetryBudget())
+        observe = self._selector.observe
 
         def choose(avoid: frozenset[str]) -> Endpoint | None:
             return self._selector.choose(wanted, avoid)
 
         if about.idempotent:
-            return IdempotentExecution(
-                call, choose, self._selector.observe, budget, self._clock
-            )
-        return GuardedExecution(
-            call,
-            claim_id=str(UUID(int=self._rng.getrandbits(128))),
-            fingerprint=fingerprint(call),
-            holder=self._name,
-            choose=choose,
-            is_alive=self._is_alive,
-            claims=self._claims,
-            clock=self._clock,
-        )
+            budget = self._budgets.setdefault(about.service, RetryBudget())
+            return IdempotentExecution(call, choose, observe, budget, self._clock)
+        claimant = self._claimant(call, fingerprint(call))
+        return GuardedExecution(call, claimant, choose, observe, self._clock)
+
+    def _claimant(self, call: ServiceCall | ModelCall, digest: str) -> Claimant:
+        attempt = Attempt(self._unique_id(), digest, self._holder)
+        return Claimant(call.call, attempt, self.is_alive, self._claims, self._clock)
 
     def _chooser(self, call: ModelCall) -> Callable[[frozenset[str]], Endpoint | None]:
         wanted = self._selector.wanted(
@@ -162,6 +227,9 @@
         )
         return lambda avoid: self._selector.choose(wanted, avoid)
 
+    def _unique_id(self) -> str:
+        return str(UUID(int=self._rng.getrandbits(128), version=4))
+
 
 def fingerprint(call: ServiceCall) -> str:
     """Return a hash of what a call asks for, whoever asks and when."""
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -16,7 +16,9 @@
 from sassafrasdale.endpoints.adapters import EventStream
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import (
+    DATA,
     DONE,
+    JSON_TYPE,
     FromCache,
     FromPrompt,
     Reattach,
@@ -62,9 +64,14 @@
 
     tokens: int
     text: str
-    finished: bool
+    finish_reason: str | None
     usage: Usage | None
 
+    @property
+    def finished(self) -> bool:
+        """Whether the engine said that the answer is whole."""
+        return self.finish_reason is not None
+
 
 class Generation:
     """One model request that this entry holds.
@@ -117,6 +124,7 @@
         self._started_at = clock.elapsed()
         self._first_event_at: timedelta | None = None
         self._last_read_at = self._started_at
+        self._delivered = False
 
     @property
     def call(self) -> ModelCall:
@@ -168,10 +176,19 @@
         """Elapsed time of the clock at which somebody last asked for events."""
         return self._last_read_at
 
+    @property
+    def delivered(self) -> bool:
+        """Whether a caller was given the end of the answer."""
+        return self._delivered
+
+    def mark_delivered(self) -> None:
+        """Note that a caller was given the end of the answer."""
+        self._delivered = True
+
     def received(self) -> Received:
         """Parse the events so far."""
         text: list[str] = []
-        finished = False
+        finish_reason = None
         usage = None
         for event in self._events:
             if event == DONE:
@@ -179,9 +196,9 @@
             chunk = parse_chunk(event)
             if chunk.content:
                 text.append(chunk.content)
-            finished = finished or chunk.finish_reason is not None
+            finish_reason = chunk.finish_reason or finish_reason
             usage = chunk.usage or usage
-        return Received(len(text), "".join(text), finished, usage)
+        return Received(len(text), "".join(text), finish_reason, usage)
 
     def start(self) -> None:
         """Begin in a task of its own."""
@@ -266,6 +283,8 @@
 
     def _complete(self) -> Outcome:
         """Return the outcome, after as many engines as it takes."""
+        if self._events and self._events[-1] == DONE:
+            return self._answer()
         start: Start = self._first_start()
         avoid: set[str] = set()
         interruptions = 0
@@ -370,7 +389,33 @@
         received = self.received()
         if not received.finished:
             raise AnswerLost("the engine ended its stream without a reason")
-        return Answered(200, (), b"")
+        if self._call.streamed:
+            return Answered(200, (), b"")
+        return Answered(200, (JSON_TYPE,), self._whole_body(received))
+
+    def _whole_body(self, received: Received) -> bytes:
+        """Return the OpenAI-style whole answer."""
+        usage = received.usage or Usage()
+        first = json.loads(self._events[0].removeprefix(DATA))
+        message = {"role": "assistant", "content": received.text}
+        document = {
+            "id": self._call.call.request_id,
+            "object": "chat.completion",
+            "model": first.get("model", ""),
+            "choices": [
+                {
+                    "index": 0,
+                    "message": message,
+                    "finish_reason": received.finish_reason,
+                }
+            ],
+            "usage": {
+                "prompt_tokens": usage.prompt,
+                "completion_tokens": received.tokens,
+                "total_tokens": usage.prompt + received.tokens,
+            },
+        }
+        return json.dumps(document).encode()
 
     def _give_up(self, reason: str, retry_after: timedelta | None = None) -> Outcome:
         retry_after = retry_after or RETRY_AFTER
@@ -411,23 +456,3 @@
         cancel(endpoint.adapter, stream_id)
     except EndpointError:
         return
-
-
-def whole_answer(generation: Generation) -> bytes:
-    """Return the OpenAI-style whole answer of a generation that was answered."""
-    received = generation.received()
-    usage = received.usage or Usage()
-    first = json.loads(generation.events[0].removeprefix(b"data: "))
-    message = {"role": "assistant", "content": received.text}
-    document = {
-        "id": generation.call.call.request_id,
-        "object": "chat.completion",
-        "model": first.get("model", ""),
-        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
-        "usage": {
-            "prompt_tokens": usage.prompt,
-            "completion_tokens": received.tokens,
-            "total_tokens": usage.prompt + received.tokens,
-        },
-    }
-    return json.dumps(document).encode()
--- a/src/sassafrasdale/requests/guarded.py
+++ b/src/sassafrasdale/requests/guarded.py
@@ -10,7 +10,6 @@
 after step 2 can only ever be the one that runs the request.
 """
 
-from collections.abc import Callable
 from datetime import timedelta
 
 from sassafrasdale.charts import Lifecycle, load_chart
@@ -18,22 +17,10 @@
 from sassafrasdale.endpoints.adapters import Connection, EndpointAnswer
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.exceptions import AnswerLost, NotSent, Refused
-from sassafrasdale.green import sleep, spawn
-from sassafrasdale.requests.claims import (
-    Answered as ClaimAnswered,
-)
-from sassafrasdale.requests.claims import (
-    Claim,
-    ClaimKey,
-    Claims,
-    FingerprintMismatch,
-    Granted,
-    InProgress,
-    OutcomeLost,
-    StoredAnswer,
-)
-from sassafrasdale.requests.exceptions import ClaimRefused, KeyReused
-from sassafrasdale.requests.execution import Choose, endpoint_request
+from sassafrasdale.green import spawn
+from sassafrasdale.requests.claim_records import Claim
+from sassafrasdale.requests.claimant import Claimant
+from sassafrasdale.requests.execution import Choose, Observe, endpoint_request
 from sassafrasdale.requests.structures import (
     Answered,
     NotRun,
@@ -46,45 +33,33 @@
 # A connection opened before the claim is used only if the claim came this soon;
 # after a longer wait, or a freeze of the process, it may be silent for good.
 CONNECTION_FRESH = timedelta(seconds=1)
-# Pause between two looks at a claim that another request holds.
-POLL = timedelta(milliseconds=100)
 
 
 class GuardedExecution:
     """A call that at most one entry sends, once.
 
     :param call: what the caller asked for; it has an idempotency key.
-    :param claim_id: unique id of this attempt at the claim.
-    :param fingerprint: hash of what is asked, to tell a retry from a reuse.
-    :param holder: name of this entry.
+    :param claimant: claims the call.
     :param choose: gives an endpoint, or None.
-    :param is_alive: whether the entry of a name is alive, as far as is known.
-    :param claims: the claims in the platform's store.
+    :param observe: told whether an endpoint answered.
     :param clock: source of time.
     """
 
     def __init__(
         self,
         call: ServiceCall,
-        *,
-        claim_id: str,
-        fingerprint: str,
-        holder: str,
+        claimant: Claimant,
         choose: Choose,
-        is_alive: Callable[[str], bool],
-        claims: Claims,
+        observe: Observe,
         clock: Clock,
     ) -> None:
         self._call = call
-        self._claim_id = claim_id
-        self._fingerprint = fingerprint
-        self._holder = holder
-        self._choose = choose
-        self._is_alive = is_alive
-        self._claims = claims
+        self._claimant = claimant
+        self._observe = observe
         self._clock = clock
         self._life = Lifecycle(load_chart("request"))
         self._avoid: set[str] = set()
+        self._link = Link(choose, observe, self._avoid, clock)
 
     @property
     def state(self) -> str:
@@ -97,112 +72,89 @@
         :raises KeyReused: the key names another request.
         """
         self._life.fire("admit")
-        link = self._connect()
-        if link is None:
+        if not self._link.replace():
             return self._refuse("no endpoint takes the request now")
         try:
-            return self._run_claimed(link)
-        except ClaimRefused as error:
-            return self._refuse(error.message, error.retry_after)
-        finally:
-            link.close()
-
-    def _run_claimed(self, link: "Link") -> Outcome:
-        claimed = self._claim()
-        while isinstance(claimed, InProgress) and claimed.claim_id != self._claim_id:
-            if not self._is_alive(claimed.holder):
-                return self._lose("the entry that ran the request is gone")
-            if self._remaining() <= POLL:
-                return self._lose("the request is still running")
-            sleep(POLL)
-            claimed = self._claim()
-        match claimed:
-            case Granted(claim):
+            obtained = self._claimant.obtain()
+            if isinstance(obtained, Claim):
                 self._life.fire("claim")
-                return self._send_once(link, claim)
-            case ClaimAnswered(stored):
-                self._life.fire("replay")
-                return Answered(stored.status, stored.headers, stored.body)
-            case FingerprintMismatch():
-                raise KeyReused(
-                    "the idempotency key names another request",
-                    field="Idempotency-Key",
-                )
-            case OutcomeLost():
-                return self._lose("the first execution's outcome is not known")
-
-    def _claim(self):
-        call = self._call.call
-        key = ClaimKey(call.service, call.customer, call.idempotency_key)
-        return self._claims.claim(key, self._fingerprint, self._claim_id, self._holder)
-
-    def _send_once(self, link: "Link", claim: Claim) -> Outcome:
+                return self._send_once(obtained)
+            return self._told(obtained)
+        finally:
+            self._link.close()
+
+    def _told(self, outcome: Outcome) -> Outcome:
+        event = {Answered: "replay", NotRun: "refuse", Unknown: "lose"}[type(outcome)]
+        self._life.fire(event)
+        return outcome
+
+    def _send_once(self, claim: Claim) -> Outcome:
         while True:
             # A process that was frozen since its claim finds the deadline passed:
             # its caller has gone, so what was never sent stays unsent.
             if self._remaining() <= timedelta():
                 return self._withdraw(claim, "the deadline has passed")
-            if not link.renew_if_older(CONNECTION_FRESH):
+            if not self._link.renew_if_older(CONNECTION_FRESH):
                 return self._withdraw(claim, "no endpoint takes the request now")
             try:
-                answer = self._send(link)
+                answer = self._send()
             except Refused as error:
-                self._avoid.add(link.endpoint.name)
+                self._avoid.add(self._link.endpoint.name)
                 self._life.fire("retry")
-                if not link.replace():
+                if not self._link.replace():
                     return self._withdraw(claim, error.message, error.retry_after)
                 continue
             except AnswerLost as error:
-                spawn(self._claims.mark_unknown, claim)
-                return self._lose(error.message)
+                self._observe(self._link.endpoint, ok=False)
+                spawn(self._claimant.mark_unknown, claim)
+                self._life.fire("lose")
+                return Unknown(error.message, RETRY_AFTER)
+            self._observe(self._link.endpoint, ok=True)
             self._life.fire("answer")
-            stored = StoredAnswer(answer.status, answer.headers, answer.body)
+            answered = Answered(answer.status, answer.headers, answer.body)
             # The answer is the caller's in any case; a retry that comes before
             # it is stored finds the claim and asks again.
-            spawn(self._claims.settle, claim, stored)
-            return Answered(answer.status, answer.headers, answer.body)
+            spawn(self._claimant.settle, claim, answered)
+            return answered
 
-    def _send(self, link: "Link") -> EndpointAnswer:
+    def _send(self) -> EndpointAnswer:
         self._life.fire("send")
-        endpoint = link.endpoint
+        endpoint = self._link.endpoint
         endpoint.in_flight += 1
         try:
-            return link.connection.send(endpoint_request(self._call), self._remaining())
+            request = endpoint_request(self._call)
+            return self._link.connection.send(request, self._remaining())
         finally:
             endpoint.in_flight -= 1
 
-    def _connect(self) -> "Link | None":
-        link = Link(self._choose, self._avoid, self._clock)
-        return link if link.replace() else None
-
     def _remaining(self) -> timedelta:
         return self._call.call.deadline - self._clock.elapsed()
 
     def _withdraw(
         self, claim: Claim, reason: str, retry_after: timedelta | None = None
     ) -> Outcome:
-        spawn(self._claims.abandon, claim)
+        spawn(self._claimant.abandon, claim)
         return self._refuse(reason, retry_after)
 
     def _refuse(self, reason: str, retry_after: timedelta | None = None) -> Outcome:
         self._life.fire("refuse")
         return NotRun(reason, retry_after or RETRY_AFTER)
 
-    def _lose(self, reason: str) -> Outcome:
-        self._life.fire("lose")
-        return Unknown(reason, RETRY_AFTER)
-
 
 class Link:
     """A fresh connection to a chosen endpoint, and when it was opened.
 
     :param choose: gives an endpoint, or None.
+    :param observe: told of endpoints that can't be reached.
     :param avoid: names of endpoints not to take; unreachable ones are added.
     :param clock: source of time.
     """
 
-    def __init__(self, choose: Choose, avoid: set[str], clock: Clock) -> None:
+    def __init__(
+        self, choose: Choose, observe: Observe, avoid: set[str], clock: Clock
+    ) -> None:
         self._choose = choose
+        self._observe = observe
         self._avoid = avoid
         self._clock = clock
         self._endpoint: Endpoint | None = None
@@ -222,18 +174,17 @@
     def replace(self) -> bool:
         """Open a fresh connection; return whether any endpoint takes one."""
         self.close()
-        while True:
-            endpoint = self._choose(frozenset(self._avoid))
-            if endpoint is None:
-                return False
+        while (endpoint := self._choose(frozenset(self._avoid))) is not None:
             try:
                 self._connection = endpoint.adapter.connect()
             except NotSent:
+                self._observe(endpoint, ok=False)
                 self._avoid.add(endpoint.name)
                 continue
             self._endpoint = endpoint
             self._opened_at = self._clock.elapsed()
             return True
+        return False
 
     def renew_if_older(self, age: timedelta) -> bool:
         """Open a fresh connection if this one is older, or its endpoint leaves."""
--- /dev/null
+++ b/src/sassafrasdale/requests/ledger.py
@@ -0,0 +1,84 @@
+"""Counts how requests end, for the metrics and the burn report."""
+
+from datetime import timedelta
+
+from sassafrasdale.burn import BurnBook, burns_to_json
+from sassafrasdale.clock import Clock
+from sassafrasdale.metrics import Metrics
+from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.structures import (
+    Answered,
+    Call,
+    NotRun,
+    Outcome,
+    OutcomeName,
+    Unknown,
+)
+from sassafrasdale.text.structures import Service, Text
+
+FIRST_SERVER_ERROR = 500
+
+
+class Ledger:
+    """What became of the requests of this entry.
+
+    :param metrics: the entry's metrics.
+    :param clock: source of time.
+    """
+
+    def __init__(self, metrics: Metrics, clock: Clock) -> None:
+        self._metrics = metrics
+        self._clock = clock
+        self._book = BurnBook()
+        self._services: dict[str, Service] = {}
+
+    def set_text(self, text: Text) -> None:
+        """Take the objectives of a new revision of the text."""
+        self._services = dict(text.services)
+        self._book.set_objectives(
+            {name: service.objective.share for name, service in text.services.items()}
+        )
+
+    def begin(self, call: Call) -> timedelta:
+        """Count a request as begun; return when, for ``end``."""
+        self._metrics.request_began(call.service)
+        return self._clock.elapsed()
+
+    def end(self, call: Call, outcome: Outcome | None, began: timedelta) -> None:
+        """Count how a request ended; None if its caller went away."""
+        now = self._clock.elapsed()
+        latency = now - began
+        name = outcome_name(outcome) if outcome else OutcomeName.UNKNOWN
+        self._metrics.request_ended(call.service, name.value, latency)
+        service = self._services.get(call.service)
+        if service is not None and outcome is not None:
+            in_time = _is_good(outcome) and latency <= service.objective.latency
+            self._book.record(call.service, now, in_time)
+
+    def count_usage(self, generation: Generation) -> None:
+        """Count the tokens that a generation had computed a second time."""
+        if not isinstance(generation.outcome, Answered):
+            return
+        usage = generation.received().usage
+        if usage is not None and usage.recomputed:
+            service = generation.call.call.service
+            self._metrics.tokens_recomputed(service, usage.recomputed)
+
+    def burn(self) -> dict:
+        """Return the counts for the burn report as a JSON document."""
+        return {"services": burns_to_json(self._book.snapshot(self._clock.elapsed()))}
+
+
+def outcome_name(outcome: Outcome) -> OutcomeName:
+    """Return what a caller is told of ``outcome``, in one word."""
+    match outcome:
+        case Answered():
+            return OutcomeName.ANSWERED
+        case NotRun():
+            return OutcomeName.NOT_RUN
+        case Unknown():
+            return OutcomeName.UNKNOWN
+
+
+def _is_good(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.status < FIRST_SERVER_ERROR
--- a/src/sassafrasdale/requests/registry.py
+++ b/src/sassafrasdale/requests/registry.py
@@ -6,6 +6,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.requests.exceptions import RequestIdTaken, RequestNotHeld
 from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.structures import Answered
 
 # How long an ended answer can still be fetched, and how many are kept.
 KEEP_ENDED = timedelta(seconds=60)
@@ -30,6 +31,15 @@
         """Generations that have not ended."""
         return tuple(self._running.values())
 
+    @property
+    def undelivered(self) -> tuple[Generation, ...]:
+        """Generations that were answered and whose caller has not come yet."""
+        return tuple(
+            generation
+            for _, generation in self._ended.values()
+            if isinstance(generation.outcome, Answered) and not generation.delivered
+        )
+
     def add(self, generation: Generation) -> None:
         """Hold ``generation``.
 
@@ -68,7 +78,9 @@
 
     def drop(self, generation: Generation) -> None:
         """Forget a generation that another entry holds now."""
-        self._running.pop(generation.call.call.request_id, None)
+        request_id = generation.call.call.request_id
+        self._running.pop(request_id, None)
+        self._ended.pop(request_id, None)
 
     def sweep(self) -> None:
         """Abandon generations that nobody reads or whose deadline has passed."""
