Keep the engine's step time under load and cut watches in an outage

Cause: a step slipped from 20 to 23.8 ms with 300 streams, as its own work came on top of its pause; each token's chunk was encoded whole; a stream that was exported ended like a finished one. Change: steps are due on a schedule; the parts around a token are encoded once; a cancelled or exported stream stops with no last chunk; watches are cut in an outage and can stay deaf for good; prefixes are listed from sorted keys.

--- a/standins/batch.py
+++ b/standins/batch.py
@@ -9,7 +9,7 @@
 from sassafrasdale.green import Event, sleep
 from standins.cache import PrefixCache
 from standins.faults import Faults
-from standins.generation import TokenSource
+from standins.streams import CANCELLED, FINISHED, RUNNING, Stream
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,67 +30,6 @@
     max_waiting: int = 256
 
 
-class Stream:
-    """One generation.
-
-    :param first: tokens up to here were generated elsewhere.
-    :param recompute: whether those have to be computed again.
-    """
-
-    __slots__ = (
-        "stream_id", "source", "prompt", "max_tokens", "first", "position", "priority",
-        "cached", "recomputed", "state", "_changed", "readers", "lost_at",
-        "model", "created",
-    )  # fmt: skip
-
-    def __init__(
-        self,
-        stream_id: str,
-        model: str,
-        source: TokenSource,
-        prompt: list[str],
-        max_tokens: int,
-        priority: int,
-        first: int = 0,
-        recompute: bool = True,
-    ) -> None:
-        self.stream_id = stream_id
-        self.model = model
-        self.source = source
-        self.prompt = prompt
-        self.max_tokens = max_tokens
-        self.priority = priority
-        self.first = first
-        self.position = first
-        self.recomputed = first if recompute else 0
-        self.cached = 0
-        self.state = "waiting"
-        self.created = 0
-        self.readers = 0
-        self.lost_at: timedelta | None = None
-        self._changed = Event()
-
-    @property
-    def ended(self) -> bool:
-        """Whether no further token comes."""
-        return self.state not in ("waiting", "running")
-
-    def wait(self) -> None:
-        """Wait for the next change."""
-        self._changed.wait()
-
-    def notify(self) -> None:
-        """Wake whoever waits for a change."""
-        changed, self._changed = self._changed, Event()
-        changed.send(None)
-
-    def end(self, state: str) -> None:
-        """Stop with ``state``."""
-        if not self.ended:
-            self.state = state
-            self.notify()
-
-
 class Batch:
     """The running and waiting streams of one engine."""
 
@@ -111,6 +50,7 @@
         self._running: list[Stream] = []
         self._arrivals = 0
         self._awake = Event()
+        self._step_due = timedelta()
 
     @property
     def running(self) -> int:
@@ -147,12 +87,17 @@
             if not self._running and not self._waiting:
                 self._awake = Event()
                 self._awake.wait()
+                self._step_due = self._clock.elapsed()
             self._faults.wait_while_frozen()
-            pause = self._admit() + self._step_time()
-            started = self._clock.elapsed()
-            sleep(pause * self._faults.slow_factor)
+            self._pause(self._admit() + self._step_time())
             self._faults.wait_while_frozen()
-            self._step(started)
+            self._step()
+
+    def _pause(self, length: timedelta) -> None:
+        """Wait until the next step is due, not counting the last one's own work."""
+        now = self._clock.elapsed()
+        self._step_due = max(self._step_due + length * self._faults.slow_factor, now)
+        sleep(self._step_due - now)
 
     def _admit(self) -> timedelta:
         prefill = 0
@@ -160,7 +105,7 @@
             _, _, stream = heapq.heappop(self._waiting)
             if stream.ended:
                 continue
-            stream.state = "running"
+            stream.state = RUNNING
             stream.cached = self._cache.lookup(stream.prompt)
             prefill += len(stream.prompt) - stream.cached + stream.recomputed
             self._cache.store(stream.prompt)
@@ -170,15 +115,15 @@
     def _step_time(self) -> timedelta:
         return self._speed.step + self._speed.step_per_stream * len(self._running)
 
-    def _step(self, _started: timedelta) -> None:
+    def _step(self) -> None:
         for stream in self._running:
             if stream.ended:
                 continue
             if self._abandoned(stream):
-                stream.end("cancelled")
+                stream.end(CANCELLED)
                 continue
             stream.position += 1
             if stream.position >= stream.max_tokens:
-                stream.state = "stop"
+                stream.state = FINISHED
             stream.notify()
         self._running = [stream for stream in self._running if not stream.ended]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -21,11 +21,12 @@
 from sassafrasdale.clock import Clock, SystemClock
 from sassafrasdale.green import http_pool, listen, sleep, spawn
 from sassafrasdale.structures import Address
-from standins.batch import Batch, Speed, Stream
+from standins.batch import Batch, Speed
 from standins.cache import PrefixCache
 from standins.command import announce, argument_parser
 from standins.faults import REFUSED, Faults
 from standins.generation import TokenSource, prompt_tokens
+from standins.streams import CANCELLED, EXPORTED, FINISHED, Stream, chunk_object
 from standins.web import (
     Answer,
     Application,
@@ -128,7 +129,6 @@
             first,
             recompute,
         )
-        stream.created = int(self._clock.now().timestamp())
         self._log.append(
             {
                 "request_id": stream_id,
@@ -166,21 +166,24 @@
         )
 
     def _events(self, request: Request, stream: Stream, after: int) -> Iterator[bytes]:
+        """Yield what happened since the last look, joined into one write.
+
+        A stream that was cancelled or exported just stops, with no last chunk, so
+        that it can't be taken for a finished one.
+        """
         try:
-            while True:
-                while after >= stream.position and not stream.ended:
+            while not stream.ended or after < stream.position:
+                if after >= stream.position:
                     stream.wait()
-                self._faults.hold_if_silent(request)
+                    continue
+                if self._faults.is_silent(request):
+                    request.connection.wait_until_closed()
+                    return
                 last = stream.position
-                lines = [
-                    _event(stream, position) for position in range(after + 1, last + 1)
-                ]
+                yield stream.events(after + 1, last)
                 after = last
-                if stream.ended:
-                    lines.append(_last_event(stream))
-                yield b"".join(lines)
-                if stream.ended:
-                    return
+            if stream.state == FINISHED:
+                yield _last_event(stream)
         finally:
             stream.readers -= 1
             stream.lost_at = self._clock.elapsed()
@@ -193,7 +196,7 @@
         finally:
             stream.readers -= 1
             stream.lost_at = self._clock.elapsed()
-        if stream.state != "stop":
+        if stream.state != FINISHED:
             return Answer({"error": stream.state}, status=409)
         text = "".join(stream.source.tokens(stream.first + 1, stream.position))
         choice = {
@@ -205,7 +208,6 @@
             {
                 "id": stream.stream_id,
                 "object": "chat.completion",
-                "created": stream.created,
                 "model": stream.model,
                 "choices": [choice],
                 "usage": _usage(stream),
@@ -214,7 +216,7 @@
 
     def _resume(self, request: Request, stream_id: str) -> Answer:
         stream = self._streams.get(stream_id)
-        if stream is None or stream.state in ("cancelled", "exported"):
+        if stream is None or stream.state in (CANCELLED, EXPORTED):
             return _unknown_stream(stream_id)
         after = int(request.query.get("after", stream.first))
         return self._stream_answer(request, stream, max(after, stream.first))
@@ -223,14 +225,14 @@
         stream = self._streams.get(stream_id)
         if stream is None:
             return _unknown_stream(stream_id)
-        stream.end("cancelled")
+        stream.end(CANCELLED)
         return Answer({"tokens": stream.position})
 
     def _export(self, _request: Request, stream_id: str) -> Answer:
         stream = self._streams.get(stream_id)
-        if stream is None or stream.state == "cancelled":
+        if stream is None or stream.state == CANCELLED:
             return _unknown_stream(stream_id)
-        stream.end("exported")
+        stream.end(EXPORTED)
         handle = f"kv-{stream_id}"
         self._exports[handle] = stream
         return Answer({"kv_handle": handle, "tokens": stream.position})
@@ -326,25 +328,8 @@
     }
 
 
-def _chunk(
-    stream: Stream, delta: dict[str, str], finish_reason: str | None
-) -> dict[str, Any]:
-    return {
-        "id": stream.stream_id,
-        "object": "chat.completion.chunk",
-        "created": stream.created,
-        "model": stream.model,
-        "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
-    }
-
-
-def _event(stream: Stream, position: int) -> bytes:
-    chunk = _chunk(stream, {"content": stream.source.token(position)}, None)
-    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
-
-
 def _last_event(stream: Stream) -> bytes:
-    chunk = _chunk(stream, {}, stream.state)
+    chunk = chunk_object(stream.stream_id, stream.model, {}, stream.state)
     chunk["usage"] = _usage(stream)
     return b"data: " + json.dumps(chunk).encode() + b"\n\ndata: [DONE]\n\n"
 
--- a/standins/gateway.py
+++ b/standins/gateway.py
@@ -3,9 +3,12 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum, auto
 from typing import Any
 
+from sassafrasdale.clock import Clock
 from sassafrasdale.green import Empty
 from standins.store import (
     KeyRange,
@@ -16,7 +19,7 @@
     ValueTooLargeError,
     Watch,
 )
-from standins.web import Answer, Connection, Request, Route
+from standins.web import Answer, Request, Route
 
 WATCH_POLL = timedelta(seconds=0.5)
 INVALID_ARGUMENT = 3
@@ -24,16 +27,42 @@
 CLUSTER_ID = "1"
 
 
+class WatchState(Enum):
+    """What becomes of an open watch."""
+
+    DELIVERS = auto()
+    DEAF = auto()
+    CUT = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class OpenWatch:
+    """A watch that a client holds open.
+
+    :param opened_at: elapsed time of the clock.
+    """
+
+    request: Request
+    opened_at: timedelta
+
+
 class Gateway:
     """Handlers of ``/v3/...``.
 
     :param store: the state.
-    :param deaf: tells whether open watches are to deliver nothing.
+    :param clock: tells when a watch was opened.
+    :param watch_state: tells what is to become of an open watch.
     """
 
-    def __init__(self, store: Store, deaf: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        watch_state: Callable[[OpenWatch], WatchState],
+    ) -> None:
         self._store = store
-        self._deaf = deaf
+        self._clock = clock
+        self._watch_state = watch_state
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes of the gateway."""
@@ -143,18 +172,22 @@
         wanted = body.get("create_request") or body["createRequest"]
         start = int(_field(wanted, "start_revision", "0"))
         watch = self._store.watch(_key_range(wanted), start)
-        return Answer(chunks=self._watch_lines(watch, request.connection))
+        opened = OpenWatch(request, self._clock.elapsed())
+        return Answer(chunks=self._watch_lines(watch, opened))
 
-    def _watch_lines(self, watch: Watch, connection: Connection) -> Iterator[bytes]:
+    def _watch_lines(self, watch: Watch, opened: OpenWatch) -> Iterator[bytes]:
+        connection = opened.request.connection
         try:
             yield self._line({"created": True})
             while not connection.is_closed():
-                try:
-                    batch = watch.inbox.get(timeout=WATCH_POLL.total_seconds())
-                except Empty:
-                    continue
-                if not self._deaf():
-                    yield self._line({"events": [_event(item) for item in batch]})
+                batch = _next_batch(watch)
+                match self._watch_state(opened):
+                    case WatchState.CUT:
+                        connection.cut()
+                        return
+                    case WatchState.DELIVERS if batch:
+                        events = [_event(change) for change in batch]
+                        yield self._line({"events": events})
         finally:
             watch.close()
 
@@ -163,6 +196,13 @@
         return json.dumps(message).encode() + b"\n"
 
 
+def _next_batch(watch: Watch) -> list[StoredKey] | None:
+    try:
+        return watch.inbox.get(timeout=WATCH_POLL.total_seconds())
+    except Empty:
+        return None
+
+
 def error_answer(status: int, code: int, message: str) -> Answer:
     """Return an error as the gateway writes it."""
     return Answer({"error": message, "code": code, "message": message}, status)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -37,7 +37,14 @@
 from standins.cloud import Cloud
 from standins.command import announce, argument_parser
 from standins.faults import Faults
-from standins.gateway import Gateway, error_answer, is_write, written_keys
+from standins.gateway import (
+    Gateway,
+    OpenWatch,
+    WatchState,
+    error_answer,
+    is_write,
+    written_keys,
+)
 from standins.store import Store
 from standins.web import (
     Answer,
@@ -84,11 +91,13 @@
         self._writes = TokenBucket(clock, WRITES_PER_SECOND)
         self._calls = TokenBucket(clock, CALLS_PER_SECOND)
         self._faults = Faults(clock)
+        self._clock = clock
         self._deaf = False
+        self._deaf_until = timedelta(seconds=-1)
         self._drop_writes = 0
         self._drop_key_prefix = b""
         self._counts: Counter[str] = Counter()
-        self.gateway = Gateway(self._store, self._is_deaf)
+        self.gateway = Gateway(self._store, clock, self._watch_state)
 
     def around(self, request: Request, answer: Callable[[Request], Answer]) -> Answer:
         """Answer one call of the store."""
@@ -104,6 +113,7 @@
                     self._drop_key_prefix = value.encode()
                 case "deaf_watches":
                     self._deaf = bool(value)
+                    self._deaf_until = self._clock.elapsed()
                 case "writes_per_second":
                     self._writes.rate = float(value)
                 case "calls_per_second":
@@ -121,8 +131,14 @@
             self._store.expire_leases()
             sleep(LEASE_POLL)
 
-    def _is_deaf(self) -> bool:
-        return self._deaf or self._faults.outage == "silent"
+    def _watch_state(self, watch: OpenWatch) -> WatchState:
+        if self._faults.outage in ("refuse", "close"):
+            return WatchState.CUT
+        if self._faults.is_silent(watch.request):
+            return WatchState.DEAF
+        if self._deaf or watch.opened_at <= self._deaf_until:
+            return WatchState.DEAF
+        return WatchState.DELIVERS
 
     def _limited(self, request: Request, answer: Callable[[Request], Answer]) -> Answer:
         if not request.path.startswith("/v3/"):
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,5 +1,6 @@
 """Revisioned key-value state with leases and watches, as etcd v3 keeps it."""
 
+from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -7,6 +8,10 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import Queue
 
+MAX_VALUE_BYTES = 1024 * 1024
+FROM_KEY = b"\0"
+"""End of a range that has no end."""
+
 
 class ValueTooLargeError(ValueError):
     """A value is larger than the store holds."""
@@ -49,10 +54,7 @@
         """Return whether ``key`` lies in the range."""
         if not self.end:
             return key == self.start
-        return key >= self.start and (self.end == b"\0" or key < self.end)
-
-
-MAX_VALUE_BYTES = 1024 * 1024
+        return key >= self.start and (self.end == FROM_KEY or key < self.end)
 
 
 class Store:
@@ -67,6 +69,7 @@
         self._max_value_bytes = max_value_bytes
         self._revision = 1
         self._keys: dict[bytes, StoredKey] = {}
+        self._order: list[bytes] = []
         self._history: list[StoredKey] = []
         self._leases: dict[int, Lease] = {}
         self._next_lease = 1
@@ -88,10 +91,11 @@
         if not keys.end:
             found = self._keys.get(keys.start)
             return [found] if found else []
-        return sorted(
-            (stored for key, stored in self._keys.items() if key in keys),
-            key=lambda stored: stored.key,
-        )
+        first = bisect_left(self._order, keys.start)
+        last = len(self._order)
+        if keys.end != FROM_KEY:
+            last = bisect_left(self._order, keys.end)
+        return [self._keys[key] for key in self._order[first:last]]
 
     def transact(self, change: Callable[["Transaction"], None]) -> None:
         """Run ``change``; all that it writes gets one new revision."""
@@ -178,18 +182,29 @@
                 inbox.put(seen)
 
     def _apply(self, change: StoredKey) -> None:
-        before = self._keys.pop(change.key, None)
+        before = self._keys.get(change.key)
         if before is not None and before.lease in self._leases:
             self._leases[before.lease].keys.discard(change.key)
         if not change.version:
+            self._remove(change.key)
             return
+        if before is None:
+            insort(self._order, change.key)
         self._keys[change.key] = change
         if change.lease:
             self._leases[change.lease].keys.add(change.key)
 
+    def _remove(self, key: bytes) -> None:
+        if self._keys.pop(key, None) is not None:
+            del self._order[bisect_left(self._order, key)]
+
 
 class Watch:
-    """Batches of changes for one watcher."""
+    """Batches of changes for one watcher.
+
+    :param inbox: brings them.
+    :param close: ends the watch.
+    """
 
     def __init__(self, inbox: Queue, close: Callable[[], None]) -> None:
         self.inbox = inbox
--- a/standins/web.py
+++ b/standins/web.py
@@ -45,9 +45,13 @@
 
         :raises AnswerDroppedError: when it has closed.
         """
+        self.wait_until_closed()
+        raise AnswerDroppedError
+
+    def wait_until_closed(self) -> None:
+        """Wait until the other end closes."""
         while not self.is_closed():
             sleep(HOLD_POLL)
-        raise AnswerDroppedError
 
     def is_closed(self) -> bool:
         """Return whether the other end has closed."""
