Let operators check, read and change the text from the command line

Cause: operators drive the system by its text alone and need to know for certain what became of an edit.

Change: `sassafrasdale config check | show | diff | edit | put | history`. An edit keeps one id through all attempts and entries until its fate is known; exit codes tell accepted (0), refused (1), usage (2), conflict (3), not reached (4) and unknown (5). Faults print as file:line: field: message. `edit` writes a file whose first line names the revision, and `put` reads it there: a process starts no other process, so no editor is run. Authors are percent-encoded, as a header holds ASCII.

Ruled out: reading the edit back from the history in the command; the entry's register already recognises an edit by its id, also under later ones.

--- a/src/sassafrasdale/cli/main.py
+++ b/src/sassafrasdale/cli/main.py
@@ -11,6 +11,7 @@
 from cyclopts import App, Parameter
 
 from sassafrasdale import __version__
+from sassafrasdale.cli.exceptions import CommandError
 from sassafrasdale.cli.exits import Exit
 from sassafrasdale.settings import SettingsError, load_settings, variable_of
 
@@ -20,6 +21,22 @@
     help="Serving system for language-model applications on reclaimable instances.",
 )
 
+app.command(
+    "sassafrasdale.cli.config:app",
+    name="config",
+    help="Check, read and change the operators' text.",
+)
+app.command(
+    "sassafrasdale.cli.report:app",
+    name="report",
+    help="Reports on what the entries measured.",
+)
+app.command(
+    "sassafrasdale.cli.status:status",
+    name="status",
+    help="Show what an entry knows.",
+)
+
 
 def _setting(name: str, text: str) -> Parameter:
     return Parameter(help=f"{text} Variable {variable_of(name)}.")
@@ -77,4 +94,8 @@
 
 def main() -> None:
     """Run the command that the process's arguments name, then exit."""
-    sys.exit(app())
+    try:
+        sys.exit(app(sys.argv[1:]))
+    except CommandError as error:
+        print(error.message, file=sys.stderr)
+        sys.exit(error.exit)
