--- /dev/null
+++ b/bench/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of admission, limits, retries, hedging and health by replay."""
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -229,6 +229,14 @@
         self._limit.on_success(self.in_flight)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
 
+    def on_refusal(self, now: timedelta) -> None:
+        """Record that an endpoint refused an admitted request that will be retried."""
+        self._limit.on_refusal(now)
+
+    def retry_after(self) -> timedelta:
+        """Return when it is worth coming back after a failure."""
+        return spread_retry_after(self._drain_time(), self._rng)
+
     def cancel(self, ticket: Ticket) -> None:
         """Forget a request, waiting or admitted, that the caller gave up."""
         self._running.pop(ticket.number, None)
