Count only the requests ahead when a wait is estimated

A request was turned away for its deadline by the length of the whole queue of its customer, though it would go before most of it. And requests were sent on with only the mean latency left, so a tenth of the answers came late. Now the wait counts the requests of the same or a higher priority, and a request must have the 0.9 quantile of recent latencies left.

--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from sassafrasdale.decisions.backoff import spread_retry_after
+from sassafrasdale.decisions.latencies import LatencyWindow
 from sassafrasdale.decisions.limits import ConcurrencyLimit, TokenBucket
 
 DEFAULT_WEIGHT = 1.0
@@ -95,11 +96,16 @@
 
     :param queue_per_slot: waiting requests allowed per request in flight.
     :param latency_smoothing: weight of a new latency in the moving mean.
+    :param latency_window: latencies kept for the quantile.
+    :param latency_quantile: quantile of the latencies that must still fit before
+        the deadline when a request leaves the queue.
     :param initial_latency: latency assumed before the first answer.
     """
 
     queue_per_slot: float = 4.0
     latency_smoothing: float = 0.1
+    latency_window: int = 100
+    latency_quantile: float = 0.9
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
@@ -138,6 +144,8 @@
         self._virtual: dict[str, float] = {}
         self._virtual_now = 0.0
         self._latency = self._settings.initial_latency
+        self._latencies = LatencyWindow(self._settings.latency_window)
+        self._latencies.add(self._latency)
         self._displaced: list[Shed] = []
         self._offered = 0
 
@@ -187,10 +195,12 @@
         if not self.waiting and self._has_room(customer):
             self._start(ticket)
             return Admit(ticket)
-        if self._expected_wait(customer) + self._latency > remaining:
-            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
         queue = self._waiting.setdefault(customer, [])
         position = sum(other.priority <= priority for other in queue)
+        if self._expected_wait(customer, position) + self._needed > remaining:
+            if not queue:
+                del self._waiting[customer]
+            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
         queue.insert(position, ticket)
         self._virtual[customer] = max(
             self._virtual.get(customer, 0.0), self._virtual_now
@@ -228,6 +238,7 @@
             return
         self._limit.on_success(self.in_flight)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
+        self._latencies.add(latency)
 
     def on_refusal(self, now: timedelta) -> None:
         """Record that an endpoint refused an admitted request that will be retried."""
@@ -248,7 +259,7 @@
         """Return the waiting requests that are turned away and must be answered."""
         for customer, queue in list(self._waiting.items()):
             for ticket in list(queue):
-                if now + self._latency > ticket.deadline:
+                if now + self._needed > ticket.deadline:
                     self._take(customer, queue.index(ticket))
                     self._displaced.append(
                         self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
@@ -256,6 +267,11 @@
         displaced, self._displaced = self._displaced, []
         return tuple(displaced)
 
+    @property
+    def _needed(self) -> timedelta:
+        """Time that a request must still have when it leaves the queue."""
+        return self._latencies.quantile(self._settings.latency_quantile)
+
     def _share_of(self, customer: str) -> CustomerShare:
         return self._customers.get(customer, CustomerShare())
 
@@ -301,12 +317,10 @@
     def _rate(self) -> float:
         return self._limit.value / max(self._latency.total_seconds(), 1e-6)
 
-    def _expected_wait(self, customer: str) -> timedelta:
+    def _expected_wait(self, customer: str, ahead: int) -> timedelta:
         weight = self._share_of(customer).weight
-        names = set(self._waiting) | {customer}
-        total = sum(self._share_of(name).weight for name in names)
-        ahead = len(self._waiting.get(customer, [])) + 1
-        return timedelta(seconds=ahead / (self._rate() * weight / total))
+        total = sum(self._share_of(name).weight for name in self._waiting)
+        return timedelta(seconds=(ahead + 1) / (self._rate() * weight / total))
 
     def _drain_time(self) -> timedelta:
         return timedelta(seconds=(self.waiting + 1) / self._rate())
--- a/src/sassafrasdale/decisions/hedging.py
+++ b/src/sassafrasdale/decisions/hedging.py
@@ -1,10 +1,9 @@
 """When to send an idempotent request a second time, before the first answer."""
 
-from bisect import bisect_left, insort
-from collections import deque
 from datetime import timedelta
 
 from sassafrasdale.decisions.budgets import RetryBudget
+from sassafrasdale.decisions.latencies import LatencyWindow
 
 HEDGE_QUANTILE = 0.95
 """Quantile of recent latencies after which a request is slow."""
@@ -41,25 +40,18 @@
     ) -> None:
         self._budget = budget or RetryBudget(HEDGE_SHARE, HEDGE_FLOOR_PER_SECOND)
         self._quantile = quantile
-        self._window = window
-        self._recent: deque[timedelta] = deque()
-        self._sorted: list[timedelta] = []
+        self._recent = LatencyWindow(window)
 
     def observe(self, latency: timedelta, now: timedelta) -> None:
         """Record the latency of a success."""
         self._budget.deposit(now)
-        self._recent.append(latency)
-        insort(self._sorted, latency)
-        if len(self._recent) > self._window:
-            oldest = self._recent.popleft()
-            del self._sorted[bisect_left(self._sorted, oldest)]
+        self._recent.add(latency)
 
     def delay(self, *, idempotent: bool) -> timedelta | None:
         """Return how long to wait for the first answer, or None: never hedge."""
-        if not idempotent or len(self._sorted) < HEDGE_MINIMUM_SAMPLES:
+        if not idempotent or len(self._recent) < HEDGE_MINIMUM_SAMPLES:
             return None
-        index = int(len(self._sorted) * self._quantile)
-        return self._sorted[min(index, len(self._sorted) - 1)]
+        return self._recent.quantile(self._quantile)
 
     def try_hedge(self, now: timedelta, *, idempotent: bool) -> bool:
         """Take a hedge out of the budget, if the request may be sent twice."""
--- /dev/null
+++ b/src/sassafrasdale/decisions/latencies.py
@@ -0,0 +1,36 @@
+"""Recent latencies and their quantiles."""
+
+from bisect import bisect_left, insort
+from collections import deque
+from datetime import timedelta
+
+
+class LatencyWindow:
+    """The latest latencies of one service, kept in order.
+
+    :param size: latencies kept.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._recent: deque[timedelta] = deque()
+        self._sorted: list[timedelta] = []
+
+    def __len__(self) -> int:
+        return len(self._recent)
+
+    def add(self, latency: timedelta) -> None:
+        """Record a latency; forget the oldest if the window is full."""
+        self._recent.append(latency)
+        insort(self._sorted, latency)
+        if len(self._recent) > self._size:
+            oldest = self._recent.popleft()
+            del self._sorted[bisect_left(self._sorted, oldest)]
+
+    def quantile(self, share: float) -> timedelta:
+        """Return the latency below which ``share`` of the window lies.
+
+        :raises IndexError: if the window is empty.
+        """
+        index = int(len(self._sorted) * share)
+        return self._sorted[min(index, len(self._sorted) - 1)]
