Bound the wait and count urgent arrivals when a request is offered

Requests waited up to their deadline and were then turned away or answered late. Now a request waits at most 0.3 of its time, and the expected wait takes off the customer's own more urgent arrivals, counted over 5 mean latencies, so that those with no chance are turned away when they come.

--- a/bench/admission/catalogue.py
+++ b/bench/admission/catalogue.py
@@ -6,6 +6,7 @@
 
 from bench.admission.fleets import Policy
 from bench.admission.measures import (
+    held_share,
     held_until_shed,
     in_time_share,
     jain,
@@ -75,7 +76,7 @@
         "u=6": _priority(6),
         "small": _small,
         "jain": jain,
-        "held p50": lambda result: held_until_shed(result, 0.5),
+        "held": held_share,
         "held p99": lambda result: held_until_shed(result, 0.99),
         "p50": lambda result: latency(result, 0.5),
         "p99": lambda result: latency(result, 0.99),
--- a/bench/admission/measures.py
+++ b/bench/admission/measures.py
@@ -77,6 +77,17 @@
     return quantile(held, share)
 
 
+HELD = 0.05
+"""Share of its time after which a request that is then shed counts as held."""
+
+
+def held_share(result: Result) -> float:
+    """Return the share of the shed requests that were held before."""
+    shed = [out for out in result.outcomes if out.ending is Ending.SHED]
+    held = sum(out.seconds > out.request.timeout * HELD for out in shed)
+    return held / len(shed) if shed else 0.0
+
+
 def latency(result: Result, share: float, start: float = 0.0) -> float:
     """Return the quantile of the seconds of the answers, late ones included."""
     ends = (Ending.IN_TIME, Ending.LATE)
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
+from math import exp
 from random import Random
 
 from sassafrasdale.decisions.backoff import spread_retry_after
@@ -99,6 +100,9 @@
     :param latency_window: latencies kept for the quantile.
     :param latency_quantile: quantile of the latencies that must still fit before
         the deadline when a request leaves the queue.
+    :param wait_share: largest share of the time until its deadline for which a
+        request waits.
+    :param demand_window: time over which arrivals are counted, in mean latencies.
     :param initial_latency: latency assumed before the first answer.
     """
 
@@ -106,9 +110,36 @@
     latency_smoothing: float = 0.1
     latency_window: int = 100
     latency_quantile: float = 0.9
+    wait_share: float = 0.3
+    demand_window: float = 5.0
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
+class Demand:
+    """Arrival rates by customer and priority, with exponential decay."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, list[float]] = {}
+        self._updated: dict[str, timedelta] = {}
+
+    def add(self, ticket: Ticket, window: float) -> None:
+        """Record an arrival.
+
+        :param window: seconds over which arrivals are counted.
+        """
+        counts = self._counts.setdefault(ticket.customer, [0.0] * 8)
+        last = self._updated.get(ticket.customer, ticket.offered_at)
+        decay = exp(-(ticket.offered_at - last).total_seconds() / window)
+        for priority in range(8):
+            counts[priority] *= decay
+        counts[ticket.priority] += 1
+        self._updated[ticket.customer] = ticket.offered_at
+
+    def rate_above(self, ticket: Ticket, window: float) -> float:
+        """Return arrivals per second of the customer that go before a ticket."""
+        return sum(self._counts[ticket.customer][: ticket.priority]) / window
+
+
 class Admission:
     """Admission to one service on one entry: fair, bounded and by priority.
 
@@ -146,6 +177,7 @@
         self._latency = self._settings.initial_latency
         self._latencies = LatencyWindow(self._settings.latency_window)
         self._latencies.add(self._latency)
+        self._demand = Demand()
         self._displaced: list[Shed] = []
         self._offered = 0
 
@@ -189,6 +221,7 @@
         """
         self._offered += 1
         ticket = Ticket(self._offered, customer, priority, now, now + remaining)
+        self._demand.add(ticket, self._demand_seconds())
         bucket = self._bucket(customer)
         if bucket is not None and not bucket.try_take(now):
             return self._shed(ticket, bucket.wait(now), ShedReason.RATE_LIMIT)
@@ -197,7 +230,7 @@
             return Admit(ticket)
         queue = self._waiting.setdefault(customer, [])
         position = sum(other.priority <= priority for other in queue)
-        if self._expected_wait(customer, position) + self._needed > remaining:
+        if self._expected_wait(ticket, position) > self._longest_wait(ticket):
             if not queue:
                 del self._waiting[customer]
             return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
@@ -259,7 +292,7 @@
         """Return the waiting requests that are turned away and must be answered."""
         for customer, queue in list(self._waiting.items()):
             for ticket in list(queue):
-                if now + self._needed > ticket.deadline:
+                if now - ticket.offered_at > self._longest_wait(ticket):
                     self._take(customer, queue.index(ticket))
                     self._displaced.append(
                         self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
@@ -317,10 +350,21 @@
     def _rate(self) -> float:
         return self._limit.value / max(self._latency.total_seconds(), 1e-6)
 
-    def _expected_wait(self, customer: str, ahead: int) -> timedelta:
-        weight = self._share_of(customer).weight
+    def _longest_wait(self, ticket: Ticket) -> timedelta:
+        remaining = ticket.deadline - ticket.offered_at
+        return min(remaining - self._needed, remaining * self._settings.wait_share)
+
+    def _expected_wait(self, ticket: Ticket, ahead: int) -> timedelta:
+        weight = self._share_of(ticket.customer).weight
         total = sum(self._share_of(name).weight for name in self._waiting)
-        return timedelta(seconds=(ahead + 1) / (self._rate() * weight / total))
+        share = self._rate() * weight / total
+        urgent = self._demand.rate_above(ticket, self._demand_seconds())
+        if urgent >= share:
+            return timedelta.max
+        return timedelta(seconds=(ahead + 1) / (share - urgent))
+
+    def _demand_seconds(self) -> float:
+        return self._latency.total_seconds() * self._settings.demand_window
 
     def _drain_time(self) -> timedelta:
         return timedelta(seconds=(self.waiting + 1) / self._rate())
