--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -9,9 +9,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
+from math import exp
 from random import Random
 
 from sassafrasdale.decisions.backoff import spread_retry_after
+from sassafrasdale.decisions.latencies import LatencyWindow
 from sassafrasdale.decisions.limits import ConcurrencyLimit, TokenBucket
 
 DEFAULT_WEIGHT = 1.0
@@ -95,14 +97,49 @@
 
     :param queue_per_slot: waiting requests allowed per request in flight.
     :param latency_smoothing: weight of a new latency in the moving mean.
+    :param latency_window: latencies kept for the quantile.
+    :param latency_quantile: quantile of the latencies that must still fit before
+        the deadline when a request leaves the queue.
+    :param wait_share: largest share of the time until its deadline for which a
+        request waits.
+    :param demand_window: time over which arrivals are counted, in mean latencies.
     :param initial_latency: latency assumed before the first answer.
     """
 
     queue_per_slot: float = 4.0
     latency_smoothing: float = 0.1
+    latency_window: int = 100
+    latency_quantile: float = 0.9
+    wait_share: float = 0.3
+    demand_window: float = 5.0
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
+class Demand:
+    """Arrival rates by customer and priority, with exponential decay."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, list[float]] = {}
+        self._updated: dict[str, timedelta] = {}
+
+    def add(self, ticket: Ticket, window: float) -> None:
+        """Record an arrival.
+
+        :param window: seconds over which arrivals are counted.
+        """
+        counts = self._counts.setdefault(ticket.customer, [0.0] * 8)
+        last = self._updated.get(ticket.customer, ticket.offered_at)
+        decay = exp(-(ticket.offered_at - last).total_seconds() / window)
+        for priority in range(8):
+            counts[priority] *= decay
+        counts[ticket.priority] += 1
+        self._updated[ticket.customer] = ticket.offered_at
+
+    def rate_above(self, ticket: Ticket, window: float) -> float:
+        """Return arrivals per second of the customer that go before a ticket."""
+        return sum(self._counts[ticket.customer][: ticket.priority]) / window
+
+
 class Admission:
     """Admission to one service on one entry: fair, bounded and by priority.
 
@@ -138,6 +175,9 @@
         self._virtual: dict[str, float] = {}
         self._virtual_now = 0.0
         self._latency = self._settings.initial_latency
+        self._latencies = LatencyWindow(self._settings.latency_window)
+        self._latencies.add(self._latency)
+        self._demand = Demand()
         self._displaced: list[Shed] = []
         self._offered = 0
 
@@ -181,16 +221,19 @@
         """
         self._offered += 1
         ticket = Ticket(self._offered, customer, priority, now, now + remaining)
+        self._demand.add(ticket, self._demand_seconds())
         bucket = self._bucket(customer)
         if bucket is not None and not bucket.try_take(now):
             return self._shed(ticket, bucket.wait(now), ShedReason.RATE_LIMIT)
         if not self.waiting and self._has_room(customer):
             self._start(ticket)
             return Admit(ticket)
-        if self._expected_wait(customer) + self._latency > remaining:
-            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
         queue = self._waiting.setdefault(customer, [])
         position = sum(other.priority <= priority for other in queue)
+        if self._expected_wait(ticket, position) > self._longest_wait(ticket):
+            if not queue:
+                del self._waiting[customer]
+            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
         queue.insert(position, ticket)
         self._virtual[customer] = max(
             self._virtual.get(customer, 0.0), self._virtual_now
@@ -228,6 +271,15 @@
             return
         self._limit.on_success(self.in_flight)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
+        self._latencies.add(latency)
+
+    def on_refusal(self, now: timedelta) -> None:
+        """Record that an endpoint refused an admitted request that will be retried."""
+        self._limit.on_refusal(now)
+
+    def retry_after(self) -> timedelta:
+        """Return when it is worth coming back after a failure."""
+        return spread_retry_after(self._drain_time(), self._rng)
 
     def cancel(self, ticket: Ticket) -> None:
         """Forget a request, waiting or admitted, that the caller gave up."""
@@ -240,7 +292,7 @@
         """Return the waiting requests that are turned away and must be answered."""
         for customer, queue in list(self._waiting.items()):
             for ticket in list(queue):
-                if now + self._latency > ticket.deadline:
+                if now - ticket.offered_at > self._longest_wait(ticket):
                     self._take(customer, queue.index(ticket))
                     self._displaced.append(
                         self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
@@ -248,6 +300,11 @@
         displaced, self._displaced = self._displaced, []
         return tuple(displaced)
 
+    @property
+    def _needed(self) -> timedelta:
+        """Time that a request must still have when it leaves the queue."""
+        return self._latencies.quantile(self._settings.latency_quantile)
+
     def _share_of(self, customer: str) -> CustomerShare:
         return self._customers.get(customer, CustomerShare())
 
@@ -293,12 +350,21 @@
     def _rate(self) -> float:
         return self._limit.value / max(self._latency.total_seconds(), 1e-6)
 
-    def _expected_wait(self, customer: str) -> timedelta:
-        weight = self._share_of(customer).weight
-        names = set(self._waiting) | {customer}
-        total = sum(self._share_of(name).weight for name in names)
-        ahead = len(self._waiting.get(customer, [])) + 1
-        return timedelta(seconds=ahead / (self._rate() * weight / total))
+    def _longest_wait(self, ticket: Ticket) -> timedelta:
+        remaining = ticket.deadline - ticket.offered_at
+        return min(remaining - self._needed, remaining * self._settings.wait_share)
+
+    def _expected_wait(self, ticket: Ticket, ahead: int) -> timedelta:
+        weight = self._share_of(ticket.customer).weight
+        total = sum(self._share_of(name).weight for name in self._waiting)
+        share = self._rate() * weight / total
+        urgent = self._demand.rate_above(ticket, self._demand_seconds())
+        if urgent >= share:
+            return timedelta.max
+        return timedelta(seconds=(ahead + 1) / (share - urgent))
+
+    def _demand_seconds(self) -> float:
+        return self._latency.total_seconds() * self._settings.demand_window
 
     def _drain_time(self) -> timedelta:
         return timedelta(seconds=(self.waiting + 1) / self._rate())
