--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import socket
+from collections.abc import Callable
 from datetime import datetime, timedelta
 
 from logbook import Logger
@@ -69,6 +70,8 @@
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 # Time for the balancer to see that the entry is not ready any more.
 UNREADY_LEAD = timedelta(seconds=1)
+# Pause before a task that failed is started again.
+TASK_PAUSE = timedelta(seconds=1)
 DRAIN_POLL = timedelta(milliseconds=50)
 # What is left this long before the end of a stop is handed over.
 HAND_OVER_RESERVE = timedelta(seconds=2)
@@ -167,7 +170,7 @@
             self._heed_messages,
             self._sweep,
         ):
-            spawn(task)
+            spawn(_run_for_good, task)
         spawn(self._server.serve, listener)
         log.info("listening on {}", self._settings.address)
         self._stopped.wait()
@@ -189,7 +192,7 @@
         return Administration(
             current=self._current,
             register=self._register,
-            accept=self._accept,
+            accept=self._accept_from_store,
             status=self._status,
             burn=self._ledger.burn,
             rng=self._rng,
@@ -222,8 +225,7 @@
     def _heed(self, message: object) -> None:
         match message:
             case TextAccepted(record):
-                self._text_trusted_at = self._clock.elapsed()
-                self._accept(record)
+                self._accept_from_store(record)
             case TextOffered(record):
                 self._heed_peer_text(record)
             case InstancesListed(instances):
@@ -282,6 +284,11 @@
             count = sum(member.state is state for member in members)
             self._metrics.set_peers(state.name.lower(), count)
 
+    def _accept_from_store(self, record: TextRecord) -> None:
+        """Put an edit in force that the store holds or has just accepted."""
+        self._text_trusted_at = self._clock.elapsed()
+        self._accept(record)
+
     def _accept(self, record: TextRecord) -> None:
         """Put an accepted edit in force here, and tell the peers of it."""
         try:
@@ -392,6 +399,20 @@
         }
 
 
+def _run_for_good(task: Callable[[], None]) -> None:
+    """Run a task that must never end, also after an unforeseen error.
+
+    Without this an error would end the task in silence, and the entry would go
+    on without, for example, heeding notices.
+    """
+    while True:
+        try:
+            task()
+        except Exception:
+            log.exception("task {} failed and is started again", task.__qualname__)
+        sleep(TASK_PAUSE)
+
+
 def _peer_record(record: TextRecord) -> PeerTextRecord:
     return PeerTextRecord(
         record.revision,
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -68,6 +68,7 @@
         self._clock = clock
         self._rng = rng
         self._prefixes = PrefixIndex()
+        self._present: set[str] = set()
         self._prices: dict[tuple[str, str, bool], float] = {}
         self._health: dict[str, Health] = {}
 
@@ -143,7 +144,10 @@
             names.setdefault(endpoint.instance.service, set()).add(endpoint.name)
         for service, known in names.items():
             self._health_of(service).set_endpoints(frozenset(known))
-        self._prefixes.keep_only(e.name for e in self._directory.endpoints)
+        present = {endpoint.name for endpoint in self._directory.endpoints}
+        for gone in self._present - present:
+            self._prefixes.forget(gone)
+        self._present = present
 
     def _health_of(self, service: str) -> Health:
         if service not in self._health:
