Give the routing policy the home of each conversation

Cause: the policy takes the endpoint that the hash of a conversation's opening names, so that entries that don't know who holds a prefix meet there; the entry did not pass it on. Change: the opening travels with a model call and its hand-over; one hash ring a service, made anew when endpoints come or go; reclaim plans take a chooser.

--- a/src/sassafrasdale/callers/app.py
+++ b/src/sassafrasdale/callers/app.py
@@ -116,6 +116,7 @@
         model_call = ModelCall(
             call=call,
             prompt=chat.prompt(),
+            opening=chat.opening(),
             body=chat.engine_body(service.name),
             max_tokens=chat.max_tokens,
             streamed=chat.stream,
--- a/src/sassafrasdale/callers/models.py
+++ b/src/sassafrasdale/callers/models.py
@@ -34,6 +34,15 @@
         """Return the text of all messages."""
         return "\n".join(f"{m.role}: {m.content}" for m in self.messages)
 
+    def opening(self) -> tuple[str, ...]:
+        """Return the messages up to and including the user's first."""
+        contents = []
+        for message in self.messages:
+            contents.append(message.content)
+            if message.role == "user":
+                break
+        return tuple(contents)
+
     def engine_body(self, model: str) -> dict[str, Any]:
         """Return the body for an engine that serves ``model``."""
         body = self.model_dump(exclude={"stream", "n"})
--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -223,6 +223,7 @@
             call.call.deadline,
             call.call.priority,
             prompt=call.prompt,
+            opening=call.opening,
             max_tokens=call.max_tokens,
         )
         return lambda avoid: self._selector.choose(wanted, avoid)
--- a/src/sassafrasdale/requests/handovers.py
+++ b/src/sassafrasdale/requests/handovers.py
@@ -28,6 +28,7 @@
     priority: int = Field(ge=0, le=7)
     idempotency_key: str
     prompt: str
+    opening: tuple[str, ...]
     body: dict
     max_tokens: int
     streamed: bool
@@ -62,6 +63,7 @@
         priority=about.priority,
         idempotency_key=about.idempotency_key,
         prompt=call.prompt,
+        opening=call.opening,
         body=call.body,
         max_tokens=call.max_tokens,
         streamed=call.streamed,
@@ -92,6 +94,7 @@
     call = ModelCall(
         call=about,
         prompt=message.prompt,
+        opening=message.opening,
         body=message.body,
         max_tokens=message.max_tokens,
         streamed=message.streamed,
--- a/src/sassafrasdale/requests/mover.py
+++ b/src/sassafrasdale/requests/mover.py
@@ -8,6 +8,7 @@
     MoveCache,
     ReclaimPolicy,
     Recompute,
+    StreamTarget,
     StreamView,
     WaitOut,
 )
@@ -43,10 +44,11 @@
         }
         if not streams or endpoint.leaves_at is None:
             return
+        target = self._target(endpoint)
         plans = plan_streams(
             [stream_view(generation, self._clock) for generation in streams.values()],
             endpoint.leaves_at - self._clock.now(),
-            self._target(endpoint),
+            lambda stream: target,
             ReclaimPolicy(),
         )
         for request_id, plan in plans.items():
@@ -59,13 +61,13 @@
                 case Recompute() | WaitOut():
                     continue
 
-    def _target(self, leaving: Endpoint) -> str | None:
-        """Return the name of an endpoint that could go on, if there is one."""
+    def _target(self, leaving: Endpoint) -> StreamTarget | None:
+        """Return an endpoint that could go on, if there is one."""
         wanted = self._selector.wanted(
             leaving.instance.service, self._clock.elapsed(), priority=0
         )
         target = self._selector.choose(wanted, frozenset({leaving.name}))
-        return target.name if target else None
+        return StreamTarget(target.name) if target else None
 
 
 def stream_view(generation: Generation, clock: Clock) -> StreamView:
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -1,12 +1,12 @@
 """Which endpoint a request goes to: what the entry knows, put to the policy."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.affinity import PrefixIndex
+from sassafrasdale.decisions.affinity import HashRing, PrefixIndex, conversation_key
 from sassafrasdale.decisions.health import Health
 from sassafrasdale.decisions.routing import choose
 from sassafrasdale.decisions.structures import (
@@ -30,6 +30,7 @@
 
     :param service: name of the service.
     :param blocks: hashes of the prompt's blocks, empty for a plain call.
+    :param conversation: hash of how the conversation begins, if it is one.
     :param prompt_tokens: estimated length of the prompt, in tokens.
     :param max_tokens: most tokens that the answer may have.
     :param priority: 0 goes first, 7 last.
@@ -40,6 +41,7 @@
     deadline: timedelta
     priority: int = 3
     blocks: tuple[int, ...] = ()
+    conversation: int | None = None
     prompt_tokens: int = 0
     max_tokens: int = 0
 
@@ -69,6 +71,7 @@
         self._rng = rng
         self._prefixes = PrefixIndex()
         self._present: set[str] = set()
+        self._rings: dict[str, HashRing] = {}
         self._prices: dict[tuple[str, str, bool], float] = {}
         self._health: dict[str, Health] = {}
 
@@ -79,14 +82,20 @@
         priority: int,
         *,
         prompt: str = "",
+        opening: Sequence[str] = (),
         max_tokens: int = 0,
     ) -> Wanted:
-        """Return what to choose an endpoint for; hashes the prompt once."""
+        """Return what to choose an endpoint for; hashes the prompt once.
+
+        :param prompt: text of all messages.
+        :param opening: messages up to and including the user's first.
+        """
         return Wanted(
             service=service,
             deadline=deadline,
             priority=priority,
             blocks=self._prefixes.blocks(prompt),
+            conversation=conversation_key(opening) if opening else None,
             prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN,
             max_tokens=max_tokens,
         )
@@ -113,6 +122,7 @@
             priority=wanted.priority,
             remaining=wanted.deadline - now,
             home_availability_zone=self._availability_zone,
+            home=self._home(wanted),
         )
         policy = RoutingPolicy(
             latency_cost=service.weights.latency_cost,
@@ -147,8 +157,20 @@
         present = {endpoint.name for endpoint in self._directory.endpoints}
         for gone in self._present - present:
             self._prefixes.forget(gone)
+        if self._present != present:
+            self._rings.clear()
         self._present = present
 
+    def _home(self, wanted: Wanted) -> str:
+        """Return the endpoint where entries meet that don't know a conversation."""
+        if wanted.conversation is None:
+            return ""
+        ring = self._rings.get(wanted.service)
+        if ring is None:
+            serving = self._directory.serving(wanted.service)
+            ring = self._rings[wanted.service] = HashRing(e.name for e in serving)
+        return ring.home(wanted.conversation)
+
     def _health_of(self, service: str) -> Health:
         if service not in self._health:
             self._health[service] = Health(self._rng)
--- a/src/sassafrasdale/requests/structures.py
+++ b/src/sassafrasdale/requests/structures.py
@@ -55,6 +55,8 @@
 
     :param call: the caller's part.
     :param prompt: text of all messages, for prefix affinity.
+    :param opening: messages up to and including the user's first; every turn of
+        one conversation begins with them.
     :param body: JSON body for the engine, already checked.
     :param max_tokens: upper bound of the answer's length, in tokens.
     :param streamed: whether the caller wants server-sent events.
@@ -62,6 +64,7 @@
 
     call: Call
     prompt: str
+    opening: tuple[str, ...]
     body: dict
     max_tokens: int
     streamed: bool
