--- a/standins/batch.py
+++ b/standins/batch.py
@@ -9,7 +9,7 @@
 from sassafrasdale.green import Event, sleep
 from standins.cache import PrefixCache
 from standins.faults import Faults
-from standins.streams import CANCELLED, FINISHED, RUNNING, Stream
+from standins.streams import CANCELLED, FINISHED, Stream
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +19,7 @@
     :param step: time of a step with one stream.
     :param step_per_stream: what each further stream adds to a step.
     :param prefill_per_token: time for one uncached token of a prompt.
+    :param kv_per_token: time to bring one token's KV cache from another engine.
     :param max_batch: streams that run at once.
     :param max_waiting: streams that wait before new ones are refused.
     """
@@ -26,6 +27,7 @@
     step: timedelta = timedelta(milliseconds=10)
     step_per_stream: timedelta = timedelta(microseconds=50)
     prefill_per_token: timedelta = timedelta(microseconds=50)
+    kv_per_token: timedelta = timedelta(microseconds=2)
     max_batch: int = 64
     max_waiting: int = 256
 
@@ -65,7 +67,7 @@
     @property
     def running_tokens(self) -> int:
         """Tokens of the running streams' contexts."""
-        return sum(len(stream.prompt) + stream.position for stream in self._running)
+        return sum(stream.context_tokens for stream in self._running)
 
     @property
     def full(self) -> bool:
@@ -105,9 +107,7 @@
             _, _, stream = heapq.heappop(self._waiting)
             if stream.ended:
                 continue
-            stream.state = RUNNING
-            stream.cached = self._cache.lookup(stream.prompt)
-            prefill += len(stream.prompt) - stream.cached + stream.recomputed
+            prefill += stream.begin(self._cache.lookup(stream.prompt))
             self._cache.store(stream.prompt)
             self._running.append(stream)
         return prefill * self._speed.prefill_per_token
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,9 +15,12 @@
 import uuid
 from collections import Counter
 from collections.abc import Callable, Iterator
-from datetime import timedelta
+from dataclasses import dataclass
+from datetime import datetime, timedelta
 from typing import Any
 
+from urllib3.exceptions import HTTPError
+
 from sassafrasdale.clock import Clock, SystemClock
 from sassafrasdale.green import http_pool, listen, sleep, spawn
 from sassafrasdale.structures import Address
@@ -39,11 +42,35 @@
 RECONNECT_WINDOW = timedelta(seconds=10)
 """How long a stream goes on with nobody reading it."""
 
+COMPLETIONS = "/v1/chat/completions"
+FETCH_LIMIT = timedelta(seconds=2)
 EVENT_POLL = timedelta(milliseconds=50)
 DEFAULT_MAX_TOKENS = 16
 DEFAULT_PRIORITY = 4
 
 
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """A call that the engine took on."""
+
+    stream: Stream
+    idempotency_key: str
+    at: datetime
+
+    def json(self) -> dict[str, Any]:
+        """Return the execution as the log shows it."""
+        return {
+            "request_id": self.stream.stream_id,
+            "idempotency_key": self.idempotency_key,
+            "continue_from": self.stream.first,
+            "recomputed_tokens": self.stream.recomputed,
+            "cached_tokens": self.stream.cached,
+            "tokens": self.stream.position,
+            "state": self.stream.state,
+            "at": self.at.isoformat(),
+        }
+
+
 class Engine:
     """One model engine."""
 
@@ -59,15 +86,16 @@
     ) -> None:
         self._clock = clock
         self._name = name
+        self._speed = speed
         self._cache = cache
         self._checks_fencing = checks_fencing
         self._load_lag = load_lag
-        self._faults = Faults(clock)
+        self._faults = Faults(clock, _is_work)
         self._batch = Batch(clock, speed, cache, self._faults, self._is_abandoned)
         self._streams: dict[str, Stream] = {}
         self._exports: dict[str, Stream] = {}
-        self._imports: set[str] = set()
-        self._log: list[dict[str, Any]] = []
+        self._imports: dict[str, int] = {}
+        self._log: list[Execution] = []
         self._orders: dict[str, Any] = {}
         self._fencing_number = 0
         self._load: dict[str, Any] = {}
@@ -80,7 +108,7 @@
     def routes(self) -> tuple[Route, ...]:
         """Return the routes of the API and of the controls."""
         return (
-            Route("POST", "/v1/chat/completions", self._complete),
+            Route("POST", COMPLETIONS, self._complete),
             Route("GET", "/v1/streams/{id}", self._resume),
             Route("POST", "/v1/streams/{id}/cancel", self._cancel),
             Route("POST", "/v1/streams/{id}/export", self._export),
@@ -113,45 +141,48 @@
         return self._whole_answer(stream)
 
     def _open_stream(self, request: Request, body: dict[str, Any]) -> Stream:
-        stream_id = request.header("X-Request-Id") or uuid.uuid4().hex
-        first = int(body.get("continue_from", 0))
         transfer = body.get("kv_transfer_params")
-        recompute = not (transfer and self._fetch(transfer))
         messages = body["messages"]
         model = body.get("model", "")
         stream = Stream(
-            stream_id,
+            request.header("X-Request-Id") or uuid.uuid4().hex,
             model,
             TokenSource(model, messages),
             prompt_tokens(messages),
-            int(body.get("max_tokens", DEFAULT_MAX_TOKENS)),
-            int(body.get("priority", DEFAULT_PRIORITY)),
-            first,
-            recompute,
+            max_tokens=int(body.get("max_tokens", DEFAULT_MAX_TOKENS)),
+            priority=int(body.get("priority", DEFAULT_PRIORITY)),
+            first=int(body.get("continue_from", 0)),
+            continues="continue_from" in body,
+            transferred=bool(transfer) and self._fetch(transfer),
         )
         self._log.append(
-            {
-                "request_id": stream_id,
-                "idempotency_key": request.header("Idempotency-Key"),
-                "continue_from": first,
-                "recomputed_tokens": stream.recomputed,
-                "at": self._clock.now().isoformat(),
-            }
+            Execution(stream, request.header("Idempotency-Key"), self._clock.now())
         )
         return stream
 
     def _fetch(self, transfer: dict[str, Any]) -> bool:
+        """Bring a KV cache here and return whether it could be had."""
+        tokens = self._imports.get(transfer["kv_handle"])
+        if tokens is None:
+            tokens = self._exported_tokens(transfer)
+            if tokens is None:
+                return False
+            sleep(self._speed.kv_per_token * tokens * self._faults.slow_factor)
+        return True
+
+    def _exported_tokens(self, transfer: dict[str, Any]) -> int | None:
         handle = transfer["kv_handle"]
-        if handle in self._exports or handle in self._imports:
-            return True
-        pool = http_pool(Address.parse(transfer["remote_address"]))
+        if handle in self._exports:
+            return self._exports[handle].context_tokens
+        address = Address.parse(transfer["remote_address"])
+        pool = http_pool(address, read_timeout=FETCH_LIMIT)
         try:
-            found = pool.request("GET", f"/v1/exports/{handle}").status == 200
-        except Exception:
-            return False
+            answer = pool.request("GET", f"/v1/exports/{handle}")
+            return answer.json()["tokens"] if answer.status == 200 else None
+        except HTTPError:
+            return None
         finally:
             pool.close()
-        return found
 
     def _is_abandoned(self, stream: Stream) -> bool:
         if stream.readers or stream.lost_at is None:
@@ -159,7 +190,7 @@
         return self._clock.elapsed() - stream.lost_at > RECONNECT_WINDOW
 
     def _stream_answer(self, request: Request, stream: Stream, after: int) -> Answer:
-        stream.readers += 1
+        stream.lost_at = self._clock.elapsed()
         return Answer(
             chunks=self._events(request, stream, after),
             content_type="text/event-stream",
@@ -171,6 +202,7 @@
         A stream that was cancelled or exported just stops, with no last chunk, so
         that it can't be taken for a finished one.
         """
+        stream.readers += 1
         try:
             while not stream.ended or after < stream.position:
                 if after >= stream.position:
@@ -240,14 +272,16 @@
     def _fetch_export(self, _request: Request, handle: str) -> Answer:
         if handle not in self._exports:
             return Answer({"error": f"no handle {handle}"}, status=404)
-        return Answer({"tokens": self._exports[handle].position})
+        return Answer({"tokens": self._exports[handle].context_tokens})
 
     def _import(self, request: Request) -> Answer:
         body = request.json()
-        if not self._fetch(body):
+        tokens = self._exported_tokens(body)
+        if tokens is None:
             return Answer({"error": "handle is gone"}, status=404)
-        self._imports.add(body["kv_handle"])
-        return Answer({})
+        sleep(self._speed.kv_per_token * tokens * self._faults.slow_factor)
+        self._imports[body["kv_handle"]] = tokens
+        return Answer({"tokens": tokens})
 
     def _report_load(self) -> None:
         while True:
@@ -297,23 +331,29 @@
         return Answer({"fencing_number": self._fencing_number, "state": state})
 
     def _health(self, _request: Request) -> Answer:
-        return Answer({"status": "ok"})
+        return Answer({"status": "ok", "name": self._name})
 
     def _list_log(self, _request: Request) -> Answer:
-        return Answer({"executions": self._log})
+        return Answer({"executions": [item.json() for item in self._log]})
 
     def _count(self, _request: Request) -> Answer:
+        streams = [item.stream for item in self._log]
         return Answer(
             {
-                "executions": len(self._log),
-                "by_request_id": Counter(item["request_id"] for item in self._log),
-                "recomputed_tokens": sum(
-                    item["recomputed_tokens"] for item in self._log
+                "executions": len(streams),
+                "by_request_id": Counter(stream.stream_id for stream in streams),
+                "generated_tokens": sum(
+                    stream.position - stream.first for stream in streams
                 ),
+                "recomputed_tokens": sum(stream.recomputed for stream in streams),
             }
         )
 
 
+def _is_work(request: Request) -> bool:
+    return request.method == "POST" and request.path == COMPLETIONS
+
+
 def _unknown_stream(stream_id: str) -> Answer:
     return Answer({"error": f"no stream {stream_id}"}, status=404)
 
@@ -339,6 +379,7 @@
         step=timedelta(milliseconds=arguments.step_ms),
         step_per_stream=timedelta(milliseconds=arguments.step_per_stream_ms),
         prefill_per_token=timedelta(milliseconds=arguments.prefill_ms_per_token),
+        kv_per_token=timedelta(milliseconds=arguments.kv_ms_per_token),
         max_batch=arguments.max_batch,
         max_waiting=arguments.max_waiting,
     )
@@ -352,6 +393,7 @@
     add("--step-ms", type=float, default=10.0)
     add("--step-per-stream-ms", type=float, default=0.05)
     add("--prefill-ms-per-token", type=float, default=0.05)
+    add("--kv-ms-per-token", type=float, default=0.002)
     add("--max-batch", type=int, default=64)
     add("--max-waiting", type=int, default=256)
     add("--cache-tokens", type=int, default=65_536)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -6,7 +6,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import sleep
-from standins.web import Answer, AnswerDroppedError, Request, Route
+from standins.web import Answer, AnswerDroppedError, Connection, Request, Route
 
 FREEZE_POLL = timedelta(milliseconds=10)
 REFUSED = (("X-Refused", "not-started"), ("Retry-After", "1"))
@@ -24,15 +24,20 @@
       with no answer. ``drop_prefix`` limits it to paths with that prefix.
     - ``silence_connections``: true makes every connection that is open now
       silent for good, while new ones work.
+    - ``cut_connections``: true closes every connection that is open now.
     - ``refuse``: true answers new work 503 with ``X-Refused: not-started``.
     - ``outage``: ``"refuse"`` answers 503 without that header, ``"close"`` closes
       the connection, ``"silent"`` keeps it open and never answers, null ends it.
 
     :param clock: measures freezes.
+    :param is_work: whether a request is work that ``refuse`` refuses.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, is_work: Callable[[Request], bool] = lambda request: True
+    ) -> None:
         self._clock = clock
+        self._is_work = is_work
         self._frozen_until = timedelta()
         self._silent_before = timedelta(seconds=-1)
         self._delay = timedelta()
@@ -67,7 +72,7 @@
         self.hold_if_silent(request)
         if self._outage is not None:
             return self._fail(request)
-        if self._refuse and request.method != "GET":
+        if self._refuse and self._is_work(request):
             return Answer({"error": "refused"}, status=503, headers=REFUSED)
         if self._delay:
             sleep(self._delay)
@@ -111,7 +116,10 @@
         return True
 
     def _set(self, request: Request) -> Answer:
-        self.set(request.json())
+        wanted = request.json()
+        if wanted.pop("cut_connections", False):
+            Connection.cut_all(kept=request.connection)
+        self.set(wanted)
         return Answer({})
 
     def set(self, wanted: Mapping[str, Any]) -> None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,7 +13,8 @@
   ``drop_key_prefix`` (limits that to writes of such a key), ``deaf_watches``
   (while true, watches deliver nothing, and those open then never do again),
   ``writes_per_second``, ``calls_per_second``; the cloud also takes
-  ``list_lag_ms`` and ``refuse_starts``.
+  ``list_lag_ms`` and ``refuse_starts``. ``cut_connections`` stands beside
+  ``store`` and ``cloud`` and closes the open connections of both.
 - ``POST /standin/instances`` with an instance registers it in the list;
   ``DELETE /standin/instances/{name}`` takes it out; ``GET`` lists without lag.
 - ``POST /standin/notices`` with ``{"instance" or "availability_zone", "seconds",
@@ -50,6 +51,7 @@
     Answer,
     AnswerDroppedError,
     Application,
+    Connection,
     Request,
     Route,
     bound_address,
@@ -211,6 +213,8 @@
 
     def set_faults(request: Request) -> Answer:
         body = request.json()
+        if body.get("cut_connections"):
+            Connection.cut_all(kept=request.connection)
         store.set_faults(body.get("store", {}))
         cloud.set_faults(body.get("cloud", {}))
         return Answer({})
--- a/standins/service.py
+++ b/standins/service.py
@@ -44,7 +44,7 @@
         self._name = name
         self._delay = delay
         self._log: list[dict[str, Any]] = []
-        self._faults = Faults(clock)
+        self._faults = Faults(clock, _is_work)
 
     def routes(self) -> tuple[Route, ...]:
         """Return the service's own routes and the controls."""
@@ -57,9 +57,8 @@
 
     def around(self, request: Request, answer: Callable[[Request], Answer]) -> Answer:
         """Answer one request with the present faults."""
-        if request.path.startswith("/standin/") or request.path == "/health":
-            return self._faults.around(request, answer)
-        return self._faults.around(request, self._execute)
+        handler = self._execute if _is_work(request) else answer
+        return self._faults.around(request, handler)
 
     def _execute(self, request: Request) -> Answer:
         sleep(self._delay * self._faults.slow_factor)
@@ -109,6 +108,10 @@
         )
 
 
+def _is_work(request: Request) -> bool:
+    return request.path != "/health" and not request.path.startswith("/standin/")
+
+
 def main() -> None:
     """Serve until the process is ended."""
     parser = argument_parser(__doc__)
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -32,7 +32,8 @@
     """One generation.
 
     :param first: tokens up to here were generated elsewhere.
-    :param recompute: whether those have to be computed again.
+    :param continues: whether another engine began the generation.
+    :param transferred: whether the KV cache came over from that engine.
     """
 
     def __init__(
@@ -41,10 +42,12 @@
         model: str,
         source: TokenSource,
         prompt: list[str],
+        *,
         max_tokens: int,
         priority: int,
         first: int = 0,
-        recompute: bool = True,
+        continues: bool = False,
+        transferred: bool = False,
     ) -> None:
         self.stream_id = stream_id
         self.model = model
@@ -54,8 +57,10 @@
         self.priority = priority
         self.first = first
         self.position = first
-        self.recomputed = first if recompute else 0
+        self.recomputed = 0
         self.cached = 0
+        self._continues = continues
+        self._transferred = transferred
         self.state = WAITING
         self.readers = 0
         self.lost_at: timedelta | None = None
@@ -71,6 +76,25 @@
         """Whether no further token comes."""
         return self.state not in (WAITING, RUNNING)
 
+    @property
+    def context_tokens(self) -> int:
+        """Tokens whose KV cache the stream holds."""
+        return len(self.prompt) + self.position
+
+    def begin(self, cached: int) -> int:
+        """Start to run and return how many tokens have to be prefilled.
+
+        :param cached: leading tokens of the prompt in the engine's cache.
+        """
+        self.state = RUNNING
+        self.cached = len(self.prompt) if self._transferred else cached
+        missing = len(self.prompt) - self.cached
+        if not self._transferred:
+            missing += self.first
+        if self._continues:
+            self.recomputed = missing
+        return missing
+
     def events(self, first: int, last: int) -> bytes:
         """Return the events of the tokens from ``first`` to ``last``."""
         return b"".join(
--- a/standins/web.py
+++ b/standins/web.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Any
+from typing import Any, ClassVar
 from urllib.parse import parse_qsl, unquote
 
 from sassafrasdale.clock import Clock, SystemClock
@@ -28,11 +28,24 @@
 
     clock: Clock = SystemClock()
     minimum_chunk_size = 1
+    _open: ClassVar[set["Connection"]] = set()
 
     def setup(self) -> None:
         """Note when the connection was opened."""
         super().setup()
         self.opened_at = self.clock.elapsed()
+        self._open.add(self)
+
+    def finish(self) -> None:
+        """Forget the connection."""
+        self._open.discard(self)
+        super().finish()
+
+    @classmethod
+    def cut_all(cls, kept: "Connection") -> None:
+        """Cut every open connection but ``kept``."""
+        for connection in cls._open - {kept}:
+            connection.cut()
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the connection in it."""
--- /dev/null
+++ b/tests/standins/test_cache.py
@@ -0,0 +1,50 @@
+"""Tests of the prefix cache."""
+
+import random
+from datetime import timedelta
+
+from sassafrasdale.clock import ManualClock
+from standins.cache import BLOCK_TOKENS, PrefixCache
+
+
+def tokens(blocks: int, name: str = "t") -> list[str]:
+    return [f"{name}{number}" for number in range(blocks * BLOCK_TOKENS)]
+
+
+def make_cache(blocks: int, clock: ManualClock, lag: int = 0, loss: float = 0.0):
+    return PrefixCache(
+        blocks * BLOCK_TOKENS,
+        clock.elapsed,
+        random.Random(1),
+        timedelta(seconds=lag),
+        loss,
+    )
+
+
+def test_a_prefix_is_found_up_to_its_last_whole_block():
+    cache = make_cache(8, ManualClock())
+    cache.store(tokens(2))
+    assert cache.lookup(tokens(3)) == 2 * BLOCK_TOKENS
+    assert cache.lookup(["other", *tokens(2)]) == 0
+
+
+def test_the_least_recently_used_blocks_go():
+    cache = make_cache(2, ManualClock())
+    cache.store(tokens(1, "a"))
+    cache.store(tokens(1, "b"))
+    cache.lookup(tokens(1, "a"))
+    cache.store(tokens(1, "c"))
+    assert cache.lookup(tokens(1, "a"))
+    assert not cache.lookup(tokens(1, "b"))
+
+
+def test_events_come_late_and_with_gaps():
+    """A reader of cache events misses some and sees the rest too late."""
+    clock = ManualClock()
+    cache = make_cache(100, clock, lag=2, loss=0.5)
+    cache.store(tokens(40))
+    assert cache.events_after(0) == []
+    clock.advance(timedelta(seconds=2))
+    seen = [event.sequence for event in cache.events_after(0)]
+    assert 0 < len(seen) < 40
+    assert cache.events_after(seen[-1]) == []
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,291 @@
+"""Tests of the model engine, and of each fault that it can have."""
+
+import json
+import time
+from collections.abc import Iterator
+from datetime import timedelta
+from http.client import HTTPConnection
+from typing import Any
+
+import pytest
+from urllib3.exceptions import ProtocolError, ReadTimeoutError
+
+from standins.generation import reference_text
+from standins.processes import Client, EngineProcess
+
+COMPLETIONS = "/v1/chat/completions"
+LIMIT = timedelta(seconds=5)
+QUESTION = [{"role": "user", "content": " ".join(f"word{n}" for n in range(64))}]
+
+
+def body(max_tokens: int = 8, **fields: Any) -> dict[str, Any]:
+    return {"model": "m", "messages": QUESTION, "max_tokens": max_tokens, **fields}
+
+
+def ask(client: Client, name: str = "", **fields: Any):
+    headers = {"X-Request-Id": name} if name else None
+    return client.call("POST", COMPLETIONS, body(**fields), headers)
+
+
+def open_stream(client: Client, name: str, **fields: Any):
+    headers = {"X-Request-Id": name}
+    return client.stream("POST", COMPLETIONS, body(stream=True, **fields), headers)
+
+
+def begin(engine: EngineProcess, name: str, **fields: Any) -> HTTPConnection:
+    """Ask for a stream without waiting for its first token."""
+    connection = HTTPConnection(*engine.address.split(":"), timeout=5)
+    message = json.dumps(body(stream=True, **fields))
+    connection.request("POST", COMPLETIONS, message, {"X-Request-Id": name})
+    return connection
+
+
+def states(engine: EngineProcess) -> dict[str, str]:
+    return {item["request_id"]: item["state"] for item in engine.executions()}
+
+
+def wait_until_known(engine: EngineProcess, *names: str) -> None:
+    deadline = time.monotonic() + 5
+    while time.monotonic() < deadline and not set(names) <= set(states(engine)):
+        time.sleep(0.01)
+
+
+def events(response) -> Iterator[str]:
+    """Yield the data of each event."""
+    rest = b""
+    for piece in response.stream(65536):
+        *whole, rest = (rest + piece).split(b"\n\n")
+        yield from (event.decode().removeprefix("data: ") for event in whole)
+
+
+def text_of(found: list[str]) -> str:
+    """Return the text of events, without the end mark."""
+    chunks = [json.loads(event) for event in found if event != "[DONE]"]
+    return "".join(chunk["choices"][0]["delta"].get("content", "") for chunk in chunks)
+
+
+def take(found: Iterator[str], count: int) -> list[str]:
+    """Return the next ``count`` events."""
+    return [next(found) for _ in range(count)]
+
+
+@pytest.fixture
+def client(engine):
+    return Client(engine.address, LIMIT)
+
+
+def test_whole_and_streamed_answers_are_the_reference(client):
+    wanted = reference_text("m", QUESTION, 8)
+    answer = ask(client).json()
+    assert answer["choices"][0]["message"]["content"] == wanted
+    found = list(events(open_stream(client, "r")))
+    assert text_of(found) == wanted
+    assert found[-1] == "[DONE]"
+    last = json.loads(found[-2])
+    assert last["choices"][0]["finish_reason"] == "stop"
+    assert last["usage"]["completion_tokens"] == 8
+
+
+def test_a_repeated_prompt_is_cached(client):
+    assert ask(client).json()["usage"]["prompt_tokens_details"]["cached_tokens"] == 0
+    usage = ask(client).json()["usage"]
+    assert usage["prompt_tokens"] == 65
+    assert usage["prompt_tokens_details"]["cached_tokens"] == 64
+
+
+def test_a_broken_stream_goes_on_and_is_resumed(client):
+    """A reader loses its connection and gets the rest without a gap.
+
+    It reads some tokens, its connection breaks, the engine goes on; a new
+    connection asks for what comes after the last token received.
+    """
+    response = open_stream(client, "broken", max_tokens=60)
+    found = events(response)
+    before = take(found, 5)
+    response.close()
+    time.sleep(0.1)
+    rest = client.stream("GET", "/v1/streams/broken?after=5")
+    assert text_of(before + list(events(rest))) == reference_text("m", QUESTION, 60)
+    assert client.call("GET", "/v1/streams/other").status == 404
+
+
+def test_connections_are_cut_in_the_middle(engine, client):
+    """A reader sees its stream end without the end mark, then resumes it."""
+    response = open_stream(client, "cut", max_tokens=60)
+    found = events(response)
+    before = take(found, 3)
+    engine.set_faults(cut_connections=True)
+    with pytest.raises(ProtocolError):
+        before.extend(found)
+    rest = client.stream("GET", f"/v1/streams/cut?after={len(before)}")
+    assert text_of(before + list(events(rest))) == reference_text("m", QUESTION, 60)
+
+
+def test_a_silent_stream_is_resumed_on_a_new_connection(engine, client):
+    """A reader hears nothing more although the engine goes on generating.
+
+    The stream runs, something between the ends loses track of the connection;
+    a new connection brings the rest.
+    """
+    response = open_stream(client, "silent", max_tokens=60)
+    found = events(response)
+    before = take(found, 3)
+    engine.set_faults(silence_connections=True)
+    response.connection.sock.settimeout(0.3)
+    with pytest.raises((ReadTimeoutError, TimeoutError)):
+        before.extend(found)
+    rest = client.stream("GET", f"/v1/streams/silent?after={len(before)}")
+    assert text_of(before + list(events(rest))) == reference_text("m", QUESTION, 60)
+
+
+def test_a_cancelled_stream_stops_without_an_end_mark(client):
+    found = events(open_stream(client, "cancelled", max_tokens=1000))
+    next(found)
+    assert client.call("POST", "/v1/streams/cancelled/cancel").status == 200
+    assert "[DONE]" not in list(found)
+    assert client.call("GET", "/v1/streams/cancelled").status == 404
+
+
+def test_a_moved_stream_recomputes_nothing(engine, client):
+    """An announced reclaim costs no token when the KV cache is moved.
+
+    The first engine exports the stream, the second goes on with its cache.
+    """
+    found = events(open_stream(client, "moved", max_tokens=60))
+    next(found)
+    exported = client.call("POST", "/v1/streams/moved/export").json()
+    assert "[DONE]" not in list(found)
+    with EngineProcess("engine-2", step_ms=5) as other:
+        remote = {"remote_address": engine.address, "kv_handle": exported["kv_handle"]}
+        second = Client(other.address, LIMIT)
+        assert second.call("POST", "/v1/cache/import", remote).status == 200
+        engine.kill()
+        check_continued(second, exported["tokens"], 0, kv_transfer_params=remote)
+
+
+def test_a_lost_stream_is_recomputed(engine, client):
+    """A killed engine costs the tokens that it had computed.
+
+    The engine dies, so its handle is gone; another one computes the prompt and
+    the first tokens again and says how many that were.
+    """
+    with EngineProcess("engine-2", step_ms=5) as other:
+        second = Client(other.address, LIMIT)
+        remote = {"remote_address": engine.address, "kv_handle": "kv-lost"}
+        engine.kill()
+        check_continued(second, 20, 65 + 20, kv_transfer_params=remote)
+        check_continued(second, 20, 1 + 20)
+
+
+def check_continued(client: Client, first: int, recomputed: int, **fields: Any) -> None:
+    continuation = reference_text("m", QUESTION, first)
+    response = open_stream(
+        client,
+        "continued",
+        max_tokens=60,
+        continue_from=first,
+        continuation=continuation,
+        **fields,
+    )
+    found = list(events(response))
+    assert continuation + text_of(found) == reference_text("m", QUESTION, 60)
+    assert json.loads(found[-2])["usage"]["recomputed_tokens"] == recomputed
+
+
+def test_priority_decides_who_leaves_the_queue_first():
+    with EngineProcess("engine-1", step_ms=5, max_batch=1) as engine:
+        begin(engine, "running", max_tokens=60)
+        wait_until_known(engine, "running")
+        begin(engine, "late", priority=7, max_tokens=1)
+        wait_until_known(engine, "late")
+        soon = begin(engine, "soon", priority=0, max_tokens=30)
+        soon.getresponse().readline()
+        assert states(engine)["late"] == "waiting"
+
+
+def test_a_full_queue_refuses():
+    """A caller is turned away before anything ran, and is told so."""
+    with EngineProcess("engine-1", step_ms=5, max_batch=1, max_waiting=1) as engine:
+        begin(engine, "running", max_tokens=1000).getresponse().readline()
+        begin(engine, "waiting", max_tokens=1000)
+        wait_until_known(engine, "waiting")
+        answer = ask(Client(engine.address, LIMIT), "refused")
+        assert answer.status == 429
+        assert answer.headers["X-Refused"] == "not-started"
+        assert "refused" not in engine.counts()["by_request_id"]
+
+
+def test_an_answer_is_lost_after_the_generation(engine, client):
+    """A caller's connection breaks although its whole answer was generated."""
+    engine.set_faults(drop_answers=1)
+    with pytest.raises(ProtocolError):
+        ask(client, "dropped")
+    found = engine.executions()
+    assert [(item["request_id"], item["tokens"]) for item in found] == [("dropped", 8)]
+
+
+def test_new_work_is_refused_while_old_work_goes_on(engine, client):
+    """A leaving engine finishes its stream but takes no new one."""
+    found = events(open_stream(client, "old", max_tokens=40))
+    next(found)
+    engine.set_faults(refuse=True)
+    answer = ask(client, "new")
+    assert (answer.status, answer.headers["X-Refused"]) == (503, "not-started")
+    assert list(found)[-1] == "[DONE]"
+
+
+@pytest.mark.parametrize("whole_process", [False, True])
+def test_a_freeze_stops_the_stream_and_ends(engine, client, whole_process):
+    """A reader hears nothing for a while, then the stream goes on."""
+    found = events(open_stream(client, "frozen", max_tokens=60))
+    next(found)
+    started = time.monotonic()
+    if whole_process:
+        engine.freeze()
+        time.sleep(0.5)
+        engine.thaw()
+    else:
+        engine.set_faults(freeze_ms=500)
+    assert list(found)[-1] == "[DONE]"
+    assert time.monotonic() - started > 0.5
+
+
+def test_a_slow_engine_takes_a_multiple(engine, client):
+    engine.set_faults(slow_factor=10)
+    started = time.monotonic()
+    ask(client)
+    assert time.monotonic() - started > 8 * 0.05
+
+
+def test_load_is_reported_late():
+    with EngineProcess("engine-1", step_ms=5, load_lag_ms=400) as engine:
+        client = Client(engine.address, LIMIT)
+        next(events(open_stream(client, "running", max_tokens=1000)))
+        assert client.call("GET", "/v1/load").json()["running"] == 0
+        time.sleep(0.6)
+        assert client.call("GET", "/v1/load").json()["running"] == 1
+
+
+def test_cache_events_follow_the_cache(client):
+    ask(client)
+    found = client.call("GET", "/v1/cache/events?after=0&wait_ms=500").json()
+    assert [event["kind"] for event in found["events"]] == ["stored"] * 4
+    path = f"/v1/cache/events?after={found['next']}&wait_ms=10"
+    assert client.call("GET", path).json()["events"] == []
+
+
+@pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+def test_an_old_fencing_number(checks, status):
+    """A holder of a lapsed lease orders an engine about.
+
+    The new holder's order came first; the engine refuses the old one only where
+    it checks fencing numbers.
+    """
+    with EngineProcess("engine-1", checks_fencing=checks) as engine:
+        client = Client(engine.address, LIMIT)
+        order = {"kind": "load_model", "fencing_number": 5, "value": "new"}
+        assert client.call("POST", "/v1/orders", order).status == 200
+        order = {"kind": "load_model", "fencing_number": 4, "value": "old"}
+        assert client.call("POST", "/v1/orders", order).status == status
+        state = client.call("GET", "/v1/orders").json()["state"]
+        assert state["load_model"] == ("new" if checks else "old")
--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,186 @@
+"""Tests of the platform's store over HTTP, and of each fault that it can have."""
+
+import json
+import time
+from datetime import timedelta
+
+import pytest
+from urllib3.exceptions import HTTPError, ProtocolError, ReadTimeoutError
+
+from standins.processes import Client, PlatformProcess
+from tests.standins.etcd import encode, get, put, value, watch
+
+
+def create(client: Client, key: str, text: str) -> dict:
+    absent = {"key": encode(key), "target": "CREATE", "create_revision": "0"}
+    write = {"request_put": {"key": encode(key), "value": encode(text)}}
+    read = {"request_range": {"key": encode(key)}}
+    body = {"compare": [absent], "success": [write], "failure": [read]}
+    return client.call("POST", "/v3/kv/txn", body).json()
+
+
+def test_create_if_absent_takes_effect_once(store):
+    assert create(store, "claim", "first")["succeeded"] is True
+    answer = create(store, "claim", "second")
+    assert "succeeded" not in answer
+    found = answer["responses"][0]["response_range"]["kvs"][0]
+    assert found["value"] == encode("first")
+
+
+@pytest.mark.parametrize(
+    ("target", "field", "wanted"),
+    [
+        ("MOD", "mod_revision", None),
+        ("VERSION", "version", "1"),
+        ("VALUE", "value", encode("v")),
+    ],
+)
+def test_compares(store, target, field, wanted):
+    put(store, f"compare-{target}", "v")
+    found = get(store, f"compare-{target}")
+    compare = {"key": found["key"], "target": target, field: wanted or found[field]}
+    body = {"compare": [compare]}
+    assert store.call("POST", "/v3/kv/txn", body).json()["succeeded"] is True
+    body["compare"][0]["result"] = "NOT_EQUAL"
+    assert "succeeded" not in store.call("POST", "/v3/kv/txn", body).json()
+
+
+def test_json_names_of_fields_are_taken_too(store):
+    write = {"requestPut": {"key": encode("camel"), "value": encode("v")}}
+    compare = {"key": encode("camel"), "target": "CREATE", "createRevision": "0"}
+    body = {"compare": [compare], "success": [write]}
+    assert store.call("POST", "/v3/kv/txn", body).json()["succeeded"] is True
+    body = {"key": encode("came"), "rangeEnd": encode("camf")}
+    assert store.call("POST", "/v3/kv/range", body).json()["count"] == "1"
+
+
+def test_a_value_above_a_mebibyte_is_refused(store):
+    assert put(store, "large", "x" * 1024 * 1024).status == 200
+    assert put(store, "large", "x" * (1024 * 1024 + 1)).status == 400
+
+
+def test_a_lease_takes_its_key_along(store):
+    lease = store.call("POST", "/v3/lease/grant", {"TTL": "1"}).json()["ID"]
+    put(store, "leased", "v", lease=lease)
+    kept = store.call("POST", "/v3/lease/keepalive", {"ID": lease}).json()
+    assert kept["result"]["TTL"] == "1"
+    deadline = time.monotonic() + 5
+    while value(store, "leased") and time.monotonic() < deadline:
+        time.sleep(0.05)
+    assert value(store, "leased") is None
+    kept = store.call("POST", "/v3/lease/keepalive", {"ID": lease}).json()
+    assert "TTL" not in kept["result"]
+
+
+def test_a_watch_replays_and_follows(store):
+    put(store, "watched", "1")
+    revision = int(get(store, "watched")["mod_revision"])
+    answer = watch(store, "watched", revision)
+    lines = iter(answer)
+    assert json.loads(next(lines))["result"]["created"] is True
+    assert json.loads(next(lines))["result"]["events"][0]["kv"]["value"] == encode("1")
+    store.call("POST", "/v3/kv/deleterange", {"key": encode("watched")})
+    assert json.loads(next(lines))["result"]["events"][0]["type"] == "DELETE"
+    answer.close()
+
+
+def test_calls_above_the_rate_are_refused_without_effect(platform, store):
+    platform.set_faults(store={"writes_per_second": 1})
+    time.sleep(0.01)
+    statuses = [put(store, "rate", str(number)).status for number in range(3)]
+    platform.set_faults(store={"writes_per_second": 300})
+    assert statuses[-1] == 429
+    assert value(store, "rate") != "2"
+    counts = platform.counts()["store"]
+    assert counts["refused"] >= 1
+    assert counts["kv/put"] >= 3
+
+
+@pytest.mark.parametrize("kind", ["refuse", "close", "silent"])
+def test_an_outage_ends_and_left_no_effect(platform, kind):
+    """A user's call of the store fails, or hangs until the caller's own limit.
+
+    The store goes away, the call comes, the store comes back. The controls have to
+    answer all the while, or no test could end the outage.
+    """
+    client = Client(platform.store, timedelta(seconds=0.3))
+    platform.set_faults(store={"outage": kind})
+    try:
+        if kind == "refuse":
+            assert put(client, f"outage-{kind}", "v").status == 503
+        else:
+            with pytest.raises((ProtocolError, ReadTimeoutError)):
+                put(client, f"outage-{kind}", "v")
+    finally:
+        platform.set_faults(store={"outage": None})
+    assert value(client, f"outage-{kind}") is None
+
+
+def test_an_answer_is_lost_after_the_write_took_effect(platform, store):
+    """A writer sees its connection close and cannot tell what became of its write.
+
+    The write takes effect, then its answer is lost. Only reading back shows it.
+    """
+    platform.set_faults(store={"drop_writes": 1, "drop_key_prefix": "lost/"})
+    assert put(store, "other", "v").status == 200
+    with pytest.raises(ProtocolError):
+        put(store, "lost/key", "v")
+    assert value(store, "lost/key") == "v"
+    assert put(store, "lost/key", "w").status == 200
+
+
+def test_a_deaf_watch_never_hears_again_but_a_new_one_does(platform, store):
+    """An entry keeps an old text for ever, though its watch looks open.
+
+    The watch is open, something between the ends forgets it, a write comes, and
+    the path heals. A watch opened after that delivers what was missed.
+    """
+    answer = watch(store, "deaf")
+    lines = iter(answer)
+    next(lines)
+    platform.set_faults(store={"deaf_watches": True})
+    put(store, "deaf", "1")
+    platform.set_faults(store={"deaf_watches": False})
+    put(store, "deaf", "2")
+    answer.connection.sock.settimeout(1)
+    with pytest.raises((HTTPError, TimeoutError)):
+        next(lines)
+    revision = int(get(store, "deaf")["mod_revision"])
+    lines = iter(watch(store, "deaf", revision))
+    next(lines)
+    assert json.loads(next(lines))["result"]["events"][0]["kv"]["value"] == encode("2")
+
+
+def test_an_outage_cuts_open_watches(platform, store):
+    """A watch ends with a broken connection when the store goes down."""
+    lines = iter(watch(store, "cut"))
+    next(lines)
+    platform.set_faults(store={"outage": "close"})
+    with pytest.raises(ProtocolError):
+        next(lines)
+
+
+def test_the_store_can_be_slow(platform, store):
+    platform.set_faults(store={"delay_ms": 200})
+    started = time.monotonic()
+    assert put(store, "slow", "v").status == 200
+    assert time.monotonic() - started >= 0.2
+
+
+def test_open_connections_go_silent_while_new_ones_work(platform: PlatformProcess):
+    """A pooled connection hangs though the store is well.
+
+    The connection is opened and used, something between the ends loses track of
+    it, and only a fresh connection gets an answer.
+    """
+    old = Client(platform.store, timedelta(seconds=0.3))
+    put(old, "silence", "1")
+    platform.set_faults(store={"silence_connections": True})
+    with pytest.raises(ReadTimeoutError):
+        put(old, "silence", "2")
+    assert value(Client(platform.store), "silence") == "1"
+
+
+def test_an_unknown_fault_is_refused(platform):
+    answer = platform.client.call("POST", "/standin/faults", {"store": {"no": 1}})
+    assert answer.status == 400
--- /dev/null
+++ b/tests/standins/test_processes.py
@@ -0,0 +1,48 @@
+"""Tests of starting and ending processes."""
+
+import os
+
+import pytest
+from urllib3.exceptions import HTTPError
+
+from standins.processes import Client, ManagedProcess, ProcessError, ServiceProcess
+
+
+def is_alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def test_a_process_ends_with_its_block():
+    with ServiceProcess("service-1") as service:
+        pid = service.pid
+        assert is_alive(pid)
+        service.freeze()
+    assert not is_alive(pid)
+
+
+def test_a_killed_process_answers_nobody():
+    with ServiceProcess("service-1") as service:
+        service.kill()
+        with pytest.raises(HTTPError):
+            Client(service.address).call("GET", "/health")
+
+
+def test_a_process_that_fails_to_start_shows_its_error():
+    process = ServiceProcess("service-1", no_such_flag=1)
+    with pytest.raises(ProcessError, match="no-such-flag"):
+        process.__enter__()
+
+
+def test_a_stand_in_ends_with_the_process_that_started_it():
+    with ServiceProcess("service-1") as service:
+        service._process.stdin.close()
+        assert service._process.wait(5) == 0
+
+
+def test_a_process_that_says_nothing_is_given_up():
+    with ManagedProcess(["keyword"]) as process, pytest.raises(ProcessError):
+        process.read_line()
