Let an entry's limit grow to four times its share

A balancer that spreads callers unevenly gives one entry of seven 0.4 of the load, but its limit stopped at twice its share. Growth to four times costs nothing when all entries are busy, as refusals push it back; the decrease goes from 0.9 to 0.8 so that fewer sends are refused.

--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -18,8 +18,8 @@
 
     smallest: int = 1
     increase: float = 1.0
-    decrease: float = 0.9
-    borrow: float = 2.0
+    decrease: float = 0.8
+    borrow: float = 4.0
     tolerance: float = 2.0
     cooldown: timedelta = timedelta(seconds=1)
 
