Give back what was borrowed when answers take twice as long

Endpoints that queue instead of refusing let all entries grow to four times their share; requests then waited at the endpoints, past the reach of priorities. When 20 answers take twice the usual time on average, the limit falls, though not below the entry's share: long work alone must not cut into what the text grants.

--- a/bench/admission/scenarios.py
+++ b/bench/admission/scenarios.py
@@ -1,6 +1,7 @@
 """The situations that are replayed, each with the load that it needs."""
 
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
 
 from bench.admission.fleets import (
     MODEL_SHAPE,
@@ -108,6 +109,12 @@
     return overload(policy, GENERATION, 1.5, stated=stated, **others)
 
 
+def silent_queue(policy: Policy, kind: Kind, load: float, **others) -> Result:
+    """Replay endpoints that never refuse but queue without a bound."""
+    shape = replace(SHAPES[kind], queue=float("inf"))
+    return overload(policy, kind, load, shape=shape, **others)
+
+
 def launch_day(policy: Policy, **others) -> Result:
     """Replay a launch: from 0.3 to 3 times the capacity within 20 s, then 1.2."""
     rate = capacity_rate(GENERATION)
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -269,7 +269,7 @@
         if not ok:
             self._limit.on_refusal(now)
             return
-        self._limit.on_success(self.in_flight)
+        self._limit.on_success(self.in_flight, latency)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
         self._latencies.add(latency)
 
--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from math import inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,7 +13,11 @@
     :param increase: requests added per full limit's worth of successes.
     :param decrease: factor applied on a refusal.
     :param borrow: largest multiple of the entry's share that it may grow to.
-    :param tolerance: multiple of the usual latency that counts as overload.
+    :param tolerance: multiple of the usual latency at which what was borrowed is
+        given back, for endpoints that queue instead of refusing.
+    :param samples: answers over which a latency is averaged.
+    :param ageing: growth of the usual latency per average above it, so that a
+        lasting change of the work is learned.
     :param cooldown: shortest time between two decreases.
     """
 
@@ -21,6 +26,8 @@
     decrease: float = 0.8
     borrow: float = 4.0
     tolerance: float = 2.0
+    samples: int = 20
+    ageing: float = 0.02
     cooldown: timedelta = timedelta(seconds=1)
 
 
@@ -44,6 +51,9 @@
         self._share = max(capacity / max(live_entries, 1), self._settings.smallest)
         self._value = self._share
         self._last_decrease: timedelta | None = None
+        self._sum = 0.0
+        self._count = 0
+        self._usual = inf
 
     @property
     def value(self) -> int:
@@ -61,13 +71,28 @@
         self._value *= share / self._share
         self._share = share
 
-    def on_success(self, in_flight: int) -> None:
-        """Grow if the limit was in use when a request succeeded."""
+    def on_success(self, in_flight: int, latency: timedelta) -> None:
+        """Grow if the limit was in use when a request succeeded.
+
+        :param in_flight: requests still in flight after this one.
+        """
+        self._average(latency.total_seconds())
         if in_flight + 1 < self.value:
             return
         grown = self._value + self._settings.increase / self._value
         self._value = min(grown, self._share * self._settings.borrow)
 
+    def _average(self, seconds: float) -> None:
+        self._sum += seconds
+        self._count += 1
+        if self._count < self._settings.samples:
+            return
+        mean = self._sum / self._count
+        self._sum, self._count = 0.0, 0
+        if mean > self._usual * self._settings.tolerance and self._value > self._share:
+            self._value = max(self._value * self._settings.decrease, self._share)
+        self._usual = min(mean, self._usual * (1 + self._settings.ageing))
+
     def on_refusal(self, now: timedelta) -> None:
         """Shrink, at most once per cooldown, since an endpoint refused."""
         last = self._last_decrease
