--- a/src/sassafrasdale/cli/config.py
+++ b/src/sassafrasdale/cli/config.py
@@ -2,6 +2,7 @@
 
 import getpass
 import re
+from datetime import timedelta
 from difflib import unified_diff
 from typing import Annotated
 from urllib.parse import unquote
@@ -11,10 +12,11 @@
 
 from sassafrasdale.cli.edits import Edit, EditSender
 from sassafrasdale.cli.entries import Entries, SystemPacer, connect
-from sassafrasdale.cli.exceptions import FaultsError, UsageError
+from sassafrasdale.cli.exceptions import FaultsError, RefusedError, UsageError
 from sassafrasdale.cli.exits import Exit
 from sassafrasdale.cli.files import mark, read_text_file, write_text_file
 from sassafrasdale.cli.tables import format_table
+from sassafrasdale.text.durations import parse_duration
 
 app = App(name="config", help="Check, read and change the operators' text.")
 
@@ -69,7 +71,10 @@
     entry: Entries = None,
 ) -> int:
     """Print the text in force, or an earlier revision of it."""
-    print(connect(entry).text(revision).text.removeprefix("\n"), end="")
+    shown = connect(entry).text(revision)
+    if not shown.revision:
+        raise RefusedError("no text was ever accepted")
+    print(shown.text.removeprefix("\n"), end="")
     return Exit.OK
 
 
@@ -126,6 +131,9 @@
     edit_id: Annotated[
         str | None, Parameter(help="Id of an earlier attempt at the same edit.")
     ] = None,
+    wait: Annotated[
+        str, Parameter(help="How long to try while the outcome is open.")
+    ] = "30s",
     entry: Entries = None,
 ) -> int:
     """Put a text in force, in place of the revision that it was made from.
@@ -142,6 +150,7 @@
         )
     if edit_id and not EDIT_ID.fullmatch(edit_id):
         raise UsageError("--edit-id: must be 1 to 128 of A-Za-z0-9._:-")
+    limit = _duration("--wait", wait)
     change = Edit(
         name=file,
         text=source.unmarked,
@@ -149,11 +158,18 @@
         edit_id=edit_id or str(uuid4()),
         author=author or _user_name(),
     )
-    revision = EditSender(connect(entry), SystemPacer()).send(change)
+    revision = EditSender(connect(entry), SystemPacer(), limit).send(change)
     print(f"revision {revision} is accepted (edit {change.edit_id})")
     return Exit.OK
 
 
+def _duration(flag: str, written: str) -> timedelta:
+    try:
+        return parse_duration(written)
+    except ValueError as error:
+        raise UsageError(f"{flag}: {error}") from error
+
+
 def _user_name() -> str:
     try:
         return getpass.getuser()
--- a/src/sassafrasdale/cli/edits.py
+++ b/src/sassafrasdale/cli/edits.py
@@ -24,7 +24,6 @@
 )
 from sassafrasdale.structures import Address
 
-PUT_LIMIT = timedelta(seconds=30)
 RETRY_PAUSE = timedelta(milliseconds=500)
 NOT_RUN = "not-run"
 # Answers that no other entry would give differently.
@@ -71,9 +70,7 @@
     :param limit: how long to try.
     """
 
-    def __init__(
-        self, client: AdminClient, pacer: Pacer, limit: timedelta = PUT_LIMIT
-    ) -> None:
+    def __init__(self, client: AdminClient, pacer: Pacer, limit: timedelta) -> None:
         self._client = client
         self._pacer = pacer
         self._limit = limit
@@ -155,10 +152,11 @@
 
 def _conflict(reply: Reply, edit: Edit) -> ConflictError:
     problem = reply.problem()
+    difference = problem.difference or "the text in force is the same as yours"
     return ConflictError(
         f"another edit was accepted first: revision {problem.revision} by "
         f"{unquote(problem.author) or 'an unnamed author'}; yours was made from "
-        f"revision {edit.expected}; nothing was changed\n{problem.difference}"
+        f"revision {edit.expected}; nothing was changed\n{difference}"
     )
 
 
--- a/src/sassafrasdale/cli/status.py
+++ b/src/sassafrasdale/cli/status.py
@@ -20,15 +20,15 @@
     parts = [
         f"entry {known.entry} in {known.availability_zone}: {known.state}, "
         f"revision {known.revision}",
-        format_table(("requests in flight", ""), _counts(known)),
-        format_table(
+        _section(("requests in flight", ""), _counts(known)),
+        _section(
             ("peer", "availability zone", "state", "revision"),
             [
                 (peer.name, peer.availability_zone, peer.state, peer.revision)
                 for peer in known.peers
             ],
         ),
-        format_table(
+        _section(
             ("service", "availability zone", "state", "endpoints", "in flight"),
             _endpoints(known),
         ),
@@ -36,6 +36,10 @@
     return "\n\n".join(parts)
 
 
+def _section(header: tuple[str, ...], rows: list[tuple]) -> str:
+    return format_table(header, rows) if rows else f"{header[0]}: none"
+
+
 def _counts(known: StatusModel) -> list[tuple[str, int]]:
     return sorted(known.requests_in_flight.items())
 
