Bring about failures of peers on real processes

Killed, frozen and thawed, one-way cut (sends, answers nothing) and connections that go silent, with four processes or two nodes and a proxy.

--- /dev/null
+++ b/tests/peers/peer_process.py
@@ -0,0 +1,83 @@
+"""A node in a process of its own, driven by JSON lines.
+
+Standard input takes ``{"candidates": [[name, zone, peer_address], ...]}`` and
+``{"mute": bool}``; a muted node keeps its sockets open and goes on sending, but
+answers nothing. Standard output gives ``{"peer_address"}`` once and then
+``{"members": {name: state}}`` after each change.
+"""
+
+import asyncio
+import json
+import sys
+import threading
+from random import Random
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.green import Queue
+from sassafrasdale.peers import node as node_module
+from sassafrasdale.peers.node import PeerNode
+from sassafrasdale.peers.service import PeersService
+from sassafrasdale.peers.structures import MembersChanged
+from sassafrasdale.structures import Address
+from tests.peers.nodes import FAST, Settings, instance_of
+
+
+class MutableService(PeersService):
+    """Service that can stop answering."""
+
+    is_muted = False
+
+    async def Probe(self, stream):  # noqa: N802
+        """Answer a probe, or leave it without an answer."""
+        await self._hang_if_muted()
+        await super().Probe(stream)
+
+    async def ProbeIndirectly(self, stream):  # noqa: N802
+        """Answer an indirect probe, or leave it without an answer."""
+        await self._hang_if_muted()
+        await super().ProbeIndirectly(stream)
+
+    async def Spread(self, stream):  # noqa: N802
+        """Answer news, or leave them without an answer."""
+        await self._hang_if_muted()
+        await super().Spread(stream)
+
+    async def _hang_if_muted(self):
+        if MutableService.is_muted:
+            await asyncio.Event().wait()
+
+
+def write(**line):
+    """Write one JSON line."""
+    print(json.dumps(line), flush=True)
+
+
+def take_commands(node):
+    """Carry out the lines of standard input; runs in a thread."""
+    for line in sys.stdin:
+        command = json.loads(line)
+        MutableService.is_muted = command.get("mute", MutableService.is_muted)
+        if "candidates" in command:
+            node.set_candidates(
+                instance_of(name, zone, Address.parse(address))
+                for name, zone, address in command["candidates"]
+            )
+
+
+def main():
+    """Run the node until it is killed."""
+    node_module.PeersService = MutableService
+    name, zone = sys.argv[1:]
+    inbox = Queue()
+    node = PeerNode(Settings(name, zone), SystemClock(), Random(name), inbox, FAST)
+    node.start()
+    write(peer_address=str(node.peer_address))
+    threading.Thread(target=take_commands, args=(node,), daemon=True).start()
+    while True:
+        message = inbox.get()
+        if isinstance(message, MembersChanged):
+            write(members={each.name: each.state.name for each in message.members})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/peers/test_membership.py
@@ -0,0 +1,126 @@
+"""Rules of the membership, without input or output."""
+
+from datetime import timedelta
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.peers.membership import Membership
+from sassafrasdale.peers.structures import Member, MemberState, PeerTimings
+from sassafrasdale.structures import Address
+from tests.peers.nodes import instance_of
+
+ADDRESS = Address("127.0.0.1", 1)
+
+
+def member(name, state=MemberState.ALIVE, incarnation=1):
+    return Member(name, "zone-a", ADDRESS, ADDRESS, state, incarnation)
+
+
+def make(clock=None):
+    me = member("me", incarnation=5)
+    return Membership(me, clock or ManualClock(), Random(1), PeerTimings())
+
+
+updates = st.builds(
+    member,
+    st.sampled_from(["a", "b", "me"]),
+    st.sampled_from(MemberState),
+    st.integers(1, 9),
+)
+
+
+@given(st.lists(updates), st.randoms())
+def test_beliefs_do_not_depend_on_the_order_of_news(news, random):
+    """Two entries would disagree for good about who lives.
+
+    News reaches entries in different orders and more than once. The belief of
+    the highest precedence holds everywhere.
+    """
+    first, second = make(), make()
+    for membership in (first, second):
+        for name in ("a", "b"):
+            membership.apply(member(name, incarnation=0))
+    shuffled = news * 2
+    random.shuffle(shuffled)
+    for each in news:
+        first.apply(each)
+    for each in shuffled:
+        second.apply(each)
+    assert first.members == second.members
+
+
+@given(st.lists(updates))
+def test_incarnation_of_this_entry_never_falls(news):
+    membership = make()
+    for each in news:
+        before = membership.me.incarnation
+        membership.apply(each)
+        assert membership.me.incarnation >= before
+        assert membership.me.state is MemberState.ALIVE
+        if each.name == "me":
+            assert membership.me.precedence >= each.precedence
+
+
+def test_suspect_dies_unless_it_refutes():
+    clock = ManualClock()
+    membership = make(clock)
+    for name in ("a", "b"):
+        membership.apply(member(name))
+        assert membership.suspect(name, 1)
+    membership.apply(member("a", incarnation=2))
+    clock.advance(timedelta(seconds=2))
+    assert [each.name for each in membership.expire()] == ["b"]
+    assert membership.get("a").is_usable
+
+
+def test_answer_after_the_probe_makes_its_failure_void():
+    membership = make()
+    membership.apply(member("a", incarnation=2))
+    assert not membership.suspect("a", 1)
+
+
+def test_dead_member_is_kept_while_listed_and_then_forgotten():
+    clock = ManualClock()
+    membership = make(clock)
+    membership.set_candidates([instance_of("a", "zone-a", ADDRESS)])
+    clock.advance(timedelta(seconds=2))
+    membership.expire()
+    clock.advance(timedelta(seconds=61))
+    membership.expire()
+    assert membership.get("a").state is MemberState.DEAD
+    membership.set_candidates([])
+    membership.expire()
+    assert membership.get("a") is None
+
+
+def test_a_round_probes_every_member_once():
+    membership = make()
+    names = {f"entry-{number}" for number in range(20)}
+    for name in names:
+        membership.apply(member(name))
+    probed = [membership.next_targets(8)[0].name for _ in names]
+    assert set(probed) == names
+
+
+def test_updates_are_bounded_and_run_out():
+    membership = make()
+    for number in range(20):
+        membership.apply(member(f"entry-{number}"))
+    count = 0
+    while taken := membership.take_updates(8):
+        assert len(taken) <= 8
+        count += len(taken)
+    assert 20 < count <= 20 * 20
+
+
+def test_bad_belief_about_the_receiver_always_goes_along():
+    membership = make()
+    membership.apply(member("a", MemberState.DEAD))
+    membership.apply(member("b"))
+    membership.apply(member("b", MemberState.DEAD))
+    while membership.take_updates(8):
+        pass
+    assert [each.name for each in membership.take_updates(8, about="b")] == ["b"]
--- /dev/null
+++ b/tests/peers/test_silent_connections.py
@@ -0,0 +1,88 @@
+"""Connections between peers that go silent for good while new ones work."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.green import Queue, sleep, spawn
+from sassafrasdale.peers.node import PeerNode
+from sassafrasdale.peers.structures import (
+    HandOver,
+    HandOverOffered,
+    MembersChanged,
+    MemberState,
+)
+from tests.peers.nodes import FAST, Settings, instance_of, start_node, wait_until
+from tests.peers.proxies import Proxy
+
+
+class ProxiedNode(PeerNode):
+    """Node that its peers reach through a proxy."""
+
+    def _listen(self):
+        sock = super()._listen()
+        self.proxy = Proxy(self._peer_address)
+        self._peer_address = self.proxy.address
+        return sock
+
+
+@pytest.fixture
+def pair():
+    node, inbox = start_node(0)
+    far_inbox = Queue()
+    far = ProxiedNode(
+        Settings("far", "zone-z"), SystemClock(), Random(1), far_inbox, FAST
+    )
+    far.start()
+    node.set_candidates([instance_of("far", "zone-z", far.peer_address)])
+    wait_until(lambda: [each.is_usable for each in node.members()] == [True])
+    yield node, inbox, far, far_inbox
+    node.stop()
+    far.stop()
+    far.proxy.close()
+
+
+def test_silent_connection_does_not_make_a_suspect(pair):
+    """A healthy peer would be taken for dead, and its requests refused.
+
+    Something between two entries loses track of their open connection: it
+    stays open and carries nothing. New connections work. The next probe times
+    out; the one on a fresh connection is answered, so there is no suspicion.
+    """
+    node, inbox, far, _ = pair
+    before = far.proxy.accepted
+    while not inbox.empty():
+        inbox.get()
+    far.proxy.silence()
+    wait_until(lambda: far.proxy.accepted > before)
+    sleep(timedelta(seconds=1))
+    states = [
+        member.state
+        for message in inbox.queue
+        if isinstance(message, MembersChanged)
+        for member in message.members
+    ]
+    assert set(states) <= {MemberState.ALIVE}
+
+
+def test_hand_over_survives_a_silent_connection(pair):
+    """A request in flight would be lost with its entry.
+
+    The entry has notice of its reclaim and hands the request over, on a
+    connection that went silent. The call times out and is made again on a
+    fresh connection; taking it twice is safe, as resuming is idempotent.
+    """
+    node, _, far, far_inbox = pair
+
+    def accept():
+        while True:
+            message = far_inbox.get()
+            if isinstance(message, HandOverOffered):
+                message.reply(True)
+
+    accepting = spawn(accept)
+    far.proxy.silence()
+    assert node.hand_over("far", HandOver("r-1", "entry-0", b"request"))
+    accepting.kill()
