--- /dev/null
+++ b/src/sassafrasdale/decisions/hedging.py
@@ -0,0 +1,58 @@
+"""When to send an idempotent request a second time, before the first answer."""
+
+from datetime import timedelta
+
+from sassafrasdale.decisions.budgets import RetryBudget
+from sassafrasdale.decisions.latencies import LatencyWindow
+
+HEDGE_QUANTILE = 0.95
+"""Quantile of recent latencies after which a request is slow."""
+
+HEDGE_WINDOW = 200
+"""Latencies kept, in requests."""
+
+HEDGE_SHARE = 0.05
+"""Hedges per success."""
+
+HEDGE_FLOOR_PER_SECOND = 0.1
+"""Hedges per second that are allowed without any success."""
+
+HEDGE_MINIMUM_SAMPLES = 20
+"""Latencies needed before any request is hedged, in requests."""
+
+
+class Hedging:
+    """Decides when requests of one service are worth a second try in parallel.
+
+    Usage::
+
+        wait = hedging.delay(idempotent=True)
+        # no answer after ``wait``:
+        if hedging.try_hedge(clock.elapsed(), idempotent=True):
+            ...  # send to another endpoint too
+    """
+
+    def __init__(
+        self,
+        budget: RetryBudget | None = None,
+        quantile: float = HEDGE_QUANTILE,
+        window: int = HEDGE_WINDOW,
+    ) -> None:
+        self._budget = budget or RetryBudget(HEDGE_SHARE, HEDGE_FLOOR_PER_SECOND)
+        self._quantile = quantile
+        self._recent = LatencyWindow(window)
+
+    def observe(self, latency: timedelta, now: timedelta) -> None:
+        """Record the latency of a success."""
+        self._budget.deposit(now)
+        self._recent.add(latency)
+
+    def delay(self, *, idempotent: bool) -> timedelta | None:
+        """Return how long to wait for the first answer, or None: never hedge."""
+        if not idempotent or len(self._recent) < HEDGE_MINIMUM_SAMPLES:
+            return None
+        return self._recent.quantile(self._quantile)
+
+    def try_hedge(self, now: timedelta, *, idempotent: bool) -> bool:
+        """Take a hedge out of the budget, if the request may be sent twice."""
+        return idempotent and self._budget.try_spend(now)
