Answer bad input with the field's name, and cut off slow senders

Cause: a sender that trickles its request line or body a byte at a time held a connection for good, since each byte restarts the socket's time-out; and a refused body was read to its end after the answer. A faulty If-Match was told only after the text had been checked. Ruled out: a shorter socket time-out, which would also end idle connections.

--- a/src/sassafrasdale/callers/administration.py
+++ b/src/sassafrasdale/callers/administration.py
@@ -103,12 +103,13 @@
                 field="If-Match",
                 status=428,
             )
+        revision = _revision(expected, "If-Match")
         text = _decode(request)
         try:
             parse_text(text)
             record = self._register.put(
                 text,
-                _revision(expected, "If-Match"),
+                revision,
                 request.header("X-Edit-Id") or self._edit_id(),
                 request.header("X-Author") or "",
             )
--- a/src/sassafrasdale/callers/server.py
+++ b/src/sassafrasdale/callers/server.py
@@ -17,6 +17,11 @@
 # An idle connection of a caller is closed after this time.
 IDLE_LIMIT = timedelta(seconds=75)
 MAX_TARGET_BYTES = 8192
+# Bytes of a refused body that are read and thrown away. A connection closed over
+# unread bytes is reset, and the caller may lose the answer that says why.
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
+# Where the WSGI environment has the connection itself.
+CONNECTION = "sassafrasdale.connection"
 
 log = Logger("callers")
 
@@ -79,6 +84,8 @@
         """Answer one request, as WSGI has it."""
         self._open_answers += 1
         answer = self._answered(environ)
+        if self._closing:
+            environ[CONNECTION].close_connection = 1
         status = f"{answer.status} {_phrase(answer.status)}"
         start_response(status, self._headers(answer))
         return _CountedBody(self, answer.body)
@@ -91,15 +98,15 @@
         try:
             body = self._read_body(environ)
         except BodyError as error:
-            return error.answer.with_headers(("Connection", "close"))
+            environ[CONNECTION].close_connection = 1
+            self._discard_body(environ)
+            return error.answer
         return self._answer(_request(environ, body))
 
     def _headers(self, answer: HttpAnswer) -> list[tuple[str, str]]:
         headers = [*answer.headers, ("X-Entry", self._name)]
         if isinstance(answer.body, bytes):
             headers.append(("Content-Length", str(len(answer.body))))
-        if self._closing and ("Connection", "close") not in headers:
-            headers.append(("Connection", "close"))
         return headers
 
     def _read_body(self, environ: dict) -> bytes:
@@ -130,6 +137,13 @@
             raise BodyError(self._too_long())
         return body
 
+    def _discard_body(self, environ: dict) -> None:
+        try:
+            with timeout(self._body_limit):
+                environ["wsgi.input"].read(MAX_DISCARDED_BYTES)
+        except (Timeout, OSError, ValueError):
+            return
+
     def _too_long(self) -> HttpAnswer:
         return _bad(413, f"the body is over {self._max_body_bytes} bytes", "body")
 
@@ -159,11 +173,18 @@
     """Return the connection class that gives a slow sender ``head_limit``."""
 
     class LimitedProtocol(WsgiProtocol):
-        """Connection that is closed if a request's head comes too slowly."""
+        """Connection that is closed if a request's head comes too slowly.
+
+        A sender that trickles its head would hold a connection for good: each
+        byte restarts the socket's time-out, but not these.
+        """
+
+        def get_environ(self) -> dict:
+            """Return the WSGI environment, with this connection in it."""
+            return {**super().get_environ(), CONNECTION: self}
 
         def parse_request(self) -> bool:
-            # A sender that trickles its head would hold a connection for good:
-            # each byte restarts the socket's time-out, but not this one.
+            """Read the headers within the limit."""
             try:
                 with timeout(head_limit):
                     return super().parse_request()
@@ -171,6 +192,17 @@
                 self.close_connection = 1
                 return False
 
+        def _read_request_line(self) -> bytes:
+            # An idle connection may wait long for its next request; the limit
+            # begins with that request's first byte.
+            try:
+                if not self.rfile.peek(1):
+                    return b""
+                with timeout(head_limit):
+                    return super()._read_request_line()
+            except (Timeout, ConnectionError):
+                return b""
+
     return LimitedProtocol
 
 
