--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -78,10 +78,12 @@
         return Answer({"instances": list(self._instances.values())})
 
     def _register(self, request: Request) -> Answer:
-        instance = {**INSTANCE_DEFAULTS, **request.json()}
-        self._instances[instance["name"]] = instance
+        body = request.json()
+        for instance in body.get("instances", [body]):
+            full = {**INSTANCE_DEFAULTS, **instance}
+            self._instances[full["name"]] = full
         self._changed()
-        return Answer(instance, status=201)
+        return Answer({}, status=201)
 
     def _remove(self, _request: Request, name: str) -> Answer:
         self._instances.pop(name, None)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -6,7 +6,14 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import sleep
-from standins.web import Answer, AnswerDroppedError, Connection, Request, Route
+from standins.web import (
+    Answer,
+    AnswerDroppedError,
+    Connection,
+    Request,
+    Route,
+    truncated,
+)
 
 FREEZE_POLL = timedelta(milliseconds=10)
 REFUSED = (("X-Refused", "not-started"), ("Retry-After", "1"))
@@ -23,6 +30,8 @@
     - ``drop_answers``: the next N requests run, then their connection is closed
       with no answer. ``drop_prefix`` limits it to paths with that prefix;
       ``drop_silently`` keeps the connection open instead.
+    - ``truncate_answers``: the next N answers end half-way. A whole answer breaks off
+      before its announced length; a stream ends as HTTP has it, but early.
     - ``silence_connections``: true makes every connection that is open now
       silent for good, while new ones work.
     - ``cut_connections``: true closes every connection that is open now.
@@ -45,6 +54,7 @@
         self._drop_answers = 0
         self._drop_prefix = ""
         self._drop_silently = False
+        self._truncate_answers = 0
         self._refuse = False
         self._outage: str | None = None
         self.slow_factor = 1.0
@@ -83,8 +93,17 @@
         self.hold_if_silent(request)
         if self._takes_drop(request):
             self.drop(request)
+        if result.chunks is None and self.takes_truncation():
+            return truncated(result, request.connection)
         return result
 
+    def takes_truncation(self) -> bool:
+        """Return whether the present answer is to end half-way."""
+        if not self._truncate_answers:
+            return False
+        self._truncate_answers -= 1
+        return True
+
     def drop(self, request: Request) -> NoReturn:
         """Lose the answer to a request that has taken effect.
 
@@ -156,6 +175,8 @@
                 self._drop_prefix = value
             case "drop_silently":
                 self._drop_silently = bool(value)
+            case "truncate_answers":
+                self._truncate_answers = int(value)
             case "silence_connections":
                 if value:
                     self._silent_before = self._clock.elapsed()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -28,6 +28,7 @@
 )
 
 FIRST_REVISION = "0"
+FOLLOW_POLL = timedelta(milliseconds=100)
 ON_DEMAND_FACTOR = 3.0
 """Price of an on-demand instance over that of a reclaimable one."""
 
@@ -134,6 +135,26 @@
         self.platform.register(endpoint)
         self.endpoints.append(endpoint)
 
+    def follow_starts(self, delay: timedelta = timedelta()) -> None:
+        """Start and end endpoints as the cloud API is told to, in a thread.
+
+        :param delay: time from the order until the instance is listed.
+        """
+        follower = StartFollower(self, delay)
+        self._stack.callback(follower.stop)
+        follower.start()
+
+    def new_endpoint(
+        self, name: str, service: str, zone: str, instance_class: str
+    ) -> EndpointProcess:
+        """Return an endpoint of a service's pool that is not started yet.
+
+        :raises StopIteration: if the service has no pool of that class.
+        """
+        found = self._text.services[service]
+        pool = next(p for p in found.pools if p.instance_class == instance_class)
+        return self._endpoint(found, pool, name, zone)
+
     def add_entry(self, name: str, zone: str, **options: Any) -> EntryProcess:
         """Start a further entry and list it; it need not be ready yet."""
         entry = self._entry(name, zone, options)
@@ -244,3 +265,55 @@
             timer.cancel()
         for timer in self._timers:
             timer.join(START_LIMIT / timedelta(seconds=1))
+
+
+class StartFollower:
+    """Does what was ordered of the cloud API.
+
+    :param fleet: where endpoints are started and ended.
+    :param delay: time from the order until the instance is listed.
+    """
+
+    def __init__(self, fleet: Fleet, delay: timedelta) -> None:
+        self._fleet = fleet
+        self._delay = delay
+        self._stopped = threading.Event()
+        self._started: set[str] = set()
+        self._ended: set[str] = set()
+        self._thread = threading.Thread(target=self._follow, daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def _follow(self) -> None:
+        while not self._stopped.wait(FOLLOW_POLL / timedelta(seconds=1)):
+            orders = self._fleet.platform.control("GET", "starts")
+            for start in orders["starts"]:
+                self._start(start)
+            for name in orders["given_back"]:
+                self._end(name)
+
+    def stop(self) -> None:
+        """Stop and wait for the thread's end."""
+        self._stopped.set()
+        self._thread.join()
+
+    def _start(self, order: Mapping[str, Any]) -> None:
+        if order["name"] in self._started:
+            return
+        self._started.add(order["name"])
+        if self._stopped.wait(self._delay / timedelta(seconds=1)):
+            return
+        endpoint = self._fleet.new_endpoint(
+            order["name"],
+            order["service"],
+            order["availability_zone"],
+            order["instance_class"],
+        )
+        self._fleet.add_endpoint(endpoint)
+
+    def _end(self, name: str) -> None:
+        if name not in self._ended:
+            self._ended.add(name)
+            self._fleet.take(name)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,7 +19,8 @@
   - ``writes_per_second`` and ``calls_per_second``: the rates.
 
   The cloud also takes ``list_lag_ms`` and ``refuse_starts``.
-- ``POST /standin/instances`` with an instance registers it in the list;
+- ``POST /standin/instances`` with an instance, or with ``{"instances": [...]}``,
+  registers it in the list;
   ``DELETE /standin/instances/{name}`` takes it out; ``GET`` lists without lag.
 - ``POST /standin/notices`` with ``{"instance" or "availability_zone", "seconds",
   "times"}`` gives a notice; 2 times gives it twice.
--- a/standins/web.py
+++ b/standins/web.py
@@ -2,8 +2,8 @@
 
 import json
 import socket
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Any, ClassVar
 from urllib.parse import parse_qsl, unquote
@@ -205,13 +205,29 @@
     start_response(f"{answer.status} -", headers)
     if answer.chunks is not None:
         return answer.chunks
-    match answer.body:
+    return [_encode(answer.body)]
+
+
+def _encode(body: Any) -> bytes:
+    match body:
         case None:
-            return [b""]
+            return b""
         case bytes():
-            return [answer.body]
+            return body
         case _:
-            return [json.dumps(answer.body).encode()]
+            return json.dumps(body).encode()
+
+
+def truncated(answer: Answer, connection: Connection) -> Answer:
+    """Return ``answer`` so that its connection closes half-way through the body."""
+    body = _encode(answer.body)
+
+    def half() -> Iterator[bytes]:
+        yield body[: len(body) // 2]
+        connection.cut()
+
+    length = ("Content-Length", str(len(body)))
+    return replace(answer, headers=(*answer.headers, length), chunks=half())
 
 
 def serve(listener: socket.socket, application: Application) -> None:
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -139,6 +139,37 @@
     assert text_of(before + list(events(rest))) == reference_text("m", QUESTION, 60)
 
 
+def test_a_stream_that_nobody_reads_is_given_up():
+    """A reader comes back too late and its stream is gone."""
+    with EngineProcess("engine-1", step_ms=5, reconnect_window_ms=100) as engine:
+        client = Client(engine.address, LIMIT)
+        response = open_stream(client, "lost", max_tokens=1000)
+        found = events(response)
+        next(found)
+        response.close()
+        time.sleep(0.5)
+        assert states(engine)["lost"] == "cancelled"
+        assert client.call("GET", "/v1/streams/lost").status == 404
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_a_truncated_answer(engine, client, stream):
+    """A caller holds the first half of an answer that looks like a whole one.
+
+    A whole answer breaks off before its length; a stream ends in good order but
+    without its last chunk and end mark.
+    """
+    engine.set_faults(truncate_answers=1)
+    if stream:
+        found = list(events(open_stream(client, "half")))
+        assert len(found) == 4
+        assert "[DONE]" not in found
+    else:
+        with pytest.raises(ProtocolError):
+            ask(client)
+    assert ask(client).status == 200
+
+
 def test_a_cancelled_stream_stops_without_an_end_mark(client):
     found = events(open_stream(client, "cancelled", max_tokens=1000))
     next(found)
@@ -178,6 +209,14 @@
         check_continued(second, 20, 1 + 20)
 
 
+def test_a_stream_lost_at_its_end_brings_only_the_end(client):
+    """The engine died between the last token and the end mark."""
+    response = open_stream(client, "end", continue_from=8, continuation="")
+    found = list(events(response))
+    assert len(found) == 2
+    assert json.loads(found[0])["choices"][0]["finish_reason"] == "stop"
+
+
 def check_continued(client: Client, first: int, recomputed: int, **fields: Any) -> None:
     continuation = reference_text("m", QUESTION, first)
     response = open_stream(
