Measure the limit's cooldown in latencies, not seconds

One decrease a second is right for answers of 2 s and far too slow for lookups of 20 ms: at 2x their limits overshot and the endpoints refused. Cooldown is now 0.25 of the usual latency.

--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -4,6 +4,9 @@
 from datetime import timedelta
 from math import inf
 
+DEFAULT_COOLDOWN = timedelta(milliseconds=100)
+"""Shortest time between two decreases while no latency is known."""
+
 
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
@@ -18,7 +21,7 @@
     :param samples: answers over which a latency is averaged.
     :param ageing: growth of the usual latency per average above it, so that a
         lasting change of the work is learned.
-    :param cooldown: shortest time between two decreases.
+    :param cooldown: shortest time between two decreases, in usual latencies.
     """
 
     smallest: int = 1
@@ -28,7 +31,7 @@
     tolerance: float = 2.0
     samples: int = 20
     ageing: float = 0.02
-    cooldown: timedelta = timedelta(seconds=1)
+    cooldown: float = 0.25
 
 
 class ConcurrencyLimit:
@@ -50,7 +53,7 @@
         self._settings = settings or LimitSettings()
         self._share = max(capacity / max(live_entries, 1), self._settings.smallest)
         self._value = self._share
-        self._last_decrease: timedelta | None = None
+        self._next_decrease = timedelta()
         self._sum = 0.0
         self._count = 0
         self._usual = inf
@@ -93,12 +96,16 @@
             self._value = max(self._value * self._settings.decrease, self._share)
         self._usual = min(mean, self._usual * (1 + self._settings.ageing))
 
+    def _cooldown(self) -> timedelta:
+        if self._usual == inf:
+            return DEFAULT_COOLDOWN
+        return timedelta(seconds=self._usual * self._settings.cooldown)
+
     def on_refusal(self, now: timedelta) -> None:
         """Shrink, at most once per cooldown, since an endpoint refused."""
-        last = self._last_decrease
-        if last is not None and now - last < self._settings.cooldown:
+        if now < self._next_decrease:
             return
-        self._last_decrease = now
+        self._next_decrease = now + self._cooldown()
         shrunk = self._value * self._settings.decrease
         self._value = max(shrunk, self._settings.smallest)
 
