Put a refused request back at the head of its queue

An urgent request that an endpoint refused to start was retried out of the retry budget and then turned away, while less urgent ones behind it were served. Now it goes back to the head of its priority, and the queue holds still until the next success or for a tenth of the usual latency, lest every entry ask again at once.

--- a/bench/admission/baselines.py
+++ b/bench/admission/baselines.py
@@ -27,8 +27,8 @@
     def next_admitted(self, now):
         """Return None: nothing waits."""
 
-    def on_refusal(self, now):
-        """Ignore a refusal."""
+    def refuse(self, ticket, now):
+        """Return None: the entry retries as after a failure."""
 
     def retry_after(self):
         """Return the time to come back."""
--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -320,8 +320,17 @@
     def _refuse(self, attempt: Attempt) -> None:
         self.result.refusals += 1
         self._drop(attempt)
-        attempt.call.entry.admission.on_refusal(self._span)
-        self._retry(attempt.call, Ending.SHED)
+        call = attempt.call
+        entry = call.entry
+        match entry.admission.refuse(call.ticket, self._span):
+            case Wait(ticket=ticket):
+                entry.waiting[ticket.number] = call
+                remaining = call.at + call.request.timeout - self._now
+                self._at(self._now + remaining, self._give_up, call)
+            case Shed(retry_after=after):
+                self._turn_away(call, after, Ending.SHED)
+            case None:
+                self._retry(call, Ending.SHED)
 
     def _retry(self, call: Call, ending: Ending) -> None:
         if call.done or call.open:
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -178,6 +178,7 @@
         self._latencies = LatencyWindow(self._settings.latency_window)
         self._latencies.add(self._latency)
         self._demand = Demand()
+        self._paused_until = timedelta()
         self._displaced: list[Shed] = []
         self._offered = 0
 
@@ -225,7 +226,7 @@
         bucket = self._bucket(customer)
         if bucket is not None and not bucket.try_take(now):
             return self._shed(ticket, bucket.wait(now), ShedReason.RATE_LIMIT)
-        if not self.waiting and self._has_room(customer):
+        if not self.waiting and now >= self._paused_until and self._has_room(customer):
             self._start(ticket)
             return Admit(ticket)
         queue = self._waiting.setdefault(customer, [])
@@ -249,6 +250,8 @@
 
     def next_admitted(self, now: timedelta) -> Ticket | None:
         """Return the next waiting request that may go to an endpoint, if any."""
+        if now < self._paused_until:
+            return None
         ready = [name for name in self._waiting if self._has_room(name)]
         if not ready:
             return None
@@ -269,13 +272,27 @@
         if not ok:
             self._limit.on_refusal(now)
             return
+        self._paused_until = now
         self._limit.on_success(self.in_flight, latency)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
         self._latencies.add(latency)
 
-    def on_refusal(self, now: timedelta) -> None:
-        """Record that an endpoint refused an admitted request that will be retried."""
+    def refuse(self, ticket: Ticket, now: timedelta) -> Wait | Shed:
+        """Take back an admitted request that an endpoint refused to start.
+
+        It goes first among those of its priority. The queue holds still until
+        the next success or for a part of the usual latency: endpoints that
+        refuse would otherwise be asked again at once, by every entry.
+        """
+        self._running.pop(ticket.number, None)
         self._limit.on_refusal(now)
+        self._paused_until = now + self._limit.cooldown
+        if now - ticket.offered_at > self._longest_wait(ticket):
+            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+        queue = self._waiting.setdefault(ticket.customer, [])
+        position = sum(other.priority < ticket.priority for other in queue)
+        queue.insert(position, ticket)
+        return Wait(ticket, position)
 
     def retry_after(self) -> timedelta:
         """Return when it is worth coming back after a failure."""
--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -31,7 +31,7 @@
     tolerance: float = 2.0
     samples: int = 20
     ageing: float = 0.02
-    cooldown: float = 0.25
+    cooldown: float = 0.1
 
 
 class ConcurrencyLimit:
@@ -96,7 +96,9 @@
             self._value = max(self._value * self._settings.decrease, self._share)
         self._usual = min(mean, self._usual * (1 + self._settings.ageing))
 
-    def _cooldown(self) -> timedelta:
+    @property
+    def cooldown(self) -> timedelta:
+        """Shortest time between two decreases."""
         if self._usual == inf:
             return DEFAULT_COOLDOWN
         return timedelta(seconds=self._usual * self._settings.cooldown)
@@ -105,7 +107,7 @@
         """Shrink, at most once per cooldown, since an endpoint refused."""
         if now < self._next_decrease:
             return
-        self._next_decrease = now + self._cooldown()
+        self._next_decrease = now + self.cooldown
         shrunk = self._value * self._settings.decrease
         self._value = max(shrunk, self._settings.smallest)
 
