Let requests wait longer while the queue is not yet standing

A short burst was shed as fast as a lasting overload, though its tail could have been served. The bound of 0.3 of the time now holds only once the queue has not been empty for half the time that a request has.

--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -101,7 +101,9 @@
     :param latency_quantile: quantile of the latencies that must still fit before
         the deadline when a request leaves the queue.
     :param wait_share: largest share of the time until its deadline for which a
-        request waits.
+        request waits once the queue is standing.
+    :param standing: time for which the queue was never empty after which it is
+        standing, as a share of the time that a request has.
     :param demand_window: time over which arrivals are counted, in mean latencies.
     :param initial_latency: latency assumed before the first answer.
     """
@@ -111,6 +113,7 @@
     latency_window: int = 100
     latency_quantile: float = 0.9
     wait_share: float = 0.3
+    standing: float = 0.5
     demand_window: float = 5.0
     initial_latency: timedelta = timedelta(milliseconds=100)
 
@@ -179,6 +182,7 @@
         self._latencies.add(self._latency)
         self._demand = Demand()
         self._paused_until = timedelta()
+        self._empty_at = timedelta()
         self._displaced: list[Shed] = []
         self._offered = 0
 
@@ -231,7 +235,7 @@
             return Admit(ticket)
         queue = self._waiting.setdefault(customer, [])
         position = sum(other.priority <= priority for other in queue)
-        if self._expected_wait(ticket, position) > self._longest_wait(ticket):
+        if self._expected_wait(ticket, position) > self._longest_wait(ticket, now):
             if not queue:
                 del self._waiting[customer]
             return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
@@ -252,6 +256,8 @@
         """Return the next waiting request that may go to an endpoint, if any."""
         if now < self._paused_until:
             return None
+        if not self._waiting:
+            self._empty_at = now
         ready = [name for name in self._waiting if self._has_room(name)]
         if not ready:
             return None
@@ -287,7 +293,7 @@
         self._running.pop(ticket.number, None)
         self._limit.on_refusal(now)
         self._paused_until = now + self._limit.cooldown
-        if now - ticket.offered_at > self._longest_wait(ticket):
+        if now - ticket.offered_at > self._longest_wait(ticket, now):
             return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
         queue = self._waiting.setdefault(ticket.customer, [])
         position = sum(other.priority < ticket.priority for other in queue)
@@ -309,7 +315,7 @@
         """Return the waiting requests that are turned away and must be answered."""
         for customer, queue in list(self._waiting.items()):
             for ticket in list(queue):
-                if now - ticket.offered_at > self._longest_wait(ticket):
+                if now - ticket.offered_at > self._longest_wait(ticket, now):
                     self._take(customer, queue.index(ticket))
                     self._displaced.append(
                         self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
@@ -367,9 +373,14 @@
     def _rate(self) -> float:
         return self._limit.value / max(self._latency.total_seconds(), 1e-6)
 
-    def _longest_wait(self, ticket: Ticket) -> timedelta:
+    def _longest_wait(self, ticket: Ticket, now: timedelta) -> timedelta:
         remaining = ticket.deadline - ticket.offered_at
-        return min(remaining - self._needed, remaining * self._settings.wait_share)
+        useful = remaining - self._needed
+        if not self._waiting:
+            self._empty_at = now
+        if now - self._empty_at < remaining * self._settings.standing:
+            return useful
+        return min(useful, remaining * self._settings.wait_share)
 
     def _expected_wait(self, ticket: Ticket, ahead: int) -> timedelta:
         weight = self._share_of(ticket.customer).weight
