Give callers times to come back that fill the coming room in turn

All shed requests were told the time that the present queue needs, about a second, came back together, and used up their three tries within seconds. Requests that were told to come back now count as a queue of their own that drains at the service's rate, up to 30 s.

--- a/bench/admission/baselines.py
+++ b/bench/admission/baselines.py
@@ -30,7 +30,7 @@
     def refuse(self, ticket, now):
         """Return None: the entry retries as after a failure."""
 
-    def retry_after(self):
+    def retry_after(self, now):
         """Return the time to come back."""
         return RETRY_AFTER
 
--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -346,6 +346,6 @@
 
     def _end(self, call: Call, ending: Ending) -> None:
         call.entry.admission.cancel(call.ticket)
-        after = call.entry.admission.retry_after()
+        after = call.entry.admission.retry_after(self._span)
         self._turn_away(call, after, ending)
         self._pump(call.entry)
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -105,6 +105,7 @@
     :param standing: time for which the queue was never empty after which it is
         standing, as a share of the time that a request has.
     :param demand_window: time over which arrivals are counted, in mean latencies.
+    :param longest_retry_after: longest time to come back that is given.
     :param initial_latency: latency assumed before the first answer.
     """
 
@@ -115,6 +116,7 @@
     wait_share: float = 0.3
     standing: float = 0.5
     demand_window: float = 5.0
+    longest_retry_after: timedelta = timedelta(seconds=30)
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
@@ -183,6 +185,8 @@
         self._demand = Demand()
         self._paused_until = timedelta()
         self._empty_at = timedelta()
+        self._returning = 0.0
+        self._returning_at = timedelta()
         self._displaced: list[Shed] = []
         self._offered = 0
 
@@ -238,7 +242,7 @@
         if self._expected_wait(ticket, position) > self._longest_wait(ticket, now):
             if not queue:
                 del self._waiting[customer]
-            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+            return self._shed(ticket, self._return_time(now), ShedReason.DEADLINE)
         queue.insert(position, ticket)
         self._virtual[customer] = max(
             self._virtual.get(customer, 0.0), self._virtual_now
@@ -246,9 +250,9 @@
         if self.waiting > self._longest_queue():
             worst = self._displace()
             if worst is ticket:
-                return self._shed(ticket, self._drain_time(), ShedReason.QUEUE_FULL)
+                return self._shed(ticket, self._return_time(now), ShedReason.QUEUE_FULL)
             self._displaced.append(
-                self._shed(worst, self._drain_time(), ShedReason.QUEUE_FULL)
+                self._shed(worst, self._return_time(now), ShedReason.QUEUE_FULL)
             )
         return Wait(ticket, position)
 
@@ -294,15 +298,15 @@
         self._limit.on_refusal(now)
         self._paused_until = now + self._limit.cooldown
         if now - ticket.offered_at > self._longest_wait(ticket, now):
-            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+            return self._shed(ticket, self._return_time(now), ShedReason.DEADLINE)
         queue = self._waiting.setdefault(ticket.customer, [])
         position = sum(other.priority < ticket.priority for other in queue)
         queue.insert(position, ticket)
         return Wait(ticket, position)
 
-    def retry_after(self) -> timedelta:
+    def retry_after(self, now: timedelta) -> timedelta:
         """Return when it is worth coming back after a failure."""
-        return spread_retry_after(self._drain_time(), self._rng)
+        return spread_retry_after(self._return_time(now), self._rng)
 
     def cancel(self, ticket: Ticket) -> None:
         """Forget a request, waiting or admitted, that the caller gave up."""
@@ -318,7 +322,7 @@
                 if now - ticket.offered_at > self._longest_wait(ticket, now):
                     self._take(customer, queue.index(ticket))
                     self._displaced.append(
-                        self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+                        self._shed(ticket, self._return_time(now), ShedReason.DEADLINE)
                     )
         displaced, self._displaced = self._displaced, []
         return tuple(displaced)
@@ -394,8 +398,18 @@
     def _demand_seconds(self) -> float:
         return self._latency.total_seconds() * self._settings.demand_window
 
-    def _drain_time(self) -> timedelta:
-        return timedelta(seconds=(self.waiting + 1) / self._rate())
+    def _return_time(self, now: timedelta) -> timedelta:
+        """Return when the service has room for one more that comes back.
+
+        Requests that were told to come back are counted as a queue of their own
+        that drains at the service's rate: with the same time for all they would
+        come back together and be turned away again.
+        """
+        drained = (now - self._returning_at).total_seconds() * self._rate()
+        most = self._settings.longest_retry_after.total_seconds() * self._rate()
+        self._returning = min(max(self._returning - drained, 0.0) + 1, most)
+        self._returning_at = now
+        return timedelta(seconds=(self.waiting + self._returning) / self._rate())
 
     def _shed(self, ticket: Ticket, after: timedelta, reason: ShedReason) -> Shed:
         return Shed(ticket, spread_retry_after(after, self._rng), reason)
