Take no path in disguise for one that may be repeated

Cause: rules compare a path by its letters, endpoints may resolve it. With a rule that lets POST /lookups/* be repeated, POST /lookups/../certificates counted as a lookup, could be sent twice, and issue two certificates.

Change: a path with dot segments, empty segments, a percent sign, a semicolon, a backslash or unprintable characters is never repeatable on a plain service.

Ruled out: normalising the path, since endpoints differ in how they do it.

Conclusion: such calls need an Idempotency-Key, like any other that is not idempotent.

--- a/src/sassafrasdale/text/structures.py
+++ b/src/sassafrasdale/text/structures.py
@@ -8,6 +8,7 @@
 
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 ANY_METHOD = "*"
+_AMBIGUOUS = frozenset("%\\;")
 
 
 class ServiceKind(StrEnum):
@@ -77,6 +78,19 @@
         return self.method in (ANY_METHOD, method) and fnmatchcase(path, self.path)
 
 
+def is_canonical(path: str) -> bool:
+    """Return whether every endpoint reads ``path`` the same way.
+
+    An endpoint may take ``/lookups/../certificates``, ``//certificates`` or a path
+    that is still encoded for ``/certificates``. Judged by its letters, such a call
+    would match the rule of the lookups, be repeated, and issue two certificates.
+    """
+    segments = path.split("/")
+    if not {".", ".."}.isdisjoint(segments) or "" in segments[1:-1]:
+        return False
+    return path.isprintable() and _AMBIGUOUS.isdisjoint(path)
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointPool:
     """Endpoints of one class that serve a service.
@@ -125,11 +139,14 @@
     def is_idempotent(self, method: str, path: str) -> bool:
         """Return whether a call may be repeated.
 
-        Without a rule, a model's calls may; of plain services only GET and HEAD.
+        Without a rule, a model's calls may; of plain services only GET and HEAD,
+        and only if the path is canonical.
 
         :param method: HTTP method in upper case.
         :param path: decoded path within the service, beginning with a slash.
         """
+        if self.kind is ServiceKind.PLAIN and not is_canonical(path):
+            return False
         for rule in self.rules:
             if rule.matches(method, path):
                 return rule.idempotent
--- a/tests/text/test_parser.py
+++ b/tests/text/test_parser.py
@@ -353,6 +353,36 @@
     assert reports.is_idempotent("POST", "/v1/chat/completions")
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/lookups/../certificates",
+        "/lookups/./../certificates",
+        "//certificates",
+        "/lookups/%2e%2e/certificates",
+        "/lookups/..\\certificates",
+        "/lookups/..;/certificates",
+        "/lookups/\n../certificates",
+    ],
+)
+def test_path_in_disguise_is_not_taken_for_a_lookup(path):
+    """Call the issue of certificates by a path that begins as a lookup.
+
+    One batch would get two certificates: the path matches the rule that lets
+    lookups be repeated, the call is repeated after a lost answer, and the endpoint
+    resolves the path to the issue.
+    """
+    source = AUTHORITY.replace(
+        "{method: GET, path: /*,", "{method: '*', path: /lookups/*,"
+    )
+    records = parse_text(source).services["records"]
+
+    assert records.is_idempotent("POST", "/lookups/17")
+    assert records.is_idempotent("GET", "/batches/")
+    assert not records.is_idempotent("POST", path)
+    assert not records.is_idempotent("GET", path)
+
+
 LINES = AUTHORITY.splitlines()
 DAMAGE = st.tuples(
     st.integers(0, len(LINES) - 1),
