Name the entry in its burn counts and the address of its peers

Cause: `report burn` sums entries and must count each once; the counts named no entry and the status no address of a peer, so the report ended with "not understood" at a real entry.

Change (two small ones in entry.py): GET /admin/v1/burn has `entry`, the status has each peer's `address`. A test asks two real entries by naming one.

--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -194,7 +194,7 @@
             register=self._register,
             accept=self._accept_from_store,
             status=self._status,
-            burn=self._ledger.burn,
+            burn=self._burn,
             rng=self._rng,
         )
 
@@ -382,6 +382,9 @@
             self._server.open_answers or registry.running or registry.undelivered
         )
 
+    def _burn(self) -> dict:
+        return {"entry": self._settings.name, **self._ledger.burn()}
+
     def _status(self) -> dict:
         return {
             "entry": self._settings.name,
@@ -427,6 +430,7 @@
     return {
         "name": member.name,
         "availability_zone": member.availability_zone,
+        "address": str(member.address),
         "state": member.state.name.lower(),
         "revision": member.revision,
     }
--- a/tests/cli/test_real_entry.py
+++ b/tests/cli/test_real_entry.py
@@ -1,5 +1,6 @@
 """Tests of the commands against real entries over a stand-in of the platform."""
 
+import json
 import time
 from datetime import timedelta
 from pathlib import Path
@@ -150,3 +151,31 @@
 
     assert run("config", "put", str(EXAMPLE), "--if-match", "0", *both).code == 0
     assert run("status", *both).out.startswith("entry entry-b in cairo-b")
+
+
+def test_burn_is_summed_over_the_peers_of_an_entry(run, entries):
+    one = ("--entry", entries[0].address)
+    run("config", "put", str(EXAMPLE), "--if-match", "0", *one)
+    wait_for_revision(entries[1], 1)
+    for entry in entries:
+        entry.wait_until_ready()
+        answer = entry.client.call(
+            "GET", "/v1/services/records/batches/1", headers={"X-Customer": "cube-labs"}
+        )
+        assert answer.status == 503  # no endpoint is there
+
+    until = time.monotonic() + IN_FORCE_LIMIT.total_seconds()
+    while time.monotonic() < until:
+        report = json.loads(run("report", "burn", "--json", *one).out)
+        if len(report["entries"]) == 2:
+            break
+        time.sleep(0.1)
+
+    assert report["entries"] == ["entry-a", "entry-b"]
+    records = {burn["service"]: burn for burn in report["services"]}["records"]
+    assert records["windows"][0] == {
+        "seconds": 300,
+        "total": 2,
+        "in_time": 0,
+        "burn_rate": 100.0,
+    }
