Use the platform layer's text record between peers

Two data classes stood for one thing while both layers were written, and the entry translated between them. Peers now carry platform.texts.TextRecord; the entry passes it on as it is (small change in entry.py).

--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -32,7 +32,6 @@
     NoticeHeard,
     TextOffered,
 )
-from sassafrasdale.peers.structures import TextRecord as PeerTextRecord
 from sassafrasdale.platform.clouds import (
     CloudClient,
     InstancesListed,
@@ -244,15 +243,10 @@
             case FindAsked(request_id, reply):
                 reply(self._dispatcher.registry.holds(request_id))
 
-    def _heed_peer_text(self, record: PeerTextRecord) -> None:
+    def _heed_peer_text(self, record: TextRecord) -> None:
         if self._text_trusted_at is None:
             self._text_trusted_at = self._clock.elapsed() + PEER_TEXT_SETTLE
-        accepted_at = datetime.fromisoformat(record.accepted_at)
-        self._accept(
-            TextRecord(
-                record.revision, record.edit_id, record.author, accepted_at, record.text
-            )
-        )
+        self._accept(record)
 
     def _heed_instances(self, instances: tuple[Instance, ...]) -> None:
         self._listed = True
@@ -301,7 +295,7 @@
         self._gates.set_text(self._current.text)
         self._ledger.set_text(self._current.text)
         self._metrics.set_revision(record.revision)
-        self._peers.offer_text(_peer_record(record))
+        self._peers.offer_text(record)
         log.info("revision {} is in force", record.revision)
 
     def _refresh(self) -> None:
@@ -413,16 +407,6 @@
         sleep(TASK_PAUSE)
 
 
-def _peer_record(record: TextRecord) -> PeerTextRecord:
-    return PeerTextRecord(
-        record.revision,
-        record.edit_id,
-        record.author,
-        record.accepted_at.isoformat(),
-        record.text,
-    )
-
-
 def _peer_status(member: Member) -> dict:
     return {
         "name": member.name,
--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -40,8 +40,8 @@
     NoticeHeard,
     PeerTimings,
     TextOffered,
-    TextRecord,
 )
+from sassafrasdale.platform.texts import TextRecord
 from sassafrasdale.structures import Instance, Notice
 
 UPDATES_A_MESSAGE = 8
--- a/src/sassafrasdale/peers/messages.py
+++ b/src/sassafrasdale/peers/messages.py
@@ -8,7 +8,8 @@
     NoticeUpdate,
     PullTextReply,
 )
-from sassafrasdale.peers.structures import Member, MemberState, TextRecord
+from sassafrasdale.peers.structures import Member, MemberState
+from sassafrasdale.platform.texts import TextRecord
 from sassafrasdale.structures import Address, Notice
 
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
@@ -65,7 +66,7 @@
     reply.revision = record.revision
     reply.edit_id = record.edit_id
     reply.author = record.author
-    reply.accepted_at = record.accepted_at
+    reply.accepted_at = record.accepted_at.isoformat()
     reply.compressed_text = zlib.compress(record.text.encode())
 
 
@@ -77,6 +78,6 @@
         revision=message.revision,
         edit_id=message.edit_id,
         author=message.author,
-        accepted_at=message.accepted_at,
+        accepted_at=datetime.fromisoformat(message.accepted_at),
         text=zlib.decompress(message.compressed_text).decode(),
     )
--- a/src/sassafrasdale/peers/node.py
+++ b/src/sassafrasdale/peers/node.py
@@ -29,8 +29,8 @@
     MembersChanged,
     NodeSettings,
     PeerTimings,
-    TextRecord,
 )
+from sassafrasdale.platform.texts import TextRecord
 from sassafrasdale.structures import Address, Instance, Notice
 
 BACKLOG = 512
--- a/src/sassafrasdale/peers/structures.py
+++ b/src/sassafrasdale/peers/structures.py
@@ -6,6 +6,7 @@
 from enum import IntEnum
 from typing import Protocol
 
+from sassafrasdale.platform.texts import TextRecord
 from sassafrasdale.structures import Address, Notice
 
 
@@ -50,24 +51,6 @@
         return (self.incarnation, int(self.state))
 
 
-@dataclass(frozen=True, slots=True)
-class TextRecord:
-    """An accepted edit of the operators' text.
-
-    :param revision: number of the edit, from 1.
-    :param edit_id: identifier that the editor gave it.
-    :param author: who made it.
-    :param accepted_at: when the store took it, RFC 3339.
-    :param text: the whole text.
-    """
-
-    revision: int
-    edit_id: str
-    author: str
-    accepted_at: str
-    text: str
-
-
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """A request that its holder gives to another entry.
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -12,11 +12,13 @@
     MemberState,
     NoticeHeard,
     TextOffered,
-    TextRecord,
 )
+from sassafrasdale.platform.texts import TextRecord
 from sassafrasdale.structures import Notice
 from tests.peers.nodes import instances_of, start_node, wait_until
 
+NOON = datetime(2026, 1, 1, 12, tzinfo=UTC)
+
 
 @pytest.fixture
 def cluster():
@@ -46,14 +48,14 @@
 
 
 def test_text_reaches_every_peer(cluster):
-    record = TextRecord(4, "edit", "ann", "2026-01-01T00:00:00Z", "deployment: x")
+    record = TextRecord(4, "edit", "ann", NOON, "deployment: x")
     cluster[0][0].offer_text(record)
     for _, inbox in cluster[1:]:
         assert take(inbox, TextOffered).record == record
 
 
 def test_notice_reaches_every_peer_once(cluster):
-    notice = Notice(7, "endpoint-1", datetime(2026, 1, 1, tzinfo=UTC))
+    notice = Notice(7, "endpoint-1", NOON)
     cluster[0][0].spread_notice(notice)
     cluster[0][0].spread_notice(notice)
     for _, inbox in cluster[1:]:
