--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of what each role costs, for docs/CAPACITY.md."""
--- /dev/null
+++ b/bench/capacity/endpoints.py
@@ -0,0 +1,153 @@
+"""What one entry pays for the endpoints that it knows.
+
+Usage::
+
+    python -m bench.capacity endpoints
+"""
+
+import time
+from datetime import timedelta
+from random import Random
+
+from bench.capacity.records import record_of
+from bench.capacity.results import Panel, Row, fit_columns, plot, write
+from bench.capacity.texts_of_size import ZONES, make_text
+from bench.capacity.usage import cpu_of, own_cpu, resident_bytes
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.endpoints.directory import Directory
+from sassafrasdale.requests.selection import Selector
+from sassafrasdale.structures import Address, Instance, Role
+from sassafrasdale.text.current import CurrentText
+from standins.processes import (
+    Client,
+    EngineProcess,
+    EntryProcess,
+    PlatformProcess,
+    StandInProcess,
+)
+
+SIZES = (6, 30, 120, 480, 1900)
+SERVICE = "model-0"
+WINDOW_SECONDS = 20.0
+SETTLE_SECONDS = 4.0
+CHOICES = 200
+PROMPT = "Draft the compliance report of batch 7. " * 50
+PERCENT = 100
+MILLISECONDS = 1000
+MEBIBYTE = 2**20
+KIBIBYTE = 2**10
+
+
+def measure() -> None:
+    """Measure every size and write the table and the plot."""
+    rows = [_measure_size(size) for size in SIZES]
+    slopes = {
+        f"{y} by endpoints": fit_columns(rows, "endpoints", y)
+        for y in ("resident_mib", "choice_ms", "list_kib_s")
+    }
+    write(
+        "endpoints", {"endpoints": rows}, slopes, "python -m bench.capacity endpoints"
+    )
+    panels = (
+        Panel("endpoints", ("cpu_percent",), "idle entry, % of a core"),
+        Panel("endpoints", ("resident_mib",), "resident memory, MiB"),
+        Panel("endpoints", ("choice_ms",), "one choice of an endpoint, ms"),
+        Panel("endpoints", ("list_kib_s",), "list of instances, KiB/s"),
+    )
+    plot("capacity-endpoints", rows, panels)
+
+
+def _measure_size(size: int) -> Row:
+    with PlatformProcess() as platform, EngineProcess("engine-0", ZONES[0]) as engine:
+        for number in range(size):
+            platform.control("POST", "instances", _listed(number, engine.address))
+        row: Row = {"endpoints": size}
+        row |= _entry_row(platform, engine, size)
+    row["choice_ms"] = _choice_ms(size)
+    print(row, flush=True)
+    return row
+
+
+def _entry_row(platform: PlatformProcess, engine: StandInProcess, size: int) -> Row:
+    """Measure an entry that serves nothing and knows ``size`` endpoints."""
+    entry = EntryProcess("entry-0", ZONES[0], platform.store, platform.cloud)
+    entry.launch()
+    try:
+        entry.wait_until_live()
+        put_text(entry, make_text(1, replicas=size))
+        entry.wait_until_ready()
+        _wait_for_endpoints(entry, size)
+        time.sleep(SETTLE_SECONDS)
+        lists = platform.counts()["cloud"].get("instances", 0)
+        cpu, start = cpu_of(entry.pid), time.monotonic()
+        time.sleep(WINDOW_SECONDS)
+        seconds = time.monotonic() - start
+        lists = platform.counts()["cloud"].get("instances", 0) - lists
+        return {
+            "cpu_percent": (cpu_of(entry.pid) - cpu) / seconds * PERCENT,
+            "resident_mib": resident_bytes(entry.pid) / MEBIBYTE,
+            "lists_s": lists / seconds,
+            "list_kib_s": lists / seconds * _list_bytes(platform) / KIBIBYTE,
+        }
+    finally:
+        entry.close()
+
+
+def put_text(entry: EntryProcess, text: str, revision: int = 0) -> None:
+    """Put an operators' text in force."""
+    headers = {"If-Match": f'"{revision}"', "Content-Type": "application/yaml"}
+    answer = entry.client.call("PUT", "/admin/v1/text", text.encode(), headers)
+    if answer.status != 200:
+        raise RuntimeError(f"the text was not accepted: {answer.data!r}")
+
+
+def _listed(number: int, address: str) -> dict:
+    return {
+        "name": f"engine-{number}",
+        "role": "endpoint",
+        "availability_zone": ZONES[number % len(ZONES)],
+        "address": address,
+        "service": SERVICE,
+        "instance_class": "gpu-large",
+    }
+
+
+def _wait_for_endpoints(entry: EntryProcess, size: int) -> None:
+    until = time.monotonic() + 60
+    while time.monotonic() < until:
+        status = entry.client.call("GET", "/admin/v1/status").json()
+        if len(status["endpoints"]) == size:
+            return
+        time.sleep(0.2)
+    raise TimeoutError(f"the entry did not list {size} endpoints")
+
+
+def _list_bytes(platform: PlatformProcess) -> int:
+    return len(Client(platform.cloud).call("GET", "/cloud/v1/instances").data)
+
+
+def _choice_ms(size: int) -> float:
+    """Return the processor time of one choice among ``size`` endpoints."""
+    clock = SystemClock()
+    directory = Directory(clock)
+    directory.replace(
+        Instance(
+            f"engine-{number}",
+            Role.ENDPOINT,
+            ZONES[number % len(ZONES)],
+            Address("127.0.0.1", 1),
+            service=SERVICE,
+            instance_class="gpu-large",
+        )
+        for number in range(size)
+    )
+    current = CurrentText()
+    current.accept(record_of(1, make_text(1, replicas=size)))
+    selector = Selector(directory, current, ZONES[0], clock, Random(1))
+    selector.refresh()
+    deadline = clock.elapsed() + timedelta(seconds=60)
+    wanted = selector.wanted(SERVICE, deadline, 4, prompt=PROMPT, max_tokens=200)
+    start = own_cpu()
+    for _ in range(CHOICES):
+        selector.choose(wanted, frozenset())
+    return (own_cpu() - start) / CHOICES * MILLISECONDS
--- /dev/null
+++ b/bench/capacity/peers.py
@@ -0,0 +1,160 @@
+"""What a peer costs, and how fast news and failures are known, by fleet size.
+
+Usage::
+
+    python -m bench.capacity peers
+"""
+
+import signal
+import time
+from random import Random
+
+from bench.capacity.peer_fleet import Fleet, HostProcess, Usage
+from bench.capacity.results import Line, Panel, Row, fit_columns, plot, write
+from bench.capacity.traffic import HEADERS_OF_SEGMENT
+
+SIZES = ((3, 1), (9, 1), (27, 1), (81, 1))
+LARGE = (320, 4)
+QUIET_SECONDS = 40.0
+SETTLE_SECONDS = 5.0
+NEWS_COUNT = 20
+NEWS_PAUSE = 0.5
+# About the size of the operators' text of a deployment with 30 services.
+TEXT = "services:\n" + "".join(
+    f"  service-{number}:\n    timeout: {number}s\n" for number in range(600)
+)
+MEBIBYTE = 2**20
+PERCENT = 100
+MILLISECONDS = 1000
+
+
+def measure() -> None:
+    """Measure every size and write the table and the plot."""
+    rows = [_measure_size(size, share) for size, share in (*SIZES, LARGE)]
+    lone = _measure_alone()
+    slopes = _slopes([row for row in rows if row["nodes_a_process"] == 1])
+    tables = {"peers": rows, "alone": [lone]}
+    write("peers", tables, slopes, "python -m bench.capacity peers")
+    panels = (
+        Panel("nodes", ("cpu_percent",), "processor time, % of a core a node"),
+        Panel(
+            "nodes", ("payload_bytes_s", "wire_bytes_s"), "bytes sent a second a node"
+        ),
+        Panel("nodes", ("text_p99_s", "notice_p99_s"), "news known by all but 1%, s"),
+        Panel("nodes", ("killed_s", "frozen_s"), "failure known by all, s"),
+    )
+    plot("capacity-peers", rows, panels)
+
+
+def _measure_alone() -> Row:
+    """Measure a process with a node that has no peers: the floor."""
+    fleet = Fleet(1)
+    try:
+        before, after = _quiet(fleet)
+    finally:
+        fleet.end()
+    return {
+        "cpu_percent": (after.cpu - before.cpu) / (after.at - before.at) * PERCENT,
+        "resident_mib": after.resident / MEBIBYTE,
+    }
+
+
+def _measure_size(size: int, share: int) -> Row:
+    fleet = Fleet(size, share)
+    try:
+        joined = fleet.join()
+        time.sleep(SETTLE_SECONDS)
+        row: Row = {"nodes": size, "nodes_a_process": share, "join_s": joined}
+        row |= _quiet_row(fleet, size)
+        row |= _news_row(fleet, size, row)
+        row |= _failure_row(fleet, size)
+    finally:
+        fleet.end()
+    print(row, flush=True)
+    return row
+
+
+def _quiet(fleet: Fleet) -> tuple[Usage, Usage]:
+    before = fleet.usage()
+    time.sleep(QUIET_SECONDS)
+    return before, fleet.usage()
+
+
+def _quiet_row(fleet: Fleet, size: int) -> Row:
+    """Measure while nothing happens but probes."""
+    before, after = _quiet(fleet)
+    node_seconds = (after.at - before.at) * size
+    payload = (after.received - before.received) / node_seconds
+    segments = (after.segments - before.segments) / node_seconds
+    return {
+        "cpu_percent": (after.cpu - before.cpu) / node_seconds * PERCENT,
+        "payload_bytes_s": payload,
+        "wire_bytes_s": payload + segments * HEADERS_OF_SEGMENT,
+        "segments_s": segments,
+        "connections_s": (after.connections - before.connections) / node_seconds / 2,
+        "open_connections": after.open / size,
+        "resident_mib": after.resident / len(fleet.hosts) / MEBIBYTE,
+    }
+
+
+def _news_row(fleet: Fleet, size: int, quiet: Row) -> Row:
+    """Spread notices and texts from random nodes; costs are above the quiet ones."""
+    rng = Random(size)
+    times: dict[str, list[float]] = {"notice": [], "text": []}
+    costs: dict[str, float] = {}
+    for what in times:
+        before = fleet.usage()
+        for number in range(1, NEWS_COUNT + 1):
+            host = rng.choice(fleet.hosts)
+            extra = {"sequence": number}
+            if what == "text":
+                extra = {"revision": number, "text": f"{TEXT}# {number}\n"}
+            times[what] += fleet.spread(what, host, name=host.names[0], **extra)
+            time.sleep(NEWS_PAUSE)
+        after = fleet.usage()
+        window = after.at - before.at
+        cpu = (after.cpu - before.cpu) / size - quiet["cpu_percent"] / PERCENT * window
+        payload = (after.received - before.received) / size
+        payload -= quiet["payload_bytes_s"] * window
+        costs[f"{what}_cpu_ms"] = cpu / NEWS_COUNT * MILLISECONDS
+        costs[f"{what}_bytes"] = payload / NEWS_COUNT
+    return {
+        "notice_p50_s": _percentile(times["notice"], 50),
+        "notice_p99_s": _percentile(times["notice"], 99),
+        "notice_max_s": max(times["notice"]),
+        "text_p50_s": _percentile(times["text"], 50),
+        "text_p99_s": _percentile(times["text"], 99),
+        "text_max_s": max(times["text"]),
+        **costs,
+    }
+
+
+def _failure_row(fleet: Fleet, size: int) -> Row:
+    """Kill one process and freeze one; a fleet of three loses one only."""
+    killed = _seconds_to_dead(fleet, fleet.hosts[-1], signal.SIGKILL)
+    row: Row = {"killed_first_s": killed[0], "killed_s": killed[-1]}
+    if size > 3:
+        fleet.leave_out(fleet.hosts[-1])
+        frozen = _seconds_to_dead(fleet, fleet.hosts[0], signal.SIGSTOP)
+        row |= {"frozen_first_s": frozen[0], "frozen_s": frozen[-1]}
+    return row
+
+
+def _seconds_to_dead(
+    fleet: Fleet, victim: HostProcess, number: signal.Signals
+) -> list[float]:
+    start = time.monotonic()
+    victim.process.send_signal(number)
+    return fleet.seconds_to_dead(victim, start)
+
+
+def _percentile(values: list[float], percent: int) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
+
+
+def _slopes(rows: list[Row]) -> dict[str, Line]:
+    return {
+        f"{y} by nodes": fit_columns(rows, "nodes", y)
+        for y in ("cpu_percent", "wire_bytes_s", "resident_mib", "open_connections")
+    }
--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -86,7 +86,7 @@
         self._channels = ChannelPool()
         self._record: TextRecord | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._published: tuple[Member, ...] = ()
+        self._published_version = 0
         self._is_joining = True
         self._is_pulling = False
         self._spreading: asyncio.Task | None = None
@@ -473,7 +473,6 @@
         )
 
     def _publish(self) -> None:
-        members = self._membership.members
-        if members != self._published:
-            self._published = members
-            self._post(MembersChanged(members))
+        if self._membership.version != self._published_version:
+            self._published_version = self._membership.version
+            self._post(MembersChanged(self._membership.members))
--- a/src/sassafrasdale/peers/membership.py
+++ b/src/sassafrasdale/peers/membership.py
@@ -40,6 +40,12 @@
         self._round: list[str] = []
         self._verify: dict[str, None] = {}
         self._transmits_left: dict[str, int] = {}
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Number that grows with each change of :attr:`members`."""
+        return self._version
 
     @property
     def me(self) -> Member:
@@ -104,6 +110,7 @@
             return news
         if revision > known.revision:
             self._members[sender.name] = replace(known, revision=revision)
+            self._version += 1
         if served and (is_new or known.state >= MemberState.SUSPECT):
             # It sends, which does not show that it answers: ask it directly, with
             # a bad belief in the message, so that it can refute.
@@ -206,6 +213,7 @@
     def _store(self, member: Member) -> None:
         self._members[member.name] = member
         self._changed_at[member.name] = self._clock.elapsed()
+        self._version += 1
         size = len(self._members) + 1
         self._transmits_left[member.name] = RETRANSMIT_FACTOR * math.ceil(
             math.log2(size + 1)
@@ -235,6 +243,7 @@
             state=MemberState.SUSPECT,
         )
         self._changed_at[instance.name] = self._clock.elapsed()
+        self._version += 1
         self._verify_soon(instance.name)
 
     def _is_forgotten(self, member: Member, age: timedelta) -> bool:
@@ -247,6 +256,7 @@
     def _forget(self, name: str) -> None:
         del self._members[name]
         del self._changed_at[name]
+        self._version += 1
         self._transmits_left.pop(name, None)
         self._verify.pop(name, None)
 
