Read an edit back until its lost answers are known

Cause: after three lost answers the entry told the author that the edit's fate was unknown, although the store was there and held it. Change: the conditional write is repeated, which is safe over one mod_revision, for up to 4 s, and whoever won is read from the history.

--- a/src/sassafrasdale/platform/texts.py
+++ b/src/sassafrasdale/platform/texts.py
@@ -13,12 +13,14 @@
     TextConflict,
     TextOutcomeUnknown,
 )
-from sassafrasdale.platform.stores import ABSENT, BaseStore, StoredValue
+from sassafrasdale.platform.stores import ABSENT, BaseStore, StoredValue, Swap
 
 TEXT_KEY = "sassafrasdale/text"
 HISTORY_PREFIX = "sassafrasdale/history/"
 HISTORY_LIMIT = 100
-WRITE_ATTEMPTS = 3
+WRITE_ATTEMPTS = 40
+WRITE_LIMIT = timedelta(seconds=4)
+WRITE_PAUSE = timedelta(milliseconds=100)
 WATCH_LIMIT = timedelta(seconds=2.5)
 WATCH_JITTER = 0.2
 FIRST_PAUSE = timedelta(milliseconds=200)
@@ -132,37 +134,33 @@
         A lost answer leaves open whether the write took effect, or still will.
         Writing it again is safe: the store applies at most one write over a
         given ``mod_revision``. Whichever edit won is found in the history under
-        this revision, also when later edits stand on top of it.
+        this revision, also when later edits stand on top of it. So the write is
+        repeated until an answer tells, within a limit: an author who is told
+        "unknown" of an edit that is in force may undo it by a second one.
         """
-        value = record.to_json()
-        also = {_history_key(record.revision): value}
-        lost: StoreAnswerLost | None = None
+        until = self._clock.elapsed() + WRITE_LIMIT
+        in_doubt = False
         for _ in range(WRITE_ATTEMPTS):
             try:
-                swap = self._store.compare_and_swap(
-                    TEXT_KEY, value, mod_revision, also=also
+                if self._swap(record, mod_revision):
+                    return record
+                return self._accepted_or_conflict(
+                    record.text, record.revision - 1, record.edit_id
                 )
-            except StoreAnswerLost as error:
-                lost = error
-                continue
             except StoreError as error:
-                if lost is None:
+                in_doubt = in_doubt or isinstance(error, StoreAnswerLost)
+                if not in_doubt:
                     raise
-                raise _outcome_unknown(error) from error
-            if swap:
-                return record
-            return self._resolve(record, lost)
-        raise _outcome_unknown(lost) from lost
-
-    def _resolve(self, record: TextRecord, lost: StoreAnswerLost | None) -> TextRecord:
-        try:
-            return self._accepted_or_conflict(
-                record.text, record.revision - 1, record.edit_id
-            )
-        except StoreError as error:
-            if lost is None:
-                raise
-            raise _outcome_unknown(error) from error
+                last = error
+            if self._clock.elapsed() >= until:
+                break
+            sleep(WRITE_PAUSE)
+        raise _outcome_unknown(last) from last
+
+    def _swap(self, record: TextRecord, mod_revision: int) -> Swap:
+        value = record.to_json()
+        also = {_history_key(record.revision): value}
+        return self._store.compare_and_swap(TEXT_KEY, value, mod_revision, also=also)
 
     def _accepted_or_conflict(
         self, text: str, expected_revision: int, edit_id: str
--- /dev/null
+++ b/tests/guarantees/operators.py
@@ -0,0 +1,101 @@
+"""Operators and entries for the tests of configuration."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+from uuid import uuid4
+
+from standins.processes import ROOT, EntryProcess, Response
+
+IN_FORCE_LIMIT = timedelta(seconds=5)
+POLL = timedelta(milliseconds=20)
+TEXT = """\
+deployment: configuration
+instance_classes: [cpu-small]
+availability_zones:
+  zone-a: {region: north, one_way_delay: 1ms, client_delay: 1ms}
+  zone-b: {region: north, one_way_delay: 1ms, client_delay: 1ms}
+  zone-c: {region: north, one_way_delay: 1ms, client_delay: 1ms}
+services:
+  records:
+    kind: plain
+    objective: {latency: 100ms, share: 0.99}
+    timeout: 2s
+    priority: 0
+    weights: {latency_cost: 3, recomputed_tokens: 0}
+    pools:
+      - instance_class: cpu-small
+        availability_zones: [zone-a]
+        count: 1
+        max_in_flight: 64
+        max_waiting: 128
+customers:
+  cube-labs: {weight: 4}
+"""
+
+
+def example(name: str) -> str:
+    """Return the text of one of the two users."""
+    return Path(ROOT, "examples", f"{name}.yaml").read_text(encoding="utf-8")
+
+
+def edited(weight: float, text: str = TEXT) -> str:
+    """Return the text with another weight of its first customer."""
+    return text.replace("cube-labs: {weight: 4", f"cube-labs: {{weight: {weight}")
+
+
+def revision_of(entry: EntryProcess) -> int:
+    """Return the revision in force on an entry, 0 if there is none."""
+    return entry.client.call("GET", "/admin/v1/status").json()["revision"]
+
+
+def put_text(
+    entry: EntryProcess,
+    text: str,
+    expected: int,
+    *,
+    edit_id: str | None = None,
+    author: str = "ana",
+) -> Response:
+    """Put ``text`` in place of revision ``expected`` through one entry."""
+    headers = {
+        "If-Match": f'"{expected}"',
+        "X-Edit-Id": edit_id or uuid4().hex,
+        "X-Author": author,
+    }
+    return entry.client.call("PUT", "/admin/v1/text", text.encode(), headers)
+
+
+def at_once(calls: Iterable[Callable[[], Any]]) -> list[Any]:
+    """Make all calls at the same moment and return their results in order."""
+    calls = list(calls)
+    results: list[Any] = [None] * len(calls)
+    barrier = threading.Barrier(len(calls))
+
+    def run(number: int) -> None:
+        barrier.wait()
+        results[number] = calls[number]()
+
+    threads = [threading.Thread(target=run, args=[n]) for n in range(len(calls))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def wait_until(condition: Callable[[], Any], limit: timedelta) -> Any:
+    """Wait until ``condition`` gives something true, and return that.
+
+    :raises TimeoutError: if it doesn't within ``limit``.
+    """
+    deadline = time.monotonic() + limit.total_seconds()
+    while time.monotonic() < deadline:
+        result = condition()
+        if result:
+            return result
+        time.sleep(POLL.total_seconds())
+    raise TimeoutError(f"not within {limit}")
