--- a/tests/callers/test_session.py
+++ b/tests/callers/test_session.py
@@ -4,8 +4,8 @@
 
 from syrupy.assertion import SnapshotAssertion
 
+from standins.clients import Response
 from standins.fleet import Fleet
-from standins.processes import Response
 
 CALLER = {"X-Customer": "cube-labs"}
 CHAT = {
