--- a/src/sassafrasdale/requests/claim_repairs.py
+++ b/src/sassafrasdale/requests/claim_repairs.py
@@ -1,6 +1,7 @@
 """Writes the outcome of a claim, and finishes in the background what was lost."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -53,14 +54,20 @@
     :param store: the platform's store.
     :param clock: source of elapsed time.
     :param retention: gives the lease to attach outcomes to.
+    :param start: starts a function as a task.
     """
 
     def __init__(
-        self, store: BaseStore, clock: Clock, retention: RetentionLease
+        self,
+        store: BaseStore,
+        clock: Clock,
+        retention: RetentionLease,
+        start: Callable[[Callable[[], None]], object] = spawn,
     ) -> None:
         self._store = store
         self._clock = clock
         self._retention = retention
+        self._start_task = start
         self._pending: deque[_Pending] = deque()
         self._pending_bytes = 0
         self._dropped = 0
@@ -168,7 +175,7 @@
         if self._running:
             return
         self._running = True
-        spawn(self._run)
+        self._start_task(self._run)
 
     def _is_too_large(self) -> bool:
         if len(self._pending) > MAX_PENDING:
--- a/src/sassafrasdale/requests/claims.py
+++ b/src/sassafrasdale/requests/claims.py
@@ -3,10 +3,12 @@
 docs/AT-MOST-ONCE.md gives the reasoning and what a caller is told in each case.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.green import spawn
 from sassafrasdale.platform.exceptions import (
     LeaseNotFound,
     StoreAnswerLost,
@@ -88,12 +90,18 @@
 
     :param store: the platform's store.
     :param clock: source of elapsed time.
+    :param start: starts a function as a task.
     """
 
-    def __init__(self, store: BaseStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: BaseStore,
+        clock: Clock,
+        start: Callable[[Callable[[], None]], object] = spawn,
+    ) -> None:
         self._store = store
         self._retention = RetentionLease(store, clock)
-        self._repairer = ClaimRepairer(store, clock, self._retention)
+        self._repairer = ClaimRepairer(store, clock, self._retention, start)
 
     @property
     def repairer(self) -> ClaimRepairer:
--- /dev/null
+++ b/tests/requests/test_claims_model.py
@@ -0,0 +1,185 @@
+"""Model check: claims under lost answers, late writes, crashes and freezes.
+
+Callers retry one key through several entries. In any order, entries
+stop between two calls of the store, or between the claim and the send, go on
+later or die there; the store's answers are lost and its writes land late.
+"""
+
+from uuid import uuid4
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.platform.exceptions import StoreError
+from sassafrasdale.requests.claims import (
+    Answered,
+    ClaimKey,
+    Claims,
+    Granted,
+    StoredAnswer,
+)
+from sassafrasdale.requests.exceptions import ClaimRefused
+from tests.platform.stepping import FAULTS, Program, SteppedStore, wait
+
+ENTRIES = 3
+KEY = ClaimKey("bookings", "association", "date-1")
+
+entries = st.integers(0, ENTRIES - 1)
+indexes = st.integers(0, 99)
+several_faults = st.lists(st.sampled_from(FAULTS), min_size=1, max_size=5)
+
+
+class Attempt:
+    """One call of a caller through one entry, as the entry carries it out."""
+
+    def __init__(self, model: "ClaimsModel", entry: int) -> None:
+        self.entry = entry
+        self.ran = False
+        self.may_block = False
+        self.told: str | None = None
+        self._model = model
+        self.claims = model.claims[entry]
+        self.program = Program(self._run)
+
+    def _run(self) -> None:
+        try:
+            result = self.claims.claim(KEY, "print", uuid4().hex, str(self.entry))
+        except ClaimRefused:
+            self.told = "not run"
+            return
+        match result:
+            case Granted(claim):
+                self._send(claim)
+            case Answered(answer):
+                self._tell(answer)
+            case _:
+                self.told = "unknown"
+
+    def _send(self, claim) -> None:
+        match wait():
+            case None:
+                answer = self._execute()
+                self._tell(answer)
+                self.claims.settle(claim, answer)
+            case "unreached":
+                self.told = "not run"
+                self.claims.abandon(claim)
+            case fault:
+                if fault == "lost_after":
+                    self._execute()
+                if fault == "late":
+                    self._model.store.late.append(self._execute)
+                self.told = "unknown"
+                self.may_block = True
+                self.claims.mark_unknown(claim)
+
+    def _execute(self) -> StoredAnswer:
+        self.ran = True
+        self.may_block = True
+        self._model.runs += 1
+        return StoredAnswer(200, (), uuid4().bytes)
+
+    def _tell(self, answer: StoredAnswer) -> None:
+        self.told = "answered"
+        self._model.answers.add(answer.body)
+
+
+class ClaimsModel(RuleBasedStateMachine):
+    """Entries that claim, send, settle and repair, stepped in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = SteppedStore(ManualClock())
+        self.claims = [self._new_claims() for _ in range(ENTRIES)]
+        self.repairs: dict[int, Program] = {}
+        self.attempts: list[Attempt] = []
+        self.live: list[Attempt] = []
+        self.runs = 0
+        self.answers: set[bytes] = set()
+
+    @rule(entry=entries, faults=several_faults)
+    def call(self, entry, faults):
+        attempt = Attempt(self, entry)
+        self.attempts.append(attempt)
+        self._step(attempt, faults)
+
+    @precondition(lambda self: self.live)
+    @rule(index=indexes, faults=several_faults)
+    def step(self, index, faults):
+        self._step(self.live[index % len(self.live)], faults)
+
+    @precondition(lambda self: self.store.late)
+    @rule(index=indexes)
+    def land(self, index):
+        self.store.land(index % len(self.store.late))
+
+    @precondition(lambda self: any(claims.repairer.pending for claims in self.claims))
+    @rule(entry=entries, faults=several_faults)
+    def repair(self, entry, faults):
+        program = self.repairs.get(entry)
+        if program is None or program.done:
+            program = Program(lambda: self._repair(entry))
+            self.repairs[entry] = program
+        program.step_all(faults)
+
+    @rule(entry=entries, is_due=st.sampled_from((False, False, False, True)))
+    def crash(self, entry, is_due):
+        if not is_due:
+            return
+        for attempt in self.attempts:
+            attempt.may_block |= attempt.entry == entry
+        self.live = [item for item in self.live if item.entry != entry]
+        self.repairs.pop(entry, None)
+        self.claims[entry] = self._new_claims()
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert self.runs <= 1
+
+    @invariant()
+    def not_run_is_true(self):
+        assert not any(item.ran and item.told == "not run" for item in self.attempts)
+
+    @invariant()
+    def one_answer_a_key(self):
+        assert len(self.answers) <= 1
+
+    def teardown(self):
+        """With the faults over, no attempt that was given up blocks the key."""
+        for program in [item.program for item in self.live] + [*self.repairs.values()]:
+            program.finish()
+        for claims in self.claims:
+            while claims.repairer.pending:
+                claims.repairer.run_once()
+        while self.store.late:
+            self.store.land()
+        self.runs_at_most_once()
+        self.not_run_is_true()
+        self.one_answer_a_key()
+        if not any(attempt.may_block for attempt in self.attempts):
+            result = self.claims[0].claim(KEY, "print", uuid4().hex, "0")
+            assert isinstance(result, Granted), result
+
+    def _step(self, attempt: Attempt, faults: list[str | None]) -> None:
+        attempt.program.step_all(faults)
+        self.live = [item for item in self.attempts if self._is_live(item)]
+
+    def _is_live(self, attempt: Attempt) -> bool:
+        return attempt.claims in self.claims and not attempt.program.done
+
+    def _repair(self, entry: int) -> None:
+        try:
+            self.claims[entry].repairer.run_once()
+        except StoreError:
+            return
+
+    def _new_claims(self) -> Claims:
+        return Claims(self.store, self.store.clock, start=lambda task: None)
+
+
+TestClaimsModel = ClaimsModel.TestCase
+TestClaimsModel.settings = settings(
+    max_examples=500, stateful_step_count=20, deadline=None
+)
