--- a/src/sassafrasdale/requests/exceptions.py
+++ b/src/sassafrasdale/requests/exceptions.py
@@ -19,5 +19,9 @@
     """An idempotency key came back with another request."""
 
 
+class HandOverFaulty(RequestError):
+    """A hand-over of a peer can't be read."""
+
+
 class ClaimRefused(RequestError):
     """No claim was granted, and none will be: the request does not run."""
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -16,7 +16,9 @@
 from sassafrasdale.endpoints.adapters import EventStream
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import (
+    DATA,
     DONE,
+    JSON_TYPE,
     FromCache,
     FromPrompt,
     Reattach,
@@ -36,6 +38,8 @@
     StreamUnknown,
 )
 from sassafrasdale.green import Event, GreenThread, spawn
+from sassafrasdale.requests.execution import Choose, Observe
+from sassafrasdale.requests.gate import Gate
 from sassafrasdale.requests.structures import (
     Answered,
     ModelCall,
@@ -60,9 +64,14 @@
 
     tokens: int
     text: str
-    finished: bool
+    finish_reason: str | None
     usage: Usage | None
 
+    @property
+    def finished(self) -> bool:
+        """Whether the engine said that the answer is whole."""
+        return self.finish_reason is not None
+
 
 class Generation:
     """One model request that this entry holds.
@@ -71,6 +80,8 @@
     :param choose: gives an endpoint for the call, or None if there is none; its
         argument names endpoints not to take.
     :param clock: source of time.
+    :param gate: lets the request into its service; None if it is in already.
+    :param observe: told whether an endpoint answered.
     :param events: events received by an earlier holder.
     :param endpoint: where the earlier holder's stream runs.
     :param on_end: called once with the generation when it has ended.
@@ -84,9 +95,11 @@
     def __init__(
         self,
         call: ModelCall,
-        choose: Callable[[ModelCall, frozenset[str]], Endpoint | None],
+        choose: Choose,
         clock: Clock,
         *,
+        gate: Gate | None = None,
+        observe: Observe,
         events: list[bytes] | None = None,
         endpoint: Endpoint | None = None,
         on_end: Callable[["Generation"], None] = lambda generation: None,
@@ -94,6 +107,8 @@
         self._call = call
         self._choose = choose
         self._clock = clock
+        self._gate = gate
+        self._observe = observe
         self._events = events or []
         self._endpoint = endpoint
         self._on_end = on_end
@@ -109,6 +124,7 @@
         self._started_at = clock.elapsed()
         self._first_event_at: timedelta | None = None
         self._last_read_at = self._started_at
+        self._delivered = False
 
     @property
     def call(self) -> ModelCall:
@@ -160,10 +176,19 @@
         """Elapsed time of the clock at which somebody last asked for events."""
         return self._last_read_at
 
+    @property
+    def delivered(self) -> bool:
+        """Whether a caller was given the end of the answer."""
+        return self._delivered
+
+    def mark_delivered(self) -> None:
+        """Note that a caller was given the end of the answer."""
+        self._delivered = True
+
     def received(self) -> Received:
         """Parse the events so far."""
         text: list[str] = []
-        finished = False
+        finish_reason = None
         usage = None
         for event in self._events:
             if event == DONE:
@@ -171,9 +196,9 @@
             chunk = parse_chunk(event)
             if chunk.content:
                 text.append(chunk.content)
-            finished = finished or chunk.finish_reason is not None
+            finish_reason = chunk.finish_reason or finish_reason
             usage = chunk.usage or usage
-        return Received(len(text), "".join(text), finished, usage)
+        return Received(len(text), "".join(text), finish_reason, usage)
 
     def start(self) -> None:
         """Begin in a task of its own."""
@@ -181,13 +206,16 @@
 
     def run(self) -> None:
         """Bring the generation to its end."""
+        ticket = self._gate.enter(self._call.call) if self._gate else None
+        if isinstance(ticket, NotRun):
+            self._end(ticket)
+            return
         self._life.fire("admit")
         try:
-            outcome = self._complete()
-        except EndpointError as error:
-            outcome = Unknown(str(error), RETRY_AFTER)
-        if not self._handed_over:
-            self._end(outcome)
+            self._end(self._outcome_of_run())
+        finally:
+            if self._gate:
+                self._gate.leave(ticket, ok=isinstance(self._outcome, Answered))
 
     def read(self, after: int, limit: timedelta) -> list[bytes]:
         """Return the events after position ``after``, waiting for at least one.
@@ -247,23 +275,33 @@
         self._stop_reading()
         self._end(self._give_up(reason))
 
+    def _outcome_of_run(self) -> Outcome:
+        try:
+            return self._complete()
+        except EndpointError as error:
+            return Unknown(error.message, RETRY_AFTER)
+
     def _complete(self) -> Outcome:
         """Return the outcome, after as many engines as it takes."""
+        if self._events and self._events[-1] == DONE:
+            return self._answer()
         start: Start = self._first_start()
         avoid: set[str] = set()
         interruptions = 0
         while not self.ended:
-            endpoint = self._endpoint or self._choose(self._call, frozenset(avoid))
+            endpoint = self._endpoint or self._choose(frozenset(avoid))
             if endpoint is None:
                 return self._give_up("no endpoint takes the request now")
             try:
                 if self._follow(endpoint, start):
+                    self._observe(endpoint, ok=True)
                     return self._answer()
             except Refused as error:
                 avoid.add(endpoint.name)
                 if interruptions + len(avoid) > MAX_INTERRUPTIONS:
                     return self._give_up(str(error), error.retry_after)
             except NotSent:
+                self._observe(endpoint, ok=False)
                 avoid.add(endpoint.name)
             except (AnswerLost, StreamUnknown):
                 interruptions += not self._opened
@@ -351,7 +389,33 @@
         received = self.received()
         if not received.finished:
             raise AnswerLost("the engine ended its stream without a reason")
-        return Answered(200, (), b"")
+        if self._call.streamed:
+            return Answered(200, (), b"")
+        return Answered(200, (JSON_TYPE,), self._whole_body(received))
+
+    def _whole_body(self, received: Received) -> bytes:
+        """Return the OpenAI-style whole answer."""
+        usage = received.usage or Usage()
+        first = json.loads(self._events[0].removeprefix(DATA))
+        message = {"role": "assistant", "content": received.text}
+        document = {
+            "id": self._call.call.request_id,
+            "object": "chat.completion",
+            "model": first.get("model", ""),
+            "choices": [
+                {
+                    "index": 0,
+                    "message": message,
+                    "finish_reason": received.finish_reason,
+                }
+            ],
+            "usage": {
+                "prompt_tokens": usage.prompt,
+                "completion_tokens": received.tokens,
+                "total_tokens": usage.prompt + received.tokens,
+            },
+        }
+        return json.dumps(document).encode()
 
     def _give_up(self, reason: str, retry_after: timedelta | None = None) -> Outcome:
         retry_after = retry_after or RETRY_AFTER
@@ -392,23 +456,3 @@
         cancel(endpoint.adapter, stream_id)
     except EndpointError:
         return
-
-
-def whole_answer(generation: Generation) -> bytes:
-    """Return the OpenAI-style whole answer of a generation that was answered."""
-    received = generation.received()
-    usage = received.usage or Usage()
-    first = json.loads(generation.events[0].removeprefix(b"data: "))
-    message = {"role": "assistant", "content": received.text}
-    document = {
-        "id": generation.call.call.request_id,
-        "object": "chat.completion",
-        "model": first.get("model", ""),
-        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
-        "usage": {
-            "prompt_tokens": usage.prompt,
-            "completion_tokens": received.tokens,
-            "total_tokens": usage.prompt + received.tokens,
-        },
-    }
-    return json.dumps(document).encode()
