Keep streams whole when engines and entries are reclaimed

Causes and changes: - An entry that leaves closed its listener at once, so that peers could not fetch what it still held. A 404 no longer claims "not run". - A generation handed over while its cache moved went on as if the engine still ran it. The hand-over carries the exported cache, and whether anything was sent ("not run" was possible after a send). A move waits while an offer is out. - Streams that a peer hands over run on endpoints that leave; plans are made again every 500 ms, with this entry's share of the endpoint's link. - A refused export left the stream to die with its engine: it is recomputed now, without need of the engine's answer. - A begun request was given up as unknown when every engine was full or away for a moment; it asks again until its deadline. - A lost [DONE] repeated the last chunk. A waiting stream was taken for a dead engine after 4 s; the engine's health is asked first.

--- a/src/sassafrasdale/callers/app.py
+++ b/src/sassafrasdale/callers/app.py
@@ -26,7 +26,7 @@
     RequestNotHeld,
 )
 from sassafrasdale.requests.generation import Generation
-from sassafrasdale.requests.structures import ModelCall, ServiceCall
+from sassafrasdale.requests.structures import ModelCall, OutcomeName, ServiceCall
 from sassafrasdale.text.current import CurrentText
 from sassafrasdale.text.structures import Service, ServiceKind, Text
 
@@ -54,7 +54,8 @@
 
     :param current: the text in force.
     :param dispatcher: runs the calls.
-    :param is_ready: whether the entry takes new work.
+    :param is_ready: whether the balancer should send callers here.
+    :param takes_work: whether the entry takes new work; for a moment longer.
     :param relay: fetches a request that a peer holds, or gives None.
     :param metrics: the entry's metrics.
     :param clock: source of time.
@@ -67,6 +68,7 @@
         current: CurrentText,
         dispatcher: Dispatcher,
         is_ready: Callable[[], bool],
+        takes_work: Callable[[], bool],
         relay: Relay,
         metrics: Metrics,
         clock: Clock,
@@ -75,6 +77,7 @@
         self._current = current
         self._dispatcher = dispatcher
         self._is_ready = is_ready
+        self._takes_work = takes_work
         self._relay = relay
         self._metrics = metrics
         self._clock = clock
@@ -165,11 +168,18 @@
             relayed = self._relay(request, request_id)
             if relayed is not None:
                 return relayed
-            return problem(404, "Not found", error.message, field="request_id")
+            # It may have run: its holder may have died with all it knew.
+            return problem(
+                404,
+                "Not found",
+                error.message,
+                field="request_id",
+                outcome=OutcomeName.UNKNOWN,
+            )
         return generation_answer(generation, after)
 
     def _text(self) -> Text:
-        if not self._is_ready():
+        if not self._takes_work():
             raise NotReady("this entry takes no new work", retry_after=NOT_READY_RETRY)
         return self._text_or_fail()
 
--- a/src/sassafrasdale/callers/generations.py
+++ b/src/sassafrasdale/callers/generations.py
@@ -10,7 +10,12 @@
 )
 from sassafrasdale.endpoints.engines import DONE
 from sassafrasdale.requests.generation import Generation
-from sassafrasdale.requests.structures import NotRun, OutcomeName, Unknown
+from sassafrasdale.requests.structures import (
+    Answered,
+    NotRun,
+    OutcomeName,
+    Unknown,
+)
 
 EVENT_STREAM = "text/event-stream"
 # A reader wakes this often without an event, so that deadlines are seen.
@@ -59,7 +64,8 @@
                 generation.mark_delivered()
                 return
         elif generation.ended:
-            yield _end_event(generation)
+            if not isinstance(generation.outcome, Answered):
+                yield _end_event(generation)
             return
         events = generation.read(position, READ_LIMIT)
 
@@ -78,15 +84,17 @@
     Without it a stream cut off here could pass for a whole one.
     """
     if generation.handed_over:
-        where = {"location": f"/v1/requests/{generation.call.call.request_id}"}
-        return b"event: moved\nretry: %d\ndata: %b\n\n" % (
-            RECONNECT_MS,
-            json.dumps(where).encode(),
-        )
+        return moved_event(generation.call.call.request_id)
     answer = outcome_answer(generation.outcome)
     return b"event: error\ndata: %b\n\n" % answer.body.strip()
 
 
+def moved_event(request_id: str) -> bytes:
+    """Return the event after which the caller resumes through another entry."""
+    where = json.dumps({"location": f"/v1/requests/{request_id}"})
+    return b"event: moved\nretry: %d\ndata: %b\n\n" % (RECONNECT_MS, where.encode())
+
+
 def _whole(generation: Generation) -> HttpAnswer:
     while not generation.ended:
         generation.read(len(generation.events), READ_LIMIT)
--- a/src/sassafrasdale/endpoints/directory.py
+++ b/src/sassafrasdale/endpoints/directory.py
@@ -66,9 +66,14 @@
         return self._leaves_at
 
     def leave(self, leaves_at: datetime | None) -> bool:
-        """Take no new work from now on; return whether that is news."""
+        """Take no new work from now on; return whether that is news.
+
+        The list may say that an endpoint leaves before its notice says when.
+        """
         if not self._life.allows("notice"):
-            return False
+            news = self._leaves_at is None and leaves_at is not None
+            self._leaves_at = self._leaves_at or leaves_at
+            return news and self._life.state == "leaving"
         self._life.fire("notice")
         self._leaves_at = leaves_at
         return True
--- a/src/sassafrasdale/endpoints/engines.py
+++ b/src/sassafrasdale/endpoints/engines.py
@@ -15,6 +15,7 @@
 DATA = b"data: "
 DONE = b"data: [DONE]"
 EXPORT_LIMIT = timedelta(seconds=2)
+HEALTH_LIMIT = timedelta(seconds=1)
 JSON_TYPE = ("Content-Type", "application/json")
 
 
@@ -138,6 +139,14 @@
         raise AnswerLost("the engine's export names no handle") from error
 
 
+def check_health(adapter: HttpAdapter) -> None:
+    """Ask the engine whether it works.
+
+    :raises EndpointError: it does not answer that it does.
+    """
+    adapter.ask("GET", "/v1/health", limit=HEALTH_LIMIT)
+
+
 def cancel(adapter: HttpAdapter, stream_id: str) -> None:
     """Tell the engine that nobody waits for the stream any more.
 
--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -70,11 +70,19 @@
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 # Time for the balancer to see that the entry is not ready any more.
 UNREADY_LEAD = timedelta(seconds=1)
+# Share of a short notice that the lead takes at most.
+LEAD_SHARE = 0.25
 # Pause before a task that failed is started again.
 TASK_PAUSE = timedelta(seconds=1)
 DRAIN_POLL = timedelta(milliseconds=50)
 # What is left this long before the end of a stop is handed over.
 HAND_OVER_RESERVE = timedelta(seconds=2)
+# What is relayed is ended this long before, and callers go on through others.
+RELAY_RESERVE = timedelta(seconds=1)
+# Pause between two plans for the streams of leaving endpoints.
+REVIEW_INTERVAL = timedelta(milliseconds=500)
+# A connection that was accepted last still gets its answer within this time.
+LAST_CALL = timedelta(milliseconds=100)
 # A text that came from a peer is trusted to be the newest after this time, in
 # which every peer has been probed or has told of a newer one.
 PEER_TEXT_SETTLE = timedelta(seconds=3)
@@ -106,6 +114,8 @@
         self._inbox: Queue = Queue()
         self._stopped = Event()
         self._leave_by: datetime | None = None
+        self._takes_work = True
+        self._relay = Relay(self._find_holder)
         self._listed = False
         self._text_trusted_at: timedelta | None = None
         self._current = CurrentText()
@@ -169,6 +179,7 @@
             LoadReader(self._directory, self._is_engine, self._clock, self._rng).run,
             self._heed_messages,
             self._sweep,
+            self._review,
         ):
             spawn(_run_for_good, task)
         spawn(self._server.serve, listener)
@@ -182,7 +193,8 @@
             current=self._current,
             dispatcher=self._dispatcher,
             is_ready=lambda: self._life.state == "ready",
-            relay=Relay(self._find_holder),
+            takes_work=lambda: self._takes_work and self._life.state != "starting",
+            relay=self._relay,
             metrics=self._metrics,
             clock=self._clock,
             rng=self._rng,
@@ -240,7 +252,8 @@
             case MembersChanged(members):
                 self._heed_members(members)
             case HandOverOffered(handover, reply):
-                self._transfers.take(handover, reply)
+                stays = self._life.state == "ready"
+                self._transfers.take(handover, reply, stays=stays)
             case FindAsked(request_id, reply):
                 reply(self._dispatcher.registry.holds(request_id))
 
@@ -332,6 +345,11 @@
             self._dispatcher.registry.sweep()
             self._gates.sweep()
 
+    def _review(self) -> None:
+        while True:
+            sleep(REVIEW_INTERVAL)
+            self._mover.review()
+
     def _is_engine(self, service: str) -> bool:
         text = self._current.text
         found = text.services.get(service) if text else None
@@ -353,28 +371,41 @@
             self._stopped.send(None)
 
     def _drain(self, listener: socket.socket) -> None:
-        """Finish what is in flight, hand over what doesn't fit."""
+        """Finish what is in flight, hand over what doesn't fit.
+
+        Connections are taken until the end: peers fetch here what this entry
+        still holds, for callers who come back through them.
+        """
+        began = self._clock.elapsed()
         self._life.fire("leave")
         self._peers.announce_leaving()
-        until = self._clock.elapsed() + self._time_to_leave()
-        log.info("leaving")
-        self._transfers.give_what_does_not_fit(until - self._clock.elapsed())
-        sleep(min(UNREADY_LEAD, self._time_to_leave() / 4))
+        left = self._time_to_leave(began)
+        log.info("leaving within {}", left)
+        self._transfers.give_what_does_not_fit(left)
+        sleep(min(UNREADY_LEAD, left * LEAD_SHARE))
+        self._takes_work = False
         self._server.close_connections()
-        listener.close()
-        while self._clock.elapsed() < until and self._is_busy():
-            if until - self._clock.elapsed() < HAND_OVER_RESERVE:
+        while (left := self._time_to_leave(began)) and self._is_busy():
+            if left < HAND_OVER_RESERVE:
                 self._transfers.give_what_does_not_fit(timedelta())
+            if left < RELAY_RESERVE:
+                self._relay.release()
             self._transfers.give_undelivered()
             sleep(DRAIN_POLL)
+        listener.close()
+        sleep(min(LAST_CALL, self._time_to_leave(began)))
         self._life.fire("drained")
         log.info("stopped")
 
-    def _time_to_leave(self) -> timedelta:
-        limit = self._settings.drain_timeout
-        if self._leave_by is None:
-            return limit
-        return max(timedelta(), min(limit, self._leave_by - self._clock.now()))
+    def _time_to_leave(self, began: timedelta) -> timedelta:
+        """Return what is left of a stop that began at ``began``.
+
+        A notice may come during a planned stop, and then counts if it is sooner.
+        """
+        left = began + self._settings.drain_timeout - self._clock.elapsed()
+        if self._leave_by is not None:
+            left = min(left, self._leave_by - self._clock.now())
+        return max(timedelta(), left)
 
     def _is_busy(self) -> bool:
         registry = self._dispatcher.registry
--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -15,7 +15,7 @@
 from sassafrasdale.requests.claims import Claims
 from sassafrasdale.requests.execution import IdempotentExecution
 from sassafrasdale.requests.gates import Gates
-from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.generation import Generation, Progress
 from sassafrasdale.requests.guarded import GuardedExecution
 from sassafrasdale.requests.ledger import Ledger
 from sassafrasdale.requests.registry import Registry
@@ -158,21 +158,17 @@
             claimant.abandon(obtained)
             raise
 
-    def take_over(
-        self, call: ModelCall, events: list[bytes], endpoint: Endpoint | None
-    ) -> Generation:
+    def take_over(self, call: ModelCall, progress: Progress) -> Generation:
         """Hold a generation that another entry began.
 
-        :param events: events that the earlier holder received.
-        :param endpoint: where its stream runs.
+        :param progress: how far the earlier holder came.
         :raises RequestIdTaken: it is held here already.
         """
         generation = Generation(
             call,
             self._chooser(call),
             self._clock,
-            events=events,
-            endpoint=endpoint,
+            progress=progress,
             observe=self._selector.observe,
             on_end=self._registry.end,
         )
--- a/src/sassafrasdale/requests/exceptions.py
+++ b/src/sassafrasdale/requests/exceptions.py
@@ -25,3 +25,7 @@
 
 class ClaimRefused(RequestError):
     """No claim was granted, and none will be: the request does not run."""
+
+
+class EndpointLeaves(RequestError):
+    """The endpoint is about to leave, and the request goes on elsewhere."""
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -26,6 +26,7 @@
     Start,
     Usage,
     cancel,
+    check_health,
     export_cache,
     open_stream,
     parse_chunk,
@@ -37,7 +38,8 @@
     Refused,
     StreamUnknown,
 )
-from sassafrasdale.green import Event, GreenThread, spawn
+from sassafrasdale.green import Event, GreenThread, sleep, spawn
+from sassafrasdale.requests.exceptions import EndpointLeaves
 from sassafrasdale.requests.execution import Choose, Observe
 from sassafrasdale.requests.gate import Gate
 from sassafrasdale.requests.structures import (
@@ -54,6 +56,8 @@
 # Engines that went silent or away in a row before the generation is given up.
 MAX_INTERRUPTIONS = 8
 RETRY_AFTER = timedelta(seconds=1)
+# Pause before a begun generation looks again for an endpoint that takes it.
+CHOOSE_AGAIN = timedelta(milliseconds=200)
 # First byte of a server-sent comment, which carries nothing for the caller.
 COMMENT = b":"
 
@@ -73,6 +77,22 @@
         return self.finish_reason is not None
 
 
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """How far a generation has come: what another holder needs to go on.
+
+    :param events: events received; the first has position 1.
+    :param endpoint: where the engine's stream runs; None if it runs nowhere.
+    :param cache: the KV cache to go on with, if it was exported.
+    :param sent: whether an endpoint may have begun to run the request.
+    """
+
+    events: list[bytes]
+    endpoint: Endpoint | None
+    cache: FromCache | None
+    sent: bool
+
+
 class Generation:
     """One model request that this entry holds.
 
@@ -82,8 +102,7 @@
     :param clock: source of time.
     :param gate: lets the request into its service; None if it is in already.
     :param observe: told whether an endpoint answered.
-    :param events: events received by an earlier holder.
-    :param endpoint: where the earlier holder's stream runs.
+    :param progress: how far an earlier holder came.
     :param on_end: called once with the generation when it has ended.
 
     Usage::
@@ -100,8 +119,7 @@
         *,
         gate: Gate | None = None,
         observe: Observe,
-        events: list[bytes] | None = None,
-        endpoint: Endpoint | None = None,
+        progress: Progress | None = None,
         on_end: Callable[["Generation"], None] = lambda generation: None,
     ) -> None:
         self._call = call
@@ -109,18 +127,23 @@
         self._clock = clock
         self._gate = gate
         self._observe = observe
-        self._events = events or []
-        self._endpoint = endpoint
+        self._taken_over = progress is not None
+        progress = progress or Progress([], None, None, sent=False)
+        self._events = progress.events
+        self._endpoint = progress.endpoint
+        self._sent = progress.sent
+        self._start: Start = progress.cache or FromPrompt()
         self._on_end = on_end
         self._life = Lifecycle(load_chart("request"))
         self._outcome: Outcome | None = None
         self._waiters: list[Event] = []
         self._thread: GreenThread | None = None
         self._opened = False
+        self._reading = False
         self._pending: FromCache | None = None
         self._moving: Event | None = None
+        self._offered = False
         self._handed_over = False
-        self._sent = bool(events) or endpoint is not None
         self._started_at = clock.elapsed()
         self._first_event_at: timedelta | None = None
         self._last_read_at = self._started_at
@@ -161,6 +184,26 @@
         """Events so far; the first has position 1."""
         return self._events
 
+    @property
+    def progress(self) -> Progress:
+        """How far it has come, for another holder."""
+        cache = self._pending
+        endpoint = self._endpoint if cache is None else None
+        if isinstance(self._start, FromCache) and not self._opened:
+            # The engine that was to go on with the cache may not know of it yet.
+            cache, endpoint = self._start, None
+        return Progress(self._events, endpoint, cache, self._sent)
+
+    @property
+    def taken_over(self) -> bool:
+        """Whether an earlier holder began it, which may still read its stream."""
+        return self._taken_over
+
+    @property
+    def offered(self) -> bool:
+        """Whether it is being offered to another entry."""
+        return self._offered
+
     @property
     def started_at(self) -> timedelta:
         """Elapsed time of the clock at which this holder began."""
@@ -240,13 +283,14 @@
         """
         if self._endpoint is not endpoint or self.ended or self._moving:
             return False
+        if self._pending is not None:
+            return True
         self._moving = Event()
         try:
             handle = export_cache(endpoint.adapter, self._call.call.request_id)
             self._pending = FromCache(0, "", endpoint.instance.address, handle)
         except EndpointError:
-            # The stream may still run there, or be lost with the engine; its
-            # end will show, and the tokens are then computed again.
+            # The stream may still run there, or be lost with the engine.
             return False
         finally:
             moving, self._moving = self._moving, None
@@ -255,8 +299,28 @@
 
     def recompute(self, endpoint: Endpoint) -> None:
         """Leave ``endpoint`` now and compute the tokens again elsewhere."""
-        if self._endpoint is endpoint and not self.ended:
-            self._cancel()
+        if self._endpoint is not endpoint or self.ended or not self._reading:
+            return
+        if self._moving or self._pending or not self._call.call.idempotent:
+            return
+        self._cancel()
+        # The engine need not answer the cancel, so its stream is left from here.
+        self._thread.kill(EndpointLeaves(f"{endpoint.name} leaves"))
+
+    def begin_offer(self) -> Progress:
+        """Stay where it is while another entry is offered it; return how far it is.
+
+        A cache moved meanwhile would leave the receiver with a stream that has
+        ended, and the tokens would be computed again.
+        """
+        self._offered = True
+        if self._moving is not None:
+            self._moving.wait()
+        return self.progress
+
+    def end_offer(self) -> None:
+        """Go on as before: no other entry took it."""
+        self._offered = False
 
     def release(self) -> None:
         """Stop reading: another entry holds the request now."""
@@ -271,7 +335,10 @@
         """End the generation at once, for ``reason``."""
         if self.ended:
             return
-        self._cancel()
+        # An earlier holder whose acknowledgement was lost goes on as well. It
+        # reads the same stream, so this one must not cancel it.
+        if not self._taken_over:
+            self._cancel()
         self._stop_reading()
         self._end(self._give_up(reason))
 
@@ -285,45 +352,76 @@
         """Return the outcome, after as many engines as it takes."""
         if self._events and self._events[-1] == DONE:
             return self._answer()
-        start: Start = self._first_start()
+        self._start = self._first_start()
         avoid: set[str] = set()
         interruptions = 0
-        while not self.ended:
+        refusal: Refused | None = None
+        while self._clock.elapsed() < self._call.call.deadline:
             endpoint = self._endpoint or self._choose(frozenset(avoid))
             if endpoint is None:
-                return self._give_up("no endpoint takes the request now")
+                if not self._sent:
+                    return self._refuse(refusal)
+                # Others must not be told "unknown" because every engine is full
+                # or away just now: a reclaim sends their streams to few engines.
+                avoid.clear()
+                sleep(CHOOSE_AGAIN)
+                continue
             try:
-                if self._follow(endpoint, start):
+                whole = self._follow(endpoint) or self._complete_events()
+                if whole:
                     self._observe(endpoint, ok=True)
                     return self._answer()
+                self._go_on_after_break(endpoint, avoid)
+            except EndpointLeaves:
+                self._go_on_elsewhere(endpoint, avoid)
             except Refused as error:
-                avoid.add(endpoint.name)
-                if interruptions + len(avoid) > MAX_INTERRUPTIONS:
-                    return self._give_up(str(error), error.retry_after)
+                refusal = error
+                self._go_on_elsewhere(endpoint, avoid)
             except NotSent:
                 self._observe(endpoint, ok=False)
-                avoid.add(endpoint.name)
-            except (AnswerLost, StreamUnknown):
-                interruptions += not self._opened
+                self._go_on_elsewhere(endpoint, avoid)
+            except StreamUnknown:
+                interruptions += 1
+                self._go_on_elsewhere(endpoint, avoid)
+            except AnswerLost:
+                if self._complete_events():
+                    return self._answer()
+                interruptions += not self._go_on_after_break(endpoint, avoid)
             if interruptions > MAX_INTERRUPTIONS:
                 return self._give_up("too many engines broke off")
-            if self._clock.elapsed() >= self._call.call.deadline:
-                return self._give_up("the deadline has passed")
-            start = self._next_start(endpoint, start, avoid)
-        return self._outcome or Unknown("handed over", RETRY_AFTER)
+        return self._give_up("the deadline has passed")
 
     def _first_start(self) -> Start:
-        if self._endpoint is None and not self._events:
-            return FromPrompt()
         received = self.received()
-        if self._endpoint is None:
-            return Recompute(received.tokens, received.text)
-        return Reattach(received.tokens)
+        match self._start:
+            case FromCache(address=address, handle=handle):
+                return FromCache(received.tokens, received.text, address, handle)
+            case _ if self._endpoint is not None:
+                return Reattach(received.tokens)
+            case _ if self._sent:
+                return Recompute(received.tokens, received.text)
+            case _:
+                return FromPrompt()
+
+    def _complete_events(self) -> bool:
+        """Return whether the answer is whole, and add a lost end mark.
+
+        The engine's last chunk says why the answer ended. If the connection
+        breaks right after it, only the mark that nothing follows was lost; asking
+        again would bring that chunk a second time.
+        """
+        if not self._events or not self.received().finished:
+            return False
+        if self._events[-1] != DONE:
+            self._events.append(DONE)
+            self._wake()
+        return True
 
-    def _follow(self, endpoint: Endpoint, start: Start) -> bool:
+    def _follow(self, endpoint: Endpoint) -> bool:
         """Read the stream from ``endpoint``; return whether it came to its end."""
         self._endpoint = endpoint
         self._opened = False
+        self._reading = True
         if self._life.allows("send"):
             self._life.fire("send")
         endpoint.in_flight += 1
@@ -333,7 +431,7 @@
                 endpoint.adapter,
                 self._call.call.request_id,
                 self._call.body,
-                start,
+                self._start,
                 min(SILENCE_LIMIT, max(remaining, timedelta(milliseconds=1))),
             )
             self._sent = self._opened = True
@@ -341,7 +439,12 @@
         except AnswerLost:
             self._sent = True
             raise
+        except EndpointLeaves:
+            # It may have been thrown after the first byte went out.
+            self._sent = True
+            raise
         finally:
+            self._reading = False
             endpoint.in_flight -= 1
 
     def _pass_on(self, stream: EventStream) -> bool:
@@ -357,33 +460,58 @@
                 return True
         return False
 
-    def _next_start(self, endpoint: Endpoint, start: Start, avoid: set[str]) -> Start:
-        """Return how to go on after the stream from ``endpoint`` broke off."""
+    def _go_on_after_break(self, endpoint: Endpoint, avoid: set[str]) -> bool:
+        """Choose how to go on after the stream broke off or fell silent.
+
+        :returns: False if the engine is taken to be gone.
+        """
         if self._moving is not None:
             self._moving.wait()
         received = self.received()
         if self._pending is not None:
             pending, self._pending = self._pending, None
             self._endpoint = None
-            return FromCache(
+            self._start = FromCache(
                 received.tokens, received.text, pending.address, pending.handle
             )
+            return True
         # A stream that broke off may still run on the engine, behind a connection
         # that went silent: it is asked for on a fresh connection before its
-        # tokens are computed again. An engine that answers there is alive,
-        # however long it takes for the next token.
-        unreachable = isinstance(start, Reattach) and not self._opened
-        if self._sent and not unreachable and endpoint.name not in avoid:
+        # tokens are computed again.
+        in_vain = isinstance(self._start, Reattach) and not self._opened
+        if not in_vain or self._is_alive(endpoint):
             endpoint.adapter.drop_connections()
-            return Reattach(received.tokens)
+            self._start = Reattach(received.tokens)
+            return True
+        self._observe(endpoint, ok=False)
+        self._go_on_elsewhere(endpoint, avoid)
+        return False
+
+    def _is_alive(self, endpoint: Endpoint) -> bool:
+        """Return whether the engine answers, if not with the stream's next event.
+
+        A stream that waits for its turn brings no event for long; taking its
+        engine for gone would send it round all engines while their queues are
+        long, and run it several times.
+        """
+        try:
+            check_health(endpoint.adapter)
+        except EndpointError:
+            return False
+        return True
+
+    def _go_on_elsewhere(self, endpoint: Endpoint, avoid: set[str]) -> None:
+        """Choose how to go on with another endpoint than ``endpoint``."""
+        avoid.add(endpoint.name)
         self._endpoint = None
-        if not self._sent:
-            return FromPrompt()
+        if not self._sent or isinstance(self._start, FromCache) and not self._opened:
+            # Nothing has begun, or the cache is still there for another engine.
+            return
         if not self._call.call.idempotent:
             # Computing again would be a second execution.
             raise AnswerLost("the engine that ran the request is gone")
-        avoid.add(endpoint.name)
-        return Recompute(received.tokens, received.text)
+        received = self.received()
+        self._start = Recompute(received.tokens, received.text)
 
     def _answer(self) -> Outcome:
         received = self.received()
@@ -417,6 +545,11 @@
         }
         return json.dumps(document).encode()
 
+    def _refuse(self, refusal: Refused | None) -> Outcome:
+        if refusal is None:
+            return self._give_up("no endpoint takes the request now")
+        return self._give_up(str(refusal), refusal.retry_after)
+
     def _give_up(self, reason: str, retry_after: timedelta | None = None) -> Outcome:
         retry_after = retry_after or RETRY_AFTER
         if self._sent:
--- a/src/sassafrasdale/requests/handovers.py
+++ b/src/sassafrasdale/requests/handovers.py
@@ -1,7 +1,8 @@
 """A generation as it is handed to another entry.
 
 What is handed over is the call, every event so far (a caller may come back for
-any of them) and the endpoint on which the engine's stream runs.
+any of them) and where to go on: the endpoint on which the engine's stream runs,
+or the KV cache that was exported from it.
 """
 
 import base64
@@ -11,9 +12,11 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.endpoints.engines import FromCache
 from sassafrasdale.requests.exceptions import HandOverFaulty
-from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.generation import Progress
 from sassafrasdale.requests.structures import Call, ModelCall
+from sassafrasdale.structures import Address
 
 
 class _Message(BaseModel):
@@ -34,6 +37,9 @@
     streamed: bool
     events: list[str]
     endpoint: str
+    cache_address: str
+    cache_handle: str
+    sent: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,18 +49,22 @@
     :param call: what the caller asked for.
     :param events: events that the earlier holder received.
     :param endpoint: name of the endpoint where the stream runs, or empty.
+    :param cache: the exported KV cache to go on with, if there is one.
+    :param sent: whether an endpoint may have begun to run the request.
     """
 
     call: ModelCall
     events: list[bytes]
     endpoint: str
+    cache: FromCache | None
+    sent: bool
 
 
-def pack(generation: Generation, clock: Clock) -> bytes:
-    """Return what another entry needs to go on with ``generation``."""
-    call = generation.call
+def pack(call: ModelCall, progress: Progress, clock: Clock) -> bytes:
+    """Return what another entry needs to go on with ``call``."""
     about = call.call
-    endpoint = generation.endpoint
+    endpoint = progress.endpoint
+    cache = progress.cache
     message = _Message(
         request_id=about.request_id,
         customer=about.customer,
@@ -67,8 +77,11 @@
         body=call.body,
         max_tokens=call.max_tokens,
         streamed=call.streamed,
-        events=[base64.b64encode(event).decode() for event in generation.events],
+        events=[base64.b64encode(event).decode() for event in progress.events],
         endpoint=endpoint.name if endpoint else "",
+        cache_address=str(cache.address) if cache else "",
+        cache_handle=cache.handle if cache else "",
+        sent=progress.sent,
     )
     return message.model_dump_json().encode()
 
@@ -81,6 +94,7 @@
     try:
         message = _Message.model_validate_json(data)
         events = [base64.b64decode(event) for event in message.events]
+        cache = _cache(message)
     except (ValidationError, ValueError) as error:
         raise HandOverFaulty(f"the hand-over can't be read: {error}") from error
     about = Call(
@@ -99,4 +113,10 @@
         max_tokens=message.max_tokens,
         streamed=message.streamed,
     )
-    return Parcel(call, events, message.endpoint)
+    return Parcel(call, events, message.endpoint, cache, message.sent)
+
+
+def _cache(message: _Message) -> FromCache | None:
+    if not message.cache_handle:
+        return None
+    return FromCache(0, "", Address.parse(message.cache_address), message.cache_handle)
--- a/src/sassafrasdale/requests/mover.py
+++ b/src/sassafrasdale/requests/mover.py
@@ -34,31 +34,54 @@
         self._registry = registry
         self._selector = selector
         self._clock = clock
+        self._leaving: dict[str, Endpoint] = {}
 
     def empty(self, endpoint: Endpoint) -> None:
         """Begin to move what runs on ``endpoint`` and doesn't fit its notice."""
-        streams = {
-            generation.call.call.request_id: generation
-            for generation in self._registry.running
-            if generation.endpoint is endpoint
-        }
+        self._leaving[endpoint.name] = endpoint
+        self._plan(endpoint, self._streams_by_endpoint().get(endpoint.name, []))
+
+    def review(self) -> None:
+        """Plan again for the endpoints that leave.
+
+        A stream that seemed to fit may run late, a target may have come, and a
+        peer may have handed over a stream that runs on such an endpoint.
+        """
+        if not self._leaving:
+            return
+        streams = self._streams_by_endpoint()
+        for endpoint in tuple(self._leaving.values()):
+            if endpoint.state == "leaving":
+                self._plan(endpoint, streams.get(endpoint.name, []))
+            else:
+                del self._leaving[endpoint.name]
+
+    def _streams_by_endpoint(self) -> dict[str, list[Generation]]:
+        streams: dict[str, list[Generation]] = {}
+        for generation in self._registry.running:
+            if generation.endpoint is not None and not generation.offered:
+                streams.setdefault(generation.endpoint.name, []).append(generation)
+        return streams
+
+    def _plan(self, endpoint: Endpoint, streams: list[Generation]) -> None:
         if not streams or endpoint.leaves_at is None:
             return
+        by_id = {each.call.call.request_id: each for each in streams}
         target = self._target(endpoint)
         plans = plan_streams(
-            [stream_view(generation, self._clock) for generation in streams.values()],
+            [stream_view(generation, self._clock) for generation in streams],
             endpoint.leaves_at - self._clock.now(),
             lambda stream: target,
             ReclaimPolicy(),
+            link_share=len(streams) / max(len(streams), endpoint.reported_load),
         )
         for request_id, plan in plans.items():
-            generation = streams[request_id]
             match plan:
                 case MoveCache():
-                    spawn(generation.move, endpoint)
-                case Recompute() if generation.call.call.idempotent:
-                    spawn(generation.recompute, endpoint)
-                case Recompute() | WaitOut():
+                    spawn(_move, by_id[request_id], endpoint)
+                case Recompute():
+                    spawn(by_id[request_id].recompute, endpoint)
+                case WaitOut():
                     continue
 
     def _target(self, leaving: Endpoint) -> StreamTarget | None:
@@ -70,6 +93,12 @@
         return StreamTarget(target.name) if target else None
 
 
+def _move(generation: Generation, endpoint: Endpoint) -> None:
+    """Move a KV cache, or have its tokens computed again if that fails."""
+    if not generation.move(endpoint):
+        generation.recompute(endpoint)
+
+
 def stream_view(generation: Generation, clock: Clock) -> StreamView:
     """Return what a plan needs to know of a generation."""
     tokens = len(generation.events)
--- a/src/sassafrasdale/requests/registry.py
+++ b/src/sassafrasdale/requests/registry.py
@@ -33,11 +33,16 @@
 
     @property
     def undelivered(self) -> tuple[Generation, ...]:
-        """Generations that were answered and whose caller has not come yet."""
+        """Generations that were answered and whose caller has not come yet.
+
+        The answers of keyed calls are in the store, where any entry finds them.
+        """
         return tuple(
             generation
             for _, generation in self._ended.values()
-            if isinstance(generation.outcome, Answered) and not generation.delivered
+            if isinstance(generation.outcome, Answered)
+            and generation.call.call.idempotent
+            and not generation.delivered
         )
 
     def add(self, generation: Generation) -> None:
--- /dev/null
+++ b/tests/guarantees/resuming.py
@@ -0,0 +1,412 @@
+"""Callers that resume, and the balancer and the fleet that their tests share."""
+
+import json
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from standins.fleet import Fleet
+from standins.generation import reference_text
+from standins.processes import EntryProcess, Response
+
+MODEL = "reports"
+PLAIN = "records"
+CUSTOMER = "labs"
+DONE = "[DONE]"
+CALL_LIMIT = 60.0
+PAUSE = 0.05
+
+TEXT = """
+deployment: test
+instance_classes: [gpu, cpu]
+availability_zones:
+  zone-a: {region: one, one_way_delay: 0.5ms, client_delay: 1ms}
+  zone-b: {region: one, one_way_delay: 0.5ms, client_delay: 1ms}
+  zone-c: {region: one, one_way_delay: 0.5ms, client_delay: 1ms}
+services:
+  reports:
+    kind: model
+    objective: {latency: 20s, first_token: 1s, share: 0.95}
+    timeout: 60s
+    priority: 4
+    weights: {latency_cost: 1, recomputed_tokens: 1}
+    pools:
+      - instance_class: gpu
+        availability_zones: [zone-a, zone-b, zone-c]
+        count: 3
+        max_in_flight: 100
+        max_waiting: 100
+  records:
+    kind: plain
+    objective: {latency: 1s, share: 0.99}
+    timeout: 5s
+    priority: 0
+    weights: {latency_cost: 1, recomputed_tokens: 0}
+    rules:
+      - {method: GET, path: /*, idempotent: true}
+      - {method: POST, path: /certificates, idempotent: false}
+    pools:
+      - instance_class: cpu
+        availability_zones: [zone-a, zone-b, zone-c]
+        count: 3
+        max_in_flight: 64
+        max_waiting: 128
+customers:
+  labs: {weight: 1, max_in_flight: 1000}
+"""
+
+
+def start_fleet(*, step_ms: float = 10, entries: int = 3, **options: Any) -> Fleet:
+    """Return a fleet of three zones, to be entered.
+
+    :param step_ms: time between two tokens, however many streams run.
+    """
+    engine = {"step_ms": step_ms, "step_per_stream_ms": 0, "load_lag_ms": 100}
+    return Fleet(TEXT, entries=entries, engine_options=engine, **options)
+
+
+class Balancer:
+    """Sends callers to entries whose readiness probe answers 200."""
+
+    def __init__(self, entries: Sequence[EntryProcess], seed: int = 1) -> None:
+        self.entries = list(entries)
+        self._rng = random.Random(seed)
+        self._lock = threading.Lock()
+
+    def pick(self, avoid: str = "") -> EntryProcess | None:
+        """Return a ready entry, another than ``avoid`` if there is one."""
+        with self._lock:
+            entries = self._rng.sample(self.entries, len(self.entries))
+        entries.sort(key=lambda entry: entry.name == avoid)
+        for entry in entries:
+            if _is_ready(entry):
+                return entry
+        return None
+
+
+def _is_ready(entry: EntryProcess) -> bool:
+    try:
+        with _open(entry, "GET", "/health/ready", {}, None, 2.0) as response:
+            return response.status == 200
+    except HTTPError:
+        return False
+
+
+@contextmanager
+def _open(
+    entry: EntryProcess,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: Any,
+    limit: float = CALL_LIMIT,
+) -> Iterator[urllib3.BaseHTTPResponse]:
+    """Make a call on a connection of its own."""
+    host, port = entry.address.split(":")
+    pool = urllib3.HTTPConnectionPool(host, int(port), retries=False, timeout=limit)
+    response = None
+    try:
+        response = pool.urlopen(
+            method,
+            path,
+            body=None if body is None else json.dumps(body),
+            headers=headers,
+            preload_content=False,
+            redirect=False,
+        )
+        yield response
+    finally:
+        if response is not None:
+            response.close()
+        pool.close()
+
+
+def call(
+    entry: EntryProcess,
+    method: str,
+    path: str,
+    body: Any = None,
+    limit: float = CALL_LIMIT,
+    **headers: str,
+) -> Response:
+    """Make a whole call on a connection of its own."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    with _open(
+        entry, method, path, {"X-Customer": CUSTOMER, **named}, body, limit
+    ) as response:
+        return Response(response.status, response.headers, response.read())
+
+
+@dataclass
+class Stream:
+    """One caller's streamed request, and everything that it was sent."""
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    events: dict[int, str] = field(default_factory=dict)
+    whole: bool = False
+    failures: list[str] = field(default_factory=list)
+    duplicates: int = 0
+    moved: int = 0
+    broken: int = 0
+    errors: list[str] = field(default_factory=list)
+    resumed: int = 0
+    entry: str = ""
+
+    @property
+    def messages(self) -> list[dict[str, str]]:
+        """The prompt as it is sent."""
+        return [{"role": "user", "content": self.prompt}]
+
+    @property
+    def reference(self) -> str:
+        """The text that it must end with."""
+        return reference_text(MODEL, self.messages, self.max_tokens)
+
+    @property
+    def text(self) -> str:
+        """The text of the events, in the order of their positions."""
+        return "".join(
+            chunk["choices"][0]["delta"].get("content", "") for chunk in self._chunks()
+        )
+
+    @property
+    def last(self) -> int:
+        """Position of the last event."""
+        return max(self.events, default=0)
+
+    def take(self, position: int, data: str) -> None:
+        """Take an event; one that came before must be the same again."""
+        if position in self.events:
+            self.duplicates += 1
+            if self.events[position] != data:
+                self.failures.append(f"event {position} came with other content")
+        elif position != self.last + 1:
+            self.failures.append(f"event {position} came after {self.last}")
+        self.events[position] = data
+        self.whole = self.whole or data == DONE
+
+    def faults(self) -> list[str]:
+        """Return everything that is wrong with the answer."""
+        found = list(self.failures)
+        if not self.whole:
+            found.append(f"not whole: {self.last} events, {self.errors[-2:]}")
+        if self.text != self.reference:
+            found.append("the text is not the reference")
+        finish = [
+            chunk["choices"][0]["finish_reason"]
+            for chunk in self._chunks()
+            if chunk["choices"][0]["finish_reason"]
+        ]
+        if finish != ["stop"]:
+            found.append(f"finish reasons {finish}")
+        return [f"{self.request_id}: {fault}" for fault in found]
+
+    def _chunks(self) -> Iterator[dict]:
+        for position in sorted(self.events):
+            if self.events[position] != DONE:
+                yield json.loads(self.events[position])
+
+
+@dataclass(frozen=True)
+class Habit:
+    """How a caller reads.
+
+    :param drop_every: it drops its connection after so many events; 0 for never.
+    :param step_back: it then resumes this many events earlier.
+    :param pause: it pauses so long after each event.
+    """
+
+    drop_every: int = 0
+    step_back: int = 0
+    pause: float = 0.0
+
+
+class StreamCaller:
+    """Asks for a stream and resumes it until it has the whole.
+
+    :param balancer: gives an entry for each connection.
+    :param limit: seconds after which it gives up.
+    """
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        stream: Stream,
+        habit: Habit | None = None,
+        limit: float = CALL_LIMIT,
+    ) -> None:
+        self._balancer = balancer
+        self.stream = stream
+        self._habit = habit or Habit()
+        self._until = time.monotonic() + limit
+        self._accepted = False
+
+    def run(self) -> Stream:
+        """Read to the end; what went wrong is in the stream."""
+        while not self.stream.whole and time.monotonic() < self._until:
+            entry = self._balancer.pick(avoid=self.stream.entry)
+            if entry is None:
+                time.sleep(PAUSE)
+                continue
+            self.stream.entry = entry.name
+            if not self._connect(entry):
+                break
+        return self.stream
+
+    def _connect(self, entry: EntryProcess) -> bool:
+        """Ask once; return whether to go on asking."""
+        stream = self.stream
+        try:
+            with self._opened(entry) as response:
+                if response.status != 200:
+                    return self._refused(response)
+                self._accepted = True
+                self._read(response)
+        except NewConnectionError:
+            time.sleep(PAUSE)
+        except (HTTPError, OSError) as error:
+            self._accepted = True
+            stream.broken += 1
+            stream.errors.append(f"{entry.name}: {error!r}"[:200])
+            time.sleep(PAUSE)
+        return True
+
+    def _opened(self, entry: EntryProcess) -> Any:
+        stream = self.stream
+        headers = {"X-Customer": CUSTOMER, "X-Request-Id": stream.request_id}
+        if self._accepted:
+            stream.resumed += 1
+            last = max(0, stream.last - self._habit.step_back)
+            headers["Last-Event-ID"] = str(last)
+            return _open(
+                entry, "GET", f"/v1/requests/{stream.request_id}", headers, None
+            )
+        body = {
+            "model": MODEL,
+            "messages": stream.messages,
+            "max_tokens": stream.max_tokens,
+            "stream": True,
+        }
+        return _open(entry, "POST", "/v1/chat/completions", headers, body)
+
+    def _refused(self, response: urllib3.BaseHTTPResponse) -> bool:
+        told = f"{response.status} {response.headers.get('X-Outcome')}"
+        self.stream.errors.append(f"{told} {response.read()[:200]!r}")
+        time.sleep(PAUSE)
+        return response.status in (502, 503, 409)
+
+    def _read(self, response: urllib3.BaseHTTPResponse) -> None:
+        for got, lines in enumerate(_events(response), start=1):
+            fields = dict(line.split(": ", 1) for line in lines)
+            if fields.get("event") == "moved":
+                self.stream.moved += 1
+                return
+            if fields.get("event") == "error":
+                self.stream.errors.append(fields.get("data", ""))
+                return
+            self.stream.take(int(fields["id"]), fields["data"])
+            if self.stream.whole or got == self._habit.drop_every:
+                return
+            if self._habit.pause:
+                time.sleep(self._habit.pause)
+
+
+def _events(response: urllib3.BaseHTTPResponse) -> Iterator[list[str]]:
+    """Yield the lines of each whole event."""
+    rest = b""
+    while chunk := response.read1(65536):
+        *events, rest = (rest + chunk).split(b"\n\n")
+        for event in events:
+            yield event.decode().split("\n")
+
+
+class Crowd:
+    """Many callers at once, each in a thread.
+
+    Usage::
+
+        with Crowd(balancer) as crowd:
+            crowd.stream(40, tokens=100)
+            ...
+        assert crowd.faults() == []
+    """
+
+    def __init__(self, balancer: Balancer, size: int = 128) -> None:
+        self.balancer = balancer
+        self._pool = ThreadPoolExecutor(size)
+        self._futures: list[Future] = []
+        self.streams: list[Stream] = []
+
+    def __enter__(self) -> "Crowd":
+        """Take callers."""
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        """Wait for every caller."""
+        self._pool.shutdown()
+
+    def stream(
+        self,
+        count: int,
+        tokens: int,
+        habit: Callable[[int], Habit] = lambda number: Habit(),
+        prefix: str = "stream",
+    ) -> list[Stream]:
+        """Start ``count`` callers, each with a prompt of its own."""
+        begun = []
+        for number in range(count):
+            name = f"{prefix}-{number}"
+            stream = Stream(name, f"tell {name} what the cubes say", tokens)
+            caller = StreamCaller(self.balancer, stream, habit(number))
+            self._futures.append(self._pool.submit(caller.run))
+            begun.append(stream)
+        self.streams.extend(begun)
+        return begun
+
+    def submit(self, function: Callable[..., Any], *arguments: Any) -> Future:
+        """Run ``function`` beside the callers."""
+        return self._pool.submit(function, *arguments)
+
+    def wait_until_running(self, events: int = 3, limit: float = 15.0) -> None:
+        """Wait until every stream has brought some events."""
+        until = time.monotonic() + limit
+        while any(stream.last < events for stream in self.streams):
+            assert time.monotonic() < until, [
+                (stream.request_id, stream.last, stream.errors)
+                for stream in self.streams
+                if stream.last < events
+            ]
+            time.sleep(PAUSE / 5)
+
+    def faults(self) -> list[str]:
+        """Return what is wrong with any stream, after all have ended."""
+        for future in self._futures:
+            future.result()
+        return [fault for stream in self.streams for fault in stream.faults()]
+
+
+def recomputed(fleet: Fleet) -> int:
+    """Return the tokens that the live engines computed a second time."""
+    return sum(
+        engine.counts()["recomputed_tokens"]
+        for engine in fleet.of_service(MODEL)
+        if engine.return_code is None
+    )
+
+
+def busiest(fleet: Fleet) -> Any:
+    """Return the live engine that runs the most streams."""
+    live = [each for each in fleet.of_service(MODEL) if each.return_code is None]
+    return max(
+        live, key=lambda each: each.client.call("GET", "/v1/load").json()["running"]
+    )
--- /dev/null
+++ b/tests/guarantees/test_stops.py
@@ -0,0 +1,181 @@
+"""Planned stops and announced reclaims of entries cut nothing."""
+
+import itertools
+import time
+
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from standins.fleet import Fleet
+from standins.generation import reference_text
+from standins.processes import EntryProcess
+from tests.guarantees.resuming import (
+    MODEL,
+    Balancer,
+    Crowd,
+    call,
+    start_fleet,
+)
+
+NOTICE_SECONDS = 5.0
+STREAMS = 12
+SHORT_DRAIN = "3s"
+
+
+def test_a_rolling_stop_under_load_fails_no_request():
+    """A caller gets an error, or half a stream, on the day of an update.
+
+    Each entry in turn is stopped by SIGTERM and started again while callers
+    look up records, ask for whole answers and read streams. Only an entry that
+    is ready is asked, and a call is repeated only if its connection was refused.
+    """
+    with start_fleet(step_ms=20) as fleet, Crowd(Balancer(fleet.entries)) as crowd:
+        stop = time.monotonic() + 60
+        state = {"running": True}
+        lookups = [crowd.submit(_look_up, crowd, state, n) for n in range(4)]
+        wholes = [crowd.submit(_ask_whole, crowd, state, n) for n in range(4)]
+        for number, entry in enumerate(list(fleet.entries)):
+            crowd.stream(STREAMS, tokens=100, prefix=f"turn-{number}")
+            crowd.wait_until_running()
+            assert entry.terminate() == 0
+            crowd.balancer.entries.remove(entry)
+            again = fleet.add_entry(f"{entry.name}-again", entry.zone)
+            again.wait_until_ready()
+            crowd.balancer.entries.append(again)
+        state["running"] = False
+        assert time.monotonic() < stop
+        assert [future.result() for future in lookups + wholes] == [[]] * 8
+        assert crowd.faults() == []
+        assert [s.errors for s in crowd.streams if s.errors or s.broken] == []
+
+
+def _look_up(crowd: Crowd, state: dict, caller: int) -> list[str]:
+    """Look records up for as long as the test runs; return what failed."""
+    failed = []
+    for number in itertools.count():
+        path = f"/v1/services/records/lookups/{caller}-{number}"
+        answer = _call_ready(crowd, "GET", path)
+        if answer != 200:
+            failed.append(f"{path}: {answer}")
+        if not state["running"]:
+            break
+        time.sleep(0.005)
+    return failed
+
+
+def _ask_whole(crowd: Crowd, state: dict, caller: int) -> list[str]:
+    failed = []
+    for number in itertools.count():
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": f"whole {caller} {number}"}],
+            "max_tokens": 30,
+        }
+        answer = _call_ready(crowd, "POST", "/v1/chat/completions", body)
+        if answer != 200:
+            failed.append(f"{caller} {number}: {answer}")
+        if not state["running"]:
+            break
+    return failed
+
+
+def _call_ready(crowd: Crowd, method: str, path: str, body=None) -> int | str:
+    while True:
+        entry = crowd.balancer.pick()
+        if entry is None:
+            return "no entry is ready"
+        try:
+            return call(entry, method, path, body).status
+        except NewConnectionError:
+            continue
+        except HTTPError as error:
+            return f"{entry.name}: {error!r}"
+
+
+def test_a_reclaimed_entry_hands_its_streams_over():
+    """A caller's stream ends in the middle when its entry is reclaimed.
+
+    The entry gets 5 s of notice, its streams need 9 s. It hands each one to an
+    entry in another zone; the caller is told to resume and gets the rest there.
+    """
+    with start_fleet(step_ms=60) as fleet:
+        leaving = fleet.entries[0]
+        streams = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.reclaim(leaving.name, NOTICE_SECONDS)
+        faults = _finish(fleet, streams)
+        assert faults == []
+        assert len(fleet.executions(MODEL)) == STREAMS
+
+
+def _ask_all_of(
+    fleet: Fleet, entry: EntryProcess, tokens: int, count: int = STREAMS
+) -> Crowd:
+    """Start streams that one entry holds; other entries are for resuming."""
+    crowd = Crowd(Balancer([entry]))
+    crowd.stream(count, tokens)
+    crowd.wait_until_running()
+    crowd.balancer.entries = list(fleet.entries)
+    return crowd
+
+
+def _finish(fleet: Fleet, crowd: Crowd) -> list[str]:
+    with crowd:
+        return crowd.faults()
+
+
+def test_a_notice_that_comes_twice_hands_over_once():
+    """As above, but the platform sends each notice three times.
+
+    The second notice must not end the stop that the first began, nor hand the
+    requests over a second time.
+    """
+    with start_fleet(step_ms=60) as fleet:
+        leaving = fleet.entries[0]
+        crowd = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.reclaim(leaving.name, NOTICE_SECONDS, times=3)
+        assert _finish(fleet, crowd) == []
+        assert len(fleet.executions(MODEL)) == STREAMS
+        assert [s.moved for s in crowd.streams] == [1] * STREAMS
+
+
+def test_whole_answers_are_handed_over():
+    """A caller that waits for a whole answer gets a broken connection.
+
+    The entry gets 3 s to stop, the answer needs 6 s. The entry hands the request
+    over and answers 303; the caller fetches the answer from any other entry.
+    """
+    with start_fleet(step_ms=40, entry_options={"drain_timeout": SHORT_DRAIN}) as fleet:
+        leaving = fleet.entries[0]
+        with Crowd(Balancer(fleet.entries[1:])) as crowd:
+            asked = [
+                crowd.submit(_ask_and_follow, crowd.balancer, leaving, n)
+                for n in range(STREAMS)
+            ]
+            time.sleep(1)
+            assert leaving.terminate() == 0
+            texts = [future.result() for future in asked]
+        assert texts == [_whole_reference(n) for n in range(STREAMS)]
+        assert len(fleet.executions(MODEL)) == STREAMS
+
+
+WHOLE_TOKENS = 150
+
+
+def _whole_body(number: int) -> dict:
+    return {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": f"whole {number}"}],
+        "max_tokens": WHOLE_TOKENS,
+    }
+
+
+def _whole_reference(number: int) -> str:
+    return reference_text(MODEL, _whole_body(number)["messages"], WHOLE_TOKENS)
+
+
+def _ask_and_follow(balancer: Balancer, entry: EntryProcess, number: int) -> str:
+    answer = call(entry, "POST", "/v1/chat/completions", _whole_body(number))
+    if answer.status == 303:
+        answer = call(balancer.pick(), "GET", answer.headers["Location"])
+    if answer.status != 200:
+        return f"{answer.status} {answer.data!r}"
+    return answer.json()["choices"][0]["message"]["content"]
