--- a/tests/guarantees/resuming.py
+++ b/tests/guarantees/resuming.py
@@ -176,8 +176,7 @@
     def text(self) -> str:
         """The text of the events, in the order of their positions."""
         return "".join(
-            chunk["choices"][0]["delta"].get("content", "")
-            for chunk in self._chunks()
+            chunk["choices"][0]["delta"].get("content", "") for chunk in self._chunks()
         )
 
     @property
@@ -307,8 +306,7 @@
         return response.status in (502, 503, 409)
 
     def _read(self, response: urllib3.BaseHTTPResponse) -> None:
-        got = 0
-        for lines in _events(response):
+        for got, lines in enumerate(_events(response), start=1):
             fields = dict(line.split(": ", 1) for line in lines)
             if fields.get("event") == "moved":
                 self.stream.moved += 1
@@ -317,7 +315,6 @@
                 self.stream.errors.append(fields.get("data", ""))
                 return
             self.stream.take(int(fields["id"]), fields["data"])
-            got += 1
             if self.stream.whole or got == self._habit.drop_every:
                 return
             if self._habit.pause:
@@ -410,4 +407,6 @@
 def busiest(fleet: Fleet) -> Any:
     """Return the live engine that runs the most streams."""
     live = [each for each in fleet.of_service(MODEL) if each.return_code is None]
-    return max(live, key=lambda each: each.client.call("GET", "/v1/load").json()["running"])
+    return max(
+        live, key=lambda each: each.client.call("GET", "/v1/load").json()["running"]
+    )
