--- a/tests/guarantees/resuming.py
+++ b/tests/guarantees/resuming.py
@@ -13,9 +13,10 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
+from standins.clients import Response
 from standins.fleet import Fleet
 from standins.generation import reference_text
-from standins.processes import EntryProcess, Response
+from standins.processes import EntryProcess
 
 MODEL = "reports"
 PLAIN = "records"
