Limit the store's transactions as etcd does

Cause: the stand-in took transactions that etcd refuses: more than 128 operations, or one key written twice, so a client that sends them would only fail in production.

--- a/standins/gateway.py
+++ b/standins/gateway.py
@@ -11,6 +11,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import Empty
 from standins.store import (
+    DuplicateKeyError,
     KeyRange,
     LeaseNotFoundError,
     Store,
@@ -22,11 +23,18 @@
 from standins.web import Answer, Request, Route
 
 WATCH_POLL = timedelta(seconds=0.5)
+MAX_OPERATIONS = 128
+"""Operations in one transaction, etcd's own default."""
+
 INVALID_ARGUMENT = 3
 NOT_FOUND = 5
 CLUSTER_ID = "1"
 
 
+class TooManyOperationsError(ValueError):
+    """A transaction has more operations than the store takes."""
+
+
 class WatchState(Enum):
     """What becomes of an open watch."""
 
@@ -82,8 +90,12 @@
         def handle(request: Request) -> Answer:
             try:
                 return Answer(handler(request.json()))
-            except ValueTooLargeError as error:
-                return error_answer(400, INVALID_ARGUMENT, str(error))
+            except (
+                ValueTooLargeError,
+                DuplicateKeyError,
+                TooManyOperationsError,
+            ) as error:
+                return error_answer(400, INVALID_ARGUMENT, f"etcdserver: {error}")
             except LeaseNotFoundError:
                 message = "etcdserver: requested lease not found"
                 return error_answer(404, NOT_FOUND, message)
@@ -114,6 +126,8 @@
     def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
         succeeded = all(self._holds(compare) for compare in body.get("compare", ()))
         operations = body.get("success" if succeeded else "failure", ())
+        if len(operations) > MAX_OPERATIONS:
+            raise TooManyOperationsError("too many operations in txn request")
         responses: list[dict[str, Any]] = []
 
         def run(transaction: Transaction) -> None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -17,6 +17,10 @@
     """A value is larger than the store holds."""
 
 
+class DuplicateKeyError(ValueError):
+    """A transaction writes one key twice."""
+
+
 class LeaseNotFoundError(KeyError):
     """The lease has lapsed or was never granted."""
 
@@ -230,9 +234,11 @@
     def put(self, key: bytes, value: bytes, lease: int = 0) -> StoredKey | None:
         """Write a key and return what it held before."""
         if len(value) > self._store._max_value_bytes:
-            raise ValueTooLargeError("etcdserver: request is too large")
+            raise ValueTooLargeError("request is too large")
         if lease:
             self._store.lease(lease)
+        if any(change.key == key for change in self.changes):
+            raise DuplicateKeyError("duplicate key given in txn request")
         before = next(iter(self.range(KeyRange(key))), None)
         if before is None:
             after = StoredKey(key, value, self._revision, self._revision, 1, lease)
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -60,6 +60,15 @@
     assert put(store, "large", "x" * (1024 * 1024 + 1)).status == 400
 
 
+@pytest.mark.parametrize(
+    ("keys", "status"), [(["t1", "t2"], 200), (["t1", "t1"], 400), (["t"] * 129, 400)]
+)
+def test_a_transaction_has_limits(store, keys, status):
+    writes = [{"request_put": {"key": encode(key), "value": ""}} for key in keys]
+    answer = store.call("POST", "/v3/kv/txn", {"success": writes})
+    assert answer.status == status
+
+
 def test_a_lease_takes_its_key_along(store):
     lease = store.call("POST", "/v3/lease/grant", {"TTL": "2"}).json()["ID"]
     put(store, "leased", "v", lease=lease)
