Eject for a constant 5 s, up to 0.7 of the endpoints, with 2 s of slow start

Ejections that doubled up to 60 s left a zone that was back out of use for half a minute, and the cap of a half kept a dead endpoint in use when two zones failed.

--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -141,7 +141,7 @@
             call = Call(request, 1, request.arrival, request.arrival, entry)
             self._at(request.arrival, self._arrive, call)
         for endpoint in self._endpoints:
-            if endpoint.down_from < FOREVER:
+            if endpoint.down_from < FOREVER and not endpoint.errors:
                 self._at(endpoint.down_from, self._crash, endpoint)
         self._tick_length = self._trace[0].timeout / TICKS
         for entry in self._entries:
@@ -284,6 +284,9 @@
         following = attempt.endpoint.release(attempt)
         if following is not None:
             self._start(following)
+        if attempt.endpoint.fails(self._now):
+            self._fail(attempt)
+            return
         call = attempt.call
         self._drop(attempt)
         entry = call.entry
--- a/bench/admission/scenarios.py
+++ b/bench/admission/scenarios.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
+from random import Random
 
 from bench.admission.fleets import (
     MODEL_SHAPE,
@@ -137,14 +138,25 @@
 """Seconds at which a zone fails and at which it is back."""
 
 
-def zone_fails(policy: Policy, load: float, kind: Kind = GENERATION, **others):
-    """Replay the loss of a zone, with callers that try three times."""
+def zone_fails(
+    policy: Policy,
+    load: float,
+    kind: Kind = GENERATION,
+    zones: str = "a",
+    cold: float = 4.0,
+    **others,
+) -> Result:
+    """Replay the loss of zones, with callers that try three times.
+
+    :param zones: names of the zones that fail.
+    :param cold: factor on the work of an endpoint that has just come back.
+    """
 
     def change(endpoints):
         for endpoint in endpoints:
-            if endpoint.zone == "a":
+            if endpoint.zone in zones:
                 endpoint.down_from, endpoint.up_from = DOWN, UP
-                endpoint.warm_up, endpoint.cold = 10.0, 4.0
+                endpoint.warm_up, endpoint.cold = 10.0, cold
 
     rate = capacity_rate(kind) * load
     sources = [
@@ -153,6 +165,18 @@
     return play(policy, sources, kind, 120.0, change=change, caller_tries=3, **others)
 
 
+def answers_fail(policy: Policy, load: float, share: float, **others) -> Result:
+    """Replay endpoints whose answers fail for 30 s after the work is done."""
+
+    def change(endpoints):
+        for index, endpoint in enumerate(endpoints):
+            endpoint.down_from, endpoint.up_from = DOWN, UP
+            endpoint.errors = share
+            endpoint.rng = Random(index)
+
+    return overload(policy, GENERATION, load, change=change, caller_tries=3, **others)
+
+
 def comeback(policy: Policy, **others) -> Result:
     """Replay a burst of eight times the capacity whose callers come back."""
     rate = capacity_rate(GENERATION)
--- a/bench/admission/servers.py
+++ b/bench/admission/servers.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
+from random import Random
 
 FOREVER = float("inf")
 
@@ -25,6 +26,8 @@
     :param up_from: second from which it answers again.
     :param warm_up: seconds after ``up_from`` in which its caches are cold.
     :param cold: factor on the work at ``up_from``, falling to 1.
+    :param errors: share of the requests that fail once their work is done, from
+        ``down_from`` to ``up_from``; then it is not down in that time.
     """
 
     name: str
@@ -36,12 +39,20 @@
     up_from: float = FOREVER
     warm_up: float = 0.0
     cold: float = 1.0
+    errors: float = 0.0
+    rng: Random = field(default_factory=lambda: Random(0))
     running: list = field(default_factory=list)
     waiting: deque = field(default_factory=deque)
 
     def is_up(self, now: float) -> bool:
         """Return whether it answers at ``now``."""
-        return not self.down_from <= now < self.up_from
+        return bool(self.errors) or not self.down_from <= now < self.up_from
+
+    def fails(self, now: float) -> bool:
+        """Return whether the work that is done at ``now`` ends in an error."""
+        if not self.errors or not self.down_from <= now < self.up_from:
+            return False
+        return self.rng.random() < self.errors
 
     def offer(self, attempt, now: float) -> Answer:
         """Take a request, or refuse it before it starts."""
--- a/src/sassafrasdale/decisions/health.py
+++ b/src/sassafrasdale/decisions/health.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from random import Random
 
-from sassafrasdale.charts import Lifecycle, load_chart
+from sassafrasdale.charts import Chart, Lifecycle, load_chart
 from sassafrasdale.decisions.backoff import spread_retry_after
 
 
@@ -14,8 +14,7 @@
     """Constants of outlier ejection.
 
     :param failures: consecutive failures that eject an endpoint.
-    :param ejection: length of the first ejection; it doubles each time.
-    :param longest_ejection: longest ejection.
+    :param ejection: shortest length of an ejection; at random up to twice as long.
     :param slow_start: time in which a readmitted endpoint's weight grows to 1.
     :param smallest_weight: weight of an endpoint that was just readmitted.
     :param most_ejected: largest share of the endpoints that is ejected.
@@ -23,21 +22,19 @@
 
     failures: int = 5
     ejection: timedelta = timedelta(seconds=5)
-    longest_ejection: timedelta = timedelta(seconds=60)
-    slow_start: timedelta = timedelta(seconds=10)
+    slow_start: timedelta = timedelta(seconds=2)
     smallest_weight: float = 0.1
-    most_ejected: float = 0.5
+    most_ejected: float = 0.7
 
 
 @dataclass(slots=True)
 class _EndpointRecord:
     life: Lifecycle = field(default_factory=lambda: Lifecycle(_chart()))
     failures: int = 0
-    ejections: int = 0
     until: timedelta = timedelta()
 
 
-def _chart():
+def _chart() -> Chart:
     return load_chart("endpoint_health")
 
 
@@ -96,10 +93,7 @@
         if not record.life.allows("eject"):
             return
         record.life.fire("eject")
-        length = self._settings.ejection * 2 ** min(record.ejections, 16)
-        length = min(length, self._settings.longest_ejection)
-        record.until = now + spread_retry_after(length, self._rng)
-        record.ejections += 1
+        record.until = now + spread_retry_after(self._settings.ejection, self._rng)
         record.failures = 0
 
     def _advance(self, record: _EndpointRecord, now: timedelta) -> None:
@@ -108,7 +102,6 @@
             record.until = now + self._settings.slow_start
         if record.life.state == "probation" and now >= record.until:
             record.life.fire("recover")
-            record.ejections = 0
 
     def _weight(self, record: _EndpointRecord, now: timedelta) -> float:
         match record.life.state:
