Write the operators' page

Cause: operators need the tasks in one place: change the text, conflict, unknown outcome, status, burn, outage, reclaim, settings.

Change: docs/OPERATORS.md. A test compares its table of settings with the code.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,11 +1,20 @@
 """Tests of the settings of an entry process."""
 
+from dataclasses import MISSING, fields
 from datetime import timedelta
+from pathlib import Path
 
 import pytest
 
-from sassafrasdale.settings import EntrySettings, SettingsError, load_settings
+from sassafrasdale.settings import (
+    EntrySettings,
+    SettingsError,
+    flag_of,
+    load_settings,
+    variable_of,
+)
 from sassafrasdale.structures import Address
+from sassafrasdale.text.durations import format_duration
 
 COMPLETE = {
     "SASSAFRASDALE_NAME": "entry-1",
@@ -61,3 +70,20 @@
     ]
     missing = caught.value.faults[3]
     assert missing.message == "--cloud (SASSAFRASDALE_CLOUD): is missing"
+
+
+def test_operators_page_lists_every_setting():
+    page = (Path(__file__).parents[1] / "docs" / "OPERATORS.md").read_text()
+
+    for setting in fields(EntrySettings):
+        default = "required" if setting.default is MISSING else written(setting.default)
+        row = f"| `{flag_of(setting.name)}` | `{variable_of(setting.name)}` | {default}"
+        assert row in page
+
+
+def written(default: object) -> str:
+    match default:
+        case timedelta():
+            return format_duration(default)
+        case _:
+            return str(default)
