Refuse a text that the store could not hold

Cause: a text of 500 KiB with Arabic comments passed the check and was then refused by the store, as it takes 1.4 MB within JSON; the operator was told that the store is out of reach, and the command tried until its limit.

Change: a text takes at most 700 KiB as it is stored, so that two copies go into one transaction of 1.5 MiB; above it is a fault like any other.

That the store's "too large" counts as out of reach remains.

--- a/src/sassafrasdale/text/documents.py
+++ b/src/sassafrasdale/text/documents.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import lru_cache
+from json import dumps
 from typing import Any
 
 from ruamel.yaml import YAML
@@ -24,6 +25,8 @@
 from sassafrasdale.text.exceptions import Fault, TextError
 
 MAX_BYTES = 512 * 1024
+# Two copies, one for the history, must go into a transaction of 1.5 MiB.
+MAX_STORED_BYTES = 700 * 1024
 MAX_DEPTH = 12
 MAX_NODES = 50_000
 MAX_SCALAR = 1024
@@ -84,8 +87,7 @@
 
     :raises TextError: if it is not YAML or exceeds a bound of this module.
     """
-    if len(source.encode(errors="replace")) > MAX_BYTES:
-        raise TextError([Fault(0, "", f"is longer than {MAX_BYTES} bytes")])
+    _check_size(source)
     # The scanner in C, where it is installed, is thirty times as fast; the one in
     # Python gives the same events.
     yaml = YAML(typ="safe")
@@ -97,6 +99,17 @@
         raise TextError([Fault(0, "", f"is not YAML: {error}")]) from error
 
 
+def _check_size(source: str) -> None:
+    if len(source.encode(errors="replace")) > MAX_BYTES:
+        raise TextError([Fault(0, "", f"is longer than {MAX_BYTES} bytes")])
+    # The store keeps the text within JSON, where a letter outside ASCII takes up to
+    # six bytes and a quote two; a text within the first limit may be refused there.
+    stored = len(dumps(source))
+    if stored > MAX_STORED_BYTES:
+        message = f"takes {stored} bytes as it is stored, above {MAX_STORED_BYTES}"
+        raise TextError([Fault(0, "", message)])
+
+
 def _syntax_fault(error: MarkedYAMLError) -> Fault:
     mark = error.problem_mark or error.context_mark
     line = mark.line + 1 if mark else 0
--- a/tests/text/test_parser.py
+++ b/tests/text/test_parser.py
@@ -331,6 +331,7 @@
         ("- a\n- b\n", "must be a mapping"),
         ("a: " + "x" * 2000, "longer than 1024 characters"),
         ("a: '" + "x\n" * 300_000, "longer than 524288 bytes"),
+        ("# " + "م" * 120_000, "bytes as it is stored, above 716800"),
         ("[" + "1," * 60_000 + "1]", "more than 50000 values"),
         ("a: \x00", "not YAML"),
         ("a: \ud800", "not YAML"),
