Bound the time that a conflict takes to describe

Cause: the answer to a lost race holds the difference of both texts.

Administration (a small change there) and `config diff` both use it. A conflict before the first text says so.

Ruled out: no difference for long texts; most edits touch few lines of one.

--- a/src/sassafrasdale/callers/administration.py
+++ b/src/sassafrasdale/callers/administration.py
@@ -1,6 +1,5 @@
 """What operators may ask an entry: the text and what the entry knows."""
 
-import difflib
 import random
 from collections.abc import Callable
 from datetime import timedelta
@@ -24,6 +23,7 @@
 )
 from sassafrasdale.requests.structures import OutcomeName
 from sassafrasdale.text.current import CurrentText
+from sassafrasdale.text.differences import format_difference
 from sassafrasdale.text.exceptions import TextError
 from sassafrasdale.text.parser import parse_text
 
@@ -209,13 +209,7 @@
 def _conflict_answer(error: TextConflict, text: str) -> HttpAnswer:
     current = error.current
     before = current.text if current else ""
-    difference = difflib.unified_diff(
-        before.splitlines(),
-        text.splitlines(),
-        f"revision {current.revision if current else 0}",
-        "your text",
-        lineterm="",
-    )
+    name = f"revision {current.revision if current else 0}"
     return problem(
         412,
         "Conflict",
@@ -223,7 +217,7 @@
         field="If-Match",
         revision=current.revision if current else 0,
         author=current.author if current else "",
-        difference="\n".join(difference),
+        difference=format_difference(before, text, name, "your text"),
     )
 
 
--- a/src/sassafrasdale/cli/config.py
+++ b/src/sassafrasdale/cli/config.py
@@ -3,7 +3,6 @@
 import getpass
 import re
 from datetime import timedelta
-from difflib import unified_diff
 from typing import Annotated
 from urllib.parse import unquote
 from uuid import uuid4
@@ -16,6 +15,7 @@
 from sassafrasdale.cli.exits import Exit
 from sassafrasdale.cli.files import mark, read_text_file, write_text_file
 from sassafrasdale.cli.tables import format_table
+from sassafrasdale.text.differences import format_difference
 from sassafrasdale.text.durations import parse_duration
 
 app = App(name="config", help="Check, read and change the operators' text.")
@@ -92,15 +92,14 @@
     """Print how a text differs from the one in force."""
     source = read_text_file(file)
     current = connect(entry).text()
-    lines = unified_diff(
-        current.text.removeprefix("\n").splitlines(),
-        source.unmarked.removeprefix("\n").splitlines(),
+    difference = format_difference(
+        current.text.removeprefix("\n"),
+        source.unmarked.removeprefix("\n"),
         f"revision {current.revision}",
         file,
-        lineterm="",
     )
-    for line in lines:
-        print(line)
+    if difference:
+        print(difference)
     return Exit.OK
 
 
--- a/src/sassafrasdale/cli/edits.py
+++ b/src/sassafrasdale/cli/edits.py
@@ -152,6 +152,11 @@
 
 def _conflict(reply: Reply, edit: Edit) -> ConflictError:
     problem = reply.problem()
+    if not problem.revision:
+        return ConflictError(
+            f"there is no text yet, so none of revision {edit.expected}; put the first "
+            "with --if-match 0; nothing was changed"
+        )
     difference = problem.difference or "the text in force is the same as yours"
     return ConflictError(
         f"another edit was accepted first: revision {problem.revision} by "
