--- a/tests/guarantees/test_configuration.py
+++ b/tests/guarantees/test_configuration.py
@@ -53,6 +53,8 @@
     observer.wait_for(newest, IN_FORCE_LIMIT)
     yield fleet
     _heal(fleet)
+    for entry in fleet.entries:
+        assert revision_of(entry) >= observer.newest(entry.name)
     assert observer.regressions == []
 
 
@@ -127,7 +129,7 @@
     The store takes the edit, its answer is lost, and the store goes out at once.
     The author is told that the fate is unknown. Others edit on top when the store
     is back. The author's repeat, with the same id and through another entry, must
-    find the edit in the history.
+    find the edit in the history, and must not bring it back into force there.
     """
     base = revision_of(fleet.entries[0])
     edit_id = uuid4().hex
@@ -146,6 +148,7 @@
     _heal(fleet)
     observer.wait_for(base + 1, IN_FORCE_LIMIT)
     assert put_text(fleet.entries[2], edited(31), base + 1).status == 200
+    observer.wait_for(base + 2, IN_FORCE_LIMIT)
     repeated = wait_until(
         lambda: _answered(
             put_text(fleet.entries[3], edited(30), base, edit_id=edit_id)
@@ -154,7 +157,7 @@
     )
     assert repeated.status == 200
     assert repeated.json()["revision"] == base + 1
-    observer.wait_for(base + 2, IN_FORCE_LIMIT)
+    assert revision_of(fleet.entries[3]) == base + 2
 
 
 def _outage_after_write(fleet, revision):
