--- a/bench/configuration/__main__.py
+++ b/bench/configuration/__main__.py
@@ -15,8 +15,9 @@
 
 from bench.configuration.measures import Measure
 from bench.configuration.observers import RevisionObserver
+from standins.clients import Response
 from standins.fleet import Fleet
-from standins.processes import EntryProcess, ProcessError, Response
+from standins.processes import EntryProcess, ProcessError
 
 ENTRIES = 9
 LIMIT = timedelta(seconds=30)
--- a/bench/configuration/observers.py
+++ b/bench/configuration/observers.py
@@ -17,7 +17,8 @@
 
 import urllib3
 
-from standins.processes import Client, EntryProcess
+from standins.clients import Client
+from standins.processes import EntryProcess
 
 LONG_POLL = timedelta(milliseconds=250)
 ERROR_PAUSE = timedelta(milliseconds=20)
--- a/tests/guarantees/operators.py
+++ b/tests/guarantees/operators.py
@@ -8,7 +8,8 @@
 from typing import Any
 from uuid import uuid4
 
-from standins.processes import ROOT, EntryProcess, Response
+from standins.clients import Response
+from standins.processes import ROOT, EntryProcess
 
 IN_FORCE_LIMIT = timedelta(seconds=5)
 POLL = timedelta(milliseconds=20)
