--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -101,8 +101,11 @@
     :param latency_quantile: quantile of the latencies that must still fit before
         the deadline when a request leaves the queue.
     :param wait_share: largest share of the time until its deadline for which a
-        request waits.
+        request waits once the queue is standing.
+    :param standing: time for which the queue was never empty after which it is
+        standing, as a share of the time that a request has.
     :param demand_window: time over which arrivals are counted, in mean latencies.
+    :param longest_retry_after: longest time to come back that is given.
     :param initial_latency: latency assumed before the first answer.
     """
 
@@ -111,7 +114,9 @@
     latency_window: int = 100
     latency_quantile: float = 0.9
     wait_share: float = 0.3
+    standing: float = 0.5
     demand_window: float = 5.0
+    longest_retry_after: timedelta = timedelta(seconds=30)
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
@@ -178,6 +183,10 @@
         self._latencies = LatencyWindow(self._settings.latency_window)
         self._latencies.add(self._latency)
         self._demand = Demand()
+        self._paused_until = timedelta()
+        self._empty_at = timedelta()
+        self._returning = 0.0
+        self._returning_at = timedelta()
         self._displaced: list[Shed] = []
         self._offered = 0
 
@@ -225,15 +234,15 @@
         bucket = self._bucket(customer)
         if bucket is not None and not bucket.try_take(now):
             return self._shed(ticket, bucket.wait(now), ShedReason.RATE_LIMIT)
-        if not self.waiting and self._has_room(customer):
+        if not self.waiting and now >= self._paused_until and self._has_room(customer):
             self._start(ticket)
             return Admit(ticket)
         queue = self._waiting.setdefault(customer, [])
         position = sum(other.priority <= priority for other in queue)
-        if self._expected_wait(ticket, position) > self._longest_wait(ticket):
+        if self._expected_wait(ticket, position) > self._longest_wait(ticket, now):
             if not queue:
                 del self._waiting[customer]
-            return self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+            return self._shed(ticket, self._return_time(now), ShedReason.DEADLINE)
         queue.insert(position, ticket)
         self._virtual[customer] = max(
             self._virtual.get(customer, 0.0), self._virtual_now
@@ -241,14 +250,18 @@
         if self.waiting > self._longest_queue():
             worst = self._displace()
             if worst is ticket:
-                return self._shed(ticket, self._drain_time(), ShedReason.QUEUE_FULL)
+                return self._shed(ticket, self._return_time(now), ShedReason.QUEUE_FULL)
             self._displaced.append(
-                self._shed(worst, self._drain_time(), ShedReason.QUEUE_FULL)
+                self._shed(worst, self._return_time(now), ShedReason.QUEUE_FULL)
             )
         return Wait(ticket, position)
 
     def next_admitted(self, now: timedelta) -> Ticket | None:
         """Return the next waiting request that may go to an endpoint, if any."""
+        if now < self._paused_until:
+            return None
+        if not self._waiting:
+            self._empty_at = now
         ready = [name for name in self._waiting if self._has_room(name)]
         if not ready:
             return None
@@ -269,17 +282,31 @@
         if not ok:
             self._limit.on_refusal(now)
             return
+        self._paused_until = now
         self._limit.on_success(self.in_flight, latency)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
         self._latencies.add(latency)
 
-    def on_refusal(self, now: timedelta) -> None:
-        """Record that an endpoint refused an admitted request that will be retried."""
+    def refuse(self, ticket: Ticket, now: timedelta) -> Wait | Shed:
+        """Take back an admitted request that an endpoint refused to start.
+
+        It goes first among those of its priority. The queue holds still until
+        the next success or for a part of the usual latency: endpoints that
+        refuse would otherwise be asked again at once, by every entry.
+        """
+        self._running.pop(ticket.number, None)
         self._limit.on_refusal(now)
+        self._paused_until = now + self._limit.cooldown
+        if now - ticket.offered_at > self._longest_wait(ticket, now):
+            return self._shed(ticket, self._return_time(now), ShedReason.DEADLINE)
+        queue = self._waiting.setdefault(ticket.customer, [])
+        position = sum(other.priority < ticket.priority for other in queue)
+        queue.insert(position, ticket)
+        return Wait(ticket, position)
 
-    def retry_after(self) -> timedelta:
+    def retry_after(self, now: timedelta) -> timedelta:
         """Return when it is worth coming back after a failure."""
-        return spread_retry_after(self._drain_time(), self._rng)
+        return spread_retry_after(self._return_time(now), self._rng)
 
     def cancel(self, ticket: Ticket) -> None:
         """Forget a request, waiting or admitted, that the caller gave up."""
@@ -292,10 +319,10 @@
         """Return the waiting requests that are turned away and must be answered."""
         for customer, queue in list(self._waiting.items()):
             for ticket in list(queue):
-                if now - ticket.offered_at > self._longest_wait(ticket):
+                if now - ticket.offered_at > self._longest_wait(ticket, now):
                     self._take(customer, queue.index(ticket))
                     self._displaced.append(
-                        self._shed(ticket, self._drain_time(), ShedReason.DEADLINE)
+                        self._shed(ticket, self._return_time(now), ShedReason.DEADLINE)
                     )
         displaced, self._displaced = self._displaced, []
         return tuple(displaced)
@@ -350,9 +377,14 @@
     def _rate(self) -> float:
         return self._limit.value / max(self._latency.total_seconds(), 1e-6)
 
-    def _longest_wait(self, ticket: Ticket) -> timedelta:
+    def _longest_wait(self, ticket: Ticket, now: timedelta) -> timedelta:
         remaining = ticket.deadline - ticket.offered_at
-        return min(remaining - self._needed, remaining * self._settings.wait_share)
+        useful = remaining - self._needed
+        if not self._waiting:
+            self._empty_at = now
+        if now - self._empty_at < remaining * self._settings.standing:
+            return useful
+        return min(useful, remaining * self._settings.wait_share)
 
     def _expected_wait(self, ticket: Ticket, ahead: int) -> timedelta:
         weight = self._share_of(ticket.customer).weight
@@ -366,8 +398,18 @@
     def _demand_seconds(self) -> float:
         return self._latency.total_seconds() * self._settings.demand_window
 
-    def _drain_time(self) -> timedelta:
-        return timedelta(seconds=(self.waiting + 1) / self._rate())
+    def _return_time(self, now: timedelta) -> timedelta:
+        """Return when the service has room for one more that comes back.
+
+        Requests that were told to come back are counted as a queue of their own
+        that drains at the service's rate: with the same time for all they would
+        come back together and be turned away again.
+        """
+        drained = (now - self._returning_at).total_seconds() * self._rate()
+        most = self._settings.longest_retry_after.total_seconds() * self._rate()
+        self._returning = min(max(self._returning - drained, 0.0) + 1, most)
+        self._returning_at = now
+        return timedelta(seconds=(self.waiting + self._returning) / self._rate())
 
     def _shed(self, ticket: Ticket, after: timedelta, reason: ShedReason) -> Shed:
         return Shed(ticket, spread_retry_after(after, self._rng), reason)
