--- /dev/null
+++ b/tests/requests/test_mover.py
@@ -0,0 +1,84 @@
+"""Plans for the streams of an endpoint that leaves."""
+
+from datetime import timedelta
+from types import SimpleNamespace
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.endpoints.directory import Directory
+from sassafrasdale.green import sleep
+from sassafrasdale.requests.generation import Progress
+from sassafrasdale.requests.mover import Mover
+from sassafrasdale.requests.registry import Registry
+from sassafrasdale.structures import (
+    Address,
+    Instance,
+    InstanceState,
+    Notice,
+    Role,
+)
+from tests.requests.fakes import Choices, FakeAdapter, endpoint, generation, token
+
+LEAVING = Instance("one", Role.ENDPOINT, "zone-a", Address("127.0.0.1", 1))
+
+
+def _mover(clock, registry):
+    target = endpoint("two", FakeAdapter([]))
+    selector = SimpleNamespace(
+        wanted=lambda *arguments, **options: None, choose=lambda wanted, avoid: target
+    )
+    return Mover(registry, selector, clock)
+
+
+def test_a_stream_that_comes_after_the_notice_is_moved_too():
+    """A caller's stream is cut when its engine goes, after it changed entries.
+
+    A zone is reclaimed. The plan for the engine's streams is made at the notice;
+    a leaving entry hands over a stream on that engine only afterwards.
+    """
+    clock = ManualClock()
+    registry = Registry(clock)
+    mover = _mover(clock, registry)
+    engine = FakeAdapter([], {"export": {"kv_handle": "kv-1"}})
+    leaving = endpoint("one", engine)
+    leaving.leave(clock.now() + timedelta(seconds=2))
+    mover.empty(leaving)
+    progress = Progress([token("a")], leaving, None, sent=True)
+    registry.add(generation(Choices(), progress=progress, clock=clock))
+    mover.review()
+    sleep()
+    assert engine.asked == ["/v1/streams/id-1/export"]
+
+
+def test_a_stream_on_offer_is_left_where_it_is():
+    clock = ManualClock()
+    registry = Registry(clock)
+    mover = _mover(clock, registry)
+    engine = FakeAdapter([], {"export": {"kv_handle": "kv-1"}})
+    leaving = endpoint("one", engine)
+    leaving.leave(clock.now() + timedelta(seconds=2))
+    progress = Progress([token("a")], leaving, None, sent=True)
+    made = generation(Choices(), progress=progress, clock=clock)
+    registry.add(made)
+    made.begin_offer()
+    mover.empty(leaving)
+    sleep()
+    assert engine.asked == []
+
+
+def test_a_notice_after_the_list_still_tells_the_time():
+    """A leaving engine's streams are not moved.
+
+    The platform's list calls it leaving before the notice says until when.
+    """
+    directory = Directory(ManualClock())
+    listed = Instance(
+        "one",
+        Role.ENDPOINT,
+        "zone-a",
+        Address("127.0.0.1", 1),
+        state=InstanceState.LEAVING,
+    )
+    directory.replace([listed])
+    leaves_at = ManualClock().now() + timedelta(seconds=5)
+    assert directory.heed(Notice(1, "one", leaves_at)) is directory.get("one")
+    assert directory.get("one").leaves_at == leaves_at
