--- /dev/null
+++ b/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load on real processes: what is lost or mixed up, and what an entry adds."""
