Ask peers for their burn beside each other; tell the id of an interrupted edit

Cause: a zone that went away answers nothing for 3 s at each of its addresses, one after the other; and an operator who interrupts `config put` could not find out what became of the edit.

Change: up to 16 entries are asked at a time. An interrupted put ends with 5 and names the edit id.

--- a/src/sassafrasdale/cli/edits.py
+++ b/src/sassafrasdale/cli/edits.py
@@ -85,11 +85,16 @@
         :raises NotReachedError: the edit certainly did not take effect.
         :raises OutcomeUnknownError: whether it took effect is not known.
         """
-        for entry in self._entries_in_turn():
-            attempt = self._put(entry, edit)
-            revision = self._settle(entry, attempt, edit)
-            if revision is not None:
-                return revision
+        try:
+            for entry in self._entries_in_turn():
+                attempt = self._put(entry, edit)
+                revision = self._settle(entry, attempt, edit)
+                if revision is not None:
+                    return revision
+        except KeyboardInterrupt:
+            # Interrupted while an attempt is on its way; without the edit id the
+            # operator could not find out what became of it.
+            self._uncertain = True
         reasons = "\n".join(self._failures.values())
         if self._uncertain:
             raise OutcomeUnknownError(
--- a/src/sassafrasdale/cli/report.py
+++ b/src/sassafrasdale/cli/report.py
@@ -2,6 +2,7 @@
 
 import json as json_format
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Annotated
@@ -13,11 +14,13 @@
 from sassafrasdale.cli.entries import AsJson, Entries, connect
 from sassafrasdale.cli.exceptions import CommandError, NotReachedError, UsageError
 from sassafrasdale.cli.exits import Exit
+from sassafrasdale.cli.models import BurnModel
 from sassafrasdale.cli.tables import format_table
 from sassafrasdale.structures import Address
 from sassafrasdale.text.durations import format_duration
 
 READ_TIMEOUT = timedelta(seconds=3)
+MAX_CALLS = 16
 
 app = App(name="report", help="Reports on what the entries measured.")
 
@@ -74,18 +77,27 @@
 
     :raises NotReachedError: none does.
     """
-    answers = {}
-    failures = {}
-    for address in addresses:
-        try:
-            answer = AdminClient((address,), READ_TIMEOUT).burn()
-            answers[answer.entry] = answer
-        except CommandError as error:
-            failures[str(address)] = error.message
+    # A zone that went away answers nothing for seconds at each of its addresses, so
+    # they are asked beside each other.
+    with ThreadPoolExecutor(MAX_CALLS) as pool:
+        outcomes = list(pool.map(_ask, addresses))
+    answers = {found.entry: found for found in outcomes if isinstance(found, BurnModel)}
     if not answers:
-        raise NotReachedError("\n".join(failures.values()))
+        raise NotReachedError("\n".join(error.message for error in outcomes))
+    lost = [
+        str(address)
+        for address, found in zip(addresses, outcomes, strict=True)
+        if isinstance(found, CommandError)
+    ]
     parts = [part.build() for answer in answers.values() for part in answer.services]
-    return BurnReport(tuple(sorted(answers)), tuple(failures), sum_burns(parts))
+    return BurnReport(tuple(sorted(answers)), tuple(lost), sum_burns(parts))
+
+
+def _ask(address: Address) -> BurnModel | CommandError:
+    try:
+        return AdminClient((address,), READ_TIMEOUT).burn()
+    except CommandError as error:
+        return error
 
 
 def format_burn(report: BurnReport) -> str:
--- a/tests/cli/test_put.py
+++ b/tests/cli/test_put.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sassafrasdale.cli import config
 from tests.cli.scripted import DROPPED, Answer, json_answer
 
 ACCEPTED = json_answer({"revision": 7}, ETag='"7"')
@@ -142,6 +143,20 @@
     assert "nothing was changed" not in result.err
 
 
+def test_interrupted_edit_tells_its_id(run, entry, text_file, monkeypatch):
+    def interrupt(*_: object) -> None:
+        raise KeyboardInterrupt
+
+    first = entry(NOT_RUN)
+    monkeypatch.setattr(config.SystemPacer, "sleep", interrupt)
+
+    result = run("config", "put", "text.yaml", "--entry", first.address)
+
+    (edit_id,) = sent_ids(first)
+    assert result.code == 5
+    assert f"--edit-id {edit_id}" in result.err
+
+
 def test_nobody_to_be_reached(run, text_file, nobody):
     result = run("config", "put", "text.yaml", "--entry", nobody)
 
