Close channels that a late call reopened

An indirect probe runs in its own task, since a cancelled handler mistook the cancellation for a failed call. grpclib's report of a handler that ended before its cancellation is not logged.

--- a/bench/capacity/peer_fleet.py
+++ b/bench/capacity/peer_fleet.py
@@ -24,6 +24,7 @@
     :param connections: connections made or taken.
     :param open: connections that are open.
     :param segments: TCP segments sent.
+    :param doubts: how often a node ceased to take another for alive.
     :param at: monotonic time in seconds.
     """
 
@@ -33,6 +34,7 @@
     connections: int
     open: int
     segments: int
+    doubts: int
     at: float
 
 
--- a/bench/capacity/peer_host.py
+++ b/bench/capacity/peer_host.py
@@ -6,6 +6,7 @@
 
 import gc
 import json
+import os
 import sys
 import threading
 import time
@@ -16,7 +17,7 @@
 from bench.capacity.traffic import count_traffic, total_segments
 from bench.capacity.usage import own_cpu, resident_bytes
 from sassafrasdale.clock import SystemClock
-from sassafrasdale.green import Queue, spawn
+from sassafrasdale.green import Event, Queue, spawn
 from sassafrasdale.peers.node import PeerNode
 from sassafrasdale.peers.structures import (
     MembersChanged,
@@ -49,15 +50,16 @@
     def __init__(self, names: list[tuple[str, str]]) -> None:
         self._traffic = count_traffic()
         self._writing = threading.Lock()
+        self._doubts = 0
+        self._alive: dict[str, int] = {}
         self._nodes = {name: self._start(name, zone) for name, zone in names}
 
     def run(self) -> None:
         """Tell the addresses and then what is heard, until input ends."""
         addresses = {name: str(node.peer_address) for name, node in self.nodes.items()}
         self.write(addresses=addresses)
-        done = Queue()
         threading.Thread(target=self._take_commands, daemon=True).start()
-        done.get()
+        Event().wait()
 
     @property
     def nodes(self) -> dict[str, PeerNode]:
@@ -89,6 +91,8 @@
                     self.write(heard=f"notice-{notice.sequence}", by=name, at=now)
                 case MembersChanged(members):
                     alive = sum(each.is_usable for each in members)
+                    self._doubts += max(0, self._alive.get(name, 0) - alive)
+                    self._alive[name] = alive
                     dead = [
                         each.name for each in members if each.state is MemberState.DEAD
                     ]
@@ -98,6 +102,7 @@
         for line in sys.stdin:
             command = json.loads(line)
             getattr(self, f"_do_{command.pop('do')}")(**command)
+        os._exit(0)
 
     def _do_introduce(self, candidates: list[tuple[str, str, str]]) -> None:
         instances = [
@@ -126,6 +131,7 @@
             connections=self._traffic.connections,
             open=self._traffic.open_protocols,
             segments=total_segments(self._traffic),
+            doubts=self._doubts,
             at=time.monotonic(),
         )
 
--- a/bench/capacity/peers.py
+++ b/bench/capacity/peers.py
@@ -93,6 +93,7 @@
         "segments_s": segments,
         "connections_s": (after.connections - before.connections) / node_seconds / 2,
         "open_connections": after.open / size,
+        "false_doubts": after.doubts - before.doubts,
         "resident_mib": after.resident / len(fleet.hosts) / MEBIBYTE,
     }
 
--- a/src/sassafrasdale/peers/channels.py
+++ b/src/sassafrasdale/peers/channels.py
@@ -71,7 +71,7 @@
             self._drop(address, channel)
             raise PeerNotReachedError(f"{address}: {error!r}") from error
         finally:
-            self._release(channel)
+            self._release(address, channel)
 
     async def call_twice(
         self, address: Address, call: Call[Reply], limit: timedelta
@@ -120,7 +120,12 @@
             del self._channels[address]
         channel.close()
 
-    def _release(self, channel: Channel) -> None:
+    def _release(self, address: Address, channel: Channel) -> None:
         self._in_use[channel] -= 1
-        if not self._in_use[channel]:
-            del self._in_use[channel]
+        if self._in_use[channel]:
+            return
+        del self._in_use[channel]
+        if self._channels.get(address) is not channel:
+            # A call that began before another one dropped the channel opens a
+            # new connection on it, which nobody would close.
+            channel.close()
--- a/src/sassafrasdale/peers/service.py
+++ b/src/sassafrasdale/peers/service.py
@@ -1,6 +1,7 @@
 """The server side of the peers' messages."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -30,6 +31,22 @@
 Ask = Callable[[Callable[[bool], None]], None]
 
 
+class _LateCancellations(logging.Filter):
+    """Drops what grpclib logs as an error when a sender closes its connection.
+
+    A sender closes idle channels right after an answer, sometimes while the
+    handler is in its last step. grpclib then reports that the handler did not
+    end by cancellation. Errors of handlers are logged in other words.
+    """
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether ``record`` is to be logged."""
+        return record.msg != "Failed to handle cancellation"
+
+
+logging.getLogger("grpclib.server").addFilter(_LateCancellations())
+
+
 class PeersService(PeersBase):
     """Answers the messages of other entries.
 
@@ -59,7 +76,11 @@
         """Probe another entry for the sender."""
         request = await stream.recv_message()
         self._agent.take_in(request.gossip, served=True)
-        answered = await self._agent.probe_for(member_from_message(request.target))
+        target = member_from_message(request.target)
+        # In a task of its own: when the sender gives up, grpclib cancels this
+        # handler, and the call inside would take that for its own failure.
+        probe = self._agent.run(self._agent.probe_for(target))
+        answered = await asyncio.shield(probe)
         gossip = self._agent.gossip(request.gossip.sender.name)
         await stream.send_message(IndirectProbeReply(gossip=gossip, answered=answered))
 
