--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._instances: dict[str, dict[str, Any]] = {}
         self._snapshots: list[tuple[timedelta, list[dict[str, Any]]]] = []
+        self._horizon = timedelta()
         self._notices: list[dict[str, Any]] = []
         self._waiting: set[Queue] = set()
         self._prices: list[dict[str, Any]] = []
@@ -66,11 +67,13 @@
         )
 
     def _list(self, _request: Request) -> Answer:
+        # A lag that has grown holds the list back; it doesn't undo what was shown.
         horizon = self._clock.elapsed() - self.faults.list_lag
-        while len(self._snapshots) > 1 and self._snapshots[1][0] <= horizon:
+        self._horizon = max(self._horizon, horizon)
+        while len(self._snapshots) > 1 and self._snapshots[1][0] <= self._horizon:
             self._snapshots.pop(0)
         shown: list[dict[str, Any]] = []
-        if self._snapshots and self._snapshots[0][0] <= horizon:
+        if self._snapshots and self._snapshots[0][0] <= self._horizon:
             shown = self._snapshots[0][1]
         return Answer({"instances": shown})
 
--- a/tests/guarantees/resuming.py
+++ b/tests/guarantees/resuming.py
@@ -13,9 +13,10 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
+from standins.clients import Response
 from standins.fleet import Fleet
 from standins.generation import reference_text
-from standins.processes import EntryProcess, Response
+from standins.processes import EntryProcess
 
 MODEL = "reports"
 PLAIN = "records"
@@ -159,7 +160,9 @@
     moved: int = 0
     broken: int = 0
     errors: list[str] = field(default_factory=list)
+    told: list[str] = field(default_factory=list)
     resumed: int = 0
+    restarted: int = 0
     entry: str = ""
 
     @property
@@ -195,6 +198,11 @@
         self.events[position] = data
         self.whole = self.whole or data == DONE
 
+    def restart(self) -> None:
+        """Forget the events: the request is asked anew."""
+        self.restarted += 1
+        self.events.clear()
+
     def faults(self) -> list[str]:
         """Return everything that is wrong with the answer."""
         found = list(self.failures)
@@ -300,9 +308,16 @@
         return _open(entry, "POST", "/v1/chat/completions", headers, body)
 
     def _refused(self, response: urllib3.BaseHTTPResponse) -> bool:
-        told = f"{response.status} {response.headers.get('X-Outcome')}"
+        outcome = response.headers.get("X-Outcome")
+        told = f"{response.status} {outcome}"
+        self.stream.told.append(told)
         self.stream.errors.append(f"{told} {response.read()[:200]!r}")
         time.sleep(PAUSE)
+        if response.status == 404 and self._accepted:
+            # Nobody holds it any more. It may be asked again as it is idempotent.
+            self._accepted = False
+            self.stream.restart()
+            return True
         return response.status in (502, 503, 409)
 
     def _read(self, response: urllib3.BaseHTTPResponse) -> None:
--- /dev/null
+++ b/tests/guarantees/test_silence.py
@@ -0,0 +1,108 @@
+"""Connections to endpoints that go silent for good while new ones work."""
+
+import time
+from collections import Counter
+
+from tests.guarantees.resuming import (
+    MODEL,
+    PLAIN,
+    Balancer,
+    Crowd,
+    call,
+    recomputed,
+    start_fleet,
+)
+
+STREAMS = 12
+LOOKUPS = 30
+CALLERS = 6
+
+
+def test_streams_go_on_when_their_connections_fall_silent():
+    """A caller's stream stops for ever in the middle.
+
+    Something between entry and engine forgets every open connection; new ones
+    work. The stream is asked for again on a fresh connection of the same engine,
+    so no token is computed twice.
+    """
+    with start_fleet(step_ms=40) as fleet, Crowd(Balancer(fleet.entries)) as crowd:
+        crowd.stream(STREAMS, tokens=100)
+        crowd.wait_until_running()
+        for engine in fleet.of_service(MODEL):
+            engine.set_faults(silence_connections=True)
+        assert crowd.faults() == []
+        assert recomputed(fleet) == 0
+
+
+def test_new_streams_begin_when_pooled_connections_are_silent():
+    """A caller's first token never comes.
+
+    The pooled connections to every engine fell silent while nothing was running,
+    and the next calls go out on them.
+    """
+    with start_fleet(step_ms=5) as fleet:
+        with Crowd(Balancer(fleet.entries)) as crowd:
+            crowd.stream(STREAMS, tokens=5, prefix="before")
+        for engine in fleet.of_service(MODEL):
+            engine.set_faults(silence_connections=True)
+        with Crowd(Balancer(fleet.entries)) as crowd:
+            crowd.stream(STREAMS, tokens=20)
+            assert crowd.faults() == []
+
+
+def test_calls_survive_silent_connections():
+    """A caller gets no record, or two certificates with different numbers.
+
+    All connections to the plain services fall silent under load. Lookups are
+    sent again on fresh connections and succeed. A certificate is never sent
+    again: its caller gets the one that was issued, or is told that the outcome
+    is unknown, and retries under the same key.
+    """
+    with start_fleet() as fleet:
+        with Crowd(Balancer(fleet.entries)) as crowd:
+            warm = [crowd.submit(_look_up, crowd, n) for n in range(CALLERS)]
+            assert [status for each in warm for status in each.result()] == [200] * (
+                CALLERS * LOOKUPS
+            )
+            for service in fleet.of_service(PLAIN):
+                service.set_faults(silence_connections=True)
+            lookups = [crowd.submit(_look_up, crowd, n) for n in range(CALLERS)]
+            issues = [crowd.submit(_issue, crowd, n) for n in range(CALLERS)]
+            time.sleep(0.05)
+            for service in fleet.of_service(PLAIN):
+                service.set_faults(silence_connections=True)
+            statuses = Counter(s for each in lookups for s in each.result())
+            numbers = [each.result() for each in issues]
+        assert statuses == {200: CALLERS * LOOKUPS}
+        keys = Counter(
+            item["idempotency_key"]
+            for item in fleet.executions(PLAIN)
+            if item["idempotency_key"]
+        )
+        assert max(keys.values()) == 1
+        assert all(len(set(told)) <= 1 for told in numbers)
+
+
+def _look_up(crowd: Crowd, caller: int) -> list[int]:
+    statuses = []
+    for number in range(LOOKUPS):
+        entry = crowd.balancer.entries[number % len(crowd.balancer.entries)]
+        path = f"/v1/services/records/lookups/{caller}-{number}"
+        statuses.append(call(entry, "GET", path).status)
+    return statuses
+
+
+def _issue(crowd: Crowd, caller: int) -> list[str]:
+    """Ask for one certificate through every entry; return the numbers told."""
+    told = []
+    for entry in crowd.balancer.entries:
+        answer = call(
+            entry,
+            "POST",
+            "/v1/services/records/certificates",
+            {"batch": caller},
+            Idempotency_Key=f"batch-{caller}",
+        )
+        if answer.status < 300:
+            told.append(answer.json()["number"])
+    return told
--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -19,6 +19,8 @@
 NOTICE_SECONDS = 5.0
 STREAMS = 12
 SHORT_DRAIN = "3s"
+FROZEN_SECONDS = 3.5
+HALF_WAY_SECONDS = 2.0
 
 
 def test_a_rolling_stop_under_load_fails_no_request():
@@ -179,3 +181,56 @@
     if answer.status != 200:
         return f"{answer.status} {answer.data!r}"
     return answer.json()["choices"][0]["message"]["content"]
+
+
+def test_a_receiver_that_dies_during_the_hand_over():
+    """A caller's stream is lost between two entries.
+
+    An entry is reclaimed. While it hands its streams over, one of the two entries
+    that could take them is killed, with some of them already acknowledged and
+    their callers on their way. What it had not acknowledged goes to the other;
+    of what it had, callers are told the truth.
+    """
+    with start_fleet(step_ms=60, entries=4) as fleet:
+        leaving, receiver = fleet.entries[0], fleet.entries[1]
+        crowd = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.platform.give_notice(leaving.name, NOTICE_SECONDS)
+        receiver.freeze()
+        time.sleep(FROZEN_SECONDS)
+        receiver.kill()
+        assert _finish(fleet, crowd) == []
+
+
+def test_a_leaving_entry_that_dies_half_way():
+    """A caller's stream is lost when its entry dies before its time is up.
+
+    The entry is killed in the middle of its notice. What a peer had acknowledged
+    goes on there. For the rest a caller that asks for its request is told 404
+    with the outcome unknown, asks again under the same id, and gets the whole.
+    """
+    with start_fleet(step_ms=60) as fleet:
+        leaving = fleet.entries[0]
+        crowd = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.platform.give_notice(leaving.name, NOTICE_SECONDS)
+        time.sleep(HALF_WAY_SECONDS)
+        leaving.kill()
+        assert _finish(fleet, crowd) == []
+        told = [each for s in crowd.streams for each in s.told if "404" in each]
+        assert set(told) <= {"404 unknown"}
+
+
+def test_an_entry_that_is_killed_with_no_notice():
+    """A caller's stream breaks when its entry is killed.
+
+    Nobody else knows the request. The caller's connection breaks without the end
+    of the answer, a resumption is told 404 with the outcome unknown, never "not
+    run"; asked again under the same id, it runs from the start and is whole.
+    """
+    with start_fleet(step_ms=30) as fleet:
+        killed = fleet.entries[0]
+        crowd = _ask_all_of(fleet, killed, tokens=60)
+        killed.kill()
+        assert _finish(fleet, crowd) == []
+        assert [s.broken for s in crowd.streams] == [1] * STREAMS
+        assert [s.restarted for s in crowd.streams] == [1] * STREAMS
+        assert {each for s in crowd.streams for each in s.told} == {"404 unknown"}
