--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -41,7 +41,7 @@
     lost = sum(
         count
         for (_, outcome), count in tally.outcomes.items()
-        if outcome not in ("answered", "not-run")
+        if not outcome.startswith(("answered", "not-run"))
     )
     return 1 if lost or tally.wrong or doubled else 0
 
@@ -60,7 +60,7 @@
 
 def _print(tally: Tally, doubled: int) -> None:
     for (kind, outcome), count in sorted(tally.outcomes.items()):
-        print(f"{kind:12} {outcome:24} {count:8}")
+        print(f"{kind:12} {outcome:80} {count:8}")
     for kind, times in sorted(tally.latency.items()):
         middle, late = (times.get_value_at_percentile(p) / 1000 for p in (50, 95))
         print(f"{kind:12} p50 {middle:8.1f} ms   p95 {late:8.1f} ms")
--- a/bench/load/callers.py
+++ b/bench/load/callers.py
@@ -161,7 +161,10 @@
         )
 
     def _outcome(self, answer) -> str:
-        return answer.headers.get("X-Outcome", f"status {answer.status}")
+        outcome = answer.headers.get("X-Outcome", f"status {answer.status}")
+        if answer.status < 400:
+            return outcome
+        return f"{outcome} ({answer.status}: {json.loads(answer.data)['detail'][:60]})"
 
 
 def run_callers(fleet: Fleet, callers: int, duration: timedelta) -> Tally:
