--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -324,6 +324,8 @@
         self.result.refusals += 1
         self._drop(attempt)
         call = attempt.call
+        if call.done or call.open:
+            return
         entry = call.entry
         match entry.admission.refuse(call.ticket, self._span):
             case Wait(ticket=ticket):
