Tell the routing policy of queues and slow engines that sends show

Cause: the policy takes prompt tokens without a first token, queueing times and slowness, and draws its candidates by name; the entry gave it none of these. A fault made on the way (an unforeseen error in a generation's task) showed that its caller then waited until its deadline and was told 'not run'. Change: sends are watched; candidates are drawn before views are built; a generation that fails unforeseen ends at once as unknown. Ruled out: engines' cache events, as before.

--- a/src/sassafrasdale/callers/models.py
+++ b/src/sassafrasdale/callers/models.py
@@ -35,7 +35,12 @@
         return "\n".join(f"{m.role}: {m.content}" for m in self.messages)
 
     def opening(self) -> tuple[str, ...]:
-        """Return the messages up to and including the user's first."""
+        """Return the messages up to and including the user's first.
+
+        It is empty for a first turn, which continues no conversation.
+        """
+        if self.messages[-1].role == "user" and self._turns() == 1:
+            return ()
         contents = []
         for message in self.messages:
             contents.append(message.content)
@@ -43,6 +48,9 @@
                 break
         return tuple(contents)
 
+    def _turns(self) -> int:
+        return sum(message.role == "user" for message in self.messages)
+
     def engine_body(self, model: str) -> dict[str, Any]:
         """Return the body for an engine that serves ``model``."""
         body = self.model_dump(exclude={"stream", "n"})
--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -15,7 +15,7 @@
 from sassafrasdale.requests.claims import Claims
 from sassafrasdale.requests.execution import IdempotentExecution
 from sassafrasdale.requests.gates import Gates
-from sassafrasdale.requests.generation import Generation, Progress
+from sassafrasdale.requests.generation import Generation, Placement, Progress
 from sassafrasdale.requests.guarded import GuardedExecution
 from sassafrasdale.requests.ledger import Ledger
 from sassafrasdale.requests.registry import Registry
@@ -117,10 +117,9 @@
 
         generation = Generation(
             call,
-            self._chooser(call),
+            self._placement(call),
             self._clock,
             gate=self._gates.of(call.call.service),
-            observe=self._selector.observe,
             on_end=end,
         )
         try:
@@ -166,10 +165,9 @@
         """
         generation = Generation(
             call,
-            self._chooser(call),
+            self._placement(call),
             self._clock,
             progress=progress,
-            observe=self._selector.observe,
             on_end=self._registry.end,
         )
         self._registry.add(generation)
@@ -213,7 +211,8 @@
         attempt = Attempt(self._unique_id(), digest, self._holder)
         return Claimant(call.call, attempt, self.is_alive, self._claims, self._clock)
 
-    def _chooser(self, call: ModelCall) -> Callable[[frozenset[str]], Endpoint | None]:
+    def _placement(self, call: ModelCall) -> Placement:
+        """Return how a generation finds its engines."""
         wanted = self._selector.wanted(
             call.call.service,
             call.call.deadline,
@@ -222,7 +221,12 @@
             opening=call.opening,
             max_tokens=call.max_tokens,
         )
-        return lambda avoid: self._selector.choose(wanted, avoid)
+        watch = self._selector.watch(call.call.request_id)
+        return Placement(
+            choose=lambda avoid: self._selector.choose(wanted, avoid, watch),
+            observe=self._selector.observe,
+            watch=watch,
+        )
 
     def _unique_id(self) -> str:
         return str(UUID(int=self._rng.getrandbits(128), version=4))
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from logbook import Logger
+
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock
 from sassafrasdale.endpoints.adapters import EventStream
@@ -41,6 +43,7 @@
 from sassafrasdale.requests.exceptions import EndpointLeaves
 from sassafrasdale.requests.execution import Choose, Observe
 from sassafrasdale.requests.gate import Gate
+from sassafrasdale.requests.sends import SendWatch
 from sassafrasdale.requests.structures import (
     Answered,
     ModelCall,
@@ -50,6 +53,8 @@
 )
 from sassafrasdale.requests.transcript import Ending, Transcript
 
+log = Logger("generation")
+
 # Longest silence of an engine before the stream is asked for again on a fresh
 # connection: the old one may be silent for good while the engine works on.
 SILENCE_LIMIT = timedelta(seconds=2)
@@ -78,15 +83,28 @@
     sent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """How a generation finds its engines, and whom it tells how they do.
+
+    :param choose: gives an endpoint, or None if there is none; its argument names
+        endpoints not to take.
+    :param observe: told whether an endpoint answered.
+    :param watch: told of sends and tokens.
+    """
+
+    choose: Choose
+    observe: Observe
+    watch: SendWatch
+
+
 class Generation:
     """One model request that this entry holds.
 
     :param call: what the caller asked for.
-    :param choose: gives an endpoint for the call, or None if there is none; its
-        argument names endpoints not to take.
+    :param placement: finds endpoints for the call.
     :param clock: source of time.
     :param gate: lets the request into its service; None if it is in already.
-    :param observe: told whether an endpoint answered.
     :param progress: how far an earlier holder came.
     :param on_end: called once with the generation when it has ended.
 
@@ -99,19 +117,19 @@
     def __init__(
         self,
         call: ModelCall,
-        choose: Choose,
+        placement: Placement,
         clock: Clock,
         *,
         gate: Gate | None = None,
-        observe: Observe,
         progress: Progress | None = None,
         on_end: Callable[["Generation"], None] = lambda generation: None,
     ) -> None:
         self._call = call
-        self._choose = choose
+        self._choose = placement.choose
+        self._observe = placement.observe
+        self._watch = placement.watch
         self._clock = clock
         self._gate = gate
-        self._observe = observe
         self._taken_over = progress is not None
         progress = progress or Progress([], None, None, sent=False)
         self._transcript = Transcript(progress.events)
@@ -321,6 +339,11 @@
             return self._complete()
         except EndpointError as error:
             return Unknown(error.message, RETRY_AFTER)
+        except Exception:
+            # Without an end the caller would wait until its deadline for a task
+            # that is no more.
+            log.exception("generation {} failed", self._call.call.request_id)
+            return Unknown("an unforeseen error", RETRY_AFTER)
 
     def _complete(self) -> Outcome:
         """Return the outcome, after as many engines as it takes."""
@@ -399,6 +422,7 @@
         if self._life.allows("send"):
             self._life.fire("send")
         endpoint.in_flight += 1
+        self._watch.sent(endpoint.name)
         try:
             remaining = self._call.call.deadline - self._clock.elapsed()
             stream = open_stream(
@@ -419,6 +443,7 @@
             raise
         finally:
             self._reading = False
+            self._watch.ended()
             endpoint.in_flight -= 1
 
     def _pass_on(self, stream: EventStream) -> bool:
@@ -429,6 +454,7 @@
             if self._first_event_at is None:
                 self._first_event_at = self._clock.elapsed()
             self._transcript.extend(kept)
+            self._watch.received(len(kept))
             self._wake()
             if kept[-1] == DONE:
                 return True
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -8,7 +8,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.affinity import HashRing, PrefixIndex, conversation_key
 from sassafrasdale.decisions.health import Health
-from sassafrasdale.decisions.routing import choose
+from sassafrasdale.decisions.routing import choose, draw_candidates
 from sassafrasdale.decisions.structures import (
     EndpointView,
     RoutingPolicy,
@@ -17,6 +17,7 @@
 from sassafrasdale.endpoints.directory import Directory, Endpoint
 from sassafrasdale.platform.clouds import Price
 from sassafrasdale.requests.gates import max_in_flight
+from sassafrasdale.requests.sends import Sends, SendWatch
 from sassafrasdale.text.current import CurrentText
 from sassafrasdale.text.structures import Service
 
@@ -70,6 +71,7 @@
         self._clock = clock
         self._rng = rng
         self._prefixes = PrefixIndex()
+        self._sends = Sends()
         self._present: set[str] = set()
         self._rings: dict[str, HashRing] = {}
         self._prices: dict[tuple[str, str, bool], float] = {}
@@ -100,40 +102,53 @@
             max_tokens=max_tokens,
         )
 
-    def choose(self, wanted: Wanted, avoid: frozenset[str]) -> Endpoint | None:
+    def watch(self, request_id: str) -> SendWatch:
+        """Return what follows the sends of one generation."""
+        return SendWatch(request_id, self._sends, self._clock)
+
+    def choose(
+        self, wanted: Wanted, avoid: frozenset[str], watch: SendWatch | None = None
+    ) -> Endpoint | None:
         """Return the endpoint for a request, or None if none takes it.
 
         :param avoid: names of endpoints not to take.
+        :param watch: told what is expected of the endpoint.
         """
         text = self._current.text
         service = text.services.get(wanted.service) if text else None
         if service is None:
             return None
         now = self._clock.elapsed()
-        weights = self._health_of(wanted.service).weights(now)
-        views = [
-            self._view(endpoint, service, wanted, now)
-            for endpoint in self._directory.serving(wanted.service)
-            if endpoint.name not in avoid and self._is_fit(endpoint, weights)
-        ]
+        policy = RoutingPolicy(
+            latency_cost=service.weights.latency_cost,
+            recomputed_tokens=service.weights.recomputed_tokens,
+        )
+        matches = self._prefixes.matches(wanted.blocks) if wanted.blocks else {}
+        home = self._home(wanted)
         request = RoutingRequest(
             prompt_tokens=wanted.prompt_tokens,
             max_tokens=wanted.max_tokens,
             priority=wanted.priority,
             remaining=wanted.deadline - now,
             home_availability_zone=self._availability_zone,
-            home=self._home(wanted),
+            home=home,
         )
-        policy = RoutingPolicy(
-            latency_cost=service.weights.latency_cost,
-            recomputed_tokens=service.weights.recomputed_tokens,
+        fit = self._fit_endpoints(wanted.service, avoid, now)
+        known = {name: tokens for name, tokens in matches.items() if name in fit}
+        drawn = draw_candidates(
+            list(fit), known, home if home in fit else "", policy, self._rng
         )
+        views = [
+            self._view(fit[name], service, known.get(name, 0), now) for name in drawn
+        ]
         chosen = choose(request, views, policy, self._rng)
         if chosen is None:
             return None
         if wanted.blocks:
             self._prefixes.record(chosen.name, wanted.blocks)
-        return self._directory.get(chosen.name)
+        if watch is not None:
+            watch.expect(max(0, wanted.prompt_tokens - chosen.cached_tokens))
+        return fit[chosen.name]
 
     def observe(self, endpoint: Endpoint, *, ok: bool) -> None:
         """Note that an endpoint answered, or failed to."""
@@ -157,6 +172,7 @@
         present = {endpoint.name for endpoint in self._directory.endpoints}
         for gone in self._present - present:
             self._prefixes.forget(gone)
+            self._sends.forget(gone)
         if self._present != present:
             self._rings.clear()
         self._present = present
@@ -176,6 +192,16 @@
             self._health[service] = Health(self._rng)
         return self._health[service]
 
+    def _fit_endpoints(
+        self, service: str, avoid: frozenset[str], now: timedelta
+    ) -> dict[str, Endpoint]:
+        weights = self._health_of(service).weights(now)
+        return {
+            endpoint.name: endpoint
+            for endpoint in self._directory.serving(service)
+            if endpoint.name not in avoid and self._is_fit(endpoint, weights)
+        }
+
     def _is_fit(self, endpoint: Endpoint, weights: dict[str, float]) -> bool:
         """Return whether an endpoint takes part, by its health's weight.
 
@@ -186,7 +212,7 @@
         return weight >= 1.0 or self._rng.random() < weight
 
     def _view(
-        self, endpoint: Endpoint, service: Service, wanted: Wanted, now: timedelta
+        self, endpoint: Endpoint, service: Service, cached: int, now: timedelta
     ) -> EndpointView:
         instance = endpoint.instance
         reported_at = endpoint.reported_at
@@ -206,7 +232,10 @@
             max_in_flight=max_in_flight(service, instance.instance_class),
             price_per_hour=self._prices.get(price_of, 0.0),
             distance=self._distance(instance.availability_zone),
-            cached_tokens=self._prefixes.matched_tokens(endpoint.name, wanted.blocks),
+            own_tokens=self._sends.tokens_waiting(endpoint.name),
+            cached_tokens=cached,
+            queueing=self._sends.queueing(endpoint.name, now),
+            slowness=self._sends.slowness(endpoint.name, now),
         )
 
     def _distance(self, availability_zone: str) -> timedelta:
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -9,7 +9,8 @@
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import DATA, DONE
 from sassafrasdale.endpoints.exceptions import EndpointError
-from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.generation import Generation, Placement
+from sassafrasdale.requests.sends import Sends, SendWatch
 from sassafrasdale.requests.structures import Call, ModelCall
 from sassafrasdale.structures import Address, Instance, Role
 
@@ -98,6 +99,9 @@
     """Return a generation on a clock that stands still."""
     options.setdefault("clock", ManualClock())
     clock = options.pop("clock")
-    return Generation(
-        call or model_call(), choose, clock, observe=lambda e, *, ok: None, **options
+    placement = Placement(
+        choose=choose,
+        observe=lambda endpoint, *, ok: None,
+        watch=SendWatch("id-1", Sends(), clock),
     )
+    return Generation(call or model_call(), placement, clock, **options)
--- a/tests/requests/test_generation.py
+++ b/tests/requests/test_generation.py
@@ -201,3 +201,18 @@
     made = generation(Choices())
     made.release()
     assert made.handed_over
+
+
+def test_an_unforeseen_error_ends_the_request_at_once():
+    """A caller waited 30 s for nothing.
+
+    A fault in the code that chooses engines ended the generation's task. Its
+    caller went on waiting until the deadline, and was then told "not run".
+    """
+
+    def choose(avoid: frozenset[str]) -> None:
+        raise ZeroDivisionError
+
+    failing = generation(choose)
+    failing.run()
+    assert isinstance(failing.outcome, Unknown)
