Hedge only while the entry has spare room, up to a tenth of the successes

Hedging helped when an endpoint was slow and harmed when all were merely busy. Admission now says whether there is room: nothing waits and at most 1.2 times the entry's share is in flight.

--- a/bench/admission/baselines.py
+++ b/bench/admission/baselines.py
@@ -13,6 +13,8 @@
 class NoAdmission:
     """Sends everything on at once; the endpoints queue without a bound."""
 
+    has_spare_room = True
+
     def __init__(self) -> None:
         self._numbers = count()
 
--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -273,6 +273,8 @@
     def _hedge(self, call: Call) -> None:
         if call.done or len(call.open) != 1:
             return
+        if not call.entry.admission.has_spare_room:
+            return
         hedging = call.entry.hedging
         if hedging.try_hedge(self._span, idempotent=call.request.idempotent):
             self.result.hedges += 1
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -106,6 +106,8 @@
         standing, as a share of the time that a request has.
     :param demand_window: time over which arrivals are counted, in mean latencies.
     :param longest_retry_after: longest time to come back that is given.
+    :param spare_share: requests in flight, as a share of the entry's share of the
+        capacity, up to which there is room to send a request twice.
     :param initial_latency: latency assumed before the first answer.
     """
 
@@ -117,6 +119,7 @@
     standing: float = 0.5
     demand_window: float = 5.0
     longest_retry_after: timedelta = timedelta(seconds=30)
+    spare_share: float = 1.2
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
@@ -200,6 +203,12 @@
         """Requests that wait."""
         return sum(len(queue) for queue in self._waiting.values())
 
+    @property
+    def has_spare_room(self) -> bool:
+        """Whether few enough requests are in flight to send one of them twice."""
+        most = self._limit.share * self._settings.spare_share
+        return not self._waiting and self.in_flight <= most
+
     @property
     def limit(self) -> int:
         """Requests that may be in flight."""
--- a/src/sassafrasdale/decisions/hedging.py
+++ b/src/sassafrasdale/decisions/hedging.py
@@ -11,7 +11,7 @@
 HEDGE_WINDOW = 200
 """Latencies kept, in requests."""
 
-HEDGE_SHARE = 0.05
+HEDGE_SHARE = 0.1
 """Hedges per success."""
 
 HEDGE_FLOOR_PER_SECOND = 0.1
