Charge customers for the time that their requests take

Fair queueing counted requests, so a customer whose answers take eight times as long got eight times the slots. Each customer now has a mean cost, in seconds of a slot.

--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -182,6 +182,7 @@
         self._running: dict[int, Ticket] = {}
         self._virtual: dict[str, float] = {}
         self._virtual_now = 0.0
+        self._costs: dict[str, float] = {}
         self._latency = self._settings.initial_latency
         self._latencies = LatencyWindow(self._settings.latency_window)
         self._latencies.add(self._latency)
@@ -295,6 +296,9 @@
         self._limit.on_success(self.in_flight, latency)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
         self._latencies.add(latency)
+        mean = self._costs.get(ticket.customer, self._latency.total_seconds())
+        change = latency.total_seconds() - mean
+        self._costs[ticket.customer] = mean + change * self._settings.latency_smoothing
 
     def refuse(self, ticket: Ticket, now: timedelta) -> Wait | Shed:
         """Take back an admitted request that an endpoint refused to start.
@@ -365,7 +369,8 @@
         weight = self._share_of(ticket.customer).weight
         start = max(self._virtual.get(ticket.customer, 0.0), self._virtual_now)
         self._virtual_now = start
-        self._virtual[ticket.customer] = start + 1 / weight
+        cost = self._costs.get(ticket.customer, self._latency.total_seconds())
+        self._virtual[ticket.customer] = start + cost / weight
         self._running[ticket.number] = ticket
 
     def _take(self, customer: str, index: int) -> Ticket:
