Estimate waits from each customer's own cost

The wait of a customer with short answers was estimated from the mean of all, so it was turned away too soon beside one with long answers.

--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -296,7 +296,7 @@
         self._limit.on_success(self.in_flight, latency)
         self._latency += (latency - self._latency) * self._settings.latency_smoothing
         self._latencies.add(latency)
-        mean = self._costs.get(ticket.customer, self._latency.total_seconds())
+        mean = self._cost(ticket.customer)
         change = latency.total_seconds() - mean
         self._costs[ticket.customer] = mean + change * self._settings.latency_smoothing
 
@@ -369,7 +369,7 @@
         weight = self._share_of(ticket.customer).weight
         start = max(self._virtual.get(ticket.customer, 0.0), self._virtual_now)
         self._virtual_now = start
-        cost = self._costs.get(ticket.customer, self._latency.total_seconds())
+        cost = self._cost(ticket.customer)
         self._virtual[ticket.customer] = start + cost / weight
         self._running[ticket.number] = ticket
 
@@ -388,6 +388,9 @@
 
         return self._take(max(self._waiting, key=backlog), -1)
 
+    def _cost(self, customer: str) -> float:
+        return self._costs.get(customer, self._latency.total_seconds())
+
     def _rate(self) -> float:
         return self._limit.value / max(self._latency.total_seconds(), 1e-6)
 
@@ -403,7 +406,8 @@
     def _expected_wait(self, ticket: Ticket, ahead: int) -> timedelta:
         weight = self._share_of(ticket.customer).weight
         total = sum(self._share_of(name).weight for name in self._waiting)
-        share = self._rate() * weight / total
+        cost = self._cost(ticket.customer)
+        share = self._limit.value / cost * weight / total
         urgent = self._demand.rate_above(ticket, self._demand_seconds())
         if urgent >= share:
             return timedelta.max
