--- /dev/null
+++ b/src/sassafrasdale/decisions/baselines.py
@@ -0,0 +1,58 @@
+"""Ways of routing that the policy is measured against."""
+
+from collections.abc import Sequence
+from random import Random
+
+from xxhash import xxh64_intdigest
+
+from sassafrasdale.decisions.structures import EndpointView
+
+
+class RoundRobin:
+    """Take the endpoints in turn.
+
+    :param turn: place to begin at; entries begin at different places.
+    """
+
+    def __init__(self, turn: int = 0) -> None:
+        self._turn = turn
+
+    def choose(self, views: Sequence[EndpointView]) -> EndpointView | None:
+        """Return the next endpoint that is not leaving."""
+        staying = [view for view in views if not view.leaving]
+        if not staying:
+            return None
+        self._turn += 1
+        return staying[self._turn % len(staying)]
+
+
+class LeastRequests:
+    """Take the endpoint with the fewest own requests in flight.
+
+    :param rng: breaks ties.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+
+    def choose(self, views: Sequence[EndpointView]) -> EndpointView | None:
+        """Return the endpoint with the fewest requests that is not leaving."""
+        staying = [view for view in views if not view.leaving]
+        if not staying:
+            return None
+        return min(staying, key=lambda view: (view.in_flight, self._rng.random()))
+
+
+class PrefixHash:
+    """Take the endpoint that a rendezvous hash of the conversation names."""
+
+    def choose(self, views: Sequence[EndpointView], key: int) -> EndpointView | None:
+        """Return the endpoint of a conversation that is not leaving.
+
+        :param views: the endpoints.
+        :param key: hash of what every turn of the conversation begins with.
+        """
+        staying = [view for view in views if not view.leaving]
+        if not staying:
+            return None
+        return max(staying, key=lambda view: xxh64_intdigest(view.name.encode(), key))
--- /dev/null
+++ b/src/sassafrasdale/requests/mover.py
@@ -0,0 +1,114 @@
+"""Moves generations off an endpoint that is about to be reclaimed."""
+
+from datetime import timedelta
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.reclaims import plan_streams
+from sassafrasdale.decisions.structures import (
+    MoveCache,
+    ReclaimPolicy,
+    Recompute,
+    StreamTarget,
+    StreamView,
+    WaitOut,
+)
+from sassafrasdale.endpoints.directory import Endpoint
+from sassafrasdale.green import spawn
+from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.registry import Registry
+from sassafrasdale.requests.selection import CHARACTERS_PER_TOKEN, Selector
+
+# Time between two tokens that is assumed of a stream without any yet.
+USUAL_TOKEN_DELAY = timedelta(milliseconds=30)
+
+
+class Mover:
+    """Decides and begins the moves of one entry's generations.
+
+    :param registry: the generations held.
+    :param selector: knows whether another endpoint could go on with them.
+    :param clock: source of time.
+    """
+
+    def __init__(self, registry: Registry, selector: Selector, clock: Clock) -> None:
+        self._registry = registry
+        self._selector = selector
+        self._clock = clock
+        self._leaving: dict[str, Endpoint] = {}
+
+    def empty(self, endpoint: Endpoint) -> None:
+        """Begin to move what runs on ``endpoint`` and doesn't fit its notice."""
+        self._leaving[endpoint.name] = endpoint
+        self._plan(endpoint, self._streams_by_endpoint().get(endpoint.name, []))
+
+    def review(self) -> None:
+        """Plan again for the endpoints that leave.
+
+        A stream that seemed to fit may run late, a target may have come, and a
+        peer may have handed over a stream that runs on such an endpoint.
+        """
+        if not self._leaving:
+            return
+        streams = self._streams_by_endpoint()
+        for endpoint in tuple(self._leaving.values()):
+            if endpoint.state == "leaving":
+                self._plan(endpoint, streams.get(endpoint.name, []))
+            else:
+                del self._leaving[endpoint.name]
+
+    def _streams_by_endpoint(self) -> dict[str, list[Generation]]:
+        streams: dict[str, list[Generation]] = {}
+        for generation in self._registry.running:
+            if generation.endpoint is not None and not generation.offered:
+                streams.setdefault(generation.endpoint.name, []).append(generation)
+        return streams
+
+    def _plan(self, endpoint: Endpoint, streams: list[Generation]) -> None:
+        if not streams or endpoint.leaves_at is None:
+            return
+        by_id = {each.call.call.request_id: each for each in streams}
+        target = self._target(endpoint)
+        plans = plan_streams(
+            [stream_view(generation, self._clock) for generation in streams],
+            endpoint.leaves_at - self._clock.now(),
+            lambda stream: target,
+            ReclaimPolicy(),
+            link_share=len(streams) / max(len(streams), endpoint.reported_load),
+        )
+        for request_id, plan in plans.items():
+            match plan:
+                case MoveCache():
+                    spawn(_move, by_id[request_id], endpoint)
+                case Recompute():
+                    spawn(by_id[request_id].recompute, endpoint)
+                case WaitOut():
+                    continue
+
+    def _target(self, leaving: Endpoint) -> StreamTarget | None:
+        """Return an endpoint that could go on, if there is one."""
+        wanted = self._selector.wanted(
+            leaving.instance.service, self._clock.elapsed(), priority=0
+        )
+        target = self._selector.choose(wanted, frozenset({leaving.name}))
+        return StreamTarget(target.name) if target else None
+
+
+def _move(generation: Generation, endpoint: Endpoint) -> None:
+    """Move a KV cache, or have its tokens computed again if that fails."""
+    if not generation.move(endpoint):
+        generation.recompute(endpoint)
+
+
+def stream_view(generation: Generation, clock: Clock) -> StreamView:
+    """Return what a plan needs to know of a generation."""
+    tokens = len(generation.events)
+    prompt_tokens = len(generation.call.prompt) // CHARACTERS_PER_TOKEN
+    delay = USUAL_TOKEN_DELAY
+    if generation.first_event_at is not None and tokens > 1:
+        delay = (clock.elapsed() - generation.first_event_at) / tokens
+    return StreamView(
+        request_id=generation.call.call.request_id,
+        context_tokens=prompt_tokens + tokens,
+        remaining_tokens=max(0, generation.call.max_tokens - tokens),
+        token_delay=delay,
+    )
