--- /dev/null
+++ b/src/sassafrasdale/decisions/fairness.py
@@ -0,0 +1,94 @@
+"""Waiting requests, in the order of weighted fair queueing.
+
+Customers take turns by the time that their requests occupy, divided by their
+weight. Within a customer the order is by priority, then by arrival: a customer
+that marks everything as urgent gains nothing over the others.
+"""
+
+from collections.abc import Callable, Iterator
+
+from sassafrasdale.decisions.tickets import Ticket
+
+
+class FairQueue:
+    """Waiting requests of one service.
+
+    :param weight: returns a customer's weight.
+    """
+
+    def __init__(self, weight: Callable[[str], float]) -> None:
+        self._weight = weight
+        self._queues: dict[str, list[Ticket]] = {}
+        self._size = 0
+        self._virtual: dict[str, float] = {}
+        self._virtual_now = 0.0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def __iter__(self) -> Iterator[Ticket]:
+        for queue in list(self._queues.values()):
+            yield from list(queue)
+
+    def position(self, ticket: Ticket) -> int:
+        """Return how many requests of the customer would go before a new one."""
+        queue = self._queues.get(ticket.customer, ())
+        return sum(other.priority <= ticket.priority for other in queue)
+
+    def share(self, customer: str) -> float:
+        """Return the customer's part of the slots while the present ones wait."""
+        names = {customer, *self._queues}
+        return self._weight(customer) / sum(self._weight(name) for name in names)
+
+    def add(self, ticket: Ticket, position: int) -> None:
+        """Insert a request at a position in its customer's queue."""
+        self._queues.setdefault(ticket.customer, []).insert(position, ticket)
+        self._size += 1
+
+    def put_back(self, ticket: Ticket) -> int:
+        """Insert a request first among its priority; return its position."""
+        queue = self._queues.get(ticket.customer, ())
+        position = sum(other.priority < ticket.priority for other in queue)
+        self.add(ticket, position)
+        return position
+
+    def take(self, allowed: Callable[[str], bool]) -> Ticket | None:
+        """Remove and return the next request of the customers that are allowed."""
+        ready = [name for name in self._queues if allowed(name)]
+        if not ready:
+            return None
+        customer = min(ready, key=lambda name: (self._start_of(name), name))
+        return self._pop(customer, 0)
+
+    def displace(self) -> Ticket:
+        """Remove and return the last request of the longest queue by weight."""
+
+        def backlog(name: str) -> tuple[float, str]:
+            return len(self._queues[name]) / self._weight(name), name
+
+        return self._pop(max(self._queues, key=backlog), -1)
+
+    def discard(self, ticket: Ticket) -> None:
+        """Remove a request if it waits."""
+        queue = self._queues.get(ticket.customer, [])
+        if ticket in queue:
+            self._pop(ticket.customer, queue.index(ticket))
+
+    def charge(self, customer: str, cost: float) -> None:
+        """Count a request that starts against its customer.
+
+        :param cost: seconds that it is expected to occupy a slot.
+        """
+        start = self._start_of(customer)
+        self._virtual_now = start
+        self._virtual[customer] = start + cost / self._weight(customer)
+
+    def _start_of(self, customer: str) -> float:
+        return max(self._virtual.get(customer, 0.0), self._virtual_now)
+
+    def _pop(self, customer: str, index: int) -> Ticket:
+        ticket = self._queues[customer].pop(index)
+        self._size -= 1
+        if not self._queues[customer]:
+            del self._queues[customer]
+        return ticket
--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -7,6 +7,9 @@
 DEFAULT_COOLDOWN = timedelta(milliseconds=100)
 """Shortest time between two decreases while no latency is known."""
 
+BURST = timedelta(seconds=5)
+"""Time for which a customer's unused tokens are kept."""
+
 
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
@@ -115,23 +118,14 @@
 class TokenBucket:
     """Token bucket for the rate limit of one customer on one entry.
 
-    :param rate: requests per second over the whole deployment.
-    :param live_entries: entries among which the rate is divided.
-    :param burst: how long unused tokens are kept.
-    :param borrow: multiple of the even share that one entry may use.
+    :param rate: requests per second on this entry.
+    :param burst: time for which unused tokens are kept.
     """
 
-    def __init__(
-        self,
-        rate: float,
-        live_entries: int = 1,
-        burst: timedelta = timedelta(seconds=2),
-        borrow: float = 1.5,
-    ) -> None:
+    def __init__(self, rate: float, burst: timedelta = BURST) -> None:
         self._burst = burst
-        self._borrow = borrow
         self._updated = timedelta()
-        self.set_rate(rate, live_entries)
+        self.set_rate(rate)
         self._tokens = self._depth
 
     @property
@@ -139,11 +133,10 @@
         """Tokens per second on this entry."""
         return self._rate
 
-    def set_rate(self, rate: float, live_entries: int) -> None:
-        """Take a new rate or number of entries."""
-        entries = max(live_entries, 1)
-        self._rate = min(rate, rate / entries * self._borrow)
-        self._depth = max(self._rate * self._burst.total_seconds(), 1.0)
+    def set_rate(self, rate: float) -> None:
+        """Take a new rate, in requests per second on this entry."""
+        self._rate = rate
+        self._depth = max(rate * self._burst.total_seconds(), 1.0)
 
     def try_take(self, now: timedelta) -> bool:
         """Take a token if there is one."""
--- /dev/null
+++ b/src/sassafrasdale/decisions/shares.py
@@ -0,0 +1,78 @@
+"""Part of each customer's demand that reaches an entry, from the peers' reports."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from math import exp
+
+DEMAND_WINDOW = timedelta(seconds=2)
+"""Time over which a customer's own arrivals are averaged."""
+
+REPORT_LIFETIME = timedelta(seconds=30)
+"""Time after which a peer's report no longer counts."""
+
+EVEN_WEIGHT = 0.05
+"""Demand assumed of every entry on top of its own, as a share of the mean."""
+
+
+class DemandShares:
+    """Divides rate limits by where the customers' requests arrive.
+
+    Usage::
+
+        shares.add("lab-7", now)  # at each arrival
+        peers.send(shares.report(now))  # now and then
+        shares.hear("entry-3", report, now)  # from each peer
+        part = shares.share("lab-7", entries, now)
+    """
+
+    def __init__(
+        self,
+        window: timedelta = DEMAND_WINDOW,
+        even_weight: float = EVEN_WEIGHT,
+    ) -> None:
+        self._window = window
+        self._even_weight = even_weight
+        self._rates: dict[str, float] = {}
+        self._updated: dict[str, timedelta] = {}
+        self._reports: dict[str, Mapping[str, float]] = {}
+        self._heard: dict[str, timedelta] = {}
+
+    def add(self, customer: str, now: timedelta) -> None:
+        """Record an arrival."""
+        rate = self._rate(customer, now)
+        self._rates[customer] = rate + 1 / self._window.total_seconds()
+        self._updated[customer] = now
+
+    def report(self, now: timedelta) -> Mapping[str, float]:
+        """Return this entry's demand, in requests per second by customer."""
+        return {name: self._rate(name, now) for name in self._rates}
+
+    def hear(self, peer: str, report: Mapping[str, float], now: timedelta) -> None:
+        """Take the report of a peer."""
+        self._reports[peer] = report
+        self._heard[peer] = now
+
+    def share(self, customer: str, live_entries: int, now: timedelta) -> float:
+        """Return the part of a customer's limits that this entry may use.
+
+        :param live_entries: entries, this one included. One that has not
+            reported counts with the mean demand of those that have.
+        """
+        heard = [
+            report.get(customer, 0.0)
+            for peer, report in self._reports.items()
+            if now - self._heard[peer] <= REPORT_LIFETIME
+        ]
+        own = self._rate(customer, now)
+        known = own + sum(heard)
+        if not heard or not known:
+            return 1 / live_entries
+        mean = known / (1 + len(heard))
+        total = known + mean * max(live_entries - 1 - len(heard), 0)
+        even = total / live_entries
+        return (own + even * self._even_weight) / (total * (1 + self._even_weight))
+
+    def _rate(self, customer: str, now: timedelta) -> float:
+        rate = self._rates.get(customer, 0.0)
+        elapsed = now - self._updated.get(customer, now)
+        return rate * exp(-(elapsed / self._window))
