--- a/tests/guarantees/resuming.py
+++ b/standins/callers.py
@@ -1,4 +1,4 @@
-"""Callers that resume, and the balancer and the fleet that their tests share."""
+"""Stand-ins for callers that resume and for the balancer, on one small text."""
 
 import json
 import random
@@ -164,6 +164,8 @@
     resumed: int = 0
     restarted: int = 0
     entry: str = ""
+    longest_pause: float = 0.0
+    _taken_at: float = 0.0
 
     @property
     def messages(self) -> list[dict[str, str]]:
@@ -189,6 +191,10 @@
 
     def take(self, position: int, data: str) -> None:
         """Take an event; one that came before must be the same again."""
+        now = time.monotonic()
+        if self._taken_at:
+            self.longest_pause = max(self.longest_pause, now - self._taken_at)
+        self._taken_at = now
         if position in self.events:
             self.duplicates += 1
             if self.events[position] != data:
--- a/tests/guarantees/test_reclaims.py
+++ b/tests/guarantees/test_reclaims.py
@@ -2,7 +2,7 @@
 
 import time
 
-from tests.guarantees.resuming import (
+from standins.callers import (
     Balancer,
     Crowd,
     busiest,
--- a/tests/guarantees/test_silence.py
+++ b/tests/guarantees/test_silence.py
@@ -3,7 +3,7 @@
 import time
 from collections import Counter
 
-from tests.guarantees.resuming import (
+from standins.callers import (
     MODEL,
     PLAIN,
     Balancer,
--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -5,16 +5,16 @@
 
 from urllib3.exceptions import HTTPError, NewConnectionError
 
-from standins.fleet import Fleet
-from standins.generation import reference_text
-from standins.processes import EntryProcess
-from tests.guarantees.resuming import (
+from standins.callers import (
     MODEL,
     Balancer,
     Crowd,
     call,
     start_fleet,
 )
+from standins.fleet import Fleet
+from standins.generation import reference_text
+from standins.processes import EntryProcess
 
 NOTICE_SECONDS = 5.0
 STREAMS = 12
--- a/tests/guarantees/test_streams.py
+++ b/tests/guarantees/test_streams.py
@@ -2,8 +2,7 @@
 
 import time
 
-from standins.fleet import Fleet
-from tests.guarantees.resuming import (
+from standins.callers import (
     MODEL,
     Balancer,
     Crowd,
@@ -12,6 +11,7 @@
     call,
     start_fleet,
 )
+from standins.fleet import Fleet
 
 CALLERS = 100
 MIN_TOKENS = 5
