--- /dev/null
+++ b/src/sassafrasdale/requests/handovers.py
@@ -0,0 +1,122 @@
+"""A generation as it is handed to another entry.
+
+What is handed over is the call, every event so far (a caller may come back for
+any of them) and where to go on: the endpoint on which the engine's stream runs,
+or the KV cache that was exported from it.
+"""
+
+import base64
+from dataclasses import dataclass
+from datetime import timedelta
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.endpoints.engines import FromCache
+from sassafrasdale.requests.exceptions import HandOverFaulty
+from sassafrasdale.requests.generation import Progress
+from sassafrasdale.requests.structures import Call, ModelCall
+from sassafrasdale.structures import Address
+
+
+class _Message(BaseModel):
+    """The hand-over on its way between two entries."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    request_id: str
+    customer: str
+    service: str
+    remaining_ms: int
+    priority: int = Field(ge=0, le=7)
+    idempotency_key: str
+    prompt: str
+    opening: tuple[str, ...]
+    body: dict
+    max_tokens: int
+    streamed: bool
+    events: list[str]
+    endpoint: str
+    cache_address: str
+    cache_handle: str
+    sent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Parcel:
+    """A generation on its way to this entry.
+
+    :param call: what the caller asked for.
+    :param events: events that the earlier holder received.
+    :param endpoint: name of the endpoint where the stream runs, or empty.
+    :param cache: the exported KV cache to go on with, if there is one.
+    :param sent: whether an endpoint may have begun to run the request.
+    """
+
+    call: ModelCall
+    events: list[bytes]
+    endpoint: str
+    cache: FromCache | None
+    sent: bool
+
+
+def pack(call: ModelCall, progress: Progress, clock: Clock) -> bytes:
+    """Return what another entry needs to go on with ``call``."""
+    about = call.call
+    endpoint = progress.endpoint
+    cache = progress.cache
+    message = _Message(
+        request_id=about.request_id,
+        customer=about.customer,
+        service=about.service,
+        remaining_ms=(about.deadline - clock.elapsed()) // timedelta(milliseconds=1),
+        priority=about.priority,
+        idempotency_key=about.idempotency_key,
+        prompt=call.prompt,
+        opening=call.opening,
+        body=call.body,
+        max_tokens=call.max_tokens,
+        streamed=call.streamed,
+        events=[base64.b64encode(event).decode() for event in progress.events],
+        endpoint=endpoint.name if endpoint else "",
+        cache_address=str(cache.address) if cache else "",
+        cache_handle=cache.handle if cache else "",
+        sent=progress.sent,
+    )
+    return message.model_dump_json().encode()
+
+
+def unpack(data: bytes, clock: Clock) -> Parcel:
+    """Return the generation in ``data``.
+
+    :raises HandOverFaulty: it can't be read.
+    """
+    try:
+        message = _Message.model_validate_json(data)
+        events = [base64.b64decode(event) for event in message.events]
+        cache = _cache(message)
+    except (ValidationError, ValueError) as error:
+        raise HandOverFaulty(f"the hand-over can't be read: {error}") from error
+    about = Call(
+        request_id=message.request_id,
+        customer=message.customer,
+        service=message.service,
+        deadline=clock.elapsed() + timedelta(milliseconds=message.remaining_ms),
+        priority=message.priority,
+        idempotency_key=message.idempotency_key,
+    )
+    call = ModelCall(
+        call=about,
+        prompt=message.prompt,
+        opening=message.opening,
+        body=message.body,
+        max_tokens=message.max_tokens,
+        streamed=message.streamed,
+    )
+    return Parcel(call, events, message.endpoint, cache, message.sent)
+
+
+def _cache(message: _Message) -> FromCache | None:
+    if not message.cache_handle:
+        return None
+    return FromCache(0, "", Address.parse(message.cache_address), message.cache_handle)
