--- a/bench/replay/structures.py
+++ b/bench/replay/structures.py
@@ -111,4 +111,5 @@
     Scenario("load lag 0 s", report_lag=0.0),
     Scenario("load lag 10 s", report_lag=10.0),
     Scenario("lost cache events", event_loss=0.7),
+    Scenario("no cache events", event_loss=1.0),
 )
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -124,7 +124,7 @@
             recomputed_tokens=service.weights.recomputed_tokens,
         )
         matches = self._prefixes.matches(wanted.blocks) if wanted.blocks else {}
-        home = self._home(wanted)
+        home, second_home = self._homes(wanted)
         request = RoutingRequest(
             prompt_tokens=wanted.prompt_tokens,
             max_tokens=wanted.max_tokens,
@@ -132,12 +132,12 @@
             remaining=wanted.deadline - now,
             home_availability_zone=self._availability_zone,
             home=home,
+            second_home=second_home,
         )
         fit = self._fit_endpoints(wanted.service, avoid, now)
         known = {name: tokens for name, tokens in matches.items() if name in fit}
-        drawn = draw_candidates(
-            list(fit), known, home if home in fit else "", policy, self._rng
-        )
+        homes = [name for name in (home, second_home) if name in fit]
+        drawn = draw_candidates(list(fit), known, homes, policy, self._rng)
         views = [
             self._view(fit[name], service, known.get(name, 0), now) for name in drawn
         ]
@@ -177,15 +177,15 @@
             self._rings.clear()
         self._present = present
 
-    def _home(self, wanted: Wanted) -> str:
-        """Return the endpoint where entries meet that don't know a conversation."""
+    def _homes(self, wanted: Wanted) -> tuple[str, str]:
+        """Return the endpoints where entries meet that don't know a conversation."""
         if wanted.conversation is None:
-            return ""
+            return "", ""
         ring = self._rings.get(wanted.service)
         if ring is None:
             serving = self._directory.serving(wanted.service)
             ring = self._rings[wanted.service] = HashRing(e.name for e in serving)
-        return ring.home(wanted.conversation)
+        return ring.homes(wanted.conversation)
 
     def _health_of(self, service: str) -> Health:
         if service not in self._health:
