Expect of a home what answers and arriving events show

A fixed share was a compromise: where cache events arrive, a home of which nothing was heard is cold, and load should decide; where they don't, entries must meet there. The share is now the running mean of what answers from such homes report, and at least 0.6 while fewer than 60 % of the events arrive.

--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -12,6 +12,7 @@
 from sassafrasdale.decisions.baselines import LeastRequests, PrefixHash, RoundRobin
 from sassafrasdale.decisions.counts import InFlightCount
 from sassafrasdale.decisions.delays import TokenDelays
+from sassafrasdale.decisions.homes import HomeTrust
 from sassafrasdale.decisions.queues import QueueTimes
 from sassafrasdale.decisions.routing import choose
 from sassafrasdale.decisions.structures import (
@@ -48,6 +49,8 @@
     :param job: its present job at an engine.
     :param engine: the engine.
     :param expected_tokens: uncached prompt tokens expected when it was sent.
+    :param cached_tokens: cached tokens found there.
+    :param unknown_at_home: whether it went to its home, with no knowledge of it.
     :param generated: tokens that the caller has from earlier engines.
     :param first_at: when the caller got the first token, in seconds.
     """
@@ -56,6 +59,8 @@
     job: Job | None = None
     engine: FakeEngine | None = None
     expected_tokens: int = 0
+    cached_tokens: int = 0
+    unknown_at_home: bool = False
     generated: int = 0
     first_at: float | None = None
 
@@ -85,6 +90,7 @@
         self.index = PrefixIndex()
         self.delays = TokenDelays()
         self.queues = QueueTimes()
+        self.home_trust = HomeTrust()
         self.flights: dict[int, Flight] = {}
         self.in_flight: dict[str, InFlightCount] = defaultdict(InFlightCount)
         self.own_tokens: dict[str, int] = defaultdict(int)
@@ -125,6 +131,10 @@
         engine = next(engine for engine in engines if engine.name == chosen.name)
         return engine, chosen
 
+    def is_home(self, request: TraceRequest, engine: FakeEngine) -> bool:
+        """Return whether an engine is the home of a request's thread."""
+        return request.continues and self._ring.homes(request.key)[0] == engine.name
+
     def distance(self, engine: FakeEngine) -> float:
         """Return the one-way delay to an engine, in seconds."""
         return 0.0 if engine.zone == self.zone else self._user.zone_delay
@@ -149,6 +159,7 @@
             home_availability_zone=self.zone,
             home=homes[0],
             second_home=homes[1],
+            home_share=self.home_trust.share,
         )
         return choose(asked, views, self._policy, self._rng)
 
--- a/bench/replay/simulation.py
+++ b/bench/replay/simulation.py
@@ -147,6 +147,8 @@
             return
         engine, view = routed
         flight.expected_tokens = max(0, request.prompt_tokens - view.cached_tokens)
+        known = view.cached_tokens >= entry.home_trust.share * request.prompt_tokens
+        flight.unknown_at_home = entry.is_home(request, engine) and not known
         if not request.is_lookup:
             entry.index.record(engine.name, request.blocks)
         self._submit(entry, flight, engine, ready=False)
@@ -189,6 +191,7 @@
 
     def _prefill(self, flight: Flight, uncached: int, missing: Sequence[int]) -> None:
         self._outcome.prefilled_tokens += uncached
+        flight.cached_tokens = flight.job.prompt_tokens - uncached
         again = sum(1 for block in missing if block in self._computed)
         self._outcome.recomputed_tokens += again * 64
         if uncached:
@@ -218,6 +221,8 @@
         engine = flight.engine
         self._count(entry, engine, -1)
         del entry.flights[flight.request.number]
+        if flight.unknown_at_home:
+            entry.home_trust.observe(flight.cached_tokens, flight.job.prompt_tokens)
         self._outcome.finished += 1
         if flight.request.is_lookup:
             taken = self._events.now - flight.request.at / self._speed
@@ -255,15 +260,20 @@
         if self._way != OURS:
             return
         loss, draw = self._scenario.event_loss, self._losses.random
+        published = len(stored) + len(removed)
         stored = [block for block in stored if draw() >= loss]
         removed = [block for block in removed if draw() >= loss]
         delay = self._scenario.event_delay
-        self._events.after(delay, self._hear_cache, engine, stored, removed)
+        heard = (engine, stored, removed, published)
+        self._events.after(delay, self._hear_cache, *heard)
 
-    def _hear_cache(self, engine: str, stored: list[int], removed: list[int]) -> None:
+    def _hear_cache(
+        self, engine: str, stored: list[int], removed: list[int], published: int
+    ) -> None:
         if engine in self._gone:
             return
         for entry in self._entries:
+            entry.home_trust.hear(len(stored) + len(removed), published)
             for block in stored:
                 entry.index.stored(engine, block)
             for block in removed:
--- a/src/sassafrasdale/decisions/routing.py
+++ b/src/sassafrasdale/decisions/routing.py
@@ -95,9 +95,12 @@
     load = expected_load(view, policy, mean)
     cached = view.cached_tokens
     if view.name == request.home:
-        cached = max(cached, policy.home_share * request.prompt_tokens)
+        cached = max(cached, request.home_share * request.prompt_tokens)
     elif view.name == request.second_home:
-        cached = max(cached, policy.second_home_share * request.prompt_tokens)
+        cached = max(
+            cached,
+            policy.second_home_share * request.home_share * request.prompt_tokens,
+        )
     compute = max(0.0, request.prompt_tokens - cached) / policy.prefill_rate
     running = load * policy.queue_delay
     waiting = max(0.0, load + 1 - view.max_in_flight) * policy.wait_delay
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -58,6 +58,8 @@
     :param home: endpoint that the hash of the conversation names, on every entry
         alike; empty if the request continues none.
     :param second_home: where it goes when the home is too busy, likewise.
+    :param home_share: share of the prompt expected in the home's cache while
+        nothing better is known.
     """
 
     prompt_tokens: int = 0
@@ -67,6 +69,7 @@
     home_availability_zone: str = ""
     home: str = ""
     second_home: str = ""
+    home_share: float = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,9 +86,8 @@
     :param price_delay: seconds of delay that are worth one unit of price an hour.
     :param report_half_life: age at which a report counts half, and the mean of
         all reports the other half.
-    :param home_share: share of the prompt expected in the home's cache while
-        nothing better is known.
-    :param second_home_share: the same for the second home.
+    :param second_home_share: share expected in the second home's cache, as a part
+        of the home's.
     :param mirrored_entries: other entries that are expected to have changed their
         requests at an endpoint as this one did since the report.
     :param queueing_trust: part of the queueing seen that is expected again.
@@ -100,8 +102,7 @@
     wait_delay: float = 0.2
     price_delay: float = 0.02
     report_half_life: timedelta = timedelta(seconds=4)
-    home_share: float = 0.5
-    second_home_share: float = 0.4
+    second_home_share: float = 0.5
     mirrored_entries: float = 5.0
     queueing_trust: float = 1.0
     sample_size: int = 8
