--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -159,7 +159,7 @@
             home_availability_zone=self.zone,
             home=homes[0],
             second_home=homes[1],
-            home_share=self.home_trust.share,
+            home_share=0.0 if self.way == LIMIT else self.home_trust.share,
         )
         return choose(asked, views, self._policy, self._rng)
 
--- a/bench/replay/sweeps.py
+++ b/bench/replay/sweeps.py
@@ -1,14 +1,16 @@
-"""Sweeps of the routing policy's constants.
+"""Sweeps of the routing decisions' constants.
 
 Usage::
 
     python -m bench.replay.sweeps queue_delay 0 0.002 0.01 0.02 0.05
+    python -m bench.replay.sweeps delays.LEAST_SLOWNESS 1.2 1.5 2
 """
 
 from collections.abc import Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from functools import partial
+from importlib import import_module
 from multiprocessing import Pool
 from statistics import fmean
 
@@ -27,6 +29,16 @@
     "| --- | ---: | ---: | ---: | ---: | ---: | ---: | --- |"
 )
 
+
+@dataclass(frozen=True, slots=True)
+class Swept:
+    """A case with the value that one constant has in it."""
+
+    constant: str
+    value: float
+    case: Case
+
+
 app = App(help="Sweep one constant of the routing policy.")
 
 
@@ -41,7 +53,8 @@
 ) -> None:
     """Print the means over all traces for each value of a constant.
 
-    :param constant: name of a field of the routing policy.
+    :param constant: name of a field of the routing policy, or a constant of one
+        of the modules beside it, after the module's name.
     :param values: values to try; seconds for times.
     :param cost: seek the cost at the latency target as well.
     :param user: the only user to replay; both by default.
@@ -55,7 +68,11 @@
         for value in values
     ]
     cases = [
-        Case(owner, scenario, way, _policy(owner, constant, value), seed)
+        Swept(
+            constant,
+            value,
+            Case(owner, scenario, way, _policy(owner, constant, value), seed),
+        )
         for owner, value in groups
         for scenario in SCENARIOS
         for seed in range(seeds)
@@ -97,15 +114,31 @@
 
 def _policy(user: User, constant: str, value: float) -> RoutingPolicy:
     policy = policy_of(user)
+    if "." in constant:
+        return policy
     default = getattr(policy, constant)
     if isinstance(default, timedelta):
         return replace(policy, **{constant: timedelta(seconds=value)})
     return replace(policy, **{constant: type(default)(value)})
 
 
-def _figures(case: Case, cost: bool) -> tuple[Measures, float | None]:
+def _figures(swept: Swept, cost: bool) -> tuple[Measures, float | None]:
+    if "." in swept.constant:
+        _set_constant(swept.constant, swept.value)
+    case = swept.case
     return measure(case), cost_at_target(case) if cost else None
 
 
+def _set_constant(constant: str, value: float) -> None:
+    """Set a module's constant in this process, which replays nothing else."""
+    module_name, _, name = constant.partition(".")
+    module = import_module(f"sassafrasdale.decisions.{module_name}")
+    default = getattr(module, name)
+    if isinstance(default, timedelta):
+        setattr(module, name, timedelta(seconds=value))
+    else:
+        setattr(module, name, type(default)(value))
+
+
 if __name__ == "__main__":
     app()
