Leave the price out of the choice of an endpoint

A fleet costs the same wherever a request runs; money is saved by the capacity plan, which gives the dear instances back. So it stays a constant that may be set, at 0.

--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -28,8 +28,8 @@
 LIMIT = "limit"
 WAYS = (ROUND_ROBIN, LEAST_REQUESTS, PREFIX_HASH, OURS, LIMIT)
 
-TOKENS_OBSERVED = 16
-"""Tokens after which an entry takes the time between them."""
+ZONE_PRICES = {"a": 1.0, "b": 1.2, "c": 1.1}
+"""Price of a replica an hour, in units."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,6 +189,7 @@
             own_at_report=report.own if report else 0,
             report_age=_age(report, now),
             max_in_flight=engine.shape.slots,
+            price_per_hour=ZONE_PRICES[engine.zone],
             distance=timedelta(seconds=self.distance(engine)),
             cached_tokens=cached.get(name, 0),
             leaving=name in leaving,
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -100,7 +100,7 @@
     prefill_rate: float = 8000.0
     queue_delay: float = 0.02
     wait_delay: float = 0.2
-    price_delay: float = 0.02
+    price_delay: float = 0.0
     report_half_life: timedelta = timedelta(seconds=4)
     second_home_share: float = 0.5
     mirrored_entries: float = 5.0
