--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -71,6 +71,31 @@
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
+@dataclass(frozen=True, slots=True)
+class _WaitBound:
+    """How long requests may wait before they are turned away.
+
+    A short burst may use all the time that the answer does not need. Once the
+    queue stands, long waits gain no throughput, and whatever varies makes
+    answers late; then the wait is bounded.
+
+    :param needed: time that a request must have left when it starts.
+    :param standing_for: time since the queue was last empty.
+    """
+
+    needed: timedelta
+    standing_for: timedelta
+    settings: AdmissionSettings
+
+    def of(self, ticket: Ticket) -> timedelta:
+        """Return the bound of one request."""
+        allowed = ticket.deadline - ticket.offered_at
+        useful = allowed - self.needed
+        if self.standing_for < allowed * self.settings.standing:
+            return useful
+        return min(useful, allowed * self.settings.wait_share)
+
+
 class Admission:
     """Admission to one service on one entry: fair, bounded and by priority.
 
@@ -167,7 +192,7 @@
         exceeded = self._customers.try_take(name, now)
         if exceeded is not None:
             return Shed(ticket, exceeded, ShedReason.RATE_LIMIT)
-        if not self._queue and self._may_start(name, now):
+        if not self._queue and self._has_slot(now) and self._may_start(name, now):
             self._start(ticket, now)
             return Admit(ticket)
         return self._enqueue(ticket, now)
@@ -176,6 +201,8 @@
         """Return the next waiting request that may go to an endpoint, if any."""
         if not self._queue:
             self._empty_at = now
+        if not self._has_slot(now):
+            return None
         ticket = self._queue.take(lambda name: self._may_start(name, now))
         if ticket is not None:
             self._start(ticket, now)
@@ -221,8 +248,9 @@
 
     def expire(self, now: timedelta) -> tuple[Shed, ...]:
         """Return the waiting requests that are turned away and must be answered."""
+        bound = self._wait_bound(now)
         for ticket in self._queue:
-            if now - ticket.offered_at > self._longest_wait(ticket, now):
+            if now - ticket.offered_at > bound.of(ticket):
                 self._queue.discard(ticket)
                 self._displaced.append(self._shed(ticket, now, ShedReason.DEADLINE))
         displaced, self._displaced = self._displaced, []
@@ -255,9 +283,10 @@
         self._displaced.append(shed)
         return Wait(ticket, position)
 
+    def _has_slot(self, now: timedelta) -> bool:
+        return now >= self._paused_until and self.in_flight < self._limit.value
+
     def _may_start(self, customer: str, now: timedelta) -> bool:
-        if now < self._paused_until or self.in_flight >= self._limit.value:
-            return False
         most = self._customers.most_in_flight(customer, now)
         return most is None or self._running_by_customer[customer] < most
 
@@ -277,20 +306,17 @@
         return max(int(self._limit.value * self._settings.queue_per_slot), 1)
 
     def _longest_wait(self, ticket: Ticket, now: timedelta) -> timedelta:
-        """Return how long a request may wait before it is turned away.
-
-        A short burst may use all the time that the answer does not need. Once
-        the queue stands, long waits gain no throughput, and whatever varies
-        makes answers late; then the wait is bounded.
-        """
-        useful = ticket.allowed - self._occupancy.quantile(
-            self._settings.latency_quantile
-        )
         if not self._queue:
             self._empty_at = now
-        if now - self._empty_at < ticket.allowed * self._settings.standing:
-            return useful
-        return min(useful, ticket.allowed * self._settings.wait_share)
+        return self._wait_bound(now).of(ticket)
+
+    def _wait_bound(self, now: timedelta) -> "_WaitBound":
+        quantile = self._settings.latency_quantile
+        return _WaitBound(
+            needed=self._occupancy.quantile(quantile),
+            standing_for=now - self._empty_at,
+            settings=self._settings,
+        )
 
     def _expected_wait(self, ticket: Ticket, ahead: int) -> timedelta:
         """Return how long a request would wait, more urgent arrivals included."""
--- a/src/sassafrasdale/decisions/tickets.py
+++ b/src/sassafrasdale/decisions/tickets.py
@@ -48,11 +48,6 @@
     offered_at: timedelta
     deadline: timedelta
 
-    @property
-    def allowed(self) -> timedelta:
-        """Time from the offer to the deadline."""
-        return self.deadline - self.offered_at
-
 
 @dataclass(frozen=True, slots=True)
 class Admit:
