--- a/bench/admission/catalogue.py
+++ b/bench/admission/catalogue.py
@@ -15,6 +15,7 @@
 )
 from bench.admission.replay import Result
 from bench.admission.scenarios import (
+    answers_fail,
     comeback,
     launch_day,
     long_work,
@@ -29,6 +30,11 @@
 from bench.admission.traces import GENERATION, LOOKUP
 from sassafrasdale.decisions.hedging import Hedging
 
+
+def _hedged(policy: Policy) -> Policy:
+    return policy if policy.hedging else replace(policy, hedging=Hedging)
+
+
 Scenario = Callable[[Policy], Result]
 
 SCENARIOS: Mapping[str, Scenario] = MappingProxyType(
@@ -53,9 +59,12 @@
         "launch day": launch_day,
         "zone fails at 0.6x": lambda p: zone_fails(p, 0.6),
         "zone fails at 0.9x": lambda p: zone_fails(p, 0.9),
+        "two zones fail at 0.6x": lambda p: zone_fails(p, 0.6, zones="ab"),
+        "half of the answers fail": lambda p: answers_fail(p, 0.9, 0.5),
         "callers come back": comeback,
         "slow endpoint": slow_endpoint,
-        "slow endpoint, hedged": lambda p: slow_endpoint(replace(p, hedging=Hedging)),
+        "slow endpoint, hedged": lambda p: slow_endpoint(_hedged(p)),
+        "lookups at 0.8x, hedged": lambda p: overload(_hedged(p), LOOKUP, 0.8),
     }
 )
 
@@ -83,6 +92,7 @@
         "held p99": lambda result: held_until_shed(result, 0.99),
         "p50": lambda result: latency(result, 0.5),
         "p99": lambda result: latency(result, 0.99),
+        "sends": lambda result: len(result.sends) / len(result.outcomes),
         "refusals": lambda result: float(result.refusals),
     }
 )
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 from random import Random
 
+from sassafrasdale.decisions.backoff import RETRY_AFTER_SPREAD
 from sassafrasdale.decisions.demand import Demand
 from sassafrasdale.decisions.entitlements import Entitlements
 from sassafrasdale.decisions.fairness import FairQueue
@@ -54,6 +55,8 @@
         standing, as a share of the time that a request has.
     :param demand_window: time over which arrivals are counted, in mean latencies.
     :param longest_retry_after: longest time to come back, before the spread.
+    :param retry_after_spread: width of the random part of the time to come back,
+        as a multiple of it.
     :param spare_share: requests in flight, as a share of the entry's share of the
         capacity, up to which there is room to send a request twice.
     :param initial_latency: latency assumed before the first answer.
@@ -67,7 +70,8 @@
     standing: float = 0.5
     demand_window: float = 5.0
     longest_retry_after: timedelta = timedelta(seconds=30)
-    spare_share: float = 1.2
+    retry_after_spread: float = RETRY_AFTER_SPREAD
+    spare_share: float = 1.8
     initial_latency: timedelta = timedelta(milliseconds=100)
 
 
@@ -127,7 +131,9 @@
         self._customers = Entitlements(customers or {})
         self._queue = FairQueue(self._customers.weight)
         self._demand = Demand()
-        self._returns = Returns(rng, self._settings.longest_retry_after)
+        self._returns = Returns(
+            rng, self._settings.longest_retry_after, self._settings.retry_after_spread
+        )
         self._occupancy = Occupancy(
             self._settings.initial_latency,
             self._settings.latency_smoothing,
--- a/src/sassafrasdale/decisions/hedging.py
+++ b/src/sassafrasdale/decisions/hedging.py
@@ -24,6 +24,11 @@
 class Hedging:
     """Decides when requests of one service are worth a second try in parallel.
 
+    :param budget: hedges that successes allow.
+    :param quantile: quantile of recent latencies after which a request is slow.
+    :param window: latencies kept.
+    :param minimum: latencies needed before any request is hedged.
+
     Usage::
 
         wait = hedging.delay(idempotent=True)
@@ -37,9 +42,11 @@
         budget: RetryBudget | None = None,
         quantile: float = HEDGE_QUANTILE,
         window: int = HEDGE_WINDOW,
+        minimum: int = HEDGE_MINIMUM_SAMPLES,
     ) -> None:
         self._budget = budget or RetryBudget(HEDGE_SHARE, HEDGE_FLOOR_PER_SECOND)
         self._quantile = quantile
+        self._minimum = minimum
         self._recent = LatencyWindow(window)
 
     def observe(self, latency: timedelta, now: timedelta) -> None:
@@ -49,7 +56,7 @@
 
     def delay(self, *, idempotent: bool) -> timedelta | None:
         """Return how long to wait for the first answer, or None: never hedge."""
-        if not idempotent or len(self._recent) < HEDGE_MINIMUM_SAMPLES:
+        if not idempotent or len(self._recent) < self._minimum:
             return None
         return self._recent.quantile(self._quantile)
 
--- a/src/sassafrasdale/decisions/returns.py
+++ b/src/sassafrasdale/decisions/returns.py
@@ -14,11 +14,13 @@
 
     :param rng: source of randomness, to spread the times.
     :param longest: longest time that is given, before the spread.
+    :param spread: width of the spread, as a multiple of the time.
     """
 
-    def __init__(self, rng: Random, longest: timedelta) -> None:
+    def __init__(self, rng: Random, longest: timedelta, spread: float) -> None:
         self._rng = rng
         self._longest = longest
+        self._spread = spread
         self._count = 0.0
         self._updated = timedelta()
 
@@ -33,4 +35,4 @@
         self._count = min(max(self._count - drained, 0.0) + 1, most)
         self._updated = now
         seconds = (waiting + self._count) / rate
-        return spread_retry_after(timedelta(seconds=seconds), self._rng)
+        return spread_retry_after(timedelta(seconds=seconds), self._rng, self._spread)
