Grow the limit by a part of the entry's share

One request per limit's worth of successes is a seventh of an entry's share of the generations and more than half of its share of the lookups. The step is now 0.3 of the share.

--- a/bench/admission/sweeps.py
+++ b/bench/admission/sweeps.py
@@ -104,7 +104,7 @@
 )
 _LIMITS = (
     ("smallest", "requests", (1, 2, 4), UNEVEN),
-    ("increase", "requests", (0.3, 0.5, 1.0, 3.0), UNEVEN),
+    ("increase", "1", (0.05, 0.15, 0.3, 0.45, 0.6), UNEVEN),
     ("decrease", "1", (0.6, 0.7, 0.8, 0.9), UNEVEN),
     ("borrow", "1", (1.0, 2.0, 4.0, 7.0), (*UNEVEN, *SILENT[:1])),
     ("tolerance", "1", (1.25, 1.5, 2.0, 3.0, 100.0), SILENT),
--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -16,7 +16,8 @@
     """Constants of an adaptive concurrency limit.
 
     :param smallest: requests in flight that are always allowed.
-    :param increase: requests added per full limit's worth of successes.
+    :param increase: growth per full limit's worth of successes, as a part of the
+        entry's share.
     :param decrease: factor applied on a refusal.
     :param borrow: largest multiple of the entry's share that it may grow to.
     :param tolerance: multiple of the usual latency at which what was borrowed is
@@ -28,7 +29,7 @@
     """
 
     smallest: int = 1
-    increase: float = 1.0
+    increase: float = 0.3
     decrease: float = 0.8
     borrow: float = 4.0
     tolerance: float = 2.0
@@ -85,7 +86,8 @@
         self._average(latency.total_seconds())
         if in_flight + 1 < self.value:
             return
-        grown = self._value + self._settings.increase / self._value
+        step = self._settings.increase * self._share
+        grown = self._value + step / self._value
         self._value = min(grown, self._share * self._settings.borrow)
 
     def _average(self, seconds: float) -> None:
