--- /dev/null
+++ b/tests/decisions/test_health.py
@@ -0,0 +1,86 @@
+"""Tests of ejection, probation and slow start."""
+
+from datetime import timedelta
+from random import Random
+
+from sassafrasdale.decisions.health import Health, HealthSettings
+
+NOW = timedelta()
+SECOND = timedelta(seconds=1)
+SETTINGS = HealthSettings()
+NAMES = tuple("abcdef")
+
+
+def make_health(seed: int = 1) -> Health:
+    health = Health(Random(seed))
+    health.set_endpoints(frozenset(NAMES))
+    return health
+
+
+def fail(health: Health, name: str, at: timedelta = NOW) -> None:
+    for _ in range(SETTINGS.failures):
+        health.observe(name, ok=False, now=at)
+
+
+def test_ejects_after_consecutive_failures_only():
+    health = make_health()
+    for _ in range(SETTINGS.failures - 1):
+        health.observe("a", ok=False, now=NOW)
+    health.observe("a", ok=True, now=NOW)
+    health.observe("a", ok=False, now=NOW)
+    assert health.weights(NOW)["a"] == 1
+    fail(health, "a")
+    assert health.weights(NOW)["a"] == 0
+
+
+def test_recovers_through_a_slow_start():
+    """An endpoint that has just come back fails again under all its old load."""
+    health = make_health()
+    fail(health, "a")
+    back = NOW + 2 * SETTINGS.ejection
+    early = health.weights(back)["a"]
+    middle = health.weights(back + SETTINGS.slow_start / 2)["a"]
+    assert early == SETTINGS.smallest_weight
+    assert early < middle < 1
+    assert health.weights(back + SETTINGS.slow_start)["a"] == 1
+
+
+def test_one_failure_on_probation_ejects_again():
+    health = make_health()
+    fail(health, "a")
+    back = NOW + 2 * SETTINGS.ejection
+    assert health.weights(back)["a"] > 0
+    health.observe("a", ok=False, now=back)
+    assert health.weights(back)["a"] == 0
+
+
+def test_entries_do_not_readmit_together():
+    """Every entry sends to a recovered endpoint in the same instant."""
+    readmitted = set()
+    for seed in range(10):
+        health = make_health(seed)
+        fail(health, "a")
+        steps = range(100, 201)
+        times = [SETTINGS.ejection * step / 100 for step in steps]
+        readmitted.add(next(at for at in times if health.weights(at)["a"] > 0))
+    assert len(readmitted) > 5
+
+
+def test_failures_everywhere_leave_endpoints_in_use():
+    """One customer's requests that fail on every endpoint stop the whole service.
+
+    Each failure counted against the endpoint, and soon none was left.
+    """
+    health = make_health()
+    for name in NAMES:
+        fail(health, name)
+    weights = health.weights(NOW)
+    assert sum(weight > 0 for weight in weights.values()) == 2
+
+
+def test_forgets_endpoints_that_left():
+    health = make_health()
+    fail(health, "a")
+    health.set_endpoints(frozenset("bc"))
+    health.observe("a", ok=False, now=NOW)
+    assert set(health.weights(NOW)) == {"b", "c"}
