Weigh endpoints by their latency against the median

A slow endpoint that answers is never ejected, and at low load its few requests in flight look harmless. Health now takes latencies, for services whose requests take about as long as each other, and lowers an endpoint's weight above twice the median. The replay counts the slots of all endpoints that are not ejected as capacity.

--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -171,7 +171,8 @@
         if entry.health is None or self._keep_slots:
             return
         weights = entry.health.weights(self._span)
-        capacity = round(sum(e.slots * weights[e.name] for e in self._endpoints))
+        usable = [end for end in self._endpoints if weights[end.name] > 0]
+        capacity = sum(end.slots for end in usable)
         if capacity != entry.capacity:
             entry.capacity = capacity
             entry.admission.set_share(capacity, len(self._entries))
@@ -293,7 +294,12 @@
         self._drop(attempt)
         entry = call.entry
         if entry.health is not None:
-            entry.health.observe(attempt.endpoint.name, ok=True, now=self._span)
+            entry.health.observe(
+                attempt.endpoint.name,
+                ok=True,
+                now=self._span,
+                latency=timedelta(seconds=self._now - attempt.sent),
+            )
         if entry.budget is not None:
             entry.budget.deposit(self._span)
         if call.done:
--- a/bench/admission/sweeps.py
+++ b/bench/admission/sweeps.py
@@ -118,6 +118,8 @@
     ("slow_start", "s", _seconds(0.001, 1, 2, 5, 10), FAILING[:2]),
     ("smallest_weight", "1", (0.02, 0.1, 0.3), FAILING[:2]),
     ("most_ejected", "1", (0.2, 0.34, 0.5, 0.7, 1.0), FAILING),
+    ("slow_factor", "1", (1.5, 2.0, 3.0, 1000.0), ("slow endpoint",)),
+    ("latency_smoothing", "1", (0.05, 0.1, 0.2), ("slow endpoint",)),
 )
 _BUDGET = (
     ("share", "1", RETRY_SHARE, (0.02, 0.05, 0.1, 0.2, 0.5), FAILING),
--- a/src/sassafrasdale/decisions/health.py
+++ b/src/sassafrasdale/decisions/health.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
+from statistics import median_low
 
 from sassafrasdale.charts import Chart, Lifecycle, load_chart
 from sassafrasdale.decisions.backoff import spread_retry_after
@@ -18,6 +19,9 @@
     :param slow_start: time in which a readmitted endpoint's weight grows to 1.
     :param smallest_weight: weight of an endpoint that was just readmitted.
     :param most_ejected: largest share of the endpoints that is ejected.
+    :param slow_factor: multiple of the endpoints' median latency above which an
+        endpoint's weight falls, in proportion.
+    :param latency_smoothing: weight of a new latency in an endpoint's mean.
     """
 
     failures: int = 5
@@ -25,6 +29,8 @@
     slow_start: timedelta = timedelta(seconds=2)
     smallest_weight: float = 0.1
     most_ejected: float = 0.7
+    slow_factor: float = 2.0
+    latency_smoothing: float = 0.1
 
 
 @dataclass(slots=True)
@@ -32,6 +38,7 @@
     life: Lifecycle = field(default_factory=lambda: Lifecycle(_chart()))
     failures: int = 0
     until: timedelta = timedelta()
+    latency: timedelta | None = None
 
 
 def _chart() -> Chart:
@@ -61,14 +68,26 @@
             name: record or _EndpointRecord() for name, record in kept.items()
         }
 
-    def observe(self, name: str, *, ok: bool, now: timedelta) -> None:
-        """Record that a request to an endpoint succeeded or failed."""
+    def observe(
+        self,
+        name: str,
+        *,
+        ok: bool,
+        now: timedelta,
+        latency: timedelta | None = None,
+    ) -> None:
+        """Record that a request to an endpoint succeeded or failed.
+
+        :param latency: time that a success took, for requests of which each
+            takes about as long as any other.
+        """
         record = self._records.get(name)
         if record is None:
             return
         self._advance(record, now)
         if ok:
             record.failures = 0
+            self._note_latency(record, latency)
             return
         record.failures += 1
         if self._is_outlier(record) and self._may_eject():
@@ -78,7 +97,34 @@
         """Return each endpoint's weight: 0 ejected, 1 healthy, between on probation."""
         for record in self._records.values():
             self._advance(record, now)
-        return {name: self._weight(rec, now) for name, rec in self._records.items()}
+        usual = self._median_latency()
+        return {
+            name: self._weight(record, now) * self._speed(record, usual)
+            for name, record in self._records.items()
+        }
+
+    def _note_latency(self, record: _EndpointRecord, latency: timedelta | None) -> None:
+        if latency is None:
+            return
+        if record.latency is None:
+            record.latency = latency
+        change = latency - record.latency
+        record.latency += change * self._settings.latency_smoothing
+
+    def _median_latency(self) -> timedelta | None:
+        known = [rec.latency for rec in self._records.values() if rec.latency]
+        return median_low(known) if known else None
+
+    def _speed(self, record: _EndpointRecord, usual: timedelta | None) -> float:
+        """Return the factor on the weight of an endpoint for its latency.
+
+        An endpoint that is slow but answers is never ejected, and with few
+        requests in flight its counts look harmless; then it gets its full part.
+        """
+        if usual is None or record.latency is None:
+            return 1.0
+        slowness = record.latency / (usual * self._settings.slow_factor)
+        return max(1 / max(slowness, 1.0), self._settings.smallest_weight)
 
     def _is_outlier(self, record: _EndpointRecord) -> bool:
         if record.life.state == "probation":
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -84,3 +84,19 @@
     health.set_endpoints(frozenset("bc"))
     health.observe("a", ok=False, now=NOW)
     assert set(health.weights(NOW)) == {"b", "c"}
+
+
+def test_slow_endpoint_gets_less():
+    """A third of the lookups take ten times as long, though none fails.
+
+    One endpoint is slow. It never fails, so it is never ejected, and at low load
+    it has few requests in flight, so it looks idle.
+    """
+    health = make_health()
+    for name in NAMES:
+        latency = SECOND * (10 if name == "a" else 1)
+        for _ in range(20):
+            health.observe(name, ok=True, now=NOW, latency=latency)
+    weights = health.weights(NOW)
+    assert SETTINGS.smallest_weight <= weights["a"] <= 0.2
+    assert all(weights[name] == 1 for name in NAMES[1:])
