--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -111,6 +111,9 @@
 
     :param duration: seconds in which the trace has arrivals.
     :param caller_tries: most tries of a request by its caller.
+    :param keep_slots: whether admission keeps the capacity that the text states.
+    :param even_work: whether requests take about as long as each other, so that
+        their latencies tell of the endpoints.
     """
 
     def __init__(
@@ -121,6 +124,7 @@
         duration: float,
         caller_tries: int = 1,
         keep_slots: bool = False,
+        even_work: bool = False,
     ) -> None:
         self._trace = trace
         self._entries = entries
@@ -128,6 +132,7 @@
         self._duration = duration
         self._caller_tries = caller_tries
         self._keep_slots = keep_slots
+        self._even_work = even_work
         self._events: list = []
         self._order = count()
         self._now = 0.0
@@ -298,7 +303,7 @@
                 attempt.endpoint.name,
                 ok=True,
                 now=self._span,
-                latency=timedelta(seconds=self._now - attempt.sent),
+                latency=self._comparable_latency(attempt),
             )
         if entry.budget is not None:
             entry.budget.deposit(self._span)
@@ -312,6 +317,11 @@
         self._close(call, Ending.IN_TIME if in_time else Ending.LATE)
         self._pump(entry)
 
+    def _comparable_latency(self, attempt: Attempt) -> timedelta | None:
+        if not self._even_work:
+            return None
+        return timedelta(seconds=self._now - attempt.sent)
+
     def _drop(self, attempt: Attempt) -> None:
         attempt.call.open.remove(attempt)
         attempt.call.entry.in_flight[attempt.endpoint.name] -= 1
--- a/bench/admission/scenarios.py
+++ b/bench/admission/scenarios.py
@@ -63,7 +63,8 @@
     names = frozenset(end.name for end in endpoints)
     entries = make_entries(policy, stated or shape.capacity, names, shares)
     keep = stated is not None
-    return Replay(trace, entries, endpoints, duration, caller_tries, keep).run()
+    even = kind is LOOKUP
+    return Replay(trace, entries, endpoints, duration, caller_tries, keep, even).run()
 
 
 def overload(policy: Policy, kind: Kind, load: float, **others) -> Result:
--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -65,7 +65,7 @@
     @property
     def value(self) -> int:
         """Requests that may be in flight from this entry."""
-        return max(int(self._value), self._settings.smallest)
+        return max(round(self._value), self._settings.smallest)
 
     @property
     def share(self) -> float:
