Bound what a fleet spends on news and doubts

A fleet of 81 on a machine short of processor time fed on itself: every join was spread by everybody, probes timed out, healthy members were suspected and their refutations were spread in turn (joining was not over after 120 s, load 98).

News goes at once and then at most every 200 ms; a joining entry keeps the list it gets to itself; at most two verifications a period besides the round's probe; a suspect is not probed through others again; failed probes and own refutations lengthen this entry's time-outs (Lifeguard).

--- a/bench/capacity/traffic.py
+++ b/bench/capacity/traffic.py
@@ -45,7 +45,7 @@
 
 def total_segments(traffic: Traffic) -> int:
     """Return the segments sent, those of open connections too."""
-    return traffic.segments + sum(_segments(each) for each in _open)
+    return traffic.segments + sum(_segments(each) for each in _open.copy())
 
 
 def count_traffic() -> Traffic:
--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -46,19 +46,47 @@
 
 UPDATES_A_MESSAGE = 8
 NOTICES_A_MESSAGE = 16
-PROBES_A_PERIOD = 8
+VERIFICATIONS_A_PERIOD = 2
 INDIRECT_PROBES = 2
 FAN_OUT = 4
 SPREAD_TO_ALL = 16
 SPARE_HOPS = 2
+UPDATES_A_SPREAD = 64
 FIRST_ASKED = 2
 ASKED_AT_ONCE = 8
+MAX_SLOWNESS = 4
 
 Post = Callable[[Any], None]
 
 log = Logger(__name__)
 
 
+class Slowness:
+    """How far this entry is to doubt itself before it doubts others.
+
+    A machine that is short of processor time answers and hears late. Its probes
+    time out, and without this it would call healthy members suspect, whose
+    refutations make more work for all. Failed probes and own refutations lengthen
+    its time-outs, answered probes shorten them again.
+    """
+
+    def __init__(self) -> None:
+        self._score = 0
+
+    @property
+    def factor(self) -> int:
+        """By how much to lengthen time-outs."""
+        return 1 + self._score
+
+    def add(self) -> None:
+        """Note a sign of slowness."""
+        self._score = min(self._score + 1, MAX_SLOWNESS)
+
+    def lessen(self) -> None:
+        """Note a sign of health."""
+        self._score = max(self._score - 1, 0)
+
+
 class PeerAgent:
     """State and tasks of one entry among its peers; lives on the loop.
 
@@ -90,6 +118,8 @@
         self._is_joining = True
         self._is_pulling = False
         self._spreading: asyncio.Task | None = None
+        self._spread_at = timedelta()
+        self._slowness = Slowness()
         self._news_members: dict[str, Member] = {}
         self._news_notices: list[Notice] = []
         self._hops_left = 0
@@ -192,6 +222,7 @@
         self._take_in_members(sender, gossip.revision, updates, served, hops)
         self._take_in_notices(gossip, hops)
         if self._membership.me.incarnation != before:
+            self._slowness.add()
             self._spread_soon(self._first_hops())
         if gossip.revision > self.revision:
             self._pull_soon(sender)
@@ -283,16 +314,17 @@
         for member in self._membership.expire():
             self._news_members[member.name] = member
             self._spread_soon(self._first_hops())
-        for target in self._membership.next_targets(PROBES_A_PERIOD):
+        for target in self._membership.next_targets(VERIFICATIONS_A_PERIOD):
             self.run(self._probe(target))
         self._publish()
 
     async def _probe(self, target: Member) -> None:
         if await self._probe_once(target, self._timings.probe_timeout):
+            self._slowness.lessen()
             return
-        # The failed attempt dropped its channel: this one is on a fresh one.
-        if target.state is MemberState.DEAD:
+        if target.state >= MemberState.SUSPECT:
             return
+        # The failed attempt dropped its channel: this one is on a fresh one.
         retry = self._probe_once(target, self._timings.retry_timeout)
         others = [
             self._probe_through(helper, target)
@@ -300,6 +332,7 @@
         ]
         if any(await asyncio.gather(retry, *others)):
             return
+        self._slowness.add()
         if self._membership.suspect(target.name, target.incarnation):
             self._tell(target.name)
             self._publish()
@@ -308,6 +341,7 @@
         request = ProbeRequest(
             gossip=self.gossip(target.name), wants_members=self._is_joining
         )
+        limit *= self._slowness.factor
         try:
             reply = await self._channels.call(
                 target.peer_address, lambda stub: stub.Probe(request), limit
@@ -319,7 +353,9 @@
             self.take_in(reply.gossip, served=False)
             return False
         self._is_joining = False
-        self.take_in(reply.gossip, served=False)
+        # The whole list, which a joining entry gets, is news to itself alone.
+        hops = 0 if request.wants_members else None
+        self.take_in(reply.gossip, served=False, hops_left=hops)
         return True
 
     async def _probe_through(self, helper: Member, target: Member) -> bool:
@@ -330,7 +366,7 @@
             reply = await self._channels.call(
                 helper.peer_address,
                 lambda stub: stub.ProbeIndirectly(request),
-                self._timings.retry_timeout,
+                self._timings.retry_timeout * self._slowness.factor,
             )
         except PeerNotReachedError:
             return False
@@ -352,7 +388,12 @@
             self._spread_soon(self._first_hops())
 
     def _spread_soon(self, hops: int) -> None:
-        """Spread what is new after a moment, so that news travels together."""
+        """Spread what is new after a moment, so that news travels together.
+
+        The first news goes at once, what follows waits for the least interval. So
+        a fleet in which everything changes at once spends no more than a fixed
+        number of messages a second on saying so.
+        """
         if hops < 0:
             return
         self._hops_left = max(self._hops_left, hops)
@@ -360,18 +401,26 @@
             self._spreading = self.run(self._spread())
 
     async def _spread(self) -> None:
-        await asyncio.sleep(self._timings.coalesce.total_seconds())
+        since = self._clock.elapsed() - self._spread_at
+        pause = max(self._timings.coalesce, self._timings.spread_interval - since)
+        await asyncio.sleep(pause.total_seconds())
         self._spreading = None
-        updates = list(self._news_members.values())
-        notices = self._news_notices
+        self._spread_at = self._clock.elapsed()
+        updates = self._take_member_news()
+        notices, self._news_notices = self._news_notices, []
         hops, self._hops_left = self._hops_left, 0
-        self._news_members, self._news_notices = {}, []
         request = SpreadRequest(
             gossip=self._gossip_of(updates, notices), hops_left=hops
         )
         for receiver in self._receivers_of_news():
             self.run(self._spread_to(receiver, request))
 
+    def _take_member_news(self) -> list[Member]:
+        """Return news of members for one round; what is too much is for probes."""
+        updates = list(self._news_members.values())[-UPDATES_A_SPREAD:]
+        self._news_members = {}
+        return updates
+
     def _receivers_of_news(self) -> list[Member]:
         reachable = self._membership.reachable
         if len(reachable) <= SPREAD_TO_ALL:
--- a/src/sassafrasdale/peers/channels.py
+++ b/src/sassafrasdale/peers/channels.py
@@ -33,7 +33,9 @@
 
 # HTTP/2 pings find a connection that died while nothing was being sent on it.
 CLIENT_CONFIGURATION = Configuration(
-    _keepalive_time=PING_PERIOD, _keepalive_timeout=PING_TIMEOUT
+    _keepalive_time=PING_PERIOD,
+    _keepalive_timeout=PING_TIMEOUT,
+    _http2_min_sent_ping_interval_without_data=PING_PERIOD,
 )
 
 
--- a/src/sassafrasdale/peers/membership.py
+++ b/src/sassafrasdale/peers/membership.py
@@ -15,7 +15,7 @@
 from sassafrasdale.structures import Instance, InstanceState, Role
 
 RETRANSMIT_FACTOR = 3
-VERIFY_LIMIT = 64
+VERIFY_LIMIT = 512
 
 
 class Membership:
@@ -103,7 +103,6 @@
 
     def heard(self, sender: Member, revision: int, *, served: bool) -> bool:
         """Take in what a sender says about itself and return if it was news."""
-        is_new = sender.name not in self._members
         news = self.apply(sender, served=served)
         known = self._members.get(sender.name)
         if known is None:
@@ -111,9 +110,9 @@
         if revision > known.revision:
             self._members[sender.name] = replace(known, revision=revision)
             self._version += 1
-        if served and (is_new or known.state >= MemberState.SUSPECT):
+        if served and known.state >= MemberState.SUSPECT:
             # It sends, which does not show that it answers: ask it directly, with
-            # a bad belief in the message, so that it can refute.
+            # the bad belief in the message, so that it can refute.
             self._verify_soon(sender.name)
         return news
 
@@ -130,6 +129,8 @@
         died = []
         for member in list(self._members.values()):
             age = now - self._changed_at[member.name]
+            if self._awaits_first_probe(member):
+                continue
             if member.state is MemberState.SUSPECT and age >= self._suspicion:
                 dead = replace(member, state=MemberState.DEAD)
                 self._store(dead)
@@ -152,19 +153,22 @@
     def next_targets(self, limit: int) -> list[Member]:
         """Return whom to probe in this period.
 
-        One member of a random round, or up to ``limit`` of those that are to be
-        verified (new ones and those that send but are believed not to answer).
+        One member of a random round, and besides up to ``limit`` of those that
+        are to be verified: new ones, and those that send but are believed not to
+        answer.
         """
-        targets = []
+        targets = {}
         while self._verify and len(targets) < limit:
             name = next(iter(self._verify))
             del self._verify[name]
-            if name in self._members:
-                targets.append(self._members[name])
-        if targets:
-            return targets
+            member = self._members.get(name)
+            if member is not None and member.state >= MemberState.SUSPECT:
+                self._begin_verification(name)
+                targets[name] = member
         member = self._next_of_round()
-        return [member] if member else []
+        if member is not None:
+            targets[member.name] = member
+        return list(targets.values())
 
     def helpers(self, target: Member, count: int) -> list[Member]:
         """Return up to ``count`` random usable members besides ``target``."""
@@ -246,6 +250,13 @@
         self._version += 1
         self._verify_soon(instance.name)
 
+    def _awaits_first_probe(self, member: Member) -> bool:
+        return member.incarnation == 0 and member.name in self._verify
+
+    def _begin_verification(self, name: str) -> None:
+        if self._members[name].incarnation == 0:
+            self._changed_at[name] = self._clock.elapsed()
+
     def _is_forgotten(self, member: Member, age: timedelta) -> bool:
         return (
             member.state is MemberState.DEAD
--- a/src/sassafrasdale/peers/structures.py
+++ b/src/sassafrasdale/peers/structures.py
@@ -124,6 +124,7 @@
     :param pause: lateness of a period that shows that this process was paused.
     :param call_timeout: limit of one attempt at any other call.
     :param coalesce: how long news waits for more of it before it is spread.
+    :param spread_interval: least time between two rounds of spreading.
     """
 
     period: timedelta = timedelta(seconds=1)
@@ -134,3 +135,4 @@
     pause: timedelta = timedelta(seconds=2)
     call_timeout: timedelta = timedelta(seconds=2)
     coalesce: timedelta = timedelta(milliseconds=10)
+    spread_interval: timedelta = timedelta(milliseconds=200)
--- a/tests/peers/nodes.py
+++ b/tests/peers/nodes.py
@@ -18,6 +18,7 @@
     suspicion=timedelta(milliseconds=500),
     forget=timedelta(seconds=2),
     pause=timedelta(milliseconds=800),
+    spread_interval=timedelta(milliseconds=50),
 )
 
 
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -86,6 +86,7 @@
     clock = ManualClock()
     membership = make(clock)
     membership.set_candidates([instance_of("a", "zone-a", ADDRESS)])
+    membership.next_targets(2)
     clock.advance(timedelta(seconds=2))
     membership.expire()
     clock.advance(timedelta(seconds=61))
