--- a/bench/admission/baselines.py
+++ b/bench/admission/baselines.py
@@ -13,6 +13,8 @@
 class NoAdmission:
     """Sends everything on at once; the endpoints queue without a bound."""
 
+    has_spare_room = True
+
     def __init__(self) -> None:
         self._numbers = count()
 
@@ -27,10 +29,10 @@
     def next_admitted(self, now):
         """Return None: nothing waits."""
 
-    def on_refusal(self, now):
-        """Ignore a refusal."""
+    def refuse(self, ticket, now):
+        """Return None: the entry retries as after a failure."""
 
-    def retry_after(self):
+    def retry_after(self, now):
         """Return the time to come back."""
         return RETRY_AFTER
 
--- a/bench/admission/replay.py
+++ b/bench/admission/replay.py
@@ -141,7 +141,7 @@
             call = Call(request, 1, request.arrival, request.arrival, entry)
             self._at(request.arrival, self._arrive, call)
         for endpoint in self._endpoints:
-            if endpoint.down_from < FOREVER:
+            if endpoint.down_from < FOREVER and not endpoint.errors:
                 self._at(endpoint.down_from, self._crash, endpoint)
         self._tick_length = self._trace[0].timeout / TICKS
         for entry in self._entries:
@@ -273,6 +273,8 @@
     def _hedge(self, call: Call) -> None:
         if call.done or len(call.open) != 1:
             return
+        if not call.entry.admission.has_spare_room:
+            return
         hedging = call.entry.hedging
         if hedging.try_hedge(self._span, idempotent=call.request.idempotent):
             self.result.hedges += 1
@@ -284,6 +286,9 @@
         following = attempt.endpoint.release(attempt)
         if following is not None:
             self._start(following)
+        if attempt.endpoint.fails(self._now):
+            self._fail(attempt)
+            return
         call = attempt.call
         self._drop(attempt)
         entry = call.entry
@@ -320,8 +325,19 @@
     def _refuse(self, attempt: Attempt) -> None:
         self.result.refusals += 1
         self._drop(attempt)
-        attempt.call.entry.admission.on_refusal(self._span)
-        self._retry(attempt.call, Ending.SHED)
+        call = attempt.call
+        if call.done or call.open:
+            return
+        entry = call.entry
+        match entry.admission.refuse(call.ticket, self._span):
+            case Wait(ticket=ticket):
+                entry.waiting[ticket.number] = call
+                remaining = call.at + call.request.timeout - self._now
+                self._at(self._now + remaining, self._give_up, call)
+            case Shed(retry_after=after):
+                self._turn_away(call, after, Ending.SHED)
+            case None:
+                self._retry(call, Ending.SHED)
 
     def _retry(self, call: Call, ending: Ending) -> None:
         if call.done or call.open:
@@ -337,6 +353,6 @@
 
     def _end(self, call: Call, ending: Ending) -> None:
         call.entry.admission.cancel(call.ticket)
-        after = call.entry.admission.retry_after()
+        after = call.entry.admission.retry_after(self._span)
         self._turn_away(call, after, ending)
         self._pump(call.entry)
--- a/bench/admission/scenarios.py
+++ b/bench/admission/scenarios.py
@@ -1,6 +1,8 @@
 """The situations that are replayed, each with the load that it needs."""
 
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from random import Random
 
 from bench.admission.fleets import (
     MODEL_SHAPE,
@@ -108,6 +110,12 @@
     return overload(policy, GENERATION, 1.5, stated=stated, **others)
 
 
+def silent_queue(policy: Policy, kind: Kind, load: float, **others) -> Result:
+    """Replay endpoints that never refuse but queue without a bound."""
+    shape = replace(SHAPES[kind], queue=float("inf"))
+    return overload(policy, kind, load, shape=shape, **others)
+
+
 def launch_day(policy: Policy, **others) -> Result:
     """Replay a launch: from 0.3 to 3 times the capacity within 20 s, then 1.2."""
     rate = capacity_rate(GENERATION)
@@ -130,14 +138,25 @@
 """Seconds at which a zone fails and at which it is back."""
 
 
-def zone_fails(policy: Policy, load: float, kind: Kind = GENERATION, **others):
-    """Replay the loss of a zone, with callers that try three times."""
+def zone_fails(
+    policy: Policy,
+    load: float,
+    kind: Kind = GENERATION,
+    zones: str = "a",
+    cold: float = 4.0,
+    **others,
+) -> Result:
+    """Replay the loss of zones, with callers that try three times.
+
+    :param zones: names of the zones that fail.
+    :param cold: factor on the work of an endpoint that has just come back.
+    """
 
     def change(endpoints):
         for endpoint in endpoints:
-            if endpoint.zone == "a":
+            if endpoint.zone in zones:
                 endpoint.down_from, endpoint.up_from = DOWN, UP
-                endpoint.warm_up, endpoint.cold = 10.0, 4.0
+                endpoint.warm_up, endpoint.cold = 10.0, cold
 
     rate = capacity_rate(kind) * load
     sources = [
@@ -146,6 +165,18 @@
     return play(policy, sources, kind, 120.0, change=change, caller_tries=3, **others)
 
 
+def answers_fail(policy: Policy, load: float, share: float, **others) -> Result:
+    """Replay endpoints whose answers fail for 30 s after the work is done."""
+
+    def change(endpoints):
+        for index, endpoint in enumerate(endpoints):
+            endpoint.down_from, endpoint.up_from = DOWN, UP
+            endpoint.errors = share
+            endpoint.rng = Random(index)
+
+    return overload(policy, GENERATION, load, change=change, caller_tries=3, **others)
+
+
 def comeback(policy: Policy, **others) -> Result:
     """Replay a burst of eight times the capacity whose callers come back."""
     rate = capacity_rate(GENERATION)
--- a/src/sassafrasdale/cli/edits.py
+++ b/src/sassafrasdale/cli/edits.py
@@ -24,7 +24,6 @@
 )
 from sassafrasdale.structures import Address
 
-PUT_LIMIT = timedelta(seconds=30)
 RETRY_PAUSE = timedelta(milliseconds=500)
 NOT_RUN = "not-run"
 # Answers that no other entry would give differently.
@@ -71,9 +70,7 @@
     :param limit: how long to try.
     """
 
-    def __init__(
-        self, client: AdminClient, pacer: Pacer, limit: timedelta = PUT_LIMIT
-    ) -> None:
+    def __init__(self, client: AdminClient, pacer: Pacer, limit: timedelta) -> None:
         self._client = client
         self._pacer = pacer
         self._limit = limit
@@ -88,11 +85,16 @@
         :raises NotReachedError: the edit certainly did not take effect.
         :raises OutcomeUnknownError: whether it took effect is not known.
         """
-        for entry in self._entries_in_turn():
-            attempt = self._put(entry, edit)
-            revision = self._settle(entry, attempt, edit)
-            if revision is not None:
-                return revision
+        try:
+            for entry in self._entries_in_turn():
+                attempt = self._put(entry, edit)
+                revision = self._settle(entry, attempt, edit)
+                if revision is not None:
+                    return revision
+        except KeyboardInterrupt:
+            # Interrupted while an attempt is on its way; without the edit id the
+            # operator could not find out what became of it.
+            self._uncertain = True
         reasons = "\n".join(self._failures.values())
         if self._uncertain:
             raise OutcomeUnknownError(
@@ -155,10 +157,16 @@
 
 def _conflict(reply: Reply, edit: Edit) -> ConflictError:
     problem = reply.problem()
+    if not problem.revision:
+        return ConflictError(
+            f"there is no text yet, so none of revision {edit.expected}; put the first "
+            "with --if-match 0; nothing was changed"
+        )
+    difference = problem.difference or "the text in force is the same as yours"
     return ConflictError(
         f"another edit was accepted first: revision {problem.revision} by "
         f"{unquote(problem.author) or 'an unnamed author'}; yours was made from "
-        f"revision {edit.expected}; nothing was changed\n{problem.difference}"
+        f"revision {edit.expected}; nothing was changed\n{difference}"
     )
 
 
--- a/src/sassafrasdale/decisions/limits.py
+++ b/src/sassafrasdale/decisions/limits.py
@@ -2,6 +2,13 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from math import inf
+
+DEFAULT_COOLDOWN = timedelta(milliseconds=100)
+"""Shortest time between two decreases while no latency is known."""
+
+BURST = timedelta(seconds=5)
+"""Time for which a customer's unused tokens are kept."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,16 +19,22 @@
     :param increase: requests added per full limit's worth of successes.
     :param decrease: factor applied on a refusal.
     :param borrow: largest multiple of the entry's share that it may grow to.
-    :param tolerance: multiple of the usual latency that counts as overload.
-    :param cooldown: shortest time between two decreases.
+    :param tolerance: multiple of the usual latency at which what was borrowed is
+        given back, for endpoints that queue instead of refusing.
+    :param samples: answers over which a latency is averaged.
+    :param ageing: growth of the usual latency per average above it, so that a
+        lasting change of the work is learned.
+    :param cooldown: shortest time between two decreases, in usual latencies.
     """
 
     smallest: int = 1
     increase: float = 1.0
-    decrease: float = 0.9
-    borrow: float = 2.0
+    decrease: float = 0.8
+    borrow: float = 4.0
     tolerance: float = 2.0
-    cooldown: timedelta = timedelta(seconds=1)
+    samples: int = 20
+    ageing: float = 0.02
+    cooldown: float = 0.1
 
 
 class ConcurrencyLimit:
@@ -43,7 +56,10 @@
         self._settings = settings or LimitSettings()
         self._share = max(capacity / max(live_entries, 1), self._settings.smallest)
         self._value = self._share
-        self._last_decrease: timedelta | None = None
+        self._next_decrease = timedelta()
+        self._sum = 0.0
+        self._count = 0
+        self._usual = inf
 
     @property
     def value(self) -> int:
@@ -61,19 +77,40 @@
         self._value *= share / self._share
         self._share = share
 
-    def on_success(self, in_flight: int) -> None:
-        """Grow if the limit was in use when a request succeeded."""
+    def on_success(self, in_flight: int, latency: timedelta) -> None:
+        """Grow if the limit was in use when a request succeeded.
+
+        :param in_flight: requests still in flight after this one.
+        """
+        self._average(latency.total_seconds())
         if in_flight + 1 < self.value:
             return
         grown = self._value + self._settings.increase / self._value
         self._value = min(grown, self._share * self._settings.borrow)
 
+    def _average(self, seconds: float) -> None:
+        self._sum += seconds
+        self._count += 1
+        if self._count < self._settings.samples:
+            return
+        mean = self._sum / self._count
+        self._sum, self._count = 0.0, 0
+        if mean > self._usual * self._settings.tolerance and self._value > self._share:
+            self._value = max(self._value * self._settings.decrease, self._share)
+        self._usual = min(mean, self._usual * (1 + self._settings.ageing))
+
+    @property
+    def cooldown(self) -> timedelta:
+        """Shortest time between two decreases."""
+        if self._usual == inf:
+            return DEFAULT_COOLDOWN
+        return timedelta(seconds=self._usual * self._settings.cooldown)
+
     def on_refusal(self, now: timedelta) -> None:
         """Shrink, at most once per cooldown, since an endpoint refused."""
-        last = self._last_decrease
-        if last is not None and now - last < self._settings.cooldown:
+        if now < self._next_decrease:
             return
-        self._last_decrease = now
+        self._next_decrease = now + self.cooldown
         shrunk = self._value * self._settings.decrease
         self._value = max(shrunk, self._settings.smallest)
 
@@ -81,23 +118,14 @@
 class TokenBucket:
     """Token bucket for the rate limit of one customer on one entry.
 
-    :param rate: requests per second over the whole deployment.
-    :param live_entries: entries among which the rate is divided.
-    :param burst: how long unused tokens are kept.
-    :param borrow: multiple of the even share that one entry may use.
+    :param rate: requests per second on this entry.
+    :param burst: time for which unused tokens are kept.
     """
 
-    def __init__(
-        self,
-        rate: float,
-        live_entries: int = 1,
-        burst: timedelta = timedelta(seconds=2),
-        borrow: float = 1.5,
-    ) -> None:
+    def __init__(self, rate: float, burst: timedelta = BURST) -> None:
         self._burst = burst
-        self._borrow = borrow
         self._updated = timedelta()
-        self.set_rate(rate, live_entries)
+        self.set_rate(rate)
         self._tokens = self._depth
 
     @property
@@ -105,11 +133,10 @@
         """Tokens per second on this entry."""
         return self._rate
 
-    def set_rate(self, rate: float, live_entries: int) -> None:
-        """Take a new rate or number of entries."""
-        entries = max(live_entries, 1)
-        self._rate = min(rate, rate / entries * self._borrow)
-        self._depth = max(self._rate * self._burst.total_seconds(), 1.0)
+    def set_rate(self, rate: float) -> None:
+        """Take a new rate, in requests per second on this entry."""
+        self._rate = rate
+        self._depth = max(rate * self._burst.total_seconds(), 1.0)
 
     def try_take(self, now: timedelta) -> bool:
         """Take a token if there is one."""
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -24,6 +24,7 @@
     :param distance: one-way delay from this entry.
     :param cached_tokens: prompt tokens of the request expected in its cache.
     :param leaving: whether a reclaim of it was announced.
+    :param queueing: time that requests are seen to queue there.
     :param slowness: recent time for a token over the median of its service; 1 is
         usual.
     """
@@ -41,6 +42,7 @@
     distance: timedelta = timedelta()
     cached_tokens: int = 0
     leaving: bool = False
+    queueing: timedelta = timedelta()
     slowness: float = 1.0
 
 
@@ -81,7 +83,11 @@
         all reports the other half.
     :param home_share: share of the prompt expected in the home's cache while
         nothing better is known.
+    :param mirrored_entries: other entries that are expected to have changed their
+        requests at an endpoint as this one did since the report.
+    :param queueing_trust: part of the queueing seen that is expected again.
     :param sample_size: candidates drawn at random when there are more.
+    :param best_matches: candidates drawn for their cached tokens besides.
     """
 
     latency_cost: float = 1.0
@@ -93,7 +99,9 @@
     report_half_life: timedelta = timedelta(seconds=4)
     home_share: float = 0.3
     mirrored_entries: float = 5.0
+    queueing_trust: float = 1.0
     sample_size: int = 8
+    best_matches: int = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +228,7 @@
     :param reclaimable: whether the platform may take it back.
     :param in_flight: its requests in flight.
     :param leaving: whether a reclaim of it was announced.
+    :param serving: whether it has come up.
     """
 
     name: str
@@ -228,6 +237,7 @@
     reclaimable: bool
     in_flight: int = 0
     leaving: bool = False
+    serving: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,7 +245,7 @@
     """What a service needs of its instances.
 
     :param service: name of the service.
-    :param load: requests in flight to plan for.
+    :param load: requests in flight, as a mean over the last minute.
     :param growth: change of the load in a second.
     :param availability_zones: where its instances may run.
     :param least_instances: number never to go below.
@@ -256,18 +266,18 @@
     :param start_time: time from an order to an instance that serves.
     :param refusal_backoff: pause after one refused start; it doubles each time.
     :param longest_backoff: longest such pause.
-    :param reclaim_premium: share of its price that a reclaimable instance is
-        held to cost more than it does, for the work that its loss repeats.
     :param give_back_margin: spare capacity, as a share of what is needed, that is
         kept before an instance is given back.
+    :param dear: multiple of the cheapest price of capacity from which an instance
+        is replaced by a cheaper one.
     """
 
     headroom: float = 1.25
     start_time: timedelta = timedelta(seconds=60)
-    refusal_backoff: timedelta = timedelta(seconds=10)
-    longest_backoff: timedelta = timedelta(minutes=5)
-    reclaim_premium: float = 0.1
-    give_back_margin: float = 0.2
+    refusal_backoff: timedelta = timedelta(seconds=20)
+    longest_backoff: timedelta = timedelta(minutes=2)
+    give_back_margin: float = 0.1
+    dear: float = 1.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/endpoints/directory.py
+++ b/src/sassafrasdale/endpoints/directory.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
+from functools import partial
 
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock
@@ -66,9 +67,14 @@
         return self._leaves_at
 
     def leave(self, leaves_at: datetime | None) -> bool:
-        """Take no new work from now on; return whether that is news."""
+        """Take no new work from now on; return whether that is news.
+
+        The list may say that an endpoint leaves before its notice says when.
+        """
         if not self._life.allows("notice"):
-            return False
+            news = self._leaves_at is None and leaves_at is not None
+            self._leaves_at = self._leaves_at or leaves_at
+            return news and self._life.state == "leaving"
         self._life.fire("notice")
         self._leaves_at = leaves_at
         return True
@@ -98,10 +104,10 @@
     """
 
     def __init__(
-        self, clock: Clock, *, adapter_factory: AdapterFactory = HttpAdapter
+        self, clock: Clock, *, adapter_factory: AdapterFactory | None = None
     ) -> None:
         self._clock = clock
-        self._adapter_factory = adapter_factory
+        self._adapter_factory = adapter_factory or partial(HttpAdapter, clock=clock)
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
         self._leaving: dict[str, datetime] = {}
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -1,14 +1,14 @@
 """Which endpoint a request goes to: what the entry knows, put to the policy."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.affinity import PrefixIndex
+from sassafrasdale.decisions.affinity import HashRing, PrefixIndex, conversation_key
 from sassafrasdale.decisions.health import Health
-from sassafrasdale.decisions.routing import choose
+from sassafrasdale.decisions.routing import choose, draw_candidates
 from sassafrasdale.decisions.structures import (
     EndpointView,
     RoutingPolicy,
@@ -17,6 +17,7 @@
 from sassafrasdale.endpoints.directory import Directory, Endpoint
 from sassafrasdale.platform.clouds import Price
 from sassafrasdale.requests.gates import max_in_flight
+from sassafrasdale.requests.sends import Sends, SendWatch
 from sassafrasdale.text.current import CurrentText
 from sassafrasdale.text.structures import Service
 
@@ -30,6 +31,7 @@
 
     :param service: name of the service.
     :param blocks: hashes of the prompt's blocks, empty for a plain call.
+    :param conversation: hash of how the conversation begins, if it is one.
     :param prompt_tokens: estimated length of the prompt, in tokens.
     :param max_tokens: most tokens that the answer may have.
     :param priority: 0 goes first, 7 last.
@@ -40,6 +42,7 @@
     deadline: timedelta
     priority: int = 3
     blocks: tuple[int, ...] = ()
+    conversation: int | None = None
     prompt_tokens: int = 0
     max_tokens: int = 0
 
@@ -68,7 +71,9 @@
         self._clock = clock
         self._rng = rng
         self._prefixes = PrefixIndex()
+        self._sends = Sends()
         self._present: set[str] = set()
+        self._rings: dict[str, HashRing] = {}
         self._prices: dict[tuple[str, str, bool], float] = {}
         self._health: dict[str, Health] = {}
 
@@ -79,51 +84,71 @@
         priority: int,
         *,
         prompt: str = "",
+        opening: Sequence[str] = (),
         max_tokens: int = 0,
     ) -> Wanted:
-        """Return what to choose an endpoint for; hashes the prompt once."""
+        """Return what to choose an endpoint for; hashes the prompt once.
+
+        :param prompt: text of all messages.
+        :param opening: messages up to and including the user's first.
+        """
         return Wanted(
             service=service,
             deadline=deadline,
             priority=priority,
             blocks=self._prefixes.blocks(prompt),
+            conversation=conversation_key(opening) if opening else None,
             prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN,
             max_tokens=max_tokens,
         )
 
-    def choose(self, wanted: Wanted, avoid: frozenset[str]) -> Endpoint | None:
+    def watch(self, request_id: str) -> SendWatch:
+        """Return what follows the sends of one generation."""
+        return SendWatch(request_id, self._sends, self._clock)
+
+    def choose(
+        self, wanted: Wanted, avoid: frozenset[str], watch: SendWatch | None = None
+    ) -> Endpoint | None:
         """Return the endpoint for a request, or None if none takes it.
 
         :param avoid: names of endpoints not to take.
+        :param watch: told what is expected of the endpoint.
         """
         text = self._current.text
         service = text.services.get(wanted.service) if text else None
         if service is None:
             return None
         now = self._clock.elapsed()
-        weights = self._health_of(wanted.service).weights(now)
-        views = [
-            self._view(endpoint, service, wanted, now)
-            for endpoint in self._directory.serving(wanted.service)
-            if endpoint.name not in avoid and self._is_fit(endpoint, weights)
-        ]
+        policy = RoutingPolicy(
+            latency_cost=service.weights.latency_cost,
+            recomputed_tokens=service.weights.recomputed_tokens,
+        )
+        matches = self._prefixes.matches(wanted.blocks) if wanted.blocks else {}
+        home = self._home(wanted)
         request = RoutingRequest(
             prompt_tokens=wanted.prompt_tokens,
             max_tokens=wanted.max_tokens,
             priority=wanted.priority,
             remaining=wanted.deadline - now,
             home_availability_zone=self._availability_zone,
+            home=home,
         )
-        policy = RoutingPolicy(
-            latency_cost=service.weights.latency_cost,
-            recomputed_tokens=service.weights.recomputed_tokens,
+        fit = self._fit_endpoints(wanted.service, avoid, now)
+        known = {name: tokens for name, tokens in matches.items() if name in fit}
+        drawn = draw_candidates(
+            list(fit), known, home if home in fit else "", policy, self._rng
         )
+        views = [
+            self._view(fit[name], service, known.get(name, 0), now) for name in drawn
+        ]
         chosen = choose(request, views, policy, self._rng)
         if chosen is None:
             return None
         if wanted.blocks:
             self._prefixes.record(chosen.name, wanted.blocks)
-        return self._directory.get(chosen.name)
+        if watch is not None:
+            watch.expect(max(0, wanted.prompt_tokens - chosen.cached_tokens))
+        return fit[chosen.name]
 
     def observe(self, endpoint: Endpoint, *, ok: bool) -> None:
         """Note that an endpoint answered, or failed to."""
@@ -147,13 +172,36 @@
         present = {endpoint.name for endpoint in self._directory.endpoints}
         for gone in self._present - present:
             self._prefixes.forget(gone)
+            self._sends.forget(gone)
+        if self._present != present:
+            self._rings.clear()
         self._present = present
 
+    def _home(self, wanted: Wanted) -> str:
+        """Return the endpoint where entries meet that don't know a conversation."""
+        if wanted.conversation is None:
+            return ""
+        ring = self._rings.get(wanted.service)
+        if ring is None:
+            serving = self._directory.serving(wanted.service)
+            ring = self._rings[wanted.service] = HashRing(e.name for e in serving)
+        return ring.home(wanted.conversation)
+
     def _health_of(self, service: str) -> Health:
         if service not in self._health:
             self._health[service] = Health(self._rng)
         return self._health[service]
 
+    def _fit_endpoints(
+        self, service: str, avoid: frozenset[str], now: timedelta
+    ) -> dict[str, Endpoint]:
+        weights = self._health_of(service).weights(now)
+        return {
+            endpoint.name: endpoint
+            for endpoint in self._directory.serving(service)
+            if endpoint.name not in avoid and self._is_fit(endpoint, weights)
+        }
+
     def _is_fit(self, endpoint: Endpoint, weights: dict[str, float]) -> bool:
         """Return whether an endpoint takes part, by its health's weight.
 
@@ -164,7 +212,7 @@
         return weight >= 1.0 or self._rng.random() < weight
 
     def _view(
-        self, endpoint: Endpoint, service: Service, wanted: Wanted, now: timedelta
+        self, endpoint: Endpoint, service: Service, cached: int, now: timedelta
     ) -> EndpointView:
         instance = endpoint.instance
         reported_at = endpoint.reported_at
@@ -184,7 +232,10 @@
             max_in_flight=max_in_flight(service, instance.instance_class),
             price_per_hour=self._prices.get(price_of, 0.0),
             distance=self._distance(instance.availability_zone),
-            cached_tokens=self._prefixes.matched_tokens(endpoint.name, wanted.blocks),
+            own_tokens=self._sends.tokens_waiting(endpoint.name),
+            cached_tokens=cached,
+            queueing=self._sends.queueing(endpoint.name, now),
+            slowness=self._sends.slowness(endpoint.name, now),
         )
 
     def _distance(self, availability_zone: str) -> timedelta:
--- a/src/sassafrasdale/text/structures.py
+++ b/src/sassafrasdale/text/structures.py
@@ -4,10 +4,15 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
-from fnmatch import fnmatchcase
+from fnmatch import translate
+from functools import lru_cache
+from re import Pattern
+from re import compile as compile_pattern
 
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 ANY_METHOD = "*"
+MAX_PATTERNS = 32_768
+_AMBIGUOUS = frozenset("%\\;")
 
 
 class ServiceKind(StrEnum):
@@ -59,6 +64,16 @@
     recomputed_tokens: float
 
 
+@lru_cache(maxsize=MAX_PATTERNS)
+def compile_path(pattern: str) -> Pattern[str]:
+    """Return a rule's path as a regular expression.
+
+    The library keeps only a few hundred patterns itself; with more rules it would
+    compile them anew for each request.
+    """
+    return compile_pattern(translate(pattern))
+
+
 @dataclass(frozen=True, slots=True)
 class Rule:
     """Whether calls of one shape may be repeated.
@@ -74,7 +89,22 @@
 
     def matches(self, method: str, path: str) -> bool:
         """Return whether the rule speaks about a call."""
-        return self.method in (ANY_METHOD, method) and fnmatchcase(path, self.path)
+        if self.method not in (ANY_METHOD, method):
+            return False
+        return compile_path(self.path).match(path) is not None
+
+
+def is_canonical(path: str) -> bool:
+    """Return whether every endpoint reads ``path`` the same way.
+
+    An endpoint may take ``/lookups/../certificates``, ``//certificates`` or a path
+    that is still encoded for ``/certificates``. Judged by its letters, such a call
+    would match the rule of the lookups, be repeated, and issue two certificates.
+    """
+    segments = path.split("/")
+    if not {".", ".."}.isdisjoint(segments) or "" in segments[1:-1]:
+        return False
+    return path.isprintable() and _AMBIGUOUS.isdisjoint(path)
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,11 +155,14 @@
     def is_idempotent(self, method: str, path: str) -> bool:
         """Return whether a call may be repeated.
 
-        Without a rule, a model's calls may; of plain services only GET and HEAD.
+        Without a rule, a model's calls may; of plain services only GET and HEAD,
+        and only if the path is canonical.
 
         :param method: HTTP method in upper case.
         :param path: decoded path within the service, beginning with a slash.
         """
+        if self.kind is ServiceKind.PLAIN and not is_canonical(path):
+            return False
         for rule in self.rules:
             if rule.matches(method, path):
                 return rule.idempotent
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,18 +15,22 @@
 import uuid
 from collections import Counter
 from collections.abc import Callable, Iterator
-from datetime import timedelta
+from dataclasses import dataclass
+from datetime import datetime, timedelta
 from typing import Any
 
 from sassafrasdale.clock import Clock, SystemClock
-from sassafrasdale.green import http_pool, listen, sleep, spawn
+from sassafrasdale.green import listen, sleep, spawn
 from sassafrasdale.structures import Address
 from standins.batch import Batch, Speed
 from standins.cache import PrefixCache
 from standins.command import announce, argument_parser
 from standins.faults import REFUSED, Faults
-from standins.generation import TokenSource, prompt_tokens
+from standins.generation import TokenSource
+from standins.orders import Orders
+from standins.prompts import Prompt
 from standins.streams import CANCELLED, EXPORTED, FINISHED, Stream, chunk_object
+from standins.transfers import Transfers
 from standins.web import (
     Answer,
     Application,
@@ -36,16 +40,48 @@
     serve,
 )
 
-RECONNECT_WINDOW = timedelta(seconds=10)
-"""How long a stream goes on with nobody reading it."""
+KEPT_AFTER_END = timedelta(seconds=30)
+"""How long at least an ended stream can be read again."""
 
+COMPLETIONS = "/v1/chat/completions"
 EVENT_POLL = timedelta(milliseconds=50)
 DEFAULT_MAX_TOKENS = 16
 DEFAULT_PRIORITY = 4
 
 
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """A call that the engine took on."""
+
+    stream: Stream
+    idempotency_key: str
+    at: datetime
+
+    def json(self) -> dict[str, Any]:
+        """Return the execution as the log shows it."""
+        return {
+            "request_id": self.stream.stream_id,
+            "idempotency_key": self.idempotency_key,
+            "continue_from": self.stream.first,
+            "recomputed_tokens": self.stream.recomputed,
+            "cached_tokens": self.stream.cached,
+            "tokens": self.stream.position,
+            "state": self.stream.state,
+            "at": self.at.isoformat(),
+        }
+
+
 class Engine:
-    """One model engine."""
+    """One model engine.
+
+    :param clock: source of time.
+    :param name: shown by the health check.
+    :param speed: how fast it works.
+    :param cache: its prefix cache.
+    :param checks_fencing: whether it refuses orders with an old fencing number.
+    :param load_lag: age that a load report reaches.
+    :param reconnect_window: how long a stream goes on with nobody reading it.
+    """
 
     def __init__(
         self,
@@ -56,43 +92,42 @@
         *,
         checks_fencing: bool,
         load_lag: timedelta,
+        reconnect_window: timedelta,
     ) -> None:
         self._clock = clock
         self._name = name
         self._cache = cache
-        self._checks_fencing = checks_fencing
         self._load_lag = load_lag
-        self._faults = Faults(clock)
+        self._reconnect_window = reconnect_window
+        self._faults = Faults(clock, _is_work)
         self._batch = Batch(clock, speed, cache, self._faults, self._is_abandoned)
         self._streams: dict[str, Stream] = {}
-        self._exports: dict[str, Stream] = {}
-        self._imports: set[str] = set()
-        self._log: list[dict[str, Any]] = []
-        self._orders: dict[str, Any] = {}
-        self._fencing_number = 0
+        self._ended: set[str] = set()
+        self._transfers = Transfers(speed.kv_per_token, self._faults)
+        self._log: list[Execution] = []
+        self._orders = Orders(checks_fencing)
         self._load: dict[str, Any] = {}
 
     def start(self) -> None:
         """Start the batch loop and the load report."""
         spawn(self._batch.run)
         spawn(self._report_load)
+        spawn(self._forget_ended)
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes of the API and of the controls."""
         return (
-            Route("POST", "/v1/chat/completions", self._complete),
+            Route("POST", COMPLETIONS, self._complete),
             Route("GET", "/v1/streams/{id}", self._resume),
             Route("POST", "/v1/streams/{id}/cancel", self._cancel),
             Route("POST", "/v1/streams/{id}/export", self._export),
-            Route("GET", "/v1/exports/{handle}", self._fetch_export),
-            Route("POST", "/v1/cache/import", self._import),
             Route("GET", "/v1/load", self._show_load),
             Route("GET", "/v1/cache/events", self._cache_events),
-            Route("POST", "/v1/orders", self._order),
-            Route("GET", "/v1/orders", self._show_orders),
             Route("GET", "/v1/health", self._health),
             Route("GET", "/standin/log", self._list_log),
             Route("GET", "/standin/counts", self._count),
+            *self._transfers.routes(),
+            *self._orders.routes(),
             *self._faults.routes(),
         )
 
@@ -107,59 +142,41 @@
             return Answer({"error": "queue is full"}, status=429, headers=REFUSED)
         stream = self._open_stream(request, body)
         self._streams[stream.stream_id] = stream
-        self._batch.add(stream)
+        if stream.position >= stream.max_tokens:
+            stream.end(FINISHED)
+        else:
+            self._batch.add(stream)
         if body.get("stream"):
             return self._stream_answer(request, stream, stream.first)
         return self._whole_answer(stream)
 
     def _open_stream(self, request: Request, body: dict[str, Any]) -> Stream:
-        stream_id = request.header("X-Request-Id") or uuid.uuid4().hex
-        first = int(body.get("continue_from", 0))
         transfer = body.get("kv_transfer_params")
-        recompute = not (transfer and self._fetch(transfer))
         messages = body["messages"]
         model = body.get("model", "")
         stream = Stream(
-            stream_id,
+            request.header("X-Request-Id") or uuid.uuid4().hex,
             model,
             TokenSource(model, messages),
-            prompt_tokens(messages),
-            int(body.get("max_tokens", DEFAULT_MAX_TOKENS)),
-            int(body.get("priority", DEFAULT_PRIORITY)),
-            first,
-            recompute,
+            Prompt(messages),
+            max_tokens=int(body.get("max_tokens", DEFAULT_MAX_TOKENS)),
+            priority=int(body.get("priority", DEFAULT_PRIORITY)),
+            first=int(body.get("continue_from", 0)),
+            continues="continue_from" in body,
+            transferred=bool(transfer) and self._transfers.fetch(transfer),
         )
         self._log.append(
-            {
-                "request_id": stream_id,
-                "idempotency_key": request.header("Idempotency-Key"),
-                "continue_from": first,
-                "recomputed_tokens": stream.recomputed,
-                "at": self._clock.now().isoformat(),
-            }
+            Execution(stream, request.header("Idempotency-Key"), self._clock.now())
         )
         return stream
 
-    def _fetch(self, transfer: dict[str, Any]) -> bool:
-        handle = transfer["kv_handle"]
-        if handle in self._exports or handle in self._imports:
-            return True
-        pool = http_pool(Address.parse(transfer["remote_address"]))
-        try:
-            found = pool.request("GET", f"/v1/exports/{handle}").status == 200
-        except Exception:
-            return False
-        finally:
-            pool.close()
-        return found
-
     def _is_abandoned(self, stream: Stream) -> bool:
         if stream.readers or stream.lost_at is None:
             return False
-        return self._clock.elapsed() - stream.lost_at > RECONNECT_WINDOW
+        return self._clock.elapsed() - stream.lost_at > self._reconnect_window
 
     def _stream_answer(self, request: Request, stream: Stream, after: int) -> Answer:
-        stream.readers += 1
+        stream.lost_at = self._clock.elapsed()
         return Answer(
             chunks=self._events(request, stream, after),
             content_type="text/event-stream",
@@ -171,18 +188,23 @@
         A stream that was cancelled or exported just stops, with no last chunk, so
         that it can't be taken for a finished one.
         """
+        end = stream.max_tokens
+        truncated = self._faults.takes_truncation()
+        if truncated:
+            end = (after + stream.max_tokens) // 2
+        stream.readers += 1
         try:
-            while not stream.ended or after < stream.position:
+            while after < end and (after < stream.position or not stream.ended):
                 if after >= stream.position:
                     stream.wait()
                     continue
                 if self._faults.is_silent(request):
                     request.connection.wait_until_closed()
                     return
-                last = stream.position
+                last = min(stream.position, end)
                 yield stream.events(after + 1, last)
                 after = last
-            if stream.state == FINISHED:
+            if stream.state == FINISHED and not truncated:
                 yield _last_event(stream)
         finally:
             stream.readers -= 1
@@ -233,27 +255,26 @@
         if stream is None or stream.state == CANCELLED:
             return _unknown_stream(stream_id)
         stream.end(EXPORTED)
-        handle = f"kv-{stream_id}"
-        self._exports[handle] = stream
+        handle = self._transfers.export(stream)
         return Answer({"kv_handle": handle, "tokens": stream.position})
 
-    def _fetch_export(self, _request: Request, handle: str) -> Answer:
-        if handle not in self._exports:
-            return Answer({"error": f"no handle {handle}"}, status=404)
-        return Answer({"tokens": self._exports[handle].position})
-
-    def _import(self, request: Request) -> Answer:
-        body = request.json()
-        if not self._fetch(body):
-            return Answer({"error": "handle is gone"}, status=404)
-        self._imports.add(body["kv_handle"])
-        return Answer({})
-
     def _report_load(self) -> None:
         while True:
             self._load = self._measure_load()
             sleep(max(self._load_lag, EVENT_POLL))
 
+    def _forget_ended(self) -> None:
+        """Forget streams that had ended when this last looked."""
+        while True:
+            for stream_id in self._ended:
+                self._streams.pop(stream_id, None)
+            self._ended = {
+                stream_id
+                for stream_id, stream in self._streams.items()
+                if stream.ended and not stream.readers
+            }
+            sleep(KEPT_AFTER_END)
+
     def _measure_load(self) -> dict[str, Any]:
         return {
             "running": self._batch.running,
@@ -282,47 +303,39 @@
             {"events": events, "next": events[-1]["sequence"] if events else after}
         )
 
-    def _order(self, request: Request) -> Answer:
-        body = request.json()
-        number = int(body["fencing_number"])
-        if self._checks_fencing and number < self._fencing_number:
-            message = f"fencing number {number} is below {self._fencing_number}"
-            return Answer({"error": message}, status=409)
-        self._fencing_number = max(number, self._fencing_number)
-        self._orders[body["kind"]] = {**body, "fencing_number": number}
-        return self._show_orders(request)
-
-    def _show_orders(self, _request: Request) -> Answer:
-        state = {kind: order["value"] for kind, order in self._orders.items()}
-        return Answer({"fencing_number": self._fencing_number, "state": state})
-
     def _health(self, _request: Request) -> Answer:
-        return Answer({"status": "ok"})
+        return Answer({"status": "ok", "name": self._name})
 
     def _list_log(self, _request: Request) -> Answer:
-        return Answer({"executions": self._log})
+        return Answer({"executions": [item.json() for item in self._log]})
 
     def _count(self, _request: Request) -> Answer:
+        streams = [item.stream for item in self._log]
         return Answer(
             {
-                "executions": len(self._log),
-                "by_request_id": Counter(item["request_id"] for item in self._log),
-                "recomputed_tokens": sum(
-                    item["recomputed_tokens"] for item in self._log
+                "executions": len(streams),
+                "by_request_id": Counter(stream.stream_id for stream in streams),
+                "generated_tokens": sum(
+                    stream.position - stream.first for stream in streams
                 ),
+                "recomputed_tokens": sum(stream.recomputed for stream in streams),
             }
         )
 
 
+def _is_work(request: Request) -> bool:
+    return request.method == "POST" and request.path == COMPLETIONS
+
+
 def _unknown_stream(stream_id: str) -> Answer:
     return Answer({"error": f"no stream {stream_id}"}, status=404)
 
 
 def _usage(stream: Stream) -> dict[str, Any]:
     return {
-        "prompt_tokens": len(stream.prompt),
+        "prompt_tokens": stream.prompt.tokens,
         "completion_tokens": stream.position,
-        "total_tokens": len(stream.prompt) + stream.position,
+        "total_tokens": stream.prompt.tokens + stream.position,
         "recomputed_tokens": stream.recomputed,
         "prompt_tokens_details": {"cached_tokens": stream.cached},
     }
@@ -339,6 +352,7 @@
         step=timedelta(milliseconds=arguments.step_ms),
         step_per_stream=timedelta(milliseconds=arguments.step_per_stream_ms),
         prefill_per_token=timedelta(milliseconds=arguments.prefill_ms_per_token),
+        kv_per_token=timedelta(milliseconds=arguments.kv_ms_per_token),
         max_batch=arguments.max_batch,
         max_waiting=arguments.max_waiting,
     )
@@ -352,12 +366,14 @@
     add("--step-ms", type=float, default=10.0)
     add("--step-per-stream-ms", type=float, default=0.05)
     add("--prefill-ms-per-token", type=float, default=0.05)
+    add("--kv-ms-per-token", type=float, default=0.002)
     add("--max-batch", type=int, default=64)
     add("--max-waiting", type=int, default=256)
     add("--cache-tokens", type=int, default=65_536)
     add("--event-lag-ms", type=float, default=200.0)
     add("--event-loss", type=float, default=0.05)
     add("--load-lag-ms", type=float, default=500.0)
+    add("--reconnect-window-ms", type=float, default=10_000.0)
     add("--fencing", action="store_true")
     add("--seed", type=int, default=1)
     return parser.parse_args()
@@ -381,6 +397,7 @@
         cache,
         checks_fencing=arguments.fencing,
         load_lag=timedelta(milliseconds=arguments.load_lag_ms),
+        reconnect_window=timedelta(milliseconds=arguments.reconnect_window_ms),
     )
     listener = listen(arguments.address)
     engine.start()
--- a/standins/web.py
+++ b/standins/web.py
@@ -2,10 +2,10 @@
 
 import json
 import socket
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
-from typing import Any
+from typing import Any, ClassVar
 from urllib.parse import parse_qsl, unquote
 
 from sassafrasdale.clock import Clock, SystemClock
@@ -28,11 +28,24 @@
 
     clock: Clock = SystemClock()
     minimum_chunk_size = 1
+    _open: ClassVar[set["Connection"]] = set()
 
     def setup(self) -> None:
         """Note when the connection was opened."""
         super().setup()
         self.opened_at = self.clock.elapsed()
+        self._open.add(self)
+
+    def finish(self) -> None:
+        """Forget the connection."""
+        self._open.discard(self)
+        super().finish()
+
+    @classmethod
+    def cut_all(cls, kept: "Connection") -> None:
+        """Cut every open connection but ``kept``."""
+        for connection in cls._open - {kept}:
+            connection.cut()
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the connection in it."""
@@ -192,13 +205,29 @@
     start_response(f"{answer.status} -", headers)
     if answer.chunks is not None:
         return answer.chunks
-    match answer.body:
+    return [_encode(answer.body)]
+
+
+def _encode(body: Any) -> bytes:
+    match body:
         case None:
-            return [b""]
+            return b""
         case bytes():
-            return [answer.body]
+            return body
         case _:
-            return [json.dumps(answer.body).encode()]
+            return json.dumps(body).encode()
+
+
+def truncated(answer: Answer, connection: Connection) -> Answer:
+    """Return ``answer`` so that its connection closes half-way through the body."""
+    body = _encode(answer.body)
+
+    def half() -> Iterator[bytes]:
+        yield body[: len(body) // 2]
+        connection.cut()
+
+    length = ("Content-Length", str(len(body)))
+    return replace(answer, headers=(*answer.headers, length), chunks=half())
 
 
 def serve(listener: socket.socket, application: Application) -> None:
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -1,8 +1,9 @@
 """Tests of the choice of an endpoint."""
 
+from datetime import timedelta
 from random import Random
 
-from sassafrasdale.decisions.routing import choose
+from sassafrasdale.decisions.routing import choose, draw_candidates
 from sassafrasdale.decisions.structures import (
     EndpointView,
     RoutingPolicy,
@@ -32,9 +33,48 @@
     assert chosen.name == "a"
 
 
-def test_considers_cached_endpoints_beyond_the_sample():
-    views = [EndpointView(f"e{n}", "z1") for n in range(100)]
-    views.append(EndpointView("cached", "z1", cached_tokens=4000))
+def test_draws_a_sample_with_the_home_and_the_best_matches():
+    names = [f"e{n}" for n in range(100)]
+    matches = {"e10": 64, "e11": 640, "e12": 6400, "e13": 128}
     for seed in range(20):
-        request = RoutingRequest(prompt_tokens=4000)
-        assert choose(request, views, POLICY, Random(seed)).name == "cached"
+        drawn = draw_candidates(names, matches, "e50", POLICY, Random(seed))
+        assert {"e11", "e12", "e13", "e50"} <= set(drawn)
+        assert len(drawn) <= POLICY.sample_size + POLICY.best_matches + 1
+
+
+def test_draws_every_endpoint_of_a_small_service():
+    assert draw_candidates(["a", "b"], {}, "", POLICY, Random(1)) == ["a", "b"]
+
+
+def test_entries_with_the_same_report_do_not_herd():
+    """At each load report the time to the first token jumps on one replica.
+
+    All entries hear that it was idle and each sends it what it has, since none
+    sees what the others sent after the report was measured.
+    """
+    age = timedelta(seconds=2)
+    others = {"a": 0, "b": 6}
+    own = {"a": 0, "b": 0}
+    for seed in range(6):
+        views = [
+            EndpointView(name, "z1", "", own[name], 0, others[name], 0, age)
+            for name in others
+        ]
+        own[choose(RoutingRequest(), views, POLICY, Random(seed)).name] += 1
+    assert own["b"] >= 2
+
+
+def test_prefers_the_home_while_nothing_better_is_known():
+    views = [EndpointView(name, "z1") for name in "abc"]
+    request = RoutingRequest(prompt_tokens=4000, home="b")
+    for seed in range(10):
+        assert choose(request, views, POLICY, Random(seed)).name == "b"
+
+
+def test_avoids_a_slow_endpoint():
+    views = [
+        EndpointView("a", "z1", slowness=4.0, in_flight=1),
+        EndpointView("b", "z1", in_flight=3),
+    ]
+    chosen = choose(RoutingRequest(prompt_tokens=800), views, POLICY, Random(1))
+    assert chosen.name == "b"
--- /dev/null
+++ b/tests/guarantees/test_stops.py
@@ -0,0 +1,235 @@
+"""Planned stops and announced reclaims of entries cut nothing."""
+
+import itertools
+import time
+
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from standins.callers import (
+    MODEL,
+    Balancer,
+    Crowd,
+    call,
+    start_fleet,
+)
+from standins.fleet import Fleet
+from standins.generation import reference_text
+from standins.processes import EntryProcess
+
+NOTICE_SECONDS = 5.0
+STREAMS = 12
+SHORT_DRAIN = "3s"
+FROZEN_SECONDS = 3.5
+HALF_WAY_SECONDS = 2.0
+
+
+def test_a_rolling_stop_under_load_fails_no_request():
+    """A caller gets an error, or half a stream, on the day of an update.
+
+    Each entry in turn is stopped by SIGTERM and started again while callers
+    look up records, ask for whole answers and read streams. Only an entry that
+    is ready is asked, and a call is repeated only if its connection was refused.
+    """
+    with start_fleet(step_ms=20) as fleet, Crowd(Balancer(fleet.entries)) as crowd:
+        stop = time.monotonic() + 60
+        state = {"running": True}
+        lookups = [crowd.submit(_look_up, crowd, state, n) for n in range(4)]
+        wholes = [crowd.submit(_ask_whole, crowd, state, n) for n in range(4)]
+        for number, entry in enumerate(list(fleet.entries)):
+            crowd.stream(STREAMS, tokens=100, prefix=f"turn-{number}")
+            crowd.wait_until_running()
+            assert entry.terminate() == 0
+            crowd.balancer.entries.remove(entry)
+            again = fleet.add_entry(f"{entry.name}-again", entry.zone)
+            again.wait_until_ready()
+            crowd.balancer.entries.append(again)
+        state["running"] = False
+        assert time.monotonic() < stop
+        assert [future.result() for future in lookups + wholes] == [[]] * 8
+        assert crowd.faults() == []
+        assert [s.errors for s in crowd.streams if s.errors or s.broken] == []
+
+
+def _look_up(crowd: Crowd, state: dict, caller: int) -> list[str]:
+    """Look records up for as long as the test runs; return what failed."""
+    failed = []
+    for number in itertools.count():
+        path = f"/v1/services/records/lookups/{caller}-{number}"
+        answer = _call_ready(crowd, "GET", path)
+        if answer != 200:
+            failed.append(f"{path}: {answer}")
+        if not state["running"]:
+            break
+        time.sleep(0.005)
+    return failed
+
+
+def _ask_whole(crowd: Crowd, state: dict, caller: int) -> list[str]:
+    failed = []
+    for number in itertools.count():
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": f"whole {caller} {number}"}],
+            "max_tokens": 30,
+        }
+        answer = _call_ready(crowd, "POST", "/v1/chat/completions", body)
+        if answer != 200:
+            failed.append(f"{caller} {number}: {answer}")
+        if not state["running"]:
+            break
+    return failed
+
+
+def _call_ready(crowd: Crowd, method: str, path: str, body=None) -> int | str:
+    while True:
+        entry = crowd.balancer.pick()
+        if entry is None:
+            return "no entry is ready"
+        try:
+            return call(entry, method, path, body).status
+        except NewConnectionError:
+            continue
+        except HTTPError as error:
+            return f"{entry.name}: {error!r}"
+
+
+def test_a_reclaimed_entry_hands_its_streams_over():
+    """A caller's stream ends in the middle when its entry is reclaimed.
+
+    The entry gets 5 s of notice, its streams need 9 s. It hands each one to an
+    entry in another zone; the caller is told to resume and gets the rest there.
+    """
+    with start_fleet(step_ms=60) as fleet:
+        leaving = fleet.entries[0]
+        crowd = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.reclaim(leaving.name, NOTICE_SECONDS)
+        assert _finish(crowd) == []
+        assert len(fleet.executions(MODEL)) == STREAMS
+
+
+def _ask_all_of(
+    fleet: Fleet, entry: EntryProcess, tokens: int, count: int = STREAMS
+) -> Crowd:
+    """Start streams that one entry holds; other entries are for resuming."""
+    crowd = Crowd(Balancer([entry]))
+    crowd.stream(count, tokens)
+    crowd.wait_until_running()
+    crowd.balancer.entries = list(fleet.entries)
+    return crowd
+
+
+def _finish(crowd: Crowd, *, may_restart: bool = False) -> list[str]:
+    with crowd:
+        return crowd.faults(may_restart=may_restart)
+
+
+def test_a_notice_that_comes_twice_hands_over_once():
+    """As above, but the platform sends each notice three times.
+
+    The second notice must not end the stop that the first began, nor hand the
+    requests over a second time.
+    """
+    with start_fleet(step_ms=60) as fleet:
+        leaving = fleet.entries[0]
+        crowd = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.reclaim(leaving.name, NOTICE_SECONDS, times=3)
+        assert _finish(crowd) == []
+        assert len(fleet.executions(MODEL)) == STREAMS
+        assert [s.moved for s in crowd.streams] == [1] * STREAMS
+
+
+def test_whole_answers_are_handed_over():
+    """A caller that waits for a whole answer gets a broken connection.
+
+    The entry gets 3 s to stop, the answer needs 6 s. The entry hands the request
+    over and answers 303; the caller fetches the answer from any other entry.
+    """
+    with start_fleet(step_ms=40, entry_options={"drain_timeout": SHORT_DRAIN}) as fleet:
+        leaving = fleet.entries[0]
+        with Crowd(Balancer(fleet.entries[1:])) as crowd:
+            asked = [
+                crowd.submit(_ask_and_follow, crowd.balancer, leaving, n)
+                for n in range(STREAMS)
+            ]
+            time.sleep(1)
+            assert leaving.terminate() == 0
+            texts = [future.result() for future in asked]
+        assert texts == [_whole_reference(n) for n in range(STREAMS)]
+        assert len(fleet.executions(MODEL)) == STREAMS
+
+
+WHOLE_TOKENS = 150
+
+
+def _whole_body(number: int) -> dict:
+    return {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": f"whole {number}"}],
+        "max_tokens": WHOLE_TOKENS,
+    }
+
+
+def _whole_reference(number: int) -> str:
+    return reference_text(MODEL, _whole_body(number)["messages"], WHOLE_TOKENS)
+
+
+def _ask_and_follow(balancer: Balancer, entry: EntryProcess, number: int) -> str:
+    answer = call(entry, "POST", "/v1/chat/completions", _whole_body(number))
+    if answer.status == 303:
+        answer = call(balancer.pick(), "GET", answer.headers["Location"])
+    if answer.status != 200:
+        return f"{answer.status} {answer.data!r}"
+    return answer.json()["choices"][0]["message"]["content"]
+
+
+def test_a_receiver_that_dies_during_the_hand_over():
+    """A caller's stream is lost between two entries.
+
+    An entry is reclaimed. While it hands its streams over, one of the two entries
+    that could take them is killed, with some of them already acknowledged and
+    their callers on their way. What it had not acknowledged goes to the other;
+    of what it had, callers are told the truth.
+    """
+    with start_fleet(step_ms=60, entries=4) as fleet:
+        leaving, receiver = fleet.entries[0], fleet.entries[1]
+        crowd = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.platform.give_notice(leaving.name, NOTICE_SECONDS)
+        receiver.freeze()
+        time.sleep(FROZEN_SECONDS)
+        receiver.kill()
+        assert _finish(crowd) == []
+
+
+def test_a_leaving_entry_that_dies_half_way():
+    """A caller's stream is lost when its entry dies before its time is up.
+
+    The entry is killed in the middle of its notice. What a peer had acknowledged
+    goes on there. For the rest a caller that asks for its request is told 404
+    with the outcome unknown, asks again under the same id, and gets the whole.
+    """
+    with start_fleet(step_ms=60) as fleet:
+        leaving = fleet.entries[0]
+        crowd = _ask_all_of(fleet, leaving, tokens=150)
+        fleet.platform.give_notice(leaving.name, NOTICE_SECONDS)
+        time.sleep(HALF_WAY_SECONDS)
+        leaving.kill()
+        assert _finish(crowd, may_restart=True) == []
+        told = [each for s in crowd.streams for each in s.told if "404" in each]
+        assert set(told) <= {"404 unknown"}
+
+
+def test_an_entry_that_is_killed_with_no_notice():
+    """A caller's stream breaks when its entry is killed.
+
+    Nobody else knows the request. The caller's connection breaks without the end
+    of the answer, a resumption is told 404 with the outcome unknown, never "not
+    run"; asked again under the same id, it runs from the start and is whole.
+    """
+    with start_fleet(step_ms=30) as fleet:
+        killed = fleet.entries[0]
+        crowd = _ask_all_of(fleet, killed, tokens=60)
+        killed.kill()
+        assert _finish(crowd, may_restart=True) == []
+        assert [s.broken for s in crowd.streams] == [1] * STREAMS
+        assert [s.restarted for s in crowd.streams] == [1] * STREAMS
+        assert {each for s in crowd.streams for each in s.told} == {"404 unknown"}
--- a/tests/text/test_parser.py
+++ b/tests/text/test_parser.py
@@ -1,12 +1,15 @@
 """Tests of reading and checking the operators' text."""
 
+import time
 from datetime import timedelta
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sassafrasdale.text.exceptions import FaultError, TextError
-from sassafrasdale.text.parser import parse_text
+from sassafrasdale.text.parser import MAX_FAULTS, parse_text
 from sassafrasdale.text.structures import ServiceKind
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
@@ -17,7 +20,7 @@
         "deployment: authority",
         "deployment: authority: twice",
         "",
-        "is not YAML: mapping values are not allowed here",
+        "is not YAML: mapping values are not allowed",
     ),
     "unknown field": (
         "    timeout: 60s",
@@ -160,6 +163,30 @@
         "services.records.rules[1].path",
         "does not match",
     ),
+    "path with other wildcards": (
+        "path: /certificates",
+        "path: '/certificates?'",
+        "services.records.rules[1].path",
+        "does not match",
+    ),
+    "method in lower case": (
+        "{method: POST,",
+        "{method: post,",
+        "services.records.rules[1].method",
+        "'POST'",
+    ),
+    "rule behind a wider one": (
+        "{method: GET, path: /*, idempotent: true}",
+        "{method: '*', path: /*, idempotent: true}",
+        "services.records.rules[1]",
+        "is never reached, as rules[0] comes first",
+    ),
+    "no weight at all": (
+        "{latency_cost: 3, recomputed_tokens: 0}",
+        "{latency_cost: 0, recomputed_tokens: 0}",
+        "services.records.weights",
+        "must be above 0",
+    ),
     "alias": (
         "deployment: authority",
         "deployment: &name authority",
@@ -176,7 +203,7 @@
         "instance_classes:",
         "---\ninstance_classes:",
         "",
-        "single document",
+        "more than one document",
     ),
     "key that is a mapping": (
         "deployment: authority",
@@ -305,8 +332,12 @@
         ("- a\n- b\n", "must be a mapping"),
         ("a: " + "x" * 2000, "longer than 1024 characters"),
         ("a: '" + "x\n" * 300_000, "longer than 524288 bytes"),
+        ("# " + "م" * 120_000, "bytes as it is stored, above 716800"),
         ("[" + "1," * 60_000 + "1]", "more than 50000 values"),
         ("a: \x00", "not YAML"),
+        ("a: \ud800", "not YAML"),
+        ("--- a\n...\n--- b\n", "more than one document"),
+        ("%YAML 9.9\n--- {}\n", "not YAML"),
         ("deployment: " + "9" * 1000, "valid string"),
     ],
 )
@@ -322,3 +353,115 @@
     assert not records.is_idempotent("POST", "/certificates")
     assert not records.is_idempotent("DELETE", "/batches/17")
     assert reports.is_idempotent("POST", "/v1/chat/completions")
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/lookups/../certificates",
+        "/lookups/./../certificates",
+        "//certificates",
+        "/lookups/%2e%2e/certificates",
+        "/lookups/..\\certificates",
+        "/lookups/..;/certificates",
+        "/lookups/\n../certificates",
+    ],
+)
+def test_path_in_disguise_is_not_taken_for_a_lookup(path):
+    """Call the issue of certificates by a path that begins as a lookup.
+
+    One batch would get two certificates: the path matches the rule that lets
+    lookups be repeated, the call is repeated after a lost answer, and the endpoint
+    resolves the path to the issue.
+    """
+    source = AUTHORITY.replace(
+        "{method: GET, path: /*,", "{method: '*', path: /lookups/*,"
+    )
+    records = parse_text(source).services["records"]
+
+    assert records.is_idempotent("POST", "/lookups/17")
+    assert records.is_idempotent("GET", "/batches/")
+    assert not records.is_idempotent("POST", path)
+    assert not records.is_idempotent("GET", path)
+
+
+LINES = AUTHORITY.splitlines()
+DAMAGE = st.tuples(
+    st.integers(0, len(LINES) - 1),
+    st.sampled_from(["drop", "twice", "indent", "null", "list"]),
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(DAMAGE, min_size=1, max_size=4))
+def test_damaged_text_is_read_or_gets_faults_with_lines(damages):
+    lines = list(LINES)
+    for number, kind in damages:
+        key, colon, _ = lines[number].partition(":")
+        match kind:
+            case "drop":
+                lines[number] = ""
+            case "twice":
+                lines[number] += f"\n{lines[number]}"
+            case "indent":
+                lines[number] = f"  {lines[number]}"
+            case "null":
+                lines[number] = f"{key}{colon}"
+            case "list":
+                lines[number] = f"{key}{colon} [1, {{}}]"
+    source = "\n".join(lines)
+    try:
+        faults = ()
+        parse_text(source)
+    except TextError as error:
+        faults = error.faults
+    assert all(1 <= fault.line <= source.count("\n") + 2 for fault in faults)
+
+
+def _services(depends_on: dict[str, list[str]]) -> str:
+    lines = [
+        f"  {name}:\n    depends_on: [{', '.join(others)}]"
+        for name, others in depends_on.items()
+    ]
+    return "services:\n" + "\n".join(lines) + "\n"
+
+
+NAMES = [f"service-{number}" for number in range(200)]
+COSTLY = {
+    "every service needs every other": _services(
+        {name: [other for other in NAMES if other != name][:150] for name in NAMES}
+    ),
+    "every reference is wrong": _services(
+        {name: [f"{name}-{number}" for number in range(100)] for name in NAMES}
+    ),
+    "every field is wrong": "\n".join(f"deploymen{n}: 1" for n in range(20_000)),
+}
+
+
+@pytest.mark.parametrize("kind", COSTLY)
+def test_text_with_very_many_faults_is_refused_in_little_time(kind):
+    """Check a text whose faults are costly to describe.
+
+    Callers would see the entry stand still for up to 50 s, because somebody's
+    generator wrote a broken text: each wrong name is compared with all known ones,
+    and each cycle of dependencies is searched for by itself.
+    """
+    begun = time.process_time()
+
+    faults = faults_of(COSTLY[kind])
+
+    assert time.process_time() - begun < 3
+    assert len(faults) <= MAX_FAULTS + 1
+    if len(faults) > MAX_FAULTS:
+        assert faults[-1].message.endswith("more faults are not listed")
+
+
+def test_cycles_that_share_no_service_are_all_told():
+    source = _services({"a": ["b"], "b": ["a"], "c": ["d"], "d": ["e"], "e": ["c"]})
+
+    cycles = [fault for fault in faults_of(source) if "itself" in fault.message]
+
+    assert [fault.field for fault in cycles] == [
+        "services.a.depends_on",
+        "services.c.depends_on",
+    ]
