--- a/bench/capacity/results.py
+++ b/bench/capacity/results.py
@@ -1,6 +1,7 @@
 """Tables and plots of the capacity measurements."""
 
 import json
+import os
 import platform
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -72,6 +73,8 @@
         "command": command,
         "measured_at": datetime.now(UTC).isoformat(timespec="seconds"),
         "python": platform.python_version(),
+        "cores": os.cpu_count(),
+        "load_average_1_5_15": os.getloadavg(),
         "tables": tables,
         "slopes": {
             key: {"intercept": line.intercept, "slope": line.slope}
