--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -8,7 +8,15 @@
 import sys
 from importlib import import_module
 
-MEASUREMENTS = ("peers", "endpoints", "texts", "claims", "serving")
+MEASUREMENTS = (
+    "peers",
+    "endpoints",
+    "texts",
+    "claims",
+    "serving",
+    "telemetry",
+    "memory",
+)
 
 
 def main(names: list[str]) -> int:
