Probe and tell a bounded set of neighbours

Each entry now probes 16 neighbours chosen by rendezvous hashing and one other member a round, dead ones too, so that parted regions find each other again. News goes to 4 of the neighbours. The list a joining entry gets is not passed on, and news rides along log2(n) times instead of three times that.

--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Coroutine, Iterable
+from contextlib import suppress
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -353,11 +354,16 @@
             self.take_in(reply.gossip, served=False)
             return False
         self._is_joining = False
-        # The whole list, which a joining entry gets, is news to itself alone.
-        hops = 0 if request.wants_members else None
-        self.take_in(reply.gossip, served=False, hops_left=hops)
+        if request.wants_members:
+            self._learn_members(reply.gossip)
+        self.take_in(reply.gossip, served=False)
         return True
 
+    def _learn_members(self, gossip: Gossip) -> None:
+        with suppress(ValueError):
+            members = [member_from_message(each) for each in gossip.updates]
+            self._membership.learn(members)
+
     async def _probe_through(self, helper: Member, target: Member) -> bool:
         request = IndirectProbeRequest(
             gossip=self.gossip(helper.name), target=member_to_message(target)
@@ -425,7 +431,7 @@
         reachable = self._membership.reachable
         if len(reachable) <= SPREAD_TO_ALL:
             return reachable
-        return self._rng.sample(reachable, FAN_OUT)
+        return self._rng.sample(self._membership.neighbours, FAN_OUT)
 
     async def _spread_to(self, receiver: Member, request: SpreadRequest) -> None:
         call = self._timings.call_timeout
--- a/src/sassafrasdale/peers/channels.py
+++ b/src/sassafrasdale/peers/channels.py
@@ -18,7 +18,7 @@
 Reply = TypeVar("Reply")
 Call = Callable[[PeersStub], Awaitable[Reply]]
 
-CHANNEL_LIMIT = 16
+CHANNEL_LIMIT = 20
 PING_PERIOD = 10.0  # seconds
 PING_TIMEOUT = 5.0  # seconds
 
--- a/src/sassafrasdale/peers/membership.py
+++ b/src/sassafrasdale/peers/membership.py
@@ -11,10 +11,11 @@
 from random import Random
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.peers.rendezvous import rendezvous
 from sassafrasdale.peers.structures import Member, MemberState, PeerTimings
 from sassafrasdale.structures import Instance, InstanceState, Role
 
-RETRANSMIT_FACTOR = 3
+NEIGHBOUR_COUNT = 16
 VERIFY_LIMIT = 512
 
 
@@ -41,6 +42,8 @@
         self._verify: dict[str, None] = {}
         self._transmits_left: dict[str, int] = {}
         self._version = 0
+        self._neighbours: list[Member] = []
+        self._neighbours_version = -1
 
     @property
     def version(self) -> int:
@@ -66,6 +69,22 @@
             if each.state is not MemberState.DEAD
         ]
 
+    @property
+    def neighbours(self) -> list[Member]:
+        """Members that this entry probes and tells of news, a bounded number.
+
+        Each entry has its own choice by rendezvous hashing, which together make a
+        random graph: every member is probed by about as many others as it
+        probes, of all availability zones, and the choice moves little when
+        members come and go. So connections last; probing anybody at random would
+        cost a handshake a probe in a large fleet.
+        """
+        if self._neighbours_version != self._version:
+            ordered = rendezvous(self._me.name, self.reachable)
+            self._neighbours = ordered[:NEIGHBOUR_COUNT]
+            self._neighbours_version = self._version
+        return self._neighbours
+
     def get(self, name: str) -> Member | None:
         """Return the member ``name``, or None if there is none."""
         return self._members.get(name)
@@ -101,6 +120,12 @@
         self._store(update)
         return True
 
+    def learn(self, members: Iterable[Member]) -> None:
+        """Take in the list that a joining entry gets; others know it already."""
+        for member in members:
+            if self.apply(member, served=False):
+                self._transmits_left.pop(member.name, None)
+
     def heard(self, sender: Member, revision: int, *, served: bool) -> bool:
         """Take in what a sender says about itself and return if it was news."""
         news = self.apply(sender, served=served)
@@ -153,9 +178,8 @@
     def next_targets(self, limit: int) -> list[Member]:
         """Return whom to probe in this period.
 
-        One member of a random round, and besides up to ``limit`` of those that
-        are to be verified: new ones, and those that send but are believed not to
-        answer.
+        One member of a round, and besides up to ``limit`` of those that are to be
+        verified: new ones, and those that send but are believed not to answer.
         """
         targets = {}
         while self._verify and len(targets) < limit:
@@ -171,10 +195,10 @@
         return list(targets.values())
 
     def helpers(self, target: Member, count: int) -> list[Member]:
-        """Return up to ``count`` random usable members besides ``target``."""
+        """Return up to ``count`` random usable neighbours besides ``target``."""
         usable = [
             each
-            for each in self._members.values()
+            for each in self.neighbours
             if each.is_usable and each.name != target.name
         ]
         return self._rng.sample(usable, min(count, len(usable)))
@@ -219,9 +243,8 @@
         self._changed_at[member.name] = self._clock.elapsed()
         self._version += 1
         size = len(self._members) + 1
-        self._transmits_left[member.name] = RETRANSMIT_FACTOR * math.ceil(
-            math.log2(size + 1)
-        )
+        # Besides being spread at once, so that few that missed it remain.
+        self._transmits_left[member.name] = math.ceil(math.log2(size + 1))
 
     def _spend(self, name: str, left: int) -> None:
         if left <= 1 or name not in self._members:
@@ -281,6 +304,18 @@
                 member = self._members.get(self._round.pop())
                 if member is not None:
                     return member
-            self._round = list(self._members)
-            self._rng.shuffle(self._round)
+            self._round = self._new_round()
         return None
+
+    def _new_round(self) -> list[str]:
+        """Return every neighbour and one other member, in random order.
+
+        The other one may be dead. When regions that lost each other can talk
+        again, each believes the other's members dead, and these probes alone find
+        that they live.
+        """
+        names = {each.name for each in self.neighbours}
+        others = [name for name in self._members if name not in names]
+        chosen = [*names, *self._rng.sample(others, min(1, len(others)))]
+        self._rng.shuffle(chosen)
+        return chosen
