--- a/tests/peers/test_failures.py
+++ b/tests/peers/test_failures.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from datetime import timedelta
+from functools import partial
 
 import pytest
 
@@ -70,3 +71,25 @@
         assert "ALIVE" not in later
     victim.tell(mute=False)
     wait_for(lambda: all_see(others, victim.name, "ALIVE"))
+
+
+def test_parted_groups_find_each_other_again(processes):
+    """Two regions lose each other for a while; then one would stay split.
+
+    Each side declares the other dead and goes on. When the network is whole
+    again, nobody has a reason to send to members believed dead, except the probe
+    of one other member in each round. That one carries the belief, and the
+    answer refutes it.
+    """
+    west, east = processes[:2], processes[2:]
+    for side, other in ((west, east), (east, west)):
+        for each in side:
+            each.tell(cut=[peer.peer_address for peer in other])
+    for side, other in ((west, east), (east, west)):
+        for lost in other:
+            wait_for(partial(all_see, side, lost.name, "DEAD"), DETECTION)
+    for each in processes:
+        each.tell(cut=[])
+    for each in processes:
+        others = [other for other in processes if other is not each]
+        wait_for(partial(all_see, others, each.name, "ALIVE"))
