--- a/bench/capacity/endpoints.py
+++ b/bench/capacity/endpoints.py
@@ -64,7 +64,7 @@
 def _measure_size(size: int) -> Row:
     with PlatformProcess() as platform, EngineProcess("engine-0", ZONES[0]) as engine:
         for number in range(size):
-            platform.control("POST", "instances", _listed(number, engine.address))
+            platform.control("POST", "instances", listed(number, engine.address))
         row: Row = {"endpoints": size}
         row |= _entry_row(platform, size)
         row |= _reports_row(engine, size)
@@ -81,7 +81,7 @@
         entry.wait_until_live()
         put_text(entry, make_text(1, replicas=size))
         entry.wait_until_ready()
-        _wait_for_endpoints(entry, size)
+        wait_for_endpoints(entry, size)
         time.sleep(SETTLE_SECONDS)
         lists = platform.counts()["cloud"].get("instances", 0)
         cpu, start = cpu_of(entry.pid), time.monotonic()
@@ -107,7 +107,8 @@
         raise RuntimeError(f"the text was not accepted: {answer.data!r}")
 
 
-def _listed(number: int, address: str) -> dict:
+def listed(number: int, address: str) -> dict:
+    """Return an engine as the platform's list takes it."""
     return {
         "name": f"engine-{number}",
         "role": "endpoint",
@@ -118,7 +119,8 @@
     }
 
 
-def _wait_for_endpoints(entry: EntryProcess, size: int) -> None:
+def wait_for_endpoints(entry: EntryProcess, size: int) -> None:
+    """Wait until the entry lists ``size`` endpoints."""
     until = time.monotonic() + 60
     while time.monotonic() < until:
         status = entry.client.call("GET", "/admin/v1/status").json()
