Let only reads probe a store that is out

Cause: while the store was silent, a caller's claim was let through as the breaker's probe every two seconds and held for the whole second. Change: writes are refused at once while the store is out; the text, which is read all the time, probes it. The register's pause is passed in, so that the model check of texts can pass time by itself.

--- a/src/sassafrasdale/platform/breaker.py
+++ b/src/sassafrasdale/platform/breaker.py
@@ -46,15 +46,17 @@
             return FIRST_PAUSE
         return max(FIRST_PAUSE, self._open_until - self._clock.elapsed())
 
-    def refusal(self) -> timedelta | None:
+    def refusal(self, *, may_probe: bool = True) -> timedelta | None:
         """Return when to come back, or None if the call may go ahead.
 
+        :param may_probe: whether the call may be the probe of an open breaker.
+
         A call let through by an open breaker is the probe; the next one is only
         let through after another pause, or once the probe has succeeded.
         """
         if self._open_until is None:
             return None
-        if self._clock.elapsed() < self._open_until:
+        if not may_probe or self._clock.elapsed() < self._open_until:
             return self.pause
         self._open_until = self._clock.elapsed() + self._jittered_pause()
         return None
--- a/src/sassafrasdale/platform/stores.py
+++ b/src/sassafrasdale/platform/stores.py
@@ -234,7 +234,7 @@
         request = {
             "create_request": {"key": _encode(key), "start_revision": str(after + 1)}
         }
-        self._refuse_if_out()
+        self._refuse_if_out(may_probe=True)
         try:
             with timeout(limit):
                 return self._first_event(request, limit)
@@ -275,12 +275,20 @@
         call is made on a new connection.
         """
         try:
-            return self._call(path, question)
+            return self._call(path, question, may_probe=True)
         except StoreAnswerLost:
-            return self._call(path, question)
+            return self._call(path, question, may_probe=True)
 
-    def _call(self, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
-        self._refuse_if_out()
+    def _call(
+        self, path: str, body: Mapping[str, Any], *, may_probe: bool = False
+    ) -> dict[str, Any]:
+        """Call ``path`` and return its answer.
+
+        While the store is out only reads probe it. Callers wait behind a write:
+        as the probe of a silent store it would hold one for the whole timeout
+        each time, and leave a write in doubt. The text is read all the time.
+        """
+        self._refuse_if_out(may_probe=may_probe)
         pool = self._pool
         try:
             with timeout(self._call_timeout):
@@ -330,8 +338,8 @@
             raise LeaseNotFound(fault)
         raise StoreRejected(f"status {response.status}: {fault}")
 
-    def _refuse_if_out(self) -> None:
-        pause = self._breaker.refusal()
+    def _refuse_if_out(self, *, may_probe: bool) -> None:
+        pause = self._breaker.refusal(may_probe=may_probe)
         if pause is not None:
             raise StoreNotReached("the store is out", retry_after=pause)
 
--- a/src/sassafrasdale/platform/texts.py
+++ b/src/sassafrasdale/platform/texts.py
@@ -1,6 +1,7 @@
 """The operators' text as the store keeps it: read, edit, watch."""
 
 import json
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from datetime import datetime, timedelta
 from random import Random
@@ -73,11 +74,18 @@
 
     :param store: the platform's store.
     :param clock: source of the time of acceptance.
+    :param pause: waits between two tries of a write.
     """
 
-    def __init__(self, store: BaseStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: BaseStore,
+        clock: Clock,
+        pause: Callable[[timedelta], None] = sleep,
+    ) -> None:
         self._store = store
         self._clock = clock
+        self._pause = pause
 
     @property
     def store(self) -> BaseStore:
@@ -154,7 +162,7 @@
                 last = error
             if self._clock.elapsed() >= until:
                 break
-            sleep(WRITE_PAUSE)
+            self._pause(WRITE_PAUSE)
         raise _outcome_unknown(last) from last
 
     def _swap(self, record: TextRecord, mod_revision: int) -> Swap:
--- a/tests/platform/test_texts_model.py
+++ b/tests/platform/test_texts_model.py
@@ -5,6 +5,7 @@
 are lost, writes land late, editors give up, and entries watch.
 """
 
+from datetime import timedelta
 from uuid import uuid4
 
 from hypothesis import settings
@@ -20,6 +21,7 @@
 )
 from sassafrasdale.platform.texts import (
     TEXT_KEY,
+    WRITE_LIMIT,
     TextRecord,
     TextRegister,
     TextWatcher,
@@ -63,7 +65,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.store = SteppedStore(ManualClock())
-        self.register = TextRegister(self.store, self.store.clock)
+        self.register = TextRegister(self.store, self.store.clock, self._pass_time)
         self.edits: list[Edit] = []
         self.live: list[Edit] = []
         self.seen: dict[int, TextRecord] = {}
@@ -166,6 +168,10 @@
     def _forget_done(self) -> None:
         self.live = [item for item in self.live if not item.program.done]
 
+    def _pass_time(self, _pause: timedelta) -> None:
+        """Pass so much time that both ends of an editor's patience are met."""
+        self.store.clock.advance(WRITE_LIMIT / 3)
+
     def _revision(self) -> int:
         return max(self.seen, default=0)
 
