Pass tokens on as they come

The measurement showed a pause of 1.44 s in every stream, also with no reclaim, with 60 ms between tokens: eventlet's server gathers what a body yields until it has 4 KiB, 24 tokens. With it, a caller that had got five events counted as having been given all, and its answer was dropped with a stopped entry (404 unknown).

Before: 40 tokens at 50 ms came in 2 parts; the answer that nobody had read was lost.

--- a/src/sassafrasdale/callers/server.py
+++ b/src/sassafrasdale/callers/server.py
@@ -179,6 +179,11 @@
         byte restarts the socket's time-out, but not these.
         """
 
+        # The server would gather a stream's events until they have 4 KiB: a
+        # caller would wait for two dozen tokens to see the first. What comes
+        # together is joined before it gets here.
+        minimum_chunk_size = 1
+
         def get_environ(self) -> dict:
             """Return the WSGI environment, with this connection in it."""
             return {**super().get_environ(), CONNECTION: self}
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -250,6 +250,7 @@
 
     :param balancer: gives an entry for each connection.
     :param limit: seconds after which it gives up.
+    :param resume: whether the request was accepted before.
     """
 
     def __init__(
@@ -258,12 +259,14 @@
         stream: Stream,
         habit: Habit | None = None,
         limit: float = CALL_LIMIT,
+        *,
+        resume: bool = False,
     ) -> None:
         self._balancer = balancer
         self.stream = stream
         self._habit = habit or Habit()
         self._until = time.monotonic() + limit
-        self._accepted = False
+        self._accepted = resume
 
     def run(self) -> Stream:
         """Read to the end; what went wrong is in the stream."""
@@ -273,11 +276,11 @@
                 time.sleep(PAUSE)
                 continue
             self.stream.entry = entry.name
-            if not self._connect(entry):
+            if not self.connect(entry):
                 break
         return self.stream
 
-    def _connect(self, entry: EntryProcess) -> bool:
+    def connect(self, entry: EntryProcess) -> bool:
         """Ask once; return whether to go on asking."""
         stream = self.stream
         try:
--- /dev/null
+++ b/tests/callers/test_relays.py
@@ -0,0 +1,75 @@
+"""Fetches that are passed on to the entry that holds the request."""
+
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+
+from sassafrasdale.callers.messages import HttpRequest
+from sassafrasdale.callers.relays import Relay
+from sassafrasdale.green import spawn
+from sassafrasdale.structures import Address
+
+FETCH = HttpRequest("GET", "/v1/requests/r", "/v1/requests/r", {}, {}, b"")
+HALF_AN_EVENT = b"id: 2\ndata: {"
+
+
+class Holder(BaseHTTPRequestHandler):
+    """A holder that sends an event and a half, and then nothing."""
+
+    protocol_version = "HTTP/1.1"
+    held = threading.Event()
+
+    def do_GET(self) -> None:  # noqa: N802
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for part in (b"id: 1\ndata: x\n\n", HALF_AN_EVENT):
+            self.wfile.write(b"%x\r\n%b\r\n" % (len(part), part))
+        self.wfile.flush()
+        self.held.wait(10)
+
+    def log_message(self, *arguments: object) -> None:
+        return
+
+
+@pytest.fixture
+def holder():
+    Holder.held.clear()
+    server = ThreadingHTTPServer(("127.0.0.1", 0), Holder)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield Address(*server.server_address)
+    Holder.held.set()
+    server.shutdown()
+    server.server_close()
+
+
+def test_a_search_that_falls_into_a_hand_over_is_repeated(holder):
+    """A caller is told 404 although its request is held all the time.
+
+    The receiver is asked just before it takes the request, the giver just after
+    it dropped it.
+    """
+    found = [None, holder]
+    answer = Relay(lambda request_id: found.pop(0))(FETCH, "r")
+    assert answer.status == 200
+    answer.body.close()
+
+
+def test_a_request_that_nobody_holds_is_not_found():
+    assert Relay(lambda request_id: None)(FETCH, "r") is None
+
+
+def test_a_relayed_stream_ends_after_a_whole_event(holder):
+    """A caller takes half an event for a whole one when the relaying entry stops.
+
+    The entry ends what it relays with an event of its own, in the middle of one
+    of the holder's.
+    """
+    relay = Relay(lambda request_id: holder)
+    parts = relay(FETCH, "r").body
+    assert next(parts) == b"id: 1\ndata: x\n\n"
+    spawn(relay.release)
+    rest = b"".join(parts)
+    assert rest.startswith(b"event: moved\n")
+    assert HALF_AN_EVENT not in rest
--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -9,6 +9,9 @@
     MODEL,
     Balancer,
     Crowd,
+    Habit,
+    Stream,
+    StreamCaller,
     call,
     start_fleet,
 )
@@ -233,3 +236,22 @@
         assert [s.broken for s in crowd.streams] == [1] * STREAMS
         assert [s.restarted for s in crowd.streams] == [1] * STREAMS
         assert {each for s in crowd.streams for each in s.told} == {"404 unknown"}
+
+
+def test_an_answer_that_nobody_has_read_is_handed_over():
+    """A caller that was away for a moment finds its answer gone.
+
+    Its connection breaks after a few events, the entry receives the rest from the
+    engine, and is stopped before the caller is back.
+    """
+    with start_fleet(step_ms=20) as fleet:
+        stopped = fleet.entries[0]
+        stream = Stream("away", "tell me", max_tokens=40)
+        caller = StreamCaller(Balancer([stopped]), stream, Habit(drop_every=5))
+        assert caller.connect(stopped)
+        while fleet.executions(MODEL)[0]["state"] != "stop":
+            time.sleep(0.05)
+        assert stopped.terminate() == 0
+        StreamCaller(Balancer(fleet.entries[1:]), stream, resume=True).run()
+        assert stream.faults() == []
+        assert stream.restarted == 0
--- a/tests/guarantees/test_streams.py
+++ b/tests/guarantees/test_streams.py
@@ -3,6 +3,7 @@
 import time
 
 from standins.callers import (
+    CUSTOMER,
     MODEL,
     Balancer,
     Crowd,
@@ -15,6 +16,7 @@
 
 CALLERS = 100
 MIN_TOKENS = 5
+TOKENS_ONE_BY_ONE = 40
 
 
 def test_a_hundred_callers_resume_while_machines_go():
@@ -89,3 +91,19 @@
         entry, "POST", "/v1/chat/completions", _body(True), X_Timeout_Ms="6000"
     )
     return answer.status, answer.data.decode()
+
+
+def test_tokens_are_passed_on_as_they_come():
+    """A caller waits more than a second for the first word, then gets a paragraph.
+
+    The server gathers what a stream brings until it has a few kilobytes.
+    """
+    with start_fleet(step_ms=50, entries=1) as fleet:
+        body = {**_body(True), "max_tokens": TOKENS_ONE_BY_ONE}
+        response = fleet.entries[0].client.stream(
+            "POST", "/v1/chat/completions", body, {"X-Customer": CUSTOMER}
+        )
+        parts = 0
+        while response.read1(65_536):
+            parts += 1
+    assert parts > TOKENS_ONE_BY_ONE / 4
