Show that a caller reaches its stream while the entry stops

With the listener closed as soon as the stop begins (guard removed in a scratch copy): 404 unknown, and the request asked anew, 1 failed. With the guard: passed.

--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -24,6 +24,7 @@
 SHORT_DRAIN = "3s"
 FROZEN_SECONDS = 3.5
 HALF_WAY_SECONDS = 2.0
+AWAY_SECONDS = 2.0
 
 
 def test_a_rolling_stop_under_load_fails_no_request():
@@ -255,3 +256,22 @@
         StreamCaller(Balancer(fleet.entries[1:]), stream, resume=True).run()
         assert stream.faults() == []
         assert stream.restarted == 0
+
+
+def test_a_caller_comes_back_while_its_entry_leaves():
+    """A caller whose connection broke is told that nobody holds its request.
+
+    Its entry is being stopped and still reads the stream, which fits the time.
+    The caller comes back through another entry, which must reach the holder.
+    """
+    with start_fleet(step_ms=40) as fleet, Crowd(Balancer(fleet.entries)) as crowd:
+        stopped = fleet.entries[0]
+        stream = Stream("back", "tell me", max_tokens=120)
+        caller = StreamCaller(Balancer([stopped]), stream, Habit(drop_every=5))
+        assert caller.connect(stopped)
+        stopping = crowd.submit(stopped.terminate)
+        time.sleep(AWAY_SECONDS)
+        StreamCaller(Balancer(fleet.entries[1:]), stream, resume=True).run()
+        assert stream.faults() == []
+        assert (stream.restarted, stream.told) == (0, [])
+        assert stopping.result() == 0
