Pass an engine's complaint back, and keep its own fields from callers

An engine's 400 was taken for a lost answer: the request went round the engines and its caller was told 504. Fields that this system doesn't know go on to the engine, among them kv_transfer_params, by which a caller could have an engine fetch from any address.

--- a/src/sassafrasdale/callers/generations.py
+++ b/src/sassafrasdale/callers/generations.py
@@ -12,9 +12,7 @@
 from sassafrasdale.requests.generation import Generation
 from sassafrasdale.requests.structures import (
     Answered,
-    NotRun,
     OutcomeName,
-    Unknown,
 )
 
 EVENT_STREAM = "text/event-stream"
@@ -33,8 +31,7 @@
     if not generation.call.streamed:
         return _whole(generation).with_headers(request_id)
     events = _first_events(generation, after)
-    failed = isinstance(generation.outcome, NotRun | Unknown)
-    if failed and not events and after == 0:
+    if generation.outcome is not None and not events and after == 0:
         return outcome_answer(generation.outcome).with_headers(request_id)
     headers = (
         ("Content-Type", EVENT_STREAM),
--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -26,6 +26,7 @@
     AnswerLost,
     NotSent,
     Refused,
+    Rejected,
     StreamUnknown,
 )
 from sassafrasdale.endpoints.pools import PoolKeeper
@@ -35,6 +36,8 @@
 CONNECT_LIMIT = timedelta(seconds=1)
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Answers that say that the request itself is at fault, and would be elsewhere.
+CALLERS_FAULTS = frozenset({400, 401, 403, 413, 415, 422})
 REFUSED_HEADER = "X-Refused"
 REFUSED_VALUE = "not-started"
 
@@ -115,6 +118,7 @@
         :raises NotSent: the endpoint can't be reached.
         :raises Refused: the endpoint refused before anything ran.
         :raises StreamUnknown: the stream to resume is not known there.
+        :raises Rejected: the request itself is at fault.
         :raises AnswerLost: sent, but no stream came.
         """
 
@@ -270,6 +274,8 @@
         answer = _whole_answer(response)
         if answer.status == 404:
             raise StreamUnknown("the engine does not know the stream")
+        if answer.status in CALLERS_FAULTS:
+            raise Rejected(answer.status, answer.headers, answer.body)
         raise AnswerLost(f"the engine answered {answer.status}")
 
     def ask(
--- a/src/sassafrasdale/endpoints/engines.py
+++ b/src/sassafrasdale/endpoints/engines.py
@@ -16,6 +16,9 @@
 DONE = b"data: [DONE]"
 EXPORT_LIMIT = timedelta(seconds=2)
 HEALTH_LIMIT = timedelta(seconds=1)
+# Fields that only this system sets. A caller's would make an engine fetch from an
+# address of the caller's choice, or answer as if tokens had gone before.
+OWN_FIELDS = frozenset({"continue_from", "continuation", "kv_transfer_params"})
 JSON_TYPE = ("Content-Type", "application/json")
 
 
@@ -122,7 +125,8 @@
             }
         case Recompute(tokens, text):
             extra = {"continue_from": tokens, "continuation": text}
-    document = json.dumps({**body, "stream": True, **extra}).encode()
+    allowed = {name: value for name, value in body.items() if name not in OWN_FIELDS}
+    document = json.dumps({**allowed, "stream": True, **extra}).encode()
     headers = (JSON_TYPE, ("X-Request-Id", stream_id))
     return EndpointRequest("POST", "/v1/chat/completions", headers, document)
 
--- a/src/sassafrasdale/endpoints/exceptions.py
+++ b/src/sassafrasdale/endpoints/exceptions.py
@@ -29,3 +29,20 @@
 
 class StreamUnknown(EndpointError):
     """The engine does not know the stream that was to be resumed."""
+
+
+class Rejected(EndpointError):
+    """The engine answered that the request itself is at fault.
+
+    :param status: HTTP status, 400 to 499.
+    :param headers: the answer's headers.
+    :param body: the answer's body.
+    """
+
+    def __init__(
+        self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
+    ) -> None:
+        super().__init__(f"the engine answered {status}")
+        self.status = status
+        self.headers = headers
+        self.body = body
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -36,6 +36,7 @@
     EndpointError,
     NotSent,
     Refused,
+    Rejected,
     StreamUnknown,
 )
 from sassafrasdale.green import Event, GreenThread, sleep, spawn
@@ -377,6 +378,10 @@
             except Refused as error:
                 refusal = error
                 self._go_on_elsewhere(endpoint, avoid)
+            except Rejected as error:
+                if self._events:
+                    raise
+                return Answered(error.status, error.headers, error.body)
             except NotSent:
                 self._observe(endpoint, ok=False)
                 self._go_on_elsewhere(endpoint, avoid)
--- a/tests/requests/test_generation.py
+++ b/tests/requests/test_generation.py
@@ -1,15 +1,18 @@
 """One generation against scripted engines."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
 
+from sassafrasdale.callers.generations import generation_answer
 from sassafrasdale.clock import ManualClock, SystemClock
 from sassafrasdale.endpoints.engines import DONE, FromCache
 from sassafrasdale.endpoints.exceptions import (
     AnswerLost,
     NotSent,
     Refused,
+    Rejected,
     StreamUnknown,
 )
 from sassafrasdale.green import sleep
@@ -201,3 +204,18 @@
     made = generation(Choices())
     made.release()
     assert made.handed_over
+
+
+@pytest.mark.parametrize("streamed", [True, False])
+def test_an_engines_complaint_is_passed_back(streamed):
+    """A caller with a prompt that is too long waits for a minute, then gets 504.
+
+    The engine answers 400. That was taken for a lost answer, and the request
+    went round all engines.
+    """
+    engine = FakeAdapter([Rejected(400, (), b'{"error": "too long"}')])
+    call = replace(model_call(), streamed=streamed)
+    made = generation(Choices(endpoint("one", engine)), call)
+    made.run()
+    answer = generation_answer(made)
+    assert (answer.status, answer.body) == (400, b'{"error": "too long"}')
