--- a/tests/requests/test_generation.py
+++ b/tests/requests/test_generation.py
@@ -219,3 +219,18 @@
     made.run()
     answer = generation_answer(made)
     assert (answer.status, answer.body) == (400, b'{"error": "too long"}')
+
+
+def test_an_unforeseen_error_ends_the_request_at_once():
+    """A caller waited 30 s for nothing.
+
+    A fault in the code that chooses engines ended the generation's task. Its
+    caller went on waiting until the deadline, and was then told "not run".
+    """
+
+    def choose(avoid: frozenset[str]) -> None:
+        raise ZeroDivisionError
+
+    failing = generation(choose)
+    failing.run()
+    assert isinstance(failing.outcome, Unknown)
