Take no answer for whole whose head was cut

An endpoint that dies while it sends its head leaves a status line and half a header; with no length named, that was taken for a whole, empty answer. Every cut is now tried on real sockets, on pooled and on fresh connections.

--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -161,17 +161,19 @@
     return max(limit.total_seconds(), 0.001)
 
 
-def _whole_answer(response: HTTPResponse) -> EndpointAnswer:
+def _whole_answer(response: HTTPResponse, method: str) -> EndpointAnswer:
     """Return the answer with its body, or raise if it is not known to be whole."""
     # A body that ends with the connection looks the same whether it is whole or
     # cut off by a crash, so without a length or chunks it is not taken as whole.
+    # That holds for an empty body too: the head may have been cut before its
+    # length.
     framed = response.chunked or "content-length" in response.headers
-    bodiless = response.status in (204, 304)
+    bodiless = response.status in (204, 304) or method == "HEAD"
     try:
         body = response.read()
     except _ENDED_BY as error:
         raise AnswerLost(f"the answer broke off: {error}") from error
-    if not framed and not bodiless and body:
+    if not framed and not bodiless:
         raise AnswerLost("the answer says neither its length nor its end")
     _raise_if_refused(response.status, response, body)
     headers = tuple(
@@ -234,7 +236,7 @@
             response = self._connection.getresponse()
         except _ENDED_BY as error:
             raise AnswerLost(f"no answer: {error}") from error
-        return _whole_answer(response)
+        return _whole_answer(response, request.method)
 
 
 class HttpAdapter(BaseAdapter):
@@ -257,7 +259,7 @@
         used = self._pools.current
         try:
             with timeout(limit):
-                answer = _whole_answer(self._open(request, limit))
+                answer = _whole_answer(self._open(request, limit), request.method)
         except Timeout as error:
             silent = self._pools.lose(used)
             raise AnswerLost(f"no answer within {limit}", silent=silent) from error
@@ -271,7 +273,7 @@
         used.answered = True
         if response.status == 200:
             return EventStream(response)
-        answer = _whole_answer(response)
+        answer = _whole_answer(response, request.method)
         if answer.status == 404:
             raise StreamUnknown("the engine does not know the stream")
         if answer.status in CALLERS_FAULTS:
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -397,6 +397,14 @@
         self.streams.extend(begun)
         return begun
 
+    def read_again(self, streams: Sequence[Stream]) -> None:
+        """Start a second reader of each stream, from its first event."""
+        for first in streams:
+            stream = Stream(first.request_id, first.prompt, first.max_tokens)
+            caller = StreamCaller(self.balancer, stream, resume=True)
+            self._futures.append(self._pool.submit(caller.run))
+            self.streams.append(stream)
+
     def submit(self, function: Callable[..., Any], *arguments: Any) -> Future:
         """Run ``function`` beside the callers."""
         return self._pool.submit(function, *arguments)
--- /dev/null
+++ b/tests/endpoints/test_adapters.py
@@ -0,0 +1,95 @@
+"""Answers of endpoints that are cut off, on real sockets."""
+
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.endpoints.adapters import EndpointRequest, EventStream, HttpAdapter
+from sassafrasdale.endpoints.exceptions import AnswerLost, NotSent, Refused
+from sassafrasdale.structures import Address
+
+ASK = EndpointRequest("GET", "/", (), b"")
+LIMIT = timedelta(seconds=5)
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+@contextmanager
+def endpoint(*answers: bytes) -> Iterator[Address]:
+    """Serve one connection an answer, each time, and close it after that."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        for answer in answers:
+            connection, _ = listener.accept()
+            connection.recv(65_536)
+            connection.sendall(answer)
+            connection.close()
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    yield Address(*listener.getsockname())
+    thread.join(5)
+    listener.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"Content-Length: 10\r\n\r\nhalf",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+        HEAD + b"\r\nhalf",
+        HEAD + b"Content-Le",
+        b"",
+    ],
+    ids=["length", "no last chunk", "half a chunk", "no length", "head", "nothing"],
+)
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_cut_answer_is_never_taken_for_whole(answer, fresh):
+    """A caller gets half a certificate.
+
+    The service dies while it answers. What has come looks like an answer unless
+    its length, or the end of its chunks, is waited for.
+    """
+    with endpoint(answer) as address:
+        adapter = HttpAdapter(address)
+        sender = adapter.connect() if fresh else adapter
+        with pytest.raises(AnswerLost):
+            sender.send(ASK, LIMIT)
+
+
+def test_events_of_a_cut_stream_are_whole():
+    """A caller gets half an event, which does not parse."""
+    body = b"14\r\ndata: 1\n\ndata: 2\n\nda\r\n"
+    with endpoint(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body) as address:
+        got = []
+        with pytest.raises(AnswerLost):
+            _read_into(got, HttpAdapter(address).stream(ASK, LIMIT))
+    assert got == [b"data: 1", b"data: 2"]
+
+
+def _read_into(got: list[bytes], stream: EventStream) -> None:
+    for events in stream:
+        got.extend(events)
+
+
+@pytest.mark.parametrize("status", [b"503 Busy", b"429 Busy"])
+def test_only_a_marked_refusal_means_that_nothing_ran(status):
+    head = b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n"
+    marked = head + b"X-Refused: not-started\r\nRetry-After: 3\r\n\r\n"
+    with endpoint(marked, head + b"\r\n") as address:
+        with pytest.raises(Refused) as caught:
+            HttpAdapter(address).send(ASK, LIMIT)
+        assert caught.value.retry_after == timedelta(seconds=3)
+        assert HttpAdapter(address).send(ASK, LIMIT).status == int(status[:3])
+
+
+def test_what_can_not_be_reached_was_not_sent():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = Address(*listener.getsockname())
+    with pytest.raises(NotSent):
+        HttpAdapter(address).send(ASK, LIMIT)
