--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -26,6 +26,7 @@
     AnswerLost,
     NotSent,
     Refused,
+    Rejected,
     StreamUnknown,
 )
 from sassafrasdale.endpoints.pools import PoolKeeper
@@ -35,6 +36,8 @@
 CONNECT_LIMIT = timedelta(seconds=1)
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Answers that say that the request itself is at fault, and would be elsewhere.
+CALLERS_FAULTS = frozenset({400, 401, 403, 413, 415, 422})
 REFUSED_HEADER = "X-Refused"
 REFUSED_VALUE = "not-started"
 
@@ -115,6 +118,7 @@
         :raises NotSent: the endpoint can't be reached.
         :raises Refused: the endpoint refused before anything ran.
         :raises StreamUnknown: the stream to resume is not known there.
+        :raises Rejected: the request itself is at fault.
         :raises AnswerLost: sent, but no stream came.
         """
 
@@ -157,17 +161,19 @@
     return max(limit.total_seconds(), 0.001)
 
 
-def _whole_answer(response: HTTPResponse) -> EndpointAnswer:
+def _whole_answer(response: HTTPResponse, method: str) -> EndpointAnswer:
     """Return the answer with its body, or raise if it is not known to be whole."""
     # A body that ends with the connection looks the same whether it is whole or
     # cut off by a crash, so without a length or chunks it is not taken as whole.
+    # That holds for an empty body too: the head may have been cut before its
+    # length.
     framed = response.chunked or "content-length" in response.headers
-    bodiless = response.status in (204, 304)
+    bodiless = response.status in (204, 304) or method == "HEAD"
     try:
         body = response.read()
     except _ENDED_BY as error:
         raise AnswerLost(f"the answer broke off: {error}") from error
-    if not framed and not bodiless and body:
+    if not framed and not bodiless:
         raise AnswerLost("the answer says neither its length nor its end")
     _raise_if_refused(response.status, response, body)
     headers = tuple(
@@ -230,7 +236,7 @@
             response = self._connection.getresponse()
         except _ENDED_BY as error:
             raise AnswerLost(f"no answer: {error}") from error
-        return _whole_answer(response)
+        return _whole_answer(response, request.method)
 
 
 class HttpAdapter(BaseAdapter):
@@ -253,7 +259,7 @@
         used = self._pools.current
         try:
             with timeout(limit):
-                answer = _whole_answer(self._open(request, limit))
+                answer = _whole_answer(self._open(request, limit), request.method)
         except Timeout as error:
             silent = self._pools.lose(used)
             raise AnswerLost(f"no answer within {limit}", silent=silent) from error
@@ -267,9 +273,11 @@
         used.answered = True
         if response.status == 200:
             return EventStream(response)
-        answer = _whole_answer(response)
+        answer = _whole_answer(response, request.method)
         if answer.status == 404:
             raise StreamUnknown("the engine does not know the stream")
+        if answer.status in CALLERS_FAULTS:
+            raise Rejected(answer.status, answer.headers, answer.body)
         raise AnswerLost(f"the engine answered {answer.status}")
 
     def ask(
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -37,6 +37,7 @@
     EndpointError,
     NotSent,
     Refused,
+    Rejected,
     StreamUnknown,
 )
 from sassafrasdale.green import Event, GreenThread, sleep, spawn
@@ -374,6 +375,10 @@
             except Refused as error:
                 refusal = error
                 self._go_on_elsewhere(endpoint, avoid)
+            except Rejected as error:
+                if self._transcript.events:
+                    raise
+                return Answered(error.status, error.headers, error.body)
             except NotSent:
                 self._observe(endpoint, ok=False)
                 self._go_on_elsewhere(endpoint, avoid)
