--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -206,7 +206,9 @@
 
     def send(self, request: EndpointRequest, limit: timedelta) -> EndpointAnswer:
         """Send ``request`` and return its whole answer within ``limit``."""
-        self._connection.sock.settimeout(_positive(limit))
+        # The library sets the socket's timeout again from the connection's own,
+        # which was the limit for connecting and is shorter than a slow answer.
+        self._connection.timeout = _positive(limit)
         try:
             with timeout(limit):
                 return self._exchange(request)
--- a/src/sassafrasdale/platform/breaker.py
+++ b/src/sassafrasdale/platform/breaker.py
@@ -5,7 +5,7 @@
 
 from sassafrasdale.clock import Clock
 
-FAILURES_TO_OPEN = 3
+FAILURES_TO_OPEN = 2
 FIRST_PAUSE = timedelta(milliseconds=250)
 LONGEST_PAUSE = timedelta(seconds=2)
 JITTER = 0.2
--- a/src/sassafrasdale/platform/stores.py
+++ b/src/sassafrasdale/platform/stores.py
@@ -19,7 +19,7 @@
 )
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import Timeout, http_pool, timeout
+from sassafrasdale.green import GreenHttpPool, Timeout, http_pool, timeout
 from sassafrasdale.platform.breaker import Breaker
 from sassafrasdale.platform.exceptions import (
     LeaseNotFound,
@@ -163,7 +163,7 @@
         self._address = address
         self._call_timeout = call_timeout
         self._breaker = Breaker(clock, rng or Random())
-        self._pool = self._new_pool()
+        self._connections = self._connect_afresh()
 
     @property
     def is_out(self) -> bool:
@@ -281,7 +281,7 @@
 
     def _call(self, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
         self._refuse_if_out()
-        pool = self._pool
+        connections = self._connections
         try:
             with timeout(self._call_timeout):
                 response = self._post(path, body, self._call_timeout)
@@ -290,8 +290,12 @@
         except (ConnectTimeoutError, NewConnectionError) as error:
             raise self._not_reached(error) from error
         except (Timeout, HTTPError, OSError, ValueError) as error:
-            self._drop_connections(pool)
-            raise self._answer_lost(path, error) from error
+            self._lose(connections)
+            raise StoreAnswerLost(
+                f"no answer of the store to {path}: {error}",
+                retry_after=self._breaker.pause,
+            ) from error
+        connections.answered = True
         self._breaker.record_success()
         return answer
 
@@ -306,7 +310,7 @@
         wait = HttpTimeout(
             connect=CONNECT_TIMEOUT.total_seconds(), read=limit.total_seconds()
         )
-        return self._pool.request(
+        return self._connections.pool.request(
             "POST",
             path,
             body=json.dumps(body).encode(),
@@ -342,30 +346,37 @@
             retry_after=self._breaker.pause,
         )
 
-    def _answer_lost(self, path: str, error: BaseException) -> StoreError:
-        self._breaker.record_failure()
-        return StoreAnswerLost(
-            f"no answer of the store to {path}: {error}",
-            retry_after=self._breaker.pause,
-        )
-
-    def _drop_connections(self, pool: Any) -> None:
-        """Replace ``pool``, unless another task has done so already.
+    def _lose(self, connections: "_Connections") -> None:
+        """Heed an answer that was lost on one of ``connections``.
 
-        Connections that were pooled before a timeout may all be silent. Those
-        made since are not suspected, so a late timeout must not drop them.
+        Connections that answered earlier may all have gone silent while new ones
+        work. So they are dropped at the first loss, and none of their losses says
+        that the store is out; a loss on connections made since then does.
         """
-        if pool is not self._pool:
-            return
-        self._pool = self._new_pool()
-        pool.close()
-
-    def _new_pool(self) -> Any:
-        return http_pool(
+        if not connections.answered:
+            self._breaker.record_failure()
+        if connections is self._connections:
+            self._connections = self._connect_afresh()
+            connections.pool.close()
+
+    def _connect_afresh(self) -> "_Connections":
+        pool = http_pool(
             self._address,
             connect_timeout=CONNECT_TIMEOUT,
             read_timeout=self._call_timeout,
         )
+        return _Connections(pool)
+
+
+class _Connections:
+    """Connections made since the last time that all were dropped.
+
+    :param pool: the connections.
+    """
+
+    def __init__(self, pool: GreenHttpPool) -> None:
+        self.pool = pool
+        self.answered = False
 
 
 def _encode(text: str | bytes) -> str:
--- a/standins/gateway.py
+++ b/standins/gateway.py
@@ -290,6 +290,8 @@
 
 def _range_result(body: Mapping[str, Any], found: list[StoredKey]) -> dict[str, Any]:
     limit = int(_field(body, "limit", 0))
+    if _field(body, "sort_order") == "DESCEND":
+        found = found[::-1]
     result: dict[str, Any] = {}
     shown = found[:limit] if limit else found
     keys_only = bool(_field(body, "keys_only", False))
--- /dev/null
+++ b/tests/guarantees/certificates.py
@@ -0,0 +1,137 @@
+"""A deployment with one plain service, whose calls may not be repeated."""
+
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+from uuid import uuid4
+
+from standins.clients import Response
+from standins.processes import (
+    EntryProcess,
+    PlatformProcess,
+    ServiceProcess,
+    start_entry,
+)
+from tests.guarantees.operators import TEXT, put_text, wait_until
+
+CLAIMS_PREFIX = "sassafrasdale/claims"
+TIMEOUT = timedelta(seconds=4)
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a caller was told."""
+
+    status: int
+    outcome: str
+    retry_after: str | None
+    body: bytes
+
+    @classmethod
+    def of(cls, response: Response) -> "Told":
+        """Return what ``response`` says."""
+        headers = response.headers
+        return cls(
+            response.status,
+            headers.get("X-Outcome", ""),
+            headers.get("Retry-After"),
+            response.data,
+        )
+
+
+@dataclass
+class Deployment:
+    """Platform, service and entries, and callers in threads of their own."""
+
+    platform: PlatformProcess
+    service: ServiceProcess
+    entries: list[EntryProcess]
+    threads: ThreadPoolExecutor = field(default_factory=ThreadPoolExecutor)
+
+    def issue(
+        self, entry: EntryProcess, key: str, timeout: timedelta = TIMEOUT
+    ) -> Told:
+        """Ask for a certificate under ``key`` and return what is told."""
+        headers = {
+            "X-Customer": "cube-labs",
+            "Idempotency-Key": key,
+            "X-Timeout-Ms": str(int(timeout.total_seconds() * 1000)),
+        }
+        path = "/v1/services/records/certificates"
+        return Told.of(entry.client.call("POST", path, {"batch": key}, headers))
+
+    def issue_later(
+        self, entry: EntryProcess, key: str, timeout: timedelta = TIMEOUT
+    ) -> "Future[Told]":
+        """Ask for a certificate in a thread."""
+        return self.threads.submit(self.issue, entry, key, timeout)
+
+    def executions(self, key: str) -> int:
+        """Return how often the service ran ``key``."""
+        counts = self.service.counts()
+        return counts["by_idempotency_key"].get(key, 0)
+
+    def wait_for_call(self, key: str) -> None:
+        """Wait until the service has run ``key``."""
+        wait_until(lambda: self.executions(key), TIMEOUT)
+
+    def store_writes(self) -> int:
+        """Return how many writes the store was asked for."""
+        return self.platform.counts()["store"].get("writes", 0)
+
+    def wait_for_write(self, before: int) -> None:
+        """Wait until the store was asked for a write."""
+        wait_until(lambda: self.store_writes() > before, TIMEOUT)
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.platform.set_faults(
+            store={"outage": None, "delay_ms": 0, "drop_writes": 0}
+        )
+        self.service.set_faults(outage=None, delay_ms=0, drop_answers=0, slow_factor=1)
+
+    @contextmanager
+    def spare_entry(self) -> Iterator[EntryProcess]:
+        """Start an entry that a test may kill."""
+        entry = start_entry(
+            f"spare-{uuid4().hex[:8]}",
+            "zone-c",
+            self.platform.store,
+            self.platform.cloud,
+        )
+        try:
+            # The first claim of a process also asks for a lease.
+            assert self.issue(entry, uuid4().hex).outcome == "answered"
+            yield entry
+        finally:
+            entry.close()
+
+
+@contextmanager
+def deployment() -> Iterator[Deployment]:
+    """Start platform, service and two entries."""
+    with ExitStack() as stack:
+        platform = stack.enter_context(PlatformProcess())
+        service = stack.enter_context(ServiceProcess("records-1", "zone-a"))
+        platform.register(service)
+        entries = []
+        for number, zone in enumerate(("zone-a", "zone-b")):
+            name = f"entry-{number}"
+            entry = EntryProcess(name, zone, platform.store, platform.cloud)
+            stack.callback(entry.close)
+            entry.launch()
+            entry.wait_until_live()
+            entries.append(entry)
+        assert put_text(entries[0], TEXT, 0).status == 200
+        for entry in entries:
+            entry.wait_until_ready()
+        made = Deployment(platform, service, entries)
+        stack.callback(made.threads.shutdown, wait=False)
+        for entry in entries:
+            wait_until(
+                lambda entry=entry: made.issue(entry, uuid4().hex).status == 201,
+                TIMEOUT * 3,
+            )
+        yield made
--- /dev/null
+++ b/tests/platform/test_stores.py
@@ -0,0 +1,142 @@
+"""The store's client against the stand-in, with faults of connections."""
+
+import time
+from collections.abc import Iterator
+from datetime import timedelta
+from uuid import uuid4
+
+import pytest
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.green import sleep, spawn
+from sassafrasdale.platform.exceptions import (
+    LeaseNotFound,
+    StoreAnswerLost,
+    StoreNotReached,
+    StoreOverloaded,
+)
+from sassafrasdale.platform.stores import EtcdStore, Lease
+from sassafrasdale.structures import Address
+from standins.processes import PlatformProcess, free_port
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture(scope="module")
+def platform() -> Iterator[PlatformProcess]:
+    with PlatformProcess() as process:
+        yield process
+
+
+@pytest.fixture
+def store(platform: PlatformProcess) -> Iterator[EtcdStore]:
+    limit = timedelta(milliseconds=400)
+    yield EtcdStore(Address.parse(platform.store), SystemClock(), call_timeout=limit)
+    platform.set_faults(store={"outage": None, "delay_ms": 0, "writes_per_second": 300})
+
+
+@pytest.fixture
+def key() -> str:
+    return f"test/{uuid4().hex}"
+
+
+def test_create_swap_read_and_delete(store, key):
+    first = store.create(key, b"one")
+    assert first
+    second = store.create(key, b"two")
+    assert not second
+    assert second.current.value == b"one"
+    assert second.current.mod_revision == first.revision
+    assert store.compare_and_swap(key, b"", first.revision, also={key + "/h": b"h"})
+    assert store.get(key).value == b""
+    assert [item.key for item in store.list(key)] == [key, key + "/h"]
+    newest = store.list(key, limit=1, newest_first=True)
+    assert [item.key for item in newest] == [key + "/h"]
+    store.delete(key)
+    assert store.get(key) is None
+
+
+def test_lease(store, key):
+    lease = store.grant_lease(SECOND)
+    assert store.create(key, b"held", lease=lease)
+    store.keep_alive(lease)
+    store.revoke(lease)
+    assert store.get(key) is None
+    with pytest.raises(LeaseNotFound):
+        store.keep_alive(lease)
+    with pytest.raises(LeaseNotFound):
+        store.create(key, b"late", lease=Lease(lease.id, SECOND))
+
+
+def test_watch_waits_and_gives_up(store, key):
+    first = store.create(key, b"one")
+    assert store.watch(key, first.revision, SECOND / 5) is None
+    spawn(store.compare_and_swap, key, b"two", first.revision)
+    assert store.watch(key, first.revision, SECOND * 5).value == b"two"
+
+
+def test_watch_gives_what_was_written_before_it(store, key):
+    first = store.create(key, b"one")
+    store.compare_and_swap(key, b"two", first.revision)
+    assert store.watch(key, first.revision, SECOND * 5).value == b"two"
+
+
+def test_read_survives_silent_connections(store, platform, key):
+    """Pooled connections go silent for good while new ones work.
+
+    A client that keeps its pool fails on each of them in turn; one that never
+    gives up hangs. The first timeout drops them all.
+    """
+    store.create(key, b"one")
+    tasks = [spawn(store.get, key) for _ in range(8)]
+    assert all(task.wait() for task in tasks)
+    platform.set_faults(store={"silence_connections": True})
+    tasks = [spawn(store.get, key) for _ in range(8)]
+    began = time.monotonic()
+    assert [task.wait().value for task in tasks] == [b"one"] * 8
+    assert time.monotonic() - began < 2
+
+
+def test_answer_lost_after_the_write(store, platform, key):
+    platform.set_faults(store={"drop_writes": 1})
+    with pytest.raises(StoreAnswerLost) as loss:
+        store.create(key, b"one")
+    assert loss.value.retry_after > timedelta()
+    assert store.get(key).value == b"one"
+
+
+def test_refusal_over_the_rate_had_no_effect(store, platform, key):
+    platform.set_faults(store={"writes_per_second": 0})
+    sleep(SECOND / 20)
+    with pytest.raises(StoreOverloaded) as refusal:
+        store.create(key, b"one")
+    assert refusal.value.retry_after > timedelta()
+    assert store.get(key) is None
+
+
+def test_silent_outage_is_refused_at_once_when_known(store, platform, key):
+    """The store accepts connections and answers nothing.
+
+    The first callers wait for the limit; those after them are refused at once, and
+    the client works again by itself when the store does.
+    """
+    assert store.get(key) is None
+    platform.set_faults(store={"outage": "silent"})
+    for _ in range(3):
+        with pytest.raises(StoreAnswerLost):
+            store.create(key, b"one")
+    began = time.monotonic()
+    for _ in range(50):
+        with pytest.raises(StoreNotReached):
+            store.create(key, b"one")
+    assert time.monotonic() - began < 0.2
+    platform.set_faults(store={"outage": None})
+    sleep(SECOND)
+    assert store.get(key) is None or store.get(key).value == b"one"
+
+
+def test_nothing_listens():
+    address = Address("127.0.0.1", free_port())
+    store = EtcdStore(address, SystemClock())
+    with pytest.raises(StoreNotReached):
+        store.create("key", b"value")
