Join the store's two changes of how it finds out that it is out

Cause: a merge was committed with its conflict unresolved: one side lets only reads probe a store that is out, the other drops silent connections by age. Change: both. Conclusion: mended.

--- a/src/sassafrasdale/platform/stores.py
+++ b/src/sassafrasdale/platform/stores.py
@@ -279,7 +279,6 @@
         except StoreAnswerLost:
             return self._call(path, question, may_probe=True)
 
-<<<<<<< HEAD
     def _call(
         self, path: str, body: Mapping[str, Any], *, may_probe: bool = False
     ) -> dict[str, Any]:
@@ -290,12 +289,7 @@
         each time, and leave a write in doubt. The text is read all the time.
         """
         self._refuse_if_out(may_probe=may_probe)
-        pool = self._pool
-=======
-    def _call(self, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
-        self._refuse_if_out()
         connections = self._connections
->>>>>>> platform
         try:
             with timeout(self._call_timeout):
                 response = self._post(path, body, self._call_timeout)
