--- /dev/null
+++ b/src/sassafrasdale/duties/demand.py
@@ -0,0 +1,79 @@
+"""What an entry knows, as the capacity plan takes it."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from sassafrasdale.decisions.structures import (
+    InstanceOffer,
+    RunningInstance,
+    ServiceDemand,
+)
+from sassafrasdale.endpoints.directory import Endpoint
+from sassafrasdale.platform.clouds import Price
+from sassafrasdale.text.structures import Service, Text
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What an entry knows of the fleet.
+
+    :param text: the operators' text in force.
+    :param endpoints: the endpoints that the platform lists.
+    :param prices: the platform's prices.
+    """
+
+    text: Text
+    endpoints: tuple[Endpoint, ...]
+    prices: tuple[Price, ...]
+
+    def of_service(self, service: Service) -> list[Endpoint]:
+        """Return the endpoints of a service."""
+        return [e for e in self.endpoints if e.instance.service == service.name]
+
+
+def demand_of(service: Service, endpoints: Iterable[Endpoint]) -> ServiceDemand:
+    """Return what a service needs; operators' counts are the least.
+
+    The load is what engines report of all entries, and of plain services, which
+    report none, this entry's own calls.
+    """
+    load = sum(max(each.reported_load, each.in_flight) for each in endpoints)
+    zones = [zone for pool in service.pools for zone in pool.availability_zones]
+    return ServiceDemand(
+        service=service.name,
+        load=float(load),
+        availability_zones=tuple(dict.fromkeys(zones)),
+        least_instances=sum(pool.count for pool in service.pools),
+    )
+
+
+def running_instances(endpoints: Iterable[Endpoint]) -> list[RunningInstance]:
+    """Return endpoints as the plan takes them."""
+    return [
+        RunningInstance(
+            name=each.name,
+            availability_zone=each.instance.availability_zone,
+            instance_class=each.instance.instance_class,
+            reclaimable=each.instance.reclaimable,
+            in_flight=max(each.reported_load, each.in_flight),
+            leaving=not each.takes_work,
+        )
+        for each in endpoints
+    ]
+
+
+def offers_for(service: Service, prices: Sequence[Price]) -> list[InstanceOffer]:
+    """Return the kinds of instance that a service's pools may start."""
+    return [
+        InstanceOffer(
+            price.availability_zone,
+            price.instance_class,
+            price.reclaimable,
+            price.price_per_hour,
+            float(pool.max_in_flight),
+        )
+        for pool in service.pools
+        for price in prices
+        if price.instance_class == pool.instance_class
+        and price.availability_zone in pool.availability_zones
+    ]
--- a/src/sassafrasdale/platform/exceptions.py
+++ b/src/sassafrasdale/platform/exceptions.py
@@ -36,6 +36,10 @@
     """The lease has expired or was revoked; the call had no effect."""
 
 
+class LeaseNotHeld(PlatformError):
+    """The duty is not held here, or may not be acted on yet."""
+
+
 class TextError(PlatformError):
     """An edit of the operators' text failed."""
 
--- /dev/null
+++ b/src/sassafrasdale/platform/leases.py
@@ -0,0 +1,210 @@
+"""Duties that one entry at a time holds, by a lease of the store.
+
+A pause of the process can outlast its lease: it goes on believing that it holds
+the duty while another entry has taken over. So every order needs a permit, which
+looks at the elapsed time again, and carries a fencing number that grows with each
+holder. docs/AT-MOST-ONCE.md says what remains possible where endpoints ignore it.
+"""
+
+from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from uuid import UUID
+
+from sassafrasdale.charts import Lifecycle, load_chart
+from sassafrasdale.clock import Clock
+from sassafrasdale.green import sleep
+from sassafrasdale.platform.exceptions import (
+    LeaseNotFound,
+    LeaseNotHeld,
+    StoreAnswerLost,
+    StoreError,
+)
+from sassafrasdale.platform.stores import BaseStore, Lease, Swap
+
+LEASES_PREFIX = "sassafrasdale/leases/"
+LEASE_TTL = timedelta(seconds=9)
+KEEP_ALIVES_PER_TTL = 3
+SAFETY_MARGIN = 0.2
+"""Share of the time to live that the holder does without, for clock drift."""
+JITTER = 0.2
+CREATE_ATTEMPTS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Leave to give orders now.
+
+    :param fencing_number: number to put into each order.
+    :param expires_at: elapsed time after which no order may be sent.
+    """
+
+    fencing_number: int
+    expires_at: timedelta
+
+
+class LeaseHolder:
+    """Task that seeks a duty, keeps it while it can, and tells when it is lost.
+
+    Usage::
+
+        permit = holder.permit(endpoint.checks_fencing)  # before each order
+        adapter.order(permit.fencing_number, ...)
+
+    :param store: the platform's store.
+    :param duty: name of the duty.
+    :param holder: name of this entry.
+    :param clock: source of elapsed time.
+    :param rng: source of jitter and of the attempt's id.
+    :param ttl: how long the lease lasts unless it is kept alive.
+    """
+
+    def __init__(
+        self,
+        store: BaseStore,
+        duty: str,
+        holder: str,
+        clock: Clock,
+        rng: Random,
+        ttl: timedelta = LEASE_TTL,
+    ) -> None:
+        self._store = store
+        self._key = LEASES_PREFIX + duty
+        self._holder = holder
+        self._clock = clock
+        self._rng = rng
+        self._ttl = ttl
+        self._life = Lifecycle(load_chart("lease_holder"))
+        self._lease: Lease | None = None
+        self._fencing_number = 0
+        self._expires_at = timedelta()
+        self._settled_at = timedelta()
+
+    @property
+    def state(self) -> str:
+        """State of the holder's chart, as far as the elapsed time shows."""
+        self._heed_time()
+        return self._life.state
+
+    def permit(self, checks_fencing: bool) -> Permit:
+        """Return leave to send one order; ask again before the next.
+
+        Endpoints that check fencing numbers refuse a former holder's orders by
+        themselves. For the others, a new holder first waits out the time of the
+        lease before its own, so that orders of the former holder have landed.
+
+        :param checks_fencing: whether the order's endpoint checks the number.
+        :raises LeaseNotHeld: if no order may be sent.
+        """
+        state = self.state
+        if state == "holding" or (state == "settling" and checks_fencing):
+            return Permit(self._fencing_number, self._expires_at)
+        raise LeaseNotHeld(f"{self._holder} is {state}", retry_after=self._ttl)
+
+    def run(self) -> None:
+        """Seek and keep the duty until the task is killed."""
+        pause = self._ttl / KEEP_ALIVES_PER_TTL
+        while True:
+            # If the store goes on failing, the lease lapses by the elapsed time.
+            with suppress(StoreError):
+                self.step()
+            sleep(pause * self._rng.uniform(1 - JITTER, 1 + JITTER))
+
+    def step(self) -> None:
+        """Keep the lease alive, or look whether it can be had.
+
+        :raises StoreError: if the store fails.
+        """
+        if self.state == "seeking":
+            self._seek()
+        else:
+            self._keep_alive()
+
+    def release(self) -> None:
+        """Give the duty up, so that another entry need not wait for it.
+
+        :raises StoreError: if the store fails; the lease then runs out.
+        """
+        if self.state == "seeking":
+            return
+        lease = self._lease
+        self._life.fire("lapse")
+        self._store.revoke(lease)
+
+    def _seek(self) -> None:
+        if self._store.get(self._key) is not None:
+            return
+        # The lease runs from when the store grants it, which is later than this.
+        asked_at = self._clock.elapsed()
+        lease = self._store.grant_lease(self._ttl)
+        number = self._create(lease)
+        if number is None:
+            self._store.revoke(lease)
+            return
+        self._lease = lease
+        self._fencing_number = number
+        self._extend(asked_at)
+        self._settled_at = self._clock.elapsed() + self._ttl
+        self._life.fire("acquire")
+        self._heed_time()
+
+    def _create(self, lease: Lease) -> int | None:
+        """Return the fencing number, or None if another entry was first.
+
+        A lost answer is met by creating the key again: if the first write landed
+        or lands later, the key then holds this attempt's own value.
+        """
+        value = self._attempt_value()
+        lost: StoreAnswerLost | None = None
+        for _ in range(CREATE_ATTEMPTS):
+            try:
+                swap = self._store.create(self._key, value, lease=lease)
+            except StoreAnswerLost as error:
+                lost = error
+                continue
+            return _fencing_number(swap, value)
+        raise lost
+
+    def _keep_alive(self) -> None:
+        asked_at = self._clock.elapsed()
+        try:
+            self._store.keep_alive(self._lease)
+        except LeaseNotFound:
+            self._lapse()
+            return
+        # The answer may have come after the old deadline: by then the duty had
+        # been lost here, and is sought again under a new number.
+        if self.state != "seeking":
+            self._extend(asked_at)
+
+    def _extend(self, asked_at: timedelta) -> None:
+        self._expires_at = asked_at + self._ttl * (1 - SAFETY_MARGIN)
+
+    def _heed_time(self) -> None:
+        """Follow what has become true by the passing of time alone.
+
+        After a pause of the process no task may have run since the lease lapsed;
+        so this is looked at before every order and not only by the task.
+        """
+        now = self._clock.elapsed()
+        if self._life.state != "seeking" and now >= self._expires_at:
+            self._lapse()
+        if self._life.state == "settling" and now >= self._settled_at:
+            self._life.fire("settle")
+
+    def _lapse(self) -> None:
+        if self._life.allows("lapse"):
+            self._life.fire("lapse")
+
+    def _attempt_value(self) -> bytes:
+        attempt = UUID(int=self._rng.getrandbits(128))
+        return f"{self._holder} {attempt}".encode()
+
+
+def _fencing_number(swap: Swap, value: bytes) -> int | None:
+    if swap:
+        return swap.revision
+    if swap.current is not None and swap.current.value == value:
+        return swap.current.create_revision
+    return None
--- /dev/null
+++ b/tests/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the duties."""
