Leave the time in the queue out of the admission's latencies

Cause: the gate reported the time since a request was offered. The adaptive limit took its own queue for an overloaded endpoint. A request whose engine was gone also counted as refused for want of room. Change: the time since it was let in; only 'not run' counts as refused.

--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -191,7 +191,7 @@
             outcome = self._execution(call).run()
             return outcome
         finally:
-            gate.leave(ticket, ok=isinstance(outcome, Answered))
+            gate.leave(ticket, ok=not isinstance(outcome, NotRun))
 
     def _execution(self, call: ServiceCall) -> IdempotentExecution | GuardedExecution:
         about = call.call
--- a/src/sassafrasdale/requests/gate.py
+++ b/src/sassafrasdale/requests/gate.py
@@ -54,6 +54,7 @@
         self._admission = Admission(limit, rng, customers)
         self._clock = clock
         self._waiting: dict[int, Event] = {}
+        self._began: dict[int, timedelta] = {}
 
     @property
     def admission(self) -> Admission:
@@ -69,6 +70,7 @@
         self._let_in()
         match offered:
             case Admit(ticket):
+                self._began[ticket.number] = now
                 return ticket
             case Shed():
                 return _refusal(offered)
@@ -81,7 +83,10 @@
         :param ok: False if endpoints refused it for want of room.
         """
         now = self._clock.elapsed()
-        self._admission.finish(ticket, now, ok, now - ticket.offered_at)
+        # Time in the queue is left out: the limit would take its own queue for
+        # an overloaded endpoint and sink.
+        began = self._began.pop(ticket.number, ticket.offered_at)
+        self._admission.finish(ticket, now, ok, now - began)
         self._let_in()
 
     def sweep(self) -> None:
@@ -103,6 +108,7 @@
             return event.wait()
         except BaseException:
             self._admission.cancel(ticket)
+            self._began.pop(ticket.number, None)
             raise
         finally:
             self._waiting.pop(ticket.number, None)
@@ -113,6 +119,7 @@
         for shed in self._admission.expire(now):
             self._tell(shed.ticket, _refusal(shed))
         while (ticket := self._admission.next_admitted(now)) is not None:
+            self._began[ticket.number] = now
             self._tell(ticket, ticket)
 
     def _tell(self, ticket: Ticket, decision: Ticket | NotRun) -> None:
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -251,7 +251,7 @@
             self._end(self._outcome_of_run())
         finally:
             if self._gate:
-                self._gate.leave(ticket, ok=isinstance(self._outcome, Answered))
+                self._gate.leave(ticket, ok=not isinstance(self._outcome, NotRun))
 
     def read(self, after: int, limit: timedelta) -> list[bytes]:
         """Return the events after position ``after``, waiting for at least one.
