--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -5,7 +5,6 @@
 import signal
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 from datetime import datetime, timedelta
 
 from logbook import Logger
@@ -18,11 +17,9 @@
 from sassafrasdale.callers.server import CallerServer
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock, SystemClock
-from sassafrasdale.duties.capacity import DUTY, CapacityDuty
-from sassafrasdale.duties.demand import FleetView
 from sassafrasdale.endpoints.directory import Directory, Endpoint
 from sassafrasdale.endpoints.reports import LoadReader
-from sassafrasdale.green import Event, GreenThread, Queue, listen, sleep, spawn
+from sassafrasdale.green import Event, Queue, listen, sleep, spawn
 from sassafrasdale.logs import start_logs
 from sassafrasdale.metrics import Metrics
 from sassafrasdale.peers.node import PeerNode
@@ -41,12 +38,9 @@
     InstanceWatcher,
     NoticeGiven,
     NoticeWatcher,
-    Price,
     PricesListed,
     PriceWatcher,
 )
-from sassafrasdale.platform.exceptions import StoreError
-from sassafrasdale.platform.leases import LeaseHolder
 from sassafrasdale.platform.stores import EtcdStore
 from sassafrasdale.platform.texts import (
     TextAccepted,
@@ -141,18 +135,6 @@
         self._gates = Gates(self._directory, self._clock, self._rng)
         store = EtcdStore(settings.store, self._clock)
         self._register = TextRegister(store, self._clock)
-        self._prices: tuple[Price, ...] = ()
-        self._lease = LeaseHolder(
-            store, DUTY, settings.name, self._clock, random.Random(self._rng.random())
-        )
-        self._capacity = CapacityDuty(
-            self._lease,
-            self._cloud,
-            store,
-            self._fleet_view,
-            self._clock,
-            random.Random(self._rng.random()),
-        )
         self._dispatcher = Dispatcher(
             settings.name,
             selector=self._selector,
@@ -199,13 +181,9 @@
             self._review,
         ):
             spawn(_run_for_good, task)
-        duties = [
-            spawn(_run_for_good, task) for task in (self._lease.run, self._capacity.run)
-        ]
         spawn(self._server.serve, listener)
         log.info("listening on {}", self._settings.address)
         self._stopped.wait()
-        self._give_up(duties)
         self._drain(listener)
         self._peers.stop()
 
@@ -264,7 +242,6 @@
             case InstancesListed(instances):
                 self._heed_instances(instances)
             case PricesListed(prices):
-                self._prices = prices
                 self._selector.set_prices(prices)
             case NoticeGiven(notice):
                 self._heed_notice(notice)
@@ -387,23 +364,6 @@
         if not self._stopped.ready():
             self._stopped.send(None)
 
-    def _give_up(self, duties: list[GreenThread]) -> None:
-        """End the duties, and release the lease so that nobody waits for it."""
-        for task in duties:
-            task.kill()
-        spawn(self._release_lease)
-
-    def _release_lease(self) -> None:
-        # If the store is out, the lease runs out by itself.
-        with suppress(StoreError):
-            self._lease.release()
-
-    def _fleet_view(self) -> FleetView | None:
-        """Return what the capacity duty plans by, or None before it is known."""
-        if self._life.state != "ready":
-            return None
-        return FleetView(self._current.text, self._directory.endpoints, self._prices)
-
     def _drain(self, listener: socket.socket) -> None:
         """Finish what is in flight, hand over what doesn't fit.
 
@@ -456,7 +416,6 @@
             "availability_zone": self._settings.availability_zone,
             "state": self._life.state,
             "revision": self._current.revision,
-            "duties": {DUTY: self._capacity.state},
             "peers": [_peer_status(member) for member in self._peers.members()],
             "endpoints": [
                 _endpoint_status(endpoint) for endpoint in self._directory.endpoints
--- a/tests/duties/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the duties."""
