--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -10,6 +10,7 @@
 
 MEASUREMENTS = (
     "peers",
+    "faults",
     "endpoints",
     "control",
     "texts",
--- a/bench/capacity/peer_fleet.py
+++ b/bench/capacity/peer_fleet.py
@@ -89,6 +89,7 @@
         for host in self.hosts:
             addresses |= json.loads(host.process.stdout.readline())["addresses"]
             threading.Thread(target=self._read, args=(host,), daemon=True).start()
+        self._addresses = addresses
         self._candidates = [
             (name, self._zones[name], addresses[name]) for name in names
         ]
@@ -123,6 +124,43 @@
         start = self._sent[news]
         return sorted(at - start for at in self._heard[news].values())
 
+    def spread_wave(self, host: HostProcess, first: int, count: int) -> list[float]:
+        """Have a node hear of ``count`` reclaims at once.
+
+        :returns: sorted seconds until each other node had heard of all.
+        """
+        name = host.names[0]
+        host.tell(do="wave", first=first, count=count, name=name)
+        wave = [f"notice-{number}" for number in range(first, first + count)]
+        others = self._size - 1
+        self.wait(lambda: all(len(self._heard[news]) >= others for news in wave))
+        start = self._sent[wave[-1]]
+        last: dict[str, float] = defaultdict(float)
+        for news in wave:
+            for by, at in self._heard[news].items():
+                last[by] = max(last[by], at - start)
+        return sorted(last.values())
+
+    def cut(self, parts: list[list[HostProcess]]) -> None:
+        """Let no part reach another; one part of all hosts heals the cut."""
+        for part in parts:
+            inside = {id(host) for host in part}
+            outside = [
+                self._addresses[name]
+                for host in self.hosts
+                if id(host) not in inside
+                for name in host.names
+            ]
+            for host in part:
+                host.tell(do="cut", addresses=outside)
+
+    def wait_for_alive(self, part: list[HostProcess], count: int) -> float:
+        """Return seconds until every node of ``part`` has ``count`` others alive."""
+        start = time.monotonic()
+        names = [name for host in part for name in host.names]
+        self.wait(lambda: all(self._alive.get(name) == count for name in names))
+        return time.monotonic() - start
+
     def seconds_to_dead(self, victim: HostProcess, start: float) -> list[float]:
         """Wait until all others have the victim's first node as dead.
 
--- a/bench/capacity/peer_host.py
+++ b/bench/capacity/peer_host.py
@@ -4,6 +4,7 @@
 are of the machine's monotonic clock, which all processes share.
 """
 
+import asyncio
 import gc
 import json
 import os
@@ -18,6 +19,9 @@
 from bench.capacity.usage import own_cpu, resident_bytes
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import Event, Queue, spawn
+from sassafrasdale.peers import agent as agent_module
+from sassafrasdale.peers.channels import ChannelPool
+from sassafrasdale.peers.exceptions import PeerNotReachedError
 from sassafrasdale.peers.node import PeerNode
 from sassafrasdale.peers.structures import (
     MembersChanged,
@@ -41,6 +45,19 @@
     peer_address: Address = Address("127.0.0.1", 0)
 
 
+class CuttableChannels(ChannelPool):
+    """Channels that can be cut from some addresses."""
+
+    cut: frozenset[Address] = frozenset()
+
+    async def call(self, address, call, limit):
+        """Make a call, or get no answer if the address is cut off."""
+        if address in CuttableChannels.cut:
+            await asyncio.sleep(limit.total_seconds())
+            raise PeerNotReachedError(f"{address} is cut off")
+        return await super().call(address, call, limit)
+
+
 class Host:
     """The nodes of this process.
 
@@ -117,6 +134,16 @@
         self.write(sent=f"notice-{sequence}", at=time.monotonic())
         self._nodes[name].spread_notice(notice)
 
+    def _do_wave(self, first: int, count: int, name: str) -> None:
+        """Have a node hear of many reclaims at once."""
+        self.write(sent=f"notice-{first + count - 1}", at=time.monotonic())
+        for sequence in range(first, first + count):
+            notice = Notice(sequence, f"endpoint-{sequence}", EPOCH)
+            self._nodes[name].spread_notice(notice)
+
+    def _do_cut(self, addresses: list[str]) -> None:
+        CuttableChannels.cut = frozenset(map(Address.parse, addresses))
+
     def _do_text(self, revision: int, name: str, text: str) -> None:
         record = TextRecord(revision, f"edit-{revision}", "bench", EPOCH, text)
         self.write(sent=f"text-{revision}", at=time.monotonic())
@@ -137,4 +164,5 @@
 
 
 if __name__ == "__main__":
+    agent_module.ChannelPool = CuttableChannels
     Host([tuple(name.split("=")) for name in sys.argv[1:]]).run()
--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -67,8 +67,8 @@
 
     A machine that is short of processor time answers and hears late. Its probes
     time out, and without this it would call healthy members suspect, whose
-    refutations make more work for all. Failed probes and own refutations lengthen
-    its time-outs, answered probes shorten them again.
+    refutations make more work for all. Probes to which nobody answers, helpers
+    neither, and own refutations lengthen its time-outs; answered probes shorten them.
     """
 
     def __init__(self) -> None:
@@ -331,9 +331,12 @@
             self._probe_through(helper, target)
             for helper in self._membership.helpers(target, INDIRECT_PROBES)
         ]
-        if any(await asyncio.gather(retry, *others)):
+        answered, *through = await asyncio.gather(retry, *others)
+        if answered or any(through):
             return
-        self._slowness.add()
+        if all(each is None for each in through):
+            # Nobody answered at all; a helper that did speaks for this entry.
+            self._slowness.add()
         if self._membership.suspect(target.name, target.incarnation):
             self._tell(target.name)
             self._publish()
@@ -364,7 +367,8 @@
             members = [member_from_message(each) for each in gossip.updates]
             self._membership.learn(members)
 
-    async def _probe_through(self, helper: Member, target: Member) -> bool:
+    async def _probe_through(self, helper: Member, target: Member) -> bool | None:
+        """Return whether ``target`` answered the helper; None if that did not."""
         request = IndirectProbeRequest(
             gossip=self.gossip(helper.name), target=member_to_message(target)
         )
@@ -375,7 +379,7 @@
                 self._timings.retry_timeout * self._slowness.factor,
             )
         except PeerNotReachedError:
-            return False
+            return None
         self.take_in(reply.gossip, served=False)
         return reply.answered
 
--- a/src/sassafrasdale/peers/membership.py
+++ b/src/sassafrasdale/peers/membership.py
@@ -118,6 +118,8 @@
         if known is not None:
             update = replace(update, revision=known.revision)
         self._store(update)
+        if known is not None and known.state is MemberState.DEAD:
+            self._verify_dead()
         return True
 
     def learn(self, members: Iterable[Member]) -> None:
@@ -294,6 +296,16 @@
         self._transmits_left.pop(name, None)
         self._verify.pop(name, None)
 
+    def _verify_dead(self) -> None:
+        """Ask all dead members again: where one came back, others may have.
+
+        After a partition each side would otherwise find the members of the other
+        one by one, one in a round.
+        """
+        for member in self._members.values():
+            if member.state is MemberState.DEAD:
+                self._verify_soon(member.name)
+
     def _verify_soon(self, name: str) -> None:
         if len(self._verify) < VERIFY_LIMIT:
             self._verify[name] = None
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -149,6 +149,17 @@
     assert "entry-7" in rounds
 
 
+def test_when_a_dead_member_comes_back_the_other_dead_ones_are_asked():
+    """After a partition each side would find the other's members one by one."""
+    membership = make_fleet(50)[0]
+    dead = {f"entry-{number}" for number in range(1, 9)}
+    for name in dead:
+        membership.apply(member(name, MemberState.DEAD))
+    membership.apply(member("entry-1", incarnation=2))
+    probed = {each.name for _ in range(4) for each in membership.next_targets(2)}
+    assert dead - {"entry-1"} <= probed
+
+
 def test_updates_are_bounded_and_run_out():
     membership = make()
     for number in range(20):
