--- a/bench/capacity/control.py
+++ b/bench/capacity/control.py
@@ -17,6 +17,7 @@
 from standins.processes import EngineProcess, EntryProcess, PlatformProcess
 
 SIZES = (3, 9, 30, 120)
+MODEL_COUNTS = (2, 8, 32, 128)
 WINDOW_SECONDS = 30.0
 SETTLE_SECONDS = 4.0
 PERCENT = 100
@@ -25,16 +26,21 @@
 
 def measure() -> None:
     """Measure every number of endpoints and write the table and the plot."""
-    rows = [_measure_size(size) for size in SIZES]
+    rows = [_measure_size(size, 1) for size in SIZES]
+    texts = [_measure_size(SIZES[0], models) for models in MODEL_COUNTS]
     ys = ("store_bytes_s", "cloud_bytes_s", "engine_bytes_s", "cpu_percent")
     slopes: dict[str, Line] = {
         f"{y} by endpoints": fit_columns(rows, "endpoints", y) for y in ys
     }
-    write("control", {"idle entry": rows}, slopes, "python -m bench.capacity control")
+    slopes["store_bytes_s by services"] = fit_columns(
+        texts, "services", "store_bytes_s"
+    )
+    tables = {"by endpoints": rows, "by services": texts}
+    write("control", tables, slopes, "python -m bench.capacity control")
     plot("capacity-control", rows, (Panel("endpoints", ys[:3], "bytes a second"),))
 
 
-def _measure_size(size: int) -> Row:
+def _measure_size(size: int, models: int) -> Row:
     with PlatformProcess() as platform, EngineProcess("engine-0", ZONES[0]) as engine:
         store, cloud, engines = map(
             CountingProxy, (platform.store, platform.cloud, engine.address)
@@ -46,14 +52,14 @@
         entry.launch()
         try:
             entry.wait_until_live()
-            put_text(entry, make_text(1, replicas=size))
+            put_text(entry, make_text(models, replicas=size))
             entry.wait_until_ready()
             wait_for_endpoints(entry, size)
             time.sleep(SETTLE_SECONDS)
             row = _window(platform, entry, (store, cloud, engines))
         finally:
             entry.close()
-    row = {"endpoints": size} | row
+    row = {"endpoints": size, "services": models + 1} | row
     print(row, flush=True)
     return row
 
--- a/bench/capacity/telemetry.py
+++ b/bench/capacity/telemetry.py
@@ -5,6 +5,7 @@
     python -m bench.capacity telemetry
 """
 
+import gzip
 from datetime import timedelta
 
 from bench.capacity.results import Panel, Row, fit_columns, plot, write
@@ -22,11 +23,11 @@
     rows = [_measure_services(count) for count in SERVICE_COUNTS]
     slopes = {
         f"{y} by services": fit_columns(rows, "services", y)
-        for y in ("page_bytes", "page_cpu_ms")
+        for y in ("page_bytes", "page_gzip_bytes", "page_cpu_ms")
     }
     write("telemetry", {"pages": rows}, slopes, "python -m bench.capacity telemetry")
     panels = (
-        Panel("services", ("page_bytes",), "scrape page, bytes"),
+        Panel("services", ("page_bytes", "page_gzip_bytes"), "scrape page, bytes"),
         Panel("services", ("page_cpu_ms",), "processor time of a page, ms"),
     )
     plot("capacity-telemetry", rows, panels)
@@ -49,6 +50,7 @@
     row: Row = {
         "services": count,
         "page_bytes": len(page),
+        "page_gzip_bytes": len(gzip.compress(page)),
         "page_cpu_ms": (own_cpu() - cpu) / PAGES * MILLISECONDS,
     }
     metrics.close()
