Bound an endpoint's answer, and use a stream's connection again

Cause: the bound on an answer's size was named but not applied, so a body without an end took an entry's memory. Each stream closed its connection at its end mark, so that each opened a new one. A keyed model call could go out on a connection that had been idle. Change: bodies are read in parts up to 16 MiB; a whole stream's connection goes back to the pool if its body ends within 50 ms; keyed model calls drop idle connections first. Ruled out: one read of bound and one byte: it took short answers for whole (two tests failed), since only a read that finds the end tells. Figures: two new tests failed before, pass now.

--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -34,6 +34,8 @@
 from sassafrasdale.structures import Address
 
 CONNECT_LIMIT = timedelta(seconds=1)
+# Longest wait for the end of a body after its last event.
+RELEASE_LIMIT = timedelta(milliseconds=50)
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
 # Answers that say that the request itself is at fault, and would be elsewhere.
@@ -138,6 +140,7 @@
 
     def __init__(self, response: HTTPResponse) -> None:
         self._response = response
+        self._released = False
 
     def __iter__(self) -> Iterator[list[bytes]]:
         rest = b""
@@ -151,9 +154,25 @@
         finally:
             self.close()
 
+    def release(self) -> None:
+        """Give the connection back for the next call, as the stream is whole.
+
+        Only the body's end mark may still be under way. A connection on which it
+        does not come at once is closed with the stream.
+        """
+        try:
+            with timeout(RELEASE_LIMIT):
+                self._released = not self._response.read1(READ_BYTES)
+        except (Timeout, *_ENDED_BY):
+            return
+
     def close(self) -> None:
-        """Close the connection: it may still carry events nobody wants."""
-        self._response.close()
+        """Close the connection, unless it was given back.
+
+        It may still carry events nobody wants.
+        """
+        if not self._released:
+            self._response.close()
 
 
 def _positive(limit: timedelta) -> float:
@@ -169,10 +188,7 @@
     # length.
     framed = response.chunked or "content-length" in response.headers
     bodiless = response.status in (204, 304) or method == "HEAD"
-    try:
-        body = response.read()
-    except _ENDED_BY as error:
-        raise AnswerLost(f"the answer broke off: {error}") from error
+    body = _read_body(response)
     if not framed and not bodiless:
         raise AnswerLost("the answer says neither its length nor its end")
     _raise_if_refused(response.status, response, body)
@@ -184,6 +200,25 @@
     return EndpointAnswer(response.status, headers, body)
 
 
+def _read_body(response: HTTPResponse) -> bytes:
+    """Return the body, up to a bound.
+
+    Small instances hold many answers at once; one without an end would take the
+    memory of all.
+    """
+    body = bytearray()
+    try:
+        # Only a read that finds the end tells a short body from a whole one.
+        while part := response.read(READ_BYTES):
+            body += part
+            if len(body) > MAX_ANSWER_BYTES:
+                response.close()
+                raise AnswerLost(f"the answer is over {MAX_ANSWER_BYTES} bytes")
+    except _ENDED_BY as error:
+        raise AnswerLost(f"the answer broke off: {error}") from error
+    return bytes(body)
+
+
 def _raise_if_refused(status: int, response: HTTPResponse, body: bytes) -> None:
     if status not in (429, 503):
         return
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -428,6 +428,10 @@
             self._life.fire("send")
         endpoint.in_flight += 1
         self._watch.sent(endpoint.name)
+        if not self._call.call.idempotent and not self._sent:
+            # On a connection that is silent for good the call would be lost in
+            # doubt, and a keyed call is not sent again.
+            endpoint.adapter.drop_connections()
         try:
             remaining = self._call.call.deadline - self._clock.elapsed()
             stream = open_stream(
@@ -462,6 +466,7 @@
             self._watch.received(len(kept))
             self._wake()
             if kept[-1] == DONE:
+                stream.release()
                 return True
         return False
 
--- a/tests/endpoints/test_adapters.py
+++ b/tests/endpoints/test_adapters.py
@@ -93,3 +93,51 @@
         address = Address(*listener.getsockname())
     with pytest.raises(NotSent):
         HttpAdapter(address).send(ASK, LIMIT)
+
+
+def test_an_answer_without_an_end_is_given_up(monkeypatch):
+    """An entry died for want of memory, and with it every request it held.
+
+    A faulty service sent a body without an end; the entry kept all of it to pass
+    it on whole.
+    """
+    monkeypatch.setattr("sassafrasdale.endpoints.adapters.MAX_ANSWER_BYTES", 1000)
+    head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    body = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
+    with (
+        endpoint(head + body * 2) as address,
+        pytest.raises(AnswerLost, match="over 1000 bytes"),
+    ):
+        HttpAdapter(address).send(ASK, LIMIT)
+
+
+def test_a_whole_stream_gives_its_connection_back():
+    """Each stream opened a connection of its own, which cost more than the call."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    accepted = []
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        accepted.append(connection)
+        for _ in range(2):
+            connection.recv(65_536)
+            connection.sendall(
+                HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+                b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"
+            )
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    adapter = HttpAdapter(Address(*listener.getsockname()))
+    for _ in range(2):
+        stream = adapter.stream(ASK, LIMIT)
+        for events in stream:
+            assert events == [b"data: [DONE]"]
+            stream.release()
+            break
+        stream.close()
+    thread.join(5)
+    assert not thread.is_alive()
+    assert len(accepted) == 1
+    accepted[0].close()
+    listener.close()
