Estimate a wait from the turns that others really have before it

The expected wait divided the slots evenly among customers that wait, also when the others had used up their turns, so a customer's first urgent request was turned away that would have been next. It now adds the work that goes before in virtual time.

--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -331,7 +331,12 @@
         urgent = self._demand.rate_above(ticket, self._demand_window)
         if urgent >= share:
             return timedelta.max
-        return timedelta(seconds=(ahead + 1) / (share - urgent))
+        work = self._queue.work_before(ticket, ahead, self._cost) + cost
+        seconds = work / self._limit.value / (1 - urgent / share)
+        return timedelta(seconds=seconds)
+
+    def _cost(self, customer: str) -> float:
+        return self._occupancy.of(customer).total_seconds()
 
     def _shed(self, ticket: Ticket, now: timedelta, reason: ShedReason) -> Shed:
         return Shed(ticket, self.retry_after(now), reason)
--- a/src/sassafrasdale/decisions/fairness.py
+++ b/src/sassafrasdale/decisions/fairness.py
@@ -40,6 +40,25 @@
         names = {customer, *self._queues}
         return self._weight(customer) / sum(self._weight(name) for name in names)
 
+    def work_before(
+        self, ticket: Ticket, position: int, cost: Callable[[str], float]
+    ) -> float:
+        """Return the seconds of slots that go before a new request.
+
+        :param position: position that it would have in its customer's queue.
+        :param cost: returns the seconds that a customer's request occupies a slot.
+        """
+        own = ticket.customer
+        start = self._start_of(own) + position * cost(own) / self._weight(own)
+        work = position * cost(own)
+        for name, queue in self._queues.items():
+            if name == own:
+                continue
+            lead = max(start - self._start_of(name), 0.0)
+            turns = lead * self._weight(name) / cost(name) + 1
+            work += min(turns, len(queue)) * cost(name)
+        return work
+
     def add(self, ticket: Ticket, position: int) -> None:
         """Insert a request at a position in its customer's queue."""
         self._queues.setdefault(ticket.customer, []).insert(position, ticket)
