Take a text from whichever peer gives it first

Cause: an entry pulled a newer text from one peer at a time and waited for that peer's whole time-out, twice. A peer whose messages arrive and that answers nothing kept out what all the others offered. Change: after 300 ms the next peer that offered it is asked too; a peer that still owes an answer is not asked again. The stand-in peer can claim a revision and leave calls for it without an answer. Tests: four entries with one killed, one stopped, and beside a peer that sends and doesn't answer.

--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -55,6 +55,8 @@
 UPDATES_A_SPREAD = 64
 FIRST_ASKED = 2
 ASKED_AT_ONCE = 8
+PULL_HEDGE = timedelta(milliseconds=300)
+"""After this time without the text another source is asked too."""
 MAX_SLOWNESS = 4
 
 Post = Callable[[Any], None]
@@ -118,6 +120,8 @@
         self._published_version = 0
         self._is_joining = True
         self._is_pulling = False
+        self._pulled_from: set[str] = set()
+        self._sources: dict[str, tuple[Member, int]] = {}
         self._spreading: asyncio.Task | None = None
         self._spread_at = timedelta()
         self._slowness = Slowness()
@@ -226,7 +230,7 @@
             self._slowness.add()
             self._spread_soon(self._first_hops())
         if gossip.revision > self.revision:
-            self._pull_soon(sender)
+            self._pull_soon(sender, gossip.revision)
         self._publish()
 
     def all_members(self) -> list[Member]:
@@ -475,19 +479,41 @@
 
     # Text
 
-    def _pull_soon(self, source: Member) -> None:
+    def _pull_soon(self, source: Member, revision: int) -> None:
+        if source.name in self._pulled_from:
+            return
+        self._sources[source.name] = (source, revision)
         if not self._is_pulling:
             self._is_pulling = True
-            self.run(self._pull(source))
+            self.run(self._pull_in_turn())
+
+    async def _pull_in_turn(self) -> None:
+        """Pull from one source after the other, without waiting long for any.
+
+        A source may be out of reach although its messages arrive, as when the
+        network is cut in one direction. Waiting for its whole time-out, and again
+        at its next message, would keep out what the others have.
+        """
+        try:
+            while self._sources:
+                name = next(iter(self._sources))
+                source, revision = self._sources.pop(name)
+                if revision <= self.revision:
+                    continue
+                pull = self.run(self._pull(source))
+                await asyncio.wait([pull], timeout=PULL_HEDGE.total_seconds())
+        finally:
+            self._is_pulling = False
 
     async def _pull(self, source: Member) -> None:
+        self._pulled_from.add(source.name)
         try:
             await self._pull_from(source)
         except PeerNotReachedError:
             # The next message with a newer revision starts another pull.
             pass
         finally:
-            self._is_pulling = False
+            self._pulled_from.discard(source.name)
 
     async def _pull_from(self, source: Member) -> None:
         request = PullTextRequest(gossip=self.gossip(source.name))
--- a/tests/peers/peer_process.py
+++ b/tests/peers/peer_process.py
@@ -11,6 +11,7 @@
 import json
 import sys
 import threading
+from datetime import UTC, datetime
 from random import Random
 
 from sassafrasdale.clock import SystemClock
@@ -21,7 +22,7 @@
 from sassafrasdale.peers.exceptions import PeerNotReachedError
 from sassafrasdale.peers.node import PeerNode
 from sassafrasdale.peers.service import PeersService
-from sassafrasdale.peers.structures import MembersChanged
+from sassafrasdale.peers.structures import MembersChanged, TextRecord
 from sassafrasdale.structures import Address
 from tests.peers.nodes import FAST, Settings, instance_of
 
@@ -46,6 +47,11 @@
         await self._hang_if_muted()
         await super().Spread(stream)
 
+    async def PullText(self, stream):  # noqa: N802
+        """Give the text, or leave the call without an answer."""
+        await self._hang_if_muted()
+        await super().PullText(stream)
+
     async def _hang_if_muted(self):
         if MutableService.is_muted:
             await asyncio.Event().wait()
@@ -73,6 +79,8 @@
     for line in sys.stdin:
         command = json.loads(line)
         MutableService.is_muted = command.get("mute", MutableService.is_muted)
+        if "claim" in command:
+            node.offer_text(_claimed(command["claim"]))
         if "cut" in command:
             CuttableChannels.cut = frozenset(map(Address.parse, command["cut"]))
         if "candidates" in command:
@@ -82,6 +90,10 @@
             )
 
 
+def _claimed(revision):
+    return TextRecord(revision, "edit", "ana", datetime.now(UTC).isoformat(), "")
+
+
 def main():
     """Run the node until it is killed."""
     node_module.PeersService = MutableService
