--- /dev/null
+++ b/bench/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Measures how long a duty is without a holder."""
--- a/src/sassafrasdale/duties/capacity.py
+++ b/src/sassafrasdale/duties/capacity.py
@@ -22,9 +22,11 @@
     FleetView,
     demand_of,
     offers_for,
+    present_load,
     running_instances,
 )
 from sassafrasdale.duties.exceptions import DutyError
+from sassafrasdale.duties.loads import LoadHistory
 from sassafrasdale.duties.orders import EngineOrders, WantedState
 from sassafrasdale.duties.starts import PendingStart, StartBook, StartRecord
 from sassafrasdale.endpoints.directory import Endpoint
@@ -79,6 +81,7 @@
         self._rng = rng
         self._policy = policy or CapacityPolicy()
         self._orders = EngineOrders(holder.permit)
+        self._loads = LoadHistory()
         self._sent: set[str] = set()
 
     @property
@@ -101,6 +104,9 @@
         view = self._view()
         if view is None:
             return
+        now = self._clock.elapsed()
+        for service in view.text.services.values():
+            self._loads.add(service.name, present_load(service, view), now)
         try:
             self._bring_engines(view)
             self._plan(view)
@@ -147,7 +153,7 @@
     ) -> StartRecord:
         endpoints = view.of_service(service)
         plan = plan_capacity(
-            demand_of(service, endpoints),
+            demand_of(service, self._loads.of_service(service.name)),
             [*running_instances(endpoints), *record.of_service(service.name)],
             offers_for(service, view.prices),
             record.refused(now),
--- a/src/sassafrasdale/duties/demand.py
+++ b/src/sassafrasdale/duties/demand.py
@@ -8,9 +8,10 @@
     RunningInstance,
     ServiceDemand,
 )
+from sassafrasdale.duties.loads import Load
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.platform.clouds import Price
-from sassafrasdale.text.structures import Service, Text
+from sassafrasdale.text.structures import Service, ServiceKind, Text
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,28 +21,42 @@
     :param text: the operators' text in force.
     :param endpoints: the endpoints that the platform lists.
     :param prices: the platform's prices.
+    :param entries: number of live entries, this one among them.
     """
 
     text: Text
     endpoints: tuple[Endpoint, ...]
     prices: tuple[Price, ...]
+    entries: int = 1
 
     def of_service(self, service: Service) -> list[Endpoint]:
         """Return the endpoints of a service."""
         return [e for e in self.endpoints if e.instance.service == service.name]
 
 
-def demand_of(service: Service, endpoints: Iterable[Endpoint]) -> ServiceDemand:
+def present_load(service: Service, view: FleetView) -> float:
+    """Return the requests in flight at a service, of all entries.
+
+    Engines report it. Of plain services, which report none, this entry knows its
+    own calls; the balancer gives the others as many.
+    """
+    endpoints = view.of_service(service)
+    own = sum(each.in_flight for each in endpoints)
+    if service.kind is ServiceKind.PLAIN:
+        return float(own * view.entries)
+    return float(max(own, sum(each.reported_load for each in endpoints)))
+
+
+def demand_of(service: Service, load: Load) -> ServiceDemand:
     """Return what a service needs; operators' counts are the least.
 
-    The load is what engines report of all entries, and of plain services, which
-    report none, this entry's own calls.
+    :param load: the service's load over the last minute.
     """
-    load = sum(max(each.reported_load, each.in_flight) for each in endpoints)
     zones = [zone for pool in service.pools for zone in pool.availability_zones]
     return ServiceDemand(
         service=service.name,
-        load=float(load),
+        load=load.mean,
+        growth=load.growth,
         availability_zones=tuple(dict.fromkeys(zones)),
         least_instances=sum(pool.count for pool in service.pools),
     )
--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -402,7 +402,10 @@
         """Return what the capacity duty plans by, or None before it is known."""
         if self._life.state != "ready":
             return None
-        return FleetView(self._current.text, self._directory.endpoints, self._prices)
+        alive = sum(member.is_usable for member in self._peers.members())
+        return FleetView(
+            self._current.text, self._directory.endpoints, self._prices, alive + 1
+        )
 
     def _drain(self, listener: socket.socket) -> None:
         """Finish what is in flight, hand over what doesn't fit.
