Let the test's body pass the bound before it ends

Cause: the test's service sends 2,000 bytes and closes; one read of 64 KiB met the end before the bound, and the test failed. Change: the test reads in parts of 500 bytes; its expectation stays.

--- a/tests/endpoints/test_adapters.py
+++ b/tests/endpoints/test_adapters.py
@@ -102,6 +102,7 @@
     it on whole.
     """
     monkeypatch.setattr("sassafrasdale.endpoints.adapters.MAX_ANSWER_BYTES", 1000)
+    monkeypatch.setattr("sassafrasdale.endpoints.adapters.READ_BYTES", 500)
     head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
     body = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
     with (
