Hold first tokens against the objective in the burn report

Cause: only the time to the whole answer counted; a service whose first tokens were late showed no burn.

--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -111,7 +111,9 @@
 
         def end(generation: Generation) -> None:
             self._registry.end(generation)
-            self._ledger.end(call.call, generation.outcome, began)
+            self._ledger.end(
+                call.call, generation.outcome, began, generation.first_event_at
+            )
             self._ledger.count_usage(generation)
             on_end(generation)
 
--- a/src/sassafrasdale/requests/ledger.py
+++ b/src/sassafrasdale/requests/ledger.py
@@ -14,7 +14,7 @@
     OutcomeName,
     Unknown,
 )
-from sassafrasdale.text.structures import Service, Text
+from sassafrasdale.text.structures import Objective, Service, Text
 
 FIRST_SERVER_ERROR = 500
 
@@ -44,15 +44,29 @@
         self._metrics.request_began(call.service)
         return self._clock.elapsed()
 
-    def end(self, call: Call, outcome: Outcome | None, began: timedelta) -> None:
-        """Count how a request ended; None if its caller went away."""
+    def end(
+        self,
+        call: Call,
+        outcome: Outcome | None,
+        began: timedelta,
+        first_token_at: timedelta | None = None,
+    ) -> None:
+        """Count how a request ended.
+
+        :param outcome: None if its caller went away.
+        :param began: what ``begin`` returned.
+        :param first_token_at: elapsed time of the first token, if it had any.
+        """
         now = self._clock.elapsed()
         latency = now - began
         name = outcome_name(outcome) if outcome else OutcomeName.UNKNOWN
         self._metrics.request_ended(call.service, name.value, latency)
         service = self._services.get(call.service)
         if service is not None and outcome is not None:
-            in_time = _is_good(outcome) and latency <= service.objective.latency
+            first_token = first_token_at - began if first_token_at else None
+            in_time = _is_good(outcome) and _meets(
+                service.objective, latency, first_token
+            )
             self._book.record(call.service, now, in_time)
 
     def count_usage(self, generation: Generation) -> None:
@@ -80,5 +94,16 @@
             return OutcomeName.UNKNOWN
 
 
+def _meets(
+    objective: Objective, latency: timedelta, first_token: timedelta | None
+) -> bool:
+    """Return whether an answer came in the time that the service promises."""
+    if latency > objective.latency:
+        return False
+    if objective.first_token is None or first_token is None:
+        return True
+    return first_token <= objective.first_token
+
+
 def _is_good(outcome: Outcome) -> bool:
     return isinstance(outcome, Answered) and outcome.status < FIRST_SERVER_ERROR
