--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -57,6 +57,7 @@
     :param home_availability_zone: where the entry that holds it runs.
     :param home: endpoint that the hash of the conversation names, on every entry
         alike; empty if the request continues none.
+    :param second_home: where it goes when the home is too busy, likewise.
     """
 
     prompt_tokens: int = 0
@@ -65,6 +66,7 @@
     remaining: timedelta = timedelta(seconds=30)
     home_availability_zone: str = ""
     home: str = ""
+    second_home: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
         all reports the other half.
     :param home_share: share of the prompt expected in the home's cache while
         nothing better is known.
+    :param second_home_share: the same for the second home.
     :param mirrored_entries: other entries that are expected to have changed their
         requests at an endpoint as this one did since the report.
     :param queueing_trust: part of the queueing seen that is expected again.
@@ -97,7 +100,8 @@
     wait_delay: float = 0.2
     price_delay: float = 0.02
     report_half_life: timedelta = timedelta(seconds=4)
-    home_share: float = 0.3
+    home_share: float = 0.5
+    second_home_share: float = 0.4
     mirrored_entries: float = 5.0
     queueing_trust: float = 1.0
     sample_size: int = 8
@@ -228,6 +232,7 @@
     :param reclaimable: whether the platform may take it back.
     :param in_flight: its requests in flight.
     :param leaving: whether a reclaim of it was announced.
+    :param serving: whether it has come up.
     """
 
     name: str
@@ -236,6 +241,7 @@
     reclaimable: bool
     in_flight: int = 0
     leaving: bool = False
+    serving: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,7 +249,7 @@
     """What a service needs of its instances.
 
     :param service: name of the service.
-    :param load: requests in flight to plan for.
+    :param load: requests in flight, as a mean over the last minute.
     :param growth: change of the load in a second.
     :param availability_zones: where its instances may run.
     :param least_instances: number never to go below.
@@ -264,18 +270,18 @@
     :param start_time: time from an order to an instance that serves.
     :param refusal_backoff: pause after one refused start; it doubles each time.
     :param longest_backoff: longest such pause.
-    :param reclaim_premium: share of its price that a reclaimable instance is
-        held to cost more than it does, for the work that its loss repeats.
     :param give_back_margin: spare capacity, as a share of what is needed, that is
         kept before an instance is given back.
+    :param dear: multiple of the cheapest price of capacity from which an instance
+        is replaced by a cheaper one.
     """
 
     headroom: float = 1.25
     start_time: timedelta = timedelta(seconds=60)
-    refusal_backoff: timedelta = timedelta(seconds=10)
-    longest_backoff: timedelta = timedelta(minutes=5)
-    reclaim_premium: float = 0.1
-    give_back_margin: float = 0.2
+    refusal_backoff: timedelta = timedelta(seconds=20)
+    longest_backoff: timedelta = timedelta(minutes=2)
+    give_back_margin: float = 0.1
+    dear: float = 1.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Coroutine, Iterable
+from contextlib import suppress
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -46,19 +47,49 @@
 
 UPDATES_A_MESSAGE = 8
 NOTICES_A_MESSAGE = 16
-PROBES_A_PERIOD = 8
+VERIFICATIONS_A_PERIOD = 2
 INDIRECT_PROBES = 2
 FAN_OUT = 4
 SPREAD_TO_ALL = 16
 SPARE_HOPS = 2
+UPDATES_A_SPREAD = 64
 FIRST_ASKED = 2
 ASKED_AT_ONCE = 8
+PULL_HEDGE = timedelta(milliseconds=300)
+"""After this time without the text another source is asked too."""
+MAX_SLOWNESS = 4
 
 Post = Callable[[Any], None]
 
 log = Logger(__name__)
 
 
+class Slowness:
+    """How far this entry is to doubt itself before it doubts others.
+
+    A machine that is short of processor time answers and hears late. Its probes
+    time out, and without this it would call healthy members suspect, whose
+    refutations make more work for all. Probes to which nobody answers, helpers
+    neither, and own refutations lengthen its time-outs; answered probes shorten them.
+    """
+
+    def __init__(self) -> None:
+        self._score = 0
+
+    @property
+    def factor(self) -> int:
+        """By how much to lengthen time-outs."""
+        return 1 + self._score
+
+    def add(self) -> None:
+        """Note a sign of slowness."""
+        self._score = min(self._score + 1, MAX_SLOWNESS)
+
+    def lessen(self) -> None:
+        """Note a sign of health."""
+        self._score = max(self._score - 1, 0)
+
+
 class PeerAgent:
     """State and tasks of one entry among its peers; lives on the loop.
 
@@ -89,7 +120,11 @@
         self._published_version = 0
         self._is_joining = True
         self._is_pulling = False
+        self._pulled_from: set[str] = set()
+        self._sources: dict[str, tuple[Member, int]] = {}
         self._spreading: asyncio.Task | None = None
+        self._spread_at = timedelta()
+        self._slowness = Slowness()
         self._news_members: dict[str, Member] = {}
         self._news_notices: list[Notice] = []
         self._hops_left = 0
@@ -192,9 +227,10 @@
         self._take_in_members(sender, gossip.revision, updates, served, hops)
         self._take_in_notices(gossip, hops)
         if self._membership.me.incarnation != before:
+            self._slowness.add()
             self._spread_soon(self._first_hops())
         if gossip.revision > self.revision:
-            self._pull_soon(sender)
+            self._pull_soon(sender, gossip.revision)
         self._publish()
 
     def all_members(self) -> list[Member]:
@@ -283,23 +319,28 @@
         for member in self._membership.expire():
             self._news_members[member.name] = member
             self._spread_soon(self._first_hops())
-        for target in self._membership.next_targets(PROBES_A_PERIOD):
+        for target in self._membership.next_targets(VERIFICATIONS_A_PERIOD):
             self.run(self._probe(target))
         self._publish()
 
     async def _probe(self, target: Member) -> None:
         if await self._probe_once(target, self._timings.probe_timeout):
+            self._slowness.lessen()
             return
-        # The failed attempt dropped its channel: this one is on a fresh one.
-        if target.state is MemberState.DEAD:
+        if target.state >= MemberState.SUSPECT:
             return
+        # The failed attempt dropped its channel: this one is on a fresh one.
         retry = self._probe_once(target, self._timings.retry_timeout)
         others = [
             self._probe_through(helper, target)
             for helper in self._membership.helpers(target, INDIRECT_PROBES)
         ]
-        if any(await asyncio.gather(retry, *others)):
+        answered, *through = await asyncio.gather(retry, *others)
+        if answered or any(through):
             return
+        if all(each is None for each in through):
+            # Nobody answered at all; a helper that did speaks for this entry.
+            self._slowness.add()
         if self._membership.suspect(target.name, target.incarnation):
             self._tell(target.name)
             self._publish()
@@ -308,6 +349,7 @@
         request = ProbeRequest(
             gossip=self.gossip(target.name), wants_members=self._is_joining
         )
+        limit *= self._slowness.factor
         try:
             reply = await self._channels.call(
                 target.peer_address, lambda stub: stub.Probe(request), limit
@@ -319,10 +361,18 @@
             self.take_in(reply.gossip, served=False)
             return False
         self._is_joining = False
+        if request.wants_members:
+            self._learn_members(reply.gossip)
         self.take_in(reply.gossip, served=False)
         return True
 
-    async def _probe_through(self, helper: Member, target: Member) -> bool:
+    def _learn_members(self, gossip: Gossip) -> None:
+        with suppress(ValueError):
+            members = [member_from_message(each) for each in gossip.updates]
+            self._membership.learn(members)
+
+    async def _probe_through(self, helper: Member, target: Member) -> bool | None:
+        """Return whether ``target`` answered the helper; None if that did not."""
         request = IndirectProbeRequest(
             gossip=self.gossip(helper.name), target=member_to_message(target)
         )
@@ -330,10 +380,10 @@
             reply = await self._channels.call(
                 helper.peer_address,
                 lambda stub: stub.ProbeIndirectly(request),
-                self._timings.retry_timeout,
+                self._timings.retry_timeout * self._slowness.factor,
             )
         except PeerNotReachedError:
-            return False
+            return None
         self.take_in(reply.gossip, served=False)
         return reply.answered
 
@@ -352,7 +402,12 @@
             self._spread_soon(self._first_hops())
 
     def _spread_soon(self, hops: int) -> None:
-        """Spread what is new after a moment, so that news travels together."""
+        """Spread what is new after a moment, so that news travels together.
+
+        The first news goes at once, what follows waits for the least interval. So
+        a fleet in which everything changes at once spends no more than a fixed
+        number of messages a second on saying so.
+        """
         if hops < 0:
             return
         self._hops_left = max(self._hops_left, hops)
@@ -360,23 +415,31 @@
             self._spreading = self.run(self._spread())
 
     async def _spread(self) -> None:
-        await asyncio.sleep(self._timings.coalesce.total_seconds())
+        since = self._clock.elapsed() - self._spread_at
+        pause = max(self._timings.coalesce, self._timings.spread_interval - since)
+        await asyncio.sleep(pause.total_seconds())
         self._spreading = None
-        updates = list(self._news_members.values())
-        notices = self._news_notices
+        self._spread_at = self._clock.elapsed()
+        updates = self._take_member_news()
+        notices, self._news_notices = self._news_notices, []
         hops, self._hops_left = self._hops_left, 0
-        self._news_members, self._news_notices = {}, []
         request = SpreadRequest(
             gossip=self._gossip_of(updates, notices), hops_left=hops
         )
         for receiver in self._receivers_of_news():
             self.run(self._spread_to(receiver, request))
 
+    def _take_member_news(self) -> list[Member]:
+        """Return news of members for one round; what is too much is for probes."""
+        updates = list(self._news_members.values())[-UPDATES_A_SPREAD:]
+        self._news_members = {}
+        return updates
+
     def _receivers_of_news(self) -> list[Member]:
         reachable = self._membership.reachable
         if len(reachable) <= SPREAD_TO_ALL:
             return reachable
-        return self._rng.sample(reachable, FAN_OUT)
+        return self._rng.sample(self._membership.neighbours, FAN_OUT)
 
     async def _spread_to(self, receiver: Member, request: SpreadRequest) -> None:
         call = self._timings.call_timeout
@@ -420,19 +483,41 @@
 
     # Text
 
-    def _pull_soon(self, source: Member) -> None:
+    def _pull_soon(self, source: Member, revision: int) -> None:
+        if source.name in self._pulled_from:
+            return
+        self._sources[source.name] = (source, revision)
         if not self._is_pulling:
             self._is_pulling = True
-            self.run(self._pull(source))
+            self.run(self._pull_in_turn())
+
+    async def _pull_in_turn(self) -> None:
+        """Pull from one source after the other, without waiting long for any.
+
+        A source may be out of reach although its messages arrive, as when the
+        network is cut in one direction. Waiting for its whole time-out, and again
+        at its next message, would keep out what the others have.
+        """
+        try:
+            while self._sources:
+                name = next(iter(self._sources))
+                source, revision = self._sources.pop(name)
+                if revision <= self.revision:
+                    continue
+                pull = self.run(self._pull(source))
+                await asyncio.wait([pull], timeout=PULL_HEDGE.total_seconds())
+        finally:
+            self._is_pulling = False
 
     async def _pull(self, source: Member) -> None:
+        self._pulled_from.add(source.name)
         try:
             await self._pull_from(source)
         except PeerNotReachedError:
             # The next message with a newer revision starts another pull.
             pass
         finally:
-            self._is_pulling = False
+            self._pulled_from.discard(source.name)
 
     async def _pull_from(self, source: Member) -> None:
         request = PullTextRequest(gossip=self.gossip(source.name))
--- a/src/sassafrasdale/platform/stores.py
+++ b/src/sassafrasdale/platform/stores.py
@@ -19,7 +19,7 @@
 )
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import Timeout, http_pool, timeout
+from sassafrasdale.green import GreenHttpPool, Timeout, http_pool, timeout
 from sassafrasdale.platform.breaker import Breaker
 from sassafrasdale.platform.exceptions import (
     LeaseNotFound,
@@ -163,7 +163,7 @@
         self._address = address
         self._call_timeout = call_timeout
         self._breaker = Breaker(clock, rng or Random())
-        self._pool = self._new_pool()
+        self._connections = self._connect_afresh()
 
     @property
     def is_out(self) -> bool:
@@ -234,7 +234,7 @@
         request = {
             "create_request": {"key": _encode(key), "start_revision": str(after + 1)}
         }
-        self._refuse_if_out()
+        self._refuse_if_out(may_probe=True)
         try:
             with timeout(limit):
                 return self._first_event(request, limit)
@@ -275,13 +275,21 @@
         call is made on a new connection.
         """
         try:
-            return self._call(path, question)
+            return self._call(path, question, may_probe=True)
         except StoreAnswerLost:
-            return self._call(path, question)
+            return self._call(path, question, may_probe=True)
 
-    def _call(self, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
-        self._refuse_if_out()
-        pool = self._pool
+    def _call(
+        self, path: str, body: Mapping[str, Any], *, may_probe: bool = False
+    ) -> dict[str, Any]:
+        """Call ``path`` and return its answer.
+
+        While the store is out only reads probe it. Callers wait behind a write:
+        as the probe of a silent store it would hold one for the whole timeout
+        each time, and leave a write in doubt. The text is read all the time.
+        """
+        self._refuse_if_out(may_probe=may_probe)
+        connections = self._connections
         try:
             with timeout(self._call_timeout):
                 response = self._post(path, body, self._call_timeout)
@@ -290,8 +298,12 @@
         except (ConnectTimeoutError, NewConnectionError) as error:
             raise self._not_reached(error) from error
         except (Timeout, HTTPError, OSError, ValueError) as error:
-            self._drop_connections(pool)
-            raise self._answer_lost(path, error) from error
+            self._lose(connections)
+            raise StoreAnswerLost(
+                f"no answer of the store to {path}: {error}",
+                retry_after=self._breaker.pause,
+            ) from error
+        connections.answered = True
         self._breaker.record_success()
         return answer
 
@@ -306,7 +318,7 @@
         wait = HttpTimeout(
             connect=CONNECT_TIMEOUT.total_seconds(), read=limit.total_seconds()
         )
-        return self._pool.request(
+        return self._connections.pool.request(
             "POST",
             path,
             body=json.dumps(body).encode(),
@@ -330,8 +342,8 @@
             raise LeaseNotFound(fault)
         raise StoreRejected(f"status {response.status}: {fault}")
 
-    def _refuse_if_out(self) -> None:
-        pause = self._breaker.refusal()
+    def _refuse_if_out(self, *, may_probe: bool) -> None:
+        pause = self._breaker.refusal(may_probe=may_probe)
         if pause is not None:
             raise StoreNotReached("the store is out", retry_after=pause)
 
@@ -342,30 +354,37 @@
             retry_after=self._breaker.pause,
         )
 
-    def _answer_lost(self, path: str, error: BaseException) -> StoreError:
-        self._breaker.record_failure()
-        return StoreAnswerLost(
-            f"no answer of the store to {path}: {error}",
-            retry_after=self._breaker.pause,
-        )
-
-    def _drop_connections(self, pool: Any) -> None:
-        """Replace ``pool``, unless another task has done so already.
+    def _lose(self, connections: "_Connections") -> None:
+        """Heed an answer that was lost on one of ``connections``.
 
-        Connections that were pooled before a timeout may all be silent. Those
-        made since are not suspected, so a late timeout must not drop them.
+        Connections that answered earlier may all have gone silent while new ones
+        work. So they are dropped at the first loss, and none of their losses says
+        that the store is out; a loss on connections made since then does.
         """
-        if pool is not self._pool:
-            return
-        self._pool = self._new_pool()
-        pool.close()
-
-    def _new_pool(self) -> Any:
-        return http_pool(
+        if not connections.answered:
+            self._breaker.record_failure()
+        if connections is self._connections:
+            self._connections = self._connect_afresh()
+            connections.pool.close()
+
+    def _connect_afresh(self) -> "_Connections":
+        pool = http_pool(
             self._address,
             connect_timeout=CONNECT_TIMEOUT,
             read_timeout=self._call_timeout,
         )
+        return _Connections(pool)
+
+
+class _Connections:
+    """Connections made since the last time that all were dropped.
+
+    :param pool: the connections.
+    """
+
+    def __init__(self, pool: GreenHttpPool) -> None:
+        self.pool = pool
+        self.answered = False
 
 
 def _encode(text: str | bytes) -> str:
--- a/tests/guarantees/resuming.py
+++ b/standins/callers.py
@@ -1,4 +1,4 @@
-"""Callers that resume, and the balancer and the fleet that their tests share."""
+"""Stand-ins for callers that resume and for the balancer, on one small text."""
 
 import json
 import random
@@ -164,6 +164,8 @@
     resumed: int = 0
     restarted: int = 0
     entry: str = ""
+    longest_pause: float = 0.0
+    _taken_at: float = 0.0
 
     @property
     def messages(self) -> list[dict[str, str]]:
@@ -189,6 +191,10 @@
 
     def take(self, position: int, data: str) -> None:
         """Take an event; one that came before must be the same again."""
+        now = time.monotonic()
+        if self._taken_at:
+            self.longest_pause = max(self.longest_pause, now - self._taken_at)
+        self._taken_at = now
         if position in self.events:
             self.duplicates += 1
             if self.events[position] != data:
@@ -244,6 +250,7 @@
 
     :param balancer: gives an entry for each connection.
     :param limit: seconds after which it gives up.
+    :param resume: whether the request was accepted before.
     """
 
     def __init__(
@@ -252,12 +259,14 @@
         stream: Stream,
         habit: Habit | None = None,
         limit: float = CALL_LIMIT,
+        *,
+        resume: bool = False,
     ) -> None:
         self._balancer = balancer
         self.stream = stream
         self._habit = habit or Habit()
         self._until = time.monotonic() + limit
-        self._accepted = False
+        self._accepted = resume
 
     def run(self) -> Stream:
         """Read to the end; what went wrong is in the stream."""
@@ -267,11 +276,11 @@
                 time.sleep(PAUSE)
                 continue
             self.stream.entry = entry.name
-            if not self._connect(entry):
+            if not self.connect(entry):
                 break
         return self.stream
 
-    def _connect(self, entry: EntryProcess) -> bool:
+    def connect(self, entry: EntryProcess) -> bool:
         """Ask once; return whether to go on asking."""
         stream = self.stream
         try:
@@ -388,6 +397,14 @@
         self.streams.extend(begun)
         return begun
 
+    def read_again(self, streams: Sequence[Stream]) -> None:
+        """Start a second reader of each stream, from its first event."""
+        for first in streams:
+            stream = Stream(first.request_id, first.prompt, first.max_tokens)
+            caller = StreamCaller(self.balancer, stream, resume=True)
+            self._futures.append(self._pool.submit(caller.run))
+            self.streams.append(stream)
+
     def submit(self, function: Callable[..., Any], *arguments: Any) -> Future:
         """Run ``function`` beside the callers."""
         return self._pool.submit(function, *arguments)
