--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -46,6 +46,7 @@
     PriceWatcher,
 )
 from sassafrasdale.platform.exceptions import StoreError
+from sassafrasdale.platform.gathering import GatheringStore
 from sassafrasdale.platform.leases import LeaseHolder
 from sassafrasdale.platform.stores import EtcdStore
 from sassafrasdale.platform.texts import (
@@ -158,7 +159,7 @@
             selector=self._selector,
             gates=self._gates,
             registry=Registry(self._clock),
-            claims=Claims(store, self._clock),
+            claims=Claims(GatheringStore(store), self._clock),
             ledger=self._ledger,
             is_alive=self._is_alive,
             clock=self._clock,
--- a/tests/requests/test_ledger.py
+++ b/tests/requests/test_ledger.py
@@ -45,8 +45,6 @@
     clock.advance(latency)
     first_token_at = None if first_token is None else began + first_token
     ledger.end(call, outcome, began, first_token_at)
-    (burn,) = [
-        each for each in ledger.burn()["services"] if each["service"] == "reports"
-    ]
+    burns = {each["service"]: each for each in ledger.burn()["services"]}
     window = burns["reports"]["windows"][0]
     assert (window["total"], window["in_time"]) == (1, in_time)
