Answer calls that outlast a stop

Calls of plain services and keyed model calls can't be handed over. When the time of a stop was up their connections broke, and callers could not tell a stop from a loss. They are told 504, outcome unknown, 300 ms before the end.

--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -78,6 +78,8 @@
 HAND_OVER_RESERVE = timedelta(seconds=2)
 # What is relayed is ended this long before, and callers go on through others.
 RELAY_RESERVE = timedelta(seconds=1)
+# Whoever still waits is told what is known this long before.
+ANSWER_RESERVE = timedelta(milliseconds=300)
 # Pause between two plans for the streams of leaving endpoints.
 REVIEW_INTERVAL = timedelta(milliseconds=500)
 # A connection that was accepted last still gets its answer within this time.
@@ -384,6 +386,8 @@
                 self._transfers.give_what_does_not_fit(timedelta())
             if left < RELAY_RESERVE:
                 self._relay.release()
+            if left < ANSWER_RESERVE:
+                self._dispatcher.give_up_all()
             self._transfers.give_undelivered()
             sleep(DRAIN_POLL)
         listener.close()
--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -42,6 +42,16 @@
     return eventlet.spawn(function, *args, **kwargs)
 
 
+def current_task() -> GreenThread:
+    """Return the task that runs now."""
+    return eventlet.getcurrent()
+
+
+def interrupt(task: GreenThread, error: Exception) -> None:
+    """Raise ``error`` in another task, where it waits."""
+    eventlet.kill(task, error)
+
+
 def sleep(pause: timedelta = timedelta()) -> None:
     """Let other tasks run for ``pause``."""
     eventlet.sleep(pause.total_seconds())
--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -3,6 +3,7 @@
 import json
 import random
 from collections.abc import Callable
+from datetime import timedelta
 from uuid import UUID
 
 from xxhash import xxh3_128_hexdigest
@@ -10,9 +11,11 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.budgets import RetryBudget
 from sassafrasdale.endpoints.directory import Endpoint
+from sassafrasdale.green import GreenThread, current_task, interrupt, spawn
 from sassafrasdale.requests.claim_records import Claim
 from sassafrasdale.requests.claimant import Attempt, Claimant
 from sassafrasdale.requests.claims import Claims
+from sassafrasdale.requests.exceptions import EntryStops
 from sassafrasdale.requests.execution import IdempotentExecution
 from sassafrasdale.requests.gates import Gates
 from sassafrasdale.requests.generation import Generation, Placement, Progress
@@ -26,8 +29,13 @@
     NotRun,
     Outcome,
     ServiceCall,
+    Unknown,
 )
 
+# When a call that a stop has cut short is worth asking again, through another entry.
+STOP_RETRY_AFTER = timedelta(seconds=1)
+STOPS = "this entry stops"
+
 
 class Dispatcher:
     """Runs calls.
@@ -68,7 +76,7 @@
         # A process that starts again under its name is another holder: it knows
         # nothing of what the one before it sent.
         self._holder = f"{name}/{self._unique_id()}"
-        self._calls_running = 0
+        self._serving: set[GreenThread] = set()
         self._budgets: dict[str, RetryBudget] = {}
 
     @property
@@ -79,7 +87,7 @@
     @property
     def calls_running(self) -> int:
         """Calls of plain services that are under way."""
-        return self._calls_running
+        return len(self._serving)
 
     def serve(self, call: ServiceCall) -> Outcome:
         """Run a call of a plain service and return how it ended.
@@ -87,14 +95,31 @@
         :raises KeyReused: its idempotency key names another call.
         """
         began = self._ledger.begin(call.call)
-        self._calls_running += 1
+        task = current_task()
+        self._serving.add(task)
         outcome: Outcome | None = None
         try:
             outcome = self._enter_and_run(call)
-            return outcome
+        except EntryStops as error:
+            # It may have been sent, and a keyed one be claimed.
+            outcome = Unknown(error.message, STOP_RETRY_AFTER)
         finally:
-            self._calls_running -= 1
+            self._serving.discard(task)
             self._ledger.end(call.call, outcome, began)
+        return outcome
+
+    def give_up_all(self) -> None:
+        """Have every caller that is still waiting told what is known.
+
+        A call of a plain service can't be handed over, as its answer comes on a
+        connection of this entry; nor a keyed model call, whose claim is this
+        entry's. Without an answer a caller could not tell a stop from a loss.
+        """
+        for task in tuple(self._serving):
+            interrupt(task, EntryStops(STOPS))
+        for generation in self._registry.running:
+            # Its end is written to the store, which must not hold up the others.
+            spawn(generation.abandon, STOPS)
 
     def generate(
         self,
--- a/src/sassafrasdale/requests/exceptions.py
+++ b/src/sassafrasdale/requests/exceptions.py
@@ -29,3 +29,7 @@
 
 class EndpointLeaves(RequestError):
     """The endpoint is about to leave, and the request goes on elsewhere."""
+
+
+class EntryStops(RequestError):
+    """The time of this entry is up, and the call is not answered."""
--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -238,6 +238,12 @@
         assert {each for s in crowd.streams for each in s.told} == {"404 unknown"}
 
 
+def _draft_once(entry: EntryProcess, number: int) -> Response:
+    body = _whole_body("draft", WHOLE_TOKENS)
+    key = f"draft-{number}"
+    return call(entry, "POST", "/v1/chat/completions", body, Idempotency_Key=key)
+
+
 def test_an_answer_that_nobody_has_read_is_handed_over():
     """A caller that was away for a moment finds its answer gone.
 
@@ -274,3 +280,27 @@
         assert stream.faults() == []
         assert (stream.restarted, stream.told) == (0, [])
         assert stopping.result() == 0
+
+
+def test_calls_that_outlast_a_stop_get_a_final_answer():
+    """A caller's connection breaks, and it can't tell whether to ask again.
+
+    A record takes 4 s, a keyed draft 6 s, and the entry has 2 s to stop. The one
+    can't be handed over as its answer comes on the entry's own connection, the
+    other as its claim is the entry's.
+    """
+    options = {"drain_timeout": "2s"}
+    with start_fleet(
+        step_ms=40, service_options={"delay_ms": 4000}, entry_options=options
+    ) as fleet:
+        stopped = fleet.entries[0]
+        with Crowd(Balancer(fleet.entries)) as crowd:
+            path = "/v1/services/records/lookups/1"
+            asked = [crowd.submit(call, stopped, "GET", path) for _ in range(STREAMS)]
+            asked += [crowd.submit(_draft_once, stopped, n) for n in range(STREAMS)]
+            time.sleep(0.5)
+            assert stopped.terminate() == 0
+            answers = [each.result() for each in asked]
+        assert {each.status for each in answers} == {504}
+        assert {each.headers["X-Outcome"] for each in answers} == {"unknown"}
+        assert all(each.headers["Retry-After"] for each in answers)
