--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -11,6 +11,7 @@
 MEASUREMENTS = (
     "peers",
     "faults",
+    "handovers",
     "endpoints",
     "control",
     "texts",
--- a/bench/capacity/peer_fleet.py
+++ b/bench/capacity/peer_fleet.py
@@ -90,15 +90,13 @@
             addresses |= json.loads(host.process.stdout.readline())["addresses"]
             threading.Thread(target=self._read, args=(host,), daemon=True).start()
         self._addresses = addresses
-        self._candidates = [
-            (name, self._zones[name], addresses[name]) for name in names
-        ]
+        self.candidates = [(name, self._zones[name], addresses[name]) for name in names]
 
     def join(self) -> float:
         """Give the list to all and return seconds until all know all alive."""
         start = time.monotonic()
         for host in self.hosts:
-            host.tell(do="introduce", candidates=self._candidates)
+            host.tell(do="introduce", candidates=self.candidates)
         self.wait(
             lambda: (
                 len(self._alive) == self._size
--- a/bench/capacity/peer_host.py
+++ b/bench/capacity/peer_host.py
@@ -24,6 +24,7 @@
 from sassafrasdale.peers.exceptions import PeerNotReachedError
 from sassafrasdale.peers.node import PeerNode
 from sassafrasdale.peers.structures import (
+    HandOverOffered,
     MembersChanged,
     MemberState,
     NoticeHeard,
@@ -106,6 +107,8 @@
                     self.write(heard=f"text-{record.revision}", by=name, at=now)
                 case NoticeHeard(notice):
                     self.write(heard=f"notice-{notice.sequence}", by=name, at=now)
+                case HandOverOffered(_, reply):
+                    reply(True)
                 case MembersChanged(members):
                     alive = sum(each.is_usable for each in members)
                     self._doubts += max(0, self._alive.get(name, 0) - alive)
