Send slow lookups to a second endpoint within the hedging budget

Cause: with one of three record services slow, lookups that met it took its time; the hedging decision was there, but nothing asked it. Health was not told the latency of answers either. Change: idempotent calls race a second attempt after the 0.95 quantile of recent latencies, within the budget and spare room; health hears latencies of lookups. Ruled out: hedging keyed calls (never) and model calls (cost).

--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -14,7 +14,7 @@
 from cyclopts import App
 
 from bench.load.callers import Tally, run_callers
-from bench.load.overhead import KINDS, compare, saturate
+from bench.load.overhead import KINDS, compare, saturate, time_lookups
 from standins.fleet import Fleet
 
 EXAMPLE = Path(__file__).parents[2] / "examples" / "authority.yaml"
@@ -58,6 +58,21 @@
     return 0
 
 
+@app.command
+def slow(callers: int = 20, seconds: float = 10, delay_ms: int = 300) -> int:
+    """Time lookups through one entry while one of three services is slow."""
+    with _fleet(1) as fleet:
+        fleet.of_service("records")[0].set_faults(delay_ms=delay_ms)
+        times = time_lookups(fleet, callers, timedelta(seconds=seconds))
+        counts = [len(each.executions()) for each in fleet.of_service("records")]
+    percentiles = {
+        f"p{p}_ms": times.get_value_at_percentile(p) / 1000 for p in (50, 95, 99, 99.9)
+    }
+    print(json.dumps({"asked": times.get_total_count(), **percentiles}))
+    print(json.dumps({"executed by each service": counts}))
+    return 0
+
+
 def _print(tally: Tally, doubled: int) -> None:
     for (kind, outcome), count in sorted(tally.outcomes.items()):
         print(f"{kind:12} {outcome:80} {count:8}")
--- a/bench/load/overhead.py
+++ b/bench/load/overhead.py
@@ -10,7 +10,7 @@
 
 from bench.load.callers import MICROSECOND, histogram
 from sassafrasdale.clock import Clock, SystemClock
-from sassafrasdale.green import GreenHttpPool, http_pool, spawn
+from sassafrasdale.green import GreenHttpPool, http_pool, sleep, spawn
 from sassafrasdale.structures import Address
 from standins.fleet import Fleet
 
@@ -18,7 +18,8 @@
 JSON_TYPE = {"Content-Type": "application/json"}
 PROC_TICKS_PER_SECOND = 100
 USER_TICKS_FIELD = 13
-READ_BYTES = 65536
+# Pause of a caller between two lookups.
+THINK = timedelta(milliseconds=50)
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +157,26 @@
     return Rate(kind, count, cpu_time(pid) - before)
 
 
+def time_lookups(fleet: Fleet, callers: int, duration: timedelta) -> HdrHistogram:
+    """Return the times of lookups through one entry by several callers."""
+    clock = SystemClock()
+    pool = _pool(fleet.entries[0].address)
+    times = histogram()
+    until = clock.elapsed() + duration
+
+    def run(caller: int) -> None:
+        number = 0
+        while clock.elapsed() < until:
+            number += 1
+            asked = caller * 1_000_000 + number
+            _time(clock, times, ask_lookup, pool, asked, False)
+            sleep(THINK)
+
+    for task in [spawn(run, caller) for caller in range(callers)]:
+        task.wait()
+    return times
+
+
 def cpu_time(pid: int) -> timedelta:
     """Return the processor time that a process has spent."""
     stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -20,6 +20,7 @@
 from sassafrasdale.requests.gates import Gates
 from sassafrasdale.requests.generation import Generation, Placement, Progress
 from sassafrasdale.requests.guarded import GuardedExecution
+from sassafrasdale.requests.hedges import Hedger
 from sassafrasdale.requests.ledger import Ledger
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.requests.selection import Selector
@@ -78,6 +79,7 @@
         self._holder = f"{name}/{self._unique_id()}"
         self._serving: set[GreenThread] = set()
         self._budgets: dict[str, RetryBudget] = {}
+        self._hedgers: dict[str, Hedger] = {}
 
     @property
     def registry(self) -> Registry:
@@ -230,10 +232,18 @@
 
         if about.idempotent:
             budget = self._budgets.setdefault(about.service, RetryBudget())
-            return IdempotentExecution(call, choose, observe, budget, self._clock)
+            hedger = self._hedger(about.service)
+            return IdempotentExecution(
+                call, choose, observe, budget, hedger, self._clock
+            )
         claimant = self._claimant(call, fingerprint(call))
         return GuardedExecution(call, claimant, choose, observe, self._clock)
 
+    def _hedger(self, service: str) -> Hedger:
+        if service not in self._hedgers:
+            self._hedgers[service] = Hedger(self._gates.of(service), self._clock)
+        return self._hedgers[service]
+
     def _claimant(self, call: ServiceCall | ModelCall, digest: str) -> Claimant:
         attempt = Attempt(self._unique_id(), digest, self._holder)
         return Claimant(call.call, attempt, self.is_alive, self._claims, self._clock)
--- a/src/sassafrasdale/requests/execution.py
+++ b/src/sassafrasdale/requests/execution.py
@@ -10,6 +10,7 @@
 from sassafrasdale.endpoints.adapters import EndpointAnswer, EndpointRequest
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.exceptions import AnswerLost, NotSent, Refused
+from sassafrasdale.requests.hedges import Hedger, Race
 from sassafrasdale.requests.structures import (
     Answered,
     NotRun,
@@ -30,8 +31,13 @@
 class Observe(Protocol):
     """Takes note of how an endpoint did."""
 
-    def __call__(self, endpoint: Endpoint, *, ok: bool) -> None:
-        """Note that ``endpoint`` answered, or failed to."""
+    def __call__(
+        self, endpoint: Endpoint, *, ok: bool, latency: timedelta | None = None
+    ) -> None:
+        """Note that ``endpoint`` answered, or failed to.
+
+        :param latency: time of an answer, for calls that take alike.
+        """
 
 
 class IdempotentExecution:
@@ -42,6 +48,7 @@
         to take.
     :param observe: told whether an endpoint answered.
     :param budget: retries that the service's successes allow.
+    :param hedger: decides on a second endpoint for a slow call.
     :param clock: source of time.
     """
 
@@ -51,12 +58,14 @@
         choose: Choose,
         observe: Observe,
         budget: RetryBudget,
+        hedger: Hedger,
         clock: Clock,
     ) -> None:
         self._call = call
         self._choose = choose
         self._observe = observe
         self._budget = budget
+        self._hedger = hedger
         self._clock = clock
         self._life = Lifecycle(load_chart("request"))
         self._sent = False
@@ -87,8 +96,7 @@
                 return self._give_up("no endpoint takes the request now")
             again = None
             try:
-                answer = self._attempt(endpoint, remaining)
-                self._observe(endpoint, ok=True)
+                answer = self._attempt(endpoint, remaining, avoid)
                 self._budget.deposit(self._clock.elapsed())
                 return Answered(answer.status, answer.headers, answer.body)
             except Refused as error:
@@ -119,15 +127,47 @@
         avoid.add(endpoint.name)
         return self._budget.try_spend(self._clock.elapsed())
 
-    def _attempt(self, endpoint: Endpoint, remaining: timedelta) -> EndpointAnswer:
+    def _attempt(
+        self, endpoint: Endpoint, remaining: timedelta, avoid: set[str]
+    ) -> EndpointAnswer:
+        """Send to ``endpoint``, and to another one too if it is slow.
+
+        :raises EndpointError: no attempt was answered.
+        """
         if self._life.allows("send"):
             self._life.fire("send")
         limit = min(remaining, max(remaining * ATTEMPT_SHARE, MIN_ATTEMPT))
+        patience = self._hedger.delay()
+        if patience is None or patience >= limit:
+            return self._send(endpoint, limit)
+        with Race() as race:
+            race.start(endpoint, lambda: self._send(endpoint, limit))
+            finish = race.wait(patience)
+            if finish is None and (other := self._second(endpoint, avoid)):
+                # The first may run on and answer later; that is no matter for a
+                # call that may be repeated.
+                race.start(other, lambda: self._send(other, limit - patience))
+            finish = race.winner(finish)
+        if isinstance(finish.result, Exception):
+            raise finish.result
+        return finish.result
+
+    def _second(self, first: Endpoint, avoid: set[str]) -> Endpoint | None:
+        """Return an endpoint for a hedge, if one may be sent."""
+        other = self._choose(frozenset({*avoid, first.name}))
+        return other if other is not None and self._hedger.try_hedge() else None
+
+    def _send(self, endpoint: Endpoint, limit: timedelta) -> EndpointAnswer:
+        began = self._clock.elapsed()
         endpoint.in_flight += 1
         try:
-            return endpoint.adapter.send(endpoint_request(self._call), limit)
+            answer = endpoint.adapter.send(endpoint_request(self._call), limit)
         finally:
             endpoint.in_flight -= 1
+        latency = self._clock.elapsed() - began
+        self._observe(endpoint, ok=True, latency=latency)
+        self._hedger.observe(latency)
+        return answer
 
     def _give_up(self, reason: str) -> Outcome:
         if self._sent:
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -150,10 +150,16 @@
             watch.expect(max(0, wanted.prompt_tokens - chosen.cached_tokens))
         return fit[chosen.name]
 
-    def observe(self, endpoint: Endpoint, *, ok: bool) -> None:
-        """Note that an endpoint answered, or failed to."""
+    def observe(
+        self, endpoint: Endpoint, *, ok: bool, latency: timedelta | None = None
+    ) -> None:
+        """Note that an endpoint answered, or failed to.
+
+        :param latency: time of an answer, for calls that take alike.
+        """
         health = self._health_of(endpoint.instance.service)
-        health.observe(endpoint.name, ok=ok, now=self._clock.elapsed())
+        now = self._clock.elapsed()
+        health.observe(endpoint.name, ok=ok, now=now, latency=latency)
 
     def set_prices(self, prices: Iterable[Price]) -> None:
         """Take the platform's prices."""
