--- a/tests/guarantees/test_streams.py
+++ b/tests/guarantees/test_streams.py
@@ -84,14 +84,14 @@
 
 def _ask_whole(entry) -> tuple[int, str]:
     answer = call(
-        entry, "POST", "/v1/chat/completions", _body(False), X_Timeout_Ms="6000"
+        entry, "POST", "/v1/chat/completions", _body(False), X_Timeout_Ms="4000"
     )
     return answer.status, answer.headers["X-Outcome"]
 
 
 def _read_raw(entry) -> tuple[int, str]:
     answer = call(
-        entry, "POST", "/v1/chat/completions", _body(True), X_Timeout_Ms="6000"
+        entry, "POST", "/v1/chat/completions", _body(True), X_Timeout_Ms="4000"
     )
     return answer.status, answer.data.decode()
 
