--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -18,6 +18,7 @@
     "claims",
     "serving",
     "telemetry",
+    "duties",
     "memory",
 )
 
--- /dev/null
+++ b/bench/capacity/duties.py
@@ -0,0 +1,141 @@
+"""What a round of the capacity duty takes, at its holder and at the others.
+
+Usage::
+
+    python -m bench.capacity duties
+
+Calls to engines are answered at once here; each costs what a load report does.
+"""
+
+from random import Random
+
+from bench.capacity.records import record_of
+from bench.capacity.results import Panel, Row, fit_columns, plot, write
+from bench.capacity.texts_of_size import ZONES, make_text
+from bench.capacity.usage import own_cpu
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.duties.capacity import ROUND, CapacityDuty
+from sassafrasdale.duties.demand import FleetView
+from sassafrasdale.endpoints.directory import Directory
+from sassafrasdale.platform.exceptions import LeaseNotHeld
+from sassafrasdale.platform.leases import Permit
+from sassafrasdale.platform.stores import Swap
+from sassafrasdale.structures import Address, Instance, Role
+from sassafrasdale.text.current import CurrentText
+
+# Engines and model services.
+SIZES = ((6, 2), (60, 6), (480, 48), (1900, 200))
+ROUNDS = 5
+MILLISECONDS = 1000
+PERCENT = 100
+
+
+class Holder:
+    """Stands for a lease holder that has the duty, or has it not.
+
+    :param holds: which of the two.
+    """
+
+    state = "holding"
+
+    def __init__(self, holds: bool) -> None:
+        self._holds = holds
+
+    def permit(self, checks_fencing: bool) -> Permit:
+        """Return leave, or raise that there is none."""
+        if not self._holds:
+            raise LeaseNotHeld("not the holder")
+        return Permit(1, ROUND * 100)
+
+
+class Engine:
+    """Stands for the connections to an engine that is as wanted.
+
+    :param service: the model that it has loaded.
+    """
+
+    asked = 0
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+
+    def ask(self, method: str, path: str, **_options: object) -> dict:
+        """Return the engine's state."""
+        Engine.asked += 1
+        return {"state": {"load_model": self._service}}
+
+
+class Store:
+    """Stands for a store that holds nothing and takes every write."""
+
+    def get(self, key: str) -> None:
+        """Return that there is no such key."""
+
+    def compare_and_swap(self, *_arguments: object, **_options: object) -> Swap:
+        """Return that the write was applied."""
+        return Swap(True, 1)
+
+
+def measure() -> None:
+    """Measure every size and write the table and the plot."""
+    rows = [_measure_size(engines, services) for engines, services in SIZES]
+    slopes = {
+        f"{y} by engines": fit_columns(rows, "engines", y)
+        for y in ("other_round_ms", "holder_round_ms")
+    }
+    write("duties", {"duties": rows}, slopes, "python -m bench.capacity duties")
+    panels = (
+        Panel("engines", ("other_round_ms", "holder_round_ms"), "a round, ms"),
+        Panel("engines", ("engine_calls",), "calls to engines a round"),
+    )
+    plot("capacity-duties", rows, panels)
+
+
+def _measure_size(engines: int, services: int) -> Row:
+    view = _view(engines, services)
+    other = _round_ms(Holder(False), view)
+    asked = Engine.asked
+    holder = _round_ms(Holder(True), view)
+    row: Row = {
+        "engines": engines,
+        "services": services + 1,
+        "other_round_ms": other,
+        "other_cpu_percent": other / MILLISECONDS / ROUND.total_seconds() * PERCENT,
+        "holder_round_ms": holder,
+        "engine_calls": (Engine.asked - asked) / ROUNDS,
+    }
+    print(row, flush=True)
+    return row
+
+
+def _round_ms(holder: Holder, view: FleetView) -> float:
+    duty = CapacityDuty(holder, None, Store(), lambda: view, SystemClock(), Random(1))
+    cpu = own_cpu()
+    for _ in range(ROUNDS):
+        try:
+            duty.step()
+        except LeaseNotHeld:
+            continue
+    return (own_cpu() - cpu) / ROUNDS * MILLISECONDS
+
+
+def _view(engines: int, services: int) -> FleetView:
+    current = CurrentText()
+    replicas = engines // services
+    current.accept(record_of(1, make_text(services, replicas=replicas)))
+    directory = Directory(SystemClock(), adapter_factory=lambda _: None)
+    directory.replace(_instance(number, services) for number in range(engines))
+    for endpoint in directory.endpoints:
+        endpoint._adapter = Engine(endpoint.instance.service)
+    return FleetView(current.text, directory.endpoints, (), entries=320)
+
+
+def _instance(number: int, services: int) -> Instance:
+    return Instance(
+        f"engine-{number}",
+        Role.ENDPOINT,
+        ZONES[number % len(ZONES)],
+        Address("127.0.0.1", 1),
+        service=f"model-{number % services}",
+        instance_class="gpu-large",
+    )
