--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -8,7 +8,19 @@
 import sys
 from importlib import import_module
 
-MEASUREMENTS = ("peers", "endpoints", "texts", "claims", "serving")
+MEASUREMENTS = (
+    "peers",
+    "faults",
+    "handovers",
+    "endpoints",
+    "control",
+    "texts",
+    "claims",
+    "serving",
+    "telemetry",
+    "duties",
+    "memory",
+)
 
 
 def main(names: list[str]) -> int:
--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -26,6 +26,7 @@
     AnswerLost,
     NotSent,
     Refused,
+    Rejected,
     StreamUnknown,
 )
 from sassafrasdale.endpoints.pools import PoolKeeper
@@ -33,8 +34,12 @@
 from sassafrasdale.structures import Address
 
 CONNECT_LIMIT = timedelta(seconds=1)
+# Longest wait for the end of a body after its last event.
+RELEASE_LIMIT = timedelta(milliseconds=50)
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Answers that say that the request itself is at fault, and would be elsewhere.
+CALLERS_FAULTS = frozenset({400, 401, 403, 413, 415, 422})
 REFUSED_HEADER = "X-Refused"
 REFUSED_VALUE = "not-started"
 
@@ -115,6 +120,7 @@
         :raises NotSent: the endpoint can't be reached.
         :raises Refused: the endpoint refused before anything ran.
         :raises StreamUnknown: the stream to resume is not known there.
+        :raises Rejected: the request itself is at fault.
         :raises AnswerLost: sent, but no stream came.
         """
 
@@ -134,6 +140,7 @@
 
     def __init__(self, response: HTTPResponse) -> None:
         self._response = response
+        self._released = False
 
     def __iter__(self) -> Iterator[list[bytes]]:
         rest = b""
@@ -147,9 +154,25 @@
         finally:
             self.close()
 
+    def release(self) -> None:
+        """Give the connection back for the next call, as the stream is whole.
+
+        Only the body's end mark may still be under way. A connection on which it
+        does not come at once is closed with the stream.
+        """
+        try:
+            with timeout(RELEASE_LIMIT):
+                self._released = not self._response.read1(READ_BYTES)
+        except (Timeout, *_ENDED_BY):
+            return
+
     def close(self) -> None:
-        """Close the connection: it may still carry events nobody wants."""
-        self._response.close()
+        """Close the connection, unless it was given back.
+
+        It may still carry events nobody wants.
+        """
+        if not self._released:
+            self._response.close()
 
 
 def _positive(limit: timedelta) -> float:
@@ -157,17 +180,16 @@
     return max(limit.total_seconds(), 0.001)
 
 
-def _whole_answer(response: HTTPResponse) -> EndpointAnswer:
+def _whole_answer(response: HTTPResponse, method: str) -> EndpointAnswer:
     """Return the answer with its body, or raise if it is not known to be whole."""
     # A body that ends with the connection looks the same whether it is whole or
     # cut off by a crash, so without a length or chunks it is not taken as whole.
+    # That holds for an empty body too: the head may have been cut before its
+    # length.
     framed = response.chunked or "content-length" in response.headers
-    bodiless = response.status in (204, 304)
-    try:
-        body = response.read()
-    except _ENDED_BY as error:
-        raise AnswerLost(f"the answer broke off: {error}") from error
-    if not framed and not bodiless and body:
+    bodiless = response.status in (204, 304) or method == "HEAD"
+    body = _read_body(response)
+    if not framed and not bodiless:
         raise AnswerLost("the answer says neither its length nor its end")
     _raise_if_refused(response.status, response, body)
     headers = tuple(
@@ -178,6 +200,25 @@
     return EndpointAnswer(response.status, headers, body)
 
 
+def _read_body(response: HTTPResponse) -> bytes:
+    """Return the body, up to a bound.
+
+    Small instances hold many answers at once; one without an end would take the
+    memory of all.
+    """
+    body = bytearray()
+    try:
+        # Only a read that finds the end tells a short body from a whole one.
+        while part := response.read(READ_BYTES):
+            body += part
+            if len(body) > MAX_ANSWER_BYTES:
+                response.close()
+                raise AnswerLost(f"the answer is over {MAX_ANSWER_BYTES} bytes")
+    except _ENDED_BY as error:
+        raise AnswerLost(f"the answer broke off: {error}") from error
+    return bytes(body)
+
+
 def _raise_if_refused(status: int, response: HTTPResponse, body: bytes) -> None:
     if status not in (429, 503):
         return
@@ -206,7 +247,9 @@
 
     def send(self, request: EndpointRequest, limit: timedelta) -> EndpointAnswer:
         """Send ``request`` and return its whole answer within ``limit``."""
-        self._connection.sock.settimeout(_positive(limit))
+        # The library sets the socket's timeout again from the connection's own,
+        # which was the limit for connecting and is shorter than a slow answer.
+        self._connection.timeout = _positive(limit)
         try:
             with timeout(limit):
                 return self._exchange(request)
@@ -230,7 +273,7 @@
             response = self._connection.getresponse()
         except _ENDED_BY as error:
             raise AnswerLost(f"no answer: {error}") from error
-        return _whole_answer(response)
+        return _whole_answer(response, request.method)
 
 
 class HttpAdapter(BaseAdapter):
@@ -253,7 +296,7 @@
         used = self._pools.current
         try:
             with timeout(limit):
-                answer = _whole_answer(self._open(request, limit))
+                answer = _whole_answer(self._open(request, limit), request.method)
         except Timeout as error:
             silent = self._pools.lose(used)
             raise AnswerLost(f"no answer within {limit}", silent=silent) from error
@@ -267,9 +310,11 @@
         used.answered = True
         if response.status == 200:
             return EventStream(response)
-        answer = _whole_answer(response)
+        answer = _whole_answer(response, request.method)
         if answer.status == 404:
             raise StreamUnknown("the engine does not know the stream")
+        if answer.status in CALLERS_FAULTS:
+            raise Rejected(answer.status, answer.headers, answer.body)
         raise AnswerLost(f"the engine answered {answer.status}")
 
     def ask(
--- a/src/sassafrasdale/peers/membership.py
+++ b/src/sassafrasdale/peers/membership.py
@@ -11,11 +11,12 @@
 from random import Random
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.peers.rendezvous import rendezvous
 from sassafrasdale.peers.structures import Member, MemberState, PeerTimings
 from sassafrasdale.structures import Instance, InstanceState, Role
 
-RETRANSMIT_FACTOR = 3
-VERIFY_LIMIT = 64
+NEIGHBOUR_COUNT = 16
+VERIFY_LIMIT = 512
 
 
 class Membership:
@@ -41,6 +42,8 @@
         self._verify: dict[str, None] = {}
         self._transmits_left: dict[str, int] = {}
         self._version = 0
+        self._neighbours: list[Member] = []
+        self._neighbours_version = -1
 
     @property
     def version(self) -> int:
@@ -66,6 +69,22 @@
             if each.state is not MemberState.DEAD
         ]
 
+    @property
+    def neighbours(self) -> list[Member]:
+        """Members that this entry probes and tells of news, a bounded number.
+
+        Each entry has its own choice by rendezvous hashing, which together make a
+        random graph: every member is probed by about as many others as it
+        probes, of all availability zones, and the choice moves little when
+        members come and go. So connections last; probing anybody at random would
+        cost a handshake a probe in a large fleet.
+        """
+        if self._neighbours_version != self._version:
+            ordered = rendezvous(self._me.name, self.reachable)
+            self._neighbours = ordered[:NEIGHBOUR_COUNT]
+            self._neighbours_version = self._version
+        return self._neighbours
+
     def get(self, name: str) -> Member | None:
         """Return the member ``name``, or None if there is none."""
         return self._members.get(name)
@@ -99,11 +118,18 @@
         if known is not None:
             update = replace(update, revision=known.revision)
         self._store(update)
+        if known is not None and known.state is MemberState.DEAD:
+            self._verify_dead()
         return True
 
+    def learn(self, members: Iterable[Member]) -> None:
+        """Take in the list that a joining entry gets; others know it already."""
+        for member in members:
+            if self.apply(member, served=False):
+                self._transmits_left.pop(member.name, None)
+
     def heard(self, sender: Member, revision: int, *, served: bool) -> bool:
         """Take in what a sender says about itself and return if it was news."""
-        is_new = sender.name not in self._members
         news = self.apply(sender, served=served)
         known = self._members.get(sender.name)
         if known is None:
@@ -111,9 +137,9 @@
         if revision > known.revision:
             self._members[sender.name] = replace(known, revision=revision)
             self._version += 1
-        if served and (is_new or known.state >= MemberState.SUSPECT):
+        if served and known.state >= MemberState.SUSPECT:
             # It sends, which does not show that it answers: ask it directly, with
-            # a bad belief in the message, so that it can refute.
+            # the bad belief in the message, so that it can refute.
             self._verify_soon(sender.name)
         return news
 
@@ -130,6 +156,8 @@
         died = []
         for member in list(self._members.values()):
             age = now - self._changed_at[member.name]
+            if self._awaits_first_probe(member):
+                continue
             if member.state is MemberState.SUSPECT and age >= self._suspicion:
                 dead = replace(member, state=MemberState.DEAD)
                 self._store(dead)
@@ -152,25 +180,27 @@
     def next_targets(self, limit: int) -> list[Member]:
         """Return whom to probe in this period.
 
-        One member of a random round, or up to ``limit`` of those that are to be
-        verified (new ones and those that send but are believed not to answer).
+        One member of a round, and besides up to ``limit`` of those that are to be
+        verified: new ones, and those that send but are believed not to answer.
         """
-        targets = []
+        targets = {}
         while self._verify and len(targets) < limit:
             name = next(iter(self._verify))
             del self._verify[name]
-            if name in self._members:
-                targets.append(self._members[name])
-        if targets:
-            return targets
+            member = self._members.get(name)
+            if member is not None and member.state >= MemberState.SUSPECT:
+                self._begin_verification(name)
+                targets[name] = member
         member = self._next_of_round()
-        return [member] if member else []
+        if member is not None:
+            targets[member.name] = member
+        return list(targets.values())
 
     def helpers(self, target: Member, count: int) -> list[Member]:
-        """Return up to ``count`` random usable members besides ``target``."""
+        """Return up to ``count`` random usable neighbours besides ``target``."""
         usable = [
             each
-            for each in self._members.values()
+            for each in self.neighbours
             if each.is_usable and each.name != target.name
         ]
         return self._rng.sample(usable, min(count, len(usable)))
@@ -215,9 +245,8 @@
         self._changed_at[member.name] = self._clock.elapsed()
         self._version += 1
         size = len(self._members) + 1
-        self._transmits_left[member.name] = RETRANSMIT_FACTOR * math.ceil(
-            math.log2(size + 1)
-        )
+        # Besides being spread at once, so that few that missed it remain.
+        self._transmits_left[member.name] = math.ceil(math.log2(size + 1))
 
     def _spend(self, name: str, left: int) -> None:
         if left <= 1 or name not in self._members:
@@ -246,6 +275,13 @@
         self._version += 1
         self._verify_soon(instance.name)
 
+    def _awaits_first_probe(self, member: Member) -> bool:
+        return member.incarnation == 0 and member.name in self._verify
+
+    def _begin_verification(self, name: str) -> None:
+        if self._members[name].incarnation == 0:
+            self._changed_at[name] = self._clock.elapsed()
+
     def _is_forgotten(self, member: Member, age: timedelta) -> bool:
         return (
             member.state is MemberState.DEAD
@@ -260,6 +296,16 @@
         self._transmits_left.pop(name, None)
         self._verify.pop(name, None)
 
+    def _verify_dead(self) -> None:
+        """Ask all dead members again: where one came back, others may have.
+
+        After a partition each side would otherwise find the members of the other
+        one by one, one in a round.
+        """
+        for member in self._members.values():
+            if member.state is MemberState.DEAD:
+                self._verify_soon(member.name)
+
     def _verify_soon(self, name: str) -> None:
         if len(self._verify) < VERIFY_LIMIT:
             self._verify[name] = None
@@ -270,6 +316,18 @@
                 member = self._members.get(self._round.pop())
                 if member is not None:
                     return member
-            self._round = list(self._members)
-            self._rng.shuffle(self._round)
+            self._round = self._new_round()
         return None
+
+    def _new_round(self) -> list[str]:
+        """Return every neighbour and one other member, in random order.
+
+        The other one may be dead. When regions that lost each other can talk
+        again, each believes the other's members dead, and these probes alone find
+        that they live.
+        """
+        names = {each.name for each in self.neighbours}
+        others = [name for name in self._members if name not in names]
+        chosen = [*names, *self._rng.sample(others, min(1, len(others)))]
+        self._rng.shuffle(chosen)
+        return chosen
