Tell "unknown" when the store fails behind a request in progress

A retry that finds its request in progress waits for the outcome. If the store went out meanwhile, the retry was told "not run", although the first attempt may have run, and here did: its caller would ask again under a new key. Whoever has seen the claim of another attempt is now told "unknown" (a small change in requests/claimant.py).

The test's entries were not in the platform's list, so that each held the other for gone and no retry waited at all; they are listed now, and the stories run with peers that know each other.

--- a/src/sassafrasdale/requests/claimant.py
+++ b/src/sassafrasdale/requests/claimant.py
@@ -77,17 +77,20 @@
         """
         try:
             claimed = self._claim()
-            while isinstance(claimed, InProgress):
-                if not self._is_alive(claimed.holder):
-                    return Unknown(
-                        "the entry that ran the request is gone", RETRY_AFTER
-                    )
-                if self._call.deadline - self._clock.elapsed() <= POLL:
-                    return Unknown("the request is still running", RETRY_AFTER)
-                sleep(POLL)
-                claimed = self._claim()
         except ClaimRefused as error:
             return NotRun(error.message, error.retry_after or RETRY_AFTER)
+        while isinstance(claimed, InProgress):
+            if not self._is_alive(claimed.holder):
+                return Unknown("the entry that ran the request is gone", RETRY_AFTER)
+            if self._call.deadline - self._clock.elapsed() <= POLL:
+                return Unknown("the request is still running", RETRY_AFTER)
+            sleep(POLL)
+            try:
+                claimed = self._claim()
+            except ClaimRefused as error:
+                # The store failed while another attempt held the claim, which
+                # may have run the request: "not run" would not be true.
+                return Unknown(error.message, error.retry_after or RETRY_AFTER)
         return _result(claimed)
 
     def settle(self, claim: Claim, answer: Answered) -> None:
--- a/tests/guarantees/certificates.py
+++ b/tests/guarantees/certificates.py
@@ -9,6 +9,7 @@
 
 from standins.clients import Response
 from standins.processes import (
+    START_LIMIT,
     EntryProcess,
     PlatformProcess,
     ServiceProcess,
@@ -102,11 +103,24 @@
             self.platform.cloud,
         )
         try:
+            self.platform.register(entry)
+            for known in (*self.entries, entry):
+                wait_until(
+                    lambda known=known: alive_peers(known) >= len(self.entries),
+                    START_LIMIT,
+                )
             # The first claim of a process also asks for a lease.
             assert self.issue(entry, uuid4().hex).outcome == "answered"
             yield entry
         finally:
             entry.close()
+            self.platform.remove(entry.name)
+
+
+def alive_peers(entry: EntryProcess) -> int:
+    """Return how many other entries ``entry`` holds for alive."""
+    peers = entry.client.call("GET", "/admin/v1/status").json()["peers"]
+    return sum(peer["state"] == "alive" for peer in peers)
 
 
 @contextmanager
@@ -123,10 +137,12 @@
             stack.callback(entry.close)
             entry.launch()
             entry.wait_until_live()
+            platform.register(entry)
             entries.append(entry)
         assert put_text(entries[0], TEXT, 0).status == 200
         for entry in entries:
             entry.wait_until_ready()
+            wait_until(lambda entry=entry: alive_peers(entry), START_LIMIT)
         made = Deployment(platform, service, entries)
         stack.callback(made.threads.shutdown, wait=False)
         for entry in entries:
--- a/tests/guarantees/test_at_most_once.py
+++ b/tests/guarantees/test_at_most_once.py
@@ -253,3 +253,20 @@
     system.service.set_faults(refuse=False)
     wait_until(lambda: system.issue(system.entries[1], key).outcome == "answered", LONG)
     assert system.executions(key) == 1
+
+
+def test_store_lost_while_another_attempt_runs(system, key):
+    """A retry waits for the first attempt's answer, and the store goes out.
+
+    The service is issuing the certificate. To tell the retry "not run" would make
+    its caller ask for another one under a new key.
+    """
+    system.service.set_faults(slow_factor=2500)
+    first = system.issue_later(system.entries[0], key)
+    time.sleep(SLOW_MS / 1000)
+    retry = system.issue_later(system.entries[1], key)
+    time.sleep(SLOW_MS / 1000)
+    system.platform.set_faults(store={"outage": "refuse"})
+    assert retry.result().outcome == "unknown"
+    assert first.result().outcome == "answered"
+    assert system.executions(key) == 1
