--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry.py
@@ -46,6 +46,7 @@
     PriceWatcher,
 )
 from sassafrasdale.platform.exceptions import StoreError
+from sassafrasdale.platform.gathering import GatheringStore
 from sassafrasdale.platform.leases import LeaseHolder
 from sassafrasdale.platform.stores import EtcdStore
 from sassafrasdale.platform.texts import (
@@ -84,6 +85,8 @@
 HAND_OVER_RESERVE = timedelta(seconds=2)
 # What is relayed is ended this long before, and callers go on through others.
 RELAY_RESERVE = timedelta(seconds=1)
+# Whoever still waits is told what is known this long before.
+ANSWER_RESERVE = timedelta(milliseconds=300)
 # Pause between two plans for the streams of leaving endpoints.
 REVIEW_INTERVAL = timedelta(milliseconds=500)
 # A connection that was accepted last still gets its answer within this time.
@@ -158,7 +161,7 @@
             selector=self._selector,
             gates=self._gates,
             registry=Registry(self._clock),
-            claims=Claims(store, self._clock),
+            claims=Claims(GatheringStore(store), self._clock),
             ledger=self._ledger,
             is_alive=self._is_alive,
             clock=self._clock,
@@ -427,6 +430,8 @@
                 self._transfers.give_what_does_not_fit(timedelta())
             if left < RELAY_RESERVE:
                 self._relay.release()
+            if left < ANSWER_RESERVE:
+                self._dispatcher.give_up_all()
             self._transfers.give_undelivered()
             sleep(DRAIN_POLL)
         listener.close()
