--- a/src/sassafrasdale/entry.py
+++ b/src/sassafrasdale/entry/process.py
@@ -1,9 +1,8 @@
-"""One entry process: its tasks, how they are joined, its start and its stop."""
+"""One entry process: its parts and tasks, and how they are joined."""
 
 import os
 import random
 import signal
-import socket
 from collections.abc import Callable
 from contextlib import suppress
 from datetime import datetime, timedelta
@@ -20,29 +19,22 @@
 from sassafrasdale.clock import Clock, SystemClock
 from sassafrasdale.duties.capacity import DUTY, CapacityDuty
 from sassafrasdale.duties.demand import FleetView
-from sassafrasdale.endpoints.directory import Directory, Endpoint
+from sassafrasdale.endpoints.directory import Directory
 from sassafrasdale.endpoints.reports import LoadReader
+from sassafrasdale.entry.coordinator import Coordinator
+from sassafrasdale.entry.drain import Drain
+from sassafrasdale.entry.status import StatusReport
 from sassafrasdale.green import Event, GreenThread, Queue, listen, sleep, spawn
 from sassafrasdale.logs import start_logs
 from sassafrasdale.metrics import Metrics
 from sassafrasdale.peers.node import PeerNode
 from sassafrasdale.peers.structures import (
-    FindAsked,
-    HandOverOffered,
-    Member,
-    MembersChanged,
     MemberState,
-    NoticeHeard,
-    TextOffered,
 )
 from sassafrasdale.platform.clouds import (
     CloudClient,
-    InstancesListed,
     InstanceWatcher,
-    NoticeGiven,
     NoticeWatcher,
-    Price,
-    PricesListed,
     PriceWatcher,
 )
 from sassafrasdale.platform.exceptions import StoreError
@@ -50,8 +42,6 @@
 from sassafrasdale.platform.leases import LeaseHolder
 from sassafrasdale.platform.stores import EtcdStore
 from sassafrasdale.platform.texts import (
-    TextAccepted,
-    TextRecord,
     TextRegister,
     TextWatcher,
 )
@@ -65,35 +55,18 @@
 from sassafrasdale.requests.structures import OutcomeName
 from sassafrasdale.requests.transfers import Transfers
 from sassafrasdale.settings import EntrySettings
-from sassafrasdale.structures import Address, Instance, InstanceState, Notice
+from sassafrasdale.structures import Address
 from sassafrasdale.text.current import CurrentText
-from sassafrasdale.text.exceptions import TextError
 from sassafrasdale.text.structures import ServiceKind
 
 log = Logger("entry")
 
 # Pause between two looks at what is held: deadlines and unread answers.
 SWEEP_INTERVAL = timedelta(milliseconds=100)
-# Time for the balancer to see that the entry is not ready any more.
-UNREADY_LEAD = timedelta(seconds=1)
-# Share of a short notice that the lead takes at most.
-LEAD_SHARE = 0.25
 # Pause before a task that failed is started again.
 TASK_PAUSE = timedelta(seconds=1)
-DRAIN_POLL = timedelta(milliseconds=50)
-# What is left this long before the end of a stop is handed over.
-HAND_OVER_RESERVE = timedelta(seconds=2)
-# What is relayed is ended this long before, and callers go on through others.
-RELAY_RESERVE = timedelta(seconds=1)
-# Whoever still waits is told what is known this long before.
-ANSWER_RESERVE = timedelta(milliseconds=300)
 # Pause between two plans for the streams of leaving endpoints.
 REVIEW_INTERVAL = timedelta(milliseconds=500)
-# A connection that was accepted last still gets its answer within this time.
-LAST_CALL = timedelta(milliseconds=100)
-# A text that came from a peer is trusted to be the newest after this time, in
-# which every peer has been probed or has told of a newer one.
-PEER_TEXT_SETTLE = timedelta(seconds=3)
 
 
 class Entry:
@@ -121,11 +94,7 @@
         self._life = Lifecycle(load_chart("entry"))
         self._inbox: Queue = Queue()
         self._stopped = Event()
-        self._leave_by: datetime | None = None
-        self._takes_work = True
         self._relay = Relay(self._find_holder)
-        self._listed = False
-        self._text_trusted_at: timedelta | None = None
         self._current = CurrentText()
         self._directory = Directory(self._clock)
         self._metrics = Metrics(settings.name, settings.availability_zone)
@@ -144,7 +113,6 @@
         self._gates = Gates(self._directory, self._clock, self._rng)
         store = EtcdStore(settings.store, self._clock)
         self._register = TextRegister(store, self._clock)
-        self._prices: tuple[Price, ...] = ()
         self._lease = LeaseHolder(
             store, DUTY, settings.name, self._clock, random.Random(self._rng.random())
         )
@@ -182,6 +150,8 @@
             max_body_bytes=settings.max_body_bytes,
             body_limit=settings.header_timeout,
         )
+        self._drain = self._make_drain()
+        self._coordinator = self._make_coordinator()
         self._router = Router([*self._callers().routes(), *self._operators().routes()])
 
     def run(self) -> None:
@@ -197,7 +167,7 @@
             NoticeWatcher(*watched).run,
             PriceWatcher(*watched).run,
             LoadReader(self._directory, self._is_engine, self._clock, self._rng).run,
-            self._heed_messages,
+            self._coordinator.run,
             self._sweep,
             self._review,
         ):
@@ -209,7 +179,7 @@
         log.info("listening on {}", self._settings.address)
         self._stopped.wait()
         self._give_up(duties)
-        self._drain(listener)
+        self._drain.run(listener)
         self._peers.stop()
 
     def _callers(self) -> CallerApp:
@@ -217,7 +187,9 @@
             current=self._current,
             dispatcher=self._dispatcher,
             is_ready=lambda: self._life.state == "ready",
-            takes_work=lambda: self._takes_work and self._life.state != "starting",
+            takes_work=lambda: (
+                self._drain.takes_work and self._life.state != "starting"
+            ),
             relay=self._relay,
             metrics=self._metrics,
             clock=self._clock,
@@ -225,15 +197,56 @@
         )
 
     def _operators(self) -> Administration:
+        report = StatusReport(
+            settings=self._settings,
+            life=self._life,
+            current=self._current,
+            directory=self._directory,
+            peers=self._peers,
+            dispatcher=self._dispatcher,
+            capacity=self._capacity,
+            ledger=self._ledger,
+        )
         return Administration(
             current=self._current,
             register=self._register,
-            accept=self._accept_from_store,
-            status=self._status,
-            burn=self._burn,
+            accept=self._coordinator.accept_from_store,
+            status=report.status,
+            burn=report.burn,
             rng=self._rng,
         )
 
+    def _make_coordinator(self) -> Coordinator:
+        return Coordinator(
+            self._settings.name,
+            inbox=self._inbox,
+            life=self._life,
+            leave=self._leave,
+            current=self._current,
+            directory=self._directory,
+            selector=self._selector,
+            gates=self._gates,
+            ledger=self._ledger,
+            metrics=self._metrics,
+            peers=self._peers,
+            registry=self._dispatcher.registry,
+            mover=self._mover,
+            transfers=self._transfers,
+            clock=self._clock,
+        )
+
+    def _make_drain(self) -> Drain:
+        return Drain(
+            self._settings.drain_timeout,
+            life=self._life,
+            server=self._server,
+            relay=self._relay,
+            peers=self._peers,
+            dispatcher=self._dispatcher,
+            transfers=self._transfers,
+            clock=self._clock,
+        )
+
     def _answer(self, request: HttpRequest) -> HttpAnswer:
         try:
             return self._router.answer(request)
@@ -249,119 +262,10 @@
                 outcome=OutcomeName.UNKNOWN,
             )
 
-    def _heed_messages(self) -> None:
-        """Take messages of the other tasks, one after the other."""
-        while True:
-            message = self._inbox.get()
-            try:
-                self._heed(message)
-            except Exception:
-                log.exception("message {} was not heeded", type(message).__name__)
-
-    def _heed(self, message: object) -> None:
-        match message:
-            case TextAccepted(record):
-                self._accept_from_store(record)
-            case TextOffered(record):
-                self._heed_peer_text(record)
-            case InstancesListed(instances):
-                self._heed_instances(instances)
-            case PricesListed(prices):
-                self._prices = prices
-                self._selector.set_prices(prices)
-            case NoticeGiven(notice):
-                self._heed_notice(notice)
-                self._peers.spread_notice(notice)
-            case NoticeHeard(notice):
-                self._heed_notice(notice)
-            case MembersChanged(members):
-                self._heed_members(members)
-            case HandOverOffered(handover, reply):
-                stays = self._life.state == "ready"
-                self._transfers.take(handover, reply, stays=stays)
-            case FindAsked(request_id, reply):
-                reply(self._dispatcher.registry.holds(request_id))
-
-    def _heed_peer_text(self, record: TextRecord) -> None:
-        if self._text_trusted_at is None:
-            self._text_trusted_at = self._clock.elapsed() + PEER_TEXT_SETTLE
-        self._accept(record)
-
-    def _heed_instances(self, instances: tuple[Instance, ...]) -> None:
-        self._listed = True
-        self._peers.set_candidates(instances)
-        for endpoint in self._directory.replace(instances):
-            self._mover.empty(endpoint)
-        self._refresh()
-        listed = {instance.name: instance for instance in instances}
-        own = listed.get(self._settings.name)
-        if own is not None and own.state is InstanceState.LEAVING:
-            self._stop()
-
-    def _heed_notice(self, notice: Notice) -> None:
-        if notice.instance == self._settings.name:
-            self._leave_by = notice.leaves_at
-            self._stop()
-            return
-        endpoint = self._directory.heed(notice)
-        if endpoint is None:
-            return
-        log.info("endpoint {} leaves at {}", endpoint.name, notice.leaves_at)
-        self._refresh()
-        self._mover.empty(endpoint)
-
-    def _heed_members(self, members: tuple[Member, ...]) -> None:
-        alive = sum(member.is_usable for member in members)
-        self._gates.set_live_entries(alive + 1)
-        for state in MemberState:
-            count = sum(member.state is state for member in members)
-            self._metrics.set_peers(state.name.lower(), count)
-
-    def _accept_from_store(self, record: TextRecord) -> None:
-        """Put an edit in force that the store holds or has just accepted."""
-        self._text_trusted_at = self._clock.elapsed()
-        self._accept(record)
-
-    def _accept(self, record: TextRecord) -> None:
-        """Put an accepted edit in force here, and tell the peers of it."""
-        try:
-            accepted = self._current.accept(record)
-        except TextError as error:
-            log.error("revision {} is faulty: {}", record.revision, error)
-            return
-        if not accepted:
-            return
-        self._gates.set_text(self._current.text)
-        self._ledger.set_text(self._current.text)
-        self._metrics.set_revision(record.revision)
-        self._peers.offer_text(record)
-        log.info("revision {} is in force", record.revision)
-
-    def _refresh(self) -> None:
-        """Take over what the directory knows now."""
-        self._selector.refresh()
-        self._gates.refresh()
-
-    def _prepare(self) -> None:
-        """Become ready once there is a list of instances and a trusted text.
-
-        An entry that starts while the store is out takes the text from a peer,
-        which may itself be behind; it is trusted once every peer had time to
-        tell of a newer one.
-        """
-        if not self._life.allows("prepare"):
-            return
-        if self._current.text is None or not self._listed:
-            return
-        if self._clock.elapsed() < self._text_trusted_at:
-            return
-        self._life.fire("prepare")
-        log.info("ready with revision {}", self._current.revision)
-
     def _sweep(self) -> None:
         while True:
             sleep(SWEEP_INTERVAL)
-            self._prepare()
+            self._coordinator.prepare()
             self._dispatcher.registry.sweep()
             self._gates.sweep()
 
@@ -385,6 +289,11 @@
         member = self._peers.find(request_id)
         return member.address if member else None
 
+    def _leave(self, leave_by: datetime | None) -> None:
+        if leave_by is not None:
+            self._drain.announce(leave_by)
+        self._stop()
+
     def _stop(self) -> None:
         """Begin to leave; runs as a signal handler too, so it only posts."""
         if not self._stopped.ready():
@@ -407,74 +316,12 @@
             return None
         alive = sum(member.is_usable for member in self._peers.members())
         return FleetView(
-            self._current.text, self._directory.endpoints, self._prices, alive + 1
-        )
-
-    def _drain(self, listener: socket.socket) -> None:
-        """Finish what is in flight, hand over what doesn't fit.
-
-        Connections are taken until the end: peers fetch here what this entry
-        still holds, for callers who come back through them.
-        """
-        began = self._clock.elapsed()
-        self._life.fire("leave")
-        self._peers.announce_leaving()
-        left = self._time_to_leave(began)
-        log.info("leaving within {}", left)
-        self._transfers.give_what_does_not_fit(left)
-        sleep(min(UNREADY_LEAD, left * LEAD_SHARE))
-        self._takes_work = False
-        self._server.close_connections()
-        while (left := self._time_to_leave(began)) and self._is_busy():
-            if left < HAND_OVER_RESERVE:
-                self._transfers.give_what_does_not_fit(timedelta())
-            if left < RELAY_RESERVE:
-                self._relay.release()
-            if left < ANSWER_RESERVE:
-                self._dispatcher.give_up_all()
-            self._transfers.give_undelivered()
-            sleep(DRAIN_POLL)
-        listener.close()
-        sleep(min(LAST_CALL, self._time_to_leave(began)))
-        self._life.fire("drained")
-        log.info("stopped")
-
-    def _time_to_leave(self, began: timedelta) -> timedelta:
-        """Return what is left of a stop that began at ``began``.
-
-        A notice may come during a planned stop, and then counts if it is sooner.
-        """
-        left = began + self._settings.drain_timeout - self._clock.elapsed()
-        if self._leave_by is not None:
-            left = min(left, self._leave_by - self._clock.now())
-        return max(timedelta(), left)
-
-    def _is_busy(self) -> bool:
-        registry = self._dispatcher.registry
-        return bool(
-            self._server.open_answers or registry.running or registry.undelivered
+            self._current.text,
+            self._directory.endpoints,
+            self._coordinator.prices,
+            alive + 1,
         )
 
-    def _burn(self) -> dict:
-        return {"entry": self._settings.name, **self._ledger.burn()}
-
-    def _status(self) -> dict:
-        return {
-            "entry": self._settings.name,
-            "availability_zone": self._settings.availability_zone,
-            "state": self._life.state,
-            "revision": self._current.revision,
-            "duties": {DUTY: self._capacity.state},
-            "peers": [_peer_status(member) for member in self._peers.members()],
-            "endpoints": [
-                _endpoint_status(endpoint) for endpoint in self._directory.endpoints
-            ],
-            "requests_in_flight": {
-                "generations": len(self._dispatcher.registry.running),
-                "calls": self._dispatcher.calls_running,
-            },
-        }
-
 
 def _run_for_good(task: Callable[[], None]) -> None:
     """Run a task that must never end, also after an unforeseen error.
@@ -490,26 +337,6 @@
         sleep(TASK_PAUSE)
 
 
-def _peer_status(member: Member) -> dict:
-    return {
-        "name": member.name,
-        "availability_zone": member.availability_zone,
-        "address": str(member.address),
-        "state": member.state.name.lower(),
-        "revision": member.revision,
-    }
-
-
-def _endpoint_status(endpoint: Endpoint) -> dict:
-    return {
-        "name": endpoint.name,
-        "service": endpoint.instance.service,
-        "availability_zone": endpoint.instance.availability_zone,
-        "state": endpoint.state,
-        "in_flight": endpoint.in_flight,
-    }
-
-
 def run_entry(settings: EntrySettings) -> None:
     """Run an entry process until it is told to stop.
 
--- /dev/null
+++ b/src/sassafrasdale/entry/status.py
@@ -0,0 +1,69 @@
+"""What an entry tells operators about itself, as JSON documents."""
+
+from dataclasses import dataclass
+
+from sassafrasdale.charts import Lifecycle
+from sassafrasdale.duties.capacity import DUTY, CapacityDuty
+from sassafrasdale.endpoints.directory import Directory, Endpoint
+from sassafrasdale.peers.node import PeerNode
+from sassafrasdale.peers.structures import Member
+from sassafrasdale.requests.dispatcher import Dispatcher
+from sassafrasdale.requests.ledger import Ledger
+from sassafrasdale.settings import EntrySettings
+from sassafrasdale.text.current import CurrentText
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReport:
+    """The parts of an entry that its reports are made from."""
+
+    settings: EntrySettings
+    life: Lifecycle
+    current: CurrentText
+    directory: Directory
+    peers: PeerNode
+    dispatcher: Dispatcher
+    capacity: CapacityDuty
+    ledger: Ledger
+
+    def burn(self) -> dict:
+        """Return the counts for the burn report."""
+        return {"entry": self.settings.name, **self.ledger.burn()}
+
+    def status(self) -> dict:
+        """Return what the entry knows."""
+        return {
+            "entry": self.settings.name,
+            "availability_zone": self.settings.availability_zone,
+            "state": self.life.state,
+            "revision": self.current.revision,
+            "duties": {DUTY: self.capacity.state},
+            "peers": [_peer_status(member) for member in self.peers.members()],
+            "endpoints": [
+                _endpoint_status(endpoint) for endpoint in self.directory.endpoints
+            ],
+            "requests_in_flight": {
+                "generations": len(self.dispatcher.registry.running),
+                "calls": self.dispatcher.calls_running,
+            },
+        }
+
+
+def _peer_status(member: Member) -> dict:
+    return {
+        "name": member.name,
+        "availability_zone": member.availability_zone,
+        "address": str(member.address),
+        "state": member.state.name.lower(),
+        "revision": member.revision,
+    }
+
+
+def _endpoint_status(endpoint: Endpoint) -> dict:
+    return {
+        "name": endpoint.name,
+        "service": endpoint.instance.service,
+        "availability_zone": endpoint.instance.availability_zone,
+        "state": endpoint.state,
+        "in_flight": endpoint.in_flight,
+    }
