--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -5,6 +5,7 @@
     python -m bench.replay            # all but the cost: some seconds
     python -m bench.replay --cost     # with the cost at the latency target
     python -m bench.replay --customers
+    python -m bench.replay --unseen   # on traces that nothing was tuned on
 """
 
 from functools import partial
@@ -25,14 +26,15 @@
 
 
 @app.default
-def main(*, cost: bool = False, customers: bool = False) -> None:
+def main(*, cost: bool = False, customers: bool = False, unseen: bool = False) -> None:
     """Print the table of every user, trace and way of routing.
 
     :param cost: seek the cost at the latency target as well.
+    :param unseen: replay other traces, that nothing was tuned on.
     :param customers: print the share in time of each customer too.
     """
     cases = [
-        Case(user, scenario, way)
+        Case(user, scenario, way, unseen=unseen)
         for user in USERS
         for scenario in SCENARIOS
         for way in WAYS
--- a/bench/replay/measures.py
+++ b/bench/replay/measures.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bench.replay.entries import LIMIT, OURS
 from bench.replay.simulation import MODEL_REPLICAS, Outcome, Replay
@@ -33,6 +33,7 @@
     :param way: how the entries route.
     :param policy: constants; the user's own by default.
     :param seed: seed of the balancer and of the lost events.
+    :param unseen: whether the trace is one that nothing was tuned on.
     """
 
     user: User
@@ -40,6 +41,7 @@
     way: str
     policy: RoutingPolicy | None = None
     seed: int = 0
+    unseen: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +70,7 @@
 
 def measure(case: Case, speed: float = 1.0) -> Measures:
     """Replay a case and return its figures."""
-    trace = load_trace(case.user)
+    trace = load_trace(case.user, case.unseen)
     replay = Replay(
         case.user,
         trace,
@@ -106,7 +108,7 @@
             low = middle
         else:
             high = middle
-    trace = load_trace(case.user)
+    trace = load_trace(case.user, case.unseen)
     generations = sum(1 for request in trace if not request.is_lookup)
     hours = trace[-1].at / low / 3600
     return MODEL_REPLICAS * PRICE_PER_HOUR * hours / generations * 1000
@@ -133,7 +135,7 @@
     """
     if case.way == OURS or case.scenario.reclaimed_zone or case.scenario.slow_endpoint:
         return case
-    return Case(case.user, Scenario("launch"), case.way, case.policy)
+    return replace(case, scenario=Scenario("launch"))
 
 
 def worst(values: dict[str, float]) -> tuple[str, float]:
--- a/bench/replay/traces.py
+++ b/bench/replay/traces.py
@@ -1,23 +1,37 @@
 """Reading of the recorded traces."""
 
 import csv
+from dataclasses import replace
 from functools import cache
 from pathlib import Path
 
 from xxhash import xxh64_intdigest
 
 from bench.replay.structures import BLOCK, TraceRequest, User
+from bench.traces.generate import COLUMNS, WORKLOADS, rows
+
+UNSEEN_SEED_STEP = 1000
+"""Added to a workload's seed for the trace that nothing was tuned on."""
 
 FOLDER = Path(__file__).parent.parent / "traces"
 
 
 @cache
-def load_trace(user: User) -> tuple[TraceRequest, ...]:
-    """Return the trace of a user's launch day."""
+def load_trace(user: User, unseen: bool = False) -> tuple[TraceRequest, ...]:
+    """Return the trace of a user's launch day.
+
+    :param user: whose trace.
+    :param unseen: whether to make another one, that nothing was tuned on.
+    """
+    if unseen:
+        workload = WORKLOADS[user.name]
+        made = rows(replace(workload, seed=workload.seed + UNSEEN_SEED_STEP))
+        named = (dict(zip(COLUMNS, map(str, row), strict=True)) for row in made)
+        return tuple(_request(number, row, user) for number, row in enumerate(named))
     path = FOLDER / f"{user.name}.csv"
     with path.open(encoding="utf-8", newline="") as file:
-        rows = list(csv.DictReader(file))
-    return tuple(_request(number, row, user) for number, row in enumerate(rows))
+        read = list(csv.DictReader(file))
+    return tuple(_request(number, row, user) for number, row in enumerate(read))
 
 
 def _request(number: int, row: dict[str, str], user: User) -> TraceRequest:
--- a/bench/traces/generate.py
+++ b/bench/traces/generate.py
@@ -67,10 +67,12 @@
     180,
 )
 
+WORKLOADS = {workload.name: workload for workload in (AUTHORITY, ASSOCIATION)}
+
 
 def main() -> None:
     """Write both traces beside this module."""
-    for workload in (AUTHORITY, ASSOCIATION):
+    for workload in WORKLOADS.values():
         path = FOLDER / f"{workload.name}.csv"
         with path.open("w", encoding="utf-8", newline="") as file:
             writer = csv.writer(file, lineterminator="\n")
