Forget a displaced request that is cancelled before it was reported

A request displaced from a full queue stayed in the list for expire after its caller had gone, and was then answered as well. The new test failed before the change.

--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -141,7 +141,7 @@
         )
         self._running: dict[int, timedelta] = {}
         self._running_by_customer: Counter[str] = Counter()
-        self._displaced: list[Shed] = []
+        self._displaced: dict[int, Shed] = {}
         self._offered = 0
         self._empty_at = timedelta()
         self._paused_until = timedelta()
@@ -251,6 +251,7 @@
         """Forget a request, waiting or admitted, that the caller gave up."""
         self._stop(ticket)
         self._queue.discard(ticket)
+        self._displaced.pop(ticket.number, None)
 
     def expire(self, now: timedelta) -> tuple[Shed, ...]:
         """Return the waiting requests that are turned away and must be answered."""
@@ -258,9 +259,10 @@
         for ticket in self._queue:
             if now - ticket.offered_at > bound.of(ticket):
                 self._queue.discard(ticket)
-                self._displaced.append(self._shed(ticket, now, ShedReason.DEADLINE))
-        displaced, self._displaced = self._displaced, []
-        return tuple(displaced)
+                shed = self._shed(ticket, now, ShedReason.DEADLINE)
+                self._displaced[ticket.number] = shed
+        displaced, self._displaced = self._displaced, {}
+        return tuple(displaced.values())
 
     def retry_after(self, now: timedelta) -> timedelta:
         """Return when it is worth coming back after a failure."""
@@ -286,7 +288,7 @@
         shed = self._shed(worst, now, ShedReason.QUEUE_FULL)
         if worst is ticket:
             return shed
-        self._displaced.append(shed)
+        self._displaced[worst.number] = shed
         return Wait(ticket, position)
 
     def _has_slot(self, now: timedelta) -> bool:
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -202,3 +202,16 @@
         admission.finish(current, at, True, 50 * SECOND)
         current = admission.next_admitted(at)
     assert isinstance(admission.offer("large", 3, SECOND, SECOND), Wait)
+
+
+def test_cancelled_request_is_not_shed_as_well():
+    """A caller hangs up, and the entry then answers a request it has forgotten.
+
+    The request had been displaced from a full queue and was not yet reported.
+    """
+    admission = make_admission()
+    admission.offer("large", 3, NOW, 60 * SECOND)
+    queued = [admission.offer("large", 5, NOW, 60 * SECOND) for _ in range(4)]
+    admission.offer("small", 5, NOW, 60 * SECOND)
+    admission.cancel(queued[-1].ticket)
+    assert admission.expire(NOW) == ()
