--- a/bench/admission/__main__.py
+++ b/bench/admission/__main__.py
@@ -4,6 +4,7 @@
 
     python -m bench.admission tables
     python -m bench.admission tables --only generations --policy ours
+    python -m bench.admission alternatives
     python -m bench.admission storms
     python -m bench.admission sweeps --only "limits borrow"
     python -m bench.admission rates
@@ -16,6 +17,7 @@
 
 from cyclopts import App
 
+from bench.admission.alternatives import ALTERNATIVES
 from bench.admission.catalogue import MEASURES, SCENARIOS
 from bench.admission.fleets import POLICIES
 from bench.admission.rates import SPREADS
@@ -47,6 +49,22 @@
             print(f"| {name} | {candidate.name} | {figures} | {seconds:.1f} |")
 
 
+@app.command
+def alternatives(only: str = "") -> None:
+    """Print the figures of the ways that were weighed and not taken.
+
+    :param only: beginning of the names of the situations.
+    """
+    _header("situation", "policy", figures=list(MEASURES))
+    for situation, scenario in SCENARIOS.items():
+        if not situation.startswith(only):
+            continue
+        for name, candidate in ALTERNATIVES.items():
+            result = scenario(candidate)
+            figures = [measure(result) for measure in MEASURES.values()]
+            _row(situation, name, figures=figures)
+
+
 @app.command
 def storms(seeds: int = 3) -> None:
     """Print what the failure of one zone, two, and all brings.
--- a/bench/admission/fleets.py
+++ b/bench/admission/fleets.py
@@ -14,6 +14,7 @@
     CustomerShare,
 )
 from sassafrasdale.decisions.budgets import RetryBudget
+from sassafrasdale.decisions.fairness import FairQueue
 from sassafrasdale.decisions.health import Health, HealthSettings
 from sassafrasdale.decisions.hedging import Hedging
 from sassafrasdale.decisions.limits import ConcurrencyLimit, LimitSettings
@@ -59,6 +60,7 @@
     budget: Callable[[], RetryBudget] | None = RetryBudget
     hedging: Callable[[], Hedging] | None = None
     limit: Callable[..., ConcurrencyLimit] = ConcurrencyLimit
+    queue: Callable[..., FairQueue] = FairQueue
 
 
 OURS = Policy("ours")
@@ -125,7 +127,7 @@
             limit = ConcurrencyLimit(capacity, 1, exact)
             return _SharedAdmission(limit, rng, customers, policy.admission)
     limit = policy.limit(capacity, ENTRIES, policy.limits)
-    return Admission(limit, rng, customers, policy.admission)
+    return Admission(limit, rng, customers, policy.admission, policy.queue)
 
 
 class _SharedAdmission(Admission):
--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -117,6 +117,7 @@
     :param limit: limit on requests in flight, owned by this admission.
     :param rng: source of randomness, to spread the times to come back.
     :param customers: what each customer is entitled to.
+    :param make_queue: makes the queue, given a customer's weight as a function.
     """
 
     def __init__(
@@ -125,11 +126,12 @@
         rng: Random,
         customers: Mapping[str, CustomerShare] | None = None,
         settings: AdmissionSettings | None = None,
+        make_queue: Callable[[Callable[[str], float]], FairQueue] = FairQueue,
     ) -> None:
         self._limit = limit
         self._settings = settings or AdmissionSettings()
         self._customers = Entitlements(customers or {})
-        self._queue = FairQueue(self._customers.weight)
+        self._queue = make_queue(self._customers.weight)
         self._demand = Demand()
         self._returns = Returns(
             rng, self._settings.longest_retry_after, self._settings.retry_after_spread
