--- a/src/sassafrasdale/platform/leases.py
+++ b/src/sassafrasdale/platform/leases.py
@@ -3,7 +3,7 @@
 A pause of the process can outlast its lease: it goes on believing that it holds
 the duty while another entry has taken over. So every order needs a permit, which
 looks at the elapsed time again, and carries a fencing number that grows with each
-holder. docs/AT-MOST-ONCE.md says what remains possible where endpoints ignore it.
+holder. docs/LEASES.md says what remains possible where endpoints ignore it.
 """
 
 from contextlib import suppress
--- a/tests/guarantees/certificates.py
+++ b/tests/guarantees/certificates.py
@@ -52,11 +52,16 @@
     threads: ThreadPoolExecutor = field(default_factory=ThreadPoolExecutor)
 
     def issue(
-        self, entry: EntryProcess, key: str, timeout: timedelta = TIMEOUT
+        self,
+        entry: EntryProcess,
+        key: str,
+        timeout: timedelta = TIMEOUT,
+        request_id: str | None = None,
     ) -> Told:
         """Ask for a certificate under ``key`` and return what is told."""
         headers = {
             "X-Customer": "cube-labs",
+            "X-Request-Id": request_id or uuid4().hex,
             "Idempotency-Key": key,
             "X-Timeout-Ms": str(int(timeout.total_seconds() * 1000)),
         }
