--- /dev/null
+++ b/tests/peers/test_bridge.py
@@ -0,0 +1,92 @@
+"""Messages between green tasks and the peers' thread."""
+
+import asyncio
+import threading
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.green import Queue, sleep, spawn
+from sassafrasdale.peers.bridge import LoopThread, Mailbox
+from sassafrasdale.peers.exceptions import PeerCallTimeoutError
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture
+def mailbox():
+    made = Mailbox()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def thread(mailbox):
+    made = LoopThread(mailbox)
+    made.start()
+    yield made
+    made.stop()
+
+
+def test_messages_of_a_thread_come_in_order_and_on_the_green_side(mailbox):
+    inbox = Queue()
+    green = threading.get_ident()
+    count = 10_000
+
+    def post():
+        for number in range(count):
+            mailbox.post(lambda n=number: inbox.put((n, threading.get_ident())))
+
+    threading.Thread(target=post).start()
+    assert [inbox.get(timeout=5) for _ in range(count)] == [
+        (number, green) for number in range(count)
+    ]
+
+
+def test_a_message_that_fails_does_not_stop_the_next(mailbox):
+    inbox = Queue()
+    mailbox.post(lambda: 1 / 0)
+    mailbox.post(inbox.put, "next")
+    assert inbox.get(timeout=5) == "next"
+
+
+def test_a_call_gives_its_result_while_other_tasks_go_on(thread):
+    beats = []
+
+    def beat():
+        while True:
+            beats.append(1)
+            sleep(timedelta(milliseconds=10))
+
+    beating = spawn(beat)
+
+    async def answer():
+        await asyncio.sleep(0.2)
+        return 42
+
+    assert thread.call(answer(), SECOND) == 42
+    assert len(beats) > 5
+    beating.kill()
+
+
+def test_a_call_raises_what_its_coroutine_raised(thread):
+    async def fail():
+        raise KeyError("x")
+
+    with pytest.raises(KeyError):
+        thread.call(fail(), SECOND)
+
+
+def test_a_call_past_its_limit_is_cancelled(thread):
+    """A green task would wait for ever on a peer that says nothing."""
+    ended = threading.Event()
+
+    async def hang():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.set()
+
+    with pytest.raises(PeerCallTimeoutError):
+        thread.call(hang(), timedelta(milliseconds=50))
+    assert ended.wait(5)
