--- a/bench/replay/measures.py
+++ b/bench/replay/measures.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from bench.replay.entries import LIMIT, OURS
+from bench.replay.entries import OURS
 from bench.replay.simulation import MODEL_REPLICAS, Outcome, Replay
 from bench.replay.structures import Scenario, TraceRequest, User
 from bench.replay.traces import load_trace
@@ -151,6 +151,3 @@
     for number, delay in outcome.first_tokens.items():
         delays[trace[number].customer].append(delay)
     return {name: share_in_time(found, user) for name, found in sorted(delays.items())}
-
-
-__all__ = ["LIMIT", "Case", "Measures", "cost_at_target", "measure"]
--- a/bench/replay/simulation.py
+++ b/bench/replay/simulation.py
@@ -371,14 +371,16 @@
     def _leave(self) -> None:
         engines = self._zone_engines()
         self._gone = {engine.name for engine in engines}
-        for entry in self._entries:
-            lost = [f for f in entry.flights.values() if f.engine in engines]
-            for flight in lost:
-                self._lost(entry, flight)
+        # The engines stop first: a request taken off one that runs would start
+        # the next that waits, which then counts as computed there.
         for engine in engines:
             engine.leave()
             for entry in self._entries:
                 entry.forget(engine)
+        for entry in self._entries:
+            lost = [f for f in entry.flights.values() if f.engine in engines]
+            for flight in lost:
+                self._lost(entry, flight)
 
     def _lost(self, entry: Entry, flight: Flight) -> None:
         self._take_off(entry, flight)
