--- a/src/sassafrasdale/entry/coordinator.py
+++ b/src/sassafrasdale/entry/coordinator.py
@@ -193,6 +193,7 @@
     def _heed_members(self, members: tuple[Member, ...]) -> None:
         alive = sum(member.is_usable for member in members)
         self._gates.set_live_entries(alive + 1)
+        self._selector.set_other_entries(alive)
         for state in MemberState:
             count = sum(member.state is state for member in members)
             self._metrics.set_peers(state.name.lower(), count)
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -74,6 +74,7 @@
         self._sends = Sends()
         self._present: set[str] = set()
         self._rings: dict[str, HashRing] = {}
+        self._other_entries = 0
         self._prices: dict[tuple[str, str, bool], float] = {}
         self._health: dict[str, Health] = {}
 
@@ -122,6 +123,7 @@
         policy = RoutingPolicy(
             latency_cost=service.weights.latency_cost,
             recomputed_tokens=service.weights.recomputed_tokens,
+            mirrored_entries=float(self._other_entries),
         )
         matches = self._prefixes.matches(wanted.blocks) if wanted.blocks else {}
         home, second_home = self._homes(wanted)
@@ -168,6 +170,10 @@
             for p in prices
         }
 
+    def set_other_entries(self, count: int) -> None:
+        """Take the number of other entries, which act on the same load reports."""
+        self._other_entries = count
+
     def refresh(self) -> None:
         """Forget endpoints that the directory does not know any more."""
         names: dict[str, set[str]] = {}
--- /dev/null
+++ b/tests/endpoints/test_reports.py
@@ -0,0 +1,69 @@
+"""Tests of the load that engines report."""
+
+import random
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.endpoints.directory import Directory, Endpoint
+from sassafrasdale.endpoints.reports import LoadReader
+from sassafrasdale.structures import Address, Instance, Role
+
+SECOND = timedelta(seconds=1)
+
+
+class FakeEngine:
+    """An adapter that answers with one load, measured at a time in the past."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self.lag: timedelta | None = timedelta()
+
+    def ask(self, method, target, *, document=None, limit=None):
+        load = {"running": 7, "waiting": 2}
+        if self.lag is not None:
+            load["measured_at"] = (self._clock.now() - self.lag).isoformat()
+        return load
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def engine(clock):
+    instance = Instance("e1", Role.ENDPOINT, "a", Address("127.0.0.1", 1))
+    return Endpoint(instance, FakeEngine(clock))
+
+
+@pytest.fixture
+def reader(clock):
+    return LoadReader(Directory(clock), lambda _: True, clock, random.Random(1))
+
+
+def test_takes_the_own_count_of_when_a_lagged_load_was_measured(clock, engine, reader):
+    """Every few seconds one replica is overrun while the others idle.
+
+    Load reports are 10 s old. Each entry takes its own requests of now out of the
+    load of then, finds the replica that was idle, and sends it all it has.
+    """
+    engine.adapter.lag = 10 * SECOND
+    for own in (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12):
+        engine.in_flight = own
+        reader.ask(engine)
+        clock.advance(SECOND)
+    reader.ask(engine)
+    assert engine.reported_load == 9
+    assert engine.own_at_report == 3
+    assert clock.elapsed() - engine.reported_at == 10 * SECOND
+
+
+@pytest.mark.parametrize("lag", [None, timedelta(), -30 * SECOND])
+def test_a_load_without_an_age_counts_as_new(clock, engine, reader, lag):
+    engine.adapter.lag = lag
+    engine.in_flight = 4
+    reader.ask(engine)
+    assert engine.own_at_report == 4
+    assert engine.reported_at == clock.elapsed()
