Tell "unknown" in an outage to retries of what this entry has run

A request ran and its answer never reached the caller; the retry came while the store was out and was told "not run", by the very entry that had run it.

--- a/src/sassafrasdale/requests/claims.py
+++ b/src/sassafrasdale/requests/claims.py
@@ -24,6 +24,7 @@
 )
 from sassafrasdale.requests.claim_repairs import ClaimRepairer, Outcome
 from sassafrasdale.requests.exceptions import ClaimRefused
+from sassafrasdale.requests.recent_claims import RecentClaims
 from sassafrasdale.requests.retention import RetentionLease
 
 CLAIM_ATTEMPTS = 4
@@ -101,6 +102,7 @@
     ) -> None:
         self._store = store
         self._retention = RetentionLease(store, clock)
+        self._recent = RecentClaims()
         self._repairer = ClaimRepairer(store, clock, self._retention, start)
 
     @property
@@ -120,12 +122,16 @@
         """
         record = ClaimRecord(claim_id, fingerprint, holder, ClaimState.CLAIMED)
         attempt = _Attempt(key, record)
-        for _ in range(CLAIM_ATTEMPTS):
-            result = self._try(attempt)
-            if result is not None:
-                return result
-        self._withdraw(attempt)
-        raise ClaimRefused("the claim could not be made", retry_after=RETRY_AFTER)
+        try:
+            result = self._claim(attempt)
+        except ClaimRefused:
+            # An earlier attempt through this process may have run the request.
+            if key.path in self._recent:
+                return OutcomeLost()
+            raise
+        if not isinstance(result, FingerprintMismatch):
+            self._recent.add(key.path)
+        return result
 
     def settle(self, claim: Claim, answer: StoredAnswer) -> bool:
         """Keep the answer of the execution, for retries of the request.
@@ -140,6 +146,7 @@
 
         :returns: whether the store has confirmed it.
         """
+        self._recent.discard(claim.key.path)
         return self._conclude(claim, replace(claim.record, state=ClaimState.NOT_RUN))
 
     def mark_unknown(self, claim: Claim) -> bool:
@@ -149,6 +156,14 @@
         """
         return self._conclude(claim, replace(claim.record, state=ClaimState.UNKNOWN))
 
+    def _claim(self, attempt: "_Attempt") -> ClaimResult:
+        for _ in range(CLAIM_ATTEMPTS):
+            result = self._try(attempt)
+            if result is not None:
+                return result
+        self._withdraw(attempt)
+        raise ClaimRefused("the claim could not be made", retry_after=RETRY_AFTER)
+
     def _try(self, attempt: "_Attempt") -> ClaimResult | None:
         """Make one write; return None if it is worth another."""
         try:
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -180,3 +180,21 @@
     before = store.writes
     claims.settle(claim(claims, "a").claim, ANSWER)
     assert store.writes - before == 2
+
+
+def test_retry_in_an_outage_through_the_entry_that_ran_it(claims, store):
+    """A certificate was issued; its answer never reached the caller, who retries.
+
+    The store is out by then. Told "not run", the caller would ask for another one
+    under a new key.
+    """
+    claims.settle(claim(claims, "a").claim, ANSWER)
+    store.faults = ["unreached"]
+    assert claim(claims, "b") == OutcomeLost()
+
+
+def test_retry_in_an_outage_of_what_was_given_up(claims, store):
+    claims.abandon(claim(claims, "a").claim)
+    store.faults = ["unreached"]
+    with pytest.raises(ClaimRefused):
+        claim(claims, "b")
--- a/tests/requests/test_claims_model.py
+++ b/tests/requests/test_claims_model.py
@@ -39,7 +39,7 @@
         self.ran = False
         self.may_block = False
         self.told: str | None = None
-        self._model = model
+        self.model = model
         self.claims = model.claims[entry]
         self.program = Program(self._run)
 
@@ -48,6 +48,7 @@
             result = self.claims.claim(KEY, "print", uuid4().hex, str(self.entry))
         except ClaimRefused:
             self.told = "not run"
+            self.model.note_refusal(self.claims)
             return
         match result:
             case Granted(claim):
@@ -70,7 +71,7 @@
                 if fault == "lost_after":
                     self._execute()
                 if fault == "late":
-                    self._model.store.late.append(self._execute)
+                    self.model.store.late.append(self._execute)
                 self.told = "unknown"
                 self.may_block = True
                 self.claims.mark_unknown(claim)
@@ -78,12 +79,12 @@
     def _execute(self) -> StoredAnswer:
         self.ran = True
         self.may_block = True
-        self._model.runs += 1
+        self.model.runs += 1
         return StoredAnswer(200, (), uuid4().bytes)
 
     def _tell(self, answer: StoredAnswer) -> None:
         self.told = "answered"
-        self._model.answers.add(answer.body)
+        self.model.answers.add(answer.body)
 
 
 class ClaimsModel(RuleBasedStateMachine):
@@ -97,6 +98,7 @@
         self.attempts: list[Attempt] = []
         self.live: list[Attempt] = []
         self.runs = 0
+        self.refused_after_run = False
         self.answers: set[bytes] = set()
 
     @rule(entry=entries, faults=several_faults)
@@ -134,6 +136,15 @@
         self.repairs.pop(entry, None)
         self.claims[entry] = self._new_claims()
 
+    def note_refusal(self, claims: Claims) -> None:
+        """Note whether the process that refuses a retry has run the request."""
+        mine = [item for item in self.attempts if item.claims is claims]
+        self.refused_after_run |= any(item.ran for item in mine)
+
+    @invariant()
+    def retry_is_not_refused_by_the_process_that_ran_it(self):
+        assert not self.refused_after_run
+
     @invariant()
     def runs_at_most_once(self):
         assert self.runs <= 1
