--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -1,7 +1,6 @@
 """The peers' side of an entry, on the asyncio loop: probes, news and calls."""
 
 import asyncio
-import math
 from collections.abc import Callable, Coroutine, Iterable
 from contextlib import suppress
 from datetime import timedelta
@@ -33,6 +32,8 @@
 )
 from sassafrasdale.peers.notices import NoticeBoard
 from sassafrasdale.peers.rendezvous import first_of_each_zone, rendezvous
+from sassafrasdale.peers.slowness import Slowness
+from sassafrasdale.peers.spreading import News, Spreader
 from sassafrasdale.peers.structures import (
     HandOver,
     Member,
@@ -49,47 +50,16 @@
 NOTICES_A_MESSAGE = 16
 VERIFICATIONS_A_PERIOD = 2
 INDIRECT_PROBES = 2
-FAN_OUT = 4
-SPREAD_TO_ALL = 16
-SPARE_HOPS = 2
-UPDATES_A_SPREAD = 64
 FIRST_ASKED = 2
 ASKED_AT_ONCE = 8
 PULL_HEDGE = timedelta(milliseconds=300)
 """After this time without the text another source is asked too."""
-MAX_SLOWNESS = 4
 
 Post = Callable[[Any], None]
 
 log = Logger(__name__)
 
 
-class Slowness:
-    """How far this entry is to doubt itself before it doubts others.
-
-    A machine that is short of processor time answers and hears late. Its probes
-    time out, and without this it would call healthy members suspect, whose
-    refutations make more work for all. Probes to which nobody answers, helpers
-    neither, and own refutations lengthen its time-outs; answered probes shorten them.
-    """
-
-    def __init__(self) -> None:
-        self._score = 0
-
-    @property
-    def factor(self) -> int:
-        """By how much to lengthen time-outs."""
-        return 1 + self._score
-
-    def add(self) -> None:
-        """Note a sign of slowness."""
-        self._score = min(self._score + 1, MAX_SLOWNESS)
-
-    def lessen(self) -> None:
-        """Note a sign of health."""
-        self._score = max(self._score - 1, 0)
-
-
 class PeerAgent:
     """State and tasks of one entry among its peers; lives on the loop.
 
@@ -122,12 +92,8 @@
         self._is_pulling = False
         self._pulled_from: set[str] = set()
         self._sources: dict[str, tuple[Member, int]] = {}
-        self._spreading: asyncio.Task | None = None
-        self._spread_at = timedelta()
+        self._spreader = Spreader(membership, clock, rng, timings, self._send_news)
         self._slowness = Slowness()
-        self._news_members: dict[str, Member] = {}
-        self._news_notices: list[Notice] = []
-        self._hops_left = 0
         self._server: Server | None = None
 
     @property
@@ -155,6 +121,7 @@
 
     async def stop(self) -> None:
         """End every task, close the connections and take no more messages."""
+        self._spreader.stop()
         for task in list(self._tasks):
             task.cancel()
         self._channels.close()
@@ -181,18 +148,17 @@
         if record.revision <= self.revision:
             return
         self._record = record
-        self._spread_soon(self._first_hops())
+        self._spreader.spread_soon(self._spreader.first_hops)
 
     def spread_notice(self, notice: Notice) -> None:
         """Tell the peers of ``notice``, if it is new."""
         if self._notices.add(notice):
-            self._news_notices.append(notice)
-            self._spread_soon(self._first_hops())
+            self._spreader.add_notice(notice, self._spreader.first_hops)
 
     def announce_leaving(self) -> None:
         """Tell the peers that this entry is leaving."""
         self._membership.leave()
-        self._spread_soon(self._first_hops())
+        self._spreader.spread_soon(self._spreader.first_hops)
 
     # Messages
 
@@ -222,13 +188,13 @@
         except ValueError:
             log.warning("unreadable news from {!r}", gossip.sender.name)
             return
-        hops = self._first_hops() if hops_left is None else hops_left
+        hops = self._spreader.first_hops if hops_left is None else hops_left
         before = self._membership.me.incarnation
         self._take_in_members(sender, gossip.revision, updates, served, hops)
         self._take_in_notices(gossip, hops)
         if self._membership.me.incarnation != before:
             self._slowness.add()
-            self._spread_soon(self._first_hops())
+            self._spreader.spread_soon(self._spreader.first_hops)
         if gossip.revision > self.revision:
             self._pull_soon(sender, gossip.revision)
         self._publish()
@@ -313,12 +279,11 @@
         """
         log.warning("this process was paused")
         self._membership.renew()
-        self._spread_soon(self._first_hops())
+        self._spreader.spread_soon(self._spreader.first_hops)
 
     def _probe_period(self) -> None:
         for member in self._membership.expire():
-            self._news_members[member.name] = member
-            self._spread_soon(self._first_hops())
+            self._spreader.add_member(member, self._spreader.first_hops)
         for target in self._membership.next_targets(VERIFICATIONS_A_PERIOD):
             self.run(self._probe(target))
         self._publish()
@@ -389,58 +354,19 @@
 
     # Spreading
 
-    def _first_hops(self) -> int:
-        size = len(self._membership.reachable)
-        if size <= SPREAD_TO_ALL:
-            return 0
-        return math.ceil(math.log(size, FAN_OUT)) + SPARE_HOPS
-
     def _tell(self, name: str) -> None:
         member = self._membership.get(name)
         if member is not None:
-            self._news_members[name] = member
-            self._spread_soon(self._first_hops())
+            self._spreader.add_member(member, self._spreader.first_hops)
 
-    def _spread_soon(self, hops: int) -> None:
-        """Spread what is new after a moment, so that news travels together.
-
-        The first news goes at once, what follows waits for the least interval. So
-        a fleet in which everything changes at once spends no more than a fixed
-        number of messages a second on saying so.
-        """
-        if hops < 0:
-            return
-        self._hops_left = max(self._hops_left, hops)
-        if self._spreading is None:
-            self._spreading = self.run(self._spread())
-
-    async def _spread(self) -> None:
-        since = self._clock.elapsed() - self._spread_at
-        pause = max(self._timings.coalesce, self._timings.spread_interval - since)
-        await asyncio.sleep(pause.total_seconds())
-        self._spreading = None
-        self._spread_at = self._clock.elapsed()
-        updates = self._take_member_news()
-        notices, self._news_notices = self._news_notices, []
-        hops, self._hops_left = self._hops_left, 0
+    def _send_news(self, news: News) -> None:
         request = SpreadRequest(
-            gossip=self._gossip_of(updates, notices), hops_left=hops
+            gossip=self._gossip_of(news.members, news.notices),
+            hops_left=news.hops_left,
         )
-        for receiver in self._receivers_of_news():
+        for receiver in news.receivers:
             self.run(self._spread_to(receiver, request))
 
-    def _take_member_news(self) -> list[Member]:
-        """Return news of members for one round; what is too much is for probes."""
-        updates = list(self._news_members.values())[-UPDATES_A_SPREAD:]
-        self._news_members = {}
-        return updates
-
-    def _receivers_of_news(self) -> list[Member]:
-        reachable = self._membership.reachable
-        if len(reachable) <= SPREAD_TO_ALL:
-            return reachable
-        return self._rng.sample(self._membership.neighbours, FAN_OUT)
-
     async def _spread_to(self, receiver: Member, request: SpreadRequest) -> None:
         call = self._timings.call_timeout
         try:
@@ -468,8 +394,7 @@
     def _pass_on(self, name: str, hops: int) -> None:
         member = self._membership.get(name)
         if member is not None and hops > 0:
-            self._news_members[name] = member
-            self._spread_soon(hops - 1)
+            self._spreader.add_member(member, hops - 1)
 
     def _take_in_notices(self, gossip: Gossip, hops: int) -> None:
         for message in gossip.notices:
@@ -478,8 +403,7 @@
                 continue
             self._post(NoticeHeard(notice))
             if hops > 0:
-                self._news_notices.append(notice)
-                self._spread_soon(hops - 1)
+                self._spreader.add_notice(notice, hops - 1)
 
     # Text
 
@@ -531,7 +455,7 @@
             return
         self._record = record
         self._post(TextOffered(record))
-        self._spread_soon(self._first_hops() - 1)
+        self._spreader.spread_soon(self._spreader.first_hops - 1)
 
     # Helpers
 
