--- a/bench/claims.py
+++ b/bench/claims.py
@@ -14,6 +14,7 @@
 from datetime import timedelta
 from random import Random
 from statistics import quantiles
+from typing import Protocol
 from uuid import uuid4
 
 from sassafrasdale.clock import SystemClock
@@ -30,6 +31,13 @@
 SETTLE = timedelta(seconds=2)
 
 
+class Counts(Protocol):
+    """What a run needs of the platform."""
+
+    def counts(self) -> dict[str, dict[str, int]]:
+        """Return the calls of the store by kind."""
+
+
 @dataclass
 class Result:
     """What one run measured."""
@@ -50,7 +58,7 @@
         )
 
 
-def run(platform: PlatformProcess, claims: Claims, rate: int, seconds: float) -> Result:
+def run(platform: Counts, claims: Claims, rate: int, seconds: float) -> Result:
     """Send claims at an even rate and return what came of them."""
     result = Result()
     before = platform.counts()["store"].get("writes", 0)
