--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -117,6 +117,7 @@
     :param limit: limit on requests in flight, owned by this admission.
     :param rng: source of randomness, to spread the times to come back.
     :param customers: what each customer is entitled to.
+    :param make_queue: makes the queue, given a customer's weight as a function.
     """
 
     def __init__(
@@ -125,11 +126,12 @@
         rng: Random,
         customers: Mapping[str, CustomerShare] | None = None,
         settings: AdmissionSettings | None = None,
+        make_queue: Callable[[Callable[[str], float]], FairQueue] = FairQueue,
     ) -> None:
         self._limit = limit
         self._settings = settings or AdmissionSettings()
         self._customers = Entitlements(customers or {})
-        self._queue = FairQueue(self._customers.weight)
+        self._queue = make_queue(self._customers.weight)
         self._demand = Demand()
         self._returns = Returns(
             rng, self._settings.longest_retry_after, self._settings.retry_after_spread
@@ -141,7 +143,7 @@
         )
         self._running: dict[int, timedelta] = {}
         self._running_by_customer: Counter[str] = Counter()
-        self._displaced: list[Shed] = []
+        self._displaced: dict[int, Shed] = {}
         self._offered = 0
         self._empty_at = timedelta()
         self._paused_until = timedelta()
@@ -251,6 +253,7 @@
         """Forget a request, waiting or admitted, that the caller gave up."""
         self._stop(ticket)
         self._queue.discard(ticket)
+        self._displaced.pop(ticket.number, None)
 
     def expire(self, now: timedelta) -> tuple[Shed, ...]:
         """Return the waiting requests that are turned away and must be answered."""
@@ -258,9 +261,10 @@
         for ticket in self._queue:
             if now - ticket.offered_at > bound.of(ticket):
                 self._queue.discard(ticket)
-                self._displaced.append(self._shed(ticket, now, ShedReason.DEADLINE))
-        displaced, self._displaced = self._displaced, []
-        return tuple(displaced)
+                shed = self._shed(ticket, now, ShedReason.DEADLINE)
+                self._displaced[ticket.number] = shed
+        displaced, self._displaced = self._displaced, {}
+        return tuple(displaced.values())
 
     def retry_after(self, now: timedelta) -> timedelta:
         """Return when it is worth coming back after a failure."""
@@ -286,7 +290,7 @@
         shed = self._shed(worst, now, ShedReason.QUEUE_FULL)
         if worst is ticket:
             return shed
-        self._displaced.append(shed)
+        self._displaced[worst.number] = shed
         return Wait(ticket, position)
 
     def _has_slot(self, now: timedelta) -> bool:
