Ask for the lease again soon after a lost answer

Cause: the holder waited a third of the lease after each failure, so two lost answers to keep-alives cost the duty although the lease was alive. Change: a holder asks again after a twelfth; entries that only seek keep the usual pause. Tests: two lost answers on a real holder; a stand-in peer that answers and can't send stays alive to all.

--- a/src/sassafrasdale/platform/leases.py
+++ b/src/sassafrasdale/platform/leases.py
@@ -6,7 +6,6 @@
 holder. docs/AT-MOST-ONCE.md says what remains possible where endpoints ignore it.
 """
 
-from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -26,6 +25,7 @@
 LEASES_PREFIX = "sassafrasdale/leases/"
 LEASE_TTL = timedelta(seconds=9)
 KEEP_ALIVES_PER_TTL = 3
+RETRIES_PER_TTL = 12
 SAFETY_MARGIN = 0.2
 """Share of the time to live that the holder does without, for clock drift."""
 JITTER = 0.2
@@ -104,11 +104,16 @@
 
     def run(self) -> None:
         """Seek and keep the duty until the task is killed."""
-        pause = self._ttl / KEEP_ALIVES_PER_TTL
         while True:
-            # If the store goes on failing, the lease lapses by the elapsed time.
-            with suppress(StoreError):
+            pause = self._ttl / KEEP_ALIVES_PER_TTL
+            try:
                 self.step()
+            except StoreError:
+                # With the usual pause two lost answers would cost the duty. If the
+                # store goes on failing, the lease lapses by the elapsed time. The
+                # many that only seek do not press a store in trouble.
+                if self.state != "seeking":
+                    pause = self._ttl / RETRIES_PER_TTL
             sleep(pause * self._rng.uniform(1 - JITTER, 1 + JITTER))
 
     def step(self) -> None:
--- a/tests/guarantees/test_leases.py
+++ b/tests/guarantees/test_leases.py
@@ -10,6 +10,7 @@
 import pytest
 import urllib3
 
+from sassafrasdale.platform.leases import LEASE_TTL
 from standins.fleet import Fleet
 from tests.guarantees.operators import wait_until
 
@@ -67,6 +68,7 @@
 REPAIRED = timedelta(seconds=6)
 STORE_OUT = timedelta(seconds=2)
 AFTER_THAW = timedelta(seconds=6)
+LOST_KEEP_ALIVES = 2
 POLL = 0.05  # seconds
 
 
@@ -190,6 +192,20 @@
     )
 
 
+def test_lost_answers_to_keep_alives_do_not_cost_the_duty(fleet):
+    """The duty would move, and nobody would act for as long as a lease lasts.
+
+    The store keeps the lease alive twice and both answers are lost. The holder has
+    to ask again soon, not a third of a lease later each time.
+    """
+    (holder,) = wait_until(lambda: _holders(fleet), TAKEOVER)
+    fleet.platform.set_faults(
+        store={"drop_answers": LOST_KEEP_ALIVES, "drop_prefix": "/v3/lease/keepalive"}
+    )
+    for _ in _polls(LEASE_TTL + timedelta(seconds=1)):
+        assert _duty(holder) == "holding"
+
+
 def test_holder_that_stops_gives_the_duty_to_another_at_once(fleet):
     """A planned stop of the holder would leave the fleet unplanned for a while.
 
--- a/tests/guarantees/test_membership.py
+++ b/tests/guarantees/test_membership.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from contextlib import contextmanager
 from datetime import timedelta
 
 import pytest
@@ -117,29 +118,38 @@
 @pytest.fixture
 def mute_peer(fleet):
     """Start a peer that sends to every entry and answers none of them."""
-    peer = PeerProcess(9)
+    with _peer_beside(fleet, "entry-8", {"mute": True}) as peer:
+        yield peer
+
+
+@pytest.fixture
+def answering_peer(fleet):
+    """Start a peer that answers every entry and can send to none of them."""
+    cut = [entry.peer_address for entry in fleet.entries]
+    with _peer_beside(fleet, "entry-9", {"cut": cut}) as peer:
+        yield peer
+
+
+@contextmanager
+def _peer_beside(fleet, name, command):
+    """Start a stand-in peer, list it, and introduce the entries to it."""
+    peer = PeerProcess(int(name.removeprefix("entry-")))
     try:
-        peer.tell(mute=True)
-        fleet.platform.control(
-            "POST",
-            "instances",
-            {
-                "name": peer.name,
-                "role": "entry",
-                "availability_zone": peer.zone,
-                "address": peer.peer_address,
-                "peer_address": peer.peer_address,
-            },
-        )
-        peer.tell(
-            candidates=[
-                [entry.name, entry.zone, entry.peer_address] for entry in fleet.entries
-            ]
-        )
+        peer.tell(**command)
+        instance = {
+            "name": name,
+            "role": "entry",
+            "availability_zone": peer.zone,
+            "address": peer.peer_address,
+            "peer_address": peer.peer_address,
+        }
+        fleet.platform.control("POST", "instances", instance)
+        entries = [[each.name, each.zone, each.peer_address] for each in fleet.entries]
+        peer.tell(candidates=entries)
         yield peer
     finally:
         peer.end()
-        fleet.platform.remove(peer.name)
+        fleet.platform.remove(name)
 
 
 def test_peer_that_sends_and_does_not_answer_stays_dead(fleet, mute_peer):
@@ -158,6 +168,19 @@
         assert states == {"alive"}
 
 
+def test_peer_that_answers_and_can_not_send_stays_alive(fleet, answering_peer):
+    """A peer that serves would be written off since nothing comes from it.
+
+    The network is cut in the other direction: what it sends reaches nobody, and it
+    answers every call. The others probe it, so that each sees it alive.
+    """
+    name = answering_peer.name
+    wait_until(lambda: _all_see(fleet, name, "alive"), DETECTION)
+    ended = time.monotonic() + STEADY.total_seconds()
+    while time.monotonic() < ended:
+        assert _all_see(fleet, name, "alive")
+
+
 def test_newer_text_of_an_unreachable_peer_does_not_keep_others_out(
     fleet, observer, mute_peer
 ):
