--- a/src/sassafrasdale/requests/execution.py
+++ b/src/sassafrasdale/requests/execution.py
@@ -69,6 +69,7 @@
         self._clock = clock
         self._life = Lifecycle(load_chart("request"))
         self._sent = False
+        self._refused = False
 
     @property
     def state(self) -> str:
@@ -100,6 +101,7 @@
                 self._budget.deposit(self._clock.elapsed())
                 return Answered(answer.status, answer.headers, answer.body)
             except Refused as error:
+                self._refused = True
                 reason = error.message
             except NotSent as error:
                 self._observe(endpoint, ok=False)
@@ -154,8 +156,12 @@
 
     def _second(self, first: Endpoint, avoid: set[str]) -> Endpoint | None:
         """Return an endpoint for a hedge, if one may be sent."""
+        if not self._hedger.has_room:
+            return None
         other = self._choose(frozenset({*avoid, first.name}))
-        return other if other is not None and self._hedger.try_hedge() else None
+        if other is None or not self._hedger.try_hedge():
+            return None
+        return other
 
     def _send(self, endpoint: Endpoint, limit: timedelta) -> EndpointAnswer:
         began = self._clock.elapsed()
@@ -172,7 +178,7 @@
     def _give_up(self, reason: str) -> Outcome:
         if self._sent:
             return Unknown(reason, RETRY_AFTER)
-        return NotRun(reason, RETRY_AFTER)
+        return NotRun(reason, RETRY_AFTER, overloaded=self._refused)
 
 
 def endpoint_request(call: ServiceCall) -> EndpointRequest:
