--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -28,8 +28,8 @@
 LIMIT = "limit"
 WAYS = (ROUND_ROBIN, LEAST_REQUESTS, PREFIX_HASH, OURS, LIMIT)
 
-TOKENS_OBSERVED = 16
-"""Tokens after which an entry takes the time between them."""
+ZONE_PRICES = {"a": 1.0, "b": 1.2, "c": 1.1}
+"""Price of a replica an hour, in units."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,7 +159,7 @@
             home_availability_zone=self.zone,
             home=homes[0],
             second_home=homes[1],
-            home_share=self.home_trust.share,
+            home_share=0.0 if self.way == LIMIT else self.home_trust.share,
         )
         return choose(asked, views, self._policy, self._rng)
 
@@ -189,6 +189,7 @@
             own_at_report=report.own if report else 0,
             report_age=_age(report, now),
             max_in_flight=engine.shape.slots,
+            price_per_hour=ZONE_PRICES[engine.zone],
             distance=timedelta(seconds=self.distance(engine)),
             cached_tokens=cached.get(name, 0),
             leaving=name in leaving,
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -74,6 +74,7 @@
         self._sends = Sends()
         self._present: set[str] = set()
         self._rings: dict[str, HashRing] = {}
+        self._other_entries = 0
         self._prices: dict[tuple[str, str, bool], float] = {}
         self._health: dict[str, Health] = {}
 
@@ -122,6 +123,7 @@
         policy = RoutingPolicy(
             latency_cost=service.weights.latency_cost,
             recomputed_tokens=service.weights.recomputed_tokens,
+            mirrored_entries=float(self._other_entries),
         )
         matches = self._prefixes.matches(wanted.blocks) if wanted.blocks else {}
         home, second_home = self._homes(wanted)
@@ -150,10 +152,23 @@
             watch.expect(max(0, wanted.prompt_tokens - chosen.cached_tokens))
         return fit[chosen.name]
 
-    def observe(self, endpoint: Endpoint, *, ok: bool) -> None:
-        """Note that an endpoint answered, or failed to."""
+    def observe(
+        self, endpoint: Endpoint, *, ok: bool, latency: timedelta | None = None
+    ) -> None:
+        """Note that an endpoint answered, or failed to.
+
+        :param latency: time of an answer, for calls that take alike.
+        """
         health = self._health_of(endpoint.instance.service)
-        health.observe(endpoint.name, ok=ok, now=self._clock.elapsed())
+        now = self._clock.elapsed()
+        health.observe(endpoint.name, ok=ok, now=now, latency=latency)
+
+    def is_ejected(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is left out for its failures at present."""
+        weights = self._health_of(endpoint.instance.service).weights(
+            self._clock.elapsed()
+        )
+        return weights.get(endpoint.name, 1.0) == 0.0
 
     def set_prices(self, prices: Iterable[Price]) -> None:
         """Take the platform's prices."""
@@ -162,6 +177,10 @@
             for p in prices
         }
 
+    def set_other_entries(self, count: int) -> None:
+        """Take the number of other entries, which act on the same load reports."""
+        self._other_entries = count
+
     def refresh(self) -> None:
         """Forget endpoints that the directory does not know any more."""
         names: dict[str, set[str]] = {}
--- a/tests/guarantees/certificates.py
+++ b/tests/guarantees/certificates.py
@@ -9,6 +9,7 @@
 
 from standins.clients import Response
 from standins.processes import (
+    START_LIMIT,
     EntryProcess,
     PlatformProcess,
     ServiceProcess,
@@ -51,11 +52,16 @@
     threads: ThreadPoolExecutor = field(default_factory=ThreadPoolExecutor)
 
     def issue(
-        self, entry: EntryProcess, key: str, timeout: timedelta = TIMEOUT
+        self,
+        entry: EntryProcess,
+        key: str,
+        timeout: timedelta = TIMEOUT,
+        request_id: str | None = None,
     ) -> Told:
         """Ask for a certificate under ``key`` and return what is told."""
         headers = {
             "X-Customer": "cube-labs",
+            "X-Request-Id": request_id or uuid4().hex,
             "Idempotency-Key": key,
             "X-Timeout-Ms": str(int(timeout.total_seconds() * 1000)),
         }
@@ -102,11 +108,24 @@
             self.platform.cloud,
         )
         try:
+            self.platform.register(entry)
+            for known in (*self.entries, entry):
+                wait_until(
+                    lambda known=known: alive_peers(known) >= len(self.entries),
+                    START_LIMIT,
+                )
             # The first claim of a process also asks for a lease.
             assert self.issue(entry, uuid4().hex).outcome == "answered"
             yield entry
         finally:
             entry.close()
+            self.platform.remove(entry.name)
+
+
+def alive_peers(entry: EntryProcess) -> int:
+    """Return how many other entries ``entry`` holds for alive."""
+    peers = entry.client.call("GET", "/admin/v1/status").json()["peers"]
+    return sum(peer["state"] == "alive" for peer in peers)
 
 
 @contextmanager
@@ -123,10 +142,12 @@
             stack.callback(entry.close)
             entry.launch()
             entry.wait_until_live()
+            platform.register(entry)
             entries.append(entry)
         assert put_text(entries[0], TEXT, 0).status == 200
         for entry in entries:
             entry.wait_until_ready()
+            wait_until(lambda entry=entry: alive_peers(entry), START_LIMIT)
         made = Deployment(platform, service, entries)
         stack.callback(made.threads.shutdown, wait=False)
         for entry in entries:
