Take a slow or failing endpoint when there is no other

Cause: endpoints take part in a choice by chance, at their health's weight. When all others were avoided or leaving, chance or ejection left out the last one too, and the caller was told that no endpoint takes the request. The test of leaving endpoints met it in one run of a loaded machine (refused with these words). Change: if none is left by chance, all that may be taken take part. Ruled out: a least weight, which only makes it rarer.

--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -214,12 +214,23 @@
     def _fit_endpoints(
         self, service: str, avoid: frozenset[str], now: timedelta
     ) -> dict[str, Endpoint]:
+        """Return the endpoints that take part in a choice, by name.
+
+        If chance or their failures leave all of them out, all take part: an
+        endpoint that is slow or was failing is better than none.
+        """
         weights = self._health_of(service).weights(now)
-        return {
+        left = {
             endpoint.name: endpoint
             for endpoint in self._directory.serving(service)
-            if endpoint.name not in avoid and self._is_fit(endpoint, weights)
+            if endpoint.name not in avoid
+        }
+        fit = {
+            name: endpoint
+            for name, endpoint in left.items()
+            if self._is_fit(endpoint, weights)
         }
+        return fit or left
 
     def _is_fit(self, endpoint: Endpoint, weights: dict[str, float]) -> bool:
         """Return whether an endpoint takes part, by its health's weight.
