--- a/bench/replay/entries.py
+++ b/bench/replay/entries.py
@@ -14,7 +14,7 @@
 from sassafrasdale.decisions.delays import TokenDelays
 from sassafrasdale.decisions.homes import HomeTrust
 from sassafrasdale.decisions.queues import QueueTimes
-from sassafrasdale.decisions.routing import choose
+from sassafrasdale.decisions.routing import choose, draw_candidates
 from sassafrasdale.decisions.structures import (
     EndpointView,
     RoutingPolicy,
@@ -124,6 +124,8 @@
     ) -> tuple[FakeEngine, EndpointView] | None:
         """Return the engine for a request, and the view that led to it."""
         cached = self._cached(request, engines)
+        if self.way == OURS:
+            engines = self._drawn(request, engines, cached, leaving)
         views = [self._view(engine, cached, leaving, now) for engine in engines]
         chosen = self._choose(request, views)
         if chosen is None:
@@ -133,12 +135,30 @@
 
     def is_home(self, request: TraceRequest, engine: FakeEngine) -> bool:
         """Return whether an engine is the home of a request's thread."""
-        return request.continues and self._ring.homes(request.key)[0] == engine.name
+        return self._homes(request)[0] == engine.name
 
     def distance(self, engine: FakeEngine) -> float:
         """Return the one-way delay to an engine, in seconds."""
         return 0.0 if engine.zone == self.zone else self._user.zone_delay
 
+    def _homes(self, request: TraceRequest) -> tuple[str, str]:
+        return self._ring.homes(request.key) if request.continues else ("", "")
+
+    def _drawn(
+        self,
+        request: TraceRequest,
+        engines: Sequence[FakeEngine],
+        cached: dict[str, int],
+        leaving: set[str],
+    ) -> list[FakeEngine]:
+        """Return the engines that are worth a view."""
+        staying = {e.name: e for e in engines if e.name not in leaving}
+        known = {name: tokens for name, tokens in cached.items() if name in staying}
+        homes = [home for home in self._homes(request) if home in staying]
+        policy = self._policy
+        drawn = draw_candidates(list(staying), known, homes, policy, self._rng)
+        return [staying[name] for name in drawn]
+
     def _choose(
         self, request: TraceRequest, views: Sequence[EndpointView]
     ) -> EndpointView | None:
@@ -151,7 +171,7 @@
                 return self._prefix_hash.choose(views, request.key)
             case "prefix hash":
                 return self._prefix_hash.choose(views, request.number)
-        homes = self._ring.homes(request.key) if request.continues else ("", "")
+        homes = self._homes(request)
         asked = RoutingRequest(
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
--- a/bench/replay/measures.py
+++ b/bench/replay/measures.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from bench.replay.entries import OURS
-from bench.replay.simulation import MODEL_REPLICAS, Outcome, Replay
+from bench.replay.simulation import Fleet, Outcome, Replay
 from bench.replay.structures import Scenario, TraceRequest, User
 from bench.replay.traces import load_trace
 from sassafrasdale.decisions.structures import RoutingPolicy
@@ -34,6 +34,7 @@
     :param policy: constants; the user's own by default.
     :param seed: seed of the balancer and of the lost events.
     :param unseen: whether the trace is one that nothing was tuned on.
+    :param fleet: how many entries and replicas there are.
     """
 
     user: User
@@ -42,6 +43,7 @@
     policy: RoutingPolicy | None = None
     seed: int = 0
     unseen: bool = False
+    fleet: Fleet = Fleet()
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +81,7 @@
         speed,
         case.policy,
         seed=case.seed,
+        fleet=case.fleet,
     )
     outcome = replay.run()
     delays = sorted(outcome.first_tokens.values())
@@ -111,7 +114,7 @@
     trace = load_trace(case.user, case.unseen)
     generations = sum(1 for request in trace if not request.is_lookup)
     hours = trace[-1].at / low / 3600
-    return MODEL_REPLICAS * PRICE_PER_HOUR * hours / generations * 1000
+    return Fleet().models * PRICE_PER_HOUR * hours / generations * 1000
 
 
 def percentile(ordered: Sequence[float], share: float) -> float:
--- a/src/sassafrasdale/decisions/routing.py
+++ b/src/sassafrasdale/decisions/routing.py
@@ -60,11 +60,19 @@
     :param policy: constants.
     :param rng: draws the sample.
     """
-    if len(names) <= policy.sample_size:
+    if len(names) <= policy.sampled_above:
         return list(names)
     drawn = dict.fromkeys(rng.sample(names, policy.sample_size))
-    best = sorted(matches, key=matches.__getitem__, reverse=True)
-    drawn.update(dict.fromkeys(best[: policy.best_matches]))
+    # A match counts if it is better than the sample's. A template that most hold
+    # would else add the same few to the draws of every entry, which herd there.
+    common = max(matches.get(name, 0) for name in drawn)
+    ranked = [
+        (tokens, rng.random(), name)
+        for name, tokens in matches.items()
+        if tokens > common
+    ]
+    ranked.sort(reverse=True)
+    drawn.update(dict.fromkeys(name for *_, name in ranked[: policy.best_matches]))
     drawn.update(dict.fromkeys(home for home in homes if home))
     return list(drawn)
 
--- a/src/sassafrasdale/decisions/structures.py
+++ b/src/sassafrasdale/decisions/structures.py
@@ -91,6 +91,7 @@
     :param mirrored_entries: other entries that are expected to have changed their
         requests at an endpoint as this one did since the report.
     :param queueing_trust: part of the queueing seen that is expected again.
+    :param sampled_above: endpoints up to which all are candidates.
     :param sample_size: candidates drawn at random when there are more.
     :param best_matches: candidates drawn for their cached tokens besides.
     """
@@ -105,7 +106,8 @@
     second_home_share: float = 0.5
     mirrored_entries: float = 5.0
     queueing_trust: float = 1.0
-    sample_size: int = 8
+    sampled_above: int = 8
+    sample_size: int = 4
     best_matches: int = 3
 
 
