Validate what the store and the cloud API hold at the border

A value that cannot be read raised KeyError, TypeError or ValueError. It ended the task that watches the text (an entry would never see a text again), or the one that watches instances, notices or prices; and a claim's key with something else in it gave an internal error. Field names to come were refused too.

Texts and claims are read by pydantic models; a malformed value is a StoreError that the watcher bears, and a claim of unknown form is told "unknown" and never runs. The cloud client turns an answer that it cannot read into CloudNotReached.

--- a/src/sassafrasdale/platform/clouds.py
+++ b/src/sassafrasdale/platform/clouds.py
@@ -1,7 +1,8 @@
 """The platform's cloud API: instances, reclaim notices and prices."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from random import Random
@@ -71,7 +72,8 @@
         :raises CloudNotReached: if no usable answer came.
         """
         answer = self._call("GET", "/cloud/v1/instances")
-        return tuple(_instance(fields) for fields in answer["instances"])
+        with _usable(answer):
+            return tuple(_instance(fields) for fields in answer["instances"])
 
     def notices(self, after: int, wait: timedelta) -> tuple[tuple[Notice, ...], int]:
         """Return the notices above ``after``, and the sequence to ask from next.
@@ -82,8 +84,9 @@
         wait_ms = int(wait.total_seconds() * 1000)
         path = f"/cloud/v1/notices?after={after}&wait_ms={wait_ms}"
         answer = self._call("GET", path, limit=wait + CALL_TIMEOUT)
-        notices = tuple(_notice(fields) for fields in answer["notices"])
-        return notices, int(answer["next"])
+        with _usable(answer):
+            notices = tuple(_notice(fields) for fields in answer["notices"])
+            return notices, int(answer["next"])
 
     def prices(self) -> tuple[Price, ...]:
         """Return the prices of instance classes by availability zone.
@@ -91,7 +94,8 @@
         :raises CloudNotReached: if no usable answer came.
         """
         answer = self._call("GET", "/cloud/v1/prices")
-        return tuple(Price(**fields) for fields in answer["prices"])
+        with _usable(answer):
+            return tuple(_price(fields) for fields in answer["prices"])
 
     def start_instance(
         self,
@@ -232,6 +236,30 @@
     raise ValueError(f"status {response.status}: {fault}")
 
 
+@contextmanager
+def _usable(answer: Any) -> Iterator[None]:
+    """Turn the errors of reading ``answer`` into the layer's own.
+
+    An answer that cannot be read must not end the task that watches the cloud.
+    """
+    try:
+        yield
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise CloudNotReached(
+            f"the cloud API's answer cannot be read: {error!r}",
+            retry_after=ERROR_PAUSE,
+        ) from error
+
+
+def _price(fields: Mapping[str, Any]) -> Price:
+    return Price(
+        fields["availability_zone"],
+        fields["instance_class"],
+        bool(fields["reclaimable"]),
+        float(fields["price_per_hour"]),
+    )
+
+
 def _instance(fields: Mapping[str, Any]) -> Instance:
     peer_address = fields.get("peer_address")
     return Instance(
--- a/src/sassafrasdale/platform/exceptions.py
+++ b/src/sassafrasdale/platform/exceptions.py
@@ -32,6 +32,10 @@
     """The store rejected the call as invalid, so it had no effect."""
 
 
+class StoredValueMalformed(StoreError):
+    """A key holds something else than this version of the package writes."""
+
+
 class LeaseNotFound(StoreRejected):
     """The lease has expired or was revoked; the call had no effect."""
 
--- a/src/sassafrasdale/platform/texts.py
+++ b/src/sassafrasdale/platform/texts.py
@@ -6,10 +6,13 @@
 from datetime import datetime, timedelta
 from random import Random
 
+from pydantic import BaseModel, ValidationError
+
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import Queue, sleep
 from sassafrasdale.platform.exceptions import (
     StoreAnswerLost,
+    StoredValueMalformed,
     StoreError,
     TextConflict,
     TextOutcomeUnknown,
@@ -52,10 +55,25 @@
 
     @classmethod
     def from_json(cls, value: bytes) -> "TextRecord":
-        """Return the record that ``value`` holds."""
-        fields = json.loads(value)
-        fields["accepted_at"] = datetime.fromisoformat(fields["accepted_at"])
-        return cls(**fields)
+        """Return the record that ``value`` holds.
+
+        :raises StoredValueMalformed: if it holds something else.
+        """
+        try:
+            model = _StoredText.model_validate_json(value)
+        except ValidationError as error:
+            raise StoredValueMalformed(f"not an accepted text: {error}") from error
+        return cls(**model.model_dump())
+
+
+class _StoredText(BaseModel):
+    """An accepted edit as the store may hold it; fields to come are ignored."""
+
+    revision: int
+    edit_id: str
+    author: str
+    accepted_at: datetime
+    text: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/requests/claim_records.py
+++ b/src/sassafrasdale/requests/claim_records.py
@@ -1,12 +1,16 @@
 """What the store keeps of a non-idempotent request."""
 
 import json
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Any
 from urllib.parse import quote
 
+from pydantic import Base64Bytes, BaseModel, ValidationError
+
+from sassafrasdale.platform.exceptions import StoredValueMalformed
+
 CLAIMS_PREFIX = "sassafrasdale/claims/"
 MAX_KEPT_BODY_BYTES = 256 * 1024
 
@@ -95,19 +99,44 @@
 
     @classmethod
     def from_json(cls, value: bytes) -> "ClaimRecord":
-        """Return the record that ``value`` holds."""
-        fields = json.loads(value)
-        answer = fields.get("answer")
+        """Return the record that ``value`` holds.
+
+        :raises StoredValueMalformed: if it holds something else.
+        """
+        try:
+            model = _StoredClaim.model_validate_json(value)
+        except ValidationError as error:
+            raise StoredValueMalformed(f"not a claim: {error}") from error
         return cls(
-            claim_id=fields["claim_id"],
-            fingerprint=fields["fingerprint"],
-            holder=fields["holder"],
-            state=ClaimState(fields["state"]),
-            answer=_answer(answer) if answer else None,
-            body_dropped=fields.get("body_dropped", False),
+            claim_id=model.claim_id,
+            fingerprint=model.fingerprint,
+            holder=model.holder,
+            state=model.state,
+            answer=model.answer.to_answer() if model.answer else None,
+            body_dropped=model.body_dropped,
         )
 
 
+class _StoredAnswerModel(BaseModel):
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: Base64Bytes
+
+    def to_answer(self) -> StoredAnswer:
+        return StoredAnswer(self.status, self.headers, self.body)
+
+
+class _StoredClaim(BaseModel):
+    """A claim as the store may hold it; fields to come are ignored."""
+
+    claim_id: str
+    fingerprint: str
+    holder: str
+    state: ClaimState
+    answer: _StoredAnswerModel | None = None
+    body_dropped: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
     """A granted claim: its holder, and nobody else, may run the request once.
@@ -120,11 +149,3 @@
     key: ClaimKey
     record: ClaimRecord
     mod_revision: int
-
-
-def _answer(fields: dict[str, Any]) -> StoredAnswer:
-    return StoredAnswer(
-        status=fields["status"],
-        headers=tuple((name, value) for name, value in fields["headers"]),
-        body=b64decode(fields["body"]),
-    )
--- a/src/sassafrasdale/requests/claim_repairs.py
+++ b/src/sassafrasdale/requests/claim_repairs.py
@@ -10,6 +10,7 @@
 from sassafrasdale.platform.exceptions import (
     LeaseNotFound,
     StoreAnswerLost,
+    StoredValueMalformed,
     StoreError,
 )
 from sassafrasdale.platform.stores import BaseStore
@@ -151,7 +152,10 @@
                 continue
             if swap or swap.current is None:
                 return
-            found = ClaimRecord.from_json(swap.current.value)
+            try:
+                found = ClaimRecord.from_json(swap.current.value)
+            except StoredValueMalformed:
+                return
             if found.claim_id != outcome.record.claim_id:
                 return
             if found.state is outcome.record.state:
--- a/src/sassafrasdale/requests/claims.py
+++ b/src/sassafrasdale/requests/claims.py
@@ -12,6 +12,7 @@
 from sassafrasdale.platform.exceptions import (
     LeaseNotFound,
     StoreAnswerLost,
+    StoredValueMalformed,
     StoreError,
 )
 from sassafrasdale.platform.stores import ABSENT, BaseStore, StoredValue, Swap
@@ -242,7 +243,11 @@
         if current is None:
             self._expect(ABSENT)
             return None
-        found = ClaimRecord.from_json(current.value)
+        try:
+            found = ClaimRecord.from_json(current.value)
+        except StoredValueMalformed:
+            # The key is taken, and what by cannot be told: it must not run again.
+            return OutcomeLost()
         if found == self.record:
             return Granted(Claim(self.key, self.record, current.mod_revision))
         if found.fingerprint != self.record.fingerprint:
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -198,3 +198,9 @@
     store.faults = ["unreached"]
     with pytest.raises(ClaimRefused):
         claim(claims, "b")
+
+
+def test_key_that_holds_something_else_never_runs(claims, store):
+    """The claim's key holds what a later version of the package wrote there."""
+    store.create(KEY.path, b'{"state": "paused"}')
+    assert claim(claims, "a") == OutcomeLost()
