Split a generation's transcript and placement from its life

Change: waiting and the completion's body move to the transcript, progress and placement to a module of their own. Moved, not changed.

--- a/src/sassafrasdale/requests/dispatcher.py
+++ b/src/sassafrasdale/requests/dispatcher.py
@@ -18,10 +18,11 @@
 from sassafrasdale.requests.exceptions import EntryStops
 from sassafrasdale.requests.execution import IdempotentExecution
 from sassafrasdale.requests.gates import Gates
-from sassafrasdale.requests.generation import Generation, Placement, Progress
+from sassafrasdale.requests.generation import Generation
 from sassafrasdale.requests.guarded import GuardedExecution
 from sassafrasdale.requests.hedges import Hedger
 from sassafrasdale.requests.ledger import Ledger
+from sassafrasdale.requests.placement import Placement, Progress
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.requests.selection import Selector
 from sassafrasdale.requests.structures import (
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -6,9 +6,8 @@
 noticing. Each event has a position, counted from 1.
 """
 
-import json
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 
 from logbook import Logger
@@ -18,7 +17,6 @@
 from sassafrasdale.endpoints.adapters import EventStream
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import (
-    DATA,
     DONE,
     JSON_TYPE,
     FromCache,
@@ -26,7 +24,6 @@
     Reattach,
     Recompute,
     Start,
-    Usage,
     cancel,
     check_health,
     export_cache,
@@ -42,9 +39,8 @@
 )
 from sassafrasdale.green import Event, GreenThread, sleep, spawn
 from sassafrasdale.requests.exceptions import EndpointLeaves
-from sassafrasdale.requests.execution import Choose, Observe
 from sassafrasdale.requests.gate import Gate
-from sassafrasdale.requests.sends import SendWatch
+from sassafrasdale.requests.placement import Placement, Progress
 from sassafrasdale.requests.structures import (
     Answered,
     ModelCall,
@@ -68,37 +64,6 @@
 COMMENT = b":"
 
 
-@dataclass(frozen=True, slots=True)
-class Progress:
-    """How far a generation has come: what another holder needs to go on.
-
-    :param events: events received; the first has position 1.
-    :param endpoint: where the engine's stream runs; None if it runs nowhere.
-    :param cache: the KV cache to go on with, if it was exported.
-    :param sent: whether an endpoint may have begun to run the request.
-    """
-
-    events: list[bytes]
-    endpoint: Endpoint | None
-    cache: FromCache | None
-    sent: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """How a generation finds its engines, and whom it tells how they do.
-
-    :param choose: gives an endpoint, or None if there is none; its argument names
-        endpoints not to take.
-    :param observe: told whether an endpoint answered.
-    :param watch: told of sends and tokens.
-    """
-
-    choose: Choose
-    observe: Observe
-    watch: SendWatch
-
-
 class Generation:
     """One model request that this entry holds.
 
@@ -140,7 +105,6 @@
         self._on_end = on_end
         self._life = Lifecycle(load_chart("request"))
         self._outcome: Outcome | None = None
-        self._waiters: list[Event] = []
         self._thread: GreenThread | None = None
         self._opened = False
         self._reading = False
@@ -263,10 +227,8 @@
         if self._last_read_at >= self._call.call.deadline:
             self.abandon("the deadline has passed")
         if len(self.events) <= after and not self.ended:
-            waiter = Event()
-            self._waiters.append(waiter)
             remaining = self._call.call.deadline - self._last_read_at
-            waiter.wait(timeout=min(limit, remaining).total_seconds())
+            self._transcript.wait(min(limit, remaining))
         return self.events[after:]
 
     def move(self, endpoint: Endpoint) -> bool:
@@ -322,7 +284,7 @@
         self._handed_over = True
         self._life.fire("hand_over")
         self._stop_reading()
-        self._wake()
+        self._transcript.wake_readers()
 
     def abandon(self, reason: str) -> None:
         """End the generation at once, for ``reason``."""
@@ -416,7 +378,6 @@
             return False
         if not self._transcript.is_closed:
             self._transcript.extend([DONE])
-            self._wake()
         return True
 
     def _follow(self, endpoint: Endpoint) -> bool:
@@ -464,7 +425,6 @@
                 self._first_event_at = self._clock.elapsed()
             self._transcript.extend(kept)
             self._watch.received(len(kept))
-            self._wake()
             if kept[-1] == DONE:
                 stream.release()
                 return True
@@ -529,32 +489,8 @@
             raise AnswerLost("the engine ended its stream without a reason")
         if self._call.streamed:
             return Answered(200, (), b"")
-        return Answered(200, (JSON_TYPE,), self._whole_body(ending))
-
-    def _whole_body(self, ending: Ending) -> bytes:
-        """Return the OpenAI-style whole answer."""
-        received = self._transcript.received()
-        usage = ending.usage or Usage()
-        first = json.loads(self.events[0].removeprefix(DATA))
-        message = {"role": "assistant", "content": received.text}
-        document = {
-            "id": self._call.call.request_id,
-            "object": "chat.completion",
-            "model": first.get("model", ""),
-            "choices": [
-                {
-                    "index": 0,
-                    "message": message,
-                    "finish_reason": ending.finish_reason,
-                }
-            ],
-            "usage": {
-                "prompt_tokens": usage.prompt,
-                "completion_tokens": received.tokens,
-                "total_tokens": usage.prompt + received.tokens,
-            },
-        }
-        return json.dumps(document).encode()
+        body = self._transcript.completion(self._call.call.request_id, ending)
+        return Answered(200, (JSON_TYPE,), body)
 
     def _refuse(self, refusal: Refused | None) -> Outcome:
         if refusal is None:
@@ -587,15 +523,9 @@
         event = {Answered: "answer", NotRun: "refuse", Unknown: "lose"}[type(outcome)]
         if self._life.allows(event):
             self._life.fire(event)
-        self._wake()
+        self._transcript.wake_readers()
         self._on_end(self)
 
-    def _wake(self) -> None:
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            if not waiter.ready():
-                waiter.send(None)
-
 
 def _cancel_quietly(endpoint: Endpoint, stream_id: str) -> None:
     """Cancel a stream; an engine that can't be told stops it by itself."""
--- a/src/sassafrasdale/requests/handovers.py
+++ b/src/sassafrasdale/requests/handovers.py
@@ -14,7 +14,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.endpoints.engines import FromCache
 from sassafrasdale.requests.exceptions import HandOverFaulty
-from sassafrasdale.requests.generation import Progress
+from sassafrasdale.requests.placement import Progress
 from sassafrasdale.requests.structures import Call, ModelCall
 from sassafrasdale.structures import Address
 
--- a/src/sassafrasdale/requests/transcript.py
+++ b/src/sassafrasdale/requests/transcript.py
@@ -4,9 +4,12 @@
 it, and each at most once: an ordinary stream has its last two parsed.
 """
 
+import json
 from dataclasses import dataclass
+from datetime import timedelta
 
-from sassafrasdale.endpoints.engines import DONE, Usage, parse_chunk
+from sassafrasdale.endpoints.engines import DATA, DONE, Usage, parse_chunk
+from sassafrasdale.green import Event
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +46,7 @@
         self._events = events or []
         self._parsed = 0
         self._contents: list[str] = []
+        self._waiters: list[Event] = []
 
     @property
     def events(self) -> list[bytes]:
@@ -55,8 +59,22 @@
         return bool(self._events) and self._events[-1] == DONE
 
     def extend(self, events: list[bytes]) -> None:
-        """Add events at the end."""
+        """Add events at the end and wake the readers."""
         self._events.extend(events)
+        self.wake_readers()
+
+    def wait(self, limit: timedelta) -> None:
+        """Wait until the readers are woken, or for ``limit``."""
+        waiter = Event()
+        self._waiters.append(waiter)
+        waiter.wait(timeout=limit.total_seconds())
+
+    def wake_readers(self) -> None:
+        """Wake every waiting reader."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.ready():
+                waiter.send(None)
 
     def received(self) -> Received:
         """Return the tokens so far.
@@ -81,3 +99,28 @@
         if chunk.finish_reason is None:
             return None
         return Ending(chunk.finish_reason, chunk.usage)
+
+    def completion(self, request_id: str, ending: Ending) -> bytes:
+        """Return the OpenAI-style whole answer."""
+        received = self.received()
+        usage = ending.usage or Usage()
+        first = json.loads(self._events[0].removeprefix(DATA))
+        message = {"role": "assistant", "content": received.text}
+        document = {
+            "id": request_id,
+            "object": "chat.completion",
+            "model": first.get("model", ""),
+            "choices": [
+                {
+                    "index": 0,
+                    "message": message,
+                    "finish_reason": ending.finish_reason,
+                }
+            ],
+            "usage": {
+                "prompt_tokens": usage.prompt,
+                "completion_tokens": received.tokens,
+                "total_tokens": usage.prompt + received.tokens,
+            },
+        }
+        return json.dumps(document).encode()
--- a/src/sassafrasdale/requests/transfers.py
+++ b/src/sassafrasdale/requests/transfers.py
@@ -17,9 +17,10 @@
     RequestIdTaken,
     RequestNotHeld,
 )
-from sassafrasdale.requests.generation import Generation, Progress
+from sassafrasdale.requests.generation import Generation
 from sassafrasdale.requests.handovers import Parcel, pack, unpack
 from sassafrasdale.requests.mover import stream_view
+from sassafrasdale.requests.placement import Progress
 
 # Peers that are asked in turn to take one generation.
 MAX_RECEIVERS = 3
--- a/tests/callers/test_fetches.py
+++ b/tests/callers/test_fetches.py
@@ -10,7 +10,7 @@
 from sassafrasdale.callers.relays import RELAYED
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.endpoints.engines import DONE
-from sassafrasdale.requests.generation import Progress
+from sassafrasdale.requests.placement import Progress
 from sassafrasdale.requests.registry import Registry
 from tests.requests.fakes import LAST, Choices, generation, token
 
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -9,7 +9,8 @@
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import DATA, DONE
 from sassafrasdale.endpoints.exceptions import EndpointError
-from sassafrasdale.requests.generation import Generation, Placement
+from sassafrasdale.requests.generation import Generation
+from sassafrasdale.requests.placement import Placement
 from sassafrasdale.requests.sends import Sends, SendWatch
 from sassafrasdale.requests.structures import Call, ModelCall
 from sassafrasdale.structures import Address, Instance, Role
--- a/tests/requests/test_generation.py
+++ b/tests/requests/test_generation.py
@@ -16,7 +16,7 @@
     StreamUnknown,
 )
 from sassafrasdale.green import sleep
-from sassafrasdale.requests.generation import Progress
+from sassafrasdale.requests.placement import Progress
 from sassafrasdale.requests.registry import UNREAD_LIMIT, Registry
 from sassafrasdale.requests.structures import Answered, NotRun, Unknown
 from sassafrasdale.structures import Address
--- a/tests/requests/test_mover.py
+++ b/tests/requests/test_mover.py
@@ -6,8 +6,8 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.endpoints.directory import Directory
 from sassafrasdale.green import sleep
-from sassafrasdale.requests.generation import Progress
 from sassafrasdale.requests.mover import Mover
+from sassafrasdale.requests.placement import Progress
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.structures import (
     Address,
--- a/tests/requests/test_transfers.py
+++ b/tests/requests/test_transfers.py
@@ -10,8 +10,8 @@
 from sassafrasdale.endpoints.engines import FromCache
 from sassafrasdale.peers.structures import HandOver
 from sassafrasdale.requests.exceptions import HandOverFaulty
-from sassafrasdale.requests.generation import Progress
 from sassafrasdale.requests.handovers import pack, unpack
+from sassafrasdale.requests.placement import Progress
 from sassafrasdale.requests.registry import Registry
 from sassafrasdale.requests.transfers import Transfers
 from sassafrasdale.structures import Address
