--- a/bench/capacity/claims.py
+++ b/bench/capacity/claims.py
@@ -16,8 +16,8 @@
 from bench.capacity.usage import own_cpu
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import GreenThread, sleep, spawn
+from sassafrasdale.platform.etcd import EtcdStore
 from sassafrasdale.platform.exceptions import StoreError
-from sassafrasdale.platform.stores import EtcdStore
 from sassafrasdale.requests.claims import ClaimKey, Claims, Granted, StoredAnswer
 from sassafrasdale.requests.exceptions import ClaimRefused
 from sassafrasdale.structures import Address
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -19,8 +19,9 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
+from sassafrasdale.platform.etcd import EtcdStore
 from sassafrasdale.platform.gathering import GatheringStore
-from sassafrasdale.platform.stores import BaseStore, EtcdStore
+from sassafrasdale.platform.stores import BaseStore
 from sassafrasdale.requests.claims import ClaimKey, Claims, StoredAnswer
 from sassafrasdale.requests.exceptions import ClaimRefused
 from sassafrasdale.structures import Address
--- a/src/sassafrasdale/entry/process.py
+++ b/src/sassafrasdale/entry/process.py
@@ -37,10 +37,10 @@
     NoticeWatcher,
     PriceWatcher,
 )
+from sassafrasdale.platform.etcd import EtcdStore
 from sassafrasdale.platform.exceptions import StoreError
 from sassafrasdale.platform.gathering import GatheringStore
 from sassafrasdale.platform.leases import LeaseHolder
-from sassafrasdale.platform.stores import EtcdStore
 from sassafrasdale.platform.texts import (
     TextRegister,
     TextWatcher,
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_etcd.py
@@ -9,13 +9,14 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
+from sassafrasdale.platform.etcd import EtcdStore
 from sassafrasdale.platform.exceptions import (
     LeaseNotFound,
     StoreAnswerLost,
     StoreNotReached,
     StoreOverloaded,
 )
-from sassafrasdale.platform.stores import EtcdStore, Lease
+from sassafrasdale.platform.stores import Lease
 from sassafrasdale.structures import Address
 from standins.processes import PlatformProcess, free_port
 
