--- a/bench/capacity/peer_host.py
+++ b/bench/capacity/peer_host.py
@@ -21,7 +21,7 @@
 from sassafrasdale.green import Event, Queue, spawn
 from sassafrasdale.peers import agent as agent_module
 from sassafrasdale.peers.channels import ChannelPool
-from sassafrasdale.peers.exceptions import PeerNotReachedError
+from sassafrasdale.peers.exceptions import PeerNotReached
 from sassafrasdale.peers.node import PeerNode
 from sassafrasdale.peers.structures import (
     HandOverOffered,
@@ -55,7 +55,7 @@
         """Make a call, or get no answer if the address is cut off."""
         if address in CuttableChannels.cut:
             await asyncio.sleep(limit.total_seconds())
-            raise PeerNotReachedError(f"{address} is cut off")
+            raise PeerNotReached(f"{address} is cut off")
         return await super().call(address, call, limit)
 
 
--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -12,7 +12,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.peers.channels import ChannelPool
-from sassafrasdale.peers.exceptions import PeerNotReachedError
+from sassafrasdale.peers.exceptions import PeerNotReached
 from sassafrasdale.peers.generated.peers_pb2 import (
     FindRequest,
     Gossip,
@@ -225,7 +225,7 @@
                 lambda stub: stub.HandOver(request),
                 self._timings.call_timeout,
             )
-        except PeerNotReachedError:
+        except PeerNotReached:
             return False
         self.take_in(reply.gossip, served=False)
         return reply.accepted
@@ -319,7 +319,7 @@
             reply = await self._channels.call(
                 target.peer_address, lambda stub: stub.Probe(request), limit
             )
-        except PeerNotReachedError:
+        except PeerNotReached:
             return False
         if reply.gossip.sender.name != target.name:
             # The address went to another instance: that one lives, not this.
@@ -347,7 +347,7 @@
                 lambda stub: stub.ProbeIndirectly(request),
                 self._timings.retry_timeout * self._slowness.factor,
             )
-        except PeerNotReachedError:
+        except PeerNotReached:
             return None
         self.take_in(reply.gossip, served=False)
         return reply.answered
@@ -373,7 +373,7 @@
             reply = await self._channels.call_twice(
                 receiver.peer_address, lambda stub: stub.Spread(request), call
             )
-        except PeerNotReachedError:
+        except PeerNotReached:
             return
         self.take_in(reply.gossip, served=False)
 
@@ -437,7 +437,7 @@
         self._pulled_from.add(source.name)
         try:
             await self._pull_from(source)
-        except PeerNotReachedError:
+        except PeerNotReached:
             # The next message with a newer revision starts another pull.
             pass
         finally:
@@ -467,7 +467,7 @@
                 lambda stub: stub.Find(request),
                 self._timings.call_timeout,
             )
-        except PeerNotReachedError:
+        except PeerNotReached:
             return False
         self.take_in(reply.gossip, served=False)
         return reply.held
--- a/src/sassafrasdale/peers/bridge.py
+++ b/src/sassafrasdale/peers/bridge.py
@@ -24,7 +24,7 @@
     spawn,
     timeout,
 )
-from sassafrasdale.peers.exceptions import PeerCallTimeoutError
+from sassafrasdale.peers.exceptions import PeerCallTimeout
 
 Result = TypeVar("Result")
 
@@ -109,7 +109,7 @@
     def call(self, coroutine: Coroutine[Any, Any, Result], limit: timedelta) -> Result:
         """Run ``coroutine`` on the loop and wait, green, for its result.
 
-        :raises PeerCallTimeoutError: if it has not ended within ``limit``.
+        :raises PeerCallTimeout: if it has not ended within ``limit``.
         """
         done = Event()
         future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
@@ -124,7 +124,7 @@
             if expired is not waiting:
                 raise
             future.cancel()
-            raise PeerCallTimeoutError(f"no result within {limit}") from None
+            raise PeerCallTimeout(f"no result within {limit}") from None
         finally:
             waiting.cancel()
 
--- a/src/sassafrasdale/peers/channels.py
+++ b/src/sassafrasdale/peers/channels.py
@@ -11,7 +11,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from h2.exceptions import H2Error
 
-from sassafrasdale.peers.exceptions import PeerNotReachedError
+from sassafrasdale.peers.exceptions import PeerNotReached
 from sassafrasdale.peers.generated.peers_grpc import PeersStub
 from sassafrasdale.structures import Address
 
@@ -62,7 +62,7 @@
     ) -> Reply:
         """Make one call on the present channel, or on a new one.
 
-        :raises PeerNotReachedError: if there was no answer; the channel is gone then.
+        :raises PeerNotReached: if there was no answer; the channel is gone then.
         """
         channel = self._channel(address)
         self._in_use[channel] = self._in_use.get(channel, 0) + 1
@@ -71,7 +71,7 @@
                 return await call(PeersStub(channel))
         except CALL_ERRORS as error:
             self._drop(address, channel)
-            raise PeerNotReachedError(f"{address}: {error!r}") from error
+            raise PeerNotReached(f"{address}: {error!r}") from error
         finally:
             self._release(address, channel)
 
@@ -84,11 +84,11 @@
         something between the ends lost track of it. It shows as a time-out; the
         fresh channel tells it from a dead peer. Only for idempotent calls.
 
-        :raises PeerNotReachedError: if the second attempt had no answer either.
+        :raises PeerNotReached: if the second attempt had no answer either.
         """
         try:
             return await self.call(address, call, limit)
-        except PeerNotReachedError:
+        except PeerNotReached:
             return await self.call(address, call, limit)
 
     def close(self) -> None:
--- a/src/sassafrasdale/peers/exceptions.py
+++ b/src/sassafrasdale/peers/exceptions.py
@@ -7,9 +7,9 @@
     """Base class of this layer's errors."""
 
 
-class PeerNotReachedError(PeersError):
+class PeerNotReached(PeersError):
     """A peer gave no answer, also on a fresh connection."""
 
 
-class PeerCallTimeoutError(PeersError):
+class PeerCallTimeout(PeersError):
     """A call into the peers' thread did not end within its limit."""
--- a/src/sassafrasdale/peers/node.py
+++ b/src/sassafrasdale/peers/node.py
@@ -19,7 +19,7 @@
 from sassafrasdale.green import Queue
 from sassafrasdale.peers.agent import PeerAgent
 from sassafrasdale.peers.bridge import LoopThread, Mailbox
-from sassafrasdale.peers.exceptions import PeerCallTimeoutError
+from sassafrasdale.peers.exceptions import PeerCallTimeout
 from sassafrasdale.peers.membership import Membership
 from sassafrasdale.peers.rendezvous import rendezvous
 from sassafrasdale.peers.service import PeersService
@@ -139,14 +139,14 @@
         """
         try:
             return self._thread.call(self._agent.hand_over(peer_name, handover), limit)
-        except PeerCallTimeoutError:
+        except PeerCallTimeout:
             return False
 
     def find(self, request_id: str, limit: timedelta = CALL_LIMIT) -> Member | None:
         """Return the member that holds a request, or None if none says so."""
         try:
             return self._thread.call(self._agent.find(request_id), limit)
-        except PeerCallTimeoutError:
+        except PeerCallTimeout:
             return None
 
     def _listen(self) -> socket.socket:
--- a/tests/peers/peer_process.py
+++ b/tests/peers/peer_process.py
@@ -19,7 +19,7 @@
 from sassafrasdale.peers import agent as agent_module
 from sassafrasdale.peers import node as node_module
 from sassafrasdale.peers.channels import ChannelPool
-from sassafrasdale.peers.exceptions import PeerNotReachedError
+from sassafrasdale.peers.exceptions import PeerNotReached
 from sassafrasdale.peers.node import PeerNode
 from sassafrasdale.peers.service import PeersService
 from sassafrasdale.peers.structures import MembersChanged, TextRecord
@@ -65,7 +65,7 @@
     async def call(self, address, call, limit):
         """Make a call, or fail at once if the address is cut off."""
         if address in CuttableChannels.cut:
-            raise PeerNotReachedError(f"{address} is cut off")
+            raise PeerNotReached(f"{address} is cut off")
         return await super().call(address, call, limit)
 
 
--- a/tests/peers/test_bridge.py
+++ b/tests/peers/test_bridge.py
@@ -8,7 +8,7 @@
 
 from sassafrasdale.green import Queue, sleep, spawn
 from sassafrasdale.peers.bridge import LoopThread, Mailbox
-from sassafrasdale.peers.exceptions import PeerCallTimeoutError
+from sassafrasdale.peers.exceptions import PeerCallTimeout
 
 SECOND = timedelta(seconds=1)
 
@@ -87,6 +87,6 @@
         finally:
             ended.set()
 
-    with pytest.raises(PeerCallTimeoutError):
+    with pytest.raises(PeerCallTimeout):
         thread.call(hang(), timedelta(milliseconds=50))
     assert ended.wait(5)
