Ask for the text's revision, and read the text only if it has changed

Change: the store's client reads a key's revision without its value; the watcher reads the text only at a revision that it has not seen. Ruled out: trusting the watch alone, which may be deaf.

--- a/src/sassafrasdale/platform/etcd.py
+++ b/src/sassafrasdale/platform/etcd.py
@@ -28,6 +28,7 @@
     StoreRejected,
 )
 from sassafrasdale.platform.stores import (
+    ABSENT,
     BaseStore,
     ConditionalWrite,
     Lease,
@@ -75,6 +76,12 @@
         values = _values(answer)
         return values[0] if values else None
 
+    def revision_of(self, key: str) -> int:
+        """Return the ``mod_revision`` of ``key`` without fetching its value."""
+        question = {"key": _encode(key), "keys_only": True}
+        values = _values(self._read("/v3/kv/range", question))
+        return values[0].mod_revision if values else ABSENT
+
     def list(
         self, prefix: str, *, limit: int = 0, newest_first: bool = False
     ) -> tuple[StoredValue, ...]:
--- a/src/sassafrasdale/platform/gathering.py
+++ b/src/sassafrasdale/platform/gathering.py
@@ -71,6 +71,10 @@
         """Return what ``key`` holds."""
         return self._store.get(key)
 
+    def revision_of(self, key: str) -> int:
+        """Return the ``mod_revision`` of ``key``."""
+        return self._store.revision_of(key)
+
     def list(
         self, prefix: str, *, limit: int = 0, newest_first: bool = False
     ) -> tuple[StoredValue, ...]:
--- a/src/sassafrasdale/platform/stores.py
+++ b/src/sassafrasdale/platform/stores.py
@@ -65,6 +65,10 @@
     def get(self, key: str) -> StoredValue | None:
         """Return what ``key`` holds."""
 
+    @abstractmethod
+    def revision_of(self, key: str) -> int:
+        """Return the ``mod_revision`` of ``key``, ``ABSENT`` if it doesn't exist."""
+
     @abstractmethod
     def list(
         self, prefix: str, *, limit: int = 0, newest_first: bool = False
--- a/src/sassafrasdale/platform/texts.py
+++ b/src/sassafrasdale/platform/texts.py
@@ -201,7 +201,8 @@
     """Task that posts each new text to ``inbox`` as ``TextAccepted``.
 
     A watch can go deaf: the connection stays open and no event comes. So it is
-    re-armed after a bound, and the text is read each time.
+    re-armed after a bound. Each time the text's revision is read, and the text
+    itself only if that has changed: it may be long, and every entry asks.
 
     :param register: where the text is.
     :param inbox: queue of the task that puts texts in force.
@@ -215,6 +216,7 @@
         self._inbox = inbox
         self._rng = rng or Random()
         self._revision = 0
+        self._seen = ABSENT
         self._pause = FIRST_PAUSE
 
     def run(self) -> None:
@@ -232,15 +234,16 @@
 
         :raises StoreError: if the store cannot be read or watched.
         """
-        stored = self._register.store.get(TEXT_KEY)
-        self._offer(stored)
-        after = stored.mod_revision if stored else 0
+        store = self._register.store
+        if store.revision_of(TEXT_KEY) != self._seen:
+            self._offer(store.get(TEXT_KEY))
         limit = WATCH_LIMIT * self._rng.uniform(1 - WATCH_JITTER, 1 + WATCH_JITTER)
-        self._offer(self._register.store.watch(TEXT_KEY, after, limit))
+        self._offer(store.watch(TEXT_KEY, self._seen, limit))
 
     def _offer(self, stored: StoredValue | None) -> None:
         if stored is None:
             return
+        self._seen = stored.mod_revision
         record = TextRecord.from_json(stored.value)
         # A slow answer may carry an older text than one already posted.
         if record.revision <= self._revision:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -50,6 +50,10 @@
     def get(self, key: str) -> StoredValue | None:
         return self._call(lambda: self.keys.get(key), write=False)
 
+    def revision_of(self, key: str) -> int:
+        stored = self.get(key)
+        return stored.mod_revision if stored else 0
+
     def list(
         self, prefix: str, *, limit: int = 0, newest_first: bool = False
     ) -> tuple[StoredValue, ...]:
--- a/tests/platform/test_etcd.py
+++ b/tests/platform/test_etcd.py
@@ -16,7 +16,7 @@
     StoreNotReached,
     StoreOverloaded,
 )
-from sassafrasdale.platform.stores import Lease
+from sassafrasdale.platform.stores import ABSENT, Lease
 from sassafrasdale.structures import Address
 from standins.processes import PlatformProcess, free_port
 
@@ -57,6 +57,12 @@
     assert store.get(key) is None
 
 
+def test_a_revision_is_read_without_the_value(store, key):
+    assert store.revision_of(key) == ABSENT
+    first = store.create(key, b"one")
+    assert store.revision_of(key) == first.revision
+
+
 def test_lease(store, key):
     lease = store.grant_lease(SECOND)
     assert store.create(key, b"held", lease=lease)
--- a/tests/platform/test_texts.py
+++ b/tests/platform/test_texts.py
@@ -38,3 +38,43 @@
     value = stored.value[:-1] + b', "reviewed_by": "bo"}'
     register.store.compare_and_swap(TEXT_KEY, value, stored.mod_revision)
     assert register.read() == first
+
+
+class CountingStore(FakeStore):
+    """Store whose watches are deaf, and that counts the values it hands out."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
+        self.values_read = 0
+
+    def get(self, key):
+        self.values_read += 1
+        return super().get(key)
+
+    def revision_of(self, key):
+        stored = self.keys.get(key)
+        return stored.mod_revision if stored else 0
+
+    def watch(self, key, after, limit):
+        return
+
+
+def test_an_unchanged_text_is_not_read_again():
+    """Control took 50 KB a second of each entry at 200 services.
+
+    Every entry read the whole text each time that it armed its watch anew. A
+    text that did change is read, also if the watches are deaf.
+    """
+    clock = ManualClock()
+    store = CountingStore(clock)
+    register = TextRegister(store, clock)
+    inbox = Queue()
+    watcher = TextWatcher(register, inbox, Random(1))
+    register.put("one", 0, "edit-1", "ana")
+    store.values_read = 0
+    for _ in range(5):
+        watcher.step()
+    assert store.values_read == 1
+    register.put("two", 1, "edit-2", "ana")
+    watcher.step()
+    assert [inbox.get().record.text for _ in range(2)] == ["one", "two"]
