Count the room of each service once a second, not ten times

Change: the ejected endpoints of a service are asked for once a count, and the count is made once a second and at each list of instances.

--- a/src/sassafrasdale/entry/process.py
+++ b/src/sassafrasdale/entry/process.py
@@ -111,7 +111,7 @@
             self._rng,
         )
         self._gates = Gates(
-            self._directory, self._selector.is_ejected, self._clock, self._rng
+            self._directory, self._selector.ejected, self._clock, self._rng
         )
         store = EtcdStore(settings.store, self._clock)
         self._register = TextRegister(store, self._clock)
--- a/src/sassafrasdale/requests/gates.py
+++ b/src/sassafrasdale/requests/gates.py
@@ -2,19 +2,23 @@
 
 import random
 from collections.abc import Callable, Mapping
+from datetime import timedelta
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.admission import CustomerShare
-from sassafrasdale.endpoints.directory import Directory, Endpoint
+from sassafrasdale.endpoints.directory import Directory
 from sassafrasdale.requests.gate import Gate
 from sassafrasdale.text.structures import Service, Text
 
+# Endpoints ejected or back since the last count change the room this late.
+COUNT_INTERVAL = timedelta(seconds=1)
+
 
 class Gates:
     """One gate a service.
 
     :param directory: the endpoints known.
-    :param is_ejected: whether an endpoint is left out for its failures.
+    :param ejected: names the endpoints of a service left out for their failures.
     :param clock: source of time.
     :param rng: source of randomness.
     """
@@ -22,12 +26,13 @@
     def __init__(
         self,
         directory: Directory,
-        is_ejected: Callable[[Endpoint], bool],
+        ejected: Callable[[str], frozenset[str]],
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._directory = directory
-        self._is_ejected = is_ejected
+        self._ejected = ejected
+        self._counted_at = clock.elapsed()
         self._clock = clock
         self._rng = rng
         self._gates: dict[str, Gate] = {}
@@ -70,6 +75,7 @@
 
     def refresh(self) -> None:
         """Take the endpoints as the directory has them now."""
+        self._counted_at = self._clock.elapsed()
         for name, gate in self._gates.items():
             if name in self._services:
                 gate.set_share(self._capacity(name), self._live_entries)
@@ -80,17 +86,19 @@
         The capacity is counted anew: endpoints are ejected and come back between
         two lists of instances, and a zone's worth of them is much of the room.
         """
-        self.refresh()
+        if self._clock.elapsed() - self._counted_at >= COUNT_INTERVAL:
+            self.refresh()
         for gate in self._gates.values():
             gate.sweep()
 
     def _capacity(self, name: str) -> int:
         """Return how many requests the service's endpoints run at once."""
         service = self._services[name]
+        ejected = self._ejected(name)
         return sum(
             max_in_flight(service, endpoint.instance.instance_class)
             for endpoint in self._directory.serving(name)
-            if not self._is_ejected(endpoint)
+            if endpoint.name not in ejected
         )
 
 
--- a/src/sassafrasdale/requests/selection.py
+++ b/src/sassafrasdale/requests/selection.py
@@ -163,12 +163,10 @@
         now = self._clock.elapsed()
         health.observe(endpoint.name, ok=ok, now=now, latency=latency)
 
-    def is_ejected(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint is left out for its failures at present."""
-        weights = self._health_of(endpoint.instance.service).weights(
-            self._clock.elapsed()
-        )
-        return weights.get(endpoint.name, 1.0) == 0.0
+    def ejected(self, service: str) -> frozenset[str]:
+        """Return the endpoints that are left out for their failures at present."""
+        weights = self._health_of(service).weights(self._clock.elapsed())
+        return frozenset(name for name, weight in weights.items() if not weight)
 
     def set_prices(self, prices: Iterable[Price]) -> None:
         """Take the platform's prices."""
