Remove what nothing uses

Cause: a reading of the whole change found two constants and two properties that nothing names. Change: taken out. Ruled out: nothing.

--- a/src/sassafrasdale/callers/messages.py
+++ b/src/sassafrasdale/callers/messages.py
@@ -16,7 +16,6 @@
 
 JSON = "application/json"
 PROBLEM = "application/problem+json"
-STATUS_BAD_INPUT = 400
 STATUS_LIMITED = 429
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 504
--- a/src/sassafrasdale/platform/etcd.py
+++ b/src/sassafrasdale/platform/etcd.py
@@ -40,7 +40,6 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 CALL_TIMEOUT = timedelta(seconds=1)
 OVERLOAD_PAUSE = timedelta(seconds=1)
-GRPC_NOT_FOUND = 5
 
 
 class EtcdStore(BaseStore):
@@ -65,11 +64,6 @@
         self._breaker = Breaker(clock, rng or Random())
         self._connections = self._connect_afresh()
 
-    @property
-    def is_out(self) -> bool:
-        """Whether the store is known to be out of reach."""
-        return self._breaker.is_open
-
     def get(self, key: str) -> StoredValue | None:
         """Return what ``key`` holds."""
         answer = self._read("/v3/kv/range", {"key": _encode(key)})
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -162,11 +162,6 @@
             cache, endpoint = self._start, None
         return Progress(self.events, endpoint, cache, self._sent)
 
-    @property
-    def taken_over(self) -> bool:
-        """Whether an earlier holder began it, which may still read its stream."""
-        return self._taken_over
-
     @property
     def offered(self) -> bool:
         """Whether it is being offered to another entry."""
