Name the event that ends a request in one place

Cause: the same table from outcomes to events of the request's chart stood in the execution of plain calls and in the generation. Change: end_event beside the outcomes. The guarded call keeps its own: there an answer of an earlier run is a replay.

--- a/src/sassafrasdale/requests/execution.py
+++ b/src/sassafrasdale/requests/execution.py
@@ -17,6 +17,7 @@
     Outcome,
     ServiceCall,
     Unknown,
+    end_event,
 )
 
 RETRY_AFTER = timedelta(seconds=1)
@@ -80,7 +81,7 @@
         """Send the call until it is answered or given up."""
         self._life.fire("admit")
         outcome = self._attempt_all()
-        event = {Answered: "answer", NotRun: "refuse", Unknown: "lose"}[type(outcome)]
+        event = end_event(outcome)
         if self._life.allows(event):
             self._life.fire(event)
         return outcome
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -47,6 +47,7 @@
     NotRun,
     Outcome,
     Unknown,
+    end_event,
 )
 from sassafrasdale.requests.transcript import Ending, Transcript
 
@@ -515,7 +516,7 @@
         if self._outcome is not None:
             return
         self._outcome = outcome
-        event = {Answered: "answer", NotRun: "refuse", Unknown: "lose"}[type(outcome)]
+        event = end_event(outcome)
         if self._life.allows(event):
             self._life.fire(event)
         self._transcript.wake_readers()
--- a/src/sassafrasdale/requests/structures.py
+++ b/src/sassafrasdale/requests/structures.py
@@ -121,3 +121,14 @@
 
 
 Outcome = Answered | NotRun | Unknown
+
+
+def end_event(outcome: Outcome) -> str:
+    """Return the event of the request's chart that ends it with ``outcome``."""
+    match outcome:
+        case Answered():
+            return "answer"
+        case NotRun():
+            return "refuse"
+        case Unknown():
+            return "lose"
