Read resets as resets, and wake the task that waits on a closed connection

Cause: eventlet's green sockets return no bytes for a reset connection, so half an answer without a length was taken for whole; and closing a socket under a task that reads it left that task waiting until its time ran out. An answer that ends with its connection no longer leaves the connection in the pool.

A retry budget may begin part full, so that a fresh gateway can repeat (test seen failing: the second of four idempotent requests was not sent again).

--- a/src/sassafrasdale/decisions/budgets.py
+++ b/src/sassafrasdale/decisions/budgets.py
@@ -24,6 +24,7 @@
     :param share: retries per success.
     :param floor: retries per second allowed without successes.
     :param depth: most retries that are saved up.
+    :param first: retries that it begins with.
     """
 
     def __init__(
@@ -31,11 +32,12 @@
         share: float = RETRY_SHARE,
         floor: float = RETRY_FLOOR_PER_SECOND,
         depth: float = BUDGET_DEPTH,
+        first: float = 1.0,
     ) -> None:
         self._share = share
         self._floor = floor
         self._depth = depth
-        self._tokens = min(1.0, depth)
+        self._tokens = min(first, depth)
         self._updated = timedelta()
 
     @property
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -21,6 +21,9 @@
 # Part of the allowed repeats that is used: what is counted here is a send, and the
 # rule counts arrivals, in windows that slide.
 USED_RETRIES = 0.8
+# Part of the saved-up repeats that a gateway begins with: after a restart of all of
+# them at once, full budgets would allow the slack a second time.
+FIRST_RETRIES = 0.5
 
 
 @dataclass(slots=True)
@@ -169,7 +172,8 @@
         budget = self._budgets.get(service)
         if budget is None:
             share = self._bounds.retry_share * USED_RETRIES
-            budget = RetryBudget(share=share, floor=0.0, depth=depth)
+            first = depth * FIRST_RETRIES
+            budget = RetryBudget(share=share, floor=0.0, depth=depth, first=first)
             self._budgets[service] = budget
         budget.set_depth(depth)
         return budget
--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -77,9 +77,7 @@
 
 def home_of(part: str, names: Collection[str]) -> str:
     """Return the endpoint that a part's hash names, on all gateways alike."""
-    return max(
-        names, key=lambda name: xxhash.xxh64_intdigest(f"{part} {name}".encode())
-    )
+    return max(names, key=lambda name: xxh64_intdigest(f"{part} {name}".encode()))
 
 
 class Placement:
--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -22,6 +22,7 @@
 
 import eventlet  # noqa: E402
 import eventlet.event  # noqa: E402
+import eventlet.hubs  # noqa: E402
 import eventlet.queue  # noqa: E402
 import eventlet.semaphore  # noqa: E402
 import eventlet.wsgi  # noqa: E402
@@ -125,3 +126,24 @@
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
+
+
+def receive(sock: socket.socket, size: int, limit: timedelta | None = None) -> bytes:
+    """Return bytes that a green socket has, waiting for them if need be.
+
+    A green socket's own ``recv`` gives no bytes for a connection that was reset,
+    as if the other end had closed it in order. What was cut off in the middle would
+    then be taken for whole.
+
+    :param limit: longest time to wait; None for any.
+    :raises TimeoutError: if nothing comes within ``limit``.
+    :raises OSError: if the connection is reset or was closed here.
+    """
+    seconds = None if limit is None else limit.total_seconds()
+    while True:
+        try:
+            return sock.fd.recv(size)
+        except BlockingIOError:
+            eventlet.hubs.trampoline(
+                sock.fd, read=True, timeout=seconds, timeout_exc=TimeoutError
+            )
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -13,7 +13,7 @@
 import h11
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import connect, spawn
+from sassafrasdale.green import connect, receive, spawn
 from sassafrasdale.http.exceptions import (
     AnswerTimeout,
     ConnectionLost,
@@ -64,6 +64,8 @@
         self._events: list[h11.Request | h11.Data | h11.EndOfMessage] = []
         self._closed = False
         self._sending = False
+        self._ended_by_peer = False
+        self._reading = False
         self._keeps_until: timedelta | None = None
         self.used_at = clock.elapsed()
         self.answers = 0
@@ -91,6 +93,7 @@
         return (
             not self._closed
             and not self._sending
+            and not self._ended_by_peer
             and codec.our_state is h11.IDLE
             and not codec.trailing_data[0]
         )
@@ -190,9 +193,15 @@
         if self._closed:
             return
         self._closed = True
-        # The shutdown wakes the task that reads; closing alone would not.
+        # The shutdown wakes a task that reads, and that closes the socket. Closed
+        # here, the socket would leave the hub before the hub sees the shutdown, and
+        # the task would wait until its time runs out.
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
+        if not self._reading:
+            self._close_socket()
+
+    def _close_socket(self) -> None:
         with suppress(OSError):
             self._sock.close()
 
@@ -242,7 +251,7 @@
                     self._codec.receive_data(self._receive(until))
                     continue
             except h11.RemoteProtocolError as error:
-                if self._codec.their_state is h11.ERROR and "closed" in str(error):
+                if self._ended_by_peer:
                     raise ConnectionLost(str(error)) from error
                 raise MalformedAnswer(str(error)) from error
             if isinstance(event, h11.ConnectionClosed):
@@ -250,18 +259,25 @@
             return event
 
     def _receive(self, until: timedelta) -> bytes:
-        left = (until - self._clock.elapsed()).total_seconds()
-        if left <= 0:
+        left = until - self._clock.elapsed()
+        if left <= timedelta():
             raise AnswerTimeout("no answer in time")
+        if self._closed:
+            raise ConnectionLost("closed on this side")
+        self._reading = True
         try:
-            self._sock.settimeout(left)
-            data = self._sock.recv(READ_BYTES)
+            data = receive(self._sock, READ_BYTES, left)
         except TimeoutError as error:
             raise AnswerTimeout("no answer in time") from error
-        except (OSError, EOFError) as error:
+        except OSError as error:
             raise ConnectionLost(str(error)) from error
+        finally:
+            self._reading = False
+            if self._closed:
+                self._close_socket()
         if self._closed:
             raise ConnectionLost("closed on this side")
+        self._ended_by_peer = not data
         return data
 
     def _send_bytes(self, data: bytes) -> None:
--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -16,7 +16,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import Empty, Queue, sleep, spawn
+from sassafrasdale.green import Empty, Queue, receive, sleep, spawn
 from sassafrasdale.http.exceptions import CallerGone, MalformedRequest
 from sassafrasdale.http.messages import (
     Headers,
@@ -105,6 +105,8 @@
         finally:
             reader.kill()
             self.close()
+            with suppress(OSError):
+                self._sock.close()
 
     def answer(self, status: int, headers: Iterable = (), body: bytes = b"") -> None:
         """Send a whole answer.
@@ -158,11 +160,9 @@
         self.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """End the connection; its tasks notice, and the socket is closed by them."""
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
-        with suppress(OSError):
-            self._sock.close()
 
     def _flush(self, data: bytes) -> None:
         data, self._held = self._held + data, b""
@@ -182,10 +182,8 @@
         while True:
             try:
                 # The timeouts are the parser's; this task just waits.
-                self._sock.settimeout(None)
-                data = self._sock.recv(READ_BYTES)
-            except (OSError, EOFError):
-                # Eventlet says EOFError where this end closed the socket.
+                data = receive(self._sock, READ_BYTES)
+            except OSError:
                 data = b""
             if not data:
                 self._note_gone()
--- /dev/null
+++ b/tests/gateway/test_exchange.py
@@ -0,0 +1,287 @@
+"""One request's way to endpoints that fail in every manner."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.green import sleep
+from tests.gateway.world import (
+    ScriptedEndpoint,
+    World,
+    chunk,
+    event,
+    header,
+    plain,
+    request,
+    stream_head,
+)
+from tests.http.wires import serve_raw
+
+CLOCK = SystemClock()
+STREAM = {"token_count": "100,20", "prompt_prefix": "aa:60,bb:40"}
+
+
+def reset(sock, _request):
+    sock.close()
+
+
+def hang(sock, _request):
+    sock.recv(100)
+
+
+def streamed(*numbers: int, ends: bool = True, tail: bytes = b""):
+    def script(sock, raw):
+        sock.sendall(stream_head(raw))
+        for number in numbers:
+            sock.sendall(chunk(event(number)))
+        if tail:
+            sock.sendall(chunk(tail))
+        if ends:
+            sock.sendall(b"0\r\n\r\n")
+        else:
+            sock.close()
+
+    return script
+
+
+def body_of(answer: bytes) -> bytes:
+    _, _, rest = answer.partition(b"\r\n\r\n")
+    data = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if not size:
+            break
+        data += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
+    return data
+
+
+def status_of(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1])
+
+
+def test_an_endpoints_answer_goes_through():
+    world = World()
+    endpoint = ScriptedEndpoint(plain(b"record"))
+    world.add("i-1", "records", endpoint)
+    answer = world.ask(request("/certificates/7"))
+    assert status_of(answer) == 200
+    assert answer.endswith(b"record")
+    assert header(answer, "replica-stamp") == "stamp"
+    sent = endpoint.requests[0]
+    assert header(sent, "tenant") == "lab-a"
+    assert header(sent, "expect-replica") == "i-1"
+    assert not header(sent, "api-key")
+    assert 0 < int(header(sent, "deadline-ms")) <= 600
+
+
+def test_an_endpoints_own_failure_goes_through():
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(plain(b"no", "500 Error")))
+    answer = world.ask(request("/certificates/7"))
+    assert status_of(answer) == 500
+    assert header(answer, "replica-stamp") == "stamp"
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/nowhere/", {}, 404),
+        ("/certificates/7", {"api_key": "wrong"}, 401),
+        ("/certificates/7", {"deadline_ms": "soon"}, 400),
+        ("/certificates/7", {}, 503),
+    ],
+)
+def test_refusals(path, headers, status):
+    raw = request(path, **headers)
+    if "api_key" in headers:
+        raw = raw.replace(b"Api-Key: key-1\r\n", b"")
+    assert status_of(World().ask(raw)) == status
+
+
+def test_no_configuration_yet():
+    world = World()
+    world.routes = None
+    answer = world.ask(request("/certificates/7"))
+    assert status_of(answer) == 503
+    assert float(header(answer, "retry-after")) > 0
+
+
+def test_a_non_idempotent_request_runs_at_most_once():
+    """A batch would get two certificates.
+
+    The endpoint reads the request and closes without an answer: it may have run
+    it. Another endpoint is free, but must not get the request, and the caller must
+    not be told that it did not run.
+    """
+    world = World()
+    endpoints = [ScriptedEndpoint(reset), ScriptedEndpoint(reset)]
+    for number, endpoint in enumerate(endpoints):
+        world.add(f"i-{number}", "records", endpoint)
+    answer = world.ask(request("/certificates/7"))
+    assert status_of(answer) == 502
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 1
+
+
+def test_a_request_that_an_endpoint_did_not_run_is_refused_so():
+    world = World()
+    shed = plain(b"", "503 Unavailable", "Not-Run: 1\r\n")
+    world.add("i-1", "records", ScriptedEndpoint(shed))
+    answer = world.ask(request("/certificates/7"))
+    assert status_of(answer) == 503
+    assert float(header(answer, "retry-after")) > 0
+
+
+def test_an_idempotent_request_goes_on_elsewhere():
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(reset))
+    world.add("i-2", "records", ScriptedEndpoint(plain(b"page")))
+    for number in range(4):
+        answer = world.ask(request("/reports/open/1", f"r-{number}", method="GET"))
+        assert status_of(answer) == 200
+
+
+def test_no_more_sends_than_the_route_allows():
+    world = World()
+    endpoints = [ScriptedEndpoint(reset) for _ in range(5)]
+    for number, endpoint in enumerate(endpoints):
+        world.add(f"i-{number}", "records", endpoint)
+    world.fleet.sent("records", again=False)
+    answer = world.ask(request("/reports/open/1", method="GET"))
+    assert status_of(answer) == 502
+    assert sum(len(endpoint.requests) for endpoint in endpoints) <= 3
+
+
+def test_an_endpoint_that_nobody_listens_at_costs_no_send():
+    world = World()
+    address = serve_raw(hang)
+    gone = ScriptedEndpoint(plain())
+    gone.address = type(address)("127.0.0.1", 1)
+    world.add("i-1", "records", gone)
+    world.add("i-2", "records", ScriptedEndpoint(plain(b"record")))
+    for number in range(4):
+        assert status_of(world.ask(request("/certificates/7", f"r-{number}"))) == 200
+
+
+def test_a_success_without_a_signature_is_no_answer():
+    world = World()
+
+    def unsigned(sock, raw):
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    world.add("i-1", "records", ScriptedEndpoint(unsigned))
+    assert status_of(world.ask(request("/certificates/7"))) == 502
+
+
+def test_a_stream_goes_through():
+    world = World()
+    world.add("i-1", "models", ScriptedEndpoint(streamed(1, 2, 3)))
+    world.add("i-2", "models-next", ScriptedEndpoint(streamed(1, 2, 3)))
+    answer = world.ask(request("/reports/7", **STREAM))
+    assert status_of(answer) == 200
+    assert body_of(answer) == event(1) + event(2) + event(3)
+    assert answer.endswith(b"0\r\n\r\n")
+
+
+def test_a_stream_that_breaks_off_goes_on_elsewhere():
+    """A caller would see a stream end early, or with half an event.
+
+    The first endpoint stops within event 3. The second gets the same request with
+    the id of the last whole event; the caller sees one stream without a seam.
+    """
+    world = World()
+    first = ScriptedEndpoint(streamed(1, 2, ends=False, tail=b"id: 3\nda"))
+    world.routes = World(routes=_only_reports()).routes
+    world.add("i-1", "models", first)
+    caller = world.caller()
+    second = ScriptedEndpoint(streamed(3, 4))
+    caller.send(request("/reports/7", **STREAM))
+    world.add("i-2", "models", second)
+    if not first.requests and not second.requests:
+        sleep(timedelta(milliseconds=50))
+    answer = caller.read()
+    assert status_of(answer) == 200
+    assert body_of(answer) == event(1) + event(2) + event(3) + event(4)
+    assert header(second.requests[0], "last-event-id") == "2"
+
+
+def test_a_stream_that_may_not_be_resumed_is_broken_off():
+    world = World(routes=_only_reports(allowResume=False))
+    world.add("i-1", "models", ScriptedEndpoint(streamed(1, ends=False)))
+    answer = world.ask(request("/reports/7", **STREAM))
+    assert event(1) in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+def test_a_stream_that_ends_within_an_event_is_not_complete():
+    world = World(routes=_only_reports(allowResume=False))
+    world.add("i-1", "models", ScriptedEndpoint(streamed(1, tail=b"id: 2\nda")))
+    answer = world.ask(request("/reports/7", **STREAM))
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+def test_a_caller_that_leaves_frees_its_endpoint():
+    """An endpoint would work for a caller that has left.
+
+    The caller closes while the endpoint works; the endpoint's connection must end
+    at once, and the request must not be sent to another.
+    """
+    world = World()
+    endpoint = ScriptedEndpoint(hang)
+    other = ScriptedEndpoint(plain())
+    world.add("i-1", "records", endpoint)
+    caller = world.caller()
+    caller.send(request("/reports/open/1", method="GET"))
+    sleep(timedelta(milliseconds=40))
+    world.add("i-2", "records", other)
+    caller.close()
+    sleep(timedelta(milliseconds=40))
+    assert endpoint.ended == 1
+    assert other.requests == []
+
+
+def test_the_final_answer_comes_when_the_time_is_up():
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(hang))
+    began = CLOCK.elapsed()
+    answer = world.ask(request("/certificates/7", deadline_ms="150"))
+    assert status_of(answer) == 504
+    assert timedelta(milliseconds=140) < CLOCK.elapsed() - began
+    assert CLOCK.elapsed() - began < timedelta(milliseconds=300)
+
+
+def test_loads_are_given_back():
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(plain(), reset, plain()))
+    for number in range(3):
+        world.ask(request("/certificates/7", f"r-{number}"))
+    assert world.directory.records["i-1"].in_flight == 0
+    assert world.directory.records["i-1"].unread_tokens == 0
+
+
+def test_usage_counts_what_began_to_run():
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(plain()))
+    world.ask(request("/certificates/7"))
+    world.ask(request("/nowhere/"))
+    (counts,) = world.usage.report().values()
+    assert counts == {"lab-a": 1}
+
+
+def _only_reports(**changed):
+    return [
+        {
+            "name": "r-reports",
+            "host": "labs.example",
+            "prefix": "/reports/",
+            "kind": "stream",
+            "timeoutMs": 8000,
+            "goalMs": 800,
+            "service": "models",
+            "maxTries": 2,
+            "sessionAffinity": True,
+            "allowResume": True,
+            **changed,
+        }
+    ]
--- /dev/null
+++ b/tests/gateway/test_quotas.py
@@ -0,0 +1,101 @@
+"""Customers' limits over several gateways."""
+
+from datetime import timedelta
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.gateway.models import Bounds, Customer, RequestTraits
+from sassafrasdale.gateway.quotas import Quotas, request_size
+
+SECOND = timedelta(seconds=1)
+CUSTOMER = Customer("lab", frozenset(), 1000, 500, counts_tokens=True, plain_tokens=50)
+
+
+def bounds(slack: float = 400) -> Bounds:
+    return Bounds(
+        endpoint_drain=2 * SECOND,
+        stop_grace=8 * SECOND,
+        configuration_delay=2 * SECOND,
+        retry_share=0.2,
+        retry_window=10 * SECOND,
+        retry_slack=10,
+        quota_window=8 * SECOND,
+        quota_slack=slack,
+        lease=3 * SECOND,
+        usage_window=5 * SECOND,
+        usage_delay=10 * SECOND,
+        cache_kept=10 * SECOND,
+    )
+
+
+def tokens(count: int) -> RequestTraits:
+    return RequestTraits("r", prompt_tokens=count, output_tokens=0)
+
+
+def test_sizes():
+    assert request_size(CUSTOMER, tokens(70)) == 70
+    assert request_size(CUSTOMER, RequestTraits("r")) == 50
+    assert request_size(Customer("x", frozenset(), 1), tokens(70)) == 1
+
+
+def test_no_limit():
+    quotas = Quotas(bounds(), lambda: 1, ManualClock())
+    assert quotas.admit(Customer("x", frozenset()), tokens(10**9)) is None
+
+
+def test_a_refusal_tells_when_to_come_back():
+    clock = ManualClock()
+    quotas = Quotas(bounds(), lambda: 1, clock)
+    assert quotas.admit(CUSTOMER, tokens(2000)) is None
+    pause = quotas.admit(CUSTOMER, tokens(10))
+    assert pause > SECOND
+    clock.advance(pause + timedelta(milliseconds=10))
+    assert quotas.admit(CUSTOMER, tokens(10)) is None
+
+
+def test_what_did_not_run_is_given_back():
+    quotas = Quotas(bounds(), lambda: 1, ManualClock())
+    quotas.admit(CUSTOMER, tokens(2000))
+    quotas.restore(CUSTOMER, tokens(2000))
+    assert quotas.admit(CUSTOMER, tokens(10)) is None
+
+
+def _spent(gateways: int, exchanging: bool, weights: list[float]) -> float:
+    """Return the tokens let in within 8 s at five times the limit."""
+    clock = ManualClock()
+    fleet = [Quotas(bounds(), lambda: gateways, clock) for _ in range(gateways)]
+    spent = 0.0
+    debts = [0.0] * gateways
+    for step in range(1600):
+        clock.advance(timedelta(milliseconds=10))
+        for number, quotas in enumerate(fleet):
+            debts[number] += 50 * weights[number]
+            while debts[number] >= 20:
+                debts[number] -= 20
+                if quotas.admit(CUSTOMER, tokens(20)) is None and step >= 800:
+                    spent += 20
+        if exchanging and step % 40 == 0:
+            reports = [quotas.report() for quotas in fleet]
+            for number, quotas in enumerate(fleet):
+                for other, report in enumerate(reports):
+                    if other != number:
+                        quotas.hear(str(other), report)
+    return spent
+
+
+def test_parts_add_up_to_the_limit():
+    """A customer would get a multiple of its limit through many gateways.
+
+    Its requests arrive unevenly at nine gateways, at five times its limit.
+    """
+    weights = [0.4, 0.2, 0.1, 0.1, 0.1, 0.05, 0.05, 0.0, 0.0]
+    spent = _spent(9, True, weights)
+    assert 0.9 * 8000 < spent < 1.1 * 8000 + 500
+
+
+def test_gateways_that_hear_nobody_stay_within_the_limit():
+    """A customer would get its limit once from each gateway that is cut off.
+
+    No reports pass between the gateways; each has an even part.
+    """
+    spent = _spent(9, False, [1 / 9] * 9)
+    assert spent < 1.1 * 8000 + 500
--- /dev/null
+++ b/tests/gateway/world.py
@@ -0,0 +1,172 @@
+"""A gateway's serving path over real sockets, with scripted endpoints."""
+
+import json
+import socket
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.frontend import Frontend
+from sassafrasdale.gateway.models import Endpoint, EndpointState, GatewaySettings
+from sassafrasdale.gateway.peering import Peering
+from sassafrasdale.gateway.placement import CacheBelief, Placement
+from sassafrasdale.gateway.quotas import Quotas
+from sassafrasdale.gateway.routing import RouteTable
+from sassafrasdale.gateway.usage import TrueTime, UsageCounts
+from sassafrasdale.green import listen, spawn
+from sassafrasdale.http.server import HttpServer
+from sassafrasdale.metrics import Metrics
+from sassafrasdale.platform.configuration import decode_configuration
+from sassafrasdale.platform.settings import decode_settings
+from tests.http.wires import LOOPBACK, RawCaller, bound, read_request, serve_raw
+from tests.platform.documents import configuration, settings
+
+CLOCK = SystemClock()
+
+Script = Callable[[socket.socket, bytes], None]
+
+
+def header(request: bytes, name: str) -> str:
+    """Return a header of a raw request."""
+    for line in request.decode("latin-1").split("\r\n"):
+        key, _, value = line.partition(":")
+        if key.lower() == name:
+            return value.strip()
+    return ""
+
+
+def plain(body: bytes = b"done", status: str = "200 OK", extra: str = "") -> Script:
+    """Return a script that answers each request whole."""
+
+    def script(sock: socket.socket, request: bytes) -> None:
+        head = (
+            f"HTTP/1.1 {status}\r\nRequest-Id: {header(request, 'request-id')}\r\n"
+            f"Replica-Stamp: stamp\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
+        )
+        sock.sendall(head.encode() + body)
+
+    return script
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a part of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def stream_head(request: bytes) -> bytes:
+    """Return the head of a stream's answer."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"Request-Id: {header(request, 'request-id')}\r\n"
+        "Replica-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+class ScriptedEndpoint:
+    """An endpoint that answers each request by a script, in turn.
+
+    :param scripts: what is done with each request; the last goes on.
+    """
+
+    def __init__(self, *scripts: Script) -> None:
+        self.requests: list[bytes] = []
+        self.ended = 0
+        self._scripts = list(scripts)
+        self.address = serve_raw(self._serve)
+
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            while request := read_request(sock):
+                self.requests.append(request)
+                last = len(self._scripts) == 1
+                script = self._scripts[0] if last else self._scripts.pop(0)
+                script(sock, request)
+        except OSError:
+            pass
+        finally:
+            self.ended += 1
+            sock.close()
+
+
+class World:
+    """The serving path of one gateway.
+
+    :param document: the configuration.
+    """
+
+    def __init__(self, **changed: object) -> None:
+        self.settings: GatewaySettings = decode_settings(settings())
+        self.rng = Random(1)
+        self.metrics = Metrics("front-a-1", "a")
+        value = json.dumps(configuration(**changed)).encode()
+        self.routes: RouteTable | None = RouteTable(decode_configuration(value))
+        self.directory = Directory(CLOCK, self.rng, self.settings.bounds.endpoint_drain)
+        self.usage = UsageCounts(timedelta(seconds=5), TrueTime(CLOCK))
+        peering = Peering(
+            "front-a-1", lambda: None, print, lambda p: None, CLOCK, self.rng
+        )
+        cache = CacheBelief()
+        self.fleet = Fleet(
+            self.directory,
+            Placement("a", cache),
+            cache,
+            peering,
+            self.usage,
+            lambda: self.routes.configuration,
+            self.settings.bounds,
+            CLOCK,
+        )
+        self.quotas = Quotas(self.settings.bounds, lambda: 1, CLOCK)
+        self.frontend = Frontend(
+            lambda: self.routes,
+            self.fleet,
+            self.quotas,
+            self.metrics,
+            CLOCK,
+            self.rng,
+            may_serve=lambda: True,
+        )
+        listener = listen(LOOPBACK)
+        self.server = HttpServer(listener, self.frontend.answer, CLOCK)
+        spawn(self.server.serve)
+        self.address = bound(listener)
+
+    def add(self, name: str, service: str, endpoint: ScriptedEndpoint) -> None:
+        """List an endpoint."""
+        self.directory.put(
+            Endpoint(name, service, endpoint.address, "a", EndpointState.READY, 6)
+        )
+
+    def caller(self) -> RawCaller:
+        """Return a new connection of a caller."""
+        return RawCaller(self.address)
+
+    def ask(self, data: bytes) -> bytes:
+        """Return the answer to one request that ends its connection."""
+        caller = self.caller()
+        caller.send(data)
+        return caller.read()
+
+
+def request(
+    path: str, request_id: str = "r-1", *, method: str = "POST", **headers: str
+) -> bytes:
+    """Return a raw request of the customer lab-a that ends its connection."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: labs.example",
+        f"Request-Id: {request_id}",
+        "Api-Key: key-1",
+        "Connection: close",
+        "Content-Length: 0",
+        *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
