Order endpoints by load: reclaimable ones over a small kept base

A raise of an order was held back by the pause after the last one (test seen failing: 2 kept where 4 were needed); mended here, not yet measured.

--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -2,13 +2,31 @@
 
 A plan is a pure function of what is seen, so every holder of the duty makes the
 same one and no state has to be handed over.
+
+Reclaimable endpoints cost a fraction of the others, but all of a zone's may be
+taken at a few seconds' notice, with none to be had anywhere for a while. So a few
+others always run, in the cheapest zone; the rest is reclaimable and spread over the
+zones; and what is missing while none are to be had is made up by others.
 """
 
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
+from math import ceil
 
 from sassafrasdale.gateway.models import ScaleBounds
 
+# Part of its time that an endpoint is planned to be busy. Requests come in clumps,
+# and the first token of one waits for the prompts ahead of it.
+PLANNED_USE = 0.35
+# Part of its time that an endpoint may be busy while reclaimable ones are missing.
+STRAINED_USE = 0.5
+# Fewest endpoints, however low the load: one crash must not stop the service.
+LEAST_ENDPOINTS = 3
+# Endpoints that are never reclaimable, however low the load.
+LEAST_KEPT = 1
+# Part of the planned endpoints that is not reclaimable.
+KEPT_SHARE = 0.2
+
 
 @dataclass(frozen=True, slots=True)
 class OrderKey:
@@ -24,7 +42,7 @@
     """A service as the plan sees it.
 
     :param running: endpoints listed as ready, by kind.
-    :param load: endpoints that the present load keeps busy.
+    :param load: endpoints that the present load would keep busy all the time.
     """
 
     service: str
@@ -47,10 +65,42 @@
 def plan_orders(service: PlannedService, dry: Collection[OrderKey]) -> FleetPlan:
     """Return the wanted endpoints of a service.
 
-    :param dry: kinds that were not to be had a moment ago.
+    :param dry: reclaimable kinds that were not to be had a moment ago.
     """
+    bounds = service.bounds
+    zones = sorted(
+        bounds.zone_prices, key=lambda zone: (bounds.zone_prices[zone], zone)
+    )
+    needed = max(LEAST_ENDPOINTS, ceil(service.load / PLANNED_USE))
+    kept = max(LEAST_KEPT, ceil(needed * KEPT_SHARE))
+    # As many in each zone, so that the loss of one zone costs as little as it can.
+    each = min(ceil((needed - kept) / len(zones)), bounds.most)
+    reclaimable = {zone: max(each, 0) for zone in zones}
+    available = sum(
+        _available(service, OrderKey(service.service, zone, True), count, dry)
+        for zone, count in reclaimable.items()
+    )
+    strained = max(LEAST_ENDPOINTS, ceil(service.load / STRAINED_USE))
+    kept = max(kept, strained - available)
     orders = {}
-    for zone in service.bounds.zone_prices:
-        orders[OrderKey(service.service, zone, False)] = 1
-        orders[OrderKey(service.service, zone, True)] = 1
-    return FleetPlan(orders, f"load {service.load:.2f}")
+    for zone in zones:
+        room = bounds.most - reclaimable[zone]
+        count = min(kept, room)
+        kept -= count
+        if reclaimable[zone] + count < bounds.least:
+            count = bounds.least - reclaimable[zone]
+        orders[OrderKey(service.service, zone, False)] = count
+        orders[OrderKey(service.service, zone, True)] = reclaimable[zone]
+    return FleetPlan(
+        orders,
+        f"load {service.load:.2f}, needed {needed}, reclaimable to be had {available}",
+    )
+
+
+def _available(
+    service: PlannedService, key: OrderKey, wanted: int, dry: Collection[OrderKey]
+) -> int:
+    """Return how many reclaimable endpoints of a kind there are or soon will be."""
+    if key in dry:
+        return min(service.running.get(key, 0), wanted)
+    return wanted
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -1,11 +1,12 @@
 """The endpoints as one request's exchange sees them: choices, loads, budgets."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.budgets import RetryBudget
+from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.models import (
     Bounds,
@@ -16,8 +17,12 @@
 )
 from sassafrasdale.gateway.peering import EndpointLoad, Peering, loads_by_endpoint
 from sassafrasdale.gateway.placement import CacheBelief, Placement
+from sassafrasdale.gateway.speeds import ReadingSpeed
 from sassafrasdale.gateway.usage import UsageCounts
 
+# Time over which the engines' load is averaged. Requests come in clumps; endpoints
+# take seconds to start, so a clump is over before they would help.
+WORK_WINDOW = timedelta(seconds=5)
 # Part of the allowed repeats that is used: what is counted here is a send, and the
 # rule counts arrivals, in windows that slide.
 USED_RETRIES = 0.8
@@ -72,8 +77,14 @@
         self._bounds = bounds
         self._clock = clock
         self._budgets: dict[str, RetryBudget] = {}
+        self._speeds: dict[str, ReadingSpeed] = {}
+        self._work = DemandShares(WORK_WINDOW)
         self._peer_loads: dict[str, EndpointLoad] = {}
 
+    def work(self) -> Mapping[str, float]:
+        """Return the engine time that this gateway's requests take a second."""
+        return self._work.report(self._clock.elapsed())
+
     def refresh_peer_loads(self) -> None:
         """Take the peers' loads as last heard."""
         self._peer_loads = loads_by_endpoint(self._peering.alive())
@@ -95,6 +106,7 @@
             traits,
             self._peer_loads,
             health.weights(self._clock.elapsed()),
+            self._speed(service).token_time,
         )
 
     def has_another(self, service: str, tried: Collection[str]) -> bool:
@@ -110,20 +122,26 @@
         if service.engine is not None:
             unread = self._placement.uncached_tokens(record, traits)
             self._cache.sent(record.name, traits.parts, service.engine.cache_tokens)
+            took = unread * self._speed(service.name).token_time
+            now = self._clock.elapsed()
+            self._work.add(service.name, now, took.total_seconds())
         record.in_flight += 1
         record.unread_tokens += unread
         return Ticket(record, service.name, self._clock.elapsed(), unread)
 
-    def first_token(self, ticket: Ticket) -> None:
-        """Note that an endpoint has read the whole prompt."""
+    def first_token(self, ticket: Ticket, *, answered: bool = True) -> None:
+        """Note that an endpoint has read the whole prompt, or need not any more."""
         if ticket.has_first:
             return
         ticket.has_first = True
         ticket.record.unread_tokens -= ticket.unread_tokens
+        if answered:
+            took = self._clock.elapsed() - ticket.began_at
+            self._speed(ticket.service).observe(ticket.unread_tokens, took)
 
     def ended(self, ticket: Ticket) -> None:
         """Note that a send is no longer under way."""
-        self.first_token(ticket)
+        self.first_token(ticket, answered=False)
         ticket.record.in_flight -= 1
 
     def sent(self, service: str, *, again: bool) -> None:
@@ -162,6 +180,9 @@
         if customer is not None:
             self._usage.add(customer.name)
 
+    def _speed(self, service: str) -> ReadingSpeed:
+        return self._speeds.setdefault(service, ReadingSpeed())
+
     def _service(self, name: str) -> Service:
         known = self._configuration().services.get(name)
         return known or Service(name, max_connections=100)
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -1,13 +1,12 @@
 """What happens to a caller's request before and after its exchange."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.gateway.exceptions import RequestRefused
 from sassafrasdale.gateway.exchange import Job, RequestExchange
 from sassafrasdale.gateway.fleet import Fleet
@@ -56,11 +55,6 @@
         self._clock = clock
         self._rng = rng
         self._may_serve = may_serve
-        self._offered = DemandShares()
-
-    def offered(self) -> Mapping[str, float]:
-        """Return the tokens or requests offered a second, by service."""
-        return self._offered.report(self._clock.elapsed())
 
     def answer(self, caller: ServerConnection, request: Request) -> None:
         """Answer one request, whatever happens."""
@@ -122,7 +116,6 @@
                 )
         service = draw_service(route, self._rng)
         record.service = service
-        self._offered.add(service, now, (traits.prompt_tokens or 0) + 1)
         limit = min(route.timeout, traits.deadline or LONGEST_WAIT)
         return Job(request, traits, route, service, customer, now, now + limit)
 
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -69,7 +69,7 @@
     :param loads: what it has under way, by endpoint.
     :param demand: what its callers ask a second, by customer.
     :param usage: requests that began, by window and customer.
-    :param offered: tokens that its callers offered a second, by service.
+    :param work: engine time that its requests take a second, by service.
     :param leaving: whether it is stopping.
     """
 
@@ -83,7 +83,7 @@
     loads: Mapping[str, EndpointLoad] = field(default_factory=dict)
     demand: Mapping[str, float] = field(default_factory=dict)
     usage: Mapping[int, Mapping[str, int]] = field(default_factory=dict)
-    offered: Mapping[str, float] = field(default_factory=dict)
+    work: Mapping[str, float] = field(default_factory=dict)
     duty: DutyClaim | None = None
     leaving: bool = False
 
--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -10,8 +10,6 @@
 from sassafrasdale.gateway.models import PromptPart, RequestTraits, Service
 from sassafrasdale.gateway.peering import EndpointLoad
 
-# Time that a prompt token takes to be read, where no speed has been measured.
-TOKEN_TIME = timedelta(microseconds=25)
 # Time that each request that runs on an engine adds to another's.
 RUNNING_TIME = timedelta(milliseconds=2)
 # Time that a request takes at a plain endpoint while it has free places.
@@ -98,11 +96,13 @@
         traits: RequestTraits,
         peers: Mapping[str, EndpointLoad],
         weights: Mapping[str, float],
+        token_time: timedelta,
     ) -> EndpointRecord | None:
         """Return the best of the candidates, or None if there are none.
 
         :param peers: load from the other gateways, by endpoint.
         :param weights: health by endpoint; 0 for one that is ejected.
+        :param token_time: time that an engine takes for a prompt token.
         """
         if not candidates:
             return None
@@ -111,7 +111,9 @@
 
         def cost(record: EndpointRecord) -> timedelta:
             load = peers.get(record.name, NO_LOAD)
-            expected = self._expected_time(record, service, traits, load, home)
+            expected = self._expected_time(
+                record, service, traits, load, home, token_time
+            )
             return expected / max(weights.get(record.name, 1.0), 0.05)
 
         return min(sound or candidates, key=lambda rec: (cost(rec), rec.name))
@@ -140,6 +142,7 @@
         traits: RequestTraits,
         load: EndpointLoad,
         home: str,
+        token_time: timedelta,
     ) -> timedelta:
         here = record.endpoint.availability_zone == self._availability_zone
         distance = timedelta() if here else OTHER_ZONE
@@ -148,4 +151,4 @@
             return distance + PLAIN_TIME * (1 + in_flight / record.endpoint.slots)
         unread = record.unread_tokens + load.unread_tokens
         own = self.uncached_tokens(record, traits, home)
-        return distance + TOKEN_TIME * (unread + own) + RUNNING_TIME * in_flight
+        return distance + token_time * (unread + own) + RUNNING_TIME * in_flight
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -388,7 +388,7 @@
             },
             demand=self._quotas.report(),
             usage=self._usage.report(),
-            offered=self._frontend.offered(),
+            work=self._fleet.work(),
             duty=DutyClaim(self._lease.fencing_number) if holds else None,
             leaving=self._life.state in ("draining", "stopped"),
         )
@@ -428,8 +428,8 @@
 
     def _load(self, service: str) -> float:
         states = self._peering.alive()
-        return self._frontend.offered().get(service, 0.0) + sum(
-            state.offered.get(service, 0.0) for state in states
+        return self._fleet.work().get(service, 0.0) + sum(
+            state.work.get(service, 0.0) for state in states
         )
 
     def _answer_ready(self, connection: ServerConnection, request: Request) -> None:
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -1,6 +1,7 @@
 """Orders of endpoints, which the holder of the duties gives."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from logbook import Logger
@@ -9,6 +10,7 @@
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
 from sassafrasdale.coordination.leases import LeaseHolder
 from sassafrasdale.decisions.ordering import (
+    PLANNED_USE,
     FleetPlan,
     OrderKey,
     PlannedService,
@@ -26,8 +28,17 @@
 
 # Pause between two looks at what should be ordered.
 PAUSE = timedelta(milliseconds=500)
-# A kind that was not to be had is asked for again after this time.
-DRY_PAUSE = timedelta(seconds=2)
+# An order that was not taken, or did not show, is given again after this time.
+RETRY_PAUSE = timedelta(seconds=2)
+# Beyond the time that an endpoint takes to start: time for which less must be wanted
+# before less is ordered.
+LOWER_MARGIN = timedelta(seconds=2)
+# A load below this is no load yet: callers have not begun.
+LEAST_LOAD = 0.05
+# Time after its beginning when the load is known; it is averaged over this time.
+LOAD_KNOWN = timedelta(seconds=5)
+# Until then, what was found running is taken to be this much used.
+FOUND_USE = 0.5
 
 
 class Scaler:
@@ -50,9 +61,8 @@
         self._client = client
         self._view = view
         self._clock = clock
-        self._ordered: dict[OrderKey, int] = {}
-        self._dry: dict[OrderKey, timedelta] = {}
         self._fencing_number = 0
+        self._forget()
 
     def run(self) -> None:
         """Order until the task is killed."""
@@ -74,32 +84,69 @@
         permit = self._lease.permit(checks_fencing=True)
         if permit.fencing_number != self._fencing_number:
             # A former holder's orders are unknown, so all are given again.
-            self._ordered = {}
+            self._forget()
             self._fencing_number = permit.fencing_number
         for service in self._view():
-            plan = plan_orders(service, self._dry_kinds())
+            service = self._with_first_guess(service)
+            plan = plan_orders(service, frozenset(self._dry))
             self._carry_out(service, plan)
 
-    def _dry_kinds(self) -> frozenset[OrderKey]:
+    def _forget(self) -> None:
+        self._ordered: dict[OrderKey, int] = {}
+        self._dry: set[OrderKey] = set()
+        # What was last asked for, and until when it is not asked for again.
+        self._asked: dict[OrderKey, tuple[int, timedelta]] = {}
+        self._lower_since: dict[OrderKey, timedelta] = {}
+        self._found: dict[str, int] = {}
+        self._load_since: dict[str, timedelta] = {}
+
+    def _with_first_guess(self, service: PlannedService) -> PlannedService:
+        """Return the service with a load to plan by until its load is known."""
         now = self._clock.elapsed()
-        return frozenset(key for key, until in self._dry.items() if now < until)
+        found = self._found.setdefault(service.service, sum(service.running.values()))
+        if service.load >= LEAST_LOAD:
+            self._load_since.setdefault(service.service, now)
+        since = self._load_since.get(service.service)
+        if since is not None and now - since >= LOAD_KNOWN:
+            return service
+        guess = found * PLANNED_USE * FOUND_USE
+        return replace(service, load=max(service.load, guess))
 
     def _carry_out(self, service: PlannedService, plan: FleetPlan) -> None:
         # More first: what is given back must not leave before others serve.
-        for key, count in sorted(
-            plan.orders.items(), key=lambda item: item[1] < self._running(service, item)
-        ):
-            lost = key.reclaimable and self._running(service, (key, count)) < count
-            if self._ordered.get(key) == count and not lost:
+        orders = sorted(
+            plan.orders.items(),
+            key=lambda item: item[1] - service.running.get(item[0], 0),
+            reverse=True,
+        )
+        for key, wanted in orders:
+            running = service.running.get(key, 0)
+            held = self._ordered.get(key, running)
+            if wanted < held and not self._may_lower(key, service):
                 continue
-            self._order(key, count, plan.reason)
+            if wanted >= held:
+                self._lower_since.pop(key, None)
+            missing = key.reclaimable and running < wanted
+            if self._ordered.get(key) != wanted or missing:
+                self._order(service, key, wanted, plan.reason)
 
-    def _running(self, service: PlannedService, item: tuple[OrderKey, int]) -> int:
-        return service.running.get(item[0], 0)
+    def _may_lower(self, key: OrderKey, service: PlannedService) -> bool:
+        """Return whether less has been wanted for so long that it may be ordered.
 
-    def _order(self, key: OrderKey, count: int, reason: str) -> None:
-        if self._clock.elapsed() < self._dry.get(key, timedelta()):
+        Load comes in waves, and what replaces an endpoint takes a while to start.
+        """
+        now = self._clock.elapsed()
+        since = self._lower_since.setdefault(key, now)
+        return now - since >= service.bounds.start_time + LOWER_MARGIN
+
+    def _order(
+        self, service: PlannedService, key: OrderKey, count: int, reason: str
+    ) -> None:
+        now = self._clock.elapsed()
+        asked, until = self._asked.get(key, (None, now))
+        if asked == count and now < until:
             return
+        self._asked[key] = (count, now + RETRY_PAUSE)
         permit = self._lease.permit(checks_fencing=True)
         try:
             self._client.order_endpoints(
@@ -110,15 +157,16 @@
                 reclaimable=key.reclaimable,
             )
         except NoneAvailable:
-            self._dry[key] = self._clock.elapsed() + DRY_PAUSE
+            self._dry.add(key)
             outcome = "none available"
         except DutyCallFailed as error:
             outcome = f"not confirmed: {error.message}"
         else:
             self._ordered[key] = count
-            # A reclaimable endpoint shows up after its start time; until then the
-            # order must not be repeated.
-            self._dry[key] = self._clock.elapsed() + DRY_PAUSE
+            self._dry.discard(key)
+            # It shows up after its start time; until then it isn't missing.
+            shown = now + service.bounds.start_time + RETRY_PAUSE
+            self._asked[key] = (count, shown)
             outcome = "taken"
         log.info(
             "endpoints ordered",
@@ -126,6 +174,7 @@
             zone=key.availability_zone,
             reclaimable=key.reclaimable,
             count=count,
+            running=service.running.get(key, 0),
             outcome=outcome,
             reason=reason,
             fencing_number=permit.fencing_number,
--- /dev/null
+++ b/src/sassafrasdale/gateway/speeds.py
@@ -0,0 +1,39 @@
+"""How long engines take to read a prompt token, learned from first tokens."""
+
+from collections import deque
+from datetime import timedelta
+
+# Until something is learned: an engine reads some 40 tokens in a millisecond.
+FIRST_GUESS = timedelta(microseconds=25)
+# Shorter prompts tell more of the way there and back than of the engine.
+LEAST_TOKENS = 500
+# First tokens that the estimate rests on.
+KEPT = 60
+# A request that met no others in the engine shows its speed; about one in four does.
+QUANTILE = 0.25
+LEAST_OBSERVATIONS = 8
+
+
+class ReadingSpeed:
+    """Estimate of one service's time for a prompt token."""
+
+    def __init__(self) -> None:
+        self._seen: deque[timedelta] = deque(maxlen=KEPT)
+        self._token_time = FIRST_GUESS
+
+    @property
+    def token_time(self) -> timedelta:
+        """Time that an engine takes for a prompt token."""
+        return self._token_time
+
+    def observe(self, unread_tokens: int, took: timedelta) -> None:
+        """Note the time to the first token of a request.
+
+        :param unread_tokens: prompt tokens that the engine had to read.
+        """
+        if unread_tokens < LEAST_TOKENS:
+            return
+        self._seen.append(took / unread_tokens)
+        if len(self._seen) >= LEAST_OBSERVATIONS:
+            ordered = sorted(self._seen)
+            self._token_time = ordered[int(len(ordered) * QUANTILE)]
--- /dev/null
+++ b/tests/decisions/test_ordering.py
@@ -0,0 +1,77 @@
+"""How many endpoints of each kind are ordered."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sassafrasdale.decisions.ordering import (
+    LEAST_ENDPOINTS,
+    STRAINED_USE,
+    OrderKey,
+    PlannedService,
+    plan_orders,
+)
+from sassafrasdale.gateway.models import ScaleBounds
+
+BOUNDS = ScaleBounds(1, 4, timedelta(seconds=4), 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
+
+
+def key(zone: str, reclaimable: bool) -> OrderKey:
+    return OrderKey("models", zone, reclaimable)
+
+
+def planned(load: float, running=None, bounds: ScaleBounds = BOUNDS) -> PlannedService:
+    return PlannedService("models", bounds, running or {}, load)
+
+
+def total(plan) -> int:
+    return sum(plan.orders.values())
+
+
+def test_a_low_load_keeps_one_that_is_not_reclaimable_in_the_cheapest_zone():
+    plan = plan_orders(planned(0.0), dry=())
+    assert plan.orders[key("a", False)] == 1
+    assert total(plan) >= LEAST_ENDPOINTS
+
+
+def test_more_load_needs_more():
+    totals = [total(plan_orders(planned(load), ())) for load in (0.2, 1.0, 2.0, 3.0)]
+    assert totals == sorted(totals)
+    assert totals[0] < totals[-1]
+
+
+def test_what_is_reclaimed_is_made_up_by_others():
+    """Requests would queue at the few endpoints that are left.
+
+    The cloud takes a zone's reclaimable endpoints, then those of another, and has
+    none to give; the load stays.
+    """
+    dry = {key(zone, True) for zone in "abc"}
+    plan = plan_orders(planned(2.0), dry)
+    kept = sum(plan.orders[key(zone, False)] for zone in "abc")
+    assert kept >= 2.0 / STRAINED_USE
+
+
+def test_the_cheapest_zones_are_filled_first():
+    dry = {key(zone, True) for zone in "abc"}
+    plan = plan_orders(planned(2.4), dry)
+    kept = {zone: plan.orders[key(zone, False)] for zone in "abc"}
+    assert kept["a"] >= kept["c"] >= kept["b"]
+
+
+@given(
+    load=st.floats(0, 30),
+    least=st.integers(0, 2),
+    most=st.integers(2, 8),
+    dry=st.sets(st.sampled_from("abc")),
+    running=st.integers(0, 4),
+)
+def test_bounds_hold_for_both_kinds_together(load, least, most, dry, running):
+    bounds = ScaleBounds(least, most, timedelta(4), 0.2, BOUNDS.zone_prices)
+    view = planned(load, {key("a", True): running}, bounds)
+    plan = plan_orders(view, {key(zone, True) for zone in dry})
+    for zone in "abc":
+        both = plan.orders[key(zone, False)] + plan.orders[key(zone, True)]
+        assert least <= both <= most
+        assert plan.orders[key(zone, False)] >= 0
--- /dev/null
+++ b/tests/gateway/test_scaling.py
@@ -0,0 +1,137 @@
+"""Orders of endpoints over time."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.coordination.exceptions import LeaseNotHeld
+from sassafrasdale.coordination.leases import Permit
+from sassafrasdale.decisions.ordering import OrderKey, PlannedService
+from sassafrasdale.gateway.models import ScaleBounds
+from sassafrasdale.gateway.scaling import Scaler
+from sassafrasdale.platform.exceptions import DutyCallFailed, NoneAvailable
+
+BOUNDS = ScaleBounds(1, 8, timedelta(seconds=4), 0.22, {"a": 0.85, "b": 1.2})
+SECOND = timedelta(seconds=1)
+
+
+class Lease:
+    """A lease that is held under a number, or not."""
+
+    def __init__(self):
+        self.number = 5
+
+    def permit(self, checks_fencing):
+        if not self.number:
+            raise LeaseNotHeld("not held")
+        return Permit(self.number, timedelta.max)
+
+
+class Cloud:
+    """Takes orders, but for those of dry zones, and loses what it is told to."""
+
+    def __init__(self):
+        self.orders = []
+        self.dry = set()
+        self.losing = False
+
+    def order_endpoints(self, service, zone, count, number, *, reclaimable):
+        if self.losing:
+            raise DutyCallFailed("no answer")
+        if reclaimable and zone in self.dry:
+            raise NoneAvailable("none")
+        self.orders.append((zone, reclaimable, count, number))
+
+    def wanted(self):
+        return {(zone, spot): count for zone, spot, count, _ in self.orders}
+
+
+class Duty:
+    """A scaler with a service whose load and endpoints a test sets."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.lease = Lease()
+        self.cloud = Cloud()
+        self.load = 0.0
+        self.running = {OrderKey("models", "a", False): 6}
+        self.scaler = Scaler(self.lease, self.cloud, self.view, self.clock)
+
+    def view(self):
+        return (PlannedService("models", BOUNDS, self.running, self.load),)
+
+    def pass_time(self, time):
+        for _ in range(int(time / (SECOND / 2))):
+            self.clock.advance(SECOND / 2)
+            self.scaler.step()
+
+
+def test_orders_are_given_once():
+    duty = Duty()
+    duty.load = 1.0
+    duty.pass_time(3 * SECOND)
+    assert len(set(duty.cloud.orders)) == len(duty.cloud.orders)
+
+
+def test_less_is_ordered_only_after_a_while():
+    """Endpoints would be given back in each trough and missed in the next wave."""
+    duty = Duty()
+    duty.load = 2.5
+    duty.pass_time(10 * SECOND)
+    before = sum(duty.cloud.wanted().values())
+    duty.load = 0.3
+    duty.pass_time(4 * SECOND)
+    assert sum(duty.cloud.wanted().values()) == before
+    duty.pass_time(6 * SECOND)
+    assert sum(duty.cloud.wanted().values()) < before
+
+
+def test_a_dry_zone_is_made_up_and_asked_again():
+    """A zone's reclaimable endpoints are taken and none are to be had for a while."""
+    duty = Duty()
+    duty.running = {OrderKey("models", "a", False): 1}
+    duty.cloud.dry = {"a", "b"}
+    duty.load = 2.0
+    duty.pass_time(4 * SECOND)
+    kept = sum(n for (_, spot), n in duty.cloud.wanted().items() if not spot)
+    assert kept >= 4
+    duty.cloud.dry = set()
+    duty.pass_time(4 * SECOND)
+    assert any(spot for _, spot in duty.cloud.wanted())
+
+
+def test_a_new_term_gives_all_orders_again():
+    duty = Duty()
+    duty.load = 1.0
+    duty.pass_time(2 * SECOND)
+    duty.lease.number = 9
+    duty.cloud.orders.clear()
+    duty.pass_time(2 * SECOND)
+    assert {number for *_, number in duty.cloud.orders} == {9}
+
+
+def test_a_lost_order_is_given_again():
+    duty = Duty()
+    duty.load = 1.0
+    duty.cloud.losing = True
+    duty.pass_time(SECOND)
+    duty.cloud.losing = False
+    duty.pass_time(4 * SECOND)
+    assert duty.cloud.orders
+
+
+def test_nothing_is_ordered_without_the_duty():
+    duty = Duty()
+    duty.lease.number = 0
+    with pytest.raises(LeaseNotHeld):
+        duty.scaler.step()
+    assert duty.cloud.orders == []
+
+
+def test_what_was_found_is_used_until_the_load_is_known():
+    """Before callers begin there is no load, and all but a few would be given back."""
+    duty = Duty()
+    duty.running = {OrderKey("models", "a", False): 12}
+    duty.pass_time(8 * SECOND)
+    assert sum(duty.cloud.wanted().values()) >= 6
