--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -17,7 +17,7 @@
 
 # Part of its time that an endpoint is planned to be busy. Requests come in clumps,
 # and the first token of one waits for the prompts ahead of it.
-PLANNED_USE = 0.35
+PLANNED_USE = 0.3
 # Part of its time that an endpoint may be busy while reclaimable ones are missing.
 STRAINED_USE = 0.5
 # Fewest endpoints, however low the load: one crash must not stop the service.
@@ -75,32 +75,30 @@
     kept = max(LEAST_KEPT, ceil(needed * KEPT_SHARE))
     # As many in each zone, so that the loss of one zone costs as little as it can.
     each = min(ceil((needed - kept) / len(zones)), bounds.most)
-    reclaimable = {zone: max(each, 0) for zone in zones}
-    available = sum(
-        _available(service, OrderKey(service.service, zone, True), count, dry)
-        for zone, count in reclaimable.items()
-    )
+    available = {zone: _available(service, zone, each, dry) for zone in zones}
     strained = max(LEAST_ENDPOINTS, ceil(service.load / STRAINED_USE))
-    kept = max(kept, strained - available)
+    kept = max(kept, strained - sum(available.values()))
     orders = {}
     for zone in zones:
-        room = bounds.most - reclaimable[zone]
-        count = min(kept, room)
+        count = min(kept, bounds.most - available[zone])
+        # Where none are to be had, the others get their places.
+        count = max(count, bounds.least - available[zone], 0)
         kept -= count
-        if reclaimable[zone] + count < bounds.least:
-            count = bounds.least - reclaimable[zone]
         orders[OrderKey(service.service, zone, False)] = count
-        orders[OrderKey(service.service, zone, True)] = reclaimable[zone]
+        reclaimable = min(each, bounds.most - count)
+        orders[OrderKey(service.service, zone, True)] = reclaimable
     return FleetPlan(
         orders,
-        f"load {service.load:.2f}, needed {needed}, reclaimable to be had {available}",
+        f"load {service.load:.2f}, needed {needed}, "
+        f"reclaimable to be had {sum(available.values())}",
     )
 
 
 def _available(
-    service: PlannedService, key: OrderKey, wanted: int, dry: Collection[OrderKey]
+    service: PlannedService, zone: str, wanted: int, dry: Collection[OrderKey]
 ) -> int:
-    """Return how many reclaimable endpoints of a kind there are or soon will be."""
+    """Return how many reclaimable endpoints a zone has or soon will have."""
+    key = OrderKey(service.service, zone, True)
     if key in dry:
         return min(service.running.get(key, 0), wanted)
     return wanted
--- a/src/sassafrasdale/gateway/drain.py
+++ b/src/sassafrasdale/gateway/drain.py
@@ -18,6 +18,9 @@
 
 # The balancer asks once a second and takes a gateway out after two misses.
 SERVE_ON = timedelta(seconds=3.2)
+# Until then a request is taken however long it may last. Later, only one that must
+# end within the grace period is: the balancer has moved on, and its caller can, too.
+TAKE_ALL = timedelta(seconds=2.7)
 # What is left of the grace period for the last words.
 MARGIN = timedelta(milliseconds=500)
 STEP = timedelta(milliseconds=50)
@@ -35,11 +38,19 @@
         self._server = server
         self._grace = grace
         self._clock = clock
+        self._began: timedelta | None = None
+
+    @property
+    def last_end(self) -> timedelta | None:
+        """Elapsed time by which a new request must end; None if there is no bound."""
+        if self._began is None or self._clock.elapsed() < self._began + TAKE_ALL:
+            return None
+        return self._end(self._began)
 
     def run(self) -> None:
         """Return when all is answered, or when the time is up."""
-        began = self._clock.elapsed()
-        end = began + self._grace - MARGIN
+        began = self._began = self._clock.elapsed()
+        end = self._end(began)
         self._wait(min(began + SERVE_ON, end))
         self._server.close()
         self._server.close_idle()
@@ -48,6 +59,9 @@
             sleep(STEP)
             self._server.close_idle()
 
+    def _end(self, began: timedelta) -> timedelta:
+        return began + self._grace - MARGIN
+
     def _wait(self, until: timedelta) -> None:
         while self._clock.elapsed() < until:
             sleep(STEP)
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -25,6 +25,8 @@
 
 # When a caller is told to come back while this gateway knows no configuration.
 NOT_READY_PAUSE = timedelta(milliseconds=500)
+# When a caller of a gateway that stops is told to come back: another one is free.
+STOPPING_PAUSE = timedelta(milliseconds=50)
 # Longest time that a caller without a deadline and a route without a limit waits.
 LONGEST_WAIT = timedelta(seconds=60)
 
@@ -36,6 +38,7 @@
     :param fleet: the endpoints.
     :param quotas: customers' limits.
     :param may_serve: whether this gateway knows enough to serve.
+    :param last_end: elapsed time by which new requests must end; None without bound.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         clock: Clock,
         rng: Random,
         may_serve: Callable[[], bool],
+        last_end: Callable[[], timedelta | None] = lambda: None,
     ) -> None:
         self._routes = routes
         self._fleet = fleet
@@ -55,6 +59,7 @@
         self._clock = clock
         self._rng = rng
         self._may_serve = may_serve
+        self._last_end = last_end
 
     def answer(self, caller: ServerConnection, request: Request) -> None:
         """Answer one request, whatever happens."""
@@ -106,6 +111,10 @@
             raise RequestRefused(404, "no route")
         record.route = route.name
         traits = self._traits(request)
+        until = now + min(route.timeout, traits.deadline or LONGEST_WAIT)
+        last_end = self._last_end()
+        if last_end is not None and until > last_end:
+            raise RequestRefused(503, "stopping", retry_after=STOPPING_PAUSE)
         customer = self._customer(routes, route, traits)
         if customer is not None:
             record.customer = customer.name
@@ -116,8 +125,7 @@
                 )
         service = draw_service(route, self._rng)
         record.service = service
-        limit = min(route.timeout, traits.deadline or LONGEST_WAIT)
-        return Job(request, traits, route, service, customer, now, now + limit)
+        return Job(request, traits, route, service, customer, now, until)
 
     def _traits(self, request: Request) -> RequestTraits:
         try:
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -93,6 +93,7 @@
         self._sequence = 0
         self._fetching: set[str] = set()
         self._routes: RouteTable | None = None
+        self._drain: Drain | None = None
         self._build()
 
     def _build(self) -> None:
@@ -140,6 +141,7 @@
             clock,
             self._rng,
             may_serve=lambda: self._life.state != "starting",
+            last_end=self._last_end,
         )
         self._followers = {
             CONFIGURATION_KEY: self._follower(CONFIGURATION_KEY, self._take_revised),
@@ -257,11 +259,15 @@
         log.notice("gateway stopping", busy=server.busy_connections)
         spawn(self._hand_duties_back)
         spawn(self._peering.tell_all)
-        Drain(server, self._settings.bounds.stop_grace, self._clock).run()
+        self._drain = Drain(server, self._settings.bounds.stop_grace, self._clock)
+        self._drain.run()
         self._peering.tell_all()
         self._life.fire("drained")
         log.notice("gateway stopped", busy=server.busy_connections)
 
+    def _last_end(self) -> timedelta | None:
+        return self._drain.last_end if self._drain else None
+
     def _hand_duties_back(self) -> None:
         try:
             self._lease.release()
--- a/src/sassafrasdale/gateway/speeds.py
+++ b/src/sassafrasdale/gateway/speeds.py
@@ -12,6 +12,10 @@
 # A request that met no others in the engine shows its speed; about one in four does.
 QUANTILE = 0.25
 LEAST_OBSERVATIONS = 8
+# Where all engines are busy, all first tokens wait for others. The estimate doesn't
+# follow them beyond this multiple of the best that was ever seen: it would call the
+# engines slow where they are too few.
+MOST_SLOWER = 1.5
 
 
 class ReadingSpeed:
@@ -20,6 +24,7 @@
     def __init__(self) -> None:
         self._seen: deque[timedelta] = deque(maxlen=KEPT)
         self._token_time = FIRST_GUESS
+        self._best = timedelta.max
 
     @property
     def token_time(self) -> timedelta:
@@ -36,4 +41,6 @@
         self._seen.append(took / unread_tokens)
         if len(self._seen) >= LEAST_OBSERVATIONS:
             ordered = sorted(self._seen)
-            self._token_time = ordered[int(len(ordered) * QUANTILE)]
+            usual = ordered[int(len(ordered) * QUANTILE)]
+            self._best = min(self._best, usual)
+            self._token_time = min(usual, self._best * MOST_SLOWER)
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -53,6 +53,16 @@
     assert kept >= 2.0 / STRAINED_USE
 
 
+def test_others_get_the_places_of_those_that_are_not_to_be_had():
+    """The fleet would stay without endpoints while the cloud has others to give.
+
+    The load fills each zone's bound with reclaimable ones, which are taken.
+    """
+    dry = {key(zone, True) for zone in "abc"}
+    plan = plan_orders(planned(7.0), dry)
+    assert all(plan.orders[key(zone, False)] == 4 for zone in "abc")
+
+
 def test_the_cheapest_zones_are_filled_first():
     dry = {key(zone, True) for zone in "abc"}
     plan = plan_orders(planned(2.4), dry)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -99,10 +99,15 @@
 class World:
     """The serving path of one gateway.
 
-    :param document: the configuration.
+    :param last_end: elapsed time by which new requests must end.
+    :param changed: fields of the configuration.
     """
 
-    def __init__(self, **changed: object) -> None:
+    def __init__(
+        self,
+        last_end: Callable[[], timedelta | None] = lambda: None,
+        **changed: object,
+    ) -> None:
         self.settings: GatewaySettings = decode_settings(settings())
         self.rng = Random(1)
         self.metrics = Metrics("front-a-1", "a")
@@ -133,6 +138,7 @@
             CLOCK,
             self.rng,
             may_serve=lambda: True,
+            last_end=last_end,
         )
         listener = listen(LOOPBACK)
         self.server = HttpServer(listener, self.frontend.answer, CLOCK)
