--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -11,21 +11,24 @@
 
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
+from functools import partial
 from math import ceil
 
 from sassafrasdale.gateway.models import ScaleBounds
 
 # Part of its time that an endpoint is planned to be busy. Requests come in clumps,
 # and the first token of one waits for the prompts ahead of it.
-PLANNED_USE = 0.3
+PLANNED_USE = 0.35
 # Part of its time that an endpoint may be busy while reclaimable ones are missing.
-STRAINED_USE = 0.5
+STRAINED_USE = 0.6
 # Fewest endpoints, however low the load: one crash must not stop the service.
 LEAST_ENDPOINTS = 3
+# Fewest while reclaimable ones are missing.
+LEAST_STRAINED = 2
 # Endpoints that are never reclaimable, however low the load.
 LEAST_KEPT = 1
 # Part of the planned endpoints that is not reclaimable.
-KEPT_SHARE = 0.2
+KEPT_SHARE = 0.33
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,13 +79,18 @@
     # As many in each zone, so that the loss of one zone costs as little as it can.
     each = min(ceil((needed - kept) / len(zones)), bounds.most)
     available = {zone: _available(service, zone, each, dry) for zone in zones}
-    strained = max(LEAST_ENDPOINTS, ceil(service.load / STRAINED_USE))
-    kept = max(kept, strained - sum(available.values()))
+    strained = max(LEAST_STRAINED, ceil(service.load / STRAINED_USE))
+    if any(key in dry for key in map(partial(_reclaimable, service), zones)):
+        # Reclaims come zone after zone, and what replaces the last of them takes
+        # seconds to start: the others must do without those that are still there.
+        kept = max(kept, strained)
     orders = {}
     for zone in zones:
-        count = min(kept, bounds.most - available[zone])
-        # Where none are to be had, the others get their places.
-        count = max(count, bounds.least - available[zone], 0)
+        # A place is left for a reclaimable one, so that it goes on being asked for.
+        count = min(kept, bounds.most - max(available[zone], min(each, 1)))
+        # Where none are to be had, the others get their places. The lower bound is
+        # one of orders: one that can't be met now counts.
+        count = max(count, bounds.least - each, 0)
         kept -= count
         orders[OrderKey(service.service, zone, False)] = count
         reclaimable = min(each, bounds.most - count)
@@ -94,11 +102,15 @@
     )
 
 
+def _reclaimable(service: PlannedService, zone: str) -> OrderKey:
+    return OrderKey(service.service, zone, True)
+
+
 def _available(
     service: PlannedService, zone: str, wanted: int, dry: Collection[OrderKey]
 ) -> int:
     """Return how many reclaimable endpoints a zone has or soon will have."""
-    key = OrderKey(service.service, zone, True)
+    key = _reclaimable(service, zone)
     if key in dry:
         return min(service.running.get(key, 0), wanted)
     return wanted
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -148,7 +148,7 @@
         job = self._job
         self._tried.add(record.name)
         limit = None if job.route.repeatable else FRESH_USE
-        ticket = self._fleet.began(record, job.traits)
+        ticket = self._fleet.began(record, job.traits, again=self._sends > 0)
         connection: HttpConnection | None = None
         try:
             try:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -22,7 +22,7 @@
 
 # Time over which the engines' load is averaged. Requests come in clumps; endpoints
 # take seconds to start, so a clump is over before they would help.
-WORK_WINDOW = timedelta(seconds=5)
+WORK_WINDOW = timedelta(seconds=6)
 # Part of the allowed repeats that is used: what is counted here is a send, and the
 # rule counts arrivals, in windows that slide.
 USED_RETRIES = 0.8
@@ -115,16 +115,24 @@
             record.name not in tried for record in self._directory.of_service(service)
         )
 
-    def began(self, record: EndpointRecord, traits: RequestTraits) -> Ticket:
-        """Note a send as under way."""
+    def began(
+        self, record: EndpointRecord, traits: RequestTraits, *, again: bool
+    ) -> Ticket:
+        """Note a send as under way.
+
+        :param again: whether the request was sent before. Its work counts once:
+            where endpoints are too few, sends that they refuse would look like load.
+        """
         service = self._service(record.endpoint.service)
         unread = 0
         if service.engine is not None:
-            unread = self._placement.uncached_tokens(record, traits)
+            listed = self._directory.of_service(service.name)
+            unread = self._placement.unread_tokens(record, listed or [record], traits)
             self._cache.sent(record.name, traits.parts, service.engine.cache_tokens)
             took = unread * self._speed(service.name).token_time
             now = self._clock.elapsed()
-            self._work.add(service.name, now, took.total_seconds())
+            if not again:
+                self._work.add(service.name, now, took.total_seconds())
         record.in_flight += 1
         record.unread_tokens += unread
         return Ticket(record, service.name, self._clock.elapsed(), unread)
--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -28,8 +28,10 @@
 class CacheBelief:
     """Which prompt parts each engine is expected to have in its memory.
 
-    Known from this gateway's own sends. A part that it has not sent anywhere is
-    expected at the part's home, which all gateways find by the same hash.
+    Known from this gateway's own sends. Besides, a part is expected at its home,
+    which all gateways find by the same hash: some of them will have sent it there.
+    Without that, a gateway that once went elsewhere for the load would go on doing
+    so, and each part would be read by many engines.
     """
 
     def __init__(self) -> None:
@@ -57,11 +59,6 @@
             tokens += part.tokens
         return tokens
 
-    def knows(self, parts: Sequence[PromptPart]) -> bool:
-        """Return whether the last of the parts was sent to any engine."""
-        name = parts[-1].name
-        return any(name in held for held in self._parts.values())
-
     def forget(self, endpoint: str) -> None:
         """Drop what is known of an engine that is gone."""
         self._parts.pop(endpoint, None)
@@ -118,10 +115,21 @@
 
         return min(sound or candidates, key=lambda rec: (cost(rec), rec.name))
 
-    def uncached_tokens(
-        self, record: EndpointRecord, traits: RequestTraits, home: str = ""
+    def unread_tokens(
+        self,
+        record: EndpointRecord,
+        candidates: Sequence[EndpointRecord],
+        traits: RequestTraits,
+    ) -> int:
+        """Return the prompt tokens that an engine is expected to have to read.
+
+        :param candidates: the engines among which the home of a part is found.
+        """
+        return self._uncached_tokens(record, traits, self._home(candidates, traits))
+
+    def _uncached_tokens(
+        self, record: EndpointRecord, traits: RequestTraits, home: str
     ) -> int:
-        """Return the prompt tokens that an engine is expected to have to read."""
         prompt = traits.prompt_tokens or 0
         if record.name == home:
             cached = sum(part.tokens for part in shared_parts(traits))
@@ -131,7 +139,7 @@
 
     def _home(self, candidates: Sequence[EndpointRecord], traits: RequestTraits) -> str:
         parts = shared_parts(traits)
-        if not parts or self._cache.knows(parts):
+        if not parts:
             return ""
         return home_of(parts[-1].name, [rec.name for rec in candidates])
 
@@ -150,5 +158,5 @@
         if service.engine is None:
             return distance + PLAIN_TIME * (1 + in_flight / record.endpoint.slots)
         unread = record.unread_tokens + load.unread_tokens
-        own = self.uncached_tokens(record, traits, home)
+        own = self._uncached_tokens(record, traits, home)
         return distance + token_time * (unread + own) + RUNNING_TIME * in_flight
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -33,6 +33,10 @@
 # Beyond the time that an endpoint takes to start: time for which less must be wanted
 # before less is ordered.
 LOWER_MARGIN = timedelta(seconds=2)
+# Time after the first endpoint of a service is listed until all found are.
+SETTLING = timedelta(seconds=2.5)
+# A service of which no endpoint is listed for this long has none.
+MOST_SETTLING = timedelta(seconds=5)
 # A load below this is no load yet: callers have not begun.
 LEAST_LOAD = 0.05
 # Time after its beginning when the load is known; it is averaged over this time.
@@ -62,6 +66,9 @@
         self._view = view
         self._clock = clock
         self._fencing_number = 0
+        # These outlast a term: the list is this gateway's own.
+        self._first_look: dict[str, timedelta] = {}
+        self._first_listed: dict[str, timedelta] = {}
         self._forget()
 
     def run(self) -> None:
@@ -87,6 +94,8 @@
             self._forget()
             self._fencing_number = permit.fencing_number
         for service in self._view():
+            if not self._is_settled(service):
+                continue
             service = self._with_first_guess(service)
             plan = plan_orders(service, frozenset(self._dry))
             self._carry_out(service, plan)
@@ -100,15 +109,32 @@
         self._found: dict[str, int] = {}
         self._load_since: dict[str, timedelta] = {}
 
+    def _is_settled(self, service: PlannedService) -> bool:
+        """Return whether the endpoints found at the start have had time to be listed.
+
+        Endpoints that start together with the gateways list themselves one by one.
+        Those not yet listed would be given back by an order that doesn't count them.
+        """
+        now = self._clock.elapsed()
+        first_look = self._first_look.setdefault(service.service, now)
+        if service.running:
+            self._first_listed.setdefault(service.service, now)
+        listed = self._first_listed.get(service.service)
+        if listed is None:
+            return now - first_look >= MOST_SETTLING
+        return now - listed >= SETTLING
+
     def _with_first_guess(self, service: PlannedService) -> PlannedService:
         """Return the service with a load to plan by until its load is known."""
         now = self._clock.elapsed()
-        found = self._found.setdefault(service.service, sum(service.running.values()))
+        running = sum(service.running.values())
         if service.load >= LEAST_LOAD:
             self._load_since.setdefault(service.service, now)
         since = self._load_since.get(service.service)
         if since is not None and now - since >= LOAD_KNOWN:
             return service
+        found = max(self._found.get(service.service, 0), running)
+        self._found[service.service] = found
         guess = found * PLANNED_USE * FOUND_USE
         return replace(service, load=max(service.load, guess))
 
@@ -163,7 +189,8 @@
             outcome = f"not confirmed: {error.message}"
         else:
             self._ordered[key] = count
-            self._dry.discard(key)
+            if count > service.running.get(key, 0):
+                self._dry.discard(key)
             # It shows up after its start time; until then it isn't missing.
             shown = now + service.bounds.start_time + RETRY_PAUSE
             self._asked[key] = (count, shown)
--- a/src/sassafrasdale/gateway/speeds.py
+++ b/src/sassafrasdale/gateway/speeds.py
@@ -15,7 +15,7 @@
 # Where all engines are busy, all first tokens wait for others. The estimate doesn't
 # follow them beyond this multiple of the best that was ever seen: it would call the
 # engines slow where they are too few.
-MOST_SLOWER = 1.5
+MOST_SLOWER = 1.2
 
 
 class ReadingSpeed:
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -9,7 +9,7 @@
 from sassafrasdale.coordination.leases import Permit
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
 from sassafrasdale.gateway.models import ScaleBounds
-from sassafrasdale.gateway.scaling import Scaler
+from sassafrasdale.gateway.scaling import SETTLING, Scaler
 from sassafrasdale.platform.exceptions import DutyCallFailed, NoneAvailable
 
 BOUNDS = ScaleBounds(1, 8, timedelta(seconds=4), 0.22, {"a": 0.85, "b": 1.2})
@@ -57,6 +57,7 @@
         self.load = 0.0
         self.running = {OrderKey("models", "a", False): 6}
         self.scaler = Scaler(self.lease, self.cloud, self.view, self.clock)
+        self.pass_time(SETTLING)
 
     def view(self):
         return (PlannedService("models", BOUNDS, self.running, self.load),)
@@ -135,3 +136,19 @@
     duty.running = {OrderKey("models", "a", False): 12}
     duty.pass_time(8 * SECOND)
     assert sum(duty.cloud.wanted().values()) >= 6
+
+
+def test_endpoints_that_are_not_listed_yet_are_not_given_back():
+    """Most of the fleet would stop just before callers begin.
+
+    The gateways start first, get the duty, and see a list that is still empty.
+    """
+    duty = Duty()
+    duty.scaler = Scaler(duty.lease, duty.cloud, duty.view, duty.clock)
+    duty.cloud.orders.clear()
+    duty.running = {}
+    duty.pass_time(SECOND)
+    duty.running = {OrderKey("models", "b", False): 1}
+    duty.pass_time(SECOND)
+    duty.running = {OrderKey("models", "b", False): 6}
+    assert duty.cloud.orders == []
