--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -4,31 +4,27 @@
 same one and no state has to be handed over.
 
 Reclaimable endpoints cost a fraction of the others, but all of a zone's may be
-taken at a few seconds' notice, with none to be had anywhere for a while. So a few
-others always run, in the cheapest zone; the rest is reclaimable and spread over the
-zones; and what is missing while none are to be had is made up by others.
+taken at a few seconds' notice, one zone after another, with none to be had anywhere
+for a while. So others always run, in the cheapest zones, as many as bear the load in
+a pinch; the room that keeps first tokens fast is reclaimable and spread over the zones.
 """
 
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
-from functools import partial
 from math import ceil
 
 from sassafrasdale.gateway.models import ScaleBounds
 
 # Part of its time that an endpoint is planned to be busy. Requests come in clumps,
 # and the first token of one waits for the prompts ahead of it.
-PLANNED_USE = 0.35
-# Part of its time that an endpoint may be busy while reclaimable ones are missing.
+PLANNED_USE = 0.3
+# Part of its time that an endpoint may be busy while all reclaimable ones are gone.
+# What would replace them takes seconds to start, so the others alone must bear it.
 STRAINED_USE = 0.6
 # Fewest endpoints, however low the load: one crash must not stop the service.
 LEAST_ENDPOINTS = 3
-# Fewest while reclaimable ones are missing.
-LEAST_STRAINED = 2
 # Endpoints that are never reclaimable, however low the load.
-LEAST_KEPT = 1
-# Part of the planned endpoints that is not reclaimable.
-KEPT_SHARE = 0.33
+LEAST_KEPT = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,15 +71,10 @@
         bounds.zone_prices, key=lambda zone: (bounds.zone_prices[zone], zone)
     )
     needed = max(LEAST_ENDPOINTS, ceil(service.load / PLANNED_USE))
-    kept = max(LEAST_KEPT, ceil(needed * KEPT_SHARE))
+    kept = max(LEAST_KEPT, ceil(service.load / STRAINED_USE))
     # As many in each zone, so that the loss of one zone costs as little as it can.
-    each = min(ceil((needed - kept) / len(zones)), bounds.most)
+    each = min(max(ceil((needed - kept) / len(zones)), 1), bounds.most)
     available = {zone: _available(service, zone, each, dry) for zone in zones}
-    strained = max(LEAST_STRAINED, ceil(service.load / STRAINED_USE))
-    if any(key in dry for key in map(partial(_reclaimable, service), zones)):
-        # Reclaims come zone after zone, and what replaces the last of them takes
-        # seconds to start: the others must do without those that are still there.
-        kept = max(kept, strained)
     orders = {}
     for zone in zones:
         # A place is left for a reclaimable one, so that it goes on being asked for.
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -22,7 +22,7 @@
 
 # Time over which the engines' load is averaged. Requests come in clumps; endpoints
 # take seconds to start, so a clump is over before they would help.
-WORK_WINDOW = timedelta(seconds=6)
+WORK_WINDOW = timedelta(seconds=5)
 # Part of the allowed repeats that is used: what is counted here is a send, and the
 # rule counts arrivals, in windows that slide.
 USED_RETRIES = 0.8
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -30,9 +30,10 @@
 PAUSE = timedelta(milliseconds=500)
 # An order that was not taken, or did not show, is given again after this time.
 RETRY_PAUSE = timedelta(seconds=2)
-# Beyond the time that an endpoint takes to start: time for which less must be wanted
-# before less is ordered.
-LOWER_MARGIN = timedelta(seconds=2)
+# Time for which less must be wanted before less is ordered, as a multiple of the time
+# that an endpoint takes to start. Load comes in waves, and an endpoint that was given
+# back in a trough is missed, for all of its start, in the next rise.
+LOWER_STARTS = 4
 # Time after the first endpoint of a service is listed until all found are.
 SETTLING = timedelta(seconds=2.5)
 # A service of which no endpoint is listed for this long has none.
@@ -157,13 +158,13 @@
                 self._order(service, key, wanted, plan.reason)
 
     def _may_lower(self, key: OrderKey, service: PlannedService) -> bool:
-        """Return whether less has been wanted for so long that it may be ordered.
-
-        Load comes in waves, and what replaces an endpoint takes a while to start.
-        """
+        """Return whether less has been wanted for so long that it may be ordered."""
+        if service.service not in self._load_since:
+            return True
         now = self._clock.elapsed()
         since = self._lower_since.setdefault(key, now)
-        return now - since >= service.bounds.start_time + LOWER_MARGIN
+        hold = service.bounds.start_time * LOWER_STARTS
+        return now - since >= hold
 
     def _order(
         self, service: PlannedService, key: OrderKey, count: int, reason: str
--- a/src/sassafrasdale/gateway/speeds.py
+++ b/src/sassafrasdale/gateway/speeds.py
@@ -5,12 +5,14 @@
 
 # Until something is learned: an engine reads some 40 tokens in a millisecond.
 FIRST_GUESS = timedelta(microseconds=25)
-# Shorter prompts tell more of the way there and back than of the engine.
-LEAST_TOKENS = 500
+# Shorter prompts tell more of the way there and back, and of the few steps until an
+# engine hands out a first event, than of how fast it reads.
+LEAST_TOKENS = 2000
 # First tokens that the estimate rests on.
 KEPT = 60
-# A request that met no others in the engine shows its speed; about one in four does.
-QUANTILE = 0.25
+# A request that met no others in the engine shows its speed; one in ten does even
+# where engines are busy.
+QUANTILE = 0.1
 LEAST_OBSERVATIONS = 8
 # Where all engines are busy, all first tokens wait for others. The estimate doesn't
 # follow them beyond this multiple of the best that was ever seen: it would call the
