--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -125,6 +125,7 @@
                 )
         service = draw_service(route, self._rng)
         record.service = service
+        self._metrics.request_began(service)
         return Job(request, traits, route, service, customer, now, until)
 
     def _traits(self, request: Request) -> RequestTraits:
@@ -162,6 +163,8 @@
         self._metrics.count(
             "request", outcome=record.outcome, status=str(record.status)
         )
+        if record.service is not None:
+            self._metrics.request_ended(record.service, record.outcome, took)
         first = record.first_after
         log.info(
             "request ended",
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
+from math import exp
 
 from logbook import Logger
 
@@ -16,6 +17,7 @@
     PlannedService,
     plan_orders,
 )
+from sassafrasdale.gateway.fleet import WORK_WINDOW
 from sassafrasdale.green import sleep
 from sassafrasdale.platform.duties import DutyClient
 from sassafrasdale.platform.exceptions import (
@@ -38,10 +40,12 @@
 SETTLING = timedelta(seconds=2.5)
 # A service of which no endpoint is listed for this long has none.
 MOST_SETTLING = timedelta(seconds=5)
+# Time of what began before it could be seen.
+LONG_AGO = -timedelta(days=1)
 # A load below this is no load yet: callers have not begun.
 LEAST_LOAD = 0.05
-# Time after its beginning when the load is known; it is averaged over this time.
-LOAD_KNOWN = timedelta(seconds=5)
+# Time after its beginning when the load tells something.
+LOAD_KNOWN = timedelta(seconds=2)
 # Until then, what was found running is taken to be this much used.
 FOUND_USE = 0.5
 
@@ -67,9 +71,11 @@
         self._view = view
         self._clock = clock
         self._fencing_number = 0
-        # These outlast a term: the list is this gateway's own.
+        # These are observations of this gateway's and outlast a term.
         self._first_look: dict[str, timedelta] = {}
         self._first_listed: dict[str, timedelta] = {}
+        self._found: dict[str, int] = {}
+        self._load_since: dict[str, timedelta] = {}
         self._forget()
 
     def run(self) -> None:
@@ -89,17 +95,18 @@
 
     def step(self) -> None:
         """Give the orders that are missing."""
+        services = [service for service in self._view() if self._is_settled(service)]
+        for service in services:
+            self._note_load(service)
         permit = self._lease.permit(checks_fencing=True)
         if permit.fencing_number != self._fencing_number:
             # A former holder's orders are unknown, so all are given again.
             self._forget()
             self._fencing_number = permit.fencing_number
-        for service in self._view():
-            if not self._is_settled(service):
-                continue
-            service = self._with_first_guess(service)
-            plan = plan_orders(service, frozenset(self._dry))
-            self._carry_out(service, plan)
+        for service in services:
+            planned = self._with_known_load(service)
+            plan = plan_orders(planned, frozenset(self._dry))
+            self._carry_out(planned, plan)
 
     def _forget(self) -> None:
         self._ordered: dict[OrderKey, int] = {}
@@ -107,8 +114,6 @@
         # What was last asked for, and until when it is not asked for again.
         self._asked: dict[OrderKey, tuple[int, timedelta]] = {}
         self._lower_since: dict[OrderKey, timedelta] = {}
-        self._found: dict[str, int] = {}
-        self._load_since: dict[str, timedelta] = {}
 
     def _is_settled(self, service: PlannedService) -> bool:
         """Return whether the endpoints found at the start have had time to be listed.
@@ -125,18 +130,25 @@
             return now - first_look >= MOST_SETTLING
         return now - listed >= SETTLING
 
-    def _with_first_guess(self, service: PlannedService) -> PlannedService:
+    def _note_load(self, service: PlannedService) -> None:
+        """Note when the load began, whoever has the duty then."""
+        name = service.service
+        if service.load < LEAST_LOAD:
+            running = sum(service.running.values())
+            self._found[name] = max(self._found.get(name, 0), running)
+        elif name not in self._load_since:
+            # Without a look at a fleet without load, it began before this gateway.
+            began_here = name in self._found
+            now = self._clock.elapsed()
+            self._load_since[name] = now if began_here else LONG_AGO
+
+    def _with_known_load(self, service: PlannedService) -> PlannedService:
         """Return the service with a load to plan by until its load is known."""
-        now = self._clock.elapsed()
-        running = sum(service.running.values())
-        if service.load >= LEAST_LOAD:
-            self._load_since.setdefault(service.service, now)
         since = self._load_since.get(service.service)
-        if since is not None and now - since >= LOAD_KNOWN:
-            return service
-        found = max(self._found.get(service.service, 0), running)
-        self._found[service.service] = found
-        guess = found * PLANNED_USE * FOUND_USE
+        age = timedelta() if since is None else self._clock.elapsed() - since
+        if age >= LOAD_KNOWN:
+            return replace(service, load=service.load / _risen(age))
+        guess = self._found.get(service.service, 0) * PLANNED_USE * FOUND_USE
         return replace(service, load=max(service.load, guess))
 
     def _carry_out(self, service: PlannedService, plan: FleetPlan) -> None:
@@ -207,3 +219,12 @@
             reason=reason,
             fencing_number=permit.fencing_number,
         )
+
+
+def _risen(age: timedelta) -> float:
+    """Return the part of a load that its average shows some time after it began.
+
+    The average starts at nothing. Taken as it is, it would hide a third of the load
+    for as long as an endpoint takes to start.
+    """
+    return 1 - exp(-(age / WORK_WINDOW))
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -269,6 +269,16 @@
     assert counts == {"lab-a": 1}
 
 
+def test_metrics_count_and_time_requests():
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(plain()))
+    world.ask(request("/certificates/7"))
+    page = world.metrics.metrics_page().decode()
+    assert 'event="request",outcome="answered"' in page
+    assert "sassafrasdale_request_duration_seconds_count{" in page
+    assert 'sassafrasdale_requests_in_flight{service="records"} 0' in page
+
+
 def _only_reports(**changed):
     return [
         {
