--- /dev/null
+++ b/standins/gateway_endpoints.py
@@ -0,0 +1,109 @@
+"""Stand-ins of the users' endpoints: an engine that streams, and a plain service."""
+
+import json
+from datetime import timedelta
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.green import listen, sleep, spawn
+from sassafrasdale.http.exceptions import CallerGone
+from sassafrasdale.http.messages import Request
+from sassafrasdale.http.server import HttpServer, ServerConnection
+from sassafrasdale.structures import Address
+from standins.kv_store import KvStore
+
+# Shape of the work: an engine reads 40 tokens in a millisecond and hands out an
+# event each 20 ms; a plain request takes 15 ms.
+TOKEN_TIME = timedelta(microseconds=25)
+EVENT_TIME = timedelta(milliseconds=20)
+PLAIN_TIME = timedelta(milliseconds=15)
+
+
+class StandInEndpoint:
+    """An endpoint that lists itself in the store and answers requests.
+
+    :param name: its name at the platform.
+    :param streams: whether it is an engine.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        store: KvStore,
+        clock: Clock,
+        *,
+        streams: bool,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._zone = zone
+        self._store = store
+        self._clock = clock
+        self._streams = streams
+        self._cached: set[str] = set()
+        self._server: HttpServer | None = None
+        self.ran: list[str] = []
+        self.events = 8
+
+    def start(self) -> Address:
+        """Listen, and list the endpoint as ready."""
+        listener = listen(Address("127.0.0.1", 0))
+        host, port = listener.getsockname()
+        self._address = Address(host, port)
+        self._server = HttpServer(listener, self._answer, self._clock)
+        spawn(self._server.serve)
+        self.list_as("ready")
+        return self._address
+
+    def list_as(self, state: str) -> None:
+        """Write the entry in the list."""
+        entry = {
+            "service": self._service,
+            "addr": str(self._address),
+            "zone": self._zone,
+            "version": "v1",
+            "slots": 64 if self._streams else 6,
+            "state": state,
+            "coldLeftMs": 0,
+        }
+        self._store.put(f"servers/{self._name}", entry)
+
+    def _answer(self, connection: ServerConnection, request: Request) -> None:
+        if request.header("expect-replica") != self._name:
+            connection.answer(421, [("replica-id", self._name)])
+            return
+        self.ran.append(request.header("request-id"))
+        headers = [
+            ("request-id", request.header("request-id")),
+            ("replica-stamp", f"{self._name}.stamp"),
+        ]
+        try:
+            if self._streams:
+                self._stream(connection, request, headers)
+            else:
+                sleep(PLAIN_TIME)
+                record = {"target": request.target, "by": self._name}
+                connection.answer(200, headers, json.dumps(record).encode())
+        except CallerGone:
+            return
+
+    def _stream(
+        self, connection: ServerConnection, request: Request, headers: list
+    ) -> None:
+        sleep(TOKEN_TIME * self._unread(request))
+        connection.begin(200, [*headers, ("content-type", "text/event-stream")])
+        first = int(request.header("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            connection.write(b"id: %d\ndata: token %d\n\n" % (number, number))
+            sleep(EVENT_TIME)
+        connection.end()
+
+    def _unread(self, request: Request) -> int:
+        unread = 0
+        for part in filter(None, request.header("prompt-prefix").split(",")):
+            name, _, tokens = part.partition(":")
+            if name not in self._cached:
+                unread += int(tokens)
+            self._cached.add(name)
+        return unread
