Let a customer below its limit in wherever it comes

What demand leaves of a limit is divided evenly, and a bucket fills from the process's start. Test seen failing (2 refused of 0).

--- a/src/sassafrasdale/decisions/shares.py
+++ b/src/sassafrasdale/decisions/shares.py
@@ -58,20 +58,28 @@
         :param live_entries: entries, this one included. One that has not
             reported counts with the mean demand of those that have.
         """
-        heard = [
-            report.get(customer, 0.0)
-            for peer, report in self._reports.items()
-            if now - self._heard[peer] <= REPORT_LIFETIME
-        ]
+        heard = self._heard_demand(customer, now)
         own = self._rate(customer, now)
-        known = own + sum(heard)
-        if not heard or not known:
+        if not heard or not own + sum(heard):
             return 1 / live_entries
-        mean = known / (1 + len(heard))
-        total = known + mean * max(live_entries - 1 - len(heard), 0)
+        total = self.total(customer, live_entries, now)
         even = total / live_entries
         return (own + even * self._even_weight) / (total * (1 + self._even_weight))
 
+    def total(self, customer: str, live_entries: int, now: timedelta) -> float:
+        """Return all entries' demand, a second, as far as it was reported."""
+        heard = self._heard_demand(customer, now)
+        known = self._rate(customer, now) + sum(heard)
+        mean = known / (1 + len(heard))
+        return known + mean * max(live_entries - 1 - len(heard), 0)
+
+    def _heard_demand(self, customer: str, now: timedelta) -> list[float]:
+        return [
+            report.get(customer, 0.0)
+            for peer, report in self._reports.items()
+            if now - self._heard[peer] <= REPORT_LIFETIME
+        ]
+
     def _rate(self, customer: str, now: timedelta) -> float:
         rate = self._rates.get(customer, 0.0)
         elapsed = now - self._updated.get(customer, now)
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -35,6 +35,7 @@
         self._bounds = bounds
         self._gateways = gateways
         self._clock = clock
+        self._started_at = clock.elapsed()
         self._shares = DemandShares()
         self._buckets: dict[str, _Bucket] = {}
 
@@ -66,13 +67,28 @@
         """Take a peer's demand."""
         self._shares.hear(peer, report, self._clock.elapsed())
 
+    def _share(self, customer: Customer, now: timedelta) -> float:
+        """Return the part of a customer's limit that this gateway may use.
+
+        What all of the customer's demand leaves of the limit is divided evenly. With
+        parts by demand alone, a customer far below its limit would be refused by a
+        gateway that its requests reach for the first time in a while.
+        """
+        gateways = self._gateways()
+        share = self._shares.share(customer.name, gateways, now)
+        total = self._shares.total(customer.name, gateways, now)
+        spare = max(1 - total / customer.rate, 0.0)
+        return share * (1 - spare) + spare / gateways
+
     def _bucket(self, customer: Customer, now: timedelta) -> "_Bucket":
-        share = self._shares.share(customer.name, self._gateways(), now)
+        share = self._share(customer, now)
         slack = self._bounds.quota_slack if customer.counts_tokens else 0
         depth = (customer.burst + USED_SLACK * slack) * share
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = self._buckets[customer.name] = _Bucket(depth * FIRST_LEVEL, now)
+            # It has been filling since the start, though nobody looked at it.
+            bucket = _Bucket(depth * FIRST_LEVEL, self._started_at)
+            self._buckets[customer.name] = bucket
         bucket.refill(customer.rate * share, depth, now)
         return bucket
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -99,3 +99,27 @@
     """
     spent = _spent(9, False, [1 / 9] * 9)
     assert spent < 1.1 * 8000 + 500
+
+
+def test_a_customer_below_its_limit_is_served_wherever_it_comes():
+    """A customer would be refused though it asks for an eighth of its limit.
+
+    It asks for a few things at once, and then nothing for a while. Its requests reached one gateway for a while and now come to another one.
+    """
+    clock = ManualClock()
+    fleet = [Quotas(bounds(), lambda: 4, clock) for _ in range(4)]
+    refused = 0
+    for step in range(400):
+        clock.advance(timedelta(milliseconds=50))
+        used = fleet[0] if step < 200 else fleet[1]
+        if step % 30 == 0:
+            for _ in range(3):
+                refusal = used.admit(CUSTOMER, tokens(60))
+                refused += refusal is not None and step > 60
+        if step % 8 == 0:
+            reports = [quotas.report() for quotas in fleet]
+            for number, quotas in enumerate(fleet):
+                for other, report in enumerate(reports):
+                    if other != number:
+                        quotas.hear(str(other), report)
+    assert refused == 0
