Give the text's conflict a home beside its record; send an engine the rank of a stream

The circle between coordination's errors and texts is gone. The rank of a route, or of its customer, goes to the engine with each stream; not yet measured.

--- a/src/sassafrasdale/coordination/exceptions.py
+++ b/src/sassafrasdale/coordination/exceptions.py
@@ -1,12 +1,7 @@
 """Errors of the platform layer: the store, the text register and the cloud."""
 
-from typing import TYPE_CHECKING
-
 from sassafrasdale.exceptions import SassafrasdaleError
 
-if TYPE_CHECKING:
-    from sassafrasdale.coordination.texts import TextRecord
-
 
 class PlatformError(SassafrasdaleError):
     """Base class of the platform layer's errors."""
@@ -52,18 +47,6 @@
     """An edit of the operators' text failed."""
 
 
-class TextConflict(TextError):
-    """Another edit was accepted first.
-
-    :param current: the record in force, or None if there is none.
-    """
-
-    def __init__(self, current: "TextRecord | None") -> None:
-        revision = current.revision if current else 0
-        super().__init__(f"the text in force has revision {revision}")
-        self.current = current
-
-
 class TextOutcomeUnknown(TextError):
     """The store's answer to an edit was lost and could not be read back."""
 
--- a/src/sassafrasdale/coordination/texts.py
+++ b/src/sassafrasdale/coordination/texts.py
@@ -13,7 +13,7 @@
     StoreAnswerLost,
     StoredValueMalformed,
     StoreError,
-    TextConflict,
+    TextError,
     TextOutcomeUnknown,
 )
 from sassafrasdale.coordination.stores import ABSENT, BaseStore, StoredValue, Swap
@@ -66,6 +66,18 @@
         return cls(**model.model_dump())
 
 
+class TextConflict(TextError):
+    """Another edit was accepted first.
+
+    :param current: the record in force, or None if there is none.
+    """
+
+    def __init__(self, current: TextRecord | None) -> None:
+        revision = current.revision if current else 0
+        super().__init__(f"the text in force has revision {revision}")
+        self.current = current
+
+
 class _StoredText(BaseModel):
     """An accepted edit as the store may hold it; fields to come are ignored."""
 
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -182,6 +182,7 @@
             endpoint=record.name,
             customer=job.customer.name if job.customer else "",
             time_left=left,
+            priority=self._priority(),
             resume_after=self._splitter.last_id,
         )
         try:
@@ -196,6 +197,15 @@
                 raise CallerGone from error
             raise SendFailed(SendOutcome.UNKNOWN, _reason(error)) from error
 
+    def _priority(self) -> int | None:
+        """Return the rank of a stream at its engine; plain services have none."""
+        job = self._job
+        if job.route.kind is not RequestKind.STREAM:
+            return None
+        if job.customer is not None and job.customer.priority is not None:
+            return job.customer.priority
+        return job.route.priority
+
     def _pass_on(
         self,
         record: EndpointRecord,
--- a/src/sassafrasdale/platform/headers.py
+++ b/src/sassafrasdale/platform/headers.py
@@ -18,6 +18,7 @@
 _EXPECTED_ENDPOINT = "expect-replica"
 # Smaller numbers go first; an endpoint assumes 5.
 _PRIORITY = "request-priority"
+_LAST_PRIORITY = 9
 _NOT_RUN = "not-run"
 _SIGNATURE = "replica-stamp"
 
@@ -66,12 +67,14 @@
 
     :param endpoint: name of the endpoint that is meant; another refuses.
     :param time_left: time after which the endpoint need not go on.
+    :param priority: rank among the requests of an engine, 0 goes first.
     :param resume_after: last event of the stream that is already there.
     """
 
     endpoint: str
     customer: str
     time_left: timedelta
+    priority: int | None = None
     resume_after: int | None = None
 
 
@@ -103,6 +106,8 @@
     ]
     if order.customer:
         headers.append((_CUSTOMER, order.customer))
+    if order.priority is not None:
+        headers.append((_PRIORITY, str(min(max(order.priority, 0), _LAST_PRIORITY))))
     if order.resume_after is not None:
         headers.append((_LAST_EVENT, str(order.resume_after)))
     return Request(request.method, request.target, tuple(headers), request.body)
--- a/tests/coordination/test_texts_model.py
+++ b/tests/coordination/test_texts_model.py
@@ -15,12 +15,12 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.coordination.exceptions import (
     StoreError,
-    TextConflict,
     TextOutcomeUnknown,
 )
 from sassafrasdale.coordination.texts import (
     TEXT_KEY,
     WRITE_LIMIT,
+    TextConflict,
     TextRecord,
     TextRegister,
     TextWatcher,
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -104,7 +104,8 @@
 def test_a_customer_below_its_limit_is_served_wherever_it_comes():
     """A customer would be refused though it asks for an eighth of its limit.
 
-    It asks for a few things at once, and then nothing for a while. Its requests reached one gateway for a while and now come to another one.
+    It asks for a few things at once, and then nothing for a while. Its requests
+    reached one gateway for a while and now come to another one.
     """
     clock = ManualClock()
     fleet = [Quotas(bounds(), lambda: 4, clock) for _ in range(4)]
