--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -188,7 +188,7 @@
         try:
             connection.send(endpoint_request(job.request, order))
             head = connection.read_head(
-                job.until, request_id=job.request.header(REQUEST_ID)
+                job.until, echoed=(REQUEST_ID, job.request.header(REQUEST_ID))
             )
             return self._pass_on(record, connection, head, ticket)
         except HttpError as error:
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -143,20 +143,22 @@
         self._sending = True
         spawn(self._send_in_background, data)
 
-    def read_head(self, until: timedelta, *, request_id: str = "") -> AnswerHead:
+    def read_head(
+        self, until: timedelta, *, echoed: tuple[str, str] | None = None
+    ) -> AnswerHead:
         """Return the answer's status and headers.
 
         :param until: elapsed time until which it is awaited.
-        :param request_id: id that the answer must echo; others are passed over.
-            A server may send a second answer to an earlier request, late.
+        :param echoed: header and value by which the answer shows that it belongs to
+            the request; an answer with another value is passed over. A server may
+            send a second answer to an earlier request, late.
         :raises ConnectionLost: if the server closes first.
         :raises AnswerTimeout: if the time runs out.
         :raises MalformedAnswer: if what comes is no answer.
         """
         for _ in range(MOST_STRAY_ANSWERS):
             head = self._read_own_head(until)
-            echoed = head.header("request-id")
-            if not request_id or not echoed or echoed == request_id:
+            if echoed is None or head.header(echoed[0]) in ("", echoed[1]):
                 self._head = head
                 return head
             self._pass_over(until)
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -39,7 +39,7 @@
 
 def converse(connection: HttpConnection, request_id: str) -> bytes:
     connection.send(ask(request_id))
-    connection.read_head(soon(), request_id=request_id)
+    connection.read_head(soon(), echoed=("request-id", request_id))
     return connection.read_body(soon())
 
 
@@ -251,7 +251,7 @@
     pool = ConnectionPool(serve_raw(script), LIMIT, CLOCK)
     connection = pool.take()
     connection.send(ask("1", b"x" * 30_000_000))
-    connection.read_head(soon(), request_id="1")
+    connection.read_head(soon(), echoed=("request-id", "1"))
     assert connection.read_body(soon()) == b"no"
     pool.give_back(connection)
     assert connection.is_closed
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,64 @@
+"""The platform's names stay in the adapter."""
+
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parents[2] / "src" / "sassafrasdale"
+ADAPTER = PACKAGE / "platform"
+# Names on the platform's wire and in its files, in lower case.
+NAMES = (
+    "allowresume",
+    "api-key",
+    "apikeys",
+    "coldleftms",
+    "deadline-ms",
+    "duty-holder",
+    "expect-replica",
+    "fence-token",
+    "gapaimms",
+    "goalms",
+    "ifrev",
+    "kv-from",
+    "kv-hold",
+    "kv-key",
+    "kv-lease",
+    "kv-range",
+    "kv-txn",
+    "kv-watch",
+    "kvcap",
+    "leaves_ms",
+    "maxtries",
+    "op/config",
+    "pin-ms",
+    "portrange",
+    "prompt-prefix",
+    "rateper",
+    "replica-stamp",
+    "request-priority",
+    "sassafrasdale_boot",
+    "servers/",
+    "sessionaffinity",
+    "spotprice",
+    "token-count",
+    "usagewindows",
+    "zoneprices",
+)
+MODULES = sorted(
+    path
+    for path in PACKAGE.rglob("*.py")
+    if ADAPTER not in path.parents and "generated" not in path.parts
+)
+
+
+@pytest.mark.parametrize(
+    "path", MODULES, ids=lambda path: str(path.relative_to(PACKAGE))
+)
+def test_no_name_of_the_platforms_outside_the_adapter(path):
+    text = path.read_text(encoding="utf-8").lower()
+    assert [name for name in NAMES if name in text] == []
+
+
+def test_the_adapter_has_them():
+    text = "".join(path.read_text("utf-8").lower() for path in ADAPTER.rglob("*.py"))
+    assert [name for name in NAMES if name not in text] == []
