--- a/bench/load/callers.py
+++ b/bench/load/callers.py
@@ -11,7 +11,8 @@
 from urllib3.exceptions import HTTPError
 
 from sassafrasdale.clock import Clock, SystemClock
-from sassafrasdale.green import GreenHttpPool, http_pool, spawn
+from sassafrasdale.green import spawn
+from sassafrasdale.green_http import GreenHttpPool, http_pool
 from sassafrasdale.structures import Address
 from standins.fleet import Fleet
 from standins.generation import reference_text
--- a/bench/load/overhead.py
+++ b/bench/load/overhead.py
@@ -10,7 +10,8 @@
 
 from bench.load.callers import MICROSECOND, histogram
 from sassafrasdale.clock import Clock, SystemClock
-from sassafrasdale.green import GreenHttpPool, http_pool, sleep, spawn
+from sassafrasdale.green import sleep, spawn
+from sassafrasdale.green_http import GreenHttpPool, http_pool
 from sassafrasdale.structures import Address
 from standins.fleet import Fleet
 
--- a/src/sassafrasdale/callers/relays.py
+++ b/src/sassafrasdale/callers/relays.py
@@ -11,7 +11,7 @@
 from sassafrasdale.callers.generations import moved_event
 from sassafrasdale.callers.messages import HttpAnswer, HttpRequest, problem
 from sassafrasdale.endpoints.adapters import HOP_BY_HOP
-from sassafrasdale.green import http_pool
+from sassafrasdale.green_http import http_pool
 from sassafrasdale.requests.structures import OutcomeName
 from sassafrasdale.structures import Address
 
--- a/src/sassafrasdale/coordination/clouds.py
+++ b/src/sassafrasdale/coordination/clouds.py
@@ -17,7 +17,8 @@
     CloudNotReached,
     StartRefused,
 )
-from sassafrasdale.green import Queue, Timeout, http_pool, sleep, timeout
+from sassafrasdale.green import Queue, Timeout, sleep, timeout
+from sassafrasdale.green_http import http_pool
 from sassafrasdale.structures import Address, Instance, InstanceState, Notice, Role
 
 CALL_TIMEOUT = timedelta(seconds=2)
--- a/src/sassafrasdale/coordination/etcd.py
+++ b/src/sassafrasdale/coordination/etcd.py
@@ -34,7 +34,8 @@
     StoredValue,
     Swap,
 )
-from sassafrasdale.green import GreenHttpPool, Timeout, http_pool, timeout
+from sassafrasdale.green import Timeout, timeout
+from sassafrasdale.green_http import GreenHttpPool, http_pool
 from sassafrasdale.structures import Address
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
--- a/src/sassafrasdale/decisions/health.py
+++ b/src/sassafrasdale/decisions/health.py
@@ -75,9 +75,11 @@
         ok: bool,
         now: timedelta,
         latency: timedelta | None = None,
+        weight: int = 1,
     ) -> None:
         """Record that a request to an endpoint succeeded or failed.
 
+        :param weight: failures that this one counts for.
         :param latency: time that a success took, for requests of which each
             takes about as long as any other.
         """
@@ -89,7 +91,7 @@
             record.failures = 0
             self._note_latency(record, latency)
             return
-        record.failures += 1
+        record.failures += weight
         if self._is_outlier(record) and self._may_eject():
             self._eject(record, now)
 
--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -30,7 +30,8 @@
     StreamUnknown,
 )
 from sassafrasdale.endpoints.pools import PoolKeeper
-from sassafrasdale.green import GreenHttpConnection, Timeout, timeout
+from sassafrasdale.green import Timeout, timeout
+from sassafrasdale.green_http import GreenHttpConnection
 from sassafrasdale.structures import Address
 
 CONNECT_LIMIT = timedelta(seconds=1)
--- a/src/sassafrasdale/endpoints/pools.py
+++ b/src/sassafrasdale/endpoints/pools.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import GreenHttpPool, http_pool
+from sassafrasdale.green_http import GreenHttpPool, http_pool
 from sassafrasdale.structures import Address
 
 # Connections of one endpoint are held to have fallen silent together at most
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -23,6 +23,9 @@
 # Time over which the engines' load is averaged. Requests come in clumps; endpoints
 # take seconds to start, so a clump is over before they would help.
 WORK_WINDOW = timedelta(seconds=5)
+# An endpoint that gives no answer at all is most likely gone; one that answers with
+# a failure of its own now and then may be as good as the others.
+NO_ANSWER_WEIGHT = 3
 # Part of the allowed repeats that is used: what is counted here is a send, and the
 # rule counts arrivals, in windows that slide.
 USED_RETRIES = 0.8
@@ -180,7 +183,10 @@
         """Note a send without an answer; a refusal is no fault."""
         if is_fault:
             self._directory.health_of(record.endpoint.service).observe(
-                record.name, ok=False, now=self._clock.elapsed()
+                record.name,
+                ok=False,
+                now=self._clock.elapsed(),
+                weight=NO_ANSWER_WEIGHT,
             )
 
     def began_to_run(self, customer: Customer | None) -> None:
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -13,6 +13,7 @@
 from sassafrasdale.gateway.models import Customer, RequestTraits, Route
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.routing import RouteTable, draw_service
+from sassafrasdale.green import sleep
 from sassafrasdale.http.exceptions import CallerGone
 from sassafrasdale.http.messages import Request
 from sassafrasdale.http.server import ServerConnection
@@ -25,6 +26,9 @@
 
 # When a caller is told to come back while this gateway knows no configuration.
 NOT_READY_PAUSE = timedelta(milliseconds=500)
+# How long a request waits for a gateway that has just started.
+START_WAIT = timedelta(milliseconds=150)
+START_STEP = timedelta(milliseconds=10)
 # When a caller of a gateway that stops is told to come back: another one is free.
 STOPPING_PAUSE = timedelta(milliseconds=50)
 # Longest time that a caller without a deadline and a route without a limit waits.
@@ -102,6 +106,7 @@
         :raises RequestRefused: if it may not.
         """
         now = self._clock.elapsed()
+        self._wait_until_ready(now + START_WAIT)
         routes = self._routes()
         if routes is None or not self._may_serve():
             raise RequestRefused(503, "not ready", retry_after=NOT_READY_PAUSE)
@@ -128,6 +133,14 @@
         self._metrics.request_began(service)
         return Job(request, traits, route, service, customer, now, until)
 
+    def _wait_until_ready(self, until: timedelta) -> None:
+        """Wait for the first answers of the store, a few milliseconds after a start.
+
+        Callers' connections wait from before the program was loaded.
+        """
+        while not self._may_serve() and self._clock.elapsed() < until:
+            sleep(START_STEP)
+
     def _traits(self, request: Request) -> RequestTraits:
         try:
             return read_traits(request)
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -35,7 +36,7 @@
 from sassafrasdale.gateway.routing import RouteTable
 from sassafrasdale.gateway.scaling import Scaler
 from sassafrasdale.gateway.usage import TrueTime, UsageCounts, total_usage
-from sassafrasdale.green import listen, sleep, spawn
+from sassafrasdale.green import adopt, listen, sleep, spawn
 from sassafrasdale.http.messages import Request
 from sassafrasdale.http.server import HttpServer, ServerConnection, ServerLimits
 from sassafrasdale.logs import start_logs
@@ -45,6 +46,7 @@
     decode_configuration,
 )
 from sassafrasdale.platform.duties import DutyClient
+from sassafrasdale.platform.early import take_opened
 from sassafrasdale.platform.endpoints import (
     ENDPOINTS_PREFIX,
     decode_endpoint,
@@ -140,7 +142,7 @@
             self._metrics,
             clock,
             self._rng,
-            may_serve=lambda: self._life.state != "starting",
+            may_serve=self._may_serve,
             last_end=self._last_end,
         )
         self._followers = {
@@ -169,7 +171,7 @@
         """Serve until the process is told to stop."""
         settings = self._settings
         server = HttpServer(
-            listen(settings.address),
+            self._listener(settings.address),
             self._frontend.answer,
             self._clock,
             limits=self._caller_limits,
@@ -197,6 +199,10 @@
             sleep(TICK)
         self._stop(server)
 
+    def _listener(self, address: Address) -> socket.socket:
+        opened = take_opened(str(address))
+        return listen(address) if opened is None else adopt(opened)
+
     def _serve(
         self, address: Address, handle: Callable[[ServerConnection, Request], None]
     ) -> None:
@@ -241,13 +247,15 @@
         self._fleet.refresh_peer_loads()
         self._directory.forget_lapsed()
         self._time.keep(state.name for state in self._peering.alive())
-        if self._life.state == "starting" and self._knows_enough():
-            self._life.fire("prepare")
-            log.notice(
-                "gateway ready",
-                version=self._routes.configuration.version,
-                endpoints=len(self._directory.records),
-            )
+        self._may_serve()
+
+    def _become_ready(self) -> None:
+        self._life.fire("prepare")
+        log.notice(
+            "gateway ready",
+            version=self._routes.configuration.version,
+            endpoints=len(self._directory.records),
+        )
 
     def _knows_enough(self) -> bool:
         return self._routes is not None and bool(
@@ -265,6 +273,11 @@
         self._life.fire("drained")
         log.notice("gateway stopped", busy=server.busy_connections)
 
+    def _may_serve(self) -> bool:
+        if self._life.state == "starting" and self._knows_enough():
+            self._become_ready()
+        return self._life.state != "starting"
+
     def _last_end(self) -> timedelta | None:
         return self._drain.last_end if self._drain else None
 
--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -4,22 +4,23 @@
 library stays as it is for the thread that runs the peers' asyncio loop.
 """
 
+import os
 import socket
 import warnings
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
-import urllib3
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
-
 from sassafrasdale.structures import Address
 
 # eventlet warns on import that it is in maintenance mode; docs/DEVIATIONS.md
 # says why it is used all the same.
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
+# Nothing here looks names up, and eventlet's own resolver takes longer to load than
+# all the rest of it.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
 import eventlet  # noqa: E402
 import eventlet.event  # noqa: E402
 import eventlet.hubs  # noqa: E402
@@ -58,6 +59,11 @@
     eventlet.sleep(pause.total_seconds())
 
 
+def adopt(sock: socket.socket) -> socket.socket:
+    """Return a green socket in place of a plain one."""
+    return green_socket.socket(sock.family, sock.type, sock.proto, fileno=sock.detach())
+
+
 def listen(address: Address, backlog: int = 1024) -> socket.socket:
     """Return a green listening socket bound to ``address``."""
     listener = eventlet.listen((address.host, address.port), backlog=backlog)
@@ -75,47 +81,6 @@
 Timeout = eventlet.Timeout
 
 
-class GreenHttpConnection(HTTPConnection):
-    """HTTP connection whose socket yields to other tasks while it waits."""
-
-    def _new_conn(self) -> socket.socket:
-        try:
-            sock = green_socket.create_connection(
-                (self._dns_host, self.port), self.timeout
-            )
-        except TimeoutError as error:
-            raise ConnectTimeoutError(self, str(error)) from error
-        except OSError as error:
-            raise NewConnectionError(self, str(error)) from error
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
-
-
-class GreenHttpPool(urllib3.HTTPConnectionPool):
-    """Pool of green HTTP connections to one address."""
-
-    ConnectionCls = GreenHttpConnection
-
-
-def http_pool(
-    address: Address,
-    *,
-    size: int = 64,
-    connect_timeout: timedelta = timedelta(seconds=1),
-    read_timeout: timedelta = timedelta(seconds=5),
-) -> GreenHttpPool:
-    """Return a connection pool for ``address`` that never retries by itself."""
-    return GreenHttpPool(
-        address.host,
-        address.port,
-        maxsize=size,
-        retries=False,
-        timeout=urllib3.Timeout(
-            connect=connect_timeout.total_seconds(), read=read_timeout.total_seconds()
-        ),
-    )
-
-
 def connect(address: Address, limit: timedelta) -> socket.socket:
     """Return a green socket connected to ``address``.
 
--- a/src/sassafrasdale/platform/settings.py
+++ b/src/sassafrasdale/platform/settings.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from sassafrasdale.gateway.models import Bounds, GatewaySettings
+from sassafrasdale.platform.early import PATH_VARIABLE
 from sassafrasdale.platform.exceptions import (
     SettingsFileError,
     SettingsFileFaults,
@@ -15,8 +16,6 @@
 )
 from sassafrasdale.structures import Address
 
-PATH_VARIABLE = "SASSAFRASDALE_BOOT"
-
 USAGE_DUTY = "metering"
 SCALE_DUTY = "scale"
 
--- a/standins/transfers.py
+++ b/standins/transfers.py
@@ -5,7 +5,8 @@
 
 from urllib3.exceptions import HTTPError
 
-from sassafrasdale.green import http_pool, sleep
+from sassafrasdale.green import sleep
+from sassafrasdale.green_http import http_pool
 from sassafrasdale.structures import Address
 from standins.faults import Faults
 from standins.streams import Stream
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -269,6 +269,20 @@
     assert counts == {"lab-a": 1}
 
 
+def test_an_endpoint_that_gives_no_answer_is_soon_passed_over():
+    """Each caller in turn would lose its request to the same dead endpoint.
+
+    One of two endpoints reads requests and closes without an answer.
+    """
+    world = World()
+    dead = ScriptedEndpoint(reset)
+    world.add("i-1", "records", dead)
+    world.add("i-2", "records", ScriptedEndpoint(plain()))
+    for number in range(20):
+        world.ask(request("/certificates/7", f"r-{number}"))
+    assert len(dead.requests) <= 2
+
+
 def test_metrics_count_and_time_requests():
     world = World()
     world.add("i-1", "records", ScriptedEndpoint(plain()))
--- a/tests/guarantees/test_gateway.py
+++ b/tests/guarantees/test_gateway.py
@@ -137,6 +137,25 @@
     assert ask(gateway.address, request("/certificates/7")).startswith(b"HTTP/1.1 200")
 
 
+def test_callers_wait_while_the_program_loads(fleet):
+    """Callers would be turned away for most of a second after each crash.
+
+    A gateway is started; a caller connects as soon as its address takes
+    connections, which is before the program is loaded and knows anything.
+    """
+    gateway = fleet.add_gateway("front-0", "a")
+    gateway.launch()
+    answers = []
+
+    def came() -> bool:
+        answer = ask(gateway.address, request("/certificates/7"))
+        answers.extend([answer] if answer else [])
+        return bool(answers)
+
+    wait_for(came, "nobody listens")
+    assert answers[0].startswith(b"HTTP/1.1 200")
+
+
 def test_an_outage_of_the_store_stops_nothing(fleet):
     start(fleet)
     fleet.store.fault = Fault.SILENT
