--- a/src/sassafrasdale/gateway/following.py
+++ b/src/sassafrasdale/gateway/following.py
@@ -118,7 +118,8 @@
             snapshot = self._store.snapshot(self._prefix)
             values = {item.key: item.value for item in snapshot.values}
             self._must_list = False
-            self.adopt(values, snapshot.revision)
+            changed = max((item.mod_revision for item in snapshot.values), default=0)
+            self.adopt(values, snapshot.revision, changed)
             return
         changes = self._store.follow(self._prefix, self._revision, WATCH_WAIT)
         # A peer may have brought something newer while the watch waited.
@@ -135,14 +136,16 @@
             else:
                 written[event.key] = event.value
                 deleted.discard(event.key)
-        self._apply(written, deleted, changes.revision)
+        last = max(event.revision for event in events)
+        self._apply(written, deleted, changes.revision, last)
 
     def adopt(
-        self, values: Mapping[str, bytes], revision: int, changed_revision: int = 0
+        self, values: Mapping[str, bytes], revision: int, changed_revision: int
     ) -> None:
         """Take all values as of a revision, unless newer ones are known.
 
-        :param changed_revision: revision of the last change, as a peer knows it.
+        :param changed_revision: revision of the last change among them, as far as
+            it is known. A later one is not made up: peers would take it for news.
         """
         if revision < self._revision:
             return
@@ -151,16 +154,21 @@
             for key, value in values.items()
             if self._values.get(key) != value
         }
-        self._apply(written, self._values.keys() - values.keys(), revision)
-        self._changed_revision = max(self._changed_revision, changed_revision)
+        self._apply(
+            written, self._values.keys() - values.keys(), revision, changed_revision
+        )
 
     def _apply(
-        self, written: Mapping[str, bytes], deleted: set[str], revision: int
+        self,
+        written: Mapping[str, bytes],
+        deleted: set[str],
+        revision: int,
+        changed_revision: int,
     ) -> None:
         self._values.update(written)
         for key in deleted:
             self._values.pop(key, None)
         self._revision = max(self._revision, revision)
+        self._changed_revision = max(self._changed_revision, changed_revision)
         if written or deleted:
-            self._changed_revision = self._revision
             self._changed(Revised(written, frozenset(deleted)))
--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -88,14 +88,11 @@
     def step(self) -> None:
         """Report the oldest window that is due, if any."""
         now = self._time.seconds
+        self._skip_late(now)
         end = (self._next + 1) * self._window
         if now < end + GATHERING_TIME.total_seconds():
             return
         permit = self._lease.permit(checks_fencing=True)
-        if now > end + self._delay:
-            log.info("usage window too late to report", window=self._next)
-            self._next += 1
-            return
         if permit.fencing_number != self._held or self._revision is None:
             self._read_record()
             self._held = permit.fencing_number
@@ -110,6 +107,13 @@
         )
         self._next += 1
 
+    def _skip_late(self, now: float) -> None:
+        """Pass over the windows that others reported, or that are overdue."""
+        oldest = int((now - self._delay) // self._window)
+        if oldest > self._next:
+            log.debug("usage windows passed over", first=self._next, next=oldest)
+            self._next = oldest
+
     def _read_record(self) -> None:
         held = self._store.get(RECORD_KEY)
         self._recorded = {}
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -31,6 +31,11 @@
 RECENT_SHARE = 0.7
 # Peers that are asked in a round; in a larger fleet news takes a round or two more.
 FAN_OUT = 10
+# States of others that an exchange passes on in such a fleet, and how fresh they are.
+# Passing all on would make messages grow with the fleet, and their bytes with its
+# square.
+PASSED_ON = 5
+NEWS_AGE = timedelta(seconds=1)
 # An exchange between neighbours takes a few milliseconds.
 EXCHANGE_LIMIT = timedelta(milliseconds=700)
 # A peer that has not been heard of for this long is held to be gone.
@@ -136,7 +141,7 @@
 
     :param name: name of this gateway.
     :param make_state: returns this gateway's present state.
-    :param heard: told of each newer state of a peer.
+    :param heard: told of each newer state of a peer, and whether it came from there.
     :param values_below: raw values of a prefix, for a peer that asks.
     :param clock: source of elapsed time.
     """
@@ -145,7 +150,7 @@
         self,
         name: str,
         make_state: Callable[[], PeerState],
-        heard: Callable[[PeerState], None],
+        heard: Callable[[PeerState, bool], None],
         values_below: Callable[[str], StoreValues | None],
         clock: Clock,
         rng: Random,
@@ -170,10 +175,6 @@
             and not peer.state.leaving
         ]
 
-    def known(self) -> list[PeerState]:
-        """Return the last states of all peers, gone ones too."""
-        return [peer.state for peer in self._peers.values()]
-
     def introduce(self, name: str, address: Address) -> None:
         """Take a peer that the store lists, to be asked in the next round."""
         if name == self._name or name in self._peers:
@@ -259,11 +260,12 @@
         states = [self._make_state()]
         if len(self._peers) > FAN_OUT:
             now = self._clock.elapsed()
-            states += [
+            fresh = [
                 peer.state
                 for peer in self._peers.values()
-                if peer.state.incarnation and now - peer.heard_at <= LIFETIME
+                if peer.state.incarnation and now - peer.heard_at <= NEWS_AGE
             ]
+            states += self._rng.sample(fresh, min(len(fresh), PASSED_ON))
         return _EXCHANGES.dump_json(Exchange(tuple(states)))
 
     def _exchange(self, peer: Peer) -> None:
@@ -301,7 +303,7 @@
             peer.client = HttpClient(state.address, self._clock, EXCHANGE_LIMIT)
         peer.state = state
         peer.heard_at = self._clock.elapsed()
-        self._heard(state)
+        self._heard(state, first_hand)
 
 
 def loads_by_endpoint(states: Iterable[PeerState]) -> dict[str, EndpointLoad]:
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -35,7 +35,7 @@
 from sassafrasdale.gateway.registration import Registration
 from sassafrasdale.gateway.routing import RouteTable
 from sassafrasdale.gateway.scaling import Scaler
-from sassafrasdale.gateway.usage import TrueTime, UsageCounts, total_usage
+from sassafrasdale.gateway.usage import KEPT_WINDOWS, TrueTime, UsageCounts, UsageLedger
 from sassafrasdale.green import adopt, listen, sleep, spawn
 from sassafrasdale.http.messages import Request
 from sassafrasdale.http.server import HttpServer, ServerConnection, ServerLimits
@@ -115,6 +115,7 @@
         )
         self._time = TrueTime(clock)
         self._usage = UsageCounts(bounds.usage_window, self._time)
+        self._ledger = UsageLedger()
         self._peering = Peering(
             settings.name,
             self._make_state,
@@ -357,9 +358,11 @@
             follower.revision, follower.changed_revision, dict(follower.values)
         )
 
-    def _heard(self, state: PeerState) -> None:
+    def _heard(self, state: PeerState, first_hand: bool) -> None:
         self._quotas.hear(state.name, state.demand)
-        self._time.hear(state.name, state.wall)
+        if first_hand:
+            self._time.hear(state.name, state.wall)
+        self._ledger.hear(state.name, state.incarnation, state.usage)
         for prefix, revision in state.revisions.items():
             follower = self._followers.get(prefix)
             if follower is None or revision <= follower.changed_revision:
@@ -416,8 +419,10 @@
         return any(state.duty is not None for state in self._peering.alive())
 
     def _total_usage(self, window: int) -> Mapping[str, int]:
-        reports = [state.usage for state in self._peering.known()]
-        return total_usage([self._usage.report(), *reports], window)
+        own = self._usage.report()
+        self._ledger.hear(self._settings.name, self._incarnation, own)
+        self._ledger.forget_before(window - KEPT_WINDOWS)
+        return self._ledger.total(window)
 
     def _planned_services(self) -> tuple[PlannedService, ...]:
         if self._routes is None:
--- a/src/sassafrasdale/gateway/usage.py
+++ b/src/sassafrasdale/gateway/usage.py
@@ -7,7 +7,7 @@
 from sassafrasdale.clock import Clock
 
 # Windows that are kept; a report is due long before the oldest is dropped.
-KEPT_WINDOWS = 8
+KEPT_WINDOWS = 5
 # The wall clock may be this far off its peers' before it is corrected.
 TOLERATED_OFFSET = timedelta(milliseconds=50)
 
@@ -80,12 +80,32 @@
         return {number: dict(counts) for number, counts in self._counts.items()}
 
 
-def total_usage(
-    reports: Iterable[Mapping[int, Mapping[str, int]]], window: int
-) -> dict[str, int]:
-    """Return all gateways' counts of a window, by customer."""
-    total: dict[str, int] = {}
-    for report in reports:
-        for customer, count in report.get(window, {}).items():
-            total[customer] = total.get(customer, 0) + count
-    return total
+class UsageLedger:
+    """Counts of all gateways, of those that have stopped too.
+
+    A gateway that starts again counts from nothing. What it had counted before is
+    kept under its earlier incarnation, and still belongs to the windows.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[tuple[str, int], Mapping[int, Mapping[str, int]]] = {}
+
+    def hear(
+        self, gateway: str, incarnation: int, report: Mapping[int, Mapping[str, int]]
+    ) -> None:
+        """Take what one incarnation of a gateway has counted."""
+        self._reports[gateway, incarnation] = report
+
+    def total(self, window: int) -> dict[str, int]:
+        """Return all counts of a window, by customer."""
+        total: dict[str, int] = {}
+        for report in self._reports.values():
+            for customer, count in report.get(window, {}).items():
+                total[customer] = total.get(customer, 0) + count
+        return total
+
+    def forget_before(self, window: int) -> None:
+        """Drop reports that have nothing since a window."""
+        for key, report in list(self._reports.items()):
+            if not report or max(report) < window:
+                del self._reports[key]
