Close an idle connection only if nothing has come in on it

Two guards: bytes that are there make a connection busy, and a request that crosses the close is not passed on. Test seen failing.

--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -69,6 +69,7 @@
         self._busy = False
         self._head_sent = False
         self._ended = False
+        self._takes_no_more = False
         self._held = b""
 
     @property
@@ -159,6 +160,23 @@
         self._ended = True
         self.close()
 
+    def close_if_idle(self) -> None:
+        """End the connection unless a request is under way or has come in.
+
+        A request whose bytes are there already must be answered; one that crosses
+        the close must not be passed on, or it would run without an answer.
+        """
+        if self._busy or self._reads.qsize() or self._has_unread():
+            return
+        self._takes_no_more = True
+        self.close()
+
+    def _has_unread(self) -> bool:
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def close(self) -> None:
         """End the connection; its tasks notice, and the socket is closed by them."""
         with suppress(OSError):
@@ -206,7 +224,7 @@
         except MalformedRequest as error:
             self._refuse(error)
             return False
-        if request is None:
+        if request is None or self._takes_no_more:
             return False
         self._head_sent = False
         try:
@@ -393,8 +411,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
         for connection in list(self._connections):
-            if not connection.is_busy:
-                connection.close()
+            connection.close_if_idle()
 
     def close(self) -> None:
         """Accept no more connections."""
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -166,3 +166,29 @@
     service.server.close_idle()
     assert idle.read_some() == b""
     assert busy.read_some().startswith(b"HTTP/1.1 200")
+
+
+def test_a_request_that_has_come_in_is_not_closed_upon():
+    """A caller would lose a request that its endpoint runs.
+
+    The request's bytes are there, but nobody has looked at them, when the server
+    closes what is idle; a moment later it would be read and passed on.
+    """
+    service = Service()
+    caller = RawCaller(service.address)
+    sleep(timedelta(milliseconds=20))
+    caller.send(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+    service.server.close_idle()
+    answered = caller.read_some().startswith(b"HTTP/1.1 200")
+    assert answered == bool(service.requests)
+    assert answered
+
+
+def test_a_request_that_crosses_the_close_is_not_passed_on():
+    service = Service()
+    caller = RawCaller(service.address)
+    sleep(timedelta(milliseconds=20))
+    service.server.close_idle()
+    caller.send(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+    sleep(timedelta(milliseconds=20))
+    assert service.requests == []
