Count silent and listed gateways where limits are divided

Readiness now needs the list of gateways, and a peer that falls silent counts until it is forgotten.

--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -202,7 +202,7 @@
         return known or Service(name, max_connections=100)
 
     def _budget(self, service: str) -> RetryBudget:
-        gateways = 1 + len(self._peering.alive())
+        gateways = self._peering.count()
         depth = max(1.0, self._bounds.retry_slack * USED_RETRIES / gateways)
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -175,6 +175,13 @@
             and not peer.state.leaving
         ]
 
+    def count(self) -> int:
+        """Return how many gateways there are, silent ones and this one included.
+
+        A peer that is silent may be cut off, and spend its part of what is shared.
+        """
+        return 1 + sum(not peer.state.leaving for peer in self._peers.values())
+
     def introduce(self, name: str, address: Address) -> None:
         """Take a peer that the store lists, to be asked in the next round."""
         if name == self._name or name in self._peers:
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -124,7 +124,7 @@
             clock,
             self._rng,
         )
-        self._quotas = Quotas(bounds, lambda: 1 + len(self._peering.alive()), clock)
+        self._quotas = Quotas(bounds, self._peering.count, clock)
         self._cache = CacheBelief()
         self._fleet = Fleet(
             self._directory,
@@ -259,8 +259,12 @@
         )
 
     def _knows_enough(self) -> bool:
-        return self._routes is not None and bool(
-            self._followers[ENDPOINTS_PREFIX].revision
+        # Without the list of gateways, each of many that start at once would take all
+        # of the customers' limits for itself.
+        return (
+            self._routes is not None
+            and self._followers[ENDPOINTS_PREFIX].revision > 0
+            and self._registration.has_listed
         )
 
     def _stop(self, server: HttpServer) -> None:
--- a/src/sassafrasdale/gateway/registration.py
+++ b/src/sassafrasdale/gateway/registration.py
@@ -45,6 +45,12 @@
         self._dependency = dependency
         self._rng = rng
         self._lease: Lease | None = None
+        self._listed = False
+
+    @property
+    def has_listed(self) -> bool:
+        """Whether the listed gateways have been read since the start."""
+        return self._listed
 
     def run(self) -> None:
         """Keep the entry until the task is killed."""
@@ -84,3 +90,4 @@
         for item in self._store.list(GATEWAYS_PREFIX):
             name = item.key.removeprefix(GATEWAYS_PREFIX)
             self._peering.introduce(name, Address.parse(item.value.decode()))
+        self._listed = True
