--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -17,10 +17,10 @@
 
 # Part of its time that an endpoint is planned to be busy. Requests come in clumps,
 # and the first token of one waits for the prompts ahead of it.
-PLANNED_USE = 0.3
+PLANNED_USE = 0.22
 # Part of its time that an endpoint may be busy while all reclaimable ones are gone.
 # What would replace them takes seconds to start, so the others alone must bear it.
-STRAINED_USE = 0.6
+STRAINED_USE = 0.45
 # Fewest endpoints, however low the load: one crash must not stop the service.
 LEAST_ENDPOINTS = 3
 # Endpoints that are never reclaimable, however low the load.
--- a/src/sassafrasdale/gateway/speeds.py
+++ b/src/sassafrasdale/gateway/speeds.py
@@ -1,14 +1,17 @@
 """How long engines take to read a prompt token, learned from first tokens."""
 
 from collections import deque
+from collections.abc import Iterable
 from datetime import timedelta
 
-# Until something is learned: an engine reads some 40 tokens in a millisecond.
-FIRST_GUESS = timedelta(microseconds=25)
-# Shorter prompts tell more of the way there and back, and of the few steps until an
-# engine hands out a first event, than of how fast it reads.
-LEAST_TOKENS = 2000
-# First tokens that the estimate rests on.
+# Until something is learned: an engine reads some 50 tokens in a millisecond.
+FIRST_GUESS = timedelta(microseconds=20)
+# Prompts up to this length show the time that every request takes besides: the way
+# there and back, and the few steps until an engine hands out a first event.
+SHORT_TOKENS = 1000
+# Prompts from this length on show how fast an engine reads.
+LONG_TOKENS = 2000
+# First tokens of each kind that the estimate rests on.
 KEPT = 60
 # A request that met no others in the engine shows its speed; one in ten does even
 # where engines are busy.
@@ -24,7 +27,8 @@
     """Estimate of one service's time for a prompt token."""
 
     def __init__(self) -> None:
-        self._seen: deque[timedelta] = deque(maxlen=KEPT)
+        self._short: deque[timedelta] = deque(maxlen=KEPT)
+        self._long: deque[tuple[int, timedelta]] = deque(maxlen=KEPT)
         self._token_time = FIRST_GUESS
         self._best = timedelta.max
 
@@ -38,11 +42,23 @@
 
         :param unread_tokens: prompt tokens that the engine had to read.
         """
-        if unread_tokens < LEAST_TOKENS:
+        if unread_tokens <= SHORT_TOKENS:
+            self._short.append(took)
+        elif unread_tokens >= LONG_TOKENS:
+            self._long.append((unread_tokens, took))
+            self._estimate()
+
+    def _estimate(self) -> None:
+        if min(len(self._long), len(self._short)) < LEAST_OBSERVATIONS:
             return
-        self._seen.append(took / unread_tokens)
-        if len(self._seen) >= LEAST_OBSERVATIONS:
-            ordered = sorted(self._seen)
-            usual = ordered[int(len(ordered) * QUANTILE)]
-            self._best = min(self._best, usual)
-            self._token_time = min(usual, self._best * MOST_SLOWER)
+        besides = _low(self._short)
+        usual = _low(
+            max(took - besides, took / 2) / tokens for tokens, took in self._long
+        )
+        self._best = min(self._best, usual)
+        self._token_time = min(usual, self._best * MOST_SLOWER)
+
+
+def _low(times: Iterable[timedelta]) -> timedelta:
+    ordered = sorted(times)
+    return ordered[int(len(ordered) * QUANTILE)]
