--- a/src/sassafrasdale/decisions/health.py
+++ b/src/sassafrasdale/decisions/health.py
@@ -22,6 +22,13 @@
     :param slow_factor: multiple of the endpoints' median latency above which an
         endpoint's weight falls, in proportion.
     :param latency_smoothing: weight of a new latency in an endpoint's mean.
+    :param failure_smoothing: weight of a new outcome in its share of failures.
+    :param failure_half_life: time after which a share of failures counts half, so
+        that an endpoint that was passed over is tried again.
+    :param tolerated_failures: share of failures above the endpoints' median below
+        which an endpoint's weight stays.
+    :param failure_cost: fall of the weight for each unit of the share above that;
+        0 where only rows of failures count.
     """
 
     failures: int = 5
@@ -31,6 +38,10 @@
     most_ejected: float = 0.7
     slow_factor: float = 2.0
     latency_smoothing: float = 0.1
+    failure_smoothing: float = 0.15
+    failure_half_life: timedelta = timedelta(seconds=4)
+    tolerated_failures: float = 0.1
+    failure_cost: float = 0.0
 
 
 @dataclass(slots=True)
@@ -39,6 +50,8 @@
     failures: int = 0
     until: timedelta = timedelta()
     latency: timedelta | None = None
+    failure_share: float = 0.0
+    outcome_at: timedelta = timedelta()
 
 
 def _chart() -> Chart:
@@ -87,6 +100,7 @@
         if record is None:
             return
         self._advance(record, now)
+        self._note_outcome(record, ok, now)
         if ok:
             record.failures = 0
             self._note_latency(record, latency)
@@ -100,11 +114,40 @@
         for record in self._records.values():
             self._advance(record, now)
         usual = self._median_latency()
+        shares = {
+            name: self._failure_share(record, now)
+            for name, record in self._records.items()
+        }
+        usual_share = median_low(shares.values()) if shares else 0.0
         return {
-            name: self._weight(record, now) * self._speed(record, usual)
+            name: self._weight(record, now)
+            * self._speed(record, usual)
+            * self._soundness(shares[name] - usual_share)
             for name, record in self._records.items()
         }
 
+    def _note_outcome(self, record: _EndpointRecord, ok: bool, now: timedelta) -> None:
+        share = self._failure_share(record, now)
+        outcome = 0.0 if ok else 1.0
+        record.failure_share = share + self._settings.failure_smoothing * (
+            outcome - share
+        )
+        record.outcome_at = now
+
+    def _failure_share(self, record: _EndpointRecord, now: timedelta) -> float:
+        age = now - record.outcome_at
+        return record.failure_share * 0.5 ** (age / self._settings.failure_half_life)
+
+    def _soundness(self, excess: float) -> float:
+        """Return the factor on the weight of an endpoint for its failures.
+
+        An endpoint that fails a part of its requests is seldom ejected: a success
+        now and then ends each row of failures. Where all fail alike, none is worse.
+        """
+        settings = self._settings
+        fall = max(excess - settings.tolerated_failures, 0.0) * settings.failure_cost
+        return max(1 - fall, settings.smallest_weight)
+
     def _note_latency(self, record: _EndpointRecord, latency: timedelta | None) -> None:
         if latency is None:
             return
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -7,7 +7,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.health import Health
+from sassafrasdale.decisions.health import Health, HealthSettings
 from sassafrasdale.gateway.models import Endpoint, EndpointState
 from sassafrasdale.http.connections import ConnectionPool
 
@@ -21,6 +21,8 @@
 LAPSE_ALLOWANCE = timedelta(seconds=2.5)
 # The outage itself may have been noticed this long ago.
 OUTAGE_MEMORY = timedelta(seconds=6)
+# An endpoint that fails a third more of its requests than the others is passed over.
+HEALTH = HealthSettings(failure_cost=3.0)
 
 
 class EndpointRecord:
@@ -102,7 +104,10 @@
 
     def health_of(self, service: str) -> Health:
         """Return the health of a service's endpoints."""
-        return self._health.setdefault(service, Health(self._rng))
+        health = self._health.get(service)
+        if health is None:
+            health = self._health[service] = Health(self._rng, HEALTH)
+        return health
 
     def put(self, endpoint: Endpoint) -> None:
         """Take an endpoint as it is listed now."""
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -17,8 +17,9 @@
 # the rest covers requests that overdraw and reports that disagree.
 USED_SLACK = 0.5
 # Part of its depth that a bucket begins with: after a restart of all gateways at
-# once, full buckets would give every customer its burst again.
-FIRST_LEVEL = 0.25
+# once, full buckets would give every customer its burst again. What was not spent
+# while they started makes up for this part.
+FIRST_LEVEL = 0.4
 
 
 class Quotas:
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -100,3 +100,34 @@
     weights = health.weights(NOW)
     assert SETTINGS.smallest_weight <= weights["a"] <= 0.2
     assert all(weights[name] == 1 for name in NAMES[1:])
+
+
+def test_an_endpoint_that_fails_a_part_of_its_requests_loses_weight():
+    """Callers of calls that may run once would see failure after failure.
+
+    One of three endpoints fails every other request, its health check is good, and
+    no row of failures is long enough to eject it.
+    """
+    health = Health(Random(1), HealthSettings(failure_cost=3.0))
+    health.set_endpoints(frozenset({"a", "b", "c"}))
+    now = timedelta()
+    for number in range(20):
+        now += timedelta(milliseconds=50)
+        for name in ("a", "b"):
+            health.observe(name, ok=True, now=now)
+        health.observe("c", ok=bool(number % 2), now=now)
+    weights = health.weights(now)
+    assert weights["a"] == weights["b"] == 1.0
+    assert weights["c"] < 0.4
+    assert health.weights(now + timedelta(seconds=15))["c"] > 0.8
+
+
+def test_where_all_fail_alike_none_is_worse():
+    health = Health(Random(1), HealthSettings(failure_cost=3.0))
+    health.set_endpoints(frozenset({"a", "b", "c"}))
+    now = timedelta()
+    for number in range(40):
+        now += timedelta(milliseconds=50)
+        for name in ("a", "b", "c"):
+            health.observe(name, ok=number % 3 != 0, now=now)
+    assert set(health.weights(now).values()) == {1.0}
