--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -108,6 +108,12 @@
         self._splitter = EventSplitter(job.traits.resume_after)
         self._first_at: timedelta | None = None
         self._last_failure = ""
+        self._endpoint: str | None = None
+
+    @property
+    def endpoint(self) -> str | None:
+        """Name of the endpoint that the request was last sent to."""
+        return self._endpoint
 
     @property
     def sends(self) -> int:
@@ -147,6 +153,7 @@
         """Send the request to an endpoint and pass its answer on."""
         job = self._job
         self._tried.add(record.name)
+        self._endpoint = record.name
         limit = None if job.route.repeatable else FRESH_USE
         ticket = self._fleet.began(record, job.traits, again=self._sends > 0)
         connection: HttpConnection | None = None
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -96,6 +96,7 @@
             record.outcome = "answered"
         finally:
             record.sends = exchange.sends
+            record.endpoint = exchange.endpoint
             record.first_after = exchange.first_byte_after
             if exchange.first_byte_after is None and job.customer is not None:
                 self._quotas.restore(job.customer, job.traits)
@@ -188,6 +189,7 @@
             service=record.service,
             customer=record.customer,
             version=record.version,
+            endpoint=record.endpoint,
             sends=record.sends,
             first_ms=None if first is None else _milliseconds(first),
             took_ms=_milliseconds(took),
@@ -204,6 +206,7 @@
         self.route: str | None = None
         self.service: str | None = None
         self.customer: str | None = None
+        self.endpoint: str | None = None
         self.version = 0
         self.sends = 0
         self.first_after: timedelta | None = None
