--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -297,7 +297,7 @@
     def _may_retry_failure(self) -> bool:
         """Return whether an endpoint's own failure is worth another send."""
         return (
-            self._job.route.kind is RequestKind.IDEMPOTENT
+            self._job.route.repeatable
             and self._sends < self._job.route.max_sends
             and self._fleet.has_another(self._job.service, self._tried)
             and self._fleet.may_repeat(self._job.service, spend=False)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -206,6 +206,26 @@
     assert header(second.requests[0], "last-event-id") == "2"
 
 
+def test_a_stream_that_an_engine_fails_goes_on_elsewhere():
+    """A contractor would wait for a report that one engine could not begin.
+
+    The engine answers with a failure of its own before the first event; the stream
+    may be resumed, so it may as well begin at another engine.
+    """
+    world = World(routes=_only_reports())
+    engines = [
+        ScriptedEndpoint(plain(b"", "500 Error"), streamed(1, 2)),
+        ScriptedEndpoint(plain(b"", "500 Error"), streamed(1, 2)),
+    ]
+    engines[1]._scripts.pop(0)
+    for number, engine in enumerate(engines):
+        world.add(f"i-{number}", "models", engine)
+    answers = [
+        world.ask(request("/reports/7", f"r-{number}", **STREAM)) for number in range(3)
+    ]
+    assert [status_of(answer) for answer in answers] == [200] * 3
+
+
 def test_a_stream_that_may_not_be_resumed_is_broken_off():
     world = World(routes=_only_reports(allowResume=False))
     world.add("i-1", "models", ScriptedEndpoint(streamed(1, ends=False)))
