Wait for the last engine, and give back only what did not run

Found in reading: after an engine's own failure the next engine was given 1.2 s until its first event and between events, though there was no third; and a limit was given back for a request whose caller left while it ran. Tests seen failing (the last engine, the limit). A stream that is broken off no longer ends as 'caller gone' in the logs.

--- a/src/sassafrasdale/gateway/exceptions.py
+++ b/src/sassafrasdale/gateway/exceptions.py
@@ -25,5 +25,5 @@
         self.reason = reason
 
 
-class NotReady(SassafrasdaleError):
-    """The gateway doesn't know enough yet to serve."""
+class StreamBrokenOff(SassafrasdaleError):
+    """A stream could not be brought to its end after its caller had a part of it."""
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -14,7 +14,7 @@
 from sassafrasdale.exceptions import SassafrasdaleError
 from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.events import EventSplitter
-from sassafrasdale.gateway.exceptions import RequestRefused
+from sassafrasdale.gateway.exceptions import RequestRefused, StreamBrokenOff
 from sassafrasdale.gateway.fleet import Fleet, Ticket
 from sassafrasdale.gateway.models import Customer, RequestKind, RequestTraits, Route
 from sassafrasdale.http.connections import HttpConnection
@@ -130,7 +130,9 @@
     def run(self) -> int:
         """Answer the caller and return the status.
 
-        :raises RequestRefused: if no endpoint answers and no answer has begun.
+        :raises RequestRefused: if no endpoint answers and no answer has begun; with
+            status 503 the request did not run.
+        :raises StreamBrokenOff: if a stream that has begun can't go on.
         :raises CallerGone: if the caller leaves.
         """
         while True:
@@ -245,8 +247,12 @@
         """Pass a stream's whole events on as they come."""
         job = self._job
         splitter = self._splitter
+        # An engine may have a queue before a prompt; silence tells something only
+        # once it has begun to hand out events.
+        until = job.until
         try:
-            while data := connection.read_data(self._silence_until()):
+            while data := connection.read_data(until):
+                until = self._silence_until()
                 whole = splitter.feed(data)
                 if not whole:
                     continue
@@ -263,14 +269,23 @@
         if not self._caller.head_sent:
             self._caller.begin(head.status, caller_headers(head))
         self._caller.end()
-        self._fleet.streamed(ticket, job.traits)
+        self._fleet.streamed(ticket)
         return head.status
 
     def _silence_until(self) -> timedelta:
-        """Return until when the next part of a stream is awaited."""
-        if self._first_at is None or not self._job.route.repeatable:
-            return self._job.until
-        return min(self._clock.elapsed() + SILENCE_LIMIT, self._job.until)
+        """Return until when the next part of a stream is awaited.
+
+        Silence ends an engine's part only if another engine can go on.
+        """
+        job = self._job
+        may_go_on = (
+            job.route.repeatable
+            and self._sends < job.route.max_sends
+            and self._fleet.has_another(job.service, self._tried)
+        )
+        if not may_go_on:
+            return job.until
+        return min(self._clock.elapsed() + SILENCE_LIMIT, job.until)
 
     def _note_first(self, ticket: Ticket) -> None:
         self._fleet.first_token(ticket)
@@ -324,7 +339,7 @@
                 sends=self._sends,
             )
             self._caller.abort()
-            raise CallerGone
+            raise StreamBrokenOff(failure.reason)
         reason = self._last_failure or failure.reason
         if not self._may_have_run:
             raise RequestRefused(503, reason, retry_after=COME_BACK)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -173,7 +173,7 @@
             record.name, ok=status < 500, now=self._clock.elapsed(), latency=took
         )
 
-    def streamed(self, ticket: Ticket, traits: RequestTraits) -> None:
+    def streamed(self, ticket: Ticket) -> None:
         """Note a stream that ended whole."""
         self._directory.health_of(ticket.service).observe(
             ticket.record.name, ok=True, now=self._clock.elapsed()
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -7,7 +7,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.gateway.exceptions import RequestRefused
+from sassafrasdale.gateway.exceptions import RequestRefused, StreamBrokenOff
 from sassafrasdale.gateway.exchange import Job, RequestExchange
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.models import Customer, RequestTraits, Route
@@ -74,6 +74,9 @@
                 self._answer(caller, request, record)
             except RequestRefused as refusal:
                 self._refuse(caller, refusal, record)
+            except StreamBrokenOff as error:
+                record.outcome = "broken off"
+                record.reason = error.message
             except CallerGone:
                 record.outcome = record.outcome or "caller gone"
             except Exception:
@@ -94,12 +97,15 @@
         try:
             record.status = exchange.run()
             record.outcome = "answered"
+        except RequestRefused as refusal:
+            # Only then is it sure that the request takes nothing of the limit.
+            if refusal.status == 503 and job.customer is not None:
+                self._quotas.restore(job.customer, job.traits)
+            raise
         finally:
             record.sends = exchange.sends
             record.endpoint = exchange.endpoint
             record.first_after = exchange.first_byte_after
-            if exchange.first_byte_after is None and job.customer is not None:
-                self._quotas.restore(job.customer, job.traits)
 
     def _admit(self, request: Request, record: "_Record") -> Job:
         """Return the request as one that may run.
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -241,6 +241,80 @@
     assert not answer.endswith(b"0\r\n\r\n")
 
 
+def pausing(before: float, between: float):
+    """Return a script of two events, with pauses in seconds."""
+
+    def script(sock, raw):
+        sleep(timedelta(seconds=before))
+        sock.sendall(stream_head(raw) + chunk(event(1)))
+        sleep(timedelta(seconds=between))
+        sock.sendall(chunk(event(2)) + b"0\r\n\r\n")
+
+    return script
+
+
+def test_the_last_engine_is_waited_for(monkeypatch):
+    """A caller would lose a stream that only paused.
+
+    The stream may be sent to two engines. The first fails at once; the second has
+    a queue and pauses after its first event for longer than an engine is waited for
+    while there is another.
+    """
+    monkeypatch.setattr(
+        "sassafrasdale.gateway.exchange.SILENCE_LIMIT", timedelta(milliseconds=50)
+    )
+    world = World(routes=_only_reports())
+    engines = [
+        ScriptedEndpoint(plain(b"", "500 Error"), pausing(0.15, 0.15)),
+        ScriptedEndpoint(plain(b"", "500 Error"), pausing(0.15, 0.15)),
+    ]
+    world.add("i-0", "models", engines[0])
+    caller = world.caller()
+    caller.send(request("/reports/7", **STREAM))
+    engines[1]._scripts.pop(0)
+    world.add("i-1", "models", engines[1])
+    answer = caller.read()
+    assert status_of(answer) == 200
+    assert body_of(answer) == event(1) + event(2)
+
+
+def test_a_silent_engine_is_left_while_there_is_another(monkeypatch):
+    monkeypatch.setattr(
+        "sassafrasdale.gateway.exchange.SILENCE_LIMIT", timedelta(milliseconds=50)
+    )
+    world = World(routes=_only_reports())
+    silent = ScriptedEndpoint(pausing(0, 5))
+    world.add("i-0", "models", silent)
+    caller = world.caller()
+    caller.send(request("/reports/7", **STREAM))
+    world.add("i-1", "models", ScriptedEndpoint(streamed(2, 3)))
+    answer = caller.read()
+    assert body_of(answer) == event(1) + event(2) + event(3)
+
+
+def test_a_limit_is_given_back_only_for_what_did_not_run():
+    """A customer would get more than its limit by leaving early.
+
+    The caller leaves while the endpoint works on its request, which counts; another
+    request is refused by the endpoint as not run, which doesn't.
+    """
+    world = World()
+    taken = []
+    world.quotas.restore = lambda customer, traits: taken.append(customer.name)
+    endpoint = ScriptedEndpoint(hang)
+    world.add("i-1", "records", endpoint)
+    caller = world.caller()
+    caller.send(request("/certificates/7"))
+    sleep(timedelta(milliseconds=40))
+    caller.close()
+    sleep(timedelta(milliseconds=40))
+    assert taken == []
+    shed = plain(b"", "503 Unavailable", "Not-Run: 1\r\n")
+    world.add("i-1", "records", ScriptedEndpoint(shed))
+    world.ask(request("/certificates/8"))
+    assert taken == ["lab-a"]
+
+
 def test_a_caller_that_leaves_frees_its_endpoint():
     """An endpoint would work for a caller that has left.
 
