--- /dev/null
+++ b/src/sassafrasdale/gateway/knowledge.py
@@ -0,0 +1,172 @@
+"""What a gateway knows from the store: configuration and endpoints.
+
+It follows the store by itself and, where a peer has followed further, takes the
+values from that peer: a gateway that the store turns away knows them all the same.
+"""
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+from logbook import Logger
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.following import Follower, Revised
+from sassafrasdale.gateway.models import CallerLimits, Configuration
+from sassafrasdale.gateway.peering import StoreValues
+from sassafrasdale.gateway.placement import CacheBelief
+from sassafrasdale.gateway.routing import RouteTable
+from sassafrasdale.green import spawn
+from sassafrasdale.platform.configuration import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+)
+from sassafrasdale.platform.endpoints import (
+    ENDPOINTS_PREFIX,
+    decode_endpoint,
+    endpoint_name,
+)
+from sassafrasdale.platform.exceptions import ValueMalformed
+from sassafrasdale.platform.store import PlatformStore
+
+log = Logger("knowledge")
+
+
+class Knowledge:
+    """Configuration in force and listed endpoints, kept up to date.
+
+    :param store: the platform's store.
+    :param store_health: told whether the store answers.
+    :param directory: gets the endpoints.
+    :param cache: forgets engines that are gone.
+    :param fetch: returns what a peer holds below a prefix, by the peer's name.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        store_health: Dependency,
+        directory: Directory,
+        cache: CacheBelief,
+        fetch: Callable[[str, str], StoreValues | None],
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._directory = directory
+        self._cache = cache
+        self._fetch = fetch
+        self._routes: RouteTable | None = None
+        self._fetching: set[str] = set()
+        self._followers = {
+            prefix: Follower(prefix, store, changed, store_health, clock, rng)
+            for prefix, changed in (
+                (CONFIGURATION_KEY, self._take_revised),
+                (ENDPOINTS_PREFIX, self._take_endpoints),
+            )
+        }
+
+    @property
+    def routes(self) -> RouteTable | None:
+        """Look-ups in the configuration in force; None before there is one."""
+        return self._routes
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force; None before there is one."""
+        return self._routes.configuration if self._routes else None
+
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Bounds on callers: those in force, or the usual ones before any are."""
+        return self._routes.configuration.limits if self._routes else CallerLimits()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether both configuration and endpoints have been read."""
+        listed = self._followers[ENDPOINTS_PREFIX].revision > 0
+        return self._routes is not None and listed
+
+    def tasks(self) -> list[Callable[[], None]]:
+        """Return the tasks that follow the store."""
+        return [follower.run for follower in self._followers.values()]
+
+    def revisions(self) -> Mapping[str, int]:
+        """Return the revision of the last known change, by prefix."""
+        return {
+            prefix: follower.changed_revision
+            for prefix, follower in self._followers.items()
+        }
+
+    def values_below(self, prefix: str) -> StoreValues | None:
+        """Return what is known below a prefix, for a peer that asks."""
+        follower = self._followers.get(prefix)
+        if follower is None or not follower.revision:
+            return None
+        return StoreValues(
+            follower.revision, follower.changed_revision, dict(follower.values)
+        )
+
+    def hear(self, peer: str, revisions: Mapping[str, int]) -> None:
+        """Take a peer's values where it knows a later change."""
+        for prefix, revision in revisions.items():
+            follower = self._followers.get(prefix)
+            if follower is None or revision <= follower.changed_revision:
+                continue
+            if prefix not in self._fetching:
+                self._fetching.add(prefix)
+                spawn(self._take_from, peer, follower)
+
+    def _take_from(self, peer: str, follower: Follower) -> None:
+        try:
+            values = self._fetch(peer, follower.prefix)
+            if values is None:
+                return
+            log.info(
+                "values taken from a peer",
+                peer=peer,
+                prefix=follower.prefix,
+                revision=values.revision,
+                held=follower.revision,
+            )
+            follower.adopt(values.values, values.revision, values.changed_revision)
+        finally:
+            self._fetching.discard(follower.prefix)
+
+    def _take_revised(self, revised: Revised) -> None:
+        value = revised.written.get(CONFIGURATION_KEY)
+        if value is None:
+            return
+        try:
+            configuration = decode_configuration(value)
+        except ValueMalformed as error:
+            log.error("configuration not taken, the old one stays", why=error.message)
+            return
+        self._take_configuration(configuration)
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        old = self._routes.configuration.version if self._routes else 0
+        if configuration.version <= old:
+            log.info(
+                "older configuration ignored", version=configuration.version, held=old
+            )
+            return
+        self._routes = RouteTable(configuration)
+        log.notice(
+            "configuration in force",
+            version=configuration.version,
+            before=old,
+            routes=len(configuration.routes),
+            customers=len(configuration.customers),
+        )
+
+    def _take_endpoints(self, revised: Revised) -> None:
+        for key, value in revised.written.items():
+            try:
+                self._directory.put(decode_endpoint(key, value))
+            except ValueMalformed as error:
+                log.error("endpoint not taken", why=error.message)
+        for key in revised.deleted:
+            name = endpoint_name(key)
+            self._directory.remove(name)
+            self._cache.forget(name)
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -19,21 +19,19 @@
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.drain import Drain
 from sassafrasdale.gateway.fleet import Fleet
-from sassafrasdale.gateway.following import Follower, Revised
 from sassafrasdale.gateway.frontend import Frontend
+from sassafrasdale.gateway.knowledge import Knowledge
 from sassafrasdale.gateway.metering import UsageReporter
-from sassafrasdale.gateway.models import CallerLimits, Configuration, GatewaySettings
+from sassafrasdale.gateway.models import GatewaySettings
 from sassafrasdale.gateway.peering import (
     DutyClaim,
     EndpointLoad,
     Peering,
     PeerState,
-    StoreValues,
 )
 from sassafrasdale.gateway.placement import CacheBelief, Placement
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.registration import Registration
-from sassafrasdale.gateway.routing import RouteTable
 from sassafrasdale.gateway.scaling import Scaler
 from sassafrasdale.gateway.usage import KEPT_WINDOWS, TrueTime, UsageCounts, UsageLedger
 from sassafrasdale.green import adopt, listen, sleep, spawn
@@ -41,18 +39,9 @@
 from sassafrasdale.http.server import HttpServer, ServerConnection, ServerLimits
 from sassafrasdale.logs import start_logs
 from sassafrasdale.metrics import Metrics
-from sassafrasdale.platform.configuration import (
-    CONFIGURATION_KEY,
-    decode_configuration,
-)
 from sassafrasdale.platform.duties import DutyClient
 from sassafrasdale.platform.early import take_opened
-from sassafrasdale.platform.endpoints import (
-    ENDPOINTS_PREFIX,
-    decode_endpoint,
-    endpoint_name,
-)
-from sassafrasdale.platform.exceptions import AdapterError, ValueMalformed
+from sassafrasdale.platform.exceptions import AdapterError
 from sassafrasdale.platform.store import PlatformStore
 from sassafrasdale.structures import Address
 
@@ -93,8 +82,6 @@
         self._must_stop = False
         self._must_reload = False
         self._sequence = 0
-        self._fetching: set[str] = set()
-        self._routes: RouteTable | None = None
         self._drain: Drain | None = None
         self._build()
 
@@ -116,30 +103,39 @@
         self._time = TrueTime(clock)
         self._usage = UsageCounts(bounds.usage_window, self._time)
         self._ledger = UsageLedger()
+        self._cache = CacheBelief()
+        self._knowledge = Knowledge(
+            self._store,
+            self._store_health,
+            self._directory,
+            self._cache,
+            lambda peer, prefix: self._peering.fetch(peer, prefix),
+            clock,
+            self._rng,
+        )
         self._peering = Peering(
             settings.name,
             self._make_state,
             self._heard,
-            self._values_below,
+            self._knowledge.values_below,
             clock,
             self._rng,
         )
         self._quotas = Quotas(
             bounds, self._peering.count, clock, self._peering.hears_most
         )
-        self._cache = CacheBelief()
         self._fleet = Fleet(
             self._directory,
             Placement(settings.availability_zone, self._cache),
             self._cache,
             self._peering,
             self._usage,
-            lambda: self._routes.configuration,
+            lambda: self._knowledge.configuration,
             bounds,
             clock,
         )
         self._frontend = Frontend(
-            lambda: self._routes,
+            lambda: self._knowledge.routes,
             self._fleet,
             self._quotas,
             self._metrics,
@@ -148,10 +144,6 @@
             may_serve=self._may_serve,
             last_end=self._last_end,
         )
-        self._followers = {
-            CONFIGURATION_KEY: self._follower(CONFIGURATION_KEY, self._take_revised),
-            ENDPOINTS_PREFIX: self._follower(ENDPOINTS_PREFIX, self._take_endpoints),
-        }
         self._registration = Registration(
             settings.name,
             settings.peer_address,
@@ -188,7 +180,7 @@
         signal.signal(signal.SIGTERM, lambda number, frame: self._ask_stop())
         signal.signal(signal.SIGINT, lambda number, frame: self._ask_stop())
         signal.signal(signal.SIGHUP, lambda number, frame: self._ask_reload())
-        tasks = [follower.run for follower in self._followers.values()]
+        tasks = self._knowledge.tasks()
         tasks += [self._registration.run, self._peering.run, *self._duty_tasks()]
         for task in tasks:
             spawn(_run_for_good, task)
@@ -211,11 +203,6 @@
     ) -> None:
         spawn(HttpServer(listen(address), handle, self._clock).serve)
 
-    def _follower(self, prefix: str, changed: Callable[[Revised], None]) -> Follower:
-        return Follower(
-            prefix, self._store, changed, self._store_health, self._clock, self._rng
-        )
-
     def _duty_tasks(self) -> list[Callable[[], None]]:
         settings = self._settings
         if settings.cloud is None:
@@ -256,18 +243,14 @@
         self._life.fire("prepare")
         log.notice(
             "gateway ready",
-            version=self._routes.configuration.version,
+            version=self._knowledge.configuration.version,
             endpoints=len(self._directory.records),
         )
 
     def _knows_enough(self) -> bool:
         # Without the list of gateways, each of many that start at once would take all
         # of the customers' limits for itself.
-        return (
-            self._routes is not None
-            and self._followers[ENDPOINTS_PREFIX].revision > 0
-            and self._registration.has_listed
-        )
+        return self._knowledge.is_complete and self._registration.has_listed
 
     def _stop(self, server: HttpServer) -> None:
         self._life.fire("leave")
@@ -310,7 +293,7 @@
         log.notice("settings reloaded")
 
     def _caller_limits(self) -> ServerLimits:
-        limits = self._routes.configuration.limits if self._routes else CallerLimits()
+        limits = self._knowledge.caller_limits
         return ServerLimits(
             limits.header_bytes,
             limits.body_bytes,
@@ -318,81 +301,12 @@
             limits.idle_timeout,
         )
 
-    def _take_revised(self, revised: Revised) -> None:
-        value = revised.written.get(CONFIGURATION_KEY)
-        if value is None:
-            return
-        try:
-            configuration = decode_configuration(value)
-        except ValueMalformed as error:
-            log.error("configuration not taken, the old one stays", why=error.message)
-            return
-        self._take_configuration(configuration)
-
-    def _take_configuration(self, configuration: Configuration) -> None:
-        old = self._routes.configuration.version if self._routes else 0
-        if configuration.version <= old:
-            log.info(
-                "older configuration ignored", version=configuration.version, held=old
-            )
-            return
-        self._routes = RouteTable(configuration)
-        log.notice(
-            "configuration in force",
-            version=configuration.version,
-            before=old,
-            routes=len(configuration.routes),
-            customers=len(configuration.customers),
-        )
-
-    def _take_endpoints(self, revised: Revised) -> None:
-        for key, value in revised.written.items():
-            try:
-                self._directory.put(decode_endpoint(key, value))
-            except ValueMalformed as error:
-                log.error("endpoint not taken", why=error.message)
-        for key in revised.deleted:
-            name = endpoint_name(key)
-            self._directory.remove(name)
-            self._cache.forget(name)
-
-    def _values_below(self, prefix: str) -> StoreValues | None:
-        follower = self._followers.get(prefix)
-        if follower is None or not follower.revision:
-            return None
-        return StoreValues(
-            follower.revision, follower.changed_revision, dict(follower.values)
-        )
-
     def _heard(self, state: PeerState, first_hand: bool) -> None:
         self._quotas.hear(state.name, state.demand)
         if first_hand:
             self._time.hear(state.name, state.wall)
         self._ledger.hear(state.name, state.incarnation, state.usage)
-        for prefix, revision in state.revisions.items():
-            follower = self._followers.get(prefix)
-            if follower is None or revision <= follower.changed_revision:
-                continue
-            if prefix not in self._fetching:
-                self._fetching.add(prefix)
-                spawn(self._fetch, state.name, follower)
-
-    def _fetch(self, peer: str, follower: Follower) -> None:
-        """Take values from a peer that has followed the store further."""
-        try:
-            values = self._peering.fetch(peer, follower.prefix)
-            if values is None:
-                return
-            log.info(
-                "values taken from a peer",
-                peer=peer,
-                prefix=follower.prefix,
-                revision=values.revision,
-                held=follower.revision,
-            )
-            follower.adopt(values.values, values.revision, values.changed_revision)
-        finally:
-            self._fetching.discard(follower.prefix)
+        self._knowledge.hear(state.name, state.revisions)
 
     def _make_state(self) -> PeerState:
         self._sequence += 1
@@ -405,10 +319,7 @@
             host=address.host,
             port=address.port,
             wall=self._time.own_seconds(),
-            revisions={
-                prefix: follower.changed_revision
-                for prefix, follower in self._followers.items()
-            },
+            revisions=self._knowledge.revisions(),
             loads={
                 record.name: EndpointLoad(record.in_flight, record.unread_tokens)
                 for record in self._directory.records.values()
@@ -431,9 +342,10 @@
         return self._ledger.total(window)
 
     def _planned_services(self) -> tuple[PlannedService, ...]:
-        if self._routes is None:
+        configuration = self._knowledge.configuration
+        if configuration is None:
             return ()
-        services = self._routes.configuration.services.values()
+        services = configuration.services.values()
         return tuple(
             PlannedService(
                 service.name,
