--- a/bench/demo.py
+++ b/bench/demo.py
@@ -11,8 +11,10 @@
 
 import json
 import sys
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from standins.fleet import Fleet
 from standins.generation import reference_text
@@ -162,17 +164,28 @@
         raise CheckError(message)
 
 
-def main() -> int:
-    """Serve both deployments and print a summary."""
+def run_demo(
+    serve: Callable[[Any], list[str]], deployments: Iterable[Any], summary: str
+) -> int:
+    """Serve each deployment, print what was asked, and return the exit code."""
     try:
-        for deployment in DEPLOYMENTS:
+        for deployment in deployments:
             print("\n".join(serve(deployment)), flush=True)
     except CheckError as error:
         print(f"FAILED: {error}", file=sys.stderr)
         return 1
-    print("both deployments answered every request, each non-idempotent call once")
+    print(summary)
     return 0
 
 
+def main() -> int:
+    """Serve both deployments and print a summary."""
+    return run_demo(
+        serve,
+        DEPLOYMENTS,
+        "both deployments answered every request, each non-idempotent call once",
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/bench/gateway_demo.py
+++ b/bench/gateway_demo.py
@@ -11,7 +11,7 @@
 import sys
 from dataclasses import dataclass
 
-from bench.demo import CheckError
+from bench.demo import CheckError, run_demo
 from standins.gateway_fleet import GatewayFleet, GatewayProcess, ask
 
 KEY = "demo-key"
@@ -143,14 +143,11 @@
 
 def main() -> int:
     """Serve both deployments and print a summary."""
-    try:
-        for deployment in DEPLOYMENTS:
-            print("\n".join(serve(deployment)), flush=True)
-    except CheckError as error:
-        print(f"FAILED: {error}", file=sys.stderr)
-        return 1
-    print("both deployments answered every kind of request through every gateway")
-    return 0
+    return run_demo(
+        serve,
+        DEPLOYMENTS,
+        "both deployments answered every kind of request through every gateway",
+    )
 
 
 if __name__ == "__main__":
