--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import field
 from datetime import timedelta
+from math import exp
 from random import Random
 
 from logbook import Logger
@@ -177,6 +178,21 @@
             and not peer.state.leaving
         ]
 
+    def work(self, service: str, window: timedelta) -> float:
+        """Return the engine time a second that the peers' requests for a service take.
+
+        That of a peer which stopped or fell silent fades in as much time as it takes
+        to show at the others, where its callers go.
+
+        :param window: time over which each gateway averages its own.
+        """
+        now = self._clock.elapsed()
+        total = 0.0
+        for peer in self._peers.values():
+            silence = max(now - peer.heard_at - FRESH, timedelta())
+            total += peer.state.work.get(service, 0.0) * exp(-(silence / window))
+        return total
+
     def count(self) -> int:
         """Return how many gateways there are, silent ones and this one included.
 
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -18,10 +18,10 @@
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.drain import Drain
-from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.knowledge import Knowledge
-from sassafrasdale.gateway.metering import UsageReporter
+from sassafrasdale.gateway.metering import USAGE_RECORD, UsageReporter
 from sassafrasdale.gateway.models import GatewaySettings
 from sassafrasdale.gateway.peering import (
     DutyClaim,
@@ -31,8 +31,9 @@
 )
 from sassafrasdale.gateway.placement import CacheBelief, Placement
 from sassafrasdale.gateway.quotas import Quotas
+from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.registration import Registration
-from sassafrasdale.gateway.scaling import Scaler
+from sassafrasdale.gateway.scaling import ORDERS_RECORD, Scaler
 from sassafrasdale.gateway.usage import KEPT_WINDOWS, TrueTime, UsageCounts, UsageLedger
 from sassafrasdale.green import adopt, listen, sleep, spawn
 from sassafrasdale.http.messages import Request
@@ -52,6 +53,9 @@
 TICK = timedelta(milliseconds=100)
 # Pause before a task that failed is started again.
 TASK_PAUSE = timedelta(seconds=1)
+# Time after its start for which a gateway leaves the duties to an older one. It has
+# not yet seen which endpoints are listed and what requests began in past windows.
+LEFT_TO_OLDER = timedelta(seconds=3)
 
 
 class Gateway:
@@ -89,6 +93,7 @@
         settings = self._settings
         clock = self._clock
         bounds = settings.bounds
+        self._started_at = clock.elapsed()
         self._incarnation = int(clock.now().timestamp() * 1000)
         self._metrics = Metrics(settings.name, settings.availability_zone)
         self._store_health = Dependency("store", clock)
@@ -210,7 +215,7 @@
             reporter = UsageReporter(
                 self._lease,
                 DutyClient(settings.cloud, settings.name, self._clock),
-                self._store,
+                DutyRecord(self._store, USAGE_RECORD),
                 self._total_usage,
                 self._time,
                 self._clock,
@@ -222,6 +227,7 @@
             scaler = Scaler(
                 self._lease,
                 DutyClient(settings.cloud, settings.name, self._clock),
+                DutyRecord(self._store, ORDERS_RECORD),
                 self._planned_services,
                 self._clock,
             )
@@ -331,7 +337,13 @@
         )
 
     def _duty_is_taken(self) -> bool:
-        return any(state.duty is not None for state in self._peering.alive())
+        """Return whether another gateway has the duties or should take them."""
+        alive = self._peering.alive()
+        if any(state.duty is not None for state in alive):
+            return True
+        age = self._clock.elapsed() - self._started_at
+        older = any(state.incarnation < self._incarnation for state in alive)
+        return age < LEFT_TO_OLDER and older
 
     def _total_usage(self, window: int) -> Mapping[str, int]:
         own = self._usage.report()
@@ -367,10 +379,8 @@
         return counts
 
     def _load(self, service: str) -> float:
-        states = self._peering.alive()
-        return self._fleet.work().get(service, 0.0) + sum(
-            state.work.get(service, 0.0) for state in states
-        )
+        own = self._fleet.work().get(service, 0.0)
+        return own + self._peering.work(service, WORK_WINDOW)
 
     def _answer_ready(self, connection: ServerConnection, request: Request) -> None:
         ready = self._life.state == "ready"
--- /dev/null
+++ b/src/sassafrasdale/gateway/records.py
@@ -0,0 +1,58 @@
+"""What a duty's holder writes to the store for the holder after it."""
+
+import json
+from typing import Any
+
+from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
+from sassafrasdale.coordination.stores import BaseStore
+
+
+class DutyRecord:
+    """A document in the store that one holder at a time reads and then writes.
+
+    A write succeeds only over the revision that this holder has read. So a former
+    holder that was paused can't overwrite what its successor has written.
+
+    :param store: the platform's store.
+    :param key: where the document is kept.
+    """
+
+    def __init__(self, store: BaseStore, key: str) -> None:
+        self._store = store
+        self._key = key
+        self._revision: int | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the document was read and nothing made that doubtful since."""
+        return self._revision is not None
+
+    def forget(self) -> None:
+        """Take what was read as doubtful; it has to be read again."""
+        self._revision = None
+
+    def read(self) -> Any:
+        """Return the document, or None if there is none yet.
+
+        :raises StoreError: if the store gives no answer.
+        """
+        held = self._store.get(self._key)
+        self._revision = 0 if held is None else held.mod_revision
+        return None if held is None else json.loads(held.value)
+
+    def write(self, document: Any) -> None:
+        """Write the document over the one that was read.
+
+        :raises LeaseNotHeld: if another holder has written since.
+        :raises StoreError: if the store gives no answer; the write may have landed.
+        """
+        value = json.dumps(document).encode()
+        try:
+            swap = self._store.compare_and_swap(self._key, value, self._revision)
+        except StoreError:
+            self.forget()
+            raise
+        if not swap:
+            self.forget()
+            raise LeaseNotHeld(f"another holder has written {self._key}")
+        self._revision = swap.revision
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -1,6 +1,6 @@
 """Orders of endpoints, which the holder of the duties gives."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from datetime import timedelta
 from math import exp
@@ -18,6 +18,7 @@
     plan_orders,
 )
 from sassafrasdale.gateway.fleet import WORK_WINDOW
+from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.green import sleep
 from sassafrasdale.platform.duties import DutyClient
 from sassafrasdale.platform.exceptions import (
@@ -28,6 +29,8 @@
 
 log = Logger("scaling")
 
+ORDERS_RECORD = "sassafrasdale/orders"
+
 # Pause between two looks at what should be ordered.
 PAUSE = timedelta(milliseconds=500)
 # An order that was not taken, or did not show, is given again after this time.
@@ -55,6 +58,7 @@
 
     :param lease: the lease for the duties.
     :param client: the platform's duty calls.
+    :param record: the orders in force, for the next holder.
     :param view: services to order for, with their load and endpoints.
     :param clock: source of elapsed time.
     """
@@ -63,11 +67,13 @@
         self,
         lease: LeaseHolder,
         client: DutyClient,
+        record: DutyRecord,
         view: Callable[[], tuple[PlannedService, ...]],
         clock: Clock,
     ) -> None:
         self._lease = lease
         self._client = client
+        self._record = record
         self._view = view
         self._clock = clock
         self._fencing_number = 0
@@ -85,7 +91,9 @@
             try:
                 self.step()
             except LeaseNotHeld:
-                continue
+                self._record.forget()
+            except StoreError as error:
+                log.warning("orders not recorded", why=str(error))
             except DutyCallRefused as error:
                 log.warning("order refused, stepping down", why=error.message)
                 try:
@@ -100,16 +108,29 @@
             self._note_load(service)
         permit = self._lease.permit(checks_fencing=True)
         if permit.fencing_number != self._fencing_number:
-            # A former holder's orders are unknown, so all are given again.
+            # All orders are given again: from then on, a former holder's that were
+            # held up on their way are refused.
             self._forget()
+            self._inherited = _decode_orders(self._record.read())
             self._fencing_number = permit.fencing_number
         for service in services:
             planned = self._with_known_load(service)
             plan = plan_orders(planned, frozenset(self._dry))
             self._carry_out(planned, plan)
+        self._write_down()
+
+    def _write_down(self) -> None:
+        """Record the orders in force, if they changed."""
+        orders = self._inherited | self._ordered
+        if orders != self._inherited:
+            if not self._record.is_known:
+                self._record.read()
+            self._record.write(_encode_orders(orders))
+            self._inherited = orders
 
     def _forget(self) -> None:
         self._ordered: dict[OrderKey, int] = {}
+        self._inherited: dict[OrderKey, int] = {}
         self._dry: set[OrderKey] = set()
         # What was last asked for, and until when it is not asked for again.
         self._asked: dict[OrderKey, tuple[int, timedelta]] = {}
@@ -160,15 +181,25 @@
         )
         for key, wanted in orders:
             running = service.running.get(key, 0)
-            held = self._ordered.get(key, running)
-            if wanted < held and not self._may_lower(key, service):
-                continue
+            held = self._held(key, running)
             if wanted >= held:
                 self._lower_since.pop(key, None)
+            elif not self._may_lower(key, service):
+                wanted = held
             missing = key.reclaimable and running < wanted
             if self._ordered.get(key) != wanted or missing:
                 self._order(service, key, wanted, plan.reason)
 
+    def _held(self, key: OrderKey, running: int) -> int:
+        """Return how many endpoints of a kind there are or soon will be.
+
+        Those that a former holder ordered a moment ago are still starting. Without
+        the record, a new holder would take its order back.
+        """
+        if key in self._ordered:
+            return self._ordered[key]
+        return max(running, self._inherited.get(key, 0))
+
     def _may_lower(self, key: OrderKey, service: PlannedService) -> bool:
         """Return whether less has been wanted for so long that it may be ordered."""
         if service.service not in self._load_since:
@@ -221,6 +252,20 @@
         )
 
 
+def _encode_orders(orders: Mapping[OrderKey, int]) -> list[list]:
+    return [
+        [key.service, key.availability_zone, key.reclaimable, count]
+        for key, count in orders.items()
+    ]
+
+
+def _decode_orders(document: list[list] | None) -> dict[OrderKey, int]:
+    return {
+        OrderKey(service, zone, reclaimable): count
+        for service, zone, reclaimable, count in document or []
+    }
+
+
 def _risen(age: timedelta) -> float:
     """Return the part of a load that its average shows some time after it began.
 
--- /dev/null
+++ b/tests/gateway/test_duty_model.py
@@ -0,0 +1,231 @@
+"""Model of the duties: holders that lose answers, freeze, and send too late."""
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
+from sassafrasdale.coordination.leases import LeaseHolder
+from sassafrasdale.decisions.ordering import OrderKey, PlannedService
+from sassafrasdale.gateway.metering import USAGE_RECORD, UsageReporter
+from sassafrasdale.gateway.models import ScaleBounds
+from sassafrasdale.gateway.records import DutyRecord
+from sassafrasdale.gateway.scaling import ORDERS_RECORD, Scaler
+from sassafrasdale.gateway.usage import TrueTime
+from sassafrasdale.platform.exceptions import DutyCallFailed, DutyCallRefused
+from tests.coordination.fakes import FakeStore
+from tests.gateway.test_scaling import SECOND
+
+GATEWAYS = 3
+NUMBERS = st.integers(0, GATEWAYS - 1)
+FAULTS = st.sampled_from([None, None, None, "lost_after", "lost_before", "late"])
+BOUNDS = ScaleBounds(1, 8, 4 * SECOND, 0.22, {"a": 0.85})
+
+
+class Platform:
+    """Checks fencing numbers when a call is carried out, which may be late."""
+
+    def __init__(self):
+        self.seen = {}
+        self.late = []
+        self.delays = None
+        self.usage = {}
+        self.orders = []
+
+    def report_usage(self, window, counts, number):
+        self._call("usage", number, lambda: self._take_usage(window, dict(counts)))
+
+    def order_endpoints(self, service, zone, count, number, *, reclaimable):
+        taken = (number, zone, reclaimable, count)
+        self._call(zone, number, lambda: self.orders.append(taken))
+
+    def _take_usage(self, window, counts):
+        self.usage.setdefault(window, []).append(counts)
+
+    def _call(self, subject, number, effect):
+        def carry_out():
+            if number < self.seen.get(subject, 0):
+                raise DutyCallRefused("a newer number was seen")
+            self.seen[subject] = number
+            effect()
+
+        if self.delays is None:
+            carry_out()
+            return
+        if self.delays == "late":
+            self.late.append(carry_out)
+        else:
+            carry_out()
+        raise DutyCallFailed("no answer")
+
+
+class PausingStore(FakeStore):
+    """A store whose caller may freeze just before its write goes out."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.before_write = None
+
+    def compare_and_swap(self, *arguments, **options):
+        if self.before_write is not None:
+            pause, self.before_write = self.before_write, None
+            pause()
+        return super().compare_and_swap(*arguments, **options)
+
+
+class Gateway:
+    """The tasks of one gateway that have to do with the duties."""
+
+    def __init__(self, number, store, platform, clock):
+        self.number = number
+        self.load = 0.5
+        self.lease = LeaseHolder(
+            store, "duties", f"g-{number}", clock, Random(number), 3 * SECOND
+        )
+        self.reporter = UsageReporter(
+            self.lease,
+            platform,
+            DutyRecord(store, USAGE_RECORD),
+            lambda window: {"lab": window + number},
+            TrueTime(clock),
+            clock,
+            5 * SECOND,
+            30 * SECOND,
+        )
+        self.scaler = Scaler(
+            self.lease,
+            platform,
+            DutyRecord(store, ORDERS_RECORD),
+            self.view,
+            clock,
+        )
+
+    def view(self):
+        running = {OrderKey("models", "a", False): 2}
+        return (PlannedService("models", BOUNDS, running, self.load),)
+
+    def try_step(self, step):
+        try:
+            step()
+        except (LeaseNotHeld, DutyCallFailed):
+            pass
+        except (StoreError, DutyCallRefused):
+            self.reporter._record.forget()
+
+
+class Duties(RuleBasedStateMachine):
+    """Gateways that take the duties from each other, whatever happens."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.store = PausingStore(self.clock)
+        self.platform = Platform()
+        self.fleet = [
+            Gateway(number, self.store, self.platform, self.clock)
+            for number in range(GATEWAYS)
+        ]
+
+    @rule(tenths=st.integers(1, 20))
+    def pass_time(self, tenths):
+        self.clock.advance(SECOND * tenths / 10)
+
+    @rule(seconds=st.integers(3, 8))
+    def run_on(self, seconds):
+        """All is well for a while."""
+        for _ in range(seconds):
+            self.clock.advance(SECOND)
+            for gateway in self.fleet:
+                gateway.try_step(gateway.lease.step)
+                gateway.try_step(gateway.reporter.step)
+                gateway.try_step(gateway.scaler.step)
+
+    @rule(number=NUMBERS, fault=FAULTS)
+    def keep_lease(self, number, fault):
+        """A gateway that gets no such step is frozen or cut off."""
+        self.store.faults = [fault]
+        self.fleet[number].try_step(self.fleet[number].lease.step)
+        self.store.faults = []
+
+    @rule(number=NUMBERS, faults=st.lists(FAULTS, max_size=2), delays=FAULTS)
+    def report(self, number, faults, delays):
+        self.store.faults, self.platform.delays = list(faults), delays
+        self.fleet[number].try_step(self.fleet[number].reporter.step)
+        self.store.faults, self.platform.delays = [], None
+
+    @rule(number=NUMBERS, faults=st.lists(FAULTS, max_size=2), delays=FAULTS)
+    def order(self, number, faults, delays):
+        self.store.faults, self.platform.delays = list(faults), delays
+        self.fleet[number].try_step(self.fleet[number].scaler.step)
+        self.store.faults, self.platform.delays = [], None
+
+    @rule(number=NUMBERS)
+    def change_of_holder(self, number):
+        """All are cut off for as long as the lease lasts; this one is back first."""
+        self.clock.advance(SECOND * 4)
+        self.keep_lease(number, None)
+
+    @rule(number=NUMBERS, other=NUMBERS)
+    def report_after_a_freeze(self, number, other):
+        """A gateway freezes before it writes; another takes over and reports."""
+
+        def freeze():
+            self.change_of_holder(other)
+            self.report(other, [], None)
+
+        if number != other:
+            self.store.before_write = freeze
+            self.report(number, [], None)
+            self.store.before_write = None
+
+    @rule(number=NUMBERS, other=NUMBERS, load=st.floats(0.1, 3))
+    def order_is_held_up(self, number, other, load):
+        """An order is on its way for so long that the next holder's comes first."""
+        self.fleet[number].load = load
+        self.order(number, [], "late")
+        self.change_of_holder(other)
+        self.order(other, [], None)
+        self.call_is_carried_out_late()
+
+    @rule(number=NUMBERS, load=st.floats(0.1, 3))
+    def load_changes(self, number, load):
+        self.fleet[number].load = load
+
+    @rule()
+    def write_lands_late(self):
+        if self.store.late:
+            self.store.land()
+
+    @rule()
+    def call_is_carried_out_late(self):
+        if self.platform.late:
+            try:
+                self.platform.late.pop(0)()
+            except DutyCallRefused:
+                pass
+
+    @invariant()
+    def one_holder_at_a_time(self):
+        holders = [each for each in self.fleet if each.lease.state != "seeking"]
+        assert len(holders) <= 1
+
+    @invariant()
+    def one_count_for_a_window(self):
+        for counts in self.platform.usage.values():
+            assert all(count == counts[0] for count in counts)
+
+    @invariant()
+    def no_former_holder_overrules_its_successor(self):
+        numbers = {}
+        for number, zone, *_ in self.platform.orders:
+            assert number >= numbers.get(zone, 0)
+            numbers[zone] = number
+
+
+TestDuties = Duties.TestCase
+TestDuties.settings = settings(
+    max_examples=200, stateful_step_count=50, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/gateway/test_following_model.py
@@ -0,0 +1,173 @@
+"""Model of followers of one prefix: any order of changes, faults and peers' news."""
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.coordination.exceptions import StoreHistoryLost, StoreNotReached
+from sassafrasdale.coordination.stores import StoredValue
+from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.following import Follower
+from sassafrasdale.platform.store import Change, Changes, Snapshot
+
+FOLLOWERS = 3
+NUMBERS = st.integers(0, FOLLOWERS - 1)
+KEYS = st.sampled_from(["p/a", "p/b", "p/c"])
+
+
+class Store:
+    """A store that keeps its whole past, and may answer late, stale or not at all."""
+
+    def __init__(self):
+        self.states = [{}]
+        self.written = [{}]
+        self.changes = []
+        self.kept_from = 0
+        self.behind = 0
+        self.fails = False
+        self.meanwhile = lambda: None
+
+    @property
+    def revision(self):
+        return len(self.states) - 1
+
+    def change(self, key, value):
+        state, written = dict(self.states[-1]), dict(self.written[-1])
+        state.pop(key, None)
+        written.pop(key, None)
+        if value is not None:
+            state[key], written[key] = value, self.revision + 1
+        self.states.append(state)
+        self.written.append(written)
+        self.changes.append(Change(key, self.revision, value))
+
+    def snapshot(self, prefix):
+        self._answer()
+        revision = max(self.revision - self.behind, self.kept_from)
+        written = self.written[revision]
+        values = tuple(
+            StoredValue(key, value, written[key], written[key])
+            for key, value in self.states[revision].items()
+        )
+        return Snapshot(values, revision)
+
+    def follow(self, prefix, after, limit):
+        self._answer()
+        if after < self.kept_from:
+            raise StoreHistoryLost("dropped")
+        changes = Changes(tuple(self.changes[after:]), self.revision)
+        self.meanwhile()
+        return changes
+
+    def _answer(self):
+        if self.fails:
+            raise StoreNotReached("down")
+
+
+class Following(RuleBasedStateMachine):
+    """Followers of one store that also take each other's values."""
+
+    def __init__(self):
+        super().__init__()
+        clock = ManualClock()
+        self.store = Store()
+        self.store.change("p/a", b"0")
+        self.fleet = [
+            Follower(
+                "p/",
+                self.store,
+                lambda revised: None,
+                Dependency("store", clock),
+                clock,
+                Random(number),
+            )
+            for number in range(FOLLOWERS)
+        ]
+        self.reached = [0] * FOLLOWERS
+        self.copies = []
+
+    @rule(key=KEYS, value=st.binary(min_size=1, max_size=1))
+    def write(self, key, value):
+        self.store.change(key, value)
+
+    @rule(key=KEYS)
+    def delete(self, key):
+        if key in self.store.states[-1]:
+            self.store.change(key, None)
+
+    @rule()
+    def drop_history(self):
+        self.store.kept_from = self.store.revision
+
+    @rule(behind=st.integers(0, 3), fails=st.booleans())
+    def trouble(self, behind, fails):
+        self.store.behind, self.store.fails = behind, fails
+
+    @rule(number=NUMBERS)
+    def step(self, number):
+        follower = self.fleet[number]
+        try:
+            follower.step()
+        except StoreHistoryLost:
+            follower._must_list = True
+        except StoreNotReached:
+            pass
+
+    @rule(number=NUMBERS, peer=NUMBERS, key=KEYS, value=st.binary(max_size=1))
+    def step_while_a_peer_brings_news(self, number, peer, key, value):
+        """A watch's answer is slow; a peer hears of a later change and tells it."""
+
+        def meanwhile():
+            self.store.meanwhile = lambda: None
+            self.store.change(key, value)
+            self.step(peer)
+            self.take(number, peer)
+
+        self.store.meanwhile = meanwhile
+        self.step(number)
+        self.store.meanwhile = lambda: None
+
+    @rule(number=NUMBERS, peer=NUMBERS)
+    def take(self, number, peer):
+        source = self.fleet[peer]
+        if number != peer and source.revision:
+            self.fleet[number].adopt(
+                dict(source.values), source.revision, source.changed_revision
+            )
+
+    @rule(peer=NUMBERS)
+    def copy(self, peer):
+        """Begin an answer to a peer that takes long to arrive."""
+        source = self.fleet[peer]
+        copied = (dict(source.values), source.revision, source.changed_revision)
+        self.copies.append(copied)
+
+    @rule(number=NUMBERS)
+    def take_an_old_copy(self, number):
+        if self.copies:
+            self.fleet[number].adopt(*self.copies.pop(0))
+
+    @invariant()
+    def each_holds_what_the_store_held(self):
+        for number, follower in enumerate(self.fleet):
+            assert follower.values == self.store.states[follower.revision]
+            assert follower.changed_revision <= follower.revision
+            assert follower.revision >= self.reached[number]
+            self.reached[number] = follower.revision
+
+    def teardown(self):
+        """After the trouble, all come to what the store holds."""
+        self.store.behind, self.store.fails = 0, False
+        for number, follower in enumerate(self.fleet):
+            for _ in range(3):
+                self.step(number)
+            assert follower.values == self.store.states[-1]
+
+
+TestFollowing = Following.TestCase
+TestFollowing.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
+)
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -143,3 +143,17 @@
 def test_an_introduced_gateway_is_silent_until_it_speaks(node):
     node.peering.introduce("b", Address("127.0.0.1", 1))
     assert node.peering.silent() == ["b"]
+
+
+def test_the_work_of_a_gateway_that_stopped_fades(node):
+    """Endpoints would be given back in the middle of a restart of all gateways.
+
+    One after the other stops, and its callers go to those that are left. There its
+    requests show only bit by bit, since each averages over some seconds.
+    """
+    node.take(state("b", work={"models": 2.0}, leaving=True))
+    node.clock.advance(timedelta(seconds=1))
+    assert node.peering.work("models", timedelta(seconds=5)) == 2.0
+    node.clock.advance(timedelta(seconds=5.5))
+    assert 0.6 < node.peering.work("models", timedelta(seconds=5)) < 0.9
+    assert node.peering.work("others", timedelta(seconds=5)) == 0
