--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -17,6 +17,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.usage import ClockReading
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.http.connections import HttpClient
 from sassafrasdale.http.exceptions import HttpError
@@ -72,7 +73,7 @@
     :param incarnation: distinguishes starts of the process; later ones are higher.
     :param sequence: grows with each state of an incarnation.
     :param address: where it takes exchanges.
-    :param wall: seconds since 1970 by its own clock when it made this state.
+    :param time: its clock when it made this state.
     :param revisions: how far it has followed each prefix of the store.
     :param loads: what it has under way, by endpoint.
     :param demand: what its callers ask a second, by customer.
@@ -86,7 +87,7 @@
     sequence: int
     host: str
     port: int
-    wall: float
+    time: ClockReading
     revisions: Mapping[str, int] = field(default_factory=dict)
     loads: Mapping[str, EndpointLoad] = field(default_factory=dict)
     demand: Mapping[str, float] = field(default_factory=dict)
@@ -214,7 +215,7 @@
         """Take a peer that the store lists, to be asked in the next round."""
         if name == self._name or name in self._peers:
             return
-        state = PeerState(name, 0, 0, address.host, address.port, 0.0)
+        state = PeerState(name, 0, 0, address.host, address.port, ClockReading(0, 0, 0))
         self._peers[name] = Peer(state, self._clock)
         log.info("peer introduced", peer=name, address=str(address))
 
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -308,7 +308,7 @@
     def _heard(self, state: PeerState, first_hand: bool) -> None:
         self._quotas.hear(state.name, state.demand)
         if first_hand:
-            self._time.hear(state.name, state.wall)
+            self._time.hear(state.name, state.time)
         self._ledger.hear(state.name, state.incarnation, state.usage)
         self._knowledge.hear(state.name, state.revisions)
 
@@ -322,7 +322,7 @@
             sequence=self._sequence,
             host=address.host,
             port=address.port,
-            wall=self._time.own_seconds(),
+            time=self._time.reading(),
             revisions=self._knowledge.revisions(),
             loads={
                 record.name: EndpointLoad(record.in_flight, record.unread_tokens)
--- a/src/sassafrasdale/gateway/usage.py
+++ b/src/sassafrasdale/gateway/usage.py
@@ -1,54 +1,123 @@
 """Usage: requests that began to run, by customer and window of true time."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from statistics import median
 
+from logbook import Logger
+
 from sassafrasdale.clock import Clock
 
+log = Logger("usage")
+
 # Windows that are kept; a report is due long before the oldest is dropped.
 KEPT_WINDOWS = 5
-# The wall clock may be this far off its peers' before it is corrected.
+# The time may be this far off before it is corrected.
 TOLERATED_OFFSET = timedelta(milliseconds=50)
+# Time after a start in which the other gateways are heard, and their time taken over.
+YOUNG = timedelta(seconds=3)
+# A gateway that started this much earlier has had the time to hear of others.
+OLDER = timedelta(seconds=2)
+# Clocks that were stepped are set right within seconds. What most of them still say
+# after this time is right.
+LASTING = timedelta(seconds=30)
+
+
+@dataclass(frozen=True, slots=True)
+class ClockReading:
+    """What a gateway says of the time, in seconds since 1970.
+
+    :param wall: time of day by its machine's clock.
+    :param true: time by its own :class:`TrueTime`.
+    :param age_s: time in seconds since it started.
+    """
+
+    wall: float
+    true: float
+    age_s: float
 
 
 class TrueTime:
-    """Wall-clock time that a step of this machine's clock doesn't move.
+    """Time that steps of machines' clocks don't move, be they one or most of them.
 
-    It advances with the elapsed time and is set by the median of the clocks of all
-    gateways that are heard of, this one's among them.
+    It advances with the elapsed time. A gateway that starts takes over the time of
+    those that run for longer; where there are none, it takes the median of all
+    clocks. After that only a difference that lasts can be no step, and is followed.
 
     :param clock: this machine's clock.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._started_at = clock.elapsed()
         self._offset = self._own_offset()
-        self._peers: dict[str, float] = {}
+        self._peers: dict[str, ClockReading] = {}
+        self._differs_since: timedelta | None = None
 
     @property
     def seconds(self) -> float:
         """Seconds since 1970."""
         return self._clock.elapsed().total_seconds() + self._offset
 
-    def own_seconds(self) -> float:
-        """Return seconds since 1970 by this machine's clock alone."""
-        return self._clock.now().timestamp()
+    def reading(self) -> ClockReading:
+        """Return what to tell the peers."""
+        wall = self._clock.now().timestamp()
+        return ClockReading(wall, self.seconds, self._age().total_seconds())
 
-    def hear(self, peer: str, seconds: float) -> None:
-        """Take what a peer's clock said a moment ago."""
-        self._peers[peer] = seconds - self._clock.elapsed().total_seconds()
+    def hear(self, peer: str, reading: ClockReading) -> None:
+        """Take what a peer said a moment ago; offsets from elapsed time are kept."""
+        elapsed = self._clock.elapsed().total_seconds()
+        self._peers[peer] = ClockReading(
+            reading.wall - elapsed, reading.true - elapsed, reading.age_s - elapsed
+        )
 
     def keep(self, peers: Iterable[str]) -> None:
-        """Forget all but the given peers, and set the time anew."""
+        """Forget all but the given peers, and set the time anew if need be."""
         kept = set(peers)
         self._peers = {name: at for name, at in self._peers.items() if name in kept}
-        offset = median([self._own_offset(), *self._peers.values()])
-        if abs(offset - self._offset) > TOLERATED_OFFSET.total_seconds():
-            self._offset = offset
+        if self._age() < YOUNG:
+            self._set(self._offset_at_start(), "started")
+        elif self._differs_for(LASTING):
+            self._set(self._median_of_clocks(), "clocks agree on another time")
+
+    def _offset_at_start(self) -> float:
+        own_start = -self._started_at.total_seconds()
+        older = [
+            peer.true
+            for peer in self._peers.values()
+            if peer.age_s > own_start + OLDER.total_seconds()
+        ]
+        return median(older) if older else self._median_of_clocks()
+
+    def _differs_for(self, limit: timedelta) -> bool:
+        """Return whether most clocks have differed from this time for so long."""
+        off = abs(self._median_of_clocks() - self._offset)
+        now = self._clock.elapsed()
+        if off <= TOLERATED_OFFSET.total_seconds():
+            self._differs_since = None
+            return False
+        if self._differs_since is None:
+            self._differs_since = now
+        return now - self._differs_since >= limit
+
+    def _set(self, offset: float, reason: str) -> None:
+        moved = offset - self._offset
+        if abs(moved) <= TOLERATED_OFFSET.total_seconds():
+            return
+        log.notice("time set", moved_s=round(moved, 3), reason=reason)
+        self._offset = offset
+        self._differs_since = None
+
+    def _median_of_clocks(self) -> float:
+        clocks = [peer.wall for peer in self._peers.values()]
+        return median([self._own_offset(), *clocks])
+
+    def _age(self) -> timedelta:
+        return self._clock.elapsed() - self._started_at
 
     def _own_offset(self) -> float:
-        return self.own_seconds() - self._clock.elapsed().total_seconds()
+        return self._clock.now().timestamp() - self._clock.elapsed().total_seconds()
 
 
 class UsageCounts:
--- a/tests/gateway/test_duty_model.py
+++ b/tests/gateway/test_duty_model.py
@@ -1,5 +1,6 @@
 """Model of the duties: holders that lose answers, freeze, and send too late."""
 
+from contextlib import suppress
 from random import Random
 
 from hypothesis import settings
@@ -145,7 +146,7 @@
 
     @rule(number=NUMBERS, fault=FAULTS)
     def keep_lease(self, number, fault):
-        """A gateway that gets no such step is frozen or cut off."""
+        # A gateway that gets no such step is frozen or cut off.
         self.store.faults = [fault]
         self.fleet[number].try_step(self.fleet[number].lease.step)
         self.store.faults = []
@@ -170,7 +171,7 @@
 
     @rule(number=NUMBERS, other=NUMBERS)
     def report_after_a_freeze(self, number, other):
-        """A gateway freezes before it writes; another takes over and reports."""
+        # A gateway freezes before it writes; another takes over and reports.
 
         def freeze():
             self.change_of_holder(other)
@@ -183,7 +184,7 @@
 
     @rule(number=NUMBERS, other=NUMBERS, load=st.floats(0.1, 3))
     def order_is_held_up(self, number, other, load):
-        """An order is on its way for so long that the next holder's comes first."""
+        # An order is on its way for so long that the next holder's comes first.
         self.fleet[number].load = load
         self.order(number, [], "late")
         self.change_of_holder(other)
@@ -202,10 +203,8 @@
     @rule()
     def call_is_carried_out_late(self):
         if self.platform.late:
-            try:
+            with suppress(DutyCallRefused):
                 self.platform.late.pop(0)()
-            except DutyCallRefused:
-                pass
 
     @invariant()
     def one_holder_at_a_time(self):
--- a/tests/gateway/test_following_model.py
+++ b/tests/gateway/test_following_model.py
@@ -118,7 +118,7 @@
 
     @rule(number=NUMBERS, peer=NUMBERS, key=KEYS, value=st.binary(max_size=1))
     def step_while_a_peer_brings_news(self, number, peer, key, value):
-        """A watch's answer is slow; a peer hears of a later change and tells it."""
+        # A watch's answer is slow; a peer hears of a later change and tells it.
 
         def meanwhile():
             self.store.meanwhile = lambda: None
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -16,11 +16,14 @@
     PeerState,
     loads_by_endpoint,
 )
+from sassafrasdale.gateway.usage import ClockReading
 from sassafrasdale.structures import Address
 
 
 def state(name: str, sequence: int = 1, incarnation: int = 1, **fields) -> PeerState:
-    return PeerState(name, incarnation, sequence, "127.0.0.1", 7, 0.0, **fields)
+    return PeerState(
+        name, incarnation, sequence, "127.0.0.1", 7, ClockReading(0, 0, 0), **fields
+    )
 
 
 class Node:
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -2,6 +2,8 @@
 
 from datetime import UTC, datetime, timedelta
 
+import pytest
+
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.gateway.usage import TrueTime, UsageCounts, UsageLedger
 
@@ -30,31 +32,89 @@
     assert counts.report() == {first: {"lab": 1}, first + 1: {"lab": 2}}
 
 
-def test_a_stepped_clock_moves_no_window():
-    """Requests would be billed in windows of another time.
+class Fleet:
+    """Clocks of gateways that hear each other all the time."""
 
-    The time of day of one machine jumps ahead by two seconds and back again, while
-    its peers' clocks go on.
-    """
-    clock = SteppedClock()
-    time = TrueTime(clock)
-    before = time.seconds
-    clock.off = timedelta(seconds=2)
-    for peer in ("b", "c"):
-        time.hear(peer, before)
-    time.keep(["b", "c"])
-    assert abs(time.seconds - before) < 0.1
+    def __init__(self, count):
+        self.clocks = [SteppedClock() for _ in range(count)]
+        self.times = [TrueTime(clock) for clock in self.clocks]
 
+    def start_anew(self, number):
+        self.times[number] = TrueTime(self.clocks[number])
 
-def test_a_clock_that_was_wrong_from_the_start_is_set_by_the_peers():
-    clock = SteppedClock()
-    clock.off = timedelta(seconds=30)
-    time = TrueTime(clock)
-    true = time.seconds - 30
-    for peer in ("b", "c"):
-        time.hear(peer, true)
-    time.keep(["b", "c"])
-    assert abs(time.seconds - true) < 0.1
+    def pass_time(self, span):
+        for _ in range(int(span / timedelta(seconds=1))):
+            for clock in self.clocks:
+                clock.advance(timedelta(seconds=1))
+            readings = [time.reading() for time in self.times]
+            names = range(len(self.times))
+            for number, time in enumerate(self.times):
+                for peer in names:
+                    if peer != number:
+                        time.hear(str(peer), readings[peer])
+                time.keep(str(peer) for peer in names)
+
+    def off(self):
+        """Return how far each one's time is off, in seconds."""
+        true = self.clocks[0].now() - self.clocks[0].off
+        return [time.seconds - true.timestamp() for time in self.times]
+
+
+def is_right(fleet):
+    return all(abs(off) < 0.1 for off in fleet.off())
+
+
+@pytest.mark.parametrize("stepped", [1, 3, 5])
+@pytest.mark.parametrize("seconds", [2, -2])
+def test_stepped_clocks_move_no_window(stepped, seconds):
+    """Requests would be billed in windows of another time.
+
+    The time of day of some machines jumps by two seconds and back again a while
+    later, also of most of them.
+    """
+    fleet = Fleet(5)
+    fleet.pass_time(timedelta(seconds=10))
+    for clock in fleet.clocks[:stepped]:
+        clock.off = timedelta(seconds=seconds)
+    for _ in range(8):
+        fleet.pass_time(timedelta(seconds=1))
+        assert is_right(fleet)
+    for clock in fleet.clocks:
+        clock.off = timedelta()
+    fleet.pass_time(timedelta(seconds=5))
+    assert is_right(fleet)
+
+
+def test_a_gateway_that_starts_while_most_clocks_are_wrong():
+    """A machine restarts while its clock and most others' are stepped."""
+    fleet = Fleet(5)
+    fleet.pass_time(timedelta(seconds=10))
+    for clock in fleet.clocks[1:]:
+        clock.off = timedelta(seconds=2)
+    fleet.start_anew(2)
+    fleet.pass_time(timedelta(seconds=1))
+    assert is_right(fleet)
+
+
+def test_one_clock_that_is_wrong_as_all_start():
+    fleet = Fleet(5)
+    fleet.clocks[1].off = timedelta(seconds=30)
+    fleet.start_anew(1)
+    fleet.pass_time(timedelta(seconds=1))
+    assert is_right(fleet)
+
+
+def test_a_time_that_was_wrong_from_the_start_is_mended():
+    """All gateways start while most clocks are stepped, so nobody knows better."""
+    fleet = Fleet(5)
+    for number in range(5):
+        fleet.clocks[number].off = timedelta(seconds=2 * (number > 0))
+        fleet.start_anew(number)
+    fleet.pass_time(timedelta(seconds=5))
+    for clock in fleet.clocks:
+        clock.off = timedelta()
+    fleet.pass_time(timedelta(seconds=40))
+    assert is_right(fleet)
 
 
 def test_what_a_gateway_counted_before_it_started_again_still_counts():
