--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -22,8 +22,6 @@
 # once, full buckets would give every customer its burst again. What was not spent
 # while they started makes up for this part.
 FIRST_LEVEL = 0.4
-# Callers give up sooner than this, and places that nobody comes back for pile up.
-LONGEST_WAIT = timedelta(seconds=8)
 # Time between two sums of all gateways' demand.
 SUM_PAUSE = timedelta(milliseconds=400)
 
@@ -87,7 +85,7 @@
         bucket = self._bucket(customer, now)
         if bucket.try_spend(amount):
             return None
-        return bucket.refuse(amount)
+        return bucket.time_to_positive()
 
     def restore(self, customer: Customer, traits: RequestTraits) -> None:
         """Give back what a request took that then didn't run."""
@@ -168,14 +166,11 @@
         self._level = level
         self._rate = 0.0
         self._updated = now
-        # What refused callers were told to come back with, and haven't had time to.
-        self._awaited = 0.0
 
     def refill(self, rate: float, depth: float, now: timedelta) -> None:
         elapsed = (now - self._updated).total_seconds()
         self._rate = rate
         self._level = min(self._level + rate * elapsed, depth)
-        self._awaited = max(self._awaited - rate * elapsed, 0.0)
         self._updated = now
 
     def try_spend(self, amount: float) -> bool:
@@ -187,16 +182,8 @@
     def restore(self, amount: float) -> None:
         self._level += amount
 
-    def refuse(self, amount: float) -> timedelta:
-        """Return when to come back: in turn, after those that were told before.
-
-        With one time for all, they would come back together and all but one would be
-        refused again.
-        """
-        seconds = (self._awaited - self._level) / max(self._rate, 1.0)
-        longest = LONGEST_WAIT.total_seconds()
-        self._awaited = min(self._awaited + amount, longest * self._rate)
-        return timedelta(seconds=min(max(0.1, seconds), longest))
+    def time_to_positive(self) -> timedelta:
+        return timedelta(seconds=max(0.1, -self._level / max(self._rate, 1.0)))
 
 
 def request_size(customer: Customer, traits: RequestTraits) -> float:
