--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -5,8 +5,12 @@
 
 Reclaimable endpoints cost a fraction of the others, but all of a zone's may be
 taken at a few seconds' notice, one zone after another, with none to be had anywhere
-for a while. So others always run, in the cheapest zones, as many as bear the load in
-a pinch; the room that keeps first tokens fast is reclaimable and spread over the zones.
+for a while. So at any time as many run as bear the load in a pinch without those of
+the zone that has most of them. Where the reclaimable ones of the other zones don't
+suffice for that, endpoints of the other kind are ordered, in the cheapest zones. Once
+a zone has none to give, the next ones are likely to follow, and as many of the other
+kind are ordered as bear the load alone. While the load is not known yet, more
+reclaimable ones stand by for what may come.
 """
 
 from collections.abc import Collection, Mapping
@@ -18,13 +22,15 @@
 # Part of its time that an endpoint is planned to be busy. Requests come in clumps,
 # and the first token of one waits for the prompts ahead of it.
 PLANNED_USE = 0.22
-# Part of its time that an endpoint may be busy while all reclaimable ones are gone.
-# What would replace them takes seconds to start, so the others alone must bear it.
+# Part of its time that an endpoint may be busy after a zone's reclaimable ones went,
+# until what replaces them has started.
 STRAINED_USE = 0.5
 # Fewest endpoints, however low the load: one crash must not stop the service.
 LEAST_ENDPOINTS = 3
 # Endpoints that are never reclaimable, however low the load.
-LEAST_KEPT = 2
+LEAST_KEPT = 1
+# The same where reclaimable ones can't be relied on: one may crash.
+LEAST_KEPT_ALONE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +48,14 @@
 
     :param running: endpoints listed as ready, by kind.
     :param load: endpoints that the present load would keep busy all the time.
+    :param load_known: whether the load was seen; else it is a guess.
     """
 
     service: str
     bounds: ScaleBounds
     running: Mapping[OrderKey, int]
     load: float
+    load_known: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +79,8 @@
         bounds.zone_prices, key=lambda zone: (bounds.zone_prices[zone], zone)
     )
     needed = max(LEAST_ENDPOINTS, ceil(service.load / PLANNED_USE))
-    kept = max(LEAST_KEPT, ceil(service.load / STRAINED_USE))
+    is_dry = any(key.service == service.service for key in dry)
+    kept = _kept(service, is_dry=is_dry)
     # As many in each zone, so that the loss of one zone costs as little as it can.
     each = min(max(ceil((needed - kept) / len(zones)), 1), bounds.most)
     available = {zone: _available(service, zone, each, dry) for zone in zones}
@@ -93,6 +102,22 @@
     )
 
 
+def _kept(service: PlannedService, *, is_dry: bool) -> int:
+    """Return how many endpoints that can't be reclaimed are needed."""
+    if not service.load_known:
+        return LEAST_KEPT_ALONE
+    strained = ceil(service.load / STRAINED_USE)
+    if is_dry:
+        return max(LEAST_KEPT_ALONE, strained)
+    return max(LEAST_KEPT, strained - _left_by_a_reclaim(service))
+
+
+def _left_by_a_reclaim(service: PlannedService) -> int:
+    """Return how many reclaimable endpoints run without the zone that has most."""
+    running = [count for key, count in service.running.items() if key.reclaimable]
+    return sum(running) - max(running, default=0)
+
+
 def _reclaimable(service: PlannedService, zone: str) -> OrderKey:
     return OrderKey(service.service, zone, True)
 
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -48,9 +48,9 @@
 # A load below this is no load yet: callers have not begun.
 LEAST_LOAD = 0.05
 # Time after its beginning when the load tells something.
-LOAD_KNOWN = timedelta(seconds=2)
-# Until then, what was found running is taken to be this much used.
-FOUND_USE = 0.5
+LOAD_KNOWN = timedelta(seconds=1.2)
+# Until then, what was found running is taken to be used this much of what is planned.
+FOUND_USE = 1.0
 
 
 class Scaler:
@@ -170,7 +170,7 @@
         if age >= LOAD_KNOWN:
             return replace(service, load=service.load / _risen(age))
         guess = self._found.get(service.service, 0) * PLANNED_USE * FOUND_USE
-        return replace(service, load=max(service.load, guess))
+        return replace(service, load=max(service.load, guess), load_known=False)
 
     def _carry_out(self, service: PlannedService, plan: FleetPlan) -> None:
         # More first: what is given back must not leave before others serve.
