Give kept endpoints back sooner; a new holder does not hold on to too many

Each change of the duty's holder began the wait of 16 s anew, and the former holder's orders were inherited. Now 8 s for kept ones, and 6 s in all after a change of the holder.

--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -39,6 +39,11 @@
 # that an endpoint takes to start. Load comes in waves, and an endpoint that was given
 # back in a trough is missed, for all of its start, in the next rise.
 LOWER_STARTS = 4
+# The same for endpoints that can't be reclaimed: each costs several of the others.
+LOWER_STARTS_KEPT = 2
+# The same as a new holder of the duty begins: what its predecessor ordered must have
+# had the time to start, and for how long less was wanted isn't known.
+LOWER_STARTS_ANEW = 1.5
 # Time after the first endpoint of a service is listed until all found are.
 SETTLING = timedelta(seconds=2.5)
 # A service of which no endpoint is listed for this long has none.
@@ -135,6 +140,8 @@
         # What was last asked for, and until when it is not asked for again.
         self._asked: dict[OrderKey, tuple[int, timedelta]] = {}
         self._lower_since: dict[OrderKey, timedelta] = {}
+        # Services for which orders were given in this term.
+        self._carried_out: set[str] = set()
 
     def _is_settled(self, service: PlannedService) -> bool:
         """Return whether the endpoints found at the start have had time to be listed.
@@ -189,6 +196,7 @@
             missing = key.reclaimable and running < wanted
             if self._ordered.get(key) != wanted or missing:
                 self._order(service, key, wanted, plan.reason)
+        self._carried_out.add(service.service)
 
     def _held(self, key: OrderKey, running: int) -> int:
         """Return how many endpoints of a kind there are or soon will be.
@@ -205,8 +213,11 @@
         if service.service not in self._load_since:
             return True
         now = self._clock.elapsed()
+        start_time = service.bounds.start_time
+        hold = start_time * (LOWER_STARTS if key.reclaimable else LOWER_STARTS_KEPT)
+        if service.service not in self._carried_out:
+            self._lower_since[key] = now - hold + start_time * LOWER_STARTS_ANEW
         since = self._lower_since.setdefault(key, now)
-        hold = service.bounds.start_time * LOWER_STARTS
         return now - since >= hold
 
     def _order(
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -238,7 +238,7 @@
 def test_orders_are_recorded_once_they_change():
     duty = Duty()
     duty.load = 1.0
-    duty.pass_time(6 * SECOND)
+    duty.pass_time(20 * SECOND)
     writes = duty.record.writes
     duty.pass_time(6 * SECOND)
     assert duty.record.writes == writes
@@ -261,3 +261,22 @@
     kept = sum(n for (_, spot), n in duty.cloud.wanted().items() if not spot)
     assert kept >= 6
     assert duty.record.document
+
+
+def test_a_new_holder_does_not_hold_on_to_what_was_too_much_before():
+    """Endpoints would be paid for without end while the duty goes round.
+
+    The load fell a while ago, and the duty changes hands before its holder has given
+    anything back; the next one can't know for how long less was wanted.
+    """
+    duty = Duty()
+    duty.running = {OrderKey("models", "a", False): 1}
+    duty.load = 3.0
+    duty.pass_time(6 * SECOND)
+    before = sum(duty.cloud.wanted().values())
+    duty.load = 0.5
+    for number in (9, 13, 17):
+        duty.lease.number = number
+        duty.scaler = duty.new_scaler()
+        duty.pass_time(9 * SECOND)
+    assert sum(duty.cloud.wanted().values()) < before / 2
