--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 from logbook import Logger
+from pydantic import TypeAdapter
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
@@ -22,6 +23,8 @@
 log = Logger("metering")
 
 USAGE_RECORD = "sassafrasdale/usage"
+# Counts by customer, by window.
+USAGE_FORM = TypeAdapter(dict[int, dict[str, int]])
 # Peers' counts of a window's last moments come within a few exchanges.
 GATHERING_TIME = timedelta(seconds=2)
 # Pause between two looks at what is due.
@@ -118,8 +121,7 @@
         return int((self._time.seconds - self._delay) // self._window)
 
     def _read_record(self) -> None:
-        held = self._record.read() or {}
-        self._recorded = {int(number): counts for number, counts in held.items()}
+        self._recorded = self._record.read() or {}
         # A former holder wrote these down and most likely sent them.
         if self._recorded:
             self._next = max(self._next, max(self._recorded))
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -21,7 +21,7 @@
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.knowledge import Knowledge
-from sassafrasdale.gateway.metering import USAGE_RECORD, UsageReporter
+from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
 from sassafrasdale.gateway.models import GatewaySettings
 from sassafrasdale.gateway.peering import (
     DutyClaim,
@@ -33,7 +33,7 @@
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.registration import Registration
-from sassafrasdale.gateway.scaling import ORDERS_RECORD, Scaler
+from sassafrasdale.gateway.scaling import ORDERS_FORM, ORDERS_RECORD, Scaler
 from sassafrasdale.gateway.usage import KEPT_WINDOWS, TrueTime, UsageCounts, UsageLedger
 from sassafrasdale.green import adopt, listen, sleep, spawn
 from sassafrasdale.http.messages import Request
@@ -215,7 +215,7 @@
             reporter = UsageReporter(
                 self._lease,
                 DutyClient(settings.cloud, settings.name, self._clock),
-                DutyRecord(self._store, USAGE_RECORD),
+                DutyRecord(self._store, USAGE_RECORD, USAGE_FORM),
                 self._total_usage,
                 self._time,
                 self._clock,
@@ -227,7 +227,7 @@
             scaler = Scaler(
                 self._lease,
                 DutyClient(settings.cloud, settings.name, self._clock),
-                DutyRecord(self._store, ORDERS_RECORD),
+                DutyRecord(self._store, ORDERS_RECORD, ORDERS_FORM),
                 self._planned_services,
                 self._clock,
             )
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -22,6 +22,8 @@
 # once, full buckets would give every customer its burst again. What was not spent
 # while they started makes up for this part.
 FIRST_LEVEL = 0.4
+# What a gateway that is gone was last heard to have is dropped after this time.
+LAST_HEARD_KEPT = timedelta(minutes=2)
 # Time between two sums of all gateways' demand.
 SUM_PAUSE = timedelta(milliseconds=400)
 
@@ -134,8 +136,15 @@
                 for name in self._shares.customers()
             }
             self._last_sums = _Sums(now, gateways, totals)
+            self._drop_old(now)
         return self._last_sums
 
+    def _drop_old(self, now: timedelta) -> None:
+        for peer, last in list(self._last_heard.items()):
+            if now - last.sums.made_at > LAST_HEARD_KEPT:
+                del self._last_heard[peer]
+                self._shares.forget(peer)
+
     def _bucket(self, customer: Customer, now: timedelta) -> "_Bucket":
         share = self._share(customer, now)
         slack = self._bounds.quota_slack if customer.counts_tokens else 0
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -6,6 +6,7 @@
 from math import exp
 
 from logbook import Logger
+from pydantic import TypeAdapter
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
@@ -30,6 +31,9 @@
 log = Logger("scaling")
 
 ORDERS_RECORD = "sassafrasdale/orders"
+# Service, availability zone, whether reclaimable, and how many.
+_Orders = list[tuple[str, str, bool, int]]
+ORDERS_FORM = TypeAdapter(_Orders)
 
 # Pause between two looks at what should be ordered.
 PAUSE = timedelta(milliseconds=500)
@@ -98,7 +102,7 @@
             except LeaseNotHeld:
                 self._record.forget()
             except StoreError as error:
-                log.warning("orders not recorded", why=str(error))
+                log.warning("record of orders not reached", why=str(error))
             except DutyCallRefused as error:
                 log.warning("order refused, stepping down", why=error.message)
                 try:
@@ -263,14 +267,16 @@
         )
 
 
-def _encode_orders(orders: Mapping[OrderKey, int]) -> list[list]:
+def _encode_orders(orders: Mapping[OrderKey, int]) -> _Orders:
     return [
-        [key.service, key.availability_zone, key.reclaimable, count]
+        (key.service, key.availability_zone, key.reclaimable, count)
         for key, count in orders.items()
     ]
 
 
-def _decode_orders(document: list[list] | None) -> dict[OrderKey, int]:
+def _decode_orders(
+    document: _Orders | None,
+) -> dict[OrderKey, int]:
     return {
         OrderKey(service, zone, reclaimable): count
         for service, zone, reclaimable, count in document or []
--- a/tests/gateway/test_duty_model.py
+++ b/tests/gateway/test_duty_model.py
@@ -11,10 +11,10 @@
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
 from sassafrasdale.coordination.leases import LeaseHolder
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
-from sassafrasdale.gateway.metering import USAGE_RECORD, UsageReporter
+from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
 from sassafrasdale.gateway.models import ScaleBounds
 from sassafrasdale.gateway.records import DutyRecord
-from sassafrasdale.gateway.scaling import ORDERS_RECORD, Scaler
+from sassafrasdale.gateway.scaling import ORDERS_FORM, ORDERS_RECORD, Scaler
 from sassafrasdale.gateway.usage import TrueTime
 from sassafrasdale.platform.exceptions import DutyCallFailed, DutyCallRefused
 from tests.coordination.fakes import FakeStore
@@ -89,7 +89,7 @@
         self.reporter = UsageReporter(
             self.lease,
             platform,
-            DutyRecord(store, USAGE_RECORD),
+            DutyRecord(store, USAGE_RECORD, USAGE_FORM),
             lambda window: {"lab": window + number},
             TrueTime(clock),
             clock,
@@ -99,7 +99,7 @@
         self.scaler = Scaler(
             self.lease,
             platform,
-            DutyRecord(store, ORDERS_RECORD),
+            DutyRecord(store, ORDERS_RECORD, ORDERS_FORM),
             self.view,
             clock,
         )
--- a/tests/gateway/test_metering.py
+++ b/tests/gateway/test_metering.py
@@ -9,7 +9,7 @@
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreAnswerLost
 from sassafrasdale.coordination.leases import Permit
 from sassafrasdale.coordination.stores import StoredValue, Swap
-from sassafrasdale.gateway.metering import USAGE_RECORD, UsageReporter
+from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
 from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.usage import TrueTime
 from sassafrasdale.platform.exceptions import DutyCallFailed
@@ -81,7 +81,7 @@
         return UsageReporter(
             self.leases[number],
             self.platform,
-            DutyRecord(self.store, USAGE_RECORD),
+            DutyRecord(self.store, USAGE_RECORD, USAGE_FORM),
             lambda window: self.totals[number],
             self.time,
             self.clock,
