--- a/tests/guarantees/operators.py
+++ b/tests/guarantees/operators.py
@@ -10,32 +10,11 @@
 
 from standins.clients import Response
 from standins.processes import ROOT, EntryProcess
+from tests.guarantees.deployments import deployment, plain
 
 IN_FORCE_LIMIT = timedelta(seconds=5)
 POLL = timedelta(milliseconds=20)
-TEXT = """\
-deployment: configuration
-instance_classes: [cpu-small]
-availability_zones:
-  zone-a: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-  zone-b: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-  zone-c: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-services:
-  records:
-    kind: plain
-    objective: {latency: 100ms, share: 0.99}
-    timeout: 2s
-    priority: 0
-    weights: {latency_cost: 3, recomputed_tokens: 0}
-    pools:
-      - instance_class: cpu-small
-        availability_zones: [zone-a]
-        count: 1
-        max_in_flight: 64
-        max_waiting: 128
-customers:
-  cube-labs: {weight: 4}
-"""
+TEXT = deployment("configuration", [plain("records")])
 
 
 def example(name: str) -> str:
--- a/tests/guarantees/test_leases.py
+++ b/tests/guarantees/test_leases.py
@@ -12,55 +12,18 @@
 
 from sassafrasdale.coordination.leases import LEASE_TTL
 from standins.fleet import Fleet
+from tests.guarantees.deployments import deployment, model, plain
 from tests.guarantees.operators import wait_until
 
-TEXT = """\
-deployment: leases
-instance_classes: [cpu-small]
-availability_zones:
-  zone-a: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-  zone-b: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-services:
-  fenced:
-    kind: model
-    objective: {latency: 8s, first_token: 500ms, share: 0.95}
-    timeout: 30s
-    priority: 4
-    weights: {latency_cost: 3, recomputed_tokens: 1}
-    pools:
-      - instance_class: cpu-small
-        availability_zones: [zone-a]
-        count: 1
-        checks_fencing: true
-        max_in_flight: 16
-        max_waiting: 32
-  unfenced:
-    kind: model
-    objective: {latency: 8s, first_token: 500ms, share: 0.95}
-    timeout: 30s
-    priority: 4
-    weights: {latency_cost: 3, recomputed_tokens: 1}
-    pools:
-      - instance_class: cpu-small
-        availability_zones: [zone-a]
-        count: 1
-        max_in_flight: 16
-        max_waiting: 32
-  records:
-    kind: plain
-    objective: {latency: 100ms, share: 0.99}
-    timeout: 2s
-    priority: 0
-    weights: {latency_cost: 3, recomputed_tokens: 0}
-    pools:
-      - instance_class: cpu-small
-        availability_zones: [zone-a]
-        count: 2
-        max_in_flight: 64
-        max_waiting: 128
-customers:
-  cube-labs: {weight: 4}
-"""
+TEXT = deployment(
+    "leases",
+    [
+        model("fenced", checks_fencing=True),
+        model("unfenced"),
+        plain("records", count=2),
+    ],
+    zones=("zone-a", "zone-b"),
+)
 # A lease of 9 s runs out, is found by another, which waits out as long again.
 TAKEOVER = timedelta(seconds=30)
 FIRST_HOLDER = timedelta(seconds=20)
--- a/tests/guarantees/test_store_silence.py
+++ b/tests/guarantees/test_store_silence.py
@@ -9,6 +9,7 @@
 
 from bench.configuration.observers import RevisionObserver
 from standins.fleet import Fleet
+from tests.guarantees.deployments import deployment, model, plain
 from tests.guarantees.operators import (
     IN_FORCE_LIMIT,
     edited,
@@ -17,43 +18,10 @@
     wait_until,
 )
 
-TEXT = """\
-deployment: silence
-instance_classes: [cpu-small]
-availability_zones:
-  zone-a: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-  zone-b: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-  zone-c: {region: north, one_way_delay: 1ms, client_delay: 1ms}
-services:
-  drafts:
-    kind: model
-    objective: {latency: 8s, first_token: 500ms, share: 0.95}
-    timeout: 30s
-    priority: 4
-    weights: {latency_cost: 3, recomputed_tokens: 1}
-    pools:
-      - instance_class: cpu-small
-        availability_zones: [zone-a]
-        count: 1
-        max_in_flight: 16
-        max_waiting: 32
-  records:
-    kind: plain
-    objective: {latency: 100ms, share: 0.99}
-    timeout: 5s
-    priority: 0
-    weights: {latency_cost: 3, recomputed_tokens: 0}
-    rules:
-      - {method: GET, path: /*, idempotent: true}
-    pools:
-      - instance_class: cpu-small
-        availability_zones: [zone-a]
-        count: 1
-        max_in_flight: 64
-        max_waiting: 128
-customers:
-  cube-labs: {weight: 4}
-"""
+TEXT = deployment(
+    "silence",
+    [model("drafts"), plain("records", timeout="5s", idempotent_gets=True)],
+)
 CUSTOMER = {"X-Customer": "cube-labs"}
 RECOVERY = timedelta(seconds=5)
 # Three calls in a row have to time out, one second each.
