--- a/src/sassafrasdale/peers/agent.py
+++ b/src/sassafrasdale/peers/agent.py
@@ -20,7 +20,6 @@
     HandOverRequest,
     IndirectProbeRequest,
     ProbeRequest,
-    PullTextRequest,
     SpreadRequest,
 )
 from sassafrasdale.peers.membership import Membership
@@ -29,9 +28,9 @@
     member_to_message,
     notice_from_message,
     notice_to_message,
-    text_from_message,
 )
 from sassafrasdale.peers.notices import NoticeBoard
+from sassafrasdale.peers.pulling import TextPuller
 from sassafrasdale.peers.rendezvous import first_of_each_zone, rendezvous
 from sassafrasdale.peers.slowness import Slowness
 from sassafrasdale.peers.spreading import News, Spreader
@@ -52,8 +51,6 @@
 INDIRECT_PROBES = 2
 FIRST_ASKED = 2
 ASKED_AT_ONCE = 8
-PULL_HEDGE = timedelta(milliseconds=300)
-"""After this time without the text another source is asked too."""
 
 Post = Callable[[Any], None]
 
@@ -89,9 +86,14 @@
         self._tasks: set[asyncio.Task] = set()
         self._published_version = 0
         self._is_joining = True
-        self._is_pulling = False
-        self._pulled_from: set[str] = set()
-        self._sources: dict[str, tuple[Member, int]] = {}
+        self._puller = TextPuller(
+            self._channels,
+            timings.call_timeout,
+            self.run,
+            self.gossip,
+            lambda: self.revision,
+            self._take_text,
+        )
         self._spreader = Spreader(membership, clock, rng, timings, self._send_news)
         self._slowness = Slowness()
         self._server: Server | None = None
@@ -196,7 +198,7 @@
             self._slowness.add()
             self._spreader.spread_soon(self._spreader.first_hops)
         if gossip.revision > self.revision:
-            self._pull_soon(sender, gossip.revision)
+            self._puller.pull_soon(sender, gossip.revision)
         self._publish()
 
     def all_members(self) -> list[Member]:
@@ -407,51 +409,8 @@
 
     # Text
 
-    def _pull_soon(self, source: Member, revision: int) -> None:
-        if source.name in self._pulled_from:
-            return
-        self._sources[source.name] = (source, revision)
-        if not self._is_pulling:
-            self._is_pulling = True
-            self.run(self._pull_in_turn())
-
-    async def _pull_in_turn(self) -> None:
-        """Pull from one source after the other, without waiting long for any.
-
-        A source may be out of reach although its messages arrive, as when the
-        network is cut in one direction. Waiting for its whole time-out, and again
-        at its next message, would keep out what the others have.
-        """
-        try:
-            while self._sources:
-                name = next(iter(self._sources))
-                source, revision = self._sources.pop(name)
-                if revision <= self.revision:
-                    continue
-                pull = self.run(self._pull(source))
-                await asyncio.wait([pull], timeout=PULL_HEDGE.total_seconds())
-        finally:
-            self._is_pulling = False
-
-    async def _pull(self, source: Member) -> None:
-        self._pulled_from.add(source.name)
-        try:
-            await self._pull_from(source)
-        except PeerNotReached:
-            # The next message with a newer revision starts another pull.
-            pass
-        finally:
-            self._pulled_from.discard(source.name)
-
-    async def _pull_from(self, source: Member) -> None:
-        request = PullTextRequest(gossip=self.gossip(source.name))
-        reply = await self._channels.call_twice(
-            source.peer_address,
-            lambda stub: stub.PullText(request),
-            self._timings.call_timeout,
-        )
-        record = text_from_message(reply)
-        if record is None or record.revision <= self.revision:
+    def _take_text(self, record: TextRecord) -> None:
+        if record.revision <= self.revision:
             return
         self._record = record
         self._post(TextOffered(record))
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -19,14 +19,7 @@
 from sassafrasdale.endpoints.engines import (
     DONE,
     JSON_TYPE,
-    FromCache,
-    FromPrompt,
-    Reattach,
-    Recompute,
-    Start,
     cancel,
-    check_health,
-    export_cache,
     open_stream,
 )
 from sassafrasdale.endpoints.exceptions import (
@@ -37,7 +30,8 @@
     Rejected,
     StreamUnknown,
 )
-from sassafrasdale.green import Event, GreenThread, sleep, spawn
+from sassafrasdale.green import GreenThread, sleep, spawn
+from sassafrasdale.requests.course import Course
 from sassafrasdale.requests.exceptions import EndpointLeaves
 from sassafrasdale.requests.gate import Gate
 from sassafrasdale.requests.placement import Placement, Progress
@@ -100,17 +94,12 @@
         self._taken_over = progress is not None
         progress = progress or Progress([], None, None, sent=False)
         self._transcript = Transcript(progress.events)
-        self._endpoint = progress.endpoint
-        self._sent = progress.sent
-        self._start: Start = progress.cache or FromPrompt()
+        self._course = Course(call, self._transcript, progress)
         self._on_end = on_end
         self._life = Lifecycle(load_chart("request"))
         self._outcome: Outcome | None = None
         self._thread: GreenThread | None = None
-        self._opened = False
         self._reading = False
-        self._pending: FromCache | None = None
-        self._moving: Event | None = None
         self._offered = False
         self._handed_over = False
         self._started_at = clock.elapsed()
@@ -146,7 +135,7 @@
     @property
     def endpoint(self) -> Endpoint | None:
         """Where the stream runs now."""
-        return self._endpoint
+        return self._course.endpoint
 
     @property
     def events(self) -> list[bytes]:
@@ -156,12 +145,7 @@
     @property
     def progress(self) -> Progress:
         """How far it has come, for another holder."""
-        cache = self._pending
-        endpoint = self._endpoint if cache is None else None
-        if isinstance(self._start, FromCache) and not self._opened:
-            # The engine that was to go on with the cache may not know of it yet.
-            cache, endpoint = self._start, None
-        return Progress(self.events, endpoint, cache, self._sent)
+        return self._course.progress
 
     @property
     def offered(self) -> bool:
@@ -232,27 +216,13 @@
 
         :returns: whether the engine exported it.
         """
-        if self._endpoint is not endpoint or self.ended or self._moving:
-            return False
-        if self._pending is not None:
-            return True
-        self._moving = Event()
-        try:
-            handle = export_cache(endpoint.adapter, self._call.call.request_id)
-            self._pending = FromCache(0, "", endpoint.instance.address, handle)
-        except EndpointError:
-            # The stream may still run there, or be lost with the engine.
+        if self.ended:
             return False
-        finally:
-            moving, self._moving = self._moving, None
-            moving.send(None)
-        return True
+        return self._course.move(endpoint)
 
     def recompute(self, endpoint: Endpoint) -> None:
         """Leave ``endpoint`` now and compute the tokens again elsewhere."""
-        if self._endpoint is not endpoint or self.ended or not self._reading:
-            return
-        if self._moving or self._pending or not self._call.call.idempotent:
+        if self.ended or not self._reading or not self._course.may_leave(endpoint):
             return
         self._cancel()
         # The engine need not answer the cancel, so its stream is left from here.
@@ -265,8 +235,7 @@
         ended, and the tokens would be computed again.
         """
         self._offered = True
-        if self._moving is not None:
-            self._moving.wait()
+        self._course.wait_for_move()
         return self.progress
 
     def end_offer(self) -> None:
@@ -308,14 +277,14 @@
         """Return the outcome, after as many engines as it takes."""
         if self._transcript.is_closed:
             return self._answer()
-        self._start = self._first_start()
+        self._course.begin()
         avoid: set[str] = set()
         interruptions = 0
         refusal: Refused | None = None
         while self._clock.elapsed() < self._call.call.deadline:
-            endpoint = self._endpoint or self._choose(frozenset(avoid))
+            endpoint = self._course.endpoint or self._choose(frozenset(avoid))
             if endpoint is None:
-                if not self._sent:
+                if not self._course.sent:
                     return self._refuse(refusal)
                 # Others must not be told "unknown" because every engine is full
                 # or away just now: a reclaim sends their streams to few engines.
@@ -329,20 +298,20 @@
                     return self._answer()
                 self._go_on_after_break(endpoint, avoid)
             except EndpointLeaves:
-                self._go_on_elsewhere(endpoint, avoid)
+                self._course.go_on_elsewhere(endpoint, avoid)
             except Refused as error:
                 refusal = error
-                self._go_on_elsewhere(endpoint, avoid)
+                self._course.go_on_elsewhere(endpoint, avoid)
             except Rejected as error:
                 if self._transcript.events:
                     raise
                 return Answered(error.status, error.headers, error.body)
             except NotSent:
                 self._observe(endpoint, ok=False)
-                self._go_on_elsewhere(endpoint, avoid)
+                self._course.go_on_elsewhere(endpoint, avoid)
             except StreamUnknown:
                 interruptions += 1
-                self._go_on_elsewhere(endpoint, avoid)
+                self._course.go_on_elsewhere(endpoint, avoid)
             except AnswerLost:
                 if self._complete_events():
                     return self._answer()
@@ -351,18 +320,6 @@
                 return self._give_up("too many engines broke off")
         return self._give_up("the deadline has passed")
 
-    def _first_start(self) -> Start:
-        received = self._transcript.received()
-        match self._start:
-            case FromCache(address=address, handle=handle):
-                return FromCache(received.tokens, received.text, address, handle)
-            case _ if self._endpoint is not None:
-                return Reattach(received.tokens)
-            case _ if self._sent:
-                return Recompute(received.tokens, received.text)
-            case _:
-                return FromPrompt()
-
     def _complete_events(self) -> bool:
         """Return whether the answer is whole, and add a lost end mark.
 
@@ -378,14 +335,13 @@
 
     def _follow(self, endpoint: Endpoint) -> bool:
         """Read the stream from ``endpoint``; return whether it came to its end."""
-        self._endpoint = endpoint
-        self._opened = False
+        self._course.runs_at(endpoint)
         self._reading = True
         if self._life.allows("send"):
             self._life.fire("send")
         endpoint.in_flight += 1
         self._watch.sent(endpoint.name)
-        if not self._call.call.idempotent and not self._sent:
+        if not self._call.call.idempotent and not self._course.sent:
             # On a connection that is silent for good the call would be lost in
             # doubt, and a keyed call is not sent again.
             endpoint.adapter.drop_connections()
@@ -395,17 +351,17 @@
                 endpoint.adapter,
                 self._call.call.request_id,
                 self._call.body,
-                self._start,
+                self._course.start,
                 min(SILENCE_LIMIT, max(remaining, timedelta(milliseconds=1))),
             )
-            self._sent = self._opened = True
+            self._course.opened()
             return self._pass_on(stream)
         except AnswerLost:
-            self._sent = True
+            self._course.sent = True
             raise
         except EndpointLeaves:
             # It may have been thrown after the first byte went out.
-            self._sent = True
+            self._course.sent = True
             raise
         finally:
             self._reading = False
@@ -431,54 +387,12 @@
 
         :returns: False if the engine is taken to be gone.
         """
-        if self._moving is not None:
-            self._moving.wait()
-        received = self._transcript.received()
-        if self._pending is not None:
-            pending, self._pending = self._pending, None
-            self._endpoint = None
-            self._start = FromCache(
-                received.tokens, received.text, pending.address, pending.handle
-            )
-            return True
-        # A stream that broke off may still run on the engine, behind a connection
-        # that went silent: it is asked for on a fresh connection before its
-        # tokens are computed again.
-        in_vain = isinstance(self._start, Reattach) and not self._opened
-        if not in_vain or self._is_alive(endpoint):
-            endpoint.adapter.drop_connections()
-            self._start = Reattach(received.tokens)
+        if self._course.go_on_after_break(endpoint):
             return True
         self._observe(endpoint, ok=False)
-        self._go_on_elsewhere(endpoint, avoid)
+        self._course.go_on_elsewhere(endpoint, avoid)
         return False
 
-    def _is_alive(self, endpoint: Endpoint) -> bool:
-        """Return whether the engine answers, if not with the stream's next event.
-
-        A stream that waits for its turn brings no event for long; taking its
-        engine for gone would send it round all engines while their queues are
-        long, and run it several times.
-        """
-        try:
-            check_health(endpoint.adapter)
-        except EndpointError:
-            return False
-        return True
-
-    def _go_on_elsewhere(self, endpoint: Endpoint, avoid: set[str]) -> None:
-        """Choose how to go on with another endpoint than ``endpoint``."""
-        avoid.add(endpoint.name)
-        self._endpoint = None
-        if not self._sent or isinstance(self._start, FromCache) and not self._opened:
-            # Nothing has begun, or the cache is still there for another engine.
-            return
-        if not self._call.call.idempotent:
-            # Computing again would be a second execution.
-            raise AnswerLost("the engine that ran the request is gone")
-        received = self._transcript.received()
-        self._start = Recompute(received.tokens, received.text)
-
     def _answer(self) -> Outcome:
         ending = self._transcript.ending()
         if ending is None:
@@ -498,12 +412,12 @@
 
     def _give_up(self, reason: str, retry_after: timedelta | None = None) -> Outcome:
         retry_after = retry_after or RETRY_AFTER
-        if self._sent:
+        if self._course.sent:
             return Unknown(reason, retry_after)
         return NotRun(reason, retry_after)
 
     def _cancel(self) -> None:
-        endpoint = self._endpoint
+        endpoint = self._course.endpoint
         if endpoint is not None:
             spawn(_cancel_quietly, endpoint, self._call.call.request_id)
 
