--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -120,7 +120,7 @@
 def write_all(path: Path, directory: Path) -> list[Path]:
     """Write a copy for each change and return the paths."""
     original = tomllib.loads(path.read_text(encoding="utf-8"))
-    original["wire"] = str(path.parent / original["wire"])
+    original["wire"] = str((path.parent / original["wire"]).resolve())
     directory.mkdir(parents=True, exist_ok=True)
     written = []
     for change in CHANGES:
