Read again: one piece where there were two, and less state

- A lease that can't be released was handled in three callers, without a log line in one, and not at all in the usage report, whose task then ended with an error and was started again.
LeaseHolder.release handles it for all.
- run_for_good stood in both programs; it is in tasks.py.
- One client for the duty calls instead of two; one way to connect a green socket.
- DemandShares.share had a branch that part() covers; the total of a customer's demand was summed twice for each request.
- A record of a duty forgets by itself what became doubtful; callers need not.
- A peer's clock has a type of its own instead of a reading with other meanings.

The duty model caught a write over another's record only by chance: its freeze now lets the other gateway report the window itself, and the frozen one has the duty again afterwards.

--- a/src/sassafrasdale/coordination/leases.py
+++ b/src/sassafrasdale/coordination/leases.py
@@ -12,6 +12,8 @@
 from random import Random
 from uuid import UUID
 
+from logbook import Logger
+
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import (
@@ -23,6 +25,8 @@
 from sassafrasdale.coordination.stores import BaseStore, Lease, Swap
 from sassafrasdale.green import sleep
 
+log = Logger("leases")
+
 LEASES_PREFIX = "sassafrasdale/leases/"
 LEASE_TTL = timedelta(seconds=9)
 KEEP_ALIVES_PER_TTL = 3
@@ -139,13 +143,16 @@
     def release(self) -> None:
         """Give the duty up, so that another entry need not wait for it.
 
-        :raises StoreError: if the store fails; the lease then runs out.
+        If the store fails, the lease runs out by itself.
         """
         if self.state == "seeking":
             return
         lease = self._lease
         self._life.fire("lapse")
-        self._store.revoke(lease)
+        try:
+            self._store.revoke(lease)
+        except StoreError as error:
+            log.info("lease left to run out", why=str(error))
 
     def _seek(self) -> None:
         if self._is_taken():
--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -1,7 +1,7 @@
 """How many endpoints of each kind a service should have, by zone.
 
 A plan is a pure function of what is seen, so every holder of the duty makes the
-same one and no state has to be handed over.
+same one.
 
 Reclaimable endpoints cost a fraction of the others, but all of a zone's may be
 taken at a few seconds' notice, one zone after another, with none to be had anywhere
@@ -118,15 +118,11 @@
     return sum(running) - max(running, default=0)
 
 
-def _reclaimable(service: PlannedService, zone: str) -> OrderKey:
-    return OrderKey(service.service, zone, True)
-
-
 def _available(
     service: PlannedService, zone: str, wanted: int, dry: Collection[OrderKey]
 ) -> int:
     """Return how many reclaimable endpoints a zone has or soon will have."""
-    key = _reclaimable(service, zone)
+    key = OrderKey(service.service, zone, True)
     if key in dry:
         return min(service.running.get(key, 0), wanted)
     return wanted
--- a/src/sassafrasdale/decisions/shares.py
+++ b/src/sassafrasdale/decisions/shares.py
@@ -39,13 +39,19 @@
 
     def add(self, customer: str, now: timedelta, amount: float = 1) -> None:
         """Record an arrival, or the ``amount`` that it asks for."""
-        rate = self._rate(customer, now)
+        rate = self.own(customer, now)
         self._rates[customer] = rate + amount / self._window.total_seconds()
         self._updated[customer] = now
 
+    def own(self, customer: str, now: timedelta) -> float:
+        """Return what reaches this entry, a second."""
+        rate = self._rates.get(customer, 0.0)
+        elapsed = now - self._updated.get(customer, now)
+        return rate * exp(-(elapsed / self._window))
+
     def report(self, now: timedelta) -> Mapping[str, float]:
         """Return this entry's demand, a second and by customer."""
-        return {name: self._rate(name, now) for name in self._rates}
+        return {name: self.own(name, now) for name in self._rates}
 
     def hear(self, peer: str, report: Mapping[str, float], now: timedelta) -> None:
         """Take the report of a peer."""
@@ -67,12 +73,8 @@
         :param live_entries: entries, this one included. One that has not
             reported counts with the mean demand of those that have.
         """
-        heard = self._heard_demand(customer, now)
-        own = self._rate(customer, now)
-        if not heard or not own + sum(heard):
-            return 1 / live_entries
         total = self.total(customer, live_entries, now)
-        return self.part(own, total, live_entries)
+        return self.part(self.own(customer, now), total, live_entries)
 
     def part(self, demand: float, total: float, entries: int) -> float:
         """Return the part of a limit that one entry's demand gives it.
@@ -88,7 +90,7 @@
     def total(self, customer: str, live_entries: int, now: timedelta) -> float:
         """Return all entries' demand, a second, as far as it was reported."""
         heard = self._heard_demand(customer, now)
-        known = self._rate(customer, now) + sum(heard)
+        known = self.own(customer, now) + sum(heard)
         mean = known / (1 + len(heard))
         return known + mean * max(live_entries - 1 - len(heard), 0)
 
@@ -98,8 +100,3 @@
             for peer, report in self._reports.items()
             if now - self._heard[peer] <= REPORT_LIFETIME
         ]
-
-    def _rate(self, customer: str, now: timedelta) -> float:
-        rate = self._rates.get(customer, 0.0)
-        elapsed = now - self._updated.get(customer, now)
-        return rate * exp(-(elapsed / self._window))
--- a/src/sassafrasdale/entry/process.py
+++ b/src/sassafrasdale/entry/process.py
@@ -3,8 +3,6 @@
 import os
 import random
 import signal
-from collections.abc import Callable
-from contextlib import suppress
 from datetime import datetime, timedelta
 
 from logbook import Logger
@@ -24,7 +22,6 @@
     PriceWatcher,
 )
 from sassafrasdale.coordination.etcd import EtcdStore
-from sassafrasdale.coordination.exceptions import StoreError
 from sassafrasdale.coordination.gathering import GatheringStore
 from sassafrasdale.coordination.leases import LeaseHolder
 from sassafrasdale.coordination.texts import (
@@ -56,6 +53,7 @@
 from sassafrasdale.requests.transfers import Transfers
 from sassafrasdale.settings import EntrySettings
 from sassafrasdale.structures import Address
+from sassafrasdale.tasks import run_for_good
 from sassafrasdale.text.current import CurrentText
 from sassafrasdale.text.structures import ServiceKind
 
@@ -63,8 +61,6 @@
 
 # Pause between two looks at what is held: deadlines and unread answers.
 SWEEP_INTERVAL = timedelta(milliseconds=100)
-# Pause before a task that failed is started again.
-TASK_PAUSE = timedelta(seconds=1)
 # Pause between two plans for the streams of leaving endpoints.
 REVIEW_INTERVAL = timedelta(milliseconds=500)
 
@@ -173,9 +169,9 @@
             self._sweep,
             self._review,
         ):
-            spawn(_run_for_good, task)
+            spawn(run_for_good, task)
         duties = [
-            spawn(_run_for_good, task) for task in (self._lease.run, self._capacity.run)
+            spawn(run_for_good, task) for task in (self._lease.run, self._capacity.run)
         ]
         spawn(self._server.serve, listener)
         log.info("listening on {}", self._settings.address)
@@ -305,12 +301,7 @@
         """End the duties, and release the lease so that nobody waits for it."""
         for task in duties:
             task.kill()
-        spawn(self._release_lease)
-
-    def _release_lease(self) -> None:
-        # If the store is out, the lease runs out by itself.
-        with suppress(StoreError):
-            self._lease.release()
+        spawn(self._lease.release)
 
     def _fleet_view(self) -> FleetView | None:
         """Return what the capacity duty plans by, or None before it is known."""
@@ -325,20 +316,6 @@
         )
 
 
-def _run_for_good(task: Callable[[], None]) -> None:
-    """Run a task that must never end, also after an unforeseen error.
-
-    Without this an error would end the task in silence, and the entry would go
-    on without, for example, heeding notices.
-    """
-    while True:
-        try:
-            task()
-        except Exception:
-            log.exception("task {} failed and is started again", task.__qualname__)
-        sleep(TASK_PAUSE)
-
-
 def run_entry(settings: EntrySettings) -> None:
     """Run an entry process until it is told to stop.
 
--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -76,16 +76,13 @@
             try:
                 self.step()
             except LeaseNotHeld:
-                self._record.forget()
+                continue
             except StoreError as error:
-                # The write may have landed: it is read before anything is sent.
-                self._record.forget()
                 log.warning("usage not recorded", why=str(error))
             except DutyCallFailed as error:
                 log.warning("usage report not confirmed", why=error.message)
             except DutyCallRefused as error:
                 log.warning("usage report refused, stepping down", why=error.message)
-                self._record.forget()
                 self._lease.release()
 
     def step(self) -> None:
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -12,7 +12,6 @@
 
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock, SuspendAwareClock
-from sassafrasdale.coordination.exceptions import StoreError
 from sassafrasdale.coordination.leases import LeaseHolder
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
 from sassafrasdale.gateway.dependencies import Dependency
@@ -45,14 +44,13 @@
 from sassafrasdale.platform.exceptions import AdapterError
 from sassafrasdale.platform.store import PlatformStore
 from sassafrasdale.structures import Address
+from sassafrasdale.tasks import run_for_good
 
 log = Logger("gateway")
 
 DUTIES = "duties"
 # Pause between two looks at signals and at what has run out.
 TICK = timedelta(milliseconds=100)
-# Pause before a task that failed is started again.
-TASK_PAUSE = timedelta(seconds=1)
 # Time after its start for which a gateway leaves the duties to an older one. It has
 # not yet seen which endpoints are listed and what requests began in past windows.
 LEFT_TO_OLDER = timedelta(seconds=3)
@@ -186,7 +184,7 @@
         tasks = self._knowledge.tasks()
         tasks += [self._registration.run, self._peering.run, *self._duty_tasks()]
         for task in tasks:
-            spawn(_run_for_good, task)
+            spawn(run_for_good, task)
         log.info(
             "gateway started",
             address=str(settings.address),
@@ -211,10 +209,11 @@
         if settings.cloud is None:
             return []
         tasks: list[Callable[[], None]] = [self._lease.run]
+        client = DutyClient(settings.cloud, settings.name, self._clock)
         if settings.reports_usage:
             reporter = UsageReporter(
                 self._lease,
-                DutyClient(settings.cloud, settings.name, self._clock),
+                client,
                 DutyRecord(self._store, USAGE_RECORD, USAGE_FORM),
                 self._total_usage,
                 self._time,
@@ -226,7 +225,7 @@
         if settings.orders_endpoints:
             scaler = Scaler(
                 self._lease,
-                DutyClient(settings.cloud, settings.name, self._clock),
+                client,
                 DutyRecord(self._store, ORDERS_RECORD, ORDERS_FORM),
                 self._planned_services,
                 self._clock,
@@ -276,10 +275,7 @@
         return self._drain.last_end if self._drain else None
 
     def _hand_duties_back(self) -> None:
-        try:
-            self._lease.release()
-        except StoreError as error:
-            log.info("lease left to run out", why=str(error))
+        self._lease.release()
         self._registration.release()
 
     def _ask_stop(self) -> None:
@@ -391,16 +387,6 @@
         connection.answer(200, headers, self._metrics.metrics_page())
 
 
-def _run_for_good(task: Callable[[], None]) -> None:
-    """Run a task that must never end, also after an unforeseen error."""
-    while True:
-        try:
-            task()
-        except Exception:
-            log.exception("task {} failed and is started again", task.__qualname__)
-        sleep(TASK_PAUSE)
-
-
 def run_gateway(
     read_settings: Callable[[], GatewaySettings],
     *,
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -114,8 +114,8 @@
             kept += self._part_of_silent(customer, peer, gateways)
         left = max(1 - kept, 0.0)
         live = max(gateways - len(silent), 1)
-        by_demand = self._shares.share(customer.name, live, now)
         total = self._shares.total(customer.name, live, now)
+        by_demand = self._shares.part(self._shares.own(customer.name, now), total, live)
         return left * _with_spare(by_demand, total, customer.rate * left, live)
 
     def _part_of_silent(self, customer: Customer, peer: str, gateways: int) -> float:
--- a/src/sassafrasdale/gateway/records.py
+++ b/src/sassafrasdale/gateway/records.py
@@ -33,10 +33,6 @@
         """Whether the document was read and nothing made that doubtful since."""
         return self._revision is not None
 
-    def forget(self) -> None:
-        """Take what was read as doubtful; it has to be read again."""
-        self._revision = None
-
     def read(self) -> Any:
         """Return the document, or None if there is none that can be read.
 
@@ -56,15 +52,16 @@
         """Write the document over the one that was read.
 
         :raises LeaseNotHeld: if another holder has written since.
-        :raises StoreError: if the store gives no answer; the write may have landed.
+        :raises StoreError: if the store gives no answer; the write may have landed,
+            and the document has to be read before it is written again.
         """
         value = self._form.dump_json(document)
         try:
             swap = self._store.compare_and_swap(self._key, value, self._revision)
         except StoreError:
-            self.forget()
+            self._revision = None
             raise
         if not swap:
-            self.forget()
+            self._revision = None
             raise LeaseNotHeld(f"another holder has written {self._key}")
         self._revision = swap.revision
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -100,15 +100,12 @@
             try:
                 self.step()
             except LeaseNotHeld:
-                self._record.forget()
+                continue
             except StoreError as error:
                 log.warning("record of orders not reached", why=str(error))
             except DutyCallRefused as error:
                 log.warning("order refused, stepping down", why=error.message)
-                try:
-                    self._lease.release()
-                except StoreError as failure:
-                    log.info("lease left to run out", why=str(failure))
+                self._lease.release()
 
     def step(self) -> None:
         """Give the orders that are missing."""
--- a/src/sassafrasdale/gateway/usage.py
+++ b/src/sassafrasdale/gateway/usage.py
@@ -38,6 +38,20 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerClock:
+    """A peer's clock, in seconds as this gateway's elapsed time counts them.
+
+    :param wall: what its time of day is ahead of the elapsed time.
+    :param true: the same for its true time.
+    :param started_at: when it started.
+    """
+
+    wall: float
+    true: float
+    started_at: float
+
+
 class TrueTime:
     """Time that steps of machines' clocks don't move, be they one or most of them.
 
@@ -52,7 +66,7 @@
         self._clock = clock
         self._started_at = clock.elapsed()
         self._offset = self._own_offset()
-        self._peers: dict[str, ClockReading] = {}
+        self._peers: dict[str, _PeerClock] = {}
         self._differs_since: timedelta | None = None
 
     @property
@@ -66,10 +80,10 @@
         return ClockReading(wall, self.seconds, self._age().total_seconds())
 
     def hear(self, peer: str, reading: ClockReading) -> None:
-        """Take what a peer said a moment ago; offsets from elapsed time are kept."""
+        """Take what a peer said a moment ago."""
         elapsed = self._clock.elapsed().total_seconds()
-        self._peers[peer] = ClockReading(
-            reading.wall - elapsed, reading.true - elapsed, reading.age_s - elapsed
+        self._peers[peer] = _PeerClock(
+            reading.wall - elapsed, reading.true - elapsed, elapsed - reading.age_s
         )
 
     def keep(self, peers: Iterable[str]) -> None:
@@ -82,12 +96,8 @@
             self._set(self._median_of_clocks(), "clocks agree on another time")
 
     def _offset_at_start(self) -> float:
-        own_start = -self._started_at.total_seconds()
-        older = [
-            peer.true
-            for peer in self._peers.values()
-            if peer.age_s > own_start + OLDER.total_seconds()
-        ]
+        limit = (self._started_at - OLDER).total_seconds()
+        older = [peer.true for peer in self._peers.values() if peer.started_at < limit]
         return median(older) if older else self._median_of_clocks()
 
     def _differs_for(self, limit: timedelta) -> bool:
--- a/src/sassafrasdale/green_http.py
+++ b/src/sassafrasdale/green_http.py
@@ -7,7 +7,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
-from sassafrasdale.green import green_socket
+from sassafrasdale.green import connect
 from sassafrasdale.structures import Address
 
 
@@ -16,15 +16,13 @@
 
     def _new_conn(self) -> socket.socket:
         try:
-            sock = green_socket.create_connection(
-                (self._dns_host, self.port), self.timeout
+            return connect(
+                Address(self._dns_host, self.port), timedelta(seconds=self.timeout)
             )
         except TimeoutError as error:
             raise ConnectTimeoutError(self, str(error)) from error
         except OSError as error:
             raise NewConnectionError(self, str(error)) from error
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
 
 
 class GreenHttpPool(urllib3.HTTPConnectionPool):
--- a/tests/coordination/test_leases.py
+++ b/tests/coordination/test_leases.py
@@ -128,6 +128,14 @@
     assert holders[0].state == "seeking"
 
 
+def test_a_duty_is_released_also_while_the_store_is_away(holders, store):
+    """The task that steps down would end with an error, and its duty stand still."""
+    holders[0].step()
+    store.faults = ["unreached"]
+    holders[0].release()
+    assert holders[0].state == "seeking"
+
+
 def test_released_duty_is_had_at_once(holders):
     holders[0].step()
     holders[0].release()
--- /dev/null
+++ b/tests/gateway/duties.py
@@ -0,0 +1,20 @@
+"""What the tests of both duties share."""
+
+from datetime import timedelta
+
+from sassafrasdale.coordination.exceptions import LeaseNotHeld
+from sassafrasdale.coordination.leases import Permit
+
+SECOND = timedelta(seconds=1)
+
+
+class Lease:
+    """A lease under a number; 0 if another gateway has it."""
+
+    def __init__(self, number):
+        self.number = number
+
+    def permit(self, checks_fencing):
+        if not self.number:
+            raise LeaseNotHeld("not held")
+        return Permit(self.number, timedelta.max)
--- a/tests/gateway/test_duty_model.py
+++ b/tests/gateway/test_duty_model.py
@@ -18,7 +18,7 @@
 from sassafrasdale.gateway.usage import TrueTime
 from sassafrasdale.platform.exceptions import DutyCallFailed, DutyCallRefused
 from tests.coordination.fakes import FakeStore
-from tests.gateway.test_scaling import SECOND
+from tests.gateway.duties import SECOND
 
 GATEWAYS = 3
 NUMBERS = st.integers(0, GATEWAYS - 1)
@@ -109,12 +109,8 @@
         return (PlannedService("models", BOUNDS, running, self.load),)
 
     def try_step(self, step):
-        try:
+        with suppress(LeaseNotHeld, DutyCallFailed, StoreError, DutyCallRefused):
             step()
-        except (LeaseNotHeld, DutyCallFailed):
-            pass
-        except (StoreError, DutyCallRefused):
-            self.reporter._record.forget()
 
 
 class Duties(RuleBasedStateMachine):
@@ -175,12 +171,16 @@
 
         def freeze():
             self.change_of_holder(other)
-            self.report(other, [], None)
+            for _ in range(3):
+                self.report(other, [], None)
 
         if number != other:
             self.store.before_write = freeze
             self.report(number, [], None)
             self.store.before_write = None
+            # When it has the duty again, it sends what the record holds now.
+            self.change_of_holder(number)
+            self.report(number, [], None)
 
     @rule(number=NUMBERS, other=NUMBERS, load=st.floats(0.1, 3))
     def order_is_held_up(self, number, other, load):
--- a/tests/gateway/test_metering.py
+++ b/tests/gateway/test_metering.py
@@ -1,35 +1,21 @@
 """The usage report: one count for each window, whoever sends it."""
 
 import json
-from datetime import timedelta
 
 import pytest
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreAnswerLost
-from sassafrasdale.coordination.leases import Permit
 from sassafrasdale.coordination.stores import StoredValue, Swap
 from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
 from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.usage import TrueTime
 from sassafrasdale.platform.exceptions import DutyCallFailed
+from tests.gateway.duties import SECOND, Lease
 
-SECOND = timedelta(seconds=1)
 WINDOW = 5 * SECOND
 
 
-class Lease:
-    """A lease under a number; 0 if another gateway has it."""
-
-    def __init__(self, number):
-        self.number = number
-
-    def permit(self, checks_fencing):
-        if not self.number:
-            raise LeaseNotHeld("not held")
-        return Permit(self.number, timedelta.max)
-
-
 class Store:
     """One key, whose writes may lose their answers."""
 
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -7,26 +7,13 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreAnswerLost
-from sassafrasdale.coordination.leases import Permit
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
 from sassafrasdale.gateway.models import ScaleBounds
 from sassafrasdale.gateway.scaling import SETTLING, Scaler
 from sassafrasdale.platform.exceptions import DutyCallFailed, NoneAvailable
+from tests.gateway.duties import SECOND, Lease
 
 BOUNDS = ScaleBounds(1, 8, timedelta(seconds=4), 0.22, {"a": 0.85, "b": 1.2})
-SECOND = timedelta(seconds=1)
-
-
-class Lease:
-    """A lease that is held under a number, or not."""
-
-    def __init__(self):
-        self.number = 5
-
-    def permit(self, checks_fencing):
-        if not self.number:
-            raise LeaseNotHeld("not held")
-        return Permit(self.number, timedelta.max)
 
 
 class Cloud:
@@ -61,12 +48,9 @@
         self.is_known = True
         return self.document
 
-    def forget(self):
-        self.is_known = False
-
     def write(self, document):
         if self.failing:
-            self.forget()
+            self.is_known = False
             raise StoreAnswerLost("lost")
         self.document = json.loads(json.dumps(document))
         self.writes += 1
@@ -77,7 +61,7 @@
 
     def __init__(self):
         self.clock = ManualClock()
-        self.lease = Lease()
+        self.lease = Lease(5)
         self.cloud = Cloud()
         self.record = Record()
         self.load = 0.0
