--- a/src/sassafrasdale/coordination/leases.py
+++ b/src/sassafrasdale/coordination/leases.py
@@ -65,6 +65,8 @@
     :param ttl: how long the lease lasts unless it is kept alive.
     :param is_taken: whether another holder is known without asking the store. Many
         that seek would otherwise ask it again and again, and each call has a price.
+    :param rest: time after losing the duty in which it is not sought again. Without
+        it, a holder could act, another one, and then the first again within moments.
     """
 
     def __init__(
@@ -76,6 +78,8 @@
         rng: Random,
         ttl: timedelta = LEASE_TTL,
         is_taken: Callable[[], bool] = lambda: False,
+        *,
+        rest: timedelta = timedelta(),
     ) -> None:
         self._store = store
         self._key = LEASES_PREFIX + duty
@@ -84,6 +88,8 @@
         self._rng = rng
         self._ttl = ttl
         self._is_taken = is_taken
+        self._rest = rest
+        self._rests_until = timedelta()
         self._life = Lifecycle(load_chart("lease_holder"))
         self._lease: Lease | None = None
         self._fencing_number = 0
@@ -148,14 +154,14 @@
         if self.state == "seeking":
             return
         lease = self._lease
-        self._life.fire("lapse")
+        self._lapse("given up")
         try:
             self._store.revoke(lease)
         except StoreError as error:
             log.info("lease left to run out", why=str(error))
 
     def _seek(self) -> None:
-        if self._is_taken():
+        if self._is_taken() or self._clock.elapsed() < self._rests_until:
             return
         if self._store.get(self._key) is not None:
             return
@@ -171,6 +177,12 @@
         self._extend(asked_at)
         self._settled_at = self._clock.elapsed() + self._ttl
         self._life.fire("acquire")
+        log.notice(
+            "duty taken",
+            key=self._key,
+            fencing_number=number,
+            expires_s=round((self._expires_at - asked_at).total_seconds(), 3),
+        )
         self._heed_time()
 
     def _create(self, lease: Lease) -> int | None:
@@ -195,7 +207,7 @@
         try:
             self._store.keep_alive(self._lease)
         except LeaseNotFound:
-            self._lapse()
+            self._lapse("gone from the store")
             return
         # The answer may have come after the old deadline: by then the duty had
         # been lost here, and is sought again under a new number.
@@ -213,13 +225,23 @@
         """
         now = self._clock.elapsed()
         if self._life.state != "seeking" and now >= self._expires_at:
-            self._lapse()
+            self._lapse("not kept alive in time")
         if self._life.state == "settling" and now >= self._settled_at:
             self._life.fire("settle")
 
-    def _lapse(self) -> None:
-        if self._life.allows("lapse"):
-            self._life.fire("lapse")
+    def _lapse(self, reason: str) -> None:
+        if not self._life.allows("lapse"):
+            return
+        self._life.fire("lapse")
+        now = self._clock.elapsed()
+        self._rests_until = now + self._rest
+        log.notice(
+            "duty lost",
+            key=self._key,
+            fencing_number=self._fencing_number,
+            reason=reason,
+            expired_s=round((now - self._expires_at).total_seconds(), 3),
+        )
 
     def _attempt_value(self) -> bytes:
         attempt = UUID(int=self._rng.getrandbits(128))
--- a/src/sassafrasdale/gateway/models.py
+++ b/src/sassafrasdale/gateway/models.py
@@ -174,9 +174,10 @@
     :param retry_share: repeated sends as a part of the requests.
     :param retry_slack: repeated sends beyond that part.
     :param quota_slack: tokens beyond a customer's limit.
-    :param lease: time to live of the lease for duties.
+    :param lease: time within which holders of a duty must not alternate.
     :param usage_window: length of the windows that usage is reported for.
     :param usage_delay: time after a window in which its report is due.
+    :param shortest_lease: shortest time to live that the store grants.
     """
 
     endpoint_drain: timedelta
@@ -187,6 +188,7 @@
     lease: timedelta
     usage_window: timedelta
     usage_delay: timedelta
+    shortest_lease: timedelta = timedelta(seconds=1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -180,6 +180,30 @@
             and not peer.state.leaving
         ]
 
+    def names_holder(self) -> bool:
+        """Return whether a peer in touch says that it has the duties.
+
+        Only word from just now counts: a holder that was killed is believed to have
+        them until then, and nobody asks the store for the lease.
+        """
+        now = self._clock.elapsed()
+        return any(
+            peer.state.duty is not None
+            and not peer.state.leaving
+            and now - peer.heard_at <= FRESH
+            for peer in self._peers.values()
+        )
+
+    def may_have_older(self, incarnation: int) -> bool:
+        """Return whether a peer started earlier, or none is known to have yet.
+
+        A peer that the store lists and that was never heard may be an older one.
+        """
+        return any(
+            peer.state.incarnation < incarnation and not peer.state.leaving
+            for peer in self._peers.values()
+        )
+
     def work(self, service: str, window: timedelta) -> float:
         """Return the engine time a second that the peers' requests for a service take.
 
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -51,6 +51,11 @@
 DUTIES = "duties"
 # Pause between two looks at signals and at what has run out.
 TICK = timedelta(milliseconds=100)
+# Time to live of the duties' lease, as a part of the time in which holders must not
+# alternate. A holder that is killed leaves no order for that long, and endpoints take
+# seconds more to start: with the whole of it, a reclaim that met a kill was answered
+# after five to six seconds. A holder that lost the duties rests for the whole time.
+LEASE_PART = 0.5
 # Time after its start for which a gateway leaves the duties to an older one. It has
 # not yet seen which endpoints are listed and what requests began in past windows.
 LEFT_TO_OLDER = timedelta(seconds=3)
@@ -159,8 +164,9 @@
             settings.name,
             clock,
             self._rng,
-            bounds.lease,
+            max(bounds.lease * LEASE_PART, bounds.shortest_lease),
             self._duty_is_taken,
+            rest=bounds.lease,
         )
 
     def run(self) -> None:
@@ -334,12 +340,10 @@
 
     def _duty_is_taken(self) -> bool:
         """Return whether another gateway has the duties or should take them."""
-        alive = self._peering.alive()
-        if any(state.duty is not None for state in alive):
+        if self._peering.names_holder():
             return True
         age = self._clock.elapsed() - self._started_at
-        older = any(state.incarnation < self._incarnation for state in alive)
-        return age < LEFT_TO_OLDER and older
+        return age < LEFT_TO_OLDER and self._peering.may_have_older(self._incarnation)
 
     def _total_usage(self, window: int) -> Mapping[str, int]:
         own = self._usage.report()
--- a/src/sassafrasdale/platform/settings.py
+++ b/src/sassafrasdale/platform/settings.py
@@ -126,11 +126,11 @@
         cloud=_address("cloud.addr", cloud.addr) if cloud else None,
         reports_usage=USAGE_DUTY in duties,
         orders_endpoints=SCALE_DUTY in duties,
-        bounds=_bounds(file.bounds),
+        bounds=_bounds(file.bounds, file.platform),
     )
 
 
-def _bounds(bounds: _Bounds) -> Bounds:
+def _bounds(bounds: _Bounds, store: _Store) -> Bounds:
     return Bounds(
         endpoint_drain=timedelta(milliseconds=bounds.drain_ms),
         stop_grace=timedelta(seconds=bounds.grace_s),
@@ -140,4 +140,5 @@
         lease=timedelta(milliseconds=bounds.lease_ms),
         usage_window=timedelta(seconds=bounds.usage_window_s),
         usage_delay=timedelta(seconds=bounds.usage_late_s),
+        shortest_lease=timedelta(milliseconds=store.ttl_min_ms),
     )
--- a/tests/coordination/test_leases.py
+++ b/tests/coordination/test_leases.py
@@ -141,3 +141,25 @@
     holders[0].release()
     holders[1].step()
     assert [holder.state for holder in holders] == ["seeking", "settling"]
+
+
+def test_holders_do_not_alternate_within_moments(store, clock):
+    """Orders of two holders would mix: one acts, another, and the first again.
+
+    The first holder gives the duty up and another one takes it, which also gives it
+    up a moment later. Only the resting time keeps the first from taking it again.
+    """
+    first, second = (
+        LeaseHolder(store, "d", f"entry-{n}", clock, Random(n), TTL, rest=TTL * 2)
+        for n in range(2)
+    )
+    first.step()
+    first.release()
+    second.step()
+    second.release()
+    clock.advance(TTL)
+    first.step()
+    assert first.state == "seeking"
+    clock.advance(TTL)
+    first.step()
+    assert first.state == "settling"
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -8,8 +8,10 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.gateway.peering import (
     FAN_OUT,
+    FRESH,
     LIFETIME,
     PASSED_ON,
+    DutyClaim,
     EndpointLoad,
     Exchange,
     Peering,
@@ -160,3 +162,27 @@
     node.clock.advance(timedelta(seconds=5.5))
     assert 0.6 < node.peering.work("models", timedelta(seconds=5)) < 0.9
     assert node.peering.work("others", timedelta(seconds=5)) == 0
+
+
+def test_a_holder_that_was_killed_is_not_believed_for_long(node):
+    """No orders would be given for five seconds after the holder was killed.
+
+    A peer says that it has the duties and is killed. The others took its last word
+    for true until it was held to be gone, two seconds after its lease had lapsed.
+    """
+    node.take(state("b", duty=DutyClaim(7)))
+    assert node.peering.names_holder()
+    node.clock.advance(FRESH + timedelta(milliseconds=10))
+    assert not node.peering.names_holder()
+
+
+def test_a_peer_that_was_never_heard_may_be_an_older_one(node):
+    """A gateway would take the duties before it has seen anything of the deployment.
+
+    It has just started, reads the list of gateways, and has heard none of them yet.
+    """
+    assert not node.peering.may_have_older(9)
+    node.peering.introduce("b", Address("127.0.0.1", 8))
+    assert node.peering.may_have_older(9)
+    node.take(state("b", incarnation=12))
+    assert not node.peering.may_have_older(9)
