Endpoints that start again under their name; entries by other writers

The list's entries are taken strictly: numbers as text, counts below one, unknown states and zones, missing fields and bytes that can't be read name no endpoint, and what was known under the name is dropped; each such key is logged once. An entry with another time of birth is another endpoint: its connections, load, failures and the belief of its memory are dropped.

--- a/src/sassafrasdale/decisions/health.py
+++ b/src/sassafrasdale/decisions/health.py
@@ -81,6 +81,11 @@
             name: record or _EndpointRecord() for name, record in kept.items()
         }
 
+    def forget(self, name: str) -> None:
+        """Take an endpoint for a new one, which has not failed yet."""
+        if name in self._records:
+            self._records[name] = _EndpointRecord()
+
     def observe(
         self,
         name: str,
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -109,10 +109,28 @@
             health = self._health[service] = Health(self._rng, HEALTH)
         return health
 
-    def put(self, endpoint: Endpoint) -> None:
-        """Take an endpoint as it is listed now."""
+    def put(self, endpoint: Endpoint) -> bool:
+        """Take an endpoint as it is listed now.
+
+        An endpoint that crashed may start again under its name. It knows nothing of
+        before: connections lead nowhere, its load is gone and so are its failures.
+
+        :returns: whether it has started since it was last seen here.
+        """
         record = self._records.get(endpoint.name)
         self._last_resort.pop(endpoint.name, None)
+        started_anew = record is not None and _started_anew(record.endpoint, endpoint)
+        if started_anew:
+            log.info(
+                "endpoint started anew",
+                born=endpoint.born,
+                before=record.endpoint.born,
+                in_flight=record.in_flight,
+                **_facts(endpoint),
+            )
+            record.pool.close()
+            self.health_of(endpoint.service).forget(endpoint.name)
+            record = None
         if record is None or record.endpoint.address != endpoint.address:
             record = EndpointRecord(endpoint, self._pool(endpoint))
             self._records[endpoint.name] = record
@@ -121,6 +139,7 @@
             log.info("endpoint changed state", **_facts(endpoint))
         record.endpoint = endpoint
         self._index()
+        return started_anew
 
     def remove(self, name: str) -> None:
         """Drop an endpoint whose entry is gone."""
@@ -157,6 +176,12 @@
             self.health_of(service).set_endpoints(_names(records))
 
 
+def _started_anew(before: Endpoint, now: Endpoint) -> bool:
+    if before.born is None or now.born is None:
+        return False
+    return before.born != now.born
+
+
 def _names(records: Iterable[EndpointRecord]) -> frozenset[str]:
     return frozenset(record.name for record in records)
 
--- a/src/sassafrasdale/gateway/knowledge.py
+++ b/src/sassafrasdale/gateway/knowledge.py
@@ -4,7 +4,7 @@
 values from that peer: a gateway that the store turns away knows them all the same.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 
 from logbook import Logger
@@ -13,7 +13,7 @@
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.following import Follower, Revised
-from sassafrasdale.gateway.models import CallerLimits, Configuration
+from sassafrasdale.gateway.models import CallerLimits, Configuration, Endpoint
 from sassafrasdale.gateway.peering import StoreValues
 from sassafrasdale.gateway.placement import CacheBelief
 from sassafrasdale.gateway.routing import RouteTable
@@ -32,6 +32,10 @@
 
 log = Logger("knowledge")
 
+# Entries that can't be used and are told in the logs; a writer of many keys must not
+# fill them.
+MOST_MALFORMED = 100
+
 
 class Knowledge:
     """Configuration in force and listed endpoints, kept up to date.
@@ -41,6 +45,7 @@
     :param directory: gets the endpoints.
     :param cache: forgets engines that are gone.
     :param fetch: returns what a peer holds below a prefix, by the peer's name.
+    :param availability_zones: those of the deployment; endpoints are in no others.
     """
 
     def __init__(
@@ -52,12 +57,15 @@
         fetch: Callable[[str, str], StoreValues | None],
         clock: Clock,
         rng: Random,
+        availability_zones: Collection[str],
     ) -> None:
         self._directory = directory
+        self._availability_zones = availability_zones
         self._cache = cache
         self._fetch = fetch
         self._routes: RouteTable | None = None
         self._fetching: set[str] = set()
+        self._malformed: set[str] = set()
         self._followers = {
             prefix: Follower(prefix, store, changed, store_health, clock, rng)
             for prefix, changed in (
@@ -162,11 +170,38 @@
 
     def _take_endpoints(self, revised: Revised) -> None:
         for key, value in revised.written.items():
-            try:
-                self._directory.put(decode_endpoint(key, value))
-            except ValueMalformed as error:
-                log.error("endpoint not taken", why=error.message)
+            self._take_endpoint(key, value)
         for key in revised.deleted:
-            name = endpoint_name(key)
-            self._directory.remove(name)
-            self._cache.forget(name)
+            self._malformed.discard(key)
+            self._drop_endpoint(key)
+
+    def _take_endpoint(self, key: str, value: bytes) -> None:
+        try:
+            endpoint = decode_endpoint(key, value)
+            self._check_zone(endpoint)
+        except ValueMalformed as error:
+            # Another writer may have put anything there. What was known under the name
+            # is no longer what the list says, and nobody may be sent there.
+            self._drop_endpoint(key)
+            self._log_malformed(key, error)
+            return
+        self._malformed.discard(key)
+        if self._directory.put(endpoint):
+            self._cache.forget(endpoint.name)
+
+    def _check_zone(self, endpoint: Endpoint) -> None:
+        zone = endpoint.availability_zone
+        if zone not in self._availability_zones:
+            raise ValueMalformed(f"{endpoint.name}: no such zone: {zone}", field="zone")
+
+    def _drop_endpoint(self, key: str) -> None:
+        name = endpoint_name(key)
+        self._directory.remove(name)
+        self._cache.forget(name)
+
+    def _log_malformed(self, key: str, error: ValueMalformed) -> None:
+        """Say once for each key that its entry can't be used, up to a bound."""
+        if key in self._malformed or len(self._malformed) >= MOST_MALFORMED:
+            return
+        self._malformed.add(key)
+        log.error("endpoint not taken", key=key, why=error.message)
--- a/src/sassafrasdale/gateway/models.py
+++ b/src/sassafrasdale/gateway/models.py
@@ -154,6 +154,7 @@
     """An endpoint as the platform lists it.
 
     :param reclaimable: whether it may be taken back at short notice.
+    :param born: distinguishes starts under one name; None if that isn't told.
     """
 
     name: str
@@ -163,6 +164,7 @@
     state: EndpointState
     slots: int = 1
     reclaimable: bool = False
+    born: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -120,6 +120,7 @@
             lambda peer, prefix: self._peering.fetch(peer, prefix),
             clock,
             self._rng,
+            settings.availability_zones,
         )
         self._peering = Peering(
             settings.name,
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -176,9 +176,7 @@
         demand = self._shares.total(customer.name, in_touch, now)
         return _LiveDemand(max(1 - kept, 0.0), in_touch, demand)
 
-    def _share(
-        self, customer: Customer, live: "_LiveDemand", now: timedelta
-    ) -> float:
+    def _share(self, customer: Customer, live: "_LiveDemand", now: timedelta) -> float:
         """Return the part of a limit that falls to this gateway."""
         own = self._shares.own(customer.name, now)
         by_demand = self._shares.part(own, live.demand, live.gateways)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -91,3 +91,35 @@
     world.directory.records["i-1"].in_flight = 3
     world.directory.put(endpoint("i-1", state=EndpointState.DRAINING))
     assert world.directory.records["i-1"].in_flight == 3
+
+
+def test_an_endpoint_that_started_anew_is_taken_for_another(world):
+    """Requests would wait on dead connections behind a load that no longer exists.
+
+    An endpoint crashes with requests under way and starts again under its name and
+    address, before its entry lapses. Only the time of its start has changed.
+    """
+    world.directory.put(endpoint("i-1", born=1))
+    before = world.directory.records["i-1"]
+    before.in_flight = 3
+    assert world.directory.put(endpoint("i-1", born=2))
+    after = world.directory.records["i-1"]
+    assert after is not before
+    assert after.in_flight == 0
+
+
+def test_failures_of_before_a_restart_are_forgotten(world):
+    health = world.directory.health_of("records")
+    world.directory.put(endpoint("i-1", born=1))
+    for _ in range(6):
+        health.observe("i-1", ok=False, now=world.clock.elapsed())
+    assert health.weights(world.clock.elapsed())["i-1"] == 0
+    world.directory.put(endpoint("i-1", born=2))
+    assert health.weights(world.clock.elapsed())["i-1"] == 1
+
+
+def test_an_entry_written_again_is_the_same_endpoint(world):
+    world.directory.put(endpoint("i-1", born=1))
+    before = world.directory.records["i-1"]
+    assert not world.directory.put(endpoint("i-1", born=1))
+    assert world.directory.records["i-1"] is before
--- /dev/null
+++ b/tests/gateway/test_knowledge.py
@@ -0,0 +1,84 @@
+"""What a gateway makes of the values that the store holds."""
+
+import json
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.following import Revised
+from sassafrasdale.gateway.knowledge import Knowledge
+from sassafrasdale.gateway.models import PromptPart
+from sassafrasdale.gateway.placement import CacheBelief
+
+ENTRY = {"service": "models", "addr": "10.1.0.4:80", "zone": "a", "state": "ready"}
+PARTS = (PromptPart("p", 900),)
+
+
+class World:
+    """A gateway's knowledge, with changes of the store brought by hand."""
+
+    def __init__(self):
+        clock = ManualClock()
+        self.directory = Directory(clock, Random(1), timedelta(seconds=2))
+        self.cache = CacheBelief()
+        self.knowledge = Knowledge(
+            None,
+            Dependency("store", clock),
+            self.directory,
+            self.cache,
+            lambda peer, prefix: None,
+            clock,
+            Random(1),
+            ("a", "b"),
+        )
+
+    def write(self, name, value):
+        written = {f"servers/{name}": value}
+        self.knowledge._take_endpoints(Revised(written, frozenset()))
+
+    def list(self, name, **changed):
+        self.write(name, json.dumps(ENTRY | changed).encode())
+
+    def names(self):
+        return sorted(rec.name for rec in self.directory.of_service("models"))
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.list("i-1")
+    world.list("i-2")
+    return world
+
+
+@pytest.mark.parametrize(
+    "value", [b"\xff", b"{}", json.dumps(ENTRY | {"zone": "nowhere"}).encode()]
+)
+def test_an_entry_that_was_overwritten_names_no_endpoint(world, value):
+    """Callers would be sent to an endpoint that the list no longer names.
+
+    Another program writes over an endpoint's entry. The other endpoints hold, and the
+    endpoint is back as soon as it writes its entry again.
+    """
+    world.write("i-1", value)
+    assert world.names() == ["i-2"]
+    world.list("i-1")
+    assert world.names() == ["i-1", "i-2"]
+
+
+def test_a_malformed_entry_is_told_once(world):
+    for _ in range(3):
+        world.write("i-1", b"{}")
+    assert len(world.knowledge._malformed) == 1
+
+
+def test_the_memory_of_an_engine_that_started_anew_is_empty(world):
+    """Prompts would be sent to an engine for a cache that it lost in its crash."""
+    world.list("i-1", born=1)
+    world.cache.sent("i-1", PARTS, 10_000)
+    world.list("i-1", born=2)
+    assert world.cache.cached_tokens("i-1", PARTS) == 0
