--- a/src/sassafrasdale/gateway/models.py
+++ b/src/sassafrasdale/gateway/models.py
@@ -180,6 +180,7 @@
     :param usage_window: length of the windows that usage is reported for.
     :param usage_delay: time after a window in which its report is due.
     :param shortest_lease: shortest time to live that the store grants.
+    :param checks_fencing: whether the platform refuses duty calls of former holders.
     """
 
     endpoint_drain: timedelta
@@ -191,6 +192,7 @@
     usage_window: timedelta
     usage_delay: timedelta
     shortest_lease: timedelta = timedelta(seconds=1)
+    checks_fencing: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -236,6 +236,7 @@
                 DutyRecord(self._store, ORDERS_RECORD, ORDERS_FORM),
                 self._planned_services,
                 self._clock,
+                checks_fencing=settings.bounds.checks_fencing,
             )
             tasks.append(scaler.run)
         return tasks
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -40,6 +40,8 @@
 PAUSE = timedelta(milliseconds=250)
 # An order that was not taken, or did not show, is given again after this time.
 RETRY_PAUSE = timedelta(seconds=2)
+# Time after which an order of a former holder that got no answer has been carried out.
+LATE_ORDERS = timedelta(seconds=7)
 # Time for which less must be wanted before less is ordered, as a multiple of the time
 # that an endpoint takes to start. Load comes in waves, and an endpoint that was given
 # back in a trough is missed, for all of its start, in the next rise.
@@ -71,6 +73,7 @@
     :param record: the orders in force, for the next holder.
     :param view: services to order for, with their load and endpoints.
     :param clock: source of elapsed time.
+    :param checks_fencing: whether the platform refuses a former holder's orders.
     """
 
     def __init__(
@@ -80,7 +83,11 @@
         record: DutyRecord,
         view: Callable[[], tuple[PlannedService, ...]],
         clock: Clock,
+        *,
+        checks_fencing: bool = True,
     ) -> None:
+        self._checks_fencing = checks_fencing
+        self._repeat_at: timedelta | None = None
         self._lease = lease
         self._client = client
         self._record = record
@@ -120,12 +127,28 @@
             self._forget()
             self._inherited = _decode_orders(self._record.read())
             self._fencing_number = permit.fencing_number
+            if not self._checks_fencing:
+                self._repeat_at = self._clock.elapsed() + LATE_ORDERS
+        self._repeat_if_due()
         for service in services:
             planned = self._with_known_load(service)
             plan = plan_orders(planned, frozenset(self._dry))
             self._carry_out(planned, plan)
         self._write_down()
 
+    def _repeat_if_due(self) -> None:
+        """Give all orders once more where a former holder's may have come after them.
+
+        An order that got no answer may be carried out seconds later. A platform that
+        doesn't check fencing numbers then goes by it, and nobody would notice.
+        """
+        if self._repeat_at is None or self._clock.elapsed() < self._repeat_at:
+            return
+        self._repeat_at = None
+        self._inherited |= self._ordered
+        self._ordered = {}
+        self._asked = {}
+
     def _write_down(self) -> None:
         """Record the orders in force, if they changed."""
         orders = self._inherited | self._ordered
--- a/src/sassafrasdale/platform/settings.py
+++ b/src/sassafrasdale/platform/settings.py
@@ -38,6 +38,7 @@
     retry_slack: float = Field(0, alias="retrySlack")
     quota_slack: float = Field(0, alias="quotaSlack")
     lease_ms: float = Field(3000, alias="leaseMs")
+    require_fence: bool = Field(True, alias="requireFence")
     usage_window_s: float = Field(5, alias="usageWindowS")
     usage_late_s: float = Field(10, alias="usageLateS")
 
@@ -141,4 +142,5 @@
         usage_window=timedelta(seconds=bounds.usage_window_s),
         usage_delay=timedelta(seconds=bounds.usage_late_s),
         shortest_lease=timedelta(milliseconds=store.ttl_min_ms),
+        checks_fencing=bounds.require_fence,
     )
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -9,7 +9,7 @@
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreAnswerLost
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
 from sassafrasdale.gateway.models import ScaleBounds
-from sassafrasdale.gateway.scaling import SETTLING, Scaler
+from sassafrasdale.gateway.scaling import LATE_ORDERS, SETTLING, Scaler
 from sassafrasdale.platform.exceptions import DutyCallFailed, NoneAvailable
 from tests.gateway.duties import SECOND, Lease
 
@@ -69,8 +69,10 @@
         self.scaler = self.new_scaler()
         self.pass_time(SETTLING + SECOND)
 
-    def new_scaler(self):
-        return Scaler(self.lease, self.cloud, self.record, self.view, self.clock)
+    def new_scaler(self, **options):
+        return Scaler(
+            self.lease, self.cloud, self.record, self.view, self.clock, **options
+        )
 
     def view(self):
         return (PlannedService("models", BOUNDS, self.running, self.load),)
@@ -304,3 +306,19 @@
     duty.running = {OrderKey("models", "a", False): 1, keys[1]: 2}
     duty.pass_time(SECOND / 2)
     assert ("a", True) in duty.cloud.wanted()
+
+
+def test_orders_are_repeated_where_nobody_checks_fencing_numbers():
+    """Half of the endpoints would be given back, and stay away.
+
+    A former holder's order got no answer and is carried out after the new holder's.
+    The platform doesn't check fencing numbers and goes by the older order.
+    """
+    duty = Duty()
+    duty.scaler = duty.new_scaler(checks_fencing=False)
+    duty.load = 1.0
+    duty.pass_time(SETTLING + 3 * SECOND)
+    given = duty.cloud.wanted()
+    duty.cloud.orders.clear()
+    duty.pass_time(2 * LATE_ORDERS)
+    assert duty.cloud.wanted().keys() == given.keys()
