--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -25,7 +25,9 @@
 USAGE_RECORD = "sassafrasdale/usage"
 # Counts by customer, by window.
 USAGE_FORM = TypeAdapter(dict[int, dict[str, int]])
-# Peers' counts of a window's last moments come within a few exchanges.
+# Longest time that peers' counts of a window's last moments are waited for. Where all
+# have told theirs sooner, it is reported sooner: a window that is not yet reported is
+# lost where all gateways are killed at once.
 GATHERING_TIME = timedelta(seconds=2)
 # Pause between two looks at what is due.
 PAUSE = timedelta(milliseconds=500)
@@ -42,6 +44,8 @@
     :param total: all gateways' counts of a window.
     :param window: length of a window.
     :param delay: time after a window in which its report is due.
+    :param all_told: whether all peers have told their counts since a time, in seconds
+        since 1970.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         clock: Clock,
         window: timedelta,
         delay: timedelta,
+        all_told: Callable[[float], bool] = lambda since: False,
     ) -> None:
         self._lease = lease
         self._client = client
@@ -63,6 +68,7 @@
         self._clock = clock
         self._window = window.total_seconds()
         self._delay = delay.total_seconds()
+        self._all_told = all_told
         # A window that ended before this gateway started may be still unreported.
         self._next = self._oldest_due()
         self._started_at = time.seconds
@@ -90,7 +96,10 @@
         now = self._time.seconds
         self._skip_late()
         end = (self._next + 1) * self._window
-        if now < max(end, self._started_at) + GATHERING_TIME.total_seconds():
+        if now < end:
+            return
+        waited = now - max(end, self._started_at)
+        if waited < GATHERING_TIME.total_seconds() and not self._all_told(end):
             return
         permit = self._lease.permit(checks_fencing=True)
         if permit.fencing_number != self._held or not self._record.is_known:
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -194,6 +194,14 @@
             for peer in self._peers.values()
         )
 
+    def all_told_since(self, time: float) -> bool:
+        """Return whether each peer in touch has told its state since a true time.
+
+        :param time: seconds since 1970.
+        """
+        peers = [peer for peer in self._peers.values() if not peer.state.leaving]
+        return bool(peers) and all(peer.state.time.true >= time for peer in peers)
+
     def may_have_older(self, incarnation: int) -> bool:
         """Return whether a peer started earlier, or none is known to have yet.
 
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -227,6 +227,7 @@
                 self._clock,
                 settings.bounds.usage_window,
                 settings.bounds.usage_delay,
+                self._peering.all_told_since,
             )
             tasks.append(reporter.run)
         if settings.orders_endpoints:
--- a/tests/gateway/test_metering.py
+++ b/tests/gateway/test_metering.py
@@ -61,6 +61,7 @@
         self.platform = Platform()
         self.leases = [Lease(3), Lease(0)]
         self.totals = [{"lab": 10}, {"lab": 7}]
+        self.told_until = 0.0
         self.reporters = [self.reporter(number) for number in (0, 1)]
 
     def reporter(self, number):
@@ -73,6 +74,7 @@
             self.clock,
             WINDOW,
             10 * SECOND,
+            lambda since: self.told_until >= since,
         )
 
 
@@ -172,3 +174,23 @@
     window, _, _ = world.platform.reports[0]
     end = (window + 1) * 5
     assert end + 10 >= world.time.seconds
+
+
+def test_a_window_is_reported_as_soon_as_all_have_told_their_counts():
+    """A window's usage would be lost that had ended well before all were killed.
+
+    All gateways are killed two seconds after a window's end. All counts were with the
+    holder half a second after it.
+    """
+    world = World()
+    world.clock.advance(11 * SECOND)
+    world.reporters[0].step()
+    reported = len(world.platform.reports)
+    end = (world.time.seconds // 5 + 1) * 5
+    while world.time.seconds < end + 0.5:
+        world.clock.advance(SECOND / 4)
+    world.reporters[0].step()
+    before = len(world.platform.reports)
+    world.told_until = end + 0.4
+    world.reporters[0].step()
+    assert len(world.platform.reports) == before + 1 > reported
