--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -79,6 +79,8 @@
         bounds.zone_prices, key=lambda zone: (bounds.zone_prices[zone], zone)
     )
     needed = max(LEAST_ENDPOINTS, ceil(service.load / PLANNED_USE))
+    if not service.load_known:
+        needed += LEAST_KEPT_ALONE
     is_dry = any(key.service == service.service for key in dry)
     kept = _kept(service, is_dry=is_dry)
     # As many in each zone, so that the loss of one zone costs as little as it can.
@@ -105,7 +107,10 @@
 def _kept(service: PlannedService, *, is_dry: bool) -> int:
     """Return how many endpoints that can't be reclaimed are needed."""
     if not service.load_known:
-        return LEAST_KEPT_ALONE
+        # Those found running stay until reclaimable ones, at a fifth of the price,
+        # stand by in other zones.
+        replaced = _left_by_a_reclaim(service) >= LEAST_KEPT_ALONE
+        return LEAST_KEPT if replaced else LEAST_KEPT_ALONE
     strained = ceil(service.load / STRAINED_USE)
     if is_dry:
         return max(LEAST_KEPT_ALONE, strained)
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -273,6 +273,21 @@
             peer.tried_at = now
             spawn(self._exchange, peer)
 
+    def greet(self) -> None:
+        """Start an exchange with the peers that were introduced and never heard.
+
+        Without it, a gateway that has just started would wait for the next round, and
+        until then leave the parts of limits to peers that it hasn't heard.
+        """
+        new = [
+            peer
+            for peer in self._peers.values()
+            if not peer.state.incarnation and not peer.tried_at
+        ]
+        for peer in new[:FAN_OUT]:
+            peer.tried_at = self._clock.elapsed()
+            spawn(self._exchange, peer)
+
     def tell_all(self) -> None:
         """Send this gateway's state to all peers now, and wait for that."""
         tasks = [spawn(self._exchange, peer) for peer in self._peers.values()]
--- a/src/sassafrasdale/gateway/registration.py
+++ b/src/sassafrasdale/gateway/registration.py
@@ -90,4 +90,5 @@
         for item in self._store.list(GATEWAYS_PREFIX):
             name = item.key.removeprefix(GATEWAYS_PREFIX)
             self._peering.introduce(name, Address.parse(item.value.decode()))
+        self._peering.greet()
         self._listed = True
