--- a/src/sassafrasdale/cli/main.py
+++ b/src/sassafrasdale/cli/main.py
@@ -106,24 +106,9 @@
 
     The settings are in the file that the platform writes for each process.
     """
-    from sassafrasdale.gateway.process import run_gateway
-    from sassafrasdale.platform.exceptions import AdapterError, SettingsFileFaults
-    from sassafrasdale.platform.settings import read_settings
+    from sassafrasdale.gateway.launch import launch_gateway
 
-    try:
-        run_gateway(
-            lambda: read_settings(os.environ),
-            metrics_port=metrics_port,
-            log_level=log_level,
-        )
-    except SettingsFileFaults as error:
-        for fault in error.exceptions:
-            print(f"sassafrasdale gateway: {fault.message}", file=sys.stderr)
-        return Exit.USAGE
-    except AdapterError as error:
-        print(f"sassafrasdale gateway: {error.message}", file=sys.stderr)
-        return Exit.USAGE
-    return Exit.OK
+    return launch_gateway(metrics_port, log_level)
 
 
 def main() -> None:
--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -12,7 +12,6 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from math import exp
@@ -125,21 +124,12 @@
     :param left: tokens left of the limit.
     :param demand: tokens that all gateways' requests ask for a second.
     :param share: part of the limit that falls to this gateway.
-    :param unseen: tokens let in here that the others can't know of yet.
+    :param unseen: tokens let in here that the others can't know of yet, beyond those
+        that the limit's slack has room for.
     """
     return left > demand * UNSEEN_TIME.total_seconds() and unseen <= left * share
 
 
-def first_use(depth: float, first_level: float, reports: Iterable[float]) -> float:
-    """Return what counts as used where a gateway first looks at a limit.
-
-    :param first_level: part of a limit that is left where no peer says more: after a
-        restart of all gateways, full limits would give every customer its burst again.
-    :param reports: what peers heard of lately count as used.
-    """
-    return max(reports, default=depth * (1 - first_level))
-
-
 class PartOfLimit:
     """A bucket that one request may overdraw, since some are larger than it."""
 
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -17,8 +17,8 @@
 from sassafrasdale.http.exceptions import CallerGone
 from sassafrasdale.http.messages import Request
 from sassafrasdale.http.server import ServerConnection
+from sassafrasdale.late_metrics import LateMetrics
 from sassafrasdale.logs import request_context
-from sassafrasdale.metrics import Metrics
 from sassafrasdale.platform.exceptions import ValueMalformed
 from sassafrasdale.platform.headers import REQUEST_ID, read_traits
 
@@ -50,7 +50,7 @@
         routes: Callable[[], RouteTable | None],
         fleet: Fleet,
         quotas: Quotas,
-        metrics: Metrics,
+        metrics: LateMetrics,
         clock: Clock,
         rng: Random,
         may_serve: Callable[[], bool],
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -38,8 +38,8 @@
 from sassafrasdale.green import adopt, listen, sleep, spawn
 from sassafrasdale.http.messages import Request
 from sassafrasdale.http.server import HttpServer, ServerConnection, ServerLimits
+from sassafrasdale.late_metrics import LateMetrics
 from sassafrasdale.logs import start_logs
-from sassafrasdale.metrics import Metrics
 from sassafrasdale.platform.duties import DutyClient
 from sassafrasdale.platform.early import take_opened
 from sassafrasdale.platform.exceptions import AdapterError
@@ -99,7 +99,7 @@
         bounds = settings.bounds
         self._started_at = clock.elapsed()
         self._incarnation = int(clock.now().timestamp() * 1000)
-        self._metrics = Metrics(settings.name, settings.availability_zone)
+        self._metrics = LateMetrics(settings.name, settings.availability_zone)
         self._store_health = Dependency("store", clock)
         self._store = PlatformStore(settings.store, clock)
         self._directory = Directory(
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -16,7 +16,6 @@
     PartOfLimit,
     SharedLimit,
     SpendingReport,
-    first_use,
     has_room,
 )
 from sassafrasdale.decisions.shares import DemandShares
@@ -25,10 +24,16 @@
 # Part of the slack on top of each limit that is used as room for large requests;
 # the rest covers requests that overdraw and spending that isn't known yet.
 USED_SLACK = 0.25
-# Part of its depth that a bucket begins with: after a restart of all gateways at
-# once, full buckets would give every customer its burst again. What was not spent
+# Part of its depth that a limit begins with: after a restart of all gateways at
+# once, full limits would give every customer its burst again. What was not spent
 # while they started makes up for this part.
 FIRST_LEVEL = 0.4
+# Part of the slack that is left at the beginning on top of that. Callers who waited out
+# the restart come back together; with 0.4 alone, four of ten requests of the first half
+# second were refused, and came back late.
+FIRST_SLACK = 0.25
+# Part of the slack that all gateways may let in before they know of each other.
+UNSEEN_SLACK = 0.15
 # What a gateway that is gone was last heard to have is dropped after this time.
 LAST_HEARD_KEPT = timedelta(minutes=2)
 # Time between two sums of all gateways' demand.
@@ -110,12 +115,14 @@
         slack = self._bounds.quota_slack if customer.counts_tokens else 0
         depth = customer.burst + USED_SLACK * slack
         live = self._live(customer, now)
-        limit = self._limit(customer.name, depth, now)
+        first = min(depth, depth * FIRST_LEVEL + slack * FIRST_SLACK)
+        limit = self._limit(customer.name, depth - first, now)
         limit.refill(customer.rate * live.left, now)
         share = self._share(customer, live, now)
-        part = self._part(customer, depth, share, now)
+        part = self._part(customer, depth, first, share, now)
         left = depth * live.left - limit.used(now)
-        if has_room(left, live.demand, share, limit.unseen(now)):
+        unseen = limit.unseen(now) - slack * UNSEEN_SLACK * share
+        if has_room(left, live.demand, share, unseen):
             part.drain(amount)
         elif not part.try_spend(amount):
             return part.time_to_positive()
@@ -184,17 +191,22 @@
         return live.left * _with_spare(by_demand, live.demand, rate, live.gateways)
 
     def _part(
-        self, customer: Customer, depth: float, share: float, now: timedelta
+        self,
+        customer: Customer,
+        depth: float,
+        first: float,
+        share: float,
+        now: timedelta,
     ) -> PartOfLimit:
         part = self._parts.get(customer.name)
         if part is None:
             # It has been filling since the start, though nobody looked at it.
-            part = PartOfLimit(depth * share * FIRST_LEVEL, self._started_at)
+            part = PartOfLimit(first * share, self._started_at)
             self._parts[customer.name] = part
         part.refill(customer.rate * share, depth * share, now)
         return part
 
-    def _limit(self, name: str, depth: float, now: timedelta) -> SharedLimit:
+    def _limit(self, name: str, first_used: float, now: timedelta) -> SharedLimit:
         limit = self._limits.get(name)
         if limit is not None:
             return limit
@@ -203,7 +215,7 @@
             for last in self._last_heard.values()
             if name in last.reports and now - last.heard_at <= EXPECTED_TIME
         ]
-        limit = SharedLimit(first_use(depth, FIRST_LEVEL, used), now)
+        limit = SharedLimit(max(used, default=first_used), now)
         self._limits[name] = limit
         return limit
 
