One endpoint is always kept; those that serve stay until reclaimable ones run

Change: the cheapest zone has a place for one that no reclaim takes; reclaimable ones take places only as they run. Both tests were seen failing.

--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -85,11 +85,9 @@
     kept = _kept(service, is_dry=is_dry)
     # As many in each zone, so that the loss of one zone costs as little as it can.
     each = min(max(ceil((needed - kept) / len(zones)), 1), bounds.most)
-    available = {zone: _available(service, zone, each, dry) for zone in zones}
     orders = {}
     for zone in zones:
-        # A place is left for a reclaimable one, so that it goes on being asked for.
-        count = min(kept, bounds.most - max(available[zone], min(each, 1)))
+        count = min(kept, _places(service, zone, each, kept))
         # Where none are to be had, the others get their places. The lower bound is
         # one of orders: one that can't be met now counts.
         count = max(count, bounds.least - each, 0)
@@ -97,10 +95,11 @@
         orders[OrderKey(service.service, zone, False)] = count
         reclaimable = min(each, bounds.most - count)
         orders[OrderKey(service.service, zone, True)] = reclaimable
+    available = sum(_available(service, zone, each, dry) for zone in zones)
     return FleetPlan(
         orders,
         f"load {service.load:.2f}, needed {needed}, "
-        f"reclaimable to be had {sum(available.values())}",
+        f"reclaimable to be had {available}",
     )
 
 
@@ -117,6 +116,27 @@
     return max(LEAST_KEPT, strained - _left_by_a_reclaim(service))
 
 
+def _places(
+    service: PlannedService,
+    zone: str,
+    each: int,
+    kept: int,
+) -> int:
+    """Return how many endpoints that can't be reclaimed fit into a zone.
+
+    Both kinds share a zone's upper bound. Reclaimable ones that run are not displaced,
+    but for the few that must be kept in any case. Those that are only ordered take no
+    places: an endpoint that serves would be given back for one that may never come.
+    A place is left for a reclaimable one, so that it goes on being asked for.
+    """
+    most = service.bounds.most
+    running = min(service.running.get(OrderKey(service.service, zone, True), 0), each)
+    free = most - max(running, 1)
+    if kept <= LEAST_KEPT:
+        return max(free, min(LEAST_KEPT, most - 1))
+    return free
+
+
 def _left_by_a_reclaim(service: PlannedService) -> int:
     """Return how many reclaimable endpoints run without the zone that has most."""
     running = [count for key, count in service.running.items() if key.reclaimable]
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -113,6 +113,33 @@
     assert all(plan.orders[key(zone, True)] == 1 for zone in "abc")
 
 
+def test_one_is_kept_though_reclaimable_ones_fill_all_places():
+    """Callers would find nothing once two zones were reclaimed, one after the other.
+
+    Pattern: a load that asks for as many reclaimable endpoints as three zones hold. They
+    took the last place of the one endpoint that no reclaim takes.
+    """
+    tight = ScaleBounds(1, 3, timedelta(seconds=4), 0.22, BOUNDS.zone_prices)
+    spots = {key(zone, True): 3 for zone in "abc"}
+    plan = plan_orders(planned(2.2, spots, tight), ())
+    assert plan.orders[key("a", False)] == LEAST_KEPT
+    assert plan.orders[key("a", True)] == 2
+
+
+def test_endpoints_that_serve_are_not_given_back_for_ones_that_are_only_ordered():
+    """Callers met four engines instead of nine for four seconds, at the highest load.
+
+    Pattern: after a dry time reclaimable endpoints can be ordered again. Both kinds
+    share three places a zone; five kept ones run, and four reclaimable ones so far.
+    """
+    tight = ScaleBounds(1, 3, timedelta(seconds=4), 0.22, BOUNDS.zone_prices)
+    running = {key("a", True): 1, key("b", True): 2, key("c", True): 1}
+    running |= {key("a", False): 2, key("b", False): 1, key("c", False): 2}
+    plan = plan_orders(planned(2.7, running, tight), ())
+    kept = sum(plan.orders[key(zone, False)] for zone in "abc")
+    assert kept >= 2.7 / STRAINED_USE - 2
+
+
 def test_the_cheapest_zones_are_filled_first():
     dry = {key(zone, True) for zone in "abc"}
     plan = plan_orders(planned(2.4), dry)
