--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -98,8 +98,7 @@
     available = sum(_available(service, zone, each, dry) for zone in zones)
     return FleetPlan(
         orders,
-        f"load {service.load:.2f}, needed {needed}, "
-        f"reclaimable to be had {available}",
+        f"load {service.load:.2f}, needed {needed}, reclaimable to be had {available}",
     )
 
 
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -111,6 +111,12 @@
         self._first_at: timedelta | None = None
         self._last_failure = ""
         self._endpoint: str | None = None
+        self._ticket: Ticket | None = None
+
+    @property
+    def ticket(self) -> Ticket | None:
+        """What decided on the last send; None without one."""
+        return self._ticket
 
     @property
     def endpoint(self) -> str | None:
@@ -160,6 +166,7 @@
         self._endpoint = record.name
         limit = None if job.route.repeatable else FRESH_USE
         ticket = self._fleet.began(record, job.traits, again=self._sends > 0)
+        self._ticket = ticket
         connection: HttpConnection | None = None
         try:
             try:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -42,6 +42,8 @@
 
     :param unread_tokens: prompt tokens that the endpoint has yet to read for it.
     :param source: engine from which it fetches shared parts of the prompt.
+    :param queued_tokens: what this gateway has sent there before and isn't read yet.
+    :param news_age: age of what was known of the other gateways' sends.
     """
 
     record: EndpointRecord
@@ -49,6 +51,8 @@
     began_at: timedelta
     unread_tokens: int
     source: EndpointRecord | None = None
+    queued_tokens: int = 0
+    news_age: timedelta = timedelta()
     has_first: bool = False
 
 
@@ -163,9 +167,18 @@
             now = self._clock.elapsed()
             if not again:
                 self._work.add(service.name, now, took.total_seconds())
+        queued = record.unread_tokens
         record.in_flight += 1
         record.unread_tokens += unread
-        return Ticket(record, service.name, self._clock.elapsed(), unread, source)
+        return Ticket(
+            record,
+            service.name,
+            self._clock.elapsed(),
+            unread,
+            source,
+            queued,
+            self._news_age,
+        )
 
     def first_token(self, ticket: Ticket, *, answered: bool = True) -> None:
         """Note that an endpoint has read the whole prompt, or need not any more."""
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -9,7 +9,7 @@
 from sassafrasdale.clock import Clock, milliseconds
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamBrokenOff
 from sassafrasdale.gateway.exchange import Job, RequestExchange
-from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.fleet import Fleet, Ticket
 from sassafrasdale.gateway.models import Customer, RequestTraits, Route
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.routing import RouteTable, draw_service
@@ -106,6 +106,7 @@
             record.sends = exchange.sends
             record.endpoint = exchange.endpoint
             record.first_after = exchange.first_byte_after
+            record.ticket = exchange.ticket
 
     def _admit(self, request: Request, record: "_Record") -> Job:
         """Return the request as one that may run.
@@ -132,6 +133,7 @@
             record.customer = customer.name
             pause = self._quotas.admit(customer, traits)
             if pause is not None:
+                record.limit = self._quotas.explain(customer)
                 raise RequestRefused(
                     429, "over the customer's limit", retry_after=pause
                 )
@@ -186,6 +188,7 @@
         if record.service is not None:
             self._metrics.request_ended(record.service, record.outcome, took)
         first = record.first_after
+        ticket = record.ticket
         log.info(
             "request ended",
             outcome=record.outcome,
@@ -197,6 +200,11 @@
             version=record.version,
             endpoint=record.endpoint,
             sends=record.sends,
+            limit=record.limit,
+            unread=ticket and ticket.unread_tokens,
+            queued=ticket and ticket.queued_tokens,
+            news_ms=ticket and milliseconds(ticket.news_age),
+            fetched_from=ticket and ticket.source and ticket.source.name,
             first_ms=None if first is None else milliseconds(first),
             took_ms=milliseconds(took),
         )
@@ -216,3 +224,5 @@
         self.version = 0
         self.sends = 0
         self.first_after: timedelta | None = None
+        self.limit: str | None = None
+        self.ticket: Ticket | None = None
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -129,6 +129,18 @@
         limit.spend(amount, now)
         return None
 
+    def explain(self, customer: Customer) -> str:
+        """Return what decides on a customer's requests now, for the logs."""
+        now = self._clock.elapsed()
+        live = self._live(customer, now)
+        limit = self._limits.get(customer.name)
+        used = 0.0 if limit is None else limit.used(now)
+        return (
+            f"used {used:.0f}, asked {live.demand:.0f} of {customer.rate:.0f} a second,"
+            f" part here {self._share(customer, live, now):.2f},"
+            f" not set aside {live.left:.2f}"
+        )
+
     def restore(self, customer: Customer, traits: RequestTraits) -> None:
         """Give back what a request took that then didn't run."""
         if customer.rate and customer.name in self._limits:
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -116,7 +116,7 @@
 def test_one_is_kept_though_reclaimable_ones_fill_all_places():
     """Callers would find nothing once two zones were reclaimed, one after the other.
 
-    Pattern: a load that asks for as many reclaimable endpoints as three zones hold. They
+    Pattern: a load that asks for as many reclaimable endpoints as fit the zones. They
     took the last place of the one endpoint that no reclaim takes.
     """
     tight = ScaleBounds(1, 3, timedelta(seconds=4), 0.22, BOUNDS.zone_prices)
