--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -87,7 +87,8 @@
     each = min(max(ceil((needed - kept) / len(zones)), 1), bounds.most)
     orders = {}
     for zone in zones:
-        count = min(kept, _places(service, zone, each, kept))
+        reserved = LEAST_KEPT if zone == zones[0] else 0
+        count = min(kept, max(_places(service, zone, each), reserved))
         # Where none are to be had, the others get their places. The lower bound is
         # one of orders: one that can't be met now counts.
         count = max(count, bounds.least - each, 0)
@@ -115,25 +116,16 @@
     return max(LEAST_KEPT, strained - _left_by_a_reclaim(service))
 
 
-def _places(
-    service: PlannedService,
-    zone: str,
-    each: int,
-    kept: int,
-) -> int:
+def _places(service: PlannedService, zone: str, each: int) -> int:
     """Return how many endpoints that can't be reclaimed fit into a zone.
 
-    Both kinds share a zone's upper bound. Reclaimable ones that run are not displaced,
-    but for the few that must be kept in any case. Those that are only ordered take no
-    places: an endpoint that serves would be given back for one that may never come.
-    A place is left for a reclaimable one, so that it goes on being asked for.
+    Both kinds share a zone's upper bound. Reclaimable ones that run are not displaced;
+    those that are only ordered take no places, or an endpoint that serves would be given
+    back for one that may never come. A place is left for a reclaimable one, so that it
+    goes on being asked for.
     """
-    most = service.bounds.most
     running = min(service.running.get(OrderKey(service.service, zone, True), 0), each)
-    free = most - max(running, 1)
-    if kept <= LEAST_KEPT:
-        return max(free, min(LEAST_KEPT, most - 1))
-    return free
+    return service.bounds.most - max(running, 1)
 
 
 def _left_by_a_reclaim(service: PlannedService) -> int:
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -121,9 +121,10 @@
     """
     tight = ScaleBounds(1, 3, timedelta(seconds=4), 0.22, BOUNDS.zone_prices)
     spots = {key(zone, True): 3 for zone in "abc"}
-    plan = plan_orders(planned(2.2, spots, tight), ())
-    assert plan.orders[key("a", False)] == LEAST_KEPT
-    assert plan.orders[key("a", True)] == 2
+    for load in (2.2, 4.5):
+        plan = plan_orders(planned(load, spots, tight), ())
+        assert plan.orders[key("a", False)] == LEAST_KEPT
+        assert plan.orders[key("a", True)] == 2
 
 
 def test_endpoints_that_serve_are_not_given_back_for_ones_that_are_only_ordered():
