--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -119,8 +119,8 @@
 def _places(service: PlannedService, zone: str, each: int) -> int:
     """Return how many endpoints that can't be reclaimed fit into a zone.
 
-    Both kinds share a zone's upper bound. Reclaimable ones that run are not displaced;
-    those that are only ordered take no places, or an endpoint that serves would be given
+    Both kinds share a zone's upper bound. Reclaimable ones that run are not displaced.
+    Those that are only ordered take no places: an endpoint that serves would be given
     back for one that may never come. A place is left for a reclaimable one, so that it
     goes on being asked for.
     """
