--- a/bench/placement/model.py
+++ b/bench/placement/model.py
@@ -13,12 +13,12 @@
 from random import Random
 
 from sassafrasdale.decisions.paces import EnginePaces
-from sassafrasdale.gateway.directory import EndpointRecord
-from sassafrasdale.gateway.models import (
+from sassafrasdale.deployment import (
     Endpoint,
     EndpointState,
     RequestTraits,
 )
+from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.placement import CacheBelief, Placement
 from sassafrasdale.structures import Address
 
--- a/bench/placement/run.py
+++ b/bench/placement/run.py
@@ -18,7 +18,7 @@
 )
 from sassafrasdale.decisions.fetching import MemoryLink
 from sassafrasdale.decisions.news import ToldLoad
-from sassafrasdale.gateway.models import (
+from sassafrasdale.deployment import (
     EngineTraits,
     PromptPart,
     RequestTraits,
--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 from math import ceil
 
-from sassafrasdale.gateway.models import ScaleBounds
+from sassafrasdale.deployment import ScaleBounds
 
 # Part of its time that an endpoint is planned to be busy. Requests come in clumps,
 # and the first token of one waits for the prompts ahead of it.
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -8,7 +8,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.health import Health, HealthSettings
-from sassafrasdale.gateway.models import Endpoint, EndpointState
+from sassafrasdale.deployment import Endpoint, EndpointState
 from sassafrasdale.http.connections import ConnectionPool
 
 log = Logger("directory")
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -11,12 +11,12 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds
+from sassafrasdale.deployment import Customer, RequestKind, RequestTraits, Route
 from sassafrasdale.exceptions import SassafrasdaleError
 from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.events import EventSplitter
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamBrokenOff
 from sassafrasdale.gateway.fleet import Fleet, Ticket
-from sassafrasdale.gateway.models import Customer, RequestKind, RequestTraits, Route
 from sassafrasdale.http.connections import HttpConnection
 from sassafrasdale.http.exceptions import (
     AnswerTimeout,
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -9,17 +9,17 @@
 from sassafrasdale.decisions.news import ToldLoad, unseen_work
 from sassafrasdale.decisions.paces import EnginePaces
 from sassafrasdale.decisions.shares import DemandShares
-from sassafrasdale.gateway.directory import Directory, EndpointRecord
-from sassafrasdale.gateway.models import (
+from sassafrasdale.decisions.speeds import ReadingSpeed
+from sassafrasdale.deployment import (
     Bounds,
     Configuration,
     Customer,
     RequestTraits,
     Service,
 )
+from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.peering import Peering, loads_by_endpoint
 from sassafrasdale.gateway.placement import CacheBelief, Placement, shared_parts
-from sassafrasdale.gateway.speeds import ReadingSpeed
 from sassafrasdale.gateway.usage import UsageCounts
 
 # Time over which the engines' load is averaged. Requests come in clumps; endpoints
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -7,10 +7,10 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds
+from sassafrasdale.deployment import Customer, RequestTraits, Route
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamBrokenOff
 from sassafrasdale.gateway.exchange import Job, RequestExchange
 from sassafrasdale.gateway.fleet import Fleet, Ticket
-from sassafrasdale.gateway.models import Customer, RequestTraits, Route
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.routing import RouteTable, draw_service
 from sassafrasdale.green import sleep
--- a/src/sassafrasdale/gateway/knowledge.py
+++ b/src/sassafrasdale/gateway/knowledge.py
@@ -10,10 +10,10 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.deployment import CallerLimits, Configuration, Endpoint
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.following import Follower, Revised
-from sassafrasdale.gateway.models import CallerLimits, Configuration, Endpoint
 from sassafrasdale.gateway.peering import StoreValues
 from sassafrasdale.gateway.routing import RouteTable
 from sassafrasdale.green import spawn
--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -10,8 +10,8 @@
 from sassafrasdale.decisions.fetching import pays, transfer_time
 from sassafrasdale.decisions.news import NO_LOAD, ToldLoad, still_unread
 from sassafrasdale.decisions.paces import EnginePaces
+from sassafrasdale.deployment import PromptPart, RequestTraits, Service
 from sassafrasdale.gateway.directory import EndpointRecord
-from sassafrasdale.gateway.models import PromptPart, RequestTraits, Service
 
 # Time that each request that runs on an engine adds to another's.
 RUNNING_TIME = timedelta(milliseconds=2)
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -15,6 +15,7 @@
 from sassafrasdale.coordination.leases import LeaseHolder
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
 from sassafrasdale.decisions.paces import EnginePaces
+from sassafrasdale.deployment import GatewaySettings
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.drain import Drain
@@ -22,7 +23,6 @@
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.knowledge import Knowledge
 from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
-from sassafrasdale.gateway.models import GatewaySettings
 from sassafrasdale.gateway.peering import (
     DutyClaim,
     EndpointLoad,
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -19,7 +19,7 @@
     has_room,
 )
 from sassafrasdale.decisions.shares import DemandShares
-from sassafrasdale.gateway.models import Bounds, Customer, RequestTraits
+from sassafrasdale.deployment import Bounds, Customer, RequestTraits
 
 # Part of the slack on top of each limit that is used as room for large requests;
 # the rest covers requests that overdraw and spending that isn't known yet.
--- a/src/sassafrasdale/gateway/routing.py
+++ b/src/sassafrasdale/gateway/routing.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from sassafrasdale.gateway.models import Configuration, Customer, Route
+from sassafrasdale.deployment import Configuration, Customer, Route
 
 
 class RouteTable:
--- a/src/sassafrasdale/platform/configuration.py
+++ b/src/sassafrasdale/platform/configuration.py
@@ -7,7 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from sassafrasdale.decisions.fetching import MemoryLink
-from sassafrasdale.gateway.models import (
+from sassafrasdale.deployment import (
     CallerLimits,
     Configuration,
     Customer,
--- a/src/sassafrasdale/platform/endpoints.py
+++ b/src/sassafrasdale/platform/endpoints.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from sassafrasdale.gateway.models import Endpoint, EndpointState
+from sassafrasdale.deployment import Endpoint, EndpointState
 from sassafrasdale.platform.exceptions import ValueMalformed
 from sassafrasdale.structures import Address
 
--- a/src/sassafrasdale/platform/headers.py
+++ b/src/sassafrasdale/platform/headers.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import milliseconds
-from sassafrasdale.gateway.models import PromptPart, RequestTraits
+from sassafrasdale.deployment import PromptPart, RequestTraits
 from sassafrasdale.http.messages import AnswerHead, Headers, Request
 from sassafrasdale.platform.exceptions import ValueMalformed
 from sassafrasdale.structures import Address
--- a/src/sassafrasdale/platform/settings.py
+++ b/src/sassafrasdale/platform/settings.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from sassafrasdale.gateway.models import Bounds, GatewaySettings
+from sassafrasdale.deployment import Bounds, GatewaySettings
 from sassafrasdale.platform.early import PATH_VARIABLE
 from sassafrasdale.platform.exceptions import (
     SettingsFileError,
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -15,7 +15,7 @@
     PlannedService,
     plan_orders,
 )
-from sassafrasdale.gateway.models import ScaleBounds
+from sassafrasdale.deployment import ScaleBounds
 
 BOUNDS = ScaleBounds(1, 4, timedelta(seconds=4), 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
 
--- a/tests/gateway/test_speeds.py
+++ b/tests/decisions/test_speeds.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from sassafrasdale.gateway.speeds import (
+from sassafrasdale.decisions.speeds import (
     FIRST_GUESS,
     LEAST_OBSERVATIONS,
     ReadingSpeed,
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -6,8 +6,8 @@
 import pytest
 
 from sassafrasdale.clock import ManualClock
+from sassafrasdale.deployment import Endpoint, EndpointState
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.gateway.models import Endpoint, EndpointState
 from sassafrasdale.structures import Address
 
 DRAIN = timedelta(seconds=2)
--- a/tests/gateway/test_duty_model.py
+++ b/tests/gateway/test_duty_model.py
@@ -11,8 +11,8 @@
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
 from sassafrasdale.coordination.leases import LeaseHolder
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
+from sassafrasdale.deployment import ScaleBounds
 from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
-from sassafrasdale.gateway.models import ScaleBounds
 from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.scaling import ORDERS_FORM, ORDERS_RECORD, Scaler
 from sassafrasdale.gateway.usage import TrueTime
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -7,11 +7,11 @@
 import pytest
 
 from sassafrasdale.clock import ManualClock
+from sassafrasdale.deployment import PromptPart
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.following import Revised
 from sassafrasdale.gateway.knowledge import Knowledge
-from sassafrasdale.gateway.models import PromptPart
 from sassafrasdale.gateway.placement import CacheBelief
 
 ENTRY = {"service": "models", "addr": "10.1.0.4:80", "zone": "a", "state": "ready"}
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -8,8 +8,7 @@
 from sassafrasdale.decisions.fetching import MemoryLink
 from sassafrasdale.decisions.news import ToldLoad
 from sassafrasdale.decisions.paces import EnginePaces
-from sassafrasdale.gateway.directory import EndpointRecord
-from sassafrasdale.gateway.models import (
+from sassafrasdale.deployment import (
     Endpoint,
     EndpointState,
     EngineTraits,
@@ -17,6 +16,7 @@
     RequestTraits,
     Service,
 )
+from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.placement import CacheBelief, Placement, home_of
 from sassafrasdale.structures import Address
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from sassafrasdale.clock import ManualClock
-from sassafrasdale.gateway.models import Bounds, Customer, RequestTraits
+from sassafrasdale.deployment import Bounds, Customer, RequestTraits
 from sassafrasdale.gateway.quotas import Quotas, request_size
 
 SECOND = timedelta(seconds=1)
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from sassafrasdale.gateway.models import (
+from sassafrasdale.deployment import (
     Configuration,
     Customer,
     RequestKind,
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -8,7 +8,7 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreAnswerLost
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
-from sassafrasdale.gateway.models import ScaleBounds
+from sassafrasdale.deployment import ScaleBounds
 from sassafrasdale.gateway.scaling import LATE_ORDERS, SETTLING, Scaler
 from sassafrasdale.platform.exceptions import DutyCallFailed, NoneAvailable
 from tests.gateway.duties import SECOND, Lease
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -8,10 +8,10 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.decisions.paces import EnginePaces
+from sassafrasdale.deployment import Endpoint, EndpointState, GatewaySettings
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.frontend import Frontend
-from sassafrasdale.gateway.models import Endpoint, EndpointState, GatewaySettings
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheBelief, Placement
 from sassafrasdale.gateway.quotas import Quotas
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sassafrasdale.gateway.models import RequestKind
+from sassafrasdale.deployment import RequestKind
 from sassafrasdale.platform.configuration import decode_configuration
 from sassafrasdale.platform.exceptions import ValueMalformed
 from tests.platform.documents import configuration
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sassafrasdale.gateway.models import EndpointState
+from sassafrasdale.deployment import EndpointState
 from sassafrasdale.platform.endpoints import decode_endpoint
 from sassafrasdale.platform.exceptions import ValueMalformed
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sassafrasdale.gateway.models import PromptPart
+from sassafrasdale.deployment import PromptPart
 from sassafrasdale.http.messages import AnswerHead, Request
 from sassafrasdale.platform.exceptions import ValueMalformed
 from sassafrasdale.platform.headers import (
