Kept endpoints go where there is room, and are asked for again as room appears

The order was not repeated for six seconds after the room had appeared. Change: places count what runs, not what is needed; a loss lets both kinds of the zone be asked for at once. Both tests were seen failing.

--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -88,7 +88,7 @@
     orders = {}
     for zone in zones:
         reserved = LEAST_KEPT if zone == zones[0] else 0
-        count = min(kept, max(_places(service, zone, each), reserved))
+        count = min(kept, max(_places(service, zone), reserved))
         # Where none are to be had, the others get their places. The lower bound is
         # one of orders: one that can't be met now counts.
         count = max(count, bounds.least - each, 0)
@@ -116,7 +116,7 @@
     return max(LEAST_KEPT, strained - _left_by_a_reclaim(service))
 
 
-def _places(service: PlannedService, zone: str, each: int) -> int:
+def _places(service: PlannedService, zone: str) -> int:
     """Return how many endpoints that can't be reclaimed fit into a zone.
 
     Both kinds share a zone's upper bound. Reclaimable ones that run are not displaced.
@@ -124,7 +124,7 @@
     back for one that may never come. A place is left for a reclaimable one, so that it
     goes on being asked for.
     """
-    running = min(service.running.get(OrderKey(service.service, zone, True), 0), each)
+    running = service.running.get(OrderKey(service.service, zone, True), 0)
     return service.bounds.most - max(running, 1)
 
 
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -212,6 +212,8 @@
             key=lambda item: item[1] - service.running.get(item[0], 0),
             reverse=True,
         )
+        for key, _ in orders:
+            self._note_loss(key, service.running.get(key, 0))
         for key, wanted in orders:
             running = service.running.get(key, 0)
             held = self._held(key, running)
@@ -219,20 +221,21 @@
                 self._lower_since.pop(key, None)
             elif not self._may_lower(key, service):
                 wanted = held
-            self._note_loss(key, running)
             if self._ordered.get(key) != wanted or running < wanted:
                 self._order(service, key, wanted, plan.reason)
         self._carried_out.add(service.service)
 
     def _note_loss(self, key: OrderKey, running: int) -> None:
-        """Let a kind be ordered at once where some of it went.
+        """Let a zone's kinds be ordered at once where some endpoints went.
 
         What is missing after an order is usually still starting, and not asked for
         again. Endpoints that leave or crash meanwhile would be missed for all of that
-        time, and for good where nothing else changes the order.
+        time, and for good where nothing else changes the order. Those that leave also
+        make room: an order beyond the zone's bound is taken, but not carried out.
         """
         if running < self._seen_running.get(key, 0):
-            self._asked.pop(key, None)
+            for reclaimable in (False, True):
+                self._asked.pop(replace(key, reclaimable=reclaimable), None)
         self._seen_running[key] = running
 
     def _held(self, key: OrderKey, running: int) -> int:
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -127,6 +127,19 @@
         assert plan.orders[key("a", True)] == 2
 
 
+def test_kept_ones_go_where_there_is_room_though_few_are_needed():
+    """Callers queued at one engine for ten seconds where the load had been low.
+
+    Pattern: three of four places of the cheapest zone are taken by reclaimable ones that
+    run, more than a low load needs. A reclaim of another zone calls for two kept ones;
+    both were ordered in the cheapest zone, which had room for one.
+    """
+    running = {key("a", True): 3, key("c", True): 4, key("a", False): 1}
+    plan = plan_orders(planned(0.3, running), {key("b", True)})
+    assert plan.orders[key("a", False)] == 1
+    assert plan.orders[key("c", False)] + plan.orders[key("b", False)] == 1
+
+
 def test_endpoints_that_serve_are_not_given_back_for_ones_that_are_only_ordered():
     """Callers met four engines instead of nine for four seconds, at the highest load.
 
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -323,3 +323,22 @@
     duty.cloud.orders.clear()
     duty.pass_time(2 * LATE_ORDERS)
     assert duty.cloud.wanted().keys() == given.keys()
+
+
+def test_kept_ones_are_asked_for_again_as_room_appears():
+    """A zone's last engines would be reclaimed and nothing come for six seconds.
+
+    The zone is full of reclaimable endpoints, so an order of another kind is taken and
+    not carried out. Then those are reclaimed, and there is room.
+    """
+    duty = Duty()
+    duty.load = 0.5
+    kept, spots = OrderKey("models", "a", False), OrderKey("models", "a", True)
+    duty.running = {kept: 1, spots: 7}
+    duty.pass_time(40 * SECOND)
+    duty.load = 2.0
+    duty.pass_time(SECOND / 2)
+    duty.cloud.orders.clear()
+    duty.running = {kept: 1}
+    duty.pass_time(SECOND / 2)
+    assert duty.cloud.wanted()["a", False] > 1
