--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -130,9 +130,9 @@
 def test_kept_ones_go_where_there_is_room_though_few_are_needed():
     """Callers queued at one engine for ten seconds where the load had been low.
 
-    Pattern: three of four places of the cheapest zone are taken by reclaimable ones that
-    run, more than a low load needs. A reclaim of another zone calls for two kept ones;
-    both were ordered in the cheapest zone, which had room for one.
+    Pattern: three of four places of the cheapest zone are taken by reclaimable ones,
+    more than a low load needs. A reclaim of another zone calls for two kept ones; both
+    were ordered in the cheapest zone, which had room for one.
     """
     running = {key("a", True): 3, key("c", True): 4, key("a", False): 1}
     plan = plan_orders(planned(0.3, running), {key("b", True)})
