Model of engines as a class of short steps, with an ablation; a test waits for readiness

The entry had the text from its peer, which it trusts only once each peer had time to tell of a newer one (entry/coordinator.py, prepare). The test now waits for readiness and asserts the same.

--- a/bench/placement/model.py
+++ b/bench/placement/model.py
@@ -10,6 +10,7 @@
 import heapq
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from datetime import timedelta
 from random import Random
 
 from sassafrasdale.decisions.paces import EnginePaces
@@ -24,6 +25,8 @@
 
 # Time from the end of a prompt's reading until the caller has the first event, s.
 FIRST_EVENT = 0.035
+# Prompt tokens that are read in the time of a pause between two events.
+PAUSE_TOKENS = 1600
 # Time that a stream runs on after its first event, s.
 STREAM_TIME = 0.8
 
@@ -111,6 +114,10 @@
         work = tokens * self.token_time + extra
         heapq.heappush(self._queue, [job.kind.priority, number, work, job])
 
+    def pauses(self) -> list[timedelta]:
+        """Return the pauses between the events of a stream."""
+        return [timedelta(seconds=self.token_time * PAUSE_TOKENS)] * 20
+
     def advance(self, now: float) -> list["Job"]:
         """Read until a moment."""
         done = []
@@ -168,7 +175,8 @@
             for engine in engines
         }
         self.cache = CacheBelief()
-        self.placement = Placement("a", self.cache, EnginePaces(), rng)
+        self.paces = EnginePaces()
+        self.placement = Placement("a", self.cache, self.paces, rng)
 
     def loads(self) -> dict[str, tuple[int, int]]:
         """Return what this gateway has under way."""
--- a/bench/placement/run.py
+++ b/bench/placement/run.py
@@ -1,10 +1,12 @@
-"""Plays a setting on several seeds, for one way to look at old news."""
+"""Plays a setting on several seeds, with each mechanism on or off."""
 
 from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from itertools import product
 from random import Random
-from statistics import fmean
+from statistics import fmean, stdev
 
 from cyclopts import run
 
@@ -13,11 +15,12 @@
     Engine,
     Gateway,
     Job,
+    Kind,
     Outcome,
     Setting,
 )
 from sassafrasdale.decisions.fetching import MemoryLink
-from sassafrasdale.decisions.news import ToldLoad
+from sassafrasdale.decisions.news import ToldLoad, unseen_work
 from sassafrasdale.deployment import (
     EngineTraits,
     PromptPart,
@@ -25,148 +28,220 @@
     Service,
 )
 
+# Loads that are compared, as multiples of the usual one: one that is borne, a burst.
+LOADS = (1.0, 1.3)
 # Engines of a run, by how much slower they are than the fastest.
 SLOWNESS = ((1, 1, 1.3, 1, 1), (1, 1, 1.3))
 LINK = MemoryLink(35_136, 550_000e6)
+CACHE_TOKENS = 1_067_497
+# Time over which the load is averaged, s.
+WORK_WINDOW = 5.0
+# What comes before this time meets empty engines and doesn't count, s.
+WARM_UP = 10.0
+# What a late request is worth, as a part of one on time.
+LATE_WORTH = 0.1
 
 
-def play(setting: Setting, seed: int, *, noise: float, drains: bool, fetch: bool):
-    """Return the outcome of one run.
+@dataclass(frozen=True, slots=True)
+class Ways:
+    """Mechanisms that a run uses.
 
     :param noise: part of the unseen work that choices are spread over.
     :param drains: whether what peers told counts as read since.
+    :param fetch: whether shared parts may be fetched.
+    :param paces: whether engines' paces are learned.
     """
-    rng = Random(seed)
-    ever: set[str] = set()
-    engines = [
-        Engine(f"i-{n}", slow, setting, ever) for n, slow in enumerate(setting.slowness)
-    ]
-    by_name = {engine.name: engine for engine in engines}
-    gateways = [Gateway(engines, Random(rng.random())) for _ in range(setting.gateways)]
-    weights = [rng.uniform(0.5, 1.5) for _ in gateways]
-    service = Service("m", EngineTraits(128, 1_067_497, LINK if fetch else None))
-    token_time = timedelta(seconds=setting.token_time)
-    now = 0.0
-    number = 0
-    ending = []
-    told = [(0.0, {}) for _ in gateways]
-    next_news = [rng.uniform(0, setting.news) for _ in gateways]
-    done = []
-    total_rate = sum(kind.rate for kind in setting.kinds) * setting.load
-    work_rate = 0.0
-    while now < setting.seconds:
-        now += rng.expovariate(total_rate / setting.clump)
-        for engine in engines:
+
+    noise: float = 1.0
+    drains: bool = True
+    fetch: bool = True
+    paces: bool = True
+
+
+# All mechanisms, each one switched off alone, and none.
+ABLATION = {
+    "all": Ways(),
+    "without spreading": Ways(noise=0.0),
+    "without reading since": Ways(drains=False),
+    "without fetches": Ways(fetch=False),
+    "without paces": Ways(paces=False),
+    "none": Ways(noise=0.0, drains=False, fetch=False, paces=False),
+}
+
+
+class Run:
+    """One run of a setting."""
+
+    def __init__(self, setting: Setting, seed: int, ways: Ways) -> None:
+        self._setting = setting
+        self._ways = ways
+        self._rng = rng = Random(seed)
+        ever: set[str] = set()
+        self._engines = {
+            f"i-{number}": Engine(f"i-{number}", slowness, setting, ever)
+            for number, slowness in enumerate(setting.slowness)
+        }
+        engines = list(self._engines.values())
+        self._gateways = [
+            Gateway(engines, Random(rng.random())) for _ in range(setting.gateways)
+        ]
+        # A balancer's hash is uneven.
+        self._weights = [rng.uniform(0.5, 1.5) for _ in self._gateways]
+        link = LINK if ways.fetch else None
+        self._service = Service("m", EngineTraits(128, CACHE_TOKENS, link))
+        self._token_time = timedelta(seconds=setting.token_time)
+        self._rate = sum(kind.rate for kind in setting.kinds) * setting.load
+        self._told = [(0.0, {}) for _ in self._gateways]
+        self._next_news = [rng.uniform(0, setting.news) for _ in self._gateways]
+        self._streaming: list[Job] = []
+        self._done: list[Job] = []
+        self._work_rate = 0.0
+        self._number = 0
+
+    def play(self) -> Outcome:
+        """Play to the end and return what it gave."""
+        setting = self._setting
+        now = 0.0
+        while now < setting.seconds:
+            pause = self._rng.expovariate(self._rate / setting.clump)
+            now += pause
+            self._work_rate *= max(1 - pause / WORK_WINDOW, 0)
+            self._read_until(now)
+            self._tell(now)
+            beyond_first = self._rng.expovariate(1 / max(setting.clump - 1, 1e-9))
+            for _ in range(1 + int(beyond_first)):
+                self._send(now)
+        return self._outcome()
+
+    def _read_until(self, now: float) -> None:
+        for engine in self._engines.values():
             for job in engine.advance(now):
                 job.record.unread_tokens -= job.unread
-                ending.append((job.first_at + STREAM_TIME, job))
-                done.append(job)
-        still = []
-        for at, job in ending:
-            if at <= now:
-                job.record.in_flight -= 1
-            else:
-                still.append((at, job))
-        ending = still
-        for index, gateway in enumerate(gateways):
-            if now >= next_news[index]:
-                told[index] = (now, gateway.loads())
-                next_news[index] = now + setting.news
-        for _ in range(1 + int(rng.expovariate(1 / max(setting.clump - 1, 1e-9)))):
-            [index] = rng.choices(range(len(gateways)), weights)
-            kind = rng.choices(setting.kinds, [kind.rate for kind in setting.kinds])[0]
-            gateway = gateways[index]
-            parts = []
-            for level, (tokens, things) in enumerate(kind.shared):
-                parts.append(
-                    PromptPart(f"{kind.name}{level}-{rng.randrange(things)}", tokens)
-                )
-            mu = -(kind.sigma**2) / 2
-            own = min(
-                int(kind.mean * rng.lognormvariate(mu, kind.sigma)), int(kind.most)
-            )
-            number += 1
-            parts.append(PromptPart(f"own{number}", own))
-            traits = RequestTraits(
-                "r",
-                prompt_tokens=sum(part.tokens for part in parts),
-                parts=tuple(parts),
-            )
-            peers = {}
-            ages = []
-            for other, (at, loads) in enumerate(told):
-                if other == index:
-                    continue
-                ages.append(now - at)
-                for name, (in_flight, unread) in loads.items():
-                    before = peers.get(name, (0, 0.0, 0.0))
-                    peers[name] = (
-                        before[0] + in_flight,
-                        before[1] + unread,
-                        before[2] + unread * (now - at),
-                    )
-            heard = {}
-            for name, (in_flight, unread, aged) in peers.items():
-                age = aged / unread if drains and unread else 0.0
-                heard[name] = ToldLoad(in_flight, unread, timedelta(seconds=age))
-            unseen = timedelta(
-                seconds=noise * work_rate * sum(ages) / len(ages) / len(engines)
-            )
-            records = list(gateway.records.values())
-            record = gateway.placement.choose(
-                records, service, traits, heard, {}, token_time, unseen
-            )
-            source = gateway.placement.source(
-                record, records, service, traits, token_time
-            )
-            unread = gateway.placement.unread_tokens(record, records, traits)
-            if source is not None:
-                unread = min(unread, own)
-            gateway.cache.sent(record.name, traits.parts, 1_067_497)
-            job = Job(kind, traits, gateway, record, unread, now)
-            record.in_flight += 1
-            record.unread_tokens += unread
-            work_rate += unread * setting.token_time / 5
-            by_name[record.name].take(
-                now, number, job, by_name[source.name] if source else None
+                if self._ways.paces:
+                    job.gateway.paces.observe(engine.name, engine.pauses())
+                self._streaming.append(job)
+                self._done.append(job)
+        ended = [job for job in self._streaming if job.first_at + STREAM_TIME <= now]
+        for job in ended:
+            job.record.in_flight -= 1
+            self._streaming.remove(job)
+
+    def _tell(self, now: float) -> None:
+        for number, gateway in enumerate(self._gateways):
+            if now >= self._next_news[number]:
+                self._told[number] = (now, gateway.loads())
+                self._next_news[number] = now + self._setting.news
+
+    def _heard(self, number: int, now: float) -> Mapping[str, ToldLoad]:
+        """Return what a gateway knows of the others' loads."""
+        in_flight, unread, aged = Counter(), Counter(), Counter()
+        for other, (at, loads) in enumerate(self._told):
+            if other == number:
+                continue
+            for name, (running, tokens) in loads.items():
+                in_flight[name] += running
+                unread[name] += tokens
+                aged[name] += tokens * (now - at)
+        drains = self._ways.drains
+        return {
+            name: ToldLoad(
+                count,
+                unread[name],
+                timedelta(seconds=aged[name] / max(unread[name], 1) if drains else 0),
             )
-        work_rate *= 1 - min(0.2 * setting.clump / total_rate, 1)
-    outcome = Outcome(read_again=sum(engine.read_again for engine in engines))
-    asked, late, owed, earned = Counter(), Counter(), 0.0, 0.0
-    for job in done:
-        if job.sent_at < 10:
-            continue
-        worth = job.kind.worth * (
-            0.3 + 0.7 * job.traits.prompt_tokens / (job.kind.mean + 1)
+            for name, count in in_flight.items()
+        }
+
+    def _send(self, now: float) -> None:
+        setting = self._setting
+        [number] = self._rng.choices(range(setting.gateways), self._weights)
+        gateway = self._gateways[number]
+        rates = [kind.rate for kind in setting.kinds]
+        [kind] = self._rng.choices(setting.kinds, rates)
+        traits = self._draw(kind)
+        records = list(gateway.records.values())
+        record = gateway.placement.choose(
+            records,
+            self._service,
+            traits,
+            self._heard(number, now),
+            {},
+            self._token_time,
+            self._unseen(number, now) * self._ways.noise,
+        )
+        source = gateway.placement.source(
+            record, records, self._service, traits, self._token_time
+        )
+        unread = gateway.placement.unread_tokens(record, records, traits)
+        if source is not None:
+            unread = min(unread, traits.parts[-1].tokens)
+        gateway.cache.sent(record.name, traits.parts, CACHE_TOKENS)
+        record.in_flight += 1
+        record.unread_tokens += unread
+        self._work_rate += unread * setting.token_time / WORK_WINDOW
+        job = Job(kind, traits, gateway, record, unread, now)
+        self._engines[record.name].take(
+            now, self._number, job, self._engines[source.name] if source else None
+        )
+
+    def _unseen(self, number: int, now: float) -> timedelta:
+        ages = [now - at for other, (at, _) in enumerate(self._told) if other != number]
+        age = timedelta(seconds=fmean(ages))
+        return unseen_work(self._work_rate, age, len(self._engines))
+
+    def _draw(self, kind: Kind) -> RequestTraits:
+        """Return a request of a kind, with parts that others may share."""
+        self._number += 1
+        parts = [
+            PromptPart(f"{kind.name}{level}-{self._rng.randrange(things)}", tokens)
+            for level, (tokens, things) in enumerate(kind.shared)
+        ]
+        factor = self._rng.lognormvariate(-(kind.sigma**2) / 2, kind.sigma)
+        own = int(min(kind.mean * factor, kind.most))
+        parts.append(PromptPart(f"own-{self._number}", own))
+        tokens = sum(part.tokens for part in parts)
+        return RequestTraits("r", prompt_tokens=tokens, parts=tuple(parts))
+
+    def _outcome(self) -> Outcome:
+        asked, late = Counter(), Counter()
+        owed = earned = 0.0
+        for job in self._done:
+            if job.sent_at < WARM_UP:
+                continue
+            kind = job.kind
+            worth = kind.worth * (0.3 + 0.7 * job.traits.prompt_tokens / kind.mean)
+            on_time = job.first_at - job.sent_at <= kind.objective
+            asked[kind.name] += 1
+            late[kind.name] += not on_time
+            owed += worth
+            earned += worth * (1 if on_time else LATE_WORTH)
+        return Outcome(
+            late={name: late[name] / count for name, count in asked.items()},
+            credit=earned / owed,
+            read_again=sum(engine.read_again for engine in self._engines.values()),
         )
-        on_time = job.first_at - job.sent_at <= job.kind.objective
-        asked[job.kind.name] += 1
-        late[job.kind.name] += not on_time
-        owed += worth
-        earned += worth * (1 if on_time else 0.1)
-    outcome.late = {name: late[name] / asked[name] for name in asked}
-    outcome.credit = earned / owed
-    return outcome
+
+
+def play(setting: Setting, seed: int, ways: Ways) -> Outcome:
+    """Return the outcome of one run."""
+    return Run(setting, seed, ways).play()
 
 
 def compare(seeds: int) -> None:
-    """Print credit, late requests and tokens read again for each way to choose."""
-    header = ("engines", "drains", "fetch", "noise", "credit", "late", "read again")
+    """Print what each mechanism is worth, at a load that is borne and at a burst."""
+    header = ("engines", "load", "mechanisms", "credit", "late", "read again")
     print("\t".join(header))
-    ways = product(SLOWNESS, (False, True), (False, True), (0, 0.5, 1, 2))
-    for slowness, drains, fetch, noise in ways:
-        setting = Setting(slowness=slowness, load=1.3)
-        rows = [
-            play(setting, seed, noise=noise, drains=drains, fetch=fetch)
-            for seed in range(seeds)
-        ]
+    for slowness, load, (name, ways) in product(SLOWNESS, LOADS, ABLATION.items()):
+        setting = Setting(slowness=slowness, load=load)
+        rows = [play(setting, seed, ways) for seed in range(seeds)]
         late = {
-            name: round(fmean(row.late[name] for row in rows), 4)
-            for name in rows[0].late
+            kind: round(100 * fmean(row.late[kind] for row in rows), 2)
+            for kind in sorted(rows[0].late)
         }
-        credit = round(fmean(row.credit for row in rows), 4)
+        credit = [row.credit for row in rows]
+        shown = f"{fmean(credit):.4f} ± {stdev(credit):.4f}"
         again = int(fmean(row.read_again for row in rows))
-        print(len(slowness), drains, fetch, noise, credit, late, again, sep="\t")
+        print(len(slowness), load, name, shown, late, again, sep="\t")
 
 
 if __name__ == "__main__":
--- a/tests/cli/test_real_entry.py
+++ b/tests/cli/test_real_entry.py
@@ -86,6 +86,8 @@
     assert shown == example.replace("weight: 1,", "weight: 2,")
     history = run("config", "history", *other).out.splitlines()
     assert [line.split()[0] for line in history[1:]] == ["2", "1"]
+    # A text that a peer told is in force before it is trusted and the entry ready.
+    entries[1].wait_until_ready()
     status = run("status", *other).out
     assert "entry entry-b in cairo-b: ready, revision 2" in status
 
--- a/tests/gateway/test_old_news.py
+++ b/tests/gateway/test_old_news.py
@@ -6,17 +6,15 @@
 import pytest
 
 from bench.placement.model import REPORTS, Setting
-from bench.placement.run import play
+from bench.placement.run import Ways, play
 
 SEEDS = range(2)
 # A third of the engines takes 1.3 times as long; the load is that of a burst.
 SETTING = Setting(slowness=(1, 1, 1.3, 1, 1), load=1.3, seconds=40)
 
 
-def late(*, noise: float, drains: bool) -> float:
-    rows = [
-        play(SETTING, seed, noise=noise, drains=drains, fetch=True) for seed in SEEDS
-    ]
+def late(ways: Ways) -> float:
+    rows = [play(SETTING, seed, ways) for seed in SEEDS]
     return fmean(row.late["report"] for row in rows)
 
 
@@ -27,7 +25,7 @@
     Pattern: 57 prompts a second in clumps of three, sizes with a heavy tail, eight
     gateways. Each sees what the others had 0.2 s ago, and all choose the same engine.
     """
-    assert late(noise=1, drains=True) < 0.7 * late(noise=0, drains=False)
+    assert late(Ways()) < 0.7 * late(Ways(noise=0, drains=False))
 
 
 @pytest.mark.timeout(60)
@@ -40,10 +38,7 @@
     """
     setting = replace(SETTING, kinds=(REPORTS,))
     again = {
-        fetch: sum(
-            play(setting, seed, noise=1, drains=True, fetch=fetch).read_again
-            for seed in SEEDS
-        )
+        fetch: sum(play(setting, seed, Ways(fetch=fetch)).read_again for seed in SEEDS)
         for fetch in (False, True)
     }
     assert again[True] < 0.75 * again[False]
