Model of a stop: a grace that outlasts stalls of the test's own process

tests/http/test_closes_model.py[1] failed once beside load 15: requests passed on and not answered. 24 plays beside load 13 with stalls up to 47 ms lost none; a stall of 700 ms put into the stop lost 36, of 400 ms none: the stall was longer than what the model's grace of 600 ms left. The checks are unchanged.

--- a/tests/http/test_closes_model.py
+++ b/tests/http/test_closes_model.py
@@ -18,7 +18,10 @@
 
 CLOCK = SystemClock()
 MILLISECOND = timedelta(milliseconds=1)
-GRACE = 600 * MILLISECOND
+# Longer than any stall of a busy machine's process: with 600 ms, one of 700 ms while the
+# server stops leaves 36 requests unanswered, one of 400 ms none. The stop itself takes
+# a quarter of a second.
+GRACE = 4000 * MILLISECOND
 # A caller whose last byte comes later than this after the stop crosses the close.
 SERVED = 20 * MILLISECOND
 BODY = b"0123456789" * 20
