--- a/src/sassafrasdale/decisions/news.py
+++ b/src/sassafrasdale/decisions/news.py
@@ -7,9 +7,9 @@
 
 So what was told is taken to be read since, and choices are spread over the endpoints
 that differ by no more than what the others have sent there unseen. In the model of
-engines (``bench/placement``, four seeds, objectives of 0.8 and 0.5 s, 1.3 times the
-usual load, shared parts fetched) the share of late reports falls from 5.1 to 3.6 in 100
-with three engines, and from 1.6 to 0.3 with five.
+engines (``bench/placement``, six seeds, a burst of 1.3 times the usual load) 2.0 of 100
+reports are late on three engines; 3.9 without the first, 2.3 without the second. On five
+engines it is 0.3, 0.6 and 1.0.
 """
 
 from dataclasses import dataclass
--- a/src/sassafrasdale/decisions/paces.py
+++ b/src/sassafrasdale/decisions/paces.py
@@ -4,7 +4,9 @@
 just meet, on engines of which a third take 1.3 times as long for everything. A step's
 time shows in the pauses between the events of any long stream, so a few streams tell
 an engine's pace. Prompts ahead of a stream lengthen some pauses, so a low one of each
-stream counts, and the least of several streams.
+stream counts, and the least of several streams. In the model of engines
+(``bench/placement``, six seeds, a burst of 1.3 times the usual load) 3.3 of 100 reports
+are late on three engines without the paces, and 2.0 with them.
 """
 
 from collections import deque
