--- a/src/sassafrasdale/decisions/fetching.py
+++ b/src/sassafrasdale/decisions/fetching.py
@@ -3,10 +3,10 @@
 Pattern of load: prompts share beginnings of thousands of tokens, and engines come and
 go. Each engine that starts has an empty memory, and reads every shared beginning once
 more, which is a tenth to an eighth of all reading. Where the link is fast, the memory
-that another engine keeps arrives in a twentieth of the time that reading takes. In the model
-of engines (``bench/placement``, six seeds, a burst of 1.3 times the usual load) 300,000
-tokens are read again on three engines instead of 980,000, and 2.0 of 100 reports late
-instead of 3.9.
+that another engine keeps arrives in a twentieth of the time that reading takes. In the
+model of engines (``bench/placement``, six seeds, a burst of 1.3 times the usual load)
+300,000 tokens are read again on three engines instead of 980,000, and 2.0 of 100 reports
+are late instead of 3.9.
 """
 
 from dataclasses import dataclass
--- a/src/sassafrasdale/decisions/news.py
+++ b/src/sassafrasdale/decisions/news.py
@@ -8,8 +8,8 @@
 So what was told is taken to be read since, and choices are spread over the endpoints
 that differ by no more than what the others have sent there unseen. In the model of
 engines (``bench/placement``, six seeds, a burst of 1.3 times the usual load) 2.0 of 100
-reports are late on three engines; 3.9 without the first, 2.3 without the second. On five
-engines it is 0.3, 0.6 and 1.0.
+reports are late on three engines; 3.9 without the first, 2.3 without the second. On
+five engines it is 0.3, 0.6 and 1.0.
 """
 
 from dataclasses import dataclass
--- a/tests/http/test_closes_model.py
+++ b/tests/http/test_closes_model.py
@@ -18,7 +18,7 @@
 
 CLOCK = SystemClock()
 MILLISECOND = timedelta(milliseconds=1)
-# Longer than any stall of a busy machine's process: with 600 ms, one of 700 ms while the
+# Longer than a busy machine's process stalls: with 600 ms, a stall of 700 ms while the
 # server stops leaves 36 requests unanswered, one of 400 ms none. The stop itself takes
 # a quarter of a second.
 GRACE = 4000 * MILLISECOND
