--- a/src/sassafrasdale/decisions/fetching.py
+++ b/src/sassafrasdale/decisions/fetching.py
@@ -5,8 +5,8 @@
 more, which is a tenth to an eighth of all reading. Where the link is fast, the memory
 that another engine keeps arrives in a twentieth of the time that reading takes. In the
 model of engines (``bench/placement``, six seeds, a burst of 1.3 times the usual load)
-300,000 tokens are read again on three engines instead of 980,000, and 2.0 of 100 reports
-are late instead of 3.9.
+300,000 tokens are read again on three engines instead of 980,000, and 2.0 of 100
+reports are late instead of 3.9.
 """
 
 from dataclasses import dataclass
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -18,7 +18,8 @@
     Service,
 )
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
-from sassafrasdale.gateway.peering import Peering, loads_by_endpoint
+from sassafrasdale.gateway.peer_states import loads_by_endpoint
+from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheBelief, Placement, shared_parts
 from sassafrasdale.gateway.usage import UsageCounts
 
--- a/src/sassafrasdale/gateway/knowledge.py
+++ b/src/sassafrasdale/gateway/knowledge.py
@@ -14,7 +14,7 @@
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.following import Follower, Revised
-from sassafrasdale.gateway.peering import StoreValues
+from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.gateway.routing import RouteTable
 from sassafrasdale.green import spawn
 from sassafrasdale.platform.configuration import (
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -5,21 +5,23 @@
 demand, usage counts, and how far each has followed the store.
 """
 
-from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import field
+from collections.abc import Callable
 from datetime import timedelta
 from math import exp
 from random import Random
 
 from logbook import Logger
-from pydantic import TypeAdapter, ValidationError
-from pydantic.dataclasses import dataclass
+from pydantic import ValidationError
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.news import ToldLoad
-from sassafrasdale.decisions.quotas import SpendingReport
 from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.peer_states import (
+    EXCHANGE_FORM,
+    STORE_VALUES_FORM,
+    Exchange,
+    PeerState,
+    StoreValues,
+)
 from sassafrasdale.gateway.usage import ClockReading
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.http.connections import HttpClient
@@ -54,85 +56,6 @@
 _VALUES = "/values/"
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLoad:
-    """What a gateway has under way at an endpoint."""
-
-    in_flight: int
-    unread_tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class DutyClaim:
-    """That a gateway holds the duties, under a fencing number."""
-
-    fencing_number: int
-
-
-@dataclass(frozen=True, slots=True)
-class PeerState:
-    """State of one gateway at one moment.
-
-    :param incarnation: distinguishes starts of the process; later ones are higher.
-    :param sequence: grows with each state of an incarnation.
-    :param address: where it takes exchanges.
-    :param time: its clock when it made this state.
-    :param revisions: how far it has followed each prefix of the store.
-    :param loads: what it has under way, by endpoint.
-    :param spending: what its callers ask and were given, by customer.
-    :param usage: requests that began, by window and customer.
-    :param work: engine time that its requests take a second, by service.
-    :param leaving: whether it is stopping.
-    """
-
-    name: str
-    incarnation: int
-    sequence: int
-    host: str
-    port: int
-    time: ClockReading
-    revisions: Mapping[str, int] = field(default_factory=dict)
-    loads: Mapping[str, EndpointLoad] = field(default_factory=dict)
-    spending: Mapping[str, SpendingReport] = field(default_factory=dict)
-    usage: Mapping[int, Mapping[str, int]] = field(default_factory=dict)
-    work: Mapping[str, float] = field(default_factory=dict)
-    duty: DutyClaim | None = None
-    leaving: bool = False
-
-    @property
-    def address(self) -> Address:
-        """Where it takes exchanges."""
-        return Address(self.host, self.port)
-
-    @property
-    def age_key(self) -> tuple[int, int]:
-        """Orders the states of one gateway."""
-        return (self.incarnation, self.sequence)
-
-
-@dataclass(frozen=True, slots=True)
-class Exchange:
-    """States that one gateway sends to another."""
-
-    states: tuple[PeerState, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class StoreValues:
-    """Raw values below a prefix of the store, as of a revision.
-
-    :param changed_revision: revision of the last change among them.
-    """
-
-    revision: int
-    changed_revision: int
-    values: Mapping[str, bytes]
-
-
-_EXCHANGES = TypeAdapter(Exchange)
-_STORE_VALUES = TypeAdapter(StoreValues)
-
-
 class Peer:
     """What is known of another gateway."""
 
@@ -309,7 +232,7 @@
             answer = peer.client.call(Request("GET", _VALUES + prefix), EXCHANGE_LIMIT)
             if answer.status != 200:
                 return None
-            return _STORE_VALUES.validate_json(answer.body)
+            return STORE_VALUES_FORM.validate_json(answer.body)
         except (HttpError, ValidationError) as error:
             log.info("peer gave no values", peer=peer_name, why=str(error))
             return None
@@ -328,11 +251,11 @@
         values = self._values_below(prefix)
         if values is None:
             return Answer(404)
-        return Answer(200, body=_STORE_VALUES.dump_json(values))
+        return Answer(200, body=STORE_VALUES_FORM.dump_json(values))
 
     def _answer_exchange(self, request: Request) -> Answer:
         try:
-            self._take(_EXCHANGES.validate_json(request.body))
+            self._take(EXCHANGE_FORM.validate_json(request.body))
         except ValidationError as error:
             log.warning("exchange malformed", why=str(error))
             return Answer(400)
@@ -356,14 +279,14 @@
                 if peer.state.incarnation and now - peer.heard_at <= NEWS_AGE
             ]
             states += self._rng.sample(fresh, min(len(fresh), PASSED_ON))
-        return _EXCHANGES.dump_json(Exchange(tuple(states)))
+        return EXCHANGE_FORM.dump_json(Exchange(tuple(states)))
 
     def _exchange(self, peer: Peer) -> None:
         request = Request("POST", _EXCHANGE, body=self._message())
         try:
             answer = peer.client.call(request, EXCHANGE_LIMIT)
             if answer.status == 200:
-                self._take(_EXCHANGES.validate_json(answer.body))
+                self._take(EXCHANGE_FORM.validate_json(answer.body))
             self._dependency.succeeded()
         except HttpError as error:
             log.debug("exchange failed", peer=peer.state.name, why=error.message)
@@ -394,28 +317,3 @@
         peer.state = state
         peer.heard_at = self._clock.elapsed()
         self._heard(state, first_hand)
-
-
-def loads_by_endpoint(
-    told: Iterable[tuple[PeerState, timedelta]],
-) -> dict[str, ToldLoad]:
-    """Return the load that all given gateways have at each endpoint.
-
-    :param told: their states, and how long ago each was told.
-    """
-    in_flight: Counter[str] = Counter()
-    unread: Counter[str] = Counter()
-    aged: Counter[str] = Counter()
-    for state, age in told:
-        for endpoint, load in state.loads.items():
-            in_flight[endpoint] += load.in_flight
-            unread[endpoint] += load.unread_tokens
-            aged[endpoint] += load.unread_tokens * age.total_seconds()
-    return {
-        endpoint: ToldLoad(
-            count,
-            unread[endpoint],
-            timedelta(seconds=aged[endpoint] / max(unread[endpoint], 1)),
-        )
-        for endpoint, count in in_flight.items()
-    }
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -23,12 +23,8 @@
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.knowledge import Knowledge
 from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
-from sassafrasdale.gateway.peering import (
-    DutyClaim,
-    EndpointLoad,
-    Peering,
-    PeerState,
-)
+from sassafrasdale.gateway.peer_states import DutyClaim, EndpointLoad, PeerState
+from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheBelief, Placement
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.records import DutyRecord
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -6,19 +6,12 @@
 import pytest
 
 from sassafrasdale.clock import ManualClock
-from sassafrasdale.decisions.news import ToldLoad
-from sassafrasdale.gateway.peering import (
-    FAN_OUT,
-    FRESH,
-    LIFETIME,
-    PASSED_ON,
+from sassafrasdale.gateway.peer_states import (
     DutyClaim,
-    EndpointLoad,
     Exchange,
-    Peering,
     PeerState,
-    loads_by_endpoint,
 )
+from sassafrasdale.gateway.peering import FAN_OUT, FRESH, LIFETIME, PASSED_ON, Peering
 from sassafrasdale.gateway.usage import ClockReading
 from sassafrasdale.structures import Address
 
@@ -119,23 +112,6 @@
     assert len(node.peering._peers) > FAN_OUT
 
 
-def test_loads_add_up():
-    second = timedelta(seconds=1)
-    loads = loads_by_endpoint(
-        [
-            (state("b", loads={"i": EndpointLoad(2, 100)}), second),
-            (
-                state("c", loads={"i": EndpointLoad(1, 300), "j": EndpointLoad(1, 0)}),
-                second * 2,
-            ),
-        ]
-    )
-    assert loads == {
-        "i": ToldLoad(3, 400, second * 1.75),
-        "j": ToldLoad(1, 0, timedelta()),
-    }
-
-
 def test_silent_gateways_are_known(node):
     for name in ("b", "c", "d"):
         node.take(state(name))
