--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -13,7 +13,7 @@
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock, SuspendAwareClock
 from sassafrasdale.coordination.leases import LeaseHolder
-from sassafrasdale.decisions.ordering import OrderKey, PlannedService
+from sassafrasdale.decisions.ordering import PlannedService
 from sassafrasdale.decisions.paces import EnginePaces
 from sassafrasdale.deployment import GatewaySettings
 from sassafrasdale.gateway.dependencies import Dependency
@@ -26,6 +26,7 @@
 from sassafrasdale.gateway.peer_states import DutyClaim, EndpointLoad, PeerState
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheBelief, Placement
+from sassafrasdale.gateway.planning import planned_services
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.registration import Registration
@@ -358,32 +359,10 @@
         return self._ledger.total(window)
 
     def _planned_services(self) -> tuple[PlannedService, ...]:
-        configuration = self._knowledge.configuration
-        if configuration is None:
-            return ()
-        services = configuration.services.values()
-        return tuple(
-            PlannedService(
-                service.name,
-                service.scale,
-                self._running(service.name),
-                self._load(service.name),
-            )
-            for service in services
-            if service.scale is not None
+        return planned_services(
+            self._knowledge.configuration, self._directory, self._load
         )
 
-    def _running(self, service: str) -> Mapping[OrderKey, int]:
-        counts: dict[OrderKey, int] = {}
-        for record in self._directory.all_of_service(service):
-            if record.is_ready:
-                endpoint = record.endpoint
-                key = OrderKey(
-                    service, endpoint.availability_zone, endpoint.reclaimable
-                )
-                counts[key] = counts.get(key, 0) + 1
-        return counts
-
     def _load(self, service: str) -> float:
         own = self._fleet.work().get(service, 0.0)
         return own + self._peering.work(service, WORK_WINDOW)
--- /dev/null
+++ b/tests/gateway/test_planning.py
@@ -0,0 +1,44 @@
+"""What the holder of the duties plans by."""
+
+from datetime import timedelta
+from random import Random
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.decisions.ordering import OrderKey
+from sassafrasdale.deployment import (
+    Configuration,
+    Endpoint,
+    EndpointState,
+    ScaleBounds,
+    Service,
+)
+from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.planning import planned_services
+from sassafrasdale.structures import Address
+
+BOUNDS = ScaleBounds(1, 3, timedelta(seconds=4), 0.2, {"a": 1.0, "b": 1.0})
+SERVICES = {"m": Service("m", scale=BOUNDS), "records": Service("records")}
+
+
+def listed(name, zone, state=EndpointState.READY, **fields):
+    return Endpoint(name, "m", Address("127.0.0.1", 1), zone, state, **fields)
+
+
+def test_nothing_is_planned_before_there_is_a_configuration():
+    assert planned_services(None, None, lambda service: 0.0) == ()
+
+
+def test_endpoints_that_take_requests_are_counted_by_kind():
+    """Those that leave still serve, but nothing may be planned with them."""
+    directory = Directory(ManualClock(), Random(1), timedelta(seconds=2))
+    directory.put(listed("i-1", "a"))
+    directory.put(listed("i-2", "a", reclaimable=True))
+    directory.put(listed("i-3", "a", reclaimable=True))
+    directory.put(listed("i-4", "b", EndpointState.DRAINING))
+    configuration = Configuration(1, (), SERVICES)
+    [planned] = planned_services(configuration, directory, lambda service: 1.5)
+    assert planned.load == 1.5
+    assert planned.running == {
+        OrderKey("m", "a", False): 1,
+        OrderKey("m", "a", True): 2,
+    }
