--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -46,9 +46,9 @@
 # that an endpoint takes to start. Load comes in waves, and an endpoint that was given
 # back in a trough is missed, for all of its start, in the next rise.
 LOWER_STARTS = 4
-# The same for endpoints that can't be reclaimed: each costs several of the others, and is
-# given back only while those that are left bear the load without any one zone. Half of
-# the time that was needed before that was so took 0.01 off the prices of a day.
+# The same for endpoints that can't be reclaimed: each costs several of the others, and
+# is given back only while those that are left bear the load without any one zone. One
+# start time instead of two takes 0.01 of worth off the prices of a day.
 LOWER_STARTS_KEPT = 1
 # The same as a new holder of the duty begins: what its predecessor ordered must have
 # had the time to start, and for how long less was wanted isn't known.
