--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -96,6 +96,7 @@
         self._work = DemandShares(WORK_WINDOW)
         self._peer_loads: dict[str, ToldLoad] = {}
         self._news_age = timedelta()
+        self._peer_work: dict[str, float] = {}
 
     def work(self) -> Mapping[str, float]:
         """Return the engine time that this gateway's requests take a second."""
@@ -105,6 +106,7 @@
         """Take the peers' loads as last heard."""
         told = self._peering.told()
         self._peer_loads = loads_by_endpoint(told)
+        self._peer_work.clear()
         ages = [age for _, age in told]
         self._news_age = sum(ages, timedelta()) / max(len(ages), 1)
 
@@ -126,13 +128,16 @@
             self._peer_loads,
             health.weights(self._clock.elapsed()),
             self._speed(service).token_time,
-            unseen_work(
-                self._peering.work(service, WORK_WINDOW),
-                self._news_age,
-                len(candidates),
-            ),
+            unseen_work(self._work_of_peers(service), self._news_age, len(candidates)),
         )
 
+    def _work_of_peers(self, service: str) -> float:
+        """Return the peers' work as of the last refresh: many requests ask for it."""
+        if service not in self._peer_work:
+            work = self._peering.work(service, WORK_WINDOW)
+            self._peer_work[service] = work
+        return self._peer_work[service]
+
     def has_another(self, service: str, tried: Collection[str]) -> bool:
         """Return whether a service has endpoints that were not tried."""
         return any(
