Engines that are long filled are asked for shared parts, whatever the others' age

Read again: an engine counted as new beside a much older one, though it had served for an hour. Of the two new tests the one for that was run on the code before and failed.

--- a/bench/placement/run.py
+++ b/bench/placement/run.py
@@ -170,7 +170,12 @@
             self._unseen(number, now) * self._ways.noise,
         )
         source = gateway.placement.source(
-            record, records, self._service, traits, self._token_time
+            record,
+            records,
+            self._service,
+            traits,
+            self._token_time,
+            timedelta(seconds=now),
         )
         unread = gateway.placement.unread_tokens(record, records, traits)
         if source is not None:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -164,6 +164,7 @@
                 service,
                 traits,
                 self._speed(service.name).token_time,
+                self._clock.elapsed(),
             )
             if source is not None:
                 tokens = sum(part.tokens for part in shared_parts(traits))
--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -137,6 +137,7 @@
         service: Service,
         traits: RequestTraits,
         token_time: timedelta,
+        now: timedelta,
     ) -> EndpointRecord | None:
         """Return the engine from which another one should fetch shared parts.
 
@@ -146,6 +147,7 @@
 
         :param record: the engine that gets the request.
         :param others: engines that still serve, leaving ones too.
+        :param now: elapsed time.
         """
         shared = shared_parts(traits)
         wanted = sum(part.tokens for part in shared)
@@ -159,11 +161,8 @@
         best = max(others, key=lambda rec: self._cache.cached_tokens(rec.name, shared))
         if self._cache.cached_tokens(best.name, shared) >= wanted:
             return best
-        # The newest have had little yet; where all are new, any may be the one.
-        newest = max(other.listed_at for other in others)
-        filled = [
-            other for other in others if newest - other.listed_at > FILLING
-        ] or others
+        # New ones have had little yet; where all are new, any may be the one.
+        filled = [rec for rec in others if now - rec.listed_at > FILLING] or others
         home = self._home(filled, traits)
         return next(other for other in filled if other.name == home)
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -21,6 +21,7 @@
 from sassafrasdale.structures import Address
 
 TOKEN_TIME = timedelta(microseconds=20)
+NOW = timedelta(hours=1)
 MODELS = Service("models", EngineTraits(64, 100_000))
 RECORDS = Service("records")
 
@@ -134,7 +135,7 @@
 
 
 def source(placement, record, records, traits, service=FAST_LINK):
-    found = placement.source(record, records, service, traits, TOKEN_TIME)
+    found = placement.source(record, records, service, traits, TOKEN_TIME, NOW)
     return found and found.name
 
 
@@ -169,6 +170,30 @@
     assert source(placement, records[0], records, traits) == home
 
 
+def test_an_engine_that_has_just_started_is_not_asked(placement, records):
+    """Shared parts would be looked for in an empty memory, and read again.
+
+    The hash names an engine that started two seconds ago as the parts' home. Others
+    started within the hour, at different times, and have them.
+    """
+    traits = prompt("x", "y")
+    home = home_of("x", ["i-2", "i-3"])
+    for other in records:
+        other.listed_at = timedelta(minutes=20 if other.name == "i-1" else 40)
+        if other.name == home:
+            other.listed_at = NOW - timedelta(seconds=2)
+    [expected] = {"i-2", "i-3"} - {home}
+    assert source(placement, records[0], records, traits) == expected
+
+
+def test_engines_of_any_age_are_asked_once_they_are_filled(placement, records):
+    traits = prompt("x", "y")
+    home = home_of("x", ["i-2", "i-3"])
+    for other in records:
+        other.listed_at = timedelta(minutes=50 if other.name == home else 2)
+    assert source(placement, records[0], records, traits) == home
+
+
 def test_over_a_slow_link_they_are_read_again(placement, cache, records):
     traits = prompt("x", "y")
     cache.sent("i-2", traits.parts, 100_000)
