--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -7,10 +7,12 @@
 taken at a few seconds' notice, one zone after another, with none to be had anywhere
 for a while. So at any time as many run as bear the load in a pinch without those of
 the zone that has most of them. Where the reclaimable ones of the other zones don't
-suffice for that, endpoints of the other kind are ordered, in the cheapest zones. Once
-a zone has none to give, the next ones are likely to follow, and as many of the other
-kind are ordered as bear the load alone. While the load is not known yet, more
-reclaimable ones stand by for what may come.
+suffice for that, endpoints of the other kind are ordered, in the cheapest zones. One
+of those has a place in the cheapest zone at any time, and those that serve stay until
+others run in their place: both kinds share a zone's bound. Once a zone has none to
+give, the next ones are likely to follow, and as many of the other kind are ordered as
+bear the load alone. While the load is not known yet, more reclaimable ones stand by for
+what may come.
 """
 
 from collections.abc import Collection, Mapping
--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -8,7 +8,9 @@
 next report. While that view has more left than may be spent unseen, any gateway lets
 in what comes, as long as what the others can't know of yet is within its part of what
 is left. Near the limit each keeps to a bucket of its own, filled by demand, since all
-would otherwise see the same last tokens and spend them at the same time.
+would otherwise see the same last tokens and spend them at the same time. At half of its limit
+such a customer was refused 6.5 of 100 requests by fixed parts, and none by this (eight
+gateways, 600 requests of 1,000 to 50,000 tokens; ``tests/gateway/test_quotas.py``).
 """
 
 from collections import deque
@@ -117,6 +119,10 @@
         rate = decayed + delta / SPENDING_WINDOW.total_seconds()
         self._peers[peer] = _PeerSpending(incarnation, spent, now, max(rate, 0.0))
 
+    def forget(self, peer: str) -> None:
+        """Drop what is known of a peer that is gone for good."""
+        self._peers.pop(peer, None)
+
 
 def has_room(left: float, demand: float, share: float, unseen: float) -> bool:
     """Return whether a limit has more left than may be spent unseen.
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -258,6 +258,8 @@
             if now - last.sums.made_at > LAST_HEARD_KEPT:
                 del self._last_heard[peer]
                 self._shares.forget(peer)
+                for limit in self._limits.values():
+                    limit.forget(peer)
 
 
 def _with_spare(part: float, total: float, rate: float, gateways: int) -> float:
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -8,7 +8,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import Bounds, Customer, RequestTraits
-from sassafrasdale.gateway.quotas import Quotas, request_size
+from sassafrasdale.gateway.quotas import LAST_HEARD_KEPT, Quotas, request_size
 
 SECOND = timedelta(seconds=1)
 # Steps of 10 ms: when gateways are cut off, when the others and they notice, and when
@@ -244,3 +244,16 @@
     while new.admit(CUSTOMER, tokens(100)) is None:
         let_in += 100
     assert let_in <= CUSTOMER.burst / 2
+
+
+def test_gateways_that_are_gone_for_good_are_forgotten():
+    """A gateway would grow with each instance that was ever replaced."""
+    clock = ManualClock()
+    quotas = Quotas(bounds(), lambda: 2, clock)
+    for number in range(50):
+        other = Quotas(bounds(), lambda: 2, clock)
+        other.admit(CUSTOMER, tokens(10))
+        quotas.admit(CUSTOMER, tokens(10))
+        quotas.hear(f"front-{number}", other.report())
+        clock.advance(LAST_HEARD_KEPT / 5)
+    assert len(quotas._limits["lab"]._peers) < 10
