--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -8,9 +8,11 @@
 next report. While that view has more left than may be spent unseen, any gateway lets
 in what comes, as long as what the others can't know of yet is within its part of what
 is left. Near the limit each keeps to a bucket of its own, filled by demand, since all
-would otherwise see the same last tokens and spend them at the same time. Fixed parts refused
-6.5 of 100 requests of such a customer at half of its limit, this refuses none (eight
-gateways, 600 requests of 1,000 to 50,000 tokens; ``tests/gateway/test_quotas.py``).
+would otherwise see the same last tokens and spend them at the same time.
+
+Fixed parts refused 6.5 of 100 requests of such a customer at half of its limit, this
+refuses none (eight gateways, 600 requests of 1,000 to 50,000 tokens, model in
+``tests/gateway/test_quotas.py``).
 """
 
 from collections import deque
