--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -205,13 +205,12 @@
 
 
 def test_large_prompts_within_the_limit_are_let_in_at_any_gateway():
-    """A customer at half of its limit was refused once in twelve requests.
+    """A customer at half of its limit was refused 6.5 of 100 requests.
 
-    Pattern: few requests, sizes with a heavy tail (most of 1,000 to 3,000 tokens, one
+    Pattern: few requests, sizes with a heavy tail (most of 1,000 to 1,600 tokens, one
     in twelve of 50,000), spread unevenly over eight gateways. With a fixed part of the
     limit, the gateway that took a large prompt refused all that came in the seconds
-    after. Sizes and rates are those of a played day's second customer: 55,000 tokens a
-    second allowed, 30,000 asked.
+    after. Some 54,000 tokens a second are asked of 109,000.
     """
     sizes = [50_000 if step % 12 == 7 else 1000 + step % 2000 for step in range(600)]
     weights = [0.3, 0.2, 0.15, 0.1, 0.1, 0.1, 0.05, 0.0]
@@ -221,7 +220,7 @@
 def test_a_customer_far_over_its_limit_is_held_to_it_by_all_gateways_together():
     """A customer at three times its limit would slow down all the others.
 
-    Pattern: the same sizes, with ten times as many tokens a second allowed to others.
+    Pattern: the same sizes and demand, of which 18,000 tokens a second are allowed.
     """
     sizes = [50_000 if step % 12 == 7 else 1000 + step % 2000 for step in range(600)]
     share = _refused_share(sizes, [1 / 8] * 8, rate=18_000, burst=20_000)
