--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -20,40 +20,31 @@
 from datetime import timedelta
 from math import exp
 
-# Time over which a peer's spending is averaged to expect what it spends unseen.
+# Time over which a group's spending is averaged to expect what it spends unseen.
 SPENDING_WINDOW = timedelta(seconds=2)
-# Time that a spending takes to be known everywhere: a round of exchanges and a bit.
+# Time that a spending takes to be known everywhere where nothing else is said.
 UNSEEN_TIME = timedelta(milliseconds=500)
-# A peer's rate is expected to go on for this long without a report; after it the peer
-# counts as silent and a part of the limit is set aside for it.
+# A group's rate is expected to go on for this long without a report; after it the group
+# counts as silent and its part of the limit is set aside.
 EXPECTED_TIME = timedelta(seconds=1.5)
-# A peer not heard of for this long has stopped; nothing is expected of it.
+# A group not heard of for this long has stopped; nothing is expected of it.
 STOPPED_TIME = timedelta(seconds=5)
+# Its count is kept for longer: it may have been cut off.
+FORGET = timedelta(minutes=2)
 
 
-@dataclass(frozen=True, slots=True)
-class SpendingReport:
-    """What a gateway tells its peers of one customer.
-
-    :param demand: tokens that its requests ask for a second, refused ones too.
-    :param spent: tokens let in since the gateway started.
-    :param used: tokens missing from a full limit, in the gateway's view.
-    """
-
-    demand: float
-    spent: float
-    used: float
+# Name of an aggregator, its incarnation, and how often it has begun to count.
+Counter = tuple[str, int, int]
 
 
 @dataclass(slots=True)
-class _PeerSpending:
-    incarnation: int
+class _GroupSpending:
     spent: float
     heard_at: timedelta
     rate: float = 0.0
 
     def expected(self, now: timedelta) -> float:
-        """Return what the peer has most likely spent since it was heard."""
+        """Return what the group has most likely spent since it was heard."""
         age = now - self.heard_at
         if age > STOPPED_TIME:
             return 0.0
@@ -72,7 +63,8 @@
         self._updated = now
         self._rate = 0.0
         self._unseen: deque[tuple[timedelta, float]] = deque()
-        self._peers: dict[str, _PeerSpending] = {}
+        self._groups: dict[Counter, _GroupSpending] = {}
+        self._zones: set[str] = set()
 
     @property
     def spent(self) -> float:
@@ -81,7 +73,7 @@
 
     def used(self, now: timedelta) -> float:
         """Return the tokens missing from a full limit."""
-        expected = sum(peer.expected(now) for peer in self._peers.values())
+        expected = sum(group.expected(now) for group in self._groups.values())
         elapsed = (now - self._updated).total_seconds()
         return max(self._used - self._rate * elapsed, 0.0) + expected
 
@@ -98,35 +90,47 @@
         self._spent += amount
         self._unseen.append((now, amount))
 
-    def unseen(self, now: timedelta) -> float:
-        """Return what was let in here so lately that the peers can't know it."""
-        while self._unseen and now - self._unseen[0][0] > UNSEEN_TIME:
+    def unseen(self, now: timedelta, unseen_time: timedelta = UNSEEN_TIME) -> float:
+        """Return what was let in here so lately that the others can't know it.
+
+        :param unseen_time: time that a spending takes to be known everywhere.
+        """
+        while self._unseen and now - self._unseen[0][0] > unseen_time:
             self._unseen.popleft()
         return sum(amount for _, amount in self._unseen)
 
-    def hear(self, peer: str, incarnation: int, spent: float, now: timedelta) -> None:
-        """Take out what a peer has spent since it was last heard.
+    def hear(self, zone: str, counter: Counter, spent: float, now: timedelta) -> None:
+        """Take out what a group has spent since it was last heard.
 
-        Of a peer heard for the first time only its count is noted: what it spent
-        before is in the other peers' reports of what is used.
+        Of a zone that is heard for the first time only the count is noted: what it
+        spent before is in the reports of what is used. A counter that is new in a
+        known zone has begun at nothing when the aggregator changed.
         """
-        last = self._peers.get(peer)
+        last = self._groups.get(counter)
+        first = zone not in self._zones
+        self._zones.add(zone)
         if last is None:
-            self._peers[peer] = _PeerSpending(incarnation, spent, now)
-            return
-        begun_anew = incarnation != last.incarnation
-        delta = spent if begun_anew else spent - last.spent
+            last = _GroupSpending(spent if first else 0.0, now)
+        delta = spent - last.spent
         self._used += delta
         decayed = last.rate * exp(-((now - last.heard_at) / SPENDING_WINDOW))
         rate = decayed + delta / SPENDING_WINDOW.total_seconds()
-        self._peers[peer] = _PeerSpending(incarnation, spent, now, max(rate, 0.0))
-
-    def forget(self, peer: str) -> None:
-        """Drop what is known of a peer that is gone for good."""
-        self._peers.pop(peer, None)
-
-
-def has_room(left: float, demand: float, share: float, unseen: float) -> bool:
+        self._groups[counter] = _GroupSpending(spent, now, max(rate, 0.0))
+        self._forget_stopped(now)
+
+    def _forget_stopped(self, now: timedelta) -> None:
+        for counter, group in list(self._groups.items()):
+            if now - group.heard_at > FORGET:
+                del self._groups[counter]
+
+
+def has_room(
+    left: float,
+    demand: float,
+    share: float,
+    unseen: float,
+    unseen_time: timedelta = UNSEEN_TIME,
+) -> bool:
     """Return whether a limit has more left than may be spent unseen.
 
     :param left: tokens left of the limit.
@@ -134,8 +138,9 @@
     :param share: part of the limit that falls to this gateway.
     :param unseen: tokens let in here that the others can't know of yet, beyond those
         that the limit's slack has room for.
+    :param unseen_time: time that a spending takes to be known everywhere.
     """
-    return left > demand * UNSEEN_TIME.total_seconds() and unseen <= left * share
+    return left > demand * unseen_time.total_seconds() and unseen <= left * share
 
 
 class PartOfLimit:
--- a/src/sassafrasdale/gateway/dependencies.py
+++ b/src/sassafrasdale/gateway/dependencies.py
@@ -23,6 +23,11 @@
         self._failed_at: timedelta | None = None
         self._answered = False
 
+    @property
+    def is_reached(self) -> bool:
+        """Whether the last call was answered."""
+        return self._answered and self._lost_at is None
+
     @property
     def since_failure(self) -> timedelta | None:
         """Time since the last failed call; None if none ever failed."""
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -104,10 +104,10 @@
 
     def refresh_peer_loads(self) -> None:
         """Take the peers' loads as last heard."""
-        told = self._peering.told()
-        self._peer_loads = loads_by_endpoint(told)
+        groups = self._peering.in_touch()
+        self._peer_loads = loads_by_endpoint(groups)
         self._peer_work.clear()
-        ages = [age for _, age in told]
+        ages = [group.age for group in groups]
         self._news_age = sum(ages, timedelta()) / max(len(ages), 1)
 
     def choose(
@@ -134,7 +134,7 @@
     def _work_of_peers(self, service: str) -> float:
         """Return the peers' work as of the last refresh: many requests ask for it."""
         if service not in self._peer_work:
-            work = self._peering.work(service, WORK_WINDOW)
+            work = self._peering.work(service)
             self._peer_work[service] = work
         return self._peer_work[service]
 
--- a/src/sassafrasdale/gateway/following.py
+++ b/src/sassafrasdale/gateway/following.py
@@ -15,6 +15,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import StoreError, StoreHistoryLost
 from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.green import sleep
 from sassafrasdale.platform.store import PlatformStore
 
@@ -26,6 +27,9 @@
 # Pauses after a failed call: short at first, since an outage may have just ended.
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(seconds=1)
+# Deleted keys that are told to peers. Endpoints come and go a few times a second at
+# most, and peers ask within a second.
+MOST_DELETED = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +51,8 @@
     :param store: the platform's store.
     :param changed: told of each change, in order.
     :param dependency: told whether the store answers.
+    :param should_watch: whether this gateway has to watch the store by itself, once it
+        has read everything.
     """
 
     def __init__(
@@ -57,7 +63,9 @@
         dependency: Dependency,
         clock: Clock,
         rng: Random,
+        should_watch: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._should_watch = should_watch
         self._prefix = prefix
         self._store = store
         self._changed = changed
@@ -68,6 +76,10 @@
         self._revision = 0
         self._changed_revision = 0
         self._must_list = True
+        self._key_revisions: dict[str, int] = {}
+        self._deleted: dict[str, int] = {}
+        # Each change after this revision is known by its key.
+        self._complete_since = 0
 
     @property
     def prefix(self) -> str:
@@ -97,6 +109,9 @@
         """Follow the store until the task is killed."""
         pause = FIRST_PAUSE
         while True:
+            if not self._must_list and not self._should_watch():
+                sleep(FIRST_PAUSE)
+                continue
             try:
                 self.step()
                 self._dependency.succeeded()
@@ -117,9 +132,10 @@
         if self._must_list:
             snapshot = self._store.snapshot(self._prefix)
             values = {item.key: item.value for item in snapshot.values}
+            revisions = {item.key: item.mod_revision for item in snapshot.values}
             self._must_list = False
-            changed = max((item.mod_revision for item in snapshot.values), default=0)
-            self.adopt(values, snapshot.revision, changed)
+            changed = max(revisions.values(), default=0)
+            self.adopt(values, snapshot.revision, changed, revisions)
             return
         changes = self._store.follow(self._prefix, self._revision, WATCH_WAIT)
         # A peer may have brought something newer while the watch waited.
@@ -128,24 +144,31 @@
             self._revision = max(self._revision, changes.revision)
             return
         written = {}
-        deleted = set()
+        deleted = {}
+        revisions = {}
         for event in events:
             if event.value is None:
                 written.pop(event.key, None)
-                deleted.add(event.key)
+                deleted[event.key] = event.revision
             else:
                 written[event.key] = event.value
-                deleted.discard(event.key)
+                revisions[event.key] = event.revision
+                deleted.pop(event.key, None)
         last = max(event.revision for event in events)
-        self._apply(written, deleted, changes.revision, last)
+        self._apply(written, deleted, revisions, changes.revision, last)
 
     def adopt(
-        self, values: Mapping[str, bytes], revision: int, changed_revision: int
+        self,
+        values: Mapping[str, bytes],
+        revision: int,
+        changed_revision: int,
+        revisions: Mapping[str, int] | None = None,
     ) -> None:
         """Take all values as of a revision, unless newer ones are known.
 
         :param changed_revision: revision of the last change among them, as far as
             it is known. A later one is not made up: peers would take it for news.
+        :param revisions: revision of each value's last change, as far as it is known.
         """
         if revision < self._revision:
             return
@@ -154,21 +177,90 @@
             for key, value in values.items()
             if self._values.get(key) != value
         }
+        gone = self._values.keys() - values.keys()
+        # When the others were deleted isn't known, so later deltas begin here.
+        self._complete_since = revision
+        self._apply(
+            written,
+            dict.fromkeys(gone, revision),
+            revisions or {},
+            revision,
+            changed_revision,
+        )
+
+    def changes_since(self, revision: int) -> StoreValues | None:
+        """Return what has changed since a revision, or all, for a peer that asks.
+
+        The whole list of endpoints is some 25 KB for eighty of them, and each gateway
+        of a zone asks for each change; what has changed is some hundred bytes.
+        """
+        if not self._revision:
+            return None
+        if revision < self._complete_since:
+            return StoreValues(
+                self._revision,
+                self._changed_revision,
+                dict(self._values),
+                dict(self._key_revisions),
+            )
+        changed = {
+            key: changed_at
+            for key, changed_at in self._key_revisions.items()
+            if changed_at > revision
+        }
+        return StoreValues(
+            self._revision,
+            self._changed_revision,
+            {key: self._values[key] for key in changed},
+            changed,
+            {key: at for key, at in self._deleted.items() if at > revision},
+            is_whole=False,
+        )
+
+    def take(self, values: StoreValues, since: int) -> None:
+        """Take what a peer has answered to the revision ``since``."""
+        if values.is_whole:
+            self.adopt(
+                values.values,
+                values.revision,
+                values.changed_revision,
+                values.revisions,
+            )
+            return
+        if since > self._changed_revision or values.revision < self._revision:
+            return
         self._apply(
-            written, self._values.keys() - values.keys(), revision, changed_revision
+            values.values,
+            values.deleted,
+            values.revisions,
+            values.revision,
+            values.changed_revision,
         )
 
     def _apply(
         self,
         written: Mapping[str, bytes],
-        deleted: set[str],
+        deleted: Mapping[str, int],
+        revisions: Mapping[str, int],
         revision: int,
         changed_revision: int,
     ) -> None:
-        self._values.update(written)
-        for key in deleted:
+        for key, value in written.items():
+            self._values[key] = value
+            self._deleted.pop(key, None)
+            self._key_revisions[key] = revisions.get(key, revision)
+        for key, deleted_at in deleted.items():
             self._values.pop(key, None)
+            self._key_revisions.pop(key, None)
+            self._deleted[key] = deleted_at
+        self._forget_deleted()
         self._revision = max(self._revision, revision)
         self._changed_revision = max(self._changed_revision, changed_revision)
         if written or deleted:
             self._changed(Revised(written, frozenset(deleted)))
+
+    def _forget_deleted(self) -> None:
+        """Drop the oldest of the deleted keys; deltas begin after them."""
+        while len(self._deleted) > MOST_DELETED:
+            oldest = min(self._deleted, key=self._deleted.get)
+            self._complete_since = max(self._complete_since, self._deleted.pop(oldest))
--- a/src/sassafrasdale/gateway/knowledge.py
+++ b/src/sassafrasdale/gateway/knowledge.py
@@ -43,8 +43,9 @@
     :param store_health: told whether the store answers.
     :param directory: gets the endpoints.
     :param forget_engine: drops what is believed of an engine that is gone.
-    :param fetch: returns what a peer holds below a prefix, by the peer's name.
+    :param fetch: returns what has changed below a prefix since a revision, from a peer.
     :param availability_zones: those of the deployment; endpoints are in no others.
+    :param should_watch: whether this gateway has to watch the store by itself.
     """
 
     def __init__(
@@ -53,10 +54,11 @@
         store_health: Dependency,
         directory: Directory,
         forget_engine: Callable[[str], None],
-        fetch: Callable[[str, str], StoreValues | None],
+        fetch: Callable[[str, str, int], StoreValues | None],
         clock: Clock,
         rng: Random,
         availability_zones: Collection[str],
+        should_watch: Callable[[], bool] = lambda: True,
     ) -> None:
         self._directory = directory
         self._availability_zones = availability_zones
@@ -66,7 +68,9 @@
         self._fetching: set[str] = set()
         self._malformed: set[str] = set()
         self._followers = {
-            prefix: Follower(prefix, store, changed, store_health, clock, rng)
+            prefix: Follower(
+                prefix, store, changed, store_health, clock, rng, should_watch
+            )
             for prefix, changed in (
                 (CONFIGURATION_KEY, self._take_revised),
                 (ENDPOINTS_PREFIX, self._take_endpoints),
@@ -98,21 +102,17 @@
         """Return the tasks that follow the store."""
         return [follower.run for follower in self._followers.values()]
 
-    def revisions(self) -> Mapping[str, int]:
+    def revisions(self) -> dict[str, int]:
         """Return the revision of the last known change, by prefix."""
         return {
             prefix: follower.changed_revision
             for prefix, follower in self._followers.items()
         }
 
-    def values_below(self, prefix: str) -> StoreValues | None:
-        """Return what is known below a prefix, for a peer that asks."""
+    def values_since(self, prefix: str, revision: int) -> StoreValues | None:
+        """Return what has changed below a prefix, for a peer that asks."""
         follower = self._followers.get(prefix)
-        if follower is None or not follower.revision:
-            return None
-        return StoreValues(
-            follower.revision, follower.changed_revision, dict(follower.values)
-        )
+        return None if follower is None else follower.changes_since(revision)
 
     def hear(self, peer: str, revisions: Mapping[str, int]) -> None:
         """Take a peer's values where it knows a later change."""
@@ -126,7 +126,8 @@
 
     def _take_from(self, peer: str, follower: Follower) -> None:
         try:
-            values = self._fetch(peer, follower.prefix)
+            since = follower.changed_revision
+            values = self._fetch(peer, follower.prefix, since)
             if values is None:
                 return
             log.info(
@@ -134,9 +135,10 @@
                 peer=peer,
                 prefix=follower.prefix,
                 revision=values.revision,
-                held=follower.revision,
+                held=since,
+                whole=values.is_whole,
             )
-            follower.adopt(values.values, values.revision, values.changed_revision)
+            follower.take(values, since)
         finally:
             self._fetching.discard(follower.prefix)
 
--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -14,6 +14,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
 from sassafrasdale.coordination.leases import LeaseHolder
+from sassafrasdale.gateway.peer_states import UsageTotal
 from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.usage import TrueTime
 from sassafrasdale.green import sleep
@@ -41,11 +42,9 @@
     :param lease: the lease for the duties.
     :param client: the platform's duty calls.
     :param record: counts that were written down before they were sent.
-    :param total: all gateways' counts of a window.
+    :param total: all gateways' counts of a window, and since when all have told theirs.
     :param window: length of a window.
     :param delay: time after a window in which its report is due.
-    :param all_told: whether all peers have told their counts since a time, in seconds
-        since 1970.
     """
 
     def __init__(
@@ -53,12 +52,11 @@
         lease: LeaseHolder,
         client: DutyClient,
         record: DutyRecord,
-        total: Callable[[int], Mapping[str, int]],
+        total: Callable[[int], UsageTotal],
         time: TrueTime,
         clock: Clock,
         window: timedelta,
         delay: timedelta,
-        all_told: Callable[[float], bool] = lambda since: False,
     ) -> None:
         self._lease = lease
         self._client = client
@@ -68,7 +66,6 @@
         self._clock = clock
         self._window = window.total_seconds()
         self._delay = delay.total_seconds()
-        self._all_told = all_told
         # A window that ended before this gateway started may be still unreported.
         self._next = self._oldest_due()
         self._started_at = time.seconds
@@ -98,14 +95,15 @@
         end = (self._next + 1) * self._window
         if now < end:
             return
+        permit = self._lease.permit(checks_fencing=True)
+        total = self._total(self._next)
         waited = now - max(end, self._started_at)
-        if waited < GATHERING_TIME.total_seconds() and not self._all_told(end):
+        if waited < GATHERING_TIME.total_seconds() and total.told_since < end:
             return
-        permit = self._lease.permit(checks_fencing=True)
         if permit.fencing_number != self._held or not self._record.is_known:
             self._read_record()
             self._held = permit.fencing_number
-        counts = self._write_down(self._next)
+        counts = self._write_down(self._next, total.counts)
         permit = self._lease.permit(checks_fencing=True)
         self._client.report_usage(self._next, counts, permit.fencing_number)
         log.info(
@@ -132,11 +130,11 @@
         if self._recorded:
             self._next = max(self._next, max(self._recorded))
 
-    def _write_down(self, window: int) -> Mapping[str, int]:
+    def _write_down(self, window: int, total: Mapping[str, int]) -> Mapping[str, int]:
         """Write a window's counts down, and return what is written."""
         if window in self._recorded:
             return self._recorded[window]
-        counts = dict(self._total(window))
+        counts = dict(total)
         kept = {
             number: held
             for number, held in self._recorded.items()
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -1,113 +1,278 @@
-"""What gateways tell each other: their own state, what they heard, stored values."""
+"""What gateways tell each other: reports, groups' sums, clocks, stored values.
+
+The messages are MessagePack arrays, checked field by field as they are decoded. A
+field is only ever added at the end and with a default, so gateways of two versions
+understand each other during a rolling restart.
+"""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from dataclasses import field
+from collections.abc import Iterable
 from datetime import timedelta
 
-from pydantic import TypeAdapter
-from pydantic.dataclasses import dataclass
+from msgspec import DecodeError, Struct, field
+from msgspec.msgpack import Decoder, Encoder
 
 from sassafrasdale.decisions.news import ToldLoad
-from sassafrasdale.decisions.quotas import SpendingReport
 from sassafrasdale.gateway.usage import ClockReading
 from sassafrasdale.structures import Address
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLoad:
-    """What a gateway has under way at an endpoint."""
+class Message(Struct, frozen=True, array_like=True):
+    """Base of all messages."""
+
+
+class Contact(Message):
+    """Where a gateway is reached.
+
+    :param zone: its availability zone.
+    :param incarnation: distinguishes starts of the process, later ones are higher;
+        0 for one that is only known from the store.
+    :param leaving: whether it is stopping.
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    incarnation: int = 0
+    leaving: bool = False
+
+    @property
+    def address(self) -> Address:
+        """Where it takes messages."""
+        return Address(self.host, self.port)
+
+
+class EndpointLoad(Message):
+    """What is under way at an endpoint."""
 
     in_flight: int
     unread_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class DutyClaim:
+class DutyClaim(Message):
     """That a gateway holds the duties, under a fencing number."""
 
     fencing_number: int
 
 
-@dataclass(frozen=True, slots=True)
-class PeerState:
+class Spending(Message):
+    """What a gateway says of one customer's limit, in its unit.
+
+    :param demand: what its requests ask for a second, refused ones too.
+    :param spent: what was let in since it started.
+    :param told: how much of that an aggregator has already counted.
+    :param used: what is missing from a full limit, in its view.
+    :param share: part of the limit that it would keep to if it were cut off now.
+    """
+
+    demand: float
+    spent: float
+    told: float
+    used: float
+    share: float
+
+
+class GroupSpending(Message):
+    """The same, summed over a group.
+
+    :param spent: what was let in since its aggregator took up the group.
+    :param share: parts of the limit of those in touch.
+    :param set_aside: parts of those that are silent, which may be cut off.
+    """
+
+    demand: float
+    spent: float
+    used: float
+    share: float
+    set_aside: float
+
+
+class UsageRow(Message):
+    """Requests that began at one incarnation of a gateway in a window.
+
+    :param counts: by customer. They only grow, so of two rows the larger counts hold.
+    """
+
+    gateway: str
+    incarnation: int
+    window: int
+    counts: dict[str, int]
+
+
+class MemberState(Message):
     """State of one gateway at one moment.
 
-    :param incarnation: distinguishes starts of the process; later ones are higher.
-    :param sequence: grows with each state of an incarnation.
-    :param address: where it takes exchanges.
-    :param time: its clock when it made this state.
     :param revisions: how far it has followed each prefix of the store.
     :param loads: what it has under way, by endpoint.
-    :param spending: what its callers ask and were given, by customer.
-    :param usage: requests that began, by window and customer.
+    :param spending: by customer.
     :param work: engine time that its requests take a second, by service.
-    :param leaving: whether it is stopping.
+    :param follows_store: whether it watches the store and is answered.
     """
 
-    name: str
-    incarnation: int
-    sequence: int
-    host: str
-    port: int
+    contact: Contact
     time: ClockReading
-    revisions: Mapping[str, int] = field(default_factory=dict)
-    loads: Mapping[str, EndpointLoad] = field(default_factory=dict)
-    spending: Mapping[str, SpendingReport] = field(default_factory=dict)
-    usage: Mapping[int, Mapping[str, int]] = field(default_factory=dict)
-    work: Mapping[str, float] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
+    loads: dict[str, EndpointLoad] = field(default_factory=dict)
+    spending: dict[str, Spending] = field(default_factory=dict)
+    work: dict[str, float] = field(default_factory=dict)
     duty: DutyClaim | None = None
-    leaving: bool = False
+    follows_store: bool = True
+
+
+class GroupState(Message):
+    """Sums over the gateways of a zone that report to one aggregator.
+
+    :param epoch: with the aggregator's incarnation, distinguishes counters that
+        began anew.
+    :param gateways: gateways in touch.
+    :param silent: gateways that are listed and were not heard of lately.
+    :param oldest: lowest incarnation among those in touch.
+    :param told_since: all in touch have told their state since then, in seconds
+        since 1970.
+    :param follows_store: whether any of them watches the store and is answered.
+    """
+
+    aggregator: Contact
+    epoch: int
+    gateways: int
+    silent: int
+    loads: dict[str, EndpointLoad]
+    spending: dict[str, GroupSpending]
+    work: dict[str, float]
+    holder: DutyClaim | None
+    oldest: int
+    told_since: float
+    follows_store: bool
 
     @property
-    def address(self) -> Address:
-        """Where it takes exchanges."""
-        return Address(self.host, self.port)
+    def counter(self) -> tuple[str, int, int]:
+        """Identifies what its counts of spending began with."""
+        return (self.aggregator.name, self.aggregator.incarnation, self.epoch)
+
+
+class HeardGroup(Message):
+    """A group's sums and how long ago they were heard."""
+
+    state: GroupState
+    age_s: float = 0.0
 
     @property
-    def age_key(self) -> tuple[int, int]:
-        """Orders the states of one gateway."""
-        return (self.incarnation, self.sequence)
+    def age(self) -> timedelta:
+        """Time since they were heard."""
+        return timedelta(seconds=self.age_s)
+
+
+class Report(Message):
+    """What a gateway tells its aggregator.
+
+    :param roster_digest: of the gateways of the zone that it knows.
+    :param roster: those, if the aggregator's digest was another.
+    :param usage: rows that have changed since the last report to it.
+    :param departs: whether it reports elsewhere from now on.
+    """
+
+    state: MemberState
+    roster_digest: int
+    roster: tuple[Contact, ...] = ()
+    usage: tuple[UsageRow, ...] = ()
+    departs: bool = False
+
 
+class View(Message):
+    """An aggregator's answer: all that its member needs of the others.
 
-@dataclass(frozen=True, slots=True)
-class Exchange:
-    """States that one gateway sends to another."""
+    :param groups: its own group without that member, then the others.
+    :param pause_s: time until the next report.
+    :param roster: gateways of the zone, if the member's digest was another.
+    :param clocks: clocks of other gateways, as they show now.
+    """
+
+    sender: Contact
+    time: ClockReading
+    revisions: dict[str, int]
+    groups: tuple[HeardGroup, ...]
+    pause_s: float
+    roster_digest: int
+    roster: tuple[Contact, ...] = ()
+    clocks: dict[str, ClockReading] = field(default_factory=dict)
+
+
+class GroupNews(Message):
+    """What one aggregator tells another, in both directions.
+
+    :param aggregators: others that it has heard of lately.
+    :param usage: rows that have changed since the last news with any.
+    :param usage_since: when those rows were complete, in seconds since 1970; None
+        where this news carries none.
+    :param members: names of the group's gateways, for another one of the same zone.
+    """
+
+    sender: Contact
+    time: ClockReading
+    revisions: dict[str, int]
+    group: GroupState
+    aggregators: tuple[Contact, ...] = ()
+    usage: tuple[UsageRow, ...] = ()
+    usage_since: float | None = None
+    members: tuple[str, ...] = ()
 
-    states: tuple[PeerState, ...]
 
+class Redirect(Message):
+    """Answer of a gateway that is no aggregator: who is, as far as it knows."""
 
-@dataclass(frozen=True, slots=True)
-class StoreValues:
+    aggregator: Contact
+
+
+class UsageTotal(Message):
+    """All gateways' counts of a window.
+
+    :param told_since: all gateways in touch have told theirs since then.
+    """
+
+    counts: dict[str, int]
+    told_since: float
+
+
+class StoreValues(Message):
     """Raw values below a prefix of the store, as of a revision.
 
     :param changed_revision: revision of the last change among them.
+    :param revisions: revision of each value's last change.
+    :param deleted: keys that are gone, with the revision of that, where this is not
+        the whole prefix.
+    :param is_whole: whether these are all values below the prefix.
     """
 
     revision: int
     changed_revision: int
-    values: Mapping[str, bytes]
+    values: dict[str, bytes]
+    revisions: dict[str, int] = field(default_factory=dict)
+    deleted: dict[str, int] = field(default_factory=dict)
+    is_whole: bool = True
 
 
-EXCHANGE_FORM = TypeAdapter(Exchange)
-STORE_VALUES_FORM = TypeAdapter(StoreValues)
+encode = Encoder().encode
+CONTACT = Decoder(Contact)
+REPORT = Decoder(Report)
+VIEW = Decoder(View)
+GROUP_NEWS = Decoder(GroupNews)
+REDIRECT = Decoder(Redirect)
+USAGE_TOTAL = Decoder(UsageTotal)
+STORE_VALUES = Decoder(StoreValues)
+MessageMalformed = DecodeError
 
 
-def loads_by_endpoint(
-    told: Iterable[tuple[PeerState, timedelta]],
-) -> dict[str, ToldLoad]:
-    """Return the load that all given gateways have at each endpoint.
-
-    :param told: their states, and how long ago each was told.
-    """
+def loads_by_endpoint(groups: Iterable[HeardGroup]) -> dict[str, ToldLoad]:
+    """Return the load that all given groups have at each endpoint."""
     in_flight: Counter[str] = Counter()
     unread: Counter[str] = Counter()
     aged: Counter[str] = Counter()
-    for state, age in told:
-        for endpoint, load in state.loads.items():
+    for group in groups:
+        for endpoint, load in group.state.loads.items():
             in_flight[endpoint] += load.in_flight
             unread[endpoint] += load.unread_tokens
-            aged[endpoint] += load.unread_tokens * age.total_seconds()
+            aged[endpoint] += load.unread_tokens * group.age_s
     return {
         endpoint: ToldLoad(
             count,
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
 from logbook import Logger
@@ -23,7 +23,13 @@
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.knowledge import Knowledge
 from sassafrasdale.gateway.metering import USAGE_FORM, USAGE_RECORD, UsageReporter
-from sassafrasdale.gateway.peer_states import DutyClaim, EndpointLoad, PeerState
+from sassafrasdale.gateway.peer_states import (
+    Contact,
+    DutyClaim,
+    EndpointLoad,
+    HeardGroup,
+    MemberState,
+)
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheBelief, Placement
 from sassafrasdale.gateway.planning import planned_services
@@ -31,7 +37,12 @@
 from sassafrasdale.gateway.records import DutyRecord
 from sassafrasdale.gateway.registration import Registration
 from sassafrasdale.gateway.scaling import ORDERS_FORM, ORDERS_RECORD, Scaler
-from sassafrasdale.gateway.usage import KEPT_WINDOWS, TrueTime, UsageCounts, UsageLedger
+from sassafrasdale.gateway.usage import (
+    ClockReading,
+    TrueTime,
+    UsageCounts,
+    UsageLedger,
+)
 from sassafrasdale.green import adopt, listen, sleep, spawn
 from sassafrasdale.http.messages import Request
 from sassafrasdale.http.server import HttpServer, ServerConnection, ServerLimits
@@ -86,7 +97,6 @@
         self._life = Lifecycle(load_chart("entry"))
         self._must_stop = False
         self._must_reload = False
-        self._sequence = 0
         self._drain: Drain | None = None
         self._build()
 
@@ -116,20 +126,34 @@
             self._store_health,
             self._directory,
             self._forget_engine,
-            lambda peer, prefix: self._peering.fetch(peer, prefix),
+            lambda *asked: self._peering.fetch(*asked),
             clock,
             self._rng,
             settings.availability_zones,
+            lambda: self._peering.should_watch(),
         )
+        contact = self._contact()
         self._peering = Peering(
-            settings.name,
+            len(settings.availability_zones),
             self._make_state,
-            self._heard,
-            self._knowledge.values_below,
+            self._knowledge.revisions,
+            self,
+            self._knowledge.values_since,
+            self._ledger,
+            self._usage.report,
+            self._time,
+            WORK_WINDOW,
             clock,
             self._rng,
+            contact,
+        )
+        self._quotas = Quotas(
+            bounds,
+            self._peering.count,
+            clock,
+            self._peering.told_spent,
+            self._peering.unseen_time,
         )
-        self._quotas = Quotas(bounds, self._peering.count, clock, self._peering.silent)
         self._fleet = Fleet(
             self._directory,
             Placement(settings.availability_zone, self._cache, self._paces, self._rng),
@@ -152,8 +176,7 @@
             last_end=self._last_end,
         )
         self._registration = Registration(
-            settings.name,
-            settings.peer_address,
+            contact,
             self._store,
             self._peering,
             self._store_health,
@@ -226,12 +249,11 @@
                 self._lease,
                 client,
                 DutyRecord(self._store, USAGE_RECORD, USAGE_FORM),
-                self._total_usage,
+                self._peering.usage,
                 self._time,
                 self._clock,
                 settings.bounds.usage_window,
                 settings.bounds.usage_delay,
-                self._peering.all_told_since,
             )
             tasks.append(reporter.run)
         if settings.orders_endpoints:
@@ -252,7 +274,7 @@
             self._reload()
         self._fleet.refresh_peer_loads()
         self._directory.forget_lapsed()
-        self._time.keep(state.name for state in self._peering.alive())
+        self._time.keep()
         self._may_serve()
 
     def _become_ready(self) -> None:
@@ -270,6 +292,7 @@
 
     def _stop(self, server: HttpServer) -> None:
         self._life.fire("leave")
+        self._peering.leave()
         log.notice("gateway stopping", busy=server.busy_connections)
         spawn(self._hand_duties_back)
         spawn(self._peering.tell_all)
@@ -314,23 +337,33 @@
             limits.idle_timeout,
         )
 
-    def _heard(self, state: PeerState, first_hand: bool) -> None:
-        self._quotas.hear(state.name, state.spending, state.incarnation)
-        if first_hand:
-            self._time.hear(state.name, state.time)
-        self._ledger.hear(state.name, state.incarnation, state.usage)
-        self._knowledge.hear(state.name, state.revisions)
+    def hear_groups(self, groups: Sequence[HeardGroup]) -> None:
+        """Take the sums over all other gateways."""
+        self._quotas.hear_groups(groups)
+
+    def hear_clock(self, name: str, reading: ClockReading) -> None:
+        """Take another gateway's clock as it shows now."""
+        self._time.hear(name, reading)
+
+    def hear_revisions(self, peer: str, revisions: Mapping[str, int]) -> None:
+        """Take how far another gateway has followed the store."""
+        self._knowledge.hear(peer, revisions)
 
-    def _make_state(self) -> PeerState:
-        self._sequence += 1
-        address = self._settings.peer_address
+    def _contact(self) -> Contact:
+        settings = self._settings
+        address = settings.peer_address
+        return Contact(
+            settings.name,
+            settings.availability_zone,
+            address.host,
+            address.port,
+            self._incarnation,
+        )
+
+    def _make_state(self, contact: Contact) -> MemberState:
         holds = self._lease.state != "seeking"
-        return PeerState(
-            name=self._settings.name,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            host=address.host,
-            port=address.port,
+        return MemberState(
+            contact=contact,
             time=self._time.reading(),
             revisions=self._knowledge.revisions(),
             loads={
@@ -339,12 +372,14 @@
                 if record.in_flight
             },
             spending=self._quotas.report(),
-            usage=self._usage.report(),
-            work=self._fleet.work(),
+            work=dict(self._fleet.work()),
             duty=DutyClaim(self._lease.fencing_number) if holds else None,
-            leaving=self._life.state in ("draining", "stopped"),
+            follows_store=self._follows_store(),
         )
 
+    def _follows_store(self) -> bool:
+        return self._store_health.is_reached and self._peering.should_watch()
+
     def _duty_is_taken(self) -> bool:
         """Return whether another gateway has the duties or should take them."""
         if self._peering.names_holder():
@@ -352,12 +387,6 @@
         age = self._clock.elapsed() - self._started_at
         return age < LEFT_TO_OLDER and self._peering.may_have_older(self._incarnation)
 
-    def _total_usage(self, window: int) -> Mapping[str, int]:
-        own = self._usage.report()
-        self._ledger.hear(self._settings.name, self._incarnation, own)
-        self._ledger.forget_before(window - KEPT_WINDOWS)
-        return self._ledger.total(window)
-
     def _planned_services(self) -> tuple[PlannedService, ...]:
         return planned_services(
             self._knowledge.configuration, self._directory, self._load
@@ -365,7 +394,7 @@
 
     def _load(self, service: str) -> float:
         own = self._fleet.work().get(service, 0.0)
-        return own + self._peering.work(service, WORK_WINDOW)
+        return own + self._peering.work(service)
 
     def _answer_ready(self, connection: ServerConnection, request: Request) -> None:
         ready = self._life.state == "ready"
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -1,25 +1,26 @@
-"""Customers' limits over all gateways, from what they report to each other.
+"""Customers' limits over all gateways, from the sums that these tell each other.
 
 While a customer is below its limit, each gateway lets in what comes. Near the limit
 each keeps to a part by the demand that arrives there. A gateway that falls silent may
-be cut off and spend on, so the others leave it the part that it had when it was last
-heard. It does the same for them, and all sides of a cut together stay within the limit.
+be cut off and spend on, so the others leave it the part that it said it had. It does
+the same for them, and all sides of a cut together stay within the limit.
 """
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.quotas import (
     EXPECTED_TIME,
+    UNSEEN_TIME,
     PartOfLimit,
     SharedLimit,
-    SpendingReport,
     has_room,
 )
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.deployment import Bounds, Customer, RequestTraits
+from sassafrasdale.gateway.peer_states import HeardGroup, Spending
 
 # Part of the slack on top of each limit that is used as room for large requests;
 # the rest covers requests that overdraw and spending that isn't known yet.
@@ -34,31 +35,6 @@
 FIRST_SLACK = 0.25
 # Part of the slack that all gateways may let in before they know of each other.
 UNSEEN_SLACK = 0.15
-# What a gateway that is gone was last heard to have is dropped after this time.
-LAST_HEARD_KEPT = timedelta(minutes=2)
-# Time between two sums of all gateways' demand.
-SUM_PAUSE = timedelta(milliseconds=400)
-
-
-@dataclass(frozen=True, slots=True)
-class _Sums:
-    """Demand of all gateways at one moment.
-
-    :param totals: by customer, a second.
-    """
-
-    made_at: timedelta
-    gateways: int
-    totals: Mapping[str, float]
-
-
-@dataclass(frozen=True, slots=True)
-class _LastHeard:
-    """A peer's report when it was last heard, and all gateways' demand about then."""
-
-    reports: Mapping[str, SpendingReport]
-    sums: _Sums
-    heard_at: timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +56,9 @@
 
     :param bounds: slack of the limits.
     :param gateways: number of gateways, this one included.
-    :param silent: names of the gateways among them that were not heard lately.
     :param clock: source of elapsed time.
+    :param told: how much of this gateway's spending others have counted, by customer.
+    :param unseen_time: time that a spending takes to be known at all gateways.
     """
 
     def __init__(
@@ -89,14 +66,17 @@
         bounds: Bounds,
         gateways: Callable[[], int],
         clock: Clock,
-        silent: Callable[[], Collection[str]] = frozenset,
+        told: Callable[[str], float] = lambda customer: 0.0,
+        unseen_time: Callable[[], timedelta] = lambda: UNSEEN_TIME,
     ) -> None:
         self._bounds = bounds
         self._gateways = gateways
         self._clock = clock
-        self._silent = silent
-        self._last_heard: dict[str, _LastHeard] = {}
-        self._last_sums: _Sums | None = None
+        self._told = told
+        self._unseen_time = unseen_time
+        self._groups: Sequence[HeardGroup] = ()
+        self._heard_at = clock.elapsed()
+        self._known: dict[str, Customer] = {}
         self._started_at = clock.elapsed()
         self._shares = DemandShares()
         self._parts: dict[str, PartOfLimit] = {}
@@ -111,6 +91,7 @@
             return None
         amount = request_size(customer, traits)
         now = self._clock.elapsed()
+        self._known[customer.name] = customer
         self._shares.add(customer.name, now, amount)
         slack = self._bounds.quota_slack if customer.counts_tokens else 0
         depth = customer.burst + USED_SLACK * slack
@@ -121,8 +102,9 @@
         share = self._share(customer, live, now)
         part = self._part(customer, depth, first, share, now)
         left = depth * live.left - limit.used(now)
-        unseen = limit.unseen(now) - slack * UNSEEN_SLACK * share
-        if has_room(left, live.demand, share, unseen):
+        unseen_time = self._unseen_time()
+        unseen = limit.unseen(now, unseen_time) - slack * UNSEEN_SLACK * share
+        if has_room(left, live.demand, share, unseen, unseen_time):
             part.drain(amount)
         elif not part.try_spend(amount):
             return part.time_to_positive()
@@ -148,51 +130,62 @@
             self._limits[customer.name].spend(-amount, self._clock.elapsed())
             self._parts[customer.name].restore(amount)
 
-    def report(self) -> Mapping[str, SpendingReport]:
+    def report(self) -> dict[str, Spending]:
         """Return this gateway's demand and spending, by customer."""
         now = self._clock.elapsed()
         return {
-            name: SpendingReport(demand, limit.spent, limit.used(now))
+            name: self._spending(self._known[name], demand, limit, now)
             for name, demand in self._shares.report(now).items()
             if (limit := self._limits.get(name)) is not None
         }
 
-    def hear(
-        self, peer: str, reports: Mapping[str, SpendingReport], incarnation: int = 0
-    ) -> None:
-        """Take a peer's report.
+    def _spending(
+        self, customer: Customer, demand: float, limit: SharedLimit, now: timedelta
+    ) -> Spending:
+        share = self._share(customer, self._live(customer, now), now)
+        told = self._told(customer.name)
+        return Spending(demand, limit.spent, told, limit.used(now), share)
 
-        :param incarnation: distinguishes starts of the peer, which count from nothing.
-        """
+    def hear_groups(self, groups: Sequence[HeardGroup]) -> None:
+        """Take the sums over all other gateways, in place of those before."""
         now = self._clock.elapsed()
-        demand = {name: report.demand for name, report in reports.items()}
-        self._shares.hear(peer, demand, now)
-        self._last_heard[peer] = _LastHeard(reports, self._sums(now), now)
-        for name, report in reports.items():
-            if name in self._limits:
-                self._limits[name].hear(peer, incarnation, report.spent, now)
+        self._groups = groups
+        self._heard_at = now
+        for heard in groups:
+            state = heard.state
+            for name, spending in state.spending.items():
+                if name in self._limits:
+                    self._limits[name].hear(
+                        state.aggregator.zone,
+                        state.counter,
+                        spending.spent,
+                        now - heard.age,
+                    )
 
     def _live(self, customer: Customer, now: timedelta) -> "_LiveDemand":
         """Return what is left of a limit for the gateways in touch."""
         gateways = self._gateways()
-        silent = set(self._silent())
-        heard = {
-            peer: last.heard_at
-            for peer, last in self._last_heard.items()
-            if peer not in silent
-        }
-        recent = [at for at in heard.values() if now - at <= EXPECTED_TIME]
-        missing = max(gateways - 1 - len(recent) - len(silent), 0)
-        # Those heard a while ago keep the part that they had then.
-        overdue = [peer for peer, at in heard.items() if now - at > EXPECTED_TIME]
-        silent.update(sorted(overdue, key=heard.get, reverse=True)[:missing])
-        unknown = max(gateways - 1 - len(recent) - len(silent), 0)
-        kept = unknown / gateways
-        for peer in silent:
-            self._shares.forget(peer)
-            kept += self._part_of_silent(customer, peer, gateways)
-        in_touch = max(gateways - len(silent) - unknown, 1)
-        demand = self._shares.total(customer.name, in_touch, now)
+        counted = in_touch = 1
+        demand = self._shares.own(customer.name, now)
+        kept = 0.0
+        for heard in self._groups:
+            state = heard.state
+            members = state.gateways + state.silent
+            counted += members
+            spending = state.spending.get(customer.name)
+            if now - self._heard_at + heard.age > EXPECTED_TIME:
+                even = members / gateways
+                kept += even if spending is None else spending.share
+                kept += 0.0 if spending is None else spending.set_aside
+                continue
+            in_touch += state.gateways
+            if spending is None:
+                kept += state.silent / gateways
+            else:
+                demand += spending.demand
+                kept += spending.set_aside
+        # Those that are listed and that nobody has heard may each have an even part.
+        kept += max(gateways - counted, 0) / gateways
         return _LiveDemand(max(1 - kept, 0.0), in_touch, demand)
 
     def _share(self, customer: Customer, live: "_LiveDemand", now: timedelta) -> float:
@@ -223,44 +216,15 @@
         if limit is not None:
             return limit
         used = [
-            last.reports[name].used
-            for last in self._last_heard.values()
-            if name in last.reports and now - last.heard_at <= EXPECTED_TIME
+            heard.state.spending[name].used
+            for heard in self._groups
+            if name in heard.state.spending
+            and now - self._heard_at + heard.age <= EXPECTED_TIME
         ]
         limit = SharedLimit(max(used, default=first_used), now)
         self._limits[name] = limit
         return limit
 
-    def _part_of_silent(self, customer: Customer, peer: str, gateways: int) -> float:
-        last = self._last_heard.get(peer)
-        if last is None:
-            return 1 / gateways
-        sums = last.sums
-        report = last.reports.get(customer.name)
-        demand = report.demand if report else 0.0
-        total = sums.totals.get(customer.name, 0.0)
-        part = self._shares.part(demand, max(total, demand), sums.gateways)
-        return _with_spare(part, total, customer.rate, sums.gateways)
-
-    def _sums(self, now: timedelta) -> _Sums:
-        if self._last_sums is None or now - self._last_sums.made_at >= SUM_PAUSE:
-            gateways = self._gateways()
-            totals = {
-                name: self._shares.total(name, gateways, now)
-                for name in self._shares.customers()
-            }
-            self._last_sums = _Sums(now, gateways, totals)
-            self._drop_old(now)
-        return self._last_sums
-
-    def _drop_old(self, now: timedelta) -> None:
-        for peer, last in list(self._last_heard.items()):
-            if now - last.sums.made_at > LAST_HEARD_KEPT:
-                del self._last_heard[peer]
-                self._shares.forget(peer)
-                for limit in self._limits.values():
-                    limit.forget(peer)
-
 
 def _with_spare(part: float, total: float, rate: float, gateways: int) -> float:
     """Divide evenly what all of a customer's demand leaves of its limit.
--- a/src/sassafrasdale/gateway/registration.py
+++ b/src/sassafrasdale/gateway/registration.py
@@ -6,12 +6,17 @@
 from logbook import Logger
 
 from sassafrasdale.coordination.exceptions import LeaseNotFound, StoreError
-from sassafrasdale.coordination.stores import Lease
+from sassafrasdale.coordination.stores import Lease, StoredValue
 from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.peer_states import (
+    CONTACT,
+    Contact,
+    MessageMalformed,
+    encode,
+)
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.green import sleep
 from sassafrasdale.platform.store import PlatformStore
-from sassafrasdale.structures import Address
 
 log = Logger("registration")
 
@@ -25,21 +30,18 @@
 class Registration:
     """Task that keeps this gateway listed and introduces the listed ones.
 
-    :param name: name of this gateway.
-    :param address: where it takes exchanges.
+    :param own: this gateway's contact.
     """
 
     def __init__(
         self,
-        name: str,
-        address: Address,
+        own: Contact,
         store: PlatformStore,
         peering: Peering,
         dependency: Dependency,
         rng: Random,
     ) -> None:
-        self._name = name
-        self._address = address
+        self._own = own
         self._store = store
         self._peering = peering
         self._dependency = dependency
@@ -80,15 +82,19 @@
     def _step(self) -> None:
         if self._lease is not None:
             self._store.keep_alive(self._lease)
-            if self._peering.alive():
+            if self._peering.hears_all():
                 return
         else:
             lease = self._store.grant_lease(LISTED)
-            value = str(self._address).encode()
-            self._store.put(GATEWAYS_PREFIX + self._name, value, lease)
+            key = GATEWAYS_PREFIX + self._own.name
+            self._store.put(key, encode(self._own), lease)
             self._lease = lease
         for item in self._store.list(GATEWAYS_PREFIX):
-            name = item.key.removeprefix(GATEWAYS_PREFIX)
-            self._peering.introduce(name, Address.parse(item.value.decode()))
-        self._peering.greet()
+            self._introduce(item)
         self._listed = True
+
+    def _introduce(self, item: StoredValue) -> None:
+        try:
+            self._peering.introduce(CONTACT.decode(item.value))
+        except MessageMalformed as error:
+            log.warning("registration malformed", key=item.key, why=str(error))
--- a/src/sassafrasdale/gateway/usage.py
+++ b/src/sassafrasdale/gateway/usage.py
@@ -1,6 +1,7 @@
 """Usage: requests that began to run, by customer and window of true time."""
 
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from statistics import median
@@ -15,6 +16,10 @@
 KEPT_WINDOWS = 5
 # The time may be this far off before it is corrected.
 TOLERATED_OFFSET = timedelta(milliseconds=50)
+# A clock that was heard this lately is passed on; one that wasn't heard for the second
+# time no longer counts.
+PASSED_ON = timedelta(seconds=1)
+SILENT = timedelta(seconds=5)
 # Time after a start in which the other gateways are heard, and their time taken over.
 YOUNG = timedelta(seconds=3)
 # A gateway that started this much earlier has had the time to hear of others.
@@ -45,11 +50,13 @@
     :param wall: what its time of day is ahead of the elapsed time.
     :param true: the same for its true time.
     :param started_at: when it started.
+    :param heard_at: when it was last heard, in elapsed time.
     """
 
     wall: float
     true: float
     started_at: float
+    heard_at: timedelta
 
 
 class TrueTime:
@@ -83,13 +90,40 @@
         """Take what a peer said a moment ago."""
         elapsed = self._clock.elapsed().total_seconds()
         self._peers[peer] = _PeerClock(
-            reading.wall - elapsed, reading.true - elapsed, elapsed - reading.age_s
+            reading.wall - elapsed,
+            reading.true - elapsed,
+            elapsed - reading.age_s,
+            self._clock.elapsed(),
         )
 
-    def keep(self, peers: Iterable[str]) -> None:
-        """Forget all but the given peers, and set the time anew if need be."""
-        kept = set(peers)
-        self._peers = {name: at for name, at in self._peers.items() if name in kept}
+    def others(self, most: int) -> dict[str, ClockReading]:
+        """Return some of the others' clocks as they show now, for a peer.
+
+        Only those heard lately: passed on for longer, the clock of a gateway that is
+        gone would go on counting.
+        """
+        now = self._clock.elapsed()
+        elapsed = now.total_seconds()
+        fresh = [
+            (name, peer)
+            for name, peer in self._peers.items()
+            if now - peer.heard_at <= PASSED_ON
+        ]
+        return {
+            name: ClockReading(
+                peer.wall + elapsed, peer.true + elapsed, elapsed - peer.started_at
+            )
+            for name, peer in fresh[:most]
+        }
+
+    def keep(self) -> None:
+        """Forget peers that are silent, and set the time anew if need be."""
+        now = self._clock.elapsed()
+        self._peers = {
+            name: peer
+            for name, peer in self._peers.items()
+            if now - peer.heard_at <= SILENT
+        }
         if self._age() < YOUNG:
             self._set(self._offset_at_start(), "started")
         elif self._differs_for(LASTING):
@@ -154,7 +188,7 @@
         """Return the number of the present window."""
         return int(self._time.seconds // self._window)
 
-    def report(self) -> Mapping[int, Mapping[str, int]]:
+    def report(self) -> dict[int, dict[str, int]]:
         """Return the counts of the windows that are kept."""
         return {number: dict(counts) for number, counts in self._counts.items()}
 
@@ -163,28 +197,68 @@
     """Counts of all gateways, of those that have stopped too.
 
     A gateway that starts again counts from nothing. What it had counted before is
-    kept under its earlier incarnation, and still belongs to the windows.
+    kept under its earlier incarnation, and still belongs to the windows. Counts only
+    grow, so rows that come twice, late or by two ways do no harm: the largest hold.
     """
 
     def __init__(self) -> None:
-        self._reports: dict[tuple[str, int], Mapping[int, Mapping[str, int]]] = {}
+        self._rows: dict[tuple[str, int, int], dict[str, int]] = {}
+        self._changed: dict[tuple[str, int, int], int] = {}
+        self._version = 0
+        self._forgotten = 0
+
+    @property
+    def version(self) -> int:
+        """Grows with each change."""
+        return self._version
 
-    def hear(
-        self, gateway: str, incarnation: int, report: Mapping[int, Mapping[str, int]]
+    def take(
+        self, gateway: str, incarnation: int, window: int, counts: Mapping[str, int]
     ) -> None:
-        """Take what one incarnation of a gateway has counted."""
-        self._reports[gateway, incarnation] = report
+        """Take what one incarnation of a gateway has counted in a window."""
+        key = (gateway, incarnation, window)
+        if window <= self._forgotten:
+            return
+        self._forget_before(window - KEPT_WINDOWS)
+        held = self._rows.setdefault(key, {})
+        grown = {
+            customer: count
+            for customer, count in counts.items()
+            if count > held.get(customer, 0)
+        }
+        if not grown:
+            return
+        held.update(grown)
+        self._version += 1
+        self._changed[key] = self._version
+
+    def rows(
+        self, since: int, gateways: Collection[str] | None = None
+    ) -> list[tuple[str, int, int, dict[str, int]]]:
+        """Return the rows that have changed since a version.
+
+        :param gateways: those whose rows are wanted; None for all.
+        :returns: gateway, incarnation, window and counts of each.
+        """
+        return [
+            (*key, dict(self._rows[key]))
+            for key, version in self._changed.items()
+            if version > since and (gateways is None or key[0] in gateways)
+        ]
 
     def total(self, window: int) -> dict[str, int]:
         """Return all counts of a window, by customer."""
-        total: dict[str, int] = {}
-        for report in self._reports.values():
-            for customer, count in report.get(window, {}).items():
-                total[customer] = total.get(customer, 0) + count
-        return total
-
-    def forget_before(self, window: int) -> None:
-        """Drop reports that have nothing since a window."""
-        for key, report in list(self._reports.items()):
-            if not report or max(report) < window:
-                del self._reports[key]
+        total: Counter[str] = Counter()
+        for (_, _, number), counts in self._rows.items():
+            if number == window:
+                total.update(counts)
+        return dict(total)
+
+    def _forget_before(self, window: int) -> None:
+        """Drop the rows up to a window, once for each later one."""
+        if window <= self._forgotten:
+            return
+        self._forgotten = window
+        for key in [key for key in self._rows if key[2] <= window]:
+            del self._rows[key]
+            self._changed.pop(key, None)
