--- a/src/sassafrasdale/decisions/speeds.py
+++ b/src/sassafrasdale/decisions/speeds.py
@@ -32,6 +32,11 @@
         self._token_time = FIRST_GUESS
         self._best = timedelta.max
 
+    @property
+    def is_known(self) -> bool:
+        """Whether enough was seen to tell."""
+        return self._best < timedelta.max
+
     @property
     def token_time(self) -> timedelta:
         """Time that an engine takes for a prompt token."""
--- a/src/sassafrasdale/gateway/aggregating.py
+++ b/src/sassafrasdale/gateway/aggregating.py
@@ -45,16 +45,19 @@
     """Another aggregator's group as it was last heard.
 
     :param members: names of its gateways, if they are of this zone.
-    :param usage_version: version of this gateway's ledger that it has.
-    :param usage_sent_at: when it was sent that; None if it never was.
+    :param usage_acked: version of this gateway's ledger that it is known to have;
+        None before it has said so.
+    :param usage_sent_at: when it was last sent rows.
+    :param usage_held: version of its ledger that was heard here.
     :param usage_since: when the rows that it has sent were complete.
     """
 
     state: GroupState
     heard_at: timedelta
     members: frozenset[str] = frozenset()
-    usage_version: int = 0
-    usage_sent_at: timedelta | None = None
+    usage_acked: int | None = None
+    usage_sent_at: timedelta = -USAGE_PAUSE
+    usage_held: int = 0
     usage_since: float = 0.0
 
 
@@ -189,11 +192,8 @@
         aggregator = self._roster.get(reports_to)
         if aggregator is not None and not self.has_members:
             return Redirect(aggregator)
-        version = self._shared.ledger.version
         self._take_news(news)
-        answer = self._news(news.sender)
-        self._note_sent(news.sender.name, answer, version)
-        return answer
+        return self._news(news.sender)
 
     def view_for(self, name: str) -> tuple[HeardGroup, ...]:
         """Return the sums over all gateways but one, its own group first."""
@@ -280,13 +280,11 @@
     def _exchange(self, contact: Contact) -> None:
         self._under_way.add(contact.name)
         try:
-            version = self._shared.ledger.version
             news = self._news(contact)
             answer = self._calls.send(contact, NEWS_TARGET, news, GROUP_NEWS)
             match answer:
                 case GroupNews():
                     self._take_news(answer)
-                    self._note_sent(contact.name, news, version)
                 case Redirect():
                     self._follow(contact, answer.aggregator)
                 case _:
@@ -304,7 +302,8 @@
 
     def _news(self, receiver: Contact) -> GroupNews:
         sums = self._sums()
-        rows = self._rows_for(receiver.name)
+        other = self._neighbours.get(receiver.name)
+        rows = self._rows_for(other)
         own_zone = receiver.zone == self._roster.own.zone
         return GroupNews(
             sender=self._roster.own,
@@ -314,24 +313,29 @@
             aggregators=tuple(self._others_but(receiver.name)),
             usage=rows or (),
             usage_since=None if rows is None else sums.told_since,
+            usage_version=self._shared.ledger.version,
+            usage_held=0 if other is None else other.usage_held,
             members=tuple(self._group.fresh) if own_zone else (),
         )
 
-    def _rows_for(self, receiver: str) -> tuple[UsageRow, ...] | None:
+    def _rows_for(self, other: _Neighbour | None) -> tuple[UsageRow, ...] | None:
         """Return the rows of usage that an aggregator lacks; None if it isn't time.
 
         At first all that are known: a former aggregator's sums of gateways that died
-        are nowhere else. Later those of this zone, as the others tell their own.
+        are nowhere else. Later those of this zone, as the others tell their own. They
+        are sent again until it says that it has them: an answer may come too late.
         """
-        other = self._neighbours.get(receiver)
-        sent_at = None if other is None else other.usage_sent_at
-        if sent_at is None:
+        if other is None:
+            return ()
+        now = self._clock.elapsed()
+        if now - other.usage_sent_at < USAGE_PAUSE:
+            return None
+        other.usage_sent_at = now
+        if other.usage_acked is None:
             rows = self._shared.ledger.rows(0)
-        elif self._clock.elapsed() - sent_at >= USAGE_PAUSE:
-            names = {contact.name for contact in self._roster.own_zone()}
-            rows = self._shared.ledger.rows(other.usage_version, names)
         else:
-            return None
+            names = {contact.name for contact in self._roster.own_zone()}
+            rows = self._shared.ledger.rows(other.usage_acked, names)
         return tuple(UsageRow(*row) for row in rows)
 
     def _others_but(self, receiver: str) -> list[Contact]:
@@ -364,6 +368,9 @@
         self._take_rows(news.usage)
         if news.usage_since is not None:
             other.usage_since = news.usage_since
+            other.usage_held = news.usage_version
+        if news.usage_held:
+            other.usage_acked = news.usage_held
         listener = self._shared.listener
         listener.hear_clock(sender.name, news.time)
         listener.hear_revisions(sender.name, news.revisions)
@@ -383,9 +390,3 @@
                 continue
             if self._roster.is_passed_over(name) or now - other.heard_at > FRESH:
                 del self._neighbours[name]
-
-    def _note_sent(self, name: str, news: GroupNews, version: int) -> None:
-        other = self._neighbours.get(name)
-        if other is not None and news.usage_since is not None:
-            other.usage_version = version
-            other.usage_sent_at = self._clock.elapsed()
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from statistics import fmean
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.budgets import RetryBudget
@@ -127,7 +128,7 @@
             traits,
             self._peer_loads,
             health.weights(self._clock.elapsed()),
-            self._speed(service).token_time,
+            self._token_time(service),
             unseen_work(self._work_of_peers(service), self._news_age, len(candidates)),
         )
 
@@ -163,14 +164,14 @@
                 self._fetchable(service.name),
                 service,
                 traits,
-                self._speed(service.name).token_time,
+                self._token_time(service.name),
                 self._clock.elapsed(),
             )
             if source is not None:
                 tokens = sum(part.tokens for part in shared_parts(traits))
                 unread = min(unread, max((traits.prompt_tokens or 0) - tokens, 0))
             self._cache.sent(record.name, traits.parts, service.engine.cache_tokens)
-            took = unread * self._speed(service.name).token_time
+            took = unread * self._token_time(service.name)
             now = self._clock.elapsed()
             if not again:
                 self._work.add(service.name, now, took.total_seconds())
@@ -254,6 +255,29 @@
             if weights.get(record.name, 1.0) > 0
         ]
 
+    def token_times(self) -> dict[str, float]:
+        """Return the time that engines take for a prompt token, where it is known.
+
+        :returns: seconds by service.
+        """
+        return {
+            service: speed.token_time.total_seconds()
+            for service, speed in self._speeds.items()
+            if speed.is_known
+        }
+
+    def _token_time(self, service: str) -> timedelta:
+        """Return the time for a prompt token, as all gateways have seen it.
+
+        One of two hundred sees a long prompt a second, and needs eight of them. The
+        first guess may be half off, and with it loads and what is ordered.
+        """
+        told = self._peering.token_times(service)
+        speed = self._speed(service)
+        if speed.is_known:
+            told.append(speed.token_time.total_seconds())
+        return timedelta(seconds=fmean(told)) if told else speed.token_time
+
     def _speed(self, service: str) -> ReadingSpeed:
         return self._speeds.setdefault(service, ReadingSpeed())
 
--- a/src/sassafrasdale/gateway/following.py
+++ b/src/sassafrasdale/gateway/following.py
@@ -27,6 +27,9 @@
 # Pauses after a failed call: short at first, since an outage may have just ended.
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(seconds=1)
+# Time between two watches. Where a zone's endpoints start or leave together, one call
+# brings what would take ten; what callers see of it is a tenth of a second.
+COLLECTING = timedelta(milliseconds=100)
 # Deleted keys that are told to peers. Endpoints come and go a few times a second at
 # most, and peers ask within a second.
 MOST_DELETED = 200
@@ -116,6 +119,8 @@
                 self.step()
                 self._dependency.succeeded()
                 pause = FIRST_PAUSE
+                # Changes come in bursts, and each watch has a price.
+                sleep(COLLECTING)
             except StoreHistoryLost:
                 log.warning("history lost, reading anew", prefix=self._prefix)
                 self._must_list = True
--- a/src/sassafrasdale/gateway/groups.py
+++ b/src/sassafrasdale/gateway/groups.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from math import exp
+from statistics import fmean
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.gateway.peer_states import (
@@ -141,6 +142,7 @@
             oldest=min(starts, default=0),
             told_since=min(times, default=0.0),
             follows_store=any(member.state.follows_store for member in fresh),
+            token_times=_token_times(fresh),
         )
 
     def _spending(
@@ -207,3 +209,11 @@
 def _holder(fresh: Iterable[_Member]) -> DutyClaim | None:
     claims = [member.state.duty for member in fresh if member.state.duty is not None]
     return max(claims, key=lambda claim: claim.fencing_number, default=None)
+
+
+def _token_times(fresh: Iterable[_Member]) -> dict[str, float]:
+    told: dict[str, list[float]] = {}
+    for member in fresh:
+        for service, seconds in member.state.token_times.items():
+            told.setdefault(service, []).append(seconds)
+    return {service: fmean(times) for service, times in told.items()}
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -114,6 +114,8 @@
     :param spending: by customer.
     :param work: engine time that its requests take a second, by service.
     :param follows_store: whether it watches the store and is answered.
+    :param token_times: time that engines take for a prompt token, in seconds and by
+        service, where it has seen enough to tell.
     """
 
     contact: Contact
@@ -124,6 +126,7 @@
     work: dict[str, Amount] = field(default_factory=dict)
     duty: DutyClaim | None = None
     follows_store: bool = True
+    token_times: dict[str, Amount] = field(default_factory=dict)
 
 
 class GroupState(Message):
@@ -137,6 +140,7 @@
     :param told_since: all in touch have told their state since then, in seconds
         since 1970.
     :param follows_store: whether any of them watches the store and is answered.
+    :param token_times: mean of what its gateways tell.
     """
 
     aggregator: Contact
@@ -150,6 +154,7 @@
     oldest: int
     told_since: float
     follows_store: bool
+    token_times: dict[str, Amount] = field(default_factory=dict)
 
     @property
     def counter(self) -> tuple[str, int, int]:
@@ -208,9 +213,11 @@
     """What one aggregator tells another, in both directions.
 
     :param aggregators: others that it has heard of lately.
-    :param usage: rows that have changed since the last news with any.
+    :param usage: rows that the receiver is not known to have.
     :param usage_since: when those rows were complete, in seconds since 1970; None
         where this news carries none.
+    :param usage_version: version of the sender's counts that these rows bring.
+    :param usage_held: the last such version that came from the receiver.
     :param members: names of the group's gateways, for another one of the same zone.
     """
 
@@ -221,6 +228,8 @@
     aggregators: tuple[Contact, ...] = ()
     usage: tuple[UsageRow, ...] = ()
     usage_since: float | None = None
+    usage_version: int = 0
+    usage_held: int = 0
     members: tuple[str, ...] = ()
 
 
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -120,6 +120,14 @@
             total += group.state.work.get(service, 0.0) * part
         return total
 
+    def token_times(self, service: str) -> list[float]:
+        """Return what each group tells of an engine's time for a token, in seconds."""
+        return [
+            group.state.token_times[service]
+            for group in self._groups
+            if service in group.state.token_times
+        ]
+
     def count(self) -> int:
         """Return how many gateways there are, silent ones and this one included.
 
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -383,6 +383,7 @@
             work=dict(self._fleet.work()),
             duty=DutyClaim(self._lease.fencing_number) if holds else None,
             follows_store=self._follows_store(),
+            token_times=self._fleet.token_times(),
         )
 
     def _follows_store(self) -> bool:
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -13,6 +13,7 @@
     Report,
     encode,
 )
+from sassafrasdale.http.exceptions import AnswerTimeout
 from sassafrasdale.http.messages import Request
 from tests.gateway.fleets import Fleet, contact, member
 
@@ -230,6 +231,30 @@
             assert node.peering.usage(7).counts == {"lab": 55}
 
 
+def test_usage_whose_transfer_had_no_answer_is_told_again(fleet):
+    """A customer's bill would lack an eighth: two windows of a zone were never told.
+
+    An aggregator's answer, with the last counts of a window, came too late for the
+    one that had asked. Nothing in the window changed later, and nothing was sent again.
+    """
+    [asking], [asked] = fleet.aggregators("a"), fleet.aggregators("b")
+    carry = fleet.carry
+
+    def lose(sender, receiver, request):
+        answer = carry(sender, receiver, request)
+        if sender in (asking, "c-0", "c-1", "c-2") and receiver == asked:
+            raise AnswerTimeout("no answer in time")
+        return answer
+
+    fleet.carry = lose
+    fleet.nodes[asked].usage = {7: {"lab": 5}}
+    fleet.play(1.2)
+    fleet.carry = carry
+    fleet.play(SETTLED)
+    for node in fleet.nodes.values():
+        assert node.peering.usage(7).counts == {"lab": 5}
+
+
 def test_usage_tells_since_when_all_have_told(fleet):
     """A window that is reported too soon lacks its last requests."""
     now = fleet.nodes["a-0"].time.seconds
