--- a/src/sassafrasdale/decisions/aggregators.py
+++ b/src/sassafrasdale/decisions/aggregators.py
@@ -6,12 +6,12 @@
 10 Mbit/s. So each reports to one gateway of its zone, which sums the reports up and
 answers with the sums; only those few tell each other across zones.
 
-No agreement is needed on who that is. All order the zone's gateways by the same hash
-and take the first that answers. Two at once cost a little accuracy for a moment: each
-gateway is summed by the one that it reports to.
+No agreement is needed on who that is. All order the zone's gateways in the same way,
+those on the fastest instances first, and take the first that answers. Two at once cost
+a little accuracy for a moment: each gateway is summed by the one that it reports to.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Mapping
 from datetime import timedelta
 from math import ceil
 
@@ -32,9 +32,18 @@
 ZONE_WATCHERS = 2
 
 
-def ordered(zone: str, names: Iterable[str]) -> list[str]:
-    """Return the gateways of a zone, the one that should be its aggregator first."""
-    return sorted(names, key=lambda name: xxh64_intdigest(f"{zone} {name}".encode()))
+def ordered(zone: str, powers: Mapping[str, float]) -> list[str]:
+    """Return the gateways of a zone, the one that should be its aggregator first.
+
+    Summing up for forty others takes a tenth of a core, which is a fifth of what the
+    smaller instances have.
+
+    :param powers: processor time a second that each may use, by name.
+    """
+    return sorted(
+        powers,
+        key=lambda name: (-powers[name], xxh64_intdigest(f"{zone} {name}".encode())),
+    )
 
 
 def pause_for(reporting: int) -> timedelta:
@@ -42,11 +51,13 @@
     return min(max(REPORT_SHARE * reporting, SHORTEST_PAUSE), LONGEST_PAUSE)
 
 
-def watches_store(name: str, zone: str, names: Collection[str], zones: int) -> bool:
+def watches_store(
+    name: str, zone: str, powers: Mapping[str, float], zones: int
+) -> bool:
     """Return whether a gateway is one of those that watch the store.
 
-    :param names: gateways of its zone that are in touch.
+    :param powers: of the gateways of its zone that are in touch, by name.
     :param zones: availability zones of the deployment.
     """
     watchers = max(ZONE_WATCHERS, ceil(WATCHERS / max(zones, 1)))
-    return name in ordered(zone, names)[:watchers]
+    return name in ordered(zone, powers)[:watchers]
--- a/src/sassafrasdale/decisions/paces.py
+++ b/src/sassafrasdale/decisions/paces.py
@@ -25,6 +25,13 @@
 MOST_SLOWER = 2.0
 
 
+def low_pause(pauses: Sequence[timedelta]) -> timedelta | None:
+    """Return a low one of the pauses between a stream's events; None for too few."""
+    if len(pauses) < LEAST_PAUSES:
+        return None
+    return sorted(pauses)[int(len(pauses) * QUANTILE)]
+
+
 class EnginePaces:
     """Paces of engines, as one gateway sees them."""
 
@@ -34,9 +41,12 @@
 
     def observe(self, engine: str, pauses: Sequence[timedelta]) -> None:
         """Note the pauses between the events of a stream that ended whole."""
-        if len(pauses) < LEAST_PAUSES:
-            return
-        low = sorted(pauses)[int(len(pauses) * QUANTILE)]
+        low = low_pause(pauses)
+        if low is not None:
+            self.observe_low(engine, low)
+
+    def observe_low(self, engine: str, low: timedelta) -> None:
+        """Note a stream by its low pause."""
         kept = self._pauses.setdefault(engine, deque(maxlen=KEPT))
         kept.append(low)
         if len(kept) >= LEAST_STREAMS:
--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -210,6 +210,7 @@
     :param cloud: address for duties; None if there are none.
     :param reports_usage: whether customers' usage is to be reported.
     :param orders_endpoints: whether endpoints are to be ordered.
+    :param power: processor time a second that the process may use.
     """
 
     name: str
@@ -223,6 +224,7 @@
     reports_usage: bool
     orders_endpoints: bool
     bounds: Bounds
+    power: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/aggregating.py
+++ b/src/sassafrasdale/gateway/aggregating.py
@@ -171,6 +171,7 @@
         listener = self._shared.listener
         listener.hear_clock(name, state.time)
         listener.hear_revisions(name, state.revisions)
+        listener.hear_sends(state.contact, report.open_sends)
         digest = self._roster.digest()
         known = digest == report.roster_digest
         return View(
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -144,29 +144,29 @@
         :raises CallerGone: if the caller leaves.
         """
         while True:
-            record = self._choose()
+            ticket = self._begin()
             try:
-                return self._send(record)
+                return self._send(ticket)
             except SendFailed as failure:
-                self._note_failure(record, failure)
                 if not self._may_send_again(failure):
                     self._give_up(failure)
 
-    def _choose(self) -> EndpointRecord:
+    def _begin(self) -> Ticket:
         job = self._job
-        record = self._fleet.choose(job.service, job.traits, self._tried)
-        if record is None:
+        again = self._sends > 0
+        ticket = self._fleet.begin(job.service, job.traits, self._tried, again=again)
+        if ticket is None:
             self._give_up(SendFailed(SendOutcome.NOT_SENT, "no endpoint"))
-        return record
+        self._tried.add(ticket.record.name)
+        self._endpoint = ticket.record.name
+        self._ticket = ticket
+        return ticket
 
-    def _send(self, record: EndpointRecord) -> int:
+    def _send(self, ticket: Ticket) -> int:
         """Send the request to an endpoint and pass its answer on."""
         job = self._job
-        self._tried.add(record.name)
-        self._endpoint = record.name
+        record = ticket.record
         limit = None if job.route.repeatable else FRESH_USE
-        ticket = self._fleet.began(record, job.traits, again=self._sends > 0)
-        self._ticket = ticket
         connection: HttpConnection | None = None
         try:
             try:
@@ -177,6 +177,9 @@
             if self._caller.is_gone:
                 raise CallerGone
             return self._converse(record, connection, ticket)
+        except SendFailed as failure:
+            self._note_failure(ticket, failure)
+            raise
         except CallerGone:
             if connection is not None:
                 connection.close()
@@ -309,15 +312,15 @@
             self._first_at = self._clock.elapsed()
             self._fleet.began_to_run(self._job.customer)
 
-    def _note_failure(self, record: EndpointRecord, failure: SendFailed) -> None:
+    def _note_failure(self, ticket: Ticket, failure: SendFailed) -> None:
         if failure.outcome is SendOutcome.UNKNOWN:
             self._may_have_run = True
         if failure.reason != "no time left":
-            self._fleet.failed(record, failure.outcome is not SendOutcome.NOT_RUN)
+            self._fleet.failed(ticket, failure.outcome is not SendOutcome.NOT_RUN)
         self._last_failure = failure.reason
         log.info(
             "send failed",
-            endpoint=record.name,
+            endpoint=ticket.record.name,
             outcome=str(failure.outcome),
             why=failure.reason,
             send=self._sends,
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -8,7 +8,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.budgets import RetryBudget
 from sassafrasdale.decisions.news import ToldLoad, unseen_work
-from sassafrasdale.decisions.paces import EnginePaces
+from sassafrasdale.decisions.paces import EnginePaces, low_pause
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.speeds import ReadingSpeed
 from sassafrasdale.deployment import (
@@ -18,6 +18,8 @@
     RequestTraits,
     Service,
 )
+from sassafrasdale.gateway.asking import Asking
+from sassafrasdale.gateway.assignment import SendEnd
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.peer_states import loads_by_endpoint
 from sassafrasdale.gateway.peering import Peering
@@ -46,6 +48,10 @@
     :param source: engine from which it fetches shared parts of the prompt.
     :param queued_tokens: what this gateway has sent there before and isn't read yet.
     :param news_age: age of what was known of the other gateways' sends.
+    :param number: number under which the dispatcher counts it; None where this gateway
+        does by itself.
+    :param end: how it ended, once it has.
+    :param pause: a low pause between its events.
     """
 
     record: EndpointRecord
@@ -56,6 +62,9 @@
     queued_tokens: int = 0
     news_age: timedelta = timedelta()
     has_first: bool = False
+    number: int | None = None
+    end: SendEnd = SendEnd.OTHERWISE
+    pause: timedelta | None = None
 
 
 class Fleet:
@@ -69,6 +78,8 @@
     :param usage: counts of the requests that began.
     :param configuration: the version in force.
     :param bounds: share of repeats that is allowed.
+    :param asking: asks the zone's dispatcher; None where this gateway always chooses
+        by itself.
     """
 
     def __init__(
@@ -82,7 +93,9 @@
         configuration: Callable[[], Configuration],
         bounds: Bounds,
         clock: Clock,
+        asking: Asking | None = None,
     ) -> None:
+        self._asking = asking
         self._directory = directory
         self._placement = placement
         self._cache = cache
@@ -111,7 +124,82 @@
         ages = [group.age for group in groups]
         self._news_age = sum(ages, timedelta()) / max(len(ages), 1)
 
-    def choose(
+    def begin(
+        self,
+        service: str,
+        traits: RequestTraits,
+        tried: Collection[str],
+        *,
+        again: bool,
+    ) -> Ticket | None:
+        """Choose the endpoint for a request's next send, which begins.
+
+        :param tried: endpoints that it was sent to before.
+        :param again: whether it was sent to any.
+        :returns: None if there is no endpoint.
+        """
+        if self._asking is not None and self._service(service).engine is not None:
+            ticket = self._begin_as_named(service, traits, tried)
+            if ticket is not None:
+                return ticket
+        return self.begin_here(service, traits, tried, again=again)
+
+    def _begin_as_named(
+        self, service: str, traits: RequestTraits, tried: Collection[str]
+    ) -> Ticket | None:
+        named = self._asking.ask(service, traits, tried)
+        if named is None:
+            return None
+        number, assigned = named
+        record = self._directory.records.get(assigned.endpoint)
+        if record is None or not self._may_use(record, service, tried):
+            self._asking.ended(number, SendEnd.OTHERWISE)
+            return None
+        self._cache.sent(record.name, traits.parts, self._cache_tokens(service))
+        ticket = Ticket(
+            record,
+            service,
+            self._clock.elapsed(),
+            assigned.unread_tokens,
+            self._directory.records.get(assigned.source),
+            assigned.queued_tokens,
+            number=number,
+        )
+        self._asking.opened(number, lambda: self._take_over(ticket))
+        return ticket
+
+    def _may_use(
+        self, record: EndpointRecord, service: str, tried: Collection[str]
+    ) -> bool:
+        """Return whether an endpoint that was named is one for this gateway, too.
+
+        It may have learned of a departure first, or be the one that can't reach it.
+        """
+        if record.name in tried or not record.is_ready:
+            return False
+        weights = self._directory.health_of(service).weights(self._clock.elapsed())
+        return weights.get(record.name, 1.0) > 0
+
+    def _take_over(self, ticket: Ticket) -> None:
+        """Count a send here that a dispatcher no longer counts."""
+        ticket.number = None
+        ticket.record.in_flight += 1
+        if not ticket.has_first:
+            ticket.record.unread_tokens += ticket.unread_tokens
+
+    def begin_here(
+        self,
+        service: str,
+        traits: RequestTraits,
+        tried: Collection[str],
+        *,
+        again: bool,
+    ) -> Ticket | None:
+        """Choose by what this gateway knows, and count the send as under way."""
+        record = self._choose(service, traits, tried)
+        return None if record is None else self._began(record, traits, again=again)
+
+    def _choose(
         self, service: str, traits: RequestTraits, tried: Collection[str]
     ) -> EndpointRecord | None:
         """Return the endpoint for a request's next send, if there is one."""
@@ -145,7 +233,7 @@
             record.name not in tried for record in self._directory.of_service(service)
         )
 
-    def began(
+    def _began(
         self, record: EndpointRecord, traits: RequestTraits, *, again: bool
     ) -> Ticket:
         """Note a send as under way.
@@ -188,21 +276,61 @@
             self._news_age,
         )
 
-    def first_token(self, ticket: Ticket, *, answered: bool = True) -> None:
-        """Note that an endpoint has read the whole prompt, or need not any more."""
+    def first_token(self, ticket: Ticket) -> None:
+        """Note that an endpoint has read the whole prompt."""
+        if ticket.has_first:
+            return
+        took = self._clock.elapsed() - ticket.began_at
+        if ticket.number is None:
+            self.first_here(ticket, took)
+        else:
+            ticket.has_first = True
+            self._asking.first_token(ticket.number, took)
+
+    def first_here(self, ticket: Ticket, took: timedelta) -> None:
+        """Note the same of a send that is counted here.
+
+        :param took: time since it was sent.
+        """
         if ticket.has_first:
             return
         ticket.has_first = True
         ticket.record.unread_tokens -= ticket.unread_tokens
-        if answered:
-            took = self._clock.elapsed() - ticket.began_at
-            self._speed(ticket.service).observe(ticket.unread_tokens, took)
+        self._speed(ticket.service).observe(ticket.unread_tokens, took)
 
     def ended(self, ticket: Ticket) -> None:
         """Note that a send is no longer under way."""
-        self.first_token(ticket, answered=False)
+        if ticket.number is None:
+            self.end_here(ticket)
+        else:
+            self._asking.ended(ticket.number, ticket.end, ticket.pause)
+
+    def end_here(self, ticket: Ticket) -> None:
+        """Note the same of a send that is counted here."""
+        if not ticket.has_first:
+            ticket.has_first = True
+            ticket.record.unread_tokens -= ticket.unread_tokens
         ticket.record.in_flight -= 1
 
+    def observe(
+        self, record: EndpointRecord, end: SendEnd, pause: timedelta | None
+    ) -> None:
+        """Note how another gateway's send ended, which was counted here.
+
+        :param pause: a low pause between the stream's events; none where there were
+            too few.
+        """
+        if pause:
+            self._paces.observe_low(record.name, pause)
+        if end is SendEnd.OTHERWISE:
+            return
+        self._directory.health_of(record.endpoint.service).observe(
+            record.name,
+            ok=end is SendEnd.ANSWERED,
+            now=self._clock.elapsed(),
+            weight=NO_ANSWER_WEIGHT if end is SendEnd.FAILED else 1,
+        )
+
     def sent(self, service: str, *, again: bool) -> None:
         """Count a send in the budget of repeats."""
         if not again:
@@ -226,14 +354,19 @@
 
         :param pauses: times between its events.
         """
-        self._paces.observe(ticket.record.name, pauses)
+        ticket.end = SendEnd.ANSWERED
+        ticket.pause = low_pause(pauses)
+        if ticket.pause is not None:
+            self._paces.observe_low(ticket.record.name, ticket.pause)
         self._directory.health_of(ticket.service).observe(
             ticket.record.name, ok=True, now=self._clock.elapsed()
         )
 
-    def failed(self, record: EndpointRecord, is_fault: bool) -> None:
+    def failed(self, ticket: Ticket, is_fault: bool) -> None:
         """Note a send without an answer; a refusal is no fault."""
+        record = ticket.record
         if is_fault:
+            ticket.end = SendEnd.FAILED
             self._directory.health_of(record.endpoint.service).observe(
                 record.name,
                 ok=False,
@@ -278,6 +411,10 @@
             told.append(speed.token_time.total_seconds())
         return timedelta(seconds=fmean(told)) if told else speed.token_time
 
+    def _cache_tokens(self, service: str) -> int:
+        engine = self._service(service).engine
+        return 0 if engine is None else engine.cache_tokens
+
     def _speed(self, service: str) -> ReadingSpeed:
         return self._speeds.setdefault(service, ReadingSpeed())
 
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -10,6 +10,7 @@
 from msgspec.msgpack import Decoder
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.gateway.assignment import ASSIGNED, Ask, Assigned, Notes
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.peer_states import (
     REDIRECT,
@@ -39,6 +40,11 @@
 NEWS_TARGET = "/news"
 USAGE_TARGET = "/usage/"
 VALUES_TARGET = "/values/"
+ASK_TARGET = "/ask"
+NOTES_TARGET = "/notes"
+# A question is answered in a millisecond or two. A request that waits for it longer
+# would lose more than a better engine gains it.
+ASK_LIMIT = timedelta(milliseconds=40)
 
 Decoded = TypeVar("Decoded", bound=Struct)
 
@@ -55,6 +61,15 @@
     def hear_revisions(self, peer: str, revisions: dict[str, int]) -> None:
         """Take how far a gateway, that answers here, has followed the store."""
 
+    def hear_sends(self, member: Contact, open_sends: tuple[int, ...]) -> None:
+        """Take which sends of a member are under way that were named here."""
+
+    def assign(self, ask: Ask) -> Assigned | None:
+        """Return the endpoint for another gateway's send."""
+
+    def note(self, notes: Notes) -> None:
+        """Take what became of another gateway's sends."""
+
 
 @dataclass(frozen=True, slots=True)
 class OwnState:
@@ -64,12 +79,14 @@
     :param revisions: how far it has followed each prefix of the store.
     :param usage: its own counts, by window and customer.
     :param values_since: raw values of a prefix that have changed since a revision.
+    :param open_sends: its sends that the dispatcher counts as under way.
     """
 
     make: Callable[[Contact], MemberState]
     revisions: Callable[[], dict[str, int]]
     usage: Callable[[], dict[int, dict[str, int]]]
     values_since: Callable[[str, int], StoreValues | None]
+    open_sends: Callable[[], tuple[int, ...]] = tuple
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +118,7 @@
         self._roster = roster
         self._clock = clock
         self._clients: dict[str, HttpClient] = {}
+        self._askers: dict[str, HttpClient] = {}
         self._dependency = Dependency("peers", clock)
 
     def send(
@@ -131,11 +149,33 @@
         """Return all gateways' counts of a window, as an aggregator knows them."""
         return self._get(contact, f"{USAGE_TARGET}{window}", USAGE_TOTAL)
 
+    def ask(self, contact: Contact, ask: Ask) -> Assigned | None:
+        """Return the endpoint that a dispatcher names, if it does in time."""
+        request = Request("POST", ASK_TARGET, body=encode(ask))
+        try:
+            answer = self._client(contact, self._askers, ASK_LIMIT).call(
+                request, ASK_LIMIT
+            )
+            return ASSIGNED.decode(answer.body) if answer.status == 200 else None
+        except (HttpError, MessageMalformed) as error:
+            log.debug("no endpoint named", peer=contact.name, why=str(error))
+            return None
+
+    def tell(self, contact: Contact, notes: Notes) -> bool:
+        """Tell a dispatcher what became of sends, and return whether it heard."""
+        try:
+            self._call(contact, Request("POST", NOTES_TARGET, body=encode(notes)))
+        except HttpError as error:
+            log.debug("notes lost", peer=contact.name, why=error.message)
+            return False
+        return True
+
     def forget_unlisted(self) -> None:
         """Close the connections to gateways that are gone for good."""
-        for name in list(self._clients):
-            if self._roster.get(name) is None:
-                self._clients.pop(name).close()
+        for clients in (self._clients, self._askers):
+            for name in list(clients):
+                if self._roster.get(name) is None:
+                    clients.pop(name).close()
 
     def _get(
         self, contact: Contact, target: str, decoder: Decoder[Decoded]
@@ -148,15 +188,18 @@
             return None
 
     def _call(self, contact: Contact, request: Request) -> Answer:
-        answer = self._client(contact).call(request, ANSWER_LIMIT)
+        client = self._client(contact, self._clients, ANSWER_LIMIT)
+        answer = client.call(request, ANSWER_LIMIT)
         self._dependency.succeeded()
         return answer
 
-    def _client(self, contact: Contact) -> HttpClient:
-        client = self._clients.get(contact.name)
+    def _client(
+        self, contact: Contact, clients: dict[str, HttpClient], limit: timedelta
+    ) -> HttpClient:
+        client = clients.get(contact.name)
         if client is None or client.address != contact.address:
             if client is not None:
                 client.close()
-            client = HttpClient(contact.address, self._clock, ANSWER_LIMIT)
-            self._clients[contact.name] = client
+            client = HttpClient(contact.address, self._clock, limit)
+            clients[contact.name] = client
         return client
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -34,6 +34,7 @@
     :param incarnation: distinguishes starts of the process, later ones are higher;
         0 for one that is only known from the store.
     :param leaving: whether it is stopping.
+    :param power: processor time a second that it may use.
     """
 
     name: str
@@ -42,6 +43,7 @@
     port: int
     incarnation: int = 0
     leaving: bool = False
+    power: float = 1.0
 
     @property
     def address(self) -> Address:
@@ -180,6 +182,7 @@
     :param roster_digest: of the gateways of the zone that it knows.
     :param roster: those, if the aggregator's digest was another.
     :param usage: rows that have changed since the last report to it.
+    :param open_sends: numbers of the sends that it has named and that are under way.
     :param departs: whether it reports elsewhere from now on.
     """
 
@@ -187,6 +190,7 @@
     roster_digest: int
     roster: tuple[Contact, ...] = ()
     usage: tuple[UsageRow, ...] = ()
+    open_sends: tuple[int, ...] = ()
     departs: bool = False
 
 
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -14,9 +14,12 @@
 
 from sassafrasdale.decisions.aggregators import pause_for, watches_store
 from sassafrasdale.gateway.aggregating import Aggregating
+from sassafrasdale.gateway.assignment import ASK, NOTES
 from sassafrasdale.gateway.groups import FRESH, LIFETIME
 from sassafrasdale.gateway.peer_calls import (
+    ASK_TARGET,
     NEWS_TARGET,
+    NOTES_TARGET,
     REPORT_TARGET,
     USAGE_TARGET,
     VALUES_TARGET,
@@ -153,6 +156,10 @@
         """Whether this gateway sums up others' reports, or would if there were any."""
         return not self._reporting.aggregator
 
+    def dispatcher(self) -> Contact | None:
+        """Return the gateway that chooses engines for this one; None for itself."""
+        return self._roster.get(self._reporting.aggregator)
+
     @property
     def pause(self) -> timedelta:
         """Time between two reports."""
@@ -171,12 +178,13 @@
         of one that the store answers.
         """
         own = self._roster.own
-        names = {
-            contact.name
+        powers = {
+            contact.name: contact.power
             for contact in self._roster.of_zone(own.zone)
             if not self._roster.is_passed_over(contact.name)
         }
-        if watches_store(own.name, own.zone, names | {own.name}, self._zones):
+        powers[own.name] = own.power
+        if watches_store(own.name, own.zone, powers, self._zones):
             return True
         return not any(
             group.state.follows_store and group.age <= FRESH for group in self.groups()
@@ -261,6 +269,14 @@
         if target == REPORT_TARGET:
             view = self._aggregating.answer_report(REPORT.decode(request.body))
             return Answer(200, body=encode(view))
+        if target == ASK_TARGET:
+            assigned = self._shared.listener.assign(ASK.decode(request.body))
+            return (
+                Answer(404) if assigned is None else Answer(200, body=encode(assigned))
+            )
+        if target == NOTES_TARGET:
+            self._shared.listener.note(NOTES.decode(request.body))
+            return Answer(200)
         if target == NEWS_TARGET:
             return self._answer_news(request)
         if target.startswith(USAGE_TARGET):
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -16,8 +16,11 @@
 from sassafrasdale.decisions.ordering import PlannedService
 from sassafrasdale.decisions.paces import EnginePaces
 from sassafrasdale.deployment import GatewaySettings
+from sassafrasdale.gateway.asking import Asking
+from sassafrasdale.gateway.assignment import Ask, Assigned, Notes
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.dispatcher import Dispatcher
 from sassafrasdale.gateway.drain import Drain
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
@@ -140,6 +143,7 @@
                 self._knowledge.revisions,
                 self._usage.report,
                 self._knowledge.values_since,
+                lambda: self._asking.open_sends,
             ),
             Roster(contact, clock),
             UsageLedger(),
@@ -148,11 +152,11 @@
             WORK_WINDOW,
             clock,
         )
-        self._peering = Peering(
-            shared,
-            len(settings.availability_zones),
-            self._rng,
-            PeerCalls(shared.roster, clock),
+        calls = PeerCalls(shared.roster, clock)
+        zones = len(settings.availability_zones)
+        self._peering = Peering(shared, zones, self._rng, calls)
+        self._asking = Asking(
+            contact, self._peering.dispatcher, calls.ask, calls.tell, clock
         )
         self._quotas = Quotas(
             bounds,
@@ -172,7 +176,9 @@
             lambda: self._knowledge.configuration,
             bounds,
             clock,
+            self._asking,
         )
+        self._dispatcher = Dispatcher(self._fleet, clock)
         self._frontend = Frontend(
             lambda: self._knowledge.routes,
             self._fleet,
@@ -224,7 +230,8 @@
         signal.signal(signal.SIGINT, lambda number, frame: self._ask_stop())
         signal.signal(signal.SIGHUP, lambda number, frame: self._ask_reload())
         tasks = self._knowledge.tasks()
-        tasks += [self._registration.run, self._peering.run, *self._duty_tasks()]
+        tasks += [self._registration.run, self._peering.run, self._asking.run]
+        tasks += self._duty_tasks()
         for task in tasks:
             spawn(run_for_good, task)
         log.info(
@@ -281,6 +288,9 @@
             self._must_reload = False
             self._reload()
         self._fleet.refresh_peer_loads()
+        self._dispatcher.forget_silent()
+        if not self._peering.is_aggregator:
+            self._dispatcher.lay_down()
         self._directory.forget_lapsed()
         self._time.keep()
         self._may_serve()
@@ -357,6 +367,18 @@
         """Take how far another gateway has followed the store."""
         self._knowledge.hear(peer, revisions)
 
+    def hear_sends(self, member: Contact, open_sends: tuple[int, ...]) -> None:
+        """Take which sends of a member are under way that were named here."""
+        self._dispatcher.reconcile(member.name, member.incarnation, open_sends)
+
+    def assign(self, ask: Ask) -> Assigned | None:
+        """Return the endpoint for another gateway's send."""
+        return self._dispatcher.assign(ask)
+
+    def note(self, notes: Notes) -> None:
+        """Take what became of another gateway's sends."""
+        self._dispatcher.note(notes)
+
     def _contact(self) -> Contact:
         settings = self._settings
         address = settings.peer_address
@@ -366,6 +388,7 @@
             address.host,
             address.port,
             self._incarnation,
+            power=settings.power,
         )
 
     def _make_state(self, contact: Contact) -> MemberState:
--- a/src/sassafrasdale/gateway/reporting.py
+++ b/src/sassafrasdale/gateway/reporting.py
@@ -80,6 +80,7 @@
             digest,
             () if known else tuple(self._roster.own_zone()),
             tuple(self._row(window, counts) for window, counts in rows.items()),
+            self._shared.own.open_sends(),
         )
         view = self._calls.send(contact, REPORT_TARGET, report, VIEW)
         if not isinstance(view, View):
--- a/src/sassafrasdale/gateway/roster.py
+++ b/src/sassafrasdale/gateway/roster.py
@@ -83,7 +83,8 @@
         if own.zone == zone and not own.leaving:
             known[own.name] = own
         now = self._clock.elapsed()
-        for name in ordered(zone, known):
+        powers = {name: contact.power for name, contact in known.items()}
+        for name in ordered(zone, powers):
             if self._passed_over.get(name, now) <= now:
                 return known[name]
         return None
--- a/src/sassafrasdale/platform/settings.py
+++ b/src/sassafrasdale/platform/settings.py
@@ -43,6 +43,11 @@
     usage_late_s: float = Field(10, alias="usageLateS")
 
 
+class _Limits(_Model):
+    cpu_share: float = Field(1.0, alias="cpuShare")
+    cores: float = 1.0
+
+
 class _Store(_Model):
     addr: str
     ttl_min_ms: float = Field(1000, alias="ttlMinMs")
@@ -61,6 +66,7 @@
     listen: _Listen
     port_range: tuple[int, int] = Field(alias="portRange")
     bounds: _Bounds
+    limits: _Limits = _Limits()
     platform: _Store
     cloud: _Cloud | None = None
 
@@ -128,6 +134,8 @@
         reports_usage=USAGE_DUTY in duties,
         orders_endpoints=SCALE_DUTY in duties,
         bounds=_bounds(file.bounds, file.platform),
+        # A core is as many times as fast as the file counts cores.
+        power=file.limits.cpu_share * file.limits.cores,
     )
 
 
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -71,6 +71,7 @@
         self.groups = ()
         self.clocks: dict[str, ClockReading] = {}
         self.revisions: dict[str, dict[str, int]] = {}
+        self.sends: dict[str, tuple[int, ...]] = {}
 
     def hear_groups(self, groups) -> None:
         self.groups = groups
@@ -83,6 +84,9 @@
     def hear_revisions(self, peer: str, revisions: dict[str, int]) -> None:
         self.revisions[peer] = revisions
 
+    def hear_sends(self, member: Contact, open_sends: tuple[int, ...]) -> None:
+        self.sends[member.name] = open_sends
+
 
 class WiredCalls(PeerCalls):
     """Calls that go straight to the other gateways of a fleet."""
