--- /dev/null
+++ b/src/sassafrasdale/gateway/parts.py
@@ -0,0 +1,242 @@
+"""The parts of one gateway, and how they are joined."""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from datetime import timedelta
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.paces import EnginePaces
+from sassafrasdale.deployment import GatewaySettings
+from sassafrasdale.gateway.asking import Asking
+from sassafrasdale.gateway.assignment import Ask, Assigned, Notes
+from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.dispatcher import Dispatcher
+from sassafrasdale.gateway.duties import Duties
+from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
+from sassafrasdale.gateway.frontend import Frontend
+from sassafrasdale.gateway.knowledge import Knowledge
+from sassafrasdale.gateway.peer_calls import OwnState, PeerCalls, Shared
+from sassafrasdale.gateway.peer_states import (
+    Contact,
+    EndpointLoad,
+    HeardGroup,
+    MemberState,
+)
+from sassafrasdale.gateway.peering import Peering
+from sassafrasdale.gateway.placement import CacheBelief, Placement
+from sassafrasdale.gateway.planning import planned_services
+from sassafrasdale.gateway.quotas import Quotas
+from sassafrasdale.gateway.registration import Registration
+from sassafrasdale.gateway.roster import Roster
+from sassafrasdale.gateway.usage import (
+    ClockReading,
+    TrueTime,
+    UsageCounts,
+    UsageLedger,
+)
+from sassafrasdale.late_metrics import LateMetrics
+from sassafrasdale.platform.store import PlatformStore
+
+
+class GatewayParts:
+    """All parts of one gateway.
+
+    They refer to each other in circles, so some ask for others only as they are used.
+
+    :param settings: settings of the process.
+    :param may_serve: whether the gateway knows enough to take requests.
+    :param last_end: elapsed time by which new requests must end; None for none.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        rng: random.Random,
+        may_serve: Callable[[], bool],
+        last_end: Callable[[], timedelta | None],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self.incarnation = int(clock.now().timestamp() * 1000)
+        self.metrics = LateMetrics(settings.name, settings.availability_zone)
+        self.time = TrueTime(clock)
+        self._cache = CacheBelief()
+        self._paces = EnginePaces()
+        self._usage = UsageCounts(settings.bounds.usage_window, self.time)
+        self._contact = self._own_contact()
+        self._build_knowledge()
+        self._build_peering()
+        self._build_serving(may_serve, last_end)
+        self._build_duties()
+
+    def _build_knowledge(self) -> None:
+        settings = self._settings
+        clock = self._clock
+        self._store_health = Dependency("store", clock)
+        self._store = PlatformStore(settings.store, clock)
+        self.directory = Directory(
+            clock,
+            self._rng,
+            settings.bounds.endpoint_drain,
+            lambda: self._store_health.since_failure,
+            lambda: self.metrics.count("endpoint connection opened"),
+        )
+        self.knowledge = Knowledge(
+            self._store,
+            self._store_health,
+            self.directory,
+            self._forget_engine,
+            lambda *asked: self.peering.fetch(*asked),
+            clock,
+            self._rng,
+            settings.availability_zones,
+            lambda: self.peering.should_watch(),
+        )
+
+    def _build_peering(self) -> None:
+        clock = self._clock
+        own = OwnState(
+            self._make_state,
+            self.knowledge.revisions,
+            self._usage.report,
+            self.knowledge.values_since,
+            lambda: self.asking.open_sends,
+        )
+        shared = Shared(
+            own,
+            Roster(self._contact, clock),
+            UsageLedger(),
+            self,
+            self.time,
+            WORK_WINDOW,
+            clock,
+        )
+        calls = PeerCalls(shared.roster, clock)
+        zones = len(self._settings.availability_zones)
+        self.peering = Peering(shared, zones, self._rng, calls)
+        self.asking = Asking(
+            self._contact, self.peering.dispatcher, calls.ask, calls.tell, clock
+        )
+
+    def _build_serving(
+        self,
+        may_serve: Callable[[], bool],
+        last_end: Callable[[], timedelta | None],
+    ) -> None:
+        settings = self._settings
+        clock = self._clock
+        self._quotas = Quotas(
+            settings.bounds,
+            self.peering.count,
+            clock,
+            self.peering.told_spent,
+            self.peering.unseen_time,
+            self._rng,
+        )
+        self.fleet = Fleet(
+            self.directory,
+            Placement(settings.availability_zone, self._cache, self._paces, self._rng),
+            self._cache,
+            self._paces,
+            self.peering,
+            self._usage,
+            lambda: self.knowledge.configuration,
+            settings.bounds,
+            clock,
+            self.asking,
+        )
+        self.dispatcher = Dispatcher(self.fleet, clock)
+        self.frontend = Frontend(
+            lambda: self.knowledge.routes,
+            self.fleet,
+            self._quotas,
+            self.metrics,
+            clock,
+            self._rng,
+            may_serve=may_serve,
+            last_end=last_end,
+        )
+
+    def _build_duties(self) -> None:
+        self.registration = Registration(
+            self._contact, self._store, self.peering, self._store_health, self._rng
+        )
+        self.duties = Duties(
+            self._settings,
+            self._store,
+            self.peering,
+            lambda: planned_services(
+                self.knowledge.configuration, self.directory, self._load
+            ),
+            self.time,
+            self._clock,
+            self._rng,
+            self.incarnation,
+        )
+
+    def _forget_engine(self, name: str) -> None:
+        self._cache.forget(name)
+        self._paces.forget(name)
+
+    def hear_groups(self, groups: Sequence[HeardGroup]) -> None:
+        """Take the sums over all other gateways."""
+        self._quotas.hear_groups(groups)
+
+    def hear_clock(self, name: str, reading: ClockReading) -> None:
+        """Take another gateway's clock as it shows now."""
+        self.time.hear(name, reading)
+
+    def hear_revisions(self, peer: str, revisions: Mapping[str, int]) -> None:
+        """Take how far another gateway has followed the store."""
+        self.knowledge.hear(peer, revisions)
+
+    def hear_sends(self, member: Contact, open_sends: tuple[int, ...]) -> None:
+        """Take which sends of a member are under way that were named here."""
+        self.dispatcher.reconcile(member.name, member.incarnation, open_sends)
+
+    def assign(self, ask: Ask) -> Assigned | None:
+        """Return the endpoint for another gateway's send."""
+        return self.dispatcher.assign(ask)
+
+    def note(self, notes: Notes) -> None:
+        """Take what became of another gateway's sends."""
+        self.dispatcher.note(notes)
+
+    def _own_contact(self) -> Contact:
+        settings = self._settings
+        address = settings.peer_address
+        return Contact(
+            settings.name,
+            settings.availability_zone,
+            address.host,
+            address.port,
+            self.incarnation,
+            power=settings.power,
+        )
+
+    def _make_state(self, contact: Contact) -> MemberState:
+        return MemberState(
+            contact=contact,
+            time=self.time.reading(),
+            revisions=self.knowledge.revisions(),
+            loads={
+                record.name: EndpointLoad(record.in_flight, record.unread_tokens)
+                for record in self.directory.records.values()
+                if record.in_flight
+            },
+            spending=self._quotas.report(),
+            work=dict(self.fleet.work()),
+            duty=self.duties.claim(),
+            follows_store=self._follows_store(),
+            token_times=self.fleet.token_times(),
+        )
+
+    def _follows_store(self) -> bool:
+        return self._store_health.is_reached and self.peering.should_watch()
+
+    def _load(self, service: str) -> float:
+        own = self.fleet.work().get(service, 0.0)
+        return own + self.peering.work(service)
