--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -29,6 +29,9 @@
 # Requests from which a rise of demand is taken, and the least time that they are taken
 # to have come in.
 FEWEST_ASKED = 3
+# Gateways that a rise is taken to come to at the same time, at the most. One caller's
+# few requests would look like a rise at each of two hundred.
+MOST_TOGETHER = 8
 SHORTEST_SPAN = timedelta(milliseconds=20)
 # Time over which the limit's view is brought back to the limit. It must be longer than
 # the way of a spending to all gateways, a second in fleets of hundreds.
@@ -194,6 +197,20 @@
     return min(max(allowed / max(demand, 1.0), 0.0), 1.0)
 
 
+def unseen_demand(rise: float, share: float, covered: float) -> float:
+    """Return what more is most likely asked of all gateways than they know of.
+
+    A rise that shows at one comes to others at the same time, as a customer's callers
+    are spread over them.
+
+    :param rise: by how much more is asked here than on average, a second.
+    :param share: part of the limit that falls to this gateway.
+    :param covered: what the limit's slack has room for, a second.
+    """
+    together = min(1 / max(share, 1e-9), MOST_TOGETHER)
+    return max(rise * together - covered, 0.0)
+
+
 def time_to_return(left: float, rate: float, demand: float) -> timedelta:
     """Return when a refused caller is worth coming back.
 
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -20,6 +20,7 @@
     has_room,
     passing_part,
     time_to_return,
+    unseen_demand,
 )
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.deployment import Bounds, Customer, RequestTraits
@@ -38,6 +39,8 @@
 FIRST_SLACK = 0.25
 # Part of the slack that all gateways may let in before they know of each other.
 UNSEEN_SLACK = 0.15
+# Part of the slack that a rise of demand may use until it is known everywhere.
+RISE_SLACK = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,9 +114,10 @@
         covered = self._slack(customer) * UNSEEN_SLACK * share
         unseen = limit.unseen(now, unseen_time) - covered
         if not has_room(left, live.demand, share, unseen, unseen_time):
-            # A rise that isn't known elsewhere yet most likely comes to all of them.
-            rise = limit.unseen_rise(now, unseen_time, own) * live.gateways
-            part = passing_part(left, rate, live.demand + rise)
+            rise = limit.unseen_rise(now, unseen_time, own)
+            covered = self._slack(customer) * RISE_SLACK / unseen_time.total_seconds()
+            demand = live.demand + unseen_demand(rise, share, covered)
+            part = passing_part(left, rate, demand)
             if not self._thinning(customer.name).lets_in(part):
                 return time_to_return(left, rate, live.demand)
         limit.spend(amount, now)
