--- /dev/null
+++ b/tests/decisions/test_aggregators.py
@@ -0,0 +1,52 @@
+"""Which gateway sums up, how often the others report, and who watches the store."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.decisions.aggregators import (
+    LONGEST_PAUSE,
+    SHORTEST_PAUSE,
+    ordered,
+    pause_for,
+    watches_store,
+)
+
+
+def powers(count: int) -> dict[str, float]:
+    return dict.fromkeys((f"g-{number}" for number in range(count)), 1.0)
+
+
+def test_the_order_does_not_depend_on_who_asks():
+    names = powers(9)
+    turned = dict(reversed(names.items()))
+    assert ordered("a", names) == ordered("a", turned)
+
+
+def test_zones_spread_the_work_over_names():
+    firsts = {ordered(zone, powers(50))[0] for zone in "abcdefgh"}
+    assert len(firsts) > 4
+
+
+def test_the_loss_of_one_moves_no_other():
+    names = powers(20)
+    first, second, *rest = ordered("a", names)
+    del names[first]
+    assert ordered("a", names) == [second, *rest]
+
+
+@pytest.mark.parametrize(
+    ("reporting", "pause"),
+    [(3, SHORTEST_PAUSE), (39, timedelta(milliseconds=390)), (300, LONGEST_PAUSE)],
+)
+def test_an_aggregator_is_not_asked_more_than_it_can_answer(reporting, pause):
+    assert pause_for(reporting) == pause
+
+
+@pytest.mark.parametrize(("gateways", "zones"), [(3, 3), (20, 3), (39, 5), (100, 1)])
+def test_enough_watch_the_store_and_not_more(gateways, zones):
+    """All of them would be turned away together, or each change cost a call each."""
+    names = powers(gateways)
+    watching = sum(watches_store(name, "a", names, zones) for name in names)
+    assert watching * zones >= min(8, gateways * zones)
+    assert watching * zones <= 10
