--- a/src/sassafrasdale/gateway/asking.py
+++ b/src/sassafrasdale/gateway/asking.py
@@ -59,6 +59,11 @@
         self._first: list[FirstToken] = []
         self._ended: list[Ended] = []
 
+    @property
+    def dispatcher(self) -> str:
+        """Name of the dispatcher that was last asked; empty for none."""
+        return "" if self._asked is None else self._asked.name
+
     @property
     def open_sends(self) -> tuple[int, ...]:
         """Numbers of the sends that the dispatcher counts as under way."""
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -50,6 +50,7 @@
     :param news_age: age of what was known of the other gateways' sends.
     :param number: number under which the dispatcher counts it; None where this gateway
         does by itself.
+    :param named_by: the dispatcher that has named the endpoint, if one did.
     :param end: how it ended, once it has.
     :param pause: a low pause between its events.
     """
@@ -63,6 +64,7 @@
     news_age: timedelta = timedelta()
     has_first: bool = False
     number: int | None = None
+    named_by: str = ""
     end: SendEnd = SendEnd.OTHERWISE
     pause: timedelta | None = None
 
@@ -164,6 +166,7 @@
             self._directory.records.get(assigned.source),
             assigned.queued_tokens,
             number=number,
+            named_by=self._asking.dispatcher,
         )
         self._asking.opened(number, lambda: self._take_over(ticket))
         return ticket
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -204,6 +204,7 @@
             unread=ticket and ticket.unread_tokens,
             queued=ticket and ticket.queued_tokens,
             news_ms=ticket and milliseconds(ticket.news_age),
+            named_by=(ticket and ticket.named_by) or None,
             fetched_from=ticket and ticket.source and ticket.source.name,
             first_ms=None if first is None else milliseconds(first),
             took_ms=milliseconds(took),
