--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -20,9 +20,6 @@
 # Handicap of an endpoint in another availability zone: the way there and back, and
 # the price of the bytes.
 OTHER_ZONE = timedelta(milliseconds=4)
-# The same for an engine. A stream brings some ten kilobytes over, and the loads of
-# another zone's engines are known later than those of this one's.
-OTHER_ZONE_ENGINE = timedelta(milliseconds=4)
 # Part of an engine's memory that cached parts are expected to keep; running
 # requests have the rest.
 CACHED_SHARE = 0.6
@@ -207,11 +204,10 @@
         token_time: timedelta,
     ) -> timedelta:
         here = record.endpoint.availability_zone == self._availability_zone
+        distance = timedelta() if here else OTHER_ZONE
         in_flight = record.in_flight + load.in_flight
         if service.engine is None:
-            distance = timedelta() if here else OTHER_ZONE
             return distance + PLAIN_TIME * (1 + in_flight / record.endpoint.slots)
-        distance = timedelta() if here else OTHER_ZONE_ENGINE
         unread = record.unread_tokens + still_unread(load, token_time)
         own = self._uncached_tokens(record, traits, home)
         shared = self._missing_shared(record, traits, home)
