--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -198,7 +198,7 @@
         left = job.until - self._clock.elapsed()
         if left <= timedelta():
             raise SendFailed(SendOutcome.NOT_SENT, "no time left")
-        self._fleet.sent(job.service, again=self._sends > 1)
+        self._fleet.repeats.note_send(job.service, again=self._sends > 1)
         order = EndpointOrder(
             endpoint=record.name,
             customer=job.customer.name if job.customer else "",
@@ -334,7 +334,7 @@
             self._job.route.repeatable
             and self._sends < self._job.route.max_sends
             and self._fleet.has_another(self._job.service, self._tried)
-            and self._fleet.may_repeat(self._job.service, spend=False)
+            and self._fleet.repeats.may_repeat(self._job.service, spend=False)
         )
 
     def _may_send_again(self, failure: SendFailed) -> bool:
@@ -347,7 +347,7 @@
             return True
         if self._sends >= job.route.max_sends:
             return False
-        return self._fleet.may_repeat(job.service, spend=True)
+        return self._fleet.repeats.may_repeat(job.service, spend=True)
 
     def _give_up(self, failure: SendFailed) -> None:
         if self._caller.head_sent:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -3,14 +3,11 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from statistics import fmean
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.budgets import RetryBudget
 from sassafrasdale.decisions.news import ToldLoad, unseen_work
 from sassafrasdale.decisions.paces import EnginePaces, low_pause
 from sassafrasdale.decisions.shares import DemandShares
-from sassafrasdale.decisions.speeds import ReadingSpeed
 from sassafrasdale.deployment import (
     Bounds,
     Configuration,
@@ -24,6 +21,8 @@
 from sassafrasdale.gateway.peer_states import loads_by_endpoint
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheBelief, Placement, shared_parts
+from sassafrasdale.gateway.reading import ReadingTimes
+from sassafrasdale.gateway.repeats import Repeats
 from sassafrasdale.gateway.usage import UsageCounts
 
 # Time over which the engines' load is averaged. Requests come in clumps; endpoints
@@ -32,12 +31,6 @@
 # An endpoint that gives no answer at all is most likely gone; one that answers with
 # a failure of its own now and then may be as good as the others.
 NO_ANSWER_WEIGHT = 3
-# Part of the allowed repeats that is used: what is counted here is a send, and the
-# rule counts arrivals, in windows that slide.
-USED_RETRIES = 0.8
-# Part of the saved-up repeats that a gateway begins with: after a restart of all of
-# them at once, full budgets would allow the slack a second time.
-FIRST_RETRIES = 0.5
 
 
 @dataclass(slots=True)
@@ -105,15 +98,23 @@
         self._peering = peering
         self._usage = usage
         self._configuration = configuration
-        self._bounds = bounds
         self._clock = clock
-        self._budgets: dict[str, RetryBudget] = {}
-        self._speeds: dict[str, ReadingSpeed] = {}
+        self._repeats = Repeats(bounds, peering.count, clock)
+        self._reading = ReadingTimes(peering.token_times)
         self._work = DemandShares(WORK_WINDOW)
         self._peer_loads: dict[str, ToldLoad] = {}
         self._news_age = timedelta()
         self._peer_work: dict[str, float] = {}
 
+    @property
+    def repeats(self) -> Repeats:
+        """Budget of sends beyond the first."""
+        return self._repeats
+
+    def token_times(self) -> dict[str, float]:
+        """Return the time for a prompt token that was seen here, s, by service."""
+        return self._reading.seen()
+
     def work(self) -> Mapping[str, float]:
         """Return the engine time that this gateway's requests take a second."""
         return self._work.report(self._clock.elapsed())
@@ -219,7 +220,7 @@
             traits,
             self._peer_loads,
             health.weights(self._clock.elapsed()),
-            self._token_time(service),
+            self._reading.token_time(service),
             unseen_work(self._work_of_peers(service), self._news_age, len(candidates)),
         )
 
@@ -255,14 +256,14 @@
                 self._fetchable(service.name),
                 service,
                 traits,
-                self._token_time(service.name),
+                self._reading.token_time(service.name),
                 self._clock.elapsed(),
             )
             if source is not None:
                 tokens = sum(part.tokens for part in shared_parts(traits))
                 unread = min(unread, max((traits.prompt_tokens or 0) - tokens, 0))
             self._cache.sent(record.name, traits.parts, service.engine.cache_tokens)
-            took = unread * self._token_time(service.name)
+            took = unread * self._reading.token_time(service.name)
             now = self._clock.elapsed()
             if not again:
                 self._work.add(service.name, now, took.total_seconds())
@@ -299,7 +300,7 @@
             return
         ticket.has_first = True
         ticket.record.unread_tokens -= ticket.unread_tokens
-        self._speed(ticket.service).observe(ticket.unread_tokens, took)
+        self._reading.observe(ticket.service, ticket.unread_tokens, took)
 
     def ended(self, ticket: Ticket) -> None:
         """Note that a send is no longer under way."""
@@ -334,18 +335,6 @@
             weight=NO_ANSWER_WEIGHT if end is SendEnd.FAILED else 1,
         )
 
-    def sent(self, service: str, *, again: bool) -> None:
-        """Count a send in the budget of repeats."""
-        if not again:
-            self._budget(service).deposit(self._clock.elapsed())
-
-    def may_repeat(self, service: str, *, spend: bool) -> bool:
-        """Return whether the budget allows another send, and take it out."""
-        budget = self._budget(service)
-        if not spend:
-            return budget.tokens >= 1
-        return budget.try_spend(self._clock.elapsed())
-
     def answered(self, record: EndpointRecord, status: int, took: timedelta) -> None:
         """Note an endpoint's answer."""
         self._directory.health_of(record.endpoint.service).observe(
@@ -391,48 +380,10 @@
             if weights.get(record.name, 1.0) > 0
         ]
 
-    def token_times(self) -> dict[str, float]:
-        """Return the time that engines take for a prompt token, where it is known.
-
-        :returns: seconds by service.
-        """
-        return {
-            service: speed.token_time.total_seconds()
-            for service, speed in self._speeds.items()
-            if speed.is_known
-        }
-
-    def _token_time(self, service: str) -> timedelta:
-        """Return the time for a prompt token, as all gateways have seen it.
-
-        One of two hundred sees a long prompt a second, and needs eight of them. The
-        first guess may be half off, and with it loads and what is ordered.
-        """
-        told = self._peering.token_times(service)
-        speed = self._speed(service)
-        if speed.is_known:
-            told.append(speed.token_time.total_seconds())
-        return timedelta(seconds=fmean(told)) if told else speed.token_time
-
     def _cache_tokens(self, service: str) -> int:
         engine = self._service(service).engine
         return 0 if engine is None else engine.cache_tokens
 
-    def _speed(self, service: str) -> ReadingSpeed:
-        return self._speeds.setdefault(service, ReadingSpeed())
-
     def _service(self, name: str) -> Service:
         known = self._configuration().services.get(name)
         return known or Service(name)
-
-    def _budget(self, service: str) -> RetryBudget:
-        gateways = self._peering.count()
-        depth = max(1.0, self._bounds.retry_slack * USED_RETRIES / gateways)
-        budget = self._budgets.get(service)
-        if budget is None:
-            share = self._bounds.retry_share * USED_RETRIES
-            first = depth * FIRST_RETRIES
-            budget = RetryBudget(share=share, floor=0.0, depth=depth, first=first)
-            self._budgets[service] = budget
-        budget.set_depth(depth)
-        return budget
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -147,7 +147,7 @@
     endpoints = [ScriptedEndpoint(reset) for _ in range(5)]
     for number, endpoint in enumerate(endpoints):
         world.add(f"i-{number}", "records", endpoint)
-    world.fleet.sent("records", again=False)
+    world.fleet.repeats.note_send("records", again=False)
     answer = world.ask(request("/reports/open/1", method="GET"))
     assert status_of(answer) == 502
     assert sum(len(endpoint.requests) for endpoint in endpoints) <= 3
