Failures of an engine's own teach no reading time

The time for a token became nothing, what is queued was divided by it, and the sums of the groups told it to all gateways. Change: a failure tells no reading time, and no time below a microsecond a token is taken.

--- a/src/sassafrasdale/decisions/speeds.py
+++ b/src/sassafrasdale/decisions/speeds.py
@@ -6,6 +6,9 @@
 
 # Until something is learned: an engine reads some 70 tokens in a millisecond.
 FIRST_GUESS = timedelta(microseconds=15)
+# No engine reads more than a thousand tokens in a millisecond. What seems faster was an
+# answer of another kind, and what is queued is divided by this time.
+FASTEST = timedelta(microseconds=1)
 # Prompts up to this length show the time that every request takes besides: the way
 # there and back, and the few steps until an engine hands out a first event.
 SHORT_TOKENS = 1000
@@ -60,8 +63,8 @@
         usual = _low(
             max(took - besides, took / 2) / tokens for tokens, took in self._long
         )
-        self._best = min(self._best, usual)
-        self._token_time = min(usual, self._best * MOST_SLOWER)
+        self._best = max(min(self._best, usual), FASTEST)
+        self._token_time = max(min(usual, self._best * MOST_SLOWER), FASTEST)
 
 
 def _low(times: Iterable[timedelta]) -> timedelta:
--- a/src/sassafrasdale/gateway/asking.py
+++ b/src/sassafrasdale/gateway/asking.py
@@ -97,10 +97,14 @@
         """
         self._open[number] = take_over
 
-    def first_token(self, number: int, took: timedelta) -> None:
-        """Note that the endpoint has read a send's prompt."""
+    def first_token(self, number: int, took: timedelta | None) -> None:
+        """Note that the endpoint has read a send's prompt, or need not any more.
+
+        :param took: time since it was sent; None where the prompt was not read.
+        """
         if number in self._open:
-            self._first.append(FirstToken(number, took.total_seconds()))
+            seconds = None if took is None else took.total_seconds()
+            self._first.append(FirstToken(number, seconds))
 
     def ended(self, number: int, end: SendEnd, pause: timedelta | None = None) -> None:
         """Note that a send is no longer under way."""
--- a/src/sassafrasdale/gateway/assignment.py
+++ b/src/sassafrasdale/gateway/assignment.py
@@ -73,13 +73,13 @@
 
 
 class FirstToken(Message):
-    """That an endpoint has read a send's prompt.
+    """That an endpoint has read a send's prompt, or need not any more.
 
-    :param took_s: time since the question, in seconds.
+    :param took_s: time since the question, in seconds; None where it was not read.
     """
 
     number: int
-    took_s: float
+    took_s: float | None
 
 
 class Ended(Message):
--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -106,9 +106,11 @@
 
     def _note_first(self, sends: _Sends, first: FirstToken) -> None:
         ticket = sends.tickets.get(first.number)
-        if ticket is not None:
-            took = timedelta(seconds=first.took_s)
-            self._fleet.first_here(ticket, took)
+        if ticket is None:
+            return
+        seconds = first.took_s
+        took = None if seconds is None else timedelta(seconds=seconds)
+        self._fleet.first_here(ticket, took)
 
     def _note_end(self, sends: _Sends, ended: Ended) -> None:
         ticket = sends.tickets.pop(ended.number, None)
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -245,7 +245,7 @@
         if job.route.kind is RequestKind.STREAM and succeeded:
             return self._stream(connection, head, ticket)
         body = connection.read_body(job.until)
-        self._note_first(ticket)
+        self._note_first(ticket, has_read=succeeded)
         if head.status >= 500 and self._may_retry_failure():
             raise SendFailed(SendOutcome.UNKNOWN, f"failed with {head.status}")
         self._fleet.answered(
@@ -306,8 +306,8 @@
             return job.until
         return min(self._clock.elapsed() + SILENCE_LIMIT, job.until)
 
-    def _note_first(self, ticket: Ticket) -> None:
-        self._fleet.first_token(ticket)
+    def _note_first(self, ticket: Ticket, *, has_read: bool = True) -> None:
+        self._fleet.first_token(ticket, has_read=has_read)
         if self._first_at is None:
             self._first_at = self._clock.elapsed()
             self._fleet.began_to_run(self._job.customer)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -280,27 +280,32 @@
             self._news_age,
         )
 
-    def first_token(self, ticket: Ticket) -> None:
-        """Note that an endpoint has read the whole prompt."""
+    def first_token(self, ticket: Ticket, *, has_read: bool = True) -> None:
+        """Note that an endpoint has read the whole prompt, or need not any more.
+
+        :param has_read: whether it has. An endpoint that fails a request at once would
+            look like one that reads in no time.
+        """
         if ticket.has_first:
             return
-        took = self._clock.elapsed() - ticket.began_at
+        took = self._clock.elapsed() - ticket.began_at if has_read else None
         if ticket.number is None:
             self.first_here(ticket, took)
         else:
             ticket.has_first = True
             self._asking.first_token(ticket.number, took)
 
-    def first_here(self, ticket: Ticket, took: timedelta) -> None:
+    def first_here(self, ticket: Ticket, took: timedelta | None) -> None:
         """Note the same of a send that is counted here.
 
-        :param took: time since it was sent.
+        :param took: time since it was sent; None where the prompt was not read.
         """
         if ticket.has_first:
             return
         ticket.has_first = True
         ticket.record.unread_tokens -= ticket.unread_tokens
-        self._reading.observe(ticket.service, ticket.unread_tokens, took)
+        if took is not None:
+            self._reading.observe(ticket.service, ticket.unread_tokens, took)
 
     def ended(self, ticket: Ticket) -> None:
         """Note that a send is no longer under way."""
--- a/src/sassafrasdale/gateway/reading.py
+++ b/src/sassafrasdale/gateway/reading.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from statistics import fmean
 
-from sassafrasdale.decisions.speeds import ReadingSpeed
+from sassafrasdale.decisions.speeds import FASTEST, ReadingSpeed
 
 
 class ReadingTimes:
@@ -39,7 +39,9 @@
         speed = self._speed(service)
         if speed.is_known:
             told.append(speed.token_time.total_seconds())
-        return timedelta(seconds=fmean(told)) if told else speed.token_time
+        if not told:
+            return speed.token_time
+        return max(timedelta(seconds=fmean(told)), FASTEST)
 
     def _speed(self, service: str) -> ReadingSpeed:
         return self._speeds.setdefault(service, ReadingSpeed())
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -303,3 +303,21 @@
     ask = Ask.of("g-0", 1, 5, "models", traits, ("i-1",))
     again = ASK.decode(encode(ask)).traits
     assert (again.prompt_tokens, again.parts) == (700, traits.parts)
+
+
+def test_failures_teach_no_reading_time(zone):
+    """Loads and orders would go by engines that read a prompt in no time.
+
+    An engine fails all streams at once for some seconds. Each failure is an answer, and
+    its few milliseconds were taken for the time that the prompt took.
+    """
+    gateway = zone.gateways[0].fleet
+    for _ in range(20):
+        for tokens in (200, 8000):
+            ticket = zone.send(0, tokens)
+            zone.clock.advance(SECOND / 500)
+            gateway.first_token(ticket, has_read=False)
+            gateway.ended(ticket)
+            zone.tell()
+    assert zone.central.fleet.token_times() == {}
+    assert sum(zone.central.under_way()) == 0
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -377,6 +377,17 @@
     assert len(dead.requests) <= 2
 
 
+def test_a_failure_of_an_engines_own_teaches_no_reading_time():
+    """Engines that fail everything at once would be held to be the fastest."""
+    world = World()
+    world.quotas.admit = lambda customer, traits: None
+    world.add("m-1", "models", ScriptedEndpoint(plain(b"no", "500 No")))
+    for number in range(20):
+        headers = dict(STREAM, token_count=f"{'100' if number % 2 else '9000'},20")
+        world.ask(request("/reports/7", f"r-{number}", **headers))
+    assert world.fleet.token_times() == {}
+
+
 def test_metrics_count_and_time_requests():
     world = World()
     world.add("i-1", "records", ScriptedEndpoint(plain()))
--- a/tests/gateway/test_reading.py
+++ b/tests/gateway/test_reading.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from sassafrasdale.decisions.speeds import FIRST_GUESS, LEAST_OBSERVATIONS
+from sassafrasdale.decisions.speeds import (
+    FASTEST,
+    FIRST_GUESS,
+    LEAST_OBSERVATIONS,
+)
 from sassafrasdale.gateway.reading import ReadingTimes
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -33,3 +37,17 @@
 def test_what_was_seen_here_counts_with_the_others():
     assert seen().seen()["models"] == pytest.approx(2e-5)
     assert seen([4e-5]).token_time("models") == timedelta(seconds=3e-5)
+
+
+def test_a_time_of_nothing_is_not_believed():
+    """All streams of a site would end with an internal error, for good.
+
+    Engines answer long prompts with failures of their own within a millisecond, or a
+    gateway tells a time of nothing. What is queued is divided by that time.
+    """
+    assert ReadingTimes(lambda service: [0.0]).token_time("models") == FASTEST
+    reading = ReadingTimes(lambda service: [])
+    for _ in range(LEAST_OBSERVATIONS):
+        reading.observe("models", 100, timedelta())
+        reading.observe("models", 5000, timedelta())
+    assert reading.token_time("models") >= FASTEST
