--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -102,7 +102,6 @@
         now = self._clock.elapsed()
         self._known[customer.name] = customer
         self._shares.add(customer.name, now, amount)
-        own = self._shares.own(customer.name, now)
         live = self._live(customer, now)
         limit = self._limit(customer, now)
         rate = customer.rate * live.left
@@ -110,19 +109,37 @@
         limit.ask(amount, now)
         left = self._depth(customer) * live.left - limit.used(now)
         share = self._share(customer, live, now)
-        unseen_time = self._unseen_time()
-        covered = self._slack(customer) * UNSEEN_SLACK * share
-        unseen = limit.unseen(now, unseen_time) - covered
-        if not has_room(left, live.demand, share, unseen, unseen_time):
-            rise = limit.unseen_rise(now, unseen_time, own)
-            covered = self._slack(customer) * RISE_SLACK / unseen_time.total_seconds()
-            demand = live.demand + unseen_demand(rise, share, covered)
-            part = passing_part(left, rate, demand)
+        if not self._has_room(customer, limit, left, share, live):
+            rise = self._unseen_demand(customer, limit, share)
+            part = passing_part(left, rate, live.demand + rise)
             if not self._thinning(customer.name).lets_in(part):
                 return time_to_return(left, rate, live.demand)
         limit.spend(amount, now)
         return None
 
+    def _has_room(
+        self,
+        customer: Customer,
+        limit: SharedLimit,
+        left: float,
+        share: float,
+        live: _LiveDemand,
+    ) -> bool:
+        unseen_time = self._unseen_time()
+        covered = self._slack(customer) * UNSEEN_SLACK * share
+        unseen = limit.unseen(self._clock.elapsed(), unseen_time) - covered
+        return has_room(left, live.demand, share, unseen, unseen_time)
+
+    def _unseen_demand(
+        self, customer: Customer, limit: SharedLimit, share: float
+    ) -> float:
+        now = self._clock.elapsed()
+        unseen_time = self._unseen_time()
+        average = self._shares.own(customer.name, now)
+        rise = limit.unseen_rise(now, unseen_time, average)
+        covered = self._slack(customer) * RISE_SLACK / unseen_time.total_seconds()
+        return unseen_demand(rise, share, covered)
+
     def explain(self, customer: Customer) -> str:
         """Return what decides on a customer's requests now, for the logs."""
         now = self._clock.elapsed()
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -9,7 +9,7 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.decisions.quotas import FORGET
 from sassafrasdale.deployment import Bounds, Customer, RequestTraits
-from sassafrasdale.gateway.peer_states import HeardGroup
+from sassafrasdale.gateway.peer_states import REPORT, HeardGroup, Report, encode
 from sassafrasdale.gateway.quotas import Quotas, request_size
 from tests.gateway.fleets import Fleet, group_of, member
 
@@ -312,3 +312,18 @@
     rate, _ = _rate_let_in({"a": 20, "b": 20, "c": 20}, 7.5 * 29_000)
     window, allowed = 8 * rate, (8 * 29_000 + 29_000) * 1.1 + 110_000
     assert 0.8 * 8 * 29_000 < window < 0.9 * allowed
+
+
+def test_what_a_gateway_tells_of_its_part_is_believed():
+    """A report with a figure out of its bounds is refused whole, as nonsense.
+
+    A customer comes to one gateway only, whose part of the limit is the whole of it:
+    rounding must not bring it past that.
+    """
+    clock = ManualClock()
+    quotas = Quotas(bounds(), lambda: 1, clock, rng=Random(5))
+    for size in range(1, 400):
+        quotas.admit(CUSTOMER, tokens(size))
+        clock.advance(timedelta(milliseconds=7))
+        report = Report(member("a", spending=quotas.report()), 0)
+        assert REPORT.decode(encode(report)) == report
