--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -26,13 +26,11 @@
 SPENDING_WINDOW = timedelta(seconds=2)
 # Time that a spending takes to be known everywhere where nothing else is said.
 UNSEEN_TIME = timedelta(milliseconds=500)
-# Requests from which a rise of demand is taken, and the least time that they are taken
-# to have come in.
+# Requests from which a rise of demand is taken.
 FEWEST_ASKED = 3
 # Gateways that a rise is taken to come to at the same time, at the most. One caller's
 # few requests would look like a rise at each of two hundred.
 MOST_TOGETHER = 8
-SHORTEST_SPAN = timedelta(milliseconds=20)
 # Time over which the limit's view is brought back to the limit. It must be longer than
 # the way of a spending to all gateways, a second in fleets of hundreds.
 SPREAD = timedelta(seconds=2)
@@ -49,8 +47,18 @@
 FORGET = timedelta(minutes=2)
 
 
-# Name of an aggregator, its incarnation, and how often it has begun to count.
-Counter = tuple[str, int, int]
+@dataclass(frozen=True, slots=True)
+class SpendingCounter:
+    """Who counts a group's spending.
+
+    :param zone: the group's availability zone.
+    :param key: name of the aggregator, its incarnation, how often it has begun anew.
+    :param began_at: when it began to count, in elapsed time.
+    """
+
+    zone: str
+    key: tuple[str, int, int]
+    began_at: timedelta
 
 
 @dataclass(slots=True)
@@ -80,8 +88,9 @@
         self._rate = 0.0
         self._unseen: deque[tuple[timedelta, float]] = deque()
         self._asked: deque[tuple[timedelta, float]] = deque()
-        self._groups: dict[Counter, _GroupSpending] = {}
-        self._zones: set[str] = set()
+        self._groups: dict[tuple[str, int, int], _GroupSpending] = {}
+        # When each zone was last heard.
+        self._zones: dict[str, timedelta] = {}
 
     @property
     def spent(self) -> float:
@@ -134,34 +143,38 @@
             self._asked.popleft()
         if len(self._asked) < FEWEST_ASKED:
             return 0.0
-        span = max(now - self._asked[0][0], SHORTEST_SPAN).total_seconds()
+        # Callers send in clumps, of which each looks like a rise within its moment.
+        span = max(now - self._asked[0][0], unseen_time / 3).total_seconds()
         amounts = [amount for _, amount in self._asked]
         # Without the largest: one prompt may be as large as forty others.
         return max((sum(amounts) - max(amounts)) / span - average, 0.0)
 
-    def hear(self, zone: str, counter: Counter, spent: float, now: timedelta) -> None:
+    def hear(self, counter: SpendingCounter, spent: float, now: timedelta) -> None:
         """Take out what a group has spent since it was last heard.
 
-        Of a zone that is heard for the first time only the count is noted: what it
-        spent before is in the reports of what is used. A counter that is new in a
-        known zone has begun at nothing when the aggregator changed.
+        Of a counter that is heard for the first time only the count is noted: what was
+        spent before is in the reports of what is used. But one that has begun since its
+        zone was last heard has taken over from another, and all that it counted is new.
+        Taken for new without that, a minute's spending would empty a limit each time
+        that another gateway sums up a zone.
         """
-        last = self._groups.get(counter)
-        first = zone not in self._zones
-        self._zones.add(zone)
+        last = self._groups.get(counter.key)
+        heard_at = self._zones.get(counter.zone)
+        self._zones[counter.zone] = max(now, heard_at or now)
         if last is None:
-            last = _GroupSpending(spent if first else 0.0, now)
+            took_over = heard_at is not None and counter.began_at >= heard_at
+            last = _GroupSpending(0.0 if took_over else spent, now)
         delta = spent - last.spent
         self._used += delta
         decayed = last.rate * exp(-((now - last.heard_at) / SPENDING_WINDOW))
         rate = decayed + delta / SPENDING_WINDOW.total_seconds()
-        self._groups[counter] = _GroupSpending(spent, now, max(rate, 0.0))
+        self._groups[counter.key] = _GroupSpending(spent, now, max(rate, 0.0))
         self._forget_stopped(now)
 
     def _forget_stopped(self, now: timedelta) -> None:
-        for counter, group in list(self._groups.items()):
+        for key, group in list(self._groups.items()):
             if now - group.heard_at > FORGET:
-                del self._groups[counter]
+                del self._groups[key]
 
 
 def has_room(
@@ -211,6 +224,19 @@
     return max(rise * together - covered, 0.0)
 
 
+def fits_unseen(amount: float, unseen: float, filling: float) -> bool:
+    """Return whether a gateway may let a request in while the limit is used up.
+
+    All gateways may do so before they know of each other, so each keeps to its part of
+    what fills up meanwhile. A request that is larger than that goes alone.
+
+    :param unseen: tokens let in here that the others can't know of yet.
+    :param filling: this gateway's part of the tokens by which the limit fills up until
+        they do.
+    """
+    return unseen + min(amount, filling) <= filling
+
+
 def time_to_return(left: float, rate: float, demand: float) -> timedelta:
     """Return when a refused caller is worth coming back.
 
--- a/src/sassafrasdale/gateway/groups.py
+++ b/src/sassafrasdale/gateway/groups.py
@@ -48,6 +48,7 @@
         self._members: dict[str, _Member] = {}
         self._spent: Counter[str] = Counter()
         self._epoch = 0
+        self._began_at = clock.elapsed()
 
     @property
     def members(self) -> set[str]:
@@ -97,6 +98,7 @@
         self._members.clear()
         self._spent.clear()
         self._epoch += 1
+        self._began_at = self._clock.elapsed()
 
     def forget_gone(self, listed: Collection[str]) -> None:
         """Drop members that are silent and no longer listed either."""
@@ -143,6 +145,7 @@
             told_since=min(times, default=0.0),
             follows_store=any(member.state.follows_store for member in fresh),
             token_times=_token_times(fresh),
+            counting_s=(now - self._began_at).total_seconds(),
         )
 
     def _spending(
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -143,6 +143,7 @@
         since 1970.
     :param follows_store: whether any of them watches the store and is answered.
     :param token_times: mean of what its gateways tell.
+    :param counting_s: time for which the counters have counted, in seconds.
     """
 
     aggregator: Contact
@@ -157,6 +158,7 @@
     told_since: float
     follows_store: bool
     token_times: dict[str, Amount] = field(default_factory=dict)
+    counting_s: Amount = 0.0
 
     @property
     def counter(self) -> tuple[str, int, int]:
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -16,7 +16,9 @@
     EXPECTED_TIME,
     UNSEEN_TIME,
     SharedLimit,
+    SpendingCounter,
     Thinning,
+    fits_unseen,
     has_room,
     passing_part,
     time_to_return,
@@ -112,6 +114,11 @@
         if not self._has_room(customer, limit, left, share, live):
             rise = self._unseen_demand(customer, limit, share)
             part = passing_part(left, rate, live.demand + rise)
+            unseen_time = self._unseen_time()
+            filling = share * rate * unseen_time.total_seconds()
+            unseen = limit.unseen(now, unseen_time)
+            if left <= 0 and not fits_unseen(amount, unseen, filling):
+                part = 0.0
             if not self._thinning(customer.name).lets_in(part):
                 return time_to_return(left, rate, live.demand)
         limit.spend(amount, now)
@@ -181,14 +188,15 @@
         self._heard_at = now
         for heard in groups:
             state = heard.state
+            told_at = now - heard.age
+            counter = SpendingCounter(
+                state.aggregator.zone,
+                state.counter,
+                told_at - timedelta(seconds=state.counting_s),
+            )
             for name, spending in state.spending.items():
                 if name in self._limits:
-                    self._limits[name].hear(
-                        state.aggregator.zone,
-                        state.counter,
-                        spending.spent,
-                        now - heard.age,
-                    )
+                    self._limits[name].hear(counter, spending.spent, told_at)
 
     def _live(self, customer: Customer, now: timedelta) -> "_LiveDemand":
         """Return what is left of a limit for the gateways in touch."""
