Limits fill up where a customer is seldom seen

Cause: a limit filled up by the rate that was known at the customer's last request at that gateway. Now all limits are refilled with each word of the others.

--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -186,6 +186,7 @@
         now = self._clock.elapsed()
         self._groups = groups
         self._heard_at = now
+        self._refill(now)
         for heard in groups:
             state = heard.state
             told_at = now - heard.age
@@ -198,6 +199,16 @@
                 if name in self._limits:
                     self._limits[name].hear(counter, spending.spent, told_at)
 
+    def _refill(self, now: timedelta) -> None:
+        """Let all limits fill up by what is set aside now.
+
+        One of many gateways may see a customer every few seconds. By what it knew then,
+        a limit would go on filling up too slowly, or too fast, until the next time.
+        """
+        for name, limit in self._limits.items():
+            customer = self._known[name]
+            limit.refill(customer.rate * self._live(customer, now).left, now)
+
     def _live(self, customer: Customer, now: timedelta) -> "_LiveDemand":
         """Return what is left of a limit for the gateways in touch."""
         gateways = self._gateways()
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -330,3 +330,27 @@
         clock.advance(timedelta(milliseconds=7))
         report = Report(member("a", spending=quotas.report()), 0)
         assert REPORT.decode(encode(report)) == report
+
+
+def test_a_limit_fills_up_where_a_customer_is_seldom_seen():
+    """A customer at half of its limit would be refused for ten seconds after a restart.
+
+    Its first request meets a gateway that has heard none of the others, and takes the
+    limit to fill up by an even part only. The next comes eight seconds later; what the
+    others let in meanwhile was counted, what filled up was not.
+    """
+    clock = ManualClock()
+    quotas = Quotas(bounds(), lambda: 10, clock, rng=Random(5))
+    other = Quotas(bounds(), lambda: 10, clock, rng=Random(6))
+    quotas.admit(CUSTOMER, tokens(10))
+    others = [str(number) for number in range(8)]
+    for step in range(80):
+        clock.advance(timedelta(milliseconds=100))
+        if step % 2 == 0:
+            other.admit(CUSTOMER, tokens(100))
+        states = [member(name) for name in others]
+        states.append(member("busy", spending=other.report()))
+        quotas.hear_groups([HeardGroup(group_of(*states, clock=clock))])
+        other.hear_groups([HeardGroup(group_of(*states[:-1], clock=clock))])
+    assert quotas.admit(CUSTOMER, tokens(10)) is None
+    assert quotas.report()["lab"].used < 200
