Usage from before two zones met, or told to an aggregator's earlier start, is told again

Cause, found by reading: the first news to an aggregator claimed to be complete without any rows, and an aggregator that restarts between two reports was not told again what its earlier start had been told. Tests seen failing first.

--- a/src/sassafrasdale/gateway/aggregating.py
+++ b/src/sassafrasdale/gateway/aggregating.py
@@ -327,7 +327,7 @@
         are sent again until it says that it has them: an answer may come too late.
         """
         if other is None:
-            return ()
+            return tuple(UsageRow(*row) for row in self._shared.ledger.rows(0))
         now = self._clock.elapsed()
         if now - other.usage_sent_at < USAGE_PAUSE:
             return None
--- a/src/sassafrasdale/gateway/reporting.py
+++ b/src/sassafrasdale/gateway/reporting.py
@@ -38,6 +38,7 @@
         self._roster = shared.roster
         self._take_groups = take_groups
         self._aggregator = ""
+        self._incarnation = 0
         self._their_digest = 0
         self._told_rows: dict[int, dict[str, int]] = {}
         self._told_spent: dict[str, float] = {}
@@ -119,6 +120,10 @@
         listener = self._shared.listener
         self._roster.heard(view.sender)
         self._their_digest = view.roster_digest
+        if view.sender.incarnation != self._incarnation:
+            # One that restarted between two reports knows nothing of the earlier ones.
+            self._incarnation = view.sender.incarnation
+            self._told_rows = {}
         self._roster.merge(view.roster)
         self._roster.merge(heard.state.aggregator for heard in view.groups)
         self._roster.keep(contact.name for contact in self._roster.own_zone())
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -255,6 +255,40 @@
         assert node.peering.usage(7).counts == {"lab": 5}
 
 
+def test_usage_from_before_two_zones_met_is_told():
+    """A customer's bill would lack a zone's part of a window.
+
+    Two zones start cut off from each other, and their gateways count requests. When the
+    cut heals, the first news between them must bring what was counted before.
+    """
+    fleet = Fleet({"a": 2, "b": 2})
+    fleet.cuts |= {(x, y) for x in fleet.nodes for y in fleet.nodes if x[0] != y[0]}
+    for node in fleet.nodes.values():
+        node.usage = {7: {"lab": 5}}
+    fleet.play(SETTLED)
+    fleet.heal()
+    fleet.play(SETTLED + 2)
+    for node in fleet.nodes.values():
+        assert node.peering.usage(7).counts == {"lab": 20}
+
+
+def test_usage_is_told_again_to_an_aggregator_that_restarted():
+    """A customer's bill would lack what a zone had counted before the restart.
+
+    The aggregator restarts between two reports, under its name. Its members don't
+    notice a failure, and what they have told it is gone.
+    """
+    fleet = Fleet({"a": 3})
+    fleet.play(SETTLED)
+    [first] = fleet.aggregators("a")
+    for name, node in fleet.nodes.items():
+        node.usage = {} if name == first else {7: {"lab": 5}}
+    fleet.play(1)
+    fleet.start(first, "a", incarnation=2)
+    fleet.play(2)
+    assert fleet.nodes[first].peering.usage(7).counts == {"lab": 10}
+
+
 def test_usage_tells_since_when_all_have_told(fleet):
     """A window that is reported too soon lacks its last requests."""
     now = fleet.nodes["a-0"].time.seconds
