--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -1,5 +1,6 @@
 """Following the store through outages, lost history and peers."""
 
+from datetime import timedelta
 from random import Random
 
 import pytest
@@ -8,7 +9,8 @@
 from sassafrasdale.coordination.exceptions import StoreHistoryLost, StoreNotReached
 from sassafrasdale.coordination.stores import StoredValue
 from sassafrasdale.gateway.dependencies import Dependency
-from sassafrasdale.gateway.following import Follower
+from sassafrasdale.gateway.following import MOST_DELETED, Follower
+from sassafrasdale.green import sleep, spawn
 from sassafrasdale.platform.store import Change, Changes, Snapshot
 
 
@@ -126,3 +128,119 @@
     follower.step()
     with pytest.raises(StoreNotReached):
         follower.step()
+
+
+def listed(store, follower, *items, revision=10):
+    """Read a listing of the store."""
+    store.snapshots = [Snapshot(tuple(items), revision)]
+    follower.step()
+
+
+def another(seen):
+    clock = ManualClock()
+    return Follower(
+        "p/", None, seen.append, Dependency("store", clock), clock, Random(1)
+    )
+
+
+def test_a_peer_gets_only_what_has_changed(store, follower):
+    """Each change of the list would send the whole of it to forty gateways."""
+    listed(store, follower, item("p/a", b"1", 3), item("p/b", b"2", 4))
+    store.changes = [Changes((Change("p/b", 12, b"3"), Change("p/a", 13, None)), 14)]
+    follower.step()
+    told = follower.changes_since(10)
+    assert not told.is_whole
+    assert (told.values, told.deleted) == ({"p/b": b"3"}, {"p/a": 13})
+    assert follower.changes_since(13).values == {}
+
+
+def test_a_peer_that_is_far_behind_gets_everything(store, follower):
+    """What was deleted before this gateway's listing isn't known by its key."""
+    listed(store, follower, item("p/a", b"1", 3))
+    told = follower.changes_since(2)
+    assert told.is_whole
+    assert told.values == {"p/a": b"1"}
+
+
+def test_nothing_is_told_before_anything_is_known(follower):
+    assert follower.changes_since(0) is None
+
+
+def test_changes_of_a_peer_are_taken(store, follower):
+    listed(store, follower, item("p/a", b"1", 3), item("p/b", b"2", 4))
+    seen = []
+    other = another(seen)
+    other.take(follower.changes_since(0), 0)
+    store.changes = [Changes((Change("p/c", 12, b"3"), Change("p/a", 13, None)), 14)]
+    follower.step()
+    since = other.changed_revision
+    other.take(follower.changes_since(since), since)
+    assert other.values == {"p/b": b"2", "p/c": b"3"}
+    assert other.changed_revision == 13
+
+
+def test_an_answer_that_was_overtaken_changes_nothing(store, follower):
+    """A gateway would go back to an endpoint that has left.
+
+    Two peers are asked, and the answer of the one that has followed less far comes
+    last.
+    """
+    listed(store, follower, item("p/a", b"1", 3))
+    early = follower.changes_since(0)
+    store.changes = [Changes((Change("p/a", 13, None),), 14)]
+    follower.step()
+    other = another([])
+    other.take(follower.changes_since(0), 0)
+    other.take(early, 0)
+    assert other.values == {}
+
+
+def test_changes_go_on_from_one_peer_to_the_next(store, follower):
+    """A gateway that took changes from a peer tells them to others in turn."""
+    listed(store, follower, item("p/a", b"1", 3))
+    middle, last = another([]), another([])
+    middle.take(follower.changes_since(0), 0)
+    last.take(middle.changes_since(0), 0)
+    for revision, change in (
+        (12, Change("p/b", 12, b"2")),
+        (13, Change("p/a", 13, None)),
+    ):
+        store.changes = [Changes((change,), revision)]
+        follower.step()
+        since = middle.changed_revision
+        middle.take(follower.changes_since(since), since)
+    since = last.changed_revision
+    last.take(middle.changes_since(since), since)
+    assert last.values == middle.values == {"p/b": b"2"}
+    told = middle.changes_since(12)
+    assert (told.is_whole, told.deleted) == (False, {"p/a": 13})
+
+
+def test_deleted_keys_are_not_kept_for_good(store, follower):
+    """A gateway would grow with each endpoint that ever was."""
+    listed(store, follower, item("p/a", b"1", 3))
+    for number in range(MOST_DELETED + 10):
+        change = Change(f"p/{number}", 20 + number, None)
+        store.changes = [Changes((change,), 20 + number)]
+        follower.step()
+    assert len(follower.changes_since(100).deleted) <= MOST_DELETED
+    assert follower.changes_since(15).is_whole
+
+
+def test_a_gateway_that_need_not_watch_asks_the_store_once(store):
+    """Each change would cost a call of each of two hundred gateways."""
+    clock = ManualClock()
+    follower = Follower(
+        "p/",
+        store,
+        print,
+        Dependency("store", clock),
+        clock,
+        Random(1),
+        should_watch=lambda: False,
+    )
+    store.snapshots = [Snapshot((item("p/a", b"1", 3),), 10)]
+    task = spawn(follower.run)
+    sleep(timedelta(milliseconds=300))
+    task.kill()
+    assert follower.revision == 10
