--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -83,6 +83,8 @@
 
     def __init__(self, used: float, now: timedelta) -> None:
         self._used = used
+        # What of that is missing from the beginning and hasn't filled up since.
+        self._missing = used
         self._spent = 0.0
         self._updated = now
         self._rate = 0.0
@@ -105,11 +107,24 @@
 
     def refill(self, rate: float, now: timedelta) -> None:
         """Let the limit fill up to now, and at ``rate`` from now on."""
-        elapsed = (now - self._updated).total_seconds()
-        self._used = max(self._used - self._rate * elapsed, 0.0)
+        filled = self._rate * (now - self._updated).total_seconds()
+        self._used = max(self._used - filled, 0.0)
+        self._missing = max(self._missing - filled, 0.0)
         self._rate = rate
         self._updated = now
 
+    def left(self, depth: float, part: float, now: timedelta) -> float:
+        """Return the tokens left of a part of the limit; negative if overdrawn.
+
+        What was missing from the beginning is missing from each part alike. What was
+        let in since counts whole: one gateway that hears nobody has let it in alone.
+
+        :param depth: tokens of a full limit.
+        :param part: the part of it that falls to the gateways in touch.
+        """
+        let_in = self.used(now) - self._missing
+        return (depth - self._missing) * part - let_in
+
     def spend(self, amount: float, now: timedelta) -> None:
         """Take out what is let in here; a negative amount gives it back."""
         self._used += amount
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -109,7 +109,7 @@
         rate = customer.rate * live.left
         limit.refill(rate, now)
         limit.ask(amount, now)
-        left = self._depth(customer) * live.left - limit.used(now)
+        left = limit.left(self._depth(customer), live.left, now)
         share = self._share(customer, live, now)
         if not self._has_room(customer, limit, left, share, live):
             rise = self._unseen_demand(customer, limit, share)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -354,3 +354,20 @@
         other.hear_groups([HeardGroup(group_of(*states[:-1], clock=clock))])
     assert quotas.admit(CUSTOMER, tokens(10)) is None
     assert quotas.report()["lab"].used < 200
+
+
+def test_the_first_requests_after_a_restart_of_all_gateways():
+    """Callers who waited out a restart would be refused far within their limit.
+
+    All gateways were killed. The first that serves knows that there are five others and
+    has heard none. What a limit may lack from before is missing from its part, too.
+    """
+    clock = ManualClock()
+    quotas = Quotas(bounds(110_000), lambda: 6, clock, rng=Random(5))
+    customer = Customer("lab", frozenset(), 104_000, 104_000, counts_tokens=True)
+    clock.advance(SECOND / 10)
+    refused = 0
+    for _ in range(6):
+        clock.advance(SECOND / 8)
+        refused += quotas.admit(customer, tokens(2000)) is not None
+    assert refused == 0
