--- a/tests/guarantees/test_gateway.py
+++ b/tests/guarantees/test_gateway.py
@@ -1,5 +1,7 @@
 """Gateways as real processes on the platform's stand-ins."""
 
+import signal
+from collections import Counter
 from datetime import timedelta
 
 import pytest
@@ -13,6 +15,8 @@
 
 CLOCK = SystemClock()
 SECOND = timedelta(seconds=1)
+KILL = signal.SIGKILL
+STOP = signal.SIGSTOP
 STREAM = {"token_count": "400,24", "prompt_prefix": "aa:300,bb:100"}
 
 
@@ -249,4 +253,47 @@
     assert "sassafrasdale_events_total" in page
 
 
+@pytest.mark.parametrize("number", [KILL, STOP], ids=["killed", "paused"])
+def test_streams_go_on_without_their_dispatcher(fleet, number):
+    """Callers of a whole zone would wait, or be refused, as one gateway goes.
+
+    The gateway that names engines for its zone is killed, or paused for good, while the
+    others take streams. They choose by themselves until the next one answers.
+    """
+    for name in ("front-0", "front-1", "front-2"):
+        fleet.add_gateway(name, "a").launch()
+    for gateway in fleet.gateways:
+        gateway.wait_until_ready()
+    wait_for(lambda: _dispatcher(fleet) is not None, "no dispatcher was chosen")
+    dispatcher = _dispatcher(fleet)
+    others = [gateway for gateway in fleet.gateways if gateway is not dispatcher]
+    ask(others[0].address, request("/reports/7", "r-first", **STREAM))
+    dispatcher.signal(number)
+    began = CLOCK.elapsed()
+    for number in range(20):
+        gateway = others[number % 2]
+        stream = ask(gateway.address, request("/reports/7", f"r-{number}", **STREAM))
+        assert stream.startswith(b"HTTP/1.1 200")
+        assert stream.count(b"data: token") == 8
+    assert CLOCK.elapsed() - began < 10 * SECOND
+    assert any(
+        line["message"] == "request ended" and line.get("named_by")
+        for gateway in others
+        for line in gateway.log_lines()
+    )
+
+
+def _dispatcher(fleet: GatewayFleet):
+    """Return the gateway that two others report to."""
+    chosen = Counter(
+        line["peer"]
+        for gateway in fleet.gateways
+        for line in gateway.log_lines()
+        if line["message"] == "aggregator chosen"
+    )
+    named = [name for name, count in chosen.items() if count >= 2]
+    found = [gateway for gateway in fleet.gateways if gateway.name in named]
+    return found[0] if found else None
+
+
 _READY = b"GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n"
