--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -26,7 +26,7 @@
 SPENDING_WINDOW = timedelta(seconds=2)
 # Time that a spending takes to be known everywhere where nothing else is said.
 UNSEEN_TIME = timedelta(milliseconds=500)
-# Requests from which a rise of demand is taken.
+# Requests from which a rise of demand is taken: two may come together by chance.
 FEWEST_ASKED = 3
 # Gateways that a rise is taken to come to at the same time, at the most. One caller's
 # few requests would look like a rise at each of two hundred.
@@ -37,7 +37,7 @@
 # When a refused caller is told to come back. Sooner it meets the same view of the
 # limit; later it has most likely given up.
 SHORTEST_RETURN = timedelta(milliseconds=300)
-LONGEST_RETURN = 10.0
+LONGEST_RETURN = timedelta(seconds=10)
 # A group's rate is expected to go on for this long without a report; after it the group
 # counts as silent and its part of the limit is set aside.
 EXPECTED_TIME = timedelta(seconds=1.5)
@@ -63,6 +63,8 @@
 
 @dataclass(slots=True)
 class _GroupSpending:
+    """What a group had spent when it was last heard, and its rate until then."""
+
     spent: float
     heard_at: timedelta
     rate: float = 0.0
@@ -260,7 +262,8 @@
     """
     rate = max(rate, 1.0)
     wait = max(-left, 0.0) / rate + max(demand / rate - 1, 0.0)
-    return max(timedelta(seconds=min(wait, LONGEST_RETURN)), SHORTEST_RETURN)
+    wait = min(wait, LONGEST_RETURN.total_seconds())
+    return max(timedelta(seconds=wait), SHORTEST_RETURN)
 
 
 class Thinning:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -39,7 +39,8 @@
 
     :param unread_tokens: prompt tokens that the endpoint has yet to read for it.
     :param source: engine from which it fetches shared parts of the prompt.
-    :param queued_tokens: what this gateway has sent there before and isn't read yet.
+    :param queued_tokens: what was sent there before and isn't read yet, as far as the
+        one knows that has chosen.
     :param news_age: age of what was known of the other gateways' sends.
     :param number: number under which the dispatcher counts it; None where this gateway
         does by itself.
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -60,7 +60,7 @@
 
 
 class Quotas:
-    """The part of all customers' limits.
+    """Admission under all customers' limits at one gateway.
 
     :param bounds: slack of the limits.
     :param gateways: number of gateways, this one included.
@@ -209,7 +209,7 @@
             customer = self._known[name]
             limit.refill(customer.rate * self._live(customer, now).left, now)
 
-    def _live(self, customer: Customer, now: timedelta) -> "_LiveDemand":
+    def _live(self, customer: Customer, now: timedelta) -> _LiveDemand:
         """Return what is left of a limit for the gateways in touch."""
         gateways = self._gateways()
         counted = in_touch = 1
@@ -235,7 +235,7 @@
         kept += max(gateways - counted, 0) / gateways
         return _LiveDemand(max(1 - kept, 0.0), in_touch, demand)
 
-    def _share(self, customer: Customer, live: "_LiveDemand", now: timedelta) -> float:
+    def _share(self, customer: Customer, live: _LiveDemand, now: timedelta) -> float:
         """Return the part of a limit that falls to this gateway."""
         own = self._shares.own(customer.name, now)
         by_demand = self._shares.part(own, live.demand, live.gateways)
