--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -231,8 +231,8 @@
     """A customer that has just used up its limit would get a second one.
 
     It spends its limit through one gateway, and then reaches one that has just
-    started and has heard of that gateway once. How much each lets in differs by chance;
-    together it is no more than the limit and half of a burst.
+    started and has heard of that gateway once. What it lets in is no more than half of
+    a burst, and both together no more than that beyond the limit.
     """
     for seed in range(20):
         clock = ManualClock()
@@ -242,8 +242,11 @@
             let_in += 100
         new = Quotas(bounds(), lambda: 2, clock, rng=Random(seed + 100))
         new.hear_groups([HeardGroup(group_of(member("old", spending=old.report())))])
+        let_in_anew = 0
         while new.admit(CUSTOMER, tokens(100)) is None:
-            let_in += 100
+            let_in_anew += 100
+        assert let_in_anew <= CUSTOMER.burst / 2
+        let_in += let_in_anew
         depth = CUSTOMER.burst + USED_SLACK * bounds().quota_slack
         assert let_in <= depth + CUSTOMER.burst / 2
 
