Followers of the store say when they don't follow, and since when

An engineer saw the store regained while the configuration was not asked for: 'dependency lost' and 'regained' are told by any of five tasks. Each prefix now tells its own loss, with the call that failed and how long it had waited, and its end. No change of logic.

--- a/src/sassafrasdale/gateway/following.py
+++ b/src/sassafrasdale/gateway/following.py
@@ -83,6 +83,7 @@
         self._deleted: dict[str, int] = {}
         # Each change after this revision is known by its key.
         self._complete_since = 0
+        self._lost_at: timedelta | None = None
 
     @property
     def prefix(self) -> str:
@@ -115,9 +116,11 @@
             if not self._must_list and not self._should_watch():
                 sleep(FIRST_PAUSE)
                 continue
+            asked_at = self._clock.elapsed()
             try:
                 self.step()
                 self._dependency.succeeded()
+                self._note_followed()
                 pause = FIRST_PAUSE
                 # Changes come in bursts, and each watch has a price.
                 sleep(COLLECTING)
@@ -126,9 +129,40 @@
                 self._must_list = True
             except StoreError as error:
                 self._dependency.failed(error)
+                self._note_lost(error, asked_at)
                 sleep(pause * self._rng.uniform(0.7, 1.3))
                 pause = min(pause * 2, LONGEST_PAUSE)
 
+    def _note_lost(self, error: StoreError, asked_at: timedelta) -> None:
+        """Log that this prefix isn't followed, once for each loss.
+
+        The store as a whole may answer others of the gateway's calls meanwhile.
+        """
+        if self._lost_at is not None:
+            return
+        self._lost_at = asked_at
+        waited = self._clock.elapsed() - asked_at
+        log.warning(
+            "store not followed",
+            prefix=self._prefix,
+            revision=self._revision,
+            error=type(error).__name__,
+            why=error.message,
+            waited_s=round(waited.total_seconds(), 3),
+        )
+
+    def _note_followed(self) -> None:
+        if self._lost_at is None:
+            return
+        away = self._clock.elapsed() - self._lost_at
+        self._lost_at = None
+        log.notice(
+            "store followed again",
+            prefix=self._prefix,
+            revision=self._revision,
+            away_s=round(away.total_seconds(), 3),
+        )
+
     def step(self) -> None:
         """Read everything if need be, else wait for changes once.
 
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from logbook import TestHandler as LogRecorder
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.coordination.exceptions import StoreHistoryLost, StoreNotReached
@@ -244,3 +245,21 @@
     sleep(timedelta(milliseconds=300))
     task.kill()
     assert follower.revision == 10
+
+
+def test_a_loss_and_its_end_are_told_once(store, follower):
+    """An engineer sees the store regained while one prefix still waits for an answer.
+
+    Other calls of the gateway are answered again; only the prefix's own lines tell
+    that its values may be outdated, and for how long.
+    """
+    store.snapshots = [Snapshot((), 10)]
+    answers = [Changes((), 11)] * 50
+    store.changes = [StoreNotReached("down"), StoreNotReached("down"), *answers]
+    logs = LogRecorder()
+    with logs.applicationbound():
+        task = spawn(follower.run)
+        sleep(timedelta(seconds=0.8))
+        task.kill()
+    told = [rec.message for rec in logs.records if rec.channel == "following"]
+    assert told == ["store not followed", "store followed again"]
