--- a/tests/guarantees/test_gateway.py
+++ b/tests/guarantees/test_gateway.py
@@ -17,6 +17,10 @@
 SECOND = timedelta(seconds=1)
 KILL = signal.SIGKILL
 STOP = signal.SIGSTOP
+# What the deployment promises: a change is in force, and a leaving endpoint gets
+# nothing more, so long after the store has confirmed it.
+APPLY_TIME = timedelta(milliseconds=settings()["bounds"]["configApplyMs"])
+DRAIN_TIME = timedelta(milliseconds=settings()["bounds"]["drainMs"])
 STREAM = {"token_count": "400,24", "prompt_prefix": "aa:300,bb:100"}
 
 
@@ -188,6 +192,67 @@
         )
 
 
+def fall_silent(fleet: GatewayFleet) -> None:
+    """Have the store give no answers, and answer again, just after a change.
+
+    The change wakes all gateways' watches, so each asks anew as the silence begins, and
+    for the second time shortly before it ends.
+    """
+    sleep(SECOND / 4)
+    fleet.store.fault = Fault.SILENT
+    sleep(6.5 * SECOND)
+    fleet.store.fault = Fault.NONE
+
+
+def ask_at_once(fleet: GatewayFleet) -> None:
+    """Have each gateway answer ten requests at the same time."""
+    tasks = [
+        spawn(ask, gateway.address, request("/certificates/7", f"r-{number}"))
+        for gateway in fleet.gateways
+        for number in range(10)
+    ]
+    for task in tasks:
+        task.wait()
+
+
+def test_a_configuration_after_an_outage_is_in_force_in_time(fleet):
+    """Callers of a new route get 404, seconds after the store confirmed the route.
+
+    A change wakes all gateways' watches at once, and the store falls silent. Each asks
+    again into the silence. The store is back and takes a new version; calls that were
+    sent into the silence are never answered, and nobody asks for the configuration.
+    """
+    start(fleet)
+    fleet.store.put("op/config", configuration(version=8))
+    fall_silent(fleet)
+    routes = [dict(route) for route in configuration()["routes"]]
+    routes[0]["prefix"] = "/certificates-new/"
+    fleet.store.put("op/config", configuration(version=9, routes=routes))
+    sleep(APPLY_TIME)
+    for gateway in fleet.gateways:
+        answer = ask(gateway.address, request("/certificates-new/7"))
+        assert answer.startswith(b"HTTP/1.1 200")
+
+
+def test_an_endpoint_that_leaves_after_an_outage_gets_nothing_new(fleet):
+    """Callers' requests are cut off by an endpoint that said in time that it leaves.
+
+    The same as above with the list of endpoints: an entry changes, the store falls
+    silent and is back, and the endpoint's leaving is confirmed. Gateways that wait for
+    an answer from the silence go on sending to it beyond its drain time.
+    """
+    start(fleet)
+    leaving = fleet.add_endpoint("r-8", "records", "a", streams=False)
+    fall_silent(fleet)
+    ask_at_once(fleet)
+    assert leaving.ran
+    leaving.list_as("draining")
+    sleep(DRAIN_TIME)
+    before = len(leaving.ran)
+    ask_at_once(fleet)
+    assert len(leaving.ran) == before
+
+
 def test_history_that_is_lost_while_an_endpoint_leaves(fleet):
     """Requests would go on to an endpoint that has left.
 
