Watches of the store are asked anew as soon as it is back

What callers saw: for seconds after an outage of the store, a confirmed new route was refused with 404, a confirmed key with 401, and an endpoint that had said that it leaves got requests beyond its drain time.

Cause: a watch that is sent into the silence is never answered, and was waited for until its 6 s were over, however long the store had been back. One change wakes all gateways' watches, so all were lost at once and no peer knew more.

The first answer after a lost or overtaken one says that the silence is over; all watches are then given up and asked anew, and pauses after failures end. A call that was sent before an answered one says nothing of now and is no second outage.

--- a/src/sassafrasdale/coordination/exceptions.py
+++ b/src/sassafrasdale/coordination/exceptions.py
@@ -31,6 +31,10 @@
     """A key holds something else than this version of the package writes."""
 
 
+class StoreWatchDropped(StoreError):
+    """A watch was given up on this side, to be asked for anew."""
+
+
 class StoreHistoryLost(StoreError):
     """The store no longer has the changes that were asked for."""
 
--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -175,6 +175,8 @@
     """Figures that the deployment promises its users.
 
     :param endpoint_drain: time in which a leaving endpoint must get no more.
+    :param configuration_delay: time in which a confirmed configuration must be in
+        force.
     :param stop_grace: time from the stop signal until the process is killed.
     :param retry_share: repeated sends as a part of the requests.
     :param retry_slack: repeated sends beyond that part.
@@ -195,6 +197,7 @@
     usage_window: timedelta
     usage_delay: timedelta
     shortest_lease: timedelta = timedelta(seconds=1)
+    configuration_delay: timedelta = timedelta(seconds=2)
     checks_fencing: bool = True
 
 
--- a/src/sassafrasdale/gateway/dependencies.py
+++ b/src/sassafrasdale/gateway/dependencies.py
@@ -1,5 +1,6 @@
 """Whether an outside system answers, with a log line when that changes."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from logbook import Logger
@@ -12,21 +13,34 @@
 class Dependency:
     """What is known of an outside system from the calls made to it.
 
+    A failed call tells of the time at which it was sent. Once a later one has been
+    answered it says nothing of now, and is passed over.
+
     :param name: name for the logs.
     :param clock: source of elapsed time.
+    :param regained: called when the system answers again after an outage.
     """
 
-    def __init__(self, name: str, clock: Clock) -> None:
+    def __init__(
+        self, name: str, clock: Clock, regained: Callable[[], None] = lambda: None
+    ) -> None:
         self._name = name
         self._clock = clock
+        self._regained = regained
         self._lost_at: timedelta | None = None
         self._failed_at: timedelta | None = None
-        self._answered = False
+        self._answered_to: timedelta | None = None
+        self._regains = 0
 
     @property
     def is_reached(self) -> bool:
         """Whether the last call was answered."""
-        return self._answered and self._lost_at is None
+        return self._answered_to is not None and self._lost_at is None
+
+    @property
+    def regains(self) -> int:
+        """How often the system has answered again after an outage."""
+        return self._regains
 
     @property
     def since_failure(self) -> timedelta | None:
@@ -35,28 +49,45 @@
             return None
         return self._clock.elapsed() - self._failed_at
 
-    def failed(self, error: Exception) -> None:
-        """Record a call that got no answer."""
-        self._failed_at = self._clock.elapsed()
-        if self._lost_at is None:
-            self._lost_at = self._failed_at
-            log.warning(
-                "dependency lost",
-                dependency=self._name,
-                error=type(error).__name__,
-                why=str(error),
-            )
-
-    def succeeded(self) -> None:
-        """Record a call that was answered."""
-        if self._lost_at is not None:
-            gap = self._clock.elapsed() - self._lost_at
-            log.notice(
-                "dependency regained",
-                dependency=self._name,
-                away_s=round(gap.total_seconds(), 3),
-            )
-        elif not self._answered:
+    def failed(self, error: Exception, asked_at: timedelta) -> None:
+        """Record a call that got no answer.
+
+        :param asked_at: elapsed time at which it was sent.
+        """
+        if self._answered_to is None or asked_at >= self._answered_to:
+            self._lose(type(error).__name__, str(error))
+
+    def overtaken(self) -> None:
+        """Record that a later call was answered before an earlier one.
+
+        What swallowed the earlier one is over, and may have been too short for any
+        call to run out of its time.
+        """
+        self._lose("overtaken", "a later call was answered first")
+
+    def succeeded(self, asked_at: timedelta) -> None:
+        """Record a call that was answered.
+
+        :param asked_at: elapsed time at which it was sent.
+        """
+        if self._answered_to is None:
             log.info("dependency reached", dependency=self._name)
-        self._answered = True
+        self._answered_to = max(asked_at, self._answered_to or asked_at)
+        if self._lost_at is None:
+            return
+        gap = self._clock.elapsed() - self._lost_at
         self._lost_at = None
+        self._regains += 1
+        log.notice(
+            "dependency regained",
+            dependency=self._name,
+            away_s=round(gap.total_seconds(), 3),
+        )
+        self._regained()
+
+    def _lose(self, error: str, why: str) -> None:
+        self._failed_at = self._clock.elapsed()
+        if self._lost_at is not None:
+            return
+        self._lost_at = self._failed_at
+        log.warning("dependency lost", dependency=self._name, error=error, why=why)
--- a/src/sassafrasdale/gateway/following.py
+++ b/src/sassafrasdale/gateway/following.py
@@ -13,7 +13,11 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.coordination.exceptions import StoreError, StoreHistoryLost
+from sassafrasdale.coordination.exceptions import (
+    StoreError,
+    StoreHistoryLost,
+    StoreWatchDropped,
+)
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.green import sleep
@@ -119,20 +123,32 @@
             asked_at = self._clock.elapsed()
             try:
                 self.step()
-                self._dependency.succeeded()
+                self._dependency.succeeded(asked_at)
                 self._note_followed()
                 pause = FIRST_PAUSE
                 # Changes come in bursts, and each watch has a price.
                 sleep(COLLECTING)
+            except StoreWatchDropped:
+                continue
             except StoreHistoryLost:
                 log.warning("history lost, reading anew", prefix=self._prefix)
                 self._must_list = True
             except StoreError as error:
-                self._dependency.failed(error)
+                self._dependency.failed(error, asked_at)
                 self._note_lost(error, asked_at)
-                sleep(pause * self._rng.uniform(0.7, 1.3))
+                self._rest(pause * self._rng.uniform(0.7, 1.3))
                 pause = min(pause * 2, LONGEST_PAUSE)
 
+    def _rest(self, pause: timedelta) -> None:
+        """Pause, but no longer than until the store is known to be back."""
+        regains = self._dependency.regains
+        until = self._clock.elapsed() + pause
+        while self._dependency.regains == regains:
+            left = until - self._clock.elapsed()
+            if left <= timedelta():
+                return
+            sleep(min(left, FIRST_PAUSE))
+
     def _note_lost(self, error: StoreError, asked_at: timedelta) -> None:
         """Log that this prefix isn't followed, once for each loss.
 
--- a/src/sassafrasdale/gateway/parts.py
+++ b/src/sassafrasdale/gateway/parts.py
@@ -15,6 +15,7 @@
 from sassafrasdale.gateway.duties import Duties
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
+from sassafrasdale.gateway.heartbeat import Heartbeat
 from sassafrasdale.gateway.knowledge import Knowledge
 from sassafrasdale.gateway.peer_calls import OwnState, PeerCalls, Shared
 from sassafrasdale.gateway.peer_states import (
@@ -75,8 +76,10 @@
     def _build_knowledge(self) -> None:
         settings = self._settings
         clock = self._clock
-        self._store_health = Dependency("store", clock)
         self._store = PlatformStore(settings.store, clock)
+        # Watches that were sent into an outage are never answered. Given up as soon
+        # as the store answers anything, they are asked anew instead of waited for.
+        self._store_health = Dependency("store", clock, self._store.drop_watches)
         self.directory = Directory(
             clock,
             self._rng,
@@ -161,8 +164,23 @@
         )
 
     def _build_duties(self) -> None:
+        bounds = self._settings.bounds
         self.registration = Registration(
-            self._contact, self._store, self.peering, self._store_health, self._rng
+            self._contact,
+            self._store,
+            self.peering,
+            self._store_health,
+            self._clock,
+            self._rng,
+        )
+        self.heartbeat = Heartbeat(
+            lambda: self.registration.lease,
+            self._store,
+            self._store_health,
+            self.peering.should_watch,
+            min(bounds.configuration_delay, bounds.endpoint_drain),
+            self._clock,
+            self._rng,
         )
         self.duties = Duties(
             self._settings,
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -189,8 +189,9 @@
 
     def _call(self, contact: Contact, request: Request) -> Answer:
         client = self._client(contact, self._clients, ANSWER_LIMIT)
+        asked_at = self._clock.elapsed()
         answer = client.call(request, ANSWER_LIMIT)
-        self._dependency.succeeded()
+        self._dependency.succeeded(asked_at)
         return answer
 
     def _client(
--- a/src/sassafrasdale/gateway/registration.py
+++ b/src/sassafrasdale/gateway/registration.py
@@ -5,6 +5,7 @@
 
 from logbook import Logger
 
+from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import LeaseNotFound, StoreError
 from sassafrasdale.coordination.stores import Lease, StoredValue
 from sassafrasdale.gateway.dependencies import Dependency
@@ -39,12 +40,14 @@
         store: PlatformStore,
         peering: Peering,
         dependency: Dependency,
+        clock: Clock,
         rng: Random,
     ) -> None:
         self._own = own
         self._store = store
         self._peering = peering
         self._dependency = dependency
+        self._clock = clock
         self._rng = rng
         self._lease: Lease | None = None
         self._listed = False
@@ -54,18 +57,24 @@
         """Whether the listed gateways have been read since the start."""
         return self._listed
 
+    @property
+    def lease(self) -> Lease | None:
+        """The lease of this gateway's entry; None before there is one."""
+        return self._lease
+
     def run(self) -> None:
         """Keep the entry until the task is killed."""
         while True:
             pause = LISTED / RENEWALS
+            asked_at = self._clock.elapsed()
             try:
                 self._step()
-                self._dependency.succeeded()
+                self._dependency.succeeded(asked_at)
             except LeaseNotFound:
                 self._lease = None
                 pause = timedelta()
             except StoreError as error:
-                self._dependency.failed(error)
+                self._dependency.failed(error, asked_at)
                 pause = FAILURE_PAUSE
             sleep(pause * self._rng.uniform(0.8, 1.0))
 
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -368,6 +368,7 @@
         self._address = address
         self._clock = clock
         self._pool = ConnectionPool(address, connect_limit, clock)
+        self._waiting: set[HttpConnection] = set()
 
     @property
     def address(self) -> Address:
@@ -382,6 +383,7 @@
         """
         until = self._clock.elapsed() + limit
         connection = self._pool.take()
+        self._waiting.add(connection)
         try:
             connection.send(self._addressed(request))
             head = connection.read_head(until)
@@ -392,6 +394,8 @@
             connection.close()
             self._pool.close()
             raise
+        finally:
+            self._waiting.discard(connection)
         self._pool.give_back(connection)
         return Answer(head.status, head.headers, body)
 
@@ -399,6 +403,12 @@
         """Close what is idle."""
         self._pool.close()
 
+    def abort(self) -> None:
+        """Close all connections; calls that wait for an answer end as lost."""
+        for connection in list(self._waiting):
+            connection.close()
+        self._pool.close()
+
     def _addressed(self, request: Request) -> Request:
         headers = (("host", str(self._address)), *request.headers)
         return Request(request.method, request.target, headers, request.body)
--- a/src/sassafrasdale/platform/settings.py
+++ b/src/sassafrasdale/platform/settings.py
@@ -34,6 +34,7 @@
 class _Bounds(_Model):
     drain_ms: float = Field(2000, alias="drainMs")
     grace_s: float = Field(8, alias="graceS")
+    config_apply_ms: float = Field(2000, alias="configApplyMs")
     retry_ratio: float = Field(0.2, alias="retryRatio")
     retry_slack: float = Field(0, alias="retrySlack")
     quota_slack: float = Field(0, alias="quotaSlack")
@@ -150,5 +151,6 @@
         usage_window=timedelta(seconds=bounds.usage_window_s),
         usage_delay=timedelta(seconds=bounds.usage_late_s),
         shortest_lease=timedelta(milliseconds=store.ttl_min_ms),
+        configuration_delay=timedelta(milliseconds=bounds.config_apply_ms),
         checks_fencing=bounds.require_fence,
     )
--- a/src/sassafrasdale/platform/store.py
+++ b/src/sassafrasdale/platform/store.py
@@ -12,10 +12,12 @@
     LeaseNotFound,
     StoreAnswerLost,
     StoredValueMalformed,
+    StoreError,
     StoreHistoryLost,
     StoreNotReached,
     StoreOverloaded,
     StoreRejected,
+    StoreWatchDropped,
 )
 from sassafrasdale.coordination.stores import (
     BaseStore,
@@ -32,6 +34,9 @@
 # A call is answered in milliseconds; one that takes longer has lost its answer or
 # meets a store in trouble.
 CALL_LIMIT = timedelta(seconds=1.5)
+# The store is milliseconds away; what isn't open by now won't be soon. A call that
+# begins as the store is about to return must not hold its caller up for long.
+CONNECT_LIMIT = timedelta(milliseconds=500)
 # A watch's answer may come this much after the time that it asked for.
 WATCH_MARGIN = timedelta(seconds=1)
 _JSON = (("content-type", "application/json"),)
@@ -73,9 +78,10 @@
     """
 
     def __init__(self, address: Address, clock: Clock) -> None:
-        self._client = HttpClient(address, clock)
+        self._client = HttpClient(address, clock, CONNECT_LIMIT)
         # A watch holds its connection for long; calls must not share its fate.
-        self._watches = HttpClient(address, clock)
+        self._watches = HttpClient(address, clock, CONNECT_LIMIT)
+        self._drops = 0
 
     def get(self, key: str) -> StoredValue | None:
         """Return what ``key`` holds."""
@@ -120,15 +126,22 @@
         """Wait for changes below ``prefix`` beyond the revision ``after``.
 
         :raises StoreHistoryLost: if the store no longer has that history.
+        :raises StoreWatchDropped: if :meth:`drop_watches` was called meanwhile.
         """
         wait = milliseconds(limit)
         query = urlencode({"prefix": prefix, "after": after, "waitMs": wait})
-        answer = self._call(
-            "GET",
-            "/v1/kv-watch?" + query,
-            limit=limit + WATCH_MARGIN,
-            client=self._watches,
-        )
+        drops = self._drops
+        try:
+            answer = self._call(
+                "GET",
+                "/v1/kv-watch?" + query,
+                limit=limit + WATCH_MARGIN,
+                client=self._watches,
+            )
+        except StoreError as error:
+            if self._drops != drops:
+                raise StoreWatchDropped(f"watch of {prefix} dropped") from error
+            raise
         if answer.status == 410:
             raise StoreHistoryLost(f"changes of {prefix} after {after} are gone")
         document = _document(answer)
@@ -137,6 +150,11 @@
             max(after, document["at"]),
         )
 
+    def drop_watches(self) -> None:
+        """Give up the watches that wait now, so that they are asked for anew."""
+        self._drops += 1
+        self._watches.abort()
+
     def compare_and_swap(
         self,
         key: str,
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -6,7 +6,7 @@
 import pytest
 from logbook import TestHandler as LogRecorder
 
-from sassafrasdale.clock import ManualClock
+from sassafrasdale.clock import ManualClock, SystemClock
 from sassafrasdale.coordination.exceptions import StoreHistoryLost, StoreNotReached
 from sassafrasdale.coordination.stores import StoredValue
 from sassafrasdale.gateway.dependencies import Dependency
@@ -247,12 +247,14 @@
     assert follower.revision == 10
 
 
-def test_a_loss_and_its_end_are_told_once(store, follower):
+def test_a_loss_and_its_end_are_told_once(store):
     """An engineer sees the store regained while one prefix still waits for an answer.
 
     Other calls of the gateway are answered again; only the prefix's own lines tell
     that its values may be outdated, and for how long.
     """
+    clock = SystemClock()
+    follower = Follower("p/", store, print, Dependency("s", clock), clock, Random(1))
     store.snapshots = [Snapshot((), 10)]
     answers = [Changes((), 11)] * 50
     store.changes = [StoreNotReached("down"), StoreNotReached("down"), *answers]
--- a/tests/guarantees/test_gateway.py
+++ b/tests/guarantees/test_gateway.py
@@ -221,6 +221,8 @@
     A change wakes all gateways' watches at once, and the store falls silent. Each asks
     again into the silence. The store is back and takes a new version; calls that were
     sent into the silence are never answered, and nobody asks for the configuration.
+    Seen by: on all gateways a call ran out of its 6 s three seconds after the store was
+    back, the second one since the change that had woken them, among answered renewals.
     """
     start(fleet)
     fleet.store.put("op/config", configuration(version=8))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -23,6 +23,7 @@
     assert decoded.reports_usage
     assert decoded.orders_endpoints
     assert decoded.bounds.endpoint_drain == timedelta(seconds=1.5)
+    assert decoded.bounds.configuration_delay == timedelta(seconds=1.7)
     assert decoded.bounds.lease == timedelta(seconds=2.5)
     assert decoded.bounds.usage_window == timedelta(seconds=4)
     assert decoded.bounds.retry_slack == 33
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,54 @@
+"""The client of the platform's store, against its stand-in."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.coordination.exceptions import StoreWatchDropped
+from sassafrasdale.green import sleep, spawn
+from sassafrasdale.platform.store import PlatformStore
+from sassafrasdale.structures import Address
+from standins.kv_store import Fault, KvStore
+
+CLOCK = SystemClock()
+WAIT = timedelta(seconds=5)
+MOMENT = timedelta(milliseconds=100)
+
+
+@pytest.fixture
+def platform():
+    return KvStore(CLOCK)
+
+
+@pytest.fixture
+def store(platform):
+    return PlatformStore(platform.serve(Address("127.0.0.1", 0)), CLOCK)
+
+
+def test_a_watch_in_a_silence_is_given_up_at_once(platform, store):
+    """A change would be seen seconds late, when the watch runs out of its time.
+
+    The watch is sent into a silence; the store is back and has a change, and the watch
+    is dropped. The next one brings the change.
+    """
+    platform.fault = Fault.SILENT
+    task = spawn(store.follow, "p/", 1, WAIT)
+    sleep(MOMENT)
+    platform.fault = Fault.NONE
+    platform.put("p/a", 1)
+    began = CLOCK.elapsed()
+    store.drop_watches()
+    with pytest.raises(StoreWatchDropped):
+        task.wait()
+    changes = store.follow("p/", 1, WAIT)
+    assert [change.key for change in changes.events] == ["p/a"]
+    assert CLOCK.elapsed() - began < WAIT / 2
+
+
+def test_dropping_watches_leaves_other_calls_alone(platform, store):
+    platform.put("p/a", 1)
+    task = spawn(store.get, "p/a")
+    sleep()
+    store.drop_watches()
+    assert task.wait().value == b"1"
