--- a/src/sassafrasdale/decisions/aggregators.py
+++ b/src/sassafrasdale/decisions/aggregators.py
@@ -25,6 +25,10 @@
 # a gateway counts as silent.
 SHORTEST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(milliseconds=500)
+# A gateway that was heard of this lately is in touch: a few reports may go wrong.
+FRESH = timedelta(seconds=1.5)
+# A gateway that has not been heard of for this long is held to be gone.
+LIFETIME = timedelta(seconds=5)
 # Gateways that watch the store, over all zones, and in each. The others hear of changes
 # from their aggregator. A third of the gateways may be turned away by the store at a
 # time; chance turns away all of eight once in some thousand times.
--- a/src/sassafrasdale/decisions/quotas.py
+++ b/src/sassafrasdale/decisions/quotas.py
@@ -22,6 +22,8 @@
 from datetime import timedelta
 from math import exp
 
+from sassafrasdale.decisions.aggregators import FRESH, LIFETIME
+
 # Time over which a group's spending is averaged to expect what it spends unseen.
 SPENDING_WINDOW = timedelta(seconds=2)
 # Time that a spending takes to be known everywhere where nothing else is said.
@@ -38,12 +40,7 @@
 # limit; later it has most likely given up.
 SHORTEST_RETURN = timedelta(milliseconds=300)
 LONGEST_RETURN = timedelta(seconds=10)
-# A group's rate is expected to go on for this long without a report; after it the group
-# counts as silent and its part of the limit is set aside.
-EXPECTED_TIME = timedelta(seconds=1.5)
-# A group not heard of for this long has stopped; nothing is expected of it.
-STOPPED_TIME = timedelta(seconds=5)
-# Its count is kept for longer: it may have been cut off.
+# The count of a group that is gone is kept for this long: it may have been cut off.
 FORGET = timedelta(minutes=2)
 
 
@@ -70,11 +67,15 @@
     rate: float = 0.0
 
     def expected(self, now: timedelta) -> float:
-        """Return what the group has most likely spent since it was heard."""
+        """Return what the group has most likely spent since it was heard.
+
+        Its rate is expected to go on while it is in touch; after that its part of the
+        limit is set aside instead.
+        """
         age = now - self.heard_at
-        if age > STOPPED_TIME:
+        if age > LIFETIME:
             return 0.0
-        return self.rate * min(age, EXPECTED_TIME).total_seconds()
+        return self.rate * min(age, FRESH).total_seconds()
 
 
 class SharedLimit:
--- a/src/sassafrasdale/gateway/aggregating.py
+++ b/src/sassafrasdale/gateway/aggregating.py
@@ -5,8 +5,8 @@
 
 from logbook import Logger
 
-from sassafrasdale.decisions.aggregators import pause_for
-from sassafrasdale.gateway.groups import FRESH, LIFETIME, Group
+from sassafrasdale.decisions.aggregators import FRESH, LIFETIME, pause_for
+from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_calls import NEWS_TARGET, PeerCalls, Shared
 from sassafrasdale.gateway.peer_states import (
     GROUP_NEWS,
--- a/src/sassafrasdale/gateway/groups.py
+++ b/src/sassafrasdale/gateway/groups.py
@@ -8,6 +8,7 @@
 from statistics import fmean
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.aggregators import FRESH, LIFETIME
 from sassafrasdale.gateway.peer_states import (
     Contact,
     DutyClaim,
@@ -17,11 +18,6 @@
     MemberState,
 )
 
-# A gateway that was heard of this lately is in touch: a few reports may go wrong.
-FRESH = timedelta(seconds=1.5)
-# A gateway that has not been heard of for this long is held to be gone.
-LIFETIME = timedelta(seconds=5)
-
 
 @dataclass(slots=True)
 class _Member:
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -11,7 +11,6 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.gateway.assignment import ASSIGNED, Ask, Assigned, Notes
-from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.peer_states import (
     REDIRECT,
     STORE_VALUES,
@@ -119,7 +118,6 @@
         self._clock = clock
         self._clients: dict[str, HttpClient] = {}
         self._askers: dict[str, HttpClient] = {}
-        self._dependency = Dependency("peers", clock)
 
     def send(
         self, contact: Contact, target: str, message: Struct, decoder: Decoder[Decoded]
@@ -189,10 +187,7 @@
 
     def _call(self, contact: Contact, request: Request) -> Answer:
         client = self._client(contact, self._clients, ANSWER_LIMIT)
-        asked_at = self._clock.elapsed()
-        answer = client.call(request, ANSWER_LIMIT)
-        self._dependency.succeeded(asked_at)
-        return answer
+        return client.call(request, ANSWER_LIMIT)
 
     def _client(
         self, contact: Contact, clients: dict[str, HttpClient], limit: timedelta
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -12,10 +12,14 @@
 
 from logbook import Logger
 
-from sassafrasdale.decisions.aggregators import pause_for, watches_store
+from sassafrasdale.decisions.aggregators import (
+    FRESH,
+    LIFETIME,
+    pause_for,
+    watches_store,
+)
 from sassafrasdale.gateway.aggregating import Aggregating
 from sassafrasdale.gateway.assignment import ASK, NOTES
-from sassafrasdale.gateway.groups import FRESH, LIFETIME
 from sassafrasdale.gateway.peer_calls import (
     ASK_TARGET,
     NEWS_TARGET,
--- a/src/sassafrasdale/gateway/quotas.py
+++ b/src/sassafrasdale/gateway/quotas.py
@@ -12,8 +12,8 @@
 from random import Random
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.aggregators import FRESH
 from sassafrasdale.decisions.quotas import (
-    EXPECTED_TIME,
     UNSEEN_TIME,
     SharedLimit,
     SpendingCounter,
@@ -220,7 +220,7 @@
             members = state.gateways + state.silent
             counted += members
             spending = state.spending.get(customer.name)
-            if now - self._heard_at + heard.age > EXPECTED_TIME:
+            if now - self._heard_at + heard.age > FRESH:
                 even = members / gateways
                 kept += even if spending is None else spending.share
                 kept += 0.0 if spending is None else spending.set_aside
@@ -262,7 +262,7 @@
             heard.state.spending[name].used
             for heard in self._groups
             if name in heard.state.spending
-            and now - self._heard_at + heard.age <= EXPECTED_TIME
+            and now - self._heard_at + heard.age <= FRESH
         ]
         limit = SharedLimit(max(used, default=self._first_used(customer, now)), now)
         self._limits[name] = limit
--- a/tests/decisions/test_quotas.py
+++ b/tests/decisions/test_quotas.py
@@ -4,11 +4,10 @@
 
 import pytest
 
+from sassafrasdale.decisions.aggregators import FRESH, LIFETIME
 from sassafrasdale.decisions.quotas import (
-    EXPECTED_TIME,
     SHORTEST_RETURN,
     SPREAD,
-    STOPPED_TIME,
     UNSEEN_TIME,
     SharedLimit,
     SpendingCounter,
@@ -32,15 +31,15 @@
     limit = SharedLimit(0.0, ZERO)
     limit.hear(counter(("b", 1, 0)), 500, ZERO)
     limit.hear(counter(("b", 1, 0)), 800, ZERO)
-    limit.hear(counter(("b", 1, 0)), 800, STOPPED_TIME * 2)
-    assert limit.used(STOPPED_TIME * 4) == 300
+    limit.hear(counter(("b", 1, 0)), 800, LIFETIME * 2)
+    assert limit.used(LIFETIME * 4) == 300
 
 
 def test_an_aggregator_that_started_anew_counts_from_nothing():
     limit = SharedLimit(0.0, ZERO)
     limit.hear(counter(("b", 1, 0)), 5000, ZERO)
     limit.hear(counter(("b", 2, 0), SECOND), 40, SECOND)
-    assert limit.used(STOPPED_TIME * 2) == 40
+    assert limit.used(LIFETIME * 2) == 40
 
 
 def test_a_group_is_expected_to_go_on_until_it_is_silent():
@@ -48,13 +47,10 @@
     limit = SharedLimit(0.0, ZERO)
     limit.hear(counter(("b", 1, 0)), 0, ZERO)
     limit.hear(counter(("b", 1, 0)), 1000, SECOND)
-    used = [
-        limit.used(SECOND + age)
-        for age in (ZERO, EXPECTED_TIME / 2, EXPECTED_TIME, EXPECTED_TIME * 2)
-    ]
+    used = [limit.used(SECOND + age) for age in (ZERO, FRESH / 2, FRESH, FRESH * 2)]
     assert used[0] == 1000
     assert used[0] < used[1] < used[2] == used[3]
-    assert limit.used(SECOND + STOPPED_TIME * 2) == 1000
+    assert limit.used(SECOND + LIFETIME * 2) == 1000
 
 
 def test_a_limit_fills_up_with_time():
@@ -83,7 +79,7 @@
     limit = SharedLimit(0.0, ZERO)
     limit.hear(counter(("b", 1, 0)), 5000, ZERO)
     limit.hear(counter(("c", 1, 0), SECOND), 70, 2 * SECOND)
-    assert limit.used(STOPPED_TIME * 2) == 70
+    assert limit.used(LIFETIME * 2) == 70
 
 
 def test_an_aggregator_that_has_counted_for_long_is_no_news():
@@ -105,7 +101,7 @@
     limit.hear(counter(("b", 1, 0)), 0, ZERO)
     limit.hear(counter(("b", 1, 0)), 900, ZERO)
     limit.hear(counter(("b", 1, 0)), 100, ZERO)
-    assert limit.used(STOPPED_TIME * 2) == 100
+    assert limit.used(LIFETIME * 2) == 100
 
 
 def test_near_a_limit_as_much_is_let_in_as_fills_up():
--- a/tests/gateway/test_groups.py
+++ b/tests/gateway/test_groups.py
@@ -5,7 +5,8 @@
 import pytest
 
 from sassafrasdale.clock import ManualClock
-from sassafrasdale.gateway.groups import FRESH, LIFETIME, Group
+from sassafrasdale.decisions.aggregators import FRESH, LIFETIME
+from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_states import DutyClaim, EndpointLoad
 from tests.gateway.fleets import WORK_WINDOW, contact, member, spending
 
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -5,7 +5,7 @@
 import pytest
 from msgspec.structs import replace
 
-from sassafrasdale.gateway.groups import FRESH, LIFETIME
+from sassafrasdale.decisions.aggregators import FRESH, LIFETIME
 from sassafrasdale.gateway.peer_calls import REPORT_TARGET
 from sassafrasdale.gateway.peer_states import (
     DutyClaim,
