--- a/tests/gateway/test_heartbeat.py
+++ b/tests/gateway/test_heartbeat.py
@@ -19,7 +19,7 @@
 )
 from sassafrasdale.coordination.stores import Lease, StoredValue
 from sassafrasdale.gateway.dependencies import Dependency
-from sassafrasdale.gateway.following import Follower
+from sassafrasdale.gateway.following import COLLECTING, Follower
 from sassafrasdale.gateway.heartbeat import Heartbeat
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.platform.store import (
@@ -82,13 +82,14 @@
 
     def follow(self, prefix, after, limit):
         silences, drops = self._silences, self._drops
+        swallowed = self.answers is StoreAnswerLost
         until = self._clock.elapsed() + limit
         while self._clock.elapsed() < until + WATCH_MARGIN:
             if self._drops != drops:
                 raise StoreWatchDropped("dropped")
             if self.answers not in (None, StoreAnswerLost):
                 raise self.answers("refused")
-            if self._silences == silences and self.answers is None:
+            if self._silences == silences and not swallowed:
                 news = tuple(self._changes[after:])
                 if news or self._clock.elapsed() >= until:
                     return Changes(news, len(self._changes))
@@ -209,3 +210,17 @@
         gateway.close()
 
     run_in_virtual_time(scenario)
+
+
+def test_a_moment_of_silence_swallows_no_change():
+    """A confirmed route is refused for six seconds after a silence of a tenth of one.
+
+    A change wakes all gateways' watches; they ask anew just as the store is silent for
+    a moment, and no heartbeat falls into that. The next change is confirmed; nothing
+    fails, and the swallowed watches are waited for.
+    """
+    before = COLLECTING - timedelta(milliseconds=10)
+    for seed in range(10):
+        for length_ms in (20, 100, 300):
+            length = timedelta(milliseconds=length_ms)
+            assert play(length, before, seed=seed) <= DELAY
