Gateways that watch the store also ask by turns

What callers saw: a confirmed route was refused with 404 for seconds after a silence of the store of a tenth of a second.

Mend: those that watch ask for changes without waiting, by turns in true time, one in each quarter of the promised delay; the renewals go. Watches last 10 s in turn, as the questions show what they miss.

Why it holds: no silence has to be noticed; the first question after it finds the change, at most a step later, and the others are told as of any change.

Ruled out: pauses that end at the store's return, no test showed them worth anything any more.

--- a/src/sassafrasdale/decisions/aggregators.py
+++ b/src/sassafrasdale/decisions/aggregators.py
@@ -55,13 +55,15 @@
     return min(max(REPORT_SHARE * reporting, SHORTEST_PAUSE), LONGEST_PAUSE)
 
 
-def watches_store(
-    name: str, zone: str, powers: Mapping[str, float], zones: int
-) -> bool:
-    """Return whether a gateway is one of those that watch the store.
+def watchers(zone: str, powers: Mapping[str, float], zones: int) -> list[str]:
+    """Return the gateways of a zone that watch the store.
 
-    :param powers: of the gateways of its zone that are in touch, by name.
+    :param powers: of the gateways of the zone that are in touch, by name.
     :param zones: availability zones of the deployment.
     """
-    watchers = max(ZONE_WATCHERS, ceil(WATCHERS / max(zones, 1)))
-    return name in ordered(zone, powers)[:watchers]
+    return ordered(zone, powers)[: most_watchers(zones)]
+
+
+def most_watchers(zones: int) -> int:
+    """Return how many gateways of a zone watch the store, where there are as many."""
+    return max(ZONE_WATCHERS, ceil(WATCHERS / max(zones, 1)))
--- a/src/sassafrasdale/gateway/dependencies.py
+++ b/src/sassafrasdale/gateway/dependencies.py
@@ -30,18 +30,12 @@
         self._lost_at: timedelta | None = None
         self._failed_at: timedelta | None = None
         self._answered_to: timedelta | None = None
-        self._regains = 0
 
     @property
     def is_reached(self) -> bool:
         """Whether the last call was answered."""
         return self._answered_to is not None and self._lost_at is None
 
-    @property
-    def regains(self) -> int:
-        """How often the system has answered again after an outage."""
-        return self._regains
-
     @property
     def since_failure(self) -> timedelta | None:
         """Time since the last failed call; None if none ever failed."""
@@ -54,16 +48,18 @@
 
         :param asked_at: elapsed time at which it was sent.
         """
-        if self._answered_to is None or asked_at >= self._answered_to:
-            self._lose(type(error).__name__, str(error))
-
-    def overtaken(self) -> None:
-        """Record that a later call was answered before an earlier one.
-
-        What swallowed the earlier one is over, and may have been too short for any
-        call to run out of its time.
-        """
-        self._lose("overtaken", "a later call was answered first")
+        if self._answered_to is not None and asked_at < self._answered_to:
+            return
+        self._failed_at = self._clock.elapsed()
+        if self._lost_at is not None:
+            return
+        self._lost_at = self._failed_at
+        log.warning(
+            "dependency lost",
+            dependency=self._name,
+            error=type(error).__name__,
+            why=str(error),
+        )
 
     def succeeded(self, asked_at: timedelta) -> None:
         """Record a call that was answered.
@@ -77,17 +73,9 @@
             return
         gap = self._clock.elapsed() - self._lost_at
         self._lost_at = None
-        self._regains += 1
         log.notice(
             "dependency regained",
             dependency=self._name,
             away_s=round(gap.total_seconds(), 3),
         )
         self._regained()
-
-    def _lose(self, error: str, why: str) -> None:
-        self._failed_at = self._clock.elapsed()
-        if self._lost_at is not None:
-            return
-        self._lost_at = self._failed_at
-        log.warning("dependency lost", dependency=self._name, error=error, why=why)
--- a/src/sassafrasdale/gateway/following.py
+++ b/src/sassafrasdale/gateway/following.py
@@ -21,13 +21,13 @@
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.green import sleep
-from sassafrasdale.platform.store import PlatformStore
+from sassafrasdale.platform.store import Changes, PlatformStore
 
 log = Logger("following")
 
-# How long one watch waits. Something on the way can lose track of the connection
-# without a word; then this is the time until that shows.
-WATCH_WAIT = timedelta(seconds=5)
+# How long one watch waits. The store keeps some twenty seconds of history, and a watch
+# that was swallowed shows by what the gateways ask by turns; so it need not be short.
+WATCH_WAIT = timedelta(seconds=10)
 # Pauses after a failed call: short at first, since an outage may have just ended.
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(seconds=1)
@@ -136,19 +136,9 @@
             except StoreError as error:
                 self._dependency.failed(error, asked_at)
                 self._note_lost(error, asked_at)
-                self._rest(pause * self._rng.uniform(0.7, 1.3))
+                sleep(pause * self._rng.uniform(0.7, 1.3))
                 pause = min(pause * 2, LONGEST_PAUSE)
 
-    def _rest(self, pause: timedelta) -> None:
-        """Pause, but no longer than until the store is known to be back."""
-        regains = self._dependency.regains
-        until = self._clock.elapsed() + pause
-        while self._dependency.regains == regains:
-            left = until - self._clock.elapsed()
-            if left <= timedelta():
-                return
-            sleep(min(left, FIRST_PAUSE))
-
     def _note_lost(self, error: StoreError, asked_at: timedelta) -> None:
         """Log that this prefix isn't followed, once for each loss.
 
@@ -192,12 +182,34 @@
             changed = max(revisions.values(), default=0)
             self.adopt(values, snapshot.revision, changed, revisions)
             return
-        changes = self._store.follow(self._prefix, self._revision, WATCH_WAIT)
+        self._take_changes(self._store.follow(self._prefix, self._revision, WATCH_WAIT))
+
+    def poll(self) -> bool:
+        """Ask for changes without waiting, and return whether there were any.
+
+        :raises StoreError: if the store fails.
+        """
+        if self._must_list:
+            return False
+        asked_at = self._clock.elapsed()
+        try:
+            changes = self._store.changes(self._prefix, self._revision)
+        except StoreHistoryLost:
+            self._must_list = True
+            changes = None
+        except StoreError as error:
+            self._dependency.failed(error, asked_at)
+            return False
+        self._dependency.succeeded(asked_at)
+        return changes is None or self._take_changes(changes)
+
+    def _take_changes(self, changes: Changes) -> bool:
+        """Take what the store has answered, and return whether any of it is news."""
         # A peer may have brought something newer while the watch waited.
         events = [event for event in changes.events if event.revision > self._revision]
         if not events:
             self._revision = max(self._revision, changes.revision)
-            return
+            return False
         written = {}
         deleted = {}
         revisions = {}
@@ -211,6 +223,7 @@
                 deleted.pop(event.key, None)
         last = max(event.revision for event in events)
         self._apply(written, deleted, revisions, changes.revision, last)
+        return True
 
     def adopt(
         self,
--- a/src/sassafrasdale/gateway/knowledge.py
+++ b/src/sassafrasdale/gateway/knowledge.py
@@ -102,6 +102,10 @@
         """Return the tasks that follow the store."""
         return [follower.run for follower in self._followers.values()]
 
+    def followers(self) -> list[Follower]:
+        """Return what follows each prefix of the store."""
+        return list(self._followers.values())
+
     def revisions(self) -> dict[str, int]:
         """Return the revision of the last known change, by prefix."""
         return {
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -11,13 +11,16 @@
 from random import Random
 
 from logbook import Logger
+from xxhash import xxh64_intdigest
 
 from sassafrasdale.decisions.aggregators import (
     FRESH,
     LIFETIME,
+    most_watchers,
     pause_for,
-    watches_store,
+    watchers,
 )
+from sassafrasdale.decisions.turns import Turn, turn_of
 from sassafrasdale.gateway.aggregating import Aggregating
 from sassafrasdale.gateway.assignment import ASK, NOTES
 from sassafrasdale.gateway.peer_calls import (
@@ -181,6 +184,36 @@
         A few of each zone do. The others go by what these tell, as long as they hear
         of one that the store answers.
         """
+        if self._roster.own.name in self._zone_watchers():
+            return True
+        return not any(
+            group.state.follows_store and group.age <= FRESH for group in self.groups()
+        )
+
+    def polling_turn(self) -> Turn | None:
+        """Return this gateway's turn to ask the store; None where others do.
+
+        Where nobody in touch is answered by the store, all ask, as seldom as those that
+        have a turn: two hundred that ask in a rush would be refused over its rate.
+        """
+        own = self._roster.own
+        zone_watchers = self._zone_watchers()
+        most = most_watchers(self._zones)
+        counts = {
+            group.state.aggregator.zone: min(group.state.gateways, most)
+            for group in self.groups()
+            if group.state.follows_store and group.age <= FRESH
+        }
+        counts[own.zone] = len(zone_watchers)
+        if own.name in zone_watchers:
+            return turn_of(own.zone, zone_watchers.index(own.name), counts)
+        if not self.should_watch():
+            return None
+        place = xxh64_intdigest(own.name.encode()) % len(zone_watchers)
+        return turn_of(own.zone, place, counts)
+
+    def _zone_watchers(self) -> list[str]:
+        """Return the gateways of this one's zone that watch the store, in order."""
         own = self._roster.own
         powers = {
             contact.name: contact.power
@@ -188,11 +221,7 @@
             if not self._roster.is_passed_over(contact.name)
         }
         powers[own.name] = own.power
-        if watches_store(own.name, own.zone, powers, self._zones):
-            return True
-        return not any(
-            group.state.follows_store and group.age <= FRESH for group in self.groups()
-        )
+        return watchers(own.zone, powers, self._zones)
 
     def told_spent(self, customer: str) -> float:
         """Return how much of this gateway's spending an aggregator has counted."""
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -85,7 +85,7 @@
         signal.signal(signal.SIGHUP, lambda number, frame: self._ask_reload())
         parts = self._parts
         tasks = parts.knowledge.tasks() + parts.duties.tasks()
-        tasks += [parts.registration.run, parts.heartbeat.run]
+        tasks += [parts.registration.run, parts.polling.run]
         tasks += [parts.peering.run, parts.asking.run]
         for task in tasks:
             spawn(run_for_good, task)
--- a/src/sassafrasdale/gateway/registration.py
+++ b/src/sassafrasdale/gateway/registration.py
@@ -57,11 +57,6 @@
         """Whether the listed gateways have been read since the start."""
         return self._listed
 
-    @property
-    def lease(self) -> Lease | None:
-        """The lease of this gateway's entry; None before there is one."""
-        return self._lease
-
     def run(self) -> None:
         """Keep the entry until the task is killed."""
         while True:
--- a/src/sassafrasdale/platform/store.py
+++ b/src/sassafrasdale/platform/store.py
@@ -39,6 +39,8 @@
 CONNECT_LIMIT = timedelta(milliseconds=500)
 # A watch's answer may come this much after the time that it asked for.
 WATCH_MARGIN = timedelta(seconds=1)
+# A watch that is not meant to wait.
+SHORTEST_WAIT = timedelta(milliseconds=1)
 _JSON = (("content-type", "application/json"),)
 
 
@@ -128,20 +130,35 @@
         :raises StoreHistoryLost: if the store no longer has that history.
         :raises StoreWatchDropped: if :meth:`drop_watches` was called meanwhile.
         """
-        wait = milliseconds(limit)
-        query = urlencode({"prefix": prefix, "after": after, "waitMs": wait})
         drops = self._drops
         try:
-            answer = self._call(
-                "GET",
-                "/v1/kv-watch?" + query,
-                limit=limit + WATCH_MARGIN,
-                client=self._watches,
+            return self._changes(
+                prefix, after, limit, limit + WATCH_MARGIN, self._watches
             )
         except StoreError as error:
             if self._drops != drops:
                 raise StoreWatchDropped(f"watch of {prefix} dropped") from error
             raise
+
+    def changes(self, prefix: str, after: int) -> Changes:
+        """Return the changes below ``prefix`` beyond ``after`` that there are now.
+
+        :raises StoreHistoryLost: if the store no longer has that history.
+        """
+        return self._changes(prefix, after, SHORTEST_WAIT, CALL_LIMIT, self._client)
+
+    def _changes(
+        self,
+        prefix: str,
+        after: int,
+        wait: timedelta,
+        limit: timedelta,
+        client: HttpClient,
+    ) -> Changes:
+        query = urlencode(
+            {"prefix": prefix, "after": after, "waitMs": milliseconds(wait)}
+        )
+        answer = self._call("GET", "/v1/kv-watch?" + query, limit=limit, client=client)
         if answer.status == 410:
             raise StoreHistoryLost(f"changes of {prefix} after {after} are gone")
         document = _document(answer)
--- /dev/null
+++ b/tests/decisions/test_turns.py
@@ -0,0 +1,40 @@
+"""Turns of the gateways that ask the store."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.decisions.turns import Turn, turn_of
+
+STEP = timedelta(milliseconds=500)
+UNEVEN = {"a": 3, "b": 1, "c": 2}
+
+
+def turns(counts):
+    return [
+        turn_of(zone, place, counts)
+        for zone, count in counts.items()
+        for place in range(count)
+    ]
+
+
+@pytest.mark.parametrize("counts", [{"a": 1}, {"a": 1, "b": 1, "c": 1}, UNEVEN])
+def test_each_step_is_one_gateways_turn(counts):
+    """A change that all watches missed would wait for as long as nobody asks."""
+    found = turns(counts)
+    assert sorted(turn.index for turn in found) == list(range(sum(counts.values())))
+    now = 1_700_000_000.2
+    times = sorted(turn.time_until(now, STEP) for turn in found)
+    assert times[0] < STEP
+    assert all(
+        abs(later - earlier - STEP) < STEP / 100
+        for earlier, later in zip(times, times[1:], strict=False)
+    )
+
+
+def test_a_turn_comes_again_after_all_others():
+    turn = Turn(2, 6)
+    now = 1_700_000_000.0
+    first = turn.time_until(now, STEP)
+    again = turn.time_until(now + first.total_seconds() + 0.01, STEP)
+    assert again == pytest.approx(STEP * 6, abs=timedelta(milliseconds=20))
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -364,6 +364,51 @@
     assert large.nodes[name].peering.should_watch()
 
 
+@pytest.mark.parametrize(
+    "zones", [{"a": 20, "b": 20, "c": 20}, {"a": 3, "b": 3, "c": 2}, {"a": 1, "b": 1}]
+)
+def test_those_that_watch_ask_by_turns(zones):
+    """A change that a silence swallowed would wait until somebody asks by chance.
+
+    Each has a turn of its own, and together they fill the round.
+    """
+    large = Fleet(zones)
+    large.play(SETTLED)
+    turns = [node.peering.polling_turn() for node in large.nodes.values()]
+    taken = [turn for turn in turns if turn is not None]
+    assert sorted(turn.index for turn in taken) == list(range(len(taken)))
+    assert {turn.count for turn in taken} == {len(taken)}
+
+
+def test_turns_of_a_zone_that_is_cut_off_are_left_out():
+    """Nobody would ask in the turns of gateways that can't tell what they find."""
+    large = Fleet({"a": 3, "b": 3, "c": 3})
+    large.play(SETTLED)
+    cut_off = [name for name, node in large.nodes.items() if node.zone == "c"]
+    for name in cut_off:
+        large.cut(name)
+    large.play(LIFETIME.total_seconds())
+    others = [node for name, node in large.nodes.items() if name not in cut_off]
+    turns = [node.peering.polling_turn() for node in others]
+    assert sorted(turn.index for turn in turns) == list(range(6))
+    assert {turn.count for turn in turns} == {6}
+
+
+def test_two_hundred_gateways_do_not_ask_in_a_rush_during_an_outage():
+    """The store would refuse calls over its rate as it comes back.
+
+    None is answered, so all ask; each as seldom as those that have a turn.
+    """
+    large = Fleet({"a": 20, "b": 20, "c": 20})
+    large.play(SETTLED)
+    for node in large.nodes.values():
+        node.follows_store = False
+    large.play(1)
+    turns = [node.peering.polling_turn() for node in large.nodes.values()]
+    assert min(turn.count for turn in turns) >= 3
+    assert len({turn.index for turn in turns}) >= 3
+
+
 def test_bytes_of_a_gateway_do_not_grow_with_the_fleet():
     """Links of 10 Mbit/s were full of what gateways tell each other.
 
