--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -13,6 +13,7 @@
 from sassafrasdale.gateway.following import MOST_DELETED, Follower
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.platform.store import Change, Changes, Snapshot
+from standins.gateway_fleet import wait_for
 
 
 class Store:
@@ -261,7 +262,8 @@
     logs = LogRecorder()
     with logs.applicationbound():
         task = spawn(follower.run)
-        sleep(timedelta(seconds=0.8))
+        wait_for(lambda: follower.revision == 11, "not followed again")
+        sleep(timedelta(milliseconds=300))
         task.kill()
     told = [rec.message for rec in logs.records if rec.channel == "following"]
     assert told == ["store not followed", "store followed again"]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,11 +9,11 @@
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.platform.store import PlatformStore
 from sassafrasdale.structures import Address
+from standins.gateway_fleet import wait_for
 from standins.kv_store import Fault, KvStore
 
 CLOCK = SystemClock()
 WAIT = timedelta(seconds=5)
-MOMENT = timedelta(milliseconds=100)
 
 
 @pytest.fixture
@@ -34,7 +34,7 @@
     """
     platform.fault = Fault.SILENT
     task = spawn(store.follow, "p/", 1, WAIT)
-    sleep(MOMENT)
+    wait_for(lambda: platform.calls == 1, "the watch was not sent")
     platform.fault = Fault.NONE
     platform.put("p/a", 1)
     began = CLOCK.elapsed()
