Rate limits that endpoints name are read and logged

Each response of the intended endpoint is read at its head; one line and one count for each change of belief. The choice of endpoints is unchanged.

--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -264,3 +264,16 @@
     prompt_tokens: int | None = None
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSignals:
+    """What an endpoint says of itself in one response.
+
+    :param rate_limit: requests per second that it takes from all gateways together;
+        None if it names no limit.
+    :param malformed: headers that can't be used, with their values; they say nothing.
+    """
+
+    rate_limit: float | None = None
+    malformed: tuple[str, ...] = ()
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -18,6 +18,7 @@
     AttemptReport,
 )
 from sassafrasdale.gateway.duties import Duties
+from sassafrasdale.gateway.endpoint_limits import EndpointLimits
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
@@ -81,6 +82,7 @@
         self._contact = self._own_contact()
         self._build_store()
         self._build_quarantine()
+        self._limits = EndpointLimits(clock, self.metrics.count)
         self._build_store_view()
         self._build_peering()
         self._build_serving(may_serve, last_end)
@@ -115,7 +117,7 @@
             settings.bounds.endpoint_drain,
             lambda: self._store_health.since_failure,
             lambda: self.metrics.count("endpoint connection opened"),
-            self.quarantine.record_crash,
+            self._handle_restart,
             self.quarantine.handle_expiry,
         )
         self.rollouts = Rollouts(
@@ -197,6 +199,7 @@
             settings.bounds,
             clock,
             self.rollouts,
+            self._limits,
             self.dispatcher_client,
         )
         self.dispatcher = Dispatcher(self.fleet, clock)
@@ -257,6 +260,10 @@
             self.incarnation,
         )
 
+    def _handle_restart(self, name: str) -> None:
+        self._limits.forget(name)
+        self.quarantine.record_crash(name)
+
     def _forget_engine(self, name: str) -> None:
         self._cache.forget(name)
         self._step_times.forget(name)
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -48,6 +48,7 @@
     is_signed,
     states_not_run,
 )
+from sassafrasdale.platform.signals import read_signals
 
 log = Logger("exchange")
 
@@ -231,6 +232,7 @@
                 admitted.deadline,
                 echoed=(REQUEST_ID, admitted.request.header(REQUEST_ID)),
             )
+            self._fleet.record_signals(attempt, read_signals(head))
             return self._relay_response(record, connection, head, attempt)
         except HttpError as error:
             connection.close()
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -11,6 +11,7 @@
     Bounds,
     Configuration,
     Customer,
+    EndpointSignals,
     RequestTraits,
     Service,
 )
@@ -18,6 +19,7 @@
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.dispatcher_client import DispatcherClient
 from sassafrasdale.gateway.dispatcher_messages import AttemptResult
+from sassafrasdale.gateway.endpoint_limits import EndpointLimits
 from sassafrasdale.gateway.peer_states import loads_by_endpoint
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheEstimate, Placement, shared_parts
@@ -47,6 +49,7 @@
     :param configuration: returns the current configuration.
     :param bounds: share of requests that may be retried.
     :param rollouts: which versions of a service's endpoints get requests.
+    :param limits: rate limits that endpoints have named.
     :param dispatcher_client: client of the zone's dispatcher; None if this gateway
         always chooses endpoints itself.
     """
@@ -63,8 +66,10 @@
         bounds: Bounds,
         clock: Clock,
         rollouts: Rollouts,
+        limits: EndpointLimits,
         dispatcher_client: DispatcherClient | None = None,
     ) -> None:
+        self._limits = limits
         self._dispatcher_client = dispatcher_client
         self._rollouts = rollouts
         self._directory = directory
@@ -425,6 +430,14 @@
             weight=NO_RESPONSE_WEIGHT if result is AttemptResult.FAILED else 1,
         )
 
+    def record_signals(self, attempt: Attempt, signals: EndpointSignals | None) -> None:
+        """Record what an endpoint says of itself in a response.
+
+        :param signals: None if another endpoint has responded.
+        """
+        if signals is not None:
+            self._limits.observe(attempt.record.name, signals, attempt.began_at)
+
     def record_response(self, attempt: Attempt, status: int, took: timedelta) -> None:
         """Record an endpoint's response."""
         record = attempt.record
--- /dev/null
+++ b/src/sassafrasdale/platform/signals.py
@@ -0,0 +1,34 @@
+"""What endpoints say of themselves in the headers of their responses."""
+
+import re
+
+from sassafrasdale.deployment import EndpointSignals
+from sassafrasdale.http.messages import ResponseHead
+
+_RATE_LIMIT = "server-limit"
+# Another endpoint than the intended one has responded.
+_MISDIRECTED = 421
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,20})?", re.ASCII)
+
+
+def read_signals(head: ResponseHead) -> EndpointSignals | None:
+    """Return what the intended endpoint says; None if another one has responded."""
+    if head.status == _MISDIRECTED:
+        return None
+    limits = []
+    malformed = []
+    for value in _values(head, _RATE_LIMIT):
+        if _DECIMAL.fullmatch(value):
+            limits.append(float(value))
+        else:
+            malformed.append(_described(_RATE_LIMIT, value))
+    # Of several values, the lowest is safe for the endpoint.
+    return EndpointSignals(min(limits, default=None), tuple(malformed))
+
+
+def _values(head: ResponseHead, name: str) -> list[str]:
+    return [value.strip() for key, value in head.headers if key == name]
+
+
+def _described(name: str, value: str) -> str:
+    return f"{name}: {value[:40]}"
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -29,6 +29,7 @@
     AttemptReport,
     AttemptResult,
 )
+from sassafrasdale.gateway.endpoint_limits import EndpointLimits
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.peer_states import encode
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
@@ -67,6 +68,7 @@
             bounds(),
             clock,
             no_rollouts(clock),
+            EndpointLimits(clock, lambda name: None),
             client,
         )
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -11,6 +11,7 @@
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import Endpoint, EndpointState, GatewaySettings
 from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.endpoint_limits import EndpointLimits
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
@@ -211,6 +212,7 @@
             CLOCK,
             self.rng,
         )
+        self.limits = EndpointLimits(CLOCK, self.metrics.count)
         peering = single_peering(CLOCK, self.rng)
         cache = CacheEstimate()
         step_times = EngineStepTimes()
@@ -225,6 +227,7 @@
             self.settings.bounds,
             CLOCK,
             self.rollouts,
+            self.limits,
         )
         self.quotas = Quotas(self.settings.bounds, lambda: 1, CLOCK)
         self.strikes = StrikeLedger()
--- /dev/null
+++ b/tests/platform/test_signals.py
@@ -0,0 +1,39 @@
+"""What endpoints say of themselves in the headers of their responses."""
+
+import pytest
+
+from sassafrasdale.deployment import EndpointSignals
+from sassafrasdale.http.messages import ResponseHead
+from sassafrasdale.platform.signals import read_signals
+
+
+def signals(*values: str, status: int = 200) -> EndpointSignals | None:
+    headers = tuple(("server-limit", value) for value in values)
+    return read_signals(ResponseHead(status, headers))
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [("1", 1.0), ("2.5", 2.5), ("0", 0.0), ("0.33333333333333", 1 / 3)],
+)
+def test_a_limit_is_a_decimal_number(value: str, rate: float) -> None:
+    assert signals(value).rate_limit == pytest.approx(rate)
+    assert not signals(value).malformed
+
+
+@pytest.mark.parametrize(
+    "value", ["", "-1", "nan", "inf", "1e300", "9" * 400, "1,5", "two", "٣", "0x10"]
+)
+def test_a_malformed_limit_says_nothing(value: str) -> None:
+    assert signals(value).rate_limit is None
+    assert signals(value).malformed
+
+
+def test_of_two_limits_the_lower_counts() -> None:
+    assert signals("5", "2").rate_limit == 2.0
+    assert signals("junk", "2").rate_limit == 2.0
+
+
+def test_another_endpoint_says_nothing_of_the_intended_one() -> None:
+    assert signals("1", status=421) is None
+    assert signals("1", status=503).rate_limit == 1.0
