--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -70,6 +70,8 @@
     :param proxy: maps the endpoint's address to the one that it registers.
     :param version: version of its software.
     :param defect: defect of that version, if it has one.
+    :ivar arrivals: elapsed times at which requests meant for it have arrived.
+    :ivar extra_headers: headers that it adds to each response.
     """
 
     def __init__(
@@ -105,6 +107,8 @@
         self.runs: list[Run] = []
         self.crashed_at: list[timedelta] = []
         self.events = 8
+        self.arrivals: list[timedelta] = []
+        self.extra_headers: tuple[tuple[str, str], ...] = ()
 
     @property
     def name(self) -> str:
@@ -178,6 +182,7 @@
         if request.header("expect-replica") != self._name:
             connection.answer(421, [("replica-id", self._name)])
             return
+        self.arrivals.append(self._clock.elapsed())
         self._connections.add(connection)
         run = self._new_run(request)
         self.runs.append(run)
@@ -189,6 +194,7 @@
         headers = [
             ("request-id", request.header("request-id")),
             ("replica-stamp", f"{self._name}.stamp"),
+            *self.extra_headers,
         ]
         try:
             if not slowdown:
--- /dev/null
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -0,0 +1,135 @@
+"""What endpoints say of themselves in responses is heeded by all gateways together."""
+
+from bisect import bisect_left
+from collections.abc import Iterator, Sequence
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.green import sleep, spawn
+from standins.gateway_endpoints import StandInEndpoint
+from standins.gateway_fleet import GatewayFleet, ask
+from tests.gateway.world import request
+from tests.platform.documents import configuration, settings
+
+CLOCK = SystemClock()
+SECOND = timedelta(seconds=1)
+GATEWAYS = 4
+ENDPOINTS = 4
+CALLERS = 8
+# The deployment's guarantees: a limit holds this long after it was first named, in each
+# window of this length.
+CONTACT_TIME = 3 * SECOND
+WINDOW = 4 * SECOND
+PLAIN = "/certificates/7"
+STREAM = "/reports/7"
+
+
+def allowed(rate: float) -> float:
+    """Return the requests that may reach an endpoint with a limit in a window."""
+    return 1.5 * rate * WINDOW.total_seconds() + 5
+
+
+class Deployment:
+    """Gateways, endpoints of one service, and callers that send all the time.
+
+    :param path: target of the callers' requests.
+    """
+
+    def __init__(self, path: str) -> None:
+        [customer] = configuration()["tenants"]
+        routes = [
+            {**route, "split": [{"service": "models", "weight": 1}]}
+            if route["name"] == "r-reports"
+            else route
+            for route in configuration()["routes"]
+        ]
+        changed = configuration(tenants=[{**customer, "ratePerS": 0}], routes=routes)
+        self.fleet = GatewayFleet(settings(), changed)
+        streams = path == STREAM
+        self.endpoints = [
+            self.fleet.add_endpoint(
+                f"e-{number}",
+                "models" if streams else "records",
+                "ab"[number % 2],
+                streams=streams,
+            )
+            for number in range(ENDPOINTS)
+        ]
+        for number in range(GATEWAYS):
+            self.fleet.add_gateway(f"front-{number}", "ab"[number % 2]).launch()
+        for gateway in self.fleet.gateways:
+            gateway.wait_until_ready()
+        # Until the gateways have discovered each other.
+        sleep(SECOND)
+        self._path = path
+        self._running = True
+        self.responses: list[bytes] = []
+        for number in range(CALLERS):
+            spawn(self._send_requests, number)
+
+    def _send_requests(self, caller: int) -> None:
+        number = 0
+        while self._running:
+            number += 1
+            gateway = self.fleet.gateways[(caller + number) % GATEWAYS]
+            headers = {"Deadline-Ms": "4000", "Token-Count": "100,8"}
+            data = request(self._path, f"r-{caller}-{number}", **headers)
+            response = ask(gateway.address, data)
+            self.responses.append(response)
+            if not response.startswith(b"HTTP/1.1 200"):
+                sleep(timedelta(milliseconds=5))
+
+    def name_limits(self, rate: float, endpoints: Sequence[StandInEndpoint]) -> None:
+        """Have endpoints name a limit in all responses from now on."""
+        for endpoint in endpoints:
+            endpoint.extra_headers = (("server-limit", str(rate)),)
+
+    def close(self) -> None:
+        """Stop the callers and the gateways."""
+        self._running = False
+        self.fleet.close()
+
+
+@pytest.fixture
+def deployment(request) -> Iterator[Deployment]:
+    started = Deployment(getattr(request, "param", PLAIN))
+    yield started
+    started.close()
+
+
+def most_in_a_window(arrivals: Sequence[timedelta], since: timedelta) -> int:
+    """Return the most arrivals in a window that begins at or after a time."""
+    later = [at for at in arrivals if at >= since]
+    return max(
+        (
+            number + 1 - bisect_left(later, at - WINDOW)
+            for number, at in enumerate(later)
+        ),
+        default=0,
+    )
+
+
+def test_a_limited_endpoint_gets_no_more_than_it_takes(deployment):
+    """Guards against a limit that each gateway ignores, or keeps for itself alone."""
+    endpoints = deployment.endpoints[:2]
+    deployment.name_limits(2.0, endpoints)
+    since = CLOCK.elapsed() + CONTACT_TIME
+    sleep(CONTACT_TIME + 1.5 * WINDOW)
+    for endpoint in endpoints:
+        assert most_in_a_window(endpoint.arrivals, since) <= allowed(2.0)
+
+
+def test_an_endpoint_whose_limit_has_ended_is_used_as_before(deployment):
+    """Guards against a limit that outlives the need for it."""
+    endpoints = deployment.endpoints[:2]
+    deployment.name_limits(2.0, endpoints)
+    sleep(CONTACT_TIME)
+    for endpoint in endpoints:
+        endpoint.extra_headers = ()
+    sleep(CONTACT_TIME)
+    since = CLOCK.elapsed()
+    sleep(WINDOW)
+    for endpoint in endpoints:
+        assert most_in_a_window(endpoint.arrivals, since) > 3 * allowed(2.0)
