Gateways together keep to the rate that an endpoint names

Callers' view: an endpoint in need went on getting as much as the others, and more where it answered sooner. Cause: gateways read no header of a response but the ones that frame it; what endpoints say of themselves had no place in the choice. Change: the aggregator of each zone lends permits for its zone's part of the rate, with the replies to reports; as dispatcher it uses them for the engines that it assigns. All gateways learn of a limit with their reports. Each attempt is checked when it is chosen and again when it is sent; where no endpoint is open, the caller is refused at once, with a Retry-After that fits the rate, spread. Ruled out: a bucket at each gateway (a burst of 195); one owner of an endpoint (uses only its own callers' requests).

--- /dev/null
+++ b/src/sassafrasdale/decisions/endpoint_rates.py
@@ -0,0 +1,124 @@
+"""Shares of the request rate that an endpoint in need takes from all gateways together.
+
+Workload: 200 gateways and an endpoint that takes one request per second. A token bucket
+at each gateway would allow a burst of 200. So the rate is split among a few
+availability zones, which all gateways know from their settings, and one gateway of each
+lends out the zone's part as permits. No agreement is needed: where two gateways of a
+zone lend at once, each has a part of the zone's share by the number of gateways that
+report to it.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+# Most zones that share an endpoint's rate. Each may save up one request.
+MAX_SHARING_ZONES = 4
+# Lowest total rate, in requests per second. An endpoint without any requests could
+# never say that its limit has ended.
+MIN_RATE = 0.25
+# Bounds of the time after which callers are asked to come back.
+MIN_INTERVAL = timedelta(milliseconds=300)
+MAX_INTERVAL = timedelta(seconds=5)
+# Time for which a zone's unused part of the rate is saved up, besides one request.
+BURST_TIME = timedelta(seconds=1.5)
+# Time after which a permit that was lent is considered used. Its borrower drops it
+# sooner.
+LOAN_TIMEOUT = timedelta(seconds=2)
+# Time after which a borrower drops a permit that it has not used.
+PERMIT_TIMEOUT = timedelta(seconds=1)
+
+
+def sharing_zones(endpoint_zone: str, zones: Sequence[str]) -> tuple[str, ...]:
+    """Return the zones that share an endpoint's rate, the endpoint's own first."""
+    others = sorted(zone for zone in zones if zone != endpoint_zone)
+    return (endpoint_zone, *others)[:MAX_SHARING_ZONES]
+
+
+def zone_rate(
+    rate: float, zone: str, endpoint_zone: str, zones: Sequence[str]
+) -> float:
+    """Return the requests per second that a zone's gateways may send to an endpoint.
+
+    :param rate: limit that the endpoint has named.
+    """
+    sharing = sharing_zones(endpoint_zone, zones)
+    return max(rate, MIN_RATE) / len(sharing) if zone in sharing else 0.0
+
+
+def permit_interval(limits: Sequence[float], gateways: int) -> timedelta:
+    """Return the mean time between two permits at each gateway, within bounds.
+
+    :param limits: limits of all endpoints that a request may be sent to.
+    """
+    total = sum(max(limit, MIN_RATE) for limit in limits)
+    interval = timedelta(seconds=gateways / total)
+    return min(max(interval, MIN_INTERVAL), MAX_INTERVAL)
+
+
+@dataclass(slots=True)
+class _Loan:
+    permits: int
+    lent_at: timedelta
+
+
+class PermitBucket:
+    """Token bucket whose tokens may be lent to other gateways as permits.
+
+    Lent permits count against its depth, so that the requests of a period never exceed
+    the rate by more than the depth, whoever sends them.
+
+    :param now: elapsed time; the bucket starts empty.
+    """
+
+    def __init__(self, now: timedelta) -> None:
+        self._rate = 0.0
+        self._tokens = 0.0
+        self._updated_at = now
+        self._loans: dict[str, _Loan] = {}
+
+    def set_rate(self, rate: float, now: timedelta) -> None:
+        """Set the requests per second."""
+        self._refill(now)
+        self._rate = rate
+        self._tokens = max(min(self._tokens, self._room()), 0.0)
+
+    def has_token(self, now: timedelta) -> bool:
+        """Return whether a request may be sent."""
+        self._refill(now)
+        return self._tokens >= 1
+
+    def take(self, now: timedelta) -> bool:
+        """Use a token for a request, if there is one."""
+        if not self.has_token(now):
+            return False
+        self._tokens -= 1
+        return True
+
+    def lend(self, borrower: str, wanted: int, returned: int, now: timedelta) -> int:
+        """Settle a borrower's last loan, and return the number of permits of the next.
+
+        :param returned: permits of the last loan that were not used.
+        """
+        self._refill(now)
+        last = self._loans.pop(borrower, None)
+        if last is not None:
+            self._tokens += min(returned, last.permits)
+        permits = min(wanted, int(self._tokens))
+        if permits:
+            self._tokens -= permits
+            self._loans[borrower] = _Loan(permits, now)
+        return permits
+
+    def _refill(self, now: timedelta) -> None:
+        for borrower, loan in list(self._loans.items()):
+            if now - loan.lent_at > LOAN_TIMEOUT:
+                del self._loans[borrower]
+        elapsed = (now - self._updated_at).total_seconds()
+        self._updated_at = now
+        grown = min(self._tokens + self._rate * elapsed, self._room())
+        self._tokens = max(self._tokens, grown)
+
+    def _room(self) -> float:
+        depth = 1 + self._rate * BURST_TIME.total_seconds()
+        return depth - sum(loan.permits for loan in self._loans.values())
--- a/src/sassafrasdale/gateway/aggregator.py
+++ b/src/sassafrasdale/gateway/aggregator.py
@@ -94,6 +94,12 @@
         own = self._roster.own.name
         return any(name != own for name in self._group.members)
 
+    @property
+    def zone_share(self) -> float:
+        """Fraction of the zone's gateways that report here."""
+        listed = 1 + len(self._roster.in_zone(self._roster.own.zone))
+        return min(len(self._group.in_touch) / listed, 1.0)
+
     @property
     def interval(self) -> timedelta:
         """Interval between a member's reports, and between exchanges."""
@@ -176,6 +182,7 @@
         self._roster.merge(report.roster)
         strikes = self._context.strikes
         strikes.apply(name, state.contact.incarnation, report.strikes)
+        self._context.limits.receive(report.endpoint_limits)
         self._merge_usage(report.usage)
         listener = self._context.listener
         listener.receive_clock(name, state.time)
@@ -193,6 +200,8 @@
             roster=() if known else tuple(self._roster.own_zone_contacts()),
             clocks=self._context.time.peer_readings(MAX_CLOCKS),
             strikes=strikes.update_for(name),
+            endpoint_limits=self._context.limits.report(),
+            permits=self._context.permits.lend(name, report.permit_requests),
         )
 
     def handle_update(
@@ -347,6 +356,7 @@
             usage_received=0 if other is None else other.usage_received,
             members=tuple(self._group.in_touch) if same_zone else (),
             strikes=self._context.strikes.update_for(receiver.name),
+            endpoint_limits=self._context.limits.report(),
         )
 
     def _usage_rows_for(self, other: _PeerGroup | None) -> tuple[UsageRow, ...] | None:
@@ -398,6 +408,7 @@
                 self._roster.merge([contact])
                 self._aggregators.setdefault(contact.name, now)
         self._context.strikes.apply(sender.name, sender.incarnation, update.strikes)
+        self._context.limits.receive(update.endpoint_limits)
         self._merge_usage(update.usage)
         if update.usage_complete_since is not None:
             other.usage_complete_since = update.usage_complete_since
--- a/src/sassafrasdale/gateway/attempts.py
+++ b/src/sassafrasdale/gateway/attempts.py
@@ -21,6 +21,7 @@
     :param assigned_by: the dispatcher that assigned the endpoint, if one did.
     :param result: how it ended, once it has.
     :param gap: a low gap between its events.
+    :param has_permit: whether it has a permit for an endpoint with a rate limit.
     :param route: name of the request's route; empty for another gateway's attempt.
     """
 
@@ -37,3 +38,4 @@
     result: AttemptResult = AttemptResult.NEUTRAL
     gap: timedelta | None = None
     route: str = ""
+    has_permit: bool = False
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -29,6 +29,7 @@
     ReceivedGroup,
 )
 from sassafrasdale.gateway.peering import Peering
+from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
 from sassafrasdale.gateway.planning import planned_services
 from sassafrasdale.gateway.poller import Poller
@@ -82,7 +83,7 @@
         self._contact = self._own_contact()
         self._build_store()
         self._build_quarantine()
-        self._limits = EndpointLimits(clock, self.metrics.count)
+        self._build_limits()
         self._build_store_view()
         self._build_peering()
         self._build_serving(may_serve, last_end)
@@ -108,6 +109,19 @@
             self.metrics.count,
         )
 
+    def _build_limits(self) -> None:
+        clock = self._clock
+        self.limits = EndpointLimits(
+            lambda name: name in self.directory.records, clock, self.metrics.count
+        )
+        self.permits = Permits(
+            self.limits,
+            self._settings.availability_zone,
+            self._settings.availability_zones,
+            lambda name: self.directory.zone_of(name),
+            clock,
+        )
+
     def _build_store_view(self) -> None:
         settings = self._settings
         clock = self._clock
@@ -159,6 +173,8 @@
             WORK_WINDOW,
             clock,
             StrikeReplicator(self._strikes, self.incarnation),
+            self.limits,
+            self.permits,
         )
         calls = PeerCalls(context.roster, clock)
         zones = len(self._settings.availability_zones)
@@ -199,7 +215,9 @@
             settings.bounds,
             clock,
             self.rollouts,
-            self._limits,
+            self.limits,
+            self.permits,
+            self._rng,
             self.dispatcher_client,
         )
         self.dispatcher = Dispatcher(self.fleet, clock)
@@ -261,7 +279,7 @@
         )
 
     def _handle_restart(self, name: str) -> None:
-        self._limits.forget(name)
+        self.limits.mark_restarted(name)
         self.quarantine.record_crash(name)
 
     def _forget_engine(self, name: str) -> None:
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -126,6 +126,11 @@
         """Return all registered endpoints of a service, including leaving ones."""
         return list(self._services.get(service, ()))
 
+    def zone_of(self, name: str) -> str | None:
+        """Return the zone of an endpoint; None if it is not registered."""
+        record = self._records.get(name)
+        return None if record is None else record.endpoint.availability_zone
+
     def health_of(self, service: str) -> Health:
         """Return the health of a service's endpoints."""
         health = self._health.get(service)
--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -69,6 +69,7 @@
             "" if source is None else source.name,
             attempt.prefill_tokens,
             max(attempt.queued_tokens, 0),
+            attempt.has_permit,
         )
 
     def record_report(self, report: AttemptReport) -> None:
--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -65,12 +65,15 @@
     :param source: engine from which it fetches the KV cache of shared prompt parts.
     :param prefill_tokens: prompt tokens that it has yet to prefill.
     :param queued_tokens: prefill tokens ahead of them.
+    :param has_permit: whether the dispatcher has used a permit for it, as the endpoint
+        has a rate limit.
     """
 
     endpoint: str
     source: str = ""
     prefill_tokens: Count = 0
     queued_tokens: Count = 0
+    has_permit: bool = False
 
 
 class FirstToken(Message):
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -29,7 +29,7 @@
     reason_of,
 )
 from sassafrasdale.gateway.fingerprints import fingerprint_of
-from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.fleet import NO_ENDPOINT_RETRY_AFTER, Fleet
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.http.connections import HttpConnection
 from sassafrasdale.http.exceptions import (
@@ -55,8 +55,6 @@
 # A stream that another endpoint could resume is abandoned after this time without data.
 # Its caller gives up after a gap of two seconds or more.
 STREAM_IDLE_TIMEOUT = timedelta(seconds=1.2)
-# Retry-After if no endpoint is available.
-NO_ENDPOINT_RETRY_AFTER = timedelta(milliseconds=300)
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
 MAX_EVENT_GAPS = 64
 # A non-idempotent request reuses only connections that were used this recently: if the
@@ -170,7 +168,7 @@
             is_retry=is_retry,
         )
         if attempt is None:
-            self._give_up(AttemptFailed(AttemptOutcome.NOT_SENT, "no endpoint"))
+            self._give_up_unsent()
         self._tried.add(attempt.record.name)
         self._endpoint = attempt.record.name
         self._last_attempt = attempt
@@ -211,12 +209,14 @@
         self, record: EndpointRecord, connection: HttpConnection, attempt: Attempt
     ) -> int:
         admitted = self._admitted
+        if not self._fleet.may_send(attempt):
+            raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint at its limit")
         self._attempts += 1
         self._endpoint_crashed = False
         self._events_before_attempt = self._splitter.count
         time_left = admitted.deadline - self._clock.elapsed()
         if time_left <= timedelta():
-            raise AttemptFailed(AttemptOutcome.NOT_SENT, "no time left")
+            raise AttemptFailed(AttemptOutcome.WITHHELD, "no time left")
         self._fleet.count_attempt(attempt, is_retry=self._attempts > 1)
         headers = EndpointHeaders(
             endpoint=record.name,
@@ -342,9 +342,7 @@
     def _record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
         if failure.outcome is AttemptOutcome.UNKNOWN:
             self._may_have_run = True
-        # An attempt that ran out of time before it was sent is no evidence of the
-        # endpoint's health.
-        is_counted = failure.reason != "no time left"
+        is_counted = failure.outcome is not AttemptOutcome.WITHHELD
         is_fault = failure.outcome is not AttemptOutcome.NOT_RUN
         if is_counted:
             self._fleet.record_failure(attempt, is_fault)
@@ -406,10 +404,27 @@
             return True
         if self._attempts >= admitted.route.max_attempts:
             return False
+        if failure.outcome is AttemptOutcome.WITHHELD:
+            return True
         return self._fleet.retry_budgets.allow_retry(admitted.service, spend=True)
 
-    def _give_up(self, failure: AttemptFailed) -> None:
-        """Raise the error that ends the request; abort a response that has begun."""
+    def _give_up_unsent(self) -> None:
+        """End the request because no endpoint takes it now."""
+        unavailability = self._fleet.unavailability(self._admitted.service)
+        self._give_up(
+            AttemptFailed(AttemptOutcome.WITHHELD, unavailability.reason),
+            unavailability.retry_after,
+        )
+
+    def _give_up(
+        self,
+        failure: AttemptFailed,
+        retry_after: timedelta = NO_ENDPOINT_RETRY_AFTER,
+    ) -> None:
+        """Raise the error that ends the request; abort a response that has begun.
+
+        :param retry_after: time after which its caller may come back.
+        """
         if self._caller.response_started:
             log.info(
                 "stream broken off",
@@ -421,7 +436,7 @@
             raise StreamInterrupted(failure.reason)
         reason = self._last_failure or failure.reason
         if not self._may_have_run:
-            raise RequestRefused(503, reason, retry_after=NO_ENDPOINT_RETRY_AFTER)
+            raise RequestRefused(503, reason, retry_after=retry_after)
         if self._clock.elapsed() >= self._admitted.deadline:
             raise RequestRefused(504, reason)
         raise RequestRefused(502, reason)
--- a/src/sassafrasdale/gateway/failures.py
+++ b/src/sassafrasdale/gateway/failures.py
@@ -17,6 +17,8 @@
 class AttemptOutcome(StrEnum):
     """What is known of an attempt that got no response for the caller."""
 
+    # Held back by this gateway itself, which says nothing of the endpoint.
+    WITHHELD = "withheld"
     NOT_SENT = "not sent"
     NOT_RUN = "not run"
     UNKNOWN = "unknown"
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -22,6 +22,7 @@
 
 # Bounded on decoding, so that an invalid report cannot make a total negative.
 NonNegative = Annotated[float, Meta(ge=0)]
+FiniteRate = Annotated[float, Meta(ge=0, le=1e9)]
 Fraction = Annotated[float, Meta(ge=0, le=1)]
 
 
@@ -100,6 +101,28 @@
     reserved: NonNegative
 
 
+class EndpointLimitReport(Message):
+    """What a gateway knows of the rate limit that an endpoint has named.
+
+    :param rate: requests per second over all gateways; None if the limit has ended.
+    :param age_s: time since an endpoint's response last said so, in seconds.
+    """
+
+    rate: FiniteRate | None
+    age_s: NonNegative
+
+
+class PermitRequest(Message):
+    """Request for permits to send requests to an endpoint with a rate limit.
+
+    :param wanted: permits wanted until the next report.
+    :param returned: permits of the last loan that were not used.
+    """
+
+    wanted: Count
+    returned: Count = 0
+
+
 class UsageRow(Message):
     """Requests started by one incarnation of a gateway in a window.
 
@@ -205,6 +228,8 @@
         assigned.
     :param leaves_group: whether it reports to another aggregator from now on.
     :param strikes: strikes against requests that the aggregator may lack.
+    :param endpoint_limits: what is known of endpoints' rate limits.
+    :param permit_requests: by endpoint.
     """
 
     state: MemberState
@@ -214,6 +239,8 @@
     open_attempts: tuple[int, ...] = ()
     leaves_group: bool = False
     strikes: StrikeUpdate | None = None
+    endpoint_limits: dict[str, EndpointLimitReport] = field(default_factory=dict)
+    permit_requests: dict[str, PermitRequest] = field(default_factory=dict)
 
 
 class ReportReply(Message):
@@ -224,6 +251,8 @@
     :param roster: gateways of the zone, if the member's digest differed.
     :param clocks: current readings of other gateways' clocks.
     :param strikes: strikes against requests that the member may lack.
+    :param endpoint_limits: what is known of endpoints' rate limits.
+    :param permits: permits lent until the next report, by endpoint.
     """
 
     sender: Contact
@@ -235,6 +264,8 @@
     roster: tuple[Contact, ...] = ()
     clocks: dict[str, ClockReading] = field(default_factory=dict)
     strikes: StrikeUpdate | None = None
+    endpoint_limits: dict[str, EndpointLimitReport] = field(default_factory=dict)
+    permits: dict[str, Count] = field(default_factory=dict)
 
 
 class GroupUpdate(Message):
@@ -248,6 +279,7 @@
     :param usage_received: last such version that the sender got from the receiver.
     :param members: names of the group's gateways, sent within the zone only.
     :param strikes: strikes against requests that the receiver may lack.
+    :param endpoint_limits: what is known of endpoints' rate limits.
     """
 
     sender: Contact
@@ -261,6 +293,7 @@
     usage_received: int = 0
     members: tuple[str, ...] = ()
     strikes: StrikeUpdate | None = None
+    endpoint_limits: dict[str, EndpointLimitReport] = field(default_factory=dict)
 
 
 class Redirect(Message):
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -1,11 +1,13 @@
 """Fleets of gateways that exchange reports in process, without a network."""
 
 from collections import Counter, deque
+from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 
 from sassafrasdale.clock import Clock, ManualClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.gateway.endpoint_limits import EndpointLimits
 from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
 from sassafrasdale.gateway.peer_states import (
@@ -17,6 +19,7 @@
     MemberState,
 )
 from sassafrasdale.gateway.peering import Peering
+from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
@@ -131,6 +134,16 @@
         self.time = ClusterTime(fleet.clock)
         own = contact(name, zone, incarnation)
         self.roster = Roster(own, fleet.clock)
+        self.endpoint_limits = EndpointLimits(
+            lambda name: name in fleet.endpoint_zones, fleet.clock, count_nothing
+        )
+        self.permits = Permits(
+            self.endpoint_limits,
+            zone,
+            tuple(fleet.zones),
+            fleet.endpoint_zones.get,
+            fleet.clock,
+        )
         context = PeerContext(
             LocalState(
                 self._state,
@@ -145,6 +158,8 @@
             WORK_WINDOW,
             fleet.clock,
             StrikeReplicator(self.strikes, incarnation),
+            self.endpoint_limits,
+            self.permits,
         )
         calls = LocalCalls(fleet, name, self.roster, fleet.clock)
         self.peering = Peering(context, len(fleet.zones), Random(name), calls)
@@ -185,6 +200,7 @@
         self.clock = ManualClock()
         self.zones = zones
         self.nodes: dict[str, Node] = {}
+        self.endpoint_zones: dict[str, str] = {}
         self.down: set[str] = set()
         self.paused: set[str] = set()
         # Pairs of sender and receiver whose requests are lost.
@@ -266,8 +282,28 @@
     return Rollouts(0.1, lambda service: [], ClusterTime(clock), clock, Random(1))
 
 
-def single_peering(clock: Clock, rng: Random) -> Peering:
+def count_nothing(name: str, **labels: str) -> None:
+    """Count no event."""
+
+
+def single_limits(
+    clock: Clock, count: Callable[..., None] = count_nothing
+) -> tuple[EndpointLimits, Permits]:
+    """Return the endpoint limits of a gateway that lends itself all permits."""
+    limits = EndpointLimits(lambda name: True, clock, count)
+    permits = Permits(limits, "a", ("a",), lambda name: "a", clock)
+    permits.set_share(1.0)
+    return limits, permits
+
+
+def single_peering(
+    clock: Clock,
+    rng: Random,
+    limits: EndpointLimits | None = None,
+    permits: Permits | None = None,
+) -> Peering:
     """Return the peering of a gateway without peers."""
+    default_limits, default_permits = single_limits(clock)
     roster = Roster(contact("front-a-1"), clock)
     own = LocalState(
         lambda own: member(own.name), dict, dict, lambda prefix, since: None
@@ -283,5 +319,7 @@
         WORK_WINDOW,
         clock,
         strikes,
+        limits or default_limits,
+        permits or default_permits,
     )
     return Peering(context, 1, rng, PeerCalls(roster, clock))
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -29,13 +29,17 @@
     AttemptReport,
     AttemptResult,
 )
-from sassafrasdale.gateway.endpoint_limits import EndpointLimits
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.peer_states import encode
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
 from sassafrasdale.gateway.usage import ClusterTime, UsageCounts
 from sassafrasdale.structures import Address
-from tests.gateway.fleets import contact, no_rollouts, single_peering
+from tests.gateway.fleets import (
+    contact,
+    no_rollouts,
+    single_limits,
+    single_peering,
+)
 from tests.gateway.test_quotas import bounds
 
 SECOND = timedelta(seconds=1)
@@ -68,7 +72,8 @@
             bounds(),
             clock,
             no_rollouts(clock),
-            EndpointLimits(clock, lambda name: None),
+            *single_limits(clock),
+            rng,
             client,
         )
 
--- a/tests/gateway/test_endpoint_limits.py
+++ b/tests/gateway/test_endpoint_limits.py
@@ -5,6 +5,7 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import EndpointSignals
 from sassafrasdale.gateway.endpoint_limits import EndpointLimits
+from tests.gateway.fleets import single_limits
 from tests.gateway.world import ScriptedEndpoint, World, request, respond_with
 
 SECOND = timedelta(seconds=1)
@@ -13,7 +14,8 @@
 
 
 def new_limits(clock: ManualClock) -> EndpointLimits:
-    return EndpointLimits(clock, lambda name: None)
+    limits, _ = single_limits(clock)
+    return limits
 
 
 def test_a_response_names_a_limit_and_a_later_one_without_it_ends_it():
@@ -51,7 +53,7 @@
     clock = ManualClock()
     limits = new_limits(clock)
     limits.observe("i-1", NAMED, clock.elapsed())
-    limits.forget("i-1")
+    limits.mark_restarted("i-1")
     assert limits.rate_limit("i-1") is None
 
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -11,7 +11,6 @@
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import Endpoint, EndpointState, GatewaySettings
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.gateway.endpoint_limits import EndpointLimits
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
@@ -27,7 +26,7 @@
 from sassafrasdale.platform.configuration import decode_configuration
 from sassafrasdale.platform.settings import decode_settings
 from tests.coordination.fakes import FakeStore
-from tests.gateway.fleets import single_peering
+from tests.gateway.fleets import single_limits, single_peering
 from tests.http.wires import LOOPBACK, RawCaller, bound_address, read_request, serve_raw
 from tests.platform.documents import configuration, settings
 
@@ -212,8 +211,8 @@
             CLOCK,
             self.rng,
         )
-        self.limits = EndpointLimits(CLOCK, self.metrics.count)
-        peering = single_peering(CLOCK, self.rng)
+        self.limits, self.permits = single_limits(CLOCK, self.metrics.count)
+        peering = single_peering(CLOCK, self.rng, self.limits, self.permits)
         cache = CacheEstimate()
         step_times = EngineStepTimes()
         self.fleet = Fleet(
@@ -228,6 +227,8 @@
             CLOCK,
             self.rollouts,
             self.limits,
+            self.permits,
+            self.rng,
         )
         self.quotas = Quotas(self.settings.bounds, lambda: 1, CLOCK)
         self.strikes = StrikeLedger()
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -9,7 +9,7 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import StandInEndpoint
-from standins.gateway_fleet import GatewayFleet, ask
+from standins.gateway_fleet import KILL, GatewayFleet, ask, wait_for
 from tests.gateway.world import request
 from tests.platform.documents import configuration, settings
 
@@ -86,6 +86,17 @@
         for endpoint in endpoints:
             endpoint.extra_headers = (("server-limit", str(rate)),)
 
+    def restart(self, *numbers: int) -> None:
+        """Kill gateways at once and start them again."""
+        killed = [self.fleet.gateways[number] for number in numbers]
+        for gateway in killed:
+            gateway.signal(KILL)
+        for gateway in killed:
+            wait_for(lambda g=gateway: g.exit_code() is not None, "it still runs")
+            gateway.launch()
+        for gateway in killed:
+            gateway.wait_until_ready()
+
     def close(self) -> None:
         """Stop the callers and the gateways."""
         self._running = False
@@ -111,14 +122,30 @@
     )
 
 
-def test_a_limited_endpoint_gets_no_more_than_it_takes(deployment):
+@pytest.mark.parametrize("deployment", [PLAIN, STREAM], indirect=True)
+@pytest.mark.parametrize(("limited", "rate"), [(2, 2.0), (4, 0.5)])
+def test_a_limited_endpoint_gets_no_more_than_it_takes(deployment, limited, rate):
     """Guards against a limit that each gateway ignores, or keeps for itself alone."""
-    endpoints = deployment.endpoints[:2]
-    deployment.name_limits(2.0, endpoints)
+    endpoints = deployment.endpoints[:limited]
+    deployment.name_limits(rate, endpoints)
     since = CLOCK.elapsed() + CONTACT_TIME
     sleep(CONTACT_TIME + 1.5 * WINDOW)
     for endpoint in endpoints:
-        assert most_in_a_window(endpoint.arrivals, since) <= allowed(2.0)
+        assert most_in_a_window(endpoint.arrivals, since) <= allowed(rate)
+        # It is used, too: not one of the windows goes by without a request.
+        assert most_in_a_window(endpoint.arrivals, since) >= 1
+
+
+def test_a_limit_holds_while_gateways_are_killed(deployment):
+    """Guards against gateways that start anew and don't know of a limit."""
+    endpoints = deployment.endpoints[:2]
+    deployment.name_limits(1.0, endpoints)
+    since = CLOCK.elapsed() + CONTACT_TIME
+    sleep(CONTACT_TIME)
+    deployment.restart(0, 1)
+    sleep(1.5 * WINDOW)
+    for endpoint in endpoints:
+        assert most_in_a_window(endpoint.arrivals, since) <= allowed(1.0)
 
 
 def test_an_endpoint_whose_limit_has_ended_is_used_as_before(deployment):
