Endpoints that take a limited rate get others ordered beside them

An endpoint with a limit counted as one that carries load: callers were refused while the plan saw enough endpoints. The plan now adds one for each; the orders end with the limit.

--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -52,6 +52,7 @@
     :param load: number of endpoints that the current load would keep fully busy.
     :param load_known: whether the load was measured; otherwise it is an estimate.
     :param has_canary: whether endpoints of a canary version run in addition to these.
+    :param limited: number of running endpoints that take only a limited rate.
     """
 
     service: str
@@ -60,6 +61,7 @@
     load: float
     load_known: bool = True
     has_canary: bool = False
+    limited: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +87,8 @@
         bounds.zone_prices, key=lambda zone: (bounds.zone_prices[zone], zone)
     )
     needed = max(MIN_ENDPOINTS, ceil(service.load / TARGET_UTILIZATION))
+    # Each of these has another one beside it that carries what it doesn't take.
+    needed += service.limited
     if not service.load_known:
         needed += MIN_ON_DEMAND_ALONE
     has_unavailable = any(key.service == service.service for key in unavailable)
@@ -110,7 +114,8 @@
     )
     return FleetPlan(
         orders,
-        f"load {service.load:.2f}, needed {needed}, reclaimable to be had {available}",
+        f"load {service.load:.2f}, needed {needed}, limited {service.limited}, "
+        f"reclaimable to be had {available}",
     )
 
 
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -270,6 +270,7 @@
                 self.directory,
                 self._load,
                 self.rollouts,
+                lambda name: self.limits.rate_limit(name) is not None,
             ),
             self.rollouts,
             self.time,
--- a/src/sassafrasdale/gateway/planning.py
+++ b/src/sassafrasdale/gateway/planning.py
@@ -5,7 +5,7 @@
 
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
 from sassafrasdale.deployment import Configuration
-from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.rollouts import Rollouts
 
 
@@ -14,6 +14,7 @@
     directory: Directory,
     load: Callable[[str], float],
     rollouts: Rollouts,
+    is_limited: Callable[[str], bool],
 ) -> tuple[PlannedService, ...]:
     """Return the services that the leader scales.
 
@@ -22,6 +23,7 @@
 
     :param load: returns a service's load as a number of fully busy endpoints.
     :param rollouts: knows which versions are baseline and canary.
+    :param is_limited: returns whether an endpoint has named a rate limit.
     """
     if configuration is None:
         return ()
@@ -32,6 +34,10 @@
             _running(directory, service.name, rollouts),
             load(service.name),
             has_canary=_has_open_rollout(rollouts, service.name),
+            limited=sum(
+                is_limited(record.name)
+                for record in _ready(directory, service.name, rollouts)
+            ),
         )
         for service in configuration.services.values()
         if service.scale is not None
@@ -50,6 +56,12 @@
         OrderKey(
             service, record.endpoint.availability_zone, record.endpoint.reclaimable
         )
-        for record in rollouts.usable(service, directory.all_of_service(service))
-        if record.is_ready
+        for record in _ready(directory, service, rollouts)
     )
+
+
+def _ready(
+    directory: Directory, service: str, rollouts: Rollouts
+) -> list[EndpointRecord]:
+    registered = directory.all_of_service(service)
+    return [rec for rec in rollouts.usable(service, registered) if rec.is_ready]
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -1,5 +1,6 @@
 """Tests of the number of endpoints of each kind that are ordered."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -44,6 +45,13 @@
     assert totals[0] < totals[-1]
 
 
+def test_endpoints_that_take_a_limited_rate_get_others_beside_them():
+    """Guards against a limited endpoint that counts as one that carries load."""
+    sound = plan_orders(planned(0.3), ())
+    impaired = plan_orders(replace(planned(0.3), limited=3), ())
+    assert total(impaired) >= total(sound) + 3
+
+
 @settings(derandomize=True)
 @given(
     load=st.floats(0, 4),
--- a/tests/gateway/test_planning.py
+++ b/tests/gateway/test_planning.py
@@ -26,7 +26,7 @@
 
 
 def test_no_services_without_a_configuration():
-    assert planned_services(None, None, lambda service: 0.0, None) == ()
+    assert planned_services(None, None, lambda service: 0.0, None, None) == ()
 
 
 def test_ready_endpoints_are_counted_by_kind():
@@ -39,8 +39,13 @@
     directory.put(listed("i-4", "b", EndpointState.DRAINING))
     configuration = Configuration(1, (), SERVICES)
     [planned] = planned_services(
-        configuration, directory, lambda service: 1.5, no_rollouts(clock)
+        configuration,
+        directory,
+        lambda service: 1.5,
+        no_rollouts(clock),
+        lambda name: name in ("i-2", "i-4"),
     )
+    assert planned.limited == 1
     assert planned.load == 1.5
     assert planned.running == {
         OrderKey("m", "a", False): 1,
