--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -18,7 +18,7 @@
     AttemptReport,
 )
 from sassafrasdale.gateway.duties import Duties
-from sassafrasdale.gateway.endpoint_limits import EndpointLimits
+from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
@@ -112,7 +112,10 @@
     def _build_limits(self) -> None:
         clock = self._clock
         self.limits = EndpointLimits(
-            lambda name: name in self.directory.records, clock, self.metrics.count
+            "limit",
+            lambda name: name in self.directory.records,
+            clock,
+            self.metrics.count,
         )
         self.permits = Permits(
             self.limits,
--- /dev/null
+++ b/src/sassafrasdale/gateway/endpoint_beliefs.py
@@ -0,0 +1,208 @@
+"""What endpoints say of themselves in their responses, shared among the gateways.
+
+Each gateway reads the responses to its own attempts. All gateways learn of it with the
+reports between them; the latest evidence counts.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+from logbook import Logger
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.deployment import EndpointSignals
+from sassafrasdale.gateway.peer_states import BeliefReport
+
+log = Logger("endpoints")
+
+Value = TypeVar("Value")
+
+# Shortest time between two lines on the same endpoint. An endpoint that says something
+# else in each response must not fill the log.
+LOG_INTERVAL = timedelta(seconds=1)
+# Another gateway's news of an endpoint must be newer than its own by more than they are
+# delayed on the way; otherwise two gateways would make old news look new.
+PEER_MARGIN = timedelta(milliseconds=100)
+# Time for which the other gateways are told that a belief has ended.
+ENDED_RETENTION = timedelta(seconds=10)
+# Time after which an endpoint that is not registered any more is forgotten.
+GONE_RETENTION = timedelta(seconds=60)
+
+
+@dataclass(slots=True)
+class _Belief(Generic[Value]):
+    """What is known of an endpoint.
+
+    :param value: what it says; None for nothing.
+    :param confirmed_at: elapsed time of the last evidence of that.
+    :param logged_at: elapsed time of the last line on it.
+    """
+
+    value: Value | None = None
+    confirmed_at: timedelta = timedelta()
+    logged_at: timedelta | None = None
+
+
+class EndpointBeliefs(Generic[Value]):
+    """What each endpoint says of one matter.
+
+    :param matter: name of the matter in logs and metrics.
+    :param is_registered: returns whether an endpoint is registered.
+    :param clock: source of elapsed time.
+    :param count: counts an event by name, for metrics.
+    """
+
+    def __init__(
+        self,
+        matter: str,
+        is_registered: Callable[[str], bool],
+        clock: Clock,
+        count: Callable[..., None],
+    ) -> None:
+        self._event = f"endpoint {matter} changed"
+        self._is_registered = is_registered
+        self._clock = clock
+        self._count = count
+        self._beliefs: dict[str, _Belief[Value]] = {}
+
+    def value(self, endpoint: str) -> Value | None:
+        """Return what an endpoint says; None for nothing."""
+        belief = self._beliefs.get(endpoint)
+        return None if belief is None else belief.value
+
+    def confirmed_at(self, endpoint: str) -> timedelta:
+        """Return the elapsed time of the last evidence of a known endpoint."""
+        return self._beliefs[endpoint].confirmed_at
+
+    def set(self, endpoint: str, value: Value | None, source: str) -> None:
+        """Set what an endpoint says as of now.
+
+        :param source: what the evidence is, for the logs.
+        """
+        if value is not None or self.value(endpoint) is not None:
+            self._set(endpoint, value, self._clock.elapsed(), source)
+
+    def mark_restarted(self, endpoint: str) -> None:
+        """Record that an endpoint has restarted: what it said before is void."""
+        self.set(endpoint, None, "restart")
+
+    def report(self) -> dict[str, BeliefReport]:
+        """Return what endpoints say, and what has just ended, for peers."""
+        now = self._clock.elapsed()
+        return {
+            endpoint: BeliefReport(
+                belief.value, (now - belief.confirmed_at).total_seconds()
+            )
+            for endpoint, belief in self._beliefs.items()
+            if belief.value is not None or now - belief.confirmed_at <= ENDED_RETENTION
+        }
+
+    def receive(self, reports: Mapping[str, BeliefReport]) -> None:
+        """Receive what another gateway knows."""
+        now = self._clock.elapsed()
+        for endpoint, report in reports.items():
+            confirmed_at = now - timedelta(seconds=report.age_s)
+            if self._is_news(endpoint, report.value, confirmed_at):
+                self._set(endpoint, report.value, confirmed_at, "peer")
+
+    def remove_gone(self) -> None:
+        """Forget endpoints that are gone, and beliefs that ended long ago."""
+        now = self._clock.elapsed()
+        for endpoint, belief in list(self._beliefs.items()):
+            age = now - belief.confirmed_at
+            is_over = belief.value is None and age > ENDED_RETENTION
+            is_gone = age > GONE_RETENTION and not self._is_registered(endpoint)
+            if is_over or is_gone:
+                del self._beliefs[endpoint]
+
+    def _is_news(
+        self, endpoint: str, value: Value | None, confirmed_at: timedelta
+    ) -> bool:
+        if not self._is_registered(endpoint):
+            return False
+        belief = self._beliefs.get(endpoint)
+        if belief is None:
+            return value is not None
+        return confirmed_at > belief.confirmed_at + PEER_MARGIN
+
+    def _set(
+        self,
+        endpoint: str,
+        value: Value | None,
+        confirmed_at: timedelta,
+        source: str,
+    ) -> None:
+        belief = self._beliefs.setdefault(endpoint, _Belief())
+        before, belief.value = belief.value, value
+        belief.confirmed_at = confirmed_at
+        if before != value:
+            self._count(self._event, source=source)
+            self._log_change(endpoint, belief, before, source)
+
+    def _log_change(
+        self, endpoint: str, belief: _Belief, before: Value | None, source: str
+    ) -> None:
+        now = self._clock.elapsed()
+        if belief.logged_at is not None and now - belief.logged_at < LOG_INTERVAL:
+            return
+        belief.logged_at = now
+        log.info(
+            self._event,
+            endpoint=endpoint,
+            value=belief.value,
+            before=before,
+            source=source,
+        )
+
+
+class EndpointLimits(EndpointBeliefs[float]):
+    """Rate limits that endpoints in need have named, in requests per second."""
+
+    def rate_limit(self, endpoint: str) -> float | None:
+        """Return the limit in force at an endpoint."""
+        return self.value(endpoint)
+
+    def observe(
+        self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
+    ) -> None:
+        """Apply what an endpoint says in a response.
+
+        A response without a limit ends one only if its request was sent after the limit
+        was last confirmed: responses on several connections overtake each other.
+
+        :param sent_at: elapsed time at which the request was sent.
+        """
+        if signals.rate_limit is not None:
+            self.set(endpoint, signals.rate_limit, "response")
+        elif (
+            not signals.malformed
+            and self.value(endpoint) is not None
+            and sent_at >= self.confirmed_at(endpoint)
+        ):
+            self.set(endpoint, None, "response")
+
+
+class MalformedSignalLog:
+    """Logs malformed headers of endpoints, a bounded number of lines.
+
+    :param clock: source of elapsed time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._logged_at: timedelta | None = None
+
+    def record(self, endpoint: str, signals: EndpointSignals) -> None:
+        """Log the malformed headers of a response, if no others just were."""
+        now = self._clock.elapsed()
+        last = self._logged_at
+        if not signals.malformed or (last is not None and now - last < LOG_INTERVAL):
+            return
+        self._logged_at = now
+        log.warning(
+            "endpoint header ignored",
+            endpoint=endpoint,
+            header=", ".join(signals.malformed),
+        )
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -22,7 +22,7 @@
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.dispatcher_client import DispatcherClient
 from sassafrasdale.gateway.dispatcher_messages import AttemptResult
-from sassafrasdale.gateway.endpoint_limits import EndpointLimits
+from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits, MalformedSignalLog
 from sassafrasdale.gateway.peer_states import loads_by_endpoint
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.permits import Permits
@@ -93,6 +93,7 @@
         dispatcher_client: DispatcherClient | None = None,
     ) -> None:
         self._rng = rng
+        self._malformed_signals = MalformedSignalLog(clock)
         self._limits = limits
         self._permits = permits
         self._dispatcher_client = dispatcher_client
@@ -506,6 +507,7 @@
         :param signals: None if another endpoint has responded.
         """
         if signals is not None:
+            self._malformed_signals.record(attempt.record.name, signals)
             self._limits.observe(attempt.record.name, signals, attempt.began_at)
 
     def record_response(self, attempt: Attempt, status: int, took: timedelta) -> None:
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -16,7 +16,7 @@
     AssignmentRequest,
     AttemptReport,
 )
-from sassafrasdale.gateway.endpoint_limits import EndpointLimits
+from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
 from sassafrasdale.gateway.peer_states import (
     REDIRECT,
     STORE_VALUES,
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from datetime import timedelta
-from typing import Annotated
+from typing import Annotated, Generic, TypeVar
 
 from msgspec import DecodeError, Meta, Struct, field
 from msgspec.msgpack import Decoder, Encoder
@@ -22,6 +22,7 @@
 
 # Bounded on decoding, so that an invalid report cannot make a total negative.
 NonNegative = Annotated[float, Meta(ge=0)]
+Value = TypeVar("Value")
 FiniteRate = Annotated[float, Meta(ge=0, le=1e9)]
 Fraction = Annotated[float, Meta(ge=0, le=1)]
 
@@ -101,14 +102,14 @@
     reserved: NonNegative
 
 
-class EndpointLimitReport(Message):
-    """What a gateway knows of the rate limit that an endpoint has named.
+class BeliefReport(Message, Generic[Value]):
+    """What a gateway knows of something that an endpoint says of itself.
 
-    :param rate: requests per second over all gateways; None if the limit has ended.
-    :param age_s: time since an endpoint's response last said so, in seconds.
+    :param value: None if the endpoint no longer says it.
+    :param age_s: time since the last evidence, in seconds.
     """
 
-    rate: FiniteRate | None
+    value: Value | None
     age_s: NonNegative
 
 
@@ -239,7 +240,7 @@
     open_attempts: tuple[int, ...] = ()
     leaves_group: bool = False
     strikes: StrikeUpdate | None = None
-    endpoint_limits: dict[str, EndpointLimitReport] = field(default_factory=dict)
+    endpoint_limits: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
     permit_requests: dict[str, PermitRequest] = field(default_factory=dict)
 
 
@@ -264,7 +265,7 @@
     roster: tuple[Contact, ...] = ()
     clocks: dict[str, ClockReading] = field(default_factory=dict)
     strikes: StrikeUpdate | None = None
-    endpoint_limits: dict[str, EndpointLimitReport] = field(default_factory=dict)
+    endpoint_limits: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
     permits: dict[str, Count] = field(default_factory=dict)
 
 
@@ -293,7 +294,7 @@
     usage_received: int = 0
     members: tuple[str, ...] = ()
     strikes: StrikeUpdate | None = None
-    endpoint_limits: dict[str, EndpointLimitReport] = field(default_factory=dict)
+    endpoint_limits: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
 
 
 class Redirect(Message):
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -7,7 +7,7 @@
 
 from sassafrasdale.clock import Clock, ManualClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
-from sassafrasdale.gateway.endpoint_limits import EndpointLimits
+from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
 from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
 from sassafrasdale.gateway.peer_states import (
@@ -135,7 +135,10 @@
         own = contact(name, zone, incarnation)
         self.roster = Roster(own, fleet.clock)
         self.endpoint_limits = EndpointLimits(
-            lambda name: name in fleet.endpoint_zones, fleet.clock, count_nothing
+            "limit",
+            lambda name: name in fleet.endpoint_zones,
+            fleet.clock,
+            count_nothing,
         )
         self.permits = Permits(
             self.endpoint_limits,
@@ -290,7 +293,7 @@
     clock: Clock, count: Callable[..., None] = count_nothing
 ) -> tuple[EndpointLimits, Permits]:
     """Return the endpoint limits of a gateway that lends itself all permits."""
-    limits = EndpointLimits(lambda name: True, clock, count)
+    limits = EndpointLimits("limit", lambda name: True, clock, count)
     permits = Permits(limits, "a", ("a",), lambda name: "a", clock)
     permits.set_share(1.0)
     return limits, permits
--- a/tests/gateway/test_endpoint_limits.py
+++ b/tests/gateway/test_endpoint_beliefs.py
@@ -4,7 +4,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import EndpointSignals
-from sassafrasdale.gateway.endpoint_limits import EndpointLimits
+from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
 from tests.gateway.fleets import single_limits
 from tests.gateway.world import ScriptedEndpoint, World, request, respond_with
 
