Responses that say that an endpoint leaves are read and logged

What endpoints say of themselves is gathered in one gate that the choice asks; the choice does not heed a departure yet. Tests of gateway and platform pass.

--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -272,8 +272,12 @@
 
     :param rate_limit: requests per second that it takes from all gateways together;
         None if it names no limit.
+    :param has_malformed_limit: whether it names a limit that can't be used.
+    :param is_leaving: whether it says that it is leaving.
     :param malformed: headers that can't be used, with their values; they say nothing.
     """
 
     rate_limit: float | None = None
+    has_malformed_limit: bool = False
+    is_leaving: bool = False
     malformed: tuple[str, ...] = ()
--- a/src/sassafrasdale/gateway/aggregator.py
+++ b/src/sassafrasdale/gateway/aggregator.py
@@ -182,7 +182,7 @@
         self._roster.merge(report.roster)
         strikes = self._context.strikes
         strikes.apply(name, state.contact.incarnation, report.strikes)
-        self._context.limits.receive(report.endpoint_limits)
+        self._context.gate.limits.receive(report.endpoint_limits)
         self._merge_usage(report.usage)
         listener = self._context.listener
         listener.receive_clock(name, state.time)
@@ -200,8 +200,8 @@
             roster=() if known else tuple(self._roster.own_zone_contacts()),
             clocks=self._context.time.peer_readings(MAX_CLOCKS),
             strikes=strikes.update_for(name),
-            endpoint_limits=self._context.limits.report(),
-            permits=self._context.permits.lend(name, report.permit_requests),
+            endpoint_limits=self._context.gate.limits.report(),
+            permits=self._context.gate.permits.lend(name, report.permit_requests),
         )
 
     def handle_update(
@@ -356,7 +356,7 @@
             usage_received=0 if other is None else other.usage_received,
             members=tuple(self._group.in_touch) if same_zone else (),
             strikes=self._context.strikes.update_for(receiver.name),
-            endpoint_limits=self._context.limits.report(),
+            endpoint_limits=self._context.gate.limits.report(),
         )
 
     def _usage_rows_for(self, other: _PeerGroup | None) -> tuple[UsageRow, ...] | None:
@@ -408,7 +408,7 @@
                 self._roster.merge([contact])
                 self._aggregators.setdefault(contact.name, now)
         self._context.strikes.apply(sender.name, sender.incarnation, update.strikes)
-        self._context.limits.receive(update.endpoint_limits)
+        self._context.gate.limits.receive(update.endpoint_limits)
         self._merge_usage(update.usage)
         if update.usage_complete_since is not None:
             other.usage_complete_since = update.usage_complete_since
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -18,7 +18,8 @@
     AttemptReport,
 )
 from sassafrasdale.gateway.duties import Duties
-from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
+from sassafrasdale.gateway.endpoint_beliefs import Departures, EndpointLimits
+from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
@@ -83,7 +84,7 @@
         self._contact = self._own_contact()
         self._build_store()
         self._build_quarantine()
-        self._build_limits()
+        self._build_gate()
         self._build_store_view()
         self._build_peering()
         self._build_serving(may_serve, last_end)
@@ -109,21 +110,23 @@
             self.metrics.count,
         )
 
-    def _build_limits(self) -> None:
+    def _build_gate(self) -> None:
         clock = self._clock
-        self.limits = EndpointLimits(
-            "limit",
-            lambda name: name in self.directory.records,
-            clock,
-            self.metrics.count,
-        )
-        self.permits = Permits(
-            self.limits,
+        count = self.metrics.count
+
+        def is_registered(name: str) -> bool:
+            return name in self.directory.records
+
+        limits = EndpointLimits("limit", is_registered, clock, count)
+        permits = Permits(
+            limits,
             self._settings.availability_zone,
             self._settings.availability_zones,
             lambda name: self.directory.zone_of(name),
             clock,
         )
+        departures = Departures("departure", is_registered, clock, count)
+        self.gate = EndpointGate(limits, permits, departures, clock, self._rng)
 
     def _build_store_view(self) -> None:
         settings = self._settings
@@ -176,8 +179,7 @@
             WORK_WINDOW,
             clock,
             StrikeReplicator(self._strikes, self.incarnation),
-            self.limits,
-            self.permits,
+            self.gate,
         )
         calls = PeerCalls(context.roster, clock)
         zones = len(self._settings.availability_zones)
@@ -218,9 +220,7 @@
             settings.bounds,
             clock,
             self.rollouts,
-            self.limits,
-            self.permits,
-            self._rng,
+            self.gate,
             self.dispatcher_client,
         )
         self.dispatcher = Dispatcher(self.fleet, clock)
@@ -273,7 +273,7 @@
                 self.directory,
                 self._load,
                 self.rollouts,
-                lambda name: self.limits.rate_limit(name) is not None,
+                self.gate.is_limited,
             ),
             self.rollouts,
             self.time,
@@ -283,7 +283,7 @@
         )
 
     def _handle_restart(self, name: str) -> None:
-        self.limits.mark_restarted(name)
+        self.gate.mark_restarted(name)
         self.quarantine.record_crash(name)
 
     def _forget_engine(self, name: str) -> None:
--- a/src/sassafrasdale/gateway/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/endpoint_beliefs.py
@@ -177,13 +177,30 @@
         if signals.rate_limit is not None:
             self.set(endpoint, signals.rate_limit, "response")
         elif (
-            not signals.malformed
+            not signals.has_malformed_limit
             and self.value(endpoint) is not None
             and sent_at >= self.confirmed_at(endpoint)
         ):
             self.set(endpoint, None, "response")
 
 
+class Departures(EndpointBeliefs[bool]):
+    """Endpoints that have said in a response that they are leaving.
+
+    One that leaves says so until its end, so a response without it ends nothing: it was
+    made before.
+    """
+
+    def is_leaving(self, endpoint: str) -> bool:
+        """Return whether an endpoint has said that it is leaving."""
+        return bool(self.value(endpoint))
+
+    def observe(self, endpoint: str, signals: EndpointSignals) -> None:
+        """Apply what an endpoint says in a response."""
+        if signals.is_leaving:
+            self.set(endpoint, True, "response")
+
+
 class MalformedSignalLog:
     """Logs malformed headers of endpoints, a bounded number of lines.
 
--- /dev/null
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -0,0 +1,136 @@
+"""Decides which endpoints take a request now, by what they say in their responses."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.endpoint_rates import permit_interval
+from sassafrasdale.deployment import EndpointSignals
+from sassafrasdale.gateway.directory import EndpointRecord
+from sassafrasdale.gateway.endpoint_beliefs import (
+    Departures,
+    EndpointLimits,
+    MalformedSignalLog,
+)
+from sassafrasdale.gateway.permits import Permits
+
+# Retry-After if no endpoint is available.
+NO_ENDPOINT_RETRY_AFTER = timedelta(milliseconds=300)
+# Longest Retry-After in relation to the shortest, where many callers wait for the same.
+RETRY_AFTER_SPREAD = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailability:
+    """Why no endpoint takes a request.
+
+    :param retry_after: time after which one may.
+    """
+
+    reason: str
+    retry_after: timedelta
+
+
+class EndpointGate:
+    """What endpoints say of themselves, and which of them take a request now.
+
+    :param limits: rate limits that endpoints have named.
+    :param permits: permits to send to such endpoints.
+    :param departures: endpoints that have said that they are leaving.
+    :param clock: source of elapsed time.
+    :param rng: source of randomness for Retry-After.
+    """
+
+    def __init__(
+        self,
+        limits: EndpointLimits,
+        permits: Permits,
+        departures: Departures,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._limits = limits
+        self._permits = permits
+        self._departures = departures
+        self._rng = rng
+        self._malformed = MalformedSignalLog(clock)
+
+    @property
+    def limits(self) -> EndpointLimits:
+        """Rate limits that endpoints have named."""
+        return self._limits
+
+    @property
+    def permits(self) -> Permits:
+        """Permits to send to endpoints with a limit."""
+        return self._permits
+
+    @property
+    def departures(self) -> Departures:
+        """Endpoints that have said that they are leaving."""
+        return self._departures
+
+    def observe(
+        self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
+    ) -> None:
+        """Apply what an endpoint says in a response.
+
+        :param sent_at: elapsed time at which the request was sent.
+        """
+        self._malformed.record(endpoint, signals)
+        self._limits.observe(endpoint, signals, sent_at)
+        self._departures.observe(endpoint, signals)
+
+    def mark_restarted(self, endpoint: str) -> None:
+        """Record that an endpoint has restarted: what it said before is void."""
+        self._limits.mark_restarted(endpoint)
+        self._departures.mark_restarted(endpoint)
+
+    def remove_gone(self) -> None:
+        """Forget endpoints that are gone."""
+        self._limits.remove_gone()
+        self._departures.remove_gone()
+        self._permits.remove_ended()
+
+    def is_limited(self, record: EndpointRecord) -> bool:
+        """Return whether a request to an endpoint needs a permit."""
+        return self._limits.rate_limit(record.name) is not None
+
+    def is_open(self, record: EndpointRecord) -> bool:
+        """Return whether a request may be sent to an endpoint now."""
+        return self._permits.is_open(record.name)
+
+    def open_among(self, candidates: Sequence[EndpointRecord]) -> list[EndpointRecord]:
+        """Return the candidates that a request may be sent to now.
+
+        For the others, permits are asked for.
+        """
+        for record in candidates:
+            if self.is_limited(record):
+                self._permits.count_demand(record.name)
+        return [record for record in candidates if self.is_open(record)]
+
+    def take(self, record: EndpointRecord) -> bool:
+        """Use a permit for a request to an endpoint, if it needs one.
+
+        :returns: whether the request may be sent.
+        """
+        return self._permits.take(record.name)
+
+    def unavailability(
+        self, endpoints: Sequence[EndpointRecord], gateways: int
+    ) -> Unavailability:
+        """Return why none of a service's endpoints takes a request, and until when.
+
+        :param gateways: number of gateways that share the endpoints.
+        """
+        limits = [self._limits.rate_limit(record.name) for record in endpoints]
+        named = [limit for limit in limits if limit is not None]
+        if not named:
+            return Unavailability("no endpoint", NO_ENDPOINT_RETRY_AFTER)
+        pause = permit_interval(named, gateways)
+        # Spread, so that the callers don't come back all at once.
+        spread = self._rng.uniform(1, RETRY_AFTER_SPREAD)
+        return Unavailability("endpoints at their limits", pause * spread)
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -20,6 +20,7 @@
 )
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.directory import EndpointRecord
+from sassafrasdale.gateway.endpoint_gate import NO_ENDPOINT_RETRY_AFTER
 from sassafrasdale.gateway.events import EventSplitter
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
 from sassafrasdale.gateway.failures import (
@@ -29,7 +30,7 @@
     reason_of,
 )
 from sassafrasdale.gateway.fingerprints import fingerprint_of
-from sassafrasdale.gateway.fleet import NO_ENDPOINT_RETRY_AFTER, Fleet
+from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.http.connections import HttpConnection
 from sassafrasdale.http.exceptions import (
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -1,12 +1,9 @@
 """Endpoint choice and load accounting for the attempts of this gateway's requests."""
 
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass
 from datetime import timedelta
-from random import Random
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.endpoint_rates import permit_interval
 from sassafrasdale.decisions.load_reports import ReportedLoad, unreported_work
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
@@ -22,10 +19,9 @@
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.dispatcher_client import DispatcherClient
 from sassafrasdale.gateway.dispatcher_messages import AttemptResult
-from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits, MalformedSignalLog
+from sassafrasdale.gateway.endpoint_gate import EndpointGate, Unavailability
 from sassafrasdale.gateway.peer_states import loads_by_endpoint
 from sassafrasdale.gateway.peering import Peering
-from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.placement import CacheEstimate, Placement, shared_parts
 from sassafrasdale.gateway.prefill_times import PrefillTimes
 from sassafrasdale.gateway.retry_budgets import RetryBudgets
@@ -38,21 +34,6 @@
 # An endpoint that doesn't respond is most likely gone; one that returns an occasional
 # error may be as good as the others.
 NO_RESPONSE_WEIGHT = 3
-# Retry-After if no endpoint is available.
-NO_ENDPOINT_RETRY_AFTER = timedelta(milliseconds=300)
-# Longest Retry-After in relation to the shortest, where many callers wait for the same.
-RETRY_AFTER_SPREAD = 2.0
-
-
-@dataclass(frozen=True, slots=True)
-class Unavailability:
-    """Why no endpoint takes a request.
-
-    :param retry_after: time after which one may.
-    """
-
-    reason: str
-    retry_after: timedelta
 
 
 class Fleet:
@@ -68,9 +49,7 @@
     :param configuration: returns the current configuration.
     :param bounds: share of requests that may be retried.
     :param rollouts: which versions of a service's endpoints get requests.
-    :param limits: rate limits that endpoints have named.
-    :param permits: permits to send to such endpoints.
-    :param rng: source of randomness for Retry-After.
+    :param gate: which endpoints take a request now.
     :param dispatcher_client: client of the zone's dispatcher; None if this gateway
         always chooses endpoints itself.
     """
@@ -87,15 +66,10 @@
         bounds: Bounds,
         clock: Clock,
         rollouts: Rollouts,
-        limits: EndpointLimits,
-        permits: Permits,
-        rng: Random,
+        gate: EndpointGate,
         dispatcher_client: DispatcherClient | None = None,
     ) -> None:
-        self._rng = rng
-        self._malformed_signals = MalformedSignalLog(clock)
-        self._limits = limits
-        self._permits = permits
+        self._gate = gate
         self._dispatcher_client = dispatcher_client
         self._rollouts = rollouts
         self._directory = directory
@@ -222,7 +196,7 @@
         number, assigned = assignment
         record = self._directory.records.get(assigned.endpoint)
         is_usable = record is not None and self._is_usable(record, service, tried)
-        if not is_usable or not (assigned.has_permit or self._take(record)):
+        if not is_usable or not (assigned.has_permit or self._gate.take(record)):
             self._dispatcher_client.record_end(number, AttemptResult.NEUTRAL)
             return None
         self._cache.record_prompt(
@@ -237,7 +211,7 @@
             assigned.queued_tokens,
             number=number,
             assigned_by=self._dispatcher_client.dispatcher,
-            has_permit=assigned.has_permit or self._is_limited(record),
+            has_permit=assigned.has_permit or self._gate.is_limited(record),
         )
         self._dispatcher_client.add_attempt(
             number, lambda: self._count_locally(attempt)
@@ -301,33 +275,19 @@
         """
         weights = self._health_weights(service)
         healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
-        open_now = self._open_now(healthy or candidates)
+        open_now = self._gate.open_among(healthy or candidates)
         record = self._choose(open_now, service, traits, weights)
-        if record is None or not self._take(record):
+        if record is None or not self._gate.take(record):
             return None
         return self._start_at(record, registered, traits, weights, is_retry=is_retry)
 
-    def _open_now(self, candidates: Sequence[EndpointRecord]) -> list[EndpointRecord]:
-        """Return the endpoints that a request may be sent to now."""
-        for record in candidates:
-            if self._is_limited(record):
-                self._permits.count_demand(record.name)
-        return [rec for rec in candidates if self._permits.is_open(rec.name)]
-
-    def _is_limited(self, record: EndpointRecord) -> bool:
-        return self._limits.rate_limit(record.name) is not None
-
-    def _take(self, record: EndpointRecord) -> bool:
-        """Use a permit for a request to an endpoint, if it needs one."""
-        return self._permits.take(record.name)
-
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
 
         Its endpoint may have named a limit since it was chosen.
         """
         if not attempt.has_permit:
-            attempt.has_permit = self._take(attempt.record)
+            attempt.has_permit = self._gate.take(attempt.record)
         return attempt.has_permit
 
     def _choose(
@@ -359,22 +319,14 @@
 
     def unavailability(self, service: str) -> Unavailability:
         """Return why no endpoint of a service takes a request, and until when."""
-        limits = [
-            rate
-            for record in self.endpoints(service)
-            if (rate := self._limits.rate_limit(record.name)) is not None
-        ]
-        if not limits:
-            return Unavailability("no endpoint", NO_ENDPOINT_RETRY_AFTER)
-        pause = permit_interval(limits, self._peering.gateway_count())
-        # Spread, so that the callers don't come back all at once.
-        spread = self._rng.uniform(1, RETRY_AFTER_SPREAD)
-        return Unavailability("endpoints at their limits", pause * spread)
+        return self._gate.unavailability(
+            self.endpoints(service), self._peering.gateway_count()
+        )
 
     def has_alternative(self, service: str, tried: Collection[str]) -> bool:
         """Return whether a service has endpoints that were not tried."""
         return any(
-            record.name not in tried and self._permits.is_open(record.name)
+            record.name not in tried and self._gate.is_open(record)
             for record in self.endpoints(service)
         )
 
@@ -431,7 +383,7 @@
             source,
             queued,
             self._peer_report_age,
-            has_permit=self._is_limited(record),
+            has_permit=self._gate.is_limited(record),
         )
 
     def record_first_token(
@@ -507,8 +459,7 @@
         :param signals: None if another endpoint has responded.
         """
         if signals is not None:
-            self._malformed_signals.record(attempt.record.name, signals)
-            self._limits.observe(attempt.record.name, signals, attempt.began_at)
+            self._gate.observe(attempt.record.name, signals, attempt.began_at)
 
     def record_response(self, attempt: Attempt, status: int, took: timedelta) -> None:
         """Record an endpoint's response."""
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -16,7 +16,7 @@
     AssignmentRequest,
     AttemptReport,
 )
-from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
+from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.peer_states import (
     REDIRECT,
     STORE_VALUES,
@@ -30,7 +30,6 @@
     UsageTotal,
     encode,
 )
-from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
 from sassafrasdale.gateway.usage import ClockReading, ClusterTime, UsageLedger
@@ -107,8 +106,7 @@
     :param time: cluster time and the clocks of the other gateways.
     :param work_window: period over which each gateway averages its engine time.
     :param strikes: strikes against requests, sent and received.
-    :param limits: rate limits that endpoints have named.
-    :param permits: permits to send to such endpoints, lent or borrowed.
+    :param gate: what endpoints say of themselves, and permits, lent or borrowed.
     """
 
     local_state: LocalState
@@ -119,8 +117,7 @@
     work_window: timedelta
     clock: Clock
     strikes: StrikeReplicator
-    limits: EndpointLimits
-    permits: Permits
+    gate: EndpointGate
 
 
 class PeerCalls:
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -275,7 +275,7 @@
                 return
             if self.is_aggregator:
                 self._aggregator.stop()
-            self._context.permits.set_share(None)
+            self._context.gate.permits.set_share(None)
             if self._reporter.report_to(candidate):
                 return
 
@@ -355,7 +355,7 @@
             log.info("aggregating", before=self._reporter.stop())
             self._aggregator.start(self.groups())
         self._add_own_state()
-        self._context.permits.set_share(self._aggregator.zone_share)
+        self._context.gate.permits.set_share(self._aggregator.zone_share)
         self._aggregator.exchange()
         for contact in self._aggregator.uncontacted():
             spawn(self._reporter.send_roster, contact)
--- a/src/sassafrasdale/gateway/planning.py
+++ b/src/sassafrasdale/gateway/planning.py
@@ -14,7 +14,7 @@
     directory: Directory,
     load: Callable[[str], float],
     rollouts: Rollouts,
-    is_limited: Callable[[str], bool],
+    is_limited: Callable[[EndpointRecord], bool],
 ) -> tuple[PlannedService, ...]:
     """Return the services that the leader scales.
 
@@ -35,7 +35,7 @@
             load(service.name),
             has_canary=_has_open_rollout(rollouts, service.name),
             limited=sum(
-                is_limited(record.name)
+                is_limited(record)
                 for record in _ready(directory, service.name, rollouts)
             ),
         )
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -131,8 +131,7 @@
         if not self._components.peering.is_aggregator:
             self._components.dispatcher.resign()
         self._components.directory.drop_expired()
-        self._components.limits.remove_gone()
-        self._components.permits.remove_ended()
+        self._components.gate.remove_gone()
         self._components.time.update()
         self._components.quarantine.log_changes()
         self._may_serve()
--- a/src/sassafrasdale/gateway/reporter.py
+++ b/src/sassafrasdale/gateway/reporter.py
@@ -83,8 +83,8 @@
             tuple(self._usage_row(window, counts) for window, counts in rows.items()),
             self._context.local_state.open_attempts(),
             strikes=self._context.strikes.update_for(contact.name),
-            endpoint_limits=self._context.limits.report(),
-            permit_requests=self._context.permits.build_requests(),
+            endpoint_limits=self._context.gate.limits.report(),
+            permit_requests=self._context.gate.permits.build_requests(),
         )
         reply = self._calls.send(contact, REPORT_TARGET, report, REPORT_REPLY)
         if not isinstance(reply, ReportReply):
@@ -140,8 +140,8 @@
             if name != self._roster.own.name:
                 listener.receive_clock(name, reading)
         listener.receive_revisions(reply.sender.name, reply.revisions)
-        self._context.limits.receive(reply.endpoint_limits)
-        self._context.permits.receive(reply.permits)
+        self._context.gate.limits.receive(reply.endpoint_limits)
+        self._context.gate.permits.receive(reply.permits)
         self._set_groups(reply.groups)
 
     def _changed_rows(self) -> dict[int, dict[str, int]]:
--- a/src/sassafrasdale/platform/signals.py
+++ b/src/sassafrasdale/platform/signals.py
@@ -6,6 +6,8 @@
 from sassafrasdale.http.messages import ResponseHead
 
 _RATE_LIMIT = "server-limit"
+_LEAVING = "server-leaving"
+_FLAGS = {"0": False, "1": True}
 # Another endpoint than the intended one has responded.
 _MISDIRECTED = 421
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,20})?", re.ASCII)
@@ -15,15 +17,31 @@
     """Return what the intended endpoint says; None if another one has responded."""
     if head.status == _MISDIRECTED:
         return None
+    malformed: list[str] = []
+    rate_limit = _rate_limit(head, malformed)
+    has_malformed_limit = bool(malformed)
+    return EndpointSignals(
+        rate_limit, has_malformed_limit, _is_leaving(head, malformed), tuple(malformed)
+    )
+
+
+def _rate_limit(head: ResponseHead, malformed: list[str]) -> float | None:
     limits = []
-    malformed = []
     for value in _values(head, _RATE_LIMIT):
         if _DECIMAL.fullmatch(value):
             limits.append(float(value))
         else:
             malformed.append(_described(_RATE_LIMIT, value))
     # Of several values, the lowest is safe for the endpoint.
-    return EndpointSignals(min(limits, default=None), tuple(malformed))
+    return min(limits, default=None)
+
+
+def _is_leaving(head: ResponseHead, malformed: list[str]) -> bool:
+    values = _values(head, _LEAVING)
+    malformed += [
+        _described(_LEAVING, value) for value in values if value not in _FLAGS
+    ]
+    return any(_FLAGS.get(value, False) for value in values)
 
 
 def _values(head: ResponseHead, name: str) -> list[str]:
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -7,7 +7,8 @@
 
 from sassafrasdale.clock import Clock, ManualClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
-from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
+from sassafrasdale.gateway.endpoint_beliefs import Departures, EndpointLimits
+from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
 from sassafrasdale.gateway.peer_states import (
@@ -135,10 +136,7 @@
         own = contact(name, zone, incarnation)
         self.roster = Roster(own, fleet.clock)
         self.endpoint_limits = EndpointLimits(
-            "limit",
-            lambda name: name in fleet.endpoint_zones,
-            fleet.clock,
-            count_nothing,
+            "limit", fleet.has_endpoint, fleet.clock, count_nothing
         )
         self.permits = Permits(
             self.endpoint_limits,
@@ -147,6 +145,16 @@
             fleet.endpoint_zones.get,
             fleet.clock,
         )
+        self.departures = Departures(
+            "departure", fleet.has_endpoint, fleet.clock, count_nothing
+        )
+        gate = EndpointGate(
+            self.endpoint_limits,
+            self.permits,
+            self.departures,
+            fleet.clock,
+            Random(name),
+        )
         context = PeerContext(
             LocalState(
                 self._state,
@@ -161,8 +169,7 @@
             WORK_WINDOW,
             fleet.clock,
             StrikeReplicator(self.strikes, incarnation),
-            self.endpoint_limits,
-            self.permits,
+            gate,
         )
         calls = LocalCalls(fleet, name, self.roster, fleet.clock)
         self.peering = Peering(context, len(fleet.zones), Random(name), calls)
@@ -215,6 +222,10 @@
             for number in range(count):
                 self.start(f"{zone}-{number}", zone)
 
+    def has_endpoint(self, name: str) -> bool:
+        """Return whether an endpoint is registered."""
+        return name in self.endpoint_zones
+
     def start(self, name: str, zone: str, incarnation: int = 1) -> Node:
         """Start a gateway that knows the running ones from the store."""
         node = self.nodes[name] = Node(self, name, zone, incarnation)
@@ -289,24 +300,25 @@
     """Count no event."""
 
 
-def single_limits(
+def single_gate(
     clock: Clock, count: Callable[..., None] = count_nothing
-) -> tuple[EndpointLimits, Permits]:
-    """Return the endpoint limits of a gateway that lends itself all permits."""
-    limits = EndpointLimits("limit", lambda name: True, clock, count)
+) -> EndpointGate:
+    """Return the gate of a gateway that lends itself all permits."""
+
+    def is_registered(name: str) -> bool:
+        return True
+
+    limits = EndpointLimits("limit", is_registered, clock, count)
     permits = Permits(limits, "a", ("a",), lambda name: "a", clock)
     permits.set_share(1.0)
-    return limits, permits
+    departures = Departures("departure", is_registered, clock, count)
+    return EndpointGate(limits, permits, departures, clock, Random(1))
 
 
 def single_peering(
-    clock: Clock,
-    rng: Random,
-    limits: EndpointLimits | None = None,
-    permits: Permits | None = None,
+    clock: Clock, rng: Random, gate: EndpointGate | None = None
 ) -> Peering:
     """Return the peering of a gateway without peers."""
-    default_limits, default_permits = single_limits(clock)
     roster = Roster(contact("front-a-1"), clock)
     own = LocalState(
         lambda own: member(own.name), dict, dict, lambda prefix, since: None
@@ -322,7 +334,6 @@
         WORK_WINDOW,
         clock,
         strikes,
-        limits or default_limits,
-        permits or default_permits,
+        gate or single_gate(clock),
     )
     return Peering(context, 1, rng, PeerCalls(roster, clock))
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -37,7 +37,7 @@
 from tests.gateway.fleets import (
     contact,
     no_rollouts,
-    single_limits,
+    single_gate,
     single_peering,
 )
 from tests.gateway.test_quotas import bounds
@@ -72,8 +72,7 @@
             bounds(),
             clock,
             no_rollouts(clock),
-            *single_limits(clock),
-            rng,
+            single_gate(clock),
             client,
         )
 
--- a/tests/gateway/test_endpoint_beliefs.py
+++ b/tests/gateway/test_endpoint_beliefs.py
@@ -5,7 +5,7 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import EndpointSignals
 from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
-from tests.gateway.fleets import single_limits
+from tests.gateway.fleets import single_gate
 from tests.gateway.world import ScriptedEndpoint, World, request, respond_with
 
 SECOND = timedelta(seconds=1)
@@ -14,8 +14,7 @@
 
 
 def new_limits(clock: ManualClock) -> EndpointLimits:
-    limits, _ = single_limits(clock)
-    return limits
+    return single_gate(clock).limits
 
 
 def test_a_response_names_a_limit_and_a_later_one_without_it_ends_it():
@@ -41,11 +40,19 @@
 def test_a_malformed_limit_changes_nothing():
     clock = ManualClock()
     limits = new_limits(clock)
-    limits.observe("i-1", EndpointSignals(malformed=("x",)), clock.elapsed())
+    limits.observe(
+        "i-1",
+        EndpointSignals(has_malformed_limit=True, malformed=("x",)),
+        clock.elapsed(),
+    )
     assert limits.rate_limit("i-1") is None
     limits.observe("i-1", NAMED, clock.elapsed())
     clock.advance(SECOND)
-    limits.observe("i-1", EndpointSignals(malformed=("x",)), clock.elapsed())
+    limits.observe(
+        "i-1",
+        EndpointSignals(has_malformed_limit=True, malformed=("x",)),
+        clock.elapsed(),
+    )
     assert limits.rate_limit("i-1") == 2.0
 
 
--- a/tests/gateway/test_planning.py
+++ b/tests/gateway/test_planning.py
@@ -43,7 +43,7 @@
         directory,
         lambda service: 1.5,
         no_rollouts(clock),
-        lambda name: name in ("i-2", "i-4"),
+        lambda record: record.name in ("i-2", "i-4"),
     )
     assert planned.limited == 1
     assert planned.load == 1.5
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -26,7 +26,7 @@
 from sassafrasdale.platform.configuration import decode_configuration
 from sassafrasdale.platform.settings import decode_settings
 from tests.coordination.fakes import FakeStore
-from tests.gateway.fleets import single_limits, single_peering
+from tests.gateway.fleets import single_gate, single_peering
 from tests.http.wires import LOOPBACK, RawCaller, bound_address, read_request, serve_raw
 from tests.platform.documents import configuration, settings
 
@@ -211,8 +211,9 @@
             CLOCK,
             self.rng,
         )
-        self.limits, self.permits = single_limits(CLOCK, self.metrics.count)
-        peering = single_peering(CLOCK, self.rng, self.limits, self.permits)
+        self.gate = single_gate(CLOCK, self.metrics.count)
+        self.limits = self.gate.limits
+        peering = single_peering(CLOCK, self.rng, self.gate)
         cache = CacheEstimate()
         step_times = EngineStepTimes()
         self.fleet = Fleet(
@@ -226,9 +227,7 @@
             self.settings.bounds,
             CLOCK,
             self.rollouts,
-            self.limits,
-            self.permits,
-            self.rng,
+            self.gate,
         )
         self.quotas = Quotas(self.settings.bounds, lambda: 1, CLOCK)
         self.strikes = StrikeLedger()
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -27,6 +27,7 @@
 def test_a_malformed_limit_says_nothing(value: str) -> None:
     assert signals(value).rate_limit is None
     assert signals(value).malformed
+    assert signals(value).has_malformed_limit
 
 
 def test_of_two_limits_the_lower_counts() -> None:
@@ -37,3 +38,20 @@
 def test_another_endpoint_says_nothing_of_the_intended_one() -> None:
     assert signals("1", status=421) is None
     assert signals("1", status=503).rate_limit == 1.0
+
+
+@pytest.mark.parametrize(
+    ("value", "leaves", "malformed"),
+    [
+        ("1", True, 0),
+        ("0", False, 0),
+        ("", False, 1),
+        ("yes", False, 1),
+        ("2", False, 1),
+    ],
+)
+def test_leaving_is_a_flag(value: str, leaves: bool, malformed: int) -> None:
+    read = read_signals(ResponseHead(200, (("server-leaving", value),)))
+    assert read.is_leaving is leaves
+    assert len(read.malformed) == malformed
+    assert not read.has_malformed_limit
