--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -22,6 +22,7 @@
 # window of this length.
 CONTACT_TIME = 3 * SECOND
 WINDOW = 4 * SECOND
+DRAIN_TIME = 1.5 * SECOND
 PLAIN = "/certificates/7"
 STREAM = "/reports/7"
 
@@ -160,3 +161,13 @@
     sleep(WINDOW)
     for endpoint in endpoints:
         assert most_in_a_window(endpoint.arrivals, since) > 3 * allowed(2.0)
+
+
+def test_an_endpoint_that_says_it_leaves_gets_no_more_requests(deployment):
+    """Guards against a departure that is known from the registration alone."""
+    leaving = deployment.endpoints[0]
+    leaving.extra_headers = (("server-leaving", "1"),)
+    sleep(DRAIN_TIME + timedelta(milliseconds=500))
+    since = CLOCK.elapsed()
+    sleep(2 * SECOND)
+    assert not [at for at in leaving.arrivals if at >= since]
