Endpoints that say in a response that they leave get no further requests

Callers' view: none here; the endpoint served them. Had it ended in time, they would have failed. Change: a departure counts like a registration that drains, in all that asks for ready endpoints: choice, assigned and canary attempts, retries, resumed streams, planned capacity. It is passed on to all gateways, and asked for again when an attempt is sent.

--- a/src/sassafrasdale/gateway/aggregator.py
+++ b/src/sassafrasdale/gateway/aggregator.py
@@ -183,6 +183,7 @@
         strikes = self._context.strikes
         strikes.apply(name, state.contact.incarnation, report.strikes)
         self._context.gate.limits.receive(report.endpoint_limits)
+        self._context.gate.departures.receive(report.departures)
         self._merge_usage(report.usage)
         listener = self._context.listener
         listener.receive_clock(name, state.time)
@@ -201,6 +202,7 @@
             clocks=self._context.time.peer_readings(MAX_CLOCKS),
             strikes=strikes.update_for(name),
             endpoint_limits=self._context.gate.limits.report(),
+            departures=self._context.gate.departures.report(),
             permits=self._context.gate.permits.lend(name, report.permit_requests),
         )
 
@@ -357,6 +359,7 @@
             members=tuple(self._group.in_touch) if same_zone else (),
             strikes=self._context.strikes.update_for(receiver.name),
             endpoint_limits=self._context.gate.limits.report(),
+            departures=self._context.gate.departures.report(),
         )
 
     def _usage_rows_for(self, other: _PeerGroup | None) -> tuple[UsageRow, ...] | None:
@@ -409,6 +412,7 @@
                 self._aggregators.setdefault(contact.name, now)
         self._context.strikes.apply(sender.name, sender.incarnation, update.strikes)
         self._context.gate.limits.receive(update.endpoint_limits)
+        self._context.gate.departures.receive(update.departures)
         self._merge_usage(update.usage)
         if update.usage_complete_since is not None:
             other.usage_complete_since = update.usage_complete_since
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -139,6 +139,7 @@
             lambda: self.metrics.count("endpoint connection opened"),
             self._handle_restart,
             self.quarantine.handle_expiry,
+            self.gate.departures.is_leaving,
         )
         self.rollouts = Rollouts(
             settings.bounds.canary_share,
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 from logbook import Logger
@@ -34,6 +35,7 @@
     :param endpoint: its current registration.
     :param pool: idle connections to it.
     :param registered_at: elapsed time at which it was first seen.
+    :param says_leaving: returns whether it has said in a response that it is leaving.
     :ivar connections: connections that are in use by requests.
     :ivar is_unreachable: whether its registration has expired and connections to its
         address get no reply.
@@ -44,10 +46,12 @@
         endpoint: Endpoint,
         pool: ConnectionPool,
         registered_at: timedelta = timedelta(),
+        says_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self.endpoint = endpoint
         self.pool = pool
         self.registered_at = registered_at
+        self._says_leaving = says_leaving
         self.connections: set[HttpConnection] = set()
         self.is_unreachable = False
         self.in_flight = 0
@@ -60,8 +64,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether it is registered as ready for requests."""
-        return self.endpoint.state is EndpointState.READY
+        """Whether it is registered as ready for requests, and doesn't say otherwise."""
+        return self.endpoint.state is EndpointState.READY and not self._says_leaving()
 
 
 class Directory:
@@ -76,6 +80,8 @@
     :param on_restart: called with the name of each endpoint that has restarted.
     :param on_expiry: called with each endpoint whose registration has disappeared while
         it was ready.
+    :param says_leaving: returns whether an endpoint has said in a response that it is
+        leaving.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
         on_open: Callable[[], None] = lambda: None,
         on_restart: Callable[[str], None] = lambda name: None,
         on_expiry: Callable[[EndpointRecord], None] = lambda record: None,
+        says_leaving: Callable[[str], bool] = lambda name: False,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -95,6 +102,7 @@
         self._on_open = on_open
         self._on_restart = on_restart
         self._on_expiry = on_expiry
+        self._says_leaving = says_leaving
         self._records: dict[str, EndpointRecord] = {}
         self._services: dict[str, list[EndpointRecord]] = {}
         self._fallback: dict[str, tuple[EndpointRecord, timedelta]] = {}
@@ -119,7 +127,9 @@
         return [
             record
             for record, expires_at in self._fallback.values()
-            if record.endpoint.service == service and now < expires_at
+            if record.endpoint.service == service
+            and now < expires_at
+            and record.is_ready
         ]
 
     def all_of_service(self, service: str) -> list[EndpointRecord]:
@@ -163,7 +173,10 @@
             record = None
         if record is None or record.endpoint.address != endpoint.address:
             record = EndpointRecord(
-                endpoint, self._pool(endpoint), self._clock.elapsed()
+                endpoint,
+                self._pool(endpoint),
+                self._clock.elapsed(),
+                partial(self._says_leaving, endpoint.name),
             )
             self._records[endpoint.name] = record
             log.info("endpoint listed", **_log_fields(endpoint))
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -211,7 +211,7 @@
     ) -> int:
         admitted = self._admitted
         if not self._fleet.may_send(attempt):
-            raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint at its limit")
+            raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
         self._attempts += 1
         self._endpoint_crashed = False
         self._events_before_attempt = self._splitter.count
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -284,8 +284,10 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
 
-        Its endpoint may have named a limit since it was chosen.
+        Its endpoint may have named a limit since it was chosen, or begun to leave.
         """
+        if not attempt.record.is_ready:
+            return False
         if not attempt.has_permit:
             attempt.has_permit = self._gate.take(attempt.record)
         return attempt.has_permit
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -231,6 +231,7 @@
     :param strikes: strikes against requests that the aggregator may lack.
     :param endpoint_limits: what is known of endpoints' rate limits.
     :param permit_requests: by endpoint.
+    :param departures: endpoints that have said that they are leaving.
     """
 
     state: MemberState
@@ -242,6 +243,7 @@
     strikes: StrikeUpdate | None = None
     endpoint_limits: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
     permit_requests: dict[str, PermitRequest] = field(default_factory=dict)
+    departures: dict[str, BeliefReport[bool]] = field(default_factory=dict)
 
 
 class ReportReply(Message):
@@ -254,6 +256,7 @@
     :param strikes: strikes against requests that the member may lack.
     :param endpoint_limits: what is known of endpoints' rate limits.
     :param permits: permits lent until the next report, by endpoint.
+    :param departures: endpoints that have said that they are leaving.
     """
 
     sender: Contact
@@ -267,6 +270,7 @@
     strikes: StrikeUpdate | None = None
     endpoint_limits: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
     permits: dict[str, Count] = field(default_factory=dict)
+    departures: dict[str, BeliefReport[bool]] = field(default_factory=dict)
 
 
 class GroupUpdate(Message):
@@ -281,6 +285,7 @@
     :param members: names of the group's gateways, sent within the zone only.
     :param strikes: strikes against requests that the receiver may lack.
     :param endpoint_limits: what is known of endpoints' rate limits.
+    :param departures: endpoints that have said that they are leaving.
     """
 
     sender: Contact
@@ -295,6 +300,7 @@
     members: tuple[str, ...] = ()
     strikes: StrikeUpdate | None = None
     endpoint_limits: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
+    departures: dict[str, BeliefReport[bool]] = field(default_factory=dict)
 
 
 class Redirect(Message):
--- a/src/sassafrasdale/gateway/reporter.py
+++ b/src/sassafrasdale/gateway/reporter.py
@@ -84,6 +84,7 @@
             self._context.local_state.open_attempts(),
             strikes=self._context.strikes.update_for(contact.name),
             endpoint_limits=self._context.gate.limits.report(),
+            departures=self._context.gate.departures.report(),
             permit_requests=self._context.gate.permits.build_requests(),
         )
         reply = self._calls.send(contact, REPORT_TARGET, report, REPORT_REPLY)
@@ -141,6 +142,7 @@
                 listener.receive_clock(name, reading)
         listener.receive_revisions(reply.sender.name, reply.revisions)
         self._context.gate.limits.receive(reply.endpoint_limits)
+        self._context.gate.departures.receive(reply.departures)
         self._context.gate.permits.receive(reply.permits)
         self._set_groups(reply.groups)
 
--- a/tests/gateway/test_endpoint_beliefs.py
+++ b/tests/gateway/test_endpoint_beliefs.py
@@ -1,16 +1,35 @@
 """Rate limits that endpoints name in their responses."""
 
+import socket
+from dataclasses import replace
 from datetime import timedelta
 
+import pytest
+
 from sassafrasdale.clock import ManualClock
-from sassafrasdale.deployment import EndpointSignals
+from sassafrasdale.deployment import (
+    Endpoint,
+    EndpointSignals,
+    EndpointState,
+    RequestTraits,
+)
 from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
-from tests.gateway.fleets import single_gate
-from tests.gateway.world import ScriptedEndpoint, World, request, respond_with
+from standins.gateway_fleet import wait_for
+from tests.gateway.fleets import Fleet, single_gate
+from tests.gateway.world import (
+    ScriptedEndpoint,
+    World,
+    chunk,
+    event,
+    request,
+    respond_with,
+    stream_head,
+)
 
 SECOND = timedelta(seconds=1)
 NAMED = EndpointSignals(rate_limit=2.0)
 SILENT = EndpointSignals()
+MALFORMED = EndpointSignals(has_malformed_limit=True, malformed=("x",))
 
 
 def new_limits(clock: ManualClock) -> EndpointLimits:
@@ -42,7 +61,7 @@
     limits = new_limits(clock)
     limits.observe(
         "i-1",
-        EndpointSignals(has_malformed_limit=True, malformed=("x",)),
+        MALFORMED,
         clock.elapsed(),
     )
     assert limits.rate_limit("i-1") is None
@@ -50,7 +69,7 @@
     clock.advance(SECOND)
     limits.observe(
         "i-1",
-        EndpointSignals(has_malformed_limit=True, malformed=("x",)),
+        MALFORMED,
         clock.elapsed(),
     )
     assert limits.rate_limit("i-1") == 2.0
@@ -78,3 +97,124 @@
         world.add("i-1", "records", endpoint)
         world.ask(request("/certificates/7"))
         assert world.limits.rate_limit("i-1") == rate, status
+
+
+LEAVES = "Server-Leaving: 1\r\n"
+
+
+def test_an_endpoint_that_says_it_leaves_gets_no_further_request():
+    """Guards against a departure that only the registration could tell."""
+    world = World()
+    leaving = ScriptedEndpoint(respond_with(extra=LEAVES))
+    world.add("i-1", "records", leaving)
+    assert world.ask(request("/certificates/1")).startswith(b"HTTP/1.1 200")
+    refused = world.ask(request("/certificates/2"))
+    assert refused.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in refused.lower()
+    other = ScriptedEndpoint(respond_with())
+    world.add("i-2", "records", other)
+    assert world.ask(request("/certificates/3")).startswith(b"HTTP/1.1 200")
+    assert (len(leaving.requests), len(other.requests)) == (1, 1)
+
+
+@pytest.mark.parametrize("status", ["200 OK", "500 Failed", "503 Full", "429 Full"])
+def test_every_kind_of_response_tells_of_a_departure(status: str):
+    world = World()
+    world.add(
+        "i-1", "records", ScriptedEndpoint(respond_with(status=status, extra=LEAVES))
+    )
+    world.ask(request("/certificates/1"))
+    assert world.gate.departures.is_leaving("i-1")
+
+
+def test_another_endpoint_s_departure_is_not_the_intended_one_s():
+    world = World()
+    elsewhere = ScriptedEndpoint(respond_with(status="421 Other", extra=LEAVES))
+    world.add("i-1", "records", elsewhere)
+    world.ask(request("/certificates/1"))
+    assert not world.gate.departures.is_leaving("i-1")
+
+
+def test_a_stream_s_head_tells_of_a_departure_before_its_end():
+    """Guards against news that wait for the end of a long stream."""
+    world = World()
+
+    def script(sock: socket.socket, data: bytes) -> None:
+        head = stream_head(data).replace(
+            b"\r\n\r\n", b"\r\n" + LEAVES.encode() + b"\r\n"
+        )
+        sock.sendall(head + chunk(event(1)))
+
+    world.add("i-1", "models", ScriptedEndpoint(script))
+    world.add("i-2", "models-next", ScriptedEndpoint(script))
+    caller = world.caller()
+    caller.send(request("/reports/1"))
+    wait_for(
+        lambda: any(map(world.gate.departures.is_leaving, ("i-1", "i-2"))),
+        "the head was not read",
+    )
+
+
+def test_an_endpoint_that_restarts_under_its_name_is_used_again():
+    """Guards against a departure that outlives the process that told of it."""
+    world = World()
+    endpoint = ScriptedEndpoint(respond_with(extra=LEAVES), respond_with())
+    registered = Endpoint(
+        "i-1", "records", endpoint.address, "a", EndpointState.READY, 6, born=1
+    )
+    world.directory.put(registered)
+    world.ask(request("/certificates/1"))
+    world.directory.put(replace(registered, born=2))
+    assert world.ask(request("/certificates/2")).startswith(b"HTTP/1.1 200")
+
+
+def test_an_attempt_is_not_sent_to_an_endpoint_that_began_to_leave_since_its_choice():
+    """Guards against a choice that is older than the departure."""
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(respond_with()))
+    attempt = world.fleet.start_attempt(
+        "records", RequestTraits("r-1"), (), is_retry=False
+    )
+    assert world.fleet.may_send(attempt)
+    world.gate.departures.set("i-1", True, "peer")
+    assert not world.fleet.may_send(attempt)
+
+
+def test_an_attempt_is_not_sent_over_a_limit_named_since_its_choice():
+    """Guards against a choice that is older than the limit."""
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(respond_with()))
+    attempt = world.fleet.start_attempt(
+        "records", RequestTraits("r-1"), (), is_retry=False
+    )
+    world.limits.set("i-1", 1.0, "peer")
+    assert not world.fleet.may_send(attempt)
+
+
+def test_all_gateways_learn_what_one_was_told():
+    """Guards against gateways that each must be told by an endpoint itself."""
+    fleet = Fleet({"a": 3, "b": 3, "c": 3})
+    fleet.endpoint_zones["i-1"] = "a"
+    fleet.play(3.0)
+    told = fleet.nodes["b-1"]
+    told.departures.set("i-1", True, "response")
+    told.endpoint_limits.set("i-1", 2.0, "response")
+    fleet.play(1.0)
+    nodes = fleet.nodes.values()
+    assert all(node.departures.is_leaving("i-1") for node in nodes)
+    assert all(node.endpoint_limits.rate_limit("i-1") == 2.0 for node in nodes)
+    fleet.nodes["c-0"].endpoint_limits.set("i-1", None, "response")
+    fleet.play(1.0)
+    assert all(node.endpoint_limits.rate_limit("i-1") is None for node in nodes)
+
+
+def test_news_do_not_grow_younger_on_their_way():
+    """Guards against two gateways that make each other's old news look new."""
+    fleet = Fleet({"a": 3, "b": 3, "c": 3})
+    fleet.endpoint_zones["i-1"] = "a"
+    fleet.play(3.0)
+    fleet.nodes["b-1"].departures.set("i-1", True, "response")
+    at = fleet.clock.elapsed()
+    fleet.play(30.0)
+    for node in fleet.nodes.values():
+        assert node.departures.confirmed_at("i-1") <= at + SECOND
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -196,12 +196,15 @@
         self.metrics = Metrics("front-a-1", "a")
         value = json.dumps(configuration(**changed)).encode()
         self.routes: RouteTable | None = RouteTable(decode_configuration(value))
+        self.gate = single_gate(CLOCK, self.metrics.count)
+        self.limits = self.gate.limits
         self.directory = Directory(
             CLOCK,
             self.rng,
             self.settings.bounds.endpoint_drain,
-            on_restart=lambda name: self.quarantine.record_crash(name),
+            on_restart=self._handle_restart,
             on_expiry=lambda record: self.quarantine.handle_expiry(record),
+            says_leaving=self.gate.departures.is_leaving,
         )
         self.usage = UsageCounts(timedelta(seconds=5), ClusterTime(CLOCK))
         self.rollouts = Rollouts(
@@ -211,8 +214,6 @@
             CLOCK,
             self.rng,
         )
-        self.gate = single_gate(CLOCK, self.metrics.count)
-        self.limits = self.gate.limits
         peering = single_peering(CLOCK, self.rng, self.gate)
         cache = CacheEstimate()
         step_times = EngineStepTimes()
@@ -256,6 +257,10 @@
         spawn(self.server.serve)
         self.address = bound_address(listener)
 
+    def _handle_restart(self, name: str) -> None:
+        self.gate.mark_restarted(name)
+        self.quarantine.record_crash(name)
+
     def add(
         self,
         name: str,
