Endpoints that said that they leave and stay are asked, and used again

One that gets no requests gives no responses, so nothing ended the belief but its registration; some endpoints never change theirs. The aggregator of each zone makes a health check after 30 s; an answer with its own name and without the header ends the departure at all gateways.

--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -104,11 +104,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service in the configuration."""
+    """A service in the configuration.
+
+    :param health_path: target of its endpoints' health checks; empty for none.
+    """
 
     name: str
     engine: EngineTraits | None = None
     scale: ScaleBounds | None = None
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -8,6 +8,7 @@
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import GatewaySettings
+from sassafrasdale.gateway.departure_checks import DepartureChecks
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.dispatcher import Dispatcher
@@ -258,6 +259,13 @@
             self._clock,
             self._rng,
         )
+        self.departure_checks = DepartureChecks(
+            self.gate.departures,
+            self.directory,
+            lambda: self.store_view.configuration,
+            lambda: self.peering.is_aggregator,
+            self._clock,
+        )
         self.poller = Poller(
             self.store_view.followers(),
             self._store,
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -100,6 +100,7 @@
             components.peering.run,
             components.dispatcher_client.run,
             components.strike_records.run,
+            components.departure_checks.run,
         ]
         for task in tasks:
             spawn(run_forever, task)
--- a/src/sassafrasdale/platform/configuration.py
+++ b/src/sassafrasdale/platform/configuration.py
@@ -66,6 +66,7 @@
 
 class _Service(_Model):
     name: str
+    health_path: str = Field("", alias="healthPath")
     engine: _Engine | None = None
     scale: _Scale | None = None
 
@@ -141,6 +142,7 @@
         name=service.name,
         engine=_engine(engine) if engine else None,
         scale=_scale(scale) if scale else None,
+        health_path=service.health_path,
     )
 
 
--- a/src/sassafrasdale/platform/signals.py
+++ b/src/sassafrasdale/platform/signals.py
@@ -3,10 +3,11 @@
 import re
 
 from sassafrasdale.deployment import EndpointSignals
-from sassafrasdale.http.messages import ResponseHead
+from sassafrasdale.http.messages import Request, Response, ResponseHead
 
 _RATE_LIMIT = "server-limit"
 _LEAVING = "server-leaving"
+_ENDPOINT_ID = "replica-id"
 _FLAGS = {"0": False, "1": True}
 # Another endpoint than the intended one has responded.
 _MISDIRECTED = 421
@@ -25,6 +26,18 @@
     )
 
 
+def health_request(path: str) -> Request:
+    """Return the request of a health check."""
+    return Request("GET", path)
+
+
+def says_it_stays(response: Response, endpoint: str) -> bool:
+    """Return whether a health check shows that an endpoint is not leaving."""
+    if response.status != 200 or response.header(_ENDPOINT_ID) != endpoint:
+        return False
+    return not response.header(_LEAVING)
+
+
 def _rate_limit(head: ResponseHead, malformed: list[str]) -> float | None:
     limits = []
     for value in _values(head, _RATE_LIMIT):
