--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -38,6 +38,7 @@
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.registration import Registration
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
+from sassafrasdale.gateway.rests import Rests
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.store_view import StoreView
@@ -127,7 +128,8 @@
             clock,
         )
         departures = Departures("departure", is_registered, clock, count)
-        self.gate = EndpointGate(limits, permits, departures, clock, self._rng)
+        rests = Rests(clock, count)
+        self.gate = EndpointGate(limits, permits, departures, rests, clock, self._rng)
 
     def _build_store_view(self) -> None:
         settings = self._settings
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -15,6 +15,7 @@
     MalformedSignalLog,
 )
 from sassafrasdale.gateway.permits import Permits
+from sassafrasdale.gateway.rests import Rests
 
 # Retry-After if no endpoint is available.
 NO_ENDPOINT_RETRY_AFTER = timedelta(milliseconds=300)
@@ -39,6 +40,7 @@
     :param limits: rate limits that endpoints have named.
     :param permits: permits to send to such endpoints.
     :param departures: endpoints that have said that they are leaving.
+    :param rests: endpoints that have asked this gateway for rest.
     :param clock: source of elapsed time.
     :param rng: source of randomness for Retry-After.
     """
@@ -48,12 +50,14 @@
         limits: EndpointLimits,
         permits: Permits,
         departures: Departures,
+        rests: Rests,
         clock: Clock,
         rng: Random,
     ) -> None:
         self._limits = limits
         self._permits = permits
         self._departures = departures
+        self._rests = rests
         self._rng = rng
         self._malformed = MalformedSignalLog(clock)
 
@@ -72,6 +76,11 @@
         """Endpoints that have said that they are leaving."""
         return self._departures
 
+    @property
+    def rests(self) -> Rests:
+        """Endpoints that have asked this gateway for rest."""
+        return self._rests
+
     def observe(
         self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
     ) -> None:
@@ -82,17 +91,21 @@
         self._malformed.record(endpoint, signals)
         self._limits.observe(endpoint, signals, sent_at)
         self._departures.observe(endpoint, signals)
+        if signals.rest is not None:
+            self._rests.begin(endpoint, signals.rest)
 
     def mark_restarted(self, endpoint: str) -> None:
         """Record that an endpoint has restarted: what it said before is void."""
         self._limits.mark_restarted(endpoint)
         self._departures.mark_restarted(endpoint)
+        self._rests.end(endpoint)
 
     def remove_gone(self) -> None:
         """Forget endpoints that are gone."""
         self._limits.remove_gone()
         self._departures.remove_gone()
         self._permits.remove_ended()
+        self._rests.remove_ended()
 
     def is_limited(self, record: EndpointRecord) -> bool:
         """Return whether a request to an endpoint needs a permit."""
--- a/src/sassafrasdale/platform/signals.py
+++ b/src/sassafrasdale/platform/signals.py
@@ -1,12 +1,15 @@
 """What endpoints say of themselves in the headers of their responses."""
 
 import re
+from datetime import timedelta
 
 from sassafrasdale.deployment import EndpointSignals
 from sassafrasdale.http.messages import Request, Response, ResponseHead
 
 _RATE_LIMIT = "server-limit"
 _LEAVING = "server-leaving"
+_RETRY_AFTER = "retry-after"
+_UNAVAILABLE = 503
 _ENDPOINT_ID = "replica-id"
 _FLAGS = {"0": False, "1": True}
 # Another endpoint than the intended one has responded.
@@ -22,7 +25,11 @@
     rate_limit = _rate_limit(head, malformed)
     has_malformed_limit = bool(malformed)
     return EndpointSignals(
-        rate_limit, has_malformed_limit, _is_leaving(head, malformed), tuple(malformed)
+        rate_limit,
+        has_malformed_limit,
+        _is_leaving(head, malformed),
+        _rest(head, malformed),
+        tuple(malformed),
     )
 
 
@@ -57,6 +64,18 @@
     return any(_FLAGS.get(value, False) for value in values)
 
 
+def _rest(head: ResponseHead, malformed: list[str]) -> timedelta | None:
+    if head.status != _UNAVAILABLE:
+        return None
+    rests = []
+    for value in _values(head, _RETRY_AFTER):
+        if _DECIMAL.fullmatch(value):
+            rests.append(timedelta(seconds=float(value)))
+        else:
+            malformed.append(_described(_RETRY_AFTER, value))
+    return max(rests, default=None)
+
+
 def _values(head: ResponseHead, name: str) -> list[str]:
     return [value.strip() for key, value in head.headers if key == name]
 
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -22,6 +22,7 @@
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.quotas import Quotas
+from sassafrasdale.gateway.rests import Rests
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
@@ -152,6 +153,7 @@
             self.endpoint_limits,
             self.permits,
             self.departures,
+            Rests(fleet.clock, count_nothing),
             fleet.clock,
             Random(name),
         )
@@ -312,7 +314,8 @@
     permits = Permits(limits, "a", ("a",), lambda name: "a", clock)
     permits.set_share(1.0)
     departures = Departures("departure", is_registered, clock, count)
-    return EndpointGate(limits, permits, departures, clock, Random(1))
+    rests = Rests(clock, count)
+    return EndpointGate(limits, permits, departures, rests, clock, Random(1))
 
 
 def single_peering(
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -1,5 +1,7 @@
 """What endpoints say of themselves in the headers of their responses."""
 
+from datetime import timedelta
+
 import pytest
 
 from sassafrasdale.deployment import EndpointSignals
@@ -55,3 +57,25 @@
     assert read.is_leaving is leaves
     assert len(read.malformed) == malformed
     assert not read.has_malformed_limit
+
+
+@pytest.mark.parametrize(
+    ("values", "status", "seconds", "malformed"),
+    [
+        (("3",), 503, 3, 0),
+        (("1.5",), 503, 1.5, 0),
+        (("2", "4"), 503, 4, 0),
+        (("31536000",), 503, 31_536_000, 0),
+        (("",), 503, None, 1),
+        (("-3",), 503, None, 1),
+        (("1e9",), 503, None, 1),
+        (("Thu, 03 Dec 2026 16:00:00 GMT",), 503, None, 1),
+        (("3",), 200, None, 0),
+        (("3",), 429, None, 0),
+    ],
+)
+def test_a_refusal_may_ask_for_rest(values, status, seconds, malformed) -> None:
+    headers = tuple(("retry-after", value) for value in values)
+    read = read_signals(ResponseHead(status, headers))
+    assert read.rest == (None if seconds is None else timedelta(seconds=seconds))
+    assert len(read.malformed) == malformed
