--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -3,6 +3,7 @@
 import json
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -72,6 +73,7 @@
     :param defect: defect of that version, if it has one.
     :ivar arrivals: elapsed times at which requests meant for it have arrived.
     :ivar extra_headers: headers that it adds to each response.
+    :ivar rest: if set, it refuses all requests and asks for rest of this length.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         self.events = 8
         self.arrivals: list[timedelta] = []
         self.extra_headers: tuple[tuple[str, str], ...] = ()
+        self.rest: timedelta | None = None
 
     @property
     def name(self) -> str:
@@ -183,6 +186,9 @@
             connection.answer(421, [("replica-id", self._name)])
             return
         self.arrivals.append(self._clock.elapsed())
+        if self.rest is not None:
+            self._refuse(connection, request, self.rest)
+            return
         self._connections.add(connection)
         run = self._new_run(request)
         self.runs.append(run)
@@ -210,6 +216,18 @@
         finally:
             self._connections.discard(connection)
 
+    def _refuse(
+        self, connection: ServerConnection, request: Request, rest: timedelta
+    ) -> None:
+        headers = [
+            ("request-id", request.header("request-id")),
+            ("not-run", "1"),
+            ("retry-after", f"{rest.total_seconds():g}"),
+            *self.extra_headers,
+        ]
+        with suppress(CallerDisconnected):
+            connection.answer(503, headers)
+
     def _is_faulty(self, request: Request) -> bool:
         defect = self._defect
         if defect is None or not request.target.startswith(defect.target_prefix):
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -22,6 +22,8 @@
 # window of this length.
 CONTACT_TIME = 3 * SECOND
 WINDOW = 4 * SECOND
+MOST_IN_A_REST = 2
+ON_THEIR_WAY = timedelta(milliseconds=500)
 DRAIN_TIME = 1.5 * SECOND
 PLAIN = "/certificates/7"
 STREAM = "/reports/7"
@@ -36,6 +38,8 @@
     """Gateways, endpoints of one service, and callers that send all the time.
 
     :param path: target of the callers' requests.
+    :ivar used: gateways that the callers send to.
+    :ivar responses: responses to the callers, and how long each took.
     """
 
     def __init__(self, path: str) -> None:
@@ -65,8 +69,9 @@
         # Until the gateways have discovered each other.
         sleep(SECOND)
         self._path = path
+        self.used = list(self.fleet.gateways)
         self._running = True
-        self.responses: list[bytes] = []
+        self.responses: list[tuple[bytes, timedelta]] = []
         for number in range(CALLERS):
             spawn(self._send_requests, number)
 
@@ -74,11 +79,12 @@
         number = 0
         while self._running:
             number += 1
-            gateway = self.fleet.gateways[(caller + number) % GATEWAYS]
+            gateway = self.used[(caller + number) % len(self.used)]
             headers = {"Deadline-Ms": "4000", "Token-Count": "100,8"}
             data = request(self._path, f"r-{caller}-{number}", **headers)
+            began_at = CLOCK.elapsed()
             response = ask(gateway.address, data)
-            self.responses.append(response)
+            self.responses.append((response, CLOCK.elapsed() - began_at))
             if not response.startswith(b"HTTP/1.1 200"):
                 sleep(timedelta(milliseconds=5))
 
@@ -171,3 +177,31 @@
     since = CLOCK.elapsed()
     sleep(2 * SECOND)
     assert not [at for at in leaving.arrivals if at >= since]
+
+
+def most_within_rests(arrivals: Sequence[timedelta], rest: timedelta) -> int:
+    """Return the most arrivals from one gateway in a rest, of which each asked for one.
+
+    Those of the first half second after a refusal are on their way already.
+    """
+    return max(
+        bisect_left(arrivals, at + rest) - bisect_left(arrivals, at + ON_THEIR_WAY)
+        for at in arrivals
+    )
+
+
+def test_an_endpoint_that_asked_for_rest_gets_it(deployment):
+    """Guards against refusals that draw more requests to the one that refuses."""
+    rest = 3 * SECOND
+    # One of the two gateways of a zone is the other's dispatcher.
+    deployment.used = deployment.fleet.gateways[:1]
+    sleep(timedelta(milliseconds=300))
+    began_at = CLOCK.elapsed()
+    endpoints = deployment.endpoints[:1]
+    for endpoint in endpoints:
+        endpoint.rest = rest
+    sleep(1.5 * rest)
+    for endpoint in endpoints:
+        refused = [at for at in endpoint.arrivals if at >= began_at]
+        assert refused
+        assert most_within_rests(refused, rest) <= MOST_IN_A_REST
