Endpoints that ask a gateway for rest get none of its requests in that time

Callers' view: over a tenth of the streams refused or failed while six of ten engines were sound. Cause: a refusal left no trace in the choice, so the engine that refuses at once, and has the least in flight, was chosen again and again, by the zone's dispatcher, too; its Retry-After was passed on and not read. Change: a rest of this gateway alone, heeded where an attempt is chosen and again where it is sent; the dispatcher is told of the asking gateway's rests and does not heed its own for others. While all endpoints rest, callers are refused at once, with the first end, spread. An endpoint that fails doesn't get what a resting one would.

--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -57,7 +57,11 @@
         """Return the endpoint for an attempt; None if there is none."""
         is_retry = bool(request.tried)
         attempt = self._fleet.start_local_attempt(
-            request.service, request.traits, request.tried, is_retry=is_retry
+            request.service,
+            request.traits,
+            request.tried,
+            request.resting,
+            is_retry=is_retry,
         )
         if attempt is None:
             return None
--- a/src/sassafrasdale/gateway/dispatcher_client.py
+++ b/src/sassafrasdale/gateway/dispatcher_client.py
@@ -76,9 +76,17 @@
         return tuple(self._open)
 
     def request_assignment(
-        self, service: str, traits: RequestTraits, tried: Collection[str]
+        self,
+        service: str,
+        traits: RequestTraits,
+        tried: Collection[str],
+        resting: Collection[str] = (),
     ) -> tuple[int, Assignment] | None:
-        """Return an attempt's number and its endpoint, if one is assigned."""
+        """Return an attempt's number and its endpoint, if one is assigned.
+
+        :param tried: endpoints that the request was sent to before.
+        :param resting: endpoints that want no requests from this gateway now.
+        """
         contact = self._dispatcher()
         self._switch_dispatcher(contact)
         if contact is None or self._clock.elapsed() < self._suspended_until:
@@ -86,7 +94,13 @@
         number = next(self._numbers)
         own = self._own
         request = AssignmentRequest.of(
-            own.name, own.incarnation, number, service, traits, tuple(tried)
+            own.name,
+            own.incarnation,
+            number,
+            service,
+            traits,
+            tuple(tried),
+            tuple(resting),
         )
         assigned = self._ask(contact, request)
         if assigned is None:
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -1,6 +1,6 @@
 """Decides which endpoints take a request now, by what they say in their responses."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -113,22 +113,30 @@
 
     def is_open(self, record: EndpointRecord) -> bool:
         """Return whether a request may be sent to an endpoint now."""
-        return self._permits.is_open(record.name)
+        return not self.is_resting(record) and self._permits.is_open(record.name)
 
-    def open_among(self, candidates: Sequence[EndpointRecord]) -> list[EndpointRecord]:
-        """Return the candidates that a request may be sent to now.
+    def is_resting(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint wants no requests from this gateway now."""
+        return self._rests.is_resting(record.name)
+
+    def resting_among(self, endpoints: Iterable[EndpointRecord]) -> frozenset[str]:
+        """Return the names of the endpoints that want no requests from this gateway."""
+        return frozenset(rec.name for rec in endpoints if self.is_resting(rec))
+
+    def with_permit(self, candidates: Sequence[EndpointRecord]) -> list[EndpointRecord]:
+        """Return the candidates that need no permit or for which there is one.
 
         For the others, permits are asked for.
         """
         for record in candidates:
             if self.is_limited(record):
                 self._permits.count_demand(record.name)
-        return [record for record in candidates if self.is_open(record)]
+        return [record for record in candidates if self._permits.is_open(record.name)]
 
     def take(self, record: EndpointRecord) -> bool:
         """Use a permit for a request to an endpoint, if it needs one.
 
-        :returns: whether the request may be sent.
+        :returns: whether there was one, or none is needed.
         """
         return self._permits.take(record.name)
 
@@ -139,11 +147,15 @@
 
         :param gateways: number of gateways that share the endpoints.
         """
+        rests = [self._rests.time_left(record.name) for record in endpoints]
+        rests = [rest for rest in rests if rest]
         limits = [self._limits.rate_limit(record.name) for record in endpoints]
-        named = [limit for limit in limits if limit is not None]
-        if not named:
+        limits = [limit for limit in limits if limit is not None]
+        if not rests and not limits:
             return Unavailability("no endpoint", NO_ENDPOINT_RETRY_AFTER)
-        pause = permit_interval(named, gateways)
+        pauses = [permit_interval(limits, gateways)] if limits else []
+        pause = min([*rests, *pauses])
+        reason = "endpoints at their limits" if limits else "endpoints rest"
         # Spread, so that the callers don't come back all at once.
         spread = self._rng.uniform(1, RETRY_AFTER_SPREAD)
-        return Unavailability("endpoints at their limits", pause * spread)
+        return Unavailability(reason, pause * spread)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -159,7 +159,10 @@
             attempt = self._start_assigned_attempt(service, traits, tried)
             if attempt is not None:
                 return attempt
-        return self.start_local_attempt(service, traits, tried, is_retry=is_retry)
+        resting = self._gate.resting_among(self.endpoints(service))
+        return self.start_local_attempt(
+            service, traits, tried, resting, is_retry=is_retry
+        )
 
     def _start_canary_attempt(
         self,
@@ -176,7 +179,10 @@
         candidates = [record for record in sample if record.name not in tried]
         if not candidates:
             return None
-        return self._start_among(candidates, sample, service, traits, is_retry=False)
+        resting = self._gate.resting_among(candidates)
+        return self._start_among(
+            candidates, sample, service, traits, resting, is_retry=False
+        )
 
     def count_attempt(self, attempt: Attempt, *, is_retry: bool) -> None:
         """Count an attempt for the retry budget and the canary's statistics.
@@ -190,7 +196,13 @@
     def _start_assigned_attempt(
         self, service: str, traits: RequestTraits, tried: Collection[str]
     ) -> Attempt | None:
-        assignment = self._dispatcher_client.request_assignment(service, traits, tried)
+        registered = self._directory.of_service(service)
+        resting = self._gate.resting_among(registered)
+        if resting and len(resting) == len(registered):
+            return None
+        assignment = self._dispatcher_client.request_assignment(
+            service, traits, tried, resting
+        )
         if assignment is None:
             return None
         number, assigned = assignment
@@ -228,6 +240,8 @@
         """
         if record.name in tried or not record.is_ready:
             return False
+        if self._gate.is_resting(record):
+            return False
         if not self._rollouts.usable(service, [record]):
             return False
         health = self._directory.health_of(service)
@@ -249,14 +263,19 @@
         service: str,
         traits: RequestTraits,
         tried: Collection[str],
+        resting: Collection[str],
         *,
         is_retry: bool,
     ) -> Attempt | None:
-        """Choose an endpoint by this gateway's own data, and count the attempt."""
+        """Choose an endpoint by this gateway's own data, and count the attempt.
+
+        :param resting: endpoints that want no requests from the gateway that will send
+            the attempt, which may be another one.
+        """
         registered = self.endpoints(service)
         candidates = [record for record in registered if record.name not in tried]
         return self._start_among(
-            candidates, registered, service, traits, is_retry=is_retry
+            candidates, registered, service, traits, resting, is_retry=is_retry
         )
 
     def _start_among(
@@ -265,18 +284,24 @@
         registered: Sequence[EndpointRecord],
         service: str,
         traits: RequestTraits,
+        resting: Collection[str],
         *,
         is_retry: bool,
     ) -> Attempt | None:
         """Choose among the candidates, and count the attempt as in progress.
 
+        An endpoint that fails is chosen only if all fail, not if the others rest or are
+        at their limits.
+
         :param registered: endpoints of the same versions, among which prompt parts have
             their owners.
+        :param resting: candidates that want no requests from the gateway that sends.
         """
         weights = self._health_weights(service)
         healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
-        open_now = self._gate.open_among(healthy or candidates)
-        record = self._choose(open_now, service, traits, weights)
+        awake = [rec for rec in healthy or candidates if rec.name not in resting]
+        permitted = self._gate.with_permit(awake)
+        record = self._choose(permitted, service, traits, weights)
         if record is None or not self._gate.take(record):
             return None
         return self._start_at(record, registered, traits, weights, is_retry=is_retry)
@@ -284,9 +309,10 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
 
-        Its endpoint may have named a limit since it was chosen, or begun to leave.
+        Since it was chosen, its endpoint may have named a limit, asked for rest, or
+        begun to leave.
         """
-        if not attempt.record.is_ready:
+        if not attempt.record.is_ready or self._gate.is_resting(attempt.record):
             return False
         if not attempt.has_permit:
             attempt.has_permit = self._gate.take(attempt.record)
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -60,6 +60,7 @@
             self.directory.put(
                 Endpoint(f"i-{number}", "models", address, "a", EndpointState.READY, 32)
             )
+        self.gate = single_gate(clock)
         cache, step_times = CacheEstimate(), EngineStepTimes()
         self.fleet = Fleet(
             self.directory,
@@ -72,7 +73,7 @@
             bounds(),
             clock,
             no_rollouts(clock),
-            single_gate(clock),
+            self.gate,
             client,
         )
 
@@ -332,3 +333,45 @@
             zone.send_results()
     assert zone.central.fleet.token_times() == {}
     assert sum(zone.central.in_flight_counts()) == 0
+
+
+def names_of(attempts):
+    return {attempt.record.name for attempt in attempts}
+
+
+def test_a_member_s_rests_are_heeded_by_the_dispatcher_and_are_its_own(zone):
+    """Guards against a rest that the dispatcher doesn't know, or keeps from others."""
+    for name in ("i-0", "i-1", "i-2"):
+        zone.gateways[0].gate.rests.begin(name, 3 * SECOND)
+    zone.central.gate.rests.begin("i-3", 3 * SECOND)
+    assert names_of(zone.send(1) for _ in range(8)) == {"i-0", "i-1", "i-2", "i-3"}
+    attempts = [zone.send(0) for _ in range(8)]
+    assert names_of(attempts) == {"i-3"}
+    assert all(attempt.assigned_by for attempt in attempts)
+
+
+def test_the_dispatcher_uses_a_permit_for_what_it_assigns(zone):
+    """Guards against an assignment that a limit has no room for."""
+    permits = 3
+    for number in range(4):
+        zone.central.gate.limits.set(f"i-{number}", 0.5, "response")
+        zone.gateways[0].gate.limits.set(f"i-{number}", 0.5, "peer")
+    zone.gateways[0].gate.permits.set_share(None)
+    # Each of the four endpoints has one permit by the time of the next attempts.
+    assert zone.send(0) is None
+    zone.clock.advance(2.5 * SECOND)
+    attempts = [zone.send(0) for _ in range(permits)]
+    assert all(attempt.assigned_by and attempt.has_permit for attempt in attempts)
+    assert len(names_of(attempts)) == permits
+    assert zone.send(0) is not None
+    assert zone.send(0) is None
+
+
+def test_an_assignment_over_a_limit_that_only_the_gateway_knows_is_declined(zone):
+    """Guards against a dispatcher that has not been told of a limit yet."""
+    for number in range(4):
+        zone.gateways[0].gate.limits.set(f"i-{number}", 0.5, "response")
+    zone.gateways[0].gate.permits.set_share(None)
+    assert zone.send(0) is None
+    zone.send_results()
+    assert sum(zone.central.in_flight_counts()) == 0
--- a/tests/gateway/test_rests.py
+++ b/tests/gateway/test_rests.py
@@ -1,12 +1,21 @@
-"""Endpoints that ask a gateway for rest."""
+"""Endpoints that ask a gateway for rest get it, from all that it sends."""
 
 from datetime import timedelta
 
 import pytest
 
 from sassafrasdale.clock import ManualClock
+from sassafrasdale.deployment import RequestTraits
 from sassafrasdale.gateway.rests import MAX_REST, Rests
 from tests.gateway.fleets import count_nothing
+from tests.gateway.world import (
+    CLOCK,
+    ScriptedEndpoint,
+    World,
+    header,
+    request,
+    respond_with,
+)
 
 SECOND = timedelta(seconds=1)
 
@@ -54,3 +63,78 @@
     clock.advance(2 * SECOND)
     rests.remove_ended()
     assert rests.time_left("i-1") == timedelta()
+
+
+REST = "Not-Run: 1\r\nRetry-After: 3\r\n"
+
+
+def refusing() -> ScriptedEndpoint:
+    return ScriptedEndpoint(respond_with(status="503 Full", extra=REST))
+
+
+def retry_after(response: bytes) -> float:
+    return float(header(response, "retry-after"))
+
+
+def test_callers_are_refused_at_once_while_all_endpoints_rest():
+    """Guards against requests that wait for, or add to, what can't serve them."""
+    world = World()
+    endpoint = refusing()
+    world.add("i-1", "records", endpoint)
+    world.ask(request("/certificates/1"))
+    answers = [world.ask(request("/certificates/2")) for _ in range(8)]
+    assert len(endpoint.requests) == 1
+    assert all(answer.startswith(b"HTTP/1.1 503") for answer in answers)
+    pauses = [retry_after(answer) for answer in answers]
+    assert all(2.5 <= pause <= 6.0 for pause in pauses)
+    # Spread, so that they don't come back all at once.
+    assert max(pauses) - min(pauses) > 0.5
+
+
+def test_another_endpoint_gets_the_requests_meanwhile():
+    world = World()
+    resting, sound = refusing(), ScriptedEndpoint(respond_with())
+    world.add("i-1", "records", resting)
+    world.ask(request("/certificates/1"))
+    world.add("i-2", "records", sound)
+    for _ in range(5):
+        assert world.ask(request("/certificates/2")).startswith(b"HTTP/1.1 200")
+    assert (len(resting.requests), len(sound.requests)) == (1, 5)
+
+
+def test_a_failing_endpoint_does_not_get_what_a_resting_one_would():
+    """Guards against an ejected endpoint that is chosen as the others rest."""
+    world = World()
+    resting, failing = refusing(), ScriptedEndpoint(respond_with())
+    world.add("i-1", "records", resting)
+    world.add("i-2", "records", failing)
+    health = world.directory.health_of("records")
+    for _ in range(50):
+        health.observe("i-2", ok=False, now=CLOCK.elapsed())
+        health.observe("i-1", ok=True, now=CLOCK.elapsed())
+    weights = health.weights(CLOCK.elapsed())
+    assert weights["i-2"] == 0
+    world.gate.rests.begin("i-1", timedelta(seconds=3))
+    assert world.ask(request("/certificates/1")).startswith(b"HTTP/1.1 503")
+    assert not failing.requests
+
+
+def test_an_attempt_is_not_sent_to_an_endpoint_that_asked_for_rest_since_its_choice():
+    """Guards against a choice that is older than the refusal."""
+    world = World()
+    world.add("i-1", "records", refusing())
+    attempt = world.fleet.start_attempt(
+        "records", RequestTraits("r-1"), (), is_retry=False
+    )
+    assert world.fleet.may_send(attempt)
+    world.gate.rests.begin("i-1", timedelta(seconds=3))
+    assert not world.fleet.may_send(attempt)
+
+
+def test_an_endpoint_that_rests_is_no_alternative():
+    """Guards against a response that is dropped for a retry that nothing takes."""
+    world = World()
+    world.add("i-1", "records", refusing())
+    assert world.fleet.has_alternative("records", ())
+    world.gate.rests.begin("i-1", timedelta(seconds=3))
+    assert not world.fleet.has_alternative("records", ())
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -190,14 +190,17 @@
     )
 
 
-def test_an_endpoint_that_asked_for_rest_gets_it(deployment):
+@pytest.mark.parametrize("deployment", [PLAIN, STREAM], indirect=True)
+@pytest.mark.parametrize("resting", [1, ENDPOINTS])
+@pytest.mark.parametrize("gateway", [0, 2])
+def test_an_endpoint_that_asked_for_rest_gets_it(deployment, resting, gateway):
     """Guards against refusals that draw more requests to the one that refuses."""
     rest = 3 * SECOND
     # One of the two gateways of a zone is the other's dispatcher.
-    deployment.used = deployment.fleet.gateways[:1]
+    deployment.used = [deployment.fleet.gateways[gateway]]
     sleep(timedelta(milliseconds=300))
     began_at = CLOCK.elapsed()
-    endpoints = deployment.endpoints[:1]
+    endpoints = deployment.endpoints[:resting]
     for endpoint in endpoints:
         endpoint.rest = rest
     sleep(1.5 * rest)
