--- a/standins/callers.py
+++ b/standins/callers.py
@@ -78,14 +78,29 @@
     """Load balancer over the entries whose readiness probe returns 200."""
 
     def __init__(self, entries: Sequence[EntryProcess], seed: int = 1) -> None:
-        self.entries = list(entries)
+        self._entries = tuple(entries)
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
 
+    def add(self, entry: EntryProcess) -> None:
+        """Send calls to another entry, too."""
+        with self._lock:
+            self._entries = (*self._entries, entry)
+
+    def remove(self, entry: EntryProcess) -> None:
+        """Send no more calls to an entry."""
+        with self._lock:
+            self._entries = tuple(one for one in self._entries if one is not entry)
+
+    def replace_all(self, entries: Sequence[EntryProcess]) -> None:
+        """Send calls to these entries from now on."""
+        with self._lock:
+            self._entries = tuple(entries)
+
     def pick(self, avoid: str = "") -> EntryProcess | None:
         """Return a ready entry, if possible another one than ``avoid``."""
         with self._lock:
-            entries = self._rng.sample(self.entries, len(self.entries))
+            entries = self._rng.sample(self._entries, len(self._entries))
         entries.sort(key=lambda entry: entry.name == avoid)
         for entry in entries:
             if _is_ready(entry):
--- a/tests/gateway/test_store_view.py
+++ b/tests/gateway/test_store_view.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from logbook import TestHandler as LogRecorder
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import PromptPart
@@ -13,6 +14,7 @@
 from sassafrasdale.gateway.follower import PrefixChanges
 from sassafrasdale.gateway.placement import CacheEstimate
 from sassafrasdale.gateway.store_view import StoreView
+from sassafrasdale.green import Event, sleep
 from tests.gateway.fleets import no_rollouts
 
 REGISTRATION = {
@@ -24,6 +26,16 @@
 PARTS = (PromptPart("p", 900),)
 
 
+class SilentStore:
+    """A store that answers no call.
+
+    A task that the test leaves behind waits there, and neither fails nor logs.
+    """
+
+    def __getattr__(self, name):
+        return lambda *args, **kwargs: Event().wait()
+
+
 class World:
     """A gateway's store view, whose changes are made by the test."""
 
@@ -33,7 +45,7 @@
         self.cache = CacheEstimate()
         self.rollouts = no_rollouts(clock)
         self.store_view = StoreView(
-            None,
+            SilentStore(),
             Dependency("store", clock),
             self.directory,
             self.rollouts,
@@ -106,3 +118,11 @@
     world.cache.record_prompt("i-1", PARTS, 10_000)
     world.register("i-1", born=2)
     assert world.cache.cached_tokens("i-1", PARTS) == 0
+
+
+def test_the_view_of_a_silent_store_logs_nothing(world):
+    """Guards against a task that outlives its test and logs into another one."""
+    with LogRecorder().applicationbound() as handler:
+        world.store_view._watch_rollouts()
+        sleep(timedelta(milliseconds=200))
+    assert not handler.formatted_records
--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -46,10 +46,10 @@
             crowd.stream(STREAMS, tokens=100, prefix=f"turn-{number}")
             crowd.wait_until_running()
             assert entry.terminate() == 0
-            crowd.balancer.entries.remove(entry)
+            crowd.balancer.remove(entry)
             again = fleet.add_entry(f"{entry.name}-again", entry.zone)
             again.wait_until_ready()
-            crowd.balancer.entries.append(again)
+            crowd.balancer.add(again)
         state["running"] = False
         assert time.monotonic() < stop
         assert [future.result() for future in lookups + wholes] == [[]] * 8
@@ -136,7 +136,7 @@
     crowd = CallerPool(Balancer([entry]))
     crowd.stream(count, tokens)
     crowd.wait_until_running()
-    crowd.balancer.entries = list(fleet.entries)
+    crowd.balancer.replace_all(fleet.entries)
     return crowd
 
 
