A dispatcher that has no endpoint for an attempt counts as one that answers

While all engines are at their limits it answers 404; its members took that for a failed call and chose alone for half a second, without its permits. The new test fails on the code before (asked once, not three times).

--- a/src/sassafrasdale/gateway/dispatcher_client.py
+++ b/src/sassafrasdale/gateway/dispatcher_client.py
@@ -110,7 +110,7 @@
             # The dispatcher may have counted the attempt, and must not keep doing so.
             self._queue_end(AttemptEnded(number, AttemptResult.NEUTRAL))
             return None
-        return number, assigned
+        return (number, assigned) if assigned.endpoint else None
 
     def add_attempt(self, number: int, take_over: Callable[[], None]) -> None:
         """Add an attempt that starts as assigned.
--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -65,6 +65,7 @@
 class Assignment(Message):
     """The endpoint for an attempt, which counts as in progress there from now on.
 
+    :param endpoint: its name; empty if none is available.
     :param source: engine from which it fetches the KV cache of shared prompt parts.
     :param prefill_tokens: prompt tokens that it has yet to prefill.
     :param queued_tokens: prefill tokens ahead of them.
@@ -110,6 +111,9 @@
     ended: tuple[AttemptEnded, ...] = ()
 
 
+# The dispatcher has no endpoint for an attempt.
+NO_ASSIGNMENT = Assignment("")
+
 ASSIGNMENT_REQUEST = Decoder(AssignmentRequest)
 ASSIGNMENT = Decoder(Assignment)
 ATTEMPT_REPORT = Decoder(AttemptReport)
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -12,6 +12,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.gateway.dispatcher_messages import (
     ASSIGNMENT,
+    NO_ASSIGNMENT,
     Assignment,
     AssignmentRequest,
     AttemptReport,
@@ -166,12 +167,17 @@
     def request_assignment(
         self, contact: Contact, request: AssignmentRequest
     ) -> Assignment | None:
-        """Return the endpoint assigned by a dispatcher; None if the call failed."""
+        """Return the endpoint assigned by a dispatcher; None if the call failed.
+
+        If no endpoint is available there, the assignment names none.
+        """
         call = Request("POST", ASSIGNMENT_TARGET, body=encode(request))
         try:
             response = self._client(
                 contact, self._assignment_clients, ASSIGNMENT_TIMEOUT
             ).call(call, ASSIGNMENT_TIMEOUT)
+            if response.status == 404:
+                return NO_ASSIGNMENT
             return ASSIGNMENT.decode(response.body) if response.status == 200 else None
         except (HttpError, MessageMalformed) as error:
             log.debug("assignment request failed", peer=contact.name, why=str(error))
--- a/tests/gateway/test_dispatcher_client.py
+++ b/tests/gateway/test_dispatcher_client.py
@@ -5,12 +5,13 @@
 import pytest
 
 from sassafrasdale.clock import SystemClock
+from sassafrasdale.deployment import RequestTraits
 from sassafrasdale.gateway.dispatcher_client import (
     BATCH_DELAY,
     MAX_REPORT_INTERVAL,
     DispatcherClient,
 )
-from sassafrasdale.gateway.dispatcher_messages import AttemptResult
+from sassafrasdale.gateway.dispatcher_messages import NO_ASSIGNMENT, AttemptResult
 from sassafrasdale.green import sleep, spawn
 from tests.gateway.fleets import contact
 
@@ -71,3 +72,23 @@
     gateway.dispatcher = contact("other")
     sleep(MAX_REPORT_INTERVAL + SOON)
     assert local == [1]
+
+
+def test_a_dispatcher_that_has_no_endpoint_is_asked_again():
+    """Guards against a zone that chooses alone because all endpoints are limited."""
+    asked = []
+
+    def ask(_, request):
+        asked.append(request.number)
+        return NO_ASSIGNMENT
+
+    client = DispatcherClient(
+        contact("g-1"),
+        lambda: contact("central"),
+        ask,
+        lambda *_: True,
+        SystemClock(),
+    )
+    for _ in range(3):
+        assert client.request_assignment("models", RequestTraits("r"), ()) is None
+    assert asked == [1, 2, 3]
