What limits add to the exchanges between gateways is bounded

Every report repeated all that endpoints had said, and asked for permits for each limited endpoint: 387 kB/s at the busiest aggregator of 195 gateways while 39 engines are limited, 60 without any (in the model of tests/gateway/test_permits_model.py). Changes are told for a second, everything every four seconds, and permits are asked for 16 endpoints at a time, in turns: 154 kB/s.

--- a/src/sassafrasdale/gateway/aggregator.py
+++ b/src/sassafrasdale/gateway/aggregator.py
@@ -201,8 +201,8 @@
             roster=() if known else tuple(self._roster.own_zone_contacts()),
             clocks=self._context.time.peer_readings(MAX_CLOCKS),
             strikes=strikes.update_for(name),
-            endpoint_limits=self._context.gate.limits.report(),
-            departures=self._context.gate.departures.report(),
+            endpoint_limits=self._context.gate.limits.report_for(name),
+            departures=self._context.gate.departures.report_for(name),
             permits=self._context.gate.permits.lend(name, report.permit_requests),
         )
 
@@ -358,8 +358,8 @@
             usage_received=0 if other is None else other.usage_received,
             members=tuple(self._group.in_touch) if same_zone else (),
             strikes=self._context.strikes.update_for(receiver.name),
-            endpoint_limits=self._context.gate.limits.report(),
-            departures=self._context.gate.departures.report(),
+            endpoint_limits=self._context.gate.limits.report_for(receiver.name),
+            departures=self._context.gate.departures.report_for(receiver.name),
         )
 
     def _usage_rows_for(self, other: _PeerGroup | None) -> tuple[UsageRow, ...] | None:
--- a/src/sassafrasdale/gateway/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/endpoint_beliefs.py
@@ -25,6 +25,10 @@
 # Another gateway's news of an endpoint must be newer than its own by more than they are
 # delayed on the way; otherwise two gateways would make old news look new.
 PEER_MARGIN = timedelta(milliseconds=100)
+# Time after a change in which each report to another gateway tells of it.
+CHANGE_REPORTING = timedelta(seconds=1)
+# Interval between reports of all beliefs to a gateway, which may have missed some.
+FULL_REPORT_INTERVAL = timedelta(seconds=4)
 # Time for which the other gateways are told that a belief has ended.
 ENDED_RETENTION = timedelta(seconds=10)
 # Time after which an endpoint that is not registered any more is forgotten.
@@ -37,11 +41,13 @@
 
     :param value: what it says; None for nothing.
     :param confirmed_at: elapsed time of the last evidence of that.
+    :param changed_at: elapsed time at which this gateway began to believe it.
     :param logged_at: elapsed time of the last line on it.
     """
 
     value: Value | None = None
     confirmed_at: timedelta = timedelta()
+    changed_at: timedelta = timedelta()
     logged_at: timedelta | None = None
 
 
@@ -66,6 +72,7 @@
         self._clock = clock
         self._count = count
         self._beliefs: dict[str, _Belief[Value]] = {}
+        self._fully_reported_at: dict[str, timedelta] = {}
 
     def value(self, endpoint: str) -> Value | None:
         """Return what an endpoint says; None for nothing."""
@@ -88,15 +95,22 @@
         """Record that an endpoint has restarted: what it said before is void."""
         self.set(endpoint, None, "restart")
 
-    def report(self) -> dict[str, BeliefReport]:
-        """Return what endpoints say, and what has just ended, for peers."""
+    def report_for(self, receiver: str) -> dict[str, BeliefReport]:
+        """Return what another gateway may lack: recent changes, now and then all.
+
+        :param receiver: name of the other gateway.
+        """
         now = self._clock.elapsed()
+        last = self._fully_reported_at.get(receiver)
+        is_full = last is None or now - last >= FULL_REPORT_INTERVAL
+        if is_full:
+            self._fully_reported_at[receiver] = now
         return {
             endpoint: BeliefReport(
                 belief.value, (now - belief.confirmed_at).total_seconds()
             )
             for endpoint, belief in self._beliefs.items()
-            if belief.value is not None or now - belief.confirmed_at <= ENDED_RETENTION
+            if is_full or now - belief.changed_at <= CHANGE_REPORTING
         }
 
     def receive(self, reports: Mapping[str, BeliefReport]) -> None:
@@ -116,6 +130,11 @@
             is_gone = age > GONE_RETENTION and not self._is_registered(endpoint)
             if is_over or is_gone:
                 del self._beliefs[endpoint]
+        self._fully_reported_at = {
+            receiver: at
+            for receiver, at in self._fully_reported_at.items()
+            if now - at <= GONE_RETENTION
+        }
 
     def _is_news(
         self, endpoint: str, value: Value | None, confirmed_at: timedelta
@@ -138,6 +157,7 @@
         before, belief.value = belief.value, value
         belief.confirmed_at = confirmed_at
         if before != value:
+            belief.changed_at = self._clock.elapsed()
             self._count(self._event, source=source)
             self._log_change(endpoint, belief, before, source)
 
--- a/src/sassafrasdale/gateway/permits.py
+++ b/src/sassafrasdale/gateway/permits.py
@@ -22,16 +22,23 @@
 # A gateway asks for permits while it has chosen among an endpoint's service this
 # recently.
 DEMAND_WINDOW = timedelta(seconds=2)
-# Most permits for one endpoint that a gateway asks for at a time.
+# Most permits for one endpoint that a gateway asks for at a time, and most endpoints.
 MAX_WANTED = 64
+MAX_ENDPOINTS_WANTED = 16
 
 
 @dataclass(slots=True)
 class _Demand:
-    """Attempts for which an endpoint was a candidate."""
+    """Attempts for which an endpoint was a candidate.
+
+    :param last_at: elapsed time of the last one.
+    :param since_request: their number since permits were last asked for.
+    :param asked_at: elapsed time at which permits were last asked for.
+    """
 
     last_at: timedelta
     since_request: int = 0
+    asked_at: timedelta = timedelta()
 
 
 class Permits:
@@ -110,19 +117,25 @@
         now = self._clock.elapsed()
         returned = self._borrowed if self._loan_is_fresh() else Counter()
         self._borrowed = Counter()
+        self._remove_old_demand(now)
+        # The endpoints that were asked for longest ago go first.
+        demands = sorted(self._demand.items(), key=lambda item: item[1].asked_at)
         requests = {}
-        for endpoint, demand in list(self._demand.items()):
-            is_limited = self._limits.rate_limit(endpoint) is not None
-            if not is_limited or now - demand.last_at > DEMAND_WINDOW:
-                del self._demand[endpoint]
-                continue
+        for endpoint, demand in demands[:MAX_ENDPOINTS_WANTED]:
             wanted = min(max(demand.since_request, 1), MAX_WANTED)
             demand.since_request = 0
+            demand.asked_at = now
             requests[endpoint] = PermitRequest(wanted, returned.pop(endpoint, 0))
         for endpoint, unused in returned.items():
             requests[endpoint] = PermitRequest(0, unused)
         return requests
 
+    def _remove_old_demand(self, now: timedelta) -> None:
+        for endpoint, demand in list(self._demand.items()):
+            is_limited = self._limits.rate_limit(endpoint) is not None
+            if not is_limited or now - demand.last_at > DEMAND_WINDOW:
+                del self._demand[endpoint]
+
     def receive(self, lent: Mapping[str, int]) -> None:
         """Receive the permits that the aggregator lends until the next report."""
         self._borrowed = Counter(lent)
--- a/src/sassafrasdale/gateway/reporter.py
+++ b/src/sassafrasdale/gateway/reporter.py
@@ -83,8 +83,8 @@
             tuple(self._usage_row(window, counts) for window, counts in rows.items()),
             self._context.local_state.open_attempts(),
             strikes=self._context.strikes.update_for(contact.name),
-            endpoint_limits=self._context.gate.limits.report(),
-            departures=self._context.gate.departures.report(),
+            endpoint_limits=self._context.gate.limits.report_for(contact.name),
+            departures=self._context.gate.departures.report_for(contact.name),
             permit_requests=self._context.gate.permits.build_requests(),
         )
         reply = self._calls.send(contact, REPORT_TARGET, report, REPORT_REPLY)
--- a/tests/gateway/test_permits_model.py
+++ b/tests/gateway/test_permits_model.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import EndpointSignals
-from tests.gateway.fleets import Fleet, Node
+from sassafrasdale.gateway.permits import Permits
+from tests.gateway.fleets import Fleet, Node, single_gate
 
 SECOND = timedelta(seconds=1)
 WINDOW = 4 * SECOND
@@ -201,3 +203,51 @@
     limited.arrivals.clear()
     limited.play(12.0)
     assert len(limited.arrivals) / 12.0 >= 0.5 * rate
+
+
+def bytes_at_the_busiest_aggregator(limited: int) -> float:
+    """Return the bytes per second of exchanges while a number of endpoints is limited.
+
+    All gateways have requests for all of these endpoints.
+    """
+    fleet = Fleet(LARGE)
+    for number in range(limited):
+        fleet.endpoint_zones[f"i-{number:010d}"] = "abcde"[number % 5]
+    fleet.play(3.0)
+    for node in fleet.nodes.values():
+        for name in fleet.endpoint_zones:
+            node.endpoint_limits.set(name, 1.0, "response")
+    fleet.bytes.clear()
+    seconds = 4
+    for _ in range(10 * seconds):
+        fleet.play(0.1)
+        for node in fleet.nodes.values():
+            for name in fleet.endpoint_zones:
+                node.permits.count_demand(name)
+    return max(fleet.bytes.values()) / seconds
+
+
+def test_what_limits_add_to_the_exchanges_of_two_hundred_gateways_is_bounded():
+    """Guards against news of endpoints that fill the links of small instances.
+
+    A tenth of a link of 10 Mbit/s is 125 kB/s.
+    """
+    added = bytes_at_the_busiest_aggregator(39) - bytes_at_the_busiest_aggregator(0)
+    assert added <= 125_000
+
+
+def test_each_limited_endpoint_is_asked_for_in_its_turn():
+    """Guards against a bound on requests that starves the last of many endpoints."""
+    clock = ManualClock()
+    limits = single_gate(clock).limits
+    permits = Permits(limits, "a", ("a",), lambda name: "a", clock)
+    names = [f"i-{number}" for number in range(40)]
+    for name in names:
+        limits.set(name, 1.0, "response")
+    asked = set()
+    for _ in range(3):
+        clock.advance(timedelta(milliseconds=400))
+        for name in names:
+            permits.count_demand(name)
+        asked |= set(permits.build_requests())
+    assert asked == set(names)
