A departure is void once its endpoint has started again after its registration was gone

Callers' view: an endpoint that left, ended and came back under its name was not used for 30 s. Cause: a restart was noticed only while the registration before it was still there. The gate now remembers each endpoint's last start; a registration that had only expired voids nothing. Seen: of the two new cases the one with another start failed before, both pass; 1,106 tests pass.

--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -140,9 +140,10 @@
             settings.bounds.endpoint_drain,
             lambda: self._store_health.since_failure,
             lambda: self.metrics.count("endpoint connection opened"),
-            self._handle_restart,
+            self.quarantine.record_crash,
             self.quarantine.handle_expiry,
             self.gate.departures.is_leaving,
+            self.gate.record_registration,
         )
         self.rollouts = Rollouts(
             settings.bounds.canary_share,
@@ -293,10 +294,6 @@
             self.incarnation,
         )
 
-    def _handle_restart(self, name: str) -> None:
-        self.gate.mark_restarted(name)
-        self.quarantine.record_crash(name)
-
     def _forget_engine(self, name: str) -> None:
         self._cache.forget(name)
         self._step_times.forget(name)
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -82,6 +82,8 @@
         it was ready.
     :param says_leaving: returns whether an endpoint has said in a response that it is
         leaving.
+    :param on_registration: called with the name and the start time of each endpoint
+        that is registered anew.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         on_restart: Callable[[str], None] = lambda name: None,
         on_expiry: Callable[[EndpointRecord], None] = lambda record: None,
         says_leaving: Callable[[str], bool] = lambda name: False,
+        on_registration: Callable[[str, int | None], None] = lambda name, born: None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -103,6 +106,7 @@
         self._on_restart = on_restart
         self._on_expiry = on_expiry
         self._says_leaving = says_leaving
+        self._on_registration = on_registration
         self._records: dict[str, EndpointRecord] = {}
         self._services: dict[str, list[EndpointRecord]] = {}
         self._fallback: dict[str, tuple[EndpointRecord, timedelta]] = {}
@@ -179,6 +183,7 @@
                 partial(self._says_leaving, endpoint.name),
             )
             self._records[endpoint.name] = record
+            self._on_registration(endpoint.name, endpoint.born)
             log.info("endpoint listed", **_log_fields(endpoint))
         elif record.endpoint.state is not endpoint.state:
             log.info("endpoint changed state", **_log_fields(endpoint))
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -21,6 +21,8 @@
 NO_ENDPOINT_RETRY_AFTER = timedelta(milliseconds=300)
 # Longest Retry-After in relation to the shortest, where many callers wait for the same.
 RETRY_AFTER_SPREAD = 2.0
+# Most endpoints whose start times are remembered, those that are gone included.
+MAX_REMEMBERED = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,7 @@
         self._rests = rests
         self._rng = rng
         self._malformed = MalformedSignalLog(clock)
+        self._born: dict[str, int] = {}
 
     @property
     def limits(self) -> EndpointLimits:
@@ -94,14 +97,27 @@
         if signals.rest is not None:
             self._rests.begin(endpoint, signals.rest)
 
-    def mark_restarted(self, endpoint: str) -> None:
-        """Record that an endpoint has restarted: what it said before is void."""
+    def record_registration(self, endpoint: str, born: int | None) -> None:
+        """Record that an endpoint is registered anew.
+
+        What it said before its last start is void. One whose registration had only
+        expired still is what it was.
+
+        :param born: its start time; None if it is not known.
+        """
+        before = self._born.get(endpoint)
+        if born is not None:
+            self._born[endpoint] = born
+        if before is None or born is None or before == born:
+            return
         self._limits.mark_restarted(endpoint)
         self._departures.mark_restarted(endpoint)
         self._rests.end(endpoint)
 
     def remove_gone(self) -> None:
-        """Forget endpoints that are gone."""
+        """Forget what is over, and endpoints that are gone."""
+        while len(self._born) > MAX_REMEMBERED:
+            del self._born[next(iter(self._born))]
         self._limits.remove_gone()
         self._departures.remove_gone()
         self._permits.remove_ended()
--- a/tests/gateway/test_endpoint_beliefs.py
+++ b/tests/gateway/test_endpoint_beliefs.py
@@ -168,6 +168,22 @@
     assert world.ask(request("/certificates/2")).startswith(b"HTTP/1.1 200")
 
 
+@pytest.mark.parametrize("born", [1, 2])
+def test_a_registration_that_had_expired_voids_nothing_but_of_an_earlier_start(born):
+    """Guards against a restarted endpoint left unused, and a leaving one in use."""
+    world = World()
+    endpoint = ScriptedEndpoint(respond_with(extra=LEAVES), respond_with())
+    registered = Endpoint(
+        "i-1", "records", endpoint.address, "a", EndpointState.READY, 6, born=1
+    )
+    world.directory.put(registered)
+    world.ask(request("/certificates/1"))
+    world.directory.remove("i-1")
+    world.directory.put(replace(registered, born=born))
+    status = b"HTTP/1.1 503" if born == 1 else b"HTTP/1.1 200"
+    assert world.ask(request("/certificates/2")).startswith(status)
+
+
 def test_an_attempt_is_not_sent_to_an_endpoint_that_began_to_leave_since_its_choice():
     """Guards against a choice that is older than the departure."""
     world = World()
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -202,9 +202,10 @@
             CLOCK,
             self.rng,
             self.settings.bounds.endpoint_drain,
-            on_restart=self._handle_restart,
+            on_restart=lambda name: self.quarantine.record_crash(name),
             on_expiry=lambda record: self.quarantine.handle_expiry(record),
             says_leaving=self.gate.departures.is_leaving,
+            on_registration=self.gate.record_registration,
         )
         self.usage = UsageCounts(timedelta(seconds=5), ClusterTime(CLOCK))
         self.rollouts = Rollouts(
@@ -257,10 +258,6 @@
         spawn(self.server.serve)
         self.address = bound_address(listener)
 
-    def _handle_restart(self, name: str) -> None:
-        self.gate.mark_restarted(name)
-        self.quarantine.record_crash(name)
-
     def add(
         self,
         name: str,
