--- a/src/sassafrasdale/decisions/rollouts.py
+++ b/src/sassafrasdale/decisions/rollouts.py
@@ -76,7 +76,7 @@
     :param is_started: whether the rollout was reported to the operator as running.
     :param in_force: whether the service had only endpoints of the target at the time of
         the order.
-    :param is_condemned: whether the target version was rejected.
+    :param is_rejected: whether the target version was rejected.
     :param is_suspect: whether the evidence suffices to reject it at the end.
     :param age: time since the order.
     :param full_share_for: time since the full share began; None before that.
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -72,8 +72,8 @@
     """A gateway's usage of one customer's limit, in the limit's unit.
 
     :param demand: amount requested per second, refused requests included.
-    :param spent: amount admitted since the gateway started.
-    :param counted: how much of ``spent`` an aggregator has already counted.
+    :param admitted: amount admitted since the gateway started.
+    :param counted: how much of ``admitted`` an aggregator has already counted.
     :param used: amount by which the limit's token bucket is below full, as the gateway
         sees it.
     :param share: fraction of the limit that it would use if it were partitioned now.
@@ -89,7 +89,7 @@
 class GroupLimitUsage(Message):
     """Usage of one customer's limit, summed over a group.
 
-    :param spent: amount admitted since the aggregator began to count the group.
+    :param admitted: amount admitted since the aggregator began to count the group.
     :param share: fractions of the limit used by the gateways in touch.
     :param reserved: fractions reserved for silent gateways, which may be partitioned
         and still admit requests.
