--- a/src/sassafrasdale/gateway/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/endpoint_beliefs.py
@@ -74,6 +74,10 @@
         self._beliefs: dict[str, _Belief[Value]] = {}
         self._fully_reported_at: dict[str, timedelta] = {}
 
+    def __bool__(self) -> bool:
+        """Whether anything is known of any endpoint."""
+        return bool(self._beliefs)
+
     def value(self, endpoint: str) -> Value | None:
         """Return what an endpoint says; None for nothing."""
         belief = self._beliefs.get(endpoint)
@@ -213,7 +217,8 @@
 
     def is_leaving(self, endpoint: str) -> bool:
         """Return whether an endpoint has said that it is leaving."""
-        return bool(self.value(endpoint))
+        belief = self._beliefs.get(endpoint)
+        return belief is not None and bool(belief.value)
 
     def observe(self, endpoint: str, signals: EndpointSignals) -> None:
         """Apply what an endpoint says in a response."""
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -1,6 +1,6 @@
 """Decides which endpoints take a request now, by what they say in their responses."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -135,15 +135,19 @@
         """Return whether an endpoint wants no requests from this gateway now."""
         return self._rests.is_resting(record.name)
 
-    def resting_among(self, endpoints: Iterable[EndpointRecord]) -> frozenset[str]:
+    def resting(self) -> frozenset[str]:
         """Return the names of the endpoints that want no requests from this gateway."""
-        return frozenset(rec.name for rec in endpoints if self.is_resting(rec))
+        return self._rests.resting()
 
-    def with_permit(self, candidates: Sequence[EndpointRecord]) -> list[EndpointRecord]:
+    def with_permit(
+        self, candidates: Sequence[EndpointRecord]
+    ) -> Sequence[EndpointRecord]:
         """Return the candidates that need no permit or for which there is one.
 
         For the others, permits are asked for.
         """
+        if not self._limits:
+            return candidates
         for record in candidates:
             if self.is_limited(record):
                 self._permits.count_demand(record.name)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -159,7 +159,7 @@
             attempt = self._start_assigned_attempt(service, traits, tried)
             if attempt is not None:
                 return attempt
-        resting = self._gate.resting_among(self.endpoints(service))
+        resting = self._gate.resting()
         return self.start_local_attempt(
             service, traits, tried, resting, is_retry=is_retry
         )
@@ -179,7 +179,7 @@
         candidates = [record for record in sample if record.name not in tried]
         if not candidates:
             return None
-        resting = self._gate.resting_among(candidates)
+        resting = self._gate.resting()
         return self._start_among(
             candidates, sample, service, traits, resting, is_retry=False
         )
@@ -196,9 +196,8 @@
     def _start_assigned_attempt(
         self, service: str, traits: RequestTraits, tried: Collection[str]
     ) -> Attempt | None:
-        registered = self._directory.of_service(service)
-        resting = self._gate.resting_among(registered)
-        if resting and len(resting) == len(registered):
+        resting = self._gate.resting()
+        if resting and self._all_rest(service, resting):
             return None
         assignment = self._dispatcher_client.request_assignment(
             service, traits, tried, resting
@@ -230,6 +229,10 @@
         )
         return attempt
 
+    def _all_rest(self, service: str, resting: Collection[str]) -> bool:
+        registered = self._directory.of_service(service)
+        return all(record.name in resting for record in registered)
+
     def _is_usable(
         self, record: EndpointRecord, service: str, tried: Collection[str]
     ) -> bool:
@@ -299,7 +302,9 @@
         """
         weights = self._health_weights(service)
         healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
-        awake = [rec for rec in healthy or candidates if rec.name not in resting]
+        awake = healthy or candidates
+        if resting:
+            awake = [rec for rec in awake if rec.name not in resting]
         permitted = self._gate.with_permit(awake)
         record = self._choose(permitted, service, traits, weights)
         if record is None or not self._gate.take(record):
--- a/src/sassafrasdale/gateway/rests.py
+++ b/src/sassafrasdale/gateway/rests.py
@@ -17,6 +17,7 @@
 MAX_REST = timedelta(minutes=5)
 # Shortest time between two lines on the same endpoint.
 LOG_INTERVAL = timedelta(seconds=1)
+NONE_RESTS: frozenset[str] = frozenset()
 
 
 class Rests:
@@ -58,6 +59,13 @@
         """Return whether an endpoint wants no requests now."""
         return self.time_left(endpoint) > timedelta()
 
+    def resting(self) -> frozenset[str]:
+        """Return the names of all endpoints that want no requests now."""
+        if not self._ends:
+            return NONE_RESTS
+        now = self._clock.elapsed()
+        return frozenset(name for name, end in self._ends.items() if end > now)
+
     def end(self, endpoint: str) -> None:
         """End the rest of an endpoint that has restarted."""
         self._ends.pop(endpoint, None)
