--- a/standins/callers.py
+++ b/standins/callers.py
@@ -82,6 +82,11 @@
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
 
+    @property
+    def entries(self) -> tuple[EntryProcess, ...]:
+        """The entries that calls go to."""
+        return self._entries
+
     def add(self, entry: EntryProcess) -> None:
         """Send calls to another entry, too."""
         with self._lock:
