--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -278,13 +278,13 @@
         None if it names no limit.
     :param has_malformed_limit: whether it names a limit that can't be used.
     :param is_leaving: whether it says that it is leaving.
-    :param rest: time for which it wants no requests from this gateway; None if it asks
-        for no rest.
+    :param backoff: time for which it wants no requests from this gateway; None if it
+        asks for none.
     :param malformed: headers that can't be used, with their values; they say nothing.
     """
 
     rate_limit: float | None = None
     has_malformed_limit: bool = False
     is_leaving: bool = False
-    rest: timedelta | None = None
+    backoff: timedelta | None = None
     malformed: tuple[str, ...] = ()
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -8,6 +8,7 @@
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import GatewaySettings
+from sassafrasdale.gateway.backoffs import Backoffs
 from sassafrasdale.gateway.departure_checks import DepartureChecks
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
@@ -38,7 +39,6 @@
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.registration import Registration
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
-from sassafrasdale.gateway.rests import Rests
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.store_view import StoreView
@@ -128,8 +128,10 @@
             clock,
         )
         departures = Departures("departure", is_registered, clock, count)
-        rests = Rests(clock, count)
-        self.gate = EndpointGate(limits, permits, departures, rests, clock, self._rng)
+        backoffs = Backoffs(clock, count)
+        self.gate = EndpointGate(
+            limits, permits, departures, backoffs, clock, self._rng
+        )
 
     def _build_store_view(self) -> None:
         settings = self._settings
--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -60,7 +60,7 @@
             request.service,
             request.traits,
             request.tried,
-            request.resting,
+            request.backed_off,
             is_retry=is_retry,
         )
         if attempt is None:
--- a/src/sassafrasdale/gateway/dispatcher_client.py
+++ b/src/sassafrasdale/gateway/dispatcher_client.py
@@ -80,12 +80,12 @@
         service: str,
         traits: RequestTraits,
         tried: Collection[str],
-        resting: Collection[str] = (),
+        backed_off: Collection[str] = (),
     ) -> tuple[int, Assignment] | None:
         """Return an attempt's number and its endpoint, if one is assigned.
 
         :param tried: endpoints that the request was sent to before.
-        :param resting: endpoints that want no requests from this gateway now.
+        :param backed_off: endpoints that want no requests from this gateway now.
         """
         contact = self._dispatcher()
         self._switch_dispatcher(contact)
@@ -100,7 +100,7 @@
             service,
             traits,
             tuple(tried),
-            tuple(resting),
+            tuple(backed_off),
         )
         assigned = self._ask(contact, request)
         if assigned is None:
--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -24,7 +24,7 @@
     :param number: identifies the attempt within one incarnation of the gateway.
     :param parts: names and tokens of the prompt's parts.
     :param tried: endpoints that the request was sent to before.
-    :param resting: endpoints that want no requests from the gateway now.
+    :param backed_off: endpoints that want no requests from the gateway now.
     """
 
     gateway: str
@@ -34,7 +34,7 @@
     prompt_tokens: Count
     parts: tuple[tuple[str, Count], ...]
     tried: tuple[str, ...] = ()
-    resting: tuple[str, ...] = ()
+    backed_off: tuple[str, ...] = ()
 
     @classmethod
     def of(
@@ -45,12 +45,14 @@
         service: str,
         traits: RequestTraits,
         tried: tuple[str, ...],
-        resting: tuple[str, ...] = (),
+        backed_off: tuple[str, ...] = (),
     ) -> "AssignmentRequest":
         """Return the assignment request for a caller's request."""
         parts = tuple((part.name, part.tokens) for part in traits.parts)
         tokens = traits.prompt_tokens or 0
-        return cls(gateway, incarnation, number, service, tokens, parts, tried, resting)
+        return cls(
+            gateway, incarnation, number, service, tokens, parts, tried, backed_off
+        )
 
     @property
     def traits(self) -> RequestTraits:
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -8,6 +8,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_rates import permit_interval
 from sassafrasdale.deployment import EndpointSignals
+from sassafrasdale.gateway.backoffs import Backoffs
 from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.endpoint_beliefs import (
     Departures,
@@ -16,7 +17,6 @@
 )
 from sassafrasdale.gateway.peer_states import EndpointReports
 from sassafrasdale.gateway.permits import Permits
-from sassafrasdale.gateway.rests import Rests
 
 # Retry-After if no endpoint is available.
 NO_ENDPOINT_RETRY_AFTER = timedelta(milliseconds=300)
@@ -43,7 +43,7 @@
     :param limits: rate limits that endpoints have named.
     :param permits: permits to send to such endpoints.
     :param departures: endpoints that have said that they are leaving.
-    :param rests: endpoints that have asked this gateway for rest.
+    :param backoffs: endpoints that have asked this gateway for back-off.
     :param clock: source of elapsed time.
     :param rng: source of randomness for Retry-After.
     """
@@ -53,14 +53,14 @@
         limits: EndpointLimits,
         permits: Permits,
         departures: Departures,
-        rests: Rests,
+        backoffs: Backoffs,
         clock: Clock,
         rng: Random,
     ) -> None:
         self._limits = limits
         self._permits = permits
         self._departures = departures
-        self._rests = rests
+        self._backoffs = backoffs
         self._rng = rng
         self._malformed = MalformedSignalLog(clock)
         self._born: dict[str, int] = {}
@@ -81,9 +81,9 @@
         return self._departures
 
     @property
-    def rests(self) -> Rests:
-        """Endpoints that have asked this gateway for rest."""
-        return self._rests
+    def backoffs(self) -> Backoffs:
+        """Endpoints that have asked this gateway for back-off."""
+        return self._backoffs
 
     def observe(
         self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
@@ -95,8 +95,8 @@
         self._malformed.record(endpoint, signals)
         self._limits.observe(endpoint, signals, sent_at)
         self._departures.observe(endpoint, signals)
-        if signals.rest is not None:
-            self._rests.begin(endpoint, signals.rest)
+        if signals.backoff is not None:
+            self._backoffs.begin(endpoint, signals.backoff)
 
     def report_for(self, receiver: str) -> EndpointReports:
         """Return what another gateway may lack of what endpoints say.
@@ -127,7 +127,7 @@
             return
         self._limits.mark_restarted(endpoint)
         self._departures.mark_restarted(endpoint)
-        self._rests.end(endpoint)
+        self._backoffs.end(endpoint)
 
     def remove_gone(self) -> None:
         """Forget what is over, and endpoints that are gone."""
@@ -136,7 +136,7 @@
         self._limits.remove_gone()
         self._departures.remove_gone()
         self._permits.remove_ended()
-        self._rests.remove_ended()
+        self._backoffs.remove_ended()
 
     def is_limited(self, record: EndpointRecord) -> bool:
         """Return whether a request to an endpoint needs a permit."""
@@ -144,15 +144,15 @@
 
     def is_open(self, record: EndpointRecord) -> bool:
         """Return whether a request may be sent to an endpoint now."""
-        return not self.is_resting(record) and self._permits.is_open(record.name)
+        return not self.is_backed_off(record) and self._permits.is_open(record.name)
 
-    def is_resting(self, record: EndpointRecord) -> bool:
+    def is_backed_off(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint wants no requests from this gateway now."""
-        return self._rests.is_resting(record.name)
+        return self._backoffs.is_active(record.name)
 
-    def resting(self) -> frozenset[str]:
+    def backed_off(self) -> frozenset[str]:
         """Return the names of the endpoints that want no requests from this gateway."""
-        return self._rests.resting()
+        return self._backoffs.endpoints()
 
     def with_permit(
         self, candidates: Sequence[EndpointRecord]
@@ -182,15 +182,15 @@
 
         :param gateways: number of gateways that share the endpoints.
         """
-        rests = [self._rests.time_left(record.name) for record in endpoints]
-        rests = [rest for rest in rests if rest]
+        waits = [self._backoffs.time_left(record.name) for record in endpoints]
+        waits = [wait for wait in waits if wait]
         limits = [self._limits.rate_limit(record.name) for record in endpoints]
         limits = [limit for limit in limits if limit is not None]
-        if not rests and not limits:
+        if not waits and not limits:
             return Unavailability("no endpoint", NO_ENDPOINT_RETRY_AFTER)
         pauses = [permit_interval(limits, gateways)] if limits else []
-        pause = min([*rests, *pauses])
-        reason = "endpoints at their limits" if limits else "endpoints rest"
+        pause = min([*waits, *pauses])
+        reason = "endpoints at their limits" if limits else "endpoints backed off"
         # Spread, so that the callers don't come back all at once.
         spread = self._rng.uniform(1, RETRY_AFTER_SPREAD)
         return Unavailability(reason, pause * spread)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -159,9 +159,9 @@
             attempt = self._start_assigned_attempt(service, traits, tried)
             if attempt is not None:
                 return attempt
-        resting = self._gate.resting()
+        backed_off = self._gate.backed_off()
         return self.start_local_attempt(
-            service, traits, tried, resting, is_retry=is_retry
+            service, traits, tried, backed_off, is_retry=is_retry
         )
 
     def _start_canary_attempt(
@@ -179,9 +179,9 @@
         candidates = [record for record in sample if record.name not in tried]
         if not candidates:
             return None
-        resting = self._gate.resting()
+        backed_off = self._gate.backed_off()
         return self._start_among(
-            candidates, sample, service, traits, resting, is_retry=False
+            candidates, sample, service, traits, backed_off, is_retry=False
         )
 
     def count_attempt(self, attempt: Attempt, *, is_retry: bool) -> None:
@@ -196,11 +196,11 @@
     def _start_assigned_attempt(
         self, service: str, traits: RequestTraits, tried: Collection[str]
     ) -> Attempt | None:
-        resting = self._gate.resting()
-        if resting and self._all_rest(service, resting):
+        backed_off = self._gate.backed_off()
+        if backed_off and self._all_backed_off(service, backed_off):
             return None
         assignment = self._dispatcher_client.request_assignment(
-            service, traits, tried, resting
+            service, traits, tried, backed_off
         )
         if assignment is None:
             return None
@@ -229,9 +229,9 @@
         )
         return attempt
 
-    def _all_rest(self, service: str, resting: Collection[str]) -> bool:
+    def _all_backed_off(self, service: str, backed_off: Collection[str]) -> bool:
         registered = self._directory.of_service(service)
-        return all(record.name in resting for record in registered)
+        return all(record.name in backed_off for record in registered)
 
     def _is_usable(
         self, record: EndpointRecord, service: str, tried: Collection[str]
@@ -243,7 +243,7 @@
         """
         if record.name in tried or not record.is_ready:
             return False
-        if self._gate.is_resting(record):
+        if self._gate.is_backed_off(record):
             return False
         if not self._rollouts.usable(service, [record]):
             return False
@@ -266,19 +266,19 @@
         service: str,
         traits: RequestTraits,
         tried: Collection[str],
-        resting: Collection[str],
+        backed_off: Collection[str],
         *,
         is_retry: bool,
     ) -> Attempt | None:
         """Choose an endpoint by this gateway's own data, and count the attempt.
 
-        :param resting: endpoints that want no requests from the gateway that will send
-            the attempt, which may be another one.
+        :param backed_off: endpoints that want no requests from the gateway that will
+            send the attempt, which may be another one.
         """
         registered = self.endpoints(service)
         candidates = [record for record in registered if record.name not in tried]
         return self._start_among(
-            candidates, registered, service, traits, resting, is_retry=is_retry
+            candidates, registered, service, traits, backed_off, is_retry=is_retry
         )
 
     def _start_among(
@@ -287,24 +287,24 @@
         registered: Sequence[EndpointRecord],
         service: str,
         traits: RequestTraits,
-        resting: Collection[str],
+        backed_off: Collection[str],
         *,
         is_retry: bool,
     ) -> Attempt | None:
         """Choose among the candidates, and count the attempt as in progress.
 
-        An endpoint that fails is chosen only if all fail, not if the others rest or are
-        at their limits.
+        An endpoint that fails is chosen only if all fail, not if the others are
+        backed off or at their limits.
 
         :param registered: endpoints of the same versions, among which prompt parts have
             their owners.
-        :param resting: candidates that want no requests from the gateway that sends.
+        :param backed_off: candidates that want no requests from the gateway that sends.
         """
         weights = self._health_weights(service)
         healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
         awake = healthy or candidates
-        if resting:
-            awake = [rec for rec in awake if rec.name not in resting]
+        if backed_off:
+            awake = [rec for rec in awake if rec.name not in backed_off]
         permitted = self._gate.with_permit(awake)
         record = self._choose(permitted, service, traits, weights)
         if record is None or not self._gate.take(record):
@@ -314,10 +314,10 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
 
-        Since it was chosen, its endpoint may have named a limit, asked for rest, or
+        Since it was chosen, its endpoint may have named a limit, asked for back-off, or
         begun to leave.
         """
-        if not attempt.record.is_ready or self._gate.is_resting(attempt.record):
+        if not attempt.record.is_ready or self._gate.is_backed_off(attempt.record):
             return False
         if not attempt.has_permit:
             attempt.has_permit = self._gate.take(attempt.record)
--- a/src/sassafrasdale/platform/signals.py
+++ b/src/sassafrasdale/platform/signals.py
@@ -28,7 +28,7 @@
         rate_limit,
         has_malformed_limit,
         _is_leaving(head, malformed),
-        _rest(head, malformed),
+        _backoff(head, malformed),
         tuple(malformed),
     )
 
@@ -64,16 +64,16 @@
     return any(_FLAGS.get(value, False) for value in values)
 
 
-def _rest(head: ResponseHead, malformed: list[str]) -> timedelta | None:
+def _backoff(head: ResponseHead, malformed: list[str]) -> timedelta | None:
     if head.status != _UNAVAILABLE:
         return None
-    rests = []
+    backoffs = []
     for value in _values(head, _RETRY_AFTER):
         if _DECIMAL.fullmatch(value):
-            rests.append(timedelta(seconds=float(value)))
+            backoffs.append(timedelta(seconds=float(value)))
         else:
             malformed.append(_described(_RETRY_AFTER, value))
-    return max(rests, default=None)
+    return max(backoffs, default=None)
 
 
 def _values(head: ResponseHead, name: str) -> list[str]:
--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -73,7 +73,7 @@
     :param defect: defect of that version, if it has one.
     :ivar arrivals: elapsed times at which requests meant for it have arrived.
     :ivar extra_headers: headers that it adds to each response.
-    :ivar rest: if set, it refuses all requests and asks for rest of this length.
+    :ivar backoff: if set, it refuses all requests and asks for back-off of this length.
     """
 
     def __init__(
@@ -111,7 +111,7 @@
         self.events = 8
         self.arrivals: list[timedelta] = []
         self.extra_headers: tuple[tuple[str, str], ...] = ()
-        self.rest: timedelta | None = None
+        self.backoff: timedelta | None = None
 
     @property
     def name(self) -> str:
@@ -186,8 +186,8 @@
             connection.answer(421, [("replica-id", self._name)])
             return
         self.arrivals.append(self._clock.elapsed())
-        if self.rest is not None:
-            self._refuse(connection, request, self.rest)
+        if self.backoff is not None:
+            self._refuse(connection, request, self.backoff)
             return
         self._connections.add(connection)
         run = self._new_run(request)
@@ -217,12 +217,12 @@
             self._connections.discard(connection)
 
     def _refuse(
-        self, connection: ServerConnection, request: Request, rest: timedelta
+        self, connection: ServerConnection, request: Request, backoff: timedelta
     ) -> None:
         headers = [
             ("request-id", request.header("request-id")),
             ("not-run", "1"),
-            ("retry-after", f"{rest.total_seconds():g}"),
+            ("retry-after", f"{backoff.total_seconds():g}"),
             *self.extra_headers,
         ]
         with suppress(CallerDisconnected):
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -7,6 +7,7 @@
 
 from sassafrasdale.clock import Clock, ManualClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.gateway.backoffs import Backoffs
 from sassafrasdale.gateway.endpoint_beliefs import Departures, EndpointLimits
 from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.groups import Group
@@ -22,7 +23,6 @@
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.quotas import Quotas
-from sassafrasdale.gateway.rests import Rests
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
@@ -153,7 +153,7 @@
             self.endpoint_limits,
             self.permits,
             self.departures,
-            Rests(fleet.clock, count_nothing),
+            Backoffs(fleet.clock, count_nothing),
             fleet.clock,
             Random(name),
         )
@@ -314,8 +314,8 @@
     permits = Permits(limits, "a", ("a",), lambda name: "a", clock)
     permits.set_share(1.0)
     departures = Departures("departure", is_registered, clock, count)
-    rests = Rests(clock, count)
-    return EndpointGate(limits, permits, departures, rests, clock, Random(1))
+    backoffs = Backoffs(clock, count)
+    return EndpointGate(limits, permits, departures, backoffs, clock, Random(1))
 
 
 def single_peering(
--- a/tests/gateway/test_rests.py
+++ b/tests/gateway/test_backoffs.py
@@ -1,4 +1,4 @@
-"""Endpoints that ask a gateway for rest get it, from all that it sends."""
+"""Endpoints that ask a gateway for back-off get it, from all that it sends."""
 
 from datetime import timedelta
 
@@ -6,7 +6,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import RequestTraits
-from sassafrasdale.gateway.rests import MAX_REST, Rests
+from sassafrasdale.gateway.backoffs import MAX_BACKOFF, Backoffs
 from tests.gateway.fleets import count_nothing
 from tests.gateway.world import (
     CLOCK,
@@ -26,57 +26,57 @@
 
 
 @pytest.fixture
-def rests(clock: ManualClock) -> Rests:
-    return Rests(clock, count_nothing)
+def backoffs(clock: ManualClock) -> Backoffs:
+    return Backoffs(clock, count_nothing)
 
 
-def test_a_rest_ends_by_itself(rests, clock):
-    rests.begin("i-1", 3 * SECOND)
+def test_a_backoff_ends_by_itself(backoffs, clock):
+    backoffs.begin("i-1", 3 * SECOND)
     clock.advance(2 * SECOND)
-    assert rests.is_resting("i-1")
-    assert rests.time_left("i-1") == SECOND
+    assert backoffs.is_active("i-1")
+    assert backoffs.time_left("i-1") == SECOND
     clock.advance(SECOND)
-    assert not rests.is_resting("i-1")
+    assert not backoffs.is_active("i-1")
 
 
-def test_a_shorter_rest_does_not_end_a_longer_one(rests, clock):
-    rests.begin("i-1", 3 * SECOND)
+def test_a_shorter_backoff_does_not_end_a_longer_one(backoffs, clock):
+    backoffs.begin("i-1", 3 * SECOND)
     clock.advance(SECOND)
-    rests.begin("i-1", SECOND)
-    assert rests.time_left("i-1") == 2 * SECOND
+    backoffs.begin("i-1", SECOND)
+    assert backoffs.time_left("i-1") == 2 * SECOND
 
 
-def test_a_rest_of_a_year_is_cut_short(rests):
+def test_a_backoff_of_a_year_is_cut_short(backoffs):
     """Guards against one bad value that ends a service for good."""
-    rests.begin("i-1", timedelta(days=365))
-    assert rests.time_left("i-1") == MAX_REST
+    backoffs.begin("i-1", timedelta(days=365))
+    assert backoffs.time_left("i-1") == MAX_BACKOFF
 
 
-def test_a_restarted_endpoint_does_not_rest(rests):
-    rests.begin("i-1", 3 * SECOND)
-    rests.end("i-1")
-    assert not rests.is_resting("i-1")
+def test_a_restarted_endpoint_has_no_backoff(backoffs):
+    backoffs.begin("i-1", 3 * SECOND)
+    backoffs.end("i-1")
+    assert not backoffs.is_active("i-1")
 
 
-def test_ended_rests_are_forgotten(rests, clock):
-    rests.begin("i-1", SECOND)
+def test_ended_backoffs_are_forgotten(backoffs, clock):
+    backoffs.begin("i-1", SECOND)
     clock.advance(2 * SECOND)
-    rests.remove_ended()
-    assert rests.time_left("i-1") == timedelta()
+    backoffs.remove_ended()
+    assert backoffs.time_left("i-1") == timedelta()
 
 
-REST = "Not-Run: 1\r\nRetry-After: 3\r\n"
+BACKOFF = "Not-Run: 1\r\nRetry-After: 3\r\n"
 
 
 def refusing() -> ScriptedEndpoint:
-    return ScriptedEndpoint(respond_with(status="503 Full", extra=REST))
+    return ScriptedEndpoint(respond_with(status="503 Full", extra=BACKOFF))
 
 
 def retry_after(response: bytes) -> float:
     return float(header(response, "retry-after"))
 
 
-def test_callers_are_refused_at_once_while_all_endpoints_rest():
+def test_callers_are_refused_at_once_while_all_endpoints_are_backed_off():
     """Guards against requests that wait for, or add to, what can't serve them."""
     world = World()
     endpoint = refusing()
@@ -93,20 +93,20 @@
 
 def test_another_endpoint_gets_the_requests_meanwhile():
     world = World()
-    resting, sound = refusing(), ScriptedEndpoint(respond_with())
-    world.add("i-1", "records", resting)
+    refuser, sound = refusing(), ScriptedEndpoint(respond_with())
+    world.add("i-1", "records", refuser)
     world.ask(request("/certificates/1"))
     world.add("i-2", "records", sound)
     for _ in range(5):
         assert world.ask(request("/certificates/2")).startswith(b"HTTP/1.1 200")
-    assert (len(resting.requests), len(sound.requests)) == (1, 5)
+    assert (len(refuser.requests), len(sound.requests)) == (1, 5)
 
 
-def test_a_failing_endpoint_does_not_get_what_a_resting_one_would():
-    """Guards against an ejected endpoint that is chosen as the others rest."""
+def test_a_failing_endpoint_does_not_get_what_a_backed_off_one_would():
+    """Guards against an ejected endpoint that is chosen as the others are backed off."""
     world = World()
-    resting, failing = refusing(), ScriptedEndpoint(respond_with())
-    world.add("i-1", "records", resting)
+    refuser, failing = refusing(), ScriptedEndpoint(respond_with())
+    world.add("i-1", "records", refuser)
     world.add("i-2", "records", failing)
     health = world.directory.health_of("records")
     for _ in range(50):
@@ -114,12 +114,12 @@
         health.observe("i-1", ok=True, now=CLOCK.elapsed())
     weights = health.weights(CLOCK.elapsed())
     assert weights["i-2"] == 0
-    world.gate.rests.begin("i-1", timedelta(seconds=3))
+    world.gate.backoffs.begin("i-1", timedelta(seconds=3))
     assert world.ask(request("/certificates/1")).startswith(b"HTTP/1.1 503")
     assert not failing.requests
 
 
-def test_an_attempt_is_not_sent_to_an_endpoint_that_asked_for_rest_since_its_choice():
+def test_an_attempt_is_not_sent_after_a_backoff_was_asked_for_since_its_choice():
     """Guards against a choice that is older than the refusal."""
     world = World()
     world.add("i-1", "records", refusing())
@@ -127,14 +127,14 @@
         "records", RequestTraits("r-1"), (), is_retry=False
     )
     assert world.fleet.may_send(attempt)
-    world.gate.rests.begin("i-1", timedelta(seconds=3))
+    world.gate.backoffs.begin("i-1", timedelta(seconds=3))
     assert not world.fleet.may_send(attempt)
 
 
-def test_an_endpoint_that_rests_is_no_alternative():
+def test_an_endpoint_that_is_backed_off_is_no_alternative():
     """Guards against a response that is dropped for a retry that nothing takes."""
     world = World()
     world.add("i-1", "records", refusing())
     assert world.fleet.has_alternative("records", ())
-    world.gate.rests.begin("i-1", timedelta(seconds=3))
+    world.gate.backoffs.begin("i-1", timedelta(seconds=3))
     assert not world.fleet.has_alternative("records", ())
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -339,11 +339,11 @@
     return {attempt.record.name for attempt in attempts}
 
 
-def test_a_member_s_rests_are_heeded_by_the_dispatcher_and_are_its_own(zone):
-    """Guards against a rest that the dispatcher doesn't know, or keeps from others."""
+def test_a_member_s_backoffs_are_heeded_by_the_dispatcher_and_are_its_own(zone):
+    """Guards against a back-off unknown to the dispatcher, or kept for all."""
     for name in ("i-0", "i-1", "i-2"):
-        zone.gateways[0].gate.rests.begin(name, 3 * SECOND)
-    zone.central.gate.rests.begin("i-3", 3 * SECOND)
+        zone.gateways[0].gate.backoffs.begin(name, 3 * SECOND)
+    zone.central.gate.backoffs.begin("i-3", 3 * SECOND)
     assert names_of(zone.send(1) for _ in range(8)) == {"i-0", "i-1", "i-2", "i-3"}
     attempts = [zone.send(0) for _ in range(8)]
     assert names_of(attempts) == {"i-3"}
--- a/tests/gateway/test_endpoint_gate.py
+++ b/tests/gateway/test_endpoint_gate.py
@@ -59,7 +59,7 @@
     assert senders == {"exchange.py"}
 
 
-@pytest.mark.parametrize("close", ["leave", "rest", "limit"])
+@pytest.mark.parametrize("close", ["leave", "backoff", "limit"])
 def test_a_stream_is_not_resumed_where_nothing_is_taken(close: str):
     """Guards against a retry that goes to an endpoint which has said no meanwhile."""
     world = World()
@@ -70,8 +70,8 @@
             match close:
                 case "leave":
                     world.gate.departures.set(name, True, "peer")
-                case "rest":
-                    world.gate.rests.begin(name, timedelta(seconds=3))
+                case "backoff":
+                    world.gate.backoffs.begin(name, timedelta(seconds=3))
                 case _:
                     world.limits.set(name, 0.0, "peer")
         sock.close()
@@ -79,7 +79,7 @@
     others = []
     for service, prefix in (("models", "m"), ("models-next", "n")):
         world.add(f"{prefix}-1", service, ScriptedEndpoint(break_off))
-        world.gate.rests.begin(f"{prefix}-2", timedelta(milliseconds=50))
+        world.gate.backoffs.begin(f"{prefix}-2", timedelta(milliseconds=50))
         other = ScriptedEndpoint(respond_with())
         world.add(f"{prefix}-2", service, other)
         others.append(other)
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -22,7 +22,7 @@
 # window of this length.
 CONTACT_TIME = 3 * SECOND
 WINDOW = 4 * SECOND
-MOST_IN_A_REST = 2
+MOST_IN_A_BACKOFF = 2
 ON_THEIR_WAY = timedelta(milliseconds=500)
 DRAIN_TIME = 1.5 * SECOND
 PLAIN = "/certificates/7"
@@ -178,36 +178,36 @@
     assert not [at for at in leaving.arrivals if at >= since]
 
 
-def most_within_rests(arrivals: Sequence[timedelta], rest: timedelta) -> int:
-    """Return the most arrivals from one gateway in a rest, of which each asked for one.
+def most_within_backoffs(arrivals: Sequence[timedelta], backoff: timedelta) -> int:
+    """Return the most arrivals in a back-off, each of which asked for another one.
 
     Those of the first half second after a refusal are on their way already.
     """
     return max(
-        bisect_left(arrivals, at + rest) - bisect_left(arrivals, at + ON_THEIR_WAY)
+        bisect_left(arrivals, at + backoff) - bisect_left(arrivals, at + ON_THEIR_WAY)
         for at in arrivals
     )
 
 
 @pytest.mark.parametrize("deployment", [PLAIN, STREAM], indirect=True)
-@pytest.mark.parametrize("resting", [1, ENDPOINTS])
+@pytest.mark.parametrize("refusing", [1, ENDPOINTS])
 @pytest.mark.parametrize("gateway", [0, 2])
-def test_an_endpoint_that_asked_for_rest_gets_it(deployment, resting, gateway):
+def test_an_endpoint_that_asked_for_backoff_gets_it(deployment, refusing, gateway):
     """Guards against refusals that draw more requests to the one that refuses."""
-    rest = 3 * SECOND
+    backoff = 3 * SECOND
     # One of the two gateways of a zone is the other's dispatcher.
     deployment.used = [deployment.fleet.gateways[gateway]]
     sleep(timedelta(milliseconds=300))
     began_at = CLOCK.elapsed()
-    endpoints = deployment.endpoints[:resting]
+    endpoints = deployment.endpoints[:refusing]
     for endpoint in endpoints:
-        endpoint.rest = rest
-    sleep(1.5 * rest)
+        endpoint.backoff = backoff
+    sleep(1.5 * backoff)
     for endpoint in endpoints:
         refused = [at for at in endpoint.arrivals if at >= began_at]
         assert refused
-        assert most_within_rests(refused, rest) <= MOST_IN_A_REST
-    if resting == ENDPOINTS:
+        assert most_within_backoffs(refused, backoff) <= MOST_IN_A_BACKOFF
+    if refusing == ENDPOINTS:
         assert deployment.refusals
         for refusal in deployment.refusals:
             assert refusal.startswith(b"HTTP/1.1 503")
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -74,8 +74,8 @@
         (("3",), 429, None, 0),
     ],
 )
-def test_a_refusal_may_ask_for_rest(values, status, seconds, malformed) -> None:
+def test_a_refusal_may_ask_for_backoff(values, status, seconds, malformed) -> None:
     headers = tuple(("retry-after", value) for value in values)
     read = read_signals(ResponseHead(status, headers))
-    assert read.rest == (None if seconds is None else timedelta(seconds=seconds))
+    assert read.backoff == (None if seconds is None else timedelta(seconds=seconds))
     assert len(read.malformed) == malformed
