--- a/tests/gateway/test_backoffs.py
+++ b/tests/gateway/test_backoffs.py
@@ -103,7 +103,7 @@
 
 
 def test_a_failing_endpoint_does_not_get_what_a_backed_off_one_would():
-    """Guards against an ejected endpoint that is chosen as the others are backed off."""
+    """Guards against an ejected endpoint chosen as the others are backed off."""
     world = World()
     refuser, failing = refusing(), ScriptedEndpoint(respond_with())
     world.add("i-1", "records", refuser)
