Tests: canary versions that take nothing now, and a log that explains a refusal

A canary version whose endpoints are backed off, limited or leaving costs no request, a refusal that asks for back-off is no failure of it; from a refused request's reason the gateway's lines lead to each endpoint's own words.

--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -320,3 +320,38 @@
     assert len(served.rollouts.canary_reports()) == 1
     served.set_status(RolloutState.COMPLETE)
     assert served.rollouts.canary_reports() == ()
+
+
+@pytest.mark.parametrize("close", ["backoff", "limit", "leave"])
+def test_a_canary_version_that_takes_nothing_now_costs_no_request(served, close):
+    """Guards against requests that are sampled and then have nowhere to go."""
+    served.order()
+    served.set_status(RolloutState.RUNNING)
+    served.start_new()
+    served.rollout.allowance.may_try = lambda route, *, full: True
+    for name in ("n-0", "n-1"):
+        match close:
+            case "backoff":
+                served.gate.backoffs.begin(name, 30 * SECOND)
+            case "limit":
+                served.limits.set(name, 0.0, "response")
+            case _:
+                served.gate.departures.set(name, True, "response")
+    responses = served.ask_repeatedly(40)
+    assert served.sampled == 0
+    assert all(response.startswith(b"HTTP/1.1 200") for response in responses)
+
+
+def test_a_refusal_that_asks_for_backoff_is_no_failure_of_the_version():
+    """Guards against a good version that is rejected because it is busy."""
+    busy = respond_with(status="503 Full", extra="Not-Run: 1\r\nRetry-After: 30\r\n")
+    served = ServedWorld(busy)
+    served.order()
+    served.set_status(RolloutState.RUNNING)
+    served.start_new()
+    served.rollout.allowance.may_try = lambda route, *, full: True
+    responses = served.ask_repeatedly(40)
+    assert 0 < served.sampled <= 2
+    assert all(response.startswith(b"HTTP/1.1 200") for response in responses)
+    failed = [row.failed for row in rows_of(served.rollout.table)]
+    assert sum(failed) == 0
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -212,3 +212,35 @@
         for refusal in deployment.refusals:
             assert refusal.startswith(b"HTTP/1.1 503")
             assert header(refusal, "retry-after")
+
+
+def test_the_log_leads_from_a_refused_request_to_the_endpoints_own_words(deployment):
+    """Guards against a refusal that nobody can explain."""
+    gateway = deployment.fleet.gateways[0]
+    deployment.used = [gateway]
+    sleep(timedelta(milliseconds=300))
+    for endpoint in deployment.endpoints:
+        endpoint.backoff = 3 * SECOND
+    sleep(SECOND)
+    deployment.name_limits(0.5, deployment.endpoints)
+    for endpoint in deployment.endpoints:
+        endpoint.backoff = None
+    sleep(4 * SECOND)
+    lines = gateway.log_lines()
+    names = {endpoint.name for endpoint in deployment.endpoints}
+    by_reason = {
+        line["reason"]: line for line in lines if line.get("outcome") == "refused"
+    }
+    explained_by = {
+        "endpoints backed off": "endpoint back-off",
+        "endpoints at their limits": "endpoint limit changed",
+    }
+    for reason, message in explained_by.items():
+        assert by_reason[reason]["status"] == 503
+        assert by_reason[reason]["sends"] == 0
+        told = [line for line in lines if line["message"] == message]
+        assert names == {line["endpoint"] for line in told}
+    # Each back-off names the request whose refusal asked for it.
+    refused = {line["request_id"] for line in lines if line["message"] == "send failed"}
+    told = [line for line in lines if line["message"] == "endpoint back-off"]
+    assert {line["request_id"] for line in told} <= refused
