Rollout test: a paused gateway holds up only its own callers

Cause: each caller went round all gateways and waited up to 20 s for the paused one, so that all traffic ended within 50 ms of the pause. The verdict was then drawn from 4 to 10 requests to the new version; with 2 bad of 8 the odds at the end (8 to 1) are below the 20 to 1 that reject.

Ruled out: outcomes lost on the way to the leader as the main cause (the counts that rolled back had 3 or more bad).

Callers now stay with one gateway each, and the paused one is given eight requests of its own that wait for it, as many as before.

--- a/tests/guarantees/test_rollouts.py
+++ b/tests/guarantees/test_rollouts.py
@@ -58,7 +58,8 @@
         number = caller
         while self._running:
             number += CALLERS
-            gateway = self.fleet.gateways[number // CALLERS % len(self.fleet.gateways)]
+            # A caller stays with one gateway: one that is paused holds up only its own.
+            gateway = self.fleet.gateways[caller % len(self.fleet.gateways)]
             path, method = ("/certificates/7", "POST")
             if number % 3 == 0:
                 path, method = ("/reports/open/1", "GET")
@@ -244,6 +245,8 @@
     )
     paused = deployment.fleet.gateways[-1]
     paused.signal(STOP)
+    for number in range(CALLERS):
+        spawn(ask, paused.address, request("/certificates/7", f"held-{number}"))
     wait_until_finished(rollout)
     paused.signal(CONT)
     wait_until_deadline(rollout)
