Failing test: a response that was sent but not read is lost when its entry stops

Hypothesis: a resumed caller gets its whole backlog at once; once the system took the last byte the response counts as delivered; the caller drops the connection with a part unread, the entry has nothing left to do and stops, and the caller is told 404.

--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -267,6 +267,27 @@
         assert stream.restarted == 0
 
 
+def test_a_response_that_was_sent_but_not_read_is_handed_over():
+    """Guards against a lost response whose caller dropped the connection it came on.
+
+    The entry has sent the whole rest of a stream when it is stopped; the caller has
+    read only a part of it.
+    """
+    with start_fleet(step_ms=20) as fleet:
+        stopped = fleet.entries[0]
+        stream = Stream("away", "tell me", max_tokens=40)
+        caller = StreamReader(Balancer([stopped]), stream, ReadPattern(drop_every=5))
+        assert caller.connect(stopped)
+        while fleet.executions(MODEL)[0]["state"] != "stop":
+            time.sleep(0.05)
+        assert caller.connect(stopped)
+        assert not stream.whole
+        assert stopped.terminate() == 0
+        StreamReader(Balancer(fleet.entries[1:]), stream, resume=True).run()
+        assert stream.faults() == []
+        assert stream.restarted == 0
+
+
 def test_a_caller_reconnects_while_its_entry_stops():
     """A caller whose connection broke gets 404 although its request is running.
 
