A response that was sent is handed over, as its caller may not have read it

Cause: a complete response counted as delivered once the system took its last byte, and only undelivered ones were handed over when an entry left. A caller that had dropped that connection with a part unread, or whose connection broke, came back after the entry had stopped and got 404.

Change: a leaving entry also offers what it sent in the last 15 s, the time that a caller has to come back, the newest first, eight at a time, each once. The message says how long ago the end was sent, so that a receiver that leaves next doesn't carry old responses along; an earlier version ignores the new field, and its messages without it mean what they did. A stop that ends before all were offered says so in a log line.

Ruled out: searches that fall into a hand-over (the lost streams were all of callers that drop their connections, after the entry had stopped), and to wait for the caller's close (a caller may close in order and not have read).

--- a/src/sassafrasdale/entry/drain.py
+++ b/src/sassafrasdale/entry/drain.py
@@ -101,7 +101,10 @@
             if left < RESPONSE_RESERVE:
                 self._dispatcher.abort_all()
             self._transfers.hand_over_undelivered()
+            self._transfers.hand_over_delivered()
             sleep(DRAIN_POLL)
+        if self._transfers.has_delivered:
+            log.warning("stopping before all delivered responses were handed over")
         listener.close()
         sleep(min(LAST_RESPONSE_TIME, self._remaining_time(began)))
         self._lifecycle.fire("drained")
@@ -120,5 +123,8 @@
     def _is_busy(self) -> bool:
         registry = self._dispatcher.registry
         return bool(
-            self._server.open_responses or registry.running or registry.undelivered
+            self._server.open_responses
+            or registry.running
+            or registry.undelivered
+            or self._transfers.has_delivered
         )
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -105,7 +105,9 @@
         self._started_at = clock.elapsed()
         self._first_event_at: timedelta | None = None
         self._last_read_at = self._started_at
-        self._delivered = False
+        self._delivered_at: timedelta | None = None
+        if progress.delivered_ago is not None:
+            self._delivered_at = self._started_at - progress.delivered_ago
 
     @property
     def call(self) -> ModelCall:
@@ -168,13 +170,16 @@
         return self._last_read_at
 
     @property
-    def delivered(self) -> bool:
-        """Whether a caller received the end of the response."""
-        return self._delivered
+    def delivered_at(self) -> timedelta | None:
+        """Elapsed time of the clock when a caller was last sent the response's end."""
+        return self._delivered_at
 
     def mark_delivered(self) -> None:
-        """Record that a caller received the end of the response."""
-        self._delivered = True
+        """Record that a caller was sent the end of the response.
+
+        It may not have read it: its connection may be broken.
+        """
+        self._delivered_at = self._clock.elapsed()
 
     def ending(self) -> Ending | None:
         """Return the content of the last chunk, or None if it was not received."""
@@ -236,7 +241,10 @@
         """
         self._offered = True
         self._source.wait_for_export()
-        return self.progress
+        if self._delivered_at is None:
+            return self.progress
+        ago = self._clock.elapsed() - self._delivered_at
+        return replace(self.progress, delivered_ago=ago)
 
     def end_offer(self) -> None:
         """Continue here: no other entry took the generation."""
--- a/src/sassafrasdale/requests/handovers.py
+++ b/src/sassafrasdale/requests/handovers.py
@@ -40,6 +40,7 @@
     cache_address: str
     cache_handle: str
     sent: bool
+    delivered_ago_ms: int | None = Field(default=None, ge=0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,8 @@
     :param endpoint: name of the endpoint that runs the stream, or empty.
     :param cache: the exported KV cache to continue with, or None.
     :param sent: whether an endpoint may have started the request.
+    :param delivered_ago: time since a caller was sent the end of the response; None
+        before that.
     """
 
     call: ModelCall
@@ -58,6 +61,7 @@
     endpoint: str
     cache: FromCache | None
     sent: bool
+    delivered_ago: timedelta | None
 
 
 def encode(call: ModelCall, progress: Progress, clock: Clock) -> bytes:
@@ -82,6 +86,7 @@
         cache_address=str(cache.address) if cache else "",
         cache_handle=cache.handle if cache else "",
         sent=progress.sent,
+        delivered_ago_ms=_optional_milliseconds(progress.delivered_ago),
     )
     return message.model_dump_json().encode()
 
@@ -113,7 +118,22 @@
         max_tokens=message.max_tokens,
         streamed=message.streamed,
     )
-    return IncomingGeneration(call, events, message.endpoint, cache, message.sent)
+    return IncomingGeneration(
+        call,
+        events,
+        message.endpoint,
+        cache,
+        message.sent,
+        _optional_duration(message.delivered_ago_ms),
+    )
+
+
+def _optional_milliseconds(duration: timedelta | None) -> int | None:
+    return None if duration is None else milliseconds(duration)
+
+
+def _optional_duration(millis: int | None) -> timedelta | None:
+    return None if millis is None else timedelta(milliseconds=millis)
 
 
 def _cache(message: _Message) -> FromCache | None:
--- a/src/sassafrasdale/requests/placement.py
+++ b/src/sassafrasdale/requests/placement.py
@@ -1,6 +1,7 @@
 """How a generation finds its engines, and its progress."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import FromCache
@@ -16,12 +17,15 @@
     :param endpoint: the engine that runs the stream, or None.
     :param cache: the exported KV cache to continue with, or None.
     :param sent: whether an endpoint may have started the request.
+    :param delivered_ago: time since a caller was sent the end of the response; None
+        before that.
     """
 
     events: list[bytes]
     endpoint: Endpoint | None
     cache: FromCache | None
     sent: bool
+    delivered_ago: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/requests/registry.py
+++ b/src/sassafrasdale/requests/registry.py
@@ -39,12 +39,33 @@
         finds them.
         """
         return tuple(
+            generation
+            for generation in self._answered()
+            if generation.delivered_at is None
+        )
+
+    @property
+    def delivered_lately(self) -> tuple[Generation, ...]:
+        """Answered generations whose caller may still come back, the newest first.
+
+        What was sent on a connection that broke was not read.
+        """
+        min_delivered_at = self._clock.elapsed() - UNREAD_TIMEOUT
+        return tuple(
+            generation
+            for generation in reversed(self._answered())
+            if generation.delivered_at is not None
+            and generation.delivered_at >= min_delivered_at
+        )
+
+    def _answered(self) -> list[Generation]:
+        """Return the answered generations that only this entry holds, oldest first."""
+        return [
             generation
             for _, generation in self._ended.values()
             if isinstance(generation.outcome, Answered)
             and generation.call.call.idempotent
-            and not generation.delivered
-        )
+        ]
 
     def add(self, generation: Generation) -> None:
         """Hold ``generation``.
--- a/src/sassafrasdale/requests/transfers.py
+++ b/src/sassafrasdale/requests/transfers.py
@@ -26,6 +26,8 @@
 MAX_RECEIVERS = 3
 # Timeout of one offer, so that an unresponsive receiver leaves time for another.
 OFFER_TIMEOUT = timedelta(seconds=1)
+# Maximum number of delivered responses that are offered at the same time.
+MAX_DELIVERED_OFFERS = 8
 
 log = Logger("transfers")
 
@@ -58,6 +60,13 @@
         self._metrics = metrics
         self._clock = clock
         self._offered_ids: set[str] = set()
+        self._delivered_ids: set[str] = set()
+        self._delivered_offers = 0
+
+    @property
+    def has_delivered(self) -> bool:
+        """Whether responses whose callers may still come back are to be handed over."""
+        return self._delivered_offers > 0 or bool(self._pending_delivered())
 
     def hand_over_unfinished(self, left: timedelta) -> None:
         """Start to hand over the generations that won't end within ``left``."""
@@ -71,6 +80,34 @@
         for generation in self._dispatcher.registry.undelivered:
             self._start(generation)
 
+    def hand_over_delivered(self) -> None:
+        """Start to hand over the responses whose callers may still come back.
+
+        Each one is offered once, as most callers have read theirs, and a few at a
+        time, which leaves the peers to the offers above.
+        """
+        while self._delivered_offers < MAX_DELIVERED_OFFERS:
+            pending = self._pending_delivered()
+            if not pending:
+                return
+            self._delivered_ids.add(pending[0].call.call.request_id)
+            self._delivered_offers += 1
+            spawn(self._hand_over_delivered, pending[0])
+
+    def _pending_delivered(self) -> list[Generation]:
+        return [
+            generation
+            for generation in self._dispatcher.registry.delivered_lately
+            if generation.call.call.request_id not in self._delivered_ids
+        ]
+
+    def _hand_over_delivered(self, generation: Generation) -> None:
+        try:
+            self._hand_over(generation)
+        finally:
+            self._delivered_offers -= 1
+        self.hand_over_delivered()
+
     def accept(
         self, handover: HandOver, reply: Callable[[bool], None], *, stays: bool
     ) -> None:
@@ -136,7 +173,13 @@
 
     def _progress(self, incoming: IncomingGeneration) -> Progress:
         endpoint = self._directory.get(incoming.endpoint)
-        return Progress(incoming.events, endpoint, incoming.cache, incoming.sent)
+        return Progress(
+            incoming.events,
+            endpoint,
+            incoming.cache,
+            incoming.sent,
+            incoming.delivered_ago,
+        )
 
     def _holds_same(self, incoming: IncomingGeneration) -> bool:
         """Return whether the request held here is the offered one.
--- a/tests/requests/test_transfers.py
+++ b/tests/requests/test_transfers.py
@@ -1,5 +1,7 @@
 """Tests of hand-overs, between entries in memory."""
 
+import json
+from dataclasses import replace
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -8,14 +10,16 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.endpoints.directory import Directory
 from sassafrasdale.endpoints.engines import FromCache
+from sassafrasdale.green import sleep
 from sassafrasdale.peers.structures import HandOver
 from sassafrasdale.requests.exceptions import MalformedHandOver
+from sassafrasdale.requests.generation import Generation
 from sassafrasdale.requests.handovers import decode, encode
 from sassafrasdale.requests.placement import Progress
-from sassafrasdale.requests.registry import Registry
+from sassafrasdale.requests.registry import UNREAD_TIMEOUT, Registry
 from sassafrasdale.requests.transfers import Transfers
 from sassafrasdale.structures import Address
-from tests.requests.fakes import Choices, generation, model_call, token
+from tests.requests.fakes import WHOLE, Choices, generation, model_call, token
 
 CACHE = FromCache(0, "", Address("127.0.0.1", 9), "kv-1")
 
@@ -47,6 +51,47 @@
         return self.replies[-1]
 
 
+class Sender:
+    """An entry that leaves, whose one peer accepts everything."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.registry = Registry(self.clock)
+        self.offered: list[str] = []
+        self.transfers = Transfers(
+            "sender",
+            dispatcher=self,
+            directory=Directory(self.clock),
+            peers=self,
+            metrics=SimpleNamespace(handover_ended=lambda result: None),
+            clock=self.clock,
+        )
+
+    def receivers(self, request_id: str) -> tuple[SimpleNamespace, ...]:
+        return (SimpleNamespace(name="receiver"),)
+
+    def hand_over(self, name: str, handover: HandOver, limit: timedelta) -> bool:
+        self.offered.append(handover.request_id)
+        return True
+
+    def deliver(self, request_id: str) -> Generation:
+        """Add a complete response that was just sent to its caller."""
+        call = model_call()
+        call = replace(call, call=replace(call.call, request_id=request_id))
+        progress = Progress(WHOLE, None, None, sent=True)
+        delivered = generation(
+            Choices(),
+            call,
+            clock=self.clock,
+            progress=progress,
+            on_end=self.registry.end,
+        )
+        self.registry.add(delivered)
+        delivered.run()
+        delivered.mark_delivered()
+        return delivered
+
+
 def test_encoding_preserves_everything():
     clock = ManualClock()
     call = model_call(model="reports", messages=[])
@@ -66,6 +111,51 @@
         decode(data, ManualClock())
 
 
+def test_encoding_preserves_when_a_response_was_delivered():
+    clock = ManualClock()
+    call = model_call(model="reports", messages=[])
+    ago = timedelta(seconds=3)
+    progress = Progress([token("a")], None, None, sent=True, delivered_ago=ago)
+    assert decode(encode(call, progress, clock), clock).delivered_ago == ago
+
+
+def test_a_message_of_an_earlier_version_is_not_delivered_yet():
+    clock = ManualClock()
+    call = model_call(model="reports", messages=[])
+    progress = Progress([token("a")], None, None, sent=True)
+    message = json.loads(encode(call, progress, clock))
+    del message["delivered_ago_ms"]
+    assert decode(json.dumps(message).encode(), clock).delivered_ago is None
+
+
+def test_a_delivered_response_is_offered_once_and_only_for_a_while():
+    """Guards against a stop that hands the same old responses over again and again."""
+    sender = Sender()
+    sender.deliver("old")
+    sender.clock.advance(UNREAD_TIMEOUT + timedelta(seconds=1))
+    sender.deliver("new")
+    assert sender.transfers.has_delivered
+    for _ in range(2):
+        sender.transfers.hand_over_delivered()
+        sleep(timedelta())
+    assert sender.offered == ["new"]
+    assert not sender.transfers.has_delivered
+    assert not sender.registry.holds("new")
+    assert sender.registry.holds("old")
+
+
+def test_a_received_response_keeps_the_time_of_its_delivery():
+    """Guards against a rolling stop that carries all old responses along."""
+    receiver = Receiver()
+    progress = Progress(WHOLE, None, None, sent=True, delivered_ago=UNREAD_TIMEOUT / 2)
+    data = encode(model_call(), progress, receiver.clock)
+    receiver.transfers.accept(
+        HandOver("id-1", "giver", data), receiver.replies.append, stays=True
+    )
+    held = receiver.registry.find("id-1", "labs")
+    assert held.delivered_at == receiver.clock.elapsed() - UNREAD_TIMEOUT / 2
+
+
 def test_a_repeated_offer_is_accepted_once():
     receiver = Receiver()
     assert receiver.offer(model_call())
