--- a/tests/guarantees/test_stops.py
+++ b/tests/guarantees/test_stops.py
@@ -257,16 +257,22 @@
     with start_fleet(step_ms=20) as fleet:
         stopped = fleet.entries[0]
         stream = Stream("away", "tell me", max_tokens=40)
-        caller = StreamReader(Balancer([stopped]), stream, ReadPattern(drop_every=5))
-        assert caller.connect(stopped)
-        while fleet.executions(MODEL)[0]["state"] != "stop":
-            time.sleep(0.05)
+        _read_a_part(fleet, stopped, stream)
         assert stopped.terminate() == 0
         StreamReader(Balancer(fleet.entries[1:]), stream, resume=True).run()
         assert stream.faults() == []
         assert stream.restarted == 0
 
 
+def _read_a_part(fleet: Fleet, entry: EntryProcess, stream: Stream) -> StreamReader:
+    """Read five events, and wait until the entry has received the whole response."""
+    caller = StreamReader(Balancer([entry]), stream, ReadPattern(drop_every=5))
+    assert caller.connect(entry)
+    while fleet.executions(MODEL)[0]["state"] != "stop":
+        time.sleep(0.05)
+    return caller
+
+
 def test_a_response_that_was_sent_but_not_read_is_handed_over():
     """Guards against a lost response whose caller dropped the connection it came on.
 
@@ -276,10 +282,7 @@
     with start_fleet(step_ms=20) as fleet:
         stopped = fleet.entries[0]
         stream = Stream("away", "tell me", max_tokens=40)
-        caller = StreamReader(Balancer([stopped]), stream, ReadPattern(drop_every=5))
-        assert caller.connect(stopped)
-        while fleet.executions(MODEL)[0]["state"] != "stop":
-            time.sleep(0.05)
+        caller = _read_a_part(fleet, stopped, stream)
         assert caller.connect(stopped)
         assert not stream.whole
         assert stopped.terminate() == 0
--- a/tests/requests/test_transfers.py
+++ b/tests/requests/test_transfers.py
@@ -24,6 +24,18 @@
 CACHE = FromCache(0, "", Address("127.0.0.1", 9), "kv-1")
 
 
+def _transfers(entry, peers) -> Transfers:
+    """Return the hand-overs of an entry in memory."""
+    return Transfers(
+        type(entry).__name__.lower(),
+        dispatcher=entry,
+        directory=Directory(entry.clock),
+        peers=peers,
+        metrics=SimpleNamespace(handover_ended=lambda result: None),
+        clock=entry.clock,
+    )
+
+
 class Receiver:
     """An entry that accepts hand-overs and does not run them."""
 
@@ -31,14 +43,7 @@
         self.clock = ManualClock()
         self.registry = Registry(self.clock)
         self.replies: list[bool] = []
-        self.transfers = Transfers(
-            "receiver",
-            dispatcher=self,
-            directory=Directory(self.clock),
-            peers=None,
-            metrics=SimpleNamespace(handover_ended=lambda result: None),
-            clock=self.clock,
-        )
+        self.transfers = _transfers(self, peers=None)
 
     def take_over(self, call, progress):
         self.registry.add(generation(Choices(), call, progress=progress))
@@ -58,14 +63,7 @@
         self.clock = ManualClock()
         self.registry = Registry(self.clock)
         self.offered: list[str] = []
-        self.transfers = Transfers(
-            "sender",
-            dispatcher=self,
-            directory=Directory(self.clock),
-            peers=self,
-            metrics=SimpleNamespace(handover_ended=lambda result: None),
-            clock=self.clock,
-        )
+        self.transfers = _transfers(self, peers=self)
 
     def receivers(self, request_id: str) -> tuple[SimpleNamespace, ...]:
         return (SimpleNamespace(name="receiver"),)
