A large configuration reaches all gateways of a zone in time

Their logs: one fetch after the other from the zone's aggregator ends after 0.5 s with 'no answer in time', and the dispatcher's answers fail beside them.

Cause: a fetch of the store's values has the limit of a short call, 0.5 s in all, but its answer has the size of the configuration, some 280 kB. All gateways of the zone fetch it at once over the aggregator's link of 10 Mbit/s. Whatever has arrived by then is thrown away and sent again, so the link stays full and the last get it seconds later. The class: a limit on the time of a transfer that doesn't depend on its size, with a new start from nothing.

And a fetch goes on as long as data arrives, up to 10 s; without data it ends after 0.5 s as before. The log line of a failed call names its target.

Ruled out: a lost watch (the aggregators had version 34 before it was confirmed to the operator), the quarantine of a peer.

--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -20,7 +20,6 @@
 from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.peer_states import (
     REDIRECT,
-    STORE_VALUES,
     USAGE_TOTAL,
     Contact,
     MemberState,
@@ -34,15 +33,20 @@
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
 from sassafrasdale.gateway.usage import ClockReading, ClusterTime, UsageLedger
+from sassafrasdale.gateway.value_transfers import ACCEPTS_CODING, read_values
 from sassafrasdale.http.connections import HttpClient
 from sassafrasdale.http.exceptions import HttpError
 from sassafrasdale.http.messages import Request, Response
 
 log = Logger("peers")
 
-# A report takes a few milliseconds, and instances with half a core may stall for as
-# long again. A longer timeout would delay the updates of a whole zone.
+# Timeout of a call whose response is short. A report takes a few milliseconds, and
+# instances with half a core may stall for as long again. A longer timeout would delay
+# the updates of a whole zone.
 CALL_TIMEOUT = timedelta(milliseconds=500)
+# Timeout of a call that fetches values of the store, which may be long, as long as data
+# arrives. If it were dropped earlier, all that had arrived would be sent again.
+VALUES_TIMEOUT = timedelta(seconds=10)
 REPORT_TARGET = "/report"
 GROUP_UPDATE_TARGET = "/news"
 USAGE_TARGET = "/usage/"
@@ -158,11 +162,16 @@
         self, contact: Contact, prefix: str, since: int
     ) -> StoreValues | None:
         """Return the changes below a prefix of the store; None if the call failed."""
-        return self._get(contact, f"{VALUES_TARGET}{since}/{prefix}", STORE_VALUES)
+        target = f"{VALUES_TARGET}{since}/{prefix}"
+        request = Request("GET", target, (ACCEPTS_CODING,))
+        return self._get(contact, request, read_values, VALUES_TIMEOUT)
 
     def fetch_usage(self, contact: Contact, window: int) -> UsageTotal | None:
         """Return an aggregator's counts of a window for all gateways."""
-        return self._get(contact, f"{USAGE_TARGET}{window}", USAGE_TOTAL)
+        request = Request("GET", f"{USAGE_TARGET}{window}")
+        return self._get(
+            contact, request, lambda response: USAGE_TOTAL.decode(response.body)
+        )
 
     def request_assignment(
         self, contact: Contact, request: AssignmentRequest
@@ -202,18 +211,29 @@
                     clients.pop(name).close()
 
     def _get(
-        self, contact: Contact, target: str, decoder: Decoder[Decoded]
+        self,
+        contact: Contact,
+        request: Request,
+        decode: Callable[[Response], Decoded],
+        limit: timedelta = CALL_TIMEOUT,
     ) -> Decoded | None:
         try:
-            response = self._call(contact, Request("GET", target))
-            return decoder.decode(response.body) if response.status == 200 else None
+            response = self._call(contact, request, limit)
+            return decode(response) if response.status == 200 else None
         except (HttpError, MessageMalformed) as error:
-            log.info("call to peer failed", peer=contact.name, why=str(error))
+            log.info(
+                "call to peer failed",
+                peer=contact.name,
+                target=request.target,
+                why=str(error),
+            )
             return None
 
-    def _call(self, contact: Contact, request: Request) -> Response:
+    def _call(
+        self, contact: Contact, request: Request, limit: timedelta = CALL_TIMEOUT
+    ) -> Response:
         client = self._client(contact, self._clients, CALL_TIMEOUT)
-        return client.call(request, CALL_TIMEOUT)
+        return client.call(request, limit, idle_limit=CALL_TIMEOUT)
 
     def _client(
         self, contact: Contact, clients: dict[str, HttpClient], limit: timedelta
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -44,6 +44,7 @@
     encode,
 )
 from sassafrasdale.gateway.reporter import Reporter
+from sassafrasdale.gateway.value_transfers import values_response
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.http.messages import Request, Response
 from sassafrasdale.http.server import ServerConnection
@@ -338,9 +339,7 @@
         if target.startswith(VALUES_TARGET):
             since, _, prefix = target.removeprefix(VALUES_TARGET).partition("/")
             values = self._context.local_state.values_since(prefix, int(since))
-            return (
-                Response(404) if values is None else Response(200, body=encode(values))
-            )
+            return values_response(request, values)
         return Response(404)
 
     def _handle_update(self, request: Request) -> Response:
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -193,17 +193,29 @@
                 self._finish_response()
                 return b""
 
-    def read_body(self, deadline: timedelta) -> bytes:
-        """Return the whole body."""
+    def read_body(
+        self, deadline: timedelta, idle_limit: timedelta | None = None
+    ) -> bytes:
+        """Return the whole body.
+
+        :param idle_limit: maximum time without data; None for no such limit.
+        """
         parts = []
         size = 0
-        while data := self.read_data(deadline):
+        while data := self.read_data(self._next_deadline(deadline, idle_limit)):
             parts.append(data)
             size += len(data)
             if size > MAX_BODY_BYTES:
                 raise MalformedResponse(f"the body is over {MAX_BODY_BYTES} bytes")
         return b"".join(parts)
 
+    def _next_deadline(
+        self, deadline: timedelta, idle_limit: timedelta | None
+    ) -> timedelta:
+        if idle_limit is None:
+            return deadline
+        return min(deadline, self._clock.elapsed() + idle_limit)
+
     def close(self) -> None:
         """Close the connection, even while another task waits on it."""
         if self._closed:
@@ -412,20 +424,29 @@
         """Address of the server."""
         return self._address
 
-    def call(self, request: Request, limit: timedelta) -> Response:
+    def call(
+        self,
+        request: Request,
+        limit: timedelta,
+        idle_limit: timedelta | None = None,
+    ) -> Response:
         """Return the response to a request.
 
+        :param limit: maximum time of the call.
+        :param idle_limit: maximum time without data; None for no such limit.
         :raises NotConnected: if nothing was sent.
         :raises HttpError: if no complete response came; the server may have processed
             the request.
         """
-        deadline = self._clock.elapsed() + limit
+        now = self._clock.elapsed()
+        deadline = now + limit
+        idle_deadline = now + (idle_limit or limit)
         connection = self._pool.acquire()
         self._active.add(connection)
         try:
             connection.send(self._with_host(request))
-            head = connection.read_head(deadline)
-            body = connection.read_body(deadline)
+            head = connection.read_head(min(deadline, idle_deadline))
+            body = connection.read_body(deadline, idle_limit)
         except BaseException:
             # A connection that lost a response is unusable, and the idle ones may have
             # stopped responding with it.
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -106,7 +106,7 @@
         self._fleet = fleet
         self._name = name
 
-    def _call(self, to: Contact, request: Request) -> Response:
+    def _call(self, to: Contact, request: Request, *limits: timedelta) -> Response:
         return self._fleet.deliver(self._name, to.name, request)
 
 
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -268,3 +268,39 @@
     with pytest.raises(ConnectionLost):
         client.call(Request("POST", "/once"), LIMIT)
     assert len(calls) == 1
+
+
+def serve_slowly(parts: int, pause: timedelta) -> Address:
+    """Serve a response whose body comes in parts, each after a pause."""
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(response("1", b"x" * parts)[:-parts])
+        for _ in range(parts):
+            sleep(pause)
+            sock.sendall(b"x")
+
+    return serve_raw(script)
+
+
+def test_a_long_response_is_read_while_data_arrives():
+    """Guards against a long response that is dropped halfway and sent again."""
+    client = HttpClient(serve_slowly(6, LIMIT / 40), CLOCK)
+    answer = client.call(Request("GET", "/"), LIMIT, idle_limit=LIMIT / 10)
+    assert answer.body == b"x" * 6
+
+
+def test_a_response_that_stops_is_dropped_early():
+    client = HttpClient(serve_slowly(6, LIMIT / 4), CLOCK)
+    began = CLOCK.elapsed()
+    with pytest.raises(ResponseTimeout):
+        client.call(Request("GET", "/"), LIMIT, idle_limit=LIMIT / 10)
+    assert CLOCK.elapsed() - began < LIMIT / 2
+
+
+def test_a_response_that_never_ends_is_dropped_in_time():
+    client = HttpClient(serve_slowly(40, LIMIT / 40), CLOCK)
+    began = CLOCK.elapsed()
+    with pytest.raises(ResponseTimeout):
+        client.call(Request("GET", "/"), LIMIT / 4, idle_limit=LIMIT / 10)
+    assert CLOCK.elapsed() - began < LIMIT / 2
