A leader that dies late in a rollout no longer delays its completion

Cause: the next leader did not know that the full share had begun, as only its beginner remembered it, and began it anew; and the margin before the deadline was a number, 2 s, while a deployment's lease may be longer.

Change: each gateway remembers when it first learnt that the full share had begun, and tells it on; the margin is the deployment's lease and half a second, at least. A rollout of 12 s is completed at 9 s in place of 10 s; from 30 s on nothing changes.

The decision's test also asks that the margin bears a takeover.

--- a/src/sassafrasdale/decisions/rollouts.py
+++ b/src/sassafrasdale/decisions/rollouts.py
@@ -14,9 +14,10 @@
 from enum import StrEnum
 
 # Time before the deadline at which a rollout is completed: this fraction of its
-# duration, and at least the time that another gateway takes to become the leader.
+# duration, and at least the time that another gateway takes to become the leader, and
+# to act as one.
 MARGIN_FRACTION = 0.1
-MIN_MARGIN = timedelta(seconds=2)
+FIRST_STEP_TIME = timedelta(milliseconds=500)
 # Maximum margin of a short rollout, as a fraction of its duration.
 MAX_MARGIN_FRACTION = 0.25
 # Duration of the full share, as a fraction of the duration of the rollout, and the time
@@ -73,18 +74,21 @@
     """State of an unfinished rollout as seen by the leader.
 
     :param duration: time from the order to its deadline.
+    :param takeover: maximum time until another gateway is the leader if this one dies.
     :param is_started: whether the rollout was reported to the operator as running.
     :param in_force: whether the service had only endpoints of the target at the time of
         the order.
     :param is_rejected: whether the target version was rejected.
     :param is_suspect: whether the evidence suffices to reject it at the end.
     :param age: time since the order.
-    :param full_share_for: time since the full share began; None before that.
+    :param full_share_for: time since the full share began, also under an earlier
+        leader; None before that.
     :param targets: endpoints of the target version that take requests.
     :param others: endpoints of other versions that take requests.
     """
 
     duration: timedelta
+    takeover: timedelta
     is_started: bool
     in_force: bool
     is_rejected: bool
@@ -105,16 +109,16 @@
     return duration * FULL_SHARE_FRACTION
 
 
-def complete_after(duration: timedelta) -> timedelta:
+def complete_after(duration: timedelta, takeover: timedelta) -> timedelta:
     """Return the time after an order at which it is completed."""
-    margin = max(duration * MARGIN_FRACTION, MIN_MARGIN)
+    margin = max(duration * MARGIN_FRACTION, takeover + FIRST_STEP_TIME)
     return duration - min(margin, duration * MAX_MARGIN_FRACTION)
 
 
-def full_share_after(duration: timedelta) -> timedelta:
+def full_share_after(duration: timedelta, takeover: timedelta) -> timedelta:
     """Return the time after an order at which the full share begins."""
     before = full_share_duration(duration) + REPORT_DELAY
-    return max(complete_after(duration) - before, duration / 2)
+    return max(complete_after(duration, takeover) - before, duration / 2)
 
 
 def next_action(view: RolloutView) -> RolloutAction:
@@ -130,7 +134,7 @@
     if view.full_share_for is None:
         return (
             RolloutAction.FULL_SHARE
-            if view.age >= full_share_after(view.duration)
+            if view.age >= full_share_after(view.duration, view.takeover)
             else RolloutAction.WAIT
         )
     if view.full_share_for < full_share_duration(view.duration) + REPORT_DELAY:
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -153,6 +153,7 @@
             self.time,
             clock,
             self._rng,
+            settings.bounds.lease,
             self.metrics.count,
         )
         self.store_view = StoreView(
--- a/src/sassafrasdale/gateway/rollout.py
+++ b/src/sassafrasdale/gateway/rollout.py
@@ -54,7 +54,6 @@
         self.full_share_at: timedelta | None = None
         self.is_suspect = False
         self.is_suspected_elsewhere = False
-        self.has_full_share = False
         self.is_sampled = False
         self.table: OutcomeTable = {}
         self.analysis = CanaryAnalysis(SEQUENTIAL_TEST)
@@ -69,6 +68,11 @@
         """Whether it is neither completed nor rolled back."""
         return self.state not in ("complete", "rolled_back")
 
+    @property
+    def has_full_share(self) -> bool:
+        """Whether the canary version gets its full share."""
+        return self.full_share_at is not None
+
     @property
     def is_rejected(self) -> bool:
         """Whether its version was rejected as faulty."""
@@ -118,5 +122,5 @@
             rows_of(self.table),
             self.is_rejected,
             self.is_suspect,
-            self.full_share_at is not None,
+            self.has_full_share,
         )
--- a/src/sassafrasdale/gateway/rollouts.py
+++ b/src/sassafrasdale/gateway/rollouts.py
@@ -52,6 +52,7 @@
     :param share: fraction of a service's requests that a canary version may get.
     :param listed: returns a service's endpoints that take requests.
     :param time: cluster time, used for the age of orders.
+    :param takeover: maximum time until another gateway is the leader if one dies.
     :param count: counts an event for the metrics.
     """
 
@@ -62,6 +63,7 @@
         time: ClusterTime,
         clock: Clock,
         rng: Random,
+        takeover: timedelta,
         count: Callable[..., None] = lambda name, **labels: None,
     ) -> None:
         self._share = share
@@ -69,6 +71,7 @@
         self._time = time
         self._clock = clock
         self._rng = rng
+        self._takeover = takeover
         self._count = count
         self._rollouts: dict[str, Rollout] = {}
         self._statuses: dict[str, tuple[RolloutStatus, int]] = {}
@@ -233,9 +236,8 @@
                 if report.service == rollout.order.service
                 and report.order == rollout.revision
             ]
-            rollout.has_full_share = rollout.full_share_at is not None or any(
-                report.is_full_share for report in reports
-            )
+            if any(report.is_full_share for report in reports):
+                self._begin_full_share(rollout, "at full load, another gateway reports")
             self._evaluate(rollout, reports)
 
     def _evaluate(self, rollout: Rollout, reports: Sequence[CanaryReport]) -> None:
@@ -285,9 +287,13 @@
 
     def start_full_share(self, rollout: Rollout) -> None:
         """Give the canary its full share from now on, as the leader."""
-        rollout.full_share_at = self._clock.elapsed()
-        rollout.has_full_share = True
-        self._log_state(rollout, reason="at full load")
+        self._begin_full_share(rollout, "at full load")
+
+    def _begin_full_share(self, rollout: Rollout, reason: str) -> None:
+        """Record the beginning, which outlasts the leader that decided on it."""
+        if not rollout.has_full_share:
+            rollout.full_share_at = self._clock.elapsed()
+            self._log_state(rollout, reason=reason)
 
     def view(self, rollout: Rollout) -> RolloutView:
         """Return the input for the leader's decision."""
@@ -298,6 +304,7 @@
             filled_for = self._clock.elapsed() - rollout.full_share_at
         return RolloutView(
             duration=rollout.order.duration,
+            takeover=self._takeover,
             is_started=rollout.state != "ordered",
             in_force=rollout.in_force,
             is_rejected=rollout.is_rejected,
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -16,8 +16,10 @@
 )
 
 SECOND = timedelta(seconds=1)
+TAKEOVER = 2.5 * SECOND
 VIEW = RolloutView(
     duration=30 * SECOND,
+    takeover=TAKEOVER,
     is_started=True,
     in_force=False,
     is_rejected=False,
@@ -50,7 +52,7 @@
 
 
 def test_good_version_gets_its_full_share_and_is_completed():
-    age = full_share_after(VIEW.duration)
+    age = full_share_after(VIEW.duration, TAKEOVER)
     assert step(age=age - SECOND) is RolloutAction.WAIT
     assert step(age=age) is RolloutAction.FULL_SHARE
     assert step(age=age + SECOND, full_share_for=SECOND) is RolloutAction.WAIT
@@ -80,8 +82,10 @@
 def test_there_is_time_left_before_the_deadline(seconds):
     """Guards against a good version that is late since a leader was killed."""
     duration = seconds * SECOND
-    assert complete_after(duration) <= duration * 0.92
-    assert full_share_after(duration) >= duration / 2
-    done = full_share_after(duration) + full_share_duration(duration) + REPORT_DELAY
+    assert complete_after(duration, TAKEOVER) <= duration * 0.92
+    begin = full_share_after(duration, TAKEOVER)
+    assert begin >= duration / 2
+    done = begin + full_share_duration(duration) + REPORT_DELAY
     if seconds >= 12:
-        assert done <= complete_after(duration)
+        assert done <= complete_after(duration, TAKEOVER)
+        assert complete_after(duration, TAKEOVER) + TAKEOVER < duration
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -295,7 +295,14 @@
 
 def no_rollouts(clock: Clock) -> Rollouts:
     """Return the rollouts of a gateway that knows of none."""
-    return Rollouts(0.1, lambda service: [], ClusterTime(clock), clock, Random(1))
+    return Rollouts(
+        0.1,
+        lambda service: [],
+        ClusterTime(clock),
+        clock,
+        Random(1),
+        timedelta(seconds=2.5),
+    )
 
 
 def count_nothing(name: str, **labels: str) -> None:
--- a/tests/gateway/test_rollout_model.py
+++ b/tests/gateway/test_rollout_model.py
@@ -46,6 +46,7 @@
 RECOVERY_TIME = 4 * SECOND
 START_TIME = 3 * SECOND
 ORDERED = 7
+TAKEOVER = 2.5 * SECOND
 ORDER = RolloutOrder("models", "v2", 20 * SECOND)
 ROUTES = ("r-reports", "r-lookups", "r-rare")
 
@@ -142,6 +143,7 @@
             self.time,
             self.clock,
             Random(self.rng.random()),
+            TAKEOVER,
         )
         rollouts.add_order(ORDER, ORDERED, is_live=is_live)
         lease = Lease()
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -126,6 +126,20 @@
     assert served.sampled == 0
 
 
+def test_the_full_share_outlasts_the_leader_that_began_it(served):
+    """Guards against a next leader that begins it anew, beyond the deadline."""
+    served.order()
+    served.set_status(RolloutState.RUNNING)
+    served.start_new()
+    assert served.rollouts.view(served.rollout).full_share_for is None
+    report = CanaryReport("records", 5, is_full_share=True)
+    received = group_of(member("b-1", canary_reports=(report,)))
+    served.rollouts.receive_groups([ReceivedGroup(received)])
+    served.rollouts.receive_groups(())
+    assert served.rollouts.view(served.rollout).full_share_for is not None
+    assert served.rollout.report().is_full_share
+
+
 def test_a_report_on_another_order_rejects_nothing(served):
     """Guards against a verdict on the first order that rejects the second."""
     served.order(revision=9)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -214,6 +214,7 @@
             ClusterTime(CLOCK),
             CLOCK,
             self.rng,
+            self.settings.bounds.lease,
         )
         peering = single_peering(CLOCK, self.rng, self.gate)
         cache = CacheEstimate()
--- a/tests/guarantees/test_rollouts.py
+++ b/tests/guarantees/test_rollouts.py
@@ -193,11 +193,7 @@
     """
     rollout = deployment.start_rollout(defect, duration=14 * SECOND)
     wait_for(lambda: "running" in rollout.states, "it never ran", WAIT_LIMIT)
-    leader = leader_in(deployment.fleet.store.value("sassafrasdale/leases/duties"))
-    for gateway in deployment.fleet.gateways:
-        if gateway.name == leader:
-            gateway.signal(KILL)
-            gateway.launch()
+    restart_leader(deployment)
     wait_until_finished(rollout)
     expected = "complete" if defect is None else "rolled_back"
     assert expected in rollout.states
@@ -205,6 +201,28 @@
     assert_bounded_if_bad(rollout, deployment, defect)
 
 
+@pytest.mark.parametrize("part", [0.6, 0.65, 0.7, 0.75, 0.85], ids=str)
+def test_a_leader_killed_late_does_not_delay_the_completion(deployment, part):
+    """Guards against a leader that begins the full share anew after the last one died.
+
+    The leader is killed and restarted a short time before it would complete.
+    """
+    rollout = deployment.start_rollout(duration=14 * SECOND)
+    wait_for(lambda: rollout.age >= 14 * SECOND * part, "no time passed", WAIT_LIMIT)
+    restart_leader(deployment)
+    wait_until_finished(rollout)
+    assert rollout.states["complete"] < rollout.deadline
+
+
+def restart_leader(deployment) -> None:
+    """Kill the gateway that holds the duties, and start it again."""
+    leader = leader_in(deployment.fleet.store.value("sassafrasdale/leases/duties"))
+    for gateway in deployment.fleet.gateways:
+        if gateway.name == leader:
+            gateway.signal(KILL)
+            gateway.launch()
+
+
 def leader_in(value: bytes | None) -> str:
     return (value or b"").decode().split(" ")[0]
 
