A rollout's margin never falls below what it was where leases are short

Found on reading the change that made the margin follow the deployment's lease: with a lease of half a second it would have been 1 s in place of 2 s, though another gateway also has to notice that the leader is silent, which takes 1.5 s whatever the lease. Deployments with a lease of 1.5 s or more keep their margin.

--- a/src/sassafrasdale/decisions/rollouts.py
+++ b/src/sassafrasdale/decisions/rollouts.py
@@ -14,10 +14,12 @@
 from enum import StrEnum
 
 # Time before the deadline at which a rollout is completed: this fraction of its
-# duration, and at least the time that another gateway takes to become the leader, and
-# to act as one.
+# duration, and at least the time that another gateway takes to become the leader and to
+# take its first step. It also has to notice that the leader is silent, so the time has
+# a minimum of its own where leases are short.
 MARGIN_FRACTION = 0.1
 FIRST_STEP_TIME = timedelta(milliseconds=500)
+MIN_MARGIN = timedelta(seconds=2)
 # Maximum margin of a short rollout, as a fraction of its duration.
 MAX_MARGIN_FRACTION = 0.25
 # Duration of the full share, as a fraction of the duration of the rollout, and the time
@@ -111,7 +113,7 @@
 
 def complete_after(duration: timedelta, takeover: timedelta) -> timedelta:
     """Return the time after an order at which it is completed."""
-    margin = max(duration * MARGIN_FRACTION, takeover + FIRST_STEP_TIME)
+    margin = max(duration * MARGIN_FRACTION, takeover + FIRST_STEP_TIME, MIN_MARGIN)
     return duration - min(margin, duration * MAX_MARGIN_FRACTION)
 
 
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -83,6 +83,9 @@
     """Guards against a good version that is late since a leader was killed."""
     duration = seconds * SECOND
     assert complete_after(duration, TAKEOVER) <= duration * 0.92
+    short = SECOND / 2
+    if seconds >= 8:
+        assert complete_after(duration, short) <= duration - 2 * SECOND
     begin = full_share_after(duration, TAKEOVER)
     assert begin >= duration / 2
     done = begin + full_share_duration(duration) + REPORT_DELAY
