Delivered responses are listed once a poll, not once for each offer

Found on reading the change: each offer listed all responses held, up to 2,000, anew to find the next one. They now wait in a queue that the offering tasks share, the newest first as before.

--- a/src/sassafrasdale/requests/transfers.py
+++ b/src/sassafrasdale/requests/transfers.py
@@ -1,5 +1,6 @@
 """Hands generations over to other entries, and accepts them from others."""
 
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -60,13 +61,16 @@
         self._metrics = metrics
         self._clock = clock
         self._offered_ids: set[str] = set()
+        # Delivered responses to be offered, and the ids of all that were ever added.
+        self._delivered: deque[Generation] = deque()
         self._delivered_ids: set[str] = set()
-        self._delivered_offers = 0
+        self._delivered_tasks = 0
 
     @property
     def has_delivered(self) -> bool:
         """Whether responses whose callers may still come back are to be handed over."""
-        return self._delivered_offers > 0 or bool(self._pending_delivered())
+        is_offering = self._delivered_tasks > 0 or bool(self._delivered)
+        return is_offering or bool(self._pending_delivered())
 
     def hand_over_unfinished(self, left: timedelta) -> None:
         """Start to hand over the generations that won't end within ``left``."""
@@ -86,13 +90,12 @@
         Each one is offered once, as most callers have read theirs, and a few at a
         time, which leaves the peers to the offers above.
         """
-        while self._delivered_offers < MAX_DELIVERED_OFFERS:
-            pending = self._pending_delivered()
-            if not pending:
-                return
-            self._delivered_ids.add(pending[0].call.call.request_id)
-            self._delivered_offers += 1
-            spawn(self._hand_over_delivered, pending[0])
+        pending = self._pending_delivered()
+        self._delivered_ids.update(each.call.call.request_id for each in pending)
+        self._delivered.extendleft(reversed(pending))
+        while self._delivered and self._delivered_tasks < MAX_DELIVERED_OFFERS:
+            self._delivered_tasks += 1
+            spawn(self._hand_over_delivered)
 
     def _pending_delivered(self) -> list[Generation]:
         return [
@@ -101,12 +104,12 @@
             if generation.call.call.request_id not in self._delivered_ids
         ]
 
-    def _hand_over_delivered(self, generation: Generation) -> None:
+    def _hand_over_delivered(self) -> None:
         try:
-            self._hand_over(generation)
+            while self._delivered:
+                self._hand_over(self._delivered.popleft())
         finally:
-            self._delivered_offers -= 1
-        self.hand_over_delivered()
+            self._delivered_tasks -= 1
 
     def accept(
         self, handover: HandOver, reply: Callable[[bool], None], *, stays: bool
--- a/tests/requests/test_transfers.py
+++ b/tests/requests/test_transfers.py
@@ -17,7 +17,7 @@
 from sassafrasdale.requests.handovers import decode, encode
 from sassafrasdale.requests.placement import Progress
 from sassafrasdale.requests.registry import UNREAD_TIMEOUT, Registry
-from sassafrasdale.requests.transfers import Transfers
+from sassafrasdale.requests.transfers import MAX_DELIVERED_OFFERS, Transfers
 from sassafrasdale.structures import Address
 from tests.requests.fakes import WHOLE, Choices, generation, model_call, token
 
@@ -142,6 +142,21 @@
     assert sender.registry.holds("old")
 
 
+def test_many_delivered_responses_are_offered_newest_first():
+    """Guards against a stop that lists all responses again for each one it offers."""
+    sender = Sender()
+    names = [f"r-{number}" for number in range(4 * MAX_DELIVERED_OFFERS)]
+    for name in names:
+        sender.deliver(name)
+    listings = []
+    listed = sender.transfers._pending_delivered
+    sender.transfers._pending_delivered = lambda: listings.append(1) or listed()
+    sender.transfers.hand_over_delivered()
+    sleep(timedelta())
+    assert sender.offered == names[::-1]
+    assert len(listings) == 1
+
+
 def test_a_received_response_keeps_the_time_of_its_delivery():
     """Guards against a rolling stop that carries all old responses along."""
     receiver = Receiver()
