--- a/src/sassafrasdale/platform/signals.py
+++ b/src/sassafrasdale/platform/signals.py
@@ -46,14 +46,8 @@
 
 
 def _rate_limit(head: ResponseHead, malformed: list[str]) -> float | None:
-    limits = []
-    for value in _values(head, _RATE_LIMIT):
-        if _DECIMAL.fullmatch(value):
-            limits.append(float(value))
-        else:
-            malformed.append(_described(_RATE_LIMIT, value))
     # Of several values, the lowest is safe for the endpoint.
-    return min(limits, default=None)
+    return min(_decimals(head, _RATE_LIMIT, malformed), default=None)
 
 
 def _is_leaving(head: ResponseHead, malformed: list[str]) -> bool:
@@ -67,13 +61,18 @@
 def _backoff(head: ResponseHead, malformed: list[str]) -> timedelta | None:
     if head.status != _UNAVAILABLE:
         return None
-    backoffs = []
-    for value in _values(head, _RETRY_AFTER):
+    seconds = max(_decimals(head, _RETRY_AFTER, malformed), default=None)
+    return None if seconds is None else timedelta(seconds=seconds)
+
+
+def _decimals(head: ResponseHead, name: str, malformed: list[str]) -> list[float]:
+    decimals = []
+    for value in _values(head, name):
         if _DECIMAL.fullmatch(value):
-            backoffs.append(timedelta(seconds=float(value)))
+            decimals.append(float(value))
         else:
-            malformed.append(_described(_RETRY_AFTER, value))
-    return max(backoffs, default=None)
+            malformed.append(_described(name, value))
+    return decimals
 
 
 def _values(head: ResponseHead, name: str) -> list[str]:
