--- a/src/sassafrasdale/gateway/value_transfers.py
+++ b/src/sassafrasdale/gateway/value_transfers.py
@@ -13,6 +13,7 @@
     StoreValues,
     encode,
 )
+from sassafrasdale.http.connections import MAX_BODY_BYTES
 from sassafrasdale.http.messages import Request, Response
 
 # Content coding of HTTP for the zlib format.
@@ -21,7 +22,6 @@
 USES_CODING = ("content-encoding", CODING)
 # Shorter values fit into a few packets.
 MIN_COMPRESSED_BYTES = 4096
-MAX_BYTES = 64 * 1024 * 1024
 
 
 def values_response(request: Request, values: StoreValues | None) -> Response:
@@ -57,9 +57,9 @@
 def _decompress(body: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(body, MAX_BYTES)
+        data = decompressor.decompress(body, MAX_BODY_BYTES)
     except zlib.error as error:
         raise MessageMalformed(f"malformed values: {error}") from error
     if not decompressor.eof:
-        raise MessageMalformed(f"values cut off, or over {MAX_BYTES} bytes")
+        raise MessageMalformed(f"values cut off, or over {MAX_BODY_BYTES} bytes")
     return data
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -202,16 +202,17 @@
         """
         parts = []
         size = 0
-        while data := self.read_data(self._next_deadline(deadline, idle_limit)):
+        while data := self.read_data(self.next_deadline(deadline, idle_limit)):
             parts.append(data)
             size += len(data)
             if size > MAX_BODY_BYTES:
                 raise MalformedResponse(f"the body is over {MAX_BODY_BYTES} bytes")
         return b"".join(parts)
 
-    def _next_deadline(
+    def next_deadline(
         self, deadline: timedelta, idle_limit: timedelta | None
     ) -> timedelta:
+        """Return the elapsed time until which to wait for the next data."""
         if idle_limit is None:
             return deadline
         return min(deadline, self._clock.elapsed() + idle_limit)
@@ -438,14 +439,12 @@
         :raises HttpError: if no complete response came; the server may have processed
             the request.
         """
-        now = self._clock.elapsed()
-        deadline = now + limit
-        idle_deadline = now + (idle_limit or limit)
+        deadline = self._clock.elapsed() + limit
         connection = self._pool.acquire()
         self._active.add(connection)
         try:
             connection.send(self._with_host(request))
-            head = connection.read_head(min(deadline, idle_deadline))
+            head = connection.read_head(connection.next_deadline(deadline, idle_limit))
             body = connection.read_body(deadline, idle_limit)
         except BaseException:
             # A connection that lost a response is unusable, and the idle ones may have
