--- a/src/sassafrasdale/decisions/endpoint_rates.py
+++ b/src/sassafrasdale/decisions/endpoint_rates.py
@@ -1,4 +1,4 @@
-"""Shares of the request rate that an endpoint in need takes from all gateways together.
+"""Shares of the request rate that an endpoint takes from all gateways together.
 
 Workload: 200 gateways and an endpoint that takes one request per second. A token bucket
 at each gateway would allow a burst of 200. So the rate is split among a few
--- a/src/sassafrasdale/gateway/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/endpoint_beliefs.py
@@ -22,8 +22,8 @@
 # Shortest time between two lines on the same endpoint. An endpoint that says something
 # else in each response must not fill the log.
 LOG_INTERVAL = timedelta(seconds=1)
-# Another gateway's news of an endpoint must be newer than its own by more than they are
-# delayed on the way; otherwise two gateways would make old news look new.
+# Another gateway's evidence must be later than a gateway's own by more than a report
+# takes; otherwise two gateways would make old evidence look later each time.
 PEER_MARGIN = timedelta(milliseconds=100)
 # Time after a change in which each report to another gateway tells of it.
 CHANGE_REPORTING = timedelta(seconds=1)
@@ -123,7 +123,7 @@
         now = self._clock.elapsed()
         for endpoint, report in reports.items():
             confirmed_at = now - timedelta(seconds=report.age_s)
-            if self._is_news(endpoint, report.value, confirmed_at):
+            if self._is_later(endpoint, report.value, confirmed_at):
                 self._set(endpoint, report.value, confirmed_at, "peer")
 
     def remove_gone(self) -> None:
@@ -141,7 +141,7 @@
             if now - at <= GONE_RETENTION
         }
 
-    def _is_news(
+    def _is_later(
         self, endpoint: str, value: Value | None, confirmed_at: timedelta
     ) -> bool:
         if not self._is_registered(endpoint):
@@ -183,7 +183,7 @@
 
 
 class EndpointLimits(EndpointBeliefs[float]):
-    """Rate limits that endpoints in need have named, in requests per second."""
+    """Rate limits that endpoints have named, in requests per second."""
 
     def rate_limit(self, endpoint: str) -> float | None:
         """Return the limit in force at an endpoint."""
@@ -218,8 +218,7 @@
 
     def is_leaving(self, endpoint: str) -> bool:
         """Return whether an endpoint has said that it is leaving."""
-        belief = self._beliefs.get(endpoint)
-        return belief is not None and bool(belief.value)
+        return bool(self.value(endpoint))
 
     def observe(self, endpoint: str, signals: EndpointSignals) -> None:
         """Apply what an endpoint says in a response."""
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -302,10 +302,10 @@
         """
         weights = self._health_weights(service)
         healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
-        awake = healthy or candidates
+        eligible = healthy or candidates
         if backed_off:
-            awake = [rec for rec in awake if rec.name not in backed_off]
-        permitted = self._gate.with_permit(awake)
+            eligible = [rec for rec in eligible if rec.name not in backed_off]
+        permitted = self._gate.with_permit(eligible)
         record = self._choose(permitted, service, traits, weights)
         if record is None or not self._gate.take(record):
             return None
--- a/tests/gateway/test_endpoint_beliefs.py
+++ b/tests/gateway/test_endpoint_beliefs.py
@@ -136,7 +136,7 @@
 
 
 def test_a_stream_s_head_tells_of_a_departure_before_its_end():
-    """Guards against news that wait for the end of a long stream."""
+    """Guards against a departure that is read at the end of a long stream."""
     world = World()
 
     def script(sock: socket.socket, data: bytes) -> None:
@@ -225,7 +225,7 @@
 
 
 def test_news_do_not_grow_younger_on_their_way():
-    """Guards against two gateways that make each other's old news look new."""
+    """Guards against two gateways that make each other's old evidence look later."""
     fleet = Fleet({"a": 3, "b": 3, "c": 3})
     fleet.endpoint_zones["i-1"] = "a"
     fleet.play(3.0)
--- a/tests/gateway/test_permits_model.py
+++ b/tests/gateway/test_permits_model.py
@@ -228,7 +228,7 @@
 
 
 def test_what_limits_add_to_the_exchanges_of_two_hundred_gateways_is_bounded():
-    """Guards against news of endpoints that fill the links of small instances.
+    """Guards against reports on endpoints that fill the links of small instances.
 
     A tenth of a link of 10 Mbit/s is 125 kB/s.
     """
