--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -8,7 +8,6 @@
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import GatewaySettings
-from sassafrasdale.gateway.backoffs import Backoffs
 from sassafrasdale.gateway.departure_checks import DepartureChecks
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
@@ -20,7 +19,6 @@
     AttemptReport,
 )
 from sassafrasdale.gateway.duties import Duties
-from sassafrasdale.gateway.endpoint_beliefs import Departures, EndpointLimits
 from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.frontend import Frontend
@@ -32,7 +30,6 @@
     ReceivedGroup,
 )
 from sassafrasdale.gateway.peering import Peering
-from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
 from sassafrasdale.gateway.planning import planned_services
 from sassafrasdale.gateway.poller import Poller
@@ -113,24 +110,13 @@
         )
 
     def _build_gate(self) -> None:
-        clock = self._clock
-        count = self.metrics.count
-
-        def is_registered(name: str) -> bool:
-            return name in self.directory.records
-
-        limits = EndpointLimits("limit", is_registered, clock, count)
-        permits = Permits(
-            limits,
+        self.gate = EndpointGate.build(
             self._settings.availability_zone,
             self._settings.availability_zones,
             lambda name: self.directory.zone_of(name),
-            clock,
-        )
-        departures = Departures("departure", is_registered, clock, count)
-        backoffs = Backoffs(clock, count)
-        self.gate = EndpointGate(
-            limits, permits, departures, backoffs, clock, self._rng
+            self._clock,
+            self._rng,
+            self.metrics.count,
         )
 
     def _build_store_view(self) -> None:
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -1,6 +1,6 @@
 """Decides which endpoints take a request now, by what they say in their responses."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -65,6 +65,38 @@
         self._malformed = MalformedSignalLog(clock)
         self._born: dict[str, int] = {}
 
+    @classmethod
+    def build(
+        cls,
+        zone: str,
+        zones: Sequence[str],
+        endpoint_zone: Callable[[str], str | None],
+        clock: Clock,
+        rng: Random,
+        count: Callable[..., None] = lambda name, **labels: None,
+    ) -> "EndpointGate":
+        """Return the gate of a gateway that knows nothing of any endpoint yet.
+
+        :param zone: availability zone of the gateway.
+        :param zones: all availability zones of the deployment.
+        :param endpoint_zone: returns the zone of a registered endpoint; None if it is
+            not registered.
+        :param count: counts an event by name, for metrics.
+        """
+
+        def is_registered(endpoint: str) -> bool:
+            return endpoint_zone(endpoint) is not None
+
+        limits = EndpointLimits("limit", is_registered, clock, count)
+        return cls(
+            limits,
+            Permits(limits, zone, zones, endpoint_zone, clock),
+            Departures("departure", is_registered, clock, count),
+            Backoffs(clock, count),
+            clock,
+            rng,
+        )
+
     @property
     def limits(self) -> EndpointLimits:
         """Rate limits that endpoints have named."""
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -7,8 +7,6 @@
 
 from sassafrasdale.clock import Clock, ManualClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
-from sassafrasdale.gateway.backoffs import Backoffs
-from sassafrasdale.gateway.endpoint_beliefs import Departures, EndpointLimits
 from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
@@ -21,7 +19,6 @@
     MemberState,
 )
 from sassafrasdale.gateway.peering import Peering
-from sassafrasdale.gateway.permits import Permits
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
@@ -136,27 +133,16 @@
         self.time = ClusterTime(fleet.clock)
         own = contact(name, zone, incarnation)
         self.roster = Roster(own, fleet.clock)
-        self.endpoint_limits = EndpointLimits(
-            "limit", fleet.has_endpoint, fleet.clock, count_nothing
-        )
-        self.permits = Permits(
-            self.endpoint_limits,
+        gate = EndpointGate.build(
             zone,
             tuple(fleet.zones),
             fleet.endpoint_zones.get,
             fleet.clock,
-        )
-        self.departures = Departures(
-            "departure", fleet.has_endpoint, fleet.clock, count_nothing
-        )
-        gate = EndpointGate(
-            self.endpoint_limits,
-            self.permits,
-            self.departures,
-            Backoffs(fleet.clock, count_nothing),
-            fleet.clock,
             Random(name),
         )
+        self.endpoint_limits = gate.limits
+        self.permits = gate.permits
+        self.departures = gate.departures
         context = PeerContext(
             LocalState(
                 self._state,
@@ -224,10 +210,6 @@
             for number in range(count):
                 self.start(f"{zone}-{number}", zone)
 
-    def has_endpoint(self, name: str) -> bool:
-        """Return whether an endpoint is registered."""
-        return name in self.endpoint_zones
-
     def start(self, name: str, zone: str, incarnation: int = 1) -> Node:
         """Start a gateway that knows the running ones from the store."""
         node = self.nodes[name] = Node(self, name, zone, incarnation)
@@ -305,24 +287,13 @@
     )
 
 
-def count_nothing(name: str, **labels: str) -> None:
-    """Count no event."""
-
-
 def single_gate(
-    clock: Clock, count: Callable[..., None] = count_nothing
+    clock: Clock, count: Callable[..., None] = lambda name, **labels: None
 ) -> EndpointGate:
     """Return the gate of a gateway that lends itself all permits."""
-
-    def is_registered(name: str) -> bool:
-        return True
-
-    limits = EndpointLimits("limit", is_registered, clock, count)
-    permits = Permits(limits, "a", ("a",), lambda name: "a", clock)
-    permits.set_share(1.0)
-    departures = Departures("departure", is_registered, clock, count)
-    backoffs = Backoffs(clock, count)
-    return EndpointGate(limits, permits, departures, backoffs, clock, Random(1))
+    gate = EndpointGate.build("a", ("a",), lambda name: "a", clock, Random(1), count)
+    gate.permits.set_share(1.0)
+    return gate
 
 
 def single_peering(
--- a/tests/gateway/test_backoffs.py
+++ b/tests/gateway/test_backoffs.py
@@ -7,7 +7,6 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import RequestTraits
 from sassafrasdale.gateway.backoffs import MAX_BACKOFF, Backoffs
-from tests.gateway.fleets import count_nothing
 from tests.gateway.world import (
     CLOCK,
     ScriptedEndpoint,
@@ -27,7 +26,7 @@
 
 @pytest.fixture
 def backoffs(clock: ManualClock) -> Backoffs:
-    return Backoffs(clock, count_nothing)
+    return Backoffs(clock, lambda name, **labels: None)
 
 
 def test_a_backoff_ends_by_itself(backoffs, clock):
