--- a/tests/gateway/test_endpoint_beliefs.py
+++ b/tests/gateway/test_endpoint_beliefs.py
@@ -155,8 +155,11 @@
     )
 
 
-def test_an_endpoint_that_restarts_under_its_name_is_used_again():
-    """Guards against a departure that outlives the process that told of it."""
+def world_with_a_leaving_endpoint() -> tuple[World, Endpoint]:
+    """Return a world and its endpoint, which says in its first response that it leaves.
+
+    The later responses don't say so.
+    """
     world = World()
     endpoint = ScriptedEndpoint(respond_with(extra=LEAVES), respond_with())
     registered = Endpoint(
@@ -164,6 +167,12 @@
     )
     world.directory.put(registered)
     world.ask(request("/certificates/1"))
+    return world, registered
+
+
+def test_an_endpoint_that_restarts_under_its_name_is_used_again():
+    """Guards against a departure that outlives the process that told of it."""
+    world, registered = world_with_a_leaving_endpoint()
     world.directory.put(replace(registered, born=2))
     assert world.ask(request("/certificates/2")).startswith(b"HTTP/1.1 200")
 
@@ -171,13 +180,7 @@
 @pytest.mark.parametrize("born", [1, 2])
 def test_a_registration_that_had_expired_voids_nothing_but_of_an_earlier_start(born):
     """Guards against a restarted endpoint left unused, and a leaving one in use."""
-    world = World()
-    endpoint = ScriptedEndpoint(respond_with(extra=LEAVES), respond_with())
-    registered = Endpoint(
-        "i-1", "records", endpoint.address, "a", EndpointState.READY, 6, born=1
-    )
-    world.directory.put(registered)
-    world.ask(request("/certificates/1"))
+    world, registered = world_with_a_leaving_endpoint()
     world.directory.remove("i-1")
     world.directory.put(replace(registered, born=born))
     status = b"HTTP/1.1 503" if born == 1 else b"HTTP/1.1 200"
