A test's caller waits longer than its endpoint takes to begin

Cause: the scripted endpoint begins to respond 2.0 s after it gets the request, and the caller waited 2 s from 0.1 s after it had sent it, so 0.1 s on a busy machine was enough. What it asserts is as it was.

--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -21,7 +21,7 @@
     respond_with,
     stream_head,
 )
-from tests.http.wires import serve_raw
+from tests.http.wires import LIMIT, serve_raw
 
 CLOCK = SystemClock()
 STREAM = {"token_count": "100,20", "prompt_prefix": "aa:60,bb:40"}
@@ -547,7 +547,8 @@
     caller.send(request("/reports/7", **STREAM))
     sleep(timedelta(milliseconds=100))
     world.directory.remove("i-1")
-    response = caller.read()
+    # The endpoint begins to respond after 2 s, as long as a caller waits by default.
+    response = caller.read(2 * LIMIT)
     assert body_of(response) == event(1) + event(2)
     assert world.quarantine.describe() == []
 
--- a/tests/http/wires.py
+++ b/tests/http/wires.py
@@ -57,8 +57,12 @@
         """Send bytes."""
         self._sock.sendall(data)
 
-    def read(self) -> bytes:
-        """Return all bytes until the peer closes."""
+    def read(self, limit: timedelta = LIMIT) -> bytes:
+        """Return all bytes until the peer closes.
+
+        :param limit: maximum time without any.
+        """
+        self._sock.settimeout(limit.total_seconds())
         parts = []
         while data := self._sock.recv(65536):
             parts.append(data)
