--- a/src/sassafrasdale/clock.py
+++ b/src/sassafrasdale/clock.py
@@ -10,6 +10,11 @@
     return time // timedelta(milliseconds=1)
 
 
+def optional_milliseconds(duration: timedelta | None) -> int | None:
+    """Return a duration in whole milliseconds, or None for none."""
+    return None if duration is None else milliseconds(duration)
+
+
 class Clock(Protocol):
     """Source of wall-clock and elapsed time."""
 
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -145,6 +145,12 @@
         record = self._records.get(name)
         return None if record is None else record.endpoint.availability_zone
 
+    def since_receipt(self) -> timedelta | None:
+        """Return the time since bytes came from any endpoint; None if none ever did."""
+        times = [record.pool.received_at for record in self._records.values()]
+        times = [at for at in times if at is not None]
+        return self._clock.elapsed() - max(times) if times else None
+
     def health_of(self, service: str) -> Health:
         """Return the health of a service's endpoints."""
         health = self._health.get(service)
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -10,7 +10,7 @@
 
 from logbook import Logger
 
-from sassafrasdale.clock import Clock, milliseconds
+from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.deployment import (
     Customer,
     RequestKind,
@@ -362,8 +362,16 @@
             send=self._attempts,
             begun=self._caller.response_started,
             left_ms=milliseconds(self._admitted.deadline - self._clock.elapsed()),
+            endpoint_silent_ms=self._silence_of(attempt.record),
+            all_silent_ms=optional_milliseconds(self._fleet.since_receipt()),
         )
 
+    def _silence_of(self, record: EndpointRecord) -> int | None:
+        received_at = record.pool.received_at
+        if received_at is None:
+            return None
+        return milliseconds(self._clock.elapsed() - received_at)
+
     def _check_crash(self, attempt: Attempt, failure: AttemptFailed) -> bool | None:
         """Return whether the endpoint has crashed; None if nothing suggests it."""
         if failure.reason != CONNECTION_LOST:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -100,6 +100,10 @@
         """Return whether an endpoint is registered as ready."""
         return self._directory.records.get(record.name) is record and record.is_ready
 
+    def since_receipt(self) -> timedelta | None:
+        """Return the time since bytes came from any endpoint; None if none ever did."""
+        return self._directory.since_receipt()
+
     def token_times(self) -> dict[str, float]:
         """Return the measured time per prompt token, in seconds, by service."""
         return self._prefill_times.measured()
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -6,7 +6,7 @@
 
 from logbook import Logger
 
-from sassafrasdale.clock import Clock, milliseconds
+from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.deployment import Customer, RequestTraits, Route, customer_name
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
@@ -222,7 +222,6 @@
         )
         if record.service is not None:
             self._metrics.request_ended(record.service, record.outcome, took)
-        first = record.first_byte_after
         attempt = record.last_attempt
         log.info(
             "request ended",
@@ -242,7 +241,7 @@
             news_ms=attempt and milliseconds(attempt.peer_report_age),
             named_by=(attempt and attempt.assigned_by) or None,
             fetched_from=attempt and attempt.source and attempt.source.name,
-            first_ms=None if first is None else milliseconds(first),
+            first_ms=optional_milliseconds(record.first_byte_after),
             took_ms=milliseconds(took),
         )
 
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -65,11 +65,18 @@
 
     :param sock: a connected green socket.
     :param clock: source of elapsed time.
+    :param on_receive: called each time that bytes have arrived.
     """
 
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        clock: Clock,
+        on_receive: Callable[[], None] = lambda: None,
+    ) -> None:
         self._sock = sock
         self._clock = clock
+        self._on_receive = on_receive
         self._codec = h11.Connection(h11.CLIENT)
         self._head: ResponseHead | None = None
         self._events: list[h11.Request | h11.Data | h11.EndOfMessage] = []
@@ -82,13 +89,19 @@
         self.responses = 0
 
     @classmethod
-    def open(cls, address: Address, limit: timedelta, clock: Clock) -> "HttpConnection":
+    def open(
+        cls,
+        address: Address,
+        limit: timedelta,
+        clock: Clock,
+        on_receive: Callable[[], None] = lambda: None,
+    ) -> "HttpConnection":
         """Return a new connection.
 
         :raises NotConnected: if there is none within ``limit``.
         """
         try:
-            return cls(connect(address, limit), clock)
+            return cls(connect(address, limit), clock, on_receive)
         except ConnectionRefusedError as error:
             raise ConnectionRefused(f"{address}: {error}") from error
         except OSError as error:
@@ -311,6 +324,8 @@
         if self._closed:
             raise ConnectionLost("closed on this side")
         self._closed_by_peer = not data
+        if data:
+            self._on_receive()
         return data
 
     def _send_bytes(self, data: bytes) -> None:
@@ -352,6 +367,12 @@
         self._clock = clock
         self._opened = opened
         self._idle: list[HttpConnection] = []
+        self._received_at: timedelta | None = None
+
+    @property
+    def received_at(self) -> timedelta | None:
+        """Elapsed time of the last bytes from the server; None if there were none."""
+        return self._received_at
 
     def acquire(self, newest_use: timedelta | None = None) -> HttpConnection:
         """Return a usable connection, an idle one or a new one.
@@ -366,19 +387,24 @@
             if fresh and connection.is_idle_and_healthy():
                 return connection
             connection.close()
+        return self._open()
+
+    def _open(self) -> HttpConnection:
         self._opened()
-        return HttpConnection.open(self._address, self._connect_limit, self._clock)
+        return HttpConnection.open(
+            self._address, self._connect_limit, self._clock, self._record_receipt
+        )
+
+    def _record_receipt(self) -> None:
+        self._received_at = self._clock.elapsed()
 
     def probe(self) -> ProbeResult:
         """Return the result of opening a new connection to the server.
 
         An open connection is kept in the pool.
         """
-        self._opened()
         try:
-            connection = HttpConnection.open(
-                self._address, self._connect_limit, self._clock
-            )
+            connection = self._open()
         except ConnectionRefused:
             return ProbeResult.REFUSED
         except NotConnected:
