Failing tests: gateways partitioned from all endpoints refuse their callers

Six gateways as processes, each with links of its own to four plain endpoints and two engines; two, three and five of them lose their links, which refuse, reset, fall silent, or refuse new connections only. Listed in KNOWN-RED.txt until their fixes, which may name a test with all its cases.

The links of the soak moved to standins/, with two more faults; plans draw the same ones as before.

--- a/bench/soak/fleets.py
+++ b/bench/soak/fleets.py
@@ -19,7 +19,6 @@
     Configuration,
 )
 from bench.soak.gateways import Gateway
-from bench.soak.links import Link
 from bench.soak.plans import (
     ClockStep,
     Disruption,
@@ -46,6 +45,7 @@
 from standins.gateway_endpoints import StandInEndpoint
 from standins.gateway_fleet import CONT, KILL, STOP, TERM, GatewayFleet, wait_for
 from standins.kv_store import Fault
+from standins.links import Link
 
 log = Logger("soak")
 
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -1,8 +1,8 @@
 """One gateway of a soak."""
 
 from bench.soak.callers import Listener
-from bench.soak.links import Link
 from standins.gateway_fleet import GatewayProcess
+from standins.links import Link
 
 
 class Gateway:
--- a/bench/soak/plans.py
+++ b/bench/soak/plans.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 from random import Random
 
-from bench.soak.links import LinkFault
 from standins.kv_store import Fault
+from standins.links import LinkFault
 
 SECOND = timedelta(seconds=1)
 # Traffic before the first disruption.
@@ -16,6 +16,14 @@
 MIN_PAUSE = SECOND / 10
 MAX_PAUSE = 1.2 * SECOND
 
+# Faults that a plan may draw for a link.
+LINK_FAULTS = (
+    LinkFault.DELAYS,
+    LinkFault.RESETS,
+    LinkFault.SILENT,
+    LinkFault.ANSWERS_LOST,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Kill:
@@ -219,14 +227,14 @@
     Draw(
         2,
         lambda rng, gateways, _: StoreLinkFault(
-            rng.randrange(gateways), rng.choice(list(LinkFault)), _draw_duration(rng, 5)
+            rng.randrange(gateways), rng.choice(LINK_FAULTS), _draw_duration(rng, 5)
         ),
     ),
     Draw(
         3,
         lambda rng, _, endpoints: EndpointLinkFault(
             rng.randrange(endpoints),
-            rng.choice(list(LinkFault)),
+            rng.choice(LINK_FAULTS),
             _draw_duration(rng, 4),
         ),
     ),
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -14,6 +14,7 @@
 from sassafrasdale.green import connect, sleep
 from sassafrasdale.structures import Address
 from standins.duty_calls import DutyCalls
+from standins.endpoint_links import EndpointLinks
 from standins.gateway_endpoints import Defect, StandInEndpoint
 from standins.kv_store import KvStore
 from standins.processes import free_port
@@ -174,12 +175,17 @@
         *,
         program: Sequence[str] = GATEWAY,
         proxy: AddressMapper = direct,
+        endpoint_links: EndpointLinks | None = None,
     ) -> GatewayProcess:
         """Return a gateway that is not started yet.
 
         :param proxy: maps the store's address to the one that the gateway uses.
+        :param endpoint_links: the gateway's own links to endpoints; None for none.
         """
-        store = {"addr": str(proxy(self._store_address)), "ttlMinMs": 1000}
+        address = self._store_address
+        if endpoint_links is not None:
+            address = self.store.serve(Address(LOOPBACK, 0), endpoint_links.seen_as)
+        store = {"addr": str(proxy(address)), "ttlMinMs": 1000}
         settings = {**self._settings, "platform": store}
         gateway = GatewayProcess(name, zone, settings, program)
         self.gateways.append(gateway)
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -7,9 +7,11 @@
 
 import json
 from base64 import b64decode, b64encode
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
+from functools import partial
 from urllib.parse import parse_qsl, urlsplit
 
 from sassafrasdale.clock import Clock
@@ -20,6 +22,12 @@
 
 POLL = timedelta(milliseconds=5)
 PAGE = 50
+ValueMapper = Callable[[str, bytes], bytes]
+
+
+def unchanged(key: str, value: bytes) -> bytes:
+    """Return a value as it is."""
+    return value
 
 
 class Fault(StrEnum):
@@ -67,14 +75,21 @@
         self._compacted = 0
         self._revision = 1
         self._last_lease = 0
+        self._is_served = False
         self.calls = 0
         self.fault = Fault.NONE
 
-    def serve(self, address: Address) -> Address:
-        """Start to serve calls, and return the bound address."""
+    def serve(self, address: Address, seen_as: ValueMapper = unchanged) -> Address:
+        """Start to serve calls, and return the bound address.
+
+        :param seen_as: maps a key and its value to the value that these callers get.
+        """
         listener = listen(address)
-        spawn(HttpServer(listener, self._handle, self._clock).serve)
-        spawn(self._expire_leases)
+        handle = partial(self._handle, seen_as)
+        spawn(HttpServer(listener, handle, self._clock).serve)
+        if not self._is_served:
+            self._is_served = True
+            spawn(self._expire_leases)
         host, port = listener.getsockname()
         return Address(host, port)
 
@@ -101,7 +116,9 @@
         self._compacted = self._revision
         self._history.clear()
 
-    def _handle(self, connection: ServerConnection, request: Request) -> None:
+    def _handle(
+        self, seen_as: ValueMapper, connection: ServerConnection, request: Request
+    ) -> None:
         self.calls += 1
         if self.fault is Fault.BUSY:
             connection.answer(503)
@@ -113,7 +130,7 @@
         if self.fault is not Fault.NONE:
             self._withhold_response(connection)
             return
-        body = b"" if document is None else json.dumps(document).encode()
+        body = b"" if document is None else _encoded(document, seen_as)
         connection.answer(status, [("content-type", "application/json")], body)
 
     def _withhold_response(self, connection: ServerConnection) -> None:
@@ -247,3 +264,12 @@
         if key in self._items:
             return self._document(key)
         return {"key": key, "rev": revision, "deleted": True}
+
+
+def _encoded(document: dict, seen_as: ValueMapper) -> bytes:
+    items = [document, *document.get("items", ()), *document.get("events", ())]
+    for item in items:
+        if "value" in item:
+            value = seen_as(item["key"], b64decode(item["value"]))
+            item["value"] = b64encode(value).decode("ascii")
+    return json.dumps(document).encode()
--- a/bench/soak/links.py
+++ b/standins/links.py
@@ -15,12 +15,21 @@
 
 
 class LinkFault(StrEnum):
-    """A fault of a link."""
+    """A fault of a link.
+
+    New connections are accepted and closed at once (``RESETS``), or refused
+    (``REFUSES``); both reset the open ones. With ``REFUSES_NEW`` those go on.
+    """
 
     DELAYS = "delays"
     RESETS = "resets"
     SILENT = "silent"
     ANSWERS_LOST = "answers lost"
+    REFUSES = "refuses"
+    REFUSES_NEW = "refuses new"
+
+
+_REFUSING = (LinkFault.REFUSES, LinkFault.REFUSES_NEW)
 
 
 class Link:
@@ -47,15 +56,32 @@
 
     def inject(self, fault: LinkFault, duration: timedelta) -> None:
         """Apply a fault for a while."""
+        self.begin(fault)
+        sleep(duration)
+        self.end()
+
+    def begin(self, fault: LinkFault) -> None:
+        """Apply a fault until it is ended."""
         self._fault = fault
+        if fault in _REFUSING:
+            self._listener.close()
         for connection in list(self._connections):
             connection.apply(fault)
-        sleep(duration)
+
+    def end(self) -> None:
+        """End the current fault."""
+        if self._fault in _REFUSING:
+            self._listener = listen(self.address)
+            spawn(self._accept)
         self._fault = None
 
     def _accept(self) -> None:
+        listener = self._listener
         while True:
-            client, _ = self._listener.accept()
+            try:
+                client, _ = listener.accept()
+            except OSError:
+                return
             spawn(self._serve, client)
 
     def _serve(self, client: socket.socket) -> None:
@@ -95,7 +121,7 @@
     def apply(self, fault: LinkFault) -> None:
         """Apply a fault to this open connection."""
         match fault:
-            case LinkFault.RESETS:
+            case LinkFault.RESETS | LinkFault.REFUSES:
                 self._shut_down()
             case LinkFault.SILENT:
                 self._is_unresponsive = True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,9 +8,13 @@
 def pytest_collection_modifyitems(
     config: pytest.Config, items: list[pytest.Item]
 ) -> None:
-    """Deselect exactly the tests in KNOWN-RED.txt."""
+    """Deselect exactly the tests in KNOWN-RED.txt, one named without cases in all."""
     listed = known_red_tests()
-    red = [item for item in items if item.nodeid in listed]
+    red = [
+        item
+        for item in items
+        if item.nodeid in listed or item.nodeid.partition("[")[0] in listed
+    ]
     if red:
         config.hook.pytest_deselected(items=red)
-        items[:] = [item for item in items if item.nodeid not in listed]
+        items[:] = [item for item in items if item not in red]
--- a/tests/guarantees/test_soak.py
+++ b/tests/guarantees/test_soak.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from bench.soak.links import LinkFault
 from bench.soak.plans import (
     CrashingRequest,
     EndpointLinkFault,
@@ -16,6 +15,7 @@
 )
 from bench.soak.soaks import Soak
 from bench.soak.unguarded import PROGRAM, Guard
+from standins.links import LinkFault
 
 SECOND = timedelta(seconds=1)
 # Indices of the endpoints that are plain services.
