Attempts at endpoints whose link is lost go through a peer

Cause: a gateway had no path to endpoints but its own, and could not tell a lost link from a lost endpoint. The hop is a matter of one attempt, so limits, usage, retries and quarantine stay with the gateway that has the caller; only what was not sent counts as not sent.

Weighed: not ready while partitioned (the balancer uses all gateways of a zone again when most are out, and kept connections stay); a hop of whole requests (admission, limits and usage would be decided or counted twice, or far from the caller).

--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -160,6 +160,10 @@
     customers: tuple[Customer, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    def service(self, name: str) -> Service:
+        """Return a service, or one with defaults for an unknown name."""
+        return self.services.get(name) or Service(name)
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
--- a/src/sassafrasdale/gateway/attempts.py
+++ b/src/sassafrasdale/gateway/attempts.py
@@ -23,6 +23,7 @@
     :param gap: a low gap between its events.
     :param has_permit: whether it has a permit for an endpoint with a rate limit.
     :param route: name of the request's route; empty for another gateway's attempt.
+    :param forwarder: the peer that it is forwarded through, if it is.
     """
 
     record: EndpointRecord
@@ -39,3 +40,4 @@
     gap: timedelta | None = None
     route: str = ""
     has_permit: bool = False
+    forwarder: str = ""
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -21,6 +21,10 @@
 from sassafrasdale.gateway.duties import Duties
 from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
+from sassafrasdale.gateway.forwarding.forwarders import Forwarders
+from sassafrasdale.gateway.forwarding.links import LinkMonitor
+from sassafrasdale.gateway.forwarding.paths import EndpointPaths
+from sassafrasdale.gateway.forwarding.receiver import ForwardingReceiver
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
 from sassafrasdale.gateway.peer_states import (
@@ -48,6 +52,8 @@
     UsageCounts,
     UsageLedger,
 )
+from sassafrasdale.http.messages import Request
+from sassafrasdale.http.server import ServerConnection
 from sassafrasdale.lazy_metrics import LazyMetrics
 from sassafrasdale.platform.store import PlatformStore
 
@@ -185,6 +191,46 @@
             calls.send_attempt_report,
             clock,
         )
+        self._build_forwarding(context.roster)
+
+    def _build_forwarding(self, roster: Roster) -> None:
+        clock = self._clock
+        settings = self._settings
+        forwarders = Forwarders(roster, clock, self._rng)
+        self.links = LinkMonitor(
+            self.directory,
+            forwarders,
+            self.store_view.service,
+            clock,
+            self._rng,
+            self.metrics.count,
+        )
+        self._paths = EndpointPaths(
+            self.links, forwarders, self._cluster_time, clock, self.metrics.count
+        )
+        self.forwarding_receiver = ForwardingReceiver(
+            self.directory,
+            self.gate,
+            self.quarantine,
+            self.links,
+            roster.own_zone_contacts,
+            lambda: not roster.own.leaving,
+            self._cluster_time,
+            settings.cpu_cores,
+            clock,
+            self._rng,
+            self.metrics.count,
+        )
+
+    def _cluster_time(self) -> float:
+        return self.time.seconds
+
+    def handle_peer(self, connection: ServerConnection, request: Request) -> None:
+        """Respond to another gateway's request."""
+        if self.forwarding_receiver.handles(request.target):
+            self.forwarding_receiver.handle(connection, request)
+        else:
+            self.peering.handle(connection, request)
 
     def _build_serving(
         self,
@@ -223,6 +269,7 @@
             self.fleet,
             self._quotas,
             self.quarantine,
+            self._paths,
             self.metrics,
             clock,
             self._rng,
--- a/src/sassafrasdale/gateway/departure_checks.py
+++ b/src/sassafrasdale/gateway/departure_checks.py
@@ -94,5 +94,4 @@
 
     def _service(self, name: str) -> Service:
         configuration = self._configuration()
-        known = configuration and configuration.services.get(name)
-        return known or Service(name)
+        return Service(name) if configuration is None else configuration.service(name)
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -37,6 +37,7 @@
     :param registered_at: elapsed time at which it was first seen.
     :param says_leaving: returns whether it has said in a response that it is leaving.
     :ivar connections: connections that are in use by requests.
+    :ivar repeatable: those of them whose requests may run more than once.
     :ivar is_unreachable: whether its registration has expired and connections to its
         address get no reply.
     """
@@ -53,6 +54,7 @@
         self.registered_at = registered_at
         self._says_leaving = says_leaving
         self.connections: set[HttpConnection] = set()
+        self.repeatable: set[HttpConnection] = set()
         self.is_unreachable = False
         self.in_flight = 0
         self.prefill_tokens = 0
--- a/src/sassafrasdale/gateway/drain.py
+++ b/src/sassafrasdale/gateway/drain.py
@@ -6,6 +6,7 @@
 waits for the rest until shortly before the process would be killed.
 """
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from logbook import Logger
@@ -34,12 +35,20 @@
     :param server: the server for callers.
     :param grace: time until the process is killed.
     :param clock: source of elapsed time.
+    :param forwards: returns the number of peers' requests that are being forwarded.
     """
 
-    def __init__(self, server: HttpServer, grace: timedelta, clock: Clock) -> None:
+    def __init__(
+        self,
+        server: HttpServer,
+        grace: timedelta,
+        clock: Clock,
+        forwards: Callable[[], int] = lambda: 0,
+    ) -> None:
         self._server = server
         self._grace = grace
         self._clock = clock
+        self._forwards = forwards
         self._began_at: timedelta | None = None
 
     @property
@@ -60,10 +69,13 @@
         self._server.close()
         self._server.close_idle()
         log.info("no more connections taken", busy=self._server.busy_connections)
-        while self._server.busy_connections and self._clock.elapsed() < deadline:
+        while self._is_busy() and self._clock.elapsed() < deadline:
             sleep(STEP)
             self._server.close_idle()
 
+    def _is_busy(self) -> bool:
+        return self._server.busy_connections > 0 or self._forwards() > 0
+
     def _deadline(self, began_at: timedelta) -> timedelta:
         return began_at + self._grace - MARGIN
 
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -31,8 +31,16 @@
 )
 from sassafrasdale.gateway.fingerprints import fingerprint_of
 from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.forwarding.paths import (
+    FORWARDER_LOST,
+    MAX_FORWARDERS,
+    EndpointPaths,
+    ForwarderRefused,
+    ForwardWithheld,
+    Hop,
+    Path,
+)
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
-from sassafrasdale.http.connections import HttpConnection
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
     HttpError,
@@ -93,6 +101,7 @@
     :param caller: the caller's connection.
     :param fleet: chooses endpoints and tracks their load.
     :param quarantine: records endpoints that crash while they run the request.
+    :param paths: opens the way to an endpoint.
     :param clock: source of elapsed time.
     """
 
@@ -102,9 +111,11 @@
         caller: ServerConnection,
         fleet: Fleet,
         quarantine: RequestQuarantine,
+        paths: EndpointPaths,
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
+        self._paths = paths
         self._admitted = admitted
         self._caller = caller
         self._fleet = fleet
@@ -177,48 +188,62 @@
 
     def _run_attempt(self, attempt: Attempt) -> int:
         """Send the request to an endpoint and relay its response."""
-        admitted = self._admitted
-        record = attempt.record
-        max_idle = None if admitted.route.repeatable else NON_IDEMPOTENT_MAX_IDLE
-        connection: HttpConnection | None = None
         try:
-            try:
-                connection = record.pool.acquire(max_idle)
-            except NotConnected as error:
-                raise AttemptFailed(AttemptOutcome.NOT_SENT, "not connected") from error
-            record.connections.add(connection)
-            self._caller.on_disconnect(connection.close)
-            if self._caller.is_disconnected:
-                raise CallerDisconnected
-            return self._forward(record, connection, attempt)
+            return self._try_forwarders(attempt)
         except AttemptFailed as failure:
             self._record_failure(attempt, failure)
             raise
+        finally:
+            self._fleet.finish_attempt(attempt)
+
+    def _try_forwarders(self, attempt: Attempt) -> int:
+        """Run an attempt, where it is forwarded by another peer if one refuses."""
+        for _ in range(MAX_FORWARDERS - 1):
+            try:
+                return self._run_on_path(attempt)
+            except ForwarderRefused as refusal:
+                log.info("forwarder refused", why=refusal.reason)
+        return self._run_on_path(attempt)
+
+    def _run_on_path(self, attempt: Attempt) -> int:
+        path = self._open_path(attempt)
+        self._caller.on_disconnect(path.close)
+        try:
+            if self._caller.is_disconnected:
+                raise CallerDisconnected
+            return self._forward(path, attempt)
         except CallerDisconnected:
-            if connection is not None:
-                connection.close()
-                self._fleet.record_disconnect(attempt)
+            path.close()
+            self._fleet.record_disconnect(attempt)
             raise
         finally:
             self._caller.on_disconnect(None)
-            self._fleet.finish_attempt(attempt)
-            if connection is not None:
-                record.connections.discard(connection)
-                record.pool.release(connection)
+            path.release()
 
-    def _forward(
-        self, record: EndpointRecord, connection: HttpConnection, attempt: Attempt
-    ) -> int:
+    def _open_path(self, attempt: Attempt) -> Path:
         admitted = self._admitted
+        is_repeatable = admitted.route.repeatable
+        hop = Hop(
+            attempt.record.name, self._fingerprint, is_repeatable, admitted.deadline
+        )
+        max_idle = None if is_repeatable else NON_IDEMPOTENT_MAX_IDLE
+        try:
+            path = self._paths.open(attempt.record, hop, max_idle)
+        except NotConnected as error:
+            raise AttemptFailed(AttemptOutcome.NOT_SENT, "not connected") from error
+        attempt.forwarder = path.forwarder
+        return path
+
+    def _forward(self, path: Path, attempt: Attempt) -> int:
+        admitted = self._admitted
+        record = attempt.record
         if not self._fleet.may_send(attempt):
             raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
-        self._attempts += 1
         self._endpoint_crashed = False
         self._events_before_attempt = self._splitter.count
         time_left = admitted.deadline - self._clock.elapsed()
         if time_left <= timedelta():
             raise AttemptFailed(AttemptOutcome.WITHHELD, "no time left")
-        self._fleet.count_attempt(attempt, is_retry=self._attempts > 1)
         headers = EndpointHeaders(
             endpoint=record.name,
             customer=admitted.customer_name,
@@ -228,19 +253,44 @@
             fetch_from=attempt.source.endpoint.address if attempt.source else None,
         )
         try:
-            connection.send(endpoint_request(admitted.request, headers))
-            head = connection.read_head(
-                admitted.deadline,
-                echoed=(REQUEST_ID, admitted.request.header(REQUEST_ID)),
+            head = self._send(
+                path, endpoint_request(admitted.request, headers), attempt
             )
             self._fleet.record_signals(attempt, read_signals(head))
-            return self._relay_response(record, connection, head, attempt)
+            return self._relay_response(path, head, attempt)
         except HttpError as error:
-            connection.close()
+            path.close()
             if isinstance(error, CallerDisconnected) or self._caller.is_disconnected:
                 raise CallerDisconnected from error
             raise AttemptFailed(AttemptOutcome.UNKNOWN, reason_of(error)) from error
 
+    def _send(self, path: Path, request: Request, attempt: Attempt) -> ResponseHead:
+        """Send a request and return the head of the endpoint's response.
+
+        A forwarded attempt that did not reach the endpoint does not count.
+        """
+        admitted = self._admitted
+        self._attempts += 1
+        try:
+            path.send(request)
+            if not path.forwarder:
+                self._count_attempt(attempt)
+            echoed = (REQUEST_ID, admitted.request.header(REQUEST_ID))
+            head = path.read_head(admitted.deadline, echoed)
+        except (ForwarderRefused, ForwardWithheld):
+            self._attempts -= 1
+            raise
+        except HttpError:
+            if path.forwarder:
+                self._count_attempt(attempt)
+            raise
+        if path.forwarder:
+            self._count_attempt(attempt)
+        return head
+
+    def _count_attempt(self, attempt: Attempt) -> None:
+        self._fleet.count_attempt(attempt, is_retry=self._attempts > 1)
+
     def _priority(self) -> int | None:
         """Return the priority of a stream at its engine; None for plain services."""
         admitted = self._admitted
@@ -250,23 +300,17 @@
             return admitted.customer.priority
         return admitted.route.priority
 
-    def _relay_response(
-        self,
-        record: EndpointRecord,
-        connection: HttpConnection,
-        head: ResponseHead,
-        attempt: Attempt,
-    ) -> int:
+    def _relay_response(self, path: Path, head: ResponseHead, attempt: Attempt) -> int:
         admitted = self._admitted
         if states_not_run(head):
-            connection.read_body(admitted.deadline)
+            path.read_body(admitted.deadline)
             raise AttemptFailed(AttemptOutcome.NOT_RUN, f"refused with {head.status}")
         succeeded = 200 <= head.status < 300
         if succeeded and not is_signed(head):
             raise MalformedResponse("a success without a signature")
         if admitted.route.kind is RequestKind.STREAM and succeeded:
-            return self._relay_stream(connection, head, attempt)
-        body = connection.read_body(admitted.deadline)
+            return self._relay_stream(path, head, attempt)
+        body = path.read_body(admitted.deadline)
         self._record_first_byte(attempt, is_prefilled=succeeded)
         if head.status >= 500 and self._may_retry_status():
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
@@ -278,9 +322,7 @@
         self._caller.answer(head.status, caller_headers(head), body)
         return head.status
 
-    def _relay_stream(
-        self, connection: HttpConnection, head: ResponseHead, attempt: Attempt
-    ) -> int:
+    def _relay_stream(self, path: Path, head: ResponseHead, attempt: Attempt) -> int:
         """Relay a stream, complete events only."""
         admitted = self._admitted
         splitter = self._splitter
@@ -290,7 +332,7 @@
         gaps: list[timedelta] = []
         last_at: timedelta | None = None
         try:
-            while data := connection.read_data(deadline):
+            while data := path.read_data(deadline):
                 deadline = self._next_read_deadline()
                 complete = splitter.feed(data)
                 if not complete:
@@ -350,12 +392,13 @@
         # This probes the endpoint, which takes time, so the failure is counted first.
         crashed = self._check_crash(attempt, failure)
         if is_counted and is_fault and not crashed:
-            self._fleet.record_version_failure(attempt)
+            self._attribute_failure(attempt, failure)
         self._last_failure = failure.reason
         log.info(
             "send failed",
             endpoint=attempt.record.name,
             endpoint_ended=crashed,
+            forwarder=attempt.forwarder or None,
             fingerprint=self._fingerprint,
             outcome=str(failure.outcome),
             why=failure.reason,
@@ -366,6 +409,21 @@
             all_silent_ms=optional_milliseconds(self._fleet.since_receipt()),
         )
 
+    def _attribute_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
+        """Count a failure against the endpoint's version, or excuse the endpoint.
+
+        A lost link of this gateway says nothing of the endpoint, and the forwarder
+        knows best whether an endpoint that it has lost has crashed.
+        """
+        if failure.reason == FORWARDER_LOST:
+            self._fleet.excuse_failure(attempt)
+        elif attempt.forwarder:
+            return
+        elif self._paths.is_partitioned(attempt.record):
+            self._fleet.excuse_failure(attempt)
+        else:
+            self._fleet.record_version_failure(attempt)
+
     def _silence_of(self, record: EndpointRecord) -> int | None:
         received_at = record.pool.received_at
         if received_at is None:
@@ -374,8 +432,9 @@
 
     def _check_crash(self, attempt: Attempt, failure: AttemptFailed) -> bool | None:
         """Return whether the endpoint has crashed; None if nothing suggests it."""
-        if failure.reason != CONNECTION_LOST:
+        if failure.reason != CONNECTION_LOST or attempt.forwarder:
             return None
+        self._paths.record_lost_connection(attempt.record)
         begun = self._splitter.count > self._events_before_attempt
         record = attempt.record
         self._endpoint_crashed = self._quarantine.record_lost_connection(
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -540,6 +540,11 @@
                 weight=NO_RESPONSE_WEIGHT,
             )
 
+    def excuse_failure(self, attempt: Attempt) -> None:
+        """Take back a failure that was not the endpoint's."""
+        attempt.result = AttemptResult.NEUTRAL
+        self._directory.health_of(attempt.service).forget(attempt.record.name)
+
     def record_disconnect(self, attempt: Attempt) -> None:
         """Record a disconnect of the caller.
 
@@ -577,5 +582,4 @@
         return 0 if engine is None else engine.cache_tokens
 
     def _service(self, name: str) -> Service:
-        known = self._configuration().services.get(name)
-        return known or Service(name)
+        return self._configuration().service(name)
--- /dev/null
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -0,0 +1,281 @@
+"""The receiving side: forwards a peer's requests to endpoints."""
+
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import timedelta
+from random import Random
+
+from logbook import Logger
+from msgspec import DecodeError
+
+from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.forwarders import MAX_FORWARDS_PER_CORE
+from sassafrasdale.gateway.directory import Directory, EndpointRecord
+from sassafrasdale.gateway.endpoint_gate import EndpointGate
+from sassafrasdale.gateway.failures import CONNECTION_LOST, reason_of
+from sassafrasdale.gateway.forwarding.links import LinkMonitor
+from sassafrasdale.gateway.forwarding.messages import (
+    CONTACTS_TARGET,
+    FORWARD_TARGET,
+    FORWARDED_REQUEST,
+    REACHABILITY_TARGET,
+    Contacts,
+    EndpointReachability,
+    ForwardedRequest,
+    ForwardOutcome,
+    encode,
+    failure_headers,
+    response_headers,
+    without_own_headers,
+)
+from sassafrasdale.gateway.forwarding.paths import MAX_IDLE, DirectPath
+from sassafrasdale.gateway.peer_states import Contact
+from sassafrasdale.gateway.request_quarantine import RequestQuarantine
+from sassafrasdale.http.exceptions import CallerDisconnected, HttpError, NotConnected
+from sassafrasdale.http.messages import Request, ResponseHead
+from sassafrasdale.http.server import ServerConnection
+from sassafrasdale.platform.headers import (
+    REQUEST_ID,
+    caller_headers,
+    with_time_left,
+)
+from sassafrasdale.platform.signals import read_signals
+
+log = Logger("forwarding")
+
+# Gateways of this zone that another zone's are told of: all of theirs may ask at once.
+MAX_CONTACTS = 16
+
+
+class _NotForwarded(Exception):
+    """No response of the endpoint can be passed on.
+
+    :param outcome: what is known of the request.
+    """
+
+    def __init__(self, outcome: ForwardOutcome, reason: str) -> None:
+        super().__init__(reason)
+        self.outcome = outcome
+        self.reason = reason
+
+
+class ForwardingReceiver:
+    """Handles what peers ask that have lost links to endpoints.
+
+    :param directory: the registered endpoints.
+    :param gate: which endpoints take a request from this gateway now.
+    :param quarantine: records endpoints that crash while they run a request.
+    :param links: this gateway's own links.
+    :param contacts: returns the gateways of this zone.
+    :param may_forward: returns whether this gateway takes forwards.
+    :param cluster_time: returns the cluster time, in seconds since 1970.
+    :param cpu_cores: CPU seconds per second that this gateway may use.
+    :param clock: source of elapsed time.
+    :param rng: source of randomness.
+    :param count: counts an event by name, for metrics.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        gate: EndpointGate,
+        quarantine: RequestQuarantine,
+        links: LinkMonitor,
+        contacts: Callable[[], list[Contact]],
+        may_forward: Callable[[], bool],
+        cluster_time: Callable[[], float],
+        cpu_cores: float,
+        clock: Clock,
+        rng: Random,
+        count: Callable[[str], None] = lambda name: None,
+    ) -> None:
+        self._directory = directory
+        self._gate = gate
+        self._quarantine = quarantine
+        self._links = links
+        self._contacts = contacts
+        self._may_forward = may_forward
+        self._cluster_time = cluster_time
+        self._max_in_flight = max(int(MAX_FORWARDS_PER_CORE * cpu_cores), 1)
+        self._clock = clock
+        self._rng = rng
+        self._count = count
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of forwards in progress."""
+        return self._in_flight
+
+    def handles(self, target: str) -> bool:
+        """Return whether a peer's request is one for this component."""
+        return target in (FORWARD_TARGET, CONTACTS_TARGET) or target.startswith(
+            REACHABILITY_TARGET
+        )
+
+    def handle(self, peer: ServerConnection, request: Request) -> None:
+        """Respond to a peer's request."""
+        target = request.target
+        if target == FORWARD_TARGET:
+            self._handle_forward(peer, request)
+        elif target == CONTACTS_TARGET:
+            peer.answer(200, body=encode(Contacts(tuple(self._sample_contacts()))))
+        else:
+            name = target.removeprefix(REACHABILITY_TARGET)
+            answer = EndpointReachability(self._links.answer(name))
+            peer.answer(200, body=encode(answer))
+
+    def _sample_contacts(self) -> list[Contact]:
+        contacts = self._contacts()
+        return self._rng.sample(contacts, min(len(contacts), MAX_CONTACTS))
+
+    def _handle_forward(self, peer: ServerConnection, request: Request) -> None:
+        try:
+            forwarded = FORWARDED_REQUEST.decode(request.body)
+        except DecodeError as error:
+            log.warning("malformed forward", why=str(error))
+            peer.answer(400)
+            return
+        self._in_flight += 1
+        try:
+            self._forward(peer, forwarded)
+        except _NotForwarded as failure:
+            self._refuse(peer, forwarded, failure)
+        finally:
+            self._in_flight -= 1
+
+    def _refuse(
+        self,
+        peer: ServerConnection,
+        forwarded: ForwardedRequest,
+        failure: _NotForwarded,
+    ) -> None:
+        log.info(
+            "not forwarded",
+            request_id=_id_of(forwarded),
+            endpoint=forwarded.endpoint,
+            outcome=str(failure.outcome),
+            why=failure.reason,
+        )
+        if peer.response_started:
+            # The peer must not take the response for complete.
+            peer.abort()
+            return
+        headers = failure_headers(failure.outcome, failure.reason, self._in_flight)
+        with suppress(CallerDisconnected):
+            peer.answer(503, headers)
+
+    def _forward(self, peer: ServerConnection, forwarded: ForwardedRequest) -> None:
+        """Send a request to its endpoint, and pass the response on.
+
+        There is one way to the endpoint here, a connection of this gateway's own.
+        """
+        time_left = self._time_left(forwarded)
+        record = self._usable_record(forwarded)
+        max_idle = None if forwarded.is_repeatable else MAX_IDLE
+        try:
+            connection = record.pool.acquire(max_idle)
+        except NotConnected as error:
+            self._links.record_connect_failure(record)
+            raise _NotForwarded(ForwardOutcome.NOT_SENT, "not connected") from error
+        path = DirectPath(record, connection, forwarded.is_repeatable)
+        peer.on_disconnect(path.close)
+        try:
+            if peer.is_disconnected:
+                raise CallerDisconnected
+            if not self._takes_requests(record):
+                raise _NotForwarded(ForwardOutcome.WITHHELD, "endpoint takes none now")
+            self._count("request forwarded for a peer")
+            self._exchange(peer, forwarded, path, record, time_left)
+        except CallerDisconnected:
+            path.close()
+        finally:
+            peer.on_disconnect(None)
+            path.release()
+
+    def _exchange(
+        self,
+        peer: ServerConnection,
+        forwarded: ForwardedRequest,
+        path: DirectPath,
+        record: EndpointRecord,
+        time_left: timedelta,
+    ) -> None:
+        began_at = self._clock.elapsed()
+        deadline = began_at + time_left
+        headers = with_time_left(forwarded.headers, time_left)
+        request = Request(forwarded.method, forwarded.target, headers, forwarded.body)
+        try:
+            path.send(request)
+            echoed = (REQUEST_ID, request.header(REQUEST_ID))
+            head = path.read_head(deadline, echoed)
+            signals = read_signals(head)
+            if signals is not None:
+                self._gate.observe(record.name, signals, began_at)
+            self._pass_on(peer, path, head, deadline)
+        except HttpError as error:
+            path.close()
+            if isinstance(error, CallerDisconnected) or peer.is_disconnected:
+                raise CallerDisconnected from error
+            reason = reason_of(error)
+            self._record_lost(forwarded, record, reason, peer.response_started)
+            raise _NotForwarded(ForwardOutcome.UNKNOWN, reason) from error
+
+    def _pass_on(
+        self,
+        peer: ServerConnection,
+        path: DirectPath,
+        head: ResponseHead,
+        deadline: timedelta,
+    ) -> None:
+        passed = ResponseHead(head.status, without_own_headers(caller_headers(head)))
+        peer.begin(head.status, response_headers(passed.headers, self._in_flight))
+        while data := path.read_data(deadline):
+            peer.write(data)
+        peer.end()
+
+    def _record_lost(
+        self,
+        forwarded: ForwardedRequest,
+        record: EndpointRecord,
+        reason: str,
+        begun: bool,
+    ) -> None:
+        if reason != CONNECTION_LOST:
+            return
+        registered = self._directory.records.get(record.name) is record
+        self._quarantine.record_lost_connection(
+            forwarded.fingerprint,
+            record,
+            begun=begun,
+            registered=registered and record.is_ready,
+        )
+
+    def _time_left(self, forwarded: ForwardedRequest) -> timedelta:
+        """Return the time left, less the time on the way."""
+        left = min(forwarded.left_s, forwarded.expires_at - self._cluster_time())
+        if left <= 0:
+            raise _NotForwarded(ForwardOutcome.REFUSED, "no time left")
+        return timedelta(seconds=left)
+
+    def _usable_record(self, forwarded: ForwardedRequest) -> EndpointRecord:
+        if not self._may_forward():
+            raise _NotForwarded(ForwardOutcome.REFUSED, "stopping")
+        if self._in_flight > self._max_in_flight:
+            raise _NotForwarded(ForwardOutcome.REFUSED, "too many forwards")
+        record = self._directory.records.get(forwarded.endpoint)
+        if record is None:
+            raise _NotForwarded(ForwardOutcome.REFUSED, "endpoint not registered")
+        if not self._takes_requests(record):
+            raise _NotForwarded(ForwardOutcome.WITHHELD, "endpoint takes none now")
+        if self._links.is_partitioned(record):
+            raise _NotForwarded(ForwardOutcome.REFUSED, "link lost here, too")
+        return record
+
+    def _takes_requests(self, record: EndpointRecord) -> bool:
+        return record.is_ready and not self._gate.is_backed_off(record)
+
+
+def _id_of(forwarded: ForwardedRequest) -> str:
+    request = Request(forwarded.method, forwarded.target, forwarded.headers)
+    return request.header(REQUEST_ID) or "none"
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -12,6 +12,7 @@
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
 from sassafrasdale.gateway.exchange import AdmittedRequest, RequestExchange
 from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.forwarding.paths import EndpointPaths
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.gateway.routing import RouteTable, draw_service
@@ -49,6 +50,7 @@
     :param fleet: the endpoints.
     :param quotas: customers' rate limits.
     :param quarantine: quarantine of requests that crash endpoints.
+    :param paths: opens the ways to endpoints.
     :param may_serve: returns whether this gateway has the state that it needs to serve.
     :param last_end: returns the elapsed time by which new requests must end; None for
         no limit.
@@ -60,6 +62,7 @@
         fleet: Fleet,
         quotas: Quotas,
         quarantine: RequestQuarantine,
+        paths: EndpointPaths,
         metrics: LazyMetrics,
         clock: Clock,
         rng: Random,
@@ -70,6 +73,7 @@
         self._fleet = fleet
         self._quotas = quotas
         self._quarantine = quarantine
+        self._paths = paths
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -105,7 +109,12 @@
     ) -> None:
         admitted = self._admit(request, record)
         exchange = RequestExchange(
-            admitted, caller, self._fleet, self._quarantine, self._clock
+            admitted,
+            caller,
+            self._fleet,
+            self._quarantine,
+            self._paths,
+            self._clock,
         )
         try:
             record.status = exchange.run()
@@ -240,6 +249,7 @@
             queued=attempt and attempt.queued_tokens,
             news_ms=attempt and milliseconds(attempt.peer_report_age),
             named_by=(attempt and attempt.assigned_by) or None,
+            forwarder=(attempt and attempt.forwarder) or None,
             fetched_from=attempt and attempt.source and attempt.source.name,
             first_ms=optional_milliseconds(record.first_byte_after),
             took_ms=milliseconds(took),
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from logbook import Logger
@@ -30,6 +31,8 @@
 
 # Interval at which the main task checks for signals and expired state.
 TICK_INTERVAL = timedelta(milliseconds=100)
+# Size of a forwarded request beyond its body: its headers and what the hop adds.
+FORWARD_OVERHEAD_BYTES = 256 * 1024
 # Path at which operators list and lift quarantines, on the metrics port.
 QUARANTINE_TARGET = "/quarantine"
 # Path at which operators list rollouts, on the metrics port.
@@ -83,7 +86,7 @@
         )
         spawn(server.serve)
         self._serve(settings.ready_address, self._handle_ready)
-        self._serve(settings.peer_address, self._components.peering.handle)
+        self._serve_peers(settings.peer_address)
         if self._metrics_address is not None:
             self._serve(self._metrics_address, self._handle_metrics)
         handle_signals(
@@ -101,6 +104,7 @@
             components.dispatcher_client.run,
             components.strike_records.run,
             components.departure_checks.run,
+            components.links.run,
         ]
         for task in tasks:
             spawn(run_forever, task)
@@ -123,6 +127,21 @@
     ) -> None:
         spawn(HttpServer(listen(address), handle, self._clock).serve)
 
+    def _serve_peers(self, address: Address) -> None:
+        """Serve other gateways, which may forward what callers may send."""
+        server = HttpServer(
+            listen(address),
+            self._components.handle_peer,
+            self._clock,
+            limits=self._peer_limits,
+        )
+        spawn(server.serve)
+
+    def _peer_limits(self) -> ServerLimits:
+        defaults = ServerLimits()
+        longest = self._caller_limits().body_bytes + FORWARD_OVERHEAD_BYTES
+        return replace(defaults, body_bytes=max(defaults.body_bytes, longest))
+
     def _tick(self) -> None:
         if self._reload_requested:
             self._reload_requested = False
@@ -161,7 +180,12 @@
         log.notice("gateway stopping", busy=server.busy_connections)
         spawn(self._release_leases)
         spawn(self._components.peering.report_now)
-        self._drain = Drain(server, self._settings.bounds.stop_grace, self._clock)
+        self._drain = Drain(
+            server,
+            self._settings.bounds.stop_grace,
+            self._clock,
+            lambda: self._components.forwarding_receiver.in_flight,
+        )
         self._drain.run()
         self._components.peering.report_now()
         self._lifecycle.fire("drained")
--- a/src/sassafrasdale/gateway/store_view.py
+++ b/src/sassafrasdale/gateway/store_view.py
@@ -10,7 +10,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.deployment import CallerLimits, Configuration, Endpoint
+from sassafrasdale.deployment import CallerLimits, Configuration, Endpoint, Service
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.follower import Follower, PrefixChanges
@@ -102,6 +102,11 @@
         """The current configuration; None before there is one."""
         return self._routes.configuration if self._routes else None
 
+    def service(self, name: str) -> Service:
+        """Return a service of the current configuration, or one with defaults."""
+        configuration = self.configuration
+        return Service(name) if configuration is None else configuration.service(name)
+
     @property
     def caller_limits(self) -> CallerLimits:
         """Limits for callers: current ones, or defaults before there are any."""
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -18,6 +18,7 @@
 from sassafrasdale.http.exceptions import (
     ConnectionLost,
     ConnectionRefused,
+    HttpError,
     MalformedResponse,
     NotConnected,
     ResponseTimeout,
@@ -50,6 +51,8 @@
     OPEN = auto()
     REFUSED = auto()
     UNANSWERED = auto()
+    # It accepts connections and does not respond.
+    SILENT = auto()
 
 
 class HttpConnection:
@@ -86,6 +89,7 @@
         self._reading = False
         self._reusable_until: timedelta | None = None
         self.used_at = clock.elapsed()
+        self.sent_at: timedelta | None = None
         self.responses = 0
 
     @classmethod
@@ -151,6 +155,7 @@
             request.
         """
         self._head = None
+        self.sent_at = self._clock.elapsed()
         framing = [("content-length", str(len(request.body)))]
         needs_length = request.body or request.method not in ("GET", "HEAD", "DELETE")
         head = h11.Request(
@@ -369,6 +374,11 @@
         self._idle: list[HttpConnection] = []
         self._received_at: timedelta | None = None
 
+    @property
+    def address(self) -> Address:
+        """Address of the server."""
+        return self._address
+
     @property
     def received_at(self) -> timedelta | None:
         """Elapsed time of the last bytes from the server; None if there were none."""
@@ -380,6 +390,13 @@
         :param newest_use: maximum idle time of a reused connection.
         :raises NotConnected: if none can be opened.
         """
+        return self.acquire_idle(newest_use) or self._open()
+
+    def acquire_idle(self, newest_use: timedelta | None) -> HttpConnection | None:
+        """Return a usable idle connection; None if there is none.
+
+        :param newest_use: maximum idle time of a reused connection.
+        """
         while self._idle:
             connection = self._idle.pop()
             age = self._clock.elapsed() - connection.used_at
@@ -387,7 +404,7 @@
             if fresh and connection.is_idle_and_healthy():
                 return connection
             connection.close()
-        return self._open()
+        return None
 
     def _open(self) -> HttpConnection:
         self._opened()
@@ -412,6 +429,31 @@
         self._idle.append(connection)
         return ProbeResult.OPEN
 
+    def check(self, request: Request, limit: timedelta) -> ProbeResult:
+        """Return whether the server responds to a request on a new connection.
+
+        :param limit: maximum time to wait for the response.
+        """
+        try:
+            connection = self._open()
+        except ConnectionRefused:
+            return ProbeResult.REFUSED
+        except NotConnected:
+            return ProbeResult.UNANSWERED
+        deadline = self._clock.elapsed() + limit
+        try:
+            connection.send(with_host(request, self._address))
+            connection.read_head(deadline)
+            connection.read_body(deadline)
+        except ResponseTimeout:
+            connection.close()
+            return ProbeResult.SILENT
+        except HttpError:
+            connection.close()
+            return ProbeResult.REFUSED
+        self.release(connection)
+        return ProbeResult.OPEN
+
     def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         if connection.is_reusable:
@@ -469,7 +511,7 @@
         connection = self._pool.acquire()
         self._active.add(connection)
         try:
-            connection.send(self._with_host(request))
+            connection.send(with_host(request, self._address))
             head = connection.read_head(connection.next_deadline(deadline, idle_limit))
             body = connection.read_body(deadline, idle_limit)
         except BaseException:
@@ -493,6 +535,8 @@
             connection.close()
         self._pool.close()
 
-    def _with_host(self, request: Request) -> Request:
-        headers = (("host", str(self._address)), *request.headers)
-        return Request(request.method, request.target, headers, request.body)
+
+def with_host(request: Request, address: Address) -> Request:
+    """Return a request with the Host header of a server."""
+    headers = (("host", str(address)), *request.headers)
+    return Request(request.method, request.target, headers, request.body)
--- a/src/sassafrasdale/platform/headers.py
+++ b/src/sassafrasdale/platform/headers.py
@@ -121,6 +121,14 @@
     return Request(request.method, request.target, tuple(headers), request.body)
 
 
+def with_time_left(headers: Headers, time_left: timedelta) -> Headers:
+    """Return an endpoint's request headers with another time left."""
+    left = (_DEADLINE, str(max(1, milliseconds(time_left))))
+    return tuple(
+        left if name == _DEADLINE else (name, value) for name, value in headers
+    )
+
+
 def caller_headers(head: ResponseHead) -> Headers:
     """Return an endpoint's headers without hop-by-hop headers, for the caller."""
     return tuple(_forwarded(head.headers, frozenset()))
--- a/tests/gateway/test_endpoint_gate.py
+++ b/tests/gateway/test_endpoint_gate.py
@@ -51,12 +51,18 @@
 def test_only_the_exchange_sends_to_endpoints():
     """Guards against another module that sends to them, and doesn't ask."""
     folder = Path(sassafrasdale.gateway.__file__).parent
-    senders = {
-        path.name
-        for path in folder.glob("*.py")
-        if ".pool.acquire(" in path.read_text("utf-8")
-    }
-    assert senders == {"exchange.py"}
+    texts = {path.name: path.read_text("utf-8") for path in folder.rglob("*.py")}
+
+    def users(text: str) -> set[str]:
+        return {name for name, content in texts.items() if text in content}
+
+    # Connections are opened for requests by the exchange's paths, and for a peer's by
+    # the receiver, which both ask the gate as they send.
+    assert users(".pool.acquire(") == {"paths.py", "receiver.py"}
+    assert users("_paths.open(") == {"exchange.py"}
+    assert users("DirectPath(") - {"paths.py"} == {"receiver.py"}
+    assert "self._fleet.may_send(attempt)" in texts["exchange.py"]
+    assert "self._takes_requests(record)" in texts["receiver.py"]
 
 
 @pytest.mark.parametrize("close", ["leave", "backoff", "limit"])
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -12,11 +12,15 @@
 from sassafrasdale.deployment import Endpoint, EndpointState, GatewaySettings
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.forwarding.forwarders import Forwarders
+from sassafrasdale.gateway.forwarding.links import LinkMonitor
+from sassafrasdale.gateway.forwarding.paths import EndpointPaths
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.gateway.rollouts import Rollouts
+from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.routing import RouteTable
 from sassafrasdale.gateway.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime, UsageCounts
@@ -26,7 +30,7 @@
 from sassafrasdale.platform.configuration import decode_configuration
 from sassafrasdale.platform.settings import decode_settings
 from tests.coordination.fakes import FakeStore
-from tests.gateway.fleets import single_gate, single_peering
+from tests.gateway.fleets import contact, single_gate, single_peering
 from tests.http.wires import LOOPBACK, RawCaller, bound_address, read_request, serve_raw
 from tests.platform.documents import configuration, settings
 
@@ -243,11 +247,21 @@
             CLOCK,
             self.metrics.count,
         )
+        forwarders = Forwarders(Roster(contact("front-a-1"), CLOCK), CLOCK, self.rng)
+        self.links = LinkMonitor(
+            self.directory,
+            forwarders,
+            lambda name: self.routes.configuration.service(name),
+            CLOCK,
+            self.rng,
+        )
+        self.paths = EndpointPaths(self.links, forwarders, lambda: 0.0, CLOCK)
         self.frontend = Frontend(
             lambda: self.routes,
             self.fleet,
             self.quotas,
             self.quarantine,
+            self.paths,
             self.metrics,
             CLOCK,
             self.rng,
--- a/tests/guarantees/test_partitioned_gateways.py
+++ b/tests/guarantees/test_partitioned_gateways.py
@@ -193,6 +193,26 @@
     assert not not_run & set(runs)
 
 
+def assert_direct_again(deployment: Deployment, cut: Collection[int]) -> None:
+    """Assert that partitioned gateways use their own links again after the heal."""
+    for number in cut:
+        lines = deployment.fleet.gateways[number].log_lines()
+        lost = {
+            line["endpoint"]
+            for line in lines
+            if line["message"] == "endpoint link lost"
+        }
+        regained = {
+            line["endpoint"]
+            for line in lines
+            if line["message"] == "endpoint link regained"
+        }
+        assert lost
+        assert lost == regained
+        last = [line for line in lines if line["message"] == "request ended"][-1]
+        assert not last.get("forwarder")
+
+
 @pytest.mark.parametrize(
     ("cut", "fault"),
     [
@@ -218,6 +238,7 @@
     )
     assert share([served for served in healed if served.response]) >= 0.95
     assert_no_repeats(deployment)
+    assert_direct_again(deployment, cut)
 
 
 def test_a_partitioned_gateway_strikes_no_request(deployment):
