A lost link strikes no request

A crash is believed only if none of the peers asked reaches the endpoint and the gateway itself reaches another one.

--- a/src/sassafrasdale/decisions/links.py
+++ b/src/sassafrasdale/decisions/links.py
@@ -26,7 +26,7 @@
 
     REACHED = "reached"
     NOT_REACHED = "not reached"
-    # It reaches no endpoint, or does not know this one.
+    # It does not know this endpoint, or its own link is lost.
     UNKNOWN = "unknown"
 
 
@@ -46,9 +46,7 @@
     """
     if Reachability.REACHED in peers:
         return False
-    if Reachability.NOT_REACHED in peers or not has_peers:
-        return True
-    return reaches_others
+    return reaches_others or not has_peers
 
 
 @dataclass(slots=True)
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -113,6 +113,7 @@
             self.time,
             clock,
             self.metrics.count,
+            lambda record: self.links.confirm_crash(record),
         )
 
     def _build_gate(self) -> None:
--- a/src/sassafrasdale/gateway/crash_detection.py
+++ b/src/sassafrasdale/gateway/crash_detection.py
@@ -1,5 +1,6 @@
 """Distinguishes an endpoint's crash from a lost connection."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
@@ -24,10 +25,17 @@
     or doesn't reply.
 
     :param clock: source of elapsed time.
+    :param confirm: returns whether an endpoint that this gateway can't reach is at
+        fault, rather than the gateway's own link to it.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        confirm: Callable[[EndpointRecord], bool] = lambda record: True,
+    ) -> None:
         self._clock = clock
+        self._confirm = confirm
         self._probes: dict[str, tuple[timedelta, Event]] = {}
 
     def has_crashed(self, record: EndpointRecord) -> bool:
@@ -38,12 +46,17 @@
             return self._probes[record.name][1].wait()
         result = Event()
         self._probes[record.name] = (now, result)
-        refused = False
+        crashed = False
         try:
             refused = record.pool.probe() is ProbeResult.REFUSED
+            crashed = refused and self._confirm(record)
         finally:
-            result.send(refused)
-        return refused
+            result.send(crashed)
+        return crashed
+
+    def confirm(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint that this gateway can't reach is at fault."""
+        return self._confirm(record)
 
     def probe_repeatedly(self, record: EndpointRecord) -> ProbeResult:
         """Return the result of probing an endpoint whose registration has expired.
--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -39,7 +39,7 @@
 LIVE_TIME = timedelta(milliseconds=300)
 # Time in which other endpoints' responses that are on their way show that this gateway
 # reaches them; a check of its own costs them a request.
-OTHERS_WAIT = timedelta(milliseconds=60)
+OTHERS_WAIT = timedelta(milliseconds=20)
 OTHERS_POLL = timedelta(milliseconds=5)
 MAX_OTHERS_CHECKED = 2
 # Links that fail within this time of each other may have one cause.
@@ -156,13 +156,9 @@
         record = self._directory.records.get(name)
         if record is None or self.is_partitioned(record):
             return Reachability.UNKNOWN
-        link = self._link(record)
-        asked_at = self._clock.elapsed()
-        if self._shared_check(link) is ProbeResult.OPEN:
+        if self._shared_check(self._link(record)) is ProbeResult.OPEN:
             return Reachability.REACHED
-        if self._reaches_others(record, asked_at):
-            return Reachability.NOT_REACHED
-        return Reachability.UNKNOWN
+        return Reachability.NOT_REACHED
 
     def run(self) -> None:
         """Watch the links until the task is killed."""
--- a/src/sassafrasdale/gateway/request_quarantine.py
+++ b/src/sassafrasdale/gateway/request_quarantine.py
@@ -75,6 +75,8 @@
     :param trials: trial attempts of refused requests, of all gateways.
     :param time: cluster time, which strikes are dated by.
     :param count: counts an event for the metrics.
+    :param confirm_crash: returns whether an endpoint that this gateway can't reach is
+        at fault, rather than the gateway's own link to it.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         time: ClusterTime,
         clock: Clock,
         count: Callable[[str], None],
+        confirm_crash: Callable[[EndpointRecord], bool] = lambda record: True,
     ) -> None:
         self._name = name
         self._ledger = ledger
@@ -92,7 +95,7 @@
         self._time = time
         self._clock = clock
         self._count = count
-        self._crash_detector = CrashDetector(clock)
+        self._crash_detector = CrashDetector(clock, confirm_crash)
         self._lost_runs: list[tuple[timedelta, LostRun]] = []
         self._quarantined: frozenset[str] = frozenset()
 
@@ -160,6 +163,8 @@
         if result is ProbeResult.OPEN:
             # It has lost its connection to the store, or is leaving.
             return
+        if not self._crash_detector.confirm(record):
+            return
         self.record_crash(record.name)
         if result is ProbeResult.UNANSWERED and record.connections:
             self._abort_requests(record)
