Tests of what holds across the hop; a forwarder tells that it lost the endpoint within a body

A stream that an endpoint broke off behind the hop was taken for a lost forwarder, which was then avoided, so with one peer it was not resumed (the new test was red). The forwarder now ends the body with a trailer that says so.

--- a/src/sassafrasdale/decisions/forwarders.py
+++ b/src/sassafrasdale/decisions/forwarders.py
@@ -61,14 +61,13 @@
 
     :param excluded: peers that this attempt has tried.
     """
-    eligible = [
-        candidate
-        for candidate in candidates
-        if candidate.name not in excluded
-        and states[candidate.name].avoided_until <= now
-    ]
-    if not eligible:
+    untried = [each for each in candidates if each.name not in excluded]
+    if not untried:
         return None
+    # An avoided one is better than none.
+    eligible = [
+        each for each in untried if states[each.name].avoided_until <= now
+    ] or untried
     proven = [each for each in eligible if states[each.name].is_proven]
     best = min(
         proven or eligible,
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -218,16 +218,30 @@
     def read_data(self, deadline: timedelta) -> bytes:
         """Return the next part of the body, or no bytes at its end."""
         try:
-            return self._connection.read_data(deadline)
+            data = self._connection.read_data(deadline)
         except ConnectionLost as error:
             raise self._lost() from error
+        if not data:
+            self._check_end()
+        return data
 
     def read_body(self, deadline: timedelta) -> bytes:
         """Return the whole body."""
         try:
-            return self._connection.read_body(deadline)
+            body = self._connection.read_body(deadline)
         except ConnectionLost as error:
             raise self._lost() from error
+        self._check_end()
+        return body
+
+    def _check_end(self) -> None:
+        """Check that the endpoint's body has ended, not just what the peer had of it.
+
+        :raises ForwardFailed: if the peer lost the endpoint within the body.
+        """
+        end = ResponseHead(200, self._connection.trailers)
+        if outcome_of(end) is not None:
+            raise ForwardFailed(reason_in(end))
 
     def close(self) -> None:
         """Close the connection, which cancels the request."""
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -157,13 +157,12 @@
             outcome=str(failure.outcome),
             why=failure.reason,
         )
-        if peer.response_started:
-            # The peer must not take the response for complete.
-            peer.abort()
-            return
         headers = failure_headers(failure.outcome, failure.reason, self._in_flight)
         with suppress(CallerDisconnected):
-            peer.answer(503, headers)
+            if peer.response_started:
+                peer.end(headers)
+            else:
+                peer.answer(503, headers)
 
     def _forward(self, peer: ServerConnection, forwarded: ForwardedRequest) -> None:
         """Send a request to its endpoint, and pass the response on.
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -24,6 +24,7 @@
     ResponseTimeout,
 )
 from sassafrasdale.http.messages import (
+    Headers,
     Request,
     Response,
     ResponseHead,
@@ -91,6 +92,7 @@
         self.used_at = clock.elapsed()
         self.sent_at: timedelta | None = None
         self.responses = 0
+        self.trailers: Headers = ()
 
     @classmethod
     def open(
@@ -207,9 +209,10 @@
         match event:
             case h11.Data():
                 return bytes(event.data)
-            case _:
-                self._finish_response()
-                return b""
+            case h11.EndOfMessage():
+                self.trailers = decoded_headers(event.headers)
+        self._finish_response()
+        return b""
 
     def read_body(
         self, deadline: timedelta, idle_limit: timedelta | None = None
--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -147,12 +147,14 @@
         """Send the head now, before the first part of the body."""
         self._flush(b"")
 
-    def end(self) -> None:
+    def end(self, trailers: Iterable[tuple[str, str]] = ()) -> None:
         """Complete the response.
 
+        :param trailers: headers that follow a body sent in chunks.
         :raises CallerDisconnected: if the caller has disconnected.
         """
-        self._flush(self._codec.send(h11.EndOfMessage()) or b"")
+        event = h11.EndOfMessage(headers=encoded_headers(trailers))
+        self._flush(self._codec.send(event) or b"")
 
     def abort(self) -> None:
         """Abort the response, so that the caller can't take it for complete."""
--- /dev/null
+++ b/tests/gateway/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarding between gateways."""
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -247,15 +247,16 @@
             CLOCK,
             self.metrics.count,
         )
-        forwarders = Forwarders(Roster(contact("front-a-1"), CLOCK), CLOCK, self.rng)
+        self.roster = Roster(contact("front-a-1"), CLOCK)
+        self.forwarders = Forwarders(self.roster, CLOCK, self.rng)
         self.links = LinkMonitor(
             self.directory,
-            forwarders,
+            self.forwarders,
             lambda name: self.routes.configuration.service(name),
             CLOCK,
             self.rng,
         )
-        self.paths = EndpointPaths(self.links, forwarders, lambda: 0.0, CLOCK)
+        self.paths = EndpointPaths(self.links, self.forwarders, lambda: 0.0, CLOCK)
         self.frontend = Frontend(
             lambda: self.routes,
             self.fleet,
