Failing tests: brittle endpoints fall over; their header is read and logged

Endpoints that advertise that they are brittle fail as soon as they have to reject more than a number of requests within a second. Nothing read that. The header is now a belief that all gateways share, with a line and a counter, and has no effect yet.

--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -285,6 +285,9 @@
     :param backoff: time for which it wants no requests from this gateway; None if it
         asks for none.
     :param malformed: headers that can't be used, with their values; they say nothing.
+    :param brittleness: rejections within a second beyond which it fails; None if it
+        advertises none.
+    :param has_malformed_brittleness: whether it advertises some that can't be used.
     """
 
     rate_limit: float | None = None
@@ -292,3 +295,5 @@
     is_leaving: bool = False
     backoff: timedelta | None = None
     malformed: tuple[str, ...] = ()
+    brittleness: float | None = None
+    has_malformed_brittleness: bool = False
--- a/src/sassafrasdale/gateway/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/endpoint_beliefs.py
@@ -182,33 +182,73 @@
         )
 
 
-class EndpointLimits(EndpointBeliefs[float]):
-    """Rate limits that endpoints have named, in requests per second."""
+class AdvertisedNumbers(EndpointBeliefs[float]):
+    """Numbers that endpoints advertise in each response while they hold."""
 
-    def rate_limit(self, endpoint: str) -> float | None:
-        """Return the limit in force at an endpoint."""
-        return self.value(endpoint)
-
-    def observe(
-        self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
+    def _observe(
+        self,
+        endpoint: str,
+        number: float | None,
+        sent_at: timedelta,
+        *,
+        is_malformed: bool,
     ) -> None:
-        """Apply what an endpoint says in a response.
+        """Apply what an endpoint advertises in a response.
 
-        A response without a limit ends one only if its request was sent after the limit
-        was last confirmed: responses on several connections overtake each other.
+        A response without a number ends one only if its request was sent after it was
+        last confirmed: responses on several connections overtake each other.
 
         :param sent_at: elapsed time at which the request was sent.
+        :param is_malformed: whether there was a number that can't be used.
         """
-        if signals.rate_limit is not None:
-            self.set(endpoint, signals.rate_limit, "response")
+        if number is not None:
+            self.set(endpoint, number, "response")
         elif (
-            not signals.has_malformed_limit
+            not is_malformed
             and self.value(endpoint) is not None
             and sent_at >= self.confirmed_at(endpoint)
         ):
             self.set(endpoint, None, "response")
 
 
+class EndpointLimits(AdvertisedNumbers):
+    """Rate limits of endpoints, in requests per second."""
+
+    def rate_limit(self, endpoint: str) -> float | None:
+        """Return the limit in force at an endpoint."""
+        return self.value(endpoint)
+
+    def observe(
+        self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
+    ) -> None:
+        """Apply what an endpoint advertises in a response to a request."""
+        self._observe(
+            endpoint,
+            signals.rate_limit,
+            sent_at,
+            is_malformed=signals.has_malformed_limit,
+        )
+
+
+class BrittleEndpoints(AdvertisedNumbers):
+    """Rejections within a second beyond which endpoints fail."""
+
+    def is_brittle(self, endpoint: str) -> bool:
+        """Return whether an endpoint advertises that it is brittle."""
+        return self.value(endpoint) is not None
+
+    def observe(
+        self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
+    ) -> None:
+        """Apply what an endpoint advertises in a response to a request."""
+        self._observe(
+            endpoint,
+            signals.brittleness,
+            sent_at,
+            is_malformed=signals.has_malformed_brittleness,
+        )
+
+
 class Departures(EndpointBeliefs[bool]):
     """Endpoints that have said in a response that they are leaving.
 
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -11,6 +11,7 @@
 from sassafrasdale.gateway.backoffs import Backoffs
 from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.endpoint_beliefs import (
+    BrittleEndpoints,
     Departures,
     EndpointLimits,
     MalformedSignalLog,
@@ -44,6 +45,7 @@
     :param permits: permits to send to such endpoints.
     :param departures: endpoints that have said that they are leaving.
     :param backoffs: endpoints that have asked this gateway for back-off.
+    :param brittle: endpoints that fail if they have to reject much.
     :param clock: source of elapsed time.
     :param rng: source of randomness for Retry-After.
     """
@@ -54,9 +56,11 @@
         permits: Permits,
         departures: Departures,
         backoffs: Backoffs,
+        brittle: BrittleEndpoints,
         clock: Clock,
         rng: Random,
     ) -> None:
+        self._brittle = brittle
         self._limits = limits
         self._permits = permits
         self._departures = departures
@@ -93,6 +97,7 @@
             Permits(limits, zone, zones, endpoint_zone, clock),
             Departures("departure", is_registered, clock, count),
             Backoffs(clock, count),
+            BrittleEndpoints("brittleness", is_registered, clock, count),
             clock,
             rng,
         )
@@ -102,6 +107,11 @@
         """Rate limits that endpoints have named."""
         return self._limits
 
+    @property
+    def brittle(self) -> BrittleEndpoints:
+        """Endpoints that fail if they have to reject much."""
+        return self._brittle
+
     @property
     def permits(self) -> Permits:
         """Permits to send to endpoints with a limit."""
@@ -127,19 +137,23 @@
         self._malformed.record(endpoint, signals)
         self._limits.observe(endpoint, signals, sent_at)
         self._departures.observe(endpoint, signals)
+        self._brittle.observe(endpoint, signals, sent_at)
         if signals.backoff is not None:
             self._backoffs.begin(endpoint, signals.backoff)
 
     def report_for(self, receiver: Contact) -> EndpointReports:
         """Return what another gateway may lack of what endpoints say."""
         return EndpointReports(
-            self._limits.report_for(receiver), self._departures.report_for(receiver)
+            self._limits.report_for(receiver),
+            self._departures.report_for(receiver),
+            self._brittle.report_for(receiver),
         )
 
     def receive(self, reports: EndpointReports) -> None:
         """Receive what another gateway knows of the endpoints."""
         self._limits.receive(reports.limits)
         self._departures.receive(reports.departures)
+        self._brittle.receive(reports.brittleness)
 
     def record_registration(self, endpoint: str, born: int | None) -> None:
         """Record that an endpoint is registered anew.
@@ -164,6 +178,7 @@
             del self._born[next(iter(self._born))]
         self._limits.remove_gone()
         self._departures.remove_gone()
+        self._brittle.remove_gone()
         self._permits.remove_ended()
         self._backoffs.remove_ended()
 
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -118,10 +118,12 @@
 
     :param limits: rate limits that they have named.
     :param departures: whether they have said that they are leaving.
+    :param brittleness: rejections within a second beyond which they fail.
     """
 
     limits: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
     departures: dict[str, BeliefReport[bool]] = field(default_factory=dict)
+    brittleness: dict[str, BeliefReport[FiniteRate]] = field(default_factory=dict)
 
 
 class PermitRequest(Message):
--- a/src/sassafrasdale/platform/signals.py
+++ b/src/sassafrasdale/platform/signals.py
@@ -7,6 +7,7 @@
 from sassafrasdale.http.messages import Request, Response, ResponseHead
 
 _RATE_LIMIT = "server-limit"
+_BRITTLE = "server-brittle"
 _LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
 _UNAVAILABLE = 503
@@ -22,14 +23,18 @@
     if head.status == _MISDIRECTED:
         return None
     malformed: list[str] = []
-    rate_limit = _rate_limit(head, malformed)
+    rate_limit = _lowest(head, _RATE_LIMIT, malformed)
     has_malformed_limit = bool(malformed)
+    malformed_brittleness: list[str] = []
+    brittleness = _lowest(head, _BRITTLE, malformed_brittleness)
     return EndpointSignals(
         rate_limit,
         has_malformed_limit,
         _is_leaving(head, malformed),
         _backoff(head, malformed),
-        tuple(malformed),
+        (*malformed, *malformed_brittleness),
+        brittleness,
+        bool(malformed_brittleness),
     )
 
 
@@ -45,9 +50,9 @@
     return not response.header(_LEAVING)
 
 
-def _rate_limit(head: ResponseHead, malformed: list[str]) -> float | None:
+def _lowest(head: ResponseHead, name: str, malformed: list[str]) -> float | None:
     # Of several values, the lowest is safe for the endpoint.
-    return min(_decimals(head, _RATE_LIMIT, malformed), default=None)
+    return min(_decimals(head, name, malformed), default=None)
 
 
 def _is_leaving(head: ResponseHead, malformed: list[str]) -> bool:
--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
@@ -62,6 +62,24 @@
     faulty: bool = False
 
 
+@dataclass(slots=True)
+class Brittleness:
+    """What makes an endpoint fall over.
+
+    :param rejections: most requests that it rejects within a second.
+    :param waiting: requests that it lets wait for one of its slots.
+    :param plain_time: time that a plain request takes.
+    :param down_time: time that it is down after a fall.
+    :ivar rejected_at: elapsed times of its rejections.
+    """
+
+    rejections: int
+    waiting: int
+    plain_time: timedelta = timedelta(milliseconds=100)
+    down_time: timedelta = timedelta(seconds=3)
+    rejected_at: list[timedelta] = field(default_factory=list)
+
+
 class StandInEndpoint:
     """An endpoint that registers itself in the store and serves requests.
 
@@ -73,6 +91,8 @@
     :param defect: defect of that version, if it has one.
     :ivar arrivals: elapsed times at which requests meant for it have arrived.
     :ivar extra_headers: headers that it adds to each response.
+    :ivar brittleness: if set, it runs no more requests at once than it has slots, and
+        falls over if it has to reject too many.
     :ivar backoff: if set, it refuses all requests and asks for back-off of this length.
     """
 
@@ -112,12 +132,19 @@
         self.arrivals: list[timedelta] = []
         self.extra_headers: tuple[tuple[str, str], ...] = ()
         self.backoff: timedelta | None = None
+        self.brittleness: Brittleness | None = None
+        self._running = 0
+        self._accepted = 0
 
     @property
     def name(self) -> str:
         """Name of the endpoint at the platform."""
         return self._name
 
+    @property
+    def _slots(self) -> int:
+        return 64 if self._streams else 6
+
     @property
     def request_ids(self) -> list[str]:
         """Ids of the requests that it has begun to process."""
@@ -163,7 +190,9 @@
             connection.abort()
 
     def _restart(self) -> None:
-        sleep(RESTART_DELAY)
+        brittleness = self.brittleness
+        sleep(RESTART_DELAY if brittleness is None else brittleness.down_time)
+        self._running = self._accepted = 0
         self._cached.clear()
         self._serve(listen(self._address))
 
@@ -174,7 +203,7 @@
             "addr": str(self._registered_address),
             "zone": self._zone,
             "version": self._version,
-            "slots": 64 if self._streams else 6,
+            "slots": self._slots,
             "state": state,
             "coldLeftMs": 0,
             "born": self._started_ms,
@@ -189,6 +218,62 @@
         if self.backoff is not None:
             self._refuse(connection, request, self.backoff)
             return
+        if self.brittleness is not None:
+            self._answer_in_slot(connection, request, self.brittleness)
+            return
+        self._run(connection, request)
+
+    def _answer_in_slot(
+        self,
+        connection: ServerConnection,
+        request: Request,
+        brittleness: Brittleness,
+    ) -> None:
+        if self._accepted >= self._slots + brittleness.waiting:
+            self._reject(connection, request, brittleness)
+            return
+        started_ms = self._started_ms
+        self._accepted += 1
+        try:
+            while self._running >= self._slots and self._started_ms == started_ms:
+                sleep(timedelta(milliseconds=2))
+            self._running += 1
+            try:
+                self._run(connection, request)
+            finally:
+                self._running -= self._started_ms == started_ms
+        finally:
+            self._accepted -= self._started_ms == started_ms
+
+    def _reject(
+        self,
+        connection: ServerConnection,
+        request: Request,
+        brittleness: Brittleness,
+    ) -> None:
+        now = self._clock.elapsed()
+        brittleness.rejected_at.append(now)
+        since = now - timedelta(seconds=1)
+        recent = [at for at in brittleness.rejected_at if at > since]
+        if len(recent) > brittleness.rejections:
+            brittleness.rejected_at.clear()
+            self.crash()
+            return
+        headers = [
+            ("request-id", request.header("request-id")),
+            ("not-run", "1"),
+            *self._signals(),
+        ]
+        with suppress(CallerDisconnected):
+            connection.answer(503, headers)
+
+    def _signals(self) -> list[tuple[str, str]]:
+        signals = list(self.extra_headers)
+        if self.brittleness is not None:
+            signals.append(("server-brittle", str(self.brittleness.rejections)))
+        return signals
+
+    def _run(self, connection: ServerConnection, request: Request) -> None:
         self._connections.add(connection)
         run = self._new_run(request)
         self.runs.append(run)
@@ -200,7 +285,7 @@
         headers = [
             ("request-id", request.header("request-id")),
             ("replica-stamp", f"{self._name}.stamp"),
-            *self.extra_headers,
+            *self._signals(),
         ]
         try:
             if not slowdown:
@@ -208,7 +293,7 @@
             elif self._streams:
                 self._stream(connection, request, headers, slowdown)
             else:
-                sleep(PLAIN_TIME * slowdown)
+                sleep(self._plain_time() * slowdown)
                 record = {"target": request.target, "by": self._name}
                 connection.answer(200, headers, json.dumps(record).encode())
         except CallerDisconnected:
@@ -228,6 +313,9 @@
         with suppress(CallerDisconnected):
             connection.answer(503, headers)
 
+    def _plain_time(self) -> timedelta:
+        return PLAIN_TIME if self.brittleness is None else self.brittleness.plain_time
+
     def _is_faulty(self, request: Request) -> bool:
         defect = self._defect
         if defect is None or not request.target.startswith(defect.target_prefix):
