--- a/src/sassafrasdale/gateway/follower.py
+++ b/src/sassafrasdale/gateway/follower.py
@@ -246,6 +246,12 @@
         :param revisions: revision of each value's last change, as far as known.
         """
         if revision < self._revision:
+            log.info(
+                "older listing dropped",
+                prefix=self._prefix,
+                revision=revision,
+                held=self._revision,
+            )
             return
         known_revisions = revisions or {}
         # A key that was rewritten with the same value counts as changed, since the new
--- a/src/sassafrasdale/platform/store.py
+++ b/src/sassafrasdale/platform/store.py
@@ -7,6 +7,8 @@
 from datetime import timedelta
 from urllib.parse import urlencode
 
+from logbook import Logger
+
 from sassafrasdale.clock import Clock, milliseconds
 from sassafrasdale.coordination.exceptions import (
     LeaseNotFound,
@@ -42,6 +44,10 @@
 # Wait of a watch that only polls for changes.
 MIN_WAIT = timedelta(milliseconds=1)
 _JSON = (("content-type", "application/json"),)
+_ERA = "store-era"
+_MAX_ERA_DIGITS = 6
+
+log = Logger("store")
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +90,20 @@
         # A watch blocks its connection, and dropping watches must not affect calls.
         self._watches = HttpClient(address, clock, CONNECT_LIMIT)
         self._drops = 0
+        self._era = 0
+
+    def _record_era(self, response: Response) -> None:
+        """Record the era of a response: it rises as the store is restored."""
+        value = response.header(_ERA)
+        if not value.isdecimal() or len(value) > _MAX_ERA_DIGITS:
+            return
+        era = int(value)
+        if era > self._era:
+            if self._era:
+                log.warning("store restored", era=era, before=self._era)
+            else:
+                log.info("store era known", era=era)
+            self._era = era
 
     def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``."""
@@ -273,6 +293,7 @@
             raise StoreNotReached(error.message) from error
         except HttpError as error:
             raise StoreAnswerLost(error.message) from error
+        self._record_era(response)
         match response.status:
             case 429:
                 raise StoreOverloaded("the store's rate limit was exceeded")
