Revisions are ordered across restores of the store

Cause: all that keeps or compares a revision took a greater one for a later one. A store that is restored from a copy gives revisions out again, so changes up to the greatest seen were dropped, fencing numbers repeated, and a condition could hold over another write of its number. A revision is now the restore's number and the store's revision in one, made where the store is called; a watch or a condition from before a restore fails.

The copy also lacks what is known. What it lacks is kept for 1.5 s (endpoints) or 5 s; what it has again though it was deleted is left out for 5 s unless it is written again; an endpoint that is known to drain does so until it restarts; an older configuration was ignored already. Orders of rollouts that come again are the same orders; records of duties are written again.

--- a/src/sassafrasdale/coordination/stores.py
+++ b/src/sassafrasdale/coordination/stores.py
@@ -9,6 +9,26 @@
 """The ``mod_revision`` of a key that does not exist."""
 
 
+# Revisions are ordered across restores of the store: the upper bits count the restores,
+# the lower ones are the store's own revision, which restores set back.
+_REVISION_BITS = 32
+
+
+def ordered_revision(epoch: int, revision: int) -> int:
+    """Return a revision of the store that is later than all of earlier epochs."""
+    return epoch << _REVISION_BITS | revision
+
+
+def epoch_of(revision: int) -> int:
+    """Return the epoch of a revision."""
+    return revision >> _REVISION_BITS
+
+
+def stored_revision(revision: int) -> int:
+    """Return the store's own number of a revision."""
+    return revision & ((1 << _REVISION_BITS) - 1)
+
+
 @dataclass(frozen=True, slots=True)
 class StoredValue:
     """A key with its value and revisions."""
@@ -61,6 +81,11 @@
     no effect, and ``StoreAnswerLost`` if it is unknown whether it had one.
     """
 
+    @property
+    def epoch(self) -> int:
+        """Number of the store's restores, as far as known."""
+        return 0
+
     @abstractmethod
     def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``, None if it doesn't exist."""
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -160,6 +160,13 @@
             health = self._health[service] = Health(self._rng, HEALTH_SETTINGS)
         return health
 
+    def is_draining(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is known to drain, and has not restarted since."""
+        record = self._records.get(endpoint.name)
+        if record is None or _has_restarted(record.endpoint, endpoint):
+            return False
+        return record.endpoint.state is EndpointState.DRAINING
+
     def put(self, endpoint: Endpoint) -> bool:
         """Add an endpoint or update its registration.
 
--- a/src/sassafrasdale/gateway/follower.py
+++ b/src/sassafrasdale/gateway/follower.py
@@ -5,7 +5,7 @@
 from peers. It applies whichever is newer and never goes back to an older revision.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -18,9 +18,10 @@
     StoreHistoryLost,
     StoreWatchDropped,
 )
+from sassafrasdale.coordination.stores import epoch_of
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.peer_states import StoreValues
-from sassafrasdale.green import sleep
+from sassafrasdale.green import sleep, spawn
 from sassafrasdale.platform.store import Changes, PlatformStore
 
 log = Logger("following")
@@ -37,6 +38,11 @@
 # Delay between two watches. Where a zone's endpoints start or leave together, one call
 # returns what would take ten; callers see a delay of a tenth of a second.
 BATCH_DELAY = timedelta(milliseconds=100)
+# Time for which keys are kept that a restored store lacks, and for which those are left
+# out that it has again though they were deleted. Their writers repeat what was lost
+# within this time, and registrations without a heartbeat have expired by its end.
+KEPT_TIME = timedelta(seconds=5)
+LEFT_OUT_TIME = timedelta(seconds=5)
 # Deleted keys that are kept for peers. Endpoints come and go a few times a second at
 # most, and peers fetch changes within a second.
 MAX_DELETED_KEYS = 200
@@ -48,10 +54,13 @@
 
     :param written: new values by key.
     :param deleted: deleted keys.
+    :param is_restored: whether they come from a restored store, so that they may be
+        older than what was known before.
     """
 
     written: Mapping[str, bytes]
     deleted: frozenset[str]
+    is_restored: bool = False
 
 
 class Follower:
@@ -63,6 +72,7 @@
     :param dependency: notified whether the store responds.
     :param should_watch: whether this gateway has to watch the store itself, once it has
         listed all values.
+    :param kept_time: time for which keys are kept that a restored store lacks.
     """
 
     def __init__(
@@ -74,7 +84,9 @@
         clock: Clock,
         rng: Random,
         should_watch: Callable[[], bool] = lambda: True,
+        kept_time: timedelta = KEPT_TIME,
     ) -> None:
+        self._kept_time = kept_time
         self._should_watch = should_watch
         self._prefix = prefix
         self._store = store
@@ -91,6 +103,9 @@
         # All changes after this revision are known by key.
         self._complete_since = 0
         self._lost_at: timedelta | None = None
+        # After a restore: keys that the store lacks, and values that it has again.
+        self._kept: set[str] = set()
+        self._left_out: dict[str, tuple[bytes, int]] = {}
 
     @property
     def prefix(self) -> str:
@@ -245,6 +260,9 @@
             that, since peers would fetch the values again.
         :param revisions: revision of each value's last change, as far as known.
         """
+        if self._revision and epoch_of(revision) > epoch_of(self._revision):
+            self._merge_restored(values, revision, changed_revision, revisions or {})
+            return
         if revision < self._revision:
             log.info(
                 "older listing dropped",
@@ -273,6 +291,73 @@
             changed_revision,
         )
 
+    def _merge_restored(
+        self,
+        values: Mapping[str, bytes],
+        revision: int,
+        changed_revision: int,
+        revisions: Mapping[str, int],
+    ) -> None:
+        """Merge the values of a store that was restored from a copy.
+
+        The copy lacks the latest writes, which most of their writers repeat. So keys
+        that it lacks are kept for a while, and those that it has again are left out for
+        a while, unless they are written or deleted meanwhile.
+        """
+        lacking = self._values.keys() - values.keys()
+        returned = {key for key in values if key in self._deleted}
+        log.warning(
+            "restored store listed",
+            prefix=self._prefix,
+            revision=revision,
+            before=self._revision,
+            kept=len(lacking),
+            left_out=len(returned),
+        )
+        self._complete_since = revision
+        self._kept = set(lacking)
+        self._left_out = {
+            key: (values[key], revisions.get(key, revision)) for key in returned
+        }
+        written = {key: value for key, value in values.items() if key not in returned}
+        self._apply(
+            written, {}, revisions, revision, changed_revision, is_restored=True
+        )
+        spawn(self._settle_restored, epoch_of(revision))
+
+    def _settle_restored(self, epoch: int) -> None:
+        """Take what the restored store has, once writers have had time."""
+        sleep(self._kept_time)
+        if epoch_of(self._revision) != epoch:
+            return
+        kept, self._kept = self._kept, set()
+        gone = {key for key in kept if key in self._values}
+        if gone:
+            self._drop_kept(gone)
+        sleep(LEFT_OUT_TIME - self._kept_time)
+        if epoch_of(self._revision) != epoch:
+            return
+        left_out, self._left_out = self._left_out, {}
+        if left_out:
+            log.info("restored values taken", prefix=self._prefix, keys=len(left_out))
+            self._apply(
+                {key: value for key, (value, _) in left_out.items()},
+                {},
+                {key: revision for key, (_, revision) in left_out.items()},
+                self._revision,
+                self._changed_revision,
+            )
+
+    def _drop_kept(self, gone: Collection[str]) -> None:
+        log.info("keys lost in a restore", prefix=self._prefix, keys=len(gone))
+        self._apply(
+            {},
+            dict.fromkeys(gone, self._revision),
+            {},
+            self._revision,
+            self._changed_revision,
+        )
+
     def changes_since(self, revision: int) -> StoreValues | None:
         """Return the changes since a revision, or all values, for a peer.
 
@@ -329,7 +414,12 @@
         revisions: Mapping[str, int],
         revision: int,
         changed_revision: int,
+        *,
+        is_restored: bool = False,
     ) -> None:
+        for key in (*written, *deleted):
+            self._kept.discard(key)
+            self._left_out.pop(key, None)
         for key, value in written.items():
             self._values[key] = value
             self._deleted.pop(key, None)
@@ -342,7 +432,7 @@
         self._revision = max(self._revision, revision)
         self._changed_revision = max(self._changed_revision, changed_revision)
         if written or deleted:
-            self._on_change(PrefixChanges(written, frozenset(deleted)))
+            self._on_change(PrefixChanges(written, frozenset(deleted), is_restored))
 
     def _trim_deleted(self) -> None:
         """Drop the oldest deleted keys; deltas begin after them."""
--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -101,9 +101,12 @@
         waited = now - max(end, self._started_at)
         if waited < GATHER_TIMEOUT.total_seconds() and total.complete_since < end:
             return
-        if permit.fencing_number != self._fencing_number or not self._record.is_known:
+        if permit.fencing_number != self._fencing_number:
+            self._recorded = {}
             self._read_record()
             self._fencing_number = permit.fencing_number
+        elif not self._record.is_known:
+            self._read_record()
         counts = self._record_counts(self._next_window, total.counts)
         permit = self._lease.permit(checks_fencing=True)
         self._client.report_usage(self._next_window, counts, permit.fencing_number)
@@ -126,7 +129,8 @@
         return int((self._time.seconds - self._delay) // self._window)
 
     def _read_record(self) -> None:
-        self._recorded = self._record.read() or {}
+        # A restored store may have lost what this leader has recorded and sent.
+        self._recorded = {**(self._record.read() or {}), **self._recorded}
         # A former leader recorded these windows and most likely sent them.
         if self._recorded:
             self._next_window = max(self._next_window, max(self._recorded))
--- a/src/sassafrasdale/gateway/records.py
+++ b/src/sassafrasdale/gateway/records.py
@@ -27,12 +27,18 @@
         self._key = key
         self._schema = schema
         self._revision: int | None = None
+        self._epoch = 0
 
     @property
     def is_known(self) -> bool:
         """Whether the stored revision is known, so that the document can be written."""
         return self._revision is not None
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the store has not been restored since the last read or write."""
+        return self.is_known and self._epoch == self._store.epoch
+
     def read(self) -> Any:
         """Return the document, or None if it is missing or malformed.
 
@@ -40,6 +46,7 @@
         """
         stored = self._store.get(self._key)
         self._revision = 0 if stored is None else stored.mod_revision
+        self._epoch = self._store.epoch
         if stored is None:
             return None
         try:
@@ -69,3 +76,4 @@
             self._revision = None
             raise LeaseNotHeld(f"another leader has written {self._key}")
         self._revision = swap.revision
+        self._epoch = self._store.epoch
--- a/src/sassafrasdale/gateway/rollout_duty.py
+++ b/src/sassafrasdale/gateway/rollout_duty.py
@@ -157,6 +157,9 @@
             self._rollouts.apply_status(status, swap.revision)
         elif swap.current is not None:
             self._apply_stored_status(rollout, swap.current)
+        else:
+            # A restored store may have lost it.
+            rollout.status_revision = 0
 
     def _apply_stored_status(self, rollout: Rollout, stored: StoredValue) -> None:
         """Apply the stored status, written by another leader or another writer."""
--- a/src/sassafrasdale/gateway/rollouts.py
+++ b/src/sassafrasdale/gateway/rollouts.py
@@ -14,6 +14,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.coordination.stores import epoch_of
 from sassafrasdale.decisions.canary import latency_bucket
 from sassafrasdale.decisions.exposure import SAMPLED_FRACTION, CanaryAllowance
 from sassafrasdale.decisions.rollouts import (
@@ -103,6 +104,14 @@
         known = self._rollouts.get(order.service)
         if known is not None and revision <= known.revision:
             return
+        if (
+            known is not None
+            and known.order == order
+            and epoch_of(revision) > epoch_of(known.revision)
+        ):
+            # The same order in a store that was restored.
+            known.revision = revision
+            return
         listed_versions = {
             record.endpoint.version for record in self._listed(order.service)
         }
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -158,9 +158,9 @@
         self._last_sent = {}
 
     def _write_record(self) -> None:
-        """Record the orders in force, if they changed."""
+        """Record the orders in force, if they changed or the record may be lost."""
         orders = self._inherited | self._ordered
-        if orders != self._inherited:
+        if orders != self._inherited or not self._record.is_current:
             if not self._record.is_known:
                 self._record.read()
             self._record.write(_encode_orders(orders))
--- a/src/sassafrasdale/gateway/store_view.py
+++ b/src/sassafrasdale/gateway/store_view.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Collection, Mapping
+from datetime import timedelta
 from random import Random
 
 from logbook import Logger
@@ -13,7 +14,7 @@
 from sassafrasdale.deployment import CallerLimits, Configuration, Endpoint, Service
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.gateway.follower import Follower, PrefixChanges
+from sassafrasdale.gateway.follower import KEPT_TIME, Follower, PrefixChanges
 from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.routing import RouteTable
@@ -44,6 +45,9 @@
 # Malformed registrations that are logged; a writer of many keys must not flood the
 # logs.
 MAX_MALFORMED_LOGGED = 100
+# Time for which an endpoint is kept that a restored store lacks. A registration that
+# was lost is back within two seconds, and one that is removed now is not in the store.
+ENDPOINT_KEPT_TIME = timedelta(seconds=1.5)
 
 
 class StoreView:
@@ -83,12 +87,12 @@
         self._malformed: set[str] = set()
         self._followers = {
             prefix: Follower(
-                prefix, store, changed, store_health, clock, rng, should_watch
+                prefix, store, changed, store_health, clock, rng, should_watch, kept
             )
-            for prefix, changed in (
-                (OPERATORS_PREFIX, self._apply_operator_changes),
-                (ENDPOINTS_PREFIX, self._apply_endpoint_changes),
-                (STATUS_PREFIX, self._apply_status_changes),
+            for prefix, changed, kept in (
+                (OPERATORS_PREFIX, self._apply_operator_changes, KEPT_TIME),
+                (ENDPOINTS_PREFIX, self._apply_endpoint_changes, ENDPOINT_KEPT_TIME),
+                (STATUS_PREFIX, self._apply_status_changes, KEPT_TIME),
             )
         }
 
@@ -231,12 +235,12 @@
 
     def _apply_endpoint_changes(self, changes: PrefixChanges) -> None:
         for key, value in changes.written.items():
-            self._apply_endpoint(key, value)
+            self._apply_endpoint(key, value, is_restored=changes.is_restored)
         for key in changes.deleted:
             self._malformed.discard(key)
             self._drop_endpoint(key)
 
-    def _apply_endpoint(self, key: str, value: bytes) -> None:
+    def _apply_endpoint(self, key: str, value: bytes, *, is_restored: bool) -> None:
         try:
             endpoint = decode_endpoint(key, value)
             self._check_zone(endpoint)
@@ -247,6 +251,9 @@
             self._log_malformed(key, error)
             return
         self._malformed.discard(key)
+        if is_restored and self._directory.is_draining(endpoint):
+            # The copy is older: an endpoint that drains does so until its end.
+            return
         if self._directory.put(endpoint):
             self._forget_engine(endpoint.name)
 
--- a/src/sassafrasdale/platform/store.py
+++ b/src/sassafrasdale/platform/store.py
@@ -27,6 +27,9 @@
     Lease,
     StoredValue,
     Swap,
+    epoch_of,
+    ordered_revision,
+    stored_revision,
 )
 from sassafrasdale.http.connections import HttpClient
 from sassafrasdale.http.exceptions import HttpError, NotConnected
@@ -91,26 +94,36 @@
         self._watches = HttpClient(address, clock, CONNECT_LIMIT)
         self._drops = 0
         self._era = 0
+        self._has_responded = False
 
-    def _record_era(self, response: Response) -> None:
-        """Record the era of a response: it rises as the store is restored."""
+    @property
+    def epoch(self) -> int:
+        """Number of the store's restores, as far as known."""
+        return self._era
+
+    def _era_of(self, response: Response) -> int:
+        """Return the era of a response, the last known one if it does not name any.
+
+        It rises as the store is restored.
+        """
         value = response.header(_ERA)
         if not value.isdecimal() or len(value) > _MAX_ERA_DIGITS:
-            return
-        era = int(value)
-        if era > self._era:
-            if self._era:
-                log.warning("store restored", era=era, before=self._era)
-            else:
-                log.info("store era known", era=era)
-            self._era = era
+            return self._era
+        return int(value)
+
+    def _record_era(self, response: Response) -> None:
+        era = self._era_of(response)
+        if era > self._era and self._has_responded:
+            log.warning("store restored", era=era, before=self._era)
+        self._era = max(era, self._era)
+        self._has_responded = True
 
     def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``."""
         response = self._call("GET", "/v1/kv-key?" + urlencode({"key": key}))
         if response.status == 404:
             return None
-        return _stored_value(_document(response))
+        return _stored_value(_document(response), self._era_of(response))
 
     def revision_of(self, key: str) -> int:
         """Return the revision of the last write of ``key``, 0 if there is none."""
@@ -137,9 +150,13 @@
         after = ""
         while True:
             query = {"prefix": prefix, **({"after": after} if after else {})}
-            page = _document(self._call("GET", "/v1/kv-range?" + urlencode(query)))
-            values += [_stored_value(item) for item in page["items"]]
-            revision = revision or page["at"]
+            response = self._call("GET", "/v1/kv-range?" + urlencode(query))
+            page = _document(response)
+            era = self._era_of(response)
+            values += [_stored_value(item, era) for item in page["items"]]
+            revision = revision or ordered_revision(era, page["at"])
+            if epoch_of(revision) != era:
+                raise StoreAnswerLost("the store was restored within a listing")
             if not page.get("hasMore") or not page["items"]:
                 return Snapshot(tuple(values), revision)
             after = page["items"][-1]["key"]
@@ -175,18 +192,25 @@
         limit: timedelta,
         client: HttpClient,
     ) -> Changes:
+        era = epoch_of(after)
+        if era != self._era:
+            raise StoreHistoryLost(f"the store was restored after {after}")
         query = urlencode(
-            {"prefix": prefix, "after": after, "waitMs": milliseconds(wait)}
+            {
+                "prefix": prefix,
+                "after": stored_revision(after),
+                "waitMs": milliseconds(wait),
+            }
         )
         response = self._call(
             "GET", "/v1/kv-watch?" + query, limit=limit, client=client
         )
-        if response.status == 410:
+        if response.status == 410 or self._era_of(response) != era:
             raise StoreHistoryLost(f"changes of {prefix} after {after} are gone")
         document = _document(response)
         return Changes(
-            tuple(_change(item) for item in document["events"]),
-            max(after, document["at"]),
+            tuple(_change(item, era) for item in document["events"]),
+            max(after, ordered_revision(era, document["at"])),
         )
 
     def drop_watches(self) -> None:
@@ -255,9 +279,15 @@
         self, conditions: Iterable[tuple[str, int]], writes: Iterable[dict]
     ) -> tuple[Swap, ...]:
         conditions = list(conditions)
+        era = self._era
+        if any(rev and epoch_of(rev) != era for _, rev in conditions):
+            # The same number may stand for another write since the restore.
+            return tuple(Swap(False, 0, self.get(key)) for key, _ in conditions)
         response = self._transaction(
             {
-                "ifRev": [{"key": key, "rev": rev} for key, rev in conditions],
+                "ifRev": [
+                    {"key": key, "rev": stored_revision(rev)} for key, rev in conditions
+                ],
                 "writes": list(writes),
                 "delete": [],
             }
@@ -265,13 +295,17 @@
         if response.status == 404:
             raise LeaseNotFound("the lease has ended")
         document = _document(response, also=(412,))
+        now = self._era_of(response)
         if response.status == 412:
             held = {item["key"]: item for item in document["items"]}
             return tuple(
-                Swap(False, 0, _stored_value(held[key]) if held.get(key) else None)
+                Swap(False, 0, _stored_value(held[key], now) if held.get(key) else None)
                 for key, _ in conditions
             )
-        return tuple(Swap(True, document["rev"]) for _ in conditions)
+        if now != era and any(rev for _, rev in conditions):
+            raise StoreAnswerLost("the store was restored as it was written")
+        revision = ordered_revision(now, document["rev"])
+        return tuple(Swap(True, revision) for _ in conditions)
 
     def _transaction(self, body: dict) -> Response:
         return self._call("POST", "/v1/kv-txn", body)
@@ -320,15 +354,18 @@
         raise StoredValueMalformed("the store's response is not JSON") from error
 
 
-def _stored_value(item: dict) -> StoredValue | None:
+def _stored_value(item: dict, era: int) -> StoredValue | None:
     if not item.get("rev") or "value" not in item:
         return None
     return StoredValue(
-        item["key"], b64decode(item["value"]), item["rev"], item["created"]
+        item["key"],
+        b64decode(item["value"]),
+        ordered_revision(era, item["rev"]),
+        ordered_revision(era, item["created"]),
     )
 
 
-def _change(item: dict) -> Change:
+def _change(item: dict, era: int) -> Change:
     deleted = item.get("deleted", False)
     value = None if deleted else b64decode(item["value"])
-    return Change(item["key"], item["rev"], value)
+    return Change(item["key"], ordered_revision(era, item["rev"]), value)
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -84,7 +84,7 @@
         self._compacted = 0
         self._revision = 1
         self._last_lease = 0
-        self._era = 1
+        self._era = 0
         self._is_served = False
         self.calls = 0
         self.fault = Fault.NONE
@@ -159,7 +159,9 @@
             self._withhold_response(connection)
             return
         body = b"" if document is None else _encoded(document, seen_as)
-        headers = [("content-type", "application/json"), ("store-era", str(self._era))]
+        headers = [("content-type", "application/json")]
+        if self._era:
+            headers.append(("store-era", str(self._era)))
         connection.answer(status, headers, body)
 
     def _withhold_response(self, connection: ServerConnection) -> None:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -8,9 +8,10 @@
 
 from sassafrasdale.clock import ManualClock, SystemClock
 from sassafrasdale.coordination.exceptions import StoreHistoryLost, StoreNotReached
-from sassafrasdale.coordination.stores import StoredValue
+from sassafrasdale.coordination.stores import StoredValue, ordered_revision
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.follower import MAX_DELETED_KEYS, Follower
+from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.platform.store import Change, Changes, Snapshot
 from standins.gateway_fleet import wait_for
@@ -266,3 +267,119 @@
         task.kill()
     messages = [rec.message for rec in logs.records if rec.channel == "following"]
     assert messages == ["store not followed", "store followed again"]
+
+
+def in_epoch(revision: int, epoch: int = 1) -> int:
+    return ordered_revision(epoch, revision)
+
+
+def test_a_restored_store_replaces_what_has_a_greater_revision(store, follower, seen):
+    """Guards against changes under revisions that were seen before the restore."""
+    store.snapshots = [
+        Snapshot((item("p/a", b"1", 40),), 50),
+        Snapshot((item("p/a", b"2", in_epoch(20)),), in_epoch(21)),
+    ]
+    follower.step()
+    follower._needs_listing = True
+    follower.step()
+    assert follower.values == {"p/a": b"2"}
+    assert seen[-1].is_restored
+    store.changes = [Changes((Change("p/a", in_epoch(22), b"3"),), in_epoch(22))]
+    follower.step()
+    assert follower.values == {"p/a": b"3"}
+    assert not seen[-1].is_restored
+
+
+@pytest.fixture
+def restored(store):
+    """Return a follower that settles tens of milliseconds after a restore."""
+    clock = ManualClock()
+    changes = []
+    follower = Follower(
+        "p/",
+        store,
+        changes.append,
+        Dependency("store", clock),
+        clock,
+        Random(1),
+        kept_time=timedelta(milliseconds=30),
+    )
+    store.snapshots = [
+        Snapshot((item("p/a", b"1", 3), item("p/gone", b"1", 4)), 10),
+        Snapshot((item("p/gone", b"1", in_epoch(4)),), in_epoch(5)),
+    ]
+    store.changes = [Changes((Change("p/gone", 11, None),), 11)]
+    follower.step()
+    follower.step()
+    follower._needs_listing = True
+    follower.step()
+    return follower
+
+
+def test_what_a_restored_store_lacks_is_kept_for_a_while(restored):
+    """Guards against endpoints dropped as their registrations were lost."""
+    assert restored.values == {"p/a": b"1"}
+    sleep(timedelta(milliseconds=60))
+    assert restored.values == {}
+
+
+def test_what_is_written_again_after_a_restore_stays(store, restored):
+    store.changes = [
+        Changes(
+            (Change("p/a", in_epoch(6), b"1"), Change("p/gone", in_epoch(7), b"2")),
+            in_epoch(7),
+        )
+    ]
+    restored.step()
+    sleep(timedelta(milliseconds=60))
+    assert restored.values == {"p/a": b"1", "p/gone": b"2"}
+
+
+def test_what_a_restored_store_has_again_is_left_out_for_a_while(restored, monkeypatch):
+    """Guards against endpoints used again after their registration was removed."""
+    assert "p/gone" not in restored.values
+    monkeypatch.setattr(
+        "sassafrasdale.gateway.follower.LEFT_OUT_TIME", timedelta(milliseconds=60)
+    )
+    sleep(timedelta(milliseconds=150))
+    assert restored.values == {"p/gone": b"1"}
+
+
+def test_a_peer_that_still_holds_the_old_epoch_changes_nothing(restored, store):
+    """Guards against gateways that were partitioned from the store in a restore."""
+    before = dict(restored.values)
+    restored.replace_all({"p/old": b"1"}, 500, 499)
+    restored.apply_peer_values(
+        StoreValues(600, 600, {"p/old": b"1"}, is_complete=False), since=11
+    )
+    assert restored.values == before
+
+
+def test_a_follower_of_the_old_epoch_learns_of_the_restore_from_a_peer(store, restored):
+    """Guards against a gateway that keeps what was known before, for good."""
+    clock = ManualClock()
+    other = Follower(
+        "p/", store, lambda _: None, Dependency("store", clock), clock, Random(2)
+    )
+    store.snapshots = [Snapshot((item("p/a", b"1", 3), item("p/b", b"1", 4)), 90)]
+    other.step()
+    store.changes = [
+        Changes((Change("p/b", in_epoch(6), b"2"),), in_epoch(6)),
+    ]
+    restored.step()
+    values = restored.changes_since(other.changed_revision)
+    assert values.is_complete
+    other.apply_peer_values(values, other.changed_revision)
+    assert other.values["p/b"] == b"2"
+    assert other.revision == restored.revision
+
+
+def test_two_restores_in_a_row_leave_the_last(store, restored):
+    store.snapshots = [
+        Snapshot((item("p/a", b"9", in_epoch(3, 2)),), in_epoch(4, 2)),
+    ]
+    restored._needs_listing = True
+    restored.step()
+    assert restored.values["p/a"] == b"9"
+    sleep(timedelta(milliseconds=80))
+    assert restored.values == {"p/a": b"9"}
--- a/tests/gateway/test_metering.py
+++ b/tests/gateway/test_metering.py
@@ -23,6 +23,7 @@
     def __init__(self):
         self.stored = None
         self.revision = 0
+        self.epoch = 0
         self.loses_responses = False
 
     def get(self, key):
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -44,8 +44,13 @@
         self.document = None
         self.writes = 0
         self.is_known = False
+        self.is_restored = False
         self.failing = False
 
+    @property
+    def is_current(self):
+        return self.is_known and not self.is_restored
+
     def read(self):
         self.is_known = True
         return self.document
@@ -55,6 +60,7 @@
             self.is_known = False
             raise StoreAnswerLost("lost")
         self.document = json.loads(json.dumps(document))
+        self.is_restored = False
         self.writes += 1
 
 
--- a/tests/guarantees/test_restored_store.py
+++ b/tests/guarantees/test_restored_store.py
@@ -172,3 +172,22 @@
     sleep(SECOND)
     assert [at for at in added.arrivals if at > since]
     assert not deployment.failed
+
+
+def test_fencing_numbers_never_go_back(deployment):
+    """Guards against duty calls of a new leader under a number used before."""
+    copy = deployment.store.take_copy()
+    deployment.write_noise(50)
+    sleep(2 * SECOND)
+    for _ in range(2):
+        deployment.restore(copy)
+        sleep(4 * SECOND)
+    taken = sorted(
+        (line["time"], line["fencing_number"])
+        for gateway in deployment.fleet.gateways
+        for line in gateway.log_lines()
+        if line["message"] == "duty taken"
+    )
+    numbers = [number for _, number in taken]
+    assert numbers == sorted(set(numbers))
+    assert len(numbers) >= 1
