Room at brittle endpoints holds across changes of a zone's dispatcher

What the zone had in flight is now reserved as it ends, and what members count themselves is in the zone's part.

--- a/src/sassafrasdale/decisions/rooms.py
+++ b/src/sassafrasdale/decisions/rooms.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
+from math import ceil
 
 from sassafrasdale.decisions.endpoint_rates import sharing_zones
 
@@ -17,6 +18,9 @@
 # A dispatcher that has just taken over uses no room for this time: attempts that were
 # under way before end, or are reported to it.
 TAKEOVER_TIME = timedelta(seconds=1)
+# What another dispatcher of the zone had in flight, as last reported, is assumed to end
+# evenly within this time: nobody reports that of a gateway that stopped responding.
+HANDOVER_TIME = timedelta(seconds=4)
 # An attempt without a whole response may go on at the endpoint for a while.
 LINGER_TIME = timedelta(milliseconds=500)
 
@@ -28,6 +32,16 @@
     return slots - max(slots // SLOTS_PER_SPARE, 1)
 
 
+def reserved_slots(in_flight: int, since: timedelta) -> int:
+    """Return the slots that a former dispatcher's attempts may still hold.
+
+    :param in_flight: their number as last reported.
+    :param since: time since this dispatcher took over.
+    """
+    left = 1 - since / HANDOVER_TIME
+    return ceil(in_flight * left) if left > 0 else 0
+
+
 def zone_slots(
     slots: int, zone: str, endpoint_zone: str, zones: Sequence[str], share: float
 ) -> int:
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -125,6 +125,7 @@
             self._rng,
             self.metrics.count,
             lambda name: self.fleet.peer_in_flight(name),
+            lambda: self.peering.zone_in_flight(),
         )
 
     def _build_store_view(self) -> None:
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/endpoint_gate.py
@@ -1,6 +1,6 @@
 """Decides which endpoints take a request now, by what they say in their responses."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -84,6 +84,7 @@
         rng: Random,
         count: Callable[..., None] = lambda name, **labels: None,
         peer_in_flight: Callable[[str], int] = lambda endpoint: 0,
+        zone_in_flight: Callable[[], Mapping[str, int]] = dict,
     ) -> "EndpointGate":
         """Return the gate of a gateway that knows nothing of any endpoint yet.
 
@@ -94,6 +95,8 @@
         :param count: counts an event by name, for metrics.
         :param peer_in_flight: returns the requests in flight at an endpoint that other
             gateways last reported.
+        :param zone_in_flight: returns those that other gateways of this zone last
+            reported, by endpoint.
         """
 
         def is_registered(endpoint: str) -> bool:
@@ -107,7 +110,7 @@
             Departures("departure", is_registered, clock, count),
             Backoffs(clock, count),
             brittle,
-            Rooms(brittle, zone, zones, peer_in_flight, clock),
+            Rooms(brittle, zone, zones, peer_in_flight, zone_in_flight, clock),
             clock,
             rng,
         )
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -6,6 +6,7 @@
 limits, usage counts, and the store revisions that each gateway knows.
 """
 
+from collections import Counter
 from datetime import timedelta
 from math import exp
 from random import Random
@@ -138,6 +139,15 @@
             total += group.state.engine_time.get(service, 0.0) * decay
         return total
 
+    def zone_in_flight(self) -> dict[str, int]:
+        """Return the requests in flight of this zone's other gateways, by endpoint."""
+        in_flight: Counter[str] = Counter()
+        for group in self.unexpired_groups():
+            if group.state.aggregator.zone == self._roster.own.zone:
+                for endpoint, load in group.state.loads.items():
+                    in_flight[endpoint] += load.in_flight
+        return in_flight
+
     def prefill_times(self, service: str) -> list[float]:
         """Return each group's mean prefill time per token, in seconds."""
         return [
--- a/src/sassafrasdale/gateway/rooms.py
+++ b/src/sassafrasdale/gateway/rooms.py
@@ -1,12 +1,13 @@
 """Room at brittle endpoints, as far as this gateway may use it."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.rooms import (
     LINGER_TIME,
     TAKEOVER_TIME,
+    reserved_slots,
     usable_slots,
     zone_slots,
 )
@@ -22,6 +23,8 @@
     :param zones: all availability zones of the deployment.
     :param peer_in_flight: returns the requests in flight at an endpoint that other
         gateways last reported.
+    :param zone_in_flight: returns those that other gateways of this zone last reported,
+        by endpoint.
     :param clock: source of elapsed time.
     """
 
@@ -31,15 +34,18 @@
         zone: str,
         zones: Sequence[str],
         peer_in_flight: Callable[[str], int],
+        zone_in_flight: Callable[[], Mapping[str, int]],
         clock: Clock,
     ) -> None:
         self._brittle = brittle
         self._zone = zone
         self._zones = zones
         self._peer_in_flight = peer_in_flight
+        self._zone_in_flight = zone_in_flight
         self._clock = clock
         self._share: float | None = None
-        self._opens_at = timedelta()
+        self._taken_over_at = -TAKEOVER_TIME
+        self._former: Mapping[str, int] = {}
         self._lingering: dict[str, list[timedelta]] = {}
 
     def set_share(self, share: float | None) -> None:
@@ -48,7 +54,8 @@
         :param share: None if another gateway assigns.
         """
         if share is not None and self._share is None:
-            self._opens_at = self._clock.elapsed() + TAKEOVER_TIME
+            self._taken_over_at = self._clock.elapsed()
+            self._former = self._zone_in_flight()
         self._share = share
 
     def has_brittle(self, endpoints: Sequence[EndpointRecord]) -> bool:
@@ -62,7 +69,8 @@
         if not self._brittle.is_brittle(record.name):
             return True
         now = self._clock.elapsed()
-        if self._share is None or now < self._opens_at:
+        since_takeover = now - self._taken_over_at
+        if self._share is None or since_takeover < TAKEOVER_TIME:
             return False
         endpoint = record.endpoint
         room = zone_slots(
@@ -74,7 +82,10 @@
         )
         in_flight = record.in_flight + self._lingering_at(record.name, now)
         everywhere = in_flight + self._peer_in_flight(record.name)
-        return in_flight < room and everywhere < usable_slots(endpoint.slots)
+        former = reserved_slots(self._former.get(record.name, 0), since_takeover)
+        # Members of the zone count what a former dispatcher had assigned.
+        in_zone = in_flight + max(self._zone_in_flight().get(record.name, 0), former)
+        return in_zone < room and everywhere < usable_slots(endpoint.slots)
 
     def record_incomplete(self, endpoint: str) -> None:
         """Record an attempt that ended without a whole response."""
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -139,7 +139,11 @@
             fleet.endpoint_zones.get,
             fleet.clock,
             Random(name),
+            peer_in_flight=self.known_in_flight,
+            zone_in_flight=lambda: self.peering.zone_in_flight(),
         )
+        self.rooms = gate.rooms
+        self.brittle = gate.brittle
         self.endpoint_limits = gate.limits
         self.permits = gate.permits
         self.departures = gate.departures
@@ -179,6 +183,14 @@
             follows_store=self.follows_store,
         )
 
+    def known_in_flight(self, endpoint: str) -> int:
+        """Return the other gateways' requests in flight, as known here."""
+        return sum(
+            group.state.loads[endpoint].in_flight
+            for group in self.peering.unexpired_groups()
+            if endpoint in group.state.loads
+        )
+
     def known_load(self, endpoint: str) -> int:
         """Return the other gateways' prefill tokens at an endpoint, as known here."""
         return sum(
@@ -292,7 +304,7 @@
 ) -> EndpointGate:
     """Return the gate of a gateway that lends itself all permits."""
     gate = EndpointGate.build("a", ("a",), lambda name: "a", clock, Random(1), count)
-    gate.permits.set_share(1.0)
+    gate.set_share(1.0)
     return gate
 
 
