--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -93,6 +93,7 @@
     :ivar extra_headers: headers that it adds to each response.
     :ivar brittleness: if set, it runs no more requests at once than it has slots, and
         falls over if it has to reject too many.
+    :ivar silent_until: elapsed time until which it accepts requests and sends nothing.
     :ivar backoff: if set, it refuses all requests and asks for back-off of this length.
     """
 
@@ -131,6 +132,7 @@
         self.events = 8
         self.arrivals: list[timedelta] = []
         self.extra_headers: tuple[tuple[str, str], ...] = ()
+        self.silent_until = timedelta()
         self.backoff: timedelta | None = None
         self.brittleness: Brittleness | None = None
         self._running = 0
@@ -287,6 +289,7 @@
             ("replica-stamp", f"{self._name}.stamp"),
             *self._signals(),
         ]
+        self._keep_silent()
         try:
             if not slowdown:
                 connection.answer(500, headers, b"failed")
@@ -346,11 +349,16 @@
         connection.begin(200, [*headers, ("content-type", "text/event-stream")])
         first = int(request.header("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
+            self._keep_silent()
             token = f"token {number} of {request.target}"
             connection.write(f"id: {number}\ndata: {token}\n\n".encode())
             sleep(EVENT_TIME)
         connection.end()
 
+    def _keep_silent(self) -> None:
+        while self._clock.elapsed() < self.silent_until:
+            sleep(timedelta(milliseconds=10))
+
     def _prefill_tokens(self, request: Request) -> int:
         uncached = 0
         for part in filter(None, request.header("prompt-prefix").split(",")):
--- a/tests/guarantees/test_partitioned_gateways.py
+++ b/tests/guarantees/test_partitioned_gateways.py
@@ -25,6 +25,7 @@
 CONTACT_TIME = 3 * SECOND
 MEASURED = 3 * SECOND
 HEAL_TIME = 2 * SECOND
+SILENCE = 1.1 * SECOND
 NON_IDEMPOTENT = "/certificates/7"
 IDEMPOTENT = "/reports/open/7"
 STREAM = "/reports/7"
@@ -253,3 +254,56 @@
     assert not deployment.lines("strike stored")
     failed = deployment.lines("send failed")
     assert not [line for line in failed if line.get("endpoint_ended")]
+
+
+def test_an_endpoint_that_is_silent_for_a_moment_is_not_cut_off(deployment):
+    """Guards against links given up, and requests repeated, for a short pause."""
+    for endpoint in deployment.endpoints:
+        endpoint.silent_until = CLOCK.elapsed() + SILENCE
+        sleep(SILENCE + SECOND / 2)
+    assert not deployment.lines("endpoint link lost")
+    assert_no_repeats(deployment)
+    streams = [served for served in deployment.log if served.path == STREAM]
+    assert share(streams) >= 0.98
+
+
+def test_a_partition_that_comes_and_goes_costs_few_requests(deployment):
+    """Guards against flapping: links used again each time that they return."""
+    cut = (0, 1)
+    began_at = CLOCK.elapsed()
+    for _ in range(4):
+        deployment.begin(LinkFault.REFUSES, cut)
+        sleep(SECOND)
+        deployment.end(cut)
+        sleep(SECOND)
+    since = began_at + CONTACT_TIME
+    at_cut = deployment.between(since, CLOCK.elapsed() - SECOND / 2, cut)
+    failed = [served for served in at_cut if not served.is_success]
+    assert len(failed) <= 10 + len(at_cut) / 50
+    assert_no_repeats(deployment)
+
+
+def test_the_log_leads_from_a_forwarded_request_to_the_lost_link(deployment):
+    """Guards against a hop that nobody can explain."""
+    deployment.begin(LinkFault.REFUSES, (0,))
+    sleep(2 * SECOND)
+    deployment.end((0,))
+    lines = deployment.fleet.gateways[0].log_lines()
+    names = {gateway.name for gateway in deployment.fleet.gateways[1:]}
+    forwarded = [
+        line
+        for line in lines
+        if line["message"] == "request ended" and line.get("forwarder")
+    ]
+    assert forwarded
+    lost = {
+        line["endpoint"]: line
+        for line in lines
+        if line["message"] == "endpoint link lost"
+    }
+    for line in forwarded:
+        assert line["forwarder"] in names
+        assert lost[line["endpoint"]]["evidence"]
+        assert set(lost[line["endpoint"]]["reached_by"]) <= names
+    # One line for each endpoint, however many requests there are.
+    assert len(lost) == PLAIN_ENDPOINTS + ENGINES
