Checks of links reuse connections where they may; no wait for a diagnosis that takes long

A check for a peer, or of a silent endpoint, needs no new connection, which endpoints count and callers pay for. A request whose connection took long to fail does not wait for the diagnosis, which takes as long again. A request's fingerprint is hashed only where a hop or a failure needs it.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -224,7 +224,10 @@
         admitted = self._admitted
         is_repeatable = admitted.route.repeatable
         hop = Hop(
-            attempt.record.name, self._fingerprint, is_repeatable, admitted.deadline
+            attempt.record.name,
+            lambda: self._fingerprint,
+            is_repeatable,
+            admitted.deadline,
         )
         max_idle = None if is_repeatable else NON_IDEMPOTENT_MAX_IDLE
         try:
--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -27,6 +27,7 @@
 
 log = Logger("links")
 
+CONNECTION_FAILED = "connection failed"
 TICK_INTERVAL = timedelta(milliseconds=100)
 # Time in which an endpoint must respond to a check.
 CHECK_TIMEOUT = timedelta(milliseconds=400)
@@ -51,6 +52,14 @@
 SEARCH_INTERVAL = timedelta(milliseconds=500)
 
 
+@dataclass(slots=True)
+class _Check:
+    """A check of a link, under way or ended."""
+
+    result: Event = field(default_factory=Event)
+    ended_at: timedelta = timedelta()
+
+
 @dataclass(slots=True)
 class _Link:
     """What is known of the link to one endpoint.
@@ -58,6 +67,7 @@
     :param failures: exchanges in a row that ended without a byte.
     :param unreached_at: elapsed time of the last diagnosis that found it failing.
     :param diagnosis: the diagnosis under way.
+    :param checks: the last checks, by whether they needed a new connection.
     """
 
     record: EndpointRecord
@@ -67,8 +77,7 @@
     diagnosed_at: timedelta | None = None
     unreached_at: timedelta | None = None
     diagnosis: Event | None = None
-    check: Event | None = None
-    checked_at: timedelta = timedelta()
+    checks: dict[bool, _Check] = field(default_factory=dict)
 
 
 class LinkMonitor:
@@ -116,14 +125,16 @@
             return False
         return self._clock.elapsed() - received_at <= LIVE_TIME
 
-    def record_connect_failure(self, record: EndpointRecord) -> bool:
+    def record_connect_failure(self, record: EndpointRecord, took: timedelta) -> bool:
         """Diagnose a link after a connection failed, and return whether it is lost.
 
         A diagnosis that takes long goes on in the background.
+
+        :param took: time until the connection failed; a check would take as long.
         """
         link = self._link(record)
-        diagnosis = self._begin_diagnosis(link, "connection failed")
-        if diagnosis is not None:
+        diagnosis = self._begin_diagnosis(link, CONNECTION_FAILED)
+        if diagnosis is not None and took < DIAGNOSIS_WAIT:
             diagnosis.wait(timeout=DIAGNOSIS_WAIT.total_seconds())
         return self.is_partitioned(record)
 
@@ -160,7 +171,8 @@
         record = self._directory.records.get(name)
         if record is None or self.is_partitioned(record):
             return Reachability.UNKNOWN
-        if self._shared_check(self._link(record)) is ProbeResult.OPEN:
+        result = self._shared_check(self._link(record), is_new=False)
+        if result is ProbeResult.OPEN:
             return Reachability.REACHED
         return Reachability.NOT_REACHED
 
@@ -240,7 +252,8 @@
 
     def _diagnose(self, link: _Link, evidence: str, diagnosis: Event) -> None:
         try:
-            own = self._shared_check(link)
+            is_new = evidence == CONNECTION_FAILED
+            own = self._shared_check(link, is_new=is_new)
             if own is ProbeResult.OPEN or not self._is_suspicious(own):
                 return
             answers = self._ask(link)
@@ -314,7 +327,7 @@
         return sum(link.belief.is_partitioned for link in self._links.values())
 
     def _recheck(self, link: _Link) -> None:
-        result = self._shared_check(link)
+        result = self._shared_check(link, is_new=True)
         lost_at = link.belief.lost_at
         now = self._clock.elapsed()
         is_answered = result is ProbeResult.OPEN
@@ -328,28 +341,34 @@
                 lost=self._lost_count(),
             )
 
-    def _shared_check(self, link: _Link) -> ProbeResult:
-        """Return the result of a check, one for all that ask at the same time."""
+    def _shared_check(self, link: _Link, *, is_new: bool) -> ProbeResult:
+        """Return the result of a check, one for all that ask at the same time.
+
+        :param is_new: whether it needs a new connection; each has a price.
+        """
         now = self._clock.elapsed()
-        if link.check is not None and (
-            not link.check.ready() or now - link.checked_at < ANSWER_TTL
+        check = link.checks.get(is_new)
+        if check is not None and (
+            not check.result.ready() or now - check.ended_at < ANSWER_TTL
         ):
-            return link.check.wait()
-        link.check = Event()
-        return self._check(link, link.check)
+            return check.result.wait()
+        check = link.checks[is_new] = _Check()
+        return self._check(link, check, is_new)
 
-    def _check(self, link: _Link, check: Event) -> ProbeResult:
+    def _check(self, link: _Link, check: _Check, is_new: bool) -> ProbeResult:
         record = link.record
         path = self._service(record.endpoint.service).health_path
         result = ProbeResult.UNANSWERED
         try:
             if path and not self._is_brittle(record.name):
-                result = record.pool.check(health_request(path), CHECK_TIMEOUT)
+                result = record.pool.check(
+                    health_request(path), CHECK_TIMEOUT, is_new=is_new
+                )
             else:
                 result = record.pool.probe()
         finally:
-            link.checked_at = self._clock.elapsed()
-            check.send(result)
+            check.ended_at = self._clock.elapsed()
+            check.result.send(result)
         return result
 
     def _reaches_others(self, record: EndpointRecord, since: timedelta) -> bool:
@@ -367,7 +386,10 @@
                 return True
             sleep(OTHERS_POLL)
         chosen = self._rng.sample(others, min(len(others), MAX_OTHERS_CHECKED))
-        checks = [spawn(self._shared_check, self._link(other)) for other in chosen]
+        checks = [
+            spawn(self._shared_check, self._link(other), is_new=False)
+            for other in chosen
+        ]
         return any([check.wait() is ProbeResult.OPEN for check in checks])
 
     def _abort_repeatable(self, record: EndpointRecord) -> None:
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -61,13 +61,13 @@
     """What the forwarding gateway must know of an attempt.
 
     :param endpoint: name of the endpoint.
-    :param fingerprint: of the request.
+    :param fingerprint: returns the request's fingerprint, which costs a hash.
     :param is_repeatable: whether it may run more than once.
     :param deadline: elapsed time until which its response is of use.
     """
 
     endpoint: str
-    fingerprint: str
+    fingerprint: Callable[[], str]
     is_repeatable: bool
     deadline: timedelta
 
@@ -179,7 +179,7 @@
             request.target,
             request.headers,
             request.body,
-            hop.fingerprint,
+            hop.fingerprint(),
         )
         host = ("host", str(self._contact.address))
         wrapped = Request("POST", FORWARD_TARGET, (host,), encode(forwarded))
@@ -294,11 +294,13 @@
         :raises NotConnected: if there is none.
         """
         if not self._links.is_partitioned(record):
+            began_at = self._clock.elapsed()
             try:
                 connection = record.pool.acquire(max_idle)
                 return DirectPath(record, connection, hop.is_repeatable)
             except NotConnected:
-                if not self._links.record_connect_failure(record):
+                took = self._clock.elapsed() - began_at
+                if not self._links.record_connect_failure(record, took):
                     raise
         elif self._links.has_live_connections(record):
             connection = record.pool.acquire_idle(max_idle)
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -172,10 +172,12 @@
         time_left = self._time_left(forwarded)
         record = self._usable_record(forwarded)
         max_idle = None if forwarded.is_repeatable else MAX_IDLE
+        began_at = self._clock.elapsed()
         try:
             connection = record.pool.acquire(max_idle)
         except NotConnected as error:
-            self._links.record_connect_failure(record)
+            took = self._clock.elapsed() - began_at
+            self._links.record_connect_failure(record, took)
             raise _NotForwarded(ForwardOutcome.NOT_SENT, "not connected") from error
         path = DirectPath(record, connection, forwarded.is_repeatable)
         peer.on_disconnect(path.close)
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -432,13 +432,16 @@
         self._idle.append(connection)
         return ProbeResult.OPEN
 
-    def check(self, request: Request, limit: timedelta) -> ProbeResult:
-        """Return whether the server responds to a request on a new connection.
+    def check(
+        self, request: Request, limit: timedelta, *, is_new: bool = True
+    ) -> ProbeResult:
+        """Return whether the server responds to a request.
 
         :param limit: maximum time to wait for the response.
+        :param is_new: whether the connection must be a new one.
         """
         try:
-            connection = self._open()
+            connection = self._open() if is_new else self.acquire()
         except ConnectionRefused:
             return ProbeResult.REFUSED
         except NotConnected:
