What endpoints advertise is one folder; guarantee tests share how they start gateways

gateway/advertisements/ holds the gate, beliefs, limits' permits, rooms, back-offs and departure checks; tests mirror it. Docstrings use the field's words. No logic changes.

--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -276,7 +276,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointSignals:
-    """What an endpoint says of itself in one response.
+    """What an endpoint advertises in one response.
 
     :param rate_limit: requests per second that it takes from all gateways together;
         None if it names no limit.
--- a/src/sassafrasdale/gateway/backoffs.py
+++ b/src/sassafrasdale/gateway/advertisements/backoffs.py
@@ -1,4 +1,4 @@
-"""Back-off that endpoints ask of this gateway.
+"""Back-off that endpoints request from this gateway.
 
 An endpoint that refuses a request may tell for how long it wants no more. That is meant
 for the gateway which has sent the request, so the others are not told.
@@ -21,7 +21,7 @@
 
 
 class Backoffs:
-    """Endpoints that this gateway sends nothing to for a while, as they have asked.
+    """Endpoints that this gateway sends nothing to for a while, at their request.
 
     :param clock: source of elapsed time.
     :param count: counts an event by name, for metrics.
--- a/src/sassafrasdale/gateway/departure_checks.py
+++ b/src/sassafrasdale/gateway/advertisements/departure_checks.py
@@ -11,8 +11,8 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.deployment import Configuration, EndpointState, Service
+from sassafrasdale.gateway.advertisements.endpoint_beliefs import Departures
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
-from sassafrasdale.gateway.endpoint_beliefs import Departures
 from sassafrasdale.green import sleep
 from sassafrasdale.http.connections import HttpClient
 from sassafrasdale.http.exceptions import HttpError
--- a/src/sassafrasdale/gateway/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
@@ -1,4 +1,4 @@
-"""What endpoints say of themselves in their responses, shared among the gateways.
+"""What endpoints advertise in their responses, shared among the gateways.
 
 Each gateway reads the responses to its own attempts. All gateways learn of it with the
 reports between them; the latest evidence counts.
@@ -39,7 +39,7 @@
 class _Belief(Generic[Value]):
     """What is known of an endpoint.
 
-    :param value: what it says; None for nothing.
+    :param value: what it advertises; None for nothing.
     :param confirmed_at: elapsed time of the last evidence of that.
     :param changed_at: elapsed time at which this gateway began to believe it.
     :param logged_at: elapsed time of the last line on it.
@@ -52,7 +52,7 @@
 
 
 class EndpointBeliefs(Generic[Value]):
-    """What each endpoint says of one matter.
+    """What each endpoint advertises of one matter.
 
     :param matter: name of the matter in logs and metrics.
     :param is_registered: returns whether an endpoint is registered.
@@ -79,7 +79,7 @@
         return bool(self._beliefs)
 
     def value(self, endpoint: str) -> Value | None:
-        """Return what an endpoint says; None for nothing."""
+        """Return what an endpoint advertises; None for nothing."""
         belief = self._beliefs.get(endpoint)
         return None if belief is None else belief.value
 
@@ -88,7 +88,7 @@
         return self._beliefs[endpoint].confirmed_at
 
     def set(self, endpoint: str, value: Value | None, source: str) -> None:
-        """Set what an endpoint says as of now.
+        """Set what an endpoint advertises as of now.
 
         :param source: what the evidence is, for the logs.
         """
@@ -96,7 +96,7 @@
             self._set(endpoint, value, self._clock.elapsed(), source)
 
     def mark_restarted(self, endpoint: str) -> None:
-        """Record that an endpoint has restarted: what it said before is void."""
+        """Record that an endpoint has restarted: what it advertised before is void."""
         self.set(endpoint, None, "restart")
 
     def report_for(self, receiver: Contact) -> dict[str, BeliefReport]:
@@ -261,7 +261,7 @@
         return bool(self.value(endpoint))
 
     def observe(self, endpoint: str, signals: EndpointSignals) -> None:
-        """Apply what an endpoint says in a response."""
+        """Apply what an endpoint advertises in a response."""
         if signals.is_leaving:
             self.set(endpoint, True, "response")
 
--- a/src/sassafrasdale/gateway/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_gate.py
@@ -1,4 +1,4 @@
-"""Decides which endpoints take a request now, by what they say in their responses."""
+"""Decides which endpoints take a request now, by what they advertise."""
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
@@ -8,17 +8,17 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_rates import permit_interval
 from sassafrasdale.deployment import EndpointSignals
-from sassafrasdale.gateway.backoffs import Backoffs
-from sassafrasdale.gateway.directory import EndpointRecord
-from sassafrasdale.gateway.endpoint_beliefs import (
+from sassafrasdale.gateway.advertisements.backoffs import Backoffs
+from sassafrasdale.gateway.advertisements.endpoint_beliefs import (
     BrittleEndpoints,
     Departures,
     EndpointLimits,
     MalformedSignalLog,
 )
+from sassafrasdale.gateway.advertisements.permits import Permits
+from sassafrasdale.gateway.advertisements.rooms import Rooms
+from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.peer_states import Contact, EndpointReports
-from sassafrasdale.gateway.permits import Permits
-from sassafrasdale.gateway.rooms import Rooms
 
 # Retry-After if no endpoint is available.
 NO_ENDPOINT_RETRY_AFTER = timedelta(milliseconds=300)
@@ -40,12 +40,12 @@
 
 
 class EndpointGate:
-    """What endpoints say of themselves, and which of them take a request now.
+    """What endpoints advertise, and which of them take a request now.
 
-    :param limits: rate limits that endpoints have named.
+    :param limits: rate limits that endpoints advertise.
     :param permits: permits to send to such endpoints.
-    :param departures: endpoints that have said that they are leaving.
-    :param backoffs: endpoints that have asked this gateway for back-off.
+    :param departures: endpoints that have signalled that they drain.
+    :param backoffs: endpoints that have requested back-off from this gateway.
     :param brittle: endpoints that fail if they have to reject much.
     :param rooms: room at such endpoints.
     :param clock: source of elapsed time.
@@ -122,7 +122,7 @@
 
     @property
     def limits(self) -> EndpointLimits:
-        """Rate limits that endpoints have named."""
+        """Rate limits that endpoints advertise."""
         return self._limits
 
     @property
@@ -142,18 +142,18 @@
 
     @property
     def departures(self) -> Departures:
-        """Endpoints that have said that they are leaving."""
+        """Endpoints that have signalled that they drain."""
         return self._departures
 
     @property
     def backoffs(self) -> Backoffs:
-        """Endpoints that have asked this gateway for back-off."""
+        """Endpoints that have requested back-off from this gateway."""
         return self._backoffs
 
     def observe(
         self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
     ) -> None:
-        """Apply what an endpoint says in a response.
+        """Apply what an endpoint advertises in a response.
 
         :param sent_at: elapsed time at which the request was sent.
         """
@@ -165,7 +165,7 @@
             self._backoffs.begin(endpoint, signals.backoff)
 
     def report_for(self, receiver: Contact) -> EndpointReports:
-        """Return what another gateway may lack of what endpoints say."""
+        """Return what another gateway may lack of what endpoints advertise."""
         return EndpointReports(
             self._limits.report_for(receiver),
             self._departures.report_for(receiver),
@@ -182,8 +182,8 @@
     def record_registration(self, endpoint: str, born: int | None) -> None:
         """Record that an endpoint is registered anew.
 
-        What it said before its last start is void. One whose registration had only
-        expired still is what it was.
+        What it advertised before its last start is void. One whose registration had
+        only expired still is what it was. Being brittle is no matter of one start.
 
         :param born: its start time; None if it is not known.
         """
--- a/src/sassafrasdale/gateway/permits.py
+++ b/src/sassafrasdale/gateway/advertisements/permits.py
@@ -16,7 +16,7 @@
     PermitBucket,
     zone_rate,
 )
-from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
+from sassafrasdale.gateway.advertisements.endpoint_beliefs import EndpointLimits
 from sassafrasdale.gateway.peer_states import PermitRequest
 
 # A gateway asks for permits while it has chosen among an endpoint's service this
--- a/src/sassafrasdale/gateway/rooms.py
+++ b/src/sassafrasdale/gateway/advertisements/rooms.py
@@ -11,8 +11,8 @@
     usable_slots,
     zone_slots,
 )
+from sassafrasdale.gateway.advertisements.endpoint_beliefs import BrittleEndpoints
 from sassafrasdale.gateway.directory import EndpointRecord
-from sassafrasdale.gateway.endpoint_beliefs import BrittleEndpoints
 
 
 class Rooms:
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -8,7 +8,8 @@
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import GatewaySettings
-from sassafrasdale.gateway.departure_checks import DepartureChecks
+from sassafrasdale.gateway.advertisements.departure_checks import DepartureChecks
+from sassafrasdale.gateway.advertisements.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.dispatcher import Dispatcher
@@ -19,7 +20,6 @@
     AttemptReport,
 )
 from sassafrasdale.gateway.duties import Duties
-from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
 from sassafrasdale.gateway.forwarding.forwarders import Forwarders
 from sassafrasdale.gateway.forwarding.links import LinkMonitor
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -18,9 +18,9 @@
     Route,
     customer_name,
 )
+from sassafrasdale.gateway.advertisements.endpoint_gate import NO_ENDPOINT_RETRY_AFTER
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.directory import EndpointRecord
-from sassafrasdale.gateway.endpoint_gate import NO_ENDPOINT_RETRY_AFTER
 from sassafrasdale.gateway.events import EventSplitter
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
 from sassafrasdale.gateway.failures import (
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -15,11 +15,14 @@
     RequestTraits,
     Service,
 )
+from sassafrasdale.gateway.advertisements.endpoint_gate import (
+    EndpointGate,
+    Unavailability,
+)
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.dispatcher_client import DispatcherClient
 from sassafrasdale.gateway.dispatcher_messages import AttemptResult
-from sassafrasdale.gateway.endpoint_gate import EndpointGate, Unavailability
 from sassafrasdale.gateway.peer_states import loads_by_endpoint
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheEstimate, Placement, shared_parts
@@ -506,7 +509,7 @@
         )
 
     def record_signals(self, attempt: Attempt, signals: EndpointSignals | None) -> None:
-        """Record what an endpoint says of itself in a response.
+        """Record what an endpoint advertises in a response.
 
         :param signals: None if another endpoint has responded.
         """
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -10,8 +10,8 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.forwarders import MAX_FORWARDS_PER_CORE
+from sassafrasdale.gateway.advertisements.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
-from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.failures import CONNECTION_LOST, reason_of
 from sassafrasdale.gateway.forwarding.links import LinkMonitor
 from sassafrasdale.gateway.forwarding.messages import (
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -10,6 +10,7 @@
 from msgspec.msgpack import Decoder
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.gateway.advertisements.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.dispatcher_messages import (
     ASSIGNMENT,
     NO_ASSIGNMENT,
@@ -17,7 +18,6 @@
     AssignmentRequest,
     AttemptReport,
 )
-from sassafrasdale.gateway.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.peer_states import (
     REDIRECT,
     USAGE_TOTAL,
@@ -111,7 +111,7 @@
     :param time: cluster time and the clocks of the other gateways.
     :param work_window: period over which each gateway averages its engine time.
     :param strikes: strikes against requests, sent and received.
-    :param gate: what endpoints say of themselves, and permits, lent or borrowed.
+    :param gate: what endpoints advertise, and permits, lent or borrowed.
     """
 
     local_state: LocalState
--- a/src/sassafrasdale/platform/signals.py
+++ b/src/sassafrasdale/platform/signals.py
@@ -1,4 +1,4 @@
-"""What endpoints say of themselves in the headers of their responses."""
+"""What endpoints advertise in the headers of their responses."""
 
 import re
 from datetime import timedelta
@@ -19,7 +19,7 @@
 
 
 def read_signals(head: ResponseHead) -> EndpointSignals | None:
-    """Return what the intended endpoint says; None if another one has responded."""
+    """Return what the intended endpoint advertises; None if another one responded."""
     if head.status == _MISDIRECTED:
         return None
     malformed: list[str] = []
--- a/tests/gateway/test_backoffs.py
+++ b/tests/gateway/advertisements/test_backoffs.py
@@ -6,7 +6,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import RequestTraits
-from sassafrasdale.gateway.backoffs import MAX_BACKOFF, Backoffs
+from sassafrasdale.gateway.advertisements.backoffs import MAX_BACKOFF, Backoffs
 from tests.gateway.world import (
     CLOCK,
     ScriptedEndpoint,
--- a/tests/gateway/test_departure_checks.py
+++ b/tests/gateway/advertisements/test_departure_checks.py
@@ -11,7 +11,10 @@
     EndpointState,
     Service,
 )
-from sassafrasdale.gateway.departure_checks import CHECK_AFTER, DepartureChecks
+from sassafrasdale.gateway.advertisements.departure_checks import (
+    CHECK_AFTER,
+    DepartureChecks,
+)
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.structures import Address
 from tests.gateway.fleets import single_gate
--- a/tests/gateway/test_endpoint_beliefs.py
+++ b/tests/gateway/advertisements/test_endpoint_beliefs.py
@@ -13,7 +13,7 @@
     EndpointState,
     RequestTraits,
 )
-from sassafrasdale.gateway.endpoint_beliefs import EndpointLimits
+from sassafrasdale.gateway.advertisements.endpoint_beliefs import EndpointLimits
 from standins.gateway_fleet import wait_for
 from tests.gateway.fleets import Fleet, single_gate
 from tests.gateway.world import (
--- a/tests/gateway/test_permits_model.py
+++ b/tests/gateway/advertisements/test_permits_model.py
@@ -9,7 +9,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import EndpointSignals
-from sassafrasdale.gateway.permits import Permits
+from sassafrasdale.gateway.advertisements.permits import Permits
 from tests.gateway.fleets import Fleet, Node, single_gate
 
 SECOND = timedelta(seconds=1)
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -7,7 +7,7 @@
 
 from sassafrasdale.clock import Clock, ManualClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
-from sassafrasdale.gateway.endpoint_gate import EndpointGate
+from sassafrasdale.gateway.advertisements.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_calls import LocalState, PeerCalls, PeerContext
 from sassafrasdale.gateway.peer_states import (
--- a/tests/gateway/forwarding/__init__.py
+++ b/tests/gateway/forwarding/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of forwarding between gateways."""
+"""Tests of `sassafrasdale.gateway.forwarding`."""
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -9,9 +9,14 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import StandInEndpoint
-from standins.gateway_fleet import KILL, GatewayFleet, ask, wait_for
+from standins.gateway_fleet import KILL, ask, wait_for
 from tests.gateway.world import header, request
-from tests.platform.documents import configuration, settings
+from tests.guarantees.gateway_fleets import (
+    add_engines,
+    add_plain_endpoints,
+    new_fleet,
+    start_gateways,
+)
 
 CLOCK = SystemClock()
 SECOND = timedelta(seconds=1)
@@ -43,31 +48,10 @@
     """
 
     def __init__(self, path: str) -> None:
-        [customer] = configuration()["tenants"]
-        routes = [
-            {**route, "split": [{"service": "models", "weight": 1}]}
-            if route["name"] == "r-reports"
-            else route
-            for route in configuration()["routes"]
-        ]
-        changed = configuration(tenants=[{**customer, "ratePerS": 0}], routes=routes)
-        self.fleet = GatewayFleet(settings(), changed)
-        streams = path == STREAM
-        self.endpoints = [
-            self.fleet.add_endpoint(
-                f"e-{number}",
-                "models" if streams else "records",
-                "ab"[number % 2],
-                streams=streams,
-            )
-            for number in range(ENDPOINTS)
-        ]
-        for number in range(GATEWAYS):
-            self.fleet.add_gateway(f"front-{number}", "ab"[number % 2]).launch()
-        for gateway in self.fleet.gateways:
-            gateway.wait_until_ready()
-        # Until the gateways have discovered each other.
-        sleep(SECOND)
+        self.fleet = new_fleet()
+        add = add_engines if path == STREAM else add_plain_endpoints
+        self.endpoints = add(self.fleet, ENDPOINTS)
+        start_gateways(self.fleet, GATEWAYS)
         self._path = path
         self.used = list(self.fleet.gateways)
         self._running = True
--- a/tests/guarantees/test_partitioned_gateways.py
+++ b/tests/guarantees/test_partitioned_gateways.py
@@ -9,10 +9,15 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.endpoint_links import EndpointLinks
-from standins.gateway_fleet import GatewayFleet, ask
+from standins.gateway_fleet import ask
 from standins.links import LinkFault
 from tests.gateway.world import request
-from tests.platform.documents import configuration, settings
+from tests.guarantees.gateway_fleets import (
+    add_engines,
+    add_plain_endpoints,
+    new_fleet,
+    start_gateways,
+)
 
 CLOCK = SystemClock()
 SECOND = timedelta(seconds=1)
@@ -66,31 +71,13 @@
     """
 
     def __init__(self) -> None:
-        [customer] = configuration()["tenants"]
-        routes = [
-            {**route, "split": [{"service": "models", "weight": 1}]}
-            if route["name"] == "r-reports"
-            else route
-            for route in configuration()["routes"]
-        ]
-        changed = configuration(tenants=[{**customer, "ratePerS": 0}], routes=routes)
-        self.fleet = GatewayFleet(settings(), changed)
+        self.fleet = new_fleet()
         self.endpoints = [
-            self.fleet.add_endpoint(f"e-{n}", "records", "ab"[n % 2], streams=False)
-            for n in range(PLAIN_ENDPOINTS)
-        ] + [
-            self.fleet.add_endpoint(f"m-{n}", "models", "ab"[n % 2], streams=True)
-            for n in range(ENGINES)
+            *add_plain_endpoints(self.fleet, PLAIN_ENDPOINTS),
+            *add_engines(self.fleet, ENGINES),
         ]
         self.links = [EndpointLinks() for _ in range(GATEWAYS)]
-        for number, links in enumerate(self.links):
-            zone = "ab"[number % 2]
-            name = f"front-{number}"
-            self.fleet.add_gateway(name, zone, endpoint_links=links).launch()
-        for gateway in self.fleet.gateways:
-            gateway.wait_until_ready()
-        # Until the gateways have discovered each other.
-        sleep(SECOND)
+        start_gateways(self.fleet, GATEWAYS, self.links)
         self.log: list[Served] = []
         self._running = True
         for number in range(GATEWAYS * CALLERS_PER_GATEWAY):
--- a/tests/guarantees/test_restored_store.py
+++ b/tests/guarantees/test_restored_store.py
@@ -8,10 +8,15 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import StandInEndpoint
-from standins.gateway_fleet import GatewayFleet, ask
+from standins.gateway_fleet import ask
 from standins.kv_store import Fault
 from tests.gateway.world import request
-from tests.platform.documents import configuration, settings
+from tests.guarantees.gateway_fleets import (
+    add_plain_endpoints,
+    new_fleet,
+    start_gateways,
+    unlimited_configuration,
+)
 
 CLOCK = SystemClock()
 SECOND = timedelta(seconds=1)
@@ -30,19 +35,10 @@
     """Gateways, endpoints of one service, and callers that send all the time."""
 
     def __init__(self) -> None:
-        self.configuration = self.version(7)
-        self.fleet = GatewayFleet(settings(), self.configuration)
+        self.fleet = new_fleet()
         self.store = self.fleet.store
-        self.endpoints = [
-            self.fleet.add_endpoint(f"e-{n}", "records", "ab"[n % 2], streams=False)
-            for n in range(ENDPOINTS)
-        ]
-        for number in range(GATEWAYS):
-            self.fleet.add_gateway(f"front-{number}", "ab"[number % 2]).launch()
-        for gateway in self.fleet.gateways:
-            gateway.wait_until_ready()
-        # Until the gateways have discovered each other.
-        sleep(SECOND)
+        self.endpoints = add_plain_endpoints(self.fleet, ENDPOINTS)
+        start_gateways(self.fleet, GATEWAYS)
         self._running = True
         self.failed = 0
         for number in range(CALLERS):
@@ -54,13 +50,10 @@
 
         :param added: whether it has one more route.
         """
-        [customer] = configuration()["tenants"]
-        routes = list(configuration()["routes"])
+        routes = list(unlimited_configuration()["routes"])
         if added:
             routes.append({**routes[0], "name": "r-new", "prefix": "/new/"})
-        return configuration(
-            version=number, tenants=[{**customer, "ratePerS": 0}], routes=routes
-        )
+        return unlimited_configuration(version=number, routes=routes)
 
     def _send_requests(self, caller: int) -> None:
         number = 0
