--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -75,7 +75,7 @@
 
     rejections: int
     waiting: int
-    plain_time: timedelta = timedelta(milliseconds=100)
+    plain_time: timedelta = timedelta(milliseconds=250)
     down_time: timedelta = timedelta(seconds=3)
     rejected_at: list[timedelta] = field(default_factory=list)
 
--- a/tests/guarantees/test_brittle_endpoints.py
+++ b/tests/guarantees/test_brittle_endpoints.py
@@ -8,9 +8,13 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import Brittleness
-from standins.gateway_fleet import KILL, GatewayFleet, ask, wait_for
+from standins.gateway_fleet import KILL, ask, wait_for
 from tests.gateway.world import header, request
-from tests.platform.documents import configuration, settings
+from tests.guarantees.gateway_fleets import (
+    add_plain_endpoints,
+    new_fleet,
+    start_gateways,
+)
 
 CLOCK = SystemClock()
 SECOND = timedelta(seconds=1)
@@ -37,19 +41,9 @@
     """
 
     def __init__(self) -> None:
-        [customer] = configuration()["tenants"]
-        changed = configuration(tenants=[{**customer, "ratePerS": 0}])
-        self.fleet = GatewayFleet(settings(), changed)
-        self.endpoints = [
-            self.fleet.add_endpoint(f"e-{n}", "records", "ab"[n % 2], streams=False)
-            for n in range(ENDPOINTS)
-        ]
-        for number in range(GATEWAYS):
-            self.fleet.add_gateway(f"front-{number}", "ab"[number % 2]).launch()
-        for gateway in self.fleet.gateways:
-            gateway.wait_until_ready()
-        # Until the gateways have discovered each other.
-        sleep(SECOND)
+        self.fleet = new_fleet()
+        self.endpoints = add_plain_endpoints(self.fleet, ENDPOINTS)
+        start_gateways(self.fleet, GATEWAYS)
         self._running = True
         self.served = 0
         self.refusals: list[tuple[bytes, timedelta]] = []
@@ -72,7 +66,7 @@
                 continue
             took = CLOCK.elapsed() - sent_at
             self.refusals.append((response, took))
-            sleep(timedelta(milliseconds=250))
+            sleep(timedelta(seconds=float(header(response, "retry-after") or 0.3)))
 
     def become_brittle(self, rejections: int) -> None:
         """Have all endpoints say that they are brittle."""
