--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -21,6 +21,7 @@
 )
 from sassafrasdale.gateway.duties import Duties
 from sassafrasdale.gateway.fleet import WORK_WINDOW, Fleet
+from sassafrasdale.gateway.forwarding.checks import LinkChecks
 from sassafrasdale.gateway.forwarding.forwarders import Forwarders
 from sassafrasdale.gateway.forwarding.links import LinkMonitor
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths
@@ -200,11 +201,18 @@
         clock = self._clock
         settings = self._settings
         forwarders = Forwarders(roster, clock, self._rng)
+        checks = LinkChecks(
+            self.directory,
+            self.store_view.service,
+            self.gate.brittle.is_brittle,
+            clock,
+            self._rng,
+        )
         self.links = LinkMonitor(
             self.directory,
             forwarders,
+            checks,
             self.store_view.service,
-            self.gate.brittle.is_brittle,
             clock,
             self._rng,
             self.metrics.count,
--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -20,17 +20,15 @@
 )
 from sassafrasdale.deployment import Service
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
+from sassafrasdale.gateway.forwarding.checks import LinkChecks
 from sassafrasdale.gateway.forwarding.forwarders import Forwarders
 from sassafrasdale.green import Event, sleep, spawn
 from sassafrasdale.http.connections import ProbeResult
-from sassafrasdale.platform.signals import health_request
 
 log = Logger("links")
 
 CONNECTION_FAILED = "connection failed"
 TICK_INTERVAL = timedelta(milliseconds=100)
-# Time in which an endpoint must respond to a check.
-CHECK_TIMEOUT = timedelta(milliseconds=400)
 # Minimum interval between two diagnoses of one link.
 DIAGNOSIS_INTERVAL = timedelta(seconds=1)
 # Time that a request waits for a diagnosis before it goes to another endpoint.
@@ -38,28 +36,13 @@
 # A kept connection of a partitioned link is used if bytes have come this recently: some
 # partitions refuse new connections only.
 LIVE_TIME = timedelta(milliseconds=300)
-# Time in which other endpoints' responses that are on their way show that this gateway
-# reaches them; a check of its own costs them a request.
-OTHERS_WAIT = timedelta(milliseconds=20)
-OTHERS_POLL = timedelta(milliseconds=5)
-MAX_OTHERS_CHECKED = 2
 # Links that fail within this time of each other may have one cause.
 FAILURE_WINDOW = timedelta(seconds=3)
-# Time for which peers that ask about the same endpoint get the same answer.
-ANSWER_TTL = timedelta(milliseconds=100)
 # Interval at which peers are asked while links are lost: some may have recovered, or
 # were never asked.
 SEARCH_INTERVAL = timedelta(milliseconds=500)
 
 
-@dataclass(slots=True)
-class _Check:
-    """A check of a link, under way or ended."""
-
-    result: Event = field(default_factory=Event)
-    ended_at: timedelta = timedelta()
-
-
 @dataclass(slots=True)
 class _Link:
     """What is known of the link to one endpoint.
@@ -67,7 +50,6 @@
     :param failures: exchanges in a row that ended without a byte.
     :param unreached_at: elapsed time of the last diagnosis that found it failing.
     :param diagnosis: the diagnosis under way.
-    :param checks: the last checks, by whether they needed a new connection.
     """
 
     record: EndpointRecord
@@ -77,7 +59,6 @@
     diagnosed_at: timedelta | None = None
     unreached_at: timedelta | None = None
     diagnosis: Event | None = None
-    checks: dict[bool, _Check] = field(default_factory=dict)
 
 
 class LinkMonitor:
@@ -85,9 +66,8 @@
 
     :param directory: the registered endpoints.
     :param forwarders: peers that are asked whether they reach an endpoint.
+    :param checks: checks links from here.
     :param service: returns a service of the current configuration.
-    :param is_brittle: returns whether an endpoint fails if it has to reject requests,
-        so that a check must not take a slot there.
     :param clock: source of elapsed time.
     :param rng: source of randomness.
     :param count: counts an event by name, for metrics.
@@ -97,8 +77,8 @@
         self,
         directory: Directory,
         forwarders: Forwarders,
+        checks: LinkChecks,
         service: Callable[[str], Service],
-        is_brittle: Callable[[str], bool],
         clock: Clock,
         rng: Random,
         count: Callable[[str], None] = lambda name: None,
@@ -106,7 +86,7 @@
         self._directory = directory
         self._forwarders = forwarders
         self._service = service
-        self._is_brittle = is_brittle
+        self._checks = checks
         self._clock = clock
         self._rng = rng
         self._count = count
@@ -155,7 +135,7 @@
         If it has not, this gateway's link is lost.
         """
         asked_at = self._clock.elapsed()
-        others = spawn(self._reaches_others, record, asked_at)
+        others = spawn(self._checks.reaches_others, record, asked_at)
         answers = self._forwarders.ask(record.name)
         if Reachability.REACHED in answers.values():
             self._mark_lost(self._link(record), "refused", answers)
@@ -171,7 +151,7 @@
         record = self._directory.records.get(name)
         if record is None or self.is_partitioned(record):
             return Reachability.UNKNOWN
-        result = self._shared_check(self._link(record), is_new=False)
+        result = self._checks.check(record, is_new=False)
         if result is ProbeResult.OPEN:
             return Reachability.REACHED
         return Reachability.NOT_REACHED
@@ -198,6 +178,7 @@
                 link.belief.begin_check(now)
                 spawn(self._recheck, link)
         self._forget_unregistered()
+        self._checks.forget_unregistered()
         self._forwarders.close_unlisted()
 
     def _look_for_forwarders(self, now: timedelta) -> None:
@@ -253,7 +234,7 @@
     def _diagnose(self, link: _Link, evidence: str, diagnosis: Event) -> None:
         try:
             is_new = evidence == CONNECTION_FAILED
-            own = self._shared_check(link, is_new=is_new)
+            own = self._checks.check(link.record, is_new=is_new)
             if own is ProbeResult.OPEN or not self._is_suspicious(own):
                 return
             answers = self._ask(link)
@@ -327,7 +308,7 @@
         return sum(link.belief.is_partitioned for link in self._links.values())
 
     def _recheck(self, link: _Link) -> None:
-        result = self._shared_check(link, is_new=True)
+        result = self._checks.check(link.record, is_new=True)
         lost_at = link.belief.lost_at
         now = self._clock.elapsed()
         is_answered = result is ProbeResult.OPEN
@@ -341,64 +322,8 @@
                 lost=self._lost_count(),
             )
 
-    def _shared_check(self, link: _Link, *, is_new: bool) -> ProbeResult:
-        """Return the result of a check, one for all that ask at the same time.
-
-        :param is_new: whether it needs a new connection; each has a price.
-        """
-        now = self._clock.elapsed()
-        check = link.checks.get(is_new)
-        if check is not None and (
-            not check.result.ready() or now - check.ended_at < ANSWER_TTL
-        ):
-            return check.result.wait()
-        check = link.checks[is_new] = _Check()
-        return self._check(link, check, is_new)
-
-    def _check(self, link: _Link, check: _Check, is_new: bool) -> ProbeResult:
-        record = link.record
-        path = self._service(record.endpoint.service).health_path
-        result = ProbeResult.UNANSWERED
-        try:
-            if path and not self._is_brittle(record.name):
-                result = record.pool.check(
-                    health_request(path), CHECK_TIMEOUT, is_new=is_new
-                )
-            else:
-                result = record.pool.probe()
-        finally:
-            check.ended_at = self._clock.elapsed()
-            check.result.send(result)
-        return result
-
-    def _reaches_others(self, record: EndpointRecord, since: timedelta) -> bool:
-        """Return whether this gateway reaches an endpoint other than one."""
-        others = [
-            other
-            for other in self._directory.records.values()
-            if other is not record and other.is_ready
-        ]
-        if not others:
-            return True
-        deadline = since + OTHERS_WAIT
-        while self._clock.elapsed() < deadline:
-            if any(_has_received(other, since) for other in others):
-                return True
-            sleep(OTHERS_POLL)
-        chosen = self._rng.sample(others, min(len(others), MAX_OTHERS_CHECKED))
-        checks = [
-            spawn(self._shared_check, self._link(other), is_new=False)
-            for other in chosen
-        ]
-        return any([check.wait() is ProbeResult.OPEN for check in checks])
-
     def _abort_repeatable(self, record: EndpointRecord) -> None:
         """Have requests that may run again retried through a peer."""
         record.pool.close()
         for connection in list(record.repeatable):
             connection.close()
-
-
-def _has_received(record: EndpointRecord, since: timedelta) -> bool:
-    received_at = record.pool.received_at
-    return received_at is not None and received_at > since
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -9,9 +9,15 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.decisions.step_times import EngineStepTimes
-from sassafrasdale.deployment import Endpoint, EndpointState, GatewaySettings
+from sassafrasdale.deployment import (
+    Endpoint,
+    EndpointState,
+    GatewaySettings,
+    Service,
+)
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.forwarding.checks import LinkChecks
 from sassafrasdale.gateway.forwarding.forwarders import Forwarders
 from sassafrasdale.gateway.forwarding.links import LinkMonitor
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths
@@ -249,13 +255,15 @@
         )
         self.roster = Roster(contact("front-a-1"), CLOCK)
         self.forwarders = Forwarders(self.roster, CLOCK, self.rng)
+
+        def service(name: str) -> Service:
+            return self.routes.configuration.service(name)
+
+        checks = LinkChecks(
+            self.directory, service, self.gate.brittle.is_brittle, CLOCK, self.rng
+        )
         self.links = LinkMonitor(
-            self.directory,
-            self.forwarders,
-            lambda name: self.routes.configuration.service(name),
-            self.gate.brittle.is_brittle,
-            CLOCK,
-            self.rng,
+            self.directory, self.forwarders, checks, service, CLOCK, self.rng
         )
         self.paths = EndpointPaths(self.links, self.forwarders, lambda: 0.0, CLOCK)
         self.frontend = Frontend(
