--- a/bench/soak/fleets.py
+++ b/bench/soak/fleets.py
@@ -1,5 +1,6 @@
 """The fleet of a soak: gateway processes, stand-ins, and their disruptions."""
 
+from collections import deque
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from datetime import timedelta
@@ -35,6 +36,7 @@
     StoreCompaction,
     StoreLinkFault,
     StoreOutage,
+    StoreRestore,
 )
 from bench.soak.records import ConfigurationChange, DrainPeriod, Span
 from bench.soak.stepping import PROGRAM, STEP_BACK, STEP_FORWARD
@@ -44,7 +46,7 @@
 from standins.duty_calls import DutyCall
 from standins.gateway_endpoints import StandInEndpoint
 from standins.gateway_fleet import CONT, KILL, STOP, TERM, GatewayFleet, wait_for
-from standins.kv_store import Fault
+from standins.kv_store import Copy, Fault
 from standins.links import Link
 
 log = Logger("soak")
@@ -57,6 +59,11 @@
 POLL_INTERVAL = timedelta(milliseconds=50)
 # Every third endpoint is a plain service, the others are engines.
 RECORDS_INTERVAL = 3
+# Interval between copies of the store, and how many are kept.
+COPY_INTERVAL = timedelta(milliseconds=200)
+MAX_COPIES = 100
+# Time after which operators and endpoints repeat what a restored store has lost.
+REPEAT_DELAY = timedelta(milliseconds=700)
 
 
 class SoakFleet:
@@ -82,6 +89,8 @@
         self.endpoints = [self._endpoint(n) for n in range(plan.endpoints)]
         self.gateways = [self._gateway(n) for n in range(plan.gateways)]
         self._tasks: list[GreenThread] = []
+        self._copies: deque[tuple[timedelta, Copy]] = deque(maxlen=MAX_COPIES)
+        spawn(self._take_copies)
 
     @property
     def duty_calls(self) -> list[DutyCall]:
@@ -167,6 +176,8 @@
                 self._break_store(fault, duration)
             case StoreCompaction():
                 self._fleet.store.compact_history()
+            case StoreRestore(age, duration):
+                self._restore_store(age, duration)
             case StoreLinkFault(number, link_fault, duration):
                 with self._span("store link", number):
                     self.gateways[number].link.inject(link_fault, duration)
@@ -249,6 +260,30 @@
             sleep(duration)
             self._fleet.store.fault = Fault.NONE
 
+    def _restore_store(self, age: timedelta, duration: timedelta) -> None:
+        """Restore the store; operators and endpoints repeat what it has lost."""
+        store = self._fleet.store
+        copy = self._copy_of(self._clock.elapsed() - age)
+        with self._span("store out"):
+            store.fault = Fault.BUSY
+            sleep(duration)
+            store.restore(copy)
+            store.fault = Fault.NONE
+            sleep(REPEAT_DELAY)
+            store.put("op/config", self.configuration.document())
+            for endpoint in self.endpoints:
+                endpoint.register_again()
+
+    def _copy_of(self, at: timedelta) -> Copy:
+        """Return the latest copy that was taken by a time."""
+        older = [copy for taken_at, copy in self._copies if taken_at <= at]
+        return older[-1] if older else self._copies[0][1]
+
+    def _take_copies(self) -> None:
+        while True:
+            self._copies.append((self._clock.elapsed(), self._fleet.store.take_copy()))
+            sleep(COPY_INTERVAL)
+
     def _drain(self, endpoint: StandInEndpoint, duration: timedelta) -> None:
         if endpoint in self._draining:
             return
--- a/bench/soak/plans.py
+++ b/bench/soak/plans.py
@@ -15,6 +15,8 @@
 # overlap.
 MIN_PAUSE = SECOND / 10
 MAX_PAUSE = 1.2 * SECOND
+# Most times that the store is restored from a copy in one soak.
+MAX_RESTORES = 2
 
 # Faults that a plan may draw for a link.
 LINK_FAULTS = (
@@ -68,6 +70,17 @@
     """The store compacts its history, so that watches must restart."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestore:
+    """The store is away for a while, and comes back from a copy.
+
+    :param age: age of the copy as the store goes away.
+    """
+
+    age: timedelta
+    duration: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class StoreLinkFault:
     """The link between a gateway and the store has a fault for a while."""
@@ -137,6 +150,7 @@
     | KillAll
     | StoreOutage
     | StoreCompaction
+    | StoreRestore
     | StoreLinkFault
     | EndpointLinkFault
     | EndpointCrash
@@ -193,9 +207,23 @@
         drawn = rng.choices(DRAWS, [draw.weight for draw in DRAWS])[0]
         steps.append(Step(at, drawn.make(rng, gateways, endpoints)))
         at += rng.uniform(0, 1) ** 2 * (MAX_PAUSE - MIN_PAUSE) + MIN_PAUSE
+    steps += _draw_restores(seed, duration)
+    steps.sort(key=lambda step: step.at)
     return SoakPlan(seed, gateways, endpoints, duration, tuple(steps))
 
 
+def _draw_restores(seed: int, duration: timedelta) -> list[Step]:
+    """Return restores of the store; other draws of a seed don't depend on them."""
+    rng = Random(f"restores {seed}")
+    return [
+        Step(
+            QUIET_START + rng.random() * (duration - QUIET_START),
+            StoreRestore(rng.uniform(0.2, 8) * SECOND, _draw_duration(rng, 1)),
+        )
+        for _ in range(rng.randrange(MAX_RESTORES + 1))
+    ]
+
+
 @dataclass(frozen=True, slots=True)
 class Draw:
     """A kind of disruption and its weight in the draw."""
--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -119,6 +119,7 @@
         self._through = proxy
         self._connections: set[ServerConnection] = set()
         self._is_down = False
+        self._state = "ready"
         self._name = name
         self._service = service
         self._zone = zone
@@ -200,6 +201,7 @@
 
     def register(self, state: str) -> None:
         """Write the registration with the given state."""
+        self._state = state
         registration = {
             "service": self._service,
             "addr": str(self._registered_address),
@@ -212,6 +214,11 @@
         }
         self._store.put(f"servers/{self._name}", registration)
 
+    def register_again(self) -> None:
+        """Write the registration again, if the endpoint runs."""
+        if not self._is_down:
+            self.register(self._state)
+
     def _answer(self, connection: ServerConnection, request: Request) -> None:
         if request.header("expect-replica") != self._name:
             connection.answer(421, [("replica-id", self._name)])
