--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -274,10 +274,10 @@
         """
         admitted = self._admitted
         self._attempts += 1
+        if not path.forwarder:
+            self._count_attempt(attempt)
         try:
             path.send(request)
-            if not path.forwarder:
-                self._count_attempt(attempt)
             echoed = (REQUEST_ID, admitted.request.header(REQUEST_ID))
             head = path.read_head(admitted.deadline, echoed)
         except (ForwarderRefused, ForwardWithheld):
@@ -421,7 +421,8 @@
         if failure.reason == FORWARDER_LOST:
             self._fleet.excuse_failure(attempt)
         elif attempt.forwarder:
-            return
+            if failure.outcome is AttemptOutcome.NOT_SENT:
+                self._fleet.withhold_report(attempt)
         elif self._paths.is_partitioned(attempt.record):
             self._fleet.excuse_failure(attempt)
         else:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -565,6 +565,10 @@
         attempt.result = AttemptResult.NEUTRAL
         self._directory.health_of(attempt.service).forget(attempt.record.name)
 
+    def withhold_report(self, attempt: Attempt) -> None:
+        """Keep a failure from the dispatcher, which may reach the endpoint."""
+        attempt.result = AttemptResult.NEUTRAL
+
     def record_disconnect(self, attempt: Attempt) -> None:
         """Record a disconnect of the caller.
 
--- a/tests/gateway/forwarding/test_hop.py
+++ b/tests/gateway/forwarding/test_hop.py
@@ -6,6 +6,7 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.decisions.links import Reachability
+from sassafrasdale.gateway.dispatcher_messages import AttemptResult
 from sassafrasdale.gateway.forwarding.receiver import ForwardingReceiver
 from sassafrasdale.gateway.peer_states import Contact
 from sassafrasdale.green import listen, sleep, spawn
@@ -315,6 +316,21 @@
     assert counted == [False]
 
 
+def test_peers_that_do_not_forward_say_nothing_of_the_endpoint():
+    """Guards against a dispatcher that avoids what others can't reach."""
+    hop = Hop()
+    hop.add("i-1", "records", ScriptedEndpoint(respond_with()))
+    hop.forwarders[0].takes = False
+    results = []
+    finish = hop.origin.fleet.finish_attempt
+    hop.origin.fleet.finish_attempt = lambda attempt: (
+        results.append(attempt.result),
+        finish(attempt),
+    )
+    assert status_of(hop.origin.ask(request(NON_IDEMPOTENT))) == 503
+    assert set(results) == {AttemptResult.NEUTRAL}
+
+
 def test_callers_cannot_ask_for_a_forward():
     """Guards against requests of callers that use the gateways' own interface."""
     hop = Hop()
