A new leader sends no usage window whose record a restore may have lost

The platform gets two counts for one window.

A leader that begins after a restore leaves out the windows that ended before this gateway learned of it, but for recorded ones. A missed report has a price; two break a guarantee. The leader that sent them goes on with what it knows.

--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -72,6 +72,10 @@
         self._started_at = time.seconds
         self._recorded: dict[int, dict[str, int]] = {}
         self._fencing_number = 0
+        self._store_epoch = 0
+        self._restored_at: float | None = None
+        # Windows before this one may have been sent under a record that was lost.
+        self._first_sure_window = 0
 
     def run(self) -> None:
         """Report until the task is killed."""
@@ -92,6 +96,7 @@
     def step(self) -> None:
         """Report the oldest unreported window, if it is due."""
         now = self._time.seconds
+        self._note_restore(now)
         self._skip_overdue()
         end = (self._next_window + 1) * self._window
         if now < end:
@@ -105,8 +110,18 @@
             self._recorded = {}
             self._read_record()
             self._fencing_number = permit.fencing_number
+            if self._restored_at is not None:
+                self._first_sure_window = int(self._restored_at // self._window)
         elif not self._record.is_known:
             self._read_record()
+        if self._is_doubtful(self._next_window):
+            log.notice(
+                "usage windows left out, as their record may be lost",
+                first=self._next_window,
+                next=self._first_sure_window,
+            )
+            self._next_window = self._first_sure_window
+            return
         counts = self._record_counts(self._next_window, total.counts)
         permit = self._lease.permit(checks_fencing=True)
         self._client.report_usage(self._next_window, counts, permit.fencing_number)
@@ -118,6 +133,18 @@
         )
         self._next_window += 1
 
+    def _note_restore(self, now: float) -> None:
+        if self._record.store_epoch > self._store_epoch:
+            self._store_epoch = self._record.store_epoch
+            self._restored_at = now
+
+    def _is_doubtful(self, window: int) -> bool:
+        """Return whether a former leader may have sent a window with other counts.
+
+        The restored store may lack the record of that.
+        """
+        return window < self._first_sure_window and window not in self._recorded
+
     def _skip_overdue(self) -> None:
         """Skip the windows whose report deadline has passed."""
         oldest = self._oldest_open()
--- a/src/sassafrasdale/gateway/records.py
+++ b/src/sassafrasdale/gateway/records.py
@@ -39,6 +39,11 @@
         """Whether the store has not been restored since the last read or write."""
         return self.is_known and self._epoch == self._store.epoch
 
+    @property
+    def store_epoch(self) -> int:
+        """Number of the store's restores, as far as known."""
+        return self._store.epoch
+
     def read(self) -> Any:
         """Return the document, or None if it is missing or malformed.
 
--- a/tests/gateway/test_metering.py
+++ b/tests/gateway/test_metering.py
@@ -1,6 +1,7 @@
 """The usage report: the same counts for each window, whichever gateway sends it."""
 
 import json
+from contextlib import suppress
 
 import pytest
 
@@ -196,3 +197,43 @@
     world.complete_since = end + 0.4
     world.reporters[0].step()
     assert len(world.platform.reports) == before + 1 > reported
+
+
+def restore(world, stored):
+    """Restore the store from a copy."""
+    world.store.stored = stored
+    world.store.epoch += 1
+
+
+def test_a_window_whose_record_a_restore_has_lost_is_not_sent_again():
+    """Guards against two counts for a window after the store lost the first ones."""
+    world = World()
+    copy = world.store.stored
+    world.clock.advance(7 * SECOND)
+    world.reporters[0].step()
+    sent = {window for window, _, _ in world.platform.reports}
+    restore(world, copy)
+    world.leases[0].number, world.leases[1].number = 0, 4
+    for _ in range(80):
+        world.clock.advance(SECOND / 4)
+        world.reporters[1].step()
+    later = {window for window, _, _ in world.platform.reports[len(sent) :]}
+    assert later
+    assert not sent & later
+    assert min(later) == int(world.reporters[1]._restored_at // 5)
+
+
+def test_a_leader_goes_on_after_a_restore_with_what_it_has_sent():
+    """Guards against windows left out, or sent anew, by the leader that sent them."""
+    world = World()
+    copy = world.store.stored
+    world.clock.advance(7 * SECOND)
+    for _ in range(3):
+        world.reporters[0].step()
+    restore(world, copy)
+    for _ in range(80):
+        world.clock.advance(SECOND / 4)
+        with suppress(LeaseNotHeld):
+            world.reporters[0].step()
+    windows = [window for window, _, _ in world.platform.reports]
+    assert windows == list(range(windows[0], windows[-1] + 1))
