--- a/src/sassafrasdale/gateway/forwarding/forwarders.py
+++ b/src/sassafrasdale/gateway/forwarding/forwarders.py
@@ -132,6 +132,8 @@
 
     def close_unlisted(self) -> None:
         """Close the connections to gateways that are no longer known."""
+        if not self._clients and not self._pools and not self._states:
+            return
         known = {contact.name for contact in self._contacts()}
         for clients in (self._clients, self._pools):
             for name in [name for name in clients if name not in known]:
--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -177,15 +177,15 @@
             if partitioned and link.belief.is_check_due(now):
                 link.belief.begin_check(now)
                 spawn(self._recheck, link)
-        self._forget_unregistered()
-        self._checks.forget_unregistered()
-        self._forwarders.close_unlisted()
 
     def _look_for_forwarders(self, now: timedelta) -> None:
         """Ask some peers now and then whether they could help, while links are lost."""
         if now < self._next_search_at:
             return
         self._next_search_at = now + SEARCH_INTERVAL
+        self._forget_unregistered()
+        self._checks.forget_unregistered()
+        self._forwarders.close_unlisted()
         lost = [
             name for name, link in self._links.items() if link.belief.is_partitioned
         ]
