--- a/standins/links.py
+++ b/standins/links.py
@@ -4,10 +4,11 @@
 from datetime import timedelta
 from enum import StrEnum
 
-from sassafrasdale.green import connect, listen, receive, sleep, spawn
+from sassafrasdale.green import connect, make_green, receive, sleep, spawn
 from sassafrasdale.structures import Address
 
 CHUNK = 65_536
+BACKLOG = 1024
 DELAY = timedelta(milliseconds=120)
 CONNECT_TIMEOUT = timedelta(seconds=5)
 # Time between two checks whether a fault is over.
@@ -44,10 +45,11 @@
         self._target = target
         self._fault: LinkFault | None = None
         self._connections: set[_Connection] = set()
-        self._listener = listen(Address("127.0.0.1", 0))
-        host, port = self._listener.getsockname()
+        # Holds the port while the link refuses connections: any process could get it.
+        self._reservation = _bind(Address("127.0.0.1", 0))
+        host, port = self._reservation.getsockname()
         self.address = Address(host, port)
-        spawn(self._accept)
+        self._listen()
 
     @property
     def fault(self) -> LinkFault | None:
@@ -71,10 +73,15 @@
     def end(self) -> None:
         """End the current fault."""
         if self._fault in _REFUSING:
-            self._listener = listen(self.address)
-            spawn(self._accept)
+            self._listen()
         self._fault = None
 
+    def _listen(self) -> None:
+        listener = _bind(self.address)
+        listener.listen(BACKLOG)
+        self._listener = make_green(listener)
+        spawn(self._accept)
+
     def _accept(self) -> None:
         listener = self._listener
         while True:
@@ -151,3 +158,11 @@
                 sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 continue
+
+
+def _bind(address: Address) -> socket.socket:
+    """Return a socket bound to an address that others of this module may share."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind((address.host, address.port))
+    return sock
