A peer that knows no forwards is passed over

Found on reading the change: a peer of an earlier build answers a forward with its own 404, which a partitioned gateway relayed to the caller as the endpoint's. Each forwarder marks its responses; one without the mark has sent nothing on, and the next peer is tried. Red before: 4 of 4 cases (404, 400, 500, 200); green after, with all tests of hops.

--- a/src/sassafrasdale/gateway/forwarding/messages.py
+++ b/src/sassafrasdale/gateway/forwarding/messages.py
@@ -97,6 +97,11 @@
     return ForwardOutcome(value) if value in known else ForwardOutcome.UNKNOWN
 
 
+def is_from_forwarder(head: ResponseHead) -> bool:
+    """Return whether a response is a forwarder's; a peer may know no forwards."""
+    return bool(head.header(_IN_FLIGHT))
+
+
 def reason_in(head: ResponseHead) -> str:
     """Return why there was no response of the endpoint."""
     return head.header(_REASON)
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -17,6 +17,7 @@
     ForwardOutcome,
     encode,
     in_flight_at,
+    is_from_forwarder,
     outcome_of,
     reason_in,
     without_own_headers,
@@ -199,6 +200,11 @@
         except ConnectionLost as error:
             raise self._lost() from error
         state = self._forwarders.state_of(self._contact.name)
+        if not is_from_forwarder(head):
+            # Of an earlier build, for example. It has sent nothing on.
+            self._connection.close()
+            state.avoid(self._clock.elapsed())
+            raise ForwarderRefused(AttemptOutcome.NOT_SENT, "peer knows no forwards")
         state.reported = in_flight_at(head)
         outcome = outcome_of(head)
         if outcome is None:
--- a/tests/gateway/forwarding/test_hop.py
+++ b/tests/gateway/forwarding/test_hop.py
@@ -331,6 +331,24 @@
     assert set(results) == {AttemptResult.NEUTRAL}
 
 
+@pytest.mark.parametrize("status", [404, 400, 500, 200])
+def test_a_peer_that_knows_no_forwards_is_passed_over(status: int):
+    """Guards against a peer's own response that is taken for the endpoint's."""
+    hop = Hop()
+    endpoint = ScriptedEndpoint(respond_with())
+    hop.add("i-1", "records", endpoint)
+
+    def answer(connection, request):
+        connection.answer(status)
+
+    listener = listen(LOOPBACK)
+    spawn(HttpServer(listener, answer, CLOCK).serve)
+    hop.add_peer("front-b-old", bound_address(listener))
+    hop.origin.forwarders.state_of("front-b-old").is_proven = True
+    assert status_of(hop.origin.ask(request(NON_IDEMPOTENT))) == 200
+    assert len(endpoint.requests) == 1
+
+
 def test_callers_cannot_ask_for_a_forward():
     """Guards against requests of callers that use the gateways' own interface."""
     hop = Hop()
