A position from a later restore is asked of the store

Found on reading the change: a gateway that learned of a restore from a peer, before any answer of the store, failed watches and polls without a call; a poll then counted as an answer of the store. Only a position from before a known restore fails at once.

--- a/src/sassafrasdale/platform/store.py
+++ b/src/sassafrasdale/platform/store.py
@@ -193,7 +193,7 @@
         client: HttpClient,
     ) -> Changes:
         era = epoch_of(after)
-        if era != self._era:
+        if era < self._era:
             raise StoreHistoryLost(f"the store was restored after {after}")
         query = urlencode(
             {
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -137,3 +137,16 @@
     assert store.get("p/b") is None
     assert store.epoch == 3
     assert known >> 32 == 3
+
+
+def test_a_client_that_knows_no_restore_calls_the_store_all_the_same(platform, store):
+    """Guards against a store believed to respond to a call that was never made."""
+    copy = platform.take_copy()
+    platform.restore(copy)
+    after = store.snapshot("p/").revision
+    late = PlatformStore(platform.serve(Address("127.0.0.1", 0)), CLOCK)
+    platform.put("p/a", 1)
+    before = platform.calls
+    changes = late.changes("p/", after)
+    assert platform.calls == before + 1
+    assert [change.key for change in changes.events] == ["p/a"]
