One bound on the idle time of reused connections; shared set-up of fleets in tests

The bound stood twice, and each caller chose between it and none; the paths know that from the attempt. Four test files stopped their callers alike, and two models split their fleets alike. Windows that may have been sent are called that. No logic changes.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -66,9 +66,6 @@
 STREAM_IDLE_TIMEOUT = timedelta(seconds=1.2)
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
 MAX_EVENT_GAPS = 64
-# A non-idempotent request reuses only connections that were used this recently: if the
-# endpoint closes an idle connection at the same moment, it may have read the request.
-NON_IDEMPOTENT_MAX_IDLE = timedelta(seconds=1.5)
 
 
 @dataclass(slots=True)
@@ -222,16 +219,14 @@
 
     def _open_path(self, attempt: Attempt) -> Path:
         admitted = self._admitted
-        is_repeatable = admitted.route.repeatable
         hop = Hop(
             attempt.record.name,
             lambda: self._fingerprint,
-            is_repeatable,
+            admitted.route.repeatable,
             admitted.deadline,
         )
-        max_idle = None if is_repeatable else NON_IDEMPOTENT_MAX_IDLE
         try:
-            path = self._paths.open(attempt.record, hop, max_idle)
+            path = self._paths.open(attempt.record, hop)
         except NotConnected as error:
             raise AttemptFailed(AttemptOutcome.NOT_SENT, "not connected") from error
         attempt.forwarder = path.forwarder
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -35,12 +35,17 @@
 
 # Peers that are tried for one attempt.
 MAX_FORWARDERS = 3
-# A connection to a peer is reused for a request that must not run twice only if it was
-# used this recently: the peer may close it at the same moment.
-MAX_IDLE = timedelta(seconds=1.5)
+# A non-idempotent request reuses only connections that were used this recently: if the
+# server closes an idle connection at the same moment, it may have read the request.
+NON_IDEMPOTENT_MAX_IDLE = timedelta(seconds=1.5)
 FORWARDER_LOST = "forwarding gateway lost"
 
 
+def max_idle_time(*, is_repeatable: bool) -> timedelta | None:
+    """Return the maximum idle time of a reused connection; None for no limit."""
+    return None if is_repeatable else NON_IDEMPOTENT_MAX_IDLE
+
+
 class ForwarderLost(HttpError):
     """The connection to the forwarding gateway was lost; the request may have run."""
 
@@ -290,15 +295,13 @@
         self._clock = clock
         self._count = count
 
-    def open(
-        self, record: EndpointRecord, hop: Hop, max_idle: timedelta | None
-    ) -> Path:
+    def open(self, record: EndpointRecord, hop: Hop) -> Path:
         """Return a way to an endpoint.
 
         :param hop: what a forwarding peer must know of the attempt.
-        :param max_idle: maximum idle time of a reused connection; None for no limit.
         :raises NotConnected: if there is none.
         """
+        max_idle = max_idle_time(is_repeatable=hop.is_repeatable)
         if not self._links.is_partitioned(record):
             began_at = self._clock.elapsed()
             try:
@@ -324,7 +327,7 @@
 
     def _open_forwarded(self, hop: Hop) -> ForwardedPath:
         tried: set[str] = set()
-        max_idle = None if hop.is_repeatable else MAX_IDLE
+        max_idle = max_idle_time(is_repeatable=hop.is_repeatable)
         while len(tried) < MAX_FORWARDERS:
             contact = self._forwarders.choose(tried)
             if contact is None:
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -28,7 +28,7 @@
     response_headers,
     without_own_headers,
 )
-from sassafrasdale.gateway.forwarding.paths import MAX_IDLE, DirectPath
+from sassafrasdale.gateway.forwarding.paths import DirectPath, max_idle_time
 from sassafrasdale.gateway.peer_states import Contact
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.http.exceptions import CallerDisconnected, HttpError, NotConnected
@@ -171,7 +171,7 @@
         """
         time_left = self._time_left(forwarded)
         record = self._usable_record(forwarded)
-        max_idle = None if forwarded.is_repeatable else MAX_IDLE
+        max_idle = max_idle_time(is_repeatable=forwarded.is_repeatable)
         began_at = self._clock.elapsed()
         try:
             connection = record.pool.acquire(max_idle)
--- a/src/sassafrasdale/gateway/metering.py
+++ b/src/sassafrasdale/gateway/metering.py
@@ -75,7 +75,7 @@
         self._store_epoch = 0
         self._restored_at: float | None = None
         # Windows before this one may have been sent under a record that was lost.
-        self._first_sure_window = 0
+        self._first_safe_window = 0
 
     def run(self) -> None:
         """Report until the task is killed."""
@@ -111,16 +111,16 @@
             self._read_record()
             self._fencing_number = permit.fencing_number
             if self._restored_at is not None:
-                self._first_sure_window = int(self._restored_at // self._window)
+                self._first_safe_window = int(self._restored_at // self._window)
         elif not self._record.is_known:
             self._read_record()
-        if self._is_doubtful(self._next_window):
+        if self._may_have_been_sent(self._next_window):
             log.notice(
                 "usage windows left out, as their record may be lost",
                 first=self._next_window,
-                next=self._first_sure_window,
+                next=self._first_safe_window,
             )
-            self._next_window = self._first_sure_window
+            self._next_window = self._first_safe_window
             return
         counts = self._record_counts(self._next_window, total.counts)
         permit = self._lease.permit(checks_fencing=True)
@@ -138,12 +138,12 @@
             self._store_epoch = self._record.store_epoch
             self._restored_at = now
 
-    def _is_doubtful(self, window: int) -> bool:
-        """Return whether a former leader may have sent a window with other counts.
+    def _may_have_been_sent(self, window: int) -> bool:
+        """Return whether a former leader may have sent other counts of a window.
 
-        The restored store may lack the record of that.
+        A restored store may lack the record of that.
         """
-        return window < self._first_sure_window and window not in self._recorded
+        return window < self._first_safe_window and window not in self._recorded
 
     def _skip_overdue(self) -> None:
         """Skip the windows whose report deadline has passed."""
--- a/tests/gateway/advertisements/test_permits_model.py
+++ b/tests/gateway/advertisements/test_permits_model.py
@@ -109,18 +109,11 @@
                 for name in some[:3]:
                     self.fleet.cut(name)
             case "split":
-                self._split(some)
+                self.fleet.split(some)
             case _:
                 self._heal()
         self._excuse()
 
-    def _split(self, some: Sequence[str]) -> None:
-        """Cut links between some gateways and the others, which nothing excuses."""
-        others = set(self.fleet.nodes) - set(some)
-        for one in some:
-            for other in others:
-                self.fleet.cuts |= {(one, other), (other, one)}
-
     def _heal(self) -> None:
         self._excuse()
         self.fleet.heal()
--- a/tests/gateway/advertisements/test_rooms_model.py
+++ b/tests/gateway/advertisements/test_rooms_model.py
@@ -247,10 +247,7 @@
                 for name in some[:3]:
                     self.fleet.cut(name)
             case "split":
-                others = set(names) - set(some)
-                self.fleet.cuts |= {
-                    pair for a in some for b in others for pair in ((a, b), (b, a))
-                }
+                self.fleet.split(some)
             case _:
                 self._heal()
         self._excuse()
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -1,7 +1,7 @@
 """Fleets of gateways that exchange reports in process, without a network."""
 
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from random import Random
 
@@ -240,6 +240,12 @@
         for other in self.nodes:
             self.cuts |= {(name, other), (other, name)}
 
+    def split(self, some: Collection[str]) -> None:
+        """Partition some gateways from all others, in both directions."""
+        for one in some:
+            for other in set(self.nodes) - set(some):
+                self.cuts |= {(one, other), (other, one)}
+
     def heal(self) -> None:
         """End all partitions and pauses."""
         self.cuts.clear()
--- a/tests/guarantees/gateway_fleets.py
+++ b/tests/guarantees/gateway_fleets.py
@@ -65,3 +65,19 @@
     for gateway in fleet.gateways:
         gateway.wait_until_ready()
     sleep(DISCOVERY_TIME)
+
+
+class RunningFleet:
+    """A fleet whose callers send until it is closed.
+
+    :ivar is_running: whether the callers go on.
+    """
+
+    def __init__(self, configured: dict | None = None) -> None:
+        self.fleet = new_fleet(configured)
+        self.is_running = True
+
+    def close(self) -> None:
+        """Stop the callers and the gateways."""
+        self.is_running = False
+        self.fleet.close()
--- a/tests/guarantees/test_brittle_endpoints.py
+++ b/tests/guarantees/test_brittle_endpoints.py
@@ -11,8 +11,8 @@
 from standins.gateway_fleet import KILL, ask, wait_for
 from tests.gateway.world import header, request
 from tests.guarantees.gateway_fleets import (
+    RunningFleet,
     add_plain_endpoints,
-    new_fleet,
     start_gateways,
 )
 
@@ -34,17 +34,16 @@
 MIN_USED = 0.5
 
 
-class Deployment:
+class Deployment(RunningFleet):
     """Gateways, endpoints of one service, and callers.
 
     :ivar refusals: responses to the callers that are no success, with their duration.
     """
 
     def __init__(self) -> None:
-        self.fleet = new_fleet()
+        super().__init__()
         self.endpoints = add_plain_endpoints(self.fleet, ENDPOINTS)
         start_gateways(self.fleet, GATEWAYS)
-        self._running = True
         self.served = 0
         self.refusals: list[tuple[bytes, timedelta]] = []
 
@@ -55,7 +54,7 @@
 
     def _send_requests(self, caller: int) -> None:
         number = 0
-        while self._running:
+        while self.is_running:
             number += 1
             gateway = self.fleet.gateways[(caller + number) % GATEWAYS]
             data = request("/certificates/7", f"r-{caller}-{number}")
@@ -96,11 +95,6 @@
         room = ENDPOINTS * SLOTS * ((until - since) / plain_time)
         return len(runs) / room
 
-    def close(self) -> None:
-        """Stop the callers and the gateways."""
-        self._running = False
-        self.fleet.close()
-
 
 @pytest.fixture
 def deployment() -> Iterator[Deployment]:
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -12,9 +12,9 @@
 from standins.gateway_fleet import KILL, ask, wait_for
 from tests.gateway.world import header, request
 from tests.guarantees.gateway_fleets import (
+    RunningFleet,
     add_engines,
     add_plain_endpoints,
-    new_fleet,
     start_gateways,
 )
 
@@ -39,7 +39,7 @@
     return 1.5 * rate * WINDOW.total_seconds() + 5
 
 
-class Deployment:
+class Deployment(RunningFleet):
     """Gateways, endpoints of one service, and callers that send all the time.
 
     :param path: target of the callers' requests.
@@ -48,20 +48,19 @@
     """
 
     def __init__(self, path: str) -> None:
-        self.fleet = new_fleet()
+        super().__init__()
         add = add_engines if path == STREAM else add_plain_endpoints
         self.endpoints = add(self.fleet, ENDPOINTS)
         start_gateways(self.fleet, GATEWAYS)
         self._path = path
         self.used = list(self.fleet.gateways)
-        self._running = True
         self.refusals: list[bytes] = []
         for number in range(CALLERS):
             spawn(self._send_requests, number)
 
     def _send_requests(self, caller: int) -> None:
         number = 0
-        while self._running:
+        while self.is_running:
             number += 1
             gateway = self.used[(caller + number) % len(self.used)]
             headers = {"Deadline-Ms": "4000", "Token-Count": "100,8"}
@@ -87,11 +86,6 @@
         for gateway in killed:
             gateway.wait_until_ready()
 
-    def close(self) -> None:
-        """Stop the callers and the gateways."""
-        self._running = False
-        self.fleet.close()
-
 
 @pytest.fixture
 def deployment(request) -> Iterator[Deployment]:
--- a/tests/guarantees/test_partitioned_gateways.py
+++ b/tests/guarantees/test_partitioned_gateways.py
@@ -13,9 +13,9 @@
 from standins.links import LinkFault
 from tests.gateway.world import request
 from tests.guarantees.gateway_fleets import (
+    RunningFleet,
     add_engines,
     add_plain_endpoints,
-    new_fleet,
     start_gateways,
 )
 
@@ -64,14 +64,14 @@
         return self.path != STREAM or self.response.endswith(b"0\r\n\r\n")
 
 
-class Deployment:
+class Deployment(RunningFleet):
     """Gateways with links of their own to the endpoints, and callers of each gateway.
 
     :ivar log: all requests of the callers that have ended.
     """
 
     def __init__(self) -> None:
-        self.fleet = new_fleet()
+        super().__init__()
         self.endpoints = [
             *add_plain_endpoints(self.fleet, PLAIN_ENDPOINTS),
             *add_engines(self.fleet, ENGINES),
@@ -79,14 +79,13 @@
         self.links = [EndpointLinks() for _ in range(GATEWAYS)]
         start_gateways(self.fleet, GATEWAYS, self.links)
         self.log: list[Served] = []
-        self._running = True
         for number in range(GATEWAYS * CALLERS_PER_GATEWAY):
             spawn(self._send_requests, number)
 
     def _send_requests(self, caller: int) -> None:
         number = 0
         gateway = caller % GATEWAYS
-        while self._running:
+        while self.is_running:
             number += 1
             path = PATHS[(caller + number) % len(PATHS)]
             request_id = f"r-{caller}-{number}"
@@ -138,11 +137,6 @@
             if line["message"] == message
         ]
 
-    def close(self) -> None:
-        """Stop the callers and the gateways."""
-        self._running = False
-        self.fleet.close()
-
 
 @pytest.fixture
 def deployment() -> Iterator[Deployment]:
--- a/tests/guarantees/test_restored_store.py
+++ b/tests/guarantees/test_restored_store.py
@@ -12,8 +12,8 @@
 from standins.kv_store import Fault
 from tests.gateway.world import request
 from tests.guarantees.gateway_fleets import (
+    RunningFleet,
     add_plain_endpoints,
-    new_fleet,
     start_gateways,
     unlimited_configuration,
 )
@@ -31,15 +31,14 @@
 ON_THEIR_WAY = timedelta(milliseconds=100)
 
 
-class Deployment:
+class Deployment(RunningFleet):
     """Gateways, endpoints of one service, and callers that send all the time."""
 
     def __init__(self) -> None:
-        self.fleet = new_fleet()
+        super().__init__()
         self.store = self.fleet.store
         self.endpoints = add_plain_endpoints(self.fleet, ENDPOINTS)
         start_gateways(self.fleet, GATEWAYS)
-        self._running = True
         self.failed = 0
         for number in range(CALLERS):
             spawn(self._send_requests, number)
@@ -57,7 +56,7 @@
 
     def _send_requests(self, caller: int) -> None:
         number = 0
-        while self._running:
+        while self.is_running:
             number += 1
             gateway = self.fleet.gateways[(caller + number) % GATEWAYS]
             data = request("/certificates/7", f"r-{caller}-{number}")
@@ -89,11 +88,6 @@
             for gateway in self.fleet.gateways
         }
 
-    def close(self) -> None:
-        """Stop the callers and the gateways."""
-        self._running = False
-        self.fleet.close()
-
 
 @pytest.fixture
 def deployment() -> Iterator[Deployment]:
