The end of what an endpoint advertises is told again where another gateway holds on to it

Evidence that an endpoint advertises nothing was dated once, at the end, so a delayed report of what it had advertised could look later for good, and was put right every 4 s only. Limits had the same fault; departures don't end by responses.

--- a/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
@@ -41,13 +41,16 @@
 
     :param value: what it advertises; None for nothing.
     :param confirmed_at: elapsed time of the last evidence of that.
-    :param changed_at: elapsed time at which this gateway began to believe it.
+    :param changed_at: elapsed time at which this gateway began to believe it, or at
+        which another gateway contradicted it with older evidence.
+    :param ended_at: elapsed time at which it began to believe that there is nothing.
     :param logged_at: elapsed time of the last line on it.
     """
 
     value: Value | None = None
     confirmed_at: timedelta = timedelta()
     changed_at: timedelta = timedelta()
+    ended_at: timedelta = timedelta()
     logged_at: timedelta | None = None
 
 
@@ -125,6 +128,9 @@
             confirmed_at = now - timedelta(seconds=report.age_s)
             if self._is_later(endpoint, report.value, confirmed_at):
                 self._set(endpoint, report.value, confirmed_at, "peer")
+            elif self._is_outdated(endpoint, report.value, confirmed_at):
+                # Tells the other gateway soon, not only with the next full report.
+                self._beliefs[endpoint].changed_at = now
 
     def remove_gone(self) -> None:
         """Forget endpoints that are gone, and beliefs that ended long ago."""
@@ -151,6 +157,25 @@
             return value is not None
         return confirmed_at > belief.confirmed_at + PEER_MARGIN
 
+    def _is_outdated(
+        self, endpoint: str, value: Value | None, confirmed_at: timedelta
+    ) -> bool:
+        """Return whether this gateway has later evidence of something else."""
+        belief = self._beliefs.get(endpoint)
+        if belief is None or belief.value == value:
+            return False
+        return belief.confirmed_at > confirmed_at + PEER_MARGIN
+
+    def _confirm_end(self, endpoint: str) -> None:
+        """Record that an endpoint still advertises nothing, for a while after the end.
+
+        Until then, other gateways may have older evidence that looks later.
+        """
+        belief = self._beliefs[endpoint]
+        now = self._clock.elapsed()
+        if now - belief.ended_at <= ENDED_RETENTION:
+            belief.confirmed_at = now
+
     def _set(
         self,
         endpoint: str,
@@ -163,6 +188,8 @@
         belief.confirmed_at = confirmed_at
         if before != value:
             belief.changed_at = self._clock.elapsed()
+            if value is None:
+                belief.ended_at = belief.changed_at
             self._count(self._event, source=source)
             self._log_change(endpoint, belief, before, source)
 
@@ -203,11 +230,14 @@
         """
         if number is not None:
             self.set(endpoint, number, "response")
-        elif (
-            not is_malformed
-            and self.value(endpoint) is not None
-            and sent_at >= self.confirmed_at(endpoint)
-        ):
+            return
+        if is_malformed or endpoint not in self._beliefs:
+            return
+        if sent_at < self.confirmed_at(endpoint):
+            return
+        if self.value(endpoint) is None:
+            self._confirm_end(endpoint)
+        else:
             self.set(endpoint, None, "response")
 
 
--- a/tests/gateway/advertisements/test_endpoint_beliefs.py
+++ b/tests/gateway/advertisements/test_endpoint_beliefs.py
@@ -15,7 +15,7 @@
 )
 from sassafrasdale.gateway.advertisements.endpoint_beliefs import EndpointLimits
 from standins.gateway_fleet import wait_for
-from tests.gateway.fleets import Fleet, single_gate
+from tests.gateway.fleets import Fleet, contact, single_gate
 from tests.gateway.world import (
     ScriptedEndpoint,
     World,
@@ -254,3 +254,37 @@
     fleet.play(0.5)
     assert started.departures.is_leaving("i-1")
     assert started.endpoint_limits.rate_limit("i-1") == 2.0
+
+
+def test_a_stale_report_of_a_limit_that_ended_is_contradicted():
+    """Guards against a limit that a gateway keeps for seconds after its end."""
+    clock = ManualClock()
+    idle, active = new_limits(clock), new_limits(clock)
+    for limits in (idle, active):
+        limits.observe("i-1", NAMED, clock.elapsed())
+    clock.advance(SECOND)
+    active.observe("i-1", SILENT, clock.elapsed())
+    # The idle gateway has learned of the end, and then gets a delayed report.
+    clock.advance(SECOND / 5)
+    idle.observe("i-1", NAMED, clock.elapsed())
+    clock.advance(2 * SECOND)
+    active.observe("i-1", SILENT, clock.elapsed())
+    receiver = contact("idle")
+    active.report_for(receiver)
+    clock.advance(SECOND / 10)
+    active.receive(idle.report_for(contact("active")))
+    idle.receive(active.report_for(receiver))
+    assert active.rate_limit("i-1") is None
+    assert idle.rate_limit("i-1") is None
+
+
+def test_an_ended_limit_is_forgotten_though_responses_go_on():
+    """Guards against reports that grow with all limits that ever were."""
+    clock = ManualClock()
+    limits = new_limits(clock)
+    limits.observe("i-1", NAMED, clock.elapsed())
+    for _ in range(60):
+        clock.advance(SECOND / 2)
+        limits.observe("i-1", SILENT, clock.elapsed())
+        limits.remove_gone()
+    assert not limits
