--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -263,6 +263,8 @@
     :param deadline: how long the caller waits; None if unknown.
     :param resume_after: last stream event that the caller has received.
     :param output_tokens: maximum number of tokens to generate.
+    :param resumes: id of the attempt that brought the first event of the stream that
+        the caller resumes; empty if it names none.
     """
 
     request_id: str
@@ -272,6 +274,7 @@
     prompt_tokens: int | None = None
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -261,4 +261,5 @@
         "zone": endpoint.availability_zone,
         "state": str(endpoint.state),
         "reclaimable": endpoint.reclaimable,
+        "software": endpoint.version or None,
     }
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -395,6 +395,7 @@
         log.info(
             "send failed",
             endpoint=attempt.record.name,
+            software=attempt.record.endpoint.version or None,
             endpoint_ended=crashed,
             forwarder=attempt.forwarder or None,
             fingerprint=self._fingerprint,
@@ -402,6 +403,7 @@
             why=failure.reason,
             send=self._attempts,
             begun=self._caller.response_started,
+            events=self._splitter.count or None,
             left_ms=milliseconds(self._admitted.deadline - self._clock.elapsed()),
             endpoint_silent_ms=self._silence_of(attempt.record),
             all_silent_ms=optional_milliseconds(self._fleet.since_receipt()),
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -146,6 +146,8 @@
             raise RequestRefused(404, "no route")
         record.route = route.name
         traits = self._traits(request)
+        record.resumes = traits.resumes or None
+        record.resume_after = traits.resume_after
         deadline = now + min(route.timeout, traits.deadline or DEFAULT_TIMEOUT)
         last_end = self._last_end()
         if last_end is not None and deadline > last_end:
@@ -242,6 +244,9 @@
             customer=record.customer,
             version=record.version,
             endpoint=record.endpoint,
+            software=(attempt and attempt.record.endpoint.version) or None,
+            resumes=record.resumes,
+            resume_after=record.resume_after,
             fingerprint=record.fingerprint,
             sends=record.attempts,
             limit=record.limit,
@@ -273,3 +278,5 @@
         self.limit: str | None = None
         self.fingerprint: str | None = None
         self.last_attempt: Attempt | None = None
+        self.resumes: str | None = None
+        self.resume_after: int | None = None
--- a/src/sassafrasdale/platform/headers.py
+++ b/src/sassafrasdale/platform/headers.py
@@ -15,6 +15,7 @@
 _KEY = "api-key"
 _CUSTOMER = "tenant"
 _LAST_EVENT = "last-event-id"
+_RESUMES = "resumes"
 _TOKENS = "token-count"
 _PREFIX = "prompt-prefix"
 _EXPECTED_ENDPOINT = "expect-replica"
@@ -99,6 +100,7 @@
         prompt_tokens=prompt,
         output_tokens=output,
         parts=_parts(request.header(_PREFIX)),
+        resumes=request.header(_RESUMES),
     )
 
 
