--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -94,6 +94,8 @@
     :ivar brittleness: if set, it runs no more requests at once than it has slots, and
         falls over if it has to reject too many.
     :ivar silent_until: elapsed time until which it accepts requests and sends nothing.
+    :ivar event_time: time between two events of a stream.
+    :ivar names_version: whether each event tells the version that wrote it.
     :ivar backoff: if set, it refuses all requests and asks for back-off of this length.
     """
 
@@ -131,6 +133,8 @@
         self.runs: list[Run] = []
         self.crashed_at: list[timedelta] = []
         self.events = 8
+        self.event_time = EVENT_TIME
+        self.names_version = False
         self.arrivals: list[timedelta] = []
         self.extra_headers: tuple[tuple[str, str], ...] = ()
         self.silent_until = timedelta()
@@ -180,6 +184,11 @@
         self._shut_down()
         spawn(self._restart)
 
+    def crash_into(self, version: str) -> None:
+        """Crash, and restart under the same name at another version."""
+        self._version = version
+        self.crash()
+
     def end(self) -> None:
         """Stop at once for good, and remove the registration."""
         self._shut_down()
@@ -352,14 +361,17 @@
         headers: list,
         slowdown: float,
     ) -> None:
+        version = self._version
         sleep(TOKEN_TIME * self._prefill_tokens(request) * slowdown)
         connection.begin(200, [*headers, ("content-type", "text/event-stream")])
         first = int(request.header("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             self._keep_silent()
             token = f"token {number} of {request.target}"
+            if self.names_version:
+                token += f" by {version}"
             connection.write(f"id: {number}\ndata: {token}\n\n".encode())
-            sleep(EVENT_TIME)
+            sleep(self.event_time)
         connection.end()
 
     def _keep_silent(self) -> None:
