A stream goes on only at the software version that began it

Cause: nothing bound a stream to a version; a stream that had begun was resumed at whatever endpoint a new one would be sent to, and Resumes was not read.

The version of the endpoint whose event is passed on first binds the stream. The binding goes with the request's traits, and one rule holds it where candidates are chosen, where a dispatcher's assignment is checked, and before the send. Gateways report their streams to the aggregator of their zone, aggregators exchange them, and a caller that takes a stream up at another gateway has it looked up there. Where nobody knows a stream, the platform's store holds the versions that ever began streams of the service: with one only, that one goes on; else the request is rejected at once, not run.

has_alternative takes the request's traits, so its test passes some; stand-in endpoints of the unit tests' world have a version, as an unknown one resumes nothing.

--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from sassafrasdale.decisions.fetching import CacheLink
+from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.structures import Address
 
 
@@ -258,13 +259,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestTraits:
-    """Request properties from a caller's headers.
+    """Request properties that decide on its endpoint; most are from a caller's headers.
 
     :param deadline: how long the caller waits; None if unknown.
     :param resume_after: last stream event that the caller has received.
     :param output_tokens: maximum number of tokens to generate.
     :param resumes: id of the attempt that brought the first event of the stream that
         the caller resumes; empty if it names none.
+    :param is_stream: whether its response is a stream of events.
+    :param binding: what its stream is bound to; None for one that has not begun.
     """
 
     request_id: str
@@ -275,6 +278,8 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     resumes: str = ""
+    is_stream: bool = False
+    binding: StreamBinding | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/aggregator.py
+++ b/src/sassafrasdale/gateway/aggregator.py
@@ -250,7 +250,8 @@
         """Remove expired members, aggregators and groups."""
         now = self._clock.elapsed()
         self._roster.mark_alive(self._group.members)
-        self._context.strikes.forget(lambda name: self._roster.get(name) is None)
+        for replicator in (self._context.strikes, self._context.streams):
+            replicator.forget(lambda name: self._roster.get(name) is None)
         zone = self._roster.own.zone
         self._group.remove_unlisted(
             {other.name for other in self._roster.in_zone(zone)}
@@ -357,6 +358,7 @@
             members=tuple(self._group.in_touch) if same_zone else (),
             strikes=self._context.strikes.update_for(receiver.name),
             endpoints=self._context.gate.report_for(receiver),
+            streams=self._context.streams.update_for(receiver.name),
         )
 
     def _usage_rows_for(self, other: _PeerGroup | None) -> tuple[UsageRow, ...] | None:
@@ -408,6 +410,7 @@
                 self._roster.merge([contact])
                 self._aggregators.setdefault(contact.name, now)
         self._context.strikes.apply(sender.name, sender.incarnation, update.strikes)
+        self._context.streams.apply(sender.name, sender.incarnation, update.streams)
         self._context.gate.receive(update.endpoints)
         self._merge_usage(update.usage)
         if update.usage_complete_since is not None:
--- a/src/sassafrasdale/gateway/attempts.py
+++ b/src/sassafrasdale/gateway/attempts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.dispatcher_messages import AttemptResult
 
@@ -23,6 +24,7 @@
     :param gap: a low gap between its events.
     :param has_permit: whether it has a permit for an endpoint with a rate limit.
     :param route: name of the request's route; empty for another gateway's attempt.
+    :param binding: what the stream is bound to that it resumes, if it does.
     :param forwarder: the peer that it is forwarded through, if it is.
     """
 
@@ -41,3 +43,4 @@
     route: str = ""
     has_permit: bool = False
     forwarder: str = ""
+    binding: StreamBinding | None = None
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -44,6 +44,12 @@
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.store_view import StoreView
+from sassafrasdale.gateway.streams.continuations import StreamContinuations
+from sassafrasdale.gateway.streams.lookup import StreamLookup
+from sassafrasdale.gateway.streams.messages import StreamRows
+from sassafrasdale.gateway.streams.records import StreamRecords
+from sassafrasdale.gateway.streams.replication import StreamReplicator
+from sassafrasdale.gateway.streams.version_register import VersionRegister
 from sassafrasdale.gateway.strike_records import StrikeRecords
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
 from sassafrasdale.gateway.trials import Trials
@@ -174,6 +180,10 @@
             self.store_view.values_since,
             lambda: self.dispatcher_client.open_attempts,
         )
+        self._stream_records = StreamRecords(clock)
+        self._stream_replicator = StreamReplicator(
+            self._settings.name, self.incarnation, self._stream_records, clock
+        )
         context = PeerContext(
             local_state,
             Roster(self._contact, clock),
@@ -184,8 +194,9 @@
             clock,
             StrikeReplicator(self._strikes, self.incarnation),
             self.gate,
+            self._stream_replicator,
         )
-        calls = PeerCalls(context.roster, clock)
+        calls = self._calls = PeerCalls(context.roster, clock)
         zones = len(self._settings.availability_zones)
         self.peering = Peering(context, zones, self._rng, calls)
         self.dispatcher_client = DispatcherClient(
@@ -244,6 +255,42 @@
         else:
             self.peering.handle(connection, request)
 
+    def report_streams(self) -> None:
+        """Report the streams of this gateway's callers until the task is killed."""
+        self._stream_replicator.run(self._stream_aggregator, self._send_streams)
+
+    def _stream_aggregator(self) -> tuple[str, int] | None:
+        contact = self.peering.dispatcher()
+        return None if contact is None else (contact.name, contact.incarnation)
+
+    def _send_streams(self, rows: StreamRows) -> bool:
+        contact = self.peering.dispatcher()
+        return contact is not None and self._calls.report_streams(contact, rows)
+
+    def _build_streams(self) -> None:
+        clock = self._clock
+        self.version_register = VersionRegister(
+            self._store,
+            self._store_health,
+            self.directory,
+            clock,
+            self._rng,
+        )
+        lookup = StreamLookup(
+            self._stream_records,
+            self._stream_replicator,
+            self.peering.aggregators,
+            self._calls.query_stream,
+            clock,
+        )
+        self._continuations = StreamContinuations(
+            self._stream_replicator,
+            lookup,
+            self.version_register.only_version,
+            clock,
+            self.metrics.count,
+        )
+
     def _build_serving(
         self,
         may_serve: Callable[[], bool],
@@ -251,6 +298,7 @@
     ) -> None:
         settings = self._settings
         clock = self._clock
+        self._build_streams()
         self._quotas = Quotas(
             settings.bounds,
             self.peering.gateway_count,
@@ -274,6 +322,7 @@
             self.rollouts,
             self.gate,
             self.dispatcher_client,
+            self.version_register.may_begin,
         )
         self.dispatcher = Dispatcher(self.fleet, clock)
         self.frontend = Frontend(
@@ -282,6 +331,7 @@
             self._quotas,
             self.quarantine,
             self._paths,
+            self._continuations,
             self.metrics,
             clock,
             self._rng,
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -25,6 +25,10 @@
 # An outage of the store that explains an expired registration may have been noticed
 # this long ago.
 OUTAGE_WINDOW = timedelta(seconds=6)
+# Time after which a registration that was written has come here, and time after which
+# an endpoint that has crashed has registered again, unless the store was out.
+REGISTRATION_DELAY = timedelta(seconds=2)
+RESTART_TIME = timedelta(seconds=5)
 # Endpoints that fail a third more of their requests than the others are avoided.
 HEALTH_SETTINGS = HealthSettings(failure_cost=3.0)
 
@@ -58,12 +62,31 @@
         self.is_unreachable = False
         self.in_flight = 0
         self.prefill_tokens = 0
+        self._doubted_at: timedelta | None = None
 
     @property
     def name(self) -> str:
         """Name of the endpoint."""
         return self.endpoint.name
 
+    @property
+    def known_version(self) -> str:
+        """Version of its software; empty if it is not known for sure."""
+        return "" if self._doubted_at is not None else self.endpoint.version
+
+    def doubt_version(self, now: timedelta) -> None:
+        """Record a sign that it may have restarted since it registered.
+
+        One without a start time never restarts under its name.
+        """
+        if self.endpoint.born is not None:
+            self._doubted_at = now
+
+    def confirm_version(self, before: timedelta) -> None:
+        """Record that a restart before a time would be known by now."""
+        if self._doubted_at is not None and self._doubted_at < before:
+            self._doubted_at = None
+
     @property
     def is_ready(self) -> bool:
         """Whether it is registered as ready for requests, and doesn't say otherwise."""
@@ -119,6 +142,11 @@
         """All registered endpoints by name."""
         return self._records
 
+    @property
+    def services(self) -> list[str]:
+        """Names of the services that have registered endpoints."""
+        return list(self._services)
+
     def of_service(self, service: str) -> list[EndpointRecord]:
         """Return the endpoints of a service that are ready.
 
@@ -202,6 +230,7 @@
             log.info("endpoint listed", **_log_fields(endpoint))
         elif record.endpoint.state is not endpoint.state:
             log.info("endpoint changed state", **_log_fields(endpoint))
+        record.confirm_version(self._clock.elapsed() - REGISTRATION_DELAY)
         record.endpoint = endpoint
         self._index()
         return has_restarted
@@ -230,6 +259,15 @@
                 record.pool.close()
                 del self._fallback[name]
 
+    def confirm_versions(self) -> None:
+        """Take versions for known where a restart would have been registered."""
+        now = self._clock.elapsed()
+        outage = self._since_outage()
+        if outage is not None and outage < RESTART_TIME:
+            return
+        for record in self._records.values():
+            record.confirm_version(now - RESTART_TIME)
+
     def _pool(self, endpoint: Endpoint) -> ConnectionPool:
         return ConnectionPool(
             endpoint.address, CONNECT_LIMIT, self._clock, self._on_open
--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -4,6 +4,7 @@
 
 from msgspec.msgpack import Decoder
 
+from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.deployment import PromptPart, RequestTraits
 from sassafrasdale.gateway.canary_reports import Count
 from sassafrasdale.gateway.peer_states import Message
@@ -25,6 +26,8 @@
     :param parts: names and tokens of the prompt's parts.
     :param tried: endpoints that the request was sent to before.
     :param backed_off: endpoints that want no requests from the gateway now.
+    :param is_stream: whether the response is a stream of events.
+    :param binding: service and version that the stream is bound to, if it has begun.
     """
 
     gateway: str
@@ -35,6 +38,8 @@
     parts: tuple[tuple[str, Count], ...]
     tried: tuple[str, ...] = ()
     backed_off: tuple[str, ...] = ()
+    is_stream: bool = False
+    binding: tuple[str, str] | None = None
 
     @classmethod
     def of(
@@ -50,8 +55,18 @@
         """Return the assignment request for a caller's request."""
         parts = tuple((part.name, part.tokens) for part in traits.parts)
         tokens = traits.prompt_tokens or 0
+        bound = traits.binding
         return cls(
-            gateway, incarnation, number, service, tokens, parts, tried, backed_off
+            gateway,
+            incarnation,
+            number,
+            service,
+            tokens,
+            parts,
+            tried,
+            backed_off,
+            traits.is_stream,
+            None if bound is None else (bound.service, bound.version),
         )
 
     @property
@@ -61,6 +76,8 @@
             "",
             prompt_tokens=self.prompt_tokens,
             parts=tuple(PromptPart(name, tokens) for name, tokens in self.parts),
+            is_stream=self.is_stream,
+            binding=None if self.binding is None else StreamBinding(*self.binding),
         )
 
 
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -4,20 +4,16 @@
 sent, the endpoint reports that it did not run the request, or it may have run.
 """
 
-from dataclasses import dataclass
+from dataclasses import replace
 from datetime import timedelta
 from functools import cached_property
 
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
-from sassafrasdale.deployment import (
-    Customer,
-    RequestKind,
-    RequestTraits,
-    Route,
-    customer_name,
-)
+from sassafrasdale.decisions.stream_versions import StreamBinding
+from sassafrasdale.deployment import RequestKind
+from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.advertisements.endpoint_gate import NO_ENDPOINT_RETRY_AFTER
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.directory import EndpointRecord
@@ -25,6 +21,7 @@
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
 from sassafrasdale.gateway.failures import (
     CONNECTION_LOST,
+    NOT_CONNECTED,
     AttemptFailed,
     AttemptOutcome,
     reason_of,
@@ -41,6 +38,7 @@
     Path,
 )
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
+from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
     HttpError,
@@ -68,29 +66,6 @@
 MAX_EVENT_GAPS = 64
 
 
-@dataclass(slots=True)
-class AdmittedRequest:
-    """A request that was admitted.
-
-    :param deadline: elapsed time at which its caller must have a response.
-    :param avoided: endpoints that it must not be sent to.
-    """
-
-    request: Request
-    traits: RequestTraits
-    route: Route
-    service: str
-    customer: Customer | None
-    received_at: timedelta
-    deadline: timedelta
-    avoided: frozenset[str] = frozenset()
-
-    @property
-    def customer_name(self) -> str:
-        """Name of its customer; empty for a public route."""
-        return customer_name(self.customer)
-
-
 class RequestExchange:
     """Forwards one request to endpoints and relays the response.
 
@@ -99,6 +74,7 @@
     :param fleet: chooses endpoints and tracks their load.
     :param quarantine: records endpoints that crash while they run the request.
     :param paths: opens the way to an endpoint.
+    :param continuations: records which versions begin streams.
     :param clock: source of elapsed time.
     """
 
@@ -109,8 +85,10 @@
         fleet: Fleet,
         quarantine: RequestQuarantine,
         paths: EndpointPaths,
+        continuations: StreamContinuations,
         clock: Clock,
     ) -> None:
+        self._continuations = continuations
         self._quarantine = quarantine
         self._paths = paths
         self._admitted = admitted
@@ -179,6 +157,13 @@
         if attempt is None:
             self._give_up_unsent()
         self._tried.add(attempt.record.name)
+        if self._caller.response_started:
+            log.info(
+                "stream resumed",
+                endpoint=attempt.record.name,
+                software=attempt.record.endpoint.version or None,
+                events=self._splitter.count,
+            )
         self._endpoint = attempt.record.name
         self._last_attempt = attempt
         return attempt
@@ -228,7 +213,7 @@
         try:
             path = self._paths.open(attempt.record, hop)
         except NotConnected as error:
-            raise AttemptFailed(AttemptOutcome.NOT_SENT, "not connected") from error
+            raise AttemptFailed(AttemptOutcome.NOT_SENT, NOT_CONNECTED) from error
         attempt.forwarder = path.forwarder
         return path
 
@@ -339,6 +324,7 @@
                 if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
                     gaps.append(now - last_at)
                 last_at = now
+                self._bind_stream(attempt)
                 self._record_first_byte(attempt)
                 if not self._caller.response_started:
                     self._caller.begin(head.status, caller_headers(head))
@@ -356,6 +342,15 @@
         self._quarantine.record_success(admitted.request, admitted.customer_name)
         return head.status
 
+    def _bind_stream(self, attempt: Attempt) -> None:
+        """Bind the stream to the version whose event is its first."""
+        admitted = self._admitted
+        if admitted.traits.binding is not None:
+            return
+        binding = StreamBinding(admitted.service, attempt.record.known_version)
+        admitted.traits = replace(admitted.traits, binding=binding)
+        self._continuations.record_begin(admitted, binding)
+
     def _next_read_deadline(self) -> timedelta:
         """Return the deadline for the next data of a stream.
 
@@ -366,7 +361,9 @@
         can_resume = (
             admitted.route.repeatable
             and self._attempts < admitted.route.max_attempts
-            and self._fleet.has_alternative(admitted.service, self._tried)
+            and self._fleet.has_alternative(
+                admitted.service, admitted.traits, self._tried
+            )
         )
         if not can_resume:
             return admitted.deadline
@@ -391,6 +388,8 @@
         crashed = self._check_crash(attempt, failure)
         if is_counted and is_fault and not crashed:
             self._attribute_failure(attempt, failure)
+        if failure.reason in (CONNECTION_LOST, NOT_CONNECTED):
+            attempt.record.doubt_version(self._clock.elapsed())
         self._last_failure = failure.reason
         log.info(
             "send failed",
@@ -455,7 +454,9 @@
         return (
             self._admitted.route.repeatable
             and self._attempts < self._admitted.route.max_attempts
-            and self._fleet.has_alternative(self._admitted.service, self._tried)
+            and self._fleet.has_alternative(
+                self._admitted.service, self._admitted.traits, self._tried
+            )
             and self._fleet.retry_budgets.allow_retry(
                 self._admitted.service, spend=False
             )
@@ -479,7 +480,8 @@
 
     def _give_up_unsent(self) -> None:
         """End the request because no endpoint takes it now."""
-        unavailability = self._fleet.unavailability(self._admitted.service)
+        admitted = self._admitted
+        unavailability = self._fleet.unavailability(admitted.service, admitted.traits)
         self._give_up(
             AttemptFailed(AttemptOutcome.WITHHELD, unavailability.reason),
             unavailability.retry_after,
--- a/src/sassafrasdale/gateway/failures.py
+++ b/src/sassafrasdale/gateway/failures.py
@@ -11,6 +11,7 @@
 )
 
 # Reason of an attempt whose connection was lost before the response.
+NOT_CONNECTED = "not connected"
 CONNECTION_LOST = "connection lost"
 
 
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -7,6 +7,7 @@
 from sassafrasdale.decisions.load_reports import ReportedLoad, unreported_work
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
+from sassafrasdale.decisions.stream_versions import may_continue
 from sassafrasdale.deployment import (
     Bounds,
     Configuration,
@@ -37,6 +38,10 @@
 # An endpoint that doesn't respond is most likely gone; one that returns an occasional
 # error may be as good as the others.
 NO_RESPONSE_WEIGHT = 3
+# A version without endpoints rarely returns while a caller waits.
+VERSION_UNAVAILABLE = Unavailability(
+    "no endpoint of the stream's version", timedelta(seconds=60)
+)
 
 
 class Fleet:
@@ -55,6 +60,7 @@
     :param gate: which endpoints take a request now.
     :param dispatcher_client: client of the zone's dispatcher; None if this gateway
         always chooses endpoints itself.
+    :param may_begin: returns whether streams of a service may begin at a version.
     """
 
     def __init__(
@@ -71,7 +77,9 @@
         rollouts: Rollouts,
         gate: EndpointGate,
         dispatcher_client: DispatcherClient | None = None,
+        may_begin: Callable[[str, str], bool] = lambda service, version: True,
     ) -> None:
+        self._may_begin = may_begin
         self._gate = gate
         self._dispatcher_client = dispatcher_client
         self._rollouts = rollouts
@@ -99,6 +107,25 @@
         """Return the endpoints of a service that may get requests."""
         return self._rollouts.usable(service, self._directory.of_service(service))
 
+    def _endpoints_for(
+        self, service: str, traits: RequestTraits
+    ) -> list[EndpointRecord]:
+        """Return the endpoints of a service that may get a request."""
+        listed = self._directory.of_service(service)
+        if traits.binding is None:
+            usable = self._rollouts.usable(service, listed)
+        else:
+            usable = self._rollouts.continuable(service, listed)
+        return [record for record in usable if self._may_run(record, service, traits)]
+
+    def _may_run(
+        self, record: EndpointRecord, service: str, traits: RequestTraits
+    ) -> bool:
+        """Return whether a request may run at an endpoint's version."""
+        if traits.binding is not None:
+            return may_continue(traits.binding, service, record.known_version)
+        return not traits.is_stream or self._may_begin(service, record.endpoint.version)
+
     def is_registered(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint is registered as ready."""
         return self._directory.records.get(record.name) is record and record.is_ready
@@ -144,6 +171,7 @@
         )
         if attempt is not None:
             attempt.route = route
+            attempt.binding = traits.binding
         return attempt
 
     def _choose_and_start(
@@ -155,7 +183,7 @@
         *,
         is_retry: bool,
     ) -> Attempt | None:
-        if not is_retry:
+        if not is_retry and traits.binding is None:
             attempt = self._start_canary_attempt(service, traits, tried, route)
             if attempt is not None:
                 return attempt
@@ -196,7 +224,11 @@
             return None
         registered = self._directory.of_service(service)
         sample = self._rollouts.sample(service, route, registered)
-        candidates = [record for record in sample if record.name not in tried]
+        candidates = [
+            record
+            for record in sample
+            if record.name not in tried and self._may_run(record, service, traits)
+        ]
         if not candidates:
             return None
         backed_off = self._gate.backed_off()
@@ -226,7 +258,9 @@
             return None
         number, assigned = assignment
         record = self._directory.records.get(assigned.endpoint)
-        is_usable = record is not None and self._is_usable(record, service, tried)
+        is_usable = record is not None and self._is_usable(
+            record, service, traits, tried
+        )
         if not is_usable or not (assigned.has_permit or self._gate.take(record)):
             self._dispatcher_client.record_end(number, AttemptResult.NEUTRAL)
             return None
@@ -254,18 +288,24 @@
         return all(record.name in backed_off for record in registered)
 
     def _is_usable(
-        self, record: EndpointRecord, service: str, tried: Collection[str]
+        self,
+        record: EndpointRecord,
+        service: str,
+        traits: RequestTraits,
+        tried: Collection[str],
     ) -> bool:
         """Return whether this gateway can use an endpoint that was assigned.
 
         This gateway may have learned first that the endpoint is leaving, or be the only
-        one that can't reach it.
+        one that can't reach it. A dispatcher of an earlier version ignores bindings.
         """
         if record.name in tried or not record.is_ready:
             return False
         if self._gate.is_backed_off(record):
             return False
-        if not self._rollouts.usable(service, [record]):
+        if not self._may_run(record, service, traits):
+            return False
+        if traits.binding is None and not self._rollouts.usable(service, [record]):
             return False
         health = self._directory.health_of(service)
         return health.may_serve(record.name, self._clock.elapsed())
@@ -295,7 +335,7 @@
         :param backed_off: endpoints that want no requests from the gateway that will
             send the attempt, which may be another one.
         """
-        registered = self.endpoints(service)
+        registered = self._endpoints_for(service, traits)
         candidates = [record for record in registered if record.name not in tried]
         return self._start_among(
             candidates, registered, service, traits, backed_off, is_retry=is_retry
@@ -334,9 +374,14 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
 
-        Since it was chosen, its endpoint may have named a limit, asked for back-off, or
-        begun to leave.
+        Since it was chosen, its endpoint may have named a limit, asked for back-off,
+        begun to leave, or restarted at another version.
         """
+        record = attempt.record
+        if attempt.binding is not None and not may_continue(
+            attempt.binding, attempt.service, record.known_version
+        ):
+            return False
         if not attempt.record.is_ready or self._gate.is_backed_off(attempt.record):
             return False
         if not attempt.has_permit:
@@ -370,17 +415,20 @@
             self._peer_work[service] = work
         return self._peer_work[service]
 
-    def unavailability(self, service: str) -> Unavailability:
+    def unavailability(self, service: str, traits: RequestTraits) -> Unavailability:
         """Return why no endpoint of a service takes a request, and until when."""
-        return self._gate.unavailability(
-            self.endpoints(service), self._peering.gateway_count()
-        )
+        usable = self._endpoints_for(service, traits)
+        if traits.binding is not None and not usable:
+            return VERSION_UNAVAILABLE
+        return self._gate.unavailability(usable, self._peering.gateway_count())
 
-    def has_alternative(self, service: str, tried: Collection[str]) -> bool:
-        """Return whether a service has endpoints that were not tried."""
+    def has_alternative(
+        self, service: str, traits: RequestTraits, tried: Collection[str]
+    ) -> bool:
+        """Return whether endpoints that were not tried may get a request."""
         return any(
             record.name not in tried and self._gate.is_open(record)
-            for record in self.endpoints(service)
+            for record in self._endpoints_for(service, traits)
         )
 
     def _start_at(
@@ -589,16 +637,15 @@
     ) -> list[EndpointRecord]:
         """Return the engines whose KV cache an engine may fetch from.
 
-        They are healthy or about to leave, and of its version while there are two.
+        They are healthy or about to leave, and of its version, as a KV cache is what a
+        version has written.
         """
         service = record.endpoint.service
         version = record.endpoint.version
-        any_version = self._rollouts.get(service) is None
         return [
             other
             for other in self._directory.all_of_service(service)
-            if weights.get(other.name, 1.0) > 0
-            and (any_version or other.endpoint.version == version)
+            if weights.get(other.name, 1.0) > 0 and other.endpoint.version == version
         ]
 
     def _cache_tokens(self, service: str) -> int:
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -8,14 +8,16 @@
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.deployment import Customer, RequestTraits, Route, customer_name
+from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
-from sassafrasdale.gateway.exchange import AdmittedRequest, RequestExchange
+from sassafrasdale.gateway.exchange import RequestExchange
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.gateway.routing import RouteTable, draw_service
+from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.green import sleep
 from sassafrasdale.http.exceptions import CallerDisconnected
 from sassafrasdale.http.messages import Request
@@ -51,6 +53,7 @@
     :param quotas: customers' rate limits.
     :param quarantine: quarantine of requests that crash endpoints.
     :param paths: opens the ways to endpoints.
+    :param continuations: finds the versions of streams that callers take up.
     :param may_serve: returns whether this gateway has the state that it needs to serve.
     :param last_end: returns the elapsed time by which new requests must end; None for
         no limit.
@@ -63,6 +66,7 @@
         quotas: Quotas,
         quarantine: RequestQuarantine,
         paths: EndpointPaths,
+        continuations: StreamContinuations,
         metrics: LazyMetrics,
         clock: Clock,
         rng: Random,
@@ -74,6 +78,7 @@
         self._quotas = quotas
         self._quarantine = quarantine
         self._paths = paths
+        self._continuations = continuations
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -114,9 +119,12 @@
             self._fleet,
             self._quarantine,
             self._paths,
+            self._continuations,
             self._clock,
         )
         try:
+            self._continuations.bind(admitted)
+            record.service = admitted.service
             record.status = exchange.run()
             record.outcome = "answered"
         except RequestRefused as refusal:
@@ -148,7 +156,8 @@
         traits = self._traits(request)
         record.resumes = traits.resumes or None
         record.resume_after = traits.resume_after
-        deadline = now + min(route.timeout, traits.deadline or DEFAULT_TIMEOUT)
+        caller_time = traits.deadline or DEFAULT_TIMEOUT
+        deadline = now + min(route.timeout, caller_time)
         last_end = self._last_end()
         if last_end is not None and deadline > last_end:
             raise RequestRefused(503, "stopping", retry_after=STOPPING_RETRY_AFTER)
@@ -166,7 +175,15 @@
         record.service = service
         self._metrics.request_began(service)
         return AdmittedRequest(
-            request, traits, route, service, customer, now, deadline, avoided
+            request,
+            traits,
+            route,
+            service,
+            customer,
+            now,
+            deadline,
+            now + caller_time,
+            avoided,
         )
 
     def _check_quarantine(
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -31,6 +31,16 @@
     encode,
 )
 from sassafrasdale.gateway.roster import Roster
+from sassafrasdale.gateway.streams.lookup import LOOKUP_TIMEOUT
+from sassafrasdale.gateway.streams.messages import (
+    STREAM_ANSWER,
+    STREAM_QUERY_TARGET,
+    STREAMS_TARGET,
+    StreamAnswer,
+    StreamQuery,
+    StreamRows,
+)
+from sassafrasdale.gateway.streams.replication import StreamReplicator
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
 from sassafrasdale.gateway.usage import ClockReading, ClusterTime, UsageLedger
 from sassafrasdale.gateway.value_transfers import ACCEPTS_CODING, read_values
@@ -112,6 +122,7 @@
     :param work_window: period over which each gateway averages its engine time.
     :param strikes: strikes against requests, sent and received.
     :param gate: what endpoints advertise, and permits, lent or borrowed.
+    :param streams: streams that have begun, reported and received.
     """
 
     local_state: LocalState
@@ -123,6 +134,7 @@
     clock: Clock
     strikes: StrikeReplicator
     gate: EndpointGate
+    streams: StreamReplicator
 
 
 class PeerCalls:
@@ -203,6 +215,25 @@
             return False
         return True
 
+    def report_streams(self, contact: Contact, rows: StreamRows) -> bool:
+        """Report streams to an aggregator, and return whether it confirmed them."""
+        request = Request("POST", STREAMS_TARGET, body=encode(rows))
+        try:
+            return self._call(contact, request).status == 200
+        except HttpError as error:
+            log.debug("streams not reported", peer=contact.name, why=error.message)
+            return False
+
+    def query_stream(self, contact: Contact, query: StreamQuery) -> StreamAnswer | None:
+        """Return an aggregator's answer to a query; None if the call failed."""
+        request = Request("POST", STREAM_QUERY_TARGET, body=encode(query))
+        return self._get(
+            contact,
+            request,
+            lambda response: STREAM_ANSWER.decode(response.body),
+            LOOKUP_TIMEOUT,
+        )
+
     def close_unlisted(self) -> None:
         """Close the connections to gateways that the roster no longer lists."""
         for clients in (self._clients, self._assignment_clients):
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -16,6 +16,7 @@
 
 from sassafrasdale.decisions.load_reports import ReportedLoad
 from sassafrasdale.gateway.canary_reports import CanaryReport, Count, without_rows
+from sassafrasdale.gateway.streams.messages import StreamUpdate
 from sassafrasdale.gateway.strike_replication import StrikeUpdate
 from sassafrasdale.gateway.usage import ClockReading
 from sassafrasdale.structures import Address
@@ -294,6 +295,7 @@
     :param members: names of the group's gateways, sent within the zone only.
     :param strikes: strikes against requests that the receiver may lack.
     :param endpoints: what is known of the endpoints.
+    :param streams: streams of the sender's zone that the receiver may lack.
     """
 
     sender: Contact
@@ -308,6 +310,7 @@
     members: tuple[str, ...] = ()
     strikes: StrikeUpdate | None = None
     endpoints: EndpointReports = field(default_factory=EndpointReports)
+    streams: StreamUpdate | None = None
 
 
 class Redirect(Message):
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -45,6 +45,12 @@
     encode,
 )
 from sassafrasdale.gateway.reporter import Reporter
+from sassafrasdale.gateway.streams.messages import (
+    STREAM_QUERY,
+    STREAM_QUERY_TARGET,
+    STREAM_ROWS,
+    STREAMS_TARGET,
+)
 from sassafrasdale.gateway.value_transfers import values_response
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.http.messages import Request, Response
@@ -190,6 +196,18 @@
         """Return the gateway that assigns endpoints for this one; None for itself."""
         return self._roster.get(self._reporter.aggregator)
 
+    def aggregators(self) -> list[Contact]:
+        """Return the known aggregators of all zones, without this gateway."""
+        found = {
+            group.state.aggregator.name: group.state.aggregator
+            for group in self.unexpired_groups()
+        }
+        dispatcher = self.dispatcher()
+        if dispatcher is not None:
+            found[dispatcher.name] = dispatcher
+        found.pop(self._roster.own.name, None)
+        return list(found.values())
+
     @property
     def interval(self) -> timedelta:
         """Interval between reports."""
@@ -348,6 +366,12 @@
             return Response(200)
         if target == GROUP_UPDATE_TARGET:
             return self._handle_update(request)
+        if target == STREAMS_TARGET:
+            self._context.streams.receive_rows(STREAM_ROWS.decode(request.body))
+            return Response(200)
+        if target == STREAM_QUERY_TARGET:
+            query = STREAM_QUERY.decode(request.body)
+            return Response(200, body=encode(self._context.streams.answer(query)))
         if target.startswith(USAGE_TARGET):
             total = self._aggregator.usage(int(target.removeprefix(USAGE_TARGET)))
             return Response(200, body=encode(total))
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -106,6 +106,8 @@
             components.peering.run,
             components.dispatcher_client.run,
             components.strike_records.run,
+            components.version_register.run,
+            components.report_streams,
             components.departure_checks.run,
             components.links.run,
         ]
@@ -154,6 +156,7 @@
         if not self._components.peering.is_aggregator:
             self._components.dispatcher.resign()
         self._components.directory.drop_expired()
+        self._components.directory.confirm_versions()
         self._components.gate.remove_gone()
         self._components.time.update()
         self._components.quarantine.log_changes()
@@ -175,6 +178,7 @@
             self._components.store_view.is_loaded
             and self._components.registration.has_read_list
             and self._components.strike_records.is_loaded
+            and self._components.version_register.is_loaded
             and self._knows_endpoints()
         )
 
--- a/src/sassafrasdale/gateway/rollouts.py
+++ b/src/sassafrasdale/gateway/rollouts.py
@@ -172,6 +172,18 @@
             return records
         return rollout.usable(records, self._clock.elapsed())
 
+    def continuable(
+        self, service: str, records: list[EndpointRecord]
+    ) -> list[EndpointRecord]:
+        """Return the endpoints for streams that have begun.
+
+        A stream that began at the canary version goes on there until that is rejected.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.state in ("ordered", "running"):
+            return records
+        return rollout.usable(records, self._clock.elapsed())
+
     def sample(
         self, service: str, route: str, records: list[EndpointRecord]
     ) -> Sequence[EndpointRecord]:
--- /dev/null
+++ b/src/sassafrasdale/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams that go on at the software version that began them."""
--- a/tests/gateway/advertisements/test_backoffs.py
+++ b/tests/gateway/advertisements/test_backoffs.py
@@ -134,6 +134,6 @@
     """Guards against a response that is dropped for a retry that nothing takes."""
     world = World()
     world.add("i-1", "records", refusing())
-    assert world.fleet.has_alternative("records", ())
+    assert world.fleet.has_alternative("records", RequestTraits("r-1"), ())
     world.gate.backoffs.begin("i-1", timedelta(seconds=3))
-    assert not world.fleet.has_alternative("records", ())
+    assert not world.fleet.has_alternative("records", RequestTraits("r-1"), ())
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -22,6 +22,8 @@
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
+from sassafrasdale.gateway.streams.records import StreamRecords
+from sassafrasdale.gateway.streams.replication import StreamReplicator
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
 from sassafrasdale.gateway.usage import ClockReading, ClusterTime, UsageLedger
 from sassafrasdale.green import sleep
@@ -128,6 +130,10 @@
         self.follows_store = True
         self.limits: Quotas | None = None
         self.strikes = StrikeLedger()
+        self.stream_records = StreamRecords(fleet.clock)
+        self.streams = StreamReplicator(
+            name, incarnation, self.stream_records, fleet.clock
+        )
         self.received = RecordingListener(self)
         self.due_at = fleet.clock.elapsed()
         self.time = ClusterTime(fleet.clock)
@@ -162,6 +168,7 @@
             fleet.clock,
             StrikeReplicator(self.strikes, incarnation),
             gate,
+            self.streams,
         )
         calls = LocalCalls(fleet, name, self.roster, fleet.clock)
         self.peering = Peering(context, len(fleet.zones), Random(name), calls)
@@ -334,5 +341,6 @@
         clock,
         strikes,
         gate or single_gate(clock),
+        StreamReplicator(roster.own.name, 1, StreamRecords(clock), clock),
     )
     return Peering(context, 1, rng, PeerCalls(roster, clock))
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -28,6 +28,10 @@
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.routing import RouteTable
+from sassafrasdale.gateway.streams.continuations import StreamContinuations
+from sassafrasdale.gateway.streams.lookup import StreamLookup
+from sassafrasdale.gateway.streams.records import StreamRecords
+from sassafrasdale.gateway.streams.replication import StreamReplicator
 from sassafrasdale.gateway.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime, UsageCounts
 from sassafrasdale.green import listen, spawn
@@ -266,12 +270,29 @@
             self.directory, self.forwarders, checks, service, CLOCK, self.rng
         )
         self.paths = EndpointPaths(self.links, self.forwarders, lambda: 0.0, CLOCK)
+        self.stream_records = StreamRecords(CLOCK)
+        self.streams = StreamReplicator("front-a-1", 1, self.stream_records, CLOCK)
+        self.only_version = "v1"
+        continuations = StreamContinuations(
+            self.streams,
+            StreamLookup(
+                self.stream_records,
+                self.streams,
+                lambda: [],
+                lambda contact, query: None,
+                CLOCK,
+            ),
+            lambda service: self.only_version,
+            CLOCK,
+            self.metrics.count,
+        )
         self.frontend = Frontend(
             lambda: self.routes,
             self.fleet,
             self.quotas,
             self.quarantine,
             self.paths,
+            continuations,
             self.metrics,
             CLOCK,
             self.rng,
@@ -288,7 +309,7 @@
         name: str,
         service: str,
         endpoint: ScriptedEndpoint | CrashingEndpoint,
-        version: str = "",
+        version: str = "v1",
     ) -> None:
         """Register an endpoint."""
         self.directory.put(
