Tests of streams' versions; a silent stream waits for its version from the first event on

- a stream's first read after its first event still counted endpoints of other versions as able to resume it, so it was given up after 1.2 s of silence; the binding is made first now;
- a gateway without endpoints of a service kept its versions for registered, after another may have taken them off the record;
- while a rollout is only known as ordered, its target may have been rolled back, so streams that began there are not sent there.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -316,15 +316,16 @@
         last_at: timedelta | None = None
         try:
             while data := path.read_data(deadline):
-                deadline = self._next_read_deadline()
                 complete = splitter.feed(data)
+                if complete:
+                    self._bind_stream(attempt)
+                deadline = self._next_read_deadline()
                 if not complete:
                     continue
                 now = self._clock.elapsed()
                 if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
                     gaps.append(now - last_at)
                 last_at = now
-                self._bind_stream(attempt)
                 self._record_first_byte(attempt)
                 if not self._caller.response_started:
                     self._caller.begin(head.status, caller_headers(head))
--- a/src/sassafrasdale/gateway/rollouts.py
+++ b/src/sassafrasdale/gateway/rollouts.py
@@ -177,10 +177,11 @@
     ) -> list[EndpointRecord]:
         """Return the endpoints for streams that have begun.
 
-        A stream that began at the canary version goes on there until that is rejected.
+        A stream that began at the canary version goes on there while the rollout is
+        known to run.
         """
         rollout = self._rollouts.get(service)
-        if rollout is None or rollout.state in ("ordered", "running"):
+        if rollout is None or rollout.state == "running":
             return records
         return rollout.usable(records, self._clock.elapsed())
 
--- a/src/sassafrasdale/gateway/streams/replication.py
+++ b/src/sassafrasdale/gateway/streams/replication.py
@@ -61,11 +61,18 @@
     :param name: this gateway's name.
     :param incarnation: this gateway's own.
     :param records: streams that are known here.
+    :param query_polls: how often a query looks for the record of an unknown stream.
     """
 
     def __init__(
-        self, name: str, incarnation: int, records: StreamRecords, clock: Clock
+        self,
+        name: str,
+        incarnation: int,
+        records: StreamRecords,
+        clock: Clock,
+        query_polls: int = QUERY_POLLS,
     ) -> None:
+        self._query_polls = query_polls
         self._name = name
         self._incarnation = incarnation
         self._records = records
@@ -110,7 +117,7 @@
             return record
         self._waiting += 1
         try:
-            for _ in range(QUERY_POLLS):
+            for _ in range(self._query_polls):
                 sleep(QUERY_POLL_INTERVAL)
                 record = self._records.get(name)
                 if record is not None:
--- a/src/sassafrasdale/gateway/streams/version_register.py
+++ b/src/sassafrasdale/gateway/streams/version_register.py
@@ -116,7 +116,7 @@
         """
         self._note_restore()
         has_called = False
-        for service in self._directory.services:
+        for service in {*self._directory.services, *self._registered}:
             listed = {
                 record.endpoint.version
                 for record in self._directory.all_of_service(service)
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -22,6 +22,7 @@
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
+from sassafrasdale.gateway.streams.lookup import StreamLookup
 from sassafrasdale.gateway.streams.records import StreamRecords
 from sassafrasdale.gateway.streams.replication import StreamReplicator
 from sassafrasdale.gateway.strike_replication import StrikeReplicator
@@ -132,7 +133,7 @@
         self.strikes = StrikeLedger()
         self.stream_records = StreamRecords(fleet.clock)
         self.streams = StreamReplicator(
-            name, incarnation, self.stream_records, fleet.clock
+            name, incarnation, self.stream_records, fleet.clock, query_polls=0
         )
         self.received = RecordingListener(self)
         self.due_at = fleet.clock.elapsed()
@@ -171,7 +172,15 @@
             self.streams,
         )
         calls = LocalCalls(fleet, name, self.roster, fleet.clock)
+        self.calls = calls
         self.peering = Peering(context, len(fleet.zones), Random(name), calls)
+        self.lookup = StreamLookup(
+            self.stream_records,
+            self.streams,
+            self.peering.aggregators,
+            calls.query_stream,
+            fleet.clock,
+        )
 
     def _state(self, own: Contact) -> MemberState:
         counted = self.peering.counted_usage("lab")
@@ -190,6 +199,14 @@
             follows_store=self.follows_store,
         )
 
+    def report_streams(self) -> None:
+        """Report the streams that have begun here since the last step."""
+        aggregator = self.peering.dispatcher()
+        self.streams.step(
+            aggregator and (aggregator.name, aggregator.incarnation),
+            lambda rows: self.calls.report_streams(aggregator, rows),
+        )
+
     def known_in_flight(self, endpoint: str) -> int:
         """Return the other gateways' requests in flight, as known here."""
         return sum(
@@ -282,6 +299,7 @@
             for node in list(self.nodes.values()):
                 if node.name in self.down | self.paused:
                     continue
+                node.report_streams()
                 if self.clock.elapsed() >= node.due_at:
                     node.peering.run_round()
                     node.due_at = self.clock.elapsed() + node.peering.interval
--- /dev/null
+++ b/tests/gateway/streams/test_version_register.py
@@ -0,0 +1,190 @@
+"""The versions of each service in the platform's store."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.coordination.exceptions import StoreError
+from sassafrasdale.deployment import Endpoint, EndpointState
+from sassafrasdale.gateway.dependencies import Dependency
+from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.streams.version_register import (
+    RESTORE_TIME,
+    RETENTION_TIME,
+    VersionRegister,
+)
+from sassafrasdale.structures import Address
+from tests.coordination.fakes import FakeStore
+
+SECOND = timedelta(seconds=1)
+
+
+class RestorableStore(FakeStore):
+    """Store in memory that counts its restores."""
+
+    restores = 0
+
+    @property
+    def epoch(self) -> int:
+        return self.restores
+
+
+class Gateway:
+    """One gateway's register and directory."""
+
+    def __init__(self, store: FakeStore, clock: ManualClock) -> None:
+        self.directory = Directory(clock, Random(1), SECOND)
+        self.register = VersionRegister(
+            store, Dependency("store", clock), self.directory, clock, Random(1)
+        )
+
+    def list(self, name: str, version: str) -> None:
+        """List an endpoint."""
+        self.directory.put(
+            Endpoint(
+                name,
+                "models",
+                Address("127.0.0.1", 7),
+                "a",
+                EndpointState.READY,
+                version=version,
+            )
+        )
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def store(clock):
+    return RestorableStore(clock)
+
+
+@pytest.fixture
+def gateways(store, clock):
+    return [Gateway(store, clock) for _ in range(2)]
+
+
+def test_streams_begin_at_a_version_once_it_is_stored(gateways, store):
+    """Guards against streams of a version that a restarted gateway can't know of."""
+    one, other = gateways
+    one.list("m-1", "v1")
+    assert not one.register.may_begin("models", "v1")
+    store.faults = ["unreached"]
+    with pytest.raises(StoreError):
+        one.register.step()
+    assert not one.register.may_begin("models", "v1")
+    one.register.step()
+    assert one.register.may_begin("models", "v1")
+    assert other.register.only_version("models") == "v1"
+
+
+def test_several_versions_leave_the_stream_unknown(gateways):
+    one, other = gateways
+    one.list("m-1", "v1")
+    one.register.step()
+    one.list("m-2", "v2")
+    one.register.step()
+    other.list("m-2", "v2")
+    other.register.step()
+    assert other.register.only_version("models") == ""
+
+
+def test_gateways_that_write_at_once_lose_no_version(gateways, store):
+    """Guards against a version that another gateway's write overwrites."""
+    one, other = gateways
+    one.list("m-1", "v1")
+    other.list("m-2", "v2")
+    store.faults = [None, "late"]
+    with pytest.raises(StoreError):
+        one.register.step()
+    other.register.step()
+    store.apply_late()
+    one.register.step()
+    assert one.register.may_begin("models", "v1")
+    assert other.register.only_version("models") == ""
+
+
+def test_registered_versions_cost_no_calls(gateways, store):
+    one, _ = gateways
+    one.list("m-1", "v1")
+    one.register.step()
+    calls = store.calls
+    for _ in range(100):
+        one.register.step()
+    assert store.calls == calls
+
+
+def test_an_unreachable_store_leaves_the_stream_unknown(gateways, store):
+    one, _ = gateways
+    one.list("m-1", "v1")
+    one.register.step()
+    store.faults = ["unreached"]
+    assert one.register.only_version("models") == ""
+
+
+def test_a_version_without_endpoints_is_taken_off_the_record(gateways, clock):
+    one, other = gateways
+    one.list("m-1", "v1")
+    one.list("m-2", "v2")
+    one.register.step()
+    one.directory.remove("m-1")
+    one.register.step()
+    clock.advance(RETENTION_TIME - SECOND)
+    one.register.step()
+    assert other.register.only_version("models") == ""
+    clock.advance(SECOND)
+    one.register.step()
+    assert other.register.only_version("models") == "v2"
+
+
+def test_a_version_that_returns_is_stored_again(gateways, clock):
+    """Guards against streams of a version that was taken off the record."""
+    one, other = gateways
+    one.list("m-2", "v2")
+    for gateway in (one, other):
+        gateway.list("m-1", "v1")
+        gateway.register.step()
+        gateway.directory.remove("m-1")
+        gateway.register.step()
+    clock.advance(RETENTION_TIME)
+    one.register.step()
+    other.list("m-1", "v1")
+    assert not other.register.may_begin("models", "v1")
+    other.register.step()
+    assert other.register.may_begin("models", "v1")
+    assert one.register.only_version("models") == ""
+
+
+def test_a_copy_without_a_version_decides_nothing(gateways, store, clock):
+    """Guards against a version that a restore of the store has lost."""
+    one, other = gateways
+    one.list("m-1", "v1")
+    one.register.step()
+    copy = dict(store.keys)
+    one.list("m-2", "v2")
+    one.register.step()
+    store.keys = copy
+    store.restores = 1
+    assert other.register.only_version("models") == ""
+    one.register.step()
+    assert one.register.may_begin("models", "v2")
+    clock.advance(RESTORE_TIME)
+    assert other.register.only_version("models") == ""
+
+
+def test_a_record_that_can_not_be_read_decides_nothing(gateways, store):
+    one, other = gateways
+    one.list("m-1", "v1")
+    one.register.step()
+    [key] = store.keys
+    store.compare_and_swap(key, b"\xff", store.keys[key].mod_revision)
+    assert other.register.only_version("models") == ""
+    other.list("m-1", "v1")
+    other.register.step()
+    assert other.register.may_begin("models", "v1")
+    assert other.register.only_version("models") == ""
