A hop holds streams to their version too; a gateway is ready once its versions are registered

A forwarder refuses a stream for an endpoint that it knows at another version, as the gateway that has the caller may not have learned of a restart. A starting gateway would have refused new streams until its first check of the listed versions, some 50 ms.

--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -275,6 +275,7 @@
             self.directory,
             clock,
             self._rng,
+            lambda: self.store_view.is_loaded,
         )
         lookup = StreamLookup(
             self._stream_records,
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -209,6 +209,7 @@
             lambda: self._fingerprint,
             admitted.route.repeatable,
             admitted.deadline,
+            "" if attempt.binding is None else attempt.binding.version,
         )
         try:
             path = self._paths.open(attempt.record, hop)
--- a/src/sassafrasdale/gateway/forwarding/messages.py
+++ b/src/sassafrasdale/gateway/forwarding/messages.py
@@ -42,6 +42,8 @@
     :param left_s: time left as it was sent, in seconds.
     :param is_repeatable: whether it may run more than once.
     :param fingerprint: under which a crash of the endpoint counts against it.
+    :param software: version that the endpoint must have, as the request resumes a
+        stream; empty for any.
     """
 
     endpoint: str
@@ -53,6 +55,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes = b""
     fingerprint: str = ""
+    software: str = ""
 
 
 class EndpointReachability(Struct, frozen=True, array_like=True):
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -70,12 +70,14 @@
     :param fingerprint: returns the request's fingerprint, which costs a hash.
     :param is_repeatable: whether it may run more than once.
     :param deadline: elapsed time until which its response is of use.
+    :param software: version that the endpoint must have; empty for any.
     """
 
     endpoint: str
     fingerprint: Callable[[], str]
     is_repeatable: bool
     deadline: timedelta
+    software: str = ""
 
 
 class DirectPath:
@@ -186,6 +188,7 @@
             request.headers,
             request.body,
             hop.fingerprint(),
+            hop.software,
         )
         host = ("host", str(self._contact.address))
         wrapped = Request("POST", FORWARD_TARGET, (host,), encode(forwarded))
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -244,6 +244,7 @@
     ) -> None:
         if reason != CONNECTION_LOST:
             return
+        record.doubt_version(self._clock.elapsed())
         self._links.record_lost_connection(record)
         registered = self._directory.records.get(record.name) is record
         self._quarantine.record_lost_connection(
@@ -270,6 +271,8 @@
             raise _NotForwarded(ForwardOutcome.REFUSED, "endpoint not registered")
         if not self._takes_requests(record):
             raise _NotForwarded(ForwardOutcome.WITHHELD, "endpoint takes none now")
+        if forwarded.software and record.known_version != forwarded.software:
+            raise _NotForwarded(ForwardOutcome.REFUSED, "endpoint at another version")
         if self._links.is_partitioned(record):
             raise _NotForwarded(ForwardOutcome.REFUSED, "link lost here, too")
         return record
--- a/src/sassafrasdale/gateway/streams/version_register.py
+++ b/src/sassafrasdale/gateway/streams/version_register.py
@@ -5,7 +5,7 @@
 which no gateway knows any more.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from random import Random
 
@@ -26,6 +26,8 @@
 
 VERSIONS_PREFIX = "sassafrasdale/versions/"
 STEP_INTERVAL = timedelta(milliseconds=50)
+# Callers wait for a gateway that starts.
+START_INTERVAL = timedelta(milliseconds=10)
 RETRY_DELAY = timedelta(milliseconds=250)
 # Conditional writes of a step, if other gateways write at the same time.
 MAX_WRITES = 3
@@ -47,6 +49,7 @@
     That includes services without streams, to which a configuration may send some.
 
     :param directory: registered endpoints.
+    :param is_listed: returns whether the endpoints have been read since the start.
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         directory: Directory,
         clock: Clock,
         rng: Random,
+        is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_listed = is_listed
         self._store = store
         self._dependency = dependency
         self._directory = directory
@@ -103,7 +108,7 @@
             try:
                 if self.step():
                     self._dependency.succeeded(called_at)
-                delay = STEP_INTERVAL
+                delay = STEP_INTERVAL if self._is_loaded else START_INTERVAL
             except StoreError as error:
                 self._dependency.failed(error, called_at)
                 delay = RETRY_DELAY
@@ -115,6 +120,7 @@
         :raises StoreError: if the store doesn't respond.
         """
         self._note_restore()
+        is_listed = self._is_listed()
         has_called = False
         for service in {*self._directory.services, *self._registered}:
             listed = {
@@ -123,7 +129,7 @@
             }
             has_called |= self._register(service, listed)
             has_called |= self._retire(service, listed)
-        self._is_loaded = True
+        self._is_loaded = self._is_loaded or is_listed
         return has_called
 
     def _register(self, service: str, listed: set[str]) -> bool:
--- a/tests/gateway/forwarding/test_hop.py
+++ b/tests/gateway/forwarding/test_hop.py
@@ -397,3 +397,16 @@
     assert links.answer("i-3") is Reachability.UNKNOWN
     links.is_partitioned = lambda record: True
     assert links.answer("i-1") is Reachability.UNKNOWN
+
+
+def test_a_stream_is_not_forwarded_to_another_version_than_began_it():
+    """Guards against an endpoint that has restarted, which only the peer knows."""
+    hop = Hop()
+    endpoint = ScriptedEndpoint(respond_with())
+    hop.add("i-1", "models", endpoint)
+    hop.forwarders[0].world.directory.remove("i-1")
+    hop.forwarders[0].world.add("i-1", "models", endpoint, "v2")
+    hop.origin.only_version = "v1"
+    response = hop.origin.ask(request(STREAM, resumes="r-0", last_event_id="1"))
+    assert status_of(response) == 503
+    assert not endpoint.requests
--- a/tests/gateway/streams/test_version_register.py
+++ b/tests/gateway/streams/test_version_register.py
@@ -36,8 +36,14 @@
 
     def __init__(self, store: FakeStore, clock: ManualClock) -> None:
         self.directory = Directory(clock, Random(1), SECOND)
+        self.is_listed = True
         self.register = VersionRegister(
-            store, Dependency("store", clock), self.directory, clock, Random(1)
+            store,
+            Dependency("store", clock),
+            self.directory,
+            clock,
+            Random(1),
+            lambda: self.is_listed,
         )
 
     def list(self, name: str, version: str) -> None:
@@ -188,3 +194,16 @@
     other.register.step()
     assert other.register.may_begin("models", "v1")
     assert other.register.only_version("models") == ""
+
+
+def test_a_start_waits_until_what_is_listed_is_registered(gateways):
+    """Guards against streams that a gateway refuses just after it has become ready."""
+    one, _ = gateways
+    one.is_listed = False
+    one.register.step()
+    assert not one.register.is_loaded
+    one.is_listed = True
+    one.list("m-1", "v1")
+    one.register.step()
+    assert one.register.is_loaded
+    assert one.register.may_begin("models", "v1")
