Tests of followers leave no task behind; times after a restore are one value

A follower that settles after a restore ran on in later tests, and a test replaced a constant while it did. The two times are passed in together.

--- a/src/sassafrasdale/gateway/follower.py
+++ b/src/sassafrasdale/gateway/follower.py
@@ -38,16 +38,30 @@
 # Delay between two watches. Where a zone's endpoints start or leave together, one call
 # returns what would take ten; callers see a delay of a tenth of a second.
 BATCH_DELAY = timedelta(milliseconds=100)
-# Time for which keys are kept that a restored store lacks, and for which those are left
-# out that it has again though they were deleted. Their writers repeat what was lost
-# within this time, and registrations without a heartbeat have expired by its end.
-KEPT_TIME = timedelta(seconds=5)
-LEFT_OUT_TIME = timedelta(seconds=5)
 # Deleted keys that are kept for peers. Endpoints come and go a few times a second at
 # most, and peers fetch changes within a second.
 MAX_DELETED_KEYS = 200
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreTimes:
+    """Times until what a restored store has is taken as it is.
+
+    Writers repeat what was lost within the defaults, and registrations without a
+    heartbeat have expired by their end.
+
+    :param kept: time for which keys are kept that it lacks.
+    :param left_out: time, not shorter, for which keys are left out that it has again
+        though they were deleted.
+    """
+
+    kept: timedelta = timedelta(seconds=5)
+    left_out: timedelta = timedelta(seconds=5)
+
+
+RESTORE_TIMES = RestoreTimes()
+
+
 @dataclass(frozen=True, slots=True)
 class PrefixChanges:
     """Changes below a prefix.
@@ -72,7 +86,7 @@
     :param dependency: notified whether the store responds.
     :param should_watch: whether this gateway has to watch the store itself, once it has
         listed all values.
-    :param kept_time: time for which keys are kept that a restored store lacks.
+    :param restore_times: times until a restored store's values are taken as they are.
     """
 
     def __init__(
@@ -84,9 +98,9 @@
         clock: Clock,
         rng: Random,
         should_watch: Callable[[], bool] = lambda: True,
-        kept_time: timedelta = KEPT_TIME,
+        restore_times: RestoreTimes = RESTORE_TIMES,
     ) -> None:
-        self._kept_time = kept_time
+        self._restore_times = restore_times
         self._should_watch = should_watch
         self._prefix = prefix
         self._store = store
@@ -327,14 +341,15 @@
 
     def _settle_restored(self, epoch: int) -> None:
         """Take what the restored store has, once writers have had time."""
-        sleep(self._kept_time)
+        times = self._restore_times
+        sleep(times.kept)
         if epoch_of(self._revision) != epoch:
             return
         kept, self._kept = self._kept, set()
         gone = {key for key in kept if key in self._values}
         if gone:
             self._drop_kept(gone)
-        sleep(LEFT_OUT_TIME - self._kept_time)
+        sleep(times.left_out - times.kept)
         if epoch_of(self._revision) != epoch:
             return
         left_out, self._left_out = self._left_out, {}
--- a/src/sassafrasdale/gateway/store_view.py
+++ b/src/sassafrasdale/gateway/store_view.py
@@ -14,7 +14,12 @@
 from sassafrasdale.deployment import CallerLimits, Configuration, Endpoint, Service
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.gateway.follower import KEPT_TIME, Follower, PrefixChanges
+from sassafrasdale.gateway.follower import (
+    RESTORE_TIMES,
+    Follower,
+    PrefixChanges,
+    RestoreTimes,
+)
 from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.routing import RouteTable
@@ -47,7 +52,7 @@
 MAX_MALFORMED_LOGGED = 100
 # Time for which an endpoint is kept that a restored store lacks. A registration that
 # was lost is back within two seconds, and one that is removed now is not in the store.
-ENDPOINT_KEPT_TIME = timedelta(seconds=1.5)
+ENDPOINT_TIMES = RestoreTimes(kept=timedelta(seconds=1.5))
 
 
 class StoreView:
@@ -87,12 +92,12 @@
         self._malformed: set[str] = set()
         self._followers = {
             prefix: Follower(
-                prefix, store, changed, store_health, clock, rng, should_watch, kept
+                prefix, store, changed, store_health, clock, rng, should_watch, times
             )
-            for prefix, changed, kept in (
-                (OPERATORS_PREFIX, self._apply_operator_changes, KEPT_TIME),
-                (ENDPOINTS_PREFIX, self._apply_endpoint_changes, ENDPOINT_KEPT_TIME),
-                (STATUS_PREFIX, self._apply_status_changes, KEPT_TIME),
+            for prefix, changed, times in (
+                (OPERATORS_PREFIX, self._apply_operator_changes, RESTORE_TIMES),
+                (ENDPOINTS_PREFIX, self._apply_endpoint_changes, ENDPOINT_TIMES),
+                (STATUS_PREFIX, self._apply_status_changes, RESTORE_TIMES),
             )
         }
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -10,7 +10,11 @@
 from sassafrasdale.coordination.exceptions import StoreHistoryLost, StoreNotReached
 from sassafrasdale.coordination.stores import StoredValue, ordered_revision
 from sassafrasdale.gateway.dependencies import Dependency
-from sassafrasdale.gateway.follower import MAX_DELETED_KEYS, Follower
+from sassafrasdale.gateway.follower import (
+    MAX_DELETED_KEYS,
+    Follower,
+    RestoreTimes,
+)
 from sassafrasdale.gateway.peer_states import StoreValues
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.platform.store import Change, Changes, Snapshot
@@ -48,14 +52,29 @@
     return []
 
 
-@pytest.fixture
-def follower(store, seen):
+TIMES = RestoreTimes(timedelta(milliseconds=30), timedelta(milliseconds=120))
+# Until a follower has settled after a restore.
+SETTLED = timedelta(milliseconds=200)
+
+
+def new_follower(store, on_change, seed: int = 1) -> Follower:
     clock = ManualClock()
     return Follower(
-        "p/", store, seen.append, Dependency("store", clock), clock, Random(1)
+        "p/",
+        store,
+        on_change,
+        Dependency("store", clock),
+        clock,
+        Random(seed),
+        restore_times=TIMES,
     )
 
 
+@pytest.fixture
+def follower(store, seen):
+    return new_follower(store, seen.append)
+
+
 def test_a_listing_is_followed_by_changes(store, follower, seen):
     store.snapshots = [Snapshot((item("p/a", b"1", 3),), 10)]
     store.changes = [
@@ -139,13 +158,6 @@
     follower.step()
 
 
-def new_follower(seen):
-    clock = ManualClock()
-    return Follower(
-        "p/", None, seen.append, Dependency("store", clock), clock, Random(1)
-    )
-
-
 def test_a_peer_gets_only_the_changes(store, follower):
     """Each change would send the whole list to forty gateways."""
     list_values(store, follower, item("p/a", b"1", 3), item("p/b", b"2", 4))
@@ -172,7 +184,7 @@
 def test_changes_from_a_peer_are_applied(store, follower):
     list_values(store, follower, item("p/a", b"1", 3), item("p/b", b"2", 4))
     seen = []
-    other = new_follower(seen)
+    other = new_follower(None, seen.append)
     other.apply_peer_values(follower.changes_since(0), 0)
     store.changes = [Changes((Change("p/c", 12, b"3"), Change("p/a", 13, None)), 14)]
     follower.step()
@@ -191,7 +203,7 @@
     early = follower.changes_since(0)
     store.changes = [Changes((Change("p/a", 13, None),), 14)]
     follower.step()
-    other = new_follower([])
+    other = new_follower(None, [].append)
     other.apply_peer_values(follower.changes_since(0), 0)
     other.apply_peer_values(early, 0)
     assert other.values == {}
@@ -200,7 +212,7 @@
 def test_changes_are_passed_on_from_peer_to_peer(store, follower):
     """A gateway that applied changes from a peer can send them to other peers."""
     list_values(store, follower, item("p/a", b"1", 3))
-    middle, last = new_follower([]), new_follower([])
+    middle, last = new_follower(None, [].append), new_follower(None, [].append)
     middle.apply_peer_values(follower.changes_since(0), 0)
     last.apply_peer_values(middle.changes_since(0), 0)
     for revision, change in (
@@ -288,22 +300,13 @@
     follower.step()
     assert follower.values == {"p/a": b"3"}
     assert not seen[-1].is_restored
+    sleep(SETTLED)
 
 
 @pytest.fixture
 def restored(store):
-    """Return a follower that settles tens of milliseconds after a restore."""
-    clock = ManualClock()
-    changes = []
-    follower = Follower(
-        "p/",
-        store,
-        changes.append,
-        Dependency("store", clock),
-        clock,
-        Random(1),
-        kept_time=timedelta(milliseconds=30),
-    )
+    """Return a follower of a store that was restored."""
+    follower = new_follower(store, lambda changes: None)
     store.snapshots = [
         Snapshot((item("p/a", b"1", 3), item("p/gone", b"1", 4)), 10),
         Snapshot((item("p/gone", b"1", in_epoch(4)),), in_epoch(5)),
@@ -313,7 +316,9 @@
     follower.step()
     follower._needs_listing = True
     follower.step()
-    return follower
+    yield follower
+    # Its task must not outlive the test.
+    sleep(SETTLED)
 
 
 def test_what_a_restored_store_lacks_is_kept_for_a_while(restored):
@@ -335,13 +340,12 @@
     assert restored.values == {"p/a": b"1", "p/gone": b"2"}
 
 
-def test_what_a_restored_store_has_again_is_left_out_for_a_while(restored, monkeypatch):
+def test_what_a_restored_store_has_again_is_left_out_for_a_while(restored):
     """Guards against endpoints used again after their registration was removed."""
     assert "p/gone" not in restored.values
-    monkeypatch.setattr(
-        "sassafrasdale.gateway.follower.LEFT_OUT_TIME", timedelta(milliseconds=60)
-    )
-    sleep(timedelta(milliseconds=150))
+    sleep(timedelta(milliseconds=60))
+    assert "p/gone" not in restored.values
+    sleep(SETTLED)
     assert restored.values == {"p/gone": b"1"}
 
 
@@ -357,10 +361,7 @@
 
 def test_a_follower_of_the_old_epoch_learns_of_the_restore_from_a_peer(store, restored):
     """Guards against a gateway that keeps what was known before, for good."""
-    clock = ManualClock()
-    other = Follower(
-        "p/", store, lambda _: None, Dependency("store", clock), clock, Random(2)
-    )
+    other = new_follower(store, lambda changes: None, seed=2)
     store.snapshots = [Snapshot((item("p/a", b"1", 3), item("p/b", b"1", 4)), 90)]
     other.step()
     store.changes = [
