--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,14 +1,15 @@
 """Callers that reuse their connections until these fail."""
 
+import re
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 
 import h11
 
-from bench.soak.deployment import HOST, Customer, RequestKind
+from bench.soak.deployment import HOST, STREAM_EVENTS, Customer, RequestKind
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import connect, receive, sleep
 from sassafrasdale.structures import Address
@@ -17,6 +18,11 @@
 # Time that a caller waits beyond its route's timeout before it gives up.
 GIVE_UP_DELAY = timedelta(seconds=2)
 READ_BYTES = 65_536
+# Share of the streams whose caller leaves after some events; streams that were broken
+# off or left are taken up at most this often.
+LEAVING_SHARE = 0.15
+MAX_TAKE_UPS = 3
+_EVENT_ID = re.compile(rb"id: (\d+)\ndata: [^\n]*\n\n")
 STREAM_HEADERS = [("Token-Count", "400,24"), ("Prompt-Prefix", "aa:300,bb:100")]
 
 
@@ -37,12 +43,14 @@
     """The request that a caller is to send.
 
     :param target: path; by default one that no request has had before.
+    :param taken_up: the attempts at the stream that it takes up.
     """
 
     kind: RequestKind
     customer: Customer
     key: str
     target: str = ""
+    taken_up: "tuple[SentRequest, ...]" = ()
 
 
 @dataclass(slots=True)
@@ -51,6 +59,8 @@
 
     :param status: of the response; 0 if none began.
     :param complete: whether the response ended as its framing says.
+    :param leave_after: number of events after which its caller disconnects; 0 for
+        never.
     """
 
     request_id: str
@@ -63,6 +73,22 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     complete: bool = False
+    leave_after: int = 0
+
+    @property
+    def events(self) -> list[int]:
+        """Numbers of the complete events of a stream."""
+        return [int(number) for number in _EVENT_ID.findall(self.body)]
+
+    @property
+    def has_left(self) -> bool:
+        """Whether its caller has disconnected on its own."""
+        return 0 < self.leave_after <= len(self.events)
+
+    @property
+    def attempts(self) -> "tuple[SentRequest, ...]":
+        """All attempts at its stream so far, with this one."""
+        return (*self.spec.taken_up, self)
 
     @property
     def served(self) -> bool:
@@ -106,9 +132,19 @@
             sleep(self._interval * self._rng.expovariate(1))
             if self._sock is None and not self._open():
                 continue
-            self._send(self._draw_spec())
+            self._send(self._next_spec())
         self._close()
 
+    def _next_spec(self) -> RequestSpec:
+        """Return the next request: one that takes up the last stream if it is due."""
+        last = self.requests[-1] if self.requests else None
+        if last is None or not last.spec.kind.stream or last.complete:
+            return self._draw_spec()
+        attempts = last.attempts
+        if len(attempts) > MAX_TAKE_UPS or not any(each.events for each in attempts):
+            return self._draw_spec()
+        return replace(last.spec, target=last.target, taken_up=attempts)
+
     def _open(self) -> bool:
         listener = self._pick_listener()
         try:
@@ -130,6 +166,8 @@
         now = self._clock.elapsed()
         target = spec.target or f"{spec.kind.prefix}{request_id}"
         request = SentRequest(request_id, spec, target, self._listener, now, now)
+        if spec.kind.stream and self._rng.random() < LEAVING_SHARE:
+            request.leave_after = self._rng.randint(1, STREAM_EVENTS - 1)
         self.requests.append(request)
         try:
             self._sock.sendall(self._encode(request))
@@ -148,6 +186,7 @@
             ("Api-Key", spec.key),
             ("Content-Length", str(len(body))),
             *(STREAM_HEADERS if spec.kind.stream else []),
+            *_take_up_headers(spec),
         ]
         start = h11.Request(
             method=spec.kind.method, target=request.target, headers=headers
@@ -166,6 +205,8 @@
                     }
                 case h11.Data() as chunk:
                     request.body += bytes(chunk.data)
+                    if request.has_left:
+                        raise ConnectionError("caller leaves")
                 case h11.EndOfMessage():
                     request.complete = True
                     return
@@ -176,3 +217,12 @@
                 case h11.NEED_DATA:
                     remaining = max(deadline - self._clock.elapsed(), timedelta())
                     self._codec.receive_data(receive(self._sock, READ_BYTES, remaining))
+
+
+def _take_up_headers(spec: RequestSpec) -> list[tuple[str, str]]:
+    """Return the headers that name a stream and the last event that its caller has."""
+    begun = [attempt for attempt in spec.taken_up if attempt.events]
+    if not begun:
+        return []
+    last = max(attempt.events[-1] for attempt in begun)
+    return [("Last-Event-Id", str(last)), ("Resumes", begun[0].request_id)]
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -17,6 +17,7 @@
     QUOTA_WINDOW,
     RESYNC_TIME,
     STREAM_EVENTS,
+    VERSIONS,
 )
 from bench.soak.records import ENDPOINT_SPANS, STORE_SPANS, Record
 from standins.gateway_endpoints import CRASH_DELAY
@@ -59,6 +60,7 @@
         _repeated_runs,
         _refused_but_run,
         _wrong_responses,
+        _mixed_streams,
         _unrequested_runs,
         _lost_responses,
         _late_responses,
@@ -116,20 +118,36 @@
     if "replica-stamp" not in request.headers:
         return False
     if request.spec.kind.stream:
-        return request.body == _expected_stream(request.target)
+        first = 1 + sum(len(each.events) for each in request.spec.taken_up)
+        return any(
+            request.body == _expected_stream(request.target, first, version)
+            for version in VERSIONS
+        )
     try:
         return json.loads(request.body)["target"] == request.target
     except (ValueError, KeyError):
         return False
 
 
-def _expected_stream(target: str) -> bytes:
+def _expected_stream(target: str, first: int, version: str) -> bytes:
     return b"".join(
-        f"id: {number}\ndata: token {number} of {target}\n\n".encode()
-        for number in range(1, STREAM_EVENTS + 1)
+        f"id: {number}\ndata: token {number} of {target} by {version}\n\n".encode()
+        for number in range(first, STREAM_EVENTS + 1)
     )
 
 
+def _mixed_streams(record: Record) -> Iterator[Violation]:
+    """Find streams that several versions wrote, over all attempts of a caller."""
+    for each in record.requests:
+        if not each.spec.kind.stream or not each.events:
+            continue
+        body = b"".join(attempt.body for attempt in each.attempts)
+        wrote = {version for version in VERSIONS if f"by {version}\n".encode() in body}
+        if len(wrote) > 1:
+            ids = ", ".join(attempt.request_id for attempt in each.attempts)
+            yield Violation("one version", f"{ids}: {sorted(wrote)}")
+
+
 def _unrequested_runs(record: Record) -> Iterator[Violation]:
     for arrival in record.arrivals:
         run = arrival.run
@@ -143,7 +161,7 @@
 def _lost_responses(record: Record) -> Iterator[Violation]:
     for each in record.requests:
         ended_early = each.ended_at - each.sent_at < each.spec.kind.timeout
-        if each.complete or not ended_early:
+        if each.complete or each.has_left or not ended_early:
             continue
         if record.undisturbed(
             each.listener.gateway, each.sent_at, each.ended_at, ignoring=STORE_SPANS
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -17,6 +17,8 @@
 ZONES = ("a", "b")
 # Events of each stream.
 STREAM_EVENTS = 8
+# Software versions of the engines, which serve side by side.
+VERSIONS = ("v1", "v2")
 MODELS = "models"
 RECORDS = "records"
 
--- a/bench/soak/fleets.py
+++ b/bench/soak/fleets.py
@@ -16,6 +16,7 @@
     MODELS,
     RECORDS,
     SETTINGS,
+    VERSIONS,
     ZONES,
     Configuration,
 )
@@ -143,14 +144,17 @@
 
     def _endpoint(self, number: int) -> StandInEndpoint:
         is_plain = number % RECORDS_INTERVAL == 0
-        return self._fleet.add_endpoint(
+        endpoint = self._fleet.add_endpoint(
             f"{'r' if is_plain else 'm'}-{number}",
             RECORDS if is_plain else MODELS,
             ZONES[number % len(ZONES)],
             streams=not is_plain,
             crash_marker=CRASH_MARKER,
             proxy=lambda address: _link_to(address, self._links),
+            version=VERSIONS[number % len(VERSIONS)],
         )
+        endpoint.names_version = True
+        return endpoint
 
     def _gateway(self, number: int) -> Gateway:
         links: list[Link] = []
--- a/bench/soak/unguarded.py
+++ b/bench/soak/unguarded.py
@@ -11,6 +11,7 @@
 
 from sassafrasdale.coordination import leases
 from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.gateway import fleet
 from sassafrasdale.gateway.exchange import RequestExchange
 from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome
 from sassafrasdale.gateway.routing import RouteTable
@@ -26,6 +27,7 @@
     FENCING = "fencing"
     REVOCATION = "revocation"
     QUARANTINE = "quarantine"
+    VERSIONS = "versions"
 
 
 def disable(guard: Guard) -> None:
@@ -41,6 +43,8 @@
             _keep_revoked_keys()
         case Guard.QUARANTINE:
             StrikeLedger._update_quarantine = lambda self, changed: None
+        case Guard.VERSIONS:
+            fleet.may_continue = lambda binding, service, version: True
 
 
 def _retry_regardless_of_outcome() -> None:
--- a/tests/guarantees/test_soak.py
+++ b/tests/guarantees/test_soak.py
@@ -65,6 +65,7 @@
         (Guard.FENCING, HANDOVERS, "one holder"),
         (Guard.REVOCATION, REVOCATIONS, "revoked keys"),
         (Guard.QUARANTINE, CRASHES, "crashing requests"),
+        (Guard.VERSIONS, CRASHES, "one version"),
     ],
 )
 def test_a_soak_detects_a_disabled_safeguard(guard, plan, promise):
