--- a/bench/soak/unguarded.py
+++ b/bench/soak/unguarded.py
@@ -11,7 +11,7 @@
 
 from sassafrasdale.coordination import leases
 from sassafrasdale.decisions.quarantine import StrikeLedger
-from sassafrasdale.gateway import fleet
+from sassafrasdale.gateway import eligibility
 from sassafrasdale.gateway.exchange import RequestExchange
 from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome
 from sassafrasdale.gateway.routing import RouteTable
@@ -44,7 +44,7 @@
         case Guard.QUARANTINE:
             StrikeLedger._update_quarantine = lambda self, changed: None
         case Guard.VERSIONS:
-            fleet.may_continue = lambda binding, service, version: True
+            eligibility.may_continue = lambda binding, service, version: True
 
 
 def _retry_regardless_of_outcome() -> None:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -4,10 +4,8 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.load_reports import ReportedLoad, unreported_work
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
-from sassafrasdale.decisions.stream_versions import may_continue
 from sassafrasdale.deployment import (
     Bounds,
     Configuration,
@@ -24,7 +22,8 @@
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.dispatcher_client import DispatcherClient
 from sassafrasdale.gateway.dispatcher_messages import AttemptResult
-from sassafrasdale.gateway.peer_states import loads_by_endpoint
+from sassafrasdale.gateway.eligibility import EndpointEligibility
+from sassafrasdale.gateway.peer_loads import PeerLoads
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import CacheEstimate, Placement, shared_parts
 from sassafrasdale.gateway.prefill_times import PrefillTimes
@@ -79,7 +78,7 @@
         dispatcher_client: DispatcherClient | None = None,
         may_begin: Callable[[str, str], bool] = lambda service, version: True,
     ) -> None:
-        self._may_begin = may_begin
+        self._eligibility = EndpointEligibility(directory, rollouts, may_begin, clock)
         self._gate = gate
         self._dispatcher_client = dispatcher_client
         self._rollouts = rollouts
@@ -94,9 +93,7 @@
         self._retry_budgets = RetryBudgets(bounds, peering.gateway_count, clock)
         self._prefill_times = PrefillTimes(peering.prefill_times)
         self._work = DemandShares(WORK_WINDOW)
-        self._peer_loads: dict[str, ReportedLoad] = {}
-        self._peer_report_age = timedelta()
-        self._peer_work: dict[str, float] = {}
+        self._peer_loads = PeerLoads(peering)
 
     @property
     def retry_budgets(self) -> RetryBudgets:
@@ -105,26 +102,7 @@
 
     def endpoints(self, service: str) -> list[EndpointRecord]:
         """Return the endpoints of a service that may get requests."""
-        return self._rollouts.usable(service, self._directory.of_service(service))
-
-    def _endpoints_for(
-        self, service: str, traits: RequestTraits
-    ) -> list[EndpointRecord]:
-        """Return the endpoints of a service that may get a request."""
-        listed = self._directory.of_service(service)
-        if traits.binding is None:
-            usable = self._rollouts.usable(service, listed)
-        else:
-            usable = self._rollouts.continuable(service, listed)
-        return [record for record in usable if self._may_run(record, service, traits)]
-
-    def _may_run(
-        self, record: EndpointRecord, service: str, traits: RequestTraits
-    ) -> bool:
-        """Return whether a request may run at an endpoint's version."""
-        if traits.binding is not None:
-            return may_continue(traits.binding, service, record.known_version)
-        return not traits.is_stream or self._may_begin(service, record.endpoint.version)
+        return self._eligibility.endpoints(service)
 
     def is_registered(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint is registered as ready."""
@@ -144,11 +122,7 @@
 
     def refresh_peer_loads(self) -> None:
         """Update the peers' loads from their latest reports."""
-        groups = self._peering.unexpired_groups()
-        self._peer_loads = loads_by_endpoint(groups)
-        self._peer_work.clear()
-        ages = [group.age for group in groups]
-        self._peer_report_age = sum(ages, timedelta()) / max(len(ages), 1)
+        self._peer_loads.refresh()
 
     def start_attempt(
         self,
@@ -183,7 +157,7 @@
         *,
         is_retry: bool,
     ) -> Attempt | None:
-        if not is_retry and traits.binding is None:
+        if not is_retry:
             attempt = self._start_canary_attempt(service, traits, tried, route)
             if attempt is not None:
                 return attempt
@@ -209,8 +183,7 @@
 
     def peer_in_flight(self, endpoint: str) -> int:
         """Return the requests in flight that the other gateways last reported."""
-        load = self._peer_loads.get(endpoint)
-        return 0 if load is None else load.in_flight
+        return self._peer_loads.in_flight(endpoint)
 
     def _start_canary_attempt(
         self,
@@ -220,15 +193,7 @@
         route: str,
     ) -> Attempt | None:
         """Start at a canary endpoint if the request is in the canary's sample."""
-        if not self._rollouts:
-            return None
-        registered = self._directory.of_service(service)
-        sample = self._rollouts.sample(service, route, registered)
-        candidates = [
-            record
-            for record in sample
-            if record.name not in tried and self._may_run(record, service, traits)
-        ]
+        sample, candidates = self._eligibility.sample(service, route, traits, tried)
         if not candidates:
             return None
         backed_off = self._gate.backed_off()
@@ -258,8 +223,10 @@
             return None
         number, assigned = assignment
         record = self._directory.records.get(assigned.endpoint)
-        is_usable = record is not None and self._is_usable(
-            record, service, traits, tried
+        is_usable = (
+            record is not None
+            and self._eligibility.may_use(record, service, traits, tried)
+            and not self._gate.is_backed_off(record)
         )
         if not is_usable or not (assigned.has_permit or self._gate.take(record)):
             self._dispatcher_client.record_end(number, AttemptResult.NEUTRAL)
@@ -287,29 +254,6 @@
         registered = self._directory.of_service(service)
         return all(record.name in backed_off for record in registered)
 
-    def _is_usable(
-        self,
-        record: EndpointRecord,
-        service: str,
-        traits: RequestTraits,
-        tried: Collection[str],
-    ) -> bool:
-        """Return whether this gateway can use an endpoint that was assigned.
-
-        This gateway may have learned first that the endpoint is leaving, or be the only
-        one that can't reach it. A dispatcher of an earlier version ignores bindings.
-        """
-        if record.name in tried or not record.is_ready:
-            return False
-        if self._gate.is_backed_off(record):
-            return False
-        if not self._may_run(record, service, traits):
-            return False
-        if traits.binding is None and not self._rollouts.usable(service, [record]):
-            return False
-        health = self._directory.health_of(service)
-        return health.may_serve(record.name, self._clock.elapsed())
-
     def _health_weights(self, service: str) -> Mapping[str, float]:
         """Return the endpoints' health weights by name; 0 excludes an endpoint."""
         return self._directory.health_of(service).weights(self._clock.elapsed())
@@ -335,7 +279,7 @@
         :param backed_off: endpoints that want no requests from the gateway that will
             send the attempt, which may be another one.
         """
-        registered = self._endpoints_for(service, traits)
+        registered = self._eligibility.endpoints_for(service, traits)
         candidates = [record for record in registered if record.name not in tried]
         return self._start_among(
             candidates, registered, service, traits, backed_off, is_retry=is_retry
@@ -377,12 +321,9 @@
         Since it was chosen, its endpoint may have named a limit, asked for back-off,
         begun to leave, or restarted at another version.
         """
-        record = attempt.record
-        if attempt.binding is not None and not may_continue(
-            attempt.binding, attempt.service, record.known_version
-        ):
+        if not self._eligibility.may_still_run(attempt):
             return False
-        if not attempt.record.is_ready or self._gate.is_backed_off(attempt.record):
+        if self._gate.is_backed_off(attempt.record):
             return False
         if not attempt.has_permit:
             attempt.has_permit = self._gate.take(attempt.record)
@@ -400,24 +341,15 @@
             candidates,
             self._service(service),
             traits,
-            self._peer_loads,
+            self._peer_loads.by_endpoint,
             weights,
             self._prefill_times.token_time(service),
-            unreported_work(
-                self._get_peer_work(service), self._peer_report_age, len(candidates)
-            ),
+            self._peer_loads.unreported_work(service, len(candidates)),
         )
 
-    def _get_peer_work(self, service: str) -> float:
-        """Return the peers' work as of the last refresh; many requests need it."""
-        if service not in self._peer_work:
-            work = self._peering.engine_time(service)
-            self._peer_work[service] = work
-        return self._peer_work[service]
-
     def unavailability(self, service: str, traits: RequestTraits) -> Unavailability:
         """Return why no endpoint of a service takes a request, and until when."""
-        usable = self._endpoints_for(service, traits)
+        usable = self._eligibility.endpoints_for(service, traits)
         if traits.binding is not None and not usable:
             return VERSION_UNAVAILABLE
         return self._gate.unavailability(usable, self._peering.gateway_count())
@@ -428,7 +360,7 @@
         """Return whether endpoints that were not tried may get a request."""
         return any(
             record.name not in tried and self._gate.is_open(record)
-            for record in self._endpoints_for(service, traits)
+            for record in self._eligibility.endpoints_for(service, traits)
         )
 
     def _start_at(
@@ -483,7 +415,7 @@
             prefill_tokens,
             source,
             queued,
-            self._peer_report_age,
+            self._peer_loads.report_age,
             has_permit=self._gate.is_limited(record),
         )
 
--- a/src/sassafrasdale/gateway/streams/replication.py
+++ b/src/sassafrasdale/gateway/streams/replication.py
@@ -8,11 +8,11 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.stream_versions import StreamBinding
+from sassafrasdale.gateway.confirmations import Confirmations
 from sassafrasdale.gateway.streams.messages import (
     MAX_LIFE_S,
     StreamAnswer,
@@ -41,20 +41,6 @@
 MAX_WAITING_QUERIES = 256
 
 
-@dataclass(slots=True)
-class _PeerState:
-    """Replication state for another aggregator.
-
-    :param acked: number of the last own row that it has confirmed.
-    :param received: number of its last row that was received here.
-    :param received_from: its incarnation that sent that row.
-    """
-
-    acked: int = 0
-    received: int = 0
-    received_from: int = 0
-
-
 class StreamReplicator:
     """Reports this gateway's streams, and keeps and exchanges those of others.
 
@@ -77,7 +63,7 @@
         self._incarnation = incarnation
         self._records = records
         self._clock = clock
-        self._peers: dict[str, _PeerState] = {}
+        self._peers: dict[str, Confirmations] = {}
         # Names of the zone's streams with their numbers, in order.
         self._zone_log: deque[tuple[int, bytes]] = deque()
         self._last_number = 0
@@ -173,7 +159,7 @@
 
     def update_for(self, name: str) -> StreamUpdate:
         """Return the update for another aggregator: all that it has not confirmed."""
-        peer = self._peers.setdefault(name, _PeerState())
+        peer = self._peers.setdefault(name, Confirmations())
         unconfirmed = []
         for number, stream in reversed(self._zone_log):
             if number <= peer.acked:
@@ -193,14 +179,11 @@
         """Apply another aggregator's update, and note what it has confirmed."""
         if update is None:
             return
-        peer = self._peers.setdefault(name, _PeerState())
-        if incarnation != peer.received_from:
-            peer.received_from, peer.received = incarnation, 0
+        peer = self._peers.setdefault(name, Confirmations())
+        peer.note_update(incarnation, update.since, update.until)
+        peer.note_ack(update.received, update.received_from, self._incarnation)
         for row in update.rows:
             self._add(row, Origin.ELSEWHERE, name)
-        if update.since <= peer.received:
-            peer.received = max(peer.received, update.until)
-        peer.acked = update.received if update.received_from == self._incarnation else 0
 
     def forget(self, is_gone: Callable[[str], bool]) -> None:
         """Drop the replication state for gateways that are gone for good."""
--- a/src/sassafrasdale/gateway/strike_replication.py
+++ b/src/sassafrasdale/gateway/strike_replication.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
@@ -16,6 +15,7 @@
     StrikeState,
     TrackedStrike,
 )
+from sassafrasdale.gateway.confirmations import Confirmations
 
 # Most strikes in one message; a crash of an endpoint with sixty requests causes as
 # many.
@@ -80,20 +80,6 @@
 STRIKE_ROW = Decoder(StrikeRow)
 
 
-@dataclass(slots=True)
-class _PeerState:
-    """Replication state for another gateway.
-
-    :param acked: version of the local ledger that the other gateway has received.
-    :param received: version of the other gateway's ledger that was received here.
-    :param received_from: its incarnation that sent that version.
-    """
-
-    acked: int = 0
-    received: int = 0
-    received_from: int = 0
-
-
 class StrikeReplicator:
     """Sends strikes to other gateways and applies the updates from them.
 
@@ -104,7 +90,7 @@
     def __init__(self, ledger: StrikeLedger, incarnation: int) -> None:
         self._ledger = ledger
         self._incarnation = incarnation
-        self._peers: dict[str, _PeerState] = {}
+        self._peers: dict[str, Confirmations] = {}
 
     def update_for(self, name: str) -> StrikeUpdate:
         """Return the update for another gateway: all that it has not confirmed."""
@@ -124,15 +110,12 @@
         if update is None:
             return
         peer = self._peer(name)
-        if incarnation != peer.received_from:
-            peer.received_from, peer.received = incarnation, 0
+        peer.note_update(incarnation, update.since, update.version)
+        peer.note_ack(update.received, update.received_from, self._incarnation)
         for row in update.rows:
             # A later version of the program may send more states.
             state = StrikeState(row.state & _KNOWN_STATES)
             self._ledger.add(row.strike, state)
-        if update.since <= peer.received:
-            peer.received = max(peer.received, update.version)
-        peer.acked = update.received if update.received_from == self._incarnation else 0
 
     def forget(self, is_gone: Callable[[str], bool]) -> None:
         """Drop the replication state for gateways that are gone for good."""
@@ -140,8 +123,8 @@
             if is_gone(name):
                 del self._peers[name]
 
-    def _peer(self, name: str) -> _PeerState:
-        return self._peers.setdefault(name, _PeerState())
+    def _peer(self, name: str) -> Confirmations:
+        return self._peers.setdefault(name, Confirmations())
 
 
 _KNOWN_STATES = sum(StrikeState)
--- a/tests/gateway/streams/test_continuations.py
+++ b/tests/gateway/streams/test_continuations.py
@@ -335,7 +335,7 @@
 
 def test_no_stream_begins_at_a_version_that_is_not_registered(world):
     """Guards against streams whose version no restarted gateway could know."""
-    world.fleet._may_begin = lambda service, version: version == "v1"
+    world.fleet._eligibility._may_begin = lambda service, version: version == "v1"
     assert {start(world, None).record.name for _ in range(10)} == {"m-1"}
     world.fleet._dispatcher_client = EarlierDispatcher("m-2")
     assert start(world, None).record.name == "m-1"
