Versions reach gateways that the store turns away; callers return soon where a version may yet be found

A gateway that can't reach the store takes from its aggregator at which versions streams may begin, else it would refuse streams once the endpoints of the versions that it knew had left. A version is taken off the record only if the store lists no endpoint of it: a gateway with an outdated list would have removed one in use (a test found it). A rejection that another gateway might not repeat comes with a short Retry-After.

--- a/src/sassafrasdale/gateway/aggregator.py
+++ b/src/sassafrasdale/gateway/aggregator.py
@@ -202,6 +202,7 @@
             strikes=strikes.update_for(name),
             endpoints=self._context.gate.report_for(state.contact),
             permits=self._context.gate.permits.lend(name, report.permit_requests),
+            versions=self._context.local_state.versions(),
         )
 
     def handle_update(
@@ -359,6 +360,7 @@
             strikes=self._context.strikes.update_for(receiver.name),
             endpoints=self._context.gate.report_for(receiver),
             streams=self._context.streams.update_for(receiver.name),
+            versions=self._context.local_state.versions(),
         )
 
     def _usage_rows_for(self, other: _PeerGroup | None) -> tuple[UsageRow, ...] | None:
@@ -419,6 +421,7 @@
         if update.usage_received:
             other.usage_acked = update.usage_received
         listener = self._context.listener
+        listener.receive_versions(update.versions)
         listener.receive_clock(sender.name, update.time)
         listener.receive_revisions(sender.name, update.revisions)
 
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -179,6 +179,7 @@
             self._usage.report,
             self.store_view.values_since,
             lambda: self.dispatcher_client.open_attempts,
+            lambda: self.version_register.registered(),
         )
         self._stream_records = StreamRecords(clock)
         self._stream_replicator = StreamReplicator(
@@ -275,6 +276,7 @@
             self.directory,
             clock,
             self._rng,
+            self.store_view.read_versions,
             lambda: self.store_view.is_loaded,
         )
         lookup = StreamLookup(
@@ -410,6 +412,10 @@
         """Receive the store revisions that another gateway knows."""
         self.store_view.receive_revisions(peer, revisions)
 
+    def receive_versions(self, versions: dict[str, tuple[str, ...]]) -> None:
+        """Receive the versions at which streams may begin, by service."""
+        self.version_register.learn(versions)
+
     def receive_open_attempts(
         self, member: Contact, open_attempts: tuple[int, ...]
     ) -> None:
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -82,6 +82,9 @@
     def receive_revisions(self, peer: str, revisions: dict[str, int]) -> None:
         """Receive the store revisions that a directly connected gateway knows."""
 
+    def receive_versions(self, versions: dict[str, tuple[str, ...]]) -> None:
+        """Receive the versions at which streams may begin, by service."""
+
     def receive_open_attempts(
         self, member: Contact, open_attempts: tuple[int, ...]
     ) -> None:
@@ -104,6 +107,7 @@
     :param values_since: returns the raw values below a prefix that changed since a
         revision.
     :param open_attempts: returns its attempts in flight that the dispatcher counts.
+    :param versions: returns the versions at which streams may begin, by service.
     """
 
     build: Callable[[Contact], MemberState]
@@ -111,6 +115,7 @@
     usage: Callable[[], dict[int, dict[str, int]]]
     values_since: Callable[[str, int], StoreValues | None]
     open_attempts: Callable[[], tuple[int, ...]] = tuple
+    versions: Callable[[], dict[str, tuple[str, ...]]] = dict
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -268,6 +268,7 @@
     :param strikes: strikes against requests that the member may lack.
     :param endpoints: what is known of the endpoints.
     :param permits: permits lent until the next report, by endpoint.
+    :param versions: versions at which streams may begin, by service.
     """
 
     sender: Contact
@@ -281,6 +282,7 @@
     strikes: StrikeUpdate | None = None
     endpoints: EndpointReports = field(default_factory=EndpointReports)
     permits: dict[str, Count] = field(default_factory=dict)
+    versions: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
 
 class GroupUpdate(Message):
@@ -296,6 +298,7 @@
     :param strikes: strikes against requests that the receiver may lack.
     :param endpoints: what is known of the endpoints.
     :param streams: streams of the sender's zone that the receiver may lack.
+    :param versions: versions at which streams may begin, by service.
     """
 
     sender: Contact
@@ -311,6 +314,7 @@
     strikes: StrikeUpdate | None = None
     endpoints: EndpointReports = field(default_factory=EndpointReports)
     streams: StreamUpdate | None = None
+    versions: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
 
 class Redirect(Message):
--- a/src/sassafrasdale/gateway/reporter.py
+++ b/src/sassafrasdale/gateway/reporter.py
@@ -135,6 +135,7 @@
             contact.name for contact in self._roster.own_zone_contacts()
         )
         self._interval = timedelta(seconds=reply.interval_s)
+        listener.receive_versions(reply.versions)
         listener.receive_clock(reply.sender.name, reply.time)
         for name, reading in reply.clocks.items():
             if name != self._roster.own.name:
--- a/src/sassafrasdale/gateway/store_view.py
+++ b/src/sassafrasdale/gateway/store_view.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Collection, Mapping
+from contextlib import suppress
 from datetime import timedelta
 from random import Random
 
@@ -81,6 +82,7 @@
         availability_zones: Collection[str],
         should_watch: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._store = store
         self._directory = directory
         self._rollouts = rollouts
         self._watches_rollouts = False
@@ -127,6 +129,19 @@
         listed = self._followers[ENDPOINTS_PREFIX].revision > 0
         return self._routes is not None and listed
 
+    def read_versions(self, service: str) -> set[str]:
+        """Read from the store which versions of a service have endpoints.
+
+        :raises StoreError: if the store doesn't respond.
+        """
+        versions = set()
+        for item in self._store.list(ENDPOINTS_PREFIX):
+            with suppress(ValueMalformed):
+                endpoint = decode_endpoint(item.key, item.value)
+                if endpoint.service == service:
+                    versions.add(endpoint.version)
+        return versions
+
     def tasks(self) -> list[Callable[[], None]]:
         """Return the tasks that watch the store from the start."""
         return [
--- a/src/sassafrasdale/gateway/streams/continuations.py
+++ b/src/sassafrasdale/gateway/streams/continuations.py
@@ -1,17 +1,21 @@
 """Which version a stream that a caller takes up goes on at."""
 
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from logbook import Logger
 
-from sassafrasdale.clock import Clock, milliseconds
+from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.deployment import RequestKind
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.exceptions import RequestRefused
-from sassafrasdale.gateway.streams.lookup import StreamLookup, TooManyLookups
+from sassafrasdale.gateway.streams.lookup import (
+    LookupResult,
+    StreamLookup,
+    TooManyLookups,
+)
 from sassafrasdale.gateway.streams.messages import stream_name
 from sassafrasdale.gateway.streams.replication import StreamReplicator
 
@@ -20,15 +24,30 @@
 # Retry-After for a stream whose version nobody knows, or which has no endpoint any
 # more: a later attempt gets the same response.
 UNRESUMABLE_RETRY_AFTER = timedelta(seconds=60)
-# Retry-After while this gateway looks up as many streams as it may.
-BUSY_RETRY_AFTER = timedelta(milliseconds=300)
+# Retry-After where another gateway may yet know the version.
+RETRY_AFTER = timedelta(milliseconds=300)
+
+
+@dataclass(frozen=True, slots=True)
+class _Found:
+    """What binds a stream.
+
+    :param source: who knew it.
+    :param age: time for which it has been known here.
+    :param is_final: whether a later attempt would find the same.
+    """
+
+    binding: StreamBinding
+    source: str = ""
+    age: timedelta | None = None
+    is_final: bool = True
 
 
 class StreamContinuations:
     """Records which version begins a stream, and finds it when a caller returns.
 
     :param only_version: returns the version that began any stream of a service; empty
-        if that can't be known.
+        if there were several, None if that can't be found out now.
     :param count: counts an event by name and labels, for metrics.
     """
 
@@ -36,7 +55,7 @@
         self,
         replicator: StreamReplicator,
         lookup: StreamLookup,
-        only_version: Callable[[str], str],
+        only_version: Callable[[str], str | None],
         clock: Clock,
         count: Callable[..., None],
     ) -> None:
@@ -68,7 +87,8 @@
         if not traits.resumes and not traits.resume_after:
             return
         began_at = self._clock.elapsed()
-        binding, source, age = self._find(admitted)
+        found = self._find(admitted)
+        binding = found.binding
         reason = _reason_against(admitted, binding)
         log.info(
             "stream taken up",
@@ -76,38 +96,43 @@
             resume_after=traits.resume_after,
             service=binding.service,
             software=binding.version or None,
-            known_by=source or None,
-            age_ms=None if age is None else milliseconds(age),
+            known_by=found.source or None,
+            age_ms=optional_milliseconds(found.age),
             looked_up_ms=milliseconds(self._clock.elapsed() - began_at),
             why=reason or None,
         )
         if reason:
-            self._reject(reason, UNRESUMABLE_RETRY_AFTER)
+            retry_after = UNRESUMABLE_RETRY_AFTER if found.is_final else RETRY_AFTER
+            self._reject(reason, retry_after)
         self._count("stream taken up")
         admitted.service = binding.service
         admitted.traits = replace(admitted.traits, binding=binding)
 
-    def _find(
-        self, admitted: AdmittedRequest
-    ) -> tuple[StreamBinding, str, timedelta | None]:
-        """Return what binds a stream, who knew it, and for how long."""
-        traits = admitted.traits
-        name = None
-        if traits.resumes != traits.request_id:
-            name = stream_name(admitted.customer_name, traits.resumes)
-        try:
-            found = None if name is None else self._lookup.find(name)
-        except TooManyLookups as error:
-            self._reject(error.message, BUSY_RETRY_AFTER)
-        if found is not None:
-            record, source = found
-            return record.binding, source, self._clock.elapsed() - record.recorded_at
+    def _find(self, admitted: AdmittedRequest) -> _Found:
+        result = self._look_up(admitted)
+        if result.record is not None:
+            record = result.record
+            age = self._clock.elapsed() - record.recorded_at
+            return _Found(record.binding, result.source, age)
         # Without a record, a route with several services may have drawn another one.
-        version = ""
+        version: str | None = ""
         if len(admitted.route.services) == 1:
             version = self._only_version(admitted.service)
-        source = "only version" if version else ""
-        return StreamBinding(admitted.service, version), source, None
+        return _Found(
+            StreamBinding(admitted.service, version or ""),
+            "only version" if version else "",
+            is_final=result.is_complete and version is not None,
+        )
+
+    def _look_up(self, admitted: AdmittedRequest) -> LookupResult:
+        traits = admitted.traits
+        name = stream_name(admitted.customer_name, traits.resumes)
+        if name is None or traits.resumes == traits.request_id:
+            return LookupResult()
+        try:
+            return self._lookup.find(name)
+        except TooManyLookups as error:
+            self._reject(error.message, RETRY_AFTER)
 
     def _reject(self, reason: str, retry_after: timedelta) -> None:
         self._count("stream not resumed", reason=reason)
--- a/src/sassafrasdale/gateway/streams/lookup.py
+++ b/src/sassafrasdale/gateway/streams/lookup.py
@@ -1,18 +1,20 @@
 """Lookup of a stream at this gateway and at the aggregators of all zones."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.exceptions import SassafrasdaleError
 from sassafrasdale.gateway.peer_states import Contact
-from sassafrasdale.gateway.streams.messages import StreamAnswer, StreamQuery, StreamRow
+from sassafrasdale.gateway.streams.messages import StreamAnswer, StreamQuery
 from sassafrasdale.gateway.streams.records import StreamRecord, StreamRecords
 from sassafrasdale.gateway.streams.replication import StreamReplicator
 from sassafrasdale.green import Empty, Queue, spawn
 
-# Time until a stream that nobody has told of counts as unknown: the time for which a
-# query waits at an aggregator, and the way there and back on a busy instance.
+_HERE = "this gateway"
+# Time until a stream counts as unknown: the time for which a query waits at an
+# aggregator, and the way there and back on a busy instance.
 LOOKUP_TIMEOUT = timedelta(milliseconds=400)
 # Lookups at once. Callers may send ids that were never used.
 MAX_LOOKUPS = 64
@@ -22,6 +24,20 @@
     """As many streams are looked up as may be."""
 
 
+@dataclass(frozen=True, slots=True)
+class LookupResult:
+    """What a lookup found.
+
+    :param record: the stream's record; None if nobody who answered knows it.
+    :param source: who knew it.
+    :param is_complete: whether all that may know it have answered.
+    """
+
+    record: StreamRecord | None = None
+    source: str = ""
+    is_complete: bool = True
+
+
 class StreamLookup:
     """Finds the record of a stream.
 
@@ -45,14 +61,14 @@
         self._clock = clock
         self._count = 0
 
-    def find(self, name: bytes) -> tuple[StreamRecord, str] | None:
-        """Return the record of a stream and who knew it; None if nobody does.
+    def find(self, name: bytes) -> LookupResult:
+        """Return the record of a stream, from here or from another gateway.
 
         :raises TooManyLookups: if too many are in progress.
         """
         record = self._records.get(name)
         if record is not None:
-            return record, "this gateway"
+            return LookupResult(record, _HERE)
         if self._count >= MAX_LOOKUPS:
             raise TooManyLookups("too many lookups of streams")
         self._count += 1
@@ -61,7 +77,7 @@
         finally:
             self._count -= 1
 
-    def _ask(self, name: bytes) -> tuple[StreamRecord, str] | None:
+    def _ask(self, name: bytes) -> LookupResult:
         answers: Queue = Queue()
         contacts = self._aggregators()
         for contact in contacts:
@@ -69,26 +85,29 @@
         # This gateway may be an aggregator whose members have yet to report.
         spawn(self._wait_here, name, answers)
         deadline = self._clock.elapsed() + LOOKUP_TIMEOUT
+        is_complete = True
         for _ in range(len(contacts) + 1):
             left = max(deadline - self._clock.elapsed(), timedelta())
             try:
                 source = answers.get(timeout=left.total_seconds())
             except Empty:
-                break
+                return LookupResult(is_complete=False)
             record = self._records.get(name)
             if source and record is not None:
-                return record, source
-        return None
+                return LookupResult(record, source)
+            is_complete &= source is not None
+        return LookupResult(is_complete=is_complete)
 
     def _ask_one(self, contact: Contact, name: bytes, answers: Queue) -> None:
         answer = self._query(contact, StreamQuery(name))
-        row: StreamRow | None = None if answer is None else answer.row
-        if row is not None and row.name == name:
-            self._replicator.learn(row)
-            answers.put(contact.name)
-        else:
+        if answer is None:
+            answers.put(None)
+        elif answer.row is None or answer.row.name != name:
             answers.put("")
+        else:
+            self._replicator.learn(answer.row)
+            answers.put(contact.name)
 
     def _wait_here(self, name: bytes, answers: Queue) -> None:
         known = self._replicator.wait_for(name) is not None
-        answers.put("this gateway" if known else "")
+        answers.put(_HERE if known else "")
--- a/src/sassafrasdale/gateway/streams/version_register.py
+++ b/src/sassafrasdale/gateway/streams/version_register.py
@@ -5,7 +5,7 @@
 which no gateway knows any more.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 from random import Random
 
@@ -49,6 +49,7 @@
     That includes services without streams, to which a configuration may send some.
 
     :param directory: registered endpoints.
+    :param read_versions: reads from the store which versions of a service are listed.
     :param is_listed: returns whether the endpoints have been read since the start.
     """
 
@@ -59,8 +60,10 @@
         directory: Directory,
         clock: Clock,
         rng: Random,
+        read_versions: Callable[[str], set[str]],
         is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._read_versions = read_versions
         self._is_listed = is_listed
         self._store = store
         self._dependency = dependency
@@ -84,21 +87,39 @@
         """Return whether streams may begin at a version."""
         return version in self._registered.get(service, ())
 
-    def only_version(self, service: str) -> str:
+    def learn(self, versions: Mapping[str, Collection[str]]) -> None:
+        """Take what another gateway has registered, by service, as registered.
+
+        It may reach the store while this one does not.
+        """
+        for service, names in versions.items():
+            listed = self._listed(service)
+            self._registered.setdefault(service, set()).update(listed & set(names))
+
+    def registered(self) -> dict[str, tuple[str, ...]]:
+        """Return the registered versions that are listed, by service."""
+        return {
+            service: tuple(sorted(versions))
+            for service, versions in self._registered.items()
+            if versions
+        }
+
+    def only_version(self, service: str) -> str | None:
         """Return the version that began any stream of a service.
 
-        :returns: an empty version if that can't be known.
+        :returns: an empty version if there were several; None if the store can't be
+            asked now.
         """
         if self._is_restoring():
-            return ""
+            return None
         called_at = self._clock.elapsed()
         try:
             versions, _ = self._read(service)
         except StoreError as error:
             self._dependency.failed(error, called_at)
-            return ""
+            return None
         if self._is_restoring() or not self._registered.get(service, set()) <= versions:
-            return ""
+            return None
         return only_version(versions)
 
     def run(self) -> None:
@@ -123,15 +144,18 @@
         is_listed = self._is_listed()
         has_called = False
         for service in {*self._directory.services, *self._registered}:
-            listed = {
-                record.endpoint.version
-                for record in self._directory.all_of_service(service)
-            }
+            listed = self._listed(service)
             has_called |= self._register(service, listed)
             has_called |= self._retire(service, listed)
         self._is_loaded = self._is_loaded or is_listed
         return has_called
 
+    def _listed(self, service: str) -> set[str]:
+        return {
+            record.endpoint.version
+            for record in self._directory.all_of_service(service)
+        }
+
     def _register(self, service: str, listed: set[str]) -> bool:
         registered = self._registered.setdefault(service, set())
         checked = self._checked.setdefault(service, set())
@@ -165,6 +189,10 @@
         if not overdue or not listed:
             return False
         versions, revision = self._read(service)
+        # What is known here may be outdated, and others may list them.
+        overdue -= self._read_versions(service)
+        for version in overdue:
+            del self._unlisted_since[service, version]
         if versions & overdue:
             self._write(service, versions - overdue, revision)
         return True
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -80,6 +80,7 @@
         self.clocks: dict[str, ClockReading] = {}
         self.revisions: dict[str, dict[str, int]] = {}
         self.open_attempts: dict[str, tuple[int, ...]] = {}
+        self.versions: dict[str, tuple[str, ...]] = {}
 
     def receive_groups(self, groups) -> None:
         self.groups = groups
@@ -92,6 +93,9 @@
     def receive_revisions(self, peer: str, revisions: dict[str, int]) -> None:
         self.revisions[peer] = revisions
 
+    def receive_versions(self, versions) -> None:
+        self.versions |= versions
+
     def receive_open_attempts(
         self, member: Contact, open_attempts: tuple[int, ...]
     ) -> None:
--- a/tests/gateway/streams/test_continuations.py
+++ b/tests/gateway/streams/test_continuations.py
@@ -130,6 +130,14 @@
     assert CLOCK.elapsed() - began_at < SECOND / 2
 
 
+def test_a_caller_returns_soon_where_the_version_may_yet_be_found(world):
+    """Guards against callers that are kept away for what a partition hides."""
+    world.only_version = None
+    response = world.take_up(resumes="r-1", last_event_id="1")
+    assert is_rejected(world, response)
+    assert float(header(response, "retry-after")) < 1
+
+
 def test_a_stream_that_nobody_knows_goes_on_where_there_was_one_version(world):
     world.only_version = "v2"
     assert world.take_up(resumes="r-1", last_event_id="1").endswith(b"0\r\n\r\n")
--- a/tests/gateway/streams/test_replication_model.py
+++ b/tests/gateway/streams/test_replication_model.py
@@ -73,11 +73,11 @@
         stream = self.rng.choice(alive)
         node = self.rng.choice(running)
         found = node.lookup.find(stream.name)
-        if found is None:
+        if found.record is None:
             calm_since = self._disturbed_at.get(node.name, -CONTACT_TIME)
             in_touch = now - calm_since >= CONTACT_TIME
             self.taken_up["unknown in touch" if in_touch else "unknown"] += 1
-        elif found[0].binding == stream.binding:
+        elif found.record.binding == stream.binding:
             self.taken_up["went on"] += 1
         else:
             self.taken_up["mixed"] += 1
@@ -169,6 +169,6 @@
     lost = [
         stream
         for stream in history.streams
-        if fleet.nodes["b-1"].lookup.find(stream.name) is None
+        if fleet.nodes["b-1"].lookup.find(stream.name).record is None
     ]
     assert len(lost) < len(history.streams) / 2
--- a/tests/gateway/streams/test_version_register.py
+++ b/tests/gateway/streams/test_version_register.py
@@ -25,6 +25,8 @@
     """Store in memory that counts its restores."""
 
     restores = 0
+    # Versions of the endpoints that it lists.
+    listed: tuple[str, ...] = ()
 
     @property
     def epoch(self) -> int:
@@ -43,6 +45,7 @@
             self.directory,
             clock,
             Random(1),
+            lambda service: set(store.listed),
             lambda: self.is_listed,
         )
 
@@ -130,7 +133,20 @@
     one.list("m-1", "v1")
     one.register.step()
     store.faults = ["unreached"]
-    assert one.register.only_version("models") == ""
+    assert one.register.only_version("models") is None
+
+
+def test_a_gateway_without_the_store_learns_versions_from_another(gateways, store):
+    """Guards against streams that are refused while the store is out for one only."""
+    one, other = gateways
+    for gateway in (one, other):
+        gateway.list("m-1", "v1")
+    one.register.step()
+    assert not other.register.may_begin("models", "v1")
+    other.register.learn({"models": ("v1", "v9"), "records": ("v1",)})
+    assert other.register.may_begin("models", "v1")
+    assert not other.register.may_begin("models", "v9")
+    assert other.register.registered() == {"models": ("v1",)}
 
 
 def test_a_version_without_endpoints_is_taken_off_the_record(gateways, clock):
@@ -148,7 +164,7 @@
     assert other.register.only_version("models") == "v2"
 
 
-def test_a_version_that_returns_is_stored_again(gateways, clock):
+def test_a_version_that_returns_is_stored_again(gateways, store, clock):
     """Guards against streams of a version that was taken off the record."""
     one, other = gateways
     one.list("m-2", "v2")
@@ -157,8 +173,10 @@
         gateway.register.step()
         gateway.directory.remove("m-1")
         gateway.register.step()
+    store.listed = ("v2",)
     clock.advance(RETENTION_TIME)
     one.register.step()
+    store.listed = ("v1", "v2")
     other.list("m-1", "v1")
     assert not other.register.may_begin("models", "v1")
     other.register.step()
@@ -176,7 +194,7 @@
     one.register.step()
     store.keys = copy
     store.restores = 1
-    assert other.register.only_version("models") == ""
+    assert other.register.only_version("models") is None
     one.register.step()
     assert one.register.may_begin("models", "v2")
     clock.advance(RESTORE_TIME)
@@ -207,3 +225,17 @@
     one.register.step()
     assert one.register.is_loaded
     assert one.register.may_begin("models", "v1")
+
+
+def test_a_version_that_only_others_list_stays_on_the_record(gateways, store, clock):
+    """Guards against a gateway with an outdated list that removes what is in use."""
+    one, other = gateways
+    one.list("m-1", "v1")
+    other.list("m-2", "v2")
+    store.listed = ("v1", "v2")
+    for _ in range(3):
+        for gateway in (one, other):
+            gateway.register.step()
+        clock.advance(RETENTION_TIME)
+    assert one.register.only_version("models") == ""
+    assert other.register.only_version("models") == ""
