Endpoints that are down don't hide another one's crash

Cause, from its logs: a gateway that had lost two endpoints believes a crash only if it reaches some other endpoint, and checked two drawn at random; both were down as well, under the same request, so the crash was taken for a lost link and didn't count. It now goes on to others, two at a time and four times, as long as they refuse at once; one that is silent ends the checks, so a partition costs no more time.

--- a/src/sassafrasdale/gateway/forwarding/checks.py
+++ b/src/sassafrasdale/gateway/forwarding/checks.py
@@ -18,7 +18,10 @@
 # reaches them; a check of its own costs them a request.
 OTHERS_WAIT = timedelta(milliseconds=20)
 OTHERS_POLL = timedelta(milliseconds=5)
-MAX_OTHERS_CHECKED = 2
+# Other endpoints that are checked at once, and how often: those that refuse may have
+# crashed as well.
+OTHERS_CHECKED_AT_ONCE = 2
+MAX_OTHERS_ROUNDS = 4
 # Time for which peers that ask about the same endpoint get the same answer.
 ANSWER_TTL = timedelta(milliseconds=100)
 
@@ -106,9 +109,20 @@
             if any(_has_received(other, since) for other in others):
                 return True
             sleep(OTHERS_POLL)
-        chosen = self._rng.sample(others, min(len(others), MAX_OTHERS_CHECKED))
-        checks = [spawn(self.check, other, is_new=False) for other in chosen]
-        return any([check.wait() is ProbeResult.OPEN for check in checks])
+        return self._any_responds(self._rng.sample(others, len(others)))
+
+    def _any_responds(self, records: list[EndpointRecord]) -> bool:
+        """Check endpoints by turns until one responds, or is not known to refuse."""
+        for _ in range(MAX_OTHERS_ROUNDS):
+            chosen = records[:OTHERS_CHECKED_AT_ONCE]
+            records = records[OTHERS_CHECKED_AT_ONCE:]
+            checks = [spawn(self.check, record, is_new=False) for record in chosen]
+            results = [check.wait() for check in checks]
+            if ProbeResult.OPEN in results:
+                return True
+            if any(result is not ProbeResult.REFUSED for result in results):
+                return False
+        return False
 
 
 def _has_received(record: EndpointRecord, since: timedelta) -> bool:
