Requests in flight are counted under the service that a stream goes on at

A stream that is taken up keeps its service, while the gauge had counted the one that was drawn: it drifted by one with each. Test red before.

--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -125,6 +125,7 @@
         try:
             self._continuations.bind(admitted)
             record.service = admitted.service
+            self._metrics.request_began(admitted.service)
             record.status = exchange.run()
             record.outcome = "answered"
         except RequestRefused as refusal:
@@ -172,8 +173,6 @@
                 raise RequestRefused(
                     429, "over the customer's limit", retry_after=retry_after
                 )
-        record.service = service
-        self._metrics.request_began(service)
         return AdmittedRequest(
             request,
             traits,
--- a/tests/gateway/streams/test_continuations.py
+++ b/tests/gateway/streams/test_continuations.py
@@ -388,3 +388,15 @@
     world.streams.learn(row)
     assert world.take_up(resumes="r-1", last_event_id="1").endswith(b"0\r\n\r\n")
     assert len(world.second.requests) == 1
+
+
+def test_requests_in_flight_are_counted_under_the_streams_service():
+    """Guards against a gauge that drifts with each stream at another service."""
+    split = [{"service": "models", "weight": 1}, {"service": "records", "weight": 99}]
+    world = StreamWorld(service=None, split=split)
+    world.record(V1)
+    for _ in range(5):
+        world.take_up(resumes="r-1", last_event_id="1")
+    page = world.metrics.metrics_page().decode()
+    gauges = [line for line in page.splitlines() if "in_flight{" in line]
+    assert all(line.endswith(" 0.0") for line in gauges)
