--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -134,6 +134,7 @@
         self._on_registration = on_registration
         self._records: dict[str, EndpointRecord] = {}
         self._services: dict[str, list[EndpointRecord]] = {}
+        self._change_count = 0
         self._fallback: dict[str, tuple[EndpointRecord, timedelta]] = {}
         self._health: dict[str, Health] = {}
 
@@ -142,6 +143,11 @@
         """All registered endpoints by name."""
         return self._records
 
+    @property
+    def change_count(self) -> int:
+        """Number of changes of the endpoints and their versions so far."""
+        return self._change_count
+
     @property
     def services(self) -> list[str]:
         """Names of the services that have registered endpoints."""
@@ -231,6 +237,8 @@
         elif record.endpoint.state is not endpoint.state:
             log.info("endpoint changed state", **_log_fields(endpoint))
         record.confirm_version(self._clock.elapsed() - REGISTRATION_DELAY)
+        if record.endpoint is endpoint or record.endpoint.version != endpoint.version:
+            self._change_count += 1
         record.endpoint = endpoint
         self._index()
         return has_restarted
@@ -240,6 +248,7 @@
         record = self._records.pop(name, None)
         if record is None:
             return
+        self._change_count += 1
         outage = self._since_outage()
         expired = outage is not None and outage <= OUTAGE_WINDOW
         if record.is_ready:
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -1,13 +1,20 @@
 """Admission, error responses and access log for callers' requests."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
-from sassafrasdale.deployment import Customer, RequestTraits, Route, customer_name
+from sassafrasdale.deployment import (
+    Customer,
+    RequestKind,
+    RequestTraits,
+    Route,
+    customer_name,
+)
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
@@ -154,7 +161,7 @@
         if route is None:
             raise RequestRefused(404, "no route")
         record.route = route.name
-        traits = self._traits(request)
+        traits = self._traits(request, route)
         record.resumes = traits.resumes or None
         record.resume_after = traits.resume_after
         caller_time = traits.deadline or DEFAULT_TIMEOUT
@@ -212,9 +219,10 @@
         while not self._may_serve() and self._clock.elapsed() < deadline:
             sleep(STARTUP_POLL_INTERVAL)
 
-    def _traits(self, request: Request) -> RequestTraits:
+    def _traits(self, request: Request, route: Route) -> RequestTraits:
+        is_stream = route.kind is RequestKind.STREAM
         try:
-            return read_traits(request)
+            return replace(read_traits(request), is_stream=is_stream)
         except ValueMalformed as error:
             raise RequestRefused(400, "header malformed", error.message) from error
 
--- a/src/sassafrasdale/gateway/streams/continuations.py
+++ b/src/sassafrasdale/gateway/streams/continuations.py
@@ -8,7 +8,6 @@
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.decisions.stream_versions import StreamBinding
-from sassafrasdale.deployment import RequestKind
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.exceptions import RequestRefused
 from sassafrasdale.gateway.streams.lookup import (
@@ -81,10 +80,7 @@
         :raises RequestRefused: if the stream can't go on.
         """
         traits = admitted.traits
-        if admitted.route.kind is not RequestKind.STREAM:
-            return
-        admitted.traits = replace(traits, is_stream=True)
-        if not traits.resumes and not traits.resume_after:
+        if not traits.is_stream or not (traits.resumes or traits.resume_after):
             return
         began_at = self._clock.elapsed()
         found = self._find(admitted)
@@ -106,7 +102,7 @@
             self._reject(reason, retry_after)
         self._count("stream taken up")
         admitted.service = binding.service
-        admitted.traits = replace(admitted.traits, binding=binding)
+        admitted.traits = replace(traits, binding=binding)
 
     def _find(self, admitted: AdmittedRequest) -> _Found:
         result = self._look_up(admitted)
--- a/src/sassafrasdale/gateway/streams/version_register.py
+++ b/src/sassafrasdale/gateway/streams/version_register.py
@@ -29,6 +29,8 @@
 # Callers wait for a gateway that starts.
 START_INTERVAL = timedelta(milliseconds=10)
 RETRY_DELAY = timedelta(milliseconds=250)
+# Interval of full checks while the listed endpoints don't change.
+FULL_CHECK_INTERVAL = timedelta(seconds=10)
 # Conditional writes of a step, if other gateways write at the same time.
 MAX_WRITES = 3
 # Time without an endpoint after which a version is taken off the record. No stream
@@ -77,6 +79,9 @@
         self._epoch = store.epoch
         self._restored_at: timedelta | None = None
         self._is_loaded = False
+        # Change of the directory up to which all is registered; None if unknown.
+        self._checked_changes: int | None = None
+        self._checked_at = timedelta()
 
     @property
     def is_loaded(self) -> bool:
@@ -141,15 +146,30 @@
         :raises StoreError: if the store doesn't respond.
         """
         self._note_restore()
+        if not self._is_due():
+            return False
+        changes = self._directory.change_count
         is_listed = self._is_listed()
         has_called = False
-        for service in {*self._directory.services, *self._registered}:
+        services = {*self._directory.services, *self._registered}
+        for service in services:
             listed = self._listed(service)
             has_called |= self._register(service, listed)
             has_called |= self._retire(service, listed)
         self._is_loaded = self._is_loaded or is_listed
+        is_complete = is_listed and all(
+            self._listed(service) <= self._checked[service] for service in services
+        )
+        self._checked_changes = changes if is_complete else None
+        self._checked_at = self._clock.elapsed()
         return has_called
 
+    def _is_due(self) -> bool:
+        """Return whether what is listed has changed, or may have to be taken off."""
+        if self._checked_changes != self._directory.change_count:
+            return True
+        return self._clock.elapsed() - self._checked_at >= FULL_CHECK_INTERVAL
+
     def _listed(self, service: str) -> set[str]:
         return {
             record.endpoint.version
@@ -223,6 +243,7 @@
         self._epoch = self._store.epoch
         self._restored_at = self._clock.elapsed()
         self._checked.clear()
+        self._checked_changes = None
 
     def _is_restoring(self) -> bool:
         self._note_restore()
