--- a/tests/gateway/streams/test_continuations.py
+++ b/tests/gateway/streams/test_continuations.py
@@ -31,7 +31,9 @@
     header,
     request,
     stream_head,
+    streamed,
 )
+from tests.platform.documents import configuration
 
 CLOCK = SystemClock()
 SECOND = timedelta(seconds=1)
@@ -39,33 +41,12 @@
 V1 = StreamBinding("models", "v1")
 V2 = StreamBinding("models", "v2")
 # One service, so that a new stream can only begin there.
-ROUTE = {
-    "name": "r-reports",
-    "host": "labs.example",
-    "prefix": "/reports/",
-    "kind": "stream",
-    "timeoutMs": 8000,
-    "goalMs": 800,
-    "priority": 0,
-    "service": "models",
-    "maxTries": 3,
-    "allowResume": True,
-}
-
-
-def streamed(*numbers: int, ends: bool = True):
-    """Return a script that sends some events, and then the end or a reset."""
-
-    def script(sock, raw):
-        sock.sendall(stream_head(raw))
-        for number in numbers:
-            sock.sendall(chunk(event(number)))
-        if ends:
-            sock.sendall(b"0\r\n\r\n")
-        else:
-            sock.close()
-
-    return script
+[ROUTE] = [
+    {key: value for key, value in route.items() if key != "split"}
+    | {"service": "models", "maxTries": 3}
+    for route in configuration()["routes"]
+    if route["name"] == "r-reports"
+]
 
 
 class StreamWorld(World):
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -20,6 +20,7 @@
     request,
     respond_with,
     stream_head,
+    streamed,
 )
 from tests.http.wires import LIMIT, serve_raw
 
@@ -35,21 +36,6 @@
     sock.recv(100)
 
 
-def streamed(*numbers: int, ends: bool = True, tail: bytes = b""):
-    def script(sock, raw):
-        sock.sendall(stream_head(raw))
-        for number in numbers:
-            sock.sendall(chunk(event(number)))
-        if tail:
-            sock.sendall(chunk(tail))
-        if ends:
-            sock.sendall(b"0\r\n\r\n")
-        else:
-            sock.close()
-
-    return script
-
-
 def body_of(response: bytes) -> bytes:
     _, _, rest = response.partition(b"\r\n\r\n")
     data = b""
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -92,6 +92,26 @@
     ).encode()
 
 
+def streamed(*numbers: int, ends: bool = True, tail: bytes = b"") -> Script:
+    """Return a script that sends some events, and then the end or a reset.
+
+    :param tail: bytes that follow the events.
+    """
+
+    def script(sock: socket.socket, request: bytes) -> None:
+        sock.sendall(stream_head(request))
+        for number in numbers:
+            sock.sendall(chunk(event(number)))
+        if tail:
+            sock.sendall(chunk(tail))
+        if ends:
+            sock.sendall(b"0\r\n\r\n")
+        else:
+            sock.close()
+
+    return script
+
+
 class ScriptedEndpoint:
     """An endpoint that handles each request by the next script.
 
--- a/tests/guarantees/test_stream_versions.py
+++ b/tests/guarantees/test_stream_versions.py
@@ -7,6 +7,7 @@
 
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_fleet import CONT, KILL, STOP
+from standins.kv_store import Fault
 from tests.guarantees.resuming_callers import EVENT_TIME, Stream, StreamingFleet
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -116,8 +117,8 @@
     assert fleet.share_gone_on >= MIN_SHARE
 
 
-def test_streams_of_gateways_that_all_restart_are_not_mixed(fleet):
-    """Guards against a version that is guessed where nobody knows it."""
+def run_over_a_restart_of_all(fleet: StreamingFleet) -> None:
+    """Have all gateways killed and started again while streams run."""
 
     def play(stream: Stream, number: int) -> None:
         fleet.send(stream, number % 4)
@@ -133,9 +134,43 @@
 
     spawn(restart)
     fleet.run(STREAMS, play)
+    assert len(fleet.taken_up) > STREAMS / 2
+
+
+def test_streams_of_gateways_that_all_restart_are_not_mixed(fleet):
+    """Guards against a version that is guessed where nobody knows it."""
+    run_over_a_restart_of_all(fleet)
     assert len(fleet.mixed) == 0
 
 
+def test_streams_of_gateways_that_all_restart_go_on_at_the_only_version(fleets):
+    """Guards against streams that are lost where there was never another version."""
+    fleet = StreamingFleet(4, ("v1",) * 4)
+    fleets.append(fleet)
+    run_over_a_restart_of_all(fleet)
+    assert fleet.share_gone_on >= MIN_SHARE
+
+
+def test_a_killed_gateways_streams_go_on_while_the_store_is_out(fleet):
+    """Guards against take-ups that only the store could decide."""
+
+    def play(stream: Stream, number: int) -> None:
+        fleet.send(stream, 0)
+        fleet.take_up(stream, 1 + number % 3, 40 * MILLISECOND)
+
+    def kill() -> None:
+        sleep(3 * EVENT_TIME)
+        fleet.fleet.store.fault = Fault.SILENT
+        sleep(3 * EVENT_TIME)
+        fleet.gateways[0].signal(KILL)
+
+    spawn(kill)
+    fleet.run(STREAMS, play)
+    fleet.fleet.store.fault = Fault.NONE
+    assert len(fleet.mixed) == 0
+    assert fleet.share_gone_on >= MIN_SHARE
+
+
 def test_a_stream_whose_version_is_gone_is_rejected_at_once(fleet):
     """Guards against streams that go on, or wait, where nothing may run them."""
 
