--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -72,7 +72,12 @@
     @property
     def known_version(self) -> str:
         """Version of its software; empty if it is not known for sure."""
-        return "" if self._doubted_at is not None else self.endpoint.version
+        return "" if self.is_doubted else self.endpoint.version
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether it may have restarted since it registered."""
+        return self._doubted_at is not None
 
     def doubt_version(self, now: timedelta) -> None:
         """Record a sign that it may have restarted since it registered.
@@ -134,6 +139,8 @@
         self._on_registration = on_registration
         self._records: dict[str, EndpointRecord] = {}
         self._services: dict[str, list[EndpointRecord]] = {}
+        self._versions: dict[str, set[str]] = {}
+        self._doubted: set[EndpointRecord] = set()
         self._change_count = 0
         self._fallback: dict[str, tuple[EndpointRecord, timedelta]] = {}
         self._health: dict[str, Health] = {}
@@ -145,7 +152,7 @@
 
     @property
     def change_count(self) -> int:
-        """Number of changes of the endpoints and their versions so far."""
+        """Number of changes so far of the services and their endpoints' versions."""
         return self._change_count
 
     @property
@@ -153,6 +160,10 @@
         """Names of the services that have registered endpoints."""
         return list(self._services)
 
+    def versions_of(self, service: str) -> set[str]:
+        """Return the versions of a service's registered endpoints."""
+        return self._versions.get(service, set())
+
     def of_service(self, service: str) -> list[EndpointRecord]:
         """Return the endpoints of a service that are ready.
 
@@ -237,8 +248,6 @@
         elif record.endpoint.state is not endpoint.state:
             log.info("endpoint changed state", **_log_fields(endpoint))
         record.confirm_version(self._clock.elapsed() - REGISTRATION_DELAY)
-        if record.endpoint is endpoint or record.endpoint.version != endpoint.version:
-            self._change_count += 1
         record.endpoint = endpoint
         self._index()
         return has_restarted
@@ -248,7 +257,6 @@
         record = self._records.pop(name, None)
         if record is None:
             return
-        self._change_count += 1
         outage = self._since_outage()
         expired = outage is not None and outage <= OUTAGE_WINDOW
         if record.is_ready:
@@ -268,14 +276,22 @@
                 record.pool.close()
                 del self._fallback[name]
 
+    def doubt_version(self, record: EndpointRecord) -> None:
+        """Record a sign that an endpoint may have restarted since it registered."""
+        record.doubt_version(self._clock.elapsed())
+        if record.is_doubted:
+            self._doubted.add(record)
+
     def confirm_versions(self) -> None:
         """Take versions for known where a restart would have been registered."""
         now = self._clock.elapsed()
         outage = self._since_outage()
         if outage is not None and outage < RESTART_TIME:
             return
-        for record in self._records.values():
+        for record in list(self._doubted):
             record.confirm_version(now - RESTART_TIME)
+            if not record.is_doubted or self._records.get(record.name) is not record:
+                self._doubted.discard(record)
 
     def _pool(self, endpoint: Endpoint) -> ConnectionPool:
         return ConnectionPool(
@@ -284,9 +300,15 @@
 
     def _index(self) -> None:
         services: dict[str, list[EndpointRecord]] = {}
+        versions: dict[str, set[str]] = {}
         for record in self._records.values():
-            services.setdefault(record.endpoint.service, []).append(record)
+            endpoint = record.endpoint
+            services.setdefault(endpoint.service, []).append(record)
+            versions.setdefault(endpoint.service, set()).add(endpoint.version)
         self._services = services
+        if versions != self._versions:
+            self._change_count += 1
+        self._versions = versions
         for service, records in services.items():
             self.health_of(service).set_endpoints(_names(records))
 
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -391,7 +391,7 @@
         if is_counted and is_fault and not crashed:
             self._attribute_failure(attempt, failure)
         if failure.reason in (CONNECTION_LOST, NOT_CONNECTED):
-            attempt.record.doubt_version(self._clock.elapsed())
+            self._fleet.doubt_version(attempt)
         self._last_failure = failure.reason
         log.info(
             "send failed",
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -108,6 +108,10 @@
         """Return whether an endpoint is registered as ready."""
         return self._directory.records.get(record.name) is record and record.is_ready
 
+    def doubt_version(self, attempt: Attempt) -> None:
+        """Record that an attempt's endpoint may have restarted."""
+        self._directory.doubt_version(attempt.record)
+
     def since_receipt(self) -> timedelta | None:
         """Return the time since bytes came from any endpoint; None if none ever did."""
         return self._directory.since_receipt()
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -244,7 +244,7 @@
     ) -> None:
         if reason != CONNECTION_LOST:
             return
-        record.doubt_version(self._clock.elapsed())
+        self._directory.doubt_version(record)
         self._links.record_lost_connection(record)
         registered = self._directory.records.get(record.name) is record
         self._quarantine.record_lost_connection(
--- a/src/sassafrasdale/gateway/streams/version_register.py
+++ b/src/sassafrasdale/gateway/streams/version_register.py
@@ -20,7 +20,7 @@
 from sassafrasdale.decisions.stream_versions import only_version
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.green import sleep
+from sassafrasdale.green import Empty, Queue, sleep, spawn
 
 log = Logger("stream versions")
 
@@ -31,6 +31,8 @@
 RETRY_DELAY = timedelta(milliseconds=250)
 # Interval of full checks while the listed endpoints don't change.
 FULL_CHECK_INTERVAL = timedelta(seconds=10)
+# Time for which a caller's request waits for the store, which may be silent.
+ANSWER_TIMEOUT = timedelta(milliseconds=300)
 # Conditional writes of a step, if other gateways write at the same time.
 MAX_WRITES = 3
 # Time without an endpoint after which a version is taken off the record. No stream
@@ -98,7 +100,7 @@
         It may reach the store while this one does not.
         """
         for service, names in versions.items():
-            listed = self._listed(service)
+            listed = self._directory.versions_of(service)
             self._registered.setdefault(service, set()).update(listed & set(names))
 
     def registered(self) -> dict[str, tuple[str, ...]]:
@@ -117,16 +119,27 @@
         """
         if self._is_restoring():
             return None
-        called_at = self._clock.elapsed()
+        answers: Queue = Queue()
+        spawn(self._ask, service, answers)
         try:
-            versions, _ = self._read(service)
-        except StoreError as error:
-            self._dependency.failed(error, called_at)
+            versions = answers.get(timeout=ANSWER_TIMEOUT.total_seconds())
+        except Empty:
+            return None
+        if versions is None:
             return None
         if self._is_restoring() or not self._registered.get(service, set()) <= versions:
             return None
         return only_version(versions)
 
+    def _ask(self, service: str, answers: Queue) -> None:
+        called_at = self._clock.elapsed()
+        try:
+            versions, _ = self._read(service)
+        except StoreError as error:
+            self._dependency.failed(error, called_at)
+            versions = None
+        answers.put(versions)
+
     def run(self) -> None:
         """Register versions until the task is killed."""
         while True:
@@ -153,12 +166,13 @@
         has_called = False
         services = {*self._directory.services, *self._registered}
         for service in services:
-            listed = self._listed(service)
+            listed = self._directory.versions_of(service)
             has_called |= self._register(service, listed)
             has_called |= self._retire(service, listed)
         self._is_loaded = self._is_loaded or is_listed
         is_complete = is_listed and all(
-            self._listed(service) <= self._checked[service] for service in services
+            self._directory.versions_of(service) <= self._checked[service]
+            for service in services
         )
         self._checked_changes = changes if is_complete else None
         self._checked_at = self._clock.elapsed()
@@ -170,12 +184,6 @@
             return True
         return self._clock.elapsed() - self._checked_at >= FULL_CHECK_INTERVAL
 
-    def _listed(self, service: str) -> set[str]:
-        return {
-            record.endpoint.version
-            for record in self._directory.all_of_service(service)
-        }
-
     def _register(self, service: str, listed: set[str]) -> bool:
         registered = self._registered.setdefault(service, set())
         checked = self._checked.setdefault(service, set())
--- a/tests/gateway/streams/test_version_register.py
+++ b/tests/gateway/streams/test_version_register.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sassafrasdale.clock import ManualClock
+from sassafrasdale.clock import ManualClock, SystemClock
 from sassafrasdale.coordination.exceptions import StoreError
 from sassafrasdale.deployment import Endpoint, EndpointState
 from sassafrasdale.gateway.dependencies import Dependency
@@ -16,6 +16,7 @@
     RETENTION_TIME,
     VersionRegister,
 )
+from sassafrasdale.green import sleep
 from sassafrasdale.structures import Address
 from tests.coordination.fakes import FakeStore
 
@@ -135,6 +136,18 @@
     one.register.step()
     store.faults = ["unreached"]
     assert one.register.only_version("models") is None
+    assert one.register.only_version("models") == "v1"
+
+
+def test_a_silent_store_holds_no_request_up(gateways, store, monkeypatch):
+    """Guards against callers that wait for a store that does not respond."""
+    one, _ = gateways
+    one.list("m-1", "v1")
+    one.register.step()
+    monkeypatch.setattr(store, "get", lambda key: sleep(2 * SECOND))
+    began_at = SystemClock().elapsed()
+    assert one.register.only_version("models") is None
+    assert SystemClock().elapsed() - began_at < SECOND
 
 
 def test_a_gateway_without_the_store_learns_versions_from_another(gateways, store):
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -7,7 +7,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import Endpoint, EndpointState
-from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.directory import RESTART_TIME, Directory
 from sassafrasdale.structures import Address
 
 DRAIN = timedelta(seconds=2)
@@ -123,3 +123,20 @@
     before = world.directory.records["i-1"]
     assert not world.directory.put(endpoint("i-1", born=1))
     assert world.directory.records["i-1"] is before
+
+
+def test_a_doubted_version_is_known_again_once_a_restart_would_have_registered():
+    """Guards against an endpoint that resumes no stream for good after a lost link."""
+    world = World()
+    world.directory.put(endpoint("m-1", born=1, version="v1"))
+    record = world.directory.records["m-1"]
+    world.directory.doubt_version(record)
+    world.directory.confirm_versions()
+    assert record.known_version == ""
+    world.clock.advance(RESTART_TIME + DRAIN)
+    world.since_outage = RESTART_TIME / 2
+    world.directory.confirm_versions()
+    assert record.known_version == ""
+    world.since_outage = None
+    world.directory.confirm_versions()
+    assert record.known_version == "v1"
--- a/tests/guarantees/resuming_callers.py
+++ b/tests/guarantees/resuming_callers.py
@@ -15,6 +15,8 @@
 CLOCK = SystemClock()
 EVENTS = 12
 EVENT_TIME = timedelta(milliseconds=100)
+# Share of the streams that have begun before a disruption.
+BEGUN_SHARE = 0.75
 # Time without data after which a caller gives an attempt up.
 SILENCE_LIMIT = timedelta(seconds=4)
 _EVENT = re.compile(rb"id: (\d+)\ndata: token \d+ of \S+ by (\S+)\n\n")
@@ -170,6 +172,16 @@
             lambda: len(ended) == count, "callers not ended", timedelta(seconds=60)
         )
 
+    def wait_until_begun(self, event: int) -> None:
+        """Wait until most of the streams have come to an event."""
+        wait_for(
+            lambda: (
+                sum(stream.last_event >= event for stream in self.streams)
+                > len(self.streams) * BEGUN_SHARE
+            ),
+            "streams not begun",
+        )
+
     def send(
         self,
         stream: Stream,
--- a/tests/guarantees/test_stream_versions.py
+++ b/tests/guarantees/test_stream_versions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sassafrasdale.green import sleep, spawn
+from sassafrasdale.green import Event, sleep, spawn
 from standins.gateway_fleet import CONT, KILL, STOP
 from standins.kv_store import Fault
 from tests.guarantees.resuming_callers import EVENT_TIME, Stream, StreamingFleet
@@ -73,7 +73,7 @@
         fleet.take_up(stream, 1 + number % 3, 40 * MILLISECOND)
 
     def kill() -> None:
-        sleep(6 * EVENT_TIME)
+        fleet.wait_until_begun(5)
         fleet.gateways[0].signal(KILL)
 
     spawn(kill)
@@ -105,7 +105,7 @@
         fleet.take_up(stream, 1 + number % 3, MILLISECOND)
 
     def pause() -> None:
-        sleep(6 * EVENT_TIME)
+        fleet.wait_until_begun(5)
         fleet.gateways[0].signal(STOP)
         sleep(4000 * MILLISECOND)
         fleet.gateways[0].signal(CONT)
@@ -119,18 +119,23 @@
 
 def run_over_a_restart_of_all(fleet: StreamingFleet) -> None:
     """Have all gateways killed and started again while streams run."""
+    is_back = Event()
 
     def play(stream: Stream, number: int) -> None:
         fleet.send(stream, number % 4)
-        fleet.take_up(stream, (number + 1) % 4, 2500 * MILLISECOND)
+        is_back.wait()
+        fleet.take_up(stream, (number + 1) % 4, MILLISECOND)
 
     def restart() -> None:
-        sleep(6 * EVENT_TIME)
+        fleet.wait_until_begun(5)
         for gateway in fleet.gateways:
             gateway.signal(KILL)
         sleep(200 * MILLISECOND)
         for gateway in fleet.gateways:
             gateway.launch()
+        for gateway in fleet.gateways:
+            gateway.wait_until_ready()
+        is_back.send()
 
     spawn(restart)
     fleet.run(STREAMS, play)
@@ -159,9 +164,9 @@
         fleet.take_up(stream, 1 + number % 3, 40 * MILLISECOND)
 
     def kill() -> None:
-        sleep(3 * EVENT_TIME)
+        fleet.wait_until_begun(3)
         fleet.fleet.store.fault = Fault.SILENT
-        sleep(3 * EVENT_TIME)
+        fleet.wait_until_begun(5)
         fleet.gateways[0].signal(KILL)
 
     spawn(kill)
