A stand-in's crash closes its idle connections only, besides those of running requests

It had aborted every connection that had ever carried a request, those waiting for a slot and those long ended, too; after a fall the endpoints stayed down.

--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
-from weakref import WeakSet
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import listen, sleep, spawn
@@ -121,7 +120,6 @@
         self._crash_marker = crash_marker
         self._through = proxy
         self._connections: set[ServerConnection] = set()
-        self._kept_connections: WeakSet[ServerConnection] = WeakSet()
         self._is_down = False
         self._state = "ready"
         self._name = name
@@ -199,11 +197,11 @@
     def _shut_down(self) -> None:
         self._is_down = True
         self._server.close()
+        for connection in self._connections:
+            connection.abort()
         self._connections = set()
         # A crash ends idle connections, too.
-        connections, self._kept_connections = self._kept_connections, WeakSet()
-        for connection in list(connections):
-            connection.abort()
+        self._server.close_idle()
 
     def _restart(self) -> None:
         brittleness = self.brittleness
@@ -233,7 +231,6 @@
             self.register(self._state)
 
     def _answer(self, connection: ServerConnection, request: Request) -> None:
-        self._kept_connections.add(connection)
         if request.header("expect-replica") != self._name:
             connection.answer(421, [("replica-id", self._name)])
             return
