A restore that is noticed while versions are checked has all of them checked again

A take-up that asks the store can notice its restore while the register's own step waits for it. What had been checked was cleared under the step, which then failed or took all for registered: a version that the copy lacks was not written for up to ten seconds. Found by reading; the test is red without the mend.

--- a/src/sassafrasdale/gateway/streams/version_register.py
+++ b/src/sassafrasdale/gateway/streams/version_register.py
@@ -171,7 +171,8 @@
             has_called |= self._retire(service, listed)
         self._is_loaded = self._is_loaded or is_listed
         is_complete = is_listed and all(
-            self._directory.versions_of(service) <= self._checked[service]
+            # A restore that was noticed meanwhile has cleared what was checked.
+            self._directory.versions_of(service) <= self._checked.get(service, set())
             for service in services
         )
         self._checked_changes = changes if is_complete else None
--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -197,9 +197,9 @@
     def _shut_down(self) -> None:
         self._is_down = True
         self._server.close()
-        for connection in self._connections:
+        connections, self._connections = self._connections, set()
+        for connection in connections:
             connection.abort()
-        self._connections = set()
         # A crash ends idle connections, too.
         self._server.close_idle()
 
--- a/tests/gateway/streams/test_version_register.py
+++ b/tests/gateway/streams/test_version_register.py
@@ -253,3 +253,25 @@
         clock.advance(RETENTION_TIME)
     assert one.register.only_version("models") == ""
     assert other.register.only_version("models") == ""
+
+
+def test_a_restore_that_is_noticed_during_a_step_has_all_checked_again(
+    gateways, store, monkeypatch
+):
+    """Guards against versions that a restored store lacks and no gateway writes."""
+    one, other = gateways
+    one.list("m-1", "v1")
+    read = store.get
+
+    def restore_after(key: str):
+        found = read(key)
+        store.restores = 1
+        one.register.only_version("models")
+        return found
+
+    with monkeypatch.context() as patched:
+        patched.setattr(store, "get", restore_after)
+        one.register.step()
+    store.keys.clear()
+    one.register.step()
+    assert len(store.keys) == 1
