--- a/src/sassafrasdale/decisions/stream_versions.py
+++ b/src/sassafrasdale/decisions/stream_versions.py
@@ -6,6 +6,11 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from datetime import timedelta
+
+# Retry-After for a stream whose version nobody knows, or which has no endpoint any
+# more: a later attempt most likely gets the same response.
+UNRESUMABLE_RETRY_AFTER = timedelta(seconds=60)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -6,6 +6,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
+from sassafrasdale.decisions.stream_versions import UNRESUMABLE_RETRY_AFTER
 from sassafrasdale.deployment import (
     Bounds,
     Configuration,
@@ -37,9 +38,8 @@
 # An endpoint that doesn't respond is most likely gone; one that returns an occasional
 # error may be as good as the others.
 NO_RESPONSE_WEIGHT = 3
-# A version without endpoints rarely returns while a caller waits.
 VERSION_UNAVAILABLE = Unavailability(
-    "no endpoint of the stream's version", timedelta(seconds=60)
+    "no endpoint of the stream's version", UNRESUMABLE_RETRY_AFTER
 )
 
 
--- a/src/sassafrasdale/gateway/streams/continuations.py
+++ b/src/sassafrasdale/gateway/streams/continuations.py
@@ -7,7 +7,10 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
-from sassafrasdale.decisions.stream_versions import StreamBinding
+from sassafrasdale.decisions.stream_versions import (
+    UNRESUMABLE_RETRY_AFTER,
+    StreamBinding,
+)
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.exceptions import RequestRefused
 from sassafrasdale.gateway.streams.lookup import (
@@ -20,9 +23,6 @@
 
 log = Logger("streams")
 
-# Retry-After for a stream whose version nobody knows, or which has no endpoint any
-# more: a later attempt gets the same response.
-UNRESUMABLE_RETRY_AFTER = timedelta(seconds=60)
 # Retry-After where another gateway may yet know the version.
 RETRY_AFTER = timedelta(milliseconds=300)
 
