Failed sends at crashed endpoints tell the parts of the prompt

What the requests of several crashes share could not be read from the logs: a line had the digest of the whole request only, which is new for each of them.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -62,6 +62,8 @@
 # A stream that another endpoint could resume is abandoned after this time without data.
 # Its caller gives up after a gap of two seconds or more.
 STREAM_IDLE_TIMEOUT = timedelta(seconds=1.2)
+# Most parts of a prompt in one log line.
+MAX_LOGGED_PARTS = 16
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
 MAX_EVENT_GAPS = 64
 
@@ -400,6 +402,7 @@
             endpoint_ended=crashed,
             forwarder=attempt.forwarder or None,
             fingerprint=self._fingerprint,
+            parts=self._logged_parts() if crashed else None,
             outcome=str(failure.outcome),
             why=failure.reason,
             send=self._attempts,
@@ -451,6 +454,11 @@
     def _fingerprint(self) -> str:
         return fingerprint_of(self._admitted.request, self._admitted.customer_name)
 
+    def _logged_parts(self) -> list[str] | None:
+        """Return the first parts of the prompt that other requests may share."""
+        shared = self._admitted.traits.parts[:-1]
+        return [part.name for part in shared[:MAX_LOGGED_PARTS]] or None
+
     def _may_retry_status(self) -> bool:
         """Return whether a 5xx response may be retried at another endpoint."""
         return (
