--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -80,6 +80,27 @@
     rejected_at: list[timedelta] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class PartDefect:
+    """A part of prompts on which an engine crashes as soon as it begins an answer.
+
+    The last part of a prompt never has this effect.
+
+    :param part: id of the part.
+    :param events: events that the engine sends first; None if it sends no head either.
+    :param down_time: time that it is down after a crash.
+    """
+
+    part: str
+    events: int | None = None
+    down_time: timedelta = timedelta(seconds=1.5)
+
+    def affects(self, request: Request) -> bool:
+        """Return whether a request has the part in the right place."""
+        parts = request.header("prompt-prefix").split(",")
+        return self.part in {part.partition(":")[0] for part in parts[:-1]}
+
+
 class StandInEndpoint:
     """An endpoint that registers itself in the store and serves requests.
 
@@ -93,6 +114,7 @@
     :ivar extra_headers: headers that it adds to each response.
     :ivar brittleness: if set, it runs no more requests at once than it has slots, and
         falls over if it has to reject too many.
+    :ivar part_defect: part of prompts that crashes it; None for none.
     :ivar silent_until: elapsed time until which it accepts requests and sends nothing.
     :ivar event_time: time between two events of a stream.
     :ivar names_version: whether each event tells the version that wrote it.
@@ -140,6 +162,7 @@
         self.silent_until = timedelta()
         self.backoff: timedelta | None = None
         self.brittleness: Brittleness | None = None
+        self.part_defect: PartDefect | None = None
         self._running = 0
         self._accepted = 0
 
@@ -152,6 +175,14 @@
     def _slots(self) -> int:
         return 64 if self._streams else 6
 
+    @property
+    def _down_time(self) -> timedelta:
+        if self.brittleness is not None:
+            return self.brittleness.down_time
+        if self.part_defect is not None:
+            return self.part_defect.down_time
+        return RESTART_DELAY
+
     @property
     def request_ids(self) -> list[str]:
         """Ids of the requests that it has begun to process."""
@@ -204,8 +235,7 @@
         self._server.close_idle()
 
     def _restart(self) -> None:
-        brittleness = self.brittleness
-        sleep(RESTART_DELAY if brittleness is None else brittleness.down_time)
+        sleep(self._down_time)
         self._running = self._accepted = 0
         self._cached.clear()
         self._serve(listen(self._address))
@@ -307,6 +337,9 @@
             ("replica-stamp", f"{self._name}.stamp"),
             *self._signals(),
         ]
+        if self.part_defect is not None and self.part_defect.affects(request):
+            self._crash_on(self.part_defect, connection, request, headers)
+            return
         self._keep_silent()
         try:
             if not slowdown:
@@ -322,6 +355,24 @@
         finally:
             self._connections.discard(connection)
 
+    def _crash_on(
+        self,
+        defect: PartDefect,
+        connection: ServerConnection,
+        request: Request,
+        headers: list,
+    ) -> None:
+        sleep(TOKEN_TIME * self._prefill_tokens(request) + CRASH_DELAY)
+        with suppress(CallerDisconnected):
+            if defect.events is not None:
+                connection.begin(200, [*headers, ("content-type", "text/event-stream")])
+                connection.flush()
+            for number in range(1, (defect.events or 0) + 1):
+                token = f"token {number} of {request.target}"
+                connection.write(f"id: {number}\ndata: {token}\n\n".encode())
+                sleep(self.event_time)
+        self.crash()
+
     def _refuse(
         self, connection: ServerConnection, request: Request, backoff: timedelta
     ) -> None:
