--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -38,9 +38,12 @@
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
 from sassafrasdale.gateway.planning import planned_services
 from sassafrasdale.gateway.poller import Poller
+from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.records import StrikeRecords
+from sassafrasdale.gateway.quarantine.replication import StrikeReplicator
+from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.registration import Registration
-from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.store_view import StoreView
@@ -50,9 +53,6 @@
 from sassafrasdale.gateway.streams.records import StreamRecords
 from sassafrasdale.gateway.streams.replication import StreamReplicator
 from sassafrasdale.gateway.streams.version_register import VersionRegister
-from sassafrasdale.gateway.strike_records import StrikeRecords
-from sassafrasdale.gateway.strike_replication import StrikeReplicator
-from sassafrasdale.gateway.trials import Trials
 from sassafrasdale.gateway.usage import (
     ClockReading,
     ClusterTime,
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -26,7 +26,6 @@
     AttemptOutcome,
     reason_of,
 )
-from sassafrasdale.gateway.fingerprints import fingerprint_of
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import (
     FORWARDER_LOST,
@@ -37,7 +36,8 @@
     Hop,
     Path,
 )
-from sassafrasdale.gateway.request_quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.fingerprints import fingerprint_of
+from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -30,7 +30,7 @@
 )
 from sassafrasdale.gateway.forwarding.paths import DirectPath, max_idle_time
 from sassafrasdale.gateway.peer_states import Contact
-from sassafrasdale.gateway.request_quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
 from sassafrasdale.http.exceptions import CallerDisconnected, HttpError, NotConnected
 from sassafrasdale.http.messages import Request, ResponseHead
 from sassafrasdale.http.server import ServerConnection
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -21,8 +21,8 @@
 from sassafrasdale.gateway.exchange import RequestExchange
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths
+from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
 from sassafrasdale.gateway.quotas import Quotas
-from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.gateway.routing import RouteTable, draw_service
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.green import sleep
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -30,6 +30,7 @@
     UsageTotal,
     encode,
 )
+from sassafrasdale.gateway.quarantine.replication import StrikeReplicator
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.streams.lookup import LOOKUP_TIMEOUT
 from sassafrasdale.gateway.streams.messages import (
@@ -41,7 +42,6 @@
     StreamRows,
 )
 from sassafrasdale.gateway.streams.replication import StreamReplicator
-from sassafrasdale.gateway.strike_replication import StrikeReplicator
 from sassafrasdale.gateway.usage import ClockReading, ClusterTime, UsageLedger
 from sassafrasdale.gateway.value_transfers import ACCEPTS_CODING, read_values
 from sassafrasdale.http.connections import HttpClient
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -16,8 +16,8 @@
 
 from sassafrasdale.decisions.load_reports import ReportedLoad
 from sassafrasdale.gateway.canary_reports import CanaryReport, Count, without_rows
+from sassafrasdale.gateway.quarantine.replication import StrikeUpdate
 from sassafrasdale.gateway.streams.messages import StreamUpdate
-from sassafrasdale.gateway.strike_replication import StrikeUpdate
 from sassafrasdale.gateway.usage import ClockReading
 from sassafrasdale.structures import Address
 
--- /dev/null
+++ b/src/sassafrasdale/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of what crashes endpoints: strikes, their replication and records."""
--- a/src/sassafrasdale/gateway/request_quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -16,10 +16,10 @@
     TrackedStrike,
     trial_scope,
 )
-from sassafrasdale.gateway.crash_detection import CrashDetector
 from sassafrasdale.gateway.directory import EndpointRecord
-from sassafrasdale.gateway.fingerprints import fingerprint_of
-from sassafrasdale.gateway.trials import Trials
+from sassafrasdale.gateway.quarantine.crash_detection import CrashDetector
+from sassafrasdale.gateway.quarantine.fingerprints import fingerprint_of
+from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from sassafrasdale.green import spawn
 from sassafrasdale.http.connections import ProbeResult
--- a/src/sassafrasdale/gateway/strike_records.py
+++ b/src/sassafrasdale/gateway/quarantine/records.py
@@ -20,8 +20,8 @@
 )
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.peering import Peering
-from sassafrasdale.gateway.strike_replication import STRIKE_ROW, StrikeRow
-from sassafrasdale.gateway.trials import Trials
+from sassafrasdale.gateway.quarantine.replication import STRIKE_ROW, StrikeRow
+from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from sassafrasdale.green import sleep
 
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -19,13 +19,13 @@
     MemberState,
 )
 from sassafrasdale.gateway.peering import Peering
+from sassafrasdale.gateway.quarantine.replication import StrikeReplicator
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.streams.lookup import StreamLookup
 from sassafrasdale.gateway.streams.records import StreamRecords
 from sassafrasdale.gateway.streams.replication import StreamReplicator
-from sassafrasdale.gateway.strike_replication import StrikeReplicator
 from sassafrasdale.gateway.usage import ClockReading, ClusterTime, UsageLedger
 from sassafrasdale.green import sleep
 from sassafrasdale.http.exceptions import NotConnected, ResponseTimeout
--- /dev/null
+++ b/tests/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `sassafrasdale.gateway.streams`."""
--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/quarantine/test_crash_detection.py
@@ -5,8 +5,8 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.deployment import Endpoint, EndpointState
-from sassafrasdale.gateway.crash_detection import CrashDetector
 from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.quarantine.crash_detection import CrashDetector
 from sassafrasdale.green import sleep, spawn
 from sassafrasdale.http.connections import ProbeResult
 from sassafrasdale.structures import Address
--- a/tests/gateway/test_fingerprints.py
+++ b/tests/gateway/quarantine/test_fingerprints.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sassafrasdale.gateway.fingerprints import fingerprint_of
+from sassafrasdale.gateway.quarantine.fingerprints import fingerprint_of
 from sassafrasdale.http.messages import Request
 
 HEADERS = (("host", "labs.example"), ("request-id", "r-1"), ("deadline-ms", "900"))
--- a/tests/gateway/test_request_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -9,9 +9,9 @@
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.deployment import Endpoint, EndpointState
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.gateway.fingerprints import fingerprint_of
-from sassafrasdale.gateway.request_quarantine import RequestQuarantine
-from sassafrasdale.gateway.trials import Trials
+from sassafrasdale.gateway.quarantine.fingerprints import fingerprint_of
+from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from sassafrasdale.green import sleep
 from sassafrasdale.http.messages import Request
--- a/tests/gateway/test_quarantine_model.py
+++ b/tests/gateway/quarantine/test_quarantine_model.py
@@ -11,8 +11,8 @@
 
 from sassafrasdale.coordination.exceptions import StoreError, StoreNotReached
 from sassafrasdale.gateway.dependencies import Dependency
-from sassafrasdale.gateway.strike_records import StrikeRecords
-from sassafrasdale.gateway.trials import Trials
+from sassafrasdale.gateway.quarantine.records import StrikeRecords
+from sassafrasdale.gateway.quarantine.trials import Trials
 from tests.coordination.fakes import FakeStore
 from tests.decisions.test_quarantine import strike
 from tests.gateway.fleets import Fleet
--- a/tests/gateway/test_strike_records.py
+++ b/tests/gateway/quarantine/test_records.py
@@ -9,14 +9,14 @@
 from sassafrasdale.coordination.exceptions import StoreNotReached
 from sassafrasdale.decisions.quarantine import MAX_STRIKES, StrikeLedger
 from sassafrasdale.gateway.dependencies import Dependency
-from sassafrasdale.gateway.strike_records import (
+from sassafrasdale.gateway.quarantine.records import (
     MAX_AGE,
     MAX_WRITES,
     STRIKES_PREFIX,
     WITNESS_TIMEOUT,
     StrikeRecords,
 )
-from sassafrasdale.gateway.trials import TRIALS_PREFIX, Trials
+from sassafrasdale.gateway.quarantine.trials import TRIALS_PREFIX, Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from tests.coordination.fakes import FakeStore
 from tests.decisions.test_quarantine import strike
--- a/tests/gateway/test_strike_replication.py
+++ b/tests/gateway/quarantine/test_replication.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sassafrasdale.decisions.quarantine import StrikeLedger, StrikeState
-from sassafrasdale.gateway.strike_replication import (
+from sassafrasdale.gateway.quarantine.replication import (
     MAX_ROWS,
     STRIKE_ROW,
     StrikeReplicator,
--- a/tests/gateway/test_trials.py
+++ b/tests/gateway/quarantine/test_trials.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sassafrasdale.clock import ManualClock
-from sassafrasdale.gateway.trials import MIN_QUERY_INTERVAL, Trials
+from sassafrasdale.gateway.quarantine.trials import MIN_QUERY_INTERVAL, Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from tests.coordination.fakes import FakeStore
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -23,8 +23,9 @@
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
+from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.quotas import Quotas
-from sassafrasdale.gateway.request_quarantine import RequestQuarantine
 from sassafrasdale.gateway.rollouts import Rollouts
 from sassafrasdale.gateway.roster import Roster
 from sassafrasdale.gateway.routing import RouteTable
@@ -32,7 +33,6 @@
 from sassafrasdale.gateway.streams.lookup import StreamLookup
 from sassafrasdale.gateway.streams.records import StreamRecords
 from sassafrasdale.gateway.streams.replication import StreamReplicator
-from sassafrasdale.gateway.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime, UsageCounts
 from sassafrasdale.green import listen, spawn
 from sassafrasdale.http.server import HttpServer
