Crashes are blamed on features of requests: the whole, or a part of their prompts

Cause: strikes were counted by a digest of customer, path and body only. Requests that share a part of their prompts are all new, so each had one or two strikes and none reached three. The class: what was blamed was fixed in advance as the whole request.

Now a crash strikes each feature of the requests that ran: the whole request and each part of its prompt but the last. A part needs crashes of two different requests, time in which it could have been cleared, and more where it has run well; it is judged before whole requests, and explains theirs.

Ruled out: lost or late strikes (no digest comes twice).

--- a/src/sassafrasdale/gateway/admitted_requests.py
+++ b/src/sassafrasdale/gateway/admitted_requests.py
@@ -14,6 +14,7 @@
     :param deadline: elapsed time at which its caller must have a response.
     :param last_return: elapsed time from which its caller can't come back.
     :param avoided: endpoints that it must not be sent to.
+    :param is_trial: whether it is a trial of something that is quarantined.
     """
 
     request: Request
@@ -25,6 +26,7 @@
     deadline: timedelta
     last_return: timedelta
     avoided: frozenset[str] = frozenset()
+    is_trial: bool = False
 
     @property
     def customer_name(self) -> str:
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -41,6 +41,7 @@
 from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
 from sassafrasdale.gateway.quarantine.records import StrikeRecords
 from sassafrasdale.gateway.quarantine.replication import StrikeReplicator
+from sassafrasdale.gateway.quarantine.soundness import SoundParts
 from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.registration import Registration
@@ -111,11 +112,15 @@
 
     def _build_quarantine(self) -> None:
         clock = self._clock
-        self._strikes = StrikeLedger()
+        sound_parts = SoundParts(clock)
+        self._strikes = StrikeLedger(
+            now=lambda: self.time.seconds, is_sound=sound_parts.is_sound
+        )
         self._trials = Trials(self._store, self.time, clock)
         self.quarantine = RequestQuarantine(
             self._settings.name,
             self._strikes,
+            sound_parts,
             self._trials,
             self.time,
             clock,
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -36,8 +36,12 @@
     Hop,
     Path,
 )
-from sassafrasdale.gateway.quarantine.fingerprints import fingerprint_of
-from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.fingerprints import RequestFeatures
+from sassafrasdale.gateway.quarantine.quarantine import (
+    QUARANTINE_RETRY_AFTER,
+    QUARANTINED,
+    RequestQuarantine,
+)
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
@@ -62,6 +66,9 @@
 # A stream that another endpoint could resume is abandoned after this time without data.
 # Its caller gives up after a gap of two seconds or more.
 STREAM_IDLE_TIMEOUT = timedelta(seconds=1.2)
+# A stream that has been written for this long shows that its prompt is sound: an engine
+# that a prompt crashes ends as it begins the answer.
+SOUND_AFTER = timedelta(seconds=0.5)
 # Most parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 16
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
@@ -148,6 +155,11 @@
 
     def _start_attempt(self) -> Attempt:
         admitted = self._admitted
+        if self._is_quarantined():
+            self._give_up(
+                AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED),
+                QUARANTINE_RETRY_AFTER,
+            )
         is_retry = self._attempts > 0
         attempt = self._fleet.start_attempt(
             admitted.service,
@@ -208,7 +220,7 @@
         admitted = self._admitted
         hop = Hop(
             attempt.record.name,
-            lambda: self._fingerprint,
+            lambda: self._features.fingerprint,
             admitted.route.repeatable,
             admitted.deadline,
             "" if attempt.binding is None else attempt.binding.version,
@@ -225,6 +237,9 @@
         record = attempt.record
         if not self._fleet.may_send(attempt):
             raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
+        # It may have waited for its endpoint since it was checked.
+        if self._is_quarantined():
+            raise AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED)
         self._endpoint_crashed = False
         self._events_before_attempt = self._splitter.count
         time_left = admitted.deadline - self._clock.elapsed()
@@ -304,7 +319,7 @@
             attempt, head.status, self._clock.elapsed() - attempt.began_at
         )
         if succeeded:
-            self._quarantine.record_success(admitted.request, admitted.customer_name)
+            self._record_success()
         self._caller.answer(head.status, caller_headers(head), body)
         return head.status
 
@@ -317,6 +332,7 @@
         deadline = admitted.deadline
         gaps: list[timedelta] = []
         last_at: timedelta | None = None
+        sound_at: timedelta | None = None
         try:
             while data := path.read_data(deadline):
                 complete = splitter.feed(data)
@@ -326,9 +342,14 @@
                 if not complete:
                     continue
                 now = self._clock.elapsed()
-                if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
+                if last_at is None:
+                    sound_at = now + SOUND_AFTER
+                elif len(gaps) < MAX_EVENT_GAPS:
                     gaps.append(now - last_at)
                 last_at = now
+                if sound_at is not None and now >= sound_at:
+                    sound_at = None
+                    self._quarantine.record_progress(admitted.traits.parts)
                 self._record_first_byte(attempt)
                 if not self._caller.response_started:
                     self._caller.begin(head.status, caller_headers(head))
@@ -343,9 +364,15 @@
             self._caller.begin(head.status, caller_headers(head))
         self._caller.end()
         self._fleet.record_stream(attempt, gaps)
-        self._quarantine.record_success(admitted.request, admitted.customer_name)
+        self._record_success()
         return head.status
 
+    def _record_success(self) -> None:
+        admitted = self._admitted
+        self._quarantine.record_success(
+            admitted.request, admitted.customer_name, admitted.traits.parts
+        )
+
     def _bind_stream(self, attempt: Attempt) -> None:
         """Bind the stream to the version whose event is its first."""
         admitted = self._admitted
@@ -401,7 +428,7 @@
             software=attempt.record.endpoint.version or None,
             endpoint_ended=crashed,
             forwarder=attempt.forwarder or None,
-            fingerprint=self._fingerprint,
+            fingerprint=self._features.fingerprint,
             parts=self._logged_parts() if crashed else None,
             outcome=str(failure.outcome),
             why=failure.reason,
@@ -443,7 +470,7 @@
         begun = self._splitter.count > self._events_before_attempt
         record = attempt.record
         self._endpoint_crashed = self._quarantine.record_lost_connection(
-            self._fingerprint,
+            self._features,
             record,
             begun=begun,
             registered=self._fleet.is_registered(record),
@@ -451,8 +478,18 @@
         return self._endpoint_crashed
 
     @cached_property
-    def _fingerprint(self) -> str:
-        return fingerprint_of(self._admitted.request, self._admitted.customer_name)
+    def _features(self) -> RequestFeatures:
+        admitted = self._admitted
+        return self._quarantine.features_of(
+            admitted.request, admitted.customer_name, admitted.traits.parts
+        )
+
+    def _is_quarantined(self) -> bool:
+        """Return whether the request was quarantined after it was admitted."""
+        admitted = self._admitted
+        return not admitted.is_trial and self._quarantine.is_quarantined(
+            admitted.request, admitted.customer_name, admitted.traits.parts
+        )
 
     def _logged_parts(self) -> list[str] | None:
         """Return the first parts of the prompt that other requests may share."""
@@ -476,7 +513,7 @@
         admitted = self._admitted
         if failure.outcome is AttemptOutcome.UNKNOWN and not admitted.route.repeatable:
             return False
-        if self._endpoint_crashed and not self._quarantine.may_retry(self._fingerprint):
+        if self._endpoint_crashed and not self._quarantine.may_retry(self._features):
             return False
         if self._clock.elapsed() >= admitted.deadline:
             return False
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -30,13 +30,23 @@
 )
 from sassafrasdale.gateway.forwarding.paths import DirectPath, max_idle_time
 from sassafrasdale.gateway.peer_states import Contact
+from sassafrasdale.gateway.quarantine.fingerprints import (
+    RequestFeatures,
+    shared_part_features,
+)
 from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
-from sassafrasdale.http.exceptions import CallerDisconnected, HttpError, NotConnected
+from sassafrasdale.http.exceptions import (
+    CallerDisconnected,
+    HttpError,
+    NotConnected,
+)
 from sassafrasdale.http.messages import Request, ResponseHead
 from sassafrasdale.http.server import ServerConnection
+from sassafrasdale.platform.exceptions import ValueMalformed
 from sassafrasdale.platform.headers import (
     REQUEST_ID,
     caller_headers,
+    read_parts,
     with_time_left,
 )
 from sassafrasdale.platform.signals import read_signals
@@ -248,7 +258,7 @@
         self._links.record_lost_connection(record)
         registered = self._directory.records.get(record.name) is record
         self._quarantine.record_lost_connection(
-            forwarded.fingerprint,
+            _features_of(forwarded),
             record,
             begun=begun,
             registered=registered and record.is_ready,
@@ -281,6 +291,15 @@
         return record.is_ready and not self._gate.is_backed_off(record)
 
 
+def _features_of(forwarded: ForwardedRequest) -> RequestFeatures:
+    try:
+        parts = read_parts(forwarded.headers)
+    except ValueMalformed as error:
+        log.warning("malformed forward", why=error.message)
+        parts = ()
+    return RequestFeatures(forwarded.fingerprint, shared_part_features(parts))
+
+
 def _id_of(forwarded: ForwardedRequest) -> str:
     request = Request(forwarded.method, forwarded.target, forwarded.headers)
     return request.header(REQUEST_ID) or "none"
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -21,7 +21,12 @@
 from sassafrasdale.gateway.exchange import RequestExchange
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths
-from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.quarantine import (
+    QUARANTINE_RETRY_AFTER,
+    QUARANTINED,
+    RequestQuarantine,
+    Verdict,
+)
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.routing import RouteTable, draw_service
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
@@ -44,9 +49,6 @@
 # Retry-After while this gateway is stopping; the balancer sends the retry to another
 # one.
 STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
-# Retry-After for a quarantined request: it is not allowed again for minutes, if at all,
-# so an earlier retry gets the same response.
-QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
 # Time limit of a request without a deadline whose route allows more time.
 DEFAULT_TIMEOUT = timedelta(seconds=60)
 
@@ -171,7 +173,7 @@
             raise RequestRefused(503, "stopping", retry_after=STOPPING_RETRY_AFTER)
         customer = self._customer(routes, route, traits)
         service = draw_service(route, self._rng)
-        avoided = self._check_quarantine(request, customer, service, record)
+        verdict = self._check_quarantine(request, customer, traits, service, record)
         if customer is not None:
             record.customer = customer.name
             retry_after = self._quotas.admit(customer, traits)
@@ -189,27 +191,32 @@
             now,
             deadline,
             now + caller_time,
-            avoided,
+            verdict.avoided,
+            verdict.is_trial,
         )
 
     def _check_quarantine(
         self,
         request: Request,
         customer: Customer | None,
+        traits: RequestTraits,
         service: str,
         record: "_AccessRecord",
-    ) -> frozenset[str]:
-        """Return the endpoints that the request must not be sent to.
+    ) -> Verdict:
+        """Return the verdict on a request that may be sent.
 
         :raises RequestRefused: if the request is quarantined.
         """
         verdict = self._quarantine.check(
-            request, customer_name(customer), self._fleet.endpoints(service)
+            request,
+            customer_name(customer),
+            traits.parts,
+            self._fleet.endpoints(service),
         )
         if not verdict.is_refused:
-            return verdict.avoided
+            return verdict
         record.fingerprint = verdict.fingerprint
-        raise RequestRefused(503, "quarantined", retry_after=QUARANTINE_RETRY_AFTER)
+        raise RequestRefused(503, QUARANTINED, retry_after=QUARANTINE_RETRY_AFTER)
 
     def _wait_until_ready(self, deadline: timedelta) -> None:
         """Wait for the store's first responses, a few milliseconds after startup.
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -1,24 +1,33 @@
-"""Quarantine of requests under which endpoints have crashed.
+"""Quarantine of requests and parts of prompts under which endpoints have crashed.
 
-Each such crash is recorded as a strike against the request.
+Each such crash is recorded as a strike against each feature of the requests that ran.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from math import inf
 
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.quarantine import (
+from sassafrasdale.decisions.quarantine import StrikeLedger, trial_scope
+from sassafrasdale.decisions.strikes import (
+    SAME_CRASH_WINDOW,
     Strike,
-    StrikeLedger,
+    StrikeState,
     TrackedStrike,
-    trial_scope,
 )
+from sassafrasdale.deployment import PromptPart
 from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.quarantine.crash_detection import CrashDetector
-from sassafrasdale.gateway.quarantine.fingerprints import fingerprint_of
+from sassafrasdale.gateway.quarantine.fingerprints import (
+    RequestFeatures,
+    fingerprint_of,
+    part_features,
+    shared_part_features,
+)
+from sassafrasdale.gateway.quarantine.soundness import SoundParts
 from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from sassafrasdale.green import spawn
@@ -27,6 +36,11 @@
 
 log = Logger("suspects")
 
+# Reason of a rejected request.
+QUARANTINED = "quarantined"
+# Retry-After for a quarantined request: it is not allowed again for minutes, if at all,
+# so an earlier retry gets the same response.
+QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
 # Longest time after a lost connection in which a crash of the endpoint is taken as its
 # cause. The directory shows a crash within seconds: the registration expires, or shows
 # a later start time.
@@ -34,6 +48,10 @@
 # Most runs that are kept whose connection was lost, so far without evidence of a
 # crash.
 MAX_LOST_RUNS = 500
+# Most parts of one request that are struck by a crash.
+MAX_STRUCK_PARTS = 32
+# Most recent strikes that are kept to recognize further ones of the same crash.
+MAX_RECENT_STRIKES = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +62,7 @@
     :param begun: whether the run had produced events.
     """
 
-    fingerprint: str
+    features: RequestFeatures
     endpoint: str
     version: str
     begun: bool
@@ -54,13 +72,15 @@
 class Verdict:
     """Whether a request may be sent to endpoints.
 
-    :param fingerprint: of the request; empty if no request is quarantined.
+    :param fingerprint: of its feature that is quarantined; empty if none is.
     :param is_refused: whether no endpoint may get it.
+    :param is_trial: whether it is a trial of that feature.
     :param avoided: endpoints that must not get it.
     """
 
     fingerprint: str = ""
     is_refused: bool = False
+    is_trial: bool = False
     avoided: frozenset[str] = frozenset()
 
 
@@ -72,6 +92,7 @@
 
     :param name: this gateway's name.
     :param ledger: strikes of all gateways.
+    :param sound_parts: parts of prompts that have run well here.
     :param trials: trial attempts of refused requests, of all gateways.
     :param time: cluster time, which strikes are dated by.
     :param count: counts an event for the metrics.
@@ -83,6 +104,7 @@
         self,
         name: str,
         ledger: StrikeLedger,
+        sound_parts: SoundParts,
         trials: Trials,
         time: ClusterTime,
         clock: Clock,
@@ -91,6 +113,7 @@
     ) -> None:
         self._name = name
         self._ledger = ledger
+        self._sound_parts = sound_parts
         self._trials = trials
         self._time = time
         self._clock = clock
@@ -98,43 +121,89 @@
         self._crash_detector = CrashDetector(clock, confirm_crash)
         self._lost_runs: list[tuple[timedelta, LostRun]] = []
         self._quarantined: frozenset[str] = frozenset()
+        # When the crash of an endpoint was last recorded against a part, by whether
+        # the run had sent events.
+        self._struck_at: dict[tuple[str, str, bool], float] = {}
 
     def check(
-        self, request: Request, customer: str, endpoints: Collection[EndpointRecord]
+        self,
+        request: Request,
+        customer: str,
+        parts: Sequence[PromptPart],
+        endpoints: Collection[EndpointRecord],
     ) -> Verdict:
         """Return whether a request may be sent to endpoints.
 
         :param customer: name of the customer; empty for a public route.
+        :param parts: parts of its prompt.
         :param endpoints: those that it might be sent to.
         """
         if not self._ledger.quarantined:
             return NO_RESTRICTION
-        fingerprint = fingerprint_of(request, customer)
-        if fingerprint not in self._ledger.quarantined:
-            return Verdict(fingerprint)
-        strikes = self._ledger.open_strikes(fingerprint)
+        features = self.features_of(request, customer, parts)
+        verdicts = [
+            self._check_feature(feature, endpoints)
+            for feature in self._quarantined_among(features)
+        ]
+        refusal = next((each for each in verdicts if each.is_refused), None)
+        if refusal is not None:
+            self._count("quarantined request refused")
+            return refusal
+        avoided = frozenset().union(*(each.avoided for each in verdicts))
+        return Verdict(is_trial=bool(verdicts), avoided=avoided)
+
+    def features_of(
+        self, request: Request, customer: str, parts: Sequence[PromptPart]
+    ) -> RequestFeatures:
+        """Return what a crash under a request may be blamed on."""
+        return RequestFeatures(
+            fingerprint_of(request, customer), shared_part_features(parts)
+        )
+
+    def is_quarantined(
+        self, request: Request, customer: str, parts: Sequence[PromptPart]
+    ) -> bool:
+        """Return whether a request is quarantined by now."""
+        if not self._ledger.quarantined:
+            return False
+        return bool(self._quarantined_among(self.features_of(request, customer, parts)))
+
+    def _quarantined_among(self, features: RequestFeatures) -> list[str]:
+        quarantined = self._ledger.quarantined
+        return [feature for feature in features.all if feature in quarantined]
+
+    def _check_feature(
+        self, feature: str, endpoints: Collection[EndpointRecord]
+    ) -> Verdict:
+        """Return whether a quarantined feature may be tried again."""
+        strikes = self._ledger.open_strikes(feature)
         tried_versions = {tracked.strike.version for tracked in strikes}
         versions = {record.name: record.endpoint.version for record in endpoints}
         scope = trial_scope(tried_versions, versions)
-        if self._trials.try_claim(
-            fingerprint, strikes[-1].strike.at, has_new=scope.has_new_version
-        ):
-            return Verdict(fingerprint, avoided=scope.excluded_endpoints)
-        self._count("quarantined request refused")
-        return Verdict(fingerprint, is_refused=True)
+        is_trial = self._trials.try_claim(
+            feature, strikes[-1].strike.at, has_new=scope.has_new_version
+        )
+        if is_trial:
+            return Verdict(feature, is_trial=True, avoided=scope.excluded_endpoints)
+        return Verdict(feature, is_refused=True)
 
     def record_lost_connection(
-        self, fingerprint: str, record: EndpointRecord, *, begun: bool, registered: bool
+        self,
+        features: RequestFeatures,
+        record: EndpointRecord,
+        *,
+        begun: bool,
+        registered: bool,
     ) -> bool:
         """Record a lost connection and return whether the endpoint has crashed.
 
         A leaving endpoint stops as planned, whatever it runs, so that is no strike.
 
-        :param fingerprint: of the request.
+        :param features: of the request.
         :param begun: whether the endpoint had produced events for it.
         :param registered: whether the endpoint is registered as ready.
         """
-        run = LostRun(fingerprint, record.name, record.endpoint.version, begun)
+        run = LostRun(features, record.name, record.endpoint.version, begun)
         now = self._clock.elapsed()
         has_crashed = record.is_unreachable or self._crash_detector.has_crashed(record)
         if not registered and not record.is_unreachable:
@@ -187,14 +256,30 @@
             elif now - lost_at <= MAX_LOST_AGE:
                 self._record_strike(run, lost_at)
 
-    def record_success(self, request: Request, customer: str) -> None:
-        """Clear a request's strikes as an endpoint has completed it."""
+    def has_crashed(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint that has just closed a connection has crashed."""
+        return record.is_unreachable or self._crash_detector.has_crashed(record)
+
+    def record_success(
+        self, request: Request, customer: str, parts: Sequence[PromptPart]
+    ) -> None:
+        """Clear the strikes of a request's features as an endpoint has completed it."""
+        features = part_features(parts)
+        self._sound_parts.note(features)
         if not len(self._ledger):
             return
-        fingerprint = fingerprint_of(request, customer)
-        if self._ledger.clear(fingerprint):
-            log.info("strikes cleared", fingerprint=fingerprint, why="answered")
-            self.log_changes()
+        for feature in (fingerprint_of(request, customer), *features):
+            if self._ledger.clear(feature):
+                log.info("strikes cleared", fingerprint=feature, why="answered")
+        self.log_changes()
+
+    def record_progress(self, parts: Sequence[PromptPart]) -> None:
+        """Note that an endpoint has been writing a request's answer for a while."""
+        features = part_features(parts)
+        self._sound_parts.note(features)
+        for feature in features:
+            if self._ledger.has_open(feature):
+                self._ledger.note_sound(feature)
 
     def release(self, fingerprint: str) -> bool:
         """Release a request from quarantine, as an operator asks."""
@@ -206,9 +291,9 @@
             self.log_changes()
         return released
 
-    def may_retry(self, fingerprint: str) -> bool:
+    def may_retry(self, features: RequestFeatures) -> bool:
         """Return whether a request may be retried at another endpoint."""
-        return self._ledger.may_retry(fingerprint)
+        return self._ledger.may_retry(features.all)
 
     def log_changes(self) -> None:
         """Log which requests have entered or left quarantine."""
@@ -222,7 +307,7 @@
         self._quarantined = now
 
     def describe(self) -> list[dict[str, object]]:
-        """Return the requests that have open strikes, for an operator."""
+        """Return the features that have open strikes, for an operator."""
         return [
             {
                 "fingerprint": strikes[0].strike.fingerprint,
@@ -230,8 +315,8 @@
                 "ends": self._describe_strikes(strikes),
             }
             for strikes in (
-                [tracked for tracked in request_strikes if tracked.is_open]
-                for request_strikes in self._ledger.by_request()
+                [tracked for tracked in feature_strikes if tracked.is_open]
+                for feature_strikes in self._ledger.by_feature()
             )
             if strikes
         ]
@@ -247,6 +332,8 @@
                 "witness": tracked.strike.witness,
                 "age_s": round(now - tracked.strike.at, 3),
                 "begun": tracked.strike.begun,
+                "known_sound": tracked.is_known_sound,
+                "request": tracked.strike.request,
             }
             for tracked in strikes
         ]
@@ -254,13 +341,47 @@
     def _record_strike(self, run: LostRun, lost_at: timedelta) -> None:
         self._count("endpoint ended under a request")
         age = (self._clock.elapsed() - lost_at).total_seconds()
-        strike = Strike(
-            run.fingerprint,
-            run.endpoint,
-            run.version,
-            run.begun,
-            self._time.seconds - age,
-            self._name,
+        at = self._time.seconds - age
+        self._ledger.add(
+            Strike(
+                run.features.fingerprint,
+                run.endpoint,
+                run.version,
+                run.begun,
+                at,
+                self._name,
+            )
         )
-        self._ledger.add(strike)
+        for part in self._parts_to_strike(run.features.parts):
+            self._strike_part(part, run, at)
         self.log_changes()
+
+    def _parts_to_strike(self, parts: Sequence[str]) -> list[str]:
+        """Return the parts that are struck, those that are not known to be sound first.
+
+        Callers choose how many parts their prompts have.
+        """
+        return sorted(parts, key=self._sound_parts.is_sound)[:MAX_STRUCK_PARTS]
+
+    def _strike_part(self, part: str, run: LostRun, at: float) -> None:
+        """Strike a part, once for all requests with it that a crash has ended."""
+        key = (part, run.endpoint, run.begun)
+        if at - self._struck_at.get(key, -inf) <= SAME_CRASH_WINDOW.total_seconds():
+            return
+        self._struck_at.pop(key, None)
+        self._struck_at[key] = at
+        if len(self._struck_at) > MAX_RECENT_STRIKES:
+            del self._struck_at[next(iter(self._struck_at))]
+        is_learning = self._sound_parts.is_learning
+        self._ledger.add(
+            Strike(
+                part,
+                run.endpoint,
+                run.version,
+                run.begun,
+                at,
+                self._name,
+                run.features.fingerprint,
+            ),
+            StrikeState.KNOWN_SOUND if is_learning else StrikeState.NEW,
+        )
--- a/src/sassafrasdale/gateway/quarantine/records.py
+++ b/src/sassafrasdale/gateway/quarantine/records.py
@@ -12,12 +12,8 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import StoreError
 from sassafrasdale.coordination.stores import BaseStore, StoredValue
-from sassafrasdale.decisions.quarantine import (
-    Strike,
-    StrikeLedger,
-    StrikeState,
-    TrackedStrike,
-)
+from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.decisions.strikes import Strike, StrikeState, TrackedStrike
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.quarantine.replication import STRIKE_ROW, StrikeRow
@@ -31,6 +27,8 @@
 # A request with fewer strikes is most likely innocent, and each crash for another
 # reason would cause a write for every request that the endpoint ran.
 MIN_STRIKES = 2
+# A part that is known to be sound is struck and cleared all the time.
+MIN_KNOWN_SOUND_STRIKES = 4
 STEP_INTERVAL = timedelta(milliseconds=250)
 # Most writes of one gateway per step.
 MAX_WRITES = 8
@@ -160,7 +158,7 @@
         self._checked_at = now
         self._checked_version = self._ledger.version
         pending: list[TrackedStrike] = []
-        for strikes in list(self._ledger.by_request()):
+        for strikes in list(self._ledger.by_feature()):
             self._clear_expired(strikes)
             pending += [
                 tracked for tracked in strikes if _is_out_of_date(tracked, strikes)
@@ -208,10 +206,11 @@
 def _is_out_of_date(tracked: TrackedStrike, strikes: list[TrackedStrike]) -> bool:
     """Return whether the store's state of a strike is out of date.
 
-    :param strikes: all of the same request.
+    :param strikes: all of the same feature.
     """
     if tracked.is_open:
-        has_enough = sum(other.is_open for other in strikes) >= MIN_STRIKES
+        least = MIN_KNOWN_SOUND_STRIKES if tracked.is_known_sound else MIN_STRIKES
+        has_enough = sum(other.is_open for other in strikes) >= least
         return has_enough and not tracked.state & StrikeState.STORED
     stored = tracked.state & (StrikeState.STORED | StrikeState.UNSTORED)
     return stored == StrikeState.STORED
--- a/src/sassafrasdale/gateway/quarantine/replication.py
+++ b/src/sassafrasdale/gateway/quarantine/replication.py
@@ -1,4 +1,4 @@
-"""Replication of strikes against requests between gateways.
+"""Replication of strikes between gateways.
 
 Each update contains what has changed since the version that the receiver last
 confirmed. So lost updates are sent again, and a restarted gateway is sent everything.
@@ -9,12 +9,8 @@
 from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
 
-from sassafrasdale.decisions.quarantine import (
-    Strike,
-    StrikeLedger,
-    StrikeState,
-    TrackedStrike,
-)
+from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.decisions.strikes import Strike, StrikeState, TrackedStrike
 from sassafrasdale.gateway.confirmations import Confirmations
 
 # Most strikes in one message; a crash of an endpoint with sixty requests causes as
@@ -32,6 +28,7 @@
     at: float
     witness: str
     state: int = 0
+    request: str = ""
 
     @classmethod
     def of(cls, tracked: TrackedStrike) -> "StrikeRow":
@@ -45,6 +42,7 @@
             strike.at,
             strike.witness,
             int(tracked.state),
+            strike.request,
         )
 
     @property
@@ -57,6 +55,7 @@
             self.begun,
             self.at,
             self.witness,
+            self.request,
         )
 
 
--- a/src/sassafrasdale/platform/headers.py
+++ b/src/sassafrasdale/platform/headers.py
@@ -104,6 +104,14 @@
     )
 
 
+def read_parts(headers: Headers) -> tuple[PromptPart, ...]:
+    """Return the parts of the prompt that headers name.
+
+    :raises ValueMalformed: if they are malformed.
+    """
+    return _parts(Request("", "", headers).header(_PREFIX))
+
+
 def endpoint_request(request: Request, order: EndpointHeaders) -> Request:
     """Return the request to send to an endpoint for a caller's request."""
     left = max(1, milliseconds(order.time_left))
--- a/tests/decisions/test_quarantine.py
+++ b/tests/decisions/test_quarantine.py
@@ -6,14 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sassafrasdale.decisions.blame import WHOLE_REQUEST
 from sassafrasdale.decisions.quarantine import (
-    QUARANTINE_CRASHES,
-    Strike,
     StrikeLedger,
-    StrikeState,
     is_trial_due,
     trial_scope,
 )
+from sassafrasdale.decisions.strikes import Strike, StrikeState
 
 MINUTE = 60.0
 
@@ -50,7 +49,9 @@
 
 def test_later_crash_of_the_same_endpoint_counts_again():
     """Guards against merging separate crashes if the endpoint list can't be read."""
-    found = [strike("crashing", 1, at=second) for second in range(QUARANTINE_CRASHES)]
+    found = [
+        strike("crashing", 1, at=second) for second in range(WHOLE_REQUEST.crashes)
+    ]
     assert ledger_of(*found).quarantined == {"crashing"}
 
 
@@ -103,14 +104,14 @@
 def test_attempt_without_output_stops_after_two_crashes():
     """Guards against one attempt that crashes as many endpoints as it may try."""
     ledger = ledger_of(strike("crashing", 0))
-    assert ledger.may_retry("crashing")
+    assert ledger.may_retry(["crashing"])
     ledger.add(strike("crashing", 1))
-    assert not ledger.may_retry("crashing")
+    assert not ledger.may_retry(["crashing"])
 
 
 def test_stream_with_output_continues_after_two_crashes():
     ledger = ledger_of(*strikes_of("beside", range(2), begun=True))
-    assert ledger.may_retry("beside")
+    assert ledger.may_retry(["beside"])
 
 
 FACTS = st.lists(
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -7,10 +7,14 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.decisions.quarantine import StrikeLedger
-from sassafrasdale.deployment import Endpoint, EndpointState
+from sassafrasdale.deployment import Endpoint, EndpointState, PromptPart
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.gateway.quarantine.fingerprints import fingerprint_of
+from sassafrasdale.gateway.quarantine.fingerprints import (
+    RequestFeatures,
+    fingerprint_of,
+)
 from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.soundness import SoundParts
 from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from sassafrasdale.green import sleep
@@ -23,6 +27,7 @@
 CLOCK = SystemClock()
 CRASHING = Request("POST", "/reports/7", (("host", "labs.example"),), b"crash")
 FINGERPRINT = fingerprint_of(CRASHING, "lab-a")
+FEATURES = RequestFeatures(FINGERPRINT)
 
 
 class Gateway:
@@ -30,12 +35,16 @@
 
     def __init__(self) -> None:
         self.events: list[str] = []
-        self.ledger = StrikeLedger()
         time = ClusterTime(CLOCK)
+        self.sound_parts = SoundParts(CLOCK)
+        self.ledger = StrikeLedger(
+            now=lambda: time.seconds, is_sound=self.sound_parts.is_sound
+        )
         self.store = FakeStore(CLOCK)
         self.quarantine = RequestQuarantine(
             "g-1",
             self.ledger,
+            self.sound_parts,
             Trials(self.store, time, CLOCK),
             time,
             CLOCK,
@@ -55,9 +64,10 @@
         )
         return self.directory.records[name]
 
-    def verdict(self, request: Request = CRASHING):
+    def verdict(self, request: Request = CRASHING, *parts: str):
         records = self.directory.of_service("models")
-        return self.quarantine.check(request, "lab-a", records)
+        prompt = [PromptPart(part, 100) for part in parts]
+        return self.quarantine.check(request, "lab-a", prompt, records)
 
 
 @pytest.fixture
@@ -83,7 +93,7 @@
         assert not gateway.verdict().is_refused
         record = gateway.register(refusing_address(), f"i-{number}")
         assert gateway.quarantine.record_lost_connection(
-            FINGERPRINT, record, begun=False, registered=True
+            FEATURES, record, begun=False, registered=True
         )
     assert gateway.verdict().is_refused
     assert gateway.verdict().fingerprint == FINGERPRINT
@@ -96,7 +106,7 @@
     record = gateway.register(accepting_address(), born=1)
     for _ in range(10):
         assert not gateway.quarantine.record_lost_connection(
-            FINGERPRINT, record, begun=False, registered=True
+            FEATURES, record, begun=False, registered=True
         )
     assert len(gateway.ledger) == 0
 
@@ -106,7 +116,7 @@
     for number in range(5):
         record = gateway.register(refusing_address(), f"i-{number}")
         assert gateway.quarantine.record_lost_connection(
-            FINGERPRINT, record, begun=False, registered=False
+            FEATURES, record, begun=False, registered=False
         )
     assert len(gateway.ledger) == 0
 
@@ -116,7 +126,7 @@
     address = accepting_address()
     record = gateway.register(address, born=1)
     assert not gateway.quarantine.record_lost_connection(
-        FINGERPRINT, record, begun=False, registered=True
+        FEATURES, record, begun=False, registered=True
     )
     gateway.register(address, born=2)
     assert len(gateway.ledger.open_strikes(FINGERPRINT)) == 1
@@ -130,7 +140,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     record = gateway.register(Address(*listener.getsockname()))
     assert not gateway.quarantine.record_lost_connection(
-        FINGERPRINT, record, begun=False, registered=True
+        FEATURES, record, begun=False, registered=True
     )
     if not is_alive:
         listener.close()
@@ -152,7 +162,7 @@
     """Guards against refusing a frequent request for crashes with other causes."""
     for crash in range(2):
         gateway.ledger.add(strike(FINGERPRINT, crash, at=now()))
-    gateway.quarantine.record_success(CRASHING, "lab-a")
+    gateway.quarantine.record_success(CRASHING, "lab-a", ())
     gateway.ledger.add(strike(FINGERPRINT, 2, at=now()))
     assert not gateway.verdict().is_refused
 
--- a/tests/gateway/quarantine/test_replication.py
+++ b/tests/gateway/quarantine/test_replication.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from sassafrasdale.decisions.quarantine import StrikeLedger, StrikeState
+from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.decisions.strikes import StrikeState
 from sassafrasdale.gateway.quarantine.replication import (
     MAX_ROWS,
     STRIKE_ROW,
--- a/tests/gateway/quarantine/test_strikes_in_fleets.py
+++ b/tests/gateway/quarantine/test_strikes_in_fleets.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sassafrasdale.decisions.quarantine import QUARANTINE_CRASHES
+from sassafrasdale.decisions.blame import WHOLE_REQUEST
 from tests.decisions.test_quarantine import strike
 from tests.gateway.fleets import Fleet
 
@@ -82,7 +82,7 @@
 
 
 def test_a_new_gateway_catches_up(fleet):
-    add_strikes(fleet, *(["a-1"] * QUARANTINE_CRASHES))
+    add_strikes(fleet, *(["a-1"] * WHOLE_REQUEST.crashes))
     fleet.play(PROPAGATION_TIME)
     fleet.kill("c-0")
     fleet.play(1)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -198,7 +198,7 @@
     """
     world = World()
     first = ScriptedEndpoint(streamed(1, 2, ends=False, tail=b"id: 3\nda"))
-    world.routes = World(routes=_only_reports()).routes
+    world.routes = World(routes=only_reports()).routes
     world.add("i-1", "models", first)
     caller = world.caller()
     second = ScriptedEndpoint(streamed(3, 4))
@@ -218,7 +218,7 @@
     The engine responds with a 5xx status before the first event; the route allows
     resuming, so the stream may start at another engine.
     """
-    world = World(routes=_only_reports())
+    world = World(routes=only_reports())
     engines = [
         ScriptedEndpoint(respond_with(b"", "500 Error"), streamed(1, 2)),
         ScriptedEndpoint(respond_with(b"", "500 Error"), streamed(1, 2)),
@@ -233,7 +233,7 @@
 
 
 def test_a_stream_that_may_not_be_resumed_is_aborted():
-    world = World(routes=_only_reports(allowResume=False))
+    world = World(routes=only_reports(allowResume=False))
     world.add("i-1", "models", ScriptedEndpoint(streamed(1, ends=False)))
     response = world.ask(request("/reports/7", **STREAM))
     assert event(1) in response
@@ -241,7 +241,7 @@
 
 
 def test_a_stream_that_ends_within_an_event_is_aborted():
-    world = World(routes=_only_reports(allowResume=False))
+    world = World(routes=only_reports(allowResume=False))
     world.add("i-1", "models", ScriptedEndpoint(streamed(1, tail=b"id: 2\nda")))
     response = world.ask(request("/reports/7", **STREAM))
     assert not response.endswith(b"0\r\n\r\n")
@@ -269,7 +269,7 @@
     monkeypatch.setattr(
         "sassafrasdale.gateway.exchange.STREAM_IDLE_TIMEOUT", timedelta(milliseconds=50)
     )
-    world = World(routes=_only_reports())
+    world = World(routes=only_reports())
     engines = [
         ScriptedEndpoint(respond_with(b"", "500 Error"), pausing(0.15, 0.15)),
         ScriptedEndpoint(respond_with(b"", "500 Error"), pausing(0.15, 0.15)),
@@ -288,7 +288,7 @@
     monkeypatch.setattr(
         "sassafrasdale.gateway.exchange.STREAM_IDLE_TIMEOUT", timedelta(milliseconds=50)
     )
-    world = World(routes=_only_reports())
+    world = World(routes=only_reports())
     unresponsive = ScriptedEndpoint(pausing(0, 5))
     world.add("i-0", "models", unresponsive)
     caller = world.caller()
@@ -404,7 +404,7 @@
     assert 'sassafrasdale_requests_in_flight{service="records"} 0' in page
 
 
-def _only_reports(**changed):
+def only_reports(**changed):
     return [
         {
             "name": "r-reports",
@@ -424,7 +424,7 @@
 
 def test_a_request_that_crashed_three_endpoints_is_refused_at_once():
     """Guards against one more crashed endpoint with each retry by the caller."""
-    world = World(routes=_only_reports(allowResume=False))
+    world = World(routes=only_reports(allowResume=False))
     for number in range(3):
         world.add(f"i-{number}", "models", CrashingEndpoint())
         response = world.ask(request("/reports/7", f"r-{number}", **STREAM))
@@ -447,7 +447,7 @@
 
 def test_a_request_without_events_crashes_two_endpoints_at_most():
     """Guards against a request that crashes an endpoint with each allowed attempt."""
-    world = World(routes=_only_reports(maxTries=5))
+    world = World(routes=only_reports(maxTries=5))
     endpoints = [CrashingEndpoint() for _ in range(4)]
     for number, endpoint in enumerate(endpoints):
         world.add(f"i-{number}", "models", endpoint)
@@ -458,7 +458,7 @@
 
 def test_a_stream_survives_two_crashes():
     """Guards against aborting streams that only ran beside a crashing request."""
-    world = World(routes=_only_reports(maxTries=5))
+    world = World(routes=only_reports(maxTries=5))
     crashes = iter([True, True, False])
     for number in range(4):
         endpoint = CrashingEndpoint(lambda: next(crashes), events=2)
@@ -472,7 +472,7 @@
 @pytest.mark.parametrize("how", ["draining", "removed"])
 def test_requests_at_a_leaving_endpoint_get_no_strike(how):
     """Guards against quarantining requests cut off when endpoints are reclaimed."""
-    world = World(routes=_only_reports(allowResume=False))
+    world = World(routes=only_reports(allowResume=False))
 
     def leave() -> bool:
         if how == "removed":
@@ -493,7 +493,7 @@
     The endpoint reads a request and then its instance loses power: connections are not
     reset, and new ones get no reply. Its registration expires.
     """
-    world = World(routes=_only_reports())
+    world = World(routes=only_reports())
     unresponsive = PowerLossEndpoint()
     world.add("i-1", "models", unresponsive)
     caller = world.caller()
@@ -510,7 +510,7 @@
 
 def test_a_request_that_makes_endpoints_unreachable_is_quarantined():
     """Guards against losing one instance, without a reset, per retry by the caller."""
-    world = World(routes=_only_reports(allowResume=False))
+    world = World(routes=only_reports(allowResume=False))
     unresponsive = [PowerLossEndpoint() for _ in range(3)]
     for number, endpoint in enumerate(unresponsive):
         world.add(f"i-{number}", "models", endpoint)
@@ -527,7 +527,7 @@
 
 def test_an_expired_registration_does_not_abort_streams():
     """Guards against aborting streams when only the endpoint's registration expires."""
-    world = World(routes=_only_reports(allowResume=False))
+    world = World(routes=only_reports(allowResume=False))
     world.add("i-1", "models", ScriptedEndpoint(pausing(2.0, 0.1)))
     caller = world.caller()
     caller.send(request("/reports/7", **STREAM))
@@ -541,7 +541,7 @@
 
 def test_a_crashed_endpoint_is_used_again_after_its_restart():
     """Guards against requests sent to a crashed endpoint, or none after its restart."""
-    world = World(routes=_only_reports(allowResume=False))
+    world = World(routes=only_reports(allowResume=False))
     crashing = CrashingEndpoint()
     world.add("i-1", "models", crashing)
     world.ask(request("/reports/7", "r-crash", **STREAM))
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -24,6 +24,7 @@
 from sassafrasdale.gateway.frontend import Frontend
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
 from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.soundness import SoundParts
 from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.quotas import Quotas
 from sassafrasdale.gateway.rollouts import Rollouts
@@ -272,6 +273,7 @@
         self.quarantine = RequestQuarantine(
             "front-a-1",
             self.strikes,
+            SoundParts(CLOCK),
             Trials(FakeStore(CLOCK), time, CLOCK),
             time,
             CLOCK,
