An answer without a length or chunks isn't whole if its endpoint has crashed

The end of such an answer is the end of its connection. The endpoint is now probed once, as after a lost connection: if it refuses, the attempt has failed, a stream goes on elsewhere or is aborted, an idempotent request is sent again, and the crash is a strike. A forwarding gateway does the same.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -45,6 +45,7 @@
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
+    ConnectionLost,
     HttpError,
     MalformedResponse,
     NotConnected,
@@ -312,6 +313,7 @@
         if admitted.route.kind is RequestKind.STREAM and succeeded:
             return self._relay_stream(path, head, attempt)
         body = path.read_body(admitted.deadline)
+        self._check_end(path, attempt)
         self._record_first_byte(attempt, is_prefilled=succeeded)
         if head.status >= 500 and self._may_retry_status():
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
@@ -354,6 +356,7 @@
                 if not self._caller.response_started:
                     self._caller.begin(head.status, caller_headers(head))
                 self._caller.write(complete)
+            self._check_end(path, attempt)
         except HttpError:
             splitter.drop_partial()
             raise
@@ -367,6 +370,15 @@
         self._record_success()
         return head.status
 
+    def _check_end(self, path: Path, attempt: Attempt) -> None:
+        """Check an answer that ended with its connection alone.
+
+        :raises ConnectionLost: if the endpoint has crashed, so that it may have been
+            broken off.
+        """
+        if path.ends_with_connection and self._quarantine.has_crashed(attempt.record):
+            raise ConnectionLost("the endpoint crashed, and the answer has no length")
+
     def _record_success(self) -> None:
         admitted = self._admitted
         self._quarantine.record_success(
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -102,6 +102,11 @@
         """Name of the peer that forwards; empty here."""
         return ""
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the response."""
+        return self._connection.ends_with_connection
+
     def send(self, request: Request) -> None:
         """Send the request.
 
@@ -171,6 +176,11 @@
         """Name of the peer that forwards."""
         return self._contact.name
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only its end ends the response; the peer passes it on in chunks."""
+        return False
+
     def send(self, request: Request) -> None:
         """Send the request to the peer.
 
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -37,6 +37,7 @@
 from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
+    ConnectionLost,
     HttpError,
     NotConnected,
 )
@@ -223,7 +224,7 @@
             signals = read_signals(head)
             if signals is not None:
                 self._gate.observe(record.name, signals, began_at)
-            self._pass_on(peer, path, head, deadline)
+            self._pass_on(peer, path, record, head, deadline)
         except HttpError as error:
             path.close()
             if isinstance(error, CallerDisconnected) or peer.is_disconnected:
@@ -236,6 +237,7 @@
         self,
         peer: ServerConnection,
         path: DirectPath,
+        record: EndpointRecord,
         head: ResponseHead,
         deadline: timedelta,
     ) -> None:
@@ -243,6 +245,8 @@
         peer.begin(head.status, response_headers(passed.headers, self._in_flight))
         while data := path.read_data(deadline):
             peer.write(data)
+        if path.ends_with_connection and self._quarantine.has_crashed(record):
+            raise ConnectionLost("the endpoint crashed, and the answer has no length")
         peer.end()
 
     def _record_lost(
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -44,6 +44,8 @@
 # Subtracted from the server's keep-alive timeout, so that no request is sent as the
 # server closes the connection.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
+# Statuses of responses without a body.
+_BODILESS = frozenset({204, 304})
 
 
 class ProbeResult(Enum):
@@ -130,6 +132,19 @@
             and not codec.trailing_data[0]
         )
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the response.
+
+        It has neither a length nor chunks, so it may have been broken off.
+        """
+        head = self._head
+        if head is None or head.status in _BODILESS:
+            return False
+        return not head.header("content-length") and not head.header(
+            "transfer-encoding"
+        )
+
     def is_idle_and_healthy(self) -> bool:
         """Return whether an idle connection can be used for a request now.
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -145,12 +145,19 @@
     :param crashes: returns for each request whether to crash; else it gets a response.
     :param events: events that each run sends before, numbered on from the last one that
         the caller has.
+    :param framed: whether the response is sent in chunks; else only the end of the
+        connection ends it, and its head is always sent.
     """
 
     def __init__(
-        self, crashes: Callable[[], bool] = lambda: True, events: int = 0
+        self,
+        crashes: Callable[[], bool] = lambda: True,
+        events: int = 0,
+        *,
+        framed: bool = True,
     ) -> None:
         self.requests: list[bytes] = []
+        self._framed = framed
         self._crashes = crashes
         self._events = events
         self._listener = listen(LOOPBACK)
@@ -172,17 +179,22 @@
             return
         self.requests.append(request)
         crashes = self._crashes()
-        if self._events or not crashes:
-            sock.sendall(stream_head(request))
+        if self._events or not crashes or not self._framed:
+            sock.sendall(self._head(request))
         first = int(header(request, "last-event-id") or 0) + 1
         for number in range(first, first + self._events):
-            sock.sendall(chunk(event(number)))
+            sock.sendall(chunk(event(number)) if self._framed else event(number))
         if crashes:
             self._listener.close()
-        else:
+        elif self._framed:
             sock.sendall(b"0\r\n\r\n")
         sock.close()
 
+    def _head(self, request: bytes) -> bytes:
+        head = stream_head(request)
+        framing = b"Transfer-Encoding: chunked\r\n"
+        return head if self._framed else head.replace(framing, b"")
+
 
 class PowerLossEndpoint:
     """An endpoint whose instance loses power after it has read its first request.
