A run that had been written for a while strikes no part; four crashes convict one

Tests: parts and what clears them at 9, 70 and 195 gateways in virtual time; restart of all gateways, a silent store, eight at once at nine gateways, rare parts beside other crashes; most new connections at one gateway.

--- a/src/sassafrasdale/decisions/blame.py
+++ b/src/sassafrasdale/decisions/blame.py
@@ -83,7 +83,7 @@
 WHOLE_REQUEST = Mark(crashes=3)
 # A part is blamed only if different requests with it crashed endpoints: a request that
 # is repeated may do so for another reason.
-PART = Mark(crashes=3, requests=2, min_age=timedelta(seconds=1.5))
+PART = Mark(crashes=4, requests=2, min_age=timedelta(seconds=1.5))
 KNOWN_SOUND_PART = Mark(crashes=5, requests=2, min_age=timedelta(seconds=2.5))
 # Fewest crashes that convict anything.
 MIN_CRASHES = 3
@@ -166,8 +166,8 @@
     A crash comes soon after the run that causes it has started. A stream that had long
     sent events goes on at another endpoint, and may meet that request again there.
     """
-    unknown = sum(not crash.is_known_sound for crash in crashes)
-    is_proven = unknown < PART.crashes
+    known = sum(crash.is_known_sound for crash in crashes)
+    is_proven = 2 * known > len(crashes)
     return is_proven, sum(crash.begun for crash in crashes), -len(crashes)
 
 
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -42,6 +42,7 @@
     QUARANTINED,
     RequestQuarantine,
 )
+from sassafrasdale.gateway.quarantine.soundness import SOUND_AFTER
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
@@ -67,9 +68,6 @@
 # A stream that another endpoint could resume is abandoned after this time without data.
 # Its caller gives up after a gap of two seconds or more.
 STREAM_IDLE_TIMEOUT = timedelta(seconds=1.2)
-# A stream that has been written for this long shows that its prompt is sound: an engine
-# that a prompt crashes ends as it begins the answer.
-SOUND_AFTER = timedelta(seconds=0.5)
 # Most parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 16
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
@@ -108,6 +106,8 @@
         self._attempts = 0
         self._tried: set[str] = set(admitted.avoided)
         self._endpoint_crashed = False
+        # Whether the current attempt has been written for a while.
+        self._was_sound = False
         self._events_before_attempt = 0
         self._may_have_run = False
         self._splitter = EventSplitter(admitted.traits.resume_after)
@@ -242,6 +242,7 @@
         if self._is_quarantined():
             raise AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED)
         self._endpoint_crashed = False
+        self._was_sound = False
         self._events_before_attempt = self._splitter.count
         time_left = admitted.deadline - self._clock.elapsed()
         if time_left <= timedelta():
@@ -351,6 +352,7 @@
                 last_at = now
                 if sound_at is not None and now >= sound_at:
                     sound_at = None
+                    self._was_sound = True
                     self._quarantine.record_progress(admitted.traits.parts)
                 self._record_first_byte(attempt)
                 if not self._caller.response_started:
@@ -486,6 +488,7 @@
             record,
             begun=begun,
             registered=self._fleet.is_registered(record),
+            was_sound=self._was_sound,
         )
         return self._endpoint_crashed
 
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
@@ -35,6 +36,7 @@
     shared_part_features,
 )
 from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.soundness import SOUND_AFTER
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
     ConnectionLost,
@@ -217,6 +219,7 @@
         deadline = began_at + time_left
         headers = with_time_left(forwarded.headers, time_left)
         request = Request(forwarded.method, forwarded.target, headers, forwarded.body)
+        relayed = _Relayed()
         try:
             path.send(request)
             echoed = (REQUEST_ID, request.header(REQUEST_ID))
@@ -224,37 +227,38 @@
             signals = read_signals(head)
             if signals is not None:
                 self._gate.observe(record.name, signals, began_at)
-            self._pass_on(peer, path, record, head, deadline)
+            self._pass_on(peer, path, head, deadline, relayed)
+            if path.ends_with_connection and self._quarantine.has_crashed(record):
+                raise ConnectionLost("the endpoint crashed, the answer has no length")
+            peer.end()
         except HttpError as error:
             path.close()
             if isinstance(error, CallerDisconnected) or peer.is_disconnected:
                 raise CallerDisconnected from error
             reason = reason_of(error)
-            self._record_lost(forwarded, record, reason, peer.response_started)
+            self._record_lost(forwarded, record, reason, relayed)
             raise _NotForwarded(ForwardOutcome.UNKNOWN, reason) from error
 
     def _pass_on(
         self,
         peer: ServerConnection,
         path: DirectPath,
-        record: EndpointRecord,
         head: ResponseHead,
         deadline: timedelta,
+        relayed: "_Relayed",
     ) -> None:
         passed = ResponseHead(head.status, without_own_headers(caller_headers(head)))
         peer.begin(head.status, response_headers(passed.headers, self._in_flight))
         while data := path.read_data(deadline):
+            relayed.note(self._clock.elapsed())
             peer.write(data)
-        if path.ends_with_connection and self._quarantine.has_crashed(record):
-            raise ConnectionLost("the endpoint crashed, and the answer has no length")
-        peer.end()
 
     def _record_lost(
         self,
         forwarded: ForwardedRequest,
         record: EndpointRecord,
         reason: str,
-        begun: bool,
+        relayed: "_Relayed",
     ) -> None:
         if reason != CONNECTION_LOST:
             return
@@ -264,8 +268,9 @@
         self._quarantine.record_lost_connection(
             _features_of(forwarded),
             record,
-            begun=begun,
+            begun=relayed.began_at is not None,
             registered=registered and record.is_ready,
+            was_sound=relayed.was_sound,
         )
 
     def _time_left(self, forwarded: ForwardedRequest) -> timedelta:
@@ -295,6 +300,24 @@
         return record.is_ready and not self._gate.is_backed_off(record)
 
 
+@dataclass(slots=True)
+class _Relayed:
+    """How much of an endpoint's response was passed on.
+
+    :ivar began_at: elapsed time of its first data; None if there was none.
+    :ivar was_sound: whether the endpoint had been writing it for a while.
+    """
+
+    began_at: timedelta | None = None
+    was_sound: bool = False
+
+    def note(self, now: timedelta) -> None:
+        """Note that data has been received."""
+        if self.began_at is None:
+            self.began_at = now
+        self.was_sound = now - self.began_at >= SOUND_AFTER
+
+
 def _features_of(forwarded: ForwardedRequest) -> RequestFeatures:
     try:
         parts = read_parts(forwarded.headers)
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -60,12 +60,15 @@
 
     :param version: of the endpoint's software.
     :param begun: whether the run had produced events.
+    :param was_sound: whether it had produced events for a while, so that no part of its
+        prompt crashed the endpoint.
     """
 
     features: RequestFeatures
     endpoint: str
     version: str
     begun: bool
+    was_sound: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,6 +197,7 @@
         *,
         begun: bool,
         registered: bool,
+        was_sound: bool = False,
     ) -> bool:
         """Record a lost connection and return whether the endpoint has crashed.
 
@@ -202,8 +206,10 @@
         :param features: of the request.
         :param begun: whether the endpoint had produced events for it.
         :param registered: whether the endpoint is registered as ready.
+        :param was_sound: whether it had produced events for a while.
         """
-        run = LostRun(features, record.name, record.endpoint.version, begun)
+        version = record.endpoint.version
+        run = LostRun(features, record.name, version, begun, was_sound)
         now = self._clock.elapsed()
         has_crashed = record.is_unreachable or self._crash_detector.has_crashed(record)
         if not registered and not record.is_unreachable:
@@ -352,8 +358,9 @@
                 self._name,
             )
         )
-        for part in self._parts_to_strike(run.features.parts):
-            self._strike_part(part, run, at)
+        if not run.was_sound:
+            for part in self._parts_to_strike(run.features.parts):
+                self._strike_part(part, run, at)
         self.log_changes()
 
     def _parts_to_strike(self, parts: Sequence[str]) -> list[str]:
--- a/src/sassafrasdale/gateway/quarantine/soundness.py
+++ b/src/sassafrasdale/gateway/quarantine/soundness.py
@@ -5,6 +5,9 @@
 
 from sassafrasdale.clock import Clock
 
+# An answer that has been written for this long shows that its prompt is sound: an
+# engine that a prompt crashes ends as it begins the answer.
+SOUND_AFTER = timedelta(seconds=0.5)
 # A part is taken for sound for this long after a request with it ran well.
 MAX_AGE = timedelta(minutes=10)
 # Most parts remembered; those used the longest ago are forgotten first.
--- a/tests/gateway/quarantine/test_quarantined_parts.py
+++ b/tests/gateway/quarantine/test_quarantined_parts.py
@@ -123,6 +123,20 @@
     assert all(tracked.is_known_sound for tracked in strikes)
 
 
+def test_a_run_that_was_written_for_a_while_strikes_no_part(gateway):
+    """Guards against refusing parts of long streams that other requests end."""
+    record = gateway.register(refusing_address())
+    gateway.quarantine.record_lost_connection(
+        RequestFeatures(FINGERPRINT, (BAD,)),
+        record,
+        begun=True,
+        registered=True,
+        was_sound=True,
+    )
+    assert gateway.ledger.open_strikes(FINGERPRINT)
+    assert not gateway.ledger.open_strikes(BAD)
+
+
 def test_strikes_of_a_gateway_that_has_just_started_need_more(gateway):
     """Guards against convicting all parts after a restart of all gateways."""
     lose(gateway, RequestFeatures(FINGERPRINT, (BAD,)), "i-1")
--- a/tests/gateway/quarantine/test_strikes_in_fleets.py
+++ b/tests/gateway/quarantine/test_strikes_in_fleets.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sassafrasdale.decisions.blame import WHOLE_REQUEST
+from sassafrasdale.decisions.strikes import Strike
 from tests.decisions.test_quarantine import strike
 from tests.gateway.fleets import Fleet
 
@@ -111,3 +112,21 @@
     fleet.bytes.clear()
     fleet.play(10)
     assert sum(fleet.bytes.values()) < quiet * 1.1
+
+
+@pytest.mark.parametrize("zones", [SMALL, {"a": 24, "b": 23, "c": 23}, LARGE])
+def test_strikes_of_a_part_and_what_clears_it_spread_in_time(zones):
+    """Guards against a part that few gateways refuse, or refuse though it is sound."""
+    fleet = Fleet(zones)
+    fleet.play(SETTLING_TIME)
+    now = fleet.nodes["a-1"].time.seconds
+    witnesses = ("a-1", "b-1", "c-1", "a-2")
+    for number, name in enumerate(witnesses):
+        for part in ("part-bad", "part-system"):
+            struck = Strike(part, f"i-{number}", "v1", False, now, name, f"r-{number}")
+            fleet.nodes[name].strikes.add(struck)
+    fleet.play(PROPAGATION_TIME / 2)
+    fleet.nodes["c-0"].strikes.clear("part-system")
+    fleet.play(PROPAGATION_TIME / 2)
+    refused = {node.strikes.quarantined for node in fleet.nodes.values()}
+    assert refused == {frozenset({"part-bad"})}
--- a/tests/guarantees/crashing_prompts.py
+++ b/tests/guarantees/crashing_prompts.py
@@ -142,13 +142,24 @@
                 self.sound.append(Served(sent_at, answer))
             sleep(SOUND_PAUSE)
 
-    def send_bad(self, count: int, pause: timedelta) -> None:
-        """Send requests with the part, each of them a new one, through all gateways."""
+    def send_bad(self, count: int, pause: timedelta, at_once: int = 1) -> None:
+        """Send requests with the part, each of them a new one, through all gateways.
+
+        :param at_once: requests that are sent at the same time.
+        """
         for _ in range(count):
-            self._number += 1
-            spawn(self._attempt_bad, self._number)
+            for _ in range(at_once):
+                self._number += 1
+                spawn(self._attempt_bad, self._number)
             sleep(pause)
 
+    def send_rare(self, part: str) -> None:
+        """Send a sound request with a part that few requests have."""
+        self._number += 1
+        own = f"c{self._number:x}"
+        prompt = Prompts(shared=(*self._prompts.shared, part)).sound(own)
+        spawn(self._ask, self._number, f"/reports/{own}", f"rare-{own}", prompt)
+
     def _attempt_bad(self, number: int) -> None:
         own = f"b{number:x}"
         prompt = self._prompts.bad(own)
