Permits of limited endpoints follow the load between zones

Cause: each zone has an equal part of a limit, whatever it is asked for; the same class as a request's blame that is fixed in advance. A zone's aggregator now asks the others for tokens, and they give what they have not used in the last second. A token that is given has left its bucket, so the sum holds; one lost on the way is not used.

The limit holds in all drawn histories, ten more with a moving load.

--- a/src/sassafrasdale/decisions/endpoint_rates.py
+++ b/src/sassafrasdale/decisions/endpoint_rates.py
@@ -6,11 +6,16 @@
 lends out the zone's part as permits. No agreement is needed: where two gateways of a
 zone lend at once, each has a part of the zone's share by the number of gateways that
 report to it.
+
+Most requests may come to one zone. It asks the others for tokens that they don't need.
+A token that is given away has left its bucket, so the rate holds, and one that is lost
+on the way is not used.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from math import exp
 
 # Most zones that share an endpoint's rate. Each may save up one request.
 MAX_SHARING_ZONES = 4
@@ -27,6 +32,8 @@
 LOAN_TIMEOUT = timedelta(seconds=2)
 # Time after which a borrower drops a permit that it has not used.
 PERMIT_TIMEOUT = timedelta(seconds=1)
+# Time over which a zone's demand and use of permits are averaged.
+RECENT_TIME = timedelta(seconds=1)
 
 
 def sharing_zones(endpoint_zone: str, zones: Sequence[str]) -> tuple[str, ...]:
@@ -56,6 +63,26 @@
     return min(max(interval, MIN_INTERVAL), MAX_INTERVAL)
 
 
+class RecentCount:
+    """Number of events in about the last second.
+
+    :param now: elapsed time.
+    """
+
+    def __init__(self, now: timedelta) -> None:
+        self._count = 0.0
+        self._updated_at = now
+
+    def add(self, number: int, now: timedelta) -> None:
+        """Count events."""
+        self._count = max(self.total(now) + number, 0.0)
+        self._updated_at = now
+
+    def total(self, now: timedelta) -> float:
+        """Return the number of recent events."""
+        return self._count * exp((self._updated_at - now) / RECENT_TIME)
+
+
 @dataclass(slots=True)
 class _Loan:
     permits: int
@@ -110,6 +137,26 @@
             self._loans[borrower] = _Loan(permits, now)
         return permits
 
+    def missing(self, wanted: float, now: timedelta) -> int:
+        """Return the number of tokens that are missing for a demand, and have room."""
+        self._refill(now)
+        return max(int(min(wanted, self._room()) - self._tokens), 0)
+
+    def give(self, wanted: int, kept: float, now: timedelta) -> int:
+        """Give tokens away, and return their number.
+
+        :param kept: tokens that stay here.
+        """
+        self._refill(now)
+        given = min(wanted, max(int(self._tokens - kept), 0))
+        self._tokens -= given
+        return given
+
+    def accept(self, given: int, now: timedelta) -> None:
+        """Accept tokens, as far as there is room."""
+        self._refill(now)
+        self._tokens = max(self._tokens, min(self._tokens + given, self._room()))
+
     def _refill(self, now: timedelta) -> None:
         for borrower, loan in list(self._loans.items()):
             if now - loan.lent_at > LOAN_TIMEOUT:
--- a/src/sassafrasdale/gateway/advertisements/permits.py
+++ b/src/sassafrasdale/gateway/advertisements/permits.py
@@ -3,6 +3,7 @@
 The aggregator of a zone lends them, for the zone's part of each limit. Its members ask
 for them with their reports, and give back what they have not used with the next one. As
 dispatcher, the aggregator uses the permits itself for the attempts that it assigns.
+Aggregators of zones with more demand are given what the others don't need.
 """
 
 from collections import Counter
@@ -14,6 +15,7 @@
 from sassafrasdale.decisions.endpoint_rates import (
     PERMIT_TIMEOUT,
     PermitBucket,
+    RecentCount,
     zone_rate,
 )
 from sassafrasdale.gateway.advertisements.endpoint_beliefs import EndpointLimits
@@ -70,6 +72,9 @@
         self._borrowed: Counter[str] = Counter()
         self._borrowed_at = clock.elapsed()
         self._demand: dict[str, _Demand] = {}
+        # Permits wanted from and used by the zone, if this gateway lends them.
+        self._wanted: dict[str, RecentCount] = {}
+        self._used: dict[str, RecentCount] = {}
 
     def set_share(self, share: float | None) -> None:
         """Set the part of the zone's permits that this gateway lends.
@@ -79,6 +84,8 @@
         """
         if share is None:
             self._buckets.clear()
+            self._wanted.clear()
+            self._used.clear()
         elif self._share is None:
             self._borrowed.clear()
         self._share = share
@@ -99,7 +106,10 @@
         if self._limits.rate_limit(endpoint) is None:
             return True
         if self._share is not None:
-            return self._bucket(endpoint).take(self._clock.elapsed())
+            now = self._clock.elapsed()
+            was_taken = self._bucket(endpoint).take(now)
+            self._count(self._used, endpoint, int(was_taken), now)
+            return was_taken
         if not self._usable_loan(endpoint):
             return False
         self._borrowed[endpoint] -= 1
@@ -111,6 +121,8 @@
         demand = self._demand.setdefault(endpoint, _Demand(now))
         demand.last_at = now
         demand.since_request += 1
+        if self._share is not None:
+            self._count(self._wanted, endpoint, 1, now)
 
     def build_requests(self) -> dict[str, PermitRequest]:
         """Return the requests for permits, by endpoint, and give unused ones back."""
@@ -155,15 +167,67 @@
             permits = self._bucket(endpoint).lend(
                 borrower, request.wanted, request.returned, now
             )
+            self._count(self._wanted, endpoint, request.wanted, now)
+            self._count(self._used, endpoint, permits - request.returned, now)
             if permits:
                 lent[endpoint] = permits
         return lent
 
+    def missing(self) -> dict[str, int]:
+        """Return the permits that other zones may give to this one, by endpoint."""
+        now = self._clock.elapsed()
+        found = {
+            endpoint: self._bucket(endpoint).missing(wanted.total(now), now)
+            for endpoint, wanted in self._wanted.items()
+            if endpoint in self._buckets
+        }
+        most = sorted(found, key=found.get, reverse=True)[:MAX_ENDPOINTS_WANTED]
+        return {
+            endpoint: min(found[endpoint], MAX_WANTED)
+            for endpoint in most
+            if found[endpoint]
+        }
+
+    def give(self, missing: Mapping[str, int]) -> dict[str, int]:
+        """Return permits that another zone is given, by endpoint.
+
+        What this one has used in the last second stays here.
+        """
+        now = self._clock.elapsed()
+        given = {}
+        for endpoint, number in missing.items():
+            if self._share is None or self._limits.rate_limit(endpoint) is None:
+                continue
+            used = self._used.get(endpoint)
+            kept = 1 + (used.total(now) if used else 0.0)
+            given[endpoint] = self._bucket(endpoint).give(number, kept, now)
+        return {endpoint: number for endpoint, number in given.items() if number}
+
+    def accept(self, given: Mapping[str, int]) -> None:
+        """Accept permits that another zone has given to this one."""
+        if self._share is None:
+            return
+        now = self._clock.elapsed()
+        for endpoint, number in given.items():
+            if self._limits.rate_limit(endpoint) is not None:
+                self._bucket(endpoint).accept(number, now)
+
     def remove_ended(self) -> None:
         """Drop the buckets of endpoints whose limits have ended."""
         for endpoint in list(self._buckets):
             if self._limits.rate_limit(endpoint) is None:
                 del self._buckets[endpoint]
+                self._wanted.pop(endpoint, None)
+                self._used.pop(endpoint, None)
+
+    def _count(
+        self,
+        counts: dict[str, RecentCount],
+        endpoint: str,
+        number: int,
+        now: timedelta,
+    ) -> None:
+        counts.setdefault(endpoint, RecentCount(now)).add(number, now)
 
     def _bucket(self, endpoint: str) -> PermitBucket:
         now = self._clock.elapsed()
--- a/src/sassafrasdale/gateway/aggregator.py
+++ b/src/sassafrasdale/gateway/aggregator.py
@@ -1,6 +1,7 @@
 """Aggregation of members' reports, and exchange of totals between aggregators."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from logbook import Logger
@@ -55,6 +56,7 @@
     :param usage_sent_at: when rows were last sent to it.
     :param usage_received: version of its ledger that was received here.
     :param usage_complete_since: time up to which the rows that it sent are complete.
+    :param missing_permits: what its zone lacks, by endpoint, until it has been given.
     """
 
     state: GroupState
@@ -64,6 +66,12 @@
     usage_sent_at: timedelta = -USAGE_INTERVAL
     usage_received: int = 0
     usage_complete_since: float = 0.0
+    missing_permits: Mapping[str, int] = field(default_factory=dict)
+
+    def pop_missing_permits(self) -> Mapping[str, int]:
+        """Return and reset the permits that the zone lacks."""
+        missing, self.missing_permits = self.missing_permits, {}
+        return missing
 
 
 class Aggregator:
@@ -346,6 +354,8 @@
         other = self._peer_groups.get(receiver.name)
         rows = self._usage_rows_for(other)
         same_zone = receiver.zone == self._roster.own.zone
+        permits = self._context.gate.permits
+        lacking = {} if other is None or same_zone else other.pop_missing_permits()
         return GroupUpdate(
             sender=self._roster.own,
             time=self._context.time.reading(),
@@ -361,6 +371,8 @@
             endpoints=self._context.gate.report_for(receiver),
             streams=self._context.streams.update_for(receiver.name),
             versions=self._context.local_state.versions(),
+            missing_permits={} if same_zone else permits.missing(),
+            given_permits=permits.give(lacking),
         )
 
     def _usage_rows_for(self, other: _PeerGroup | None) -> tuple[UsageRow, ...] | None:
@@ -414,6 +426,8 @@
         self._context.strikes.apply(sender.name, sender.incarnation, update.strikes)
         self._context.streams.apply(sender.name, sender.incarnation, update.streams)
         self._context.gate.receive(update.endpoints)
+        other.missing_permits = update.missing_permits
+        self._context.gate.permits.accept(update.given_permits)
         self._merge_usage(update.usage)
         if update.usage_complete_since is not None:
             other.usage_complete_since = update.usage_complete_since
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -299,6 +299,8 @@
     :param endpoints: what is known of the endpoints.
     :param streams: streams of the sender's zone that the receiver may lack.
     :param versions: versions at which streams may begin, by service.
+    :param missing_permits: that the sender's zone lacks, by endpoint.
+    :param given_permits: that the receiver's zone is given, by endpoint.
     """
 
     sender: Contact
@@ -315,6 +317,8 @@
     endpoints: EndpointReports = field(default_factory=EndpointReports)
     streams: StreamUpdate | None = None
     versions: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    missing_permits: dict[str, Count] = field(default_factory=dict)
+    given_permits: dict[str, Count] = field(default_factory=dict)
 
 
 class Redirect(Message):
--- a/tests/gateway/advertisements/test_permits_model.py
+++ b/tests/gateway/advertisements/test_permits_model.py
@@ -21,6 +21,9 @@
 LARGE = {"a": 39, "b": 39, "c": 39, "d": 39, "e": 39}
 # A gateway that was restarted, paused or cut off is excused for this long.
 EXCUSE = 3 * SECOND
+# Share of the requests that come to a gateway that most new connections go to.
+FAVOURED_SHARE = 0.95
+MIN_SERVED = 0.75
 
 
 def allowed(rate: float) -> float:
@@ -34,6 +37,8 @@
     :param demand: requests per second of all gateways together that may be sent there.
     :param dispatched: fraction of the requests whose endpoint the zone's dispatcher
         assigns.
+    :ivar favoured: name of a gateway that gets nearly all requests; empty for none.
+    :ivar sent: number of requests.
     """
 
     def __init__(
@@ -53,6 +58,8 @@
         self._incarnation = 1
         self.excused_until: dict[str, timedelta] = {}
         self.arrivals: list[timedelta] = []
+        self.favoured = ""
+        self.sent = 0
         self.fleet.play(3.0)
         self.name_limit(self.running())
 
@@ -73,10 +80,20 @@
         for _ in range(round(seconds / STEP)):
             self.fleet.play(STEP)
             for node in self.running():
-                if self.rng.random() < self._demand * STEP:
+                for _ in range(self._draw(node)):
                     self._send(node)
 
+    def _draw(self, node: Node) -> int:
+        """Return the number of requests that a gateway gets in a step."""
+        expected = self._demand * STEP
+        if self.favoured:
+            total = expected * len(self.fleet.nodes)
+            others = total * (1 - FAVOURED_SHARE) / (len(self.fleet.nodes) - 1)
+            expected = total * FAVOURED_SHARE if node.name == self.favoured else others
+        return int(expected + self.rng.random())
+
     def _send(self, node: Node) -> None:
+        self.sent += 1
         lender = node
         if self.rng.random() < self._dispatched:
             dispatcher = node.peering.dispatcher()
@@ -198,6 +215,33 @@
     assert len(limited.arrivals) / 12.0 >= 0.5 * rate
 
 
+@pytest.mark.parametrize("zones", [SMALL, LARGE])
+@pytest.mark.parametrize("dispatched", [0.0, 1.0])
+def test_a_limit_follows_the_load(zones: dict[str, int], dispatched: float) -> None:
+    """Guards against one zone that rejects what the others have permits for."""
+    limited = LimitedFleet(zones, 1, 40.0, 30.0, dispatched)
+    limited.play(3.0)
+    for favoured in ("a-0", "b-1"):
+        limited.favoured = favoured
+        limited.play(3.0)
+        limited.sent = 0
+        limited.arrivals.clear()
+        limited.play(6.0)
+        assert len(limited.arrivals) >= MIN_SERVED * limited.sent
+        assert limited.worst() <= allowed(limited.rate)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_limit_holds_while_the_load_moves(seed: int) -> None:
+    """Guards against permits that two zones use at the same time."""
+    limited = play_history(SMALL, seed, 10.0)
+    for _ in range(10):
+        limited.favoured = limited.rng.choice(list(limited.fleet.nodes))
+        limited.disturb()
+        limited.play(limited.rng.choice([0.3, 1.0, 3.0]))
+    assert limited.worst() <= allowed(limited.rate)
+
+
 def bytes_at_the_busiest_aggregator(limited: int) -> float:
     """Return the bytes per second of exchanges while a number of endpoints is limited.
 
