--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -23,7 +23,6 @@
 LEAVING_SHARE = 0.15
 MAX_TAKE_UPS = 3
 _EVENT_ID = re.compile(rb"id: (\d+)\ndata: [^\n]*\n\n")
-STREAM_HEADERS = [("Token-Count", "400,24"), ("Prompt-Prefix", "aa:300,bb:100")]
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,7 +184,7 @@
             ("Request-Id", request.request_id),
             ("Api-Key", spec.key),
             ("Content-Length", str(len(body))),
-            *(STREAM_HEADERS if spec.kind.stream else []),
+            *_prompt_headers(spec),
             *_take_up_headers(spec),
         ]
         start = h11.Request(
@@ -219,6 +218,12 @@
                     self._codec.receive_data(receive(self._sock, READ_BYTES, remaining))
 
 
+def _prompt_headers(spec: RequestSpec) -> list[tuple[str, str]]:
+    if not spec.kind.stream:
+        return []
+    return [("Token-Count", "460,24"), ("Prompt-Prefix", spec.kind.prompt)]
+
+
 def _take_up_headers(spec: RequestSpec) -> list[tuple[str, str]]:
     """Return the headers that name a stream and the last event that its caller has."""
     begun = [attempt for attempt in spec.taken_up if attempt.events]
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -11,6 +11,7 @@
     APPLY_TIME,
     BUSY,
     CRASHING,
+    CRASHING_PART,
     DRAIN_TIME,
     KINDS,
     QUOTA_SLACK,
@@ -34,9 +35,10 @@
 # long.
 DOWNGRADE_SLACK = timedelta(milliseconds=250)
 DISTURBED_FACTOR = 8
-# Endpoints that one request may crash, and attempts tolerated after that by gateways
-# that must know it by then.
+# Endpoints that one request, or requests with one part, may crash, and attempts
+# tolerated after that by gateways that must know it by then.
 MAX_CRASHES = 3
+MAX_PART_CRASHES = 5
 MAX_LATE_ATTEMPTS = 3
 # Fraction by which a limit may be exceeded, besides its slack.
 QUOTA_OVERRUN = 0.1
@@ -275,17 +277,25 @@
 
 
 def _crashing_requests_retried(record: Record) -> Iterator[Violation]:
-    """Find attempts by gateways that must know that the request crashes endpoints."""
+    """Find attempts by gateways that must know what crashes endpoints.
+
+    That is a request, or a part of the prompts of requests that are all different.
+    """
     runs = defaultdict(list)
     for arrival in record.arrivals:
         request = record.by_id.get(arrival.run.request_id)
-        if request is not None and request.spec.kind is CRASHING:
+        if request is None:
+            continue
+        if request.spec.kind is CRASHING:
             runs[request.target].append((arrival.run.at, request))
+        elif request.spec.kind is CRASHING_PART:
+            runs[CRASHING_PART.name].append((arrival.run.at, request))
     for target, attempts in runs.items():
         attempts.sort(key=lambda run: run[0])
-        if len(attempts) < MAX_CRASHES:
+        most = MAX_PART_CRASHES if target == CRASHING_PART.name else MAX_CRASHES
+        if len(attempts) < most:
             continue
-        known_at = attempts[MAX_CRASHES - 1][0] + CRASH_DELAY + RESYNC_TIME
+        known_at = attempts[most - 1][0] + CRASH_DELAY + RESYNC_TIME
         late = [
             at
             for at, request in attempts
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -70,6 +70,7 @@
     :param stream: whether an engine serves it, with a stream.
     :param at_most_once: whether it may run only once.
     :param body: body of each request.
+    :param prompt: parts of the prompt of each stream.
     :param added_route: number of the route added during the soak that it uses; 0 for
         the initial routes.
     """
@@ -81,6 +82,7 @@
     stream: bool = False
     at_most_once: bool = False
     body: bytes = b""
+    prompt: str = "aa:300,bb:100"
     added_route: int = 0
 
 
@@ -95,6 +97,11 @@
 # A stream whose body crashes the engine that runs it.
 CRASH_MARKER = b"crash"
 CRASHING = replace(STREAM, name="crashing", body=CRASH_MARKER)
+# Streams that are all different, but for a part of the prompt that has the same effect.
+CRASH_PART = "bad0"
+CRASHING_PART = replace(
+    STREAM, name="crashing-part", prompt=f"aa:300,{CRASH_PART}:60,bb:100"
+)
 
 
 def added_route_kind(number: int) -> RequestKind:
--- a/bench/soak/fleets.py
+++ b/bench/soak/fleets.py
@@ -12,6 +12,7 @@
 from bench.soak.callers import Listener
 from bench.soak.deployment import (
     CRASH_MARKER,
+    CRASH_PART,
     LEAVING,
     MODELS,
     RECORDS,
@@ -45,7 +46,7 @@
 from sassafrasdale.green import GreenThread, sleep, spawn
 from sassafrasdale.structures import Address
 from standins.duty_calls import DutyCall
-from standins.gateway_endpoints import StandInEndpoint
+from standins.gateway_endpoints import RESTART_DELAY, PartDefect, StandInEndpoint
 from standins.gateway_fleet import CONT, KILL, STOP, TERM, GatewayFleet, wait_for
 from standins.kv_store import Copy, Fault
 from standins.links import Link
@@ -154,6 +155,8 @@
             version=VERSIONS[number % len(VERSIONS)],
         )
         endpoint.names_version = True
+        if not is_plain:
+            endpoint.part_defect = PartDefect(CRASH_PART, down_time=RESTART_DELAY)
         return endpoint
 
     def _gateway(self, number: int) -> Gateway:
--- a/bench/soak/plans.py
+++ b/bench/soak/plans.py
@@ -17,6 +17,9 @@
 MAX_PAUSE = 1.2 * SECOND
 # Most times that the store is restored from a copy in one soak.
 MAX_RESTORES = 2
+# Most callers with a part that crashes engines in one soak, and how long they send.
+MAX_PARTS = 2
+MAX_PART_SECONDS = 12
 
 # Faults that a plan may draw for a link.
 LINK_FAULTS = (
@@ -117,6 +120,13 @@
     duration: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class CrashingPart:
+    """A caller sends new requests that share a part which crashes each engine."""
+
+    duration: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointDrain:
     """An endpoint registers as draining, and as ready again after a while."""
@@ -155,6 +165,7 @@
     | EndpointLinkFault
     | EndpointCrash
     | CrashingRequest
+    | CrashingPart
     | EndpointDrain
     | ClockStep
     | NewRoute
@@ -208,6 +219,7 @@
         steps.append(Step(at, drawn.make(rng, gateways, endpoints)))
         at += rng.uniform(0, 1) ** 2 * (MAX_PAUSE - MIN_PAUSE) + MIN_PAUSE
     steps += _draw_restores(seed, duration)
+    steps += _draw_crashing_parts(seed, duration)
     steps.sort(key=lambda step: step.at)
     return SoakPlan(seed, gateways, endpoints, duration, tuple(steps))
 
@@ -224,6 +236,18 @@
     ]
 
 
+def _draw_crashing_parts(seed: int, duration: timedelta) -> list[Step]:
+    """Return crashing parts; other draws of a seed don't depend on them."""
+    rng = Random(f"parts {seed}")
+    return [
+        Step(
+            QUIET_START + rng.random() * (duration - QUIET_START),
+            CrashingPart(_draw_duration(rng, MAX_PART_SECONDS)),
+        )
+        for _ in range(rng.randrange(MAX_PARTS + 1))
+    ]
+
+
 @dataclass(frozen=True, slots=True)
 class Draw:
     """A kind of disruption and its weight in the draw."""
--- a/bench/soak/soaks.py
+++ b/bench/soak/soaks.py
@@ -13,15 +13,17 @@
     BUSY,
     CALL,
     CRASHING,
+    CRASHING_PART,
     KINDS,
     LEAVING,
     PAGE,
     STEADY,
+    RequestKind,
     added_route_kind,
 )
 from bench.soak.fleets import GATEWAY_PROGRAM, SoakFleet
 from bench.soak.gateways import Gateway
-from bench.soak.plans import CrashingRequest, SoakPlan
+from bench.soak.plans import CrashingPart, CrashingRequest, SoakPlan
 from bench.soak.records import Arrival, Record, Span
 from sassafrasdale.clock import Clock, SystemClock
 from sassafrasdale.green import sleep, spawn
@@ -158,14 +160,18 @@
             sleep(max(timedelta(), began + step.at - self._clock.elapsed()))
             match step.disruption:
                 case CrashingRequest(number, duration):
-                    spawn(self._send_crashing_requests, number, duration)
+                    target = f"{CRASHING.prefix}x-{number}"
+                    spawn(self._send_crashing_requests, CRASHING, target, duration)
+                case CrashingPart(duration):
+                    spawn(self._send_crashing_requests, CRASHING_PART, "", duration)
                 case disruption:
                     self._fleet.disrupt(disruption)
 
-    def _send_crashing_requests(self, number: int, duration: timedelta) -> None:
-        spec = RequestSpec(
-            CRASHING, STEADY, STEADY.keys[0], f"{CRASHING.prefix}x-{number}"
-        )
+    def _send_crashing_requests(
+        self, kind: RequestKind, target: str, duration: timedelta
+    ) -> None:
+        """Send requests that crash engines, to one target or to new ones."""
+        spec = RequestSpec(kind, STEADY, STEADY.keys[0], target)
         caller = self._caller(
             f"x{len(self._crashing)}", lambda: spec, CRASHING_INTERVAL
         )
--- a/tests/guarantees/test_soak.py
+++ b/tests/guarantees/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench.soak.plans import (
+    CrashingPart,
     CrashingRequest,
     EndpointLinkFault,
     Kill,
@@ -48,6 +49,7 @@
     Step(8 * SECOND, Kill(0, SECOND)),
 )
 CRASHES = plan_of(Step(SECOND, CrashingRequest(1, 14 * SECOND)))
+CRASHING_PARTS = plan_of(Step(SECOND, CrashingPart(14 * SECOND)))
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -65,6 +67,7 @@
         (Guard.FENCING, HANDOVERS, "one holder"),
         (Guard.REVOCATION, REVOCATIONS, "revoked keys"),
         (Guard.QUARANTINE, CRASHES, "crashing requests"),
+        (Guard.QUARANTINE, CRASHING_PARTS, "crashing requests"),
         (Guard.VERSIONS, CRASHES, "one version"),
     ],
 )
