--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -501,10 +501,9 @@
 
     def _is_quarantined(self) -> bool:
         """Return whether the request was quarantined after it was admitted."""
-        admitted = self._admitted
-        return not admitted.is_trial and self._quarantine.is_quarantined(
-            admitted.request, admitted.customer_name, admitted.traits.parts
-        )
+        if self._admitted.is_trial or self._quarantine.is_empty:
+            return False
+        return self._quarantine.is_quarantined(self._features)
 
     def _logged_parts(self) -> list[str] | None:
         """Return the first parts of the prompt that other requests may share."""
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -6,16 +6,12 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from math import inf
 
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.quarantine import StrikeLedger, trial_scope
 from sassafrasdale.decisions.strikes import (
-    SAME_CRASH_WINDOW,
-    Strike,
-    StrikeState,
     TrackedStrike,
 )
 from sassafrasdale.deployment import PromptPart
@@ -28,6 +24,7 @@
     shared_part_features,
 )
 from sassafrasdale.gateway.quarantine.soundness import SoundParts
+from sassafrasdale.gateway.quarantine.strike_recorder import LostRun, StrikeRecorder
 from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from sassafrasdale.green import spawn
@@ -48,27 +45,6 @@
 # Most runs that are kept whose connection was lost, so far without evidence of a
 # crash.
 MAX_LOST_RUNS = 500
-# Most parts of one request that are struck by a crash.
-MAX_STRUCK_PARTS = 32
-# Most recent strikes that are kept to recognize further ones of the same crash.
-MAX_RECENT_STRIKES = 2000
-
-
-@dataclass(frozen=True, slots=True)
-class LostRun:
-    """A request's run at an endpoint that ended without a response.
-
-    :param version: of the endpoint's software.
-    :param begun: whether the run had produced events.
-    :param was_sound: whether it had produced events for a while, so that no part of its
-        prompt crashed the endpoint.
-    """
-
-    features: RequestFeatures
-    endpoint: str
-    version: str
-    begun: bool
-    was_sound: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +90,6 @@
         count: Callable[[str], None],
         confirm_crash: Callable[[EndpointRecord], bool] = lambda record: True,
     ) -> None:
-        self._name = name
         self._ledger = ledger
         self._sound_parts = sound_parts
         self._trials = trials
@@ -124,9 +99,7 @@
         self._crash_detector = CrashDetector(clock, confirm_crash)
         self._lost_runs: list[tuple[timedelta, LostRun]] = []
         self._quarantined: frozenset[str] = frozenset()
-        # When the crash of an endpoint was last recorded against a part, by whether
-        # the run had sent events.
-        self._struck_at: dict[tuple[str, str, bool], float] = {}
+        self._recorder = StrikeRecorder(name, ledger, sound_parts, time)
 
     def check(
         self,
@@ -141,7 +114,7 @@
         :param parts: parts of its prompt.
         :param endpoints: those that it might be sent to.
         """
-        if not self._ledger.quarantined:
+        if self.is_empty:
             return NO_RESTRICTION
         features = self.features_of(request, customer, parts)
         verdicts = [
@@ -346,49 +319,5 @@
 
     def _record_strike(self, run: LostRun, lost_at: timedelta) -> None:
         self._count("endpoint ended under a request")
-        age = (self._clock.elapsed() - lost_at).total_seconds()
-        at = self._time.seconds - age
-        self._ledger.add(
-            Strike(
-                run.features.fingerprint,
-                run.endpoint,
-                run.version,
-                run.begun,
-                at,
-                self._name,
-            )
-        )
-        if not run.was_sound:
-            for part in self._parts_to_strike(run.features.parts):
-                self._strike_part(part, run, at)
+        self._recorder.record(run, self._clock.elapsed() - lost_at)
         self.log_changes()
-
-    def _parts_to_strike(self, parts: Sequence[str]) -> list[str]:
-        """Return the parts that are struck, those that are not known to be sound first.
-
-        Callers choose how many parts their prompts have.
-        """
-        return sorted(parts, key=self._sound_parts.is_sound)[:MAX_STRUCK_PARTS]
-
-    def _strike_part(self, part: str, run: LostRun, at: float) -> None:
-        """Strike a part, once for all requests with it that a crash has ended."""
-        key = (part, run.endpoint, run.begun)
-        if at - self._struck_at.get(key, -inf) <= SAME_CRASH_WINDOW.total_seconds():
-            return
-        self._struck_at.pop(key, None)
-        self._struck_at[key] = at
-        if len(self._struck_at) > MAX_RECENT_STRIKES:
-            del self._struck_at[next(iter(self._struck_at))]
-        is_learning = self._sound_parts.is_learning
-        self._ledger.add(
-            Strike(
-                part,
-                run.endpoint,
-                run.version,
-                run.begun,
-                at,
-                self._name,
-                run.features.fingerprint,
-            ),
-            StrikeState.KNOWN_SOUND if is_learning else StrikeState.NEW,
-        )
--- a/tests/gateway/quarantine/test_quarantined_parts.py
+++ b/tests/gateway/quarantine/test_quarantined_parts.py
@@ -13,7 +13,7 @@
     part_features,
     shared_part_features,
 )
-from sassafrasdale.gateway.quarantine.quarantine import MAX_STRUCK_PARTS
+from sassafrasdale.gateway.quarantine.strike_recorder import MAX_STRUCK_PARTS
 from sassafrasdale.green import sleep
 from sassafrasdale.http.messages import Request
 from tests.gateway.quarantine.test_quarantine import (
@@ -71,7 +71,8 @@
     convict(gateway)
     verdict = gateway.verdict(OTHER, *parts)
     assert verdict.is_refused is is_refused
-    assert gateway.quarantine.is_quarantined(OTHER, "b", prompt(*parts)) is is_refused
+    features = gateway.quarantine.features_of(OTHER, "b", prompt(*parts))
+    assert gateway.quarantine.is_quarantined(features) is is_refused
     assert verdict.fingerprint == (BAD if is_refused else "")
 
 
