--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -11,9 +11,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.quarantine import StrikeLedger, trial_scope
-from sassafrasdale.decisions.strikes import (
-    TrackedStrike,
-)
+from sassafrasdale.decisions.strikes import TrackedStrike
 from sassafrasdale.deployment import PromptPart
 from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.quarantine.crash_detection import CrashDetector
@@ -136,13 +134,14 @@
             fingerprint_of(request, customer), shared_part_features(parts)
         )
 
-    def is_quarantined(
-        self, request: Request, customer: str, parts: Sequence[PromptPart]
-    ) -> bool:
-        """Return whether a request is quarantined by now."""
-        if not self._ledger.quarantined:
-            return False
-        return bool(self._quarantined_among(self.features_of(request, customer, parts)))
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is quarantined."""
+        return not self._ledger.quarantined
+
+    def is_quarantined(self, features: RequestFeatures) -> bool:
+        """Return whether any feature of a request is quarantined by now."""
+        return bool(self._quarantined_among(features))
 
     def _quarantined_among(self, features: RequestFeatures) -> list[str]:
         quarantined = self._ledger.quarantined
