A test waits for the claim itself, not for any write of the store

It took the next write that the store got for the claim. An entry that has just started writes once more 3 to 7 ms after it counts as ready, in 4 of 8 starts that were watched; that write ended the wait, and the entry was killed before its claim. The stand-in now counts writes by prefix, and the test waits for one of a claim: stricter.

--- a/standins/store_service.py
+++ b/standins/store_service.py
@@ -70,7 +70,7 @@
                     self._faults.set({name: value})
 
     def counts(self) -> dict[str, int]:
-        """Return the number of calls by kind, and of open watches."""
+        """Return the number of calls by kind and written prefix, and open watches."""
         return {**self._counts, "open_watches": self._store.watchers}
 
     def expire_leases(self) -> None:
@@ -99,12 +99,15 @@
         self._counts[kind] += 1
         self._counts["calls"] += 1
         self._counts["writes"] += write
+        keys = written_keys(request.path, body) if write else []
+        for prefix in {_prefix_of(key) for key in keys}:
+            self._counts[f"writes below {prefix}"] += 1
         if not self._calls.take() or (write and not self._writes.take()):
             self._counts["refused"] += 1
             message = "etcdserver: too many requests"
             return error_response(429, RESOURCE_EXHAUSTED, message)
         response = handler(request)
-        if write and self._consume_drop(written_keys(request.path, body)):
+        if write and self._consume_drop(keys):
             self._faults.drop(request)
         return response
 
@@ -116,3 +119,8 @@
             return False
         self._drop_writes -= 1
         return True
+
+
+def _prefix_of(key: bytes) -> str:
+    """Return the first two segments of a key's path."""
+    return b"/".join(key.split(b"/")[:2]).decode("utf-8", "replace")
--- a/tests/guarantees/certificates.py
+++ b/tests/guarantees/certificates.py
@@ -85,13 +85,13 @@
         """Wait until the service has executed a request with ``key``."""
         wait_until(lambda: self.executions(key), TIMEOUT)
 
-    def store_writes(self) -> int:
-        """Return how many writes the store has received."""
-        return self.platform.counts()["store"].get("writes", 0)
+    def claim_writes(self) -> int:
+        """Return how many writes of claims the store has received."""
+        return self.platform.counts()["store"].get(f"writes below {CLAIMS_PREFIX}", 0)
 
-    def wait_for_write(self, before: int) -> None:
-        """Wait until the store has received more than ``before`` writes."""
-        wait_until(lambda: self.store_writes() > before, TIMEOUT)
+    def wait_for_claim(self, before: int) -> None:
+        """Wait until the store has received more than ``before`` writes of claims."""
+        wait_until(lambda: self.claim_writes() > before, TIMEOUT)
 
     def clear_faults(self) -> None:
         """Clear all injected faults."""
--- a/tests/guarantees/test_at_most_once.py
+++ b/tests/guarantees/test_at_most_once.py
@@ -45,12 +45,13 @@
 def freeze_after_claim(system, entry, key, timeout):
     """Freeze ``entry`` while the store processes its claim; return the call."""
     system.platform.set_faults(store={"delay_ms": SLOW_MS})
-    before = system.store_writes()
-    # The entries write nothing else meanwhile, so the next write is the claim.
+    before = system.claim_writes()
+    # No other request is under way, so the next claim is this one. A spare entry may
+    # still write what it registers.
     call = system.issue_later(entry, key, timeout)
     time.sleep(SLOW_MS / 2000)
     entry.freeze()
-    system.wait_for_write(before)
+    system.wait_for_claim(before)
     system.platform.set_faults(store={"delay_ms": 0})
     return call
 
