That an endpoint stands is not taken for granted for 0.3 s after a probe

A probe's result was shared for 300 ms, whatever it was. That was right for lost connections alone: they come after the crash. Since answers without a length are probed at their end, an endpoint is probed while it stands, and a crash within 300 ms of that was not noticed: the broken stream got a clean end, and no strike. Found by reading. Now only the result that it has crashed is kept; one under way is shared as before. The new test was red before.

--- a/src/sassafrasdale/gateway/quarantine/crash_detection.py
+++ b/src/sassafrasdale/gateway/quarantine/crash_detection.py
@@ -9,7 +9,7 @@
 from sassafrasdale.http.connections import ProbeResult
 
 # All requests of a crashed endpoint lose their connections within milliseconds, and
-# share one probe. The endpoint may be back seconds later.
+# share the probe that shows the crash. The endpoint may be back seconds later.
 RESULT_TTL = timedelta(milliseconds=300)
 # Probes of an endpoint that may be unreachable, and the interval between them: a SYN
 # packet may be lost.
@@ -52,6 +52,9 @@
             crashed = refused and self._confirm(record)
         finally:
             result.send(crashed)
+            if not crashed:
+                # It may crash a moment later.
+                del self._probes[record.name]
         return crashed
 
     def confirm(self, record: EndpointRecord) -> bool:
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -46,6 +46,18 @@
     assert not response.endswith(ENDED)
 
 
+def test_a_crash_soon_after_a_whole_stream_is_noticed():
+    """Guards against the last check of an endpoint that is taken for this one's."""
+    world = World(routes=only_reports(allowResume=False))
+    crashes = iter([False, True])
+    endpoint = CrashingEndpoint(lambda: next(crashes), 4, framed=False)
+    world.add("i-1", "models", endpoint)
+    assert world.ask(request("/reports/7", **STREAM)).endswith(ENDED)
+    broken_off = world.ask(request("/reports/8", "r-2", **STREAM))
+    assert not broken_off.endswith(ENDED)
+    assert world.quarantine.describe()
+
+
 @pytest.mark.parametrize("events", [0, 4])
 def test_a_crash_is_a_strike_and_not_a_success(events):
     """Guards against an answer that was broken off and clears strikes."""
