A request with several quarantined features claims no trial for one once another refuses it

All features were asked at once, so a request that was refused for a part used up one of the two trials of its own digest, unsent. Claiming calls the store: where the strikes of another feature were cleared meanwhile, the request ended with an internal error. Found by reading; both tests red before. Parts are asked first, and a feature is looked up as its turn comes.

--- a/src/sassafrasdale/gateway/quarantine/fingerprints.py
+++ b/src/sassafrasdale/gateway/quarantine/fingerprints.py
@@ -28,8 +28,8 @@
 
     @property
     def all(self) -> tuple[str, ...]:
-        """All features."""
-        return (self.fingerprint, *self.parts)
+        """All features, first those that many requests share."""
+        return (*self.parts, self.fingerprint)
 
 
 def part_features(parts: Sequence[PromptPart]) -> tuple[str, ...]:
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -31,8 +31,9 @@
 
 log = Logger("suspects")
 
-# Reason of a rejected request.
+# Reason of a rejected request, and the count of these.
 QUARANTINED = "quarantined"
+REFUSALS = "quarantined request refused"
 # Retry-After for a quarantined request: it is not allowed again for minutes, if at all,
 # so an earlier retry gets the same response.
 QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
@@ -114,17 +115,19 @@
         """
         if self.is_empty:
             return NO_RESTRICTION
-        features = self.features_of(request, customer, parts)
-        verdicts = [
-            self._check_feature(feature, endpoints)
-            for feature in self._quarantined_among(features)
-        ]
-        refusal = next((each for each in verdicts if each.is_refused), None)
-        if refusal is not None:
-            self._count("quarantined request refused")
-            return refusal
-        avoided = frozenset().union(*(each.avoided for each in verdicts))
-        return Verdict(is_trial=bool(verdicts), avoided=avoided)
+        is_trial = False
+        avoided: frozenset[str] = frozenset()
+        for feature in self.features_of(request, customer, parts).all:
+            # Claiming a trial takes time, in which another feature may be cleared.
+            if feature not in self._ledger.quarantined:
+                continue
+            verdict = self._check_feature(feature, endpoints)
+            if verdict.is_refused:
+                self._count(REFUSALS)
+                return verdict
+            is_trial = True
+            avoided |= verdict.avoided
+        return Verdict(is_trial=is_trial, avoided=avoided)
 
     def features_of(
         self, request: Request, customer: str, parts: Sequence[PromptPart]
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -41,11 +41,12 @@
             now=lambda: time.seconds, is_sound=self.sound_parts.is_sound
         )
         self.store = FakeStore(CLOCK)
+        self.trials = Trials(self.store, time, CLOCK)
         self.quarantine = RequestQuarantine(
             "g-1",
             self.ledger,
             self.sound_parts,
-            Trials(self.store, time, CLOCK),
+            self.trials,
             time,
             CLOCK,
             self.events.append,
--- a/tests/gateway/quarantine/test_quarantined_parts.py
+++ b/tests/gateway/quarantine/test_quarantined_parts.py
@@ -14,8 +14,10 @@
     shared_part_features,
 )
 from sassafrasdale.gateway.quarantine.strike_recorder import MAX_STRUCK_PARTS
+from sassafrasdale.gateway.quarantine.trials import TRIALS_PREFIX
 from sassafrasdale.green import sleep
 from sassafrasdale.http.messages import Request
+from tests.decisions.test_quarantine import strike
 from tests.gateway.quarantine.test_quarantine import (
     CRASHING,
     FINGERPRINT,
@@ -161,6 +163,34 @@
     assert new.name not in trials[0].avoided
 
 
+def test_no_trial_is_spent_on_a_request_that_is_refused_for_its_part(gateway):
+    """Guards against trials that are used up by requests that are never sent."""
+    gateway.register(accepting_address(), "i-old", version="v1")
+    gateway.register(accepting_address(), "i-new", version="v2")
+    for crash in range(3):
+        gateway.ledger.add(strike(FINGERPRINT, crash, at=now() - 100))
+    convict(gateway, ago=10.0)
+    assert gateway.verdict(CRASHING, "bad", "own").is_refused
+    assert not gateway.store.list(TRIALS_PREFIX)
+    assert gateway.verdict(CRASHING).is_trial
+
+
+def test_a_part_that_is_cleared_while_a_trial_is_claimed_refuses_nothing(gateway):
+    """Guards against an error for a request as the last strikes are cleared."""
+    gateway.register(accepting_address(), "i-old", version="v1")
+    gateway.register(accepting_address(), "i-new", version="v2")
+    convict(gateway, ago=100.0)
+    convict(gateway, "part-other", ago=100.0)
+    claim = gateway.trials.try_claim
+
+    def clear_meanwhile(feature, *args, **also):
+        gateway.ledger.clear("part-other" if feature == BAD else BAD)
+        return claim(feature, *args, **also)
+
+    gateway.trials.try_claim = clear_meanwhile
+    assert gateway.verdict(OTHER, "bad", "other", "own").is_trial
+
+
 def test_an_operator_lifts_a_part(gateway):
     gateway.register(accepting_address())
     convict(gateway)
