A forwarding gateway sends no request with a feature that it knows to be quarantined

The check stood only at the gateway that has the caller. One that is partitioned from the endpoints may not have heard of a quarantine, and had its requests forwarded by a peer that had. The request waits at the forwarder, too. Found by reading; the first new test was red before (502, sent). Trials say that they are one, so they pass.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -225,6 +225,7 @@
             admitted.route.repeatable,
             admitted.deadline,
             "" if attempt.binding is None else attempt.binding.version,
+            admitted.is_trial,
         )
         try:
             path = self._paths.open(attempt.record, hop)
--- a/src/sassafrasdale/gateway/forwarding/messages.py
+++ b/src/sassafrasdale/gateway/forwarding/messages.py
@@ -44,6 +44,7 @@
     :param fingerprint: under which a crash of the endpoint counts against it.
     :param software: version that the endpoint must have, as the request resumes a
         stream; empty for any.
+    :param is_trial: whether it is a trial of something that is quarantined.
     """
 
     endpoint: str
@@ -56,6 +57,7 @@
     body: bytes = b""
     fingerprint: str = ""
     software: str = ""
+    is_trial: bool = False
 
 
 class EndpointReachability(Struct, frozen=True, array_like=True):
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -71,6 +71,7 @@
     :param is_repeatable: whether it may run more than once.
     :param deadline: elapsed time until which its response is of use.
     :param software: version that the endpoint must have; empty for any.
+    :param is_trial: whether it is a trial of something that is quarantined.
     """
 
     endpoint: str
@@ -78,6 +79,7 @@
     is_repeatable: bool
     deadline: timedelta
     software: str = ""
+    is_trial: bool = False
 
 
 class DirectPath:
@@ -199,6 +201,7 @@
             request.body,
             hop.fingerprint(),
             hop.software,
+            hop.is_trial,
         )
         host = ("host", str(self._contact.address))
         wrapped = Request("POST", FORWARD_TARGET, (host,), encode(forwarded))
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -35,7 +35,10 @@
     RequestFeatures,
     shared_part_features,
 )
-from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
+from sassafrasdale.gateway.quarantine.quarantine import (
+    QUARANTINED,
+    RequestQuarantine,
+)
 from sassafrasdale.gateway.quarantine.soundness import SOUND_AFTER
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
@@ -199,6 +202,8 @@
                 raise CallerDisconnected
             if not self._takes_requests(record):
                 raise _NotForwarded(ForwardOutcome.WITHHELD, "endpoint takes none now")
+            if self._is_quarantined(forwarded):
+                raise _NotForwarded(ForwardOutcome.WITHHELD, QUARANTINED)
             self._count("request forwarded for a peer")
             self._exchange(peer, forwarded, path, record, time_left)
         except CallerDisconnected:
@@ -296,6 +301,11 @@
             raise _NotForwarded(ForwardOutcome.REFUSED, "link lost here, too")
         return record
 
+    def _is_quarantined(self, forwarded: ForwardedRequest) -> bool:
+        if forwarded.is_trial or self._quarantine.is_empty:
+            return False
+        return self._quarantine.is_quarantined(_features_of(forwarded))
+
     def _takes_requests(self, record: EndpointRecord) -> bool:
         return record.is_ready and not self._gate.is_backed_off(record)
 
--- a/tests/gateway/forwarding/test_hop.py
+++ b/tests/gateway/forwarding/test_hop.py
@@ -5,7 +5,9 @@
 import pytest
 
 from sassafrasdale.clock import SystemClock
+from sassafrasdale.decisions.blame import KNOWN_SOUND_PART
 from sassafrasdale.decisions.links import Reachability
+from sassafrasdale.decisions.strikes import Strike
 from sassafrasdale.gateway.dispatcher_messages import AttemptResult
 from sassafrasdale.gateway.forwarding.receiver import ForwardingReceiver
 from sassafrasdale.gateway.peer_states import Contact
@@ -410,3 +412,34 @@
     response = hop.origin.ask(request(STREAM, resumes="r-0", last_event_id="1"))
     assert status_of(response) == 503
     assert not endpoint.requests
+
+
+def quarantine_part(world: World, part: str = "part-aa") -> None:
+    """Have a gateway know that a part of prompts crashes endpoints of version v1."""
+    at = CLOCK.now().timestamp() - 100
+    for crash in range(KNOWN_SOUND_PART.crashes):
+        world.strikes.add(
+            Strike(part, f"i-{crash}", "v1", False, at, "g", f"r-{crash}")
+        )
+
+
+def test_a_part_that_only_the_forwarder_knows_to_crash_endpoints_reaches_none():
+    """Guards against a partitioned gateway that has not heard of a quarantine."""
+    hop = Hop()
+    endpoint = ScriptedEndpoint(respond_with())
+    hop.add("i-1", "models", endpoint)
+    quarantine_part(hop.forwarders[0].world)
+    response = hop.origin.ask(request(STREAM, **TOKENS))
+    assert status_of(response) == 503
+    assert not endpoint.requests
+
+
+def test_a_trial_of_a_quarantined_part_is_forwarded():
+    """Guards against trials that a forwarder refuses, as it knows of the quarantine."""
+    hop = Hop()
+    endpoint = ScriptedEndpoint(respond_with())
+    for world in (hop.origin, hop.forwarders[0].world):
+        world.add("i-9", "models", endpoint, "v2")
+        quarantine_part(world)
+    hop.origin.ask(request(STREAM, **TOKENS))
+    assert len(endpoint.requests) == 1
