Field's terms for the quarantine's decision; one decaying rate for shares of limits and permits

Mark, judge and convict are threshold, assess and quarantine; whole requests and parts go through the same thresholds. RecentCount was the decaying rate of DemandShares written again: both use DecayingRates.

--- a/bench/blame/__main__.py
+++ b/bench/blame/__main__.py
@@ -1,4 +1,4 @@
-"""Print how soon a part is convicted, and how many innocents are, by deployment.
+"""Print how soon a part is quarantined, and how many innocent ones are, by deployment.
 
 Usage::
 
--- a/bench/blame/model.py
+++ b/bench/blame/model.py
@@ -55,7 +55,7 @@
 
     :ivar crashes: times of the crashes under the bad part.
     :ivar late: sends of it that came too late.
-    :ivar innocents: sound parts that were convicted at some time.
+    :ivar innocents: sound parts that were quarantined at some time.
     :ivar refused: sound requests that were refused.
     :ivar sent: sound requests.
     """
--- a/src/sassafrasdale/decisions/blame.py
+++ b/src/sassafrasdale/decisions/blame.py
@@ -1,9 +1,9 @@
 """Which features of requests the crashes of endpoints are blamed on.
 
 All features of all requests that ran at an endpoint are struck by its crash. Features
-are judged from the most suspect to the least. Once one is convicted, its crashes no
-longer count against those that are less suspect: they ran beside it, or stand beside it
-in the same prompts.
+are assessed from the most suspect to the least. Once one is quarantined, its crashes
+no longer count against those that are less suspect: they ran beside it, or stand beside
+it in the same prompts.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -13,7 +13,6 @@
 
 from sassafrasdale.decisions.strikes import (
     SAME_CRASH_WINDOW,
-    Strike,
     TrackedStrike,
     is_part,
 )
@@ -55,7 +54,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Mark:
+class Threshold:
     """Evidence that is enough against a feature.
 
     :param crashes: number of crashes.
@@ -80,25 +79,27 @@
         return min(crash.at for crash in crashes) + self.min_age.total_seconds()
 
 
-WHOLE_REQUEST = Mark(crashes=3)
+WHOLE_REQUEST = Threshold(crashes=3)
 # A part is blamed only if different requests with it crashed endpoints: a request that
 # is repeated may do so for another reason.
-PART = Mark(crashes=4, requests=2, min_age=timedelta(seconds=1.5))
-KNOWN_SOUND_PART = Mark(crashes=5, requests=2, min_age=timedelta(seconds=2.5))
-# Fewest crashes that convict anything.
-MIN_CRASHES = 3
+PART = Threshold(crashes=4, requests=2, min_age=timedelta(seconds=1.5))
+KNOWN_SOUND_PART = Threshold(crashes=5, requests=2, min_age=timedelta(seconds=2.5))
+# Fewest crashes that quarantine anything.
+MIN_CRASHES = min(
+    threshold.crashes for threshold in (WHOLE_REQUEST, PART, KNOWN_SOUND_PART)
+)
 
 
 @dataclass(frozen=True, slots=True)
-class Judgement:
-    """Which features are convicted.
+class Assessment:
+    """Which features are quarantined.
 
-    :param convicted: features that must not reach endpoints.
-    :param due_at: when more may be convicted without further crashes, in seconds since
+    :param quarantined: features that must not reach endpoints.
+    :param due_at: when more may be quarantined without further crashes, in seconds since
         1970; None for never.
     """
 
-    convicted: frozenset[str] = frozenset()
+    quarantined: frozenset[str] = frozenset()
     due_at: float | None = None
 
 
@@ -107,7 +108,7 @@
     found: list[Crash] = []
     for tracked in sorted(strikes, key=lambda tracked: tracked.strike.at):
         strike = tracked.strike
-        crash = _find(found, strike)
+        crash = _find(found, strike.endpoint, strike.at)
         if crash is None:
             crash = Crash(strike.endpoint, strike.at)
             found.append(crash)
@@ -115,16 +116,15 @@
     return found
 
 
-def _find(crashes: Iterable[Crash], strike: Strike) -> Crash | None:
-    same = (crash for crash in crashes if crash.is_same(strike.endpoint, strike.at))
-    return next(same, None)
+def _find(crashes: Iterable[Crash], endpoint: str, at: float) -> Crash | None:
+    return next((crash for crash in crashes if crash.is_same(endpoint, at)), None)
 
 
-def judge(strikes: Mapping[str, Iterable[TrackedStrike]], now: float) -> Judgement:
-    """Return which features are convicted.
+def assess(strikes: Mapping[str, Iterable[TrackedStrike]], now: float) -> Assessment:
+    """Return which features are quarantined.
 
-    Parts are judged before whole requests: one part explains more crashes than each of
-    the requests that have it, and these have as many as callers repeat them.
+    Parts are assessed before whole requests: one part explains more crashes than each
+    of the requests that have it, and these have as many as callers repeat them.
 
     :param strikes: strikes that count against each feature.
     :param now: in seconds since 1970.
@@ -135,16 +135,16 @@
     due: dict[str, float] = {}
     explained: list[Crash] = []
     for features in (parts, requests):
-        due |= _judge_features(features, explained)
-    convicted = frozenset(name for name, due_at in due.items() if due_at <= now)
+        due |= _assess_features(features, explained)
+    quarantined = frozenset(name for name, due_at in due.items() if due_at <= now)
     pending = (due_at for due_at in due.values() if due_at > now)
-    return Judgement(convicted, min(pending, default=None))
+    return Assessment(quarantined, min(pending, default=None))
 
 
-def _judge_features(
+def _assess_features(
     features: Mapping[str, Sequence[Crash]], explained: list[Crash]
 ) -> dict[str, float]:
-    """Return when features are convicted, and add what explains their crashes."""
+    """Return when features are quarantined, and add what explains their crashes."""
     due: dict[str, float] = {}
     ranks = {name: _rank(of_one) for name, of_one in features.items()}
     # Equally suspect features don't explain each other's crashes.
@@ -172,22 +172,22 @@
 
 
 def _due_at(name: str, crashes: Sequence[Crash]) -> float | None:
-    """Return when a feature is convicted; None if the evidence isn't enough."""
-    if not is_part(name):
-        found = crashes if WHOLE_REQUEST.is_reached(crashes) else ()
-        return min((crash.at for crash in found), default=None)
+    """Return when a feature is quarantined; None if the evidence isn't enough."""
     unknown = [crash for crash in crashes if not crash.is_known_sound]
+    thresholds = (
+        ((PART, unknown), (KNOWN_SOUND_PART, crashes))
+        if is_part(name)
+        else ((WHOLE_REQUEST, crashes),)
+    )
     due = [
-        mark.due_at(evidence)
-        for mark, evidence in ((PART, unknown), (KNOWN_SOUND_PART, crashes))
-        if mark.is_reached(evidence)
+        threshold.due_at(evidence)
+        for threshold, evidence in thresholds
+        if threshold.is_reached(evidence)
     ]
     return min(due, default=None)
 
 
 def _unexplained(crashes: Iterable[Crash], explained: list[Crash]) -> list[Crash]:
     return [
-        crash
-        for crash in crashes
-        if not any(other.is_same(crash.endpoint, crash.at) for other in explained)
+        crash for crash in crashes if not _find(explained, crash.endpoint, crash.at)
     ]
--- a/src/sassafrasdale/decisions/endpoint_rates.py
+++ b/src/sassafrasdale/decisions/endpoint_rates.py
@@ -15,7 +15,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from math import exp
 
 # Most zones that share an endpoint's rate. Each may save up one request.
 MAX_SHARING_ZONES = 4
@@ -63,26 +62,6 @@
     return min(max(interval, MIN_INTERVAL), MAX_INTERVAL)
 
 
-class RecentCount:
-    """Number of events in about the last second.
-
-    :param now: elapsed time.
-    """
-
-    def __init__(self, now: timedelta) -> None:
-        self._count = 0.0
-        self._updated_at = now
-
-    def add(self, number: int, now: timedelta) -> None:
-        """Count events."""
-        self._count = max(self.total(now) + number, 0.0)
-        self._updated_at = now
-
-    def total(self, now: timedelta) -> float:
-        """Return the number of recent events."""
-        return self._count * exp((self._updated_at - now) / RECENT_TIME)
-
-
 @dataclass(slots=True)
 class _Loan:
     permits: int
@@ -155,7 +134,7 @@
     def accept(self, given: int, now: timedelta) -> None:
         """Accept tokens, as far as there is room."""
         self._refill(now)
-        self._tokens = max(self._tokens, min(self._tokens + given, self._room()))
+        self._add(given)
 
     def _refill(self, now: timedelta) -> None:
         for borrower, loan in list(self._loans.items()):
@@ -163,8 +142,11 @@
                 del self._loans[borrower]
         elapsed = (now - self._updated_at).total_seconds()
         self._updated_at = now
-        grown = min(self._tokens + self._rate * elapsed, self._room())
-        self._tokens = max(self._tokens, grown)
+        self._add(self._rate * elapsed)
+
+    def _add(self, tokens: float) -> None:
+        """Add tokens, as far as there is room."""
+        self._tokens = max(self._tokens, min(self._tokens + tokens, self._room()))
 
     def _room(self) -> float:
         depth = 1 + self._rate * BURST_TIME.total_seconds()
--- a/src/sassafrasdale/decisions/quarantine.py
+++ b/src/sassafrasdale/decisions/quarantine.py
@@ -22,9 +22,9 @@
 
 from sassafrasdale.decisions.blame import (
     MIN_CRASHES,
-    Judgement,
+    Assessment,
+    assess,
     distinct_crashes,
-    judge,
 )
 from sassafrasdale.decisions.strikes import (
     Strike,
@@ -74,7 +74,7 @@
         self._version = 0
         # Features with enough strikes to be quarantined or to explain others.
         self._candidates: set[str] = set()
-        self._judgement = Judgement()
+        self._assessment = Assessment()
 
     def __len__(self) -> int:
         return len(self._by_change)
@@ -87,10 +87,10 @@
     @property
     def quarantined(self) -> frozenset[str]:
         """Features of requests that must not be sent to endpoints."""
-        due_at = self._judgement.due_at
+        due_at = self._assessment.due_at
         if due_at is not None and self._now() >= due_at:
-            self._judge()
-        return self._judgement.convicted
+            self._assess()
+        return self._assessment.quarantined
 
     def add(self, strike: Strike, state: StrikeState = StrikeState.NEW) -> bool:
         """Add an observed or reported strike, and return whether it is new."""
@@ -204,15 +204,15 @@
         if changed not in self._candidates and not self._is_candidate(changed):
             return
         self._candidates.add(changed)
-        self._judge()
+        self._assess()
 
     def _is_candidate(self, feature: str) -> bool:
         return len(self._open.get(feature, ())) >= MIN_CRASHES
 
-    def _judge(self) -> None:
+    def _assess(self) -> None:
         self._candidates = set(filter(self._is_candidate, self._candidates))
         strikes = {name: self._open[name].values() for name in self._candidates}
-        self._judgement = judge(strikes, self._now())
+        self._assessment = assess(strikes, self._now())
 
     def _evict(self) -> None:
         if len(self) <= self._capacity:
--- a/src/sassafrasdale/decisions/shares.py
+++ b/src/sassafrasdale/decisions/shares.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Mapping
 from datetime import timedelta
-from math import exp
+
+from sassafrasdale.decisions.rates import DecayingRates
 
 DEMAND_WINDOW = timedelta(seconds=2)
 """Time over which a customer's arrivals at this entry are averaged."""
@@ -30,28 +31,22 @@
         window: timedelta = DEMAND_WINDOW,
         even_weight: float = EVEN_WEIGHT,
     ) -> None:
-        self._window = window
         self._even_weight = even_weight
-        self._rates: dict[str, float] = {}
-        self._updated: dict[str, timedelta] = {}
+        self._rates = DecayingRates(window)
         self._reports: dict[str, Mapping[str, float]] = {}
         self._reported_at: dict[str, timedelta] = {}
 
     def add(self, customer: str, now: timedelta, amount: float = 1) -> None:
         """Record an arrival, or the ``amount`` that it requests."""
-        rate = self.own_rate(customer, now)
-        self._rates[customer] = rate + amount / self._window.total_seconds()
-        self._updated[customer] = now
+        self._rates.add(customer, now, amount)
 
     def own_rate(self, customer: str, now: timedelta) -> float:
         """Return the customer's demand at this entry, per second."""
-        rate = self._rates.get(customer, 0.0)
-        elapsed = now - self._updated.get(customer, now)
-        return rate * exp(-(elapsed / self._window))
+        return self._rates.rate(customer, now)
 
     def report(self, now: timedelta) -> Mapping[str, float]:
         """Return this entry's demand per second by customer."""
-        return {name: self.own_rate(name, now) for name in self._rates}
+        return {name: self.own_rate(name, now) for name in self._rates.keys}
 
     def add_report(
         self, peer: str, report: Mapping[str, float], now: timedelta
@@ -62,7 +57,7 @@
 
     def customers(self) -> set[str]:
         """Return the customers with any demand, here or at a peer."""
-        return set(self._rates).union(*self._reports.values())
+        return set(self._rates.keys).union(*self._reports.values())
 
     def forget(self, peer: str) -> None:
         """Remove the report of a peer."""
--- a/src/sassafrasdale/gateway/advertisements/permits.py
+++ b/src/sassafrasdale/gateway/advertisements/permits.py
@@ -14,10 +14,11 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_rates import (
     PERMIT_TIMEOUT,
+    RECENT_TIME,
     PermitBucket,
-    RecentCount,
     zone_rate,
 )
+from sassafrasdale.decisions.rates import DecayingRates
 from sassafrasdale.gateway.advertisements.endpoint_beliefs import EndpointLimits
 from sassafrasdale.gateway.peer_states import PermitRequest
 
@@ -73,8 +74,8 @@
         self._borrowed_at = clock.elapsed()
         self._demand: dict[str, _Demand] = {}
         # Permits wanted from and used by the zone, if this gateway lends them.
-        self._wanted: dict[str, RecentCount] = {}
-        self._used: dict[str, RecentCount] = {}
+        self._wanted = DecayingRates(RECENT_TIME)
+        self._used = DecayingRates(RECENT_TIME)
 
     def set_share(self, share: float | None) -> None:
         """Set the part of the zone's permits that this gateway lends.
@@ -108,7 +109,7 @@
         if self._share is not None:
             now = self._clock.elapsed()
             was_taken = self._bucket(endpoint).take(now)
-            self._count(self._used, endpoint, int(was_taken), now)
+            self._used.add(endpoint, now, int(was_taken))
             return was_taken
         if not self._usable_loan(endpoint):
             return False
@@ -122,7 +123,7 @@
         demand.last_at = now
         demand.since_request += 1
         if self._share is not None:
-            self._count(self._wanted, endpoint, 1, now)
+            self._wanted.add(endpoint, now)
 
     def build_requests(self) -> dict[str, PermitRequest]:
         """Return the requests for permits, by endpoint, and give unused ones back."""
@@ -167,8 +168,8 @@
             permits = self._bucket(endpoint).lend(
                 borrower, request.wanted, request.returned, now
             )
-            self._count(self._wanted, endpoint, request.wanted, now)
-            self._count(self._used, endpoint, permits - request.returned, now)
+            self._wanted.add(endpoint, now, request.wanted)
+            self._used.add(endpoint, now, permits - request.returned)
             if permits:
                 lent[endpoint] = permits
         return lent
@@ -177,9 +178,10 @@
         """Return the permits that other zones may give to this one, by endpoint."""
         now = self._clock.elapsed()
         found = {
-            endpoint: self._bucket(endpoint).missing(wanted.total(now), now)
-            for endpoint, wanted in self._wanted.items()
-            if endpoint in self._buckets
+            endpoint: self._bucket(endpoint).missing(
+                self._recent(self._wanted, endpoint), now
+            )
+            for endpoint in self._buckets
         }
         most = sorted(found, key=found.get, reverse=True)[:MAX_ENDPOINTS_WANTED]
         return {
@@ -198,8 +200,7 @@
         for endpoint, number in missing.items():
             if self._share is None or self._limits.rate_limit(endpoint) is None:
                 continue
-            used = self._used.get(endpoint)
-            kept = 1 + (used.total(now) if used else 0.0)
+            kept = 1 + self._recent(self._used, endpoint)
             given[endpoint] = self._bucket(endpoint).give(number, kept, now)
         return {endpoint: number for endpoint, number in given.items() if number}
 
@@ -217,17 +218,13 @@
         for endpoint in list(self._buckets):
             if self._limits.rate_limit(endpoint) is None:
                 del self._buckets[endpoint]
-                self._wanted.pop(endpoint, None)
-                self._used.pop(endpoint, None)
+                self._wanted.remove(endpoint)
+                self._used.remove(endpoint)
 
-    def _count(
-        self,
-        counts: dict[str, RecentCount],
-        endpoint: str,
-        number: int,
-        now: timedelta,
-    ) -> None:
-        counts.setdefault(endpoint, RecentCount(now)).add(number, now)
+    def _recent(self, rates: DecayingRates, endpoint: str) -> float:
+        """Return a number of permits in about the last second."""
+        rate = rates.rate(endpoint, self._clock.elapsed())
+        return rate * RECENT_TIME.total_seconds()
 
     def _bucket(self, endpoint: str) -> PermitBucket:
         now = self._clock.elapsed()
--- a/tests/decisions/test_blame.py
+++ b/tests/decisions/test_blame.py
@@ -45,7 +45,7 @@
             self.add(part_strike(part, number, request, begun=begun, at=self.time))
 
 
-def test_a_part_is_convicted_by_three_crashes_of_new_requests():
+def test_a_part_is_quarantined_by_crashes_of_new_requests():
     """Guards against a new count with each request that shares a part."""
     ledger = Ledger()
     for number in range(PART.crashes):
@@ -85,7 +85,7 @@
     assert ledger.quarantined == {BAD}
 
 
-def test_a_part_that_has_gone_bad_is_convicted_all_the_same():
+def test_a_part_that_has_gone_bad_is_quarantined_all_the_same():
     """Guards against crash after crash by a part that once ran well."""
     ledger = Ledger(SYSTEM)
     for number in range(KNOWN_SOUND_PART.crashes):
@@ -125,7 +125,7 @@
     assert ledger.quarantined == {BAD}
 
 
-def test_a_part_is_not_convicted_before_it_could_be_cleared():
+def test_a_part_is_not_quarantined_before_it_could_be_cleared():
     """Guards against refusing all requests at three crashes within an instant."""
     ledger = Ledger()
     for number in range(3 * KNOWN_SOUND_PART.crashes):
@@ -138,7 +138,7 @@
 
 
 def test_sound_runs_that_are_heard_of_late_count():
-    """Guards against a conviction by strikes that came before news of sound runs."""
+    """Guards against a quarantine by strikes that came before news of sound runs."""
     ledger = Ledger()
     for number in range(PART.crashes):
         ledger.crash(number, f"r-{number}", SYSTEM)
@@ -147,7 +147,7 @@
     assert ledger.quarantined == set()
 
 
-def test_strikes_of_unknown_requests_do_not_convict_a_part():
+def test_strikes_of_unknown_requests_do_not_quarantine_a_part():
     """Guards against rows that a build without parts has passed on."""
     ledger = Ledger()
     for number in range(2 * KNOWN_SOUND_PART.crashes):
@@ -180,7 +180,7 @@
 
 @given(parts_of_crashes, st.randoms(use_true_random=False))
 def test_gateways_with_the_same_strikes_of_parts_agree(facts, rng: Random):
-    """Guards against gateways that judge by the order in which strikes arrive."""
+    """Guards against gateways that decide by the order in which strikes arrive."""
 
     def ledger_of(rows) -> StrikeLedger:
         ledger = Ledger()
@@ -196,7 +196,7 @@
 
 
 @pytest.mark.parametrize("crashes", range(MIN_CRASHES))
-def test_fewer_crashes_convict_nothing(crashes):
+def test_fewer_crashes_quarantine_nothing(crashes):
     ledger = Ledger()
     for number in range(crashes):
         ledger.crash(number, f"r-{number}", BAD)
--- a/tests/gateway/quarantine/test_quarantined_parts.py
+++ b/tests/gateway/quarantine/test_quarantined_parts.py
@@ -36,7 +36,7 @@
     return Gateway()
 
 
-def convict(gateway: Gateway, part: str = BAD, *, ago: float = 10.0) -> None:
+def quarantine(gateway: Gateway, part: str = BAD, *, ago: float = 10.0) -> None:
     """Have enough crashes under different requests with a part."""
     for crash in range(KNOWN_SOUND_PART.crashes):
         at = now() - ago
@@ -67,10 +67,10 @@
         ((), False),
     ],
 )
-def test_requests_with_a_convicted_part_are_refused(gateway, parts, is_refused):
+def test_requests_with_a_quarantined_part_are_refused(gateway, parts, is_refused):
     """Guards against sends of other requests, and refusals for the last part."""
     gateway.register(accepting_address())
-    convict(gateway)
+    quarantine(gateway)
     verdict = gateway.verdict(OTHER, *parts)
     assert verdict.is_refused is is_refused
     features = gateway.quarantine.features_of(OTHER, "b", prompt(*parts))
@@ -110,7 +110,7 @@
 def test_an_answer_clears_the_parts_of_its_prompt(gateway):
     """Guards against refusing a part for the crashes of other requests."""
     gateway.register(accepting_address())
-    convict(gateway, "part-system")
+    quarantine(gateway, "part-system")
     assert gateway.verdict(OTHER, "system", "own").is_refused
     gateway.quarantine.record_success(OTHER, "lab-a", prompt("system", "own"))
     assert not gateway.verdict(OTHER, "system", "own").is_refused
@@ -119,7 +119,7 @@
 
 def test_a_stream_that_is_being_written_clears_nothing(gateway):
     """Guards against a part that is cleared by events that came before its crash."""
-    convict(gateway, ago=0.0)
+    quarantine(gateway, ago=0.0)
     gateway.quarantine.record_progress(prompt("bad", "own"))
     strikes = gateway.ledger.open_strikes(BAD)
     assert len(strikes) == KNOWN_SOUND_PART.crashes
@@ -141,7 +141,7 @@
 
 
 def test_strikes_of_a_gateway_that_has_just_started_need_more(gateway):
-    """Guards against convicting all parts after a restart of all gateways."""
+    """Guards against quarantine of all parts after a restart of all gateways."""
     lose(gateway, RequestFeatures(FINGERPRINT, (BAD,)), "i-1")
     [tracked] = gateway.ledger.open_strikes(BAD)
     assert tracked.state & StrikeState.KNOWN_SOUND
@@ -149,10 +149,10 @@
 
 
 def test_a_part_is_tried_once_and_not_by_each_request(gateway):
-    """Guards against one more crash for each new request with a convicted part."""
+    """Guards against one more crash for each new request with a quarantined part."""
     gateway.register(accepting_address(), "i-old", version="v1")
     new = gateway.register(accepting_address(), "i-new", version="v2")
-    convict(gateway, ago=100.0)
+    quarantine(gateway, ago=100.0)
     verdicts = [
         gateway.verdict(Request("POST", f"/{n}", CRASHING.headers), "bad", "own")
         for n in range(5)
@@ -169,7 +169,7 @@
     gateway.register(accepting_address(), "i-new", version="v2")
     for crash in range(3):
         gateway.ledger.add(strike(FINGERPRINT, crash, at=now() - 100))
-    convict(gateway, ago=10.0)
+    quarantine(gateway, ago=10.0)
     assert gateway.verdict(CRASHING, "bad", "own").is_refused
     assert not gateway.store.list(TRIALS_PREFIX)
     assert gateway.verdict(CRASHING).is_trial
@@ -179,8 +179,8 @@
     """Guards against an error for a request as the last strikes are cleared."""
     gateway.register(accepting_address(), "i-old", version="v1")
     gateway.register(accepting_address(), "i-new", version="v2")
-    convict(gateway, ago=100.0)
-    convict(gateway, "part-other", ago=100.0)
+    quarantine(gateway, ago=100.0)
+    quarantine(gateway, "part-other", ago=100.0)
     claim = gateway.trials.try_claim
 
     def clear_meanwhile(feature, *args, **also):
@@ -193,7 +193,7 @@
 
 def test_an_operator_lifts_a_part(gateway):
     gateway.register(accepting_address())
-    convict(gateway)
+    quarantine(gateway)
     assert gateway.verdict(OTHER, "bad", "own").is_refused
     assert gateway.quarantine.release(BAD)
     assert not gateway.verdict(OTHER, "bad", "own").is_refused
@@ -211,13 +211,13 @@
     assert "/" not in odd
 
 
-def test_a_part_is_judged_once_it_is_old_enough(gateway):
-    """Guards against a conviction that waits for one more crash."""
+def test_a_part_is_assessed_once_it_is_old_enough(gateway):
+    """Guards against a quarantine that waits for one more crash."""
     gateway.register(accepting_address())
-    convict(gateway, ago=PART.min_age.total_seconds() - 0.2)
+    quarantine(gateway, ago=PART.min_age.total_seconds() - 0.2)
     assert not gateway.verdict(OTHER, "bad", "own").is_refused
     sleep(timedelta(seconds=0.3))
     assert gateway.verdict(OTHER, "bad", "own").is_refused
     gateway.ledger.clear(BAD)
-    convict(gateway, "part-next", ago=0.0)
+    quarantine(gateway, "part-next", ago=0.0)
     assert not gateway.verdict(OTHER, "next", "own").is_refused
