One check of a response's end, one record of a run's progress, one way to refuse what was quarantined since

The end of a response without a length was checked by two copies, at the gateway and behind the hop; so was how long a run had been written. A request that was quarantined after its admission was held back as if its endpoint took none and chosen for once more; it now ends where that is noticed, is counted, and a line names the feature (none did). Parts in log lines are those of the quarantine's lines, of bounded length. An answer costs a digest only while strikes count. A strike of an earlier crash that is reported late is no longer taken for the last one's.

--- a/src/sassafrasdale/decisions/blame.py
+++ b/src/sassafrasdale/decisions/blame.py
@@ -95,8 +95,8 @@
     """Which features are quarantined.
 
     :param quarantined: features that must not reach endpoints.
-    :param due_at: when more may be quarantined without further crashes, in seconds since
-        1970; None for never.
+    :param due_at: when more may be quarantined without further crashes, in seconds
+        since 1970; None for never.
     """
 
     quarantined: frozenset[str] = frozenset()
--- a/src/sassafrasdale/decisions/quarantine.py
+++ b/src/sassafrasdale/decisions/quarantine.py
@@ -92,6 +92,11 @@
             self._assess()
         return self._assessment.quarantined
 
+    @property
+    def has_open_strikes(self) -> bool:
+        """Whether any strikes count against any feature."""
+        return bool(self._open)
+
     def add(self, strike: Strike, state: StrikeState = StrikeState.NEW) -> bool:
         """Add an observed or reported strike, and return whether it is new."""
         is_new = self._merge(strike, state)
@@ -104,19 +109,15 @@
         """Clear the strikes of a feature, and return whether it had any."""
         return self._add_state(fingerprint, StrikeState.CLEARED)
 
-    def note_sound(self, fingerprint: str) -> bool:
-        """Note that a request with a feature runs well; return whether it is new."""
-        return self._add_state(fingerprint, StrikeState.KNOWN_SOUND)
+    def note_sound(self, fingerprint: str) -> None:
+        """Note that a request with a feature runs well."""
+        self._add_state(fingerprint, StrikeState.KNOWN_SOUND)
 
     def open_strikes(self, fingerprint: str) -> list[TrackedStrike]:
         """Return the strikes that count against a feature, oldest first."""
         strikes = self._open.get(fingerprint, {}).values()
         return sorted(strikes, key=lambda tracked: tracked.strike.at)
 
-    def has_open(self, fingerprint: str) -> bool:
-        """Return whether any strikes count against a feature."""
-        return fingerprint in self._open
-
     def may_retry(self, features: Iterable[str]) -> bool:
         """Return whether an attempt may be retried on another endpoint.
 
@@ -172,11 +173,11 @@
         return True
 
     def _update_open(self, tracked: TrackedStrike) -> None:
-        feature = tracked.strike.fingerprint
-        if tracked.is_open:
-            self._open.setdefault(feature, {})[tracked.strike] = tracked
+        if not tracked.is_open:
+            self._close(tracked)
             return
-        self._close(tracked)
+        strikes = self._open.setdefault(tracked.strike.fingerprint, {})
+        strikes[tracked.strike] = tracked
 
     def _close(self, tracked: TrackedStrike) -> None:
         feature = tracked.strike.fingerprint
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -12,6 +12,7 @@
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.decisions.stream_versions import StreamBinding
+from sassafrasdale.decisions.strikes import PART_PREFIX
 from sassafrasdale.deployment import RequestKind
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.advertisements.endpoint_gate import NO_ENDPOINT_RETRY_AFTER
@@ -42,11 +43,10 @@
     QUARANTINED,
     RequestQuarantine,
 )
-from sassafrasdale.gateway.quarantine.soundness import SOUND_AFTER
+from sassafrasdale.gateway.quarantine.soundness import RunProgress
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
-    ConnectionLost,
     HttpError,
     MalformedResponse,
     NotConnected,
@@ -106,9 +106,7 @@
         self._attempts = 0
         self._tried: set[str] = set(admitted.avoided)
         self._endpoint_crashed = False
-        # Whether the current attempt has been written for a while.
-        self._was_sound = False
-        self._events_before_attempt = 0
+        self._progress = RunProgress()
         self._may_have_run = False
         self._splitter = EventSplitter(admitted.traits.resume_after)
         self._first_byte_at: timedelta | None = None
@@ -156,11 +154,7 @@
 
     def _start_attempt(self) -> Attempt:
         admitted = self._admitted
-        if self._is_quarantined():
-            self._give_up(
-                AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED),
-                QUARANTINE_RETRY_AFTER,
-            )
+        self._give_up_if_quarantined()
         is_retry = self._attempts > 0
         attempt = self._fleet.start_attempt(
             admitted.service,
@@ -240,11 +234,9 @@
         if not self._fleet.may_send(attempt):
             raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
         # It may have waited for its endpoint since it was checked.
-        if self._is_quarantined():
-            raise AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED)
+        self._give_up_if_quarantined()
         self._endpoint_crashed = False
-        self._was_sound = False
-        self._events_before_attempt = self._splitter.count
+        self._progress = RunProgress()
         time_left = admitted.deadline - self._clock.elapsed()
         if time_left <= timedelta():
             raise AttemptFailed(AttemptOutcome.WITHHELD, "no time left")
@@ -315,7 +307,7 @@
         if admitted.route.kind is RequestKind.STREAM and succeeded:
             return self._relay_stream(path, head, attempt)
         body = path.read_body(admitted.deadline)
-        self._check_end(path, attempt)
+        path.check_complete(self._quarantine.has_crashed)
         self._record_first_byte(attempt, is_prefilled=succeeded)
         if head.status >= 500 and self._may_retry_status():
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
@@ -336,7 +328,6 @@
         deadline = admitted.deadline
         gaps: list[timedelta] = []
         last_at: timedelta | None = None
-        sound_at: timedelta | None = None
         try:
             while data := path.read_data(deadline):
                 complete = splitter.feed(data)
@@ -346,20 +337,16 @@
                 if not complete:
                     continue
                 now = self._clock.elapsed()
-                if last_at is None:
-                    sound_at = now + SOUND_AFTER
-                elif len(gaps) < MAX_EVENT_GAPS:
+                if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
                     gaps.append(now - last_at)
                 last_at = now
-                if sound_at is not None and now >= sound_at:
-                    sound_at = None
-                    self._was_sound = True
+                if self._progress.note_data(now):
                     self._quarantine.record_progress(admitted.traits.parts)
                 self._record_first_byte(attempt)
                 if not self._caller.response_started:
                     self._caller.begin(head.status, caller_headers(head))
                 self._caller.write(complete)
-            self._check_end(path, attempt)
+            path.check_complete(self._quarantine.has_crashed)
         except HttpError:
             splitter.drop_partial()
             raise
@@ -373,15 +360,6 @@
         self._record_success()
         return head.status
 
-    def _check_end(self, path: Path, attempt: Attempt) -> None:
-        """Check an answer that ended with its connection alone.
-
-        :raises ConnectionLost: if the endpoint has crashed, so that it may have been
-            broken off.
-        """
-        if path.ends_with_connection and self._quarantine.has_crashed(attempt.record):
-            raise ConnectionLost("the endpoint crashed, and the answer has no length")
-
     def _record_success(self) -> None:
         admitted = self._admitted
         self._quarantine.record_success(
@@ -482,14 +460,12 @@
         if failure.reason != CONNECTION_LOST or attempt.forwarder:
             return None
         self._paths.record_lost_connection(attempt.record)
-        begun = self._splitter.count > self._events_before_attempt
         record = attempt.record
         self._endpoint_crashed = self._quarantine.record_lost_connection(
             self._features,
             record,
-            begun=begun,
+            self._progress,
             registered=self._fleet.is_registered(record),
-            was_sound=self._was_sound,
         )
         return self._endpoint_crashed
 
@@ -500,16 +476,20 @@
             admitted.request, admitted.customer_name, admitted.traits.parts
         )
 
-    def _is_quarantined(self) -> bool:
-        """Return whether the request was quarantined after it was admitted."""
+    def _give_up_if_quarantined(self) -> None:
+        """End the request if it was quarantined after it was admitted."""
         if self._admitted.is_trial or self._quarantine.is_empty:
-            return False
-        return self._quarantine.is_quarantined(self._features)
+            return
+        if self._quarantine.refused_feature(self._features):
+            self._give_up(
+                AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED),
+                QUARANTINE_RETRY_AFTER,
+            )
 
     def _logged_parts(self) -> list[str] | None:
         """Return the first parts of the prompt that other requests may share."""
-        shared = self._admitted.traits.parts[:-1]
-        return [part.name for part in shared[:MAX_LOGGED_PARTS]] or None
+        shared = self._features.parts[:MAX_LOGGED_PARTS]
+        return [part.removeprefix(PART_PREFIX) for part in shared] or None
 
     def _may_retry_status(self) -> bool:
         """Return whether a 5xx response may be retried at another endpoint."""
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -104,11 +104,6 @@
         """Name of the peer that forwards; empty here."""
         return ""
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether only the end of the connection ends the response."""
-        return self._connection.ends_with_connection
-
     def send(self, request: Request) -> None:
         """Send the request.
 
@@ -131,6 +126,17 @@
         """Return the whole body."""
         return self._connection.read_body(deadline)
 
+    def check_complete(self, has_crashed: Callable[[EndpointRecord], bool]) -> None:
+        """Check that a response that was read to its end is complete.
+
+        :param has_crashed: returns whether an endpoint that has just closed a
+            connection has crashed.
+        :raises ConnectionLost: if only the connection's end has ended it, and the
+            endpoint has crashed.
+        """
+        if self._connection.ends_with_connection and has_crashed(self._record):
+            raise ConnectionLost("the endpoint crashed, and the response has no length")
+
     def close(self) -> None:
         """Close the connection, which cancels the request."""
         self._connection.close()
@@ -178,11 +184,6 @@
         """Name of the peer that forwards."""
         return self._contact.name
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether only its end ends the response; the peer passes it on in chunks."""
-        return False
-
     def send(self, request: Request) -> None:
         """Send the request to the peer.
 
@@ -270,6 +271,9 @@
         if outcome_of(end) is not None:
             raise ForwardFailed(reason_in(end))
 
+    def check_complete(self, has_crashed: Callable[[EndpointRecord], bool]) -> None:
+        """Do nothing: the peer has checked it, and the connection is the peer's."""
+
     def close(self) -> None:
         """Close the connection, which cancels the request."""
         self._connection.close()
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
@@ -39,10 +38,9 @@
     QUARANTINED,
     RequestQuarantine,
 )
-from sassafrasdale.gateway.quarantine.soundness import SOUND_AFTER
+from sassafrasdale.gateway.quarantine.soundness import RunProgress
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
-    ConnectionLost,
     HttpError,
     NotConnected,
 )
@@ -224,7 +222,7 @@
         deadline = began_at + time_left
         headers = with_time_left(forwarded.headers, time_left)
         request = Request(forwarded.method, forwarded.target, headers, forwarded.body)
-        relayed = _Relayed()
+        progress = RunProgress()
         try:
             path.send(request)
             echoed = (REQUEST_ID, request.header(REQUEST_ID))
@@ -232,16 +230,13 @@
             signals = read_signals(head)
             if signals is not None:
                 self._gate.observe(record.name, signals, began_at)
-            self._pass_on(peer, path, head, deadline, relayed)
-            if path.ends_with_connection and self._quarantine.has_crashed(record):
-                raise ConnectionLost("the endpoint crashed, the answer has no length")
-            peer.end()
+            self._pass_on(peer, path, head, deadline, progress)
         except HttpError as error:
             path.close()
             if isinstance(error, CallerDisconnected) or peer.is_disconnected:
                 raise CallerDisconnected from error
             reason = reason_of(error)
-            self._record_lost(forwarded, record, reason, relayed)
+            self._record_lost(forwarded, record, reason, progress)
             raise _NotForwarded(ForwardOutcome.UNKNOWN, reason) from error
 
     def _pass_on(
@@ -250,20 +245,22 @@
         path: DirectPath,
         head: ResponseHead,
         deadline: timedelta,
-        relayed: "_Relayed",
+        progress: RunProgress,
     ) -> None:
         passed = ResponseHead(head.status, without_own_headers(caller_headers(head)))
         peer.begin(head.status, response_headers(passed.headers, self._in_flight))
         while data := path.read_data(deadline):
-            relayed.note(self._clock.elapsed())
+            progress.note_data(self._clock.elapsed())
             peer.write(data)
+        path.check_complete(self._quarantine.has_crashed)
+        peer.end()
 
     def _record_lost(
         self,
         forwarded: ForwardedRequest,
         record: EndpointRecord,
         reason: str,
-        relayed: "_Relayed",
+        progress: RunProgress,
     ) -> None:
         if reason != CONNECTION_LOST:
             return
@@ -273,9 +270,8 @@
         self._quarantine.record_lost_connection(
             _features_of(forwarded),
             record,
-            begun=relayed.began_at is not None,
+            progress,
             registered=registered and record.is_ready,
-            was_sound=relayed.was_sound,
         )
 
     def _time_left(self, forwarded: ForwardedRequest) -> timedelta:
@@ -304,30 +300,12 @@
     def _is_quarantined(self, forwarded: ForwardedRequest) -> bool:
         if forwarded.is_trial or self._quarantine.is_empty:
             return False
-        return self._quarantine.is_quarantined(_features_of(forwarded))
+        return bool(self._quarantine.refused_feature(_features_of(forwarded)))
 
     def _takes_requests(self, record: EndpointRecord) -> bool:
         return record.is_ready and not self._gate.is_backed_off(record)
 
 
-@dataclass(slots=True)
-class _Relayed:
-    """How much of an endpoint's response was passed on.
-
-    :ivar began_at: elapsed time of its first data; None if there was none.
-    :ivar was_sound: whether the endpoint had been writing it for a while.
-    """
-
-    began_at: timedelta | None = None
-    was_sound: bool = False
-
-    def note(self, now: timedelta) -> None:
-        """Note that data has been received."""
-        if self.began_at is None:
-            self.began_at = now
-        self.was_sound = now - self.began_at >= SOUND_AFTER
-
-
 def _features_of(forwarded: ForwardedRequest) -> RequestFeatures:
     try:
         parts = read_parts(forwarded.headers)
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -21,7 +21,7 @@
     part_features,
     shared_part_features,
 )
-from sassafrasdale.gateway.quarantine.soundness import SoundParts
+from sassafrasdale.gateway.quarantine.soundness import RunProgress, SoundParts
 from sassafrasdale.gateway.quarantine.strike_recorder import LostRun, StrikeRecorder
 from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
@@ -142,13 +142,18 @@
         """Whether nothing is quarantined."""
         return not self._ledger.quarantined
 
-    def is_quarantined(self, features: RequestFeatures) -> bool:
-        """Return whether any feature of a request is quarantined by now."""
-        return bool(self._quarantined_among(features))
+    def refused_feature(self, features: RequestFeatures) -> str:
+        """Return a feature for which a request is refused by now; empty if none.
 
-    def _quarantined_among(self, features: RequestFeatures) -> list[str]:
+        It may have been admitted before that feature was quarantined.
+        """
         quarantined = self._ledger.quarantined
-        return [feature for feature in features.all if feature in quarantined]
+        found = (feature for feature in features.all if feature in quarantined)
+        feature = next(found, "")
+        if feature:
+            self._count(REFUSALS)
+            log.info("no longer admitted", fingerprint=feature)
+        return feature
 
     def _check_feature(
         self, feature: str, endpoints: Collection[EndpointRecord]
@@ -169,24 +174,21 @@
         self,
         features: RequestFeatures,
         record: EndpointRecord,
+        progress: RunProgress,
         *,
-        begun: bool,
         registered: bool,
-        was_sound: bool = False,
     ) -> bool:
         """Record a lost connection and return whether the endpoint has crashed.
 
         A leaving endpoint stops as planned, whatever it runs, so that is no strike.
 
         :param features: of the request.
-        :param begun: whether the endpoint had produced events for it.
+        :param progress: how far its answer had come.
         :param registered: whether the endpoint is registered as ready.
-        :param was_sound: whether it had produced events for a while.
         """
-        version = record.endpoint.version
-        run = LostRun(features, record.name, version, begun, was_sound)
+        run = LostRun(features, record.name, record.endpoint.version, progress)
         now = self._clock.elapsed()
-        has_crashed = record.is_unreachable or self._crash_detector.has_crashed(record)
+        has_crashed = self.has_crashed(record)
         if not registered and not record.is_unreachable:
             return has_crashed
         if has_crashed:
@@ -247,7 +249,7 @@
         """Clear the strikes of a request's features as an endpoint has completed it."""
         features = part_features(parts)
         self._sound_parts.note(features)
-        if not len(self._ledger):
+        if not self._ledger.has_open_strikes:
             return
         for feature in (fingerprint_of(request, customer), *features):
             if self._ledger.clear(feature):
@@ -259,8 +261,7 @@
         features = part_features(parts)
         self._sound_parts.note(features)
         for feature in features:
-            if self._ledger.has_open(feature):
-                self._ledger.note_sound(feature)
+            self._ledger.note_sound(feature)
 
     def release(self, fingerprint: str) -> bool:
         """Release a request from quarantine, as an operator asks."""
--- a/src/sassafrasdale/gateway/quarantine/soundness.py
+++ b/src/sassafrasdale/gateway/quarantine/soundness.py
@@ -1,6 +1,7 @@
 """Memory of the parts of prompts that endpoints have run well."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
@@ -16,6 +17,27 @@
 LEARNING_TIME = timedelta(seconds=10)
 
 
+@dataclass(slots=True)
+class RunProgress:
+    """How long an endpoint has been writing an answer.
+
+    :ivar began_at: elapsed time of its first data; None if there was none.
+    :ivar is_sound: whether it has been written for so long that no part of its prompt
+        crashes the endpoint.
+    """
+
+    began_at: timedelta | None = None
+    is_sound: bool = False
+
+    def note_data(self, now: timedelta) -> bool:
+        """Record data, and return whether it has just turned out to be sound."""
+        if self.began_at is None:
+            self.began_at = now
+        was_sound = self.is_sound
+        self.is_sound = now - self.began_at >= SOUND_AFTER
+        return self.is_sound and not was_sound
+
+
 class SoundParts:
     """Parts of prompts with which requests have run well at this gateway.
 
--- a/src/sassafrasdale/gateway/quarantine/strike_recorder.py
+++ b/src/sassafrasdale/gateway/quarantine/strike_recorder.py
@@ -8,7 +8,7 @@
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.decisions.strikes import SAME_CRASH_WINDOW, Strike, StrikeState
 from sassafrasdale.gateway.quarantine.fingerprints import RequestFeatures
-from sassafrasdale.gateway.quarantine.soundness import SoundParts
+from sassafrasdale.gateway.quarantine.soundness import RunProgress, SoundParts
 from sassafrasdale.gateway.usage import ClusterTime
 
 # Most parts of one request that are struck by a crash.
@@ -22,16 +22,17 @@
     """A request's run at an endpoint that ended without a response.
 
     :param version: of the endpoint's software.
-    :param begun: whether the run had produced events.
-    :param was_sound: whether it had produced events for a while, so that no part of its
-        prompt crashed the endpoint.
     """
 
     features: RequestFeatures
     endpoint: str
     version: str
-    begun: bool
-    was_sound: bool
+    progress: RunProgress
+
+    @property
+    def begun(self) -> bool:
+        """Whether the run had produced events."""
+        return self.progress.began_at is not None
 
 
 class StrikeRecorder:
@@ -66,7 +67,7 @@
         """
         at = self._time.seconds - age.total_seconds()
         self._ledger.add(self._strike(run.features.fingerprint, run, at))
-        if not run.was_sound:
+        if not run.progress.is_sound:
             for part in self._parts_to_strike(run.features.parts):
                 self._strike_part(part, run, at)
 
@@ -80,7 +81,8 @@
     def _strike_part(self, part: str, run: LostRun, at: float) -> None:
         """Strike a part, once for all requests with it that a crash has ended."""
         key = (part, run.endpoint, run.begun)
-        if at - self._struck_at.get(key, -inf) <= SAME_CRASH_WINDOW.total_seconds():
+        apart = abs(at - self._struck_at.get(key, -inf))
+        if apart <= SAME_CRASH_WINDOW.total_seconds():
             return
         self._struck_at.pop(key, None)
         self._struck_at[key] = at
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -14,7 +14,7 @@
     fingerprint_of,
 )
 from sassafrasdale.gateway.quarantine.quarantine import RequestQuarantine
-from sassafrasdale.gateway.quarantine.soundness import SoundParts
+from sassafrasdale.gateway.quarantine.soundness import RunProgress, SoundParts
 from sassafrasdale.gateway.quarantine.trials import Trials
 from sassafrasdale.gateway.usage import ClusterTime
 from sassafrasdale.green import sleep
@@ -94,7 +94,7 @@
         assert not gateway.verdict().is_refused
         record = gateway.register(refusing_address(), f"i-{number}")
         assert gateway.quarantine.record_lost_connection(
-            FEATURES, record, begun=False, registered=True
+            FEATURES, record, RunProgress(), registered=True
         )
     assert gateway.verdict().is_refused
     assert gateway.verdict().fingerprint == FINGERPRINT
@@ -107,7 +107,7 @@
     record = gateway.register(accepting_address(), born=1)
     for _ in range(10):
         assert not gateway.quarantine.record_lost_connection(
-            FEATURES, record, begun=False, registered=True
+            FEATURES, record, RunProgress(), registered=True
         )
     assert len(gateway.ledger) == 0
 
@@ -117,7 +117,7 @@
     for number in range(5):
         record = gateway.register(refusing_address(), f"i-{number}")
         assert gateway.quarantine.record_lost_connection(
-            FEATURES, record, begun=False, registered=False
+            FEATURES, record, RunProgress(), registered=False
         )
     assert len(gateway.ledger) == 0
 
@@ -127,7 +127,7 @@
     address = accepting_address()
     record = gateway.register(address, born=1)
     assert not gateway.quarantine.record_lost_connection(
-        FEATURES, record, begun=False, registered=True
+        FEATURES, record, RunProgress(), registered=True
     )
     gateway.register(address, born=2)
     assert len(gateway.ledger.open_strikes(FINGERPRINT)) == 1
@@ -141,7 +141,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     record = gateway.register(Address(*listener.getsockname()))
     assert not gateway.quarantine.record_lost_connection(
-        FEATURES, record, begun=False, registered=True
+        FEATURES, record, RunProgress(), registered=True
     )
     if not is_alive:
         listener.close()
--- a/tests/gateway/quarantine/test_quarantined_parts.py
+++ b/tests/gateway/quarantine/test_quarantined_parts.py
@@ -13,12 +13,14 @@
     part_features,
     shared_part_features,
 )
+from sassafrasdale.gateway.quarantine.soundness import RunProgress
 from sassafrasdale.gateway.quarantine.strike_recorder import MAX_STRUCK_PARTS
 from sassafrasdale.gateway.quarantine.trials import TRIALS_PREFIX
 from sassafrasdale.green import sleep
 from sassafrasdale.http.messages import Request
 from tests.decisions.test_quarantine import strike
 from tests.gateway.quarantine.test_quarantine import (
+    CLOCK,
     CRASHING,
     FINGERPRINT,
     Gateway,
@@ -49,10 +51,10 @@
     return [PromptPart(name, 100) for name in names]
 
 
-def lose(gateway: Gateway, features: RequestFeatures, name: str, *, begun=False):
+def lose(gateway: Gateway, features: RequestFeatures, name: str):
     record = gateway.register(refusing_address(), name)
     gateway.quarantine.record_lost_connection(
-        features, record, begun=begun, registered=True
+        features, record, RunProgress(), registered=True
     )
 
 
@@ -74,7 +76,8 @@
     verdict = gateway.verdict(OTHER, *parts)
     assert verdict.is_refused is is_refused
     features = gateway.quarantine.features_of(OTHER, "b", prompt(*parts))
-    assert gateway.quarantine.is_quarantined(features) is is_refused
+    refused = gateway.quarantine.refused_feature(features)
+    assert refused == (BAD if is_refused else "")
     assert verdict.fingerprint == (BAD if is_refused else "")
 
 
@@ -92,7 +95,7 @@
         gateway.quarantine.record_lost_connection(
             RequestFeatures(f"r-{number}", ("part-system",)),
             record,
-            begun=bool(number % 2),
+            RunProgress(began_at=CLOCK.elapsed() if number % 2 else None),
             registered=True,
         )
     assert len(gateway.ledger.open_strikes("part-system")) == 2
@@ -132,9 +135,8 @@
     gateway.quarantine.record_lost_connection(
         RequestFeatures(FINGERPRINT, (BAD,)),
         record,
-        begun=True,
+        RunProgress(began_at=CLOCK.elapsed(), is_sound=True),
         registered=True,
-        was_sound=True,
     )
     assert gateway.ledger.open_strikes(FINGERPRINT)
     assert not gateway.ledger.open_strikes(BAD)
--- a/tests/gateway/quarantine/test_soundness.py
+++ b/tests/gateway/quarantine/test_soundness.py
@@ -6,6 +6,8 @@
 from sassafrasdale.gateway.quarantine.soundness import (
     LEARNING_TIME,
     MAX_AGE,
+    SOUND_AFTER,
+    RunProgress,
     SoundParts,
 )
 
@@ -43,3 +45,13 @@
     assert parts.is_learning
     clock.advance(LEARNING_TIME)
     assert not parts.is_learning
+
+
+def test_an_answer_is_sound_once_it_has_been_written_for_a_while():
+    progress = RunProgress()
+    assert not progress.note_data(SECOND)
+    assert progress.began_at == SECOND
+    assert not progress.note_data(SECOND + SOUND_AFTER * 0.9)
+    assert progress.note_data(SECOND + SOUND_AFTER)
+    assert progress.is_sound
+    assert not progress.note_data(2 * SECOND)
