Tests' restarts of gateways and statuses of responses stand once

Four files killed and started gateways by the same loop, three read a status by a function of their own. The soak's check looks its causes up in one place, a stand-in writes its events in one.

--- a/bench/blame/__main__.py
+++ b/bench/blame/__main__.py
@@ -5,9 +5,10 @@
     python -m bench.blame DAYS
 """
 
-import sys
 from statistics import mean
 
+from cyclopts import run
+
 from bench.blame.model import Day, Deployment, Outcome
 
 # Delay of the exchange between all gateways.
@@ -33,7 +34,10 @@
 
 
 def main(days: int) -> None:
-    """Print one row for each number of gateways and kind of day."""
+    """Print one row for each number of gateways and kind of day.
+
+    :param days: number of days of each.
+    """
     print("gateways | day | crashes | most | late, most | innocents a day | refused")
     for gateways, delay_s in DELAYS.items():
         for name, deployment in deployments(delay_s).items():
@@ -55,4 +59,4 @@
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]))
+    run(main)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -10,6 +10,7 @@
 from bench.soak.deployment import (
     APPLY_TIME,
     BUSY,
+    CRASH_PART,
     CRASHING,
     CRASHING_PART,
     DRAIN_TIME,
@@ -284,15 +285,16 @@
     runs = defaultdict(list)
     for arrival in record.arrivals:
         request = record.by_id.get(arrival.run.request_id)
-        if request is None:
-            continue
-        if request.spec.kind is CRASHING:
-            runs[request.target].append((arrival.run.at, request))
-        elif request.spec.kind is CRASHING_PART:
-            runs[CRASHING_PART.name].append((arrival.run.at, request))
-    for target, attempts in runs.items():
+        match request and request.spec.kind.name:
+            case CRASHING.name:
+                cause = (request.target, MAX_CRASHES)
+            case CRASHING_PART.name:
+                cause = (CRASH_PART, MAX_PART_CRASHES)
+            case _:
+                continue
+        runs[cause].append((arrival.run.at, request))
+    for (what, most), attempts in runs.items():
         attempts.sort(key=lambda run: run[0])
-        most = MAX_PART_CRASHES if target == CRASHING_PART.name else MAX_CRASHES
         if len(attempts) < most:
             continue
         known_at = attempts[most - 1][0] + CRASH_DELAY + RESYNC_TIME
@@ -305,7 +307,7 @@
             )
         ]
         if len(late) > MAX_LATE_ATTEMPTS:
-            seen = f"{target}: {len(attempts)} crashes, {len(late)} attempts too late"
+            seen = f"{what}: {len(attempts)} crashes, {len(late)} attempts too late"
             yield Violation("crashing requests", seen)
 
 
--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -368,9 +368,7 @@
                 connection.begin(200, [*headers, ("content-type", "text/event-stream")])
                 connection.flush()
             for number in range(1, (defect.events or 0) + 1):
-                token = f"token {number} of {request.target}"
-                connection.write(f"id: {number}\ndata: {token}\n\n".encode())
-                sleep(self.event_time)
+                self._write_event(connection, request, number, self._version)
         self.crash()
 
     def _refuse(
@@ -420,13 +418,18 @@
         first = int(request.header("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             self._keep_silent()
-            token = f"token {number} of {request.target}"
-            if self.names_version:
-                token += f" by {version}"
-            connection.write(f"id: {number}\ndata: {token}\n\n".encode())
-            sleep(self.event_time)
+            self._write_event(connection, request, number, version)
         connection.end()
 
+    def _write_event(
+        self, connection: ServerConnection, request: Request, number: int, version: str
+    ) -> None:
+        token = f"token {number} of {request.target}"
+        if self.names_version:
+            token += f" by {version}"
+        connection.write(f"id: {number}\ndata: {token}\n\n".encode())
+        sleep(self.event_time)
+
     def _keep_silent(self) -> None:
         while self._clock.elapsed() < self.silent_until:
             sleep(timedelta(milliseconds=10))
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -197,6 +197,22 @@
             gateway.close()
 
 
+def restart(gateways: Sequence[GatewayProcess]) -> None:
+    """Kill gateways at once, start them again, and wait until they are ready."""
+    for gateway in gateways:
+        gateway.signal(KILL)
+    for gateway in gateways:
+        wait_for(lambda g=gateway: g.exit_code() is not None, "it still runs")
+        gateway.launch()
+    for gateway in gateways:
+        gateway.wait_until_ready()
+
+
+def status_of(response: bytes) -> int:
+    """Return the status of a raw response; 0 if there is none."""
+    return int(response[9:12] or 0)
+
+
 def wait_for(condition, failure: str, limit: timedelta = LIMIT) -> None:
     """Wait until a condition holds, while the stand-ins' green threads run.
 
--- a/tests/gateway/forwarding/test_hop.py
+++ b/tests/gateway/forwarding/test_hop.py
@@ -14,7 +14,7 @@
 from sassafrasdale.green import listen, sleep, spawn
 from sassafrasdale.http.server import HttpServer
 from sassafrasdale.structures import Address
-from standins.gateway_fleet import wait_for
+from standins.gateway_fleet import status_of, wait_for
 from tests.gateway.world import (
     ScriptedEndpoint,
     World,
@@ -35,10 +35,6 @@
 SHORT = timedelta(milliseconds=100)
 
 
-def status_of(response: bytes) -> int:
-    return int(response.split(b" ", 2)[1])
-
-
 class Unlisted:
     """An endpoint of which only the address is known."""
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -6,9 +6,11 @@
 import pytest
 
 from sassafrasdale.clock import SystemClock
+from sassafrasdale.decisions.blame import KNOWN_SOUND_PART
+from sassafrasdale.decisions.strikes import Strike
 from sassafrasdale.deployment import EndpointState
 from sassafrasdale.green import sleep
-from standins.gateway_fleet import wait_for
+from standins.gateway_fleet import status_of, wait_for
 from tests.gateway.world import (
     CrashingEndpoint,
     PowerLossEndpoint,
@@ -48,10 +50,6 @@
     return data
 
 
-def status_of(response: bytes) -> int:
-    return int(response.split(b" ", 2)[1])
-
-
 def test_a_failure_counts_before_the_endpoint_is_probed():
     """Guards against requests sent to a failed endpoint while it is being probed."""
     world = World()
@@ -456,6 +454,27 @@
     assert sum(len(endpoint.requests) for endpoint in endpoints) == 2
 
 
+def test_a_request_that_is_quarantined_while_it_waits_is_not_sent():
+    """Guards against sends of requests that were admitted before a quarantine."""
+    world = World(routes=only_reports())
+    endpoint = ScriptedEndpoint(streamed(1, 2))
+    world.add("i-1", "models", endpoint)
+    may_send = world.fleet.may_send
+
+    def quarantine_meanwhile(attempt) -> bool:
+        at = CLOCK.now().timestamp() - 10
+        for crash in range(KNOWN_SOUND_PART.crashes):
+            struck = Strike("part-aa", f"i-{crash}", "", False, at, "g", f"r-{crash}")
+            world.strikes.add(struck)
+        return may_send(attempt)
+
+    world.fleet.may_send = quarantine_meanwhile
+    response = world.ask(request("/reports/7", **STREAM))
+    assert status_of(response) == 503
+    assert float(header(response, "retry-after")) >= 30
+    assert endpoint.requests == []
+
+
 def test_a_stream_survives_two_crashes():
     """Guards against aborting streams that only ran beside a crashing request."""
     world = World(routes=only_reports(maxTries=5))
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.gateway.test_exchange import STREAM, body_of, only_reports, status_of
+from standins.gateway_fleet import status_of
+from tests.gateway.test_exchange import STREAM, body_of, only_reports
 from tests.gateway.world import CrashingEndpoint, World, event, request
 from tests.platform.documents import configuration
 
--- a/tests/guarantees/crashing_prompts.py
+++ b/tests/guarantees/crashing_prompts.py
@@ -7,7 +7,7 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import PartDefect, Run, StandInEndpoint
-from standins.gateway_fleet import ask
+from standins.gateway_fleet import ask, status_of
 from tests.gateway.world import request
 from tests.guarantees.gateway_fleets import (
     RunningFleet,
@@ -40,7 +40,7 @@
     @property
     def status(self) -> int:
         """Status of the response; 0 if there was none."""
-        return int(self.response[9:12] or 0)
+        return status_of(self.response)
 
     @property
     def is_complete(self) -> bool:
--- a/tests/guarantees/test_brittle_endpoints.py
+++ b/tests/guarantees/test_brittle_endpoints.py
@@ -8,7 +8,7 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import Brittleness
-from standins.gateway_fleet import KILL, ask, wait_for
+from standins.gateway_fleet import ask, restart
 from tests.gateway.world import header, request
 from tests.guarantees.gateway_fleets import (
     RunningFleet,
@@ -146,11 +146,7 @@
     deployment.let_none_wait()
     since = CLOCK.elapsed()
     for number in (0, 1):
-        gateway = deployment.fleet.gateways[number]
-        gateway.signal(KILL)
-        wait_for(lambda g=gateway: g.exit_code() is not None, "it still runs")
-        gateway.launch()
-        gateway.wait_until_ready()
+        restart([deployment.fleet.gateways[number]])
         sleep(2 * SECOND)
     sleep(2 * SECOND)
     assert deployment.falls(since) <= ALLOWED_FALLS
--- a/tests/guarantees/test_crashing_parts.py
+++ b/tests/guarantees/test_crashing_parts.py
@@ -8,7 +8,7 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import PartDefect
-from standins.gateway_fleet import KILL, wait_for
+from standins.gateway_fleet import restart
 from standins.kv_store import Fault
 from tests.guarantees.crashing_prompts import (
     BAD_PART,
@@ -91,21 +91,13 @@
     assert {each.status for each in deployment.bad[-10:]} == {503}
 
 
-def kill_all(deployment: CrashingPrompts) -> None:
-    for gateway in deployment.fleet.gateways:
-        gateway.signal(KILL)
-    for gateway in deployment.fleet.gateways:
-        wait_for(lambda g=gateway: g.exit_code() is not None, "it is still running")
-        gateway.launch()
-
-
 def test_a_part_is_kept_from_engines_after_a_restart_of_all_gateways(play_story):
     """Guards against as many crashes again, as nobody remembers the first ones.
 
     All gateways are killed after the first crashes, and know nothing of what is sound.
     """
     deployment = play_story(Prompts(bad_at=1), PartDefect(BAD_PART))
-    sound = play(deployment, kill_all)
+    sound = play(deployment, lambda played: restart(played.fleet.gateways))
     assert deployment.late_sends() <= MAX_LATE_SENDS
     assert sound >= MIN_SOUND_SHARE
 
--- a/tests/guarantees/test_crashing_requests.py
+++ b/tests/guarantees/test_crashing_requests.py
@@ -8,7 +8,7 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
-from standins.gateway_fleet import KILL, GatewayFleet, ask, wait_for
+from standins.gateway_fleet import GatewayFleet, ask, restart, wait_for
 from standins.kv_store import Fault
 from tests.gateway.world import header
 from tests.platform.documents import configuration, settings
@@ -81,12 +81,7 @@
 
     def kill_all(self) -> None:
         """Kill all gateways at once and restart them."""
-        for gateway in self.fleet.gateways:
-            gateway.signal(KILL)
-        for gateway in self.fleet.gateways:
-            wait_for(lambda g=gateway: g.exit_code() is not None, "it is still running")
-            gateway.launch()
-        self.wait_until_ready()
+        restart(self.fleet.gateways)
 
 
 ONE_SERVICE = [
--- a/tests/guarantees/test_endpoint_signals.py
+++ b/tests/guarantees/test_endpoint_signals.py
@@ -9,7 +9,7 @@
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
 from standins.gateway_endpoints import StandInEndpoint
-from standins.gateway_fleet import KILL, ask, wait_for
+from standins.gateway_fleet import ask, restart
 from tests.gateway.world import header, request
 from tests.guarantees.gateway_fleets import (
     RunningFleet,
@@ -77,14 +77,7 @@
 
     def restart(self, *numbers: int) -> None:
         """Kill gateways at once and start them again."""
-        killed = [self.fleet.gateways[number] for number in numbers]
-        for gateway in killed:
-            gateway.signal(KILL)
-        for gateway in killed:
-            wait_for(lambda g=gateway: g.exit_code() is not None, "it still runs")
-            gateway.launch()
-        for gateway in killed:
-            gateway.wait_until_ready()
+        restart([self.fleet.gateways[number] for number in numbers])
 
 
 @pytest.fixture
--- a/tests/guarantees/test_skewed_connections.py
+++ b/tests/guarantees/test_skewed_connections.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from itertools import pairwise
 from random import Random
 
 import pytest
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
-from standins.gateway_fleet import ask
+from standins.gateway_fleet import ask, status_of
 from tests.gateway.world import request
 from tests.guarantees.gateway_fleets import (
     RunningFleet,
@@ -81,7 +82,7 @@
             Prompt_Prefix=f"aa:60,b{number:x}:40",
         )
         answer = ask(self.fleet.gateways[gateway].address, raw)
-        self.served.append(Served(sent_at, int(answer[9:12] or 0)))
+        self.served.append(Served(sent_at, status_of(answer)))
 
     def share(self, since: timedelta, until: timedelta) -> float:
         """Return the fraction of the requests read by gateways that were served."""
@@ -124,5 +125,5 @@
     skewed_at.append(CLOCK.elapsed())
     sleep(SECOND)
     before = fleet.share(began_at, skewed_at[0])
-    for began, ended in zip(skewed_at, skewed_at[1:], strict=False):
+    for began, ended in pairwise(skewed_at):
         assert fleet.share(began + CONTACT_TIME, ended) >= MIN_SERVED * before
