A permit that another zone gives takes its place in the bucket along

Callers of the gateway that most new connections go to were rejected although the endpoint's limit was not used: 114 of 171 requests served, 129 asked for, in fleets of 195 gateways in five zones without a dispatcher.

Cause: a gateway in a zone of 39 borrows for one report interval of 0.4 s at a time. What it has borrowed counts against the depth of its zone's bucket (1.5 s of the zone's own part), which left room for a third of what the other zones gave; all three gave the whole difference, and the rest was dropped.

Change: what is missing is asked from the other zones in equal parts, and a token that is given takes its place along: the receiver's bucket is deeper for 0.75 s, the giver's shallower for 1.25 s, so that the sum of all depths never grows. A zone asks for eight endpoints at most in an exchange, as more asks with the deeper buckets took 127 kB/s of 125 at the busiest aggregator of 195.

--- a/src/sassafrasdale/decisions/endpoint_rates.py
+++ b/src/sassafrasdale/decisions/endpoint_rates.py
@@ -9,9 +9,12 @@
 
 Most requests may come to one zone. It asks the others for tokens that they don't need.
 A token that is given away has left its bucket, so the rate holds, and one that is lost
-on the way is not used.
+on the way is not used. It takes its place in the bucket along: a zone that gets most of
+the requests would otherwise be full with the permits that it has lent for one report
+interval, and would drop what the other zones give.
 """
 
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -31,6 +34,10 @@
 LOAN_TIMEOUT = timedelta(seconds=2)
 # Time after which a borrower drops a permit that it has not used.
 PERMIT_TIMEOUT = timedelta(seconds=1)
+# Time for which the place of a token that was given away stays with its receiver. The
+# giver goes without it for longer, so that no two zones use it at once.
+PLACE_KEPT = timedelta(seconds=0.75)
+PLACE_MISSED = timedelta(seconds=1.25)
 # Time over which a zone's demand and use of permits are averaged.
 RECENT_TIME = timedelta(seconds=1)
 
@@ -68,6 +75,29 @@
     lent_at: timedelta
 
 
+class _Places:
+    """Places in a bucket that were transferred with tokens, for a time.
+
+    :param duration: time after which a transfer ends.
+    """
+
+    def __init__(self, duration: timedelta) -> None:
+        self._duration = duration
+        self._transfers: deque[tuple[timedelta, int]] = deque()
+        self.count = 0
+
+    def add(self, count: int, now: timedelta) -> None:
+        """Add a transfer of some places."""
+        if count:
+            self._transfers.append((now + self._duration, count))
+            self.count += count
+
+    def remove_ended(self, now: timedelta) -> None:
+        """Remove the transfers that have ended."""
+        while self._transfers and self._transfers[0][0] <= now:
+            self.count -= self._transfers.popleft()[1]
+
+
 class PermitBucket:
     """Token bucket whose tokens may be lent to other gateways as permits.
 
@@ -82,6 +112,8 @@
         self._tokens = 0.0
         self._updated_at = now
         self._loans: dict[str, _Loan] = {}
+        self._places_accepted = _Places(PLACE_KEPT)
+        self._places_given = _Places(PLACE_MISSED)
 
     def set_rate(self, rate: float, now: timedelta) -> None:
         """Set the requests per second."""
@@ -116,10 +148,16 @@
             self._loans[borrower] = _Loan(permits, now)
         return permits
 
-    def missing(self, wanted: float, now: timedelta) -> int:
-        """Return the number of tokens that are missing for a demand, and have room."""
+    def missing(self, wanted: float, givers: int, now: timedelta) -> int:
+        """Return the tokens that each of the other buckets may give for a demand.
+
+        :param wanted: tokens that requests need in about a second.
+        :param givers: number of the other buckets.
+        """
         self._refill(now)
-        return max(int(min(wanted, self._room()) - self._tokens), 0)
+        wanted = min(wanted, self._depth() * givers)
+        held = self._tokens + self._lent()
+        return max(int((wanted - held) / givers), 0)
 
     def give(self, wanted: int, kept: float, now: timedelta) -> int:
         """Give tokens away, and return their number.
@@ -129,17 +167,21 @@
         self._refill(now)
         given = min(wanted, max(int(self._tokens - kept), 0))
         self._tokens -= given
+        self._places_given.add(given, now)
         return given
 
     def accept(self, given: int, now: timedelta) -> None:
-        """Accept tokens, as far as there is room."""
+        """Accept tokens that another bucket has given away."""
         self._refill(now)
+        self._places_accepted.add(given, now)
         self._add(given)
 
     def _refill(self, now: timedelta) -> None:
         for borrower, loan in list(self._loans.items()):
             if now - loan.lent_at > LOAN_TIMEOUT:
                 del self._loans[borrower]
+        self._places_accepted.remove_ended(now)
+        self._places_given.remove_ended(now)
         elapsed = (now - self._updated_at).total_seconds()
         self._updated_at = now
         self._add(self._rate * elapsed)
@@ -149,5 +191,11 @@
         self._tokens = max(self._tokens, min(self._tokens + tokens, self._room()))
 
     def _room(self) -> float:
-        depth = 1 + self._rate * BURST_TIME.total_seconds()
-        return depth - sum(loan.permits for loan in self._loans.values())
+        transferred = self._places_accepted.count - self._places_given.count
+        return self._depth() + transferred - self._lent()
+
+    def _depth(self) -> float:
+        return 1 + self._rate * BURST_TIME.total_seconds()
+
+    def _lent(self) -> int:
+        return sum(loan.permits for loan in self._loans.values())
--- a/src/sassafrasdale/gateway/advertisements/permits.py
+++ b/src/sassafrasdale/gateway/advertisements/permits.py
@@ -13,6 +13,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_rates import (
+    MAX_SHARING_ZONES,
     PERMIT_TIMEOUT,
     RECENT_TIME,
     PermitBucket,
@@ -28,6 +29,8 @@
 # Most permits for one endpoint that a gateway asks for at a time, and most endpoints.
 MAX_WANTED = 64
 MAX_ENDPOINTS_WANTED = 16
+# Most endpoints for which a zone asks the others for permits in one exchange.
+MAX_ENDPOINTS_MISSING = 8
 
 
 @dataclass(slots=True)
@@ -175,15 +178,16 @@
         return lent
 
     def missing(self) -> dict[str, int]:
-        """Return the permits that other zones may give to this one, by endpoint."""
+        """Return the permits that each other zone may give to this one, by endpoint."""
         now = self._clock.elapsed()
+        givers = max(min(len(self._zones), MAX_SHARING_ZONES) - 1, 1)
         found = {
             endpoint: self._bucket(endpoint).missing(
-                self._recent(self._wanted, endpoint), now
+                self._recent(self._wanted, endpoint), givers, now
             )
             for endpoint in self._buckets
         }
-        most = sorted(found, key=found.get, reverse=True)[:MAX_ENDPOINTS_WANTED]
+        most = sorted(found, key=found.get, reverse=True)[:MAX_ENDPOINTS_MISSING]
         return {
             endpoint: min(found[endpoint], MAX_WANTED)
             for endpoint in most
