--- a/bench/admission/alternatives.py
+++ b/bench/admission/alternatives.py
@@ -62,7 +62,7 @@
             return None
 
         def order(name: str) -> tuple[int, float, str]:
-            return self._queues[name][0].priority, self._start_of(name), name
+            return self._queues[name][0].priority, self.start_of(name), name
 
         return self._pop(min(ready, key=order), 0)
 
--- a/src/sassafrasdale/decisions/fairness.py
+++ b/src/sassafrasdale/decisions/fairness.py
@@ -5,12 +5,26 @@
 gains nothing over others by marking everything as urgent.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
+from typing import Generic, Protocol, TypeVar
 
-from sassafrasdale.decisions.tickets import Ticket
 
+class Queueable(Protocol):
+    """A request that can be queued; lower numbers of priority are more urgent."""
 
-class FairQueue:
+    @property
+    def customer(self) -> str:
+        """Name of its customer."""
+
+    @property
+    def priority(self) -> int:
+        """Its priority within its customer."""
+
+
+Queued = TypeVar("Queued", bound=Queueable)
+
+
+class FairQueue(Generic[Queued]):
     """Queued requests of one service.
 
     :param weight: returns a customer's weight.
@@ -18,7 +32,7 @@
 
     def __init__(self, weight: Callable[[str], float]) -> None:
         self._weight = weight
-        self._queues: dict[str, list[Ticket]] = {}
+        self._queues: dict[str, list[Queued]] = {}
         self._size = 0
         self._virtual_finish: dict[str, float] = {}
         self._virtual_time = 0.0
@@ -26,11 +40,20 @@
     def __len__(self) -> int:
         return self._size
 
-    def __iter__(self) -> Iterator[Ticket]:
+    def __iter__(self) -> Iterator[Queued]:
         for queue in list(self._queues.values()):
             yield from list(queue)
 
-    def position(self, ticket: Ticket) -> int:
+    @property
+    def customers(self) -> Sequence[str]:
+        """Customers with queued requests, the next one first."""
+        return sorted(self._queues, key=lambda name: (self.start_of(name), name))
+
+    def requests_of(self, customer: str) -> Sequence[Queued]:
+        """Return a customer's requests in their order."""
+        return self._queues.get(customer, ())
+
+    def position(self, ticket: Queued) -> int:
         """Return how many of the customer's requests are ahead of a new one."""
         queue = self._queues.get(ticket.customer, ())
         return sum(other.priority <= ticket.priority for other in queue)
@@ -41,7 +64,7 @@
         return self._weight(customer) / sum(self._weight(name) for name in names)
 
     def work_before(
-        self, ticket: Ticket, position: int, cost: Callable[[str], float]
+        self, ticket: Queued, position: int, cost: Callable[[str], float]
     ) -> float:
         """Return the slot time, in seconds, that is served before a new request.
 
@@ -49,37 +72,37 @@
         :param cost: returns the seconds that a customer's request occupies a slot.
         """
         own = ticket.customer
-        start = self._start_of(own) + position * cost(own) / self._weight(own)
+        start = self.start_of(own) + position * cost(own) / self._weight(own)
         work = position * cost(own)
         for name, queue in self._queues.items():
             if name == own:
                 continue
-            lead = max(start - self._start_of(name), 0.0)
+            lead = max(start - self.start_of(name), 0.0)
             count = lead * self._weight(name) / cost(name) + 1
             work += min(count, len(queue)) * cost(name)
         return work
 
-    def add(self, ticket: Ticket, position: int) -> None:
+    def add(self, ticket: Queued, position: int) -> None:
         """Insert a request at a position in its customer's queue."""
         self._queues.setdefault(ticket.customer, []).insert(position, ticket)
         self._size += 1
 
-    def requeue(self, ticket: Ticket) -> int:
+    def requeue(self, ticket: Queued) -> int:
         """Insert a request ahead of its priority; return its position."""
         queue = self._queues.get(ticket.customer, ())
         position = sum(other.priority < ticket.priority for other in queue)
         self.add(ticket, position)
         return position
 
-    def take(self, allowed: Callable[[str], bool]) -> Ticket | None:
+    def take(self, allowed: Callable[[str], bool]) -> Queued | None:
         """Remove and return the next request of a customer that is allowed."""
         ready = [name for name in self._queues if allowed(name)]
         if not ready:
             return None
-        customer = min(ready, key=lambda name: (self._start_of(name), name))
+        customer = min(ready, key=lambda name: (self.start_of(name), name))
         return self._pop(customer, 0)
 
-    def evict(self) -> Ticket:
+    def evict(self) -> Queued:
         """Remove and return the last request of the longest weighted queue."""
 
         def backlog(name: str) -> tuple[float, str]:
@@ -87,7 +110,7 @@
 
         return self._pop(max(self._queues, key=backlog), -1)
 
-    def discard(self, ticket: Ticket) -> None:
+    def discard(self, ticket: Queued) -> None:
         """Remove a request if it is queued."""
         queue = self._queues.get(ticket.customer, [])
         if ticket in queue:
@@ -98,14 +121,15 @@
 
         :param cost: seconds that it is expected to occupy a slot.
         """
-        start = self._start_of(customer)
+        start = self.start_of(customer)
         self._virtual_time = start
         self._virtual_finish[customer] = start + cost / self._weight(customer)
 
-    def _start_of(self, customer: str) -> float:
+    def start_of(self, customer: str) -> float:
+        """Return the virtual time at which a customer's next request starts."""
         return max(self._virtual_finish.get(customer, 0.0), self._virtual_time)
 
-    def _pop(self, customer: str, index: int) -> Ticket:
+    def _pop(self, customer: str, index: int) -> Queued:
         ticket = self._queues[customer].pop(index)
         self._size -= 1
         if not self._queues[customer]:
--- /dev/null
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -0,0 +1,379 @@
+"""Queue of a service's requests that wait for an endpoint with room.
+
+Workload: up to five times what the endpoints can do, by callers of many customers and
+of several priorities, some of whom send six times their usual; and bursts of a few
+seconds. Each request has an objective, within which its response should begin, and a
+deadline, after which nobody waits for it.
+
+A request that would miss its objective goes behind all that can meet theirs, and one
+that would miss its deadline is rejected at once. So what waits is little, and what the
+endpoints begin is on time. Whether a queue stands, in contrast to a burst that drains,
+is told by the time since it was last empty, as CoDel does. Customers share by
+start-time fair queueing on what their requests cost, as virtual token counters do.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from datetime import timedelta
+from random import Random
+
+from sassafrasdale.decisions.drain_rates import DrainRate
+from sassafrasdale.decisions.fairness import FairQueue
+from sassafrasdale.decisions.queued_requests import (
+    CustomerQueue,
+    QueuedRequest,
+    QueueSnapshot,
+    Rejection,
+    RequestKey,
+)
+from sassafrasdale.decisions.rates import DecayingRates
+from sassafrasdale.decisions.retry_times import RetryTimes
+
+# Fraction of what is started that a less urgent priority gets while it has requests
+# waiting, so that more urgent ones can't starve it.
+MIN_PRIORITY_SHARE = 0.2
+# Fraction of its time to the objective that a request may wait in a standing queue. A
+# long queue gains no throughput, and any error of the estimate makes all of it late.
+STANDING_WAIT_FRACTION = 0.3
+# A queue stands that has not been empty for this fraction of a request's objective.
+STANDING_FRACTION = 0.5
+# Share of the capacity from which on arriving requests leave none to those behind them.
+FULL_SHARE = 0.85
+# Callers heed a Retry-After up to this fraction of the time that they have left.
+RETRY_AFTER_FRACTION = 1 / 3
+MIN_RETRY_AFTER = timedelta(milliseconds=50)
+# Longest time for which retries are spread over the queue's drain, and their jitter.
+MAX_RETRY_AFTER = timedelta(seconds=30)
+RETRY_AFTER_SPREAD = 0.5
+# Time over which arrivals and the shares of priorities are averaged.
+RECENT_TIME = timedelta(milliseconds=500)
+# Time over which customers' shares are averaged for operators.
+SHARES_TIME = timedelta(seconds=10)
+# A queue never counts as slower than this fraction of what its endpoints should do.
+MIN_CAPACITY_FRACTION = 0.1
+
+UNBOUNDED = timedelta.max
+
+LATE = "would miss its deadline"
+EXPIRED = "deadline can't be met any more"
+
+
+class ServiceQueue:
+    """Requests of one service that wait at one dispatcher.
+
+    Usage::
+
+        rejection = queue.offer(request, now, capacity)
+        for waiting in queue.candidates(now):
+            ...  # send it if an endpoint has room
+            queue.start(waiting, now)
+
+    :param weight: returns a customer's weight.
+    :param rng: source of randomness for Retry-After.
+    """
+
+    def __init__(self, weight: Callable[[str], float], rng: Random) -> None:
+        self._weight = weight
+        self._rng = rng
+        self._on_time: dict[int, FairQueue[QueuedRequest]] = {}
+        self._late: FairQueue[QueuedRequest] = FairQueue(weight)
+        self._requests: dict[RequestKey, QueuedRequest] = {}
+        self._late_keys: set[RequestKey] = set()
+        self._drain = DrainRate()
+        self._arriving = DecayingRates(RECENT_TIME)
+        self._started = DecayingRates(RECENT_TIME)
+        self._got = DecayingRates(SHARES_TIME)
+        self._retry_times = RetryTimes(rng, MAX_RETRY_AFTER, RETRY_AFTER_SPREAD)
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def __contains__(self, key: RequestKey) -> bool:
+        return key in self._requests
+
+    def offer(
+        self, request: QueuedRequest, now: timedelta, capacity: float
+    ) -> Rejection | None:
+        """Queue a request, or reject it.
+
+        :param capacity: endpoint time per second that the queue's endpoints give.
+        :returns: None if it waits.
+        """
+        capacity = self._capacity(now, capacity)
+        on_time = self._is_on_time(request, now, capacity)
+        # Rejected ones count too: as long as there are any, nothing late has a chance.
+        self._arriving.add(str(request.priority), now, request.cost.total_seconds())
+        if on_time:
+            self._add(request, now)
+            return None
+        wait = self._late_wait(self._queued_cost(), now, capacity)
+        if self._meets_deadline(request, wait, now):
+            self._add_late(request, now)
+            return None
+        return self._reject(request, LATE, wait, now, capacity)
+
+    def candidates(self, now: timedelta) -> Iterator[QueuedRequest]:
+        """Yield the waiting requests in the order in which they should start."""
+        for priority in self._priority_order(now):
+            yield from _in_fair_order(self._on_time[priority])
+        yield from _in_fair_order(self._late)
+
+    def start(self, request: QueuedRequest, now: timedelta) -> None:
+        """Record that a waiting request was sent to an endpoint, and remove it."""
+        seconds = request.cost.total_seconds()
+        queue = self._queue_of(request)
+        self._drain.record_start(request.cost, now)
+        self.remove(request.key, now)
+        if queue is not self._late:
+            self._started.add(str(request.priority), now, seconds)
+        queue.charge(request.customer, seconds)
+        self._got.add(request.customer, now, seconds)
+
+    def remove(self, key: RequestKey, now: timedelta) -> None:
+        """Remove a request whose caller or gateway has left, if it waits."""
+        request = self._requests.get(key)
+        if request is None:
+            return
+        self._queue_of(request).discard(request)
+        del self._requests[key]
+        self._late_keys.discard(key)
+        self._drain.set_backlogged(bool(self._requests), now)
+
+    def expire(
+        self, now: timedelta, capacity: float
+    ) -> list[tuple[QueuedRequest, Rejection]]:
+        """Remove and return the requests that will miss their deadlines."""
+        capacity = self._capacity(now, capacity)
+        for queue in list(self._on_time.values()):
+            for request in list(queue):
+                if now + request.cost > request.objective_at:
+                    queue.discard(request)
+                    self._insert_late(request)
+        rejected = []
+        ahead = self._on_time_cost()
+        for request in list(_in_fair_order(self._late)):
+            wait = self._late_wait(ahead, now, capacity)
+            if self._meets_deadline(request, wait, now):
+                ahead += request.cost
+                continue
+            self.remove(request.key, now)
+            rejection = self._reject(request, EXPIRED, wait, now, capacity)
+            rejected.append((request, rejection))
+        return rejected
+
+    def snapshot(self, now: timedelta) -> QueueSnapshot:
+        """Return the state of the queue, for operators."""
+        arrivals = [request.arrived_at for request in self._requests.values()]
+        return QueueSnapshot(
+            {priority: len(queue) for priority, queue in self._on_time.items()},
+            len(self._late),
+            now - min(arrivals, default=now),
+            tuple(self._customer_queues(now)),
+        )
+
+    def _customer_queues(self, now: timedelta) -> Iterator[CustomerQueue]:
+        waiting: dict[str, int] = dict.fromkeys(self._got.keys, 0)
+        for request in self._requests.values():
+            waiting[request.customer] = waiting.get(request.customer, 0) + 1
+        rates = {name: self._got.rate(name, now) for name in waiting}
+        total = sum(rates.values()) or 1.0
+        weights = sum(self._weight(name) for name in waiting)
+        for name in sorted(waiting):
+            yield CustomerQueue(
+                name,
+                waiting[name],
+                self._weight(name) / weights,
+                rates[name] / total,
+            )
+
+    def _capacity(self, now: timedelta, capacity: float) -> float:
+        """Return the measured capacity, or the expected one without a measurement."""
+        measured = self._drain.rate(now)
+        if measured is None:
+            return max(capacity, MIN_CAPACITY_FRACTION)
+        return max(measured, capacity * MIN_CAPACITY_FRACTION, MIN_CAPACITY_FRACTION)
+
+    def _is_on_time(
+        self, request: QueuedRequest, now: timedelta, capacity: float
+    ) -> bool:
+        left = request.objective_at - now - request.cost
+        if left <= timedelta():
+            return False
+        objective = request.objective_at - request.arrived_at
+        if self._drain.backlog_time(now) >= objective * STANDING_FRACTION:
+            left *= STANDING_WAIT_FRACTION
+        return self._on_time_wait(request, now, capacity) <= left
+
+    def _meets_deadline(
+        self, request: QueuedRequest, wait: timedelta, now: timedelta
+    ) -> bool:
+        return wait < request.deadline - now - request.cost
+
+    def _on_time_wait(
+        self, request: QueuedRequest, now: timedelta, capacity: float
+    ) -> timedelta:
+        """Return the time that a new request is expected to wait."""
+        if not self._requests:
+            return timedelta()
+        priority = request.priority
+        own = self._fair_cost_ahead(request)
+        more_urgent = [other for other in self._on_time if other < priority]
+        ahead = own + sum((self._cost_of(other) for other in more_urgent), timedelta())
+        less_urgent = [
+            other
+            for other, queue in self._on_time.items()
+            if other > priority and queue
+        ]
+        remaining = capacity * (1 - MIN_PRIORITY_SHARE * len(less_urgent))
+        urgent_rate = sum(
+            self._arriving.rate(key, now)
+            for key in self._arriving.keys
+            if int(key) < priority
+        )
+        wait = _drain_time(ahead, remaining, urgent_rate)
+        if not urgent_rate and not more_urgent:
+            return wait
+        return min(wait, own / (capacity * MIN_PRIORITY_SHARE))
+
+    def _late_wait(
+        self, ahead: timedelta, now: timedelta, capacity: float
+    ) -> timedelta:
+        """Return the time that a request behind all on-time ones is expected to wait.
+
+        :param ahead: cost of what is ahead of it.
+        """
+        on_time_rate = sum(self._arriving.rate(key, now) for key in self._arriving.keys)
+        return _drain_time(ahead, capacity, on_time_rate)
+
+    def _fair_cost_ahead(self, request: QueuedRequest) -> timedelta:
+        """Return the cost that goes ahead of a new request of its priority."""
+        queue = self._on_time.get(request.priority)
+        if not queue:
+            return timedelta()
+        own = _total_cost(
+            other
+            for other in queue.requests_of(request.customer)
+            if other.arrived_at <= request.arrived_at
+        )
+        weight = self._weight(request.customer)
+        finish = queue.start_of(request.customer) + (own + request.cost) / (
+            weight * timedelta(seconds=1)
+        )
+        ahead = own
+        for name in queue.customers:
+            if name == request.customer:
+                continue
+            lead = max(finish - queue.start_of(name), 0.0)
+            share = timedelta(seconds=lead * self._weight(name))
+            ahead += min(_total_cost(queue.requests_of(name)), share)
+        return ahead
+
+    def _priority_order(self, now: timedelta) -> list[int]:
+        """Return the priorities with waiting requests, the next one first."""
+        waiting = sorted(priority for priority, queue in self._on_time.items() if queue)
+        if len(waiting) < 2:
+            return waiting
+        rates = {
+            priority: self._started.rate(str(priority), now) for priority in waiting
+        }
+        least = sum(rates.values()) * MIN_PRIORITY_SHARE
+        starved = [other for other in waiting[1:] if rates[other] < least]
+        return starved + [other for other in waiting if other not in starved]
+
+    def _add(self, request: QueuedRequest, now: timedelta) -> None:
+        queue = self._on_time.setdefault(request.priority, FairQueue(self._weight))
+        queue.add(request, _position(queue, request))
+        self._requests[request.key] = request
+        self._drain.set_backlogged(True, now)
+
+    def _add_late(self, request: QueuedRequest, now: timedelta) -> None:
+        self._requests[request.key] = request
+        self._insert_late(request)
+        self._drain.set_backlogged(True, now)
+
+    def _insert_late(self, request: QueuedRequest) -> None:
+        self._late_keys.add(request.key)
+        self._late.add(request, _position(self._late, request))
+
+    def _queue_of(self, request: QueuedRequest) -> FairQueue[QueuedRequest]:
+        if request.key in self._late_keys:
+            return self._late
+        return self._on_time[request.priority]
+
+    def _cost_of(self, priority: int) -> timedelta:
+        return _total_cost(self._on_time[priority])
+
+    def _on_time_cost(self) -> timedelta:
+        return sum((self._cost_of(priority) for priority in self._on_time), timedelta())
+
+    def _queued_cost(self) -> timedelta:
+        return _total_cost(self._requests.values())
+
+    def _reject(
+        self,
+        request: QueuedRequest,
+        reason: str,
+        wait: timedelta,
+        now: timedelta,
+        capacity: float,
+    ) -> Rejection:
+        return Rejection(
+            reason,
+            self._retry_after(request, now, capacity),
+            None if wait == UNBOUNDED else wait,
+            self._queued_cost(),
+            capacity,
+        )
+
+    def _retry_after(
+        self, request: QueuedRequest, now: timedelta, capacity: float
+    ) -> timedelta:
+        """Return when the caller should come back: in its turn of the drain."""
+        rate = capacity / max(request.cost.total_seconds(), 1e-3)
+        ahead = int(self._queued_cost() / max(request.cost, timedelta(milliseconds=1)))
+        reserved = self._retry_times.reserve(now, ahead, rate)
+        longest = (request.deadline - now) * RETRY_AFTER_FRACTION
+        if reserved > longest:
+            # Jitter, so that callers whose turn is too far away don't return together.
+            reserved = longest * self._rng.uniform(0.5, 1.0)
+        return max(reserved, MIN_RETRY_AFTER)
+
+
+def _in_fair_order(queue: FairQueue[QueuedRequest]) -> Iterator[QueuedRequest]:
+    """Yield the first request of each customer in turn, then the second ones."""
+    customers = list(queue.customers)
+    round_number = 0
+    while customers:
+        remaining = []
+        for name in customers:
+            requests = queue.requests_of(name)
+            if round_number < len(requests):
+                yield requests[round_number]
+                remaining.append(name)
+        customers = remaining
+        round_number += 1
+
+
+def _position(queue: FairQueue[QueuedRequest], request: QueuedRequest) -> int:
+    """Return the position of a request in its customer's queue: by arrival."""
+    return sum(
+        other.arrived_at <= request.arrived_at
+        for other in queue.requests_of(request.customer)
+    )
+
+
+def _total_cost(requests: Iterable[QueuedRequest]) -> timedelta:
+    return sum((request.cost for request in requests), timedelta())
+
+
+def _drain_time(ahead: timedelta, capacity: float, arriving: float) -> timedelta:
+    """Return the time until a cost has been started.
+
+    :param capacity: endpoint time per second.
+    :param arriving: cost per second that arrives and goes ahead.
+    """
+    if not ahead:
+        return timedelta()
+    share = arriving / capacity
+    if share >= FULL_SHARE:
+        return UNBOUNDED
+    return ahead / (capacity * (1 - share))
--- a/src/sassafrasdale/deployment.py
+++ b/src/sassafrasdale/deployment.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
+from functools import cached_property
 
 from sassafrasdale.decisions.fetching import CacheLink
 from sassafrasdale.decisions.stream_versions import StreamBinding
@@ -48,6 +49,8 @@
     :param public: whether requests need no API key.
     :param shares_prompts: whether requests name the shared parts of their prompts.
     :param resumable: whether a stream may be resumed at another endpoint.
+    :param objective: time within which a response should begin, from the caller's
+        arrival; None if the route names none.
     """
 
     name: str
@@ -61,6 +64,7 @@
     public: bool = False
     shares_prompts: bool = False
     resumable: bool = False
+    objective: timedelta | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -165,6 +169,41 @@
         """Return a service, or one with defaults for an unknown name."""
         return self.services.get(name) or Service(name)
 
+    def objective(self, service: str) -> timedelta | None:
+        """Return the shortest objective of a service's routes; None without any."""
+        return self._objectives.get(service)
+
+    @cached_property
+    def _objectives(self) -> Mapping[str, timedelta]:
+        shortest: dict[str, timedelta] = {}
+        for route in self.routes:
+            if route.objective is None:
+                continue
+            for part in route.services:
+                known = shortest.get(part.service, route.objective)
+                shortest[part.service] = min(known, route.objective)
+        return shortest
+
+    def weight(self, customer: str) -> float:
+        """Return a customer's weight where customers compete: its rate limit.
+
+        One without a limit has the mean weight of the others.
+        """
+        return self._weights.get(customer, self._mean_weight)
+
+    @cached_property
+    def _weights(self) -> Mapping[str, float]:
+        return {
+            customer.name: customer.rate
+            for customer in self.customers
+            if customer.rate > 0
+        }
+
+    @cached_property
+    def _mean_weight(self) -> float:
+        weights = self._weights.values()
+        return sum(weights) / len(weights) if weights else 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -8,6 +8,8 @@
 from sassafrasdale.decisions.quarantine import StrikeLedger
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import GatewaySettings
+from sassafrasdale.gateway.admission.attempt_queues import AttemptQueues
+from sassafrasdale.gateway.admission.attempt_starter import AttemptStarter
 from sassafrasdale.gateway.advertisements.departure_checks import DepartureChecks
 from sassafrasdale.gateway.advertisements.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.dependencies import Dependency
@@ -15,7 +17,7 @@
 from sassafrasdale.gateway.dispatcher import Dispatcher
 from sassafrasdale.gateway.dispatcher_client import DispatcherClient
 from sassafrasdale.gateway.dispatcher_messages import (
-    Assignment,
+    AssignmentReply,
     AssignmentRequest,
     AttemptReport,
 )
@@ -332,10 +334,14 @@
             self.dispatcher_client,
             self.version_register.may_begin,
         )
-        self.dispatcher = Dispatcher(self.fleet, clock)
+        self.queues = AttemptQueues(
+            self.fleet, self._customer_weight, clock, self._rng, self.metrics.count
+        )
+        self.dispatcher = Dispatcher(self.fleet, self.queues, clock)
         self.frontend = Frontend(
             lambda: self.store_view.routes,
             self.fleet,
+            AttemptStarter(self.fleet, self.queues, clock, self.dispatcher_client),
             self._quotas,
             self.quarantine,
             self._paths,
@@ -427,8 +433,8 @@
         """Receive which attempts assigned here are still in flight at a member."""
         self.dispatcher.reconcile(member.name, member.incarnation, open_attempts)
 
-    def assign(self, request: AssignmentRequest) -> Assignment | None:
-        """Return the endpoint for another gateway's attempt."""
+    def assign(self, request: AssignmentRequest) -> AssignmentReply | None:
+        """Return the endpoint for another gateway's attempt, or why there is none."""
         return self.dispatcher.assign(request)
 
     def receive_attempt_report(self, report: AttemptReport) -> None:
@@ -468,6 +474,9 @@
     def _follows_store(self) -> bool:
         return self._store_health.is_reachable and self.peering.should_watch()
 
+    def _customer_weight(self, customer: str) -> float:
+        return self.store_view.configuration.weight(customer)
+
     def _load(self, service: str) -> float:
         own = self.fleet.work().get(service, 0.0)
         return own + self.peering.engine_time(service)
--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -14,13 +14,24 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.aggregators import EXPIRY_TIMEOUT
+from sassafrasdale.decisions.queued_requests import Rejection
+from sassafrasdale.gateway.admission.attempt_queues import (
+    AttemptQueues,
+    PendingAttempt,
+    Started,
+    Waiting,
+)
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.dispatcher_messages import (
+    HOLD_TIME,
     Assignment,
+    AssignmentRejected,
+    AssignmentReply,
     AssignmentRequest,
     AttemptEnded,
     AttemptReport,
     FirstToken,
+    Queued,
 )
 from sassafrasdale.gateway.fleet import Fleet
 
@@ -45,26 +56,52 @@
     """Assigns endpoints to other gateways' attempts and tracks their results.
 
     :param fleet: chooses endpoints and counts the attempts in progress.
+    :param queues: requests that wait for an endpoint.
     :param clock: source of elapsed time.
     """
 
-    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+    def __init__(self, fleet: Fleet, queues: AttemptQueues, clock: Clock) -> None:
         self._fleet = fleet
+        self._queues = queues
         self._clock = clock
         self._gateways: dict[str, _GatewayAttempts] = {}
 
-    def assign(self, request: AssignmentRequest) -> Assignment | None:
-        """Return the endpoint for an attempt; None if there is none."""
-        is_retry = bool(request.tried)
-        attempt = self._fleet.start_local_attempt(
+    def assign(self, request: AssignmentRequest) -> AssignmentReply | None:
+        """Return the endpoint for an attempt, or that it waits; None if there is none.
+
+        A request that may wait is held for a moment if it has a place in the queue.
+        """
+        terms = request.terms(self._clock.elapsed())
+        if terms is None:
+            attempt = self._fleet.start_local_attempt(
+                request.service,
+                request.traits,
+                request.tried,
+                request.backed_off,
+                is_retry=bool(request.tried),
+            )
+            return None if attempt is None else self._assignment(request, attempt)
+        pending = PendingAttempt(
+            (request.gateway, request.incarnation, request.number),
             request.service,
             request.traits,
             request.tried,
             request.backed_off,
-            is_retry=is_retry,
+            terms,
         )
-        if attempt is None:
-            return None
+        hold = HOLD_TIME if request.is_queued else timedelta()
+        match self._queues.request(pending, hold):
+            case Started(attempt):
+                return self._assignment(request, attempt)
+            case Waiting():
+                return Queued()
+            case Rejection(reason, retry_after):
+                return AssignmentRejected(reason, retry_after.total_seconds())
+            case _:
+                return None
+
+    def _assignment(self, request: AssignmentRequest, attempt: Attempt) -> Assignment:
+        """Count an attempt as its gateway's, and return the reply."""
         state = self._state_of(request.gateway, request.incarnation)
         state.attempts[request.number] = attempt
         source = attempt.source
@@ -83,6 +120,8 @@
             self._record_first_token(state, first)
         for ended in report.ended:
             self._record_end(state, ended)
+            self._queues.remove((report.gateway, report.incarnation, ended.number))
+        self._queues.place()
 
     def reconcile(
         self, gateway: str, incarnation: int, open_attempts: Collection[int]
--- a/src/sassafrasdale/gateway/dispatcher_client.py
+++ b/src/sassafrasdale/gateway/dispatcher_client.py
@@ -8,9 +8,11 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.queued_requests import RequestKey
 from sassafrasdale.deployment import RequestTraits
+from sassafrasdale.gateway.admission.terms import AdmissionTerms
 from sassafrasdale.gateway.dispatcher_messages import (
-    Assignment,
+    AssignmentReply,
     AssignmentRequest,
     AttemptEnded,
     AttemptReport,
@@ -48,7 +50,7 @@
         self,
         own: Contact,
         dispatcher: Callable[[], Contact | None],
-        ask: Callable[[Contact, AssignmentRequest], Assignment | None],
+        ask: Callable[[Contact, AssignmentRequest], AssignmentReply | None],
         report: Callable[[Contact, AttemptReport], bool],
         clock: Clock,
     ) -> None:
@@ -75,23 +77,37 @@
         """Numbers of the attempts that the dispatcher counts as in progress."""
         return tuple(self._open)
 
+    def next_number(self) -> int:
+        """Return the number of a new attempt."""
+        return next(self._numbers)
+
+    def key_of(self, number: int) -> RequestKey:
+        """Return the key of an attempt among all gateways."""
+        return self._own.name, self._own.incarnation, number
+
     def request_assignment(
         self,
+        number: int,
         service: str,
         traits: RequestTraits,
         tried: Collection[str],
         backed_off: Collection[str] = (),
-    ) -> tuple[int, Assignment] | None:
-        """Return an attempt's number and its endpoint, if one is assigned.
+        terms: AdmissionTerms | None = None,
+        *,
+        is_queued: bool = False,
+    ) -> AssignmentReply | None:
+        """Return the dispatcher's reply for an attempt; None without one.
 
+        :param number: number of the attempt.
         :param tried: endpoints that the request was sent to before.
         :param backed_off: endpoints that want no requests from this gateway now.
+        :param terms: on which terms it may wait; None if it may not.
+        :param is_queued: whether the dispatcher has replied that it waits.
         """
         contact = self._dispatcher()
         self._switch_dispatcher(contact)
         if contact is None or self._clock.elapsed() < self._suspended_until:
             return None
-        number = next(self._numbers)
         own = self._own
         request = AssignmentRequest.of(
             own.name,
@@ -102,15 +118,22 @@
             tuple(tried),
             tuple(backed_off),
         )
-        assigned = self._ask(contact, request)
-        if assigned is None:
+        if terms is not None:
+            now = self._clock.elapsed()
+            request = request.with_terms(terms, now, is_queued=is_queued)
+        reply = self._ask(contact, request)
+        if reply is None:
             self._suspended_until = self._clock.elapsed() + FALLBACK_TIME
             log.info("dispatcher gave no answer", peer=contact.name)
-        if assigned is None or self._current != contact:
+        if reply is None or self._current != contact:
             # The dispatcher may have counted the attempt, and must not keep doing so.
-            self._queue_end(AttemptEnded(number, AttemptResult.NEUTRAL))
+            self.cancel(number)
             return None
-        return (number, assigned) if assigned.endpoint else None
+        return reply
+
+    def cancel(self, number: int) -> None:
+        """Record that an attempt is not wanted any more, whether it was assigned."""
+        self._queue_end(AttemptEnded(number, AttemptResult.NEUTRAL))
 
     def add_attempt(self, number: int, take_over: Callable[[], None]) -> None:
         """Add an attempt that starts as assigned.
--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -1,14 +1,21 @@
 """Messages between a gateway and the dispatcher of its zone about an attempt."""
 
+from datetime import timedelta
 from enum import IntEnum
 
+from msgspec import structs
 from msgspec.msgpack import Decoder
 
 from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.deployment import PromptPart, RequestTraits
+from sassafrasdale.gateway.admission.terms import AdmissionTerms
 from sassafrasdale.gateway.canary_reports import Count
 from sassafrasdale.gateway.peer_states import Message
 
+# Longest time for which the dispatcher holds a call of an attempt that waits. Its
+# gateway asks again then, so it notices a lost dispatcher soon after.
+HOLD_TIME = timedelta(milliseconds=100)
+
 
 class AttemptResult(IntEnum):
     """How an attempt ended, for the endpoint's health."""
@@ -28,6 +35,12 @@
     :param backed_off: endpoints that want no requests from the gateway now.
     :param is_stream: whether the response is a stream of events.
     :param binding: service and version that the stream is bound to, if it has begun.
+    :param may_wait: whether it waits until an endpoint has room. An earlier version of
+        a dispatcher or of a gateway doesn't know that.
+    :param is_queued: whether it has a place in the queue, and waits for its turn.
+    :param objective_s: seconds until its response should begin.
+    :param deadline_s: seconds until its caller leaves.
+    :param waited_s: seconds since its arrival.
     """
 
     gateway: str
@@ -40,6 +53,13 @@
     backed_off: tuple[str, ...] = ()
     is_stream: bool = False
     binding: tuple[str, str] | None = None
+    may_wait: bool = False
+    is_queued: bool = False
+    customer: str = ""
+    priority: Count = 0
+    objective_s: float = 0.0
+    deadline_s: float = 0.0
+    waited_s: float = 0.0
 
     @classmethod
     def of(
@@ -69,6 +89,39 @@
             None if bound is None else (bound.service, bound.version),
         )
 
+    def with_terms(
+        self, terms: AdmissionTerms, now: timedelta, *, is_queued: bool
+    ) -> "AssignmentRequest":
+        """Return the request for an attempt that may wait.
+
+        :param now: elapsed time at this gateway; clocks of others differ.
+        """
+        return structs.replace(
+            self,
+            may_wait=True,
+            is_queued=is_queued,
+            customer=terms.customer,
+            priority=terms.priority,
+            objective_s=(terms.objective_at - now).total_seconds(),
+            deadline_s=(terms.deadline - now).total_seconds(),
+            waited_s=(now - terms.arrived_at).total_seconds(),
+        )
+
+    def terms(self, now: timedelta) -> AdmissionTerms | None:
+        """Return on which terms it waits; None if it doesn't.
+
+        :param now: elapsed time at this gateway.
+        """
+        if not self.may_wait:
+            return None
+        return AdmissionTerms(
+            self.customer,
+            self.priority,
+            now - timedelta(seconds=self.waited_s),
+            now + timedelta(seconds=self.objective_s),
+            now + timedelta(seconds=self.deadline_s),
+        )
+
     @property
     def traits(self) -> RequestTraits:
         """The properties that decide on the endpoint."""
@@ -99,6 +152,20 @@
     has_permit: bool = False
 
 
+class Queued(Message):
+    """Reply that an attempt waits for its turn; its gateway asks again at once."""
+
+
+class AssignmentRejected(Message):
+    """Reply that an attempt can't be served in time.
+
+    :param retry_after_s: seconds after which its caller should come back.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
 class FirstToken(Message):
     """Report that an endpoint has finished a prefill, or need not any more.
 
@@ -130,9 +197,12 @@
     ended: tuple[AttemptEnded, ...] = ()
 
 
+AssignmentReply = Assignment | Queued | AssignmentRejected
+
 # The dispatcher has no endpoint for an attempt.
 NO_ASSIGNMENT = Assignment("")
 
 ASSIGNMENT_REQUEST = Decoder(AssignmentRequest)
 ASSIGNMENT = Decoder(Assignment)
+ASSIGNMENT_REJECTED = Decoder(AssignmentRejected)
 ATTEMPT_REPORT = Decoder(AttemptReport)
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -4,6 +4,7 @@
 sent, the endpoint reports that it did not run the request, or it may have run.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from functools import cached_property
@@ -14,6 +15,11 @@
 from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.decisions.strikes import PART_PREFIX
 from sassafrasdale.deployment import RequestKind
+from sassafrasdale.gateway.admission.attempt_starter import (
+    AttemptRequest,
+    AttemptStarter,
+)
+from sassafrasdale.gateway.admission.terms import AdmissionTerms
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.advertisements.endpoint_gate import NO_ENDPOINT_RETRY_AFTER
 from sassafrasdale.gateway.attempts import Attempt
@@ -68,6 +74,10 @@
 # A stream that another endpoint could resume is abandoned after this time without data.
 # Its caller gives up after a gap of two seconds or more.
 STREAM_IDLE_TIMEOUT = timedelta(seconds=1.2)
+# Reason and Retry-After while this gateway is stopping; the balancer sends the retry to
+# another one.
+STOPPING = "stopping"
+STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 # Most parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 16
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
@@ -84,6 +94,9 @@
     :param paths: opens the way to an endpoint.
     :param continuations: records which versions begin streams.
     :param clock: source of elapsed time.
+    :param starter: starts the attempts.
+    :param last_end: returns the elapsed time by which requests must end; None for no
+        limit.
     """
 
     def __init__(
@@ -95,7 +108,11 @@
         paths: EndpointPaths,
         continuations: StreamContinuations,
         clock: Clock,
+        starter: AttemptStarter,
+        last_end: Callable[[], timedelta | None] = lambda: None,
     ) -> None:
+        self._starter = starter
+        self._last_end = last_end
         self._continuations = continuations
         self._quarantine = quarantine
         self._paths = paths
@@ -110,6 +127,7 @@
         self._may_have_run = False
         self._splitter = EventSplitter(admitted.traits.resume_after)
         self._first_byte_at: timedelta | None = None
+        self._waited = timedelta()
         self._last_failure = ""
         self._endpoint: str | None = None
         self._last_attempt: Attempt | None = None
@@ -124,6 +142,11 @@
         """Name of the endpoint of the last attempt."""
         return self._endpoint
 
+    @property
+    def waited(self) -> timedelta:
+        """Time from the request's arrival until an endpoint was chosen."""
+        return self._waited
+
     @property
     def attempts(self) -> int:
         """Number of attempts."""
@@ -156,15 +179,21 @@
         admitted = self._admitted
         self._give_up_if_quarantined()
         is_retry = self._attempts > 0
-        attempt = self._fleet.start_attempt(
-            admitted.service,
-            admitted.traits,
-            self._tried,
-            admitted.route.name,
-            is_retry=is_retry,
+        attempt = self._starter.start(
+            AttemptRequest(
+                admitted.service,
+                admitted.traits,
+                self._tried,
+                admitted.route.name,
+                is_retry,
+                self._terms(),
+                self._check_waiting,
+            )
         )
         if attempt is None:
             self._give_up_unsent()
+        if not is_retry:
+            self._waited = self._clock.elapsed() - admitted.received_at
         self._tried.add(attempt.record.name)
         if self._caller.response_started:
             log.info(
@@ -177,6 +206,32 @@
         self._last_attempt = attempt
         return attempt
 
+    def _terms(self) -> AdmissionTerms | None:
+        """Return on which terms the request may wait; None if it may not.
+
+        One that was sent before, or whose stream has begun, has used its wait.
+        """
+        admitted = self._admitted
+        objective = admitted.route.objective
+        if objective is None or admitted.traits.binding is not None:
+            return None
+        return AdmissionTerms(
+            admitted.customer_name,
+            self._queue_priority(),
+            admitted.received_at,
+            admitted.received_at + objective,
+            admitted.deadline,
+        )
+
+    def _check_waiting(self) -> None:
+        """End a request that waits, if nobody waits for it or this gateway stops."""
+        if self._caller.is_disconnected:
+            raise CallerDisconnected
+        self._give_up_if_quarantined()
+        last_end = self._last_end()
+        if last_end is not None and self._admitted.deadline > last_end:
+            raise RequestRefused(503, STOPPING, retry_after=STOPPING_RETRY_AFTER)
+
     def _run_attempt(self, attempt: Attempt) -> int:
         """Send the request to an endpoint and relay its response."""
         try:
@@ -289,9 +344,12 @@
 
     def _priority(self) -> int | None:
         """Return the priority of a stream at its engine; None for plain services."""
-        admitted = self._admitted
-        if admitted.route.kind is not RequestKind.STREAM:
+        if self._admitted.route.kind is not RequestKind.STREAM:
             return None
+        return self._queue_priority()
+
+    def _queue_priority(self) -> int:
+        admitted = self._admitted
         if admitted.customer is not None and admitted.customer.priority is not None:
             return admitted.customer.priority
         return admitted.route.priority
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.endpoint_room import has_room
+from sassafrasdale.decisions.load_reports import NO_LOAD, remaining_prefill_tokens
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
 from sassafrasdale.decisions.stream_versions import UNRESUMABLE_RETRY_AFTER
@@ -22,11 +24,17 @@
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.dispatcher_client import DispatcherClient
-from sassafrasdale.gateway.dispatcher_messages import AttemptResult
+from sassafrasdale.gateway.dispatcher_messages import Assignment, AttemptResult
 from sassafrasdale.gateway.eligibility import EndpointEligibility
 from sassafrasdale.gateway.peer_loads import PeerLoads
 from sassafrasdale.gateway.peering import Peering
-from sassafrasdale.gateway.placement import CacheEstimate, Placement, shared_parts
+from sassafrasdale.gateway.placement import (
+    PLAIN_REQUEST_TIME,
+    RUNNING_REQUEST_TIME,
+    CacheEstimate,
+    Placement,
+    shared_parts,
+)
 from sassafrasdale.gateway.prefill_times import PrefillTimes
 from sassafrasdale.gateway.retry_budgets import RetryBudgets
 from sassafrasdale.gateway.rollouts import Rollouts
@@ -57,8 +65,8 @@
     :param bounds: share of requests that may be retried.
     :param rollouts: which versions of a service's endpoints get requests.
     :param gate: which endpoints take a request now.
-    :param dispatcher_client: client of the zone's dispatcher; None if this gateway
-        always chooses endpoints itself.
+    :param dispatcher_client: reports on the attempts that the zone's dispatcher counts;
+        None if there are none.
     :param may_begin: returns whether streams of a service may begin at a version.
     """
 
@@ -94,6 +102,7 @@
         self._prefill_times = PrefillTimes(peering.prefill_times)
         self._work = DemandShares(WORK_WINDOW)
         self._peer_loads = PeerLoads(peering)
+        self._capacities: dict[str, float] = {}
 
     @property
     def retry_budgets(self) -> RetryBudgets:
@@ -127,54 +136,14 @@
     def refresh_peer_loads(self) -> None:
         """Update the peers' loads from their latest reports."""
         self._peer_loads.refresh()
+        self._capacities.clear()
 
-    def start_attempt(
-        self,
-        service: str,
-        traits: RequestTraits,
-        tried: Collection[str],
-        route: str = "",
-        *,
-        is_retry: bool,
-    ) -> Attempt | None:
-        """Choose the endpoint for a request's next attempt and start the attempt.
-
-        :param tried: endpoints that the request was sent to before.
-        :param route: name of its route.
-        :param is_retry: whether this attempt is a retry.
-        :returns: None if there is no endpoint.
-        """
-        attempt = self._choose_and_start(
-            service, traits, tried, route, is_retry=is_retry
-        )
-        if attempt is not None:
-            attempt.route = route
-            attempt.binding = traits.binding
-        return attempt
-
-    def _choose_and_start(
-        self,
-        service: str,
-        traits: RequestTraits,
-        tried: Collection[str],
-        route: str,
-        *,
-        is_retry: bool,
-    ) -> Attempt | None:
-        if not is_retry:
-            attempt = self._start_canary_attempt(service, traits, tried, route)
-            if attempt is not None:
-                return attempt
-        if self._dispatcher_client is not None and self._is_dispatched(service):
-            attempt = self._start_assigned_attempt(service, traits, tried)
-            if attempt is not None:
-                return attempt
-        backed_off = self._gate.backed_off()
-        return self.start_local_attempt(
-            service, traits, tried, backed_off, is_retry=is_retry
-        )
+    @property
+    def report_age(self) -> timedelta:
+        """Mean age of the other gateways' load reports."""
+        return self._peer_loads.report_age
 
-    def _is_dispatched(self, service: str) -> bool:
+    def is_dispatched(self, service: str) -> bool:
         """Return whether the zone's dispatcher assigns a service's endpoints.
 
         Only it knows how much room brittle endpoints have.
@@ -185,11 +154,54 @@
             self._directory.of_service(service)
         )
 
+    def backed_off(self) -> frozenset[str]:
+        """Return the endpoints that want no requests from this gateway now."""
+        return self._gate.backed_off()
+
+    def all_backed_off(self, service: str, backed_off: Collection[str]) -> bool:
+        """Return whether all endpoints of a service are among the backed-off ones."""
+        if not backed_off:
+            return False
+        registered = self._directory.of_service(service)
+        return all(record.name in backed_off for record in registered)
+
+    def cost_of(self, service: str, traits: RequestTraits) -> timedelta:
+        """Return the endpoint time that a request is expected to take.
+
+        The engines that own the shared parts of its prompt have them cached.
+        """
+        if self._service(service).engine is None:
+            registered = self._directory.of_service(service)
+            slots = max((record.endpoint.slots for record in registered), default=1)
+            return PLAIN_REQUEST_TIME / slots
+        cached = sum(part.tokens for part in shared_parts(traits))
+        unread = max((traits.prompt_tokens or 0) - cached, 0)
+        return RUNNING_REQUEST_TIME + unread * self._prefill_times.token_time(service)
+
+    def capacity(self, service: str) -> float:
+        """Return the endpoint time per second for the requests that wait here."""
+        if service not in self._capacities:
+            # Many requests need it between two refreshes.
+            self._capacities[service] = self._estimate_capacity(service)
+        return self._capacities[service]
+
+    def _estimate_capacity(self, service: str) -> float:
+        weights = self._health_weights(service)
+        usable = [
+            record.name
+            for record in self._eligibility.endpoints(service)
+            if weights.get(record.name, 1.0) > 0
+        ]
+        slowness = self._step_times.slowness(usable)
+        total = sum(1 / slowness.get(name, 1.0) for name in usable)
+        own = self.work().get(service, 0.0)
+        return total * self._peering.work_share(service, own)
+
     def peer_in_flight(self, endpoint: str) -> int:
         """Return the requests in flight that the other gateways last reported."""
         return self._peer_loads.in_flight(endpoint)
 
-    def _start_canary_attempt(
+    def start_canary_attempt(
         self,
         service: str,
         traits: RequestTraits,
@@ -214,18 +226,14 @@
         if not is_retry and self._rollouts:
             self._rollouts.record_request(attempt.record, attempt.route)
 
-    def _start_assigned_attempt(
-        self, service: str, traits: RequestTraits, tried: Collection[str]
+    def adopt_assignment(
+        self,
+        assigned: Assignment,
+        service: str,
+        traits: RequestTraits,
+        tried: Collection[str],
     ) -> Attempt | None:
-        backed_off = self._gate.backed_off()
-        if backed_off and self._all_backed_off(service, backed_off):
-            return None
-        assignment = self._dispatcher_client.request_assignment(
-            service, traits, tried, backed_off
-        )
-        if assignment is None:
-            return None
-        number, assigned = assignment
+        """Return the attempt at an assigned endpoint; None if it can't be used here."""
         record = self._directory.records.get(assigned.endpoint)
         is_usable = (
             record is not None
@@ -233,36 +241,25 @@
             and not self._gate.is_backed_off(record)
         )
         if not is_usable or not (assigned.has_permit or self._gate.take(record)):
-            self._dispatcher_client.record_end(number, AttemptResult.NEUTRAL)
             return None
         self._cache.record_prompt(
             record.name, traits.parts, self._cache_tokens(service)
         )
-        attempt = Attempt(
+        return Attempt(
             record,
             service,
             self._clock.elapsed(),
             assigned.prefill_tokens,
             self._directory.records.get(assigned.source),
             assigned.queued_tokens,
-            number=number,
-            assigned_by=self._dispatcher_client.dispatcher,
             has_permit=assigned.has_permit or self._gate.is_limited(record),
         )
-        self._dispatcher_client.add_attempt(
-            number, lambda: self._count_locally(attempt)
-        )
-        return attempt
-
-    def _all_backed_off(self, service: str, backed_off: Collection[str]) -> bool:
-        registered = self._directory.of_service(service)
-        return all(record.name in backed_off for record in registered)
 
     def _health_weights(self, service: str) -> Mapping[str, float]:
         """Return the endpoints' health weights by name; 0 excludes an endpoint."""
         return self._directory.health_of(service).weights(self._clock.elapsed())
 
-    def _count_locally(self, attempt: Attempt) -> None:
+    def count_locally(self, attempt: Attempt) -> None:
         """Count an attempt locally that the dispatcher no longer counts."""
         attempt.number = None
         attempt.record.in_flight += 1
@@ -277,16 +274,24 @@
         backed_off: Collection[str],
         *,
         is_retry: bool,
+        only_with_room: bool = False,
     ) -> Attempt | None:
         """Choose an endpoint by this gateway's own data, and count the attempt.
 
         :param backed_off: endpoints that want no requests from the gateway that will
             send the attempt, which may be another one.
+        :param only_with_room: whether only endpoints that have room come into question.
         """
         registered = self._eligibility.endpoints_for(service, traits)
         candidates = [record for record in registered if record.name not in tried]
         return self._start_among(
-            candidates, registered, service, traits, backed_off, is_retry=is_retry
+            candidates,
+            registered,
+            service,
+            traits,
+            backed_off,
+            is_retry=is_retry,
+            only_with_room=only_with_room,
         )
 
     def _start_among(
@@ -298,6 +303,7 @@
         backed_off: Collection[str],
         *,
         is_retry: bool,
+        only_with_room: bool = False,
     ) -> Attempt | None:
         """Choose among the candidates, and count the attempt as in progress.
 
@@ -315,10 +321,31 @@
             eligible = [rec for rec in eligible if rec.name not in backed_off]
         permitted = self._gate.with_permit(eligible)
         record = self._choose(permitted, service, traits, weights)
+        if only_with_room and record is not None and not self._has_room(record):
+            with_room = [other for other in permitted if self._has_room(other)]
+            record = self._choose(with_room, service, traits, weights)
         if record is None or not self._gate.take(record):
             return None
         return self._start_at(record, registered, traits, weights, is_retry=is_retry)
 
+    def _has_room(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint has room for a request that may wait instead."""
+        name = record.endpoint.service
+        objective = self._configuration().objective(name)
+        if objective is None:
+            return True
+        service = self._service(name)
+        load = self._peer_loads.by_endpoint.get(record.name, NO_LOAD)
+        slowness = self._step_times.slowness([record.name]).get(record.name, 1.0)
+        token_time = self._prefill_times.token_time(name) * slowness
+        tokens = record.prefill_tokens + remaining_prefill_tokens(load, token_time)
+        slots = (
+            record.endpoint.slots if service.engine is None else service.engine.slots
+        )
+        return has_room(
+            record.in_flight + load.in_flight, slots, token_time * tokens, objective
+        )
+
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
 
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -15,10 +15,15 @@
     Route,
     customer_name,
 )
+from sassafrasdale.gateway.admission.attempt_starter import AttemptStarter
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
-from sassafrasdale.gateway.exchange import RequestExchange
+from sassafrasdale.gateway.exchange import (
+    STOPPING,
+    STOPPING_RETRY_AFTER,
+    RequestExchange,
+)
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths
 from sassafrasdale.gateway.quarantine.quarantine import (
@@ -46,9 +51,6 @@
 # Longest time that a request waits for a gateway that has just started.
 STARTUP_WAIT = timedelta(milliseconds=150)
 STARTUP_POLL_INTERVAL = timedelta(milliseconds=10)
-# Retry-After while this gateway is stopping; the balancer sends the retry to another
-# one.
-STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 # Time limit of a request without a deadline whose route allows more time.
 DEFAULT_TIMEOUT = timedelta(seconds=60)
 
@@ -59,6 +61,7 @@
     :param routes: returns the look-ups for the current configuration; None before one
         is loaded.
     :param fleet: the endpoints.
+    :param starter: starts attempts at them.
     :param quotas: customers' rate limits.
     :param quarantine: quarantine of requests that crash endpoints.
     :param paths: opens the ways to endpoints.
@@ -72,6 +75,7 @@
         self,
         routes: Callable[[], RouteTable | None],
         fleet: Fleet,
+        starter: AttemptStarter,
         quotas: Quotas,
         quarantine: RequestQuarantine,
         paths: EndpointPaths,
@@ -84,6 +88,7 @@
     ) -> None:
         self._routes = routes
         self._fleet = fleet
+        self._starter = starter
         self._quotas = quotas
         self._quarantine = quarantine
         self._paths = paths
@@ -130,6 +135,8 @@
             self._paths,
             self._continuations,
             self._clock,
+            self._starter,
+            self._last_end,
         )
         try:
             self._continuations.bind(admitted)
@@ -146,6 +153,7 @@
             record.attempts = exchange.attempts
             record.endpoint = exchange.endpoint
             record.first_byte_after = exchange.first_byte_after
+            record.waited = exchange.waited
             record.last_attempt = exchange.last_attempt
 
     def _admit(self, request: Request, record: "_AccessRecord") -> AdmittedRequest:
@@ -170,7 +178,7 @@
         deadline = now + min(route.timeout, caller_time)
         last_end = self._last_end()
         if last_end is not None and deadline > last_end:
-            raise RequestRefused(503, "stopping", retry_after=STOPPING_RETRY_AFTER)
+            raise RequestRefused(503, STOPPING, retry_after=STOPPING_RETRY_AFTER)
         customer = self._customer(routes, route, traits)
         service = draw_service(route, self._rng)
         verdict = self._check_quarantine(request, customer, traits, service, record)
@@ -287,6 +295,7 @@
             named_by=(attempt and attempt.assigned_by) or None,
             forwarder=(attempt and attempt.forwarder) or None,
             fetched_from=attempt and attempt.source and attempt.source.name,
+            waited_ms=milliseconds(record.waited),
             first_ms=optional_milliseconds(record.first_byte_after),
             took_ms=milliseconds(took),
         )
@@ -306,6 +315,7 @@
         self.version = 0
         self.attempts = 0
         self.first_byte_after: timedelta | None = None
+        self.waited = timedelta()
         self.limit: str | None = None
         self.fingerprint: str | None = None
         self.last_attempt: Attempt | None = None
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -13,10 +13,15 @@
 from sassafrasdale.gateway.advertisements.endpoint_gate import EndpointGate
 from sassafrasdale.gateway.dispatcher_messages import (
     ASSIGNMENT,
+    ASSIGNMENT_REJECTED,
+    HOLD_TIME,
     NO_ASSIGNMENT,
     Assignment,
+    AssignmentRejected,
+    AssignmentReply,
     AssignmentRequest,
     AttemptReport,
+    Queued,
 )
 from sassafrasdale.gateway.peer_states import (
     REDIRECT,
@@ -64,7 +69,7 @@
 ASSIGNMENT_TARGET = "/ask"
 ATTEMPT_REPORT_TARGET = "/notes"
 # An assignment takes a millisecond or two. Waiting longer costs a request more than a
-# better endpoint saves.
+# better endpoint saves. A call of an attempt that waits for its turn is held besides.
 ASSIGNMENT_TIMEOUT = timedelta(milliseconds=40)
 
 Decoded = TypeVar("Decoded", bound=Struct)
@@ -90,8 +95,8 @@
     ) -> None:
         """Receive which attempts assigned here are still in flight at a member."""
 
-    def assign(self, request: AssignmentRequest) -> Assignment | None:
-        """Return the endpoint for another gateway's attempt."""
+    def assign(self, request: AssignmentRequest) -> AssignmentReply | None:
+        """Return the endpoint for another gateway's attempt, or why there is none."""
 
     def receive_attempt_report(self, report: AttemptReport) -> None:
         """Receive the outcomes of another gateway's attempts."""
@@ -192,19 +197,18 @@
 
     def request_assignment(
         self, contact: Contact, request: AssignmentRequest
-    ) -> Assignment | None:
-        """Return the endpoint assigned by a dispatcher; None if the call failed.
+    ) -> AssignmentReply | None:
+        """Return the reply of a dispatcher; None if the call failed.
 
         If no endpoint is available there, the assignment names none.
         """
         call = Request("POST", ASSIGNMENT_TARGET, body=encode(request))
+        limit = ASSIGNMENT_TIMEOUT + (HOLD_TIME if request.is_queued else timedelta())
         try:
             response = self._client(
                 contact, self._assignment_clients, ASSIGNMENT_TIMEOUT
-            ).call(call, ASSIGNMENT_TIMEOUT)
-            if response.status == 404:
-                return NO_ASSIGNMENT
-            return ASSIGNMENT.decode(response.body) if response.status == 200 else None
+            ).call(call, limit)
+            return _assignment_reply(response)
         except (HttpError, MessageMalformed) as error:
             log.debug("assignment request failed", peer=contact.name, why=str(error))
             return None
@@ -281,3 +285,30 @@
             client = HttpClient(contact.address, self._clock, limit)
             clients[contact.name] = client
         return client
+
+
+def _assignment_reply(response: Response) -> AssignmentReply | None:
+    match response.status:
+        case 200:
+            return ASSIGNMENT.decode(response.body)
+        case 202:
+            return Queued()
+        case 404:
+            return NO_ASSIGNMENT
+        case 503:
+            return ASSIGNMENT_REJECTED.decode(response.body)
+        case _:
+            return None
+
+
+def assignment_response(reply: AssignmentReply | None) -> Response:
+    """Return the response with a dispatcher's reply."""
+    match reply:
+        case Assignment():
+            return Response(200, body=encode(reply))
+        case Queued():
+            return Response(202)
+        case AssignmentRejected():
+            return Response(503, body=encode(reply))
+        case _:
+            return Response(404)
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -32,6 +32,7 @@
     VALUES_TARGET,
     PeerCalls,
     PeerContext,
+    assignment_response,
 )
 from sassafrasdale.gateway.peer_states import (
     GROUP_UPDATE,
@@ -63,6 +64,10 @@
 # An aggregator that did not run for this long was paused, and its members have moved
 # to another one.
 PAUSE_THRESHOLD = CONTACT_TIMEOUT
+# Engine time per second from which on it tells how much of it each zone takes.
+MIN_KNOWN_WORK = 0.1
+# Lowest part of an equal share that a zone counts on: its load may just begin.
+MIN_ZONE_PART = 0.5
 # A change reaches all gateways in three steps: to the aggregator, from there to the
 # other aggregators, and from those to their members.
 PROPAGATION_STEPS = 3
@@ -145,6 +150,29 @@
             total += group.state.engine_time.get(service, 0.0) * decay
         return total
 
+    def work_share(self, service: str, own_work: float) -> float:
+        """Return the fraction of a service's endpoints for the requests queued here.
+
+        A zone gets its part of the engine time that all requests take. A gateway that
+        isn't the aggregator of its zone, and queues its own requests meanwhile, gets an
+        equal part of that.
+
+        :param own_work: engine time per second that this gateway's requests take.
+        """
+        own_zone = self._roster.own.zone
+        zone_work = total = own_work
+        gateways = 1
+        for group in self.unexpired_groups():
+            work = group.state.engine_time.get(service, 0.0)
+            total += work
+            if group.state.aggregator.zone == own_zone:
+                zone_work += work
+                gateways += group.state.gateways
+        equal = 1 / max(self._zones, 1)
+        share = zone_work / total if total >= MIN_KNOWN_WORK else equal
+        share = max(share, equal * MIN_ZONE_PART)
+        return share if self.is_aggregator else share / gateways
+
     def zone_in_flight(self) -> dict[str, int]:
         """Return the requests in flight of this zone's other gateways, by endpoint."""
         in_flight: Counter[str] = Counter()
@@ -351,14 +379,8 @@
             reply = self._aggregator.handle_report(REPORT.decode(request.body))
             return Response(200, body=encode(reply))
         if target == ASSIGNMENT_TARGET:
-            assigned = self._context.listener.assign(
-                ASSIGNMENT_REQUEST.decode(request.body)
-            )
-            return (
-                Response(404)
-                if assigned is None
-                else Response(200, body=encode(assigned))
-            )
+            call = ASSIGNMENT_REQUEST.decode(request.body)
+            return assignment_response(self._context.listener.assign(call))
         if target == ATTEMPT_REPORT_TARGET:
             self._context.listener.receive_attempt_report(
                 ATTEMPT_REPORT.decode(request.body)
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -105,6 +105,7 @@
         tasks += [
             components.peering.run,
             components.dispatcher_client.run,
+            components.queues.run,
             components.strike_records.run,
             components.version_register.run,
             components.report_streams,
--- a/src/sassafrasdale/platform/configuration.py
+++ b/src/sassafrasdale/platform/configuration.py
@@ -40,6 +40,7 @@
     prefix: str
     kind: RequestKind
     timeout_ms: float = Field(alias="timeoutMs")
+    goal_ms: float = Field(0, alias="goalMs")
     priority: int = 0
     service: str | None = None
     split: tuple[_Split, ...] = ()
@@ -132,6 +133,7 @@
         public=route.no_auth,
         shares_prompts=route.session_affinity,
         resumable=route.allow_resume,
+        objective=timedelta(milliseconds=route.goal_ms) if route.goal_ms > 0 else None,
     )
 
 
--- /dev/null
+++ b/tests/gateway/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the waiting requests."""
--- a/tests/gateway/advertisements/test_backoffs.py
+++ b/tests/gateway/advertisements/test_backoffs.py
@@ -6,6 +6,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.deployment import RequestTraits
+from sassafrasdale.gateway.admission.attempt_starter import AttemptRequest
 from sassafrasdale.gateway.advertisements.backoffs import MAX_BACKOFF, Backoffs
 from tests.gateway.world import (
     CLOCK,
@@ -122,9 +123,7 @@
     """Guards against a choice that is older than the refusal."""
     world = World()
     world.add("i-1", "records", refusing())
-    attempt = world.fleet.start_attempt(
-        "records", RequestTraits("r-1"), (), is_retry=False
-    )
+    attempt = world.starter.start(AttemptRequest("records", RequestTraits("r-1"), ()))
     assert world.fleet.may_send(attempt)
     world.gate.backoffs.begin("i-1", timedelta(seconds=3))
     assert not world.fleet.may_send(attempt)
--- a/tests/gateway/advertisements/test_endpoint_beliefs.py
+++ b/tests/gateway/advertisements/test_endpoint_beliefs.py
@@ -13,6 +13,7 @@
     EndpointState,
     RequestTraits,
 )
+from sassafrasdale.gateway.admission.attempt_starter import AttemptRequest
 from sassafrasdale.gateway.advertisements.endpoint_beliefs import EndpointLimits
 from standins.gateway_fleet import wait_for
 from tests.gateway.fleets import Fleet, contact, single_gate
@@ -191,9 +192,7 @@
     """Guards against a choice that is older than the departure."""
     world = World()
     world.add("i-1", "records", ScriptedEndpoint(respond_with()))
-    attempt = world.fleet.start_attempt(
-        "records", RequestTraits("r-1"), (), is_retry=False
-    )
+    attempt = world.starter.start(AttemptRequest("records", RequestTraits("r-1"), ()))
     assert world.fleet.may_send(attempt)
     world.gate.departures.set("i-1", True, "peer")
     assert not world.fleet.may_send(attempt)
@@ -203,9 +202,7 @@
     """Guards against a choice that is older than the limit."""
     world = World()
     world.add("i-1", "records", ScriptedEndpoint(respond_with()))
-    attempt = world.fleet.start_attempt(
-        "records", RequestTraits("r-1"), (), is_retry=False
-    )
+    attempt = world.starter.start(AttemptRequest("records", RequestTraits("r-1"), ()))
     world.limits.set("i-1", 1.0, "peer")
     assert not world.fleet.may_send(attempt)
 
--- a/tests/gateway/advertisements/test_endpoint_gate.py
+++ b/tests/gateway/advertisements/test_endpoint_gate.py
@@ -7,6 +7,7 @@
 
 import sassafrasdale.gateway
 from sassafrasdale.deployment import RequestTraits
+from sassafrasdale.gateway.admission.attempt_starter import AttemptRequest
 from tests.gateway.world import (
     CLOCK,
     ScriptedEndpoint,
@@ -139,7 +140,5 @@
     world.add("i-1", "records", endpoint)
     for _ in range(5):
         assert world.ask(request("/certificates/1")).startswith(b"HTTP/1.1 200")
-    attempt = world.fleet.start_attempt(
-        "records", RequestTraits("r-1"), (), is_retry=False
-    )
+    attempt = world.starter.start(AttemptRequest("records", RequestTraits("r-1"), ()))
     assert world.fleet.may_send(attempt)
--- a/tests/gateway/streams/test_continuations.py
+++ b/tests/gateway/streams/test_continuations.py
@@ -12,6 +12,7 @@
 )
 from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.deployment import Endpoint, EndpointState, RequestTraits
+from sassafrasdale.gateway.admission.attempt_starter import AttemptRequest
 from sassafrasdale.gateway.directory import RESTART_TIME, EndpointRecord
 from sassafrasdale.gateway.dispatcher_messages import (
     ASSIGNMENT_REQUEST,
@@ -237,7 +238,7 @@
 def start(world: StreamWorld, binding: StreamBinding | None):
     """Start an attempt of a stream."""
     traits = RequestTraits("r-1", is_stream=True, binding=binding)
-    return world.fleet.start_attempt("models", traits, (), "r-reports", is_retry=False)
+    return world.starter.start(AttemptRequest("models", traits, (), "r-reports"))
 
 
 def order_rollout(world: StreamWorld, state: RolloutState) -> None:
@@ -302,9 +303,13 @@
         self._endpoint = endpoint
         self.ended: list[int] = []
 
-    def request_assignment(self, *args) -> tuple[int, Assignment]:
+    def next_number(self) -> int:
+        """Return the number of each attempt."""
+        return 7
+
+    def request_assignment(self, *args) -> Assignment:
         """Return the endpoint that it always names."""
-        return 7, Assignment(self._endpoint)
+        return Assignment(self._endpoint)
 
     def add_attempt(self, number: int, take_over) -> None:
         """Do nothing."""
@@ -316,7 +321,7 @@
 
 def test_an_endpoint_of_another_version_that_is_assigned_is_not_used(world):
     """Guards against a dispatcher of an earlier release, which ignores the version."""
-    dispatcher = world.fleet._dispatcher_client = EarlierDispatcher("m-2")
+    dispatcher = world.starter._client = EarlierDispatcher("m-2")
     assert start(world, V1).record.name == "m-1"
     assert dispatcher.ended == [7]
     assert start(world, V2).record.name == "m-2"
@@ -326,7 +331,7 @@
     """Guards against streams whose version no restarted gateway could know."""
     world.fleet._eligibility._may_begin = lambda service, version: version == "v1"
     assert {start(world, None).record.name for _ in range(10)} == {"m-1"}
-    world.fleet._dispatcher_client = EarlierDispatcher("m-2")
+    world.starter._client = EarlierDispatcher("m-2")
     assert start(world, None).record.name == "m-1"
 
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -17,6 +17,11 @@
     RequestTraits,
     Service,
 )
+from sassafrasdale.gateway.admission.attempt_queues import AttemptQueues
+from sassafrasdale.gateway.admission.attempt_starter import (
+    AttemptRequest,
+    AttemptStarter,
+)
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.dispatcher import RECONCILE_GRACE, Dispatcher
 from sassafrasdale.gateway.dispatcher_client import FALLBACK_TIME, DispatcherClient
@@ -76,6 +81,8 @@
             self.gate,
             client,
         )
+        self.queues = AttemptQueues(self.fleet, lambda name: 1.0, clock, rng)
+        self.starter = AttemptStarter(self.fleet, self.queues, clock, client)
 
     def in_flight_counts(self):
         records = self.directory.records.values()
@@ -92,7 +99,9 @@
     def __init__(self, gateways=3):
         self.clock = ManualClock()
         self.central = Gateway("central", self.clock)
-        self.dispatcher = Dispatcher(self.central.fleet, self.clock)
+        self.dispatcher = Dispatcher(
+            self.central.fleet, self.central.queues, self.clock
+        )
         self.responds = True
         self.receives_reports = True
         self.contact = contact("central")
@@ -123,9 +132,8 @@
         return self.receives_reports
 
     def send(self, number, tokens=5000):
-        return self.gateways[number].fleet.start_attempt(
-            "models", prompt(tokens), frozenset(), is_retry=False
-        )
+        request = AttemptRequest("models", prompt(tokens), frozenset())
+        return self.gateways[number].starter.start(request)
 
     def send_results(self):
         for client in self.clients:
--- a/tests/gateway/test_dispatcher_client.py
+++ b/tests/gateway/test_dispatcher_client.py
@@ -90,5 +90,7 @@
         SystemClock(),
     )
     for _ in range(3):
-        assert client.request_assignment("models", RequestTraits("r"), ()) is None
+        number = client.next_number()
+        reply = client.request_assignment(number, "models", RequestTraits("r"), ())
+        assert reply == NO_ASSIGNMENT
     assert asked == [1, 2, 3]
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -15,6 +15,8 @@
     GatewaySettings,
     Service,
 )
+from sassafrasdale.gateway.admission.attempt_queues import AttemptQueues
+from sassafrasdale.gateway.admission.attempt_starter import AttemptStarter
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.checks import LinkChecks
@@ -279,6 +281,8 @@
             self.rollouts,
             self.gate,
         )
+        self.queues = AttemptQueues(self.fleet, lambda name: 1.0, CLOCK, self.rng)
+        self.starter = AttemptStarter(self.fleet, self.queues, CLOCK)
         self.quotas = Quotas(self.settings.bounds, lambda: 1, CLOCK)
         self.strikes = StrikeLedger()
         time = ClusterTime(CLOCK)
@@ -323,6 +327,7 @@
         self.frontend = Frontend(
             lambda: self.routes,
             self.fleet,
+            self.starter,
             self.quotas,
             self.quarantine,
             self.paths,
