Plain endpoints with few slots are assigned by the dispatcher, which sees slow ones

Cause: with 74 gateways before three endpoints of 6 slots each gateway chooses by news that are older than a request lasts; some were rejected as full while others were idle. Change: the zone's dispatcher assigns them where slots are fewer than two a gateway and the routes have an objective. It knows each response time of its zone, so an endpoint that has turned slow is seen after three or four responses.

--- /dev/null
+++ b/src/sassafrasdale/decisions/response_times.py
@@ -0,0 +1,80 @@
+"""Endpoints of plain services that have turned slow, by their latest response times.
+
+Workload: three endpoints, each slow by 2.5 times for half a second now and then, with
+some forty requests a second each from one zone. An average over many responses shows
+that when it is over. So the last few responses of each endpoint are compared with the
+usual ones.
+"""
+
+from collections import deque
+from collections.abc import Collection, Mapping
+from datetime import timedelta
+from statistics import median_low
+
+# Latest responses of an endpoint that tell whether it is slow, and their least number:
+# one long request must not mark it.
+KEPT_RESPONSES = 5
+MIN_RESPONSES = 3
+# An endpoint without responses for this long is tried again.
+RECENT_TIME = timedelta(seconds=1)
+# Responses of all endpoints by which the usual time is known, and their least number.
+KEPT_USUAL = 128
+MIN_USUAL = 16
+# Factors below this are within the variation of requests, and don't count.
+MIN_SLOWNESS = 1.5
+# An endpoint that seems slower than this has a fault, which its health shows better.
+MAX_SLOWNESS = 5.0
+
+
+class ResponseTimes:
+    """Response times of one service's endpoints, as seen by one dispatcher."""
+
+    def __init__(self) -> None:
+        self._usual: deque[timedelta] = deque(maxlen=KEPT_USUAL)
+        self._latest: dict[str, deque[tuple[timedelta, timedelta]]] = {}
+
+    def observe(self, endpoint: str, took: timedelta, now: timedelta) -> None:
+        """Record a response.
+
+        :param took: time that the request took at the endpoint.
+        """
+        self._usual.append(took)
+        latest = self._latest.setdefault(endpoint, deque(maxlen=KEPT_RESPONSES))
+        latest.append((now, took))
+
+    def usual_time(self) -> timedelta | None:
+        """Return the usual response time; None if too few responses are known."""
+        if len(self._usual) < MIN_USUAL:
+            return None
+        return median_low(self._usual)
+
+    def slowness(
+        self, endpoints: Collection[str], now: timedelta
+    ) -> Mapping[str, float]:
+        """Return by which factor endpoints are slower than usual.
+
+        :returns: endpoints that are not slow, or not known, are omitted. If all are
+            slow, they are so by the same factor, and the choice is as before.
+        """
+        usual = self.usual_time()
+        if not usual:
+            return {}
+        factors = {
+            name: recent / usual
+            for name in endpoints
+            if (recent := self._recent_time(name, now)) is not None
+        }
+        return {
+            name: min(factor, MAX_SLOWNESS)
+            for name, factor in factors.items()
+            if factor >= MIN_SLOWNESS
+        }
+
+    def forget(self, endpoint: str) -> None:
+        """Remove an endpoint that is gone."""
+        self._latest.pop(endpoint, None)
+
+    def _recent_time(self, endpoint: str, now: timedelta) -> timedelta | None:
+        latest = self._latest.get(endpoint, ())
+        recent = [took for at, took in latest if now - at <= RECENT_TIME]
+        return median_low(recent) if len(recent) >= MIN_RESPONSES else None
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -409,6 +409,7 @@
     def _forget_engine(self, name: str) -> None:
         self._cache.forget(name)
         self._step_times.forget(name)
+        self.fleet.forget(name)
 
     def receive_groups(self, groups: Sequence[ReceivedGroup]) -> None:
         """Receive the totals over all other gateways."""
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -6,6 +6,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_room import has_room
 from sassafrasdale.decisions.load_reports import NO_LOAD, remaining_prefill_tokens
+from sassafrasdale.decisions.response_times import ResponseTimes
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
 from sassafrasdale.decisions.stream_versions import UNRESUMABLE_RETRY_AFTER
@@ -46,6 +47,8 @@
 # An endpoint that doesn't respond is most likely gone; one that returns an occasional
 # error may be as good as the others.
 NO_RESPONSE_WEIGHT = 3
+# Slots of a plain service for each gateway below which a dispatcher assigns them.
+MIN_SLOTS_PER_GATEWAY = 2
 VERSION_UNAVAILABLE = Unavailability(
     "no endpoint of the stream's version", UNRESUMABLE_RETRY_AFTER
 )
@@ -103,6 +106,8 @@
         self._work = DemandShares(WORK_WINDOW)
         self._peer_loads = PeerLoads(peering)
         self._capacities: dict[str, float] = {}
+        self._few_slots: dict[str, bool] = {}
+        self._response_times: dict[str, ResponseTimes] = {}
 
     @property
     def retry_budgets(self) -> RetryBudgets:
@@ -137,6 +142,7 @@
         """Update the peers' loads from their latest reports."""
         self._peer_loads.refresh()
         self._capacities.clear()
+        self._few_slots.clear()
 
     @property
     def report_age(self) -> timedelta:
@@ -148,11 +154,29 @@
 
         Only it knows how much room brittle endpoints have.
         """
-        return self._service(
-            service
-        ).engine is not None or self._gate.rooms.has_brittle(
-            self._directory.of_service(service)
-        )
+        if self._service(service).engine is not None:
+            return True
+        registered = self._directory.of_service(service)
+        return self._has_few_slots(service) or self._gate.rooms.has_brittle(registered)
+
+    def _has_few_slots(self, service: str) -> bool:
+        """Return whether a plain service has too few slots for gateways to choose.
+
+        A request there ends before the other gateways hear of it. With fewer than two
+        slots for each gateway, their choices meet at one endpoint while another is
+        idle.
+        """
+        configuration = self._configuration()
+        if configuration.objective(service) is None:
+            return False
+        if configuration.service(service).engine is not None:
+            return False
+        if service not in self._few_slots:
+            registered = self._directory.of_service(service)
+            slots = sum(record.endpoint.slots for record in registered)
+            least = MIN_SLOTS_PER_GATEWAY * self._peering.gateway_count()
+            self._few_slots[service] = slots < least
+        return self._few_slots[service]
 
     def backed_off(self) -> frozenset[str]:
         """Return the endpoints that want no requests from this gateway now."""
@@ -173,7 +197,8 @@
         if self._service(service).engine is None:
             registered = self._directory.of_service(service)
             slots = max((record.endpoint.slots for record in registered), default=1)
-            return PLAIN_REQUEST_TIME / slots
+            usual = self._response_times_of(service).usual_time()
+            return (usual or PLAIN_REQUEST_TIME) / slots
         cached = sum(part.tokens for part in shared_parts(traits))
         unread = max((traits.prompt_tokens or 0) - cached, 0)
         return RUNNING_REQUEST_TIME + unread * self._prefill_times.token_time(service)
@@ -376,8 +401,22 @@
             weights,
             self._prefill_times.token_time(service),
             self._peer_loads.unreported_work(service, len(candidates)),
+            self._slow_endpoints(service, candidates),
         )
 
+    def _slow_endpoints(
+        self, service: str, candidates: Sequence[EndpointRecord]
+    ) -> Mapping[str, float] | None:
+        """Return the slow plain endpoints; None if gateways choose for themselves."""
+        if not self._has_few_slots(service):
+            return None
+        names = [record.name for record in candidates]
+        now = self._clock.elapsed()
+        return self._response_times_of(service).slowness(names, now)
+
+    def _response_times_of(self, service: str) -> ResponseTimes:
+        return self._response_times.setdefault(service, ResponseTimes())
+
     def unavailability(self, service: str, traits: RequestTraits) -> Unavailability:
         """Return why no endpoint of a service takes a request, and until when."""
         usable = self._eligibility.endpoints_for(service, traits)
@@ -385,6 +424,11 @@
             return VERSION_UNAVAILABLE
         return self._gate.unavailability(usable, self._peering.gateway_count())
 
+    def forget(self, endpoint: str) -> None:
+        """Drop the response times of an endpoint that is gone."""
+        for times in self._response_times.values():
+            times.forget(endpoint)
+
     def has_alternative(
         self, service: str, traits: RequestTraits, tried: Collection[str]
     ) -> bool:
@@ -480,8 +524,13 @@
             return
         attempt.has_first_token = True
         attempt.record.prefill_tokens -= attempt.prefill_tokens
-        if took is not None:
-            self._prefill_times.observe(attempt.service, attempt.prefill_tokens, took)
+        if took is None:
+            return
+        if self._has_few_slots(attempt.service):
+            self._response_times_of(attempt.service).observe(
+                attempt.record.name, took, self._clock.elapsed()
+            )
+        self._prefill_times.observe(attempt.service, attempt.prefill_tokens, took)
 
     def finish_attempt(self, attempt: Attempt) -> None:
         """Record that an attempt is no longer in progress."""
--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -25,6 +25,8 @@
 # Penalty for an endpoint in another availability zone: the network round trip and the
 # price of the traffic.
 CROSS_ZONE_PENALTY = timedelta(milliseconds=4)
+# Penalty for a full endpoint over an idle one, so that equal ones share the load.
+LOAD_PENALTY = timedelta(milliseconds=1)
 # Share of an engine's KV cache that cached prompt parts are expected to keep; running
 # requests have the rest.
 CACHED_SHARE = 0.6
@@ -114,6 +116,7 @@
         weights: Mapping[str, float],
         token_time: timedelta,
         unreported_work: timedelta = timedelta(),
+        slow_endpoints: Mapping[str, float] | None = None,
     ) -> EndpointRecord | None:
         """Return the best of the candidates, or None if there are none.
 
@@ -122,6 +125,8 @@
         :param token_time: time that an engine takes to prefill a token.
         :param unreported_work: engine time that the other gateways' requests have most
             likely taken at an endpoint since they reported their loads.
+        :param slow_endpoints: factors by which plain endpoints are slower than usual,
+            if this gateway assigns them to all gateways of its zone; None if not.
         """
         if not candidates:
             return None
@@ -131,11 +136,15 @@
 
         def cost(record: EndpointRecord) -> timedelta:
             load = peer_loads.get(record.name, NO_LOAD)
-            scaled_token_time = token_time * slowness.get(record.name, 1.0)
-            expected = self._expected_time(
-                record, service, traits, load, owner, scaled_token_time
-            )
-            expected += unreported_work * self._rng.random()
+            if slow_endpoints is not None and service.engine is None:
+                factor = slow_endpoints.get(record.name, 1.0)
+                expected = self._assigned_time(record, load) * factor
+            else:
+                scaled_token_time = token_time * slowness.get(record.name, 1.0)
+                expected = self._expected_time(
+                    record, service, traits, load, owner, scaled_token_time
+                )
+                expected += unreported_work * self._rng.random()
             return expected / max(weights.get(record.name, 1.0), 0.05)
 
         return min(healthy or candidates, key=lambda rec: (cost(rec), rec.name))
@@ -208,6 +217,21 @@
             return ""
         return owner_of(parts[-1].name, [rec.name for rec in candidates])
 
+    def _assigned_time(self, record: EndpointRecord, load: ReportedLoad) -> timedelta:
+        """Return the expected time at a plain endpoint that this gateway assigns.
+
+        Its requests from this zone are all known, so one with a free slot takes no
+        longer than an idle one. The rest comes from other zones, whose dispatchers
+        prefer their own endpoints.
+        """
+        slots = record.endpoint.slots
+        in_flight = record.in_flight + load.in_flight
+        waiting = max(in_flight + 1 - slots, 0)
+        expected = PLAIN_REQUEST_TIME * (1 + waiting / slots)
+        if record.endpoint.availability_zone != self._availability_zone:
+            expected += CROSS_ZONE_PENALTY
+        return expected + LOAD_PENALTY * in_flight / slots
+
     def _expected_time(
         self,
         record: EndpointRecord,
