The dispatcher prefers endpoints that a gateway has a connection to

Cause: requests that may run once reuse only connections that were used in the last 1.5 s. With 85 gateways and 30 engines a pair meets every 14 s, so two of three requests opened one. Change: the dispatcher knows which endpoints each gateway has just released, and counts the handshake's time elsewhere.

--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -68,6 +68,7 @@
     :param key: its gateway, the gateway's incarnation, and the attempt's number.
     :param tried: endpoints that it must not be sent to.
     :param backed_off: endpoints that want no requests from its gateway now.
+    :param connected: endpoints to which its gateway has connections to reuse.
     :ivar is_held: whether its gateway waits for a reply.
     :ivar asked_at: elapsed time at which its gateway last waited.
     """
@@ -78,6 +79,7 @@
     tried: Collection[str]
     backed_off: Collection[str]
     terms: AdmissionTerms
+    connected: Collection[str] = ()
     is_held: bool = False
     asked_at: timedelta = timedelta()
     outcome: Outcome | None = None
@@ -127,6 +129,7 @@
                 return rejection
         else:
             known.backed_off = pending.backed_off
+            known.connected = pending.connected
             pending = known
         pending.is_held = True
         self._place(pending.service)
@@ -239,6 +242,7 @@
             pending.backed_off,
             is_retry=False,
             only_with_room=True,
+            connected=pending.connected,
         )
         if attempt is not None:
             return Started(attempt)
--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -30,10 +30,12 @@
     AssignmentRequest,
     AttemptEnded,
     AttemptReport,
+    AttemptResult,
     FirstToken,
     Queued,
 )
 from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.forwarding.paths import NON_IDEMPOTENT_MAX_IDLE
 
 log = Logger("dispatcher")
 
@@ -41,15 +43,29 @@
 # was lost. Attempts younger than this are exempt: the assignment may still be on its
 # way to the gateway.
 RECONCILE_GRACE = timedelta(seconds=1)
+# Time for which a gateway reuses a connection for any request, less the time that news
+# of its release takes.
+REUSE_TIME = NON_IDEMPOTENT_MAX_IDLE - timedelta(milliseconds=200)
 
 
 @dataclass(slots=True)
 class _GatewayAttempts:
-    """Attempts of one incarnation of a gateway, by number."""
+    """Attempts of one incarnation of a gateway, by number.
+
+    :param released_at: elapsed times at which it released connections, by endpoint.
+    """
 
     incarnation: int
     last_seen_at: timedelta
     attempts: dict[int, Attempt] = field(default_factory=dict)
+    released_at: dict[str, timedelta] = field(default_factory=dict)
+
+    def connected(self, now: timedelta) -> frozenset[str]:
+        """Return the endpoints to which the gateway has connections to reuse."""
+        for endpoint, released_at in list(self.released_at.items()):
+            if now - released_at > REUSE_TIME:
+                del self.released_at[endpoint]
+        return frozenset(self.released_at)
 
 
 class Dispatcher:
@@ -71,7 +87,9 @@
 
         A request that may wait is held for a moment if it has a place in the queue.
         """
-        terms = request.terms(self._clock.elapsed())
+        now = self._clock.elapsed()
+        terms = request.terms(now)
+        connected = self._state_of(request.gateway, request.incarnation).connected(now)
         if terms is None:
             attempt = self._fleet.start_local_attempt(
                 request.service,
@@ -79,6 +97,7 @@
                 request.tried,
                 request.backed_off,
                 is_retry=bool(request.tried),
+                connected=connected,
             )
             return None if attempt is None else self._assignment(request, attempt)
         pending = PendingAttempt(
@@ -88,6 +107,7 @@
             request.tried,
             request.backed_off,
             terms,
+            connected,
         )
         hold = HOLD_TIME if request.is_queued else timedelta()
         match self._queues.request(pending, hold):
@@ -104,6 +124,7 @@
         """Count an attempt as its gateway's, and return the reply."""
         state = self._state_of(request.gateway, request.incarnation)
         state.attempts[request.number] = attempt
+        state.released_at.pop(attempt.record.name, None)
         source = attempt.source
         return Assignment(
             attempt.record.name,
@@ -169,6 +190,8 @@
         attempt = state.attempts.pop(ended.number, None)
         if attempt is not None:
             attempt.result = ended.result
+            if ended.result is AttemptResult.SUCCEEDED:
+                state.released_at[attempt.record.name] = self._clock.elapsed()
             self._fleet.finish_local_attempt(attempt)
             gap = timedelta(seconds=ended.gap_s)
             self._fleet.record_remote_result(attempt.record, ended.result, gap)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -300,12 +300,15 @@
         *,
         is_retry: bool,
         only_with_room: bool = False,
+        connected: Collection[str] | None = None,
     ) -> Attempt | None:
         """Choose an endpoint by this gateway's own data, and count the attempt.
 
         :param backed_off: endpoints that want no requests from the gateway that will
             send the attempt, which may be another one.
         :param only_with_room: whether only endpoints that have room come into question.
+        :param connected: endpoints to which that gateway has connections to reuse; None
+            if that is not known.
         """
         registered = self._eligibility.endpoints_for(service, traits)
         candidates = [record for record in registered if record.name not in tried]
@@ -317,6 +320,7 @@
             backed_off,
             is_retry=is_retry,
             only_with_room=only_with_room,
+            connected=connected,
         )
 
     def _start_among(
@@ -329,6 +333,7 @@
         *,
         is_retry: bool,
         only_with_room: bool = False,
+        connected: Collection[str] | None = None,
     ) -> Attempt | None:
         """Choose among the candidates, and count the attempt as in progress.
 
@@ -345,10 +350,10 @@
         if backed_off:
             eligible = [rec for rec in eligible if rec.name not in backed_off]
         permitted = self._gate.with_permit(eligible)
-        record = self._choose(permitted, service, traits, weights)
+        record = self._choose(permitted, service, traits, weights, connected)
         if only_with_room and record is not None and not self._has_room(record):
             with_room = [other for other in permitted if self._has_room(other)]
-            record = self._choose(with_room, service, traits, weights)
+            record = self._choose(with_room, service, traits, weights, connected)
         if record is None or not self._gate.take(record):
             return None
         return self._start_at(record, registered, traits, weights, is_retry=is_retry)
@@ -391,6 +396,7 @@
         service: str,
         traits: RequestTraits,
         weights: Mapping[str, float],
+        connected: Collection[str] | None,
     ) -> EndpointRecord | None:
         """Return the endpoint for a request's next attempt, if there is one."""
         return self._placement.choose(
@@ -402,6 +408,7 @@
             self._prefill_times.token_time(service),
             self._peer_loads.unreported_work(service, len(candidates)),
             self._slow_endpoints(service, candidates),
+            connected,
         )
 
     def _slow_endpoints(
--- a/src/sassafrasdale/gateway/placement.py
+++ b/src/sassafrasdale/gateway/placement.py
@@ -25,6 +25,8 @@
 # Penalty for an endpoint in another availability zone: the network round trip and the
 # price of the traffic.
 CROSS_ZONE_PENALTY = timedelta(milliseconds=4)
+# Time that a new connection costs: its handshake, and the endpoint's work for it.
+NEW_CONNECTION_TIME = timedelta(milliseconds=4)
 # Penalty for a full endpoint over an idle one, so that equal ones share the load.
 LOAD_PENALTY = timedelta(milliseconds=1)
 # Share of an engine's KV cache that cached prompt parts are expected to keep; running
@@ -117,6 +119,7 @@
         token_time: timedelta,
         unreported_work: timedelta = timedelta(),
         slow_endpoints: Mapping[str, float] | None = None,
+        connected: Collection[str] | None = None,
     ) -> EndpointRecord | None:
         """Return the best of the candidates, or None if there are none.
 
@@ -127,6 +130,8 @@
             likely taken at an endpoint since they reported their loads.
         :param slow_endpoints: factors by which plain endpoints are slower than usual,
             if this gateway assigns them to all gateways of its zone; None if not.
+        :param connected: endpoints to which the gateway that sends has connections to
+            reuse; None if that is not known.
         """
         if not candidates:
             return None
@@ -145,6 +150,8 @@
                     record, service, traits, load, owner, scaled_token_time
                 )
                 expected += unreported_work * self._rng.random()
+            if connected is not None and record.name not in connected:
+                expected += NEW_CONNECTION_TIME
             return expected / max(weights.get(record.name, 1.0), 0.05)
 
         return min(healthy or candidates, key=lambda rec: (cost(rec), rec.name))
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -383,3 +383,14 @@
     assert zone.send(0) is None
     zone.send_results()
     assert sum(zone.central.in_flight_counts()) == 0
+
+
+def test_a_gateway_returns_to_an_endpoint_that_it_has_a_connection_to(zone):
+    """Guards against hundreds of gateways that open a connection for each request."""
+    first = zone.send(0, 100)
+    zone.gateways[0].fleet.record_stream(first)
+    zone.gateways[0].fleet.finish_attempt(first)
+    zone.send_results()
+    assert zone.send(0, 200).record is first.record
+    # Its connection is in use, and that of another gateway counts for nothing.
+    assert zone.send(0, 300).record is not first.record
