--- a/src/sassafrasdale/cli/main.py
+++ b/src/sassafrasdale/cli/main.py
@@ -36,6 +36,11 @@
     name="status",
     help="Show what an entry knows.",
 )
+app.command(
+    "sassafrasdale.cli.queues:queues",
+    name="queues",
+    help="Show which requests wait at a gateway.",
+)
 
 
 def _setting(name: str, text: str) -> Parameter:
--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from datetime import timedelta
 from itertools import islice
 from random import Random
@@ -171,10 +171,23 @@
             self._expire(now)
         self.place()
 
-    def snapshots(self) -> dict[str, QueueSnapshot]:
-        """Return the state of each service's queue."""
+    def describe(self) -> list[dict[str, object]]:
+        """Return the state of each service's queue, for operators."""
         now = self._clock.elapsed()
-        return {service: queue.snapshot(now) for service, queue in self._queues.items()}
+        return [
+            self._description(service, queue.snapshot(now))
+            for service, queue in sorted(self._queues.items())
+        ]
+
+    def _description(self, service: str, snapshot: QueueSnapshot) -> dict[str, object]:
+        return {
+            "service": service,
+            "waiting": snapshot.waiting,
+            "late": snapshot.late,
+            "oldest_ms": milliseconds(snapshot.oldest),
+            "capacity": round(self._fleet.capacity(service), 2),
+            "customers": [asdict(customer) for customer in snapshot.customers],
+        }
 
     def _offer(self, pending: PendingAttempt) -> Rejection | None:
         now = self._clock.elapsed()
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -475,6 +475,15 @@
     def _follows_store(self) -> bool:
         return self._store_health.is_reachable and self.peering.should_watch()
 
+    def describe_queues(self) -> dict[str, object]:
+        """Return the requests that wait here, for operators."""
+        dispatcher = self.peering.dispatcher()
+        return {
+            "gateway": self._settings.name,
+            "dispatcher": dispatcher.name if dispatcher else self._settings.name,
+            "queues": self.queues.describe(),
+        }
+
     def _customer_weight(self, customer: str) -> float:
         return self.store_view.configuration.weight(customer)
 
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -37,6 +37,8 @@
 MAX_REPORT_WAIT = timedelta(seconds=1)
 # Path at which operators list and lift quarantines, on the metrics port.
 QUARANTINE_TARGET = "/quarantine"
+# Path at which operators see which requests wait here, on the metrics port.
+QUEUES_TARGET = "/queues"
 # Path at which operators list rollouts, on the metrics port.
 ROLLOUTS_TARGET = "/rollouts"
 
@@ -258,6 +260,9 @@
         if request.target == ROLLOUTS_TARGET:
             self._respond_json(connection, self._components.rollouts.describe())
             return
+        if request.target == QUEUES_TARGET:
+            self._respond_json(connection, self._components.describe_queues())
+            return
         headers = [("content-type", self._components.metrics.content_type)]
         connection.answer(200, headers, self._components.metrics.metrics_page())
 
@@ -275,7 +280,9 @@
             connection.answer(405)
 
     def _respond_json(
-        self, connection: ServerConnection, document: list[dict[str, object]]
+        self,
+        connection: ServerConnection,
+        document: list[dict[str, object]] | dict[str, object],
     ) -> None:
         headers = [("content-type", "application/json")]
         connection.answer(200, headers, json.dumps(document).encode())
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -16,6 +16,7 @@
     ("config", "put"),
     ("config", "history"),
     ("status",),
+    ("queues",),
     ("report", "burn"),
 ]
 
