--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -133,6 +133,8 @@
             pending = known
         pending.is_held = True
         self._place(pending.service)
+        if pending.outcome is None and self._wakeup.empty():
+            self._wakeup.put(None)
         if pending.outcome is None and hold:
             self._wait(pending, hold)
         pending.is_held = False
@@ -208,8 +210,6 @@
             return rejection
         pending.asked_at = now
         self._pending[pending.key] = pending
-        if self._wakeup.empty():
-            self._wakeup.put(None)
         return None
 
     def _wait(self, pending: PendingAttempt, hold: timedelta) -> None:
