Attempt reports go to the dispatcher as datagrams

Gateways of large fleets have few requests each, so batches hardly ever hold two.

Change: a report of up to 1,200 bytes is one datagram to the dispatcher's peer port, without a reply. A lost one is made up for by the next load report, which lists the open attempts. Contacts tell whether a gateway takes datagrams; earlier versions get calls as before.

--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -12,6 +12,7 @@
 from sassafrasdale.gateway.admission.attempt_starter import AttemptStarter
 from sassafrasdale.gateway.advertisements.departure_checks import DepartureChecks
 from sassafrasdale.gateway.advertisements.endpoint_gate import EndpointGate
+from sassafrasdale.gateway.datagrams import ReportDatagrams
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.dispatcher import Dispatcher
@@ -97,6 +98,9 @@
         self._step_times = EngineStepTimes()
         self._usage = UsageCounts(settings.bounds.usage_window, self.time)
         self._contact = self._own_contact()
+        self.datagrams = ReportDatagrams(
+            settings.peer_address, self.receive_attempt_report
+        )
         self._build_store()
         self._build_quarantine()
         self._build_gate()
@@ -211,7 +215,7 @@
             self._contact,
             self.peering.dispatcher,
             calls.request_assignment,
-            calls.send_attempt_report,
+            self._send_attempt_report,
             clock,
         )
         self._build_forwarding(context.roster)
@@ -442,6 +446,11 @@
         """Receive the outcomes of another gateway's attempts."""
         self.dispatcher.record_report(report)
 
+    def _send_attempt_report(self, contact: Contact, report: AttemptReport) -> bool:
+        return self.datagrams.send(contact, report) or self._calls.send_attempt_report(
+            contact, report
+        )
+
     def _own_contact(self) -> Contact:
         settings = self._settings
         address = settings.peer_address
@@ -452,6 +461,7 @@
             address.port,
             self.incarnation,
             cpu_cores=settings.cpu_cores,
+            takes_datagrams=True,
         )
 
     def _build_state(self, contact: Contact) -> MemberState:
--- a/src/sassafrasdale/gateway/peer_states.py
+++ b/src/sassafrasdale/gateway/peer_states.py
@@ -40,6 +40,8 @@
         gateway that is only known from the store.
     :param leaving: whether it is shutting down.
     :param cpu_cores: CPU seconds per second that it may use.
+    :param takes_datagrams: whether it takes datagrams at its address; earlier versions
+        don't.
     """
 
     name: str
@@ -49,6 +51,7 @@
     incarnation: int = 0
     leaving: bool = False
     cpu_cores: float = 1.0
+    takes_datagrams: bool = False
 
     @property
     def address(self) -> Address:
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -108,6 +108,7 @@
             components.peering.run,
             components.dispatcher_client.run,
             components.queues.run,
+            components.datagrams.run,
             components.strike_records.run,
             components.version_register.run,
             components.report_streams,
--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -70,6 +70,13 @@
     return listener
 
 
+def datagram_socket(address: Address) -> socket.socket:
+    """Return a green datagram socket bound to ``address``."""
+    sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind((address.host, address.port))
+    return sock
+
+
 # Delay from the expiry of a timer to its time-out; sockets are polled once more in it.
 EXPIRY_GRACE = timedelta(milliseconds=20)
 
