--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -17,6 +17,9 @@
 ZONES = ("a", "b")
 # Events of each stream.
 STREAM_EVENTS = 8
+# Objective of each route, as a fraction of its timeout. Requests of routes with one wait
+# at their zone's dispatcher while endpoints have no room.
+OBJECTIVE_FRACTION = 0.15
 # Software versions of the engines, which serve side by side.
 VERSIONS = ("v1", "v2")
 MODELS = "models"
@@ -163,6 +166,7 @@
         "prefix": kind.prefix,
         "kind": "stream" if kind.stream else plain,
         "timeoutMs": milliseconds(kind.timeout),
+        "goalMs": milliseconds(kind.timeout * OBJECTIVE_FRACTION),
         "service": MODELS if kind.stream else RECORDS,
         "maxTries": 3,
         "allowResume": kind.stream,
