The dispatcher remembers which services have no endpoint with room

Each call of a gateway, each report and each tick tried the two first waiting requests at all endpoints: health weights, costs and room of 60 engines, twice. An engine's queue was also taken at the usual speed, since its slowness was computed among itself only.

FreeCapacity filters by room first, keeps what is the same for all endpoints until the next refresh, and remembers full services until a request there ends or reports are refreshed. A slow engine's queue counts at its own speed.

--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -220,7 +220,7 @@
             return
 
     def _place(self, service: str) -> None:
-        while self._place_next(service):
+        while self._fleet.may_place(service) and self._place_next(service):
             pass
 
     def _place_next(self, service: str) -> bool:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -4,8 +4,6 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.endpoint_room import has_room
-from sassafrasdale.decisions.load_reports import NO_LOAD, remaining_prefill_tokens
 from sassafrasdale.decisions.response_times import ResponseTimes
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
@@ -18,6 +16,7 @@
     RequestTraits,
     Service,
 )
+from sassafrasdale.gateway.admission.free_capacity import FreeCapacity
 from sassafrasdale.gateway.advertisements.endpoint_gate import (
     EndpointGate,
     Unavailability,
@@ -105,6 +104,13 @@
         self._prefill_times = PrefillTimes(peering.prefill_times)
         self._work = DemandShares(WORK_WINDOW)
         self._peer_loads = PeerLoads(peering)
+        self._free_capacity = FreeCapacity(
+            configuration,
+            directory.of_service,
+            step_times.slowness,
+            self._prefill_times,
+            self._peer_loads,
+        )
         self._capacities: dict[str, float] = {}
         self._few_slots: dict[str, bool] = {}
         self._response_times: dict[str, ResponseTimes] = {}
@@ -143,6 +149,26 @@
         self._peer_loads.refresh()
         self._capacities.clear()
         self._few_slots.clear()
+        self._free_capacity.refresh()
+
+    def may_place(self, service: str) -> bool:
+        """Return whether placing a service's waiting requests is worth trying.
+
+        It is without any endpoint, too: then they wait for nothing.
+        """
+        if self._free_capacity.is_full(service):
+            return False
+        usable = self._eligibility.endpoints(service)
+        with_room = self._free_capacity.with_room(service, usable)
+        if not usable:
+            return True
+        if with_room:
+            weights = self._health_weights(service)
+            healthy = self._healthy(usable, weights)
+            if any(record in healthy for record in with_room):
+                return True
+        self._free_capacity.mark_full(service)
+        return False
 
     @property
     def report_age(self) -> timedelta:
@@ -345,36 +371,23 @@
         :param backed_off: candidates that want no requests from the gateway that sends.
         """
         weights = self._health_weights(service)
-        healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
-        eligible = healthy or candidates
+        eligible = self._healthy(candidates, weights)
         if backed_off:
             eligible = [rec for rec in eligible if rec.name not in backed_off]
+        if only_with_room:
+            eligible = self._free_capacity.with_room(service, eligible)
         permitted = self._gate.with_permit(eligible)
         record = self._choose(permitted, service, traits, weights, connected)
-        if only_with_room and record is not None and not self._has_room(record):
-            with_room = [other for other in permitted if self._has_room(other)]
-            record = self._choose(with_room, service, traits, weights, connected)
         if record is None or not self._gate.take(record):
             return None
         return self._start_at(record, registered, traits, weights, is_retry=is_retry)
 
-    def _has_room(self, record: EndpointRecord) -> bool:
-        """Return whether an endpoint has room for a request that may wait instead."""
-        name = record.endpoint.service
-        objective = self._configuration().objective(name)
-        if objective is None:
-            return True
-        service = self._service(name)
-        load = self._peer_loads.by_endpoint.get(record.name, NO_LOAD)
-        slowness = self._step_times.slowness([record.name]).get(record.name, 1.0)
-        token_time = self._prefill_times.token_time(name) * slowness
-        tokens = record.prefill_tokens + remaining_prefill_tokens(load, token_time)
-        slots = (
-            record.endpoint.slots if service.engine is None else service.engine.slots
-        )
-        return has_room(
-            record.in_flight + load.in_flight, slots, token_time * tokens, objective
-        )
+    def _healthy(
+        self, candidates: Sequence[EndpointRecord], weights: Mapping[str, float]
+    ) -> Sequence[EndpointRecord]:
+        """Return the candidates that are not ejected, or all if all are."""
+        healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
+        return healthy or candidates
 
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
@@ -531,6 +544,7 @@
             return
         attempt.has_first_token = True
         attempt.record.prefill_tokens -= attempt.prefill_tokens
+        self._free_capacity.record_release(attempt.record)
         if took is None:
             return
         if self._has_few_slots(attempt.service):
@@ -554,6 +568,7 @@
             attempt.has_first_token = True
             attempt.record.prefill_tokens -= attempt.prefill_tokens
         attempt.record.in_flight -= 1
+        self._free_capacity.record_release(attempt.record)
         if attempt.result is not AttemptResult.SUCCEEDED:
             self._gate.rooms.record_incomplete(attempt.record.name)
 
--- a/src/sassafrasdale/gateway/peer_calls.py
+++ b/src/sassafrasdale/gateway/peer_calls.py
@@ -208,7 +208,7 @@
             response = self._client(
                 contact, self._assignment_clients, ASSIGNMENT_TIMEOUT
             ).call(call, limit)
-            return _assignment_reply(response)
+            return assignment_reply(response)
         except (HttpError, MessageMalformed) as error:
             log.debug("assignment request failed", peer=contact.name, why=str(error))
             return None
@@ -287,7 +287,11 @@
         return client
 
 
-def _assignment_reply(response: Response) -> AssignmentReply | None:
+def assignment_reply(response: Response) -> AssignmentReply | None:
+    """Return a dispatcher's reply; None for a status that none has.
+
+    :raises MessageMalformed: if its body can't be decoded.
+    """
     match response.status:
         case 200:
             return ASSIGNMENT.decode(response.body)
--- /dev/null
+++ b/tests/gateway/admission/test_attempt_queues.py
@@ -0,0 +1,93 @@
+"""Requests that wait at the gateway that assigns endpoints."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.clock import ManualClock
+from sassafrasdale.decisions.prefill_speeds import PrefillSpeed
+from sassafrasdale.deployment import EndpointState
+from sassafrasdale.gateway.admission.attempt_queues import (
+    Waiting,
+)
+from sassafrasdale.green import sleep, spawn
+from tests.gateway.admission.zones import MS, one_slot_engines, pending
+from tests.gateway.test_dispatcher import Gateway
+
+NO_HOLD = timedelta()
+LONG_HOLD = timedelta(seconds=20)
+
+
+@pytest.fixture
+def clock():
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=1))
+    return clock
+
+
+@pytest.fixture
+def gateway(clock):
+    """A gateway with one engine that runs one request at a time."""
+    return Gateway("central", clock, configuration=one_slot_engines(), endpoints=1)
+
+
+@pytest.fixture
+def running(gateway, clock):
+    """The attempt that occupies the engine."""
+    return gateway.queues.request(pending(clock, 1), NO_HOLD).attempt
+
+
+def hold(gateway, request):
+    """Return the task that waits for a request's turn."""
+    task = spawn(gateway.queues.request, request, LONG_HOLD)
+    sleep()
+    return task
+
+
+def drain(gateway, name):
+    endpoint = gateway.directory.records[name].endpoint
+    gateway.directory.put(replace(endpoint, state=EndpointState.DRAINING))
+
+
+def release(gateway, attempt):
+    gateway.fleet.finish_local_attempt(attempt)
+    gateway.queues.place()
+
+
+def test_nothing_is_tried_while_no_endpoint_has_room(gateway, clock, running):
+    """Guards against a dispatcher that is too busy to answer under overload.
+
+    With 100 requests waiting, each call of a gateway tried all endpoints twice.
+    """
+    tasks = [hold(gateway, pending(clock, number)) for number in range(2, 5)]
+    tried = []
+    choose = gateway.fleet.start_local_attempt
+    gateway.fleet.start_local_attempt = lambda *args, **fields: (
+        tried.append(args) or choose(*args, **fields)
+    )
+    for number in range(5, 25):
+        gateway.queues.request(pending(clock, number), NO_HOLD)
+        gateway.queues.step()
+    assert not tried
+    release(gateway, running)
+    sleep()
+    assert [task.dead for task in tasks] == [True, False, False]
+    for task in tasks[1:]:
+        task.kill()
+
+
+def test_an_engine_that_is_slow_gets_a_shorter_queue(clock):
+    """Guards against a queue of a slow engine that is taken for half as long."""
+    gateway = Gateway("central", clock, configuration=one_slot_engines(9), endpoints=2)
+    for name, gap in (("i-0", 40), ("i-1", 20)):
+        for _ in range(3):
+            gateway.step_times.observe_low_gap(name, gap * MS)
+    for record in gateway.directory.records.values():
+        record.in_flight = 1
+        # 100 ms at the usual speed, of the 125 ms that a queue may last.
+        record.prefill_tokens = int(100 * MS / PrefillSpeed().token_time)
+    outcome = gateway.queues.request(pending(clock, 1), NO_HOLD)
+    assert outcome.attempt.record.name == "i-1"
+    gateway.directory.records["i-1"].in_flight = 9
+    assert gateway.queues.request(pending(clock, 2), NO_HOLD) == Waiting()
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -35,7 +35,7 @@
     AttemptResult,
 )
 from sassafrasdale.gateway.fleet import Fleet
-from sassafrasdale.gateway.peer_states import encode
+from sassafrasdale.gateway.peer_states import Contact, encode
 from sassafrasdale.gateway.placement import CacheEstimate, Placement
 from sassafrasdale.gateway.usage import ClusterTime, UsageCounts
 from sassafrasdale.structures import Address
@@ -55,16 +55,15 @@
 class Gateway:
     """A gateway's view of four engines, and its dispatcher client."""
 
-    def __init__(self, name, clock, client=None):
+    def __init__(
+        self, name, clock, client=None, configuration=CONFIGURATION, endpoints=4
+    ):
         self.name = name
         self.clock = clock
         rng = Random(name)
         self.directory = Directory(clock, rng, 2 * SECOND)
-        for number in range(4):
-            address = Address("127.0.0.1", number + 1)
-            self.directory.put(
-                Endpoint(f"i-{number}", "models", address, "a", EndpointState.READY, 32)
-            )
+        for number in range(endpoints):
+            self.add_endpoint(number)
         self.gate = single_gate(clock)
         cache, step_times = CacheEstimate(), EngineStepTimes()
         self.fleet = Fleet(
@@ -74,16 +73,24 @@
             step_times,
             single_peering(clock, rng),
             UsageCounts(5 * SECOND, ClusterTime(clock)),
-            lambda: CONFIGURATION,
+            lambda: configuration,
             bounds(),
             clock,
             no_rollouts(clock),
             self.gate,
             client,
         )
+        self.step_times = step_times
         self.queues = AttemptQueues(self.fleet, lambda name: 1.0, clock, rng)
         self.starter = AttemptStarter(self.fleet, self.queues, clock, client)
 
+    def add_endpoint(self, number):
+        address = Address("127.0.0.1", number + 1)
+        name = f"i-{number}"
+        self.directory.put(
+            Endpoint(name, "models", address, "a", EndpointState.READY, 32)
+        )
+
     def in_flight_counts(self):
         records = self.directory.records.values()
         return [record.in_flight for record in records]
@@ -96,15 +103,15 @@
 class Zone:
     """A dispatcher and its client gateways; messages are encoded between them."""
 
-    def __init__(self, gateways=3):
+    def __init__(self, gateways=3, **fields):
         self.clock = ManualClock()
-        self.central = Gateway("central", self.clock)
+        self.central = Gateway("central", self.clock, **fields)
         self.dispatcher = Dispatcher(
             self.central.fleet, self.central.queues, self.clock
         )
         self.responds = True
         self.receives_reports = True
-        self.contact = contact("central")
+        self.contact: Contact | None = contact("central")
         self.clients = [
             DispatcherClient(
                 contact(f"g-{number}"),
@@ -116,7 +123,7 @@
             for number in range(gateways)
         ]
         self.gateways = [
-            Gateway(f"g-{number}", self.clock, client)
+            Gateway(f"g-{number}", self.clock, client, **fields)
             for number, client in enumerate(self.clients)
         ]
 
