Waiting requests: no idle endpoint behind a paused gateway, nothing held in vain

Eight requests at the head whose gateway does not ask at the moment (paused or killed) ended each placement, so endpoints were idle for up to 300 ms. All waiting requests are examined now, up to two that no endpoint has room for.

A request whose endpoints are all tried or backed off waited until its deadline; it gets the answer of a request without an endpoint at once now, also while nothing has room.

A call that ended with an exception kept its place for ever, and an attempt that had just been placed for it counted as in progress for ever. Both are released.

Each test fails on the code before.

--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Collection
 from dataclasses import asdict, dataclass, field
 from datetime import timedelta
-from itertools import islice
 from random import Random
 
 from logbook import Logger
@@ -35,8 +34,6 @@
 # and at which those that miss their deadlines are rejected.
 PLACE_INTERVAL = timedelta(milliseconds=10)
 EXPIRE_INTERVAL = timedelta(milliseconds=50)
-# Requests examined for one free place: those ahead may be withheld by their gateways.
-MAX_EXAMINED = 8
 # Requests without an endpoint with room after which the others aren't tried either.
 MAX_BLOCKED = 2
 
@@ -124,6 +121,8 @@
         """
         known = self._pending.get(pending.key)
         if known is None:
+            if not self._has_alternative(pending):
+                return Unavailable()
             rejection = self._offer(pending)
             if rejection is not None:
                 return rejection
@@ -132,11 +131,16 @@
             known.connected = pending.connected
             pending = known
         pending.is_held = True
-        self._place(pending.service)
-        if pending.outcome is None and hold:
-            self._wait(pending, hold)
-        pending.is_held = False
-        pending.asked_at = self._clock.elapsed()
+        try:
+            self._place(pending.service)
+            if pending.outcome is None and hold:
+                self._wait(pending, hold)
+        except BaseException:
+            self._discard(pending)
+            raise
+        finally:
+            pending.is_held = False
+            pending.asked_at = self._clock.elapsed()
         if pending.outcome is None:
             return Waiting()
         self._pending.pop(pending.key, None)
@@ -148,6 +152,12 @@
         if pending is not None:
             self._queue(pending.service).remove(key, self._clock.elapsed())
 
+    def _discard(self, pending: PendingAttempt) -> None:
+        """Give up a request whose task has failed; an attempt of it has ended."""
+        self.remove(pending.key)
+        if isinstance(pending.outcome, Started):
+            self._fleet.finish_local_attempt(pending.outcome.attempt)
+
     def place(self) -> None:
         """Send waiting requests to endpoints that have room by now."""
         for service, queue in self._queues.items():
@@ -228,7 +238,7 @@
         queue = self._queue(service)
         now = self._clock.elapsed()
         blocked = 0
-        for request in islice(queue.candidates(now), MAX_EXAMINED):
+        for request in queue.candidates(now):
             pending = self._pending[request.key]
             if not pending.is_held or pending.outcome is not None:
                 continue
@@ -259,9 +269,11 @@
         )
         if attempt is not None:
             return Started(attempt)
-        if self._fleet.has_alternative(pending.service, pending.traits, pending.tried):
-            return None
-        return Unavailable()
+        return None if self._has_alternative(pending) else Unavailable()
+
+    def _has_alternative(self, pending: PendingAttempt) -> bool:
+        excluded = {*pending.tried, *pending.backed_off}
+        return self._fleet.has_alternative(pending.service, pending.traits, excluded)
 
     def _resolve(self, pending: PendingAttempt, outcome: Outcome) -> None:
         pending.outcome = outcome
--- a/tests/gateway/admission/test_attempt_queues.py
+++ b/tests/gateway/admission/test_attempt_queues.py
@@ -9,6 +9,8 @@
 from sassafrasdale.decisions.prefill_speeds import PrefillSpeed
 from sassafrasdale.deployment import EndpointState
 from sassafrasdale.gateway.admission.attempt_queues import (
+    Started,
+    Unavailable,
     Waiting,
 )
 from sassafrasdale.green import sleep, spawn
@@ -55,6 +57,17 @@
     gateway.queues.place()
 
 
+def test_a_place_that_nobody_asks_for_now_keeps_nobody_waiting(gateway, clock, running):
+    """Guards against an idle engine behind the requests of a gateway that is paused."""
+    for number in range(2, 22):
+        gateway.queues.request(pending(clock, number, "paused"), NO_HOLD)
+    task = hold(gateway, pending(clock, 30))
+    release(gateway, running)
+    sleep()
+    assert task.dead
+    assert isinstance(task.wait(), Started)
+
+
 def test_nothing_is_tried_while_no_endpoint_has_room(gateway, clock, running):
     """Guards against a dispatcher that is too busy to answer under overload.
 
@@ -77,6 +90,28 @@
         task.kill()
 
 
+def test_an_interrupted_call_leaves_nothing(gateway, clock, running):
+    """Guards against an engine that counts as busy for ever, and a place kept so."""
+    waiting, started = (hold(gateway, pending(clock, n)) for n in (2, 3))
+    waiting.kill()
+    gateway.fleet.finish_local_attempt(running)
+    gateway.queues.place()
+    # The attempt has started, but its task has not run since.
+    started.kill()
+    assert len(gateway.queues) == 0
+    assert gateway.in_flight_counts() == [0]
+
+
+@pytest.mark.parametrize("field", ["tried", "backed_off"])
+def test_a_request_that_may_use_no_endpoint_does_not_wait(
+    gateway, clock, running, field
+):
+    """Guards against requests that are held until their deadlines in vain."""
+    request = pending(clock, 2, **{field: frozenset({"i-0"})})
+    assert gateway.queues.request(request, LONG_HOLD) == Unavailable()
+    assert len(gateway.queues) == 0
+
+
 def test_an_engine_that_is_slow_gets_a_shorter_queue(clock):
     """Guards against a queue of a slow engine that is taken for half as long."""
     gateway = Gateway("central", clock, configuration=one_slot_engines(9), endpoints=2)
