--- a/tests/gateway/admission/test_attempt_queues.py
+++ b/tests/gateway/admission/test_attempt_queues.py
@@ -7,14 +7,16 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.decisions.prefill_speeds import PrefillSpeed
+from sassafrasdale.decisions.queued_requests import Rejection
 from sassafrasdale.deployment import EndpointState
 from sassafrasdale.gateway.admission.attempt_queues import (
+    PLACE_TIMEOUT,
     Started,
     Unavailable,
     Waiting,
 )
 from sassafrasdale.green import sleep, spawn
-from tests.gateway.admission.zones import MS, one_slot_engines, pending
+from tests.gateway.admission.zones import MS, one_slot_engines, pending, terms
 from tests.gateway.test_dispatcher import Gateway
 
 NO_HOLD = timedelta()
@@ -57,6 +59,30 @@
     gateway.queues.place()
 
 
+def test_a_request_starts_at_once_where_an_endpoint_has_room(gateway, clock):
+    assert isinstance(gateway.queues.request(pending(clock, 1), NO_HOLD), Started)
+    assert len(gateway.queues) == 0
+
+
+def test_a_request_waits_until_an_endpoint_has_room(gateway, clock, running):
+    assert gateway.queues.request(pending(clock, 2), NO_HOLD) == Waiting()
+    task = hold(gateway, pending(clock, 2))
+    release(gateway, running)
+    assert isinstance(task.wait(), Started)
+    assert gateway.in_flight_counts() == [1]
+
+
+def test_a_place_that_nobody_asks_for_is_dropped(gateway, clock, running):
+    """Guards against a queue that grows by the requests of a killed gateway."""
+    gateway.queues.request(pending(clock, 2), NO_HOLD)
+    clock.advance(PLACE_TIMEOUT)
+    gateway.queues.step()
+    assert len(gateway.queues) == 1
+    clock.advance(60 * MS)
+    gateway.queues.step()
+    assert len(gateway.queues) == 0
+
+
 def test_a_place_that_nobody_asks_for_now_keeps_nobody_waiting(gateway, clock, running):
     """Guards against an idle engine behind the requests of a gateway that is paused."""
     for number in range(2, 22):
@@ -102,6 +128,11 @@
     assert gateway.in_flight_counts() == [0]
 
 
+def test_a_request_without_any_endpoint_does_not_wait(gateway, clock):
+    drain(gateway, "i-0")
+    assert gateway.queues.request(pending(clock, 1), LONG_HOLD) == Unavailable()
+
+
 @pytest.mark.parametrize("field", ["tried", "backed_off"])
 def test_a_request_that_may_use_no_endpoint_does_not_wait(
     gateway, clock, running, field
@@ -112,6 +143,42 @@
     assert len(gateway.queues) == 0
 
 
+def test_requests_whose_endpoints_are_removed_do_not_wait_on(gateway, clock, running):
+    task = hold(gateway, pending(clock, 2))
+    drain(gateway, "i-0")
+    gateway.fleet.refresh_peer_loads()
+    gateway.queues.step()
+    assert task.wait() == Unavailable()
+
+
+def test_an_endpoint_that_is_added_gets_waiting_requests(gateway, clock, running):
+    task = hold(gateway, pending(clock, 2))
+    gateway.add_endpoint(1)
+    gateway.fleet.refresh_peer_loads()
+    gateway.queues.step()
+    assert task.wait().attempt.record.name == "i-1"
+
+
+def test_a_waiting_request_that_misses_its_deadline_is_rejected(
+    gateway, clock, running
+):
+    task = hold(gateway, pending(clock, 2, terms=terms(clock, deadline=600 * MS)))
+    clock.advance(700 * MS)
+    gateway.queues.step()
+    rejection = task.wait()
+    assert isinstance(rejection, Rejection)
+    assert len(gateway.queues) == 0
+
+
+def test_a_removed_request_is_not_placed(gateway, clock, running):
+    task = hold(gateway, pending(clock, 2))
+    gateway.queues.remove(("g-9", 1, 2))
+    release(gateway, running)
+    assert gateway.in_flight_counts() == [0]
+    assert len(gateway.queues) == 0
+    task.kill()
+
+
 def test_an_engine_that_is_slow_gets_a_shorter_queue(clock):
     """Guards against a queue of a slow engine that is taken for half as long."""
     gateway = Gateway("central", clock, configuration=one_slot_engines(9), endpoints=2)
@@ -126,3 +193,16 @@
     assert outcome.attempt.record.name == "i-1"
     gateway.directory.records["i-1"].in_flight = 9
     assert gateway.queues.request(pending(clock, 2), NO_HOLD) == Waiting()
+
+
+def test_operators_see_who_waits(gateway, clock, running):
+    gateway.queues.request(pending(clock, 2), NO_HOLD)
+    clock.advance(100 * MS)
+    [state] = gateway.queues.describe()
+    assert (state["service"], state["waiting"], state["oldest_ms"]) == (
+        "models",
+        {1: 1},
+        100,
+    )
+    [customer] = state["customers"]
+    assert (customer["customer"], customer["waiting"]) == ("lab", 1)
