A request waits no longer than its caller; Retry-After fits the time left

A request whose caller waits for less than its route's objective counted as on time until the objective had passed, so it kept its place after its deadline. And callers with less than 150 ms left got a Retry-After of 50 ms, more than a third of the time that they had. The tests fail on the code before."

--- a/src/sassafrasdale/decisions/queued_requests.py
+++ b/src/sassafrasdale/decisions/queued_requests.py
@@ -28,6 +28,11 @@
     deadline: timedelta
     cost: timedelta
 
+    @property
+    def due_at(self) -> timedelta:
+        """Elapsed time by which its response should begin, while its caller waits."""
+        return min(self.objective_at, self.deadline)
+
 
 @dataclass(frozen=True, slots=True)
 class Rejection:
--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -145,7 +145,7 @@
         capacity = self._capacity(now, capacity)
         for queue in list(self._on_time.values()):
             for request in list(queue):
-                if now + request.cost > request.objective_at:
+                if now + request.cost > request.due_at:
                     queue.discard(request)
                     self._insert_late(request)
         rejected = []
@@ -195,10 +195,10 @@
     def _is_on_time(
         self, request: QueuedRequest, now: timedelta, capacity: float
     ) -> bool:
-        left = request.objective_at - now - request.cost
+        left = request.due_at - now - request.cost
         if left <= timedelta():
             return False
-        objective = request.objective_at - request.arrived_at
+        objective = request.due_at - request.arrived_at
         if self._drain.backlog_time(now) >= objective * STANDING_FRACTION:
             left *= STANDING_WAIT_FRACTION
         return self._on_time_wait(request, now, capacity) <= left
@@ -331,11 +331,12 @@
         rate = capacity / max(request.cost.total_seconds(), 1e-3)
         ahead = int(self._queued_cost() / max(request.cost, timedelta(milliseconds=1)))
         reserved = self._retry_times.reserve(now, ahead, rate)
-        longest = (request.deadline - now) * RETRY_AFTER_FRACTION
+        left = max(request.deadline - now, timedelta())
+        longest = left * RETRY_AFTER_FRACTION
         if reserved > longest:
             # Jitter, so that callers whose turn is too far away don't return together.
             reserved = longest * self._rng.uniform(0.5, 1.0)
-        return max(reserved, MIN_RETRY_AFTER)
+        return max(reserved, min(MIN_RETRY_AFTER, longest))
 
 
 def _in_fair_order(queue: FairQueue[QueuedRequest]) -> Iterator[QueuedRequest]:
--- a/tests/decisions/test_service_queue.py
+++ b/tests/decisions/test_service_queue.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 
@@ -228,3 +228,27 @@
     assert shown.oldest == SECOND
     owed = {customer.customer: customer.owed for customer in shown.customers}
     assert owed == {"small": 0.25, "large": 0.75}
+
+
+def test_a_request_waits_no_longer_than_its_caller() -> None:
+    """Guards against a request that keeps its place after its caller has left.
+
+    Its caller waits for a shorter time than the objective of its route.
+    """
+    queue = ServiceQueue(lambda name: 1.0, Random(1))
+    first, second = (
+        replace(queued(number), deadline=100 * MS) for number in range(1, 3)
+    )
+    assert queue.offer(first, timedelta(), ENDPOINTS) is None
+    assert queue.offer(second, 90 * MS, ENDPOINTS) is not None
+    [(expired, _)] = queue.expire(90 * MS, ENDPOINTS)
+    assert expired is first
+
+
+@pytest.mark.parametrize("left", [-20, 5, 60, 140])
+def test_a_caller_with_little_time_left_can_retry_in_it(left: int) -> None:
+    """Guards against a Retry-After of most of the time that a caller has left."""
+    queue = ServiceQueue(lambda name: 1.0, Random(1))
+    request = replace(queued(1, cost=SECOND), deadline=left * MS)
+    rejection = queue.offer(request, timedelta(), ENDPOINTS)
+    assert timedelta() <= rejection.retry_after <= max(left, 0) * MS / 3
