Times in the dispatcher's messages are bounded

A call or a report with an infinite or huge time raised OverflowError in the task that serves it, which then gave no response; a rejection with one became a 500 for the caller. They are malformed messages now.

--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -2,8 +2,9 @@
 
 from datetime import timedelta
 from enum import IntEnum
+from typing import Annotated
 
-from msgspec import structs
+from msgspec import Meta, structs
 from msgspec.msgpack import Decoder
 
 from sassafrasdale.decisions.stream_versions import StreamBinding
@@ -16,6 +17,9 @@
 # gateway asks again then, so it notices a lost dispatcher soon after.
 HOLD_TIME = timedelta(milliseconds=100)
 
+# Bounded on decoding: a longer time, or one that is no number, is no timedelta.
+Seconds = Annotated[float, Meta(ge=-1e6, le=1e6)]
+
 
 class AttemptResult(IntEnum):
     """How an attempt ended, for the endpoint's health."""
@@ -57,9 +61,9 @@
     is_queued: bool = False
     customer: str = ""
     priority: Count = 0
-    objective_s: float = 0.0
-    deadline_s: float = 0.0
-    waited_s: float = 0.0
+    objective_s: Seconds = 0.0
+    deadline_s: Seconds = 0.0
+    waited_s: Seconds = 0.0
 
     @classmethod
     def of(
@@ -163,7 +167,7 @@
     """
 
     reason: str
-    retry_after_s: float
+    retry_after_s: Seconds
 
 
 class FirstToken(Message):
@@ -174,7 +178,7 @@
     """
 
     number: int
-    took_s: float | None
+    took_s: Seconds | None
 
 
 class AttemptEnded(Message):
@@ -185,7 +189,7 @@
 
     number: int
     result: AttemptResult
-    gap_s: float = 0.0
+    gap_s: Seconds = 0.0
 
 
 class AttemptReport(Message):
