A waiting attempt gets a new number after a call without a reply

After an unanswered call the client reports that the attempt has ended, and the gateway asked again under the same number. A report that arrived late then ended the new attempt, or gave up its place. The place is also given up if another request's call has failed meanwhile. The wait's state is in one object, and its steps in functions of their own.

--- a/src/sassafrasdale/gateway/admission/attempt_starter.py
+++ b/src/sassafrasdale/gateway/admission/attempt_starter.py
@@ -9,6 +9,7 @@
 from sassafrasdale.deployment import RequestTraits
 from sassafrasdale.gateway.admission.attempt_queues import (
     AttemptQueues,
+    Outcome,
     PendingAttempt,
     Started,
     Unavailable,
@@ -21,6 +22,7 @@
     HOLD_TIME,
     Assignment,
     AssignmentRejected,
+    AssignmentReply,
     AttemptResult,
     Queued,
 )
@@ -48,6 +50,24 @@
     check: Callable[[], None] = lambda: None
 
 
+@dataclass(slots=True)
+class _Wait:
+    """A request that waits for an endpoint.
+
+    :param key: its key in this gateway's own queue.
+    :param number: number of its attempt at the dispatcher.
+    :param is_queued: whether the dispatcher has replied that it waits.
+    :param backed_off: endpoints that want no requests from this gateway now.
+    """
+
+    request: AttemptRequest
+    terms: AdmissionTerms
+    key: RequestKey
+    number: int
+    is_queued: bool = False
+    backed_off: Collection[str] = ()
+
+
 class AttemptStarter:
     """Starts attempts: by the zone's dispatcher, or by this gateway's own choice.
 
@@ -120,70 +140,70 @@
         self, request: AttemptRequest, terms: AdmissionTerms
     ) -> Attempt | None:
         number = self._client.next_number()
-        key = self._client.key_of(number)
+        wait = _Wait(request, terms, self._client.key_of(number), number)
         try:
-            return self._wait(request, terms, number, key)
+            while True:
+                self._check(wait)
+                match self._ask(wait):
+                    case Assignment() as assigned:
+                        attempt = self._adopt(wait.number, assigned, request)
+                        return attempt or self._start_local(request)
+                    case AssignmentRejected(reason, retry_after_s):
+                        raise _refusal(reason, timedelta(seconds=retry_after_s))
+                    case Queued():
+                        self._queues.remove(wait.key)
+                        continue
+                match self._queue_here(wait):
+                    case Started(attempt):
+                        return attempt
+                    case Rejection() as rejection:
+                        raise _refusal(rejection.reason, rejection.retry_after)
+                    case Unavailable():
+                        return self._start_local(request)
         finally:
-            self._queues.remove(key)
-
-    def _wait(
-        self,
-        request: AttemptRequest,
-        terms: AdmissionTerms,
-        number: int,
-        key: RequestKey,
-    ) -> Attempt | None:
-        is_queued = False
-        while True:
-            self._check(request, number, is_queued)
-            backed_off = self._fleet.backed_off()
-            reply = None
-            if not self._fleet.all_backed_off(request.service, backed_off):
-                reply = self._client.request_assignment(
-                    number,
-                    request.service,
-                    request.traits,
-                    request.tried,
-                    backed_off,
-                    terms,
-                    is_queued=is_queued,
-                )
-            is_queued = isinstance(reply, Queued)
-            match reply:
-                case Queued():
-                    self._queues.remove(key)
-                    continue
-                case Assignment():
-                    return self._adopt(number, reply, request) or self._start_local(
-                        request
-                    )
-                case AssignmentRejected():
-                    raise _refusal(reply.reason, timedelta(seconds=reply.retry_after_s))
-            pending = PendingAttempt(
-                key,
+            self._queues.remove(wait.key)
+
+    def _ask(self, wait: "_Wait") -> AssignmentReply | None:
+        """Return the dispatcher's reply; None if this gateway queues the request."""
+        request = wait.request
+        wait.backed_off = self._fleet.backed_off()
+        reply = None
+        if not self._fleet.all_backed_off(request.service, wait.backed_off):
+            reply = self._client.request_assignment(
+                wait.number,
                 request.service,
                 request.traits,
                 request.tried,
-                backed_off,
-                terms,
+                wait.backed_off,
+                wait.terms,
+                is_queued=wait.is_queued,
             )
-            match self._queues.request(pending, HOLD_TIME):
-                case Started(attempt):
-                    return attempt
-                case Rejection() as rejection:
-                    raise _refusal(rejection.reason, rejection.retry_after)
-                case Unavailable():
-                    return self._start_local(request)
-                case Waiting():
-                    continue
-
-    def _check(self, request: AttemptRequest, number: int, is_queued: bool) -> None:
+        wait.is_queued = isinstance(reply, Queued)
+        if reply is None:
+            # The report that the attempt has ended may arrive after the next request.
+            wait.number = self._client.next_number()
+        return reply
+
+    def _queue_here(self, wait: "_Wait") -> Outcome | Waiting:
+        """Return what becomes of a request in this gateway's own queue."""
+        request = wait.request
+        pending = PendingAttempt(
+            wait.key,
+            request.service,
+            request.traits,
+            request.tried,
+            wait.backed_off,
+            wait.terms,
+        )
+        return self._queues.request(pending, HOLD_TIME)
+
+    def _check(self, wait: "_Wait") -> None:
         """Give the place up that the dispatcher keeps if nobody waits any more."""
         try:
-            request.check()
+            wait.request.check()
         except BaseException:
-            if is_queued:
-                self._client.cancel(number)
+            if wait.is_queued:
+                self._client.cancel(wait.number)
             raise
 
     def _adopt(
--- a/src/sassafrasdale/gateway/dispatcher_client.py
+++ b/src/sassafrasdale/gateway/dispatcher_client.py
@@ -107,6 +107,8 @@
         contact = self._dispatcher()
         self._switch_dispatcher(contact)
         if contact is None or self._clock.elapsed() < self._suspended_until:
+            if is_queued:
+                self.cancel(number)
             return None
         own = self._own
         request = AssignmentRequest.of(
--- a/tests/gateway/admission/test_attempt_queues.py
+++ b/tests/gateway/admission/test_attempt_queues.py
@@ -32,13 +32,13 @@
 
 @pytest.fixture
 def gateway(clock):
-    """A gateway with one engine that runs one request at a time."""
+    """Return a gateway with one engine that runs one request at a time."""
     return Gateway("central", clock, configuration=one_slot_engines(), endpoints=1)
 
 
 @pytest.fixture
 def running(gateway, clock):
-    """The attempt that occupies the engine."""
+    """Return the attempt that occupies the engine."""
     return gateway.queues.request(pending(clock, 1), NO_HOLD).attempt
 
 
--- a/tests/gateway/admission/zones.py
+++ b/tests/gateway/admission/zones.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from sassafrasdale.deployment import (
     Configuration,
     EngineTraits,
@@ -13,11 +15,13 @@
 from sassafrasdale.gateway.admission.attempt_queues import PendingAttempt
 from sassafrasdale.gateway.admission.attempt_starter import AttemptRequest
 from sassafrasdale.gateway.admission.terms import AdmissionTerms
+from sassafrasdale.gateway.dispatcher import Dispatcher
 from sassafrasdale.gateway.dispatcher_messages import ASSIGNMENT_REQUEST
 from sassafrasdale.gateway.peer_calls import assignment_reply, assignment_response
 from sassafrasdale.gateway.peer_states import encode
 from sassafrasdale.green import sleep, spawn
-from tests.gateway.test_dispatcher import Zone, prompt
+from tests.gateway.fleets import contact
+from tests.gateway.test_dispatcher import Gateway, Zone, prompt
 
 MS = timedelta(milliseconds=1)
 OBJECTIVE = 500 * MS
@@ -52,10 +56,13 @@
     """A zone with one engine that runs one request at a time."""
 
     def __init__(self, gateways=2, slots=1, endpoints=1):
+        self.configuration = one_slot_engines(slots)
         super().__init__(
-            gateways, configuration=one_slot_engines(slots), endpoints=endpoints
+            gateways, configuration=self.configuration, endpoints=endpoints
         )
         self.numbers = []
+        self.loses_replies = False
+        self.dispatcher_waits = True
         self.clock.advance(1000 * MS)
 
     def _ask(self, _, request):
@@ -63,7 +70,24 @@
             return None
         call = ASSIGNMENT_REQUEST.decode(encode(request))
         self.numbers.append(call.number)
-        return assignment_reply(assignment_response(self.dispatcher.assign(call)))
+        if not self.dispatcher_waits:
+            call = replace(call, may_wait=False)
+        response = assignment_response(self.dispatcher.assign(call))
+        return None if self.loses_replies else assignment_reply(response)
+
+    def replace_dispatcher(self):
+        """Have another gateway become the dispatcher, which knows nothing yet."""
+        self.central = Gateway(
+            "next", self.clock, configuration=self.configuration, endpoints=1
+        )
+        queues = self.central.queues
+        self.dispatcher = Dispatcher(self.central.fleet, queues, self.clock)
+        self.contact = contact("next")
+
+    def finish(self, number, attempt):
+        """End an attempt of a gateway, and report it."""
+        self.gateways[number].fleet.finish_attempt(attempt)
+        self.send_results()
 
     def request(self, number, check=lambda: None, **fields):
         """Start a request's attempt at a gateway; it may wait."""
