--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -493,3 +493,51 @@
     large.play(SETTLE_SECONDS)
     assert small.nodes["a-0"].peering.propagation_time() == timedelta(milliseconds=300)
     assert large.nodes["a-0"].peering.propagation_time() >= timedelta(seconds=1.1)
+
+
+def shares(fleet, service="models"):
+    """Return each gateway's share of a service's endpoints for its queue."""
+    return {
+        name: node.peering.work_share(service, node.engine_time.get(service, 0.0))
+        for name, node in fleet.nodes.items()
+    }
+
+
+def test_zones_share_endpoints_equally_while_their_work_is_unknown(fleet):
+    """Guards against dispatchers that each count on all endpoints."""
+    known = shares(fleet)
+    for zone in THREE_ZONES:
+        [aggregator] = fleet.aggregators(zone)
+        assert known[aggregator] == pytest.approx(1 / 3)
+
+
+def test_a_zone_s_share_of_the_endpoints_is_that_of_its_work(fleet):
+    """Guards against a busy zone that rejects while others leave endpoints idle."""
+    for node in fleet.nodes.values():
+        node.engine_time = {"models": 1.5 if node.zone == "a" else 1.0}
+    fleet.play(1)
+    known = shares(fleet)
+    for zone, expected in (("a", 0.5), ("b", 0.25), ("c", 0.25)):
+        [aggregator] = fleet.aggregators(zone)
+        assert known[aggregator] == pytest.approx(expected, rel=0.05)
+
+
+def test_a_zone_without_work_counts_on_half_an_equal_share(fleet):
+    """Guards against rejections as the load of a zone begins."""
+    for node in fleet.nodes.values():
+        node.engine_time = {"models": 0.0 if node.zone == "a" else 1.0}
+    fleet.play(1)
+    [aggregator] = fleet.aggregators("a")
+    assert shares(fleet)[aggregator] == pytest.approx(1 / 6)
+
+
+def test_gateways_that_queue_alone_share_their_zone_s_part(fleet):
+    """Guards against a whole zone's capacity used by each gateway of it.
+
+    They queue requests themselves while their dispatcher does not respond.
+    """
+    known = shares(fleet)
+    for zone, gateways in THREE_ZONES.items():
+        members = {name for name in known if name[0] == zone}
+        for name in members - set(fleet.aggregators(zone)):
+            assert known[name] == pytest.approx(1 / 3 / gateways)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -216,3 +216,54 @@
         step_times.observe("i-1", [gap * 1.3] * 20)
         step_times.observe("i-2", [gap] * 20)
     assert choose(placement, engines, RequestTraits("r", prompt_tokens=50_000)) == "i-2"
+
+
+def assign(placement, records, slow_endpoints=None, peers=None, connected=None):
+    """Return the plain endpoint that a dispatcher assigns."""
+    chosen = placement.choose(
+        records,
+        RECORDS,
+        RequestTraits("r"),
+        peers or {},
+        {},
+        TOKEN_TIME,
+        slow_endpoints=slow_endpoints or {},
+        connected=connected,
+    )
+    return chosen.name
+
+
+@pytest.fixture
+def zones():
+    """Return an endpoint in this zone and one in another."""
+    return [record("i-1"), record("i-2", zone="b")]
+
+
+def test_assigned_requests_stay_in_their_zone_while_there_are_slots(placement, zones):
+    """Guards against traffic to another zone whose endpoint is a little less busy."""
+    zones[0].in_flight = 5
+    assert assign(placement, zones) == "i-1"
+
+
+@pytest.mark.parametrize("peers", [{}, {"i-1": ReportedLoad(4, 0)}])
+def test_a_full_endpoint_is_left_for_another_zone(placement, zones, peers):
+    """Guards against requests that are rejected while other slots are free."""
+    zones[0].in_flight = 2 if peers else 6
+    assert assign(placement, zones, peers=peers) == "i-2"
+
+
+def test_a_slow_endpoint_is_left_for_another_zone(placement, zones):
+    """Guards against requests that are late at an endpoint that has become slow."""
+    assert assign(placement, zones, {"i-1": 2.5}) == "i-2"
+    assert assign(placement, zones, {"i-1": 2.5, "i-2": 2.5}) == "i-1"
+
+
+def test_a_slow_endpoint_is_better_than_a_full_one(placement, zones):
+    zones[1].in_flight = 24
+    assert assign(placement, zones, {"i-1": 2.5}) == "i-1"
+
+
+def test_a_connection_decides_between_equal_endpoints(placement):
+    records = [record("i-1"), record("i-2")]
+    assert assign(placement, records, connected={"i-2"}) == "i-2"
+    assert assign(placement, records, connected=set()) == "i-1"
