--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -18,6 +18,7 @@
 from sassafrasdale.gateway.admission.attempt_queues import AttemptQueues
 from sassafrasdale.gateway.admission.attempt_starter import AttemptStarter
 from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.gateway.dispatcher_client import DispatcherClient
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.checks import LinkChecks
 from sassafrasdale.gateway.forwarding.forwarders import Forwarders
@@ -228,16 +229,29 @@
             sock.close()
 
 
+def own_dispatcher_client() -> DispatcherClient:
+    """Return the client of a gateway that is its own dispatcher."""
+    return DispatcherClient(
+        contact("front-a-1"),
+        lambda: None,
+        lambda *_: None,
+        lambda *_: True,
+        CLOCK,
+    )
+
+
 class World:
     """The request path of one gateway.
 
     :param last_end: elapsed time by which new requests must end.
+    :param queues_requests: whether requests may wait here for an endpoint.
     :param changed: fields of the configuration.
     """
 
     def __init__(
         self,
         last_end: Callable[[], timedelta | None] = lambda: None,
+        queues_requests: bool = False,
         **changed: object,
     ) -> None:
         self.settings: GatewaySettings = decode_settings(settings())
@@ -282,7 +296,8 @@
             self.gate,
         )
         self.queues = AttemptQueues(self.fleet, lambda name: 1.0, CLOCK, self.rng)
-        self.starter = AttemptStarter(self.fleet, self.queues, CLOCK)
+        client = own_dispatcher_client() if queues_requests else None
+        self.starter = AttemptStarter(self.fleet, self.queues, CLOCK, client)
         self.quotas = Quotas(self.settings.bounds, lambda: 1, CLOCK)
         self.strikes = StrikeLedger()
         time = ClusterTime(CLOCK)
