A call held for a restarted gateway drops nothing; waits are counted once

When a call of a gateway's former process was placed after the new process had been heard, the dispatcher dropped the new process's attempts and counted the former's instead. The attempt is finished now, and the call gets no endpoint.

"request waits" counted each call of 100 ms, not each request that waits.

The tests fail on the code before.

--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -121,30 +121,40 @@
         """
         known = self._pending.get(pending.key)
         if known is None:
-            if not self._has_alternative(pending):
-                return Unavailable()
-            rejection = self._offer(pending)
-            if rejection is not None:
-                return rejection
+            refusal = self._add(pending)
+            if refusal is not None:
+                return refusal
         else:
             known.backed_off = pending.backed_off
             known.connected = pending.connected
             pending = known
+        self._hold(pending, hold, is_new=known is None)
+        if pending.outcome is None:
+            return Waiting()
+        self._pending.pop(pending.key, None)
+        return pending.outcome
+
+    def _add(self, pending: PendingAttempt) -> Rejection | Unavailable | None:
+        """Queue a request; return why it can't be served, or None."""
+        if not self._has_alternative(pending):
+            return Unavailable()
+        return self._offer(pending)
+
+    def _hold(self, pending: PendingAttempt, limit: timedelta, *, is_new: bool) -> None:
+        """Place a request, or wait for its turn for a limited time."""
         pending.is_held = True
         try:
             self._place(pending.service)
-            if pending.outcome is None and hold:
-                self._wait(pending, hold)
+            if pending.outcome is None and is_new:
+                self._count("request waits", service=pending.service)
+            if pending.outcome is None and limit:
+                self._wait(pending, limit)
         except BaseException:
             self._discard(pending)
             raise
         finally:
             pending.is_held = False
             pending.asked_at = self._clock.elapsed()
-        if pending.outcome is None:
-            return Waiting()
-        self._pending.pop(pending.key, None)
-        return pending.outcome
 
     def remove(self, key: RequestKey) -> None:
         """Give up the place of a request, if it has one."""
@@ -223,7 +233,6 @@
         return None
 
     def _wait(self, pending: PendingAttempt, hold: timedelta) -> None:
-        self._count("request waits", service=pending.service)
         try:
             pending.wakeup.get(timeout=hold.total_seconds())
         except Empty:
--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -112,6 +112,9 @@
         hold = HOLD_TIME if request.is_queued else timedelta()
         match self._queues.request(pending, hold):
             case Started(attempt):
+                if self._is_superseded(request):
+                    self._fleet.finish_local_attempt(attempt)
+                    return None
                 return self._assignment(request, attempt)
             case Waiting():
                 return Queued()
@@ -120,6 +123,11 @@
             case _:
                 return None
 
+    def _is_superseded(self, request: AssignmentRequest) -> bool:
+        """Return whether the gateway has restarted while its call was held."""
+        state = self._gateways.get(request.gateway)
+        return state is not None and state.incarnation > request.incarnation
+
     def _assignment(self, request: AssignmentRequest, attempt: Attempt) -> Assignment:
         """Count an attempt as its gateway's, and return the reply."""
         state = self._state_of(request.gateway, request.incarnation)
--- a/tests/gateway/admission/test_attempt_queues.py
+++ b/tests/gateway/admission/test_attempt_queues.py
@@ -195,6 +195,18 @@
     assert gateway.queues.request(pending(clock, 2), NO_HOLD) == Waiting()
 
 
+def test_a_request_that_waits_is_counted_once(clock):
+    """Guards against a metric that counts the calls of a request instead."""
+    counted = []
+    gateway = Gateway("central", clock, configuration=one_slot_engines(), endpoints=1)
+    gateway.queues._count = lambda name, **labels: counted.append((name, labels))
+    gateway.queues.request(pending(clock, 1), NO_HOLD)
+    for _ in range(3):
+        gateway.queues.request(pending(clock, 2), MS)
+    hold(gateway, pending(clock, 3)).kill()
+    assert counted == 2 * [("request waits", {"service": "models"})]
+
+
 def test_operators_see_who_waits(gateway, clock, running):
     gateway.queues.request(pending(clock, 2), NO_HOLD)
     clock.advance(100 * MS)
--- a/tests/gateway/admission/test_attempt_starter.py
+++ b/tests/gateway/admission/test_attempt_starter.py
@@ -218,3 +218,18 @@
     zone.gateways[0].fleet.finish_attempt(attempt)
     zone.gateways[0].queues.step()
     assert waiting.wait().assigned_by == ""
+
+
+def test_a_held_call_of_a_gateway_that_has_restarted_counts_for_nothing(zone, running):
+    """Guards against an attempt of a gone process, and lost ones of its successor."""
+    waiting = zone.request_soon(1)
+    again = AssignmentRequest.of("g-1", 2, 1, "models", prompt(100), ())
+    zone.dispatcher.assign(again)
+    assert busy_counts(zone) == [2, 0, 0]
+    zone.central.directory.records["i-0"].in_flight -= 1
+    zone.finish(0, running)
+    sleep()
+    zone.central.directory.records["i-0"].in_flight += 1
+    zone.dispatcher.reconcile("g-1", 2, (1,))
+    assert busy_counts(zone)[0] == 1
+    waiting.kill()
