Gateways without a dispatcher pace what they start

Cause: stories of overload on a busy machine: a dispatcher that answers later than 40 ms is passed over for half a second, and each gateway of its zone then sees the same room by the same outdated reports and fills it.

A zone's dispatcher is not paced.

--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -339,7 +339,12 @@
             self.version_register.may_begin,
         )
         self.queues = AttemptQueues(
-            self.fleet, self._customer_weight, clock, self._rng, self.metrics.count
+            self.fleet,
+            self._customer_weight,
+            clock,
+            self._rng,
+            self.metrics.count,
+            lambda: self.peering.is_aggregator,
         )
         self.dispatcher = Dispatcher(self.fleet, self.queues, clock)
         self.frontend = Frontend(
