Stories of overload with four gateways and engines of little room

Nothing tested the queues over the whole path. Six stand-in engines with slots, a bounded queue and one prefill at a time stand behind four gateway processes, before open-loop callers who come back once.

--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -14,6 +14,7 @@
 from sassafrasdale.http.messages import Request
 from sassafrasdale.http.server import HttpServer, ServerConnection
 from sassafrasdale.structures import Address
+from standins.engine_gates import EngineCapacity, Visit
 from standins.kv_store import KvStore
 
 # An engine prefills 40 tokens per millisecond and sends an event every 20 ms; a plain
@@ -114,6 +115,8 @@
     :ivar extra_headers: headers that it adds to each response.
     :ivar brittleness: if set, it runs no more requests at once than it has slots, and
         falls over if it has to reject too many.
+    :ivar capacity: if set, an engine runs and queues no more requests than this, and
+        prefills the prompt tokens of Token-Count.
     :ivar part_defect: part of prompts that crashes it; None for none.
     :ivar silent_until: elapsed time until which it accepts requests and sends nothing.
     :ivar event_time: time between two events of a stream.
@@ -162,6 +165,7 @@
         self.silent_until = timedelta()
         self.backoff: timedelta | None = None
         self.brittleness: Brittleness | None = None
+        self.capacity: EngineCapacity | None = None
         self.part_defect: PartDefect | None = None
         self._running = 0
         self._accepted = 0
@@ -173,6 +177,8 @@
 
     @property
     def _slots(self) -> int:
+        if self.capacity is not None:
+            return self.capacity.slots
         return 64 if self._streams else 6
 
     @property
@@ -271,8 +277,33 @@
         if self.brittleness is not None:
             self._answer_in_slot(connection, request, self.brittleness)
             return
+        if self.capacity is not None:
+            self._answer_at_capacity(connection, request, self.capacity)
+            return
         self._run(connection, request)
 
+    def _answer_at_capacity(
+        self, connection: ServerConnection, request: Request, capacity: EngineCapacity
+    ) -> None:
+        if capacity.is_full:
+            self._answer_not_run(connection, request)
+            return
+        visit = Visit(connection, request, self._clock)
+        tokens = int(request.header("token-count").partition(",")[0])
+        self._connections.add(connection)
+        try:
+            with capacity.prefilled(
+                visit,
+                TOKEN_TIME * tokens,
+                lambda: self.runs.append(self._new_run(request)),
+            ):
+                headers = self._run_headers(request)
+                self._write_stream(connection, request, headers, self._version)
+        except CallerDisconnected:
+            connection.abort()
+        finally:
+            self._connections.discard(connection)
+
     def _answer_in_slot(
         self,
         connection: ServerConnection,
@@ -309,6 +340,9 @@
             brittleness.rejected_at.clear()
             self.crash()
             return
+        self._answer_not_run(connection, request)
+
+    def _answer_not_run(self, connection: ServerConnection, request: Request) -> None:
         headers = [
             ("request-id", request.header("request-id")),
             ("not-run", "1"),
@@ -317,6 +351,13 @@
         with suppress(CallerDisconnected):
             connection.answer(503, headers)
 
+    def _run_headers(self, request: Request) -> list[tuple[str, str]]:
+        return [
+            ("request-id", request.header("request-id")),
+            ("replica-stamp", f"{self._name}.stamp"),
+            *self._signals(),
+        ]
+
     def _signals(self) -> list[tuple[str, str]]:
         signals = list(self.extra_headers)
         if self.brittleness is not None:
@@ -332,11 +373,7 @@
             sleep(CRASH_DELAY)
             self.crash()
             return
-        headers = [
-            ("request-id", request.header("request-id")),
-            ("replica-stamp", f"{self._name}.stamp"),
-            *self._signals(),
-        ]
+        headers = self._run_headers(request)
         if self.part_defect is not None and self.part_defect.affects(request):
             self._crash_on(self.part_defect, connection, request, headers)
             return
@@ -414,6 +451,15 @@
     ) -> None:
         version = self._version
         sleep(TOKEN_TIME * self._prefill_tokens(request) * slowdown)
+        self._write_stream(connection, request, headers, version)
+
+    def _write_stream(
+        self,
+        connection: ServerConnection,
+        request: Request,
+        headers: list,
+        version: str,
+    ) -> None:
         connection.begin(200, [*headers, ("content-type", "text/event-stream")])
         first = int(request.header("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
@@ -428,7 +474,7 @@
         if self.names_version:
             token += f" by {version}"
         connection.write(f"id: {number}\ndata: {token}\n\n".encode())
-        sleep(self.event_time)
+        sleep(self.event_time / (self.capacity.speed if self.capacity else 1.0))
 
     def _keep_silent(self) -> None:
         while self._clock.elapsed() < self.silent_until:
