A request that would be late behind others at its engine isn't taken for one on time

Requests were accepted, and started, as on time until their objective less their own cost. But an engine takes requests while the prompts queued there last up to a quarter of the objective, so those that waited longest were late there. The queue now works with the objective less that time.

--- a/src/sassafrasdale/decisions/endpoint_room.py
+++ b/src/sassafrasdale/decisions/endpoint_room.py
@@ -13,6 +13,14 @@
 MAX_QUEUED_FRACTION = 0.25
 
 
+def longest_queue(objective: timedelta) -> timedelta:
+    """Return the longest time that an engine's queue may last for another request.
+
+    :param objective: shortest objective of its service's requests.
+    """
+    return objective * MAX_QUEUED_FRACTION
+
+
 def has_room(
     in_flight: int, slots: int, queued: timedelta, objective: timedelta
 ) -> bool:
@@ -25,4 +33,4 @@
     """
     if not in_flight:
         return True
-    return in_flight < slots and queued <= objective * MAX_QUEUED_FRACTION
+    return in_flight < slots and queued <= longest_queue(objective)
--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -197,7 +197,8 @@
             terms.customer,
             terms.priority,
             terms.arrived_at,
-            terms.objective_at,
+            # An endpoint that it is sent to may have others to prefill first.
+            terms.objective_at - self._fleet.queue_time(pending.service),
             terms.deadline,
             self._fleet.cost_of(pending.service, pending.traits),
         )
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.endpoint_room import has_room
+from sassafrasdale.decisions.endpoint_room import has_room, longest_queue
 from sassafrasdale.decisions.load_reports import NO_LOAD, remaining_prefill_tokens
 from sassafrasdale.decisions.response_times import ResponseTimes
 from sassafrasdale.decisions.shares import DemandShares
@@ -203,6 +203,13 @@
         unread = max((traits.prompt_tokens or 0) - cached, 0)
         return RUNNING_REQUEST_TIME + unread * self._prefill_times.token_time(service)
 
+    def queue_time(self, service: str) -> timedelta:
+        """Return the longest time for which an endpoint queues what it is sent."""
+        objective = self._configuration().objective(service)
+        if objective is None or self._service(service).engine is None:
+            return timedelta()
+        return longest_queue(objective)
+
     def capacity(self, service: str) -> float:
         """Return the endpoint time per second for the requests that wait here."""
         if service not in self._capacities:
--- a/tests/guarantees/test_overload.py
+++ b/tests/guarantees/test_overload.py
@@ -16,7 +16,12 @@
 from standins.engine_gates import EngineCapacity
 from standins.gateway_endpoints import TOKEN_TIME, StandInEndpoint
 from standins.gateway_fleet import KILL, TERM, GatewayProcess, wait_for
-from tests.guarantees.gateway_fleets import RunningFleet, add_engines, start_gateways
+from tests.guarantees.gateway_fleets import (
+    ZONES,
+    RunningFleet,
+    add_engines,
+    start_gateways,
+)
 from tests.guarantees.paced_callers import (
     DEADLINE,
     OBJECTIVE,
@@ -159,7 +164,8 @@
         """Return the gateway that the first zone's gateways chose last."""
         [name, *_] = [
             line["peer"]
-            for line in reversed(self.fleet.gateways[0].log_lines())
+            for gateway in self.fleet.gateways[:: len(ZONES)]
+            for line in reversed(gateway.log_lines())
             if line["message"] == "aggregator chosen"
         ]
         return next(each for each in self.fleet.gateways if each.name == name)
