--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -175,6 +175,11 @@
         """Name of the endpoint at the platform."""
         return self._name
 
+    @property
+    def address(self) -> Address:
+        """Address at which it listens."""
+        return self._address
+
     @property
     def _slots(self) -> int:
         if self.capacity is not None:
