--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -1,8 +1,7 @@
 """Requests that wait for an endpoint with room, at the gateway that assigns it.
 
-The dispatcher of a zone queues those of all its gateways. A gateway that has no
-dispatcher for a moment queues its own. A request keeps its place as long as its gateway
-asks for it; the gateway holds its bytes and its caller.
+The dispatcher of a zone queues those of all its gateways. A request keeps its place as
+long as its gateway asks for it; the gateway holds its bytes and its caller.
 """
 
 from collections.abc import Callable, Collection
@@ -13,7 +12,6 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
-from sassafrasdale.decisions.pacing import Pacer
 from sassafrasdale.decisions.queued_requests import (
     QueuedRequest,
     QueueSnapshot,
@@ -91,7 +89,6 @@
     :param weight: returns a customer's weight.
     :param rng: source of randomness for Retry-After.
     :param count: counts an event by name, for metrics.
-    :param is_dispatcher: returns whether this gateway assigns endpoints to its zone's.
     """
 
     def __init__(
@@ -101,16 +98,13 @@
         clock: Clock,
         rng: Random,
         count: Callable[..., None] = lambda name, **labels: None,
-        is_dispatcher: Callable[[], bool] = lambda: True,
     ) -> None:
         self._fleet = fleet
         self._weight = weight
         self._clock = clock
         self._rng = rng
         self._count = count
-        self._is_dispatcher = is_dispatcher
         self._queues: dict[str, ServiceQueue] = {}
-        self._pacers: dict[str, Pacer] = {}
         self._pending: dict[RequestKey, PendingAttempt] = {}
         self._expired_at = timedelta()
         self._wakeup: Queue = Queue()
@@ -250,16 +244,9 @@
             return
 
     def _place(self, service: str) -> None:
-        while self._may_place(service) and self._place_next(service):
+        while self._fleet.may_place(service) and self._place_next(service):
             pass
 
-    def _may_place(self, service: str) -> bool:
-        if not self._fleet.may_place(service):
-            return False
-        if self._is_dispatcher():
-            return True
-        return self._pacer(service).may_start(self._clock.elapsed())
-
     def _place_next(self, service: str) -> bool:
         """Start the next request that an endpoint has room for, if there is one."""
         queue = self._queue(service)
@@ -277,9 +264,6 @@
                 continue
             if isinstance(outcome, Started):
                 queue.start(request, now)
-                if not self._is_dispatcher():
-                    capacity = self._fleet.capacity(service)
-                    self._pacer(service).record_start(request.cost, capacity, now)
             else:
                 queue.remove(request.key, now)
             self._resolve(pending, outcome)
@@ -346,9 +330,6 @@
             news_ms=milliseconds(self._fleet.report_age),
         )
 
-    def _pacer(self, service: str) -> Pacer:
-        return self._pacers.setdefault(service, Pacer())
-
     def _queue(self, service: str) -> ServiceQueue:
         queue = self._queues.get(service)
         if queue is None:
--- a/src/sassafrasdale/gateway/admission/attempt_starter.py
+++ b/src/sassafrasdale/gateway/admission/attempt_starter.py
@@ -153,6 +153,9 @@
                     case Queued():
                         self._queues.remove(wait.key)
                         continue
+                if self._client.has_dispatcher:
+                    # A queue of its own would delay requests by outdated reports.
+                    return self._start_local(request)
                 match self._queue_here(wait):
                     case Started(attempt):
                         return attempt
@@ -179,9 +182,6 @@
                 is_queued=wait.is_queued,
             )
         wait.is_queued = isinstance(reply, Queued)
-        if reply is None:
-            # The report that the attempt has ended may arrive after the next request.
-            wait.number = self._client.next_number()
         return reply
 
     def _queue_here(self, wait: "_Wait") -> Outcome | Waiting:
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -344,7 +344,6 @@
             clock,
             self._rng,
             self.metrics.count,
-            lambda: self.peering.is_aggregator,
         )
         self.dispatcher = Dispatcher(self.fleet, self.queues, clock)
         self.frontend = Frontend(
--- a/src/sassafrasdale/gateway/dispatcher_client.py
+++ b/src/sassafrasdale/gateway/dispatcher_client.py
@@ -72,6 +72,11 @@
         """Name of the dispatcher that was last used; empty for none."""
         return "" if self._current is None else self._current.name
 
+    @property
+    def has_dispatcher(self) -> bool:
+        """Whether another gateway is the dispatcher, even if it doesn't respond."""
+        return self._dispatcher() is not None
+
     @property
     def open_attempts(self) -> tuple[int, ...]:
         """Numbers of the attempts that the dispatcher counts as in progress."""
