Endpoints are ordered by value where a route names an objective

Cause: planned utilizations of 0.22 and 0.5 keep most of the ordered endpoints idle. Otherwise the plan is as before. The inputs are logged as the reason of each order.

--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -13,12 +13,28 @@
 zone's upper bound. Once a zone has no reclaimable endpoints available, the next zones
 are likely to follow, and enough on-demand ones are ordered to carry the load alone.
 While the load is not known yet, extra reclaimable ones are provided.
+
+Where a route of the service names an objective, and the load and its variation are
+known, the numbers don't follow from utilizations but from what endpoints are worth to
+callers (``endpoint_value``).
 """
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
-from math import ceil
+from dataclasses import dataclass, field
+from datetime import timedelta
+from math import ceil, isfinite
 
+from sassafrasdale.decisions.endpoint_value import (
+    KEEP_MARGIN,
+    MIN_ENDPOINTS,
+    MIN_ON_DEMAND,
+    MIN_ON_DEMAND_ALONE,
+    ServiceDemand,
+    TargetFleet,
+    is_priced,
+    target_fleet,
+)
+from sassafrasdale.decisions.load_history import LoadVariation
 from sassafrasdale.deployment import ScaleBounds
 
 # Planned utilization of an endpoint. Requests come in bursts, and the first token of
@@ -27,12 +43,6 @@
 # Maximum utilization of an endpoint after a zone's reclaimable ones were reclaimed,
 # until their replacements have started.
 MAX_UTILIZATION = 0.5
-# Minimum number of endpoints at any load: one crash must not stop the service.
-MIN_ENDPOINTS = 3
-# Minimum number of on-demand endpoints at any load.
-MIN_ON_DEMAND = 1
-# The same while reclaimable ones may be unavailable: one may crash.
-MIN_ON_DEMAND_ALONE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +63,10 @@
     :param load_known: whether the load was measured; otherwise it is an estimate.
     :param has_canary: whether endpoints of a canary version run in addition to these.
     :param limited: number of running endpoints that take only a limited rate.
+    :param objective: shortest objective of the service's routes; None without any.
+    :param request_time: mean endpoint time of a request; None if unknown.
+    :param variation: variation of the load; None if it is not known yet.
+    :param ordered: endpoints that run or were ordered, by kind.
     """
 
     service: str
@@ -62,6 +76,10 @@
     load_known: bool = True
     has_canary: bool = False
     limited: int = 0
+    objective: timedelta | None = None
+    request_time: timedelta | None = None
+    variation: LoadVariation | None = None
+    ordered: Mapping[OrderKey, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,33 +100,30 @@
 
     :param unavailable: reclaimable kinds that the cloud could not provide recently.
     """
+    demand = _demand(service)
+    if demand is None:
+        return _plan_by_utilization(service, unavailable)
+    return _plan_by_value(service, demand, unavailable)
+
+
+def _plan_by_utilization(
+    service: PlannedService, unavailable: Collection[OrderKey]
+) -> FleetPlan:
     bounds = service.bounds
-    zones = sorted(
-        bounds.zone_prices, key=lambda zone: (bounds.zone_prices[zone], zone)
-    )
+    zones = _zones_by_price(bounds)
     needed = max(MIN_ENDPOINTS, ceil(service.load / TARGET_UTILIZATION))
     # Each of these has another one beside it that carries what it doesn't take.
     needed += service.limited
     if not service.load_known:
         needed += MIN_ON_DEMAND_ALONE
-    has_unavailable = any(key.service == service.service for key in unavailable)
+    has_unavailable = _has_unavailable(service, unavailable)
     on_demand = _on_demand_needed(service, has_unavailable=has_unavailable)
     # The same number in each zone, so that the loss of one zone costs as little as
     # possible.
     per_zone = min(
         max(ceil((needed - on_demand) / len(zones)), 1), bounds.max_endpoints
     )
-    orders = {}
-    for zone in zones:
-        reserved = MIN_ON_DEMAND if zone == zones[0] else 0
-        count = min(on_demand, max(_on_demand_places(service, zone), reserved))
-        # Places that reclaimable endpoints do not fill go to on-demand ones. The lower
-        # bound applies to the number ordered, even if the cloud cannot start them now.
-        count = max(count, bounds.min_endpoints - per_zone, 0)
-        on_demand -= count
-        orders[OrderKey(service.service, zone, False)] = count
-        reclaimable = min(per_zone, bounds.max_endpoints - count)
-        orders[OrderKey(service.service, zone, True)] = reclaimable
+    orders = _place(service, on_demand, dict.fromkeys(zones, per_zone))
     available = sum(
         _reclaimable_count(service, zone, per_zone, unavailable) for zone in zones
     )
@@ -119,6 +134,128 @@
     )
 
 
+def _demand(service: PlannedService) -> ServiceDemand | None:
+    """Return what a decision by value needs; None if some of it is not known."""
+    variation = service.variation
+    is_known = service.load_known and variation is not None
+    if service.objective is None or not is_known or not is_priced(service.bounds):
+        return None
+    # A load that is no number is replaced by the highest one of the last minute.
+    is_valid = isfinite(service.load) and service.load >= 0
+    demand = ServiceDemand(
+        service.load if is_valid else variation.maximum,
+        variation,
+        service.objective,
+        service.request_time,
+        service.limited,
+    )
+    return demand if demand.is_valid else None
+
+
+def _plan_by_value(
+    service: PlannedService, demand: ServiceDemand, unavailable: Collection[OrderKey]
+) -> FleetPlan:
+    """Plan what is worth its price, and keep what was ordered and is worth nearly it.
+
+    The reclaimable endpoints don't depend on how many run: those that are missing are
+    ordered again. Meanwhile on-demand ones replace them.
+    """
+    worthwhile = target_fleet(demand, service.bounds)
+    kept = target_fleet(demand, service.bounds, KEEP_MARGIN)
+    is_dry = _has_unavailable(service, unavailable)
+    on_demand = _within(
+        sum(n for key, n in service.ordered.items() if not key.reclaimable),
+        _on_demand_worthwhile(service, worthwhile, is_dry=is_dry),
+        _on_demand_worthwhile(service, kept, is_dry=is_dry),
+    )
+    reclaimable = {
+        zone: _within(
+            service.ordered.get(OrderKey(service.service, zone, True), 0),
+            count,
+            kept.reclaimable[zone],
+        )
+        for zone, count in worthwhile.reclaimable.items()
+    }
+    orders = _place(service, on_demand, reclaimable)
+    return FleetPlan(orders, _value_reason(service, demand, worthwhile, is_dry=is_dry))
+
+
+def _on_demand_worthwhile(
+    service: PlannedService, target: TargetFleet, *, is_dry: bool
+) -> int:
+    """Return how many on-demand endpoints are needed besides the reclaimable ones.
+
+    :param is_dry: whether reclaimable ones are unavailable. Those that run count as
+        lost: the next zones are likely to follow.
+    """
+    if is_dry:
+        return max(target.on_demand, target.on_demand_alone)
+    return max(target.on_demand, target.required - _left_after_reclaim(service))
+
+
+def _within(ordered: int, lower: int, upper: int) -> int:
+    """Return the number ordered, if it is within bounds, or the nearest bound."""
+    return max(lower, min(ordered, upper))
+
+
+def _value_reason(
+    service: PlannedService,
+    demand: ServiceDemand,
+    target: TargetFleet,
+    *,
+    is_dry: bool,
+) -> str:
+    variation = demand.variation
+    request_time = demand.mean_request_time.total_seconds()
+    source = "assumed" if demand.request_time is None else "measured"
+    return (
+        f"load {demand.load:.2f}, mean {variation.mean:.2f}, "
+        f"deviation {variation.deviation:.2f}, maximum {variation.maximum:.2f}, "
+        f"rise {variation.rise:.2f}, limited {demand.limited}, "
+        f"objective {demand.objective.total_seconds():.3f} s, "
+        f"request time {request_time:.4f} s {source}, "
+        f"required without a zone {target.required}, "
+        f"left without a zone {_left_after_reclaim(service)}, "
+        f"worthwhile {target.on_demand} + {sum(target.reclaimable.values())}, "
+        f"reclaimable {'unavailable' if is_dry else 'available'}"
+    )
+
+
+def _zones_by_price(bounds: ScaleBounds) -> list[str]:
+    return sorted(bounds.zone_prices, key=lambda zone: (bounds.zone_prices[zone], zone))
+
+
+def _has_unavailable(
+    service: PlannedService, unavailable: Collection[OrderKey]
+) -> bool:
+    return any(key.service == service.service for key in unavailable)
+
+
+def _place(
+    service: PlannedService, on_demand: int, reclaimable: Mapping[str, int]
+) -> dict[OrderKey, int]:
+    """Return the orders, within the bounds of each zone.
+
+    :param on_demand: number of on-demand endpoints, over all zones.
+    :param reclaimable: number of reclaimable ones by zone.
+    """
+    bounds = service.bounds
+    zones = _zones_by_price(bounds)
+    orders = {}
+    for zone in zones:
+        reserved = MIN_ON_DEMAND if zone == zones[0] else 0
+        count = min(on_demand, max(_on_demand_places(service, zone), reserved))
+        # Places that reclaimable endpoints do not fill go to on-demand ones. The lower
+        # bound applies to the number ordered, even if the cloud cannot start them now.
+        count = max(count, bounds.min_endpoints - reclaimable[zone], 0)
+        on_demand -= count
+        orders[OrderKey(service.service, zone, False)] = count
+        orders[OrderKey(service.service, zone, True)] = min(
+            reclaimable[zone], bounds.max_endpoints - count
+        )
+    return orders
+
+
 def _on_demand_needed(service: PlannedService, *, has_unavailable: bool) -> int:
     """Return how many on-demand endpoints are needed."""
     if not service.load_known:
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -398,6 +398,7 @@
                 self._load,
                 self.rollouts,
                 self.gate.is_limited,
+                self.fleet.request_time,
             ),
             self.rollouts,
             self.time,
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -6,6 +6,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_room import has_room
 from sassafrasdale.decisions.load_reports import NO_LOAD, remaining_prefill_tokens
+from sassafrasdale.decisions.request_times import RequestTimes
 from sassafrasdale.decisions.response_times import ResponseTimes
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
@@ -104,6 +105,7 @@
         self._retry_budgets = RetryBudgets(bounds, peering.gateway_count, clock)
         self._prefill_times = PrefillTimes(peering.prefill_times)
         self._work = DemandShares(WORK_WINDOW)
+        self._request_times = RequestTimes()
         self._peer_loads = PeerLoads(peering)
         self._capacities: dict[str, float] = {}
         self._few_slots: dict[str, bool] = {}
@@ -138,6 +140,10 @@
         """Return the engine time that this gateway's requests take per second."""
         return self._work.report(self._clock.elapsed())
 
+    def request_time(self, service: str) -> timedelta | None:
+        """Return the mean endpoint time of requests placed here; None if unknown."""
+        return self._request_times.mean(service, self._clock.elapsed())
+
     def refresh_peer_loads(self) -> None:
         """Update the peers' loads from their latest reports."""
         self._peer_loads.refresh()
@@ -487,6 +493,7 @@
             now = self._clock.elapsed()
             if not is_retry:
                 self._work.add(service.name, now, took.total_seconds())
+                self._request_times.observe(service.name, took, now)
         queued = record.prefill_tokens
         record.in_flight += 1
         record.prefill_tokens += prefill_tokens
--- a/src/sassafrasdale/gateway/planning.py
+++ b/src/sassafrasdale/gateway/planning.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from datetime import timedelta
 
 from sassafrasdale.decisions.ordering import OrderKey, PlannedService
 from sassafrasdale.deployment import Configuration
@@ -15,6 +16,7 @@
     load: Callable[[str], float],
     rollouts: Rollouts,
     is_limited: Callable[[EndpointRecord], bool],
+    request_time: Callable[[str], timedelta | None] = lambda service: None,
 ) -> tuple[PlannedService, ...]:
     """Return the services that the leader scales.
 
@@ -24,6 +26,8 @@
     :param load: returns a service's load as a number of fully busy endpoints.
     :param rollouts: knows which versions are baseline and canary.
     :param is_limited: returns whether an endpoint has named a rate limit.
+    :param request_time: returns the mean endpoint time of a service's requests; None if
+        it is unknown.
     """
     if configuration is None:
         return ()
@@ -38,6 +42,8 @@
                 is_limited(record)
                 for record in _ready(directory, service.name, rollouts)
             ),
+            objective=configuration.objective(service.name),
+            request_time=request_time(service.name),
         )
         for service in configuration.services.values()
         if service.scale is not None
--- a/src/sassafrasdale/gateway/scaling.py
+++ b/src/sassafrasdale/gateway/scaling.py
@@ -11,6 +11,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.coordination.exceptions import LeaseNotHeld, StoreError
 from sassafrasdale.coordination.leases import LeaseHolder
+from sassafrasdale.decisions.load_history import LoadHistory
 from sassafrasdale.decisions.ordering import (
     TARGET_UTILIZATION,
     FleetPlan,
@@ -102,6 +103,7 @@
         self._first_listed: dict[str, timedelta] = {}
         self._idle_running: dict[str, int] = {}
         self._load_since: dict[str, timedelta] = {}
+        self._load_histories: dict[str, LoadHistory] = {}
         self._reset_term()
 
     def run(self) -> None:
@@ -128,6 +130,7 @@
         ]
         for service in services:
             self._record_load_start(service)
+            self._record_load(service)
         permit = self._lease.permit(checks_fencing=True)
         if permit.fencing_number != self._fencing_number:
             # Resends all orders under the new fencing number: from then on, the
@@ -139,7 +142,7 @@
                 self._resend_at = self._clock.elapsed() + MAX_ORDER_DELAY
         self._resend_if_due()
         for service in services:
-            planned = self._with_estimated_load(service)
+            planned = self._with_history(self._with_estimated_load(service))
             plan = plan_orders(planned, frozenset(self._unavailable))
             self._send_orders(planned, plan)
         self._write_record()
@@ -204,10 +207,41 @@
             now = self._clock.elapsed()
             self._load_since[name] = now if began_here else LONG_AGO
 
+    def _record_load(self, service: PlannedService) -> None:
+        """Record the load for its variation, also while not the leader.
+
+        Not while its average has only begun: that would look like a rise.
+        """
+        if self._load_age(service.service) >= WORK_WINDOW:
+            history = self._load_histories.setdefault(service.service, LoadHistory())
+            known = self._with_estimated_load(service)
+            history.observe(known.load, self._clock.elapsed())
+
+    def _load_age(self, service: str) -> timedelta:
+        """Return the time since the load of a service began; 0 if it has not."""
+        since = self._load_since.get(service)
+        return timedelta() if since is None else self._clock.elapsed() - since
+
+    def _with_history(self, service: PlannedService) -> PlannedService:
+        """Return the service with the variation of its load, and what was ordered."""
+        history = self._load_histories.get(service.service)
+        variation = None
+        if history is not None:
+            start_time = service.bounds.start_time
+            variation = history.variation(start_time, self._clock.elapsed())
+        keys = {
+            OrderKey(service.service, zone, reclaimable)
+            for zone in service.bounds.zone_prices
+            for reclaimable in (False, True)
+        }
+        ordered = {
+            key: self._expected_count(key, service.running.get(key, 0)) for key in keys
+        }
+        return replace(service, variation=variation, ordered=ordered)
+
     def _with_estimated_load(self, service: PlannedService) -> PlannedService:
         """Return the service with an estimated load until its load is known."""
-        since = self._load_since.get(service.service)
-        age = timedelta() if since is None else self._clock.elapsed() - since
+        age = self._load_age(service.service)
         if age >= LOAD_WARMUP:
             return replace(service, load=service.load / _average_fraction(age))
         estimate = (
--- a/tests/decisions/test_ordering.py
+++ b/tests/decisions/test_ordering.py
@@ -2,11 +2,13 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from math import inf, nan
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sassafrasdale.decisions.load_history import LoadVariation
 from sassafrasdale.decisions.ordering import (
     MAX_UTILIZATION,
     MIN_ENDPOINTS,
@@ -29,6 +31,24 @@
     return PlannedService("models", bounds, running or {}, load)
 
 
+def planned_by_value(load: float, running=None, **options) -> PlannedService:
+    """Return a service whose routes name an objective; options replace its fields."""
+    service = PlannedService(
+        "models",
+        ScaleBounds(1, 8, BOUNDS.start_time, 0.22, BOUNDS.zone_prices),
+        running or {},
+        load,
+        objective=timedelta(seconds=2),
+        request_time=timedelta(seconds=0.25),
+        variation=LoadVariation(2.0, 0.1, 2.2, 0.0),
+    )
+    return replace(service, **options)
+
+
+def on_demand_total(plan) -> int:
+    return sum(plan.orders[key(zone, False)] for zone in "abc")
+
+
 def total(plan) -> int:
     return sum(plan.orders.values())
 
@@ -193,3 +213,160 @@
         both = plan.orders[key(zone, False)] + plan.orders[key(zone, True)]
         assert min_endpoints <= both <= max(max_endpoints, min_endpoints)
         assert plan.orders[key(zone, False)] >= 0
+
+
+def test_without_an_objective_the_plan_follows_utilizations():
+    """Guards against changed orders for services whose routes name no objective."""
+    variation = LoadVariation(2.0, 0.1, 2.2, 0.0)
+    without = replace(planned(2.0), variation=variation)
+    assert plan_orders(without, ()) == plan_orders(planned(2.0), ())
+    assert total(plan_orders(without, ())) == 9
+
+
+@pytest.mark.parametrize(
+    "unknown",
+    [
+        {"variation": None},
+        {"load_known": False},
+        {"objective": timedelta()},
+        {"variation": LoadVariation(nan, 0.1, 2.2, 0.0)},
+        {"bounds": replace(BOUNDS, reclaimable_price=-1.0)},
+    ],
+)
+def test_the_plan_follows_utilizations_while_its_inputs_are_unknown(unknown):
+    """Guards against a decision on a load, an objective or a price that isn't known."""
+    service = planned_by_value(2.0, **unknown)
+    expected = replace(service, objective=None)
+    assert plan_orders(service, ()) == plan_orders(expected, ())
+
+
+@pytest.mark.parametrize("load", [nan, inf, -1.0])
+def test_an_invalid_load_counts_as_the_highest_of_the_last_minute(load):
+    """Guards against a release of endpoints because of one invalid report."""
+    plan = plan_orders(planned_by_value(load), ())
+    assert total(plan) >= total(plan_orders(planned_by_value(2.0), ()))
+
+
+def test_a_steady_load_is_carried_at_a_lower_price_than_by_utilizations():
+    """Guards against idle endpoints that cost more than they save callers."""
+    running = {key(zone, True): 3 for zone in "abc"} | {key("a", False): 1}
+    by_value = plan_orders(planned_by_value(2.0, running), ())
+    by_utilization = plan_orders(planned_by_value(2.0, running, objective=None), ())
+    assert on_demand_total(by_value) == MIN_ON_DEMAND
+    assert 2.2 < total(by_value) < total(by_utilization)
+
+
+def test_on_demand_endpoints_replace_the_reclaimed_zone_until_it_runs_again():
+    """Guards against a shortage while the reclaimed endpoints are ordered again."""
+    running = {key("b", True): 1, key("c", True): 2, key("a", False): 1}
+    plan = plan_orders(planned_by_value(2.0, running), ())
+    assert on_demand_total(plan) > MIN_ON_DEMAND
+    assert plan.orders[key("a", True)] >= 2
+
+
+def test_on_demand_endpoints_carry_the_load_while_none_are_reclaimable():
+    """Guards against the loss of the next zones while none are available."""
+    running = {key(zone, True): 2 for zone in "abc"}
+    dry = plan_orders(planned_by_value(2.0, running), {key("a", True)})
+    assert on_demand_total(dry) >= 3
+    normal = plan_orders(planned_by_value(2.0, running), ())
+    for zone in "abc":
+        assert dry.orders[key(zone, True)] == normal.orders[key(zone, True)]
+
+
+def test_on_demand_endpoints_are_released_once_reclaimable_ones_run_again():
+    """Guards against on-demand endpoints that stay after a zone was unavailable.
+
+    They must not count as a reason to have fewer reclaimable ones.
+    """
+    few = {key(zone, True): 1 for zone in "abc"}
+    ordered = {key(zone, True): 2 for zone in "abc"} | {key("a", False): 4}
+    plan = plan_orders(planned_by_value(2.0, few, ordered=ordered), ())
+    assert plan.orders[key("a", True)] == plan.orders[key("c", True)] == 2
+    many = {key(zone, True): 2 for zone in "abc"}
+    plan = plan_orders(planned_by_value(2.0, many, ordered=ordered), ())
+    assert on_demand_total(plan) <= MIN_ON_DEMAND + 1
+
+
+def test_another_service_without_reclaimable_endpoints_changes_nothing():
+    """Guards against on-demand endpoints for a service that lost none."""
+    other = OrderKey("records", "a", True)
+    service = planned_by_value(2.0)
+    assert plan_orders(service, {other}) == plan_orders(service, ())
+
+
+def orders_over_time(base: float, *, remembers: bool) -> list[int]:
+    """Return the endpoints ordered in turn for a load that changes a little.
+
+    :param remembers: whether a plan knows what was ordered before.
+    """
+    ordered = {}
+    totals = []
+    for factor in (1.0, 1.04, 0.97, 1.03, 0.96, 1.0) * 3:
+        load = base * factor
+        service = planned_by_value(
+            load,
+            {key(zone, True): 6 for zone in "abc"},
+            ordered=ordered if remembers else {},
+            variation=LoadVariation(load, 0.1, load + 0.2, 0.0),
+        )
+        ordered = plan_orders(service, ()).orders
+        totals.append(sum(ordered.values()))
+    return totals[6:]
+
+
+def test_small_changes_of_the_load_keep_the_orders():
+    """Guards against orders that go back and forth with the load.
+
+    Without the margin for what was ordered, they would at some of these loads.
+    """
+    loads = [0.5 + 0.25 * step for step in range(24)]
+    for load in loads:
+        assert len(set(orders_over_time(load, remembers=True))) == 1
+    changing = [len(set(orders_over_time(load, remembers=False))) > 1 for load in loads]
+    assert any(changing)
+
+
+def test_endpoints_far_from_their_worth_are_not_kept():
+    """Guards against a margin that keeps all that was ever ordered."""
+    ordered = {key(zone, True): 8 for zone in "abc"}
+    plan = plan_orders(planned_by_value(2.0, ordered, ordered=ordered), ())
+    assert total(plan) < 12
+
+
+def test_the_reason_names_the_inputs():
+    """Guards against orders that can't be explained from the logs."""
+    reason = plan_orders(planned_by_value(2.0), ()).reason
+    for text in ("load 2.00", "mean", "deviation", "maximum 2.20", "rise", "objective"):
+        assert text in reason
+    assert "0.2500 s measured" in reason
+    unknown = plan_orders(planned_by_value(2.0, request_time=None), ()).reason
+    assert "assumed" in unknown
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    load=st.floats(0, 30),
+    min_endpoints=st.integers(0, 2),
+    max_endpoints=st.integers(2, 8),
+    unavailable=st.sets(st.sampled_from("abc")),
+    running=st.integers(0, 4),
+    ordered=st.integers(0, 30),
+)
+def test_bounds_hold_for_a_plan_by_value(
+    load, min_endpoints, max_endpoints, unavailable, running, ordered
+):
+    """Guards against orders that the platform doesn't accept."""
+    bounds = replace(BOUNDS, min_endpoints=min_endpoints, max_endpoints=max_endpoints)
+    service = planned_by_value(
+        load,
+        {key("a", True): running},
+        bounds=bounds,
+        ordered={key("b", True): ordered, key("c", False): ordered},
+        variation=LoadVariation(load, 0.3, load + 1, 0.5),
+    )
+    plan = plan_orders(service, {key(zone, True) for zone in unavailable})
+    for zone in "abc":
+        both = plan.orders[key(zone, False)] + plan.orders[key(zone, True)]
+        assert min_endpoints <= both <= max_endpoints
+        assert plan.orders[key(zone, False)] >= 0
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -7,6 +7,7 @@
 
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.decisions.aggregators import EXPIRY_TIMEOUT
+from sassafrasdale.decisions.prefill_speeds import INITIAL_TOKEN_TIME
 from sassafrasdale.decisions.step_times import EngineStepTimes
 from sassafrasdale.deployment import (
     Configuration,
@@ -394,3 +395,15 @@
     assert zone.send(0, 200).record is first.record
     # Its connection is in use, and that of another gateway counts for nothing.
     assert zone.send(0, 300).record is not first.record
+
+
+def test_the_dispatcher_knows_the_mean_time_of_its_zones_requests(zone):
+    """Guards against orders that assume a request time though it was measured."""
+    fleet = zone.central.fleet
+    assert fleet.request_time("models") is None
+    for number in range(30):
+        traits = RequestTraits("r", prompt_tokens=10_000 * (1 + number % 2))
+        zone.gateways[0].starter.start(AttemptRequest("models", traits, frozenset()))
+    mean = fleet.request_time("models") / INITIAL_TOKEN_TIME
+    assert mean == pytest.approx(15_000, rel=0.01)
+    assert zone.gateways[0].fleet.request_time("models") is None
--- a/tests/gateway/test_planning.py
+++ b/tests/gateway/test_planning.py
@@ -9,8 +9,11 @@
     Configuration,
     Endpoint,
     EndpointState,
+    RequestKind,
+    Route,
     ScaleBounds,
     Service,
+    WeightedService,
 )
 from sassafrasdale.gateway.directory import Directory
 from sassafrasdale.gateway.planning import planned_services
@@ -51,3 +54,33 @@
         OrderKey("m", "a", False): 1,
         OrderKey("m", "a", True): 2,
     }
+
+
+def test_the_shortest_objective_and_the_request_time_are_passed_on():
+    """Guards against orders that ignore what callers of a service need."""
+    clock = ManualClock()
+    routes = tuple(
+        Route(
+            name,
+            name,
+            "/",
+            RequestKind.STREAM,
+            (WeightedService("m", 1.0),),
+            objective=objective,
+        )
+        for name, objective in [
+            ("batch", timedelta(seconds=9)),
+            ("chat", timedelta(seconds=1)),
+            ("other", None),
+        ]
+    )
+    [planned] = planned_services(
+        Configuration(1, routes, SERVICES),
+        Directory(clock, Random(1), timedelta(seconds=2)),
+        lambda service: 1.5,
+        no_rollouts(clock),
+        lambda record: False,
+        {"m": timedelta(seconds=0.2)}.get,
+    )
+    assert planned.objective == timedelta(seconds=1)
+    assert planned.request_time == timedelta(seconds=0.2)
