Callers that come back are told from new ones; a priority's queue stands by itself

Cause, by stories of four gateways before six engines at twice the room: a third to a half of what was served had come back after a rejection. It counted as new, so it was late for its caller: 212 of 625 on time in 5 s at a full use of the engines (363 responses). And urgent requests were held to the short waits of a standing queue, as less urgent ones waited all the time.

Change: a caller that waits for less than is usual on its route has tried before, for the difference (the usual time is the 0.9 quantile of the last 64 at a gateway). Its objective runs from then, and its place is by then. Whether a queue stands is told for each priority with the more urgent ones.

--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -78,6 +78,8 @@
         self._late: FairQueue[QueuedRequest] = FairQueue(weight)
         self._requests: dict[RequestKey, QueuedRequest] = {}
         self._late_keys: set[RequestKey] = set()
+        # Elapsed times since which the queues of the priorities are not empty.
+        self._waiting_since: dict[int, timedelta] = {}
         self._drain = DrainRate()
         self._arriving = DecayingRates(RECENT_TIME)
         self._started = DecayingRates(RECENT_TIME)
@@ -199,10 +201,22 @@
         if left <= timedelta():
             return False
         objective = request.due_at - request.arrived_at
-        if self._drain.backlog_time(now) >= objective * STANDING_FRACTION:
+        if self._standing_time(request.priority, now) >= objective * STANDING_FRACTION:
             left *= STANDING_WAIT_FRACTION
         return self._on_time_wait(request, now, capacity) <= left
 
+    def _standing_time(self, priority: int, now: timedelta) -> timedelta:
+        """Return for how long requests of a priority, or more urgent ones, have waited.
+
+        The queue of less urgent ones may stand for long beside them.
+        """
+        since = [
+            self._waiting_since.get(other, now)
+            for other, queue in self._on_time.items()
+            if other <= priority and queue
+        ]
+        return now - min(since, default=now)
+
     def _meets_deadline(
         self, request: QueuedRequest, wait: timedelta, now: timedelta
     ) -> bool:
@@ -281,6 +295,8 @@
 
     def _add(self, request: QueuedRequest, now: timedelta) -> None:
         queue = self._on_time.setdefault(request.priority, FairQueue(self._weight))
+        if not queue:
+            self._waiting_since[request.priority] = now
         queue.add(request, _position(queue, request))
         self._requests[request.key] = request
         self._drain.set_backlogged(True, now)
--- a/src/sassafrasdale/gateway/admitted_requests.py
+++ b/src/sassafrasdale/gateway/admitted_requests.py
@@ -14,6 +14,7 @@
     :param deadline: elapsed time at which its caller must have a response.
     :param last_return: elapsed time from which its caller can't come back.
     :param avoided: endpoints that it must not be sent to.
+    :param time_spent: how long its caller has tried before it arrived.
     :param is_trial: whether it is a trial of something that is quarantined.
     """
 
@@ -27,6 +28,7 @@
     last_return: timedelta
     avoided: frozenset[str] = frozenset()
     is_trial: bool = False
+    time_spent: timedelta = timedelta()
 
     @property
     def customer_name(self) -> str:
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -215,11 +215,12 @@
         objective = admitted.route.objective
         if objective is None or admitted.traits.binding is not None:
             return None
+        began_at = admitted.received_at - admitted.time_spent
         return AdmissionTerms(
             admitted.customer_name,
             self._queue_priority(),
-            admitted.received_at,
-            admitted.received_at + objective,
+            began_at,
+            began_at + objective,
             admitted.deadline,
         )
 
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -8,6 +8,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
+from sassafrasdale.decisions.caller_deadlines import CallerDeadlines
 from sassafrasdale.deployment import (
     Customer,
     RequestKind,
@@ -98,6 +99,7 @@
         self._rng = rng
         self._may_serve = may_serve
         self._last_end = last_end
+        self._caller_deadlines = CallerDeadlines()
 
     def handle(self, caller: ServerConnection, request: Request) -> None:
         """Handle one request; errors become responses and are never raised."""
@@ -201,6 +203,7 @@
             now + caller_time,
             verdict.avoided,
             verdict.is_trial,
+            self._caller_deadlines.time_spent(route.name, traits.deadline),
         )
 
     def _check_quarantine(
