What a newcomer's reading of the queues found

Faults: five or more priorities that wait left a more urgent one no capacity, so its expected wait was a division by zero, or negative (a test fails on the code before); a negative priority made a call malformed for the dispatcher; customers that had been idle for long lowered the shares that operators see. Times since a caller's first attempt were documented and logged as times since the arrival. Names, constants and sentences.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -17,8 +17,8 @@
 ZONES = ("a", "b")
 # Events of each stream.
 STREAM_EVENTS = 8
-# Objective of each route, as a fraction of its timeout. Requests of routes with one wait
-# at their zone's dispatcher while endpoints have no room.
+# Objective of each route, as a fraction of its timeout. Requests of such routes wait at
+# the dispatcher of their zone while endpoints have no room.
 OBJECTIVE_FRACTION = 0.15
 # Software versions of the engines, which serve side by side.
 VERSIONS = ("v1", "v2")
--- a/src/sassafrasdale/decisions/endpoint_value.py
+++ b/src/sassafrasdale/decisions/endpoint_value.py
@@ -28,8 +28,8 @@
 # The same while reclaimable ones may be unavailable: one may crash.
 MIN_ON_DEMAND_ALONE = 2
 # Worth of a request, as a multiple of the price of its endpoint time at an on-demand
-# endpoint in the dearest zone. Callers also pay for the spare capacity that keeps
-# responses on time, most of which is idle.
+# endpoint in the most expensive zone. Callers also pay for the spare capacity that
+# keeps responses on time, most of which is idle.
 REQUEST_WORTH = 8.0
 # Fraction of its worth that a late request loses.
 LATE_LOSS = 0.9
@@ -53,7 +53,7 @@
 ASSUMED_REQUESTS = 4
 # Lower bound of the mean endpoint time. The waits of shorter requests don't matter.
 MIN_REQUEST_TIME = timedelta(milliseconds=1)
-# Smallest gain that counts, as a fraction of the dearest price: without it, an endpoint
+# Smallest gain that counts, as a fraction of the highest price: without it, an endpoint
 # without a price would be ordered however little it saves.
 MIN_GAIN = 0.001
 # Margin in price and load by which endpoints already ordered are kept. Small changes of
@@ -237,7 +237,7 @@
         self._margin = margin
         prices = bounds.zone_prices
         self._zones = sorted(prices, key=lambda zone: (prices[zone], zone))
-        self._dearest = max(prices.values())
+        self._max_price = max(prices.values())
         self._max_total = bounds.max_endpoints * len(self._zones)
         self._missed = self._missed_by_count()
 
@@ -328,7 +328,7 @@
         least = MIN_ENDPOINTS + self._demand.limited
         while counts.total < self._max_total:
             gain, following = max(self._next_steps(counts), key=lambda step: step[0])
-            if gain <= MIN_GAIN * self._dearest and counts.total >= least:
+            if gain <= MIN_GAIN * self._max_price and counts.total >= least:
                 break
             counts = following
         return counts
@@ -369,7 +369,7 @@
 
     def _worth(self, saved_load: float) -> float:
         """Return what callers gain per second if some load is on time."""
-        return saved_load * self._dearest * REQUEST_WORTH * LATE_LOSS
+        return saved_load * self._max_price * REQUEST_WORTH * LATE_LOSS
 
     def _on_demand_alone(self) -> int:
         """Return how many on-demand endpoints to have without reclaimable ones."""
@@ -378,7 +378,7 @@
         price = self._price(self._zones[0], reclaimable=False)
         while count < self._max_total:
             saved = self._missed_with(count) - self._missed_with(count + 1)
-            if self._worth(saved) - price <= MIN_GAIN * self._dearest:
+            if self._worth(saved) - price <= MIN_GAIN * self._max_price:
                 break
             count += 1
         return count
--- a/src/sassafrasdale/decisions/fairness.py
+++ b/src/sassafrasdale/decisions/fairness.py
@@ -21,10 +21,10 @@
         """Its priority within its customer."""
 
 
-Queued = TypeVar("Queued", bound=Queueable)
+QueueableT = TypeVar("QueueableT", bound=Queueable)
 
 
-class FairQueue(Generic[Queued]):
+class FairQueue(Generic[QueueableT]):
     """Queued requests of one service.
 
     :param weight: returns a customer's weight.
@@ -32,7 +32,7 @@
 
     def __init__(self, weight: Callable[[str], float]) -> None:
         self._weight = weight
-        self._queues: dict[str, list[Queued]] = {}
+        self._queues: dict[str, list[QueueableT]] = {}
         self._size = 0
         self._virtual_finish: dict[str, float] = {}
         self._virtual_time = 0.0
@@ -40,7 +40,7 @@
     def __len__(self) -> int:
         return self._size
 
-    def __iter__(self) -> Iterator[Queued]:
+    def __iter__(self) -> Iterator[QueueableT]:
         for queue in list(self._queues.values()):
             yield from list(queue)
 
@@ -49,11 +49,11 @@
         """Customers with queued requests, the next one first."""
         return sorted(self._queues, key=lambda name: (self.start_of(name), name))
 
-    def requests_of(self, customer: str) -> Sequence[Queued]:
+    def requests_of(self, customer: str) -> Sequence[QueueableT]:
         """Return a customer's requests in their order."""
         return self._queues.get(customer, ())
 
-    def position(self, ticket: Queued) -> int:
+    def position(self, ticket: QueueableT) -> int:
         """Return how many of the customer's requests are ahead of a new one."""
         queue = self._queues.get(ticket.customer, ())
         return sum(other.priority <= ticket.priority for other in queue)
@@ -64,7 +64,7 @@
         return self._weight(customer) / sum(self._weight(name) for name in names)
 
     def work_before(
-        self, ticket: Queued, position: int, cost: Callable[[str], float]
+        self, ticket: QueueableT, position: int, cost: Callable[[str], float]
     ) -> float:
         """Return the slot time, in seconds, that is served before a new request.
 
@@ -82,19 +82,19 @@
             work += min(count, len(queue)) * cost(name)
         return work
 
-    def add(self, ticket: Queued, position: int) -> None:
+    def add(self, ticket: QueueableT, position: int) -> None:
         """Insert a request at a position in its customer's queue."""
         self._queues.setdefault(ticket.customer, []).insert(position, ticket)
         self._size += 1
 
-    def requeue(self, ticket: Queued) -> int:
+    def requeue(self, ticket: QueueableT) -> int:
         """Insert a request ahead of its priority; return its position."""
         queue = self._queues.get(ticket.customer, ())
         position = sum(other.priority < ticket.priority for other in queue)
         self.add(ticket, position)
         return position
 
-    def take(self, allowed: Callable[[str], bool]) -> Queued | None:
+    def take(self, allowed: Callable[[str], bool]) -> QueueableT | None:
         """Remove and return the next request of a customer that is allowed."""
         ready = [name for name in self._queues if allowed(name)]
         if not ready:
@@ -102,7 +102,7 @@
         customer = min(ready, key=lambda name: (self.start_of(name), name))
         return self._pop(customer, 0)
 
-    def evict(self) -> Queued:
+    def evict(self) -> QueueableT:
         """Remove and return the last request of the longest weighted queue."""
 
         def backlog(name: str) -> tuple[float, str]:
@@ -110,7 +110,7 @@
 
         return self._pop(max(self._queues, key=backlog), -1)
 
-    def discard(self, ticket: Queued) -> None:
+    def discard(self, ticket: QueueableT) -> None:
         """Remove a request if it is queued."""
         queue = self._queues.get(ticket.customer, [])
         if ticket in queue:
@@ -129,7 +129,7 @@
         """Return the virtual time at which a customer's next request starts."""
         return max(self._virtual_finish.get(customer, 0.0), self._virtual_time)
 
-    def _pop(self, customer: str, index: int) -> Queued:
+    def _pop(self, customer: str, index: int) -> QueueableT:
         ticket = self._queues[customer].pop(index)
         self._size -= 1
         if not self._queues[customer]:
--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -162,11 +162,11 @@
     """
     worthwhile = target_fleet(demand, service.bounds)
     kept = target_fleet(demand, service.bounds, KEEP_MARGIN)
-    is_dry = _has_unavailable(service, unavailable)
+    has_unavailable = _has_unavailable(service, unavailable)
     on_demand = _within(
         sum(n for key, n in service.ordered.items() if not key.reclaimable),
-        _on_demand_worthwhile(service, worthwhile, is_dry=is_dry),
-        _on_demand_worthwhile(service, kept, is_dry=is_dry),
+        _on_demand_worthwhile(service, worthwhile, has_unavailable=has_unavailable),
+        _on_demand_worthwhile(service, kept, has_unavailable=has_unavailable),
     )
     reclaimable = {
         zone: _within(
@@ -177,18 +177,21 @@
         for zone, count in worthwhile.reclaimable.items()
     }
     orders = _place(service, on_demand, reclaimable)
-    return FleetPlan(orders, _value_reason(service, demand, worthwhile, is_dry=is_dry))
+    return FleetPlan(
+        orders,
+        _value_reason(service, demand, worthwhile, has_unavailable=has_unavailable),
+    )
 
 
 def _on_demand_worthwhile(
-    service: PlannedService, target: TargetFleet, *, is_dry: bool
+    service: PlannedService, target: TargetFleet, *, has_unavailable: bool
 ) -> int:
     """Return how many on-demand endpoints are needed besides the reclaimable ones.
 
-    :param is_dry: whether reclaimable ones are unavailable. Those that run count as
-        lost: the next zones are likely to follow.
+    :param has_unavailable: whether reclaimable ones are unavailable. Those that run
+        count as lost: the next zones are likely to follow.
     """
-    if is_dry:
+    if has_unavailable:
         return max(target.on_demand, target.on_demand_alone)
     return max(target.on_demand, target.required - _left_after_reclaim(service))
 
@@ -203,7 +206,7 @@
     demand: ServiceDemand,
     target: TargetFleet,
     *,
-    is_dry: bool,
+    has_unavailable: bool,
 ) -> str:
     variation = demand.variation
     request_time = demand.mean_request_time.total_seconds()
@@ -217,7 +220,7 @@
         f"required without a zone {target.required}, "
         f"left without a zone {_left_after_reclaim(service)}, "
         f"worthwhile {target.on_demand} + {sum(target.reclaimable.values())}, "
-        f"reclaimable {'unavailable' if is_dry else 'available'}"
+        f"reclaimable {'unavailable' if has_unavailable else 'available'}"
     )
 
 
--- a/src/sassafrasdale/decisions/queued_requests.py
+++ b/src/sassafrasdale/decisions/queued_requests.py
@@ -14,7 +14,7 @@
 
     :param key: its gateway, the gateway's incarnation, and the number of the attempt.
     :param priority: 0 is the most urgent.
-    :param arrived_at: elapsed time of its arrival at its gateway.
+    :param arrived_at: elapsed time of its caller's first attempt, as estimated.
     :param objective_at: elapsed time by which its response should begin.
     :param deadline: elapsed time at which its caller leaves.
     :param cost: endpoint time that it takes.
--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -7,8 +7,8 @@
 
 A request that would miss its objective goes behind all that can meet theirs, and one
 that would miss its deadline is rejected at once. So what waits is little, and what the
-endpoints begin is on time. Whether a queue stands, in contrast to a burst that drains,
-is told by the time since it was last empty, as CoDel does. Customers share by
+endpoints begin is on time. A queue is standing if it has not been empty for a while, as
+in CoDel; a burst drains sooner. Customers share by
 start-time fair queueing on what their requests cost, as virtual token counters do.
 """
 
@@ -36,7 +36,8 @@
 STANDING_WAIT_FRACTION = 0.3
 # A queue stands that has not been empty for this fraction of a request's objective.
 STANDING_FRACTION = 0.5
-# Share of the capacity from which on arriving requests leave none to those behind them.
+# Share of the capacity taken by requests that go ahead, from which on a wait counts as
+# unbounded. Below 1, because the arrival rate is an estimate.
 FULL_SHARE = 0.85
 # Callers heed a Retry-After up to this fraction of the time that they have left.
 RETRY_AFTER_FRACTION = 1 / 3
@@ -50,11 +51,17 @@
 SHARES_TIME = timedelta(seconds=10)
 # A queue never counts as slower than this fraction of what its endpoints should do.
 MIN_CAPACITY_FRACTION = 0.1
+# Lower bound in endpoint seconds per second, so that waits stay finite.
+MIN_CAPACITY = 0.1
+# Shortest cost of a request that counts.
+MIN_COST = timedelta(milliseconds=1)
+# Cost per second from which on a customer without waiting requests is shown.
+MIN_SHOWN_RATE = 1e-3
 
 UNBOUNDED = timedelta.max
 
-LATE = "would miss its deadline"
-EXPIRED = "deadline can't be met any more"
+WOULD_MISS_DEADLINE = "would miss its deadline"
+DEADLINE_UNREACHABLE = "deadline can't be met any more"
 
 
 class ServiceQueue:
@@ -64,8 +71,9 @@
 
         rejection = queue.offer(request, now, capacity)
         for waiting in queue.candidates(now):
-            ...  # send it if an endpoint has room
+            ...  # go on if no endpoint has room for it, else send it
             queue.start(waiting, now)
+            break
 
     :param weight: returns a customer's weight.
     :param rng: source of randomness for Retry-After.
@@ -111,10 +119,13 @@
         if self._meets_deadline(request, wait, now):
             self._add_late(request, now)
             return None
-        return self._reject(request, LATE, wait, now, capacity)
+        return self._reject(request, WOULD_MISS_DEADLINE, wait, now, capacity)
 
     def candidates(self, now: timedelta) -> Iterator[QueuedRequest]:
-        """Yield the waiting requests in the order in which they should start."""
+        """Yield the waiting requests in the order in which they should start.
+
+        The queue must not change during the iteration.
+        """
         for priority in self._priority_order(now):
             yield from _in_fair_order(self._on_time[priority])
         yield from _in_fair_order(self._late)
@@ -158,7 +169,7 @@
                 ahead += request.cost
                 continue
             self.remove(request.key, now)
-            rejection = self._reject(request, EXPIRED, wait, now, capacity)
+            rejection = self._reject(request, DEADLINE_UNREACHABLE, wait, now, capacity)
             rejected.append((request, rejection))
         return rejected
 
@@ -173,7 +184,11 @@
         )
 
     def _customer_queues(self, now: timedelta) -> Iterator[CustomerQueue]:
-        waiting: dict[str, int] = dict.fromkeys(self._got.keys, 0)
+        waiting = {
+            name: 0
+            for name in self._got.keys
+            if self._got.rate(name, now) >= MIN_SHOWN_RATE
+        }
         for request in self._requests.values():
             waiting[request.customer] = waiting.get(request.customer, 0) + 1
         rates = {name: self._got.rate(name, now) for name in waiting}
@@ -191,8 +206,8 @@
         """Return the measured capacity, or the expected one without a measurement."""
         measured = self._drain.rate(now)
         if measured is None:
-            return max(capacity, MIN_CAPACITY_FRACTION)
-        return max(measured, capacity * MIN_CAPACITY_FRACTION, MIN_CAPACITY_FRACTION)
+            return max(capacity, MIN_CAPACITY)
+        return max(measured, capacity * MIN_CAPACITY_FRACTION, MIN_CAPACITY)
 
     def _is_on_time(
         self, request: QueuedRequest, now: timedelta, capacity: float
@@ -237,7 +252,8 @@
             for other, queue in self._on_time.items()
             if other > priority and queue
         ]
-        remaining = capacity * (1 - MIN_PRIORITY_SHARE * len(less_urgent))
+        reserved = MIN_PRIORITY_SHARE * len(less_urgent)
+        remaining = capacity * (1 - min(reserved, 1 - MIN_PRIORITY_SHARE))
         urgent_rate = sum(
             self._arriving.rate(key, now)
             for key in self._arriving.keys
@@ -344,8 +360,9 @@
         self, request: QueuedRequest, now: timedelta, capacity: float
     ) -> timedelta:
         """Return when the caller should come back: in its turn of the drain."""
-        rate = capacity / max(request.cost.total_seconds(), 1e-3)
-        ahead = int(self._queued_cost() / max(request.cost, timedelta(milliseconds=1)))
+        cost = max(request.cost, MIN_COST)
+        rate = capacity / cost.total_seconds()
+        ahead = int(self._queued_cost() / cost)
         reserved = self._retry_times.reserve(now, ahead, rate)
         left = max(request.deadline - now, timedelta())
         longest = left * RETRY_AFTER_FRACTION
--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -33,7 +33,8 @@
 # and at which those that miss their deadlines are rejected.
 PLACE_INTERVAL = timedelta(milliseconds=10)
 EXPIRE_INTERVAL = timedelta(milliseconds=50)
-# Requests without an endpoint with room after which the others aren't tried either.
+# Requests that found no endpoint with room, after which the search stops. A second one
+# helps if the first has excluded endpoints.
 MAX_BLOCKED = 2
 
 
@@ -113,9 +114,10 @@
         return len(self._pending)
 
     def request(self, pending: PendingAttempt, hold: timedelta) -> Outcome | Waiting:
-        """Return what becomes of a request, or that it waits on.
+        """Return what becomes of a request, or that it is still waiting.
 
-        :param pending: the request; what is known of it already stays.
+        :param pending: the request; if it is already queued, only its backed-off and
+            connected endpoints are updated.
         :param hold: longest time to wait for its turn.
         """
         known = self._pending.get(pending.key)
@@ -320,7 +322,7 @@
             service=pending.service,
             customer=terms.customer or None,
             priority=terms.priority,
-            waited_ms=milliseconds(now - terms.arrived_at),
+            since_first_attempt_ms=milliseconds(now - terms.arrived_at),
             expected_wait_ms=optional_milliseconds(rejection.expected_wait),
             ahead_ms=milliseconds(rejection.ahead),
             capacity=round(rejection.capacity, 2),
--- a/src/sassafrasdale/gateway/admission/attempt_starter.py
+++ b/src/sassafrasdale/gateway/admission/attempt_starter.py
@@ -154,7 +154,7 @@
                         self._queues.remove(wait.key)
                         continue
                 if self._client.has_dispatcher:
-                    # A queue of its own would delay requests by outdated reports.
+                    # A local queue would rely on outdated load reports.
                     return self._start_local(request)
                 match self._queue_here(wait):
                     case Started(attempt):
@@ -198,7 +198,7 @@
         return self._queues.request(pending, HOLD_TIME)
 
     def _check(self, wait: "_Wait") -> None:
-        """Give the place up that the dispatcher keeps if nobody waits any more."""
+        """Run the request's check; if it raises, cancel its queue position."""
         try:
             wait.request.check()
         except BaseException:
--- a/src/sassafrasdale/gateway/admission/terms.py
+++ b/src/sassafrasdale/gateway/admission/terms.py
@@ -10,7 +10,7 @@
 
     :param customer: name of its customer; empty on a public route.
     :param priority: 0 is the most urgent.
-    :param arrived_at: elapsed time of its arrival.
+    :param arrived_at: elapsed time of its caller's first attempt, as estimated.
     :param objective_at: elapsed time by which its response should begin.
     :param deadline: elapsed time at which its caller leaves.
     """
--- a/src/sassafrasdale/gateway/datagrams.py
+++ b/src/sassafrasdale/gateway/datagrams.py
@@ -18,7 +18,8 @@
 
 log = Logger("datagrams")
 
-# Longest datagram that networks carry in one piece.
+# Largest payload sent as one datagram; below the usual path MTU, so that it isn't
+# fragmented.
 MAX_DATAGRAM_BYTES = 1200
 # Longest datagram that is received.
 READ_BYTES = 65_536
@@ -53,9 +54,9 @@
 
     def send(self, contact: Contact, report: AttemptReport) -> bool:
         """Send a report; return False if it must be sent in another way."""
-        data = encode(report)
         if self._socket is None or not contact.takes_datagrams:
             return False
+        data = encode(report)
         if len(data) > MAX_DATAGRAM_BYTES:
             return False
         try:
--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -44,7 +44,7 @@
     :param is_queued: whether it has a place in the queue, and waits for its turn.
     :param objective_s: seconds until its response should begin.
     :param deadline_s: seconds until its caller leaves.
-    :param waited_s: seconds since its arrival.
+    :param waited_s: seconds since its caller's first attempt, as estimated.
     """
 
     gateway: str
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -351,9 +351,10 @@
 
     def _queue_priority(self) -> int:
         admitted = self._admitted
+        priority = admitted.route.priority
         if admitted.customer is not None and admitted.customer.priority is not None:
-            return admitted.customer.priority
-        return admitted.route.priority
+            priority = admitted.customer.priority
+        return max(priority, 0)
 
     def _relay_response(self, path: Path, head: ResponseHead, attempt: Attempt) -> int:
         admitted = self._admitted
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -193,12 +193,15 @@
         if self._service(service).engine is not None:
             return True
         registered = self._directory.of_service(service)
-        return self._has_few_slots(service) or self._gate.rooms.has_brittle(registered)
+        return self._assigns_plain_endpoints(service) or self._gate.rooms.has_brittle(
+            registered
+        )
 
-    def _has_few_slots(self, service: str) -> bool:
-        """Return whether a plain service has too few slots for gateways to choose.
+    def _assigns_plain_endpoints(self, service: str) -> bool:
+        """Return whether the zone's dispatcher assigns a plain service's endpoints.
 
-        A request there ends before the other gateways hear of it. With fewer than two
+        It does where there are few slots for each gateway, and it has the CPU for it. A
+        request there ends before the other gateways hear of it. With fewer than two
         slots for each gateway, their choices meet at one endpoint while another is
         idle.
         """
@@ -211,8 +214,8 @@
             registered = self._directory.of_service(service)
             slots = sum(record.endpoint.slots for record in registered)
             least = MIN_SLOTS_PER_GATEWAY * self._peering.gateway_count()
-            is_fast = self._peering.dispatcher_cores() >= MIN_DISPATCHER_CORES
-            self._few_slots[service] = is_fast and slots < least
+            has_enough_cores = self._peering.dispatcher_cores() >= MIN_DISPATCHER_CORES
+            self._few_slots[service] = has_enough_cores and slots < least
         return self._few_slots[service]
 
     def backed_off(self) -> frozenset[str]:
@@ -446,7 +449,7 @@
         self, service: str, candidates: Sequence[EndpointRecord]
     ) -> Mapping[str, float] | None:
         """Return the slow plain endpoints; None if gateways choose for themselves."""
-        if not self._has_few_slots(service):
+        if not self._assigns_plain_endpoints(service):
             return None
         names = [record.name for record in candidates]
         now = self._clock.elapsed()
@@ -566,7 +569,7 @@
         self._free_capacity.record_release(attempt.record)
         if took is None:
             return
-        if self._has_few_slots(attempt.service):
+        if self._assigns_plain_endpoints(attempt.service):
             self._response_times_of(attempt.service).observe(
                 attempt.record.name, took, self._clock.elapsed()
             )
--- a/src/sassafrasdale/gateway/peering.py
+++ b/src/sassafrasdale/gateway/peering.py
@@ -64,9 +64,11 @@
 # An aggregator that did not run for this long was paused, and its members have moved
 # to another one.
 PAUSE_THRESHOLD = CONTACT_TIMEOUT
-# Engine time per second from which on it tells how much of it each zone takes.
+# Total engine time per second below which the zones' parts are too uncertain, and equal
+# shares are used.
 MIN_KNOWN_WORK = 0.1
-# Lowest part of an equal share that a zone counts on: its load may just begin.
+# Lower bound of a zone's share, as a fraction of an equal share: its load may have only
+# just begun.
 MIN_ZONE_PART = 0.5
 # A change reaches all gateways in three steps: to the aggregator, from there to the
 # other aggregators, and from those to their members.
--- a/tests/decisions/test_service_queue.py
+++ b/tests/decisions/test_service_queue.py
@@ -252,3 +252,12 @@
     request = replace(queued(1, cost=SECOND), deadline=left * MS)
     rejection = queue.offer(request, timedelta(), ENDPOINTS)
     assert timedelta() <= rejection.retry_after <= max(left, 0) * MS / 3
+
+
+@pytest.mark.parametrize("priorities", [6, 9])
+def test_any_number_of_priorities_can_wait(priorities: int) -> None:
+    """Guards against more priorities than there are guaranteed shares."""
+    queue = ServiceQueue(lambda name: 1.0, Random(1))
+    for number in range(20 * priorities):
+        queue.offer(queued(number, priority=number % priorities), timedelta(), 1)
+    assert 0 < len(queue) * COST <= DEADLINE
