The guaranteed shares of priorities add up to less than the capacity

With more than five priorities waiting, each less urgent one was promised a fifth, so too many requests were accepted. The share is smaller where there are more of them.

--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -245,15 +245,19 @@
             return timedelta()
         priority = request.priority
         own = self._fair_cost_ahead(request)
-        more_urgent = [other for other in self._on_time if other < priority]
+        more_urgent = [
+            other
+            for other, queue in self._on_time.items()
+            if other < priority and queue
+        ]
         ahead = own + sum((self._cost_of(other) for other in more_urgent), timedelta())
         less_urgent = [
             other
             for other, queue in self._on_time.items()
             if other > priority and queue
         ]
-        reserved = MIN_PRIORITY_SHARE * len(less_urgent)
-        remaining = capacity * (1 - min(reserved, 1 - MIN_PRIORITY_SHARE))
+        least = _least_share(len({*more_urgent, *less_urgent}))
+        remaining = capacity * (1 - least * len(less_urgent))
         urgent_rate = sum(
             self._arriving.rate(key, now)
             for key in self._arriving.keys
@@ -262,7 +266,7 @@
         wait = _drain_time(ahead, remaining, urgent_rate)
         if not urgent_rate and not more_urgent:
             return wait
-        return min(wait, own / (capacity * MIN_PRIORITY_SHARE))
+        return min(wait, own / (capacity * least))
 
     def _late_wait(
         self, ahead: timedelta, now: timedelta, capacity: float
@@ -305,7 +309,7 @@
         rates = {
             priority: self._started.rate(str(priority), now) for priority in waiting
         }
-        least = sum(rates.values()) * MIN_PRIORITY_SHARE
+        least = sum(rates.values()) * _least_share(len(waiting) - 1)
         starved = [other for other in waiting[1:] if rates[other] < least]
         return starved + [other for other in waiting if other not in starved]
 
@@ -399,6 +403,14 @@
     return sum((request.cost for request in requests), timedelta())
 
 
+def _least_share(others: int) -> float:
+    """Return the least share of the capacity for a less urgent priority.
+
+    :param others: number of other priorities with waiting requests.
+    """
+    return min(MIN_PRIORITY_SHARE, (1 - MIN_PRIORITY_SHARE) / max(others, 1))
+
+
 def _drain_time(ahead: timedelta, capacity: float, arriving: float) -> timedelta:
     """Return the time until a cost has been started.
 
--- a/tests/decisions/test_service_queue.py
+++ b/tests/decisions/test_service_queue.py
@@ -260,4 +260,4 @@
     queue = ServiceQueue(lambda name: 1.0, Random(1))
     for number in range(20 * priorities):
         queue.offer(queued(number, priority=number % priorities), timedelta(), 1)
-    assert 0 < len(queue) * COST <= DEADLINE
+    assert timedelta() < len(queue) * COST <= DEADLINE
