Both programs estimate the work ahead and bound waits by one piece of code each

The gateway's queue had its own copy of the fair queue's estimate of the work ahead of a request, and of the bound of waits in a standing queue, with small variations. FairQueue.work_before takes the cost of each request, which for equal costs is the former formula; decisions/standing_queues bounds the waits of both. The order of customers stands once in FairQueue, rates take any key instead of numbers as strings, and the priorities that wait are found in one place.

--- a/src/sassafrasdale/decisions/admission.py
+++ b/src/sassafrasdale/decisions/admission.py
@@ -19,6 +19,11 @@
 from sassafrasdale.decisions.occupancy import Occupancy
 from sassafrasdale.decisions.retry_times import RetryTimes
 from sassafrasdale.decisions.shares import DemandShares
+from sassafrasdale.decisions.standing_queues import (
+    STANDING_FRACTION,
+    WAIT_FRACTION,
+    longest_wait,
+)
 from sassafrasdale.decisions.tickets import (
     Admit,
     CustomerShare,
@@ -66,8 +71,8 @@
     latency_smoothing: float = 0.1
     latency_window: int = 100
     latency_quantile: float = 0.9
-    wait_share: float = 0.3
-    standing: float = 0.5
+    wait_share: float = WAIT_FRACTION
+    standing: float = STANDING_FRACTION
     demand_window: float = 5.0
     longest_retry_after: timedelta = timedelta(seconds=30)
     retry_after_spread: float = RETRY_AFTER_SPREAD
@@ -79,10 +84,6 @@
 class _WaitBound:
     """Maximum time that requests may wait before they are shed.
 
-    A short burst may use all the time that the response does not need. With a standing
-    queue, long waits gain no throughput, and any variation in latency makes responses
-    miss their deadlines; the wait is therefore bounded.
-
     :param needed: time that a request must have left when it starts.
     :param standing_for: time since the queue was last empty.
     """
@@ -94,10 +95,13 @@
     def of(self, ticket: Ticket) -> timedelta:
         """Return the maximum wait of one request."""
         allowed = ticket.deadline - ticket.offered_at
-        useful = allowed - self.needed
-        if self.standing_for < allowed * self.settings.standing:
-            return useful
-        return min(useful, allowed * self.settings.wait_share)
+        return longest_wait(
+            allowed - self.needed,
+            allowed,
+            self.standing_for,
+            standing_fraction=self.settings.standing,
+            wait_fraction=self.settings.wait_share,
+        )
 
 
 class Admission:
@@ -340,7 +344,7 @@
         urgent_rate = self._demand.more_urgent_rate(ticket, self._demand_window)
         if urgent_rate >= customer_rate:
             return timedelta.max
-        work = self._queue.work_before(ticket, ahead, self._cost) + cost
+        work = self._queue.work_before(ticket, ahead, self._slot_time) + cost
         seconds = work / self._limit.value / (1 - urgent_rate / customer_rate)
         # If more urgent requests use almost all of the customer's rate, the quotient
         # exceeds timedelta's range.
@@ -348,8 +352,8 @@
             return timedelta.max
         return timedelta(seconds=seconds)
 
-    def _cost(self, customer: str) -> float:
-        return self._occupancy.of(customer).total_seconds()
+    def _slot_time(self, ticket: Ticket) -> float:
+        return self._occupancy.of(ticket.customer).total_seconds()
 
     def _shed(self, ticket: Ticket, now: timedelta, reason: ShedReason) -> Shed:
         return Shed(ticket, self.retry_after(now), reason)
--- a/src/sassafrasdale/decisions/fairness.py
+++ b/src/sassafrasdale/decisions/fairness.py
@@ -47,7 +47,7 @@
     @property
     def customers(self) -> Sequence[str]:
         """Customers with queued requests, the next one first."""
-        return sorted(self._queues, key=lambda name: (self.start_of(name), name))
+        return sorted(self._queues, key=self._turn)
 
     def requests_of(self, customer: str) -> Sequence[QueueableT]:
         """Return a customer's requests in their order."""
@@ -64,22 +64,23 @@
         return self._weight(customer) / sum(self._weight(name) for name in names)
 
     def work_before(
-        self, ticket: QueueableT, position: int, cost: Callable[[str], float]
+        self, ticket: QueueableT, position: int, cost: Callable[[QueueableT], float]
     ) -> float:
         """Return the slot time, in seconds, that is served before a new request.
 
         :param position: position of the request in its customer's queue.
-        :param cost: returns the seconds that a customer's request occupies a slot.
+        :param cost: returns the seconds that a request occupies a slot.
         """
         own = ticket.customer
-        start = self.start_of(own) + position * cost(own) / self._weight(own)
-        work = position * cost(own)
+        work = sum(map(cost, self.requests_of(own)[:position]))
+        start = self.start_of(own) + work / self._weight(own)
         for name, queue in self._queues.items():
             if name == own:
                 continue
             lead = max(start - self.start_of(name), 0.0)
-            count = lead * self._weight(name) / cost(name) + 1
-            work += min(count, len(queue)) * cost(name)
+            # The request of another customer that is next is always served before.
+            served = lead * self._weight(name) + cost(queue[0])
+            work += min(served, sum(map(cost, queue)))
         return work
 
     def add(self, ticket: QueueableT, position: int) -> None:
@@ -99,7 +100,7 @@
         ready = [name for name in self._queues if allowed(name)]
         if not ready:
             return None
-        customer = min(ready, key=lambda name: (self.start_of(name), name))
+        customer = min(ready, key=self._turn)
         return self._pop(customer, 0)
 
     def evict(self) -> QueueableT:
@@ -129,6 +130,9 @@
         """Return the virtual time at which a customer's next request starts."""
         return max(self._virtual_finish.get(customer, 0.0), self._virtual_time)
 
+    def _turn(self, customer: str) -> tuple[float, str]:
+        return self.start_of(customer), customer
+
     def _pop(self, customer: str, index: int) -> QueueableT:
         ticket = self._queues[customer].pop(index)
         self._size -= 1
--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -8,12 +8,13 @@
 A request that would miss its objective goes behind all that can meet theirs, and one
 that would miss its deadline is rejected at once. So what waits is little, and what the
 endpoints begin is on time. A queue is standing if it has not been empty for a while, as
-in CoDel; a burst drains sooner. Customers share by
-start-time fair queueing on what their requests cost, as virtual token counters do.
+in CoDel; a burst drains sooner. Customers share by start-time fair queueing on what
+their requests cost, as virtual token counters do.
 """
 
 from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
+from math import inf
 from random import Random
 
 from sassafrasdale.decisions.drain_rates import DrainRate
@@ -27,15 +28,11 @@
 )
 from sassafrasdale.decisions.rates import DecayingRates
 from sassafrasdale.decisions.retry_times import RetryTimes
+from sassafrasdale.decisions.standing_queues import longest_wait
 
 # Fraction of what is started that a less urgent priority gets while it has requests
 # waiting, so that more urgent ones can't starve it.
 MIN_PRIORITY_SHARE = 0.2
-# Fraction of its time to the objective that a request may wait in a standing queue. A
-# long queue gains no throughput, and any error of the estimate makes all of it late.
-STANDING_WAIT_FRACTION = 0.3
-# A queue stands that has not been empty for this fraction of a request's objective.
-STANDING_FRACTION = 0.5
 # Share of the capacity taken by requests that go ahead, from which on a wait counts as
 # unbounded. Below 1, because the arrival rate is an estimate.
 FULL_SHARE = 0.85
@@ -89,17 +86,14 @@
         # Elapsed times since which the queues of the priorities are not empty.
         self._waiting_since: dict[int, timedelta] = {}
         self._drain = DrainRate()
-        self._arriving = DecayingRates(RECENT_TIME)
-        self._started = DecayingRates(RECENT_TIME)
-        self._got = DecayingRates(SHARES_TIME)
+        self._arriving: DecayingRates[int] = DecayingRates(RECENT_TIME)
+        self._started: DecayingRates[int] = DecayingRates(RECENT_TIME)
+        self._got: DecayingRates[str] = DecayingRates(SHARES_TIME)
         self._retry_times = RetryTimes(rng, MAX_RETRY_AFTER, RETRY_AFTER_SPREAD)
 
     def __len__(self) -> int:
         return len(self._requests)
 
-    def __contains__(self, key: RequestKey) -> bool:
-        return key in self._requests
-
     def offer(
         self, request: QueuedRequest, now: timedelta, capacity: float
     ) -> Rejection | None:
@@ -111,7 +105,7 @@
         capacity = self._capacity(now, capacity)
         on_time = self._is_on_time(request, now, capacity)
         # Rejected ones count too: as long as there are any, nothing late has a chance.
-        self._arriving.add(str(request.priority), now, request.cost.total_seconds())
+        self._arriving.add(request.priority, now, _seconds(request))
         if on_time:
             self._add(request, now)
             return None
@@ -132,12 +126,12 @@
 
     def start(self, request: QueuedRequest, now: timedelta) -> None:
         """Record that a waiting request was sent to an endpoint, and remove it."""
-        seconds = request.cost.total_seconds()
+        seconds = _seconds(request)
         queue = self._queue_of(request)
         self._drain.record_start(request.cost, now)
         self.remove(request.key, now)
         if queue is not self._late:
-            self._started.add(str(request.priority), now, seconds)
+            self._started.add(request.priority, now, seconds)
         queue.charge(request.customer, seconds)
         self._got.add(request.customer, now, seconds)
 
@@ -215,10 +209,12 @@
         left = request.due_at - now - request.cost
         if left <= timedelta():
             return False
-        objective = request.due_at - request.arrived_at
-        if self._standing_time(request.priority, now) >= objective * STANDING_FRACTION:
-            left *= STANDING_WAIT_FRACTION
-        return self._on_time_wait(request, now, capacity) <= left
+        longest = longest_wait(
+            left,
+            request.due_at - request.arrived_at,
+            self._standing_time(request.priority, now),
+        )
+        return self._on_time_wait(request, now, capacity) <= longest
 
     def _standing_time(self, priority: int, now: timedelta) -> timedelta:
         """Return for how long requests of a priority, or more urgent ones, have waited.
@@ -226,12 +222,16 @@
         The queue of less urgent ones may stand for long beside them.
         """
         since = [
-            self._waiting_since.get(other, now)
-            for other, queue in self._on_time.items()
-            if other <= priority and queue
+            self._waiting_since[other]
+            for other in self._waiting_priorities()
+            if other <= priority
         ]
         return now - min(since, default=now)
 
+    def _waiting_priorities(self) -> list[int]:
+        """Return the priorities with requests on time that wait, the urgent first."""
+        return sorted(priority for priority, queue in self._on_time.items() if queue)
+
     def _meets_deadline(
         self, request: QueuedRequest, wait: timedelta, now: timedelta
     ) -> bool:
@@ -244,25 +244,14 @@
         if not self._requests:
             return timedelta()
         priority = request.priority
+        waiting = self._waiting_priorities()
+        more_urgent = [other for other in waiting if other < priority]
+        less_urgent = [other for other in waiting if other > priority]
         own = self._fair_cost_ahead(request)
-        more_urgent = [
-            other
-            for other, queue in self._on_time.items()
-            if other < priority and queue
-        ]
         ahead = own + sum((self._cost_of(other) for other in more_urgent), timedelta())
-        less_urgent = [
-            other
-            for other, queue in self._on_time.items()
-            if other > priority and queue
-        ]
-        least = _least_share(len({*more_urgent, *less_urgent}))
+        least = _least_share(len(more_urgent) + len(less_urgent))
         remaining = capacity * (1 - least * len(less_urgent))
-        urgent_rate = sum(
-            self._arriving.rate(key, now)
-            for key in self._arriving.keys
-            if int(key) < priority
-        )
+        urgent_rate = self._arrival_rate(now, below=priority)
         wait = _drain_time(ahead, remaining, urgent_rate)
         if not urgent_rate and not more_urgent:
             return wait
@@ -275,40 +264,30 @@
 
         :param ahead: cost of what is ahead of it.
         """
-        on_time_rate = sum(self._arriving.rate(key, now) for key in self._arriving.keys)
-        return _drain_time(ahead, capacity, on_time_rate)
+        return _drain_time(ahead, capacity, self._arrival_rate(now))
+
+    def _arrival_rate(self, now: timedelta, below: float = inf) -> float:
+        """Return the cost per second that arrives, of priorities below a number."""
+        return sum(
+            self._arriving.rate(priority, now)
+            for priority in self._arriving.keys
+            if priority < below
+        )
 
     def _fair_cost_ahead(self, request: QueuedRequest) -> timedelta:
         """Return the cost that goes ahead of a new request of its priority."""
         queue = self._on_time.get(request.priority)
         if not queue:
             return timedelta()
-        own = _total_cost(
-            other
-            for other in queue.requests_of(request.customer)
-            if other.arrived_at <= request.arrived_at
-        )
-        weight = self._weight(request.customer)
-        finish = queue.start_of(request.customer) + (own + request.cost) / (
-            weight * timedelta(seconds=1)
-        )
-        ahead = own
-        for name in queue.customers:
-            if name == request.customer:
-                continue
-            lead = max(finish - queue.start_of(name), 0.0)
-            share = timedelta(seconds=lead * self._weight(name))
-            ahead += min(_total_cost(queue.requests_of(name)), share)
-        return ahead
+        seconds = queue.work_before(request, _position(queue, request), _seconds)
+        return timedelta(seconds=seconds)
 
     def _priority_order(self, now: timedelta) -> list[int]:
         """Return the priorities with waiting requests, the next one first."""
-        waiting = sorted(priority for priority, queue in self._on_time.items() if queue)
+        waiting = self._waiting_priorities()
         if len(waiting) < 2:
             return waiting
-        rates = {
-            priority: self._started.rate(str(priority), now) for priority in waiting
-        }
+        rates = {priority: self._started.rate(priority, now) for priority in waiting}
         least = sum(rates.values()) * _least_share(len(waiting) - 1)
         starved = [other for other in waiting[1:] if rates[other] < least]
         return starved + [other for other in waiting if other not in starved]
@@ -399,6 +378,10 @@
     )
 
 
+def _seconds(request: QueuedRequest) -> float:
+    return request.cost.total_seconds()
+
+
 def _total_cost(requests: Iterable[QueuedRequest]) -> timedelta:
     return sum((request.cost for request in requests), timedelta())
 
--- a/src/sassafrasdale/decisions/thinning.py
+++ b/src/sassafrasdale/decisions/thinning.py
@@ -65,19 +65,19 @@
 
     def __init__(self, draw: Callable[[], float]) -> None:
         self._draw = draw
-        self._demand = DecayingRates(MIX_WINDOW)
+        self._demand: DecayingRates[int] = DecayingRates(MIX_WINDOW)
         self._thinners: dict[int, RequestThinner] = {}
 
     def record(self, priority: int, amount: float, now: timedelta) -> None:
         """Record a request, whether it is admitted or not."""
-        self._demand.add(str(priority), now, amount)
+        self._demand.add(priority, now, amount)
 
     def admits(self, priority: int, fraction: float, now: timedelta) -> bool:
         """Return whether the next request of a priority is admitted.
 
         :param fraction: fraction of all requests that is admitted.
         """
-        demand = {int(key): self._demand.rate(key, now) for key in self._demand.keys}
+        demand = {key: self._demand.rate(key, now) for key in self._demand.keys}
         wanted = fractions_by_priority(fraction, demand).get(priority, fraction)
         thinner = self._thinners.get(priority)
         if thinner is None:
