A service is known to be full by a choice that failed, not by one more look beforehand

Before each placement the dispatcher filtered all endpoints by health and room to find out whether one had room, and the choice then did the same again; each new request was first checked for an alternative endpoint. That a service is full is now noted where a choice among all of its endpoints finds none with room, and alternatives are looked for only if a request isn't placed at once.

--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -122,9 +122,9 @@
         """
         known = self._pending.get(pending.key)
         if known is None:
-            refusal = self._add(pending)
-            if refusal is not None:
-                return refusal
+            rejection = self._offer(pending)
+            if rejection is not None:
+                return rejection
         else:
             known.backed_off = pending.backed_off
             known.connected = pending.connected
@@ -135,17 +135,14 @@
         self._pending.pop(pending.key, None)
         return pending.outcome
 
-    def _add(self, pending: PendingAttempt) -> Rejection | Unavailable | None:
-        """Queue a request; return why it can't be served, or None."""
-        if not self._has_alternative(pending):
-            return Unavailable()
-        return self._offer(pending)
-
     def _hold(self, pending: PendingAttempt, limit: timedelta, *, is_new: bool) -> None:
         """Place a request, or wait for its turn for a limited time."""
         pending.is_held = True
         try:
             self._place(pending.service)
+            if pending.outcome is None and not self._has_alternative(pending):
+                self.remove(pending.key)
+                pending.outcome = Unavailable()
             if pending.outcome is None:
                 self._wake()
                 if is_new:
@@ -246,7 +243,7 @@
             return
 
     def _place(self, service: str) -> None:
-        while self._fleet.may_place(service) and self._place_next(service):
+        while not self._fleet.is_full(service) and self._place_next(service):
             pass
 
     def _place_next(self, service: str) -> bool:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -161,24 +161,9 @@
         self._few_slots.clear()
         self._free_capacity.refresh()
 
-    def may_place(self, service: str) -> bool:
-        """Return whether placing a service's waiting requests is worth trying.
-
-        It is without any endpoint, too: then they wait for nothing.
-        """
-        if self._free_capacity.is_full(service):
-            return False
-        usable = self._eligibility.endpoints(service)
-        with_room = self._free_capacity.with_room(service, usable)
-        if not usable:
-            return True
-        if with_room:
-            weights = self._health_weights(service)
-            healthy = self._healthy(usable, weights)
-            if any(record in healthy for record in with_room):
-                return True
-        self._free_capacity.mark_full(service)
-        return False
+    def is_full(self, service: str) -> bool:
+        """Return whether a service is known to have no endpoint with room now."""
+        return self._free_capacity.is_full(service)
 
     @property
     def report_age(self) -> timedelta:
@@ -396,13 +381,27 @@
         if backed_off:
             eligible = [rec for rec in eligible if rec.name not in backed_off]
         if only_with_room:
-            eligible = self._free_capacity.with_room(service, eligible)
+            eligible = self._with_room(
+                eligible, service, is_any=not backed_off and candidates == registered
+            )
         permitted = self._gate.with_permit(eligible)
         record = self._choose(permitted, service, traits, weights, connected)
         if record is None or not self._gate.take(record):
             return None
         return self._start_at(record, registered, traits, weights, is_retry=is_retry)
 
+    def _with_room(
+        self, eligible: Sequence[EndpointRecord], service: str, *, is_any: bool
+    ) -> Sequence[EndpointRecord]:
+        """Return the endpoints with room; remember it if the service has none.
+
+        :param is_any: whether no endpoint is left out for this request's sake.
+        """
+        with_room = self._free_capacity.with_room(service, eligible)
+        if eligible and not with_room and is_any:
+            self._free_capacity.mark_full(service)
+        return with_room
+
     def _healthy(
         self, candidates: Sequence[EndpointRecord], weights: Mapping[str, float]
     ) -> Sequence[EndpointRecord]:
--- a/tests/gateway/admission/test_queue_times.py
+++ b/tests/gateway/admission/test_queue_times.py
@@ -33,8 +33,8 @@
     def capacity(self, service: str) -> float:
         return 1.0
 
-    def may_place(self, service: str) -> bool:
-        return True
+    def is_full(self, service: str) -> bool:
+        return False
 
     def start_local_attempt(self, *args: object, **kwargs: object) -> None:
         return None
