--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -6,7 +6,6 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_room import longest_queue
 from sassafrasdale.decisions.request_times import RequestTimes
-from sassafrasdale.decisions.response_times import ResponseTimes
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
 from sassafrasdale.decisions.stream_versions import UNRESUMABLE_RETRY_AFTER
@@ -37,6 +36,7 @@
     Placement,
     shared_parts,
 )
+from sassafrasdale.gateway.plain_endpoints import PlainEndpoints
 from sassafrasdale.gateway.prefill_times import PrefillTimes
 from sassafrasdale.gateway.retry_budgets import RetryBudgets
 from sassafrasdale.gateway.rollouts import Rollouts
@@ -48,11 +48,6 @@
 # An endpoint that doesn't respond is most likely gone; one that returns an occasional
 # error may be as good as the others.
 NO_RESPONSE_WEIGHT = 3
-# CPU cores of a dispatcher from which on it assigns plain endpoints. On a smaller one,
-# the assignment takes as long as the request.
-MIN_DISPATCHER_CORES = 0.3
-# Slots of a plain service for each gateway below which a dispatcher assigns them.
-MIN_SLOTS_PER_GATEWAY = 2
 VERSION_UNAVAILABLE = Unavailability(
     "no endpoint of the stream's version", UNRESUMABLE_RETRY_AFTER
 )
@@ -118,8 +113,7 @@
             self._peer_loads,
         )
         self._capacities: dict[str, float] = {}
-        self._few_slots: dict[str, bool] = {}
-        self._response_times: dict[str, ResponseTimes] = {}
+        self._plain_endpoints = PlainEndpoints(directory, peering, configuration, clock)
 
     @property
     def retry_budgets(self) -> RetryBudgets:
@@ -158,7 +152,7 @@
         """Update the peers' loads from their latest reports."""
         self._peer_loads.refresh()
         self._capacities.clear()
-        self._few_slots.clear()
+        self._plain_endpoints.refresh()
         self._free_capacity.refresh()
 
     def is_full(self, service: str) -> bool:
@@ -178,30 +172,8 @@
         if self._service(service).engine is not None:
             return True
         registered = self._directory.of_service(service)
-        return self._assigns_plain_endpoints(service) or self._gate.rooms.has_brittle(
-            registered
-        )
-
-    def _assigns_plain_endpoints(self, service: str) -> bool:
-        """Return whether the zone's dispatcher assigns a plain service's endpoints.
-
-        It does where there are few slots for each gateway, and it has the CPU for it. A
-        request there ends before the other gateways hear of it. With fewer than two
-        slots for each gateway, their choices meet at one endpoint while another is
-        idle.
-        """
-        configuration = self._configuration()
-        if configuration.objective(service) is None:
-            return False
-        if configuration.service(service).engine is not None:
-            return False
-        if service not in self._few_slots:
-            registered = self._directory.of_service(service)
-            slots = sum(record.endpoint.slots for record in registered)
-            least = MIN_SLOTS_PER_GATEWAY * self._peering.gateway_count()
-            has_enough_cores = self._peering.dispatcher_cores() >= MIN_DISPATCHER_CORES
-            self._few_slots[service] = has_enough_cores and slots < least
-        return self._few_slots[service]
+        is_assigned = self._plain_endpoints.is_assigned(service)
+        return is_assigned or self._gate.rooms.has_brittle(registered)
 
     def backed_off(self) -> frozenset[str]:
         """Return the endpoints that want no requests from this gateway now."""
@@ -222,7 +194,7 @@
         if self._service(service).engine is None:
             registered = self._directory.of_service(service)
             slots = max((record.endpoint.slots for record in registered), default=1)
-            usual = self._response_times_of(service).usual_time()
+            usual = self._plain_endpoints.usual_time(service)
             return (usual or PLAIN_REQUEST_TIME) / slots
         cached = sum(part.tokens for part in shared_parts(traits))
         unread = max((traits.prompt_tokens or 0) - cached, 0)
@@ -440,23 +412,10 @@
             weights,
             self._prefill_times.token_time(service),
             self._peer_loads.unreported_work(service, len(candidates)),
-            self._slow_endpoints(service, candidates),
+            self._plain_endpoints.slow(service, [rec.name for rec in candidates]),
             connected,
         )
 
-    def _slow_endpoints(
-        self, service: str, candidates: Sequence[EndpointRecord]
-    ) -> Mapping[str, float] | None:
-        """Return the slow plain endpoints; None if gateways choose for themselves."""
-        if not self._assigns_plain_endpoints(service):
-            return None
-        names = [record.name for record in candidates]
-        now = self._clock.elapsed()
-        return self._response_times_of(service).slowness(names, now)
-
-    def _response_times_of(self, service: str) -> ResponseTimes:
-        return self._response_times.setdefault(service, ResponseTimes())
-
     def unavailability(self, service: str, traits: RequestTraits) -> Unavailability:
         """Return why no endpoint of a service takes a request, and until when."""
         usable = self._eligibility.endpoints_for(service, traits)
@@ -465,9 +424,8 @@
         return self._gate.unavailability(usable, self._peering.gateway_count())
 
     def forget(self, endpoint: str) -> None:
-        """Drop the response times of an endpoint that is gone."""
-        for times in self._response_times.values():
-            times.forget(endpoint)
+        """Drop what was observed of an endpoint that is gone."""
+        self._plain_endpoints.forget(endpoint)
 
     def has_alternative(
         self, service: str, traits: RequestTraits, tried: Collection[str]
@@ -568,10 +526,7 @@
         self._free_capacity.record_release(attempt.record)
         if took is None:
             return
-        if self._assigns_plain_endpoints(attempt.service):
-            self._response_times_of(attempt.service).observe(
-                attempt.record.name, took, self._clock.elapsed()
-            )
+        self._plain_endpoints.observe(attempt.service, attempt.record.name, took)
         self._prefill_times.observe(attempt.service, attempt.prefill_tokens, took)
 
     def finish_attempt(self, attempt: Attempt) -> None:
