Reading the change again: a name for one thing, and no parameter that nothing uses

"Place" stood for a queue position, for choosing an endpoint, for depth in a bucket and for orders within bounds; each has its own name now. The starter of attempts had a clock that it didn't use. Pages and docstrings said that gateways queue their own requests while their dispatcher doesn't respond, which they no longer do, and that slow endpoints all have the same factor, which they needn't.

--- a/src/sassafrasdale/decisions/endpoint_rates.py
+++ b/src/sassafrasdale/decisions/endpoint_rates.py
@@ -9,9 +9,9 @@
 
 Most requests may come to one zone. It asks the others for tokens that they don't need.
 A token that is given away has left its bucket, so the rate holds, and one that is lost
-on the way is not used. It takes its place in the bucket along: a zone that gets most of
-the requests would otherwise be full with the permits that it has lent for one report
-interval, and would drop what the other zones give.
+on the way is not used. The depth for it moves along for a while: otherwise the bucket
+of a zone that gets most of the requests would be full with the permits that it has lent
+for one report interval, and would drop the tokens that it receives.
 """
 
 from collections import deque
@@ -34,10 +34,10 @@
 LOAN_TIMEOUT = timedelta(seconds=2)
 # Time after which a borrower drops a permit that it has not used.
 PERMIT_TIMEOUT = timedelta(seconds=1)
-# Time for which the place of a token that was given away stays with its receiver. The
-# giver goes without it for longer, so that no two zones use it at once.
-PLACE_KEPT = timedelta(seconds=0.75)
-PLACE_MISSED = timedelta(seconds=1.25)
+# Time for which the receiver of a token has the depth for it. The giver goes without it
+# for longer, so that no two zones use it at once.
+RECEIVED_DEPTH_TIME = timedelta(seconds=0.75)
+GIVEN_DEPTH_TIME = timedelta(seconds=1.25)
 # Time over which a zone's demand and use of permits are averaged.
 RECENT_TIME = timedelta(seconds=1)
 
@@ -75,8 +75,8 @@
     lent_at: timedelta
 
 
-class _Places:
-    """Places in a bucket that were transferred with tokens, for a time.
+class _DepthTransfers:
+    """Depth that was transferred from one bucket to another for a time.
 
     :param duration: time after which a transfer ends.
     """
@@ -87,7 +87,7 @@
         self.count = 0
 
     def add(self, count: int, now: timedelta) -> None:
-        """Add a transfer of some places."""
+        """Add a transfer of the depth for some tokens."""
         if count:
             self._transfers.append((now + self._duration, count))
             self.count += count
@@ -112,8 +112,8 @@
         self._tokens = 0.0
         self._updated_at = now
         self._loans: dict[str, _Loan] = {}
-        self._places_accepted = _Places(PLACE_KEPT)
-        self._places_given = _Places(PLACE_MISSED)
+        self._depth_received = _DepthTransfers(RECEIVED_DEPTH_TIME)
+        self._depth_given = _DepthTransfers(GIVEN_DEPTH_TIME)
 
     def set_rate(self, rate: float, now: timedelta) -> None:
         """Set the requests per second."""
@@ -167,21 +167,21 @@
         self._refill(now)
         given = min(wanted, max(int(self._tokens - kept), 0))
         self._tokens -= given
-        self._places_given.add(given, now)
+        self._depth_given.add(given, now)
         return given
 
     def accept(self, given: int, now: timedelta) -> None:
         """Accept tokens that another bucket has given away."""
         self._refill(now)
-        self._places_accepted.add(given, now)
+        self._depth_received.add(given, now)
         self._add(given)
 
     def _refill(self, now: timedelta) -> None:
         for borrower, loan in list(self._loans.items()):
             if now - loan.lent_at > LOAN_TIMEOUT:
                 del self._loans[borrower]
-        self._places_accepted.remove_ended(now)
-        self._places_given.remove_ended(now)
+        self._depth_received.remove_ended(now)
+        self._depth_given.remove_ended(now)
         elapsed = (now - self._updated_at).total_seconds()
         self._updated_at = now
         self._add(self._rate * elapsed)
@@ -191,7 +191,7 @@
         self._tokens = max(self._tokens, min(self._tokens + tokens, self._room()))
 
     def _room(self) -> float:
-        transferred = self._places_accepted.count - self._places_given.count
+        transferred = self._depth_received.count - self._depth_given.count
         return self._depth() + transferred - self._lent()
 
     def _depth(self) -> float:
--- a/src/sassafrasdale/decisions/ordering.py
+++ b/src/sassafrasdale/decisions/ordering.py
@@ -123,7 +123,7 @@
     per_zone = min(
         max(ceil((needed - on_demand) / len(zones)), 1), bounds.max_endpoints
     )
-    orders = _place(service, on_demand, dict.fromkeys(zones, per_zone))
+    orders = _orders_within_bounds(service, on_demand, dict.fromkeys(zones, per_zone))
     available = sum(
         _reclaimable_count(service, zone, per_zone, unavailable) for zone in zones
     )
@@ -176,7 +176,7 @@
         )
         for zone, count in worthwhile.reclaimable.items()
     }
-    orders = _place(service, on_demand, reclaimable)
+    orders = _orders_within_bounds(service, on_demand, reclaimable)
     return FleetPlan(
         orders,
         _value_reason(service, demand, worthwhile, has_unavailable=has_unavailable),
@@ -234,7 +234,7 @@
     return any(key.service == service.service for key in unavailable)
 
 
-def _place(
+def _orders_within_bounds(
     service: PlannedService, on_demand: int, reclaimable: Mapping[str, int]
 ) -> dict[OrderKey, int]:
     """Return the orders, within the bounds of each zone.
--- a/src/sassafrasdale/decisions/response_times.py
+++ b/src/sassafrasdale/decisions/response_times.py
@@ -53,8 +53,7 @@
     ) -> Mapping[str, float]:
         """Return by which factor endpoints are slower than usual.
 
-        :returns: endpoints that are not slow, or not known, are omitted. If all are
-            slow, they are so by the same factor, and the choice is as before.
+        :returns: endpoints that are not slow, or not known, are omitted.
         """
         usual = self.usual_time()
         if not usual:
--- a/src/sassafrasdale/gateway/admission/__init__.py
+++ b/src/sassafrasdale/gateway/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Waiting requests, at the dispatcher of a zone or at their own gateway."""
+"""Requests that wait at the dispatcher of their zone for an endpoint with room."""
--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -1,7 +1,7 @@
 """Requests that wait for an endpoint with room, at the gateway that assigns it.
 
-The dispatcher of a zone queues those of all its gateways. A request keeps its place as
-long as its gateway asks for it; the gateway holds its bytes and its caller.
+The dispatcher of a zone queues those of all its gateways. A request keeps its
+position as long as its gateway asks for it; the gateway holds its bytes and its caller.
 """
 
 from collections.abc import Callable, Collection
@@ -27,8 +27,8 @@
 
 log = Logger("admission")
 
-# A place is given up if its gateway has not asked for it for this long.
-PLACE_TIMEOUT = timedelta(milliseconds=300)
+# Time without a call of its gateway after which a queue position expires.
+POSITION_TIMEOUT = timedelta(milliseconds=300)
 # Interval at which waiting requests are placed, besides when an endpoint reports room,
 # and at which those that miss their deadlines are rejected.
 PLACE_INTERVAL = timedelta(milliseconds=10)
@@ -157,7 +157,7 @@
             pending.asked_at = self._clock.elapsed()
 
     def remove(self, key: RequestKey) -> None:
-        """Give up the place of a request, if it has one."""
+        """Remove a request from its queue, if it waits."""
         pending = self._pending.pop(key, None)
         if pending is not None:
             self._queue(pending.service).remove(key, self._clock.elapsed())
@@ -302,11 +302,11 @@
                 self._resolve(pending, rejection)
 
     def _drop_abandoned(self, now: timedelta) -> None:
-        """Give up the places that no gateway asks for any more."""
+        """Remove the requests that no gateway asks for any more."""
         for key, pending in list(self._pending.items()):
-            if not pending.is_held and now - pending.asked_at > PLACE_TIMEOUT:
+            if not pending.is_held and now - pending.asked_at > POSITION_TIMEOUT:
                 self.remove(key)
-                self._count("place given up", service=pending.service)
+                self._count("queue position expired", service=pending.service)
 
     def _log_rejection(self, pending: PendingAttempt, rejection: Rejection) -> None:
         now = self._clock.elapsed()
--- a/src/sassafrasdale/gateway/admission/attempt_starter.py
+++ b/src/sassafrasdale/gateway/admission/attempt_starter.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.queued_requests import Rejection, RequestKey
 from sassafrasdale.deployment import RequestTraits
 from sassafrasdale.gateway.admission.attempt_queues import (
@@ -72,7 +71,7 @@
     """Starts attempts: by the zone's dispatcher, or by this gateway's own choice.
 
     :param fleet: the endpoints.
-    :param queues: requests that wait at this gateway.
+    :param queues: requests that wait here, if this gateway is the dispatcher.
     :param client: client of the dispatcher; None if this gateway always chooses itself.
     """
 
@@ -80,12 +79,10 @@
         self,
         fleet: Fleet,
         queues: AttemptQueues,
-        clock: Clock,
         client: DispatcherClient | None = None,
     ) -> None:
         self._fleet = fleet
         self._queues = queues
-        self._clock = clock
         self._client = client
 
     def start(self, request: AttemptRequest) -> Attempt | None:
@@ -167,7 +164,7 @@
             self._queues.remove(wait.key)
 
     def _ask(self, wait: "_Wait") -> AssignmentReply | None:
-        """Return the dispatcher's reply; None if this gateway queues the request."""
+        """Return the reply of another gateway as the dispatcher; None without one."""
         request = wait.request
         wait.backed_off = self._fleet.backed_off()
         reply = None
--- a/src/sassafrasdale/gateway/quarantine/crash_detection.py
+++ b/src/sassafrasdale/gateway/quarantine/crash_detection.py
@@ -65,12 +65,10 @@
         A crashed one may close its connections a moment before its listener, so it is
         probed twice.
         """
-        for number in range(2):
-            if number:
-                sleep(SETTLE_TIME)
-            if record.pool.probe() is not ProbeResult.OPEN:
-                return False
-        return True
+        if record.pool.probe() is not ProbeResult.OPEN:
+            return False
+        sleep(SETTLE_TIME)
+        return record.pool.probe() is ProbeResult.OPEN
 
     def confirm(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint that this gateway can't reach is at fault."""
--- a/tests/gateway/admission/test_attempt_queues.py
+++ b/tests/gateway/admission/test_attempt_queues.py
@@ -10,7 +10,7 @@
 from sassafrasdale.decisions.queued_requests import Rejection
 from sassafrasdale.deployment import EndpointState
 from sassafrasdale.gateway.admission.attempt_queues import (
-    PLACE_TIMEOUT,
+    POSITION_TIMEOUT,
     Started,
     Unavailable,
     Waiting,
@@ -75,7 +75,7 @@
 def test_a_place_that_nobody_asks_for_is_dropped(gateway, clock, running):
     """Guards against a queue that grows by the requests of a killed gateway."""
     gateway.queues.request(pending(clock, 2), NO_HOLD)
-    clock.advance(PLACE_TIMEOUT)
+    clock.advance(POSITION_TIMEOUT)
     gateway.queues.step()
     assert len(gateway.queues) == 1
     clock.advance(60 * MS)
--- a/tests/gateway/admission/test_attempt_starter.py
+++ b/tests/gateway/admission/test_attempt_starter.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sassafrasdale.gateway.admission.attempt_queues import PLACE_TIMEOUT
+from sassafrasdale.gateway.admission.attempt_queues import POSITION_TIMEOUT
 from sassafrasdale.gateway.dispatcher import RECONCILE_GRACE
 from sassafrasdale.gateway.dispatcher_messages import (
     HOLD_TIME,
@@ -150,7 +150,7 @@
     zone.gateways[1].directory.records["i-0"].in_flight = 1
     sleep(2 * HOLDS)
     assert len(zone.central.queues) == 1
-    zone.clock.advance(PLACE_TIMEOUT + 60 * MS)
+    zone.clock.advance(POSITION_TIMEOUT + 60 * MS)
     former.queues.step()
     assert len(former.queues) == 0
     zone.central.fleet.finish_local_attempt(occupying)
