The access line of a rejected request says what its queue decided by

Cause: the inputs of a rejection stood only in the dispatcher's "request rejected" line, so an operator with a request's id had to find another gateway's log first, and to match it by time and customer.

Change: a rejection carries its inputs to the gateway of the caller, whose "request ended" line has them as "queue". The reply has one more field with a default, so versions beside each other understand each other.

--- a/src/sassafrasdale/decisions/queued_requests.py
+++ b/src/sassafrasdale/decisions/queued_requests.py
@@ -50,6 +50,17 @@
     ahead: timedelta = timedelta()
     capacity: float = 0.0
 
+    @property
+    def inputs(self) -> str:
+        """What decided, for logs."""
+        wait = "unbounded"
+        if self.expected_wait is not None:
+            wait = f"{self.expected_wait.total_seconds():.3f} s"
+        return (
+            f"expected wait {wait}, ahead {self.ahead.total_seconds():.3f} s,"
+            f" capacity {self.capacity:.2f}"
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class CustomerQueue:
--- a/src/sassafrasdale/gateway/admission/attempt_starter.py
+++ b/src/sassafrasdale/gateway/admission/attempt_starter.py
@@ -145,8 +145,9 @@
                     case Assignment() as assigned:
                         attempt = self._adopt(wait.number, assigned, request)
                         return attempt or self._start_local(request)
-                    case AssignmentRejected(reason, retry_after_s):
-                        raise _refusal(reason, timedelta(seconds=retry_after_s))
+                    case AssignmentRejected(reason, retry_after_s, inputs):
+                        retry_after = timedelta(seconds=retry_after_s)
+                        raise _refusal(reason, retry_after, inputs)
                     case Queued():
                         self._queues.remove(wait.key)
                         continue
@@ -157,7 +158,9 @@
                     case Started(attempt):
                         return attempt
                     case Rejection() as rejection:
-                        raise _refusal(rejection.reason, rejection.retry_after)
+                        raise _refusal(
+                            rejection.reason, rejection.retry_after, rejection.inputs
+                        )
                     case Unavailable():
                         return self._start_local(request)
         finally:
@@ -219,5 +222,5 @@
         return attempt
 
 
-def _refusal(reason: str, retry_after: timedelta) -> RequestRefused:
-    return RequestRefused(503, reason, retry_after=retry_after)
+def _refusal(reason: str, retry_after: timedelta, inputs: str) -> RequestRefused:
+    return RequestRefused(503, reason, retry_after=retry_after, inputs=inputs)
--- a/src/sassafrasdale/gateway/dispatcher.py
+++ b/src/sassafrasdale/gateway/dispatcher.py
@@ -118,8 +118,12 @@
                 return self._assignment(request, attempt)
             case Waiting():
                 return Queued()
-            case Rejection(reason, retry_after):
-                return AssignmentRejected(reason, retry_after.total_seconds())
+            case Rejection() as rejection:
+                return AssignmentRejected(
+                    rejection.reason,
+                    rejection.retry_after.total_seconds(),
+                    rejection.inputs,
+                )
             case _:
                 return None
 
--- a/src/sassafrasdale/gateway/dispatcher_messages.py
+++ b/src/sassafrasdale/gateway/dispatcher_messages.py
@@ -164,10 +164,12 @@
     """Reply that an attempt can't be served in time.
 
     :param retry_after_s: seconds after which its caller should come back.
+    :param inputs: what decided, for the logs of its gateway.
     """
 
     reason: str
     retry_after_s: Seconds
+    inputs: str = ""
 
 
 class FirstToken(Message):
--- a/src/sassafrasdale/gateway/exceptions.py
+++ b/src/sassafrasdale/gateway/exceptions.py
@@ -10,6 +10,7 @@
 
     :param status: status code of the response.
     :param reason: short name of the cause, for logs and metrics.
+    :param inputs: what decided, for logs.
     """
 
     def __init__(
@@ -19,10 +20,12 @@
         message: str = "",
         *,
         retry_after: timedelta | None = None,
+        inputs: str = "",
     ) -> None:
         super().__init__(message or reason, retry_after=retry_after)
         self.status = status
         self.reason = reason
+        self.inputs = inputs
 
 
 class StreamInterrupted(SassafrasdaleError):
--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -260,6 +260,7 @@
         record.status = refusal.status
         record.outcome = "refused"
         record.reason = refusal.message
+        record.queue = refusal.inputs or None
         headers = []
         if refusal.retry_after is not None:
             seconds = refusal.retry_after.total_seconds()
@@ -292,6 +293,7 @@
             fingerprint=record.fingerprint,
             sends=record.attempts,
             limit=record.limit,
+            queue=record.queue,
             unread=attempt and attempt.prefill_tokens,
             queued=attempt and attempt.queued_tokens,
             news_ms=attempt and milliseconds(attempt.peer_report_age),
@@ -320,6 +322,7 @@
         self.first_byte_after: timedelta | None = None
         self.waited = timedelta()
         self.limit: str | None = None
+        self.queue: str | None = None
         self.fingerprint: str | None = None
         self.last_attempt: Attempt | None = None
         self.resumes: str | None = None
--- a/tests/gateway/admission/test_attempt_starter.py
+++ b/tests/gateway/admission/test_attempt_starter.py
@@ -67,6 +67,8 @@
         zone.request(1, terms=terms(zone.clock, deadline=1 * MS))
     assert error.value.status == 503
     assert error.value.retry_after is not None
+    # What the dispatcher decided by reaches the logs of the caller's gateway.
+    assert "ahead" in error.value.inputs
     assert len(zone.central.queues) == 0
 
 
--- a/tests/gateway/test_dispatcher_messages.py
+++ b/tests/gateway/test_dispatcher_messages.py
@@ -99,6 +99,7 @@
         (Assignment("i-1", "i-2", 100, 50, has_permit=True), 200),
         (Queued(), 202),
         (AssignmentRejected("would miss its deadline", 0.25), 503),
+        (AssignmentRejected("would miss its deadline", 0.25, "ahead 2.000 s"), 503),
     ],
 )
 def test_replies_are_told_apart_by_status(reply, status):
