Gateways of the tests receive datagrams; one that can't bind says that it takes none

Cause: the stand-ins reserve ports with a datagram socket at 127.0.0.1, where the gateways bind theirs, so every gateway of every test failed to bind once a second, and all attempt reports went as calls. The dispatcher then answers later than in 40 ms under load, and gateways choose by themselves. In a deployment, a gateway whose datagram port is taken said all the same that it takes datagrams, and would have lost all reports sent to it.

Change: ports are reserved at 127.0.0.2; the socket is bound before the gateway says whether it takes datagrams.

--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -97,10 +97,11 @@
         self._cache = CacheEstimate()
         self._step_times = EngineStepTimes()
         self._usage = UsageCounts(settings.bounds.usage_window, self.time)
-        self._contact = self._own_contact()
         self.datagrams = ReportDatagrams(
             settings.peer_address, self.receive_attempt_report
         )
+        self.takes_datagrams = self.datagrams.open()
+        self._contact = self._own_contact()
         self._build_store()
         self._build_quarantine()
         self._build_gate()
@@ -466,7 +467,7 @@
             address.port,
             self.incarnation,
             cpu_cores=settings.cpu_cores,
-            takes_datagrams=True,
+            takes_datagrams=self.takes_datagrams,
         )
 
     def _build_state(self, contact: Contact) -> MemberState:
--- a/src/sassafrasdale/gateway/datagrams.py
+++ b/src/sassafrasdale/gateway/datagrams.py
@@ -39,10 +39,19 @@
         self._receive = receive
         self._socket: socket.socket | None = None
 
-    def run(self) -> None:
-        """Receive reports until the task is killed."""
-        if self._socket is None:
+    def open(self) -> bool:
+        """Bind the socket; return False if the port is taken.
+
+        Without a socket, reports are sent and received as calls.
+        """
+        try:
             self._socket = datagram_socket(self._address)
+        except OSError as error:
+            log.warning("no datagrams", address=str(self._address), why=str(error))
+        return self._socket is not None
+
+    def run(self) -> None:
+        """Receive reports until the task is killed; the socket must be open."""
         while True:
             data, sender = self._socket.recvfrom(READ_BYTES)
             try:
--- a/src/sassafrasdale/gateway/process.py
+++ b/src/sassafrasdale/gateway/process.py
@@ -108,13 +108,14 @@
             components.peering.run,
             components.dispatcher_client.run,
             components.queues.run,
-            components.datagrams.run,
             components.strike_records.run,
             components.version_register.run,
             components.report_streams,
             components.departure_checks.run,
             components.links.run,
         ]
+        if components.takes_datagrams:
+            tasks.append(components.datagrams.run)
         for task in tasks:
             spawn(run_forever, task)
         log.info(
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -36,6 +36,8 @@
 PORTS = range(12_000, 32_000)
 """Ports below the kernel's range for outgoing connections."""
 
+# Gateways receive datagrams at LOOPBACK, so ports are reserved at another address.
+RESERVATION_HOST = "127.0.0.2"
 # A datagram socket bound to each reserved port, so that other test processes see the
 # reservation.
 _reserved_ports: dict[int, socket.socket] = {}
@@ -385,10 +387,10 @@
     """Reserve a port that nothing listens on and no other process has reserved."""
     while True:
         port = random.choice(PORTS)
-        reserved = _bound(port, socket.SOCK_DGRAM)
+        reserved = _bound(RESERVATION_HOST, port, socket.SOCK_DGRAM)
         if reserved is None:
             continue
-        probe = _bound(port, socket.SOCK_STREAM)
+        probe = _bound(LOOPBACK, port, socket.SOCK_STREAM)
         if probe is None:
             reserved.close()
             continue
@@ -397,10 +399,10 @@
         return port
 
 
-def _bound(port: int, kind: socket.SocketKind) -> socket.socket | None:
+def _bound(host: str, port: int, kind: socket.SocketKind) -> socket.socket | None:
     sock = socket.socket(type=kind)
     try:
-        sock.bind((LOOPBACK, port))
+        sock.bind((host, port))
     except OSError:
         sock.close()
         return None
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -32,8 +32,9 @@
         self.port = probe.getsockname()[1]
         probe.close()
         address = Address("127.0.0.1", self.port)
-        self.task = spawn(ReportDatagrams(address, self.reports.append).run)
-        sleep()
+        datagrams = ReportDatagrams(address, self.reports.append)
+        assert datagrams.open()
+        self.task = spawn(datagrams.run)
 
 
 @pytest.fixture
@@ -47,10 +48,8 @@
 def sender():
     """Return a gateway whose socket is open."""
     sender = ReportDatagrams(LOOPBACK, lambda report: None)
-    task = spawn(sender.run)
-    sleep()
-    yield sender
-    task.kill()
+    assert sender.open()
+    return sender
 
 
 def dispatcher(receiver: Receiver, *, takes_datagrams: bool = True):
@@ -82,6 +81,13 @@
     assert not sender.send(dispatcher(receiver), long)
 
 
+def test_a_port_that_is_taken_is_no_error(receiver):
+    """Guards against a gateway that says it takes datagrams that it never receives."""
+    datagrams = ReportDatagrams(Address("127.0.0.1", receiver.port), print)
+    assert not datagrams.open()
+    assert not datagrams.send(dispatcher(receiver), REPORT)
+
+
 def test_a_malformed_datagram_is_dropped(sender, receiver):
     """Guards against a task that any stray datagram ends."""
     stray = datagram_socket(LOOPBACK)
