Falls of brittle endpoints are no evidence against requests; a queue knows whole endpoint times

Requests of 250 ms were sent with 130 ms left (504). - Requests that can't meet their objective at all counted as ahead of late ones, so that nothing was served late where all is. - Less urgent requests wait longer at an engine, behind urgent ones that come later.

Change: a crash of a brittle endpoint within a second of a rejection, or of the time when gateways learned that it is brittle, is no strike. EndpointTimes knows what a request costs and for how much longer it is at its endpoint (plain services by their usual response time, engines by what was observed of each priority); both count towards the objective and the deadline. Late requests in a standing queue wait for 0.3 of their time at most, and only those that can be on time count as ahead of them.

--- a/src/sassafrasdale/decisions/queued_requests.py
+++ b/src/sassafrasdale/decisions/queued_requests.py
@@ -18,6 +18,7 @@
     :param objective_at: elapsed time by which its response should begin.
     :param deadline: elapsed time at which its caller leaves.
     :param cost: endpoint time that it takes.
+    :param delay: time besides its cost that it spends at its endpoint.
     """
 
     key: RequestKey
@@ -27,11 +28,17 @@
     objective_at: timedelta
     deadline: timedelta
     cost: timedelta
+    delay: timedelta = timedelta()
 
     @property
-    def due_at(self) -> timedelta:
-        """Elapsed time by which its response should begin, while its caller waits."""
-        return min(self.objective_at, self.deadline)
+    def start_by(self) -> timedelta:
+        """Elapsed time until which it can be started and be on time."""
+        return min(self.objective_at, self.deadline) - self.delay - self.cost
+
+    @property
+    def late_start_by(self) -> timedelta:
+        """Elapsed time until which it can be started while its caller waits."""
+        return self.deadline - self.delay - self.cost
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -104,13 +104,14 @@
         """
         capacity = self._capacity(now, capacity)
         on_time = self._is_on_time(request, now, capacity)
-        # Rejected ones count too: as long as there are any, nothing late has a chance.
-        self._arriving.add(request.priority, now, _seconds(request))
+        if now < request.start_by:
+            # Rejected ones count too: with enough of them, nothing late has a chance.
+            self._arriving.add(request.priority, now, _seconds(request))
         if on_time:
             self._add(request, now)
             return None
         wait = self._late_wait(self._queued_cost(), now, capacity)
-        if self._meets_deadline(request, wait, now):
+        if wait <= self._longest_late_wait(request, now):
             self._add_late(request, now)
             return None
         return self._reject(request, WOULD_MISS_DEADLINE, wait, now, capacity)
@@ -152,14 +153,14 @@
         capacity = self._capacity(now, capacity)
         for queue in list(self._on_time.values()):
             for request in list(queue):
-                if now + request.cost > request.due_at:
+                if now > request.start_by:
                     queue.discard(request)
                     self._insert_late(request)
         rejected = []
         ahead = self._on_time_cost()
         for request in list(_in_fair_order(self._late)):
             wait = self._late_wait(ahead, now, capacity)
-            if self._meets_deadline(request, wait, now):
+            if wait < request.late_start_by - now:
                 ahead += request.cost
                 continue
             self.remove(request.key, now)
@@ -206,12 +207,12 @@
     def _is_on_time(
         self, request: QueuedRequest, now: timedelta, capacity: float
     ) -> bool:
-        left = request.due_at - now - request.cost
+        left = request.start_by - now
         if left <= timedelta():
             return False
         longest = longest_wait(
             left,
-            request.due_at - request.arrived_at,
+            request.start_by + request.cost - request.arrived_at,
             self._standing_time(request.priority, now),
         )
         return self._on_time_wait(request, now, capacity) <= longest
@@ -232,10 +233,12 @@
         """Return the priorities with requests on time that wait, the urgent first."""
         return sorted(priority for priority, queue in self._on_time.items() if queue)
 
-    def _meets_deadline(
-        self, request: QueuedRequest, wait: timedelta, now: timedelta
-    ) -> bool:
-        return wait < request.deadline - now - request.cost
+    def _longest_late_wait(self, request: QueuedRequest, now: timedelta) -> timedelta:
+        return longest_wait(
+            request.late_start_by - now,
+            request.late_start_by + request.cost - request.arrived_at,
+            self._drain.backlog_time(now),
+        )
 
     def _on_time_wait(
         self, request: QueuedRequest, now: timedelta, capacity: float
--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -212,15 +212,16 @@
     def _offer(self, pending: PendingAttempt) -> Rejection | None:
         now = self._clock.elapsed()
         terms = pending.terms
+        times = self._fleet.endpoint_times
         request = QueuedRequest(
             pending.key,
             terms.customer,
             terms.priority,
             terms.arrived_at,
-            # An endpoint that it is sent to may have others to prefill first.
-            terms.objective_at - self._fleet.queue_time(pending.service),
+            terms.objective_at,
             terms.deadline,
-            self._fleet.cost_of(pending.service, pending.traits),
+            times.cost_of(pending.service, pending.traits),
+            times.delay_of(pending.service, terms.priority),
         )
         capacity = self._fleet.capacity(pending.service)
         rejection = self._queue(pending.service).offer(request, now, capacity)
@@ -281,6 +282,7 @@
             connected=pending.connected,
         )
         if attempt is not None:
+            attempt.priority = pending.terms.priority
             return Started(attempt)
         return None if self._has_alternative(pending) else Unavailable()
 
--- a/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
@@ -33,6 +33,8 @@
 ENDED_RETENTION = timedelta(seconds=10)
 # Time after which an endpoint that is not registered any more is forgotten.
 GONE_RETENTION = timedelta(seconds=60)
+# Endpoints count their rejections over this time.
+REJECTION_WINDOW = timedelta(seconds=1)
 
 
 @dataclass(slots=True)
@@ -43,6 +45,7 @@
     :param confirmed_at: elapsed time of the last evidence of that.
     :param changed_at: elapsed time at which this gateway began to believe it, or at
         which another gateway contradicted it with older evidence.
+    :param began_at: elapsed time at which it began to believe that there is something.
     :param ended_at: elapsed time at which it began to believe that there is nothing.
     :param logged_at: elapsed time of the last line on it.
     """
@@ -50,6 +53,7 @@
     value: Value | None = None
     confirmed_at: timedelta = timedelta()
     changed_at: timedelta = timedelta()
+    began_at: timedelta = timedelta()
     ended_at: timedelta = timedelta()
     logged_at: timedelta | None = None
 
@@ -190,6 +194,8 @@
             belief.changed_at = self._clock.elapsed()
             if value is None:
                 belief.ended_at = belief.changed_at
+            elif before is None:
+                belief.began_at = belief.changed_at
             self._count(self._event, source=source)
             self._log_change(endpoint, belief, before, source)
 
@@ -263,10 +269,45 @@
 class BrittleEndpoints(AdvertisedNumbers):
     """Rejections within a second beyond which endpoints fail."""
 
+    def __init__(
+        self,
+        matter: str,
+        is_registered: Callable[[str], bool],
+        clock: Clock,
+        count: Callable[..., None],
+    ) -> None:
+        super().__init__(matter, is_registered, clock, count)
+        self._rejected_at: dict[str, timedelta] = {}
+
     def is_brittle(self, endpoint: str) -> bool:
         """Return whether an endpoint advertises that it is brittle."""
         return self.value(endpoint) is not None
 
+    def record_rejection(self, endpoint: str) -> None:
+        """Record that an endpoint has rejected a request."""
+        if self.is_brittle(endpoint):
+            self._rejected_at[endpoint] = self._clock.elapsed()
+
+    def has_rejected_around(self, endpoint: str, at: timedelta) -> bool:
+        """Return whether an endpoint may have failed because of what it rejected.
+
+        Until gateways know that it is brittle, they send more than it can take.
+
+        :param at: elapsed time at which it failed.
+        """
+        if not self.is_brittle(endpoint):
+            return False
+        times = [self._beliefs[endpoint].began_at]
+        if endpoint in self._rejected_at:
+            times.append(self._rejected_at[endpoint])
+        return any(abs(at - time) <= REJECTION_WINDOW for time in times)
+
+    def remove_gone(self) -> None:
+        """Forget endpoints that are gone, and beliefs that ended long ago."""
+        super().remove_gone()
+        for endpoint in self._rejected_at.keys() - self._beliefs.keys():
+            del self._rejected_at[endpoint]
+
     def observe(
         self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
     ) -> None:
--- a/src/sassafrasdale/gateway/attempts.py
+++ b/src/sassafrasdale/gateway/attempts.py
@@ -26,6 +26,7 @@
     :param route: name of the request's route; empty for another gateway's attempt.
     :param binding: what the stream is bound to that it resumes, if it does.
     :param forwarder: the peer that it is forwarded through, if it is.
+    :param priority: its request's priority, if that was in this gateway's queue.
     """
 
     record: EndpointRecord
@@ -44,3 +45,4 @@
     has_permit: bool = False
     forwarder: str = ""
     binding: StreamBinding | None = None
+    priority: int | None = None
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -133,6 +133,7 @@
             clock,
             self.metrics.count,
             lambda record: self.links.confirm_crash(record),
+            lambda endpoint, at: self.gate.brittle.has_rejected_around(endpoint, at),
         )
 
     def _build_gate(self) -> None:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.decisions.endpoint_room import longest_queue
 from sassafrasdale.decisions.request_times import RequestTimes
 from sassafrasdale.decisions.shares import DemandShares
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
@@ -17,6 +16,7 @@
     RequestTraits,
     Service,
 )
+from sassafrasdale.gateway.admission.endpoint_times import EndpointTimes
 from sassafrasdale.gateway.admission.free_capacity import FreeCapacity
 from sassafrasdale.gateway.advertisements.endpoint_gate import (
     EndpointGate,
@@ -30,8 +30,6 @@
 from sassafrasdale.gateway.peer_loads import PeerLoads
 from sassafrasdale.gateway.peering import Peering
 from sassafrasdale.gateway.placement import (
-    PLAIN_REQUEST_TIME,
-    RUNNING_REQUEST_TIME,
     CacheEstimate,
     Placement,
     shared_parts,
@@ -114,6 +112,17 @@
         )
         self._capacities: dict[str, float] = {}
         self._plain_endpoints = PlainEndpoints(directory, peering, configuration, clock)
+        self._endpoint_times = EndpointTimes(
+            configuration,
+            directory.of_service,
+            self._plain_endpoints,
+            self._prefill_times,
+        )
+
+    @property
+    def endpoint_times(self) -> EndpointTimes:
+        """Expected times of requests at their endpoints."""
+        return self._endpoint_times
 
     @property
     def retry_budgets(self) -> RetryBudgets:
@@ -186,27 +195,6 @@
         registered = self._directory.of_service(service)
         return all(record.name in backed_off for record in registered)
 
-    def cost_of(self, service: str, traits: RequestTraits) -> timedelta:
-        """Return the endpoint time that a request is expected to take.
-
-        The engines that own the shared parts of its prompt have them cached.
-        """
-        if self._service(service).engine is None:
-            registered = self._directory.of_service(service)
-            slots = max((record.endpoint.slots for record in registered), default=1)
-            usual = self._plain_endpoints.usual_time(service)
-            return (usual or PLAIN_REQUEST_TIME) / slots
-        cached = sum(part.tokens for part in shared_parts(traits))
-        unread = max((traits.prompt_tokens or 0) - cached, 0)
-        return RUNNING_REQUEST_TIME + unread * self._prefill_times.token_time(service)
-
-    def queue_time(self, service: str) -> timedelta:
-        """Return the longest time for which an endpoint queues what it is sent."""
-        objective = self._configuration().objective(service)
-        if objective is None or self._service(service).engine is None:
-            return timedelta()
-        return longest_queue(objective)
-
     def capacity(self, service: str) -> float:
         """Return the endpoint time per second for the requests that wait here."""
         if service not in self._capacities:
@@ -526,7 +514,7 @@
         self._free_capacity.record_release(attempt.record)
         if took is None:
             return
-        self._plain_endpoints.observe(attempt.service, attempt.record.name, took)
+        self._endpoint_times.observe(attempt, took)
         self._prefill_times.observe(attempt.service, attempt.prefill_tokens, took)
 
     def finish_attempt(self, attempt: Attempt) -> None:
@@ -617,6 +605,8 @@
                 now=self._clock.elapsed(),
                 weight=NO_RESPONSE_WEIGHT,
             )
+        else:
+            self._gate.brittle.record_rejection(record.name)
 
     def excuse_failure(self, attempt: Attempt) -> None:
         """Take back a failure that was not the endpoint's."""
--- a/src/sassafrasdale/gateway/plain_endpoints.py
+++ b/src/sassafrasdale/gateway/plain_endpoints.py
@@ -75,8 +75,8 @@
         return self._times_of(service).usual_time()
 
     def observe(self, service: str, endpoint: str, took: timedelta) -> None:
-        """Record a response of an endpoint that was assigned."""
-        if self.is_assigned(service):
+        """Record a response of a plain service whose requests may wait."""
+        if self._configuration().objective(service) is not None:
             self._times_of(service).observe(endpoint, took, self._clock.elapsed())
 
     def forget(self, endpoint: str) -> None:
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -76,6 +76,8 @@
     :param count: counts an event for the metrics.
     :param confirm_crash: returns whether an endpoint that this gateway can't reach is
         at fault, rather than the gateway's own link to it.
+    :param is_overload: returns whether an endpoint's crash at a time may be due to the
+        requests that it had to reject, rather than to one that it ran.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         clock: Clock,
         count: Callable[[str], None],
         confirm_crash: Callable[[EndpointRecord], bool] = lambda record: True,
+        is_overload: Callable[[str, timedelta], bool] = lambda endpoint, at: False,
     ) -> None:
         self._ledger = ledger
         self._sound_parts = sound_parts
@@ -96,6 +99,7 @@
         self._clock = clock
         self._count = count
         self._crash_detector = CrashDetector(clock, confirm_crash)
+        self._is_overload = is_overload
         self._lost_runs: list[tuple[timedelta, LostRun]] = []
         self._quarantined: frozenset[str] = frozenset()
         self._recorder = StrikeRecorder(name, ledger, sound_parts, time)
@@ -325,6 +329,9 @@
         ]
 
     def _record_strike(self, run: LostRun, lost_at: timedelta) -> None:
+        if self._is_overload(run.endpoint, lost_at):
+            self._count("endpoint overloaded under a request")
+            return
         self._count("endpoint ended under a request")
         self._recorder.record(run, self._clock.elapsed() - lost_at)
         self.log_changes()
--- a/tests/decisions/test_service_queue.py
+++ b/tests/decisions/test_service_queue.py
@@ -217,6 +217,36 @@
     assert queue.expire(DEADLINE - COST, ENDPOINTS)
 
 
+def test_late_requests_are_served_if_nothing_else_is_there() -> None:
+    """Guards against idle endpoints where no request can meet its objective."""
+    queue = ServiceQueue(lambda name: 1.0, Random(1))
+    started = 0
+    for number in range(200):
+        now = number * COST / ENDPOINTS / 2
+        queue.offer(queued(number, now, objective=timedelta()), now, ENDPOINTS)
+        if number % 2:
+            started += _start_next(queue, now)
+    assert started >= 90
+
+
+def _start_next(queue: ServiceQueue, now: timedelta) -> bool:
+    queue.expire(now, ENDPOINTS)
+    request = next(queue.candidates(now), None)
+    if request is not None:
+        queue.start(request, now)
+    return request is not None
+
+
+def test_the_whole_time_at_an_endpoint_counts() -> None:
+    """Guards against requests that begin in time, and end after their callers left.
+
+    A plain endpoint runs several at once, so each takes longer than it costs.
+    """
+    queue = ServiceQueue(lambda name: 1.0, Random(1))
+    request = replace(queued(1), delay=300 * MS, deadline=320 * MS)
+    assert queue.offer(request, timedelta(), ENDPOINTS) is not None
+
+
 def test_a_snapshot_shows_who_waits_and_what_each_is_owed() -> None:
     """Guards against a queue that operators can't see into."""
     weights = {"small": 1.0, "large": 3.0}
--- a/tests/gateway/admission/test_queue_times.py
+++ b/tests/gateway/admission/test_queue_times.py
@@ -1,5 +1,6 @@
 """Objectives of waiting requests, less the time that endpoints queue them."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
@@ -13,6 +14,22 @@
 DEADLINE = timedelta(seconds=3)
 
 
+@dataclass
+class Times:
+    """Times at the endpoints of one service.
+
+    :param delay: time for which they queue what they are sent.
+    """
+
+    delay: timedelta
+
+    def cost_of(self, service: str, traits: RequestTraits) -> timedelta:
+        return COST
+
+    def delay_of(self, service: str, priority: int) -> timedelta:
+        return self.delay
+
+
 class FullFleet:
     """One engine without room, which may queue prompts itself.
 
@@ -22,13 +39,7 @@
     report_age = timedelta()
 
     def __init__(self, queue_time: timedelta) -> None:
-        self._queue_time = queue_time
-
-    def queue_time(self, service: str) -> timedelta:
-        return self._queue_time
-
-    def cost_of(self, service: str, traits: RequestTraits) -> timedelta:
-        return COST
+        self.endpoint_times = Times(queue_time)
 
     def capacity(self, service: str) -> float:
         return 1.0
--- a/tests/gateway/advertisements/test_endpoint_beliefs.py
+++ b/tests/gateway/advertisements/test_endpoint_beliefs.py
@@ -57,6 +57,20 @@
     assert limits.rate_limit("i-1") == 2.0
 
 
+@pytest.mark.parametrize(("rejected_at", "expected"), [(9, False), (10.5, True)])
+def test_a_brittle_endpoint_fails_by_what_it_has_just_rejected(rejected_at, expected):
+    """Guards against requests that are blamed for an endpoint that rejected others."""
+    clock = ManualClock()
+    brittle = single_gate(clock).brittle
+    began_at = clock.elapsed()
+    brittle.observe("i-1", EndpointSignals(brittleness=1.0), began_at)
+    assert brittle.has_rejected_around("i-1", began_at)
+    clock.advance(rejected_at * SECOND)
+    brittle.record_rejection("i-1")
+    assert brittle.has_rejected_around("i-1", began_at + 11 * SECOND) is expected
+    assert not brittle.has_rejected_around("i-2", began_at)
+
+
 def test_a_malformed_limit_changes_nothing():
     clock = ManualClock()
     limits = new_limits(clock)
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -31,9 +31,12 @@
 
 
 class Gateway:
-    """One gateway's quarantine and directory."""
+    """One gateway's quarantine and directory.
 
-    def __init__(self) -> None:
+    :param is_overload: whether crashes are due to requests that endpoints rejected.
+    """
+
+    def __init__(self, *, is_overload: bool = False) -> None:
         self.events: list[str] = []
         time = ClusterTime(CLOCK)
         self.sound_parts = SoundParts(CLOCK)
@@ -50,6 +53,7 @@
             time,
             CLOCK,
             self.events.append,
+            is_overload=lambda endpoint, at: is_overload,
         )
         self.directory = Directory(
             CLOCK,
@@ -102,6 +106,18 @@
     assert gateway.events.count("request quarantined") == 1
 
 
+def test_a_crash_of_an_overloaded_endpoint_is_no_strike():
+    """Guards against refusing what ran at endpoints that fail by rejecting others."""
+    gateway = Gateway(is_overload=True)
+    for number in range(3):
+        record = gateway.register(refusing_address(), f"i-{number}")
+        assert gateway.quarantine.record_lost_connection(
+            FEATURES, record, RunProgress(), registered=True
+        )
+    assert not gateway.verdict().is_refused
+    assert gateway.events == ["endpoint overloaded under a request"] * 3
+
+
 def test_a_reset_connection_is_no_strike(gateway):
     """Guards against refusing innocent requests whose connections are reset or cut."""
     record = gateway.register(accepting_address(), born=1)
--- a/tests/gateway/test_plain_dispatch.py
+++ b/tests/gateway/test_plain_dispatch.py
@@ -94,4 +94,14 @@
     gateway = PlainGateway()
     for _ in range(MIN_USUAL):
         gateway.run(30 * MS, "p-a")
-    assert gateway.fleet.cost_of("records", TRAITS) == 30 * MS / 6
+    times = gateway.fleet.endpoint_times
+    assert times.cost_of("records", TRAITS) == 30 * MS / 6
+    assert times.delay_of("records", 1) == 30 * MS * 5 / 6
+
+
+def test_times_are_known_where_gateways_choose_themselves():
+    """Guards against brittle endpoints whose requests seem to take no time."""
+    gateway = PlainGateway(gateways=2)
+    for _ in range(MIN_USUAL):
+        gateway.run(30 * MS, "p-a")
+    assert gateway.fleet.endpoint_times.cost_of("records", TRAITS) == 30 * MS / 6
