No late request starts where those that can be on time take all of the capacity

Change: for a second after a queue has stood, late requests are rejected while the arrivals that can be on time take 0.85 of the capacity.

--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -36,6 +36,9 @@
 # Share of the capacity taken by requests that go ahead, from which on a wait counts as
 # unbounded. Below 1, because the arrival rate is an estimate.
 FULL_SHARE = 0.85
+# Time after a standing queue in which a queue that has just drained says little: with
+# several dispatchers, chance empties one of their queues while others are full.
+STANDING_MEMORY = timedelta(seconds=1)
 # Callers heed a Retry-After up to this fraction of the time that they have left.
 RETRY_AFTER_FRACTION = 1 / 3
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
@@ -86,6 +89,8 @@
         # Elapsed times since which the queues of the priorities are not empty.
         self._waiting_since: dict[int, timedelta] = {}
         self._drain = DrainRate()
+        # Elapsed time at which the queue last stood for long enough to be measured.
+        self._measured_at = -STANDING_MEMORY
         self._arriving: DecayingRates[int] = DecayingRates(RECENT_TIME)
         self._started: DecayingRates[int] = DecayingRates(RECENT_TIME)
         self._got: DecayingRates[str] = DecayingRates(SHARES_TIME)
@@ -202,6 +207,7 @@
         measured = self._drain.rate(now)
         if measured is None:
             return max(capacity, MIN_CAPACITY)
+        self._measured_at = now
         return max(measured, capacity * MIN_CAPACITY_FRACTION, MIN_CAPACITY)
 
     def _is_on_time(
@@ -265,9 +271,15 @@
     ) -> timedelta:
         """Return the time that a request behind all on-time ones is expected to wait.
 
+        It displaces the next ones if those alone take all of the capacity.
+
         :param ahead: cost of what is ahead of it.
         """
-        return _drain_time(ahead, capacity, self._arrival_rate(now))
+        arriving = self._arrival_rate(now)
+        has_stood = now - self._measured_at <= STANDING_MEMORY
+        if has_stood and arriving >= FULL_SHARE * capacity:
+            return UNBOUNDED
+        return _drain_time(ahead, capacity, arriving)
 
     def _arrival_rate(self, now: timedelta, below: float = inf) -> float:
         """Return the cost per second that arrives, of priorities below a number."""
--- a/tests/decisions/test_service_queue.py
+++ b/tests/decisions/test_service_queue.py
@@ -229,6 +229,26 @@
     assert started >= 90
 
 
+def test_no_late_request_starts_just_before_others_that_are_on_time() -> None:
+    """Guards against a late request that takes the place of the next arrivals.
+
+    The queue drains for a moment, and one that can be on time comes every 5 ms.
+    """
+    queue = ServiceQueue(lambda name: 1.0, Random(1))
+    for number in range(400):
+        now = number * COST / ENDPOINTS / 2.5
+        queue.offer(queued(number, now), now, ENDPOINTS)
+        if number % 5 < 2:
+            _start_next(queue, now)
+    while len(queue):
+        assert _start_next(queue, now)
+    late = queued(1000, now, objective=timedelta())
+    assert queue.offer(late, now, ENDPOINTS) is not None
+    later = now + 3 * SECOND
+    late = queued(1001, later, objective=timedelta())
+    assert queue.offer(late, later, ENDPOINTS) is None
+
+
 def _start_next(queue: ServiceQueue, now: timedelta) -> bool:
     queue.expire(now, ENDPOINTS)
     request = next(queue.candidates(now), None)
