--- a/src/sassafrasdale/decisions/drain_rates.py
+++ b/src/sassafrasdale/decisions/drain_rates.py
@@ -13,6 +13,9 @@
 WINDOW = timedelta(seconds=1)
 # Shortest time without an empty queue for a measurement.
 MIN_BACKLOG_TIME = timedelta(milliseconds=500)
+# A queue that has just drained still counts as standing for this time: with several
+# dispatchers, chance empties one of their queues while others are full.
+STANDING_MEMORY = timedelta(seconds=1)
 
 
 class DrainRate:
@@ -21,6 +24,7 @@
     def __init__(self) -> None:
         self._started: deque[tuple[timedelta, timedelta]] = deque()
         self._backlogged_since: timedelta | None = None
+        self._stood_until = -STANDING_MEMORY
 
     def backlog_time(self, now: timedelta) -> timedelta:
         """Return the time since the queue was last empty."""
@@ -31,11 +35,19 @@
     def set_backlogged(self, backlogged: bool, now: timedelta) -> None:
         """Record whether requests are waiting."""
         if not backlogged:
+            if self.backlog_time(now) >= MIN_BACKLOG_TIME:
+                self._stood_until = now
             self._backlogged_since = None
             self._started.clear()
         elif self._backlogged_since is None:
             self._backlogged_since = now
 
+    def has_stood(self, now: timedelta) -> bool:
+        """Return whether the queue stands, or did so until a moment ago."""
+        if self.backlog_time(now) >= MIN_BACKLOG_TIME:
+            return True
+        return now - self._stood_until <= STANDING_MEMORY
+
     def record_start(self, cost: timedelta, now: timedelta) -> None:
         """Record the start of a request."""
         if self._backlogged_since is not None:
--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -36,9 +36,6 @@
 # Share of the capacity taken by requests that go ahead, from which on a wait counts as
 # unbounded. Below 1, because the arrival rate is an estimate.
 FULL_SHARE = 0.85
-# Time after a standing queue in which a queue that has just drained says little: with
-# several dispatchers, chance empties one of their queues while others are full.
-STANDING_MEMORY = timedelta(seconds=1)
 # Callers heed a Retry-After up to this fraction of the time that they have left.
 RETRY_AFTER_FRACTION = 1 / 3
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
@@ -89,8 +86,6 @@
         # Elapsed times since which the queues of the priorities are not empty.
         self._waiting_since: dict[int, timedelta] = {}
         self._drain = DrainRate()
-        # Elapsed time at which the queue last stood for long enough to be measured.
-        self._measured_at = -STANDING_MEMORY
         self._arriving: DecayingRates[int] = DecayingRates(RECENT_TIME)
         self._started: DecayingRates[int] = DecayingRates(RECENT_TIME)
         self._got: DecayingRates[str] = DecayingRates(SHARES_TIME)
@@ -207,7 +202,6 @@
         measured = self._drain.rate(now)
         if measured is None:
             return max(capacity, MIN_CAPACITY)
-        self._measured_at = now
         return max(measured, capacity * MIN_CAPACITY_FRACTION, MIN_CAPACITY)
 
     def _is_on_time(
@@ -276,8 +270,7 @@
         :param ahead: cost of what is ahead of it.
         """
         arriving = self._arrival_rate(now)
-        has_stood = now - self._measured_at <= STANDING_MEMORY
-        if has_stood and arriving >= FULL_SHARE * capacity:
+        if self._drain.has_stood(now) and arriving >= FULL_SHARE * capacity:
             return UNBOUNDED
         return _drain_time(ahead, capacity, arriving)
 
