What a newcomer's reading found: what excuses a brittle endpoint, bounds of time, tests that guard nothing

- A crash of a brittle endpoint is excused by as many rejections of this gateway as it bears, not by any one.
- Observed delays are void after five seconds without an observation of the priority.
- A new queue has not stood; a late request needs time to spare on arrival as later.
- A datagram socket that can't be bound is closed.

Left: rejections of other gateways, and those that a forwarding gateway sees, excuse nothing; the measured capacity of a stalled service decides on late requests.

--- a/src/sassafrasdale/decisions/drain_rates.py
+++ b/src/sassafrasdale/decisions/drain_rates.py
@@ -13,8 +13,8 @@
 WINDOW = timedelta(seconds=1)
 # Shortest time without an empty queue for a measurement.
 MIN_BACKLOG_TIME = timedelta(milliseconds=500)
-# A queue that has just drained still counts as standing for this time: with several
-# dispatchers, chance empties one of their queues while others are full.
+# A queue that stood and has drained still counts as standing for this time: with
+# several dispatchers, chance empties one of their queues while others are full.
 STANDING_MEMORY = timedelta(seconds=1)
 
 
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self._started: deque[tuple[timedelta, timedelta]] = deque()
         self._backlogged_since: timedelta | None = None
-        self._stood_until = -STANDING_MEMORY
+        self._stood_until: timedelta | None = None
 
     def backlog_time(self, now: timedelta) -> timedelta:
         """Return the time since the queue was last empty."""
@@ -43,10 +43,11 @@
             self._backlogged_since = now
 
     def has_stood(self, now: timedelta) -> bool:
-        """Return whether the queue stands, or did so until a moment ago."""
+        """Return whether the queue stands, or did so within the last second."""
         if self.backlog_time(now) >= MIN_BACKLOG_TIME:
             return True
-        return now - self._stood_until <= STANDING_MEMORY
+        until = self._stood_until
+        return until is not None and now - until <= STANDING_MEMORY
 
     def record_start(self, cost: timedelta, now: timedelta) -> None:
         """Record the start of a request."""
--- a/src/sassafrasdale/decisions/endpoint_delays.py
+++ b/src/sassafrasdale/decisions/endpoint_delays.py
@@ -1,4 +1,4 @@
-"""Times for which engines queue what they are sent, by priority.
+"""Expected queueing delays at engines, by priority.
 
 Workload: urgent requests beside many others. An engine has a short queue of its own, in
 which urgent requests go ahead of others that are there already. So a less urgent
@@ -16,6 +16,9 @@
 # Longest delay that is allowed for, as a fraction of the objective. Otherwise all
 # requests would count as late at engines that are slow for a moment.
 MAX_DELAY_FRACTION = 0.5
+# Time without an observation after which the earlier ones are void: the load has
+# changed since.
+MAX_GAP = timedelta(seconds=5)
 
 
 class EndpointDelays:
@@ -23,22 +26,31 @@
 
     def __init__(self) -> None:
         self._observed: dict[int, LatencyWindow] = {}
+        self._observed_at: dict[int, timedelta] = {}
 
-    def observe(self, priority: int, delay: timedelta) -> None:
+    def observe(self, priority: int, delay: timedelta, now: timedelta) -> None:
         """Record the time to a first event, less that of the request's own work."""
-        window = self._observed.setdefault(priority, LatencyWindow(KEPT_OBSERVATIONS))
-        window.add(max(delay, timedelta()))
+        if not self._is_recent(priority, now):
+            self._observed[priority] = LatencyWindow(KEPT_OBSERVATIONS)
+        self._observed[priority].add(max(delay, timedelta()))
+        self._observed_at[priority] = now
 
     def expected(
-        self, priority: int, least: timedelta, objective: timedelta
+        self, priority: int, least: timedelta, objective: timedelta, now: timedelta
     ) -> timedelta:
         """Return the delay to allow for.
 
-        :param least: time for which engines queue a request of any priority.
+        :param least: its lower bound, and the delay without enough observations.
         :param objective: shortest objective of the service's requests.
         """
-        window = self._observed.get(priority)
-        if window is None or len(window) < MIN_OBSERVATIONS:
+        if not self._is_recent(priority, now):
+            return least
+        window = self._observed[priority]
+        if len(window) < MIN_OBSERVATIONS:
             return least
         longest = objective * MAX_DELAY_FRACTION
         return max(least, min(window.quantile(QUANTILE), longest))
+
+    def _is_recent(self, priority: int, now: timedelta) -> bool:
+        at = self._observed_at.get(priority)
+        return at is not None and now - at <= MAX_GAP
--- a/src/sassafrasdale/decisions/queued_requests.py
+++ b/src/sassafrasdale/decisions/queued_requests.py
@@ -32,12 +32,12 @@
 
     @property
     def start_by(self) -> timedelta:
-        """Elapsed time until which it can be started and be on time."""
+        """Latest elapsed time at which it can start and still be on time."""
         return min(self.objective_at, self.deadline) - self.delay - self.cost
 
     @property
     def late_start_by(self) -> timedelta:
-        """Elapsed time until which it can be started while its caller waits."""
+        """Latest elapsed time at which it can start while its caller waits."""
         return self.deadline - self.delay - self.cost
 
 
--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -105,13 +105,14 @@
         capacity = self._capacity(now, capacity)
         on_time = self._is_on_time(request, now, capacity)
         if now < request.start_by:
-            # Rejected ones count too: with enough of them, nothing late has a chance.
+            # Rejected ones count too: late ones are rejected while the demand that
+            # could be on time exceeds the capacity.
             self._arriving.add(request.priority, now, _seconds(request))
         if on_time:
             self._add(request, now)
             return None
         wait = self._late_wait(self._queued_cost(), now, capacity)
-        if wait <= self._longest_late_wait(request, now):
+        if wait < self._longest_late_wait(request, now):
             self._add_late(request, now)
             return None
         return self._reject(request, WOULD_MISS_DEADLINE, wait, now, capacity)
@@ -149,7 +150,7 @@
     def expire(
         self, now: timedelta, capacity: float
     ) -> list[tuple[QueuedRequest, Rejection]]:
-        """Remove and return the requests that will miss their deadlines."""
+        """Remove and return the late requests that can't be started in time."""
         capacity = self._capacity(now, capacity)
         for queue in list(self._on_time.values()):
             for request in list(queue):
@@ -265,7 +266,8 @@
     ) -> timedelta:
         """Return the time that a request behind all on-time ones is expected to wait.
 
-        It displaces the next ones if those alone take all of the capacity.
+        Unbounded if requests that can be on time take all of the capacity: starting a
+        late one would delay them.
 
         :param ahead: cost of what is ahead of it.
         """
--- a/src/sassafrasdale/gateway/admission/endpoint_times.py
+++ b/src/sassafrasdale/gateway/admission/endpoint_times.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
+from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.endpoint_delays import EndpointDelays
 from sassafrasdale.decisions.endpoint_room import longest_queue
 from sassafrasdale.deployment import Configuration, RequestTraits
@@ -21,6 +22,9 @@
     """Expected endpoint times of requests, for the queues that they wait in.
 
     :param registered: returns the endpoints of a service.
+    :param plain_endpoints: usual response times of plain services.
+    :param prefill_times: times per prompt token of engines.
+    :param clock: source of elapsed time.
     """
 
     def __init__(
@@ -29,17 +33,20 @@
         registered: Callable[[str], Sequence[EndpointRecord]],
         plain_endpoints: PlainEndpoints,
         prefill_times: PrefillTimes,
+        clock: Clock,
     ) -> None:
         self._configuration = configuration
         self._registered = registered
         self._plain_endpoints = plain_endpoints
         self._prefill_times = prefill_times
+        self._clock = clock
         self._delays: dict[str, EndpointDelays] = {}
 
     def cost_of(self, service: str, traits: RequestTraits) -> timedelta:
-        """Return the time for which a request is expected to occupy an endpoint.
+        """Return the endpoint time that a request is expected to take.
 
-        The engines that own the shared parts of its prompt have them cached.
+        A plain endpoint gives a second per second, whatever its slots. The engines that
+        own the shared parts of a prompt have them cached.
         """
         if self._is_plain(service):
             return self._plain_time(service) / self._slots(service)
@@ -59,7 +66,9 @@
             took = self._plain_time(service)
             return took - took / self._slots(service)
         delays = self._delays_of(service)
-        return delays.expected(priority, longest_queue(objective), objective)
+        return delays.expected(
+            priority, longest_queue(objective), objective, self._clock.elapsed()
+        )
 
     def observe(self, attempt: Attempt, took: timedelta) -> None:
         """Record the response time of an attempt, or its time to first token."""
@@ -67,8 +76,12 @@
         if self._is_plain(service):
             self._plain_endpoints.observe(service, attempt.record.name, took)
         elif attempt.priority is not None:
-            work = attempt.prefill_tokens * self._prefill_times.token_time(service)
-            self._delays_of(service).observe(attempt.priority, took - work)
+            prefill = attempt.prefill_tokens * self._prefill_times.token_time(service)
+            self._delays_of(service).observe(
+                attempt.priority,
+                took - RUNNING_REQUEST_TIME - prefill,
+                self._clock.elapsed(),
+            )
 
     def _is_plain(self, service: str) -> bool:
         return self._configuration().service(service).engine is None
--- a/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
@@ -4,6 +4,7 @@
 reports between them; the latest evidence counts.
 """
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -35,6 +36,8 @@
 GONE_RETENTION = timedelta(seconds=60)
 # Endpoints count their rejections over this time.
 REJECTION_WINDOW = timedelta(seconds=1)
+# Most rejections of an endpoint that are remembered.
+MAX_REJECTIONS = 100
 
 
 @dataclass(slots=True)
@@ -277,30 +280,37 @@
         count: Callable[..., None],
     ) -> None:
         super().__init__(matter, is_registered, clock, count)
-        self._rejected_at: dict[str, timedelta] = {}
+        self._rejected_at: dict[str, deque[timedelta]] = {}
 
     def is_brittle(self, endpoint: str) -> bool:
         """Return whether an endpoint advertises that it is brittle."""
         return self.value(endpoint) is not None
 
     def record_rejection(self, endpoint: str) -> None:
-        """Record that an endpoint has rejected a request."""
+        """Record that a brittle endpoint has rejected a request; ignored for others."""
         if self.is_brittle(endpoint):
-            self._rejected_at[endpoint] = self._clock.elapsed()
+            rejected_at = self._rejected_at.setdefault(
+                endpoint, deque(maxlen=MAX_REJECTIONS)
+            )
+            rejected_at.append(self._clock.elapsed())
 
-    def has_rejected_around(self, endpoint: str, at: timedelta) -> bool:
+    def may_be_overloaded(self, endpoint: str, at: timedelta) -> bool:
         """Return whether an endpoint may have failed because of what it rejected.
 
-        Until gateways know that it is brittle, they send more than it can take.
+        So it may if it has rejected as many requests of this gateway alone as it bears,
+        and shortly after this gateway learned that it is brittle: until then, gateways
+        send more than it can take.
 
         :param at: elapsed time at which it failed.
         """
-        if not self.is_brittle(endpoint):
+        borne = self.value(endpoint)
+        if borne is None:
             return False
-        times = [self._beliefs[endpoint].began_at]
-        if endpoint in self._rejected_at:
-            times.append(self._rejected_at[endpoint])
-        return any(abs(at - time) <= REJECTION_WINDOW for time in times)
+        if abs(at - self._beliefs[endpoint].began_at) <= REJECTION_WINDOW:
+            return True
+        rejected_at = self._rejected_at.get(endpoint, ())
+        recent = sum(abs(at - time) <= REJECTION_WINDOW for time in rejected_at)
+        return recent >= max(min(borne, MAX_REJECTIONS), 1)
 
     def remove_gone(self) -> None:
         """Forget endpoints that are gone, and beliefs that ended long ago."""
--- a/src/sassafrasdale/gateway/datagrams.py
+++ b/src/sassafrasdale/gateway/datagrams.py
@@ -40,14 +40,16 @@
         self._socket: socket.socket | None = None
 
     def open(self) -> bool:
-        """Bind the socket; return False if the port is taken.
+        """Bind the socket; return False if that fails.
 
         Without a socket, reports are sent and received as calls.
         """
         try:
             self._socket = datagram_socket(self._address)
         except OSError as error:
-            log.warning("no datagrams", address=str(self._address), why=str(error))
+            log.warning(
+                "datagram port not bound", address=str(self._address), why=str(error)
+            )
         return self._socket is not None
 
     def run(self) -> None:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -117,6 +117,7 @@
             directory.of_service,
             self._plain_endpoints,
             self._prefill_times,
+            clock,
         )
 
     @property
@@ -595,7 +596,10 @@
         self._rollouts.record_outcome(attempt.record, attempt.route, ok=False)
 
     def record_failure(self, attempt: Attempt, is_fault: bool) -> None:
-        """Record an attempt without a response; a refusal is no fault."""
+        """Record an attempt without a response.
+
+        A refusal is no fault, but brittle endpoints bear few of them.
+        """
         record = attempt.record
         if is_fault:
             attempt.result = AttemptResult.FAILED
--- a/src/sassafrasdale/gateway/plain_endpoints.py
+++ b/src/sassafrasdale/gateway/plain_endpoints.py
@@ -17,7 +17,7 @@
 
 
 class PlainEndpoints:
-    """Plain services whose endpoints a dispatcher assigns, with its observations.
+    """Which plain services a dispatcher assigns, and what is observed of all.
 
     :param directory: registered endpoints.
     :param peering: the other gateways.
--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -71,9 +71,16 @@
 
 
 def datagram_socket(address: Address) -> socket.socket:
-    """Return a green datagram socket bound to ``address``."""
+    """Return a green datagram socket bound to ``address``.
+
+    :raises OSError: if it can't be bound.
+    """
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.bind((address.host, address.port))
+    try:
+        sock.bind((address.host, address.port))
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
--- a/tests/decisions/test_drain_rates.py
+++ b/tests/decisions/test_drain_rates.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from sassafrasdale.decisions.drain_rates import MIN_BACKLOG_TIME, WINDOW, DrainRate
+from sassafrasdale.decisions.drain_rates import (
+    MIN_BACKLOG_TIME,
+    STANDING_MEMORY,
+    WINDOW,
+    DrainRate,
+)
 
 MS = timedelta(milliseconds=1)
 COST = 20 * MS
@@ -59,3 +64,15 @@
     for now in (10 * MS, 50 * MS):
         rate.set_backlogged(True, now)
     assert rate.backlog_time(60 * MS) == 50 * MS
+
+
+def test_a_queue_that_stood_counts_as_standing_for_a_while() -> None:
+    """Guards against a queue that chance empties, and that seems to have room."""
+    rate = DrainRate()
+    assert not rate.has_stood(timedelta())
+    rate.set_backlogged(True, timedelta())
+    assert not rate.has_stood(MIN_BACKLOG_TIME - MS)
+    assert rate.has_stood(MIN_BACKLOG_TIME)
+    rate.set_backlogged(False, MIN_BACKLOG_TIME)
+    assert rate.has_stood(MIN_BACKLOG_TIME + STANDING_MEMORY)
+    assert not rate.has_stood(MIN_BACKLOG_TIME + STANDING_MEMORY + MS)
--- a/tests/gateway/admission/test_attempt_queues.py
+++ b/tests/gateway/admission/test_attempt_queues.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sassafrasdale.clock import ManualClock
+from sassafrasdale.decisions.endpoint_delays import MIN_OBSERVATIONS
 from sassafrasdale.decisions.prefill_speeds import PrefillSpeed
 from sassafrasdale.decisions.queued_requests import Rejection
 from sassafrasdale.deployment import EndpointState
@@ -72,6 +73,18 @@
     assert gateway.in_flight_counts() == [1]
 
 
+def test_the_delays_of_each_priority_are_observed(gateway, clock):
+    """Guards against less urgent requests that are always late at their engines."""
+    times = gateway.fleet.endpoint_times
+    usual = times.delay_of("models", 0)
+    for number in range(MIN_OBSERVATIONS):
+        attempt = gateway.queues.request(pending(clock, number), NO_HOLD).attempt
+        gateway.fleet.record_local_first_token(attempt, 2 * usual)
+        gateway.fleet.finish_local_attempt(attempt)
+    assert times.delay_of("models", 1) > usual
+    assert times.delay_of("models", 0) == usual
+
+
 def test_a_place_that_nobody_asks_for_is_dropped(gateway, clock, running):
     """Guards against a queue that grows by the requests of a killed gateway."""
     gateway.queues.request(pending(clock, 2), NO_HOLD)
