Requests wait for the room of brittle endpoints, with time to spare; a restart forgets nothing in flight

Response times counted only from the sixteenth on.

Change: a restarted endpoint's record counts what its former one has in flight; a request may wait where there is no room now (Rooms.may_open); plain services allow for the 90th percentile of their response times (known from four on) and 10 ms to send; late requests that can't end in time are not started.

Tried and dropped: no suspension of a dispatcher that answers others.

--- a/src/sassafrasdale/decisions/response_times.py
+++ b/src/sassafrasdale/decisions/response_times.py
@@ -17,9 +17,13 @@
 MIN_RESPONSES = 3
 # An endpoint without responses for this long is tried again.
 RECENT_TIME = timedelta(seconds=1)
-# Responses of all endpoints by which the usual time is known, and their least number.
+# Responses of all endpoints by which the usual time is known, and the least numbers for
+# an estimate and for a comparison with single endpoints.
 KEPT_USUAL = 128
+MIN_KNOWN = 4
 MIN_USUAL = 16
+# Quantile of the response times by which nearly all requests end.
+HIGH_QUANTILE = 0.9
 # Factors below this are within the variation of requests, and don't count.
 MIN_SLOWNESS = 1.5
 # An endpoint that seems slower than this has a fault, which its health shows better.
@@ -44,10 +48,16 @@
 
     def usual_time(self) -> timedelta | None:
         """Return the usual response time; None if too few responses are known."""
-        if len(self._usual) < MIN_USUAL:
+        if len(self._usual) < MIN_KNOWN:
             return None
         return median_low(self._usual)
 
+    def high_time(self) -> timedelta | None:
+        """Return the time that most responses take at the most; None if unknown."""
+        if len(self._usual) < MIN_KNOWN:
+            return None
+        return sorted(self._usual)[int(len(self._usual) * HIGH_QUANTILE)]
+
     def slowness(
         self, endpoints: Collection[str], now: timedelta
     ) -> Mapping[str, float]:
@@ -56,7 +66,7 @@
         :returns: endpoints that are not slow, or not known, are omitted.
         """
         usual = self.usual_time()
-        if not usual:
+        if not usual or len(self._usual) < MIN_USUAL:
             return {}
         factors = {
             name: recent / usual
--- a/src/sassafrasdale/decisions/service_queue.py
+++ b/src/sassafrasdale/decisions/service_queue.py
@@ -124,7 +124,9 @@
         """
         for priority in self._priority_order(now):
             yield from _in_fair_order(self._on_time[priority])
-        yield from _in_fair_order(self._late)
+        for request in _in_fair_order(self._late):
+            if now <= request.late_start_by:
+                yield request
 
     def start(self, request: QueuedRequest, now: timedelta) -> None:
         """Record that a waiting request was sent to an endpoint, and remove it."""
--- a/src/sassafrasdale/gateway/admission/attempt_queues.py
+++ b/src/sassafrasdale/gateway/admission/attempt_queues.py
@@ -140,7 +140,7 @@
         pending.is_held = True
         try:
             self._place(pending.service)
-            if pending.outcome is None and not self._has_alternative(pending):
+            if pending.outcome is None and not self._may_get_room(pending):
                 self.remove(pending.key)
                 pending.outcome = Unavailable()
             if pending.outcome is None:
@@ -284,11 +284,11 @@
         if attempt is not None:
             attempt.priority = pending.terms.priority
             return Started(attempt)
-        return None if self._has_alternative(pending) else Unavailable()
+        return None if self._may_get_room(pending) else Unavailable()
 
-    def _has_alternative(self, pending: PendingAttempt) -> bool:
+    def _may_get_room(self, pending: PendingAttempt) -> bool:
         excluded = {*pending.tried, *pending.backed_off}
-        return self._fleet.has_alternative(pending.service, pending.traits, excluded)
+        return self._fleet.may_get_room(pending.service, pending.traits, excluded)
 
     def _resolve(self, pending: PendingAttempt, outcome: Outcome) -> None:
         pending.outcome = outcome
--- a/src/sassafrasdale/gateway/admission/endpoint_times.py
+++ b/src/sassafrasdale/gateway/admission/endpoint_times.py
@@ -17,6 +17,9 @@
 from sassafrasdale.gateway.plain_endpoints import PlainEndpoints
 from sassafrasdale.gateway.prefill_times import PrefillTimes
 
+# Time from the choice of a plain endpoint until the gateway has sent the request.
+SEND_TIME = timedelta(milliseconds=10)
+
 
 class EndpointTimes:
     """Expected endpoint times of requests, for the queues that they wait in.
@@ -63,8 +66,9 @@
         if objective is None:
             return timedelta()
         if self._is_plain(service):
-            took = self._plain_time(service)
-            return took - took / self._slots(service)
+            usual = self._plain_time(service)
+            longest = self._plain_endpoints.high_time(service) or usual
+            return longest + SEND_TIME - usual / self._slots(service)
         delays = self._delays_of(service)
         return delays.expected(
             priority, longest_queue(objective), objective, self._clock.elapsed()
--- a/src/sassafrasdale/gateway/advertisements/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_gate.py
@@ -217,6 +217,12 @@
             return False
         return self._permits.is_open(record.name)
 
+    def may_open(self, record: EndpointRecord) -> bool:
+        """Return whether a request may be sent to an endpoint once it has room."""
+        if self.is_backed_off(record) or not self._rooms.may_open(record):
+            return False
+        return self._permits.is_open(record.name)
+
     def is_backed_off(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint wants no requests from this gateway now."""
         return self._backoffs.is_active(record.name)
--- a/src/sassafrasdale/gateway/advertisements/rooms.py
+++ b/src/sassafrasdale/gateway/advertisements/rooms.py
@@ -64,6 +64,12 @@
             self._brittle.is_brittle(record.name) for record in endpoints
         )
 
+    def may_open(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint may get requests from here, now or later."""
+        if not self._brittle.is_brittle(record.name):
+            return True
+        return self._share is not None and self._slots(record, self._share) > 0
+
     def is_open(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint may get another request, assigned here."""
         if not self._brittle.is_brittle(record.name):
@@ -72,20 +78,25 @@
         since_takeover = now - self._taken_over_at
         if self._share is None or since_takeover < TAKEOVER_TIME:
             return False
+        room = self._slots(record, self._share)
+        in_flight = record.in_flight + record.unlisted_in_flight
+        in_flight += self._lingering_at(record.name, now)
+        everywhere = in_flight + self._peer_in_flight(record.name)
+        former = reserved_slots(self._former.get(record.name, 0), since_takeover)
+        # Members of the zone count what a former dispatcher had assigned.
+        in_zone = in_flight + max(self._zone_in_flight().get(record.name, 0), former)
+        return in_zone < room and everywhere < usable_slots(record.endpoint.slots)
+
+    def _slots(self, record: EndpointRecord, share: float) -> int:
+        """Return the requests that may be in flight at an endpoint from here."""
         endpoint = record.endpoint
-        room = zone_slots(
+        return zone_slots(
             endpoint.slots,
             self._zone,
             endpoint.availability_zone,
             self._zones,
-            self._share,
+            share,
         )
-        in_flight = record.in_flight + self._lingering_at(record.name, now)
-        everywhere = in_flight + self._peer_in_flight(record.name)
-        former = reserved_slots(self._former.get(record.name, 0), since_takeover)
-        # Members of the zone count what a former dispatcher had assigned.
-        in_zone = in_flight + max(self._zone_in_flight().get(record.name, 0), former)
-        return in_zone < room and everywhere < usable_slots(endpoint.slots)
 
     def record_incomplete(self, endpoint: str) -> None:
         """Record an attempt that ended without a whole response."""
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -40,6 +40,7 @@
     :param pool: idle connections to it.
     :param registered_at: elapsed time at which it was first seen.
     :param says_leaving: returns whether it has said in a response that it is leaving.
+    :param former: its record until it was known to have restarted.
     :ivar connections: connections that are in use by requests.
     :ivar repeatable: those of them whose requests may run more than once.
     :ivar is_unreachable: whether its registration has expired and connections to its
@@ -52,7 +53,9 @@
         pool: ConnectionPool,
         registered_at: timedelta = timedelta(),
         says_leaving: Callable[[], bool] = lambda: False,
+        former: "EndpointRecord | None" = None,
     ) -> None:
+        self._former = former
         self.endpoint = endpoint
         self.pool = pool
         self.registered_at = registered_at
@@ -69,6 +72,18 @@
         """Name of the endpoint."""
         return self.endpoint.name
 
+    @property
+    def unlisted_in_flight(self) -> int:
+        """Requests sent before it was known to have restarted.
+
+        Those sent since it listens again are running there.
+        """
+        return 0 if self._former is None else self._former.in_flight
+
+    def forget_former(self) -> None:
+        """Drop the record of an earlier start."""
+        self._former = None
+
     @property
     def known_version(self) -> str:
         """Version of its software; empty if it is not known for sure."""
@@ -221,6 +236,7 @@
         :returns: whether it has restarted since it was last seen here.
         """
         record = self._records.get(endpoint.name)
+        former = None
         self._fallback.pop(endpoint.name, None)
         has_restarted = record is not None and _has_restarted(record.endpoint, endpoint)
         if has_restarted:
@@ -234,13 +250,15 @@
             record.pool.close()
             self.health_of(endpoint.service).forget(endpoint.name)
             self._on_restart(endpoint.name)
-            record = None
+            record.forget_former()
+            former, record = record, None
         if record is None or record.endpoint.address != endpoint.address:
             record = EndpointRecord(
                 endpoint,
                 self._pool(endpoint),
                 self._clock.elapsed(),
                 partial(self._says_leaving, endpoint.name),
+                former,
             )
             self._records[endpoint.name] = record
             self._on_registration(endpoint.name, endpoint.born)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -425,6 +425,15 @@
             for record in self._eligibility.endpoints_for(service, traits)
         )
 
+    def may_get_room(
+        self, service: str, traits: RequestTraits, excluded: Collection[str]
+    ) -> bool:
+        """Return whether endpoints may get a request, now or once they have room."""
+        return any(
+            record.name not in excluded and self._gate.may_open(record)
+            for record in self._eligibility.endpoints_for(service, traits)
+        )
+
     def _start_at(
         self,
         record: EndpointRecord,
--- a/src/sassafrasdale/gateway/plain_endpoints.py
+++ b/src/sassafrasdale/gateway/plain_endpoints.py
@@ -74,6 +74,10 @@
         """Return the usual response time of a service; None if it is not known."""
         return self._times_of(service).usual_time()
 
+    def high_time(self, service: str) -> timedelta | None:
+        """Return the time that most responses of a service take at the most."""
+        return self._times_of(service).high_time()
+
     def observe(self, service: str, endpoint: str, took: timedelta) -> None:
         """Record a response of a plain service whose requests may wait."""
         if self._configuration().objective(service) is not None:
--- a/tests/decisions/test_service_queue.py
+++ b/tests/decisions/test_service_queue.py
@@ -258,6 +258,15 @@
     return request is not None
 
 
+def test_a_request_that_would_miss_its_deadline_is_not_started() -> None:
+    """Guards against work in vain between two checks of the deadlines."""
+    queue = ServiceQueue(lambda name: 1.0, Random(1))
+    late = queued(1, objective=timedelta())
+    assert queue.offer(late, timedelta(), ENDPOINTS) is None
+    assert list(queue.candidates(late.late_start_by)) == [late]
+    assert not list(queue.candidates(late.late_start_by + MS))
+
+
 def test_the_whole_time_at_an_endpoint_counts() -> None:
     """Guards against requests that begin in time, and end after their callers left.
 
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -44,6 +44,20 @@
     assert world.names() == ["i-1", "i-2"]
 
 
+def test_requests_that_an_endpoint_got_before_its_restart_was_known_count(world):
+    """Guards against more requests than a brittle endpoint bears as it comes back."""
+    world.directory.put(endpoint("i-3", born=1))
+    former = world.directory.records["i-3"]
+    former.in_flight = 2
+    world.directory.put(endpoint("i-3", born=2))
+    record = world.directory.records["i-3"]
+    assert (record.in_flight, record.unlisted_in_flight) == (0, 2)
+    former.in_flight -= 1
+    assert record.unlisted_in_flight == 1
+    world.directory.put(endpoint("i-3", born=3))
+    assert world.directory.records["i-3"].unlisted_in_flight == 0
+
+
 def test_draining_endpoints_are_not_used(world):
     world.directory.put(endpoint("i-1", state=EndpointState.DRAINING))
     assert world.names() == ["i-2"]
