--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -80,10 +80,6 @@
         """
         return 0 if self._former is None else self._former.in_flight
 
-    def forget_former(self) -> None:
-        """Drop the record of an earlier start."""
-        self._former = None
-
     @property
     def known_version(self) -> str:
         """Version of its software; empty if it is not known for sure."""
@@ -94,6 +90,10 @@
         """Whether it may have restarted since it registered."""
         return self._doubted_at is not None
 
+    def forget_former(self) -> None:
+        """Drop the record of an earlier start."""
+        self._former = None
+
     def doubt_version(self, now: timedelta) -> None:
         """Record a sign that it may have restarted since it registered.
 
