Reading the change once more: what stood twice, sorting on each request, rejections beside rooms

- EndpointGate.is_open and may_open, and the loops of Fleet.has_alternative and may_get_room, share one piece each.
- ResponseTimes and CallerDeadlines sorted their last 64 or 128 times on each request; LatencyWindow, which the project had, keeps them sorted.
The usual time of an even number of responses is now the upper one of the two in the middle.
- What excuses a brittle endpoint's failure stands in Rooms, with the other bookkeeping of such endpoints; BrittleEndpoints no longer repeats its base's constructor.
- A plain request's cost is computed in one place.

No behaviour is meant to change but the median.

--- a/src/sassafrasdale/decisions/caller_deadlines.py
+++ b/src/sassafrasdale/decisions/caller_deadlines.py
@@ -6,9 +6,10 @@
 is less than usual on its route.
 """
 
-from collections import deque
 from datetime import timedelta
 
+from sassafrasdale.decisions.latencies import LatencyWindow
+
 # Requests of a route by which the usual time is known, and their least number.
 KEPT_REQUESTS = 64
 MIN_REQUESTS = 8
@@ -22,7 +23,7 @@
     """Times that callers wait, by route, as seen by one gateway."""
 
     def __init__(self) -> None:
-        self._deadlines: dict[str, deque[timedelta]] = {}
+        self._deadlines: dict[str, LatencyWindow] = {}
 
     def time_spent(self, route: str, deadline: timedelta | None) -> timedelta:
         """Return how long a request's caller has tried before, and record the request.
@@ -31,10 +32,10 @@
         """
         if deadline is None:
             return timedelta()
-        known = self._deadlines.setdefault(route, deque(maxlen=KEPT_REQUESTS))
-        known.append(deadline)
+        known = self._deadlines.setdefault(route, LatencyWindow(KEPT_REQUESTS))
+        known.add(deadline)
         if len(known) < MIN_REQUESTS:
             return timedelta()
-        usual = sorted(known)[int(len(known) * USUAL_QUANTILE)]
+        usual = known.quantile(USUAL_QUANTILE)
         spent = usual - deadline
         return spent if spent > usual * MIN_SPENT_FRACTION else timedelta()
--- a/src/sassafrasdale/decisions/latencies.py
+++ b/src/sassafrasdale/decisions/latencies.py
@@ -1,4 +1,4 @@
-"""Recent latencies and their quantiles."""
+"""Recent latencies, or other times, and their quantiles."""
 
 from bisect import bisect_left, insort
 from collections import deque
--- a/src/sassafrasdale/decisions/response_times.py
+++ b/src/sassafrasdale/decisions/response_times.py
@@ -11,6 +11,8 @@
 from datetime import timedelta
 from statistics import median_low
 
+from sassafrasdale.decisions.latencies import LatencyWindow
+
 # Latest responses of an endpoint that tell whether it is slow, and their least number:
 # one long request must not mark it.
 KEPT_RESPONSES = 5
@@ -34,7 +36,7 @@
     """Response times of one service's endpoints, as seen by one dispatcher."""
 
     def __init__(self) -> None:
-        self._usual: deque[timedelta] = deque(maxlen=KEPT_USUAL)
+        self._usual = LatencyWindow(KEPT_USUAL)
         self._latest: dict[str, deque[tuple[timedelta, timedelta]]] = {}
 
     def observe(self, endpoint: str, took: timedelta, now: timedelta) -> None:
@@ -42,7 +44,7 @@
 
         :param took: time that the request took at the endpoint.
         """
-        self._usual.append(took)
+        self._usual.add(took)
         latest = self._latest.setdefault(endpoint, deque(maxlen=KEPT_RESPONSES))
         latest.append((now, took))
 
@@ -50,13 +52,13 @@
         """Return the usual response time; None if too few responses are known."""
         if len(self._usual) < MIN_KNOWN:
             return None
-        return median_low(self._usual)
+        return self._usual.quantile(0.5)
 
     def high_time(self) -> timedelta | None:
         """Return the time that most responses take at the most; None if unknown."""
         if len(self._usual) < MIN_KNOWN:
             return None
-        return sorted(self._usual)[int(len(self._usual) * HIGH_QUANTILE)]
+        return self._usual.quantile(HIGH_QUANTILE)
 
     def slowness(
         self, endpoints: Collection[str], now: timedelta
--- a/src/sassafrasdale/gateway/admission/endpoint_times.py
+++ b/src/sassafrasdale/gateway/admission/endpoint_times.py
@@ -52,7 +52,7 @@
         own the shared parts of a prompt have them cached.
         """
         if self._is_plain(service):
-            return self._plain_time(service) / self._slots(service)
+            return self._plain_cost(service)
         cached = sum(part.tokens for part in shared_parts(traits))
         unread = max((traits.prompt_tokens or 0) - cached, 0)
         return RUNNING_REQUEST_TIME + unread * self._prefill_times.token_time(service)
@@ -66,9 +66,8 @@
         if objective is None:
             return timedelta()
         if self._is_plain(service):
-            usual = self._plain_time(service)
-            longest = self._plain_endpoints.high_time(service) or usual
-            return longest + SEND_TIME - usual / self._slots(service)
+            longest = self._plain_endpoints.high_time(service) or PLAIN_REQUEST_TIME
+            return longest + SEND_TIME - self._plain_cost(service)
         delays = self._delays_of(service)
         return delays.expected(
             priority, longest_queue(objective), objective, self._clock.elapsed()
@@ -90,12 +89,10 @@
     def _is_plain(self, service: str) -> bool:
         return self._configuration().service(service).engine is None
 
-    def _plain_time(self, service: str) -> timedelta:
-        return self._plain_endpoints.usual_time(service) or PLAIN_REQUEST_TIME
-
-    def _slots(self, service: str) -> int:
+    def _plain_cost(self, service: str) -> timedelta:
+        usual = self._plain_endpoints.usual_time(service) or PLAIN_REQUEST_TIME
         registered = self._registered(service)
-        return max((record.endpoint.slots for record in registered), default=1)
+        return usual / max((record.endpoint.slots for record in registered), default=1)
 
     def _delays_of(self, service: str) -> EndpointDelays:
         return self._delays.setdefault(service, EndpointDelays())
--- a/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_beliefs.py
@@ -4,7 +4,6 @@
 reports between them; the latest evidence counts.
 """
 
-from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -34,10 +33,6 @@
 ENDED_RETENTION = timedelta(seconds=10)
 # Time after which an endpoint that is not registered any more is forgotten.
 GONE_RETENTION = timedelta(seconds=60)
-# Endpoints count their rejections over this time.
-REJECTION_WINDOW = timedelta(seconds=1)
-# Most rejections of an endpoint that are remembered.
-MAX_REJECTIONS = 100
 
 
 @dataclass(slots=True)
@@ -93,6 +88,10 @@
         belief = self._beliefs.get(endpoint)
         return None if belief is None else belief.value
 
+    def began_at(self, endpoint: str) -> timedelta:
+        """Return the elapsed time since which a known endpoint advertises something."""
+        return self._beliefs[endpoint].began_at
+
     def confirmed_at(self, endpoint: str) -> timedelta:
         """Return the elapsed time of the last evidence of a known endpoint."""
         return self._beliefs[endpoint].confirmed_at
@@ -272,52 +271,10 @@
 class BrittleEndpoints(AdvertisedNumbers):
     """Rejections within a second beyond which endpoints fail."""
 
-    def __init__(
-        self,
-        matter: str,
-        is_registered: Callable[[str], bool],
-        clock: Clock,
-        count: Callable[..., None],
-    ) -> None:
-        super().__init__(matter, is_registered, clock, count)
-        self._rejected_at: dict[str, deque[timedelta]] = {}
-
     def is_brittle(self, endpoint: str) -> bool:
         """Return whether an endpoint advertises that it is brittle."""
         return self.value(endpoint) is not None
 
-    def record_rejection(self, endpoint: str) -> None:
-        """Record that a brittle endpoint has rejected a request; ignored for others."""
-        if self.is_brittle(endpoint):
-            rejected_at = self._rejected_at.setdefault(
-                endpoint, deque(maxlen=MAX_REJECTIONS)
-            )
-            rejected_at.append(self._clock.elapsed())
-
-    def may_be_overloaded(self, endpoint: str, at: timedelta) -> bool:
-        """Return whether an endpoint may have failed because of what it rejected.
-
-        So it may if it has rejected as many requests of this gateway alone as it bears,
-        and shortly after this gateway learned that it is brittle: until then, gateways
-        send more than it can take.
-
-        :param at: elapsed time at which it failed.
-        """
-        borne = self.value(endpoint)
-        if borne is None:
-            return False
-        if abs(at - self._beliefs[endpoint].began_at) <= REJECTION_WINDOW:
-            return True
-        rejected_at = self._rejected_at.get(endpoint, ())
-        recent = sum(abs(at - time) <= REJECTION_WINDOW for time in rejected_at)
-        return recent >= max(min(borne, MAX_REJECTIONS), 1)
-
-    def remove_gone(self) -> None:
-        """Forget endpoints that are gone, and beliefs that ended long ago."""
-        super().remove_gone()
-        for endpoint in self._rejected_at.keys() - self._beliefs.keys():
-            del self._rejected_at[endpoint]
-
     def observe(
         self, endpoint: str, signals: EndpointSignals, sent_at: timedelta
     ) -> None:
--- a/src/sassafrasdale/gateway/advertisements/endpoint_gate.py
+++ b/src/sassafrasdale/gateway/advertisements/endpoint_gate.py
@@ -213,9 +213,7 @@
 
     def is_open(self, record: EndpointRecord) -> bool:
         """Return whether a request may be sent to an endpoint now."""
-        if self.is_backed_off(record) or not self._rooms.is_open(record):
-            return False
-        return self._permits.is_open(record.name)
+        return self.may_open(record) and self._rooms.is_open(record)
 
     def may_open(self, record: EndpointRecord) -> bool:
         """Return whether a request may be sent to an endpoint once it has room."""
--- a/src/sassafrasdale/gateway/advertisements/rooms.py
+++ b/src/sassafrasdale/gateway/advertisements/rooms.py
@@ -1,5 +1,6 @@
 """Room at brittle endpoints, as far as this gateway may use it."""
 
+from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
@@ -14,6 +15,11 @@
 from sassafrasdale.gateway.advertisements.endpoint_beliefs import BrittleEndpoints
 from sassafrasdale.gateway.directory import EndpointRecord
 
+# Endpoints count their rejections over this time.
+REJECTION_WINDOW = timedelta(seconds=1)
+# Most rejections of an endpoint that are remembered.
+MAX_REJECTIONS = 100
+
 
 class Rooms:
     """Decides whether brittle endpoints have room for another request.
@@ -47,6 +53,7 @@
         self._taken_over_at = -TAKEOVER_TIME
         self._former: Mapping[str, int] = {}
         self._lingering: dict[str, list[timedelta]] = {}
+        self._rejected_at: dict[str, deque[timedelta]] = {}
 
     def set_share(self, share: float | None) -> None:
         """Set the fraction of the zone's gateways that this one assigns for.
@@ -104,8 +111,37 @@
             ends = self._lingering.setdefault(endpoint, [])
             ends.append(self._clock.elapsed() + LINGER_TIME)
 
+    def record_rejection(self, endpoint: str) -> None:
+        """Record that a brittle endpoint has rejected a request; ignored for others."""
+        if self._brittle.is_brittle(endpoint):
+            rejected_at = self._rejected_at.setdefault(
+                endpoint, deque(maxlen=MAX_REJECTIONS)
+            )
+            rejected_at.append(self._clock.elapsed())
+
+    def may_be_overloaded(self, endpoint: str, at: timedelta) -> bool:
+        """Return whether an endpoint may have failed because of what it rejected.
+
+        It may if it has rejected as many requests of this gateway alone as it
+        tolerates. It may, too, shortly after this gateway learned that it is brittle:
+        until then, gateways send more than it can take.
+
+        :param at: elapsed time at which it failed.
+        """
+        tolerated = self._brittle.value(endpoint)
+        if tolerated is None:
+            return False
+        if abs(at - self._brittle.began_at(endpoint)) <= REJECTION_WINDOW:
+            return True
+        rejected_at = self._rejected_at.get(endpoint, ())
+        recent = sum(abs(at - time) <= REJECTION_WINDOW for time in rejected_at)
+        return recent >= max(min(tolerated, MAX_REJECTIONS), 1)
+
     def remove_ended(self) -> None:
-        """Forget attempts that have surely ended."""
+        """Forget attempts that have surely ended, and what is no longer brittle."""
+        for endpoint in list(self._rejected_at):
+            if not self._brittle.is_brittle(endpoint):
+                del self._rejected_at[endpoint]
         now = self._clock.elapsed()
         for endpoint in list(self._lingering):
             self._lingering_at(endpoint, now)
--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -133,7 +133,7 @@
             clock,
             self.metrics.count,
             lambda record: self.links.confirm_crash(record),
-            lambda endpoint, at: self.gate.brittle.may_be_overloaded(endpoint, at),
+            lambda endpoint, at: self.gate.rooms.may_be_overloaded(endpoint, at),
         )
 
     def _build_gate(self) -> None:
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -1,6 +1,6 @@
 """Endpoint choice and load accounting for the attempts of this gateway's requests."""
 
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
@@ -420,19 +420,21 @@
         self, service: str, traits: RequestTraits, tried: Collection[str]
     ) -> bool:
         """Return whether endpoints that were not tried may get a request."""
-        return any(
-            record.name not in tried and self._gate.is_open(record)
-            for record in self._eligibility.endpoints_for(service, traits)
-        )
+        return any(map(self._gate.is_open, self._others(service, traits, tried)))
 
     def may_get_room(
         self, service: str, traits: RequestTraits, excluded: Collection[str]
     ) -> bool:
         """Return whether endpoints may get a request, now or once they have room."""
-        return any(
-            record.name not in excluded and self._gate.may_open(record)
-            for record in self._eligibility.endpoints_for(service, traits)
-        )
+        return any(map(self._gate.may_open, self._others(service, traits, excluded)))
+
+    def _others(
+        self, service: str, traits: RequestTraits, excluded: Collection[str]
+    ) -> Iterator[EndpointRecord]:
+        """Yield the endpoints for a request but the excluded ones."""
+        for record in self._eligibility.endpoints_for(service, traits):
+            if record.name not in excluded:
+                yield record
 
     def _start_at(
         self,
@@ -619,7 +621,7 @@
                 weight=NO_RESPONSE_WEIGHT,
             )
         else:
-            self._gate.brittle.record_rejection(record.name)
+            self._gate.rooms.record_rejection(record.name)
 
     def excuse_failure(self, attempt: Attempt) -> None:
         """Take back a failure that was not the endpoint's."""
--- a/tests/gateway/advertisements/test_endpoint_beliefs.py
+++ b/tests/gateway/advertisements/test_endpoint_beliefs.py
@@ -58,21 +58,25 @@
 
 
 @pytest.mark.parametrize(
-    ("borne", "rejected_at", "expected"),
+    ("tolerated", "rejected_at", "expected"),
     [(0, [10.5], True), (0, [9], False), (2, [10.5], False), (2, [10.2, 10.6], True)],
 )
-def test_a_brittle_endpoint_may_fail_by_what_it_rejected(borne, rejected_at, expected):
+def test_a_brittle_endpoint_may_fail_by_what_it_rejected(
+    tolerated, rejected_at, expected
+):
     """Guards against requests that are blamed for an endpoint that rejected others."""
     clock = ManualClock()
-    brittle = single_gate(clock).brittle
+    gate = single_gate(clock)
+    rooms = gate.rooms
     began_at = clock.elapsed()
-    brittle.observe("i-1", EndpointSignals(brittleness=borne), began_at)
-    assert brittle.may_be_overloaded("i-1", began_at)
-    assert not brittle.may_be_overloaded("i-2", began_at)
+    signals = EndpointSignals(brittleness=tolerated)
+    gate.brittle.observe("i-1", signals, began_at)
+    assert rooms.may_be_overloaded("i-1", began_at)
+    assert not rooms.may_be_overloaded("i-2", began_at)
     for seconds in rejected_at:
         clock.advance(began_at + seconds * SECOND - clock.elapsed())
-        brittle.record_rejection("i-1")
-    assert brittle.may_be_overloaded("i-1", began_at + 11 * SECOND) is expected
+        rooms.record_rejection("i-1")
+    assert rooms.may_be_overloaded("i-1", began_at + 11 * SECOND) is expected
 
 
 def test_a_malformed_limit_changes_nothing():
