--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -119,6 +119,9 @@
         prefills the prompt tokens of Token-Count.
     :ivar part_defect: part of prompts that crashes it; None for none.
     :ivar silent_until: elapsed time until which it accepts requests and sends nothing.
+    :ivar paused_until: elapsed time until which its process doesn't run: connections
+        stay open and new ones are accepted, but it sends nothing, health checks
+        included, and then goes on where it was.
     :ivar event_time: time between two events of a stream.
     :ivar names_version: whether each event tells the version that wrote it.
     :ivar backoff: if set, it refuses all requests and asks for back-off of this length.
@@ -163,6 +166,7 @@
         self.arrivals: list[timedelta] = []
         self.extra_headers: tuple[tuple[str, str], ...] = ()
         self.silent_until = timedelta()
+        self.paused_until = timedelta()
         self.backoff: timedelta | None = None
         self.brittleness: Brittleness | None = None
         self.capacity: EngineCapacity | None = None
@@ -271,7 +275,12 @@
         if not self._is_down:
             self.register(self._state)
 
+    def pause(self, duration: timedelta) -> None:
+        """Pause the process for a time."""
+        self.paused_until = self._clock.elapsed() + duration
+
     def _answer(self, connection: ServerConnection, request: Request) -> None:
+        self._wait_while_paused()
         if request.header("expect-replica") != self._name:
             connection.answer(421, [("replica-id", self._name)])
             return
@@ -390,6 +399,7 @@
                 self._stream(connection, request, headers, slowdown)
             else:
                 sleep(self._plain_time() * slowdown)
+                self._wait_while_paused()
                 record = {"target": request.target, "by": self._name}
                 connection.answer(200, headers, json.dumps(record).encode())
         except CallerDisconnected:
@@ -484,6 +494,11 @@
     def _keep_silent(self) -> None:
         while self._clock.elapsed() < self.silent_until:
             sleep(timedelta(milliseconds=10))
+        self._wait_while_paused()
+
+    def _wait_while_paused(self) -> None:
+        while self._clock.elapsed() < self.paused_until:
+            sleep(timedelta(milliseconds=5))
 
     def _prefill_tokens(self, request: Request) -> int:
         uncached = 0
