A stream that is broken off says why it was not continued

`no answer in time` didn't tell a spent retry budget from no endpoint, no attempt or no time left, nor whether all endpoints were silent.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -129,6 +129,7 @@
         self._first_byte_at: timedelta | None = None
         self._waited = timedelta()
         self._last_failure = ""
+        self._not_retried = ""
         self._endpoint: str | None = None
         self._last_attempt: Attempt | None = None
 
@@ -565,20 +566,30 @@
         )
 
     def _may_send_again(self, failure: AttemptFailed) -> bool:
+        self._not_retried = self._obstacle_to_retry(failure)
+        return not self._not_retried
+
+    def _obstacle_to_retry(self, failure: AttemptFailed) -> str:
+        """Return why a failed request may not be sent again; empty if it may.
+
+        The retry is taken from the budget.
+        """
         admitted = self._admitted
         if failure.outcome is AttemptOutcome.UNKNOWN and not admitted.route.repeatable:
-            return False
+            return "may have run"
         if self._endpoint_crashed and not self._quarantine.may_retry(self._features):
-            return False
+            return "may crash endpoints"
         if self._clock.elapsed() >= admitted.deadline:
-            return False
+            return "no time left"
         if self._attempts == 0:
-            return True
+            return ""
         if self._attempts >= admitted.route.max_attempts:
-            return False
+            return "no attempt left"
         if failure.outcome is AttemptOutcome.WITHHELD:
-            return True
-        return self._fleet.retry_budgets.allow_retry(admitted.service, spend=True)
+            return ""
+        if not self._fleet.retry_budgets.allow_retry(admitted.service, spend=True):
+            return "retry budget spent"
+        return ""
 
     def _give_up_unsent(self) -> None:
         """End the request because no endpoint takes it now."""
@@ -601,9 +612,13 @@
         if self._caller.response_started:
             log.info(
                 "stream broken off",
-                why=failure.reason,
+                why=self._last_failure or failure.reason,
+                not_continued=self._not_retried or failure.reason,
+                retries_left=self._fleet.retry_budgets.left(self._admitted.service),
                 events=self._splitter.count,
                 sends=self._attempts,
+                left_ms=milliseconds(self._admitted.deadline - self._clock.elapsed()),
+                all_silent_ms=optional_milliseconds(self._fleet.since_receipt()),
             )
             self._caller.abort()
             raise StreamInterrupted(failure.reason)
--- a/src/sassafrasdale/gateway/retry_budgets.py
+++ b/src/sassafrasdale/gateway/retry_budgets.py
@@ -45,6 +45,10 @@
             return budget.tokens >= 1
         return budget.try_spend(self._clock.elapsed())
 
+    def left(self, service: str) -> int:
+        """Return how many retries the budget allows now."""
+        return int(self._budget(service).tokens)
+
     def _budget(self, service: str) -> RetryBudget:
         capacity = max(1.0, self._bounds.retry_slack * USED_SHARE / self._gateways())
         budget = self._budgets.get(service)
