A stalled response is hedged, never abandoned: what silence justifies is one decision

Callers saw streams end in the middle, 1.2 s after their engine fell silent and with most of their time left. Cause: a stream without data for 1.2 s was abandoned as soon as another engine was open to requests; whether the retry budget, an engine and a connection were there was found out afterwards. As all engines stall at once, all streams of a gateway ask in the same tenth of a second, the budget is spent by the first ones, and the rest are broken off, though their engines go on a moment later.

What silence justifies is decided in decisions/silence.py, without a network, from how long the response made no progress, the endpoint's last bytes, for how long an endpoint that could take over has been responding, and whether the link is lost. Silence alone ends nothing: at most a second attempt runs beside the first one (gateway/hedges.py), with endpoint, permit, connection and budget in hand, and takes over once its response has come. If the first one goes on, the hedge is cancelled; if the hedge fails, nothing is lost. Progress is a complete event, or a plain body within half of the time left. Connections over a lost link are no longer closed under their requests either; they are hedged through a peer. Hedges leave a part of the budget to failures, a stall of all endpoints blames no version.

--- a/src/sassafrasdale/decisions/budgets.py
+++ b/src/sassafrasdale/decisions/budgets.py
@@ -45,6 +45,11 @@
         """Saved retries."""
         return self._tokens
 
+    @property
+    def depth(self) -> float:
+        """Maximum number of saved retries."""
+        return self._depth
+
     def set_depth(self, depth: float) -> None:
         """Set the maximum number of saved retries."""
         self._depth = depth
--- a/src/sassafrasdale/decisions/links.py
+++ b/src/sassafrasdale/decisions/links.py
@@ -12,13 +12,6 @@
 FLAP_WINDOW = timedelta(seconds=10)
 # Exchanges in a row that end without a byte before the link is diagnosed.
 FAILURES_TO_DIAGNOSE = 2
-# Time without a byte, while requests wait, after which the link is diagnosed. An engine
-# prefills before it sends anything.
-PLAIN_SILENCE = timedelta(milliseconds=400)
-ENGINE_SILENCE = timedelta(seconds=1)
-# An endpoint that accepts connections and does not respond may just be busy. It is
-# diagnosed only if no endpoint at all has sent a byte for this time.
-TOTAL_SILENCE = timedelta(milliseconds=800)
 
 
 class Reachability(StrEnum):
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -42,7 +42,6 @@
     :param says_leaving: returns whether it has said in a response that it is leaving.
     :param former: its record until it was known to have restarted.
     :ivar connections: connections that are in use by requests.
-    :ivar repeatable: those of them whose requests may run more than once.
     :ivar is_unreachable: whether its registration has expired and connections to its
         address get no reply.
     """
@@ -61,7 +60,6 @@
         self.registered_at = registered_at
         self._says_leaving = says_leaving
         self.connections: set[HttpConnection] = set()
-        self.repeatable: set[HttpConnection] = set()
         self.is_unreachable = False
         self.in_flight = 0
         self.prefill_tokens = 0
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -12,6 +12,12 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
+from sassafrasdale.decisions.silence import (
+    STALL_TIME,
+    SilenceCause,
+    StartHedge,
+    blames_version,
+)
 from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.decisions.strikes import PART_PREFIX
 from sassafrasdale.deployment import RequestKind
@@ -28,6 +34,7 @@
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
 from sassafrasdale.gateway.failures import (
     CONNECTION_LOST,
+    NO_RESPONSE_IN_TIME,
     NOT_CONNECTED,
     AttemptFailed,
     AttemptOutcome,
@@ -43,6 +50,7 @@
     Hop,
     Path,
 )
+from sassafrasdale.gateway.hedges import Hedge, HedgeResponse
 from sassafrasdale.gateway.quarantine.fingerprints import RequestFeatures
 from sassafrasdale.gateway.quarantine.quarantine import (
     QUARANTINE_RETRY_AFTER,
@@ -50,7 +58,9 @@
     RequestQuarantine,
 )
 from sassafrasdale.gateway.quarantine.soundness import RunProgress
+from sassafrasdale.gateway.silence_watch import SilenceWatch
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
+from sassafrasdale.green import spawn
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
     HttpError,
@@ -59,6 +69,7 @@
 )
 from sassafrasdale.http.messages import Request, ResponseHead
 from sassafrasdale.http.server import ServerConnection
+from sassafrasdale.logs import request_context
 from sassafrasdale.platform.headers import (
     REQUEST_ID,
     EndpointHeaders,
@@ -71,13 +82,14 @@
 
 log = Logger("exchange")
 
-# A stream that another endpoint could resume is abandoned after this time without data.
-# Its caller gives up after a gap of two seconds or more.
-STREAM_IDLE_TIMEOUT = timedelta(seconds=1.2)
+# Reason of an attempt whose hedge has responded first.
+OUTRUN = "hedge responded first"
 # Reason and Retry-After while this gateway is stopping; the balancer sends the retry to
 # another one.
 STOPPING = "stopping"
 STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
+# Fraction of the time left after which a body that isn't whole is hedged.
+LONG_BODY_SHARE = 0.5
 # Most parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 16
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
@@ -132,6 +144,9 @@
         self._not_retried = ""
         self._endpoint: str | None = None
         self._last_attempt: Attempt | None = None
+        self._path: Path | None = None
+        self._watch: SilenceWatch | None = None
+        self._hedge: Hedge | None = None
 
     @property
     def last_attempt(self) -> Attempt | None:
@@ -168,13 +183,26 @@
         :raises StreamBrokenOff: if a stream that has begun can't be resumed.
         :raises CallerDisconnected: if the caller disconnects.
         """
+        attempt, hedge = self._start_attempt(), None
         while True:
-            attempt = self._start_attempt()
             try:
-                return self._run_attempt(attempt)
+                return self._run_attempt(attempt, hedge)
             except AttemptFailed as failure:
+                hedge, self._hedge = self._hedge, None
+                if hedge is not None:
+                    attempt = self._adopt(hedge)
+                    continue
                 if not self._may_send_again(failure):
                     self._give_up(failure)
+            finally:
+                self._cancel_hedge()
+            attempt = self._start_attempt()
+
+    def _adopt(self, hedge: Hedge) -> Attempt:
+        """Have the request go on with its hedge."""
+        hedge.is_adopted = True
+        self._use(hedge.attempt)
+        return hedge.attempt
 
     def _start_attempt(self) -> Attempt:
         admitted = self._admitted
@@ -195,6 +223,11 @@
             self._give_up_unsent()
         if not is_retry:
             self._waited = self._clock.elapsed() - admitted.received_at
+        self._use(attempt)
+        return attempt
+
+    def _use(self, attempt: Attempt) -> None:
+        """Record that the request goes on with an attempt."""
         self._tried.add(attempt.record.name)
         if self._caller.response_started:
             log.info(
@@ -205,7 +238,6 @@
             )
         self._endpoint = attempt.record.name
         self._last_attempt = attempt
-        return attempt
 
     def _terms(self) -> AdmissionTerms | None:
         """Return on which terms the request may wait; None if it may not.
@@ -234,12 +266,17 @@
         if last_end is not None and self._admitted.deadline > last_end:
             raise RequestRefused(503, STOPPING, retry_after=STOPPING_RETRY_AFTER)
 
-    def _run_attempt(self, attempt: Attempt) -> int:
-        """Send the request to an endpoint and relay its response."""
+    def _run_attempt(self, attempt: Attempt, hedge: Hedge | None) -> int:
+        """Send the request to an endpoint and relay its response.
+
+        :param hedge: the hedge that the attempt began as, if it did.
+        """
         try:
+            if hedge is not None:
+                return self._run_on_path(attempt, hedge.path, hedge)
             return self._try_forwarders(attempt)
         except AttemptFailed as failure:
-            self._record_failure(attempt, failure)
+            self._record_failure(attempt, failure, self._progress)
             raise
         finally:
             self._fleet.finish_attempt(attempt)
@@ -248,26 +285,36 @@
         """Run an attempt, where it is forwarded by another peer if one refuses."""
         for _ in range(MAX_FORWARDERS - 1):
             try:
-                return self._run_on_path(attempt)
+                return self._run_on_path(attempt, self._open_path(attempt))
             except ForwarderRefused as refusal:
                 log.info("forwarder refused", why=refusal.reason)
-        return self._run_on_path(attempt)
+        return self._run_on_path(attempt, self._open_path(attempt))
 
-    def _run_on_path(self, attempt: Attempt) -> int:
-        path = self._open_path(attempt)
-        self._caller.on_disconnect(path.close)
+    def _run_on_path(
+        self, attempt: Attempt, path: Path, hedge: Hedge | None = None
+    ) -> int:
+        self._path = path
+        self._caller.on_disconnect(self._close_paths)
         try:
             if self._caller.is_disconnected:
                 raise CallerDisconnected
-            return self._forward(path, attempt)
+            return self._forward(path, attempt, hedge)
         except CallerDisconnected:
             path.close()
             self._fleet.record_disconnect(attempt)
             raise
         finally:
+            self._path = None
+            path.while_reading(None)
             self._caller.on_disconnect(None)
             path.release()
 
+    def _close_paths(self) -> None:
+        """Cancel what runs for a caller that has disconnected."""
+        if self._path is not None:
+            self._path.close()
+        self._cancel_hedge()
+
     def _open_path(self, attempt: Attempt) -> Path:
         admitted = self._admitted
         hop = Hop(
@@ -285,37 +332,57 @@
         attempt.forwarder = path.forwarder
         return path
 
-    def _forward(self, path: Path, attempt: Attempt) -> int:
-        admitted = self._admitted
-        record = attempt.record
+    def _forward(self, path: Path, attempt: Attempt, hedge: Hedge | None) -> int:
+        self._endpoint_crashed = False
+        self._progress = RunProgress()
+        if hedge is None:
+            self._check_sendable(attempt)
+        self._watch_for_silence(path, attempt)
+        try:
+            if hedge is not None:
+                response = hedge.wait()
+            else:
+                head = self._send(path, self._endpoint_request(attempt), attempt)
+                response = HedgeResponse(head)
+            self._fleet.record_signals(attempt, read_signals(response.head))
+            return self._relay_response(path, response, attempt)
+        except HttpError as error:
+            path.close()
+            if isinstance(error, CallerDisconnected) or self._caller.is_disconnected:
+                raise CallerDisconnected from error
+            raise AttemptFailed(
+                AttemptOutcome.UNKNOWN, self._reason_of(error)
+            ) from error
+
+    def _check_sendable(self, attempt: Attempt) -> None:
+        """Check that an attempt may be sent now.
+
+        :raises AttemptFailed: if it may not.
+        """
         if not self._fleet.may_send(attempt):
             raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
         # It may have waited for its endpoint since it was checked.
         self._give_up_if_quarantined()
-        self._endpoint_crashed = False
-        self._progress = RunProgress()
-        time_left = admitted.deadline - self._clock.elapsed()
-        if time_left <= timedelta():
+        if self._admitted.deadline <= self._clock.elapsed():
             raise AttemptFailed(AttemptOutcome.WITHHELD, "no time left")
+
+    def _endpoint_request(self, attempt: Attempt) -> Request:
+        admitted = self._admitted
         headers = EndpointHeaders(
-            endpoint=record.name,
+            endpoint=attempt.record.name,
             customer=admitted.customer_name,
-            time_left=time_left,
+            time_left=admitted.deadline - self._clock.elapsed(),
             priority=self._priority(),
             resume_after=self._splitter.last_id,
             fetch_from=attempt.source.endpoint.address if attempt.source else None,
         )
-        try:
-            head = self._send(
-                path, endpoint_request(admitted.request, headers), attempt
-            )
-            self._fleet.record_signals(attempt, read_signals(head))
-            return self._relay_response(path, head, attempt)
-        except HttpError as error:
-            path.close()
-            if isinstance(error, CallerDisconnected) or self._caller.is_disconnected:
-                raise CallerDisconnected from error
-            raise AttemptFailed(AttemptOutcome.UNKNOWN, reason_of(error)) from error
+        return endpoint_request(admitted.request, headers)
+
+    def _reason_of(self, error: HttpError) -> str:
+        hedge = self._hedge
+        if hedge is not None and hedge.has_responded:
+            return OUTRUN
+        return reason_of(error)
 
     def _send(self, path: Path, request: Request, attempt: Attempt) -> ResponseHead:
         """Send a request and return the head of the endpoint's response.
@@ -324,8 +391,9 @@
         """
         admitted = self._admitted
         self._attempts += 1
+        is_retry = self._attempts > 1
         if not path.forwarder:
-            self._count_attempt(attempt)
+            self._fleet.count_attempt(attempt, is_retry=is_retry)
         try:
             path.send(request)
             echoed = (REQUEST_ID, admitted.request.header(REQUEST_ID))
@@ -335,14 +403,164 @@
             raise
         except HttpError:
             if path.forwarder:
-                self._count_attempt(attempt)
+                self._fleet.count_attempt(attempt, is_retry=is_retry)
             raise
         if path.forwarder:
-            self._count_attempt(attempt)
+            self._fleet.count_attempt(attempt, is_retry=is_retry)
         return head
 
-    def _count_attempt(self, attempt: Attempt) -> None:
-        self._fleet.count_attempt(attempt, is_retry=self._attempts > 1)
+    def _watch_for_silence(self, path: Path, attempt: Attempt) -> None:
+        """Have the attempt's reader consider a hedge now and then."""
+        admitted = self._admitted
+        if not admitted.route.repeatable or admitted.route.max_attempts < 2:
+            return
+        self._watch = SilenceWatch(
+            attempt.record,
+            self._alternatives,
+            self._paths.is_partitioned,
+            self._paths.begin_checks,
+            self._clock,
+        )
+        path.while_reading(self._consider_hedge)
+
+    def _alternatives(self) -> list[EndpointRecord]:
+        admitted = self._admitted
+        return self._fleet.alternatives(admitted.service, admitted.traits, self._tried)
+
+    def _may_hedge(self) -> bool:
+        admitted = self._admitted
+        return (
+            self._hedge is None
+            and self._attempts < admitted.route.max_attempts
+            and self._fleet.retry_budgets.allow_hedge(admitted.service, spend=False)
+        )
+
+    def _consider_hedge(self) -> None:
+        """Start a hedge if the silence of the response justifies one."""
+        watch = self._watch
+        if watch is None or not self._may_hedge():
+            return
+        match watch.judge():
+            case StartHedge(cause):
+                self._start_hedge(cause, watch)
+
+    def _start_hedge(self, cause: SilenceCause, watch: SilenceWatch) -> None:
+        """Start a hedge if all that it needs is there: endpoint, connection, budget."""
+        silence = watch.last
+        attempt = self._start_elsewhere(watch.unresponsive())
+        if attempt is None:
+            return
+        path = self._open_hedge_path(attempt)
+        if path is None:
+            self._fleet.finish_attempt(attempt)
+            return
+        self._tried.add(attempt.record.name)
+        hedge = self._hedge = Hedge(attempt, path, cause)
+        log.info(
+            "hedge started",
+            endpoint=attempt.record.name,
+            beside=self._endpoint,
+            cause=str(cause),
+            silent_ms=milliseconds(silence.lasted),
+            endpoint_heard_ms=optional_milliseconds(silence.heard),
+            others_responding_ms=optional_milliseconds(silence.others_responding),
+            retries_left=self._fleet.retry_budgets.left(attempt.service),
+            begun=self._caller.response_started,
+            events=self._splitter.count or None,
+        )
+        spawn(self._run_hedge, hedge)
+
+    def _open_hedge_path(self, attempt: Attempt) -> Path | None:
+        """Return a way to a hedge's endpoint; None if it may not be sent now."""
+        if self._is_quarantined():
+            return None
+        try:
+            path = self._open_path(attempt)
+        except AttemptFailed as failure:
+            log.info(
+                "hedge not started", endpoint=attempt.record.name, why=failure.reason
+            )
+            return None
+        budgets = self._fleet.retry_budgets
+        may_send = not self._caller.is_disconnected and self._fleet.may_send(attempt)
+        if may_send and budgets.allow_hedge(attempt.service, spend=True):
+            return path
+        path.release()
+        return None
+
+    def _start_elsewhere(self, excluded: set[str]) -> Attempt | None:
+        """Return a further attempt at an endpoint that was neither tried nor excluded.
+
+        It is not waited for if none has room.
+        """
+        admitted = self._admitted
+        try:
+            return self._starter.start(
+                AttemptRequest(
+                    admitted.service,
+                    admitted.traits,
+                    self._tried | excluded,
+                    admitted.route.name,
+                    is_retry=True,
+                )
+            )
+        except RequestRefused:
+            return None
+
+    def _run_hedge(self, hedge: Hedge) -> None:
+        """Run a hedge until its response has come; it then takes over."""
+        with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
+            try:
+                hedge.succeed(self._hedge_response(hedge))
+            except (HttpError, AttemptFailed) as error:
+                self._end_hedge(hedge, error)
+                return
+            if not hedge.is_adopted and self._path is not None:
+                # Wakes the reader of the first attempt, which then adopts the hedge.
+                self._path.close()
+
+    def _hedge_response(self, hedge: Hedge) -> HedgeResponse:
+        path, attempt = hedge.path, hedge.attempt
+        head = self._send(path, self._endpoint_request(attempt), attempt)
+        self._check_head(path, head)
+        succeeded = 200 <= head.status < 300
+        if head.status >= 500 or (self._caller.response_started and not succeeded):
+            raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
+        if self._admitted.route.kind is RequestKind.STREAM and succeeded:
+            return HedgeResponse(head)
+        return HedgeResponse(head, self._read_whole_body(path))
+
+    def _end_hedge(self, hedge: Hedge, error: HttpError | AttemptFailed) -> None:
+        """Record that a hedge has failed, unless it was cancelled."""
+        failure = error
+        if isinstance(error, HttpError):
+            failure = AttemptFailed(AttemptOutcome.UNKNOWN, self._reason_of(error))
+        hedge.fail(failure)
+        if hedge.is_adopted:
+            return
+        if self._hedge is hedge:
+            self._hedge = None
+        if not hedge.is_cancelled:
+            self._record_failure(hedge.attempt, failure, RunProgress())
+        self._release_hedge(hedge)
+
+    def _cancel_hedge(self) -> None:
+        hedge, self._hedge = self._hedge, None
+        if hedge is None:
+            return
+        log.info("hedge cancelled", endpoint=hedge.attempt.record.name)
+        hedge.cancel()
+        if hedge.has_responded:
+            self._release_hedge(hedge)
+
+    def _release_hedge(self, hedge: Hedge) -> None:
+        hedge.path.close()
+        hedge.path.release()
+        self._fleet.finish_attempt(hedge.attempt)
+
+    def _note_progress(self, patience: timedelta = STALL_TIME) -> None:
+        if self._watch is not None:
+            self._watch.note_progress(patience)
 
     def _priority(self) -> int | None:
         """Return the priority of a stream at its engine; None for plain services."""
@@ -357,18 +575,21 @@
             priority = admitted.customer.priority
         return max(priority, 0)
 
-    def _relay_response(self, path: Path, head: ResponseHead, attempt: Attempt) -> int:
-        admitted = self._admitted
-        if states_not_run(head):
-            path.read_body(admitted.deadline)
-            raise AttemptFailed(AttemptOutcome.NOT_RUN, f"refused with {head.status}")
+    def _relay_response(
+        self, path: Path, response: HedgeResponse, attempt: Attempt
+    ) -> int:
+        head = response.head
+        self._check_head(path, head)
         succeeded = 200 <= head.status < 300
-        if succeeded and not is_signed(head):
-            raise MalformedResponse("a success without a signature")
-        if admitted.route.kind is RequestKind.STREAM and succeeded:
+        if self._admitted.route.kind is RequestKind.STREAM and succeeded:
             return self._relay_stream(path, head, attempt)
-        body = path.read_body(admitted.deadline)
-        path.check_complete(self._quarantine.is_serving)
+        body = response.body
+        if body is None:
+            # A body may be long, so only one that takes much of the time is hedged.
+            time_left = self._admitted.deadline - self._clock.elapsed()
+            self._note_progress(time_left * LONG_BODY_SHARE)
+            body = self._read_whole_body(path)
+        self._cancel_hedge()
         self._record_first_byte(attempt, is_prefilled=succeeded)
         if head.status >= 500 and self._may_retry_status():
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
@@ -380,23 +601,39 @@
         self._caller.answer(head.status, caller_headers(head), body)
         return head.status
 
+    def _check_head(self, path: Path, head: ResponseHead) -> None:
+        """Check that a response is one of the endpoint that ran the request.
+
+        :raises AttemptFailed: if it states that the request did not run.
+        :raises MalformedResponse: if it is not signed.
+        """
+        if states_not_run(head):
+            path.read_body(self._admitted.deadline)
+            raise AttemptFailed(AttemptOutcome.NOT_RUN, f"refused with {head.status}")
+        if 200 <= head.status < 300 and not is_signed(head):
+            raise MalformedResponse("a success without a signature")
+
+    def _read_whole_body(self, path: Path) -> bytes:
+        body = path.read_body(self._admitted.deadline)
+        path.check_complete(self._quarantine.is_serving)
+        return body
+
     def _relay_stream(self, path: Path, head: ResponseHead, attempt: Attempt) -> int:
         """Relay a stream, complete events only."""
         admitted = self._admitted
         splitter = self._splitter
-        # An engine may queue the prompt, so silence is no sign of a failure before its
-        # first event.
-        deadline = admitted.deadline
         gaps: list[timedelta] = []
         last_at: timedelta | None = None
         try:
-            while data := path.read_data(deadline):
+            while data := path.read_data(admitted.deadline):
                 complete = splitter.feed(data)
-                if complete:
-                    self._bind_stream(attempt)
-                deadline = self._next_read_deadline()
                 if not complete:
+                    # Bytes that end no event are no progress.
                     continue
+                # What the hedge would go on after is outdated.
+                self._cancel_hedge()
+                self._note_progress()
+                self._bind_stream(attempt)
                 now = self._clock.elapsed()
                 if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
                     gaps.append(now - last_at)
@@ -407,6 +644,7 @@
                 if not self._caller.response_started:
                     self._caller.begin(head.status, caller_headers(head))
                 self._caller.write(complete)
+            self._cancel_hedge()
             path.check_complete(self._quarantine.is_serving)
         except HttpError:
             splitter.drop_partial()
@@ -436,24 +674,6 @@
         admitted.traits = replace(admitted.traits, binding=binding)
         self._continuations.record_begin(admitted, binding)
 
-    def _next_read_deadline(self) -> timedelta:
-        """Return the deadline for the next data of a stream.
-
-        An unresponsive engine is abandoned early only if another one can resume the
-        stream.
-        """
-        admitted = self._admitted
-        can_resume = (
-            admitted.route.repeatable
-            and self._attempts < admitted.route.max_attempts
-            and self._fleet.has_alternative(
-                admitted.service, admitted.traits, self._tried
-            )
-        )
-        if not can_resume:
-            return admitted.deadline
-        return min(self._clock.elapsed() + STREAM_IDLE_TIMEOUT, admitted.deadline)
-
     def _record_first_byte(
         self, attempt: Attempt, *, is_prefilled: bool = True
     ) -> None:
@@ -462,15 +682,19 @@
             self._first_byte_at = self._clock.elapsed()
             self._fleet.count_usage(self._admitted.customer)
 
-    def _record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
+    def _record_failure(
+        self, attempt: Attempt, failure: AttemptFailed, progress: RunProgress
+    ) -> None:
         if failure.outcome is AttemptOutcome.UNKNOWN:
             self._may_have_run = True
         is_counted = failure.outcome is not AttemptOutcome.WITHHELD
+        if failure.reason == OUTRUN:
+            is_counted = self._hedge.cause is SilenceCause.ENDPOINT
         is_fault = failure.outcome is not AttemptOutcome.NOT_RUN
         if is_counted:
             self._fleet.record_failure(attempt, is_fault)
         # This probes the endpoint, which takes time, so the failure is counted first.
-        crashed = self._check_crash(attempt, failure)
+        crashed = self._check_crash(attempt, failure, progress)
         if is_counted and is_fault and not crashed:
             self._attribute_failure(attempt, failure)
         if failure.reason in (CONNECTION_LOST, NOT_CONNECTED):
@@ -507,7 +731,10 @@
                 self._fleet.withhold_report(attempt)
         elif self._paths.is_partitioned(attempt.record):
             self._fleet.excuse_failure(attempt)
-        else:
+        elif failure.reason == NO_RESPONSE_IN_TIME:
+            if blames_version(self._fleet.since_receipt()):
+                self._fleet.record_version_failure(attempt)
+        elif failure.reason != OUTRUN:
             self._fleet.record_version_failure(attempt)
 
     def _silence_of(self, record: EndpointRecord) -> int | None:
@@ -516,7 +743,9 @@
             return None
         return milliseconds(self._clock.elapsed() - received_at)
 
-    def _check_crash(self, attempt: Attempt, failure: AttemptFailed) -> bool | None:
+    def _check_crash(
+        self, attempt: Attempt, failure: AttemptFailed, progress: RunProgress
+    ) -> bool | None:
         """Return whether the endpoint has crashed; None if nothing suggests it."""
         if failure.reason != CONNECTION_LOST or attempt.forwarder:
             return None
@@ -525,7 +754,7 @@
         self._endpoint_crashed = self._quarantine.record_lost_connection(
             self._features,
             record,
-            self._progress,
+            progress,
             registered=self._fleet.is_registered(record),
         )
         return self._endpoint_crashed
@@ -539,14 +768,17 @@
 
     def _give_up_if_quarantined(self) -> None:
         """End the request if it was quarantined after it was admitted."""
-        if self._admitted.is_trial or self._quarantine.is_empty:
-            return
-        if self._quarantine.refused_feature(self._features):
+        if self._is_quarantined():
             self._give_up(
                 AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED),
                 QUARANTINE_RETRY_AFTER,
             )
 
+    def _is_quarantined(self) -> bool:
+        if self._admitted.is_trial or self._quarantine.is_empty:
+            return False
+        return bool(self._quarantine.refused_feature(self._features))
+
     def _logged_parts(self) -> list[str] | None:
         """Return the first parts of the prompt that other requests may share."""
         shared = self._features.parts[:MAX_LOGGED_PARTS]
--- a/src/sassafrasdale/gateway/failures.py
+++ b/src/sassafrasdale/gateway/failures.py
@@ -13,6 +13,7 @@
 # Reason of an attempt whose connection was lost before the response.
 NOT_CONNECTED = "not connected"
 CONNECTION_LOST = "connection lost"
+NO_RESPONSE_IN_TIME = "no answer in time"
 
 
 class AttemptOutcome(StrEnum):
@@ -42,7 +43,7 @@
     """Return a short description of an error, for logs."""
     match error:
         case ResponseTimeout():
-            return "no answer in time"
+            return NO_RESPONSE_IN_TIME
         case ConnectionLost():
             return CONNECTION_LOST
         case MalformedResponse():
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -422,6 +422,12 @@
         """Return whether endpoints that were not tried may get a request."""
         return any(map(self._gate.is_open, self._others(service, traits, tried)))
 
+    def alternatives(
+        self, service: str, traits: RequestTraits, tried: Collection[str]
+    ) -> list[EndpointRecord]:
+        """Return the endpoints that were not tried and may get a request now."""
+        return list(filter(self._gate.is_open, self._others(service, traits, tried)))
+
     def may_get_room(
         self, service: str, traits: RequestTraits, excluded: Collection[str]
     ) -> bool:
--- a/src/sassafrasdale/gateway/forwarding/checks.py
+++ b/src/sassafrasdale/gateway/forwarding/checks.py
@@ -1,6 +1,6 @@
 """Checks of this gateway's own links to endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -22,6 +22,8 @@
 # crashed as well.
 OTHERS_CHECKED_AT_ONCE = 2
 MAX_OTHERS_ROUNDS = 4
+# Checks in the background at the same time.
+MAX_BACKGROUND_CHECKS = 2
 # Time for which peers that ask about the same endpoint get the same answer.
 ANSWER_TTL = timedelta(milliseconds=100)
 
@@ -59,6 +61,7 @@
         self._clock = clock
         self._rng = rng
         self._checks: dict[tuple[str, bool], _Check] = {}
+        self._in_background = 0
 
     def forget_unregistered(self) -> None:
         """Forget the checks of endpoints that are gone."""
@@ -80,11 +83,33 @@
         check = self._checks[record.name, is_new] = _Check()
         return self._run(record, check, is_new)
 
+    def begin(self, records: Sequence[EndpointRecord]) -> None:
+        """Check some endpoints in the background, for the bytes of their responses.
+
+        Where a check would only open a connection, it shows nothing.
+        """
+        for record in self._rng.sample(records, len(records)):
+            if self._in_background >= MAX_BACKGROUND_CHECKS:
+                return
+            if self._has_health_check(record):
+                self._in_background += 1
+                spawn(self._check_in_background, record)
+
+    def _check_in_background(self, record: EndpointRecord) -> None:
+        try:
+            self.check(record, is_new=False)
+        finally:
+            self._in_background -= 1
+
+    def _has_health_check(self, record: EndpointRecord) -> bool:
+        path = self._service(record.endpoint.service).health_path
+        return bool(path) and not self._is_brittle(record.name)
+
     def _run(self, record: EndpointRecord, check: _Check, is_new: bool) -> ProbeResult:
         path = self._service(record.endpoint.service).health_path
         result = ProbeResult.UNANSWERED
         try:
-            if path and not self._is_brittle(record.name):
+            if self._has_health_check(record):
                 result = record.pool.check(
                     health_request(path), CHECK_TIMEOUT, is_new=is_new
                 )
--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -1,6 +1,6 @@
 """Beliefs about this gateway's links to the endpoints, and their diagnosis."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -9,15 +9,17 @@
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.decisions.links import (
-    ENGINE_SILENCE,
     FAILURES_TO_DIAGNOSE,
-    PLAIN_SILENCE,
-    TOTAL_SILENCE,
     LinkBelief,
     Reachability,
     is_confirmed_crash,
     is_link_lost,
 )
+from sassafrasdale.decisions.silence import (
+    ENGINE_SILENCE,
+    PLAIN_SILENCE,
+    is_link_suspicious,
+)
 from sassafrasdale.deployment import Service
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.gateway.forwarding.checks import LinkChecks
@@ -129,6 +131,10 @@
         if link.failures >= FAILURES_TO_DIAGNOSE:
             self._begin_diagnosis(link, "connections lost")
 
+    def begin_checks(self, records: Sequence[EndpointRecord]) -> None:
+        """Begin checks whether endpoints respond to this gateway."""
+        self._checks.begin(records)
+
     def confirm_crash(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint that seems to have crashed here has crashed.
 
@@ -171,7 +177,8 @@
             partitioned = self.is_partitioned(record)
             if record.connections and self._is_silent(record, now):
                 if partitioned:
-                    self._abort_repeatable(record)
+                    # The idle connections are as dead as the silent ones.
+                    record.pool.close()
                 else:
                     self._begin_diagnosis(self._link(record), "silent")
             if partitioned and link.belief.is_check_due(now):
@@ -269,8 +276,7 @@
     def _is_suspicious(self, own: ProbeResult) -> bool:
         if own is not ProbeResult.SILENT:
             return True
-        silence = self._directory.since_receipt()
-        return silence is None or silence >= TOTAL_SILENCE
+        return is_link_suspicious(self._directory.since_receipt())
 
     def _mark_lost(
         self, link: _Link, evidence: str, answers: dict[str, Reachability]
@@ -321,9 +327,3 @@
                 lost_ms=milliseconds(now - lost_at),
                 lost=self._lost_count(),
             )
-
-    def _abort_repeatable(self, record: EndpointRecord) -> None:
-        """Have requests that may run again retried through a peer."""
-        record.pool.close()
-        for connection in list(record.repeatable):
-            connection.close()
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -1,6 +1,6 @@
 """Ways to an endpoint: a connection of this gateway's own, or one through a peer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -87,23 +87,22 @@
 
     :param record: the endpoint.
     :param connection: the connection.
-    :param is_repeatable: whether the request may run more than once.
     """
 
-    def __init__(
-        self, record: EndpointRecord, connection: HttpConnection, is_repeatable: bool
-    ) -> None:
+    def __init__(self, record: EndpointRecord, connection: HttpConnection) -> None:
         self._record = record
         self._connection = connection
         record.connections.add(connection)
-        if is_repeatable:
-            record.repeatable.add(connection)
 
     @property
     def forwarder(self) -> str:
         """Name of the peer that forwards; empty here."""
         return ""
 
+    def while_reading(self, callback: Callable[[], None] | None) -> None:
+        """Set a callback that runs now and then while a task reads; None for none."""
+        self._connection.while_reading(callback)
+
     def send(self, request: Request) -> None:
         """Send the request.
 
@@ -144,7 +143,6 @@
     def release(self) -> None:
         """End the use of the connection."""
         self._record.connections.discard(self._connection)
-        self._record.repeatable.discard(self._connection)
         self._record.pool.release(self._connection)
 
 
@@ -184,6 +182,10 @@
         """Name of the peer that forwards."""
         return self._contact.name
 
+    def while_reading(self, callback: Callable[[], None] | None) -> None:
+        """Set a callback that runs now and then while a task reads; None for none."""
+        self._connection.while_reading(callback)
+
     def send(self, request: Request) -> None:
         """Send the request to the peer.
 
@@ -326,7 +328,7 @@
             began_at = self._clock.elapsed()
             try:
                 connection = record.pool.acquire(max_idle)
-                return DirectPath(record, connection, hop.is_repeatable)
+                return DirectPath(record, connection)
             except NotConnected:
                 took = self._clock.elapsed() - began_at
                 if not self._links.record_connect_failure(record, took):
@@ -334,13 +336,17 @@
         elif self._links.has_live_connections(record):
             connection = record.pool.acquire_idle(max_idle)
             if connection is not None:
-                return DirectPath(record, connection, hop.is_repeatable)
+                return DirectPath(record, connection)
         return self._open_forwarded(hop)
 
     def is_partitioned(self, record: EndpointRecord) -> bool:
         """Return whether this gateway's own link to an endpoint is lost."""
         return self._links.is_partitioned(record)
 
+    def begin_checks(self, records: Sequence[EndpointRecord]) -> None:
+        """Begin checks whether endpoints respond to this gateway."""
+        self._links.begin_checks(records)
+
     def record_lost_connection(self, record: EndpointRecord) -> None:
         """Record that a connection of this gateway's own was lost."""
         self._links.record_lost_connection(record)
--- a/src/sassafrasdale/gateway/forwarding/receiver.py
+++ b/src/sassafrasdale/gateway/forwarding/receiver.py
@@ -193,7 +193,7 @@
             took = self._clock.elapsed() - began_at
             self._links.record_connect_failure(record, took)
             raise _NotForwarded(ForwardOutcome.NOT_SENT, "not connected") from error
-        path = DirectPath(record, connection, forwarded.is_repeatable)
+        path = DirectPath(record, connection)
         peer.on_disconnect(path.close)
         try:
             if peer.is_disconnected:
--- a/src/sassafrasdale/gateway/retry_budgets.py
+++ b/src/sassafrasdale/gateway/retry_budgets.py
@@ -12,6 +12,9 @@
 # Share of its maximum that a budget starts with: after a restart of all gateways at
 # once, full budgets would grant the slack a second time.
 INITIAL_SHARE = 0.5
+# Share of its maximum beyond one retry that a budget keeps for failures: a stall has
+# all streams of an endpoint ask for hedges at the same time, and these can wait.
+KEPT_FOR_FAILURES = 0.25
 
 
 class RetryBudgets:
@@ -45,6 +48,15 @@
             return budget.tokens >= 1
         return budget.try_spend(self._clock.elapsed())
 
+    def allow_hedge(self, service: str, *, spend: bool) -> bool:
+        """Return whether the budget allows a retry beside an attempt that may succeed.
+
+        :param spend: whether to take the retry from the budget.
+        """
+        budget = self._budget(service)
+        kept = KEPT_FOR_FAILURES * (budget.depth - 1)
+        return budget.tokens >= 1 + kept and self.allow_retry(service, spend=spend)
+
     def left(self, service: str) -> int:
         """Return how many retries the budget allows now."""
         return int(self._budget(service).tokens)
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -44,6 +44,8 @@
 # Subtracted from the server's keep-alive timeout, so that no request is sent as the
 # server closes the connection.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
+# Interval of the callback that runs while a task reads.
+CALLBACK_INTERVAL = timedelta(milliseconds=100)
 # Statuses of responses without a body.
 _BODILESS = frozenset({204, 304})
 
@@ -91,6 +93,8 @@
         self._closed_by_peer = False
         self._reading = False
         self._reusable_until: timedelta | None = None
+        self._while_reading: Callable[[], None] | None = None
+        self._callback_due = timedelta()
         self.used_at = clock.elapsed()
         self.sent_at: timedelta | None = None
         self.responses = 0
@@ -165,6 +169,14 @@
             return False
         return False
 
+    def while_reading(self, callback: Callable[[], None] | None) -> None:
+        """Set a callback that runs now and then while a task reads; None for none.
+
+        It runs in that task, whether bytes come or not.
+        """
+        self._while_reading = callback
+        self._callback_due = self._clock.elapsed() + CALLBACK_INTERVAL
+
     def send(self, request: Request) -> None:
         """Send a request; a long body is sent in the background.
 
@@ -328,14 +340,25 @@
             return event
 
     def _receive(self, deadline: timedelta) -> bytes:
-        time_left = deadline - self._clock.elapsed()
-        if time_left <= timedelta():
-            raise ResponseTimeout("no answer in time")
+        while True:
+            now = self._clock.elapsed()
+            if now >= deadline:
+                raise ResponseTimeout("no answer in time")
+            if self._while_reading is None:
+                return self._receive_within(deadline - now)
+            if now < self._callback_due:
+                with suppress(ResponseTimeout):
+                    return self._receive_within(min(deadline, self._callback_due) - now)
+                continue
+            self._callback_due = now + CALLBACK_INTERVAL
+            self._while_reading()
+
+    def _receive_within(self, limit: timedelta) -> bytes:
         if self._closed:
             raise ConnectionLost("closed on this side")
         self._reading = True
         try:
-            data = receive(self._sock, READ_BYTES, time_left)
+            data = receive(self._sock, READ_BYTES, limit)
         except TimeoutError as error:
             raise ResponseTimeout("no answer in time") from error
         except OSError as error:
--- a/tests/gateway/streams/test_continuations.py
+++ b/tests/gateway/streams/test_continuations.py
@@ -10,6 +10,7 @@
     RolloutState,
     RolloutStatus,
 )
+from sassafrasdale.decisions.silence import STALL_TIME
 from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.deployment import Endpoint, EndpointState, RequestTraits
 from sassafrasdale.gateway.admission.attempt_starter import AttemptRequest
@@ -19,7 +20,6 @@
     Assignment,
     AssignmentRequest,
 )
-from sassafrasdale.gateway.exchange import STREAM_IDLE_TIMEOUT
 from sassafrasdale.gateway.peer_states import encode
 from sassafrasdale.gateway.streams.messages import StreamRow, stream_name
 from sassafrasdale.gateway.streams.records import Origin
@@ -227,7 +227,7 @@
 
     def pausing(sock, raw):
         sock.sendall(stream_head(raw) + chunk(event(1)))
-        sleep(STREAM_IDLE_TIMEOUT + SECOND / 4)
+        sleep(STALL_TIME + SECOND / 4)
         sock.sendall(chunk(event(2)) + b"0\r\n\r\n")
 
     world = StreamWorld(pausing, pausing)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -7,6 +7,7 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.decisions.blame import KNOWN_SOUND_PART
+from sassafrasdale.decisions.silence import STALL_TIME
 from sassafrasdale.decisions.strikes import Strike
 from sassafrasdale.deployment import EndpointState
 from sassafrasdale.green import sleep
@@ -257,20 +258,18 @@
     return script
 
 
-def test_the_last_engine_has_no_idle_timeout(monkeypatch):
+def test_the_last_engine_is_waited_for():
     """Guards against abandoning a stream that only pauses.
 
     The route allows two attempts. The first one fails at once; the second engine queues
-    the request and pauses after its first event for longer than the idle timeout that
-    applies while another engine is available.
+    the request and pauses after its first event for longer than a stalled stream is
+    left alone while another engine is available.
     """
-    monkeypatch.setattr(
-        "sassafrasdale.gateway.exchange.STREAM_IDLE_TIMEOUT", timedelta(milliseconds=50)
-    )
+    pause = (STALL_TIME * 1.3).total_seconds()
     world = World(routes=only_reports())
     engines = [
-        ScriptedEndpoint(respond_with(b"", "500 Error"), pausing(0.15, 0.15)),
-        ScriptedEndpoint(respond_with(b"", "500 Error"), pausing(0.15, 0.15)),
+        ScriptedEndpoint(respond_with(b"", "500 Error"), pausing(0.15, pause)),
+        ScriptedEndpoint(respond_with(b"", "500 Error"), pausing(0.15, pause)),
     ]
     world.add("i-0", "models", engines[0])
     caller = world.caller()
@@ -282,10 +281,7 @@
     assert body_of(response) == event(1) + event(2)
 
 
-def test_a_silent_engine_is_abandoned_for_another(monkeypatch):
-    monkeypatch.setattr(
-        "sassafrasdale.gateway.exchange.STREAM_IDLE_TIMEOUT", timedelta(milliseconds=50)
-    )
+def test_a_silent_engine_is_replaced_by_one_that_responds():
     world = World(routes=only_reports())
     unresponsive = ScriptedEndpoint(pausing(0, 5))
     world.add("i-0", "models", unresponsive)
