--- a/tests/guarantees/resuming_callers.py
+++ b/tests/guarantees/resuming_callers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import pairwise
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import connect, sleep, spawn
@@ -36,6 +37,13 @@
     sent_at: timedelta
     received: bytes = b""
     ended_at: timedelta | None = None
+    received_at: list[timedelta] = field(default_factory=list)
+
+    @property
+    def longest_gap(self) -> timedelta:
+        """Longest time without data, from the first data on."""
+        pairs = pairwise(self.received_at)
+        return max((late - early for early, late in pairs), default=timedelta())
 
     @property
     def status(self) -> int:
@@ -74,6 +82,11 @@
         """All events that the caller has received, with their versions."""
         return [event for attempt in self.attempts for event in attempt.events]
 
+    @property
+    def longest_gap(self) -> timedelta:
+        """Longest time without data within one of its attempts."""
+        return max(attempt.longest_gap for attempt in self.attempts)
+
     @property
     def last_event(self) -> int:
         """Number of the last event; 0 for none."""
@@ -229,6 +242,7 @@
             sock.sendall(data)
             while part := sock.recv(65_536):
                 attempt.received += part
+                attempt.received_at.append(CLOCK.elapsed())
                 if leave_after and any(n >= leave_after for n, _ in attempt.events):
                     return
         except OSError:
--- a/tests/guarantees/test_silent_endpoints.py
+++ b/tests/guarantees/test_silent_endpoints.py
@@ -85,3 +85,22 @@
     """Guards against sound runs that are abandoned before others can replace them."""
     play(fleet, [(1.3, 1.0)], change)
     assert not incomplete(fleet)
+
+
+def test_stalls_in_a_row_break_no_stream_off(fleet):
+    """Guards against retries that are spent in one stall and missing in the next."""
+    play(fleet, [(1.3, 1.0), (1.1, 0.6), (1.4, 1.0)], "route")
+    assert not incomplete(fleet)
+
+
+def test_a_long_stall_of_all_engines_breaks_no_stream_off(fleet):
+    """Guards against streams that are given up while no engine could resume them."""
+    play(fleet, [(2.5, 1.0)], "timeout")
+    assert not incomplete(fleet)
+
+
+def test_one_engine_s_long_stall_moves_its_streams(fleet):
+    """Guards against callers that wait for a silent engine while others respond."""
+    play(fleet, [(3.5, 1 / 6)], "")
+    assert not incomplete(fleet)
+    assert max(stream.longest_gap for stream in fleet.streams) < 2.5 * SECOND
