--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -7,20 +7,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
-from functools import cached_property
 
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
-from sassafrasdale.decisions.silence import (
-    STALL_TIME,
-    SilenceCause,
-    StartHedge,
-    blames_version,
-)
+from sassafrasdale.decisions.silence import SilenceCause
 from sassafrasdale.decisions.stream_versions import StreamBinding
-from sassafrasdale.decisions.strikes import PART_PREFIX
-from sassafrasdale.deployment import RequestKind
 from sassafrasdale.gateway.admission.attempt_starter import (
     AttemptRequest,
     AttemptStarter,
@@ -28,70 +20,45 @@
 from sassafrasdale.gateway.admission.terms import AdmissionTerms
 from sassafrasdale.gateway.admitted_requests import AdmittedRequest
 from sassafrasdale.gateway.advertisements.endpoint_gate import NO_ENDPOINT_RETRY_AFTER
+from sassafrasdale.gateway.attempt_sender import AttemptSender
 from sassafrasdale.gateway.attempts import Attempt
-from sassafrasdale.gateway.directory import EndpointRecord
 from sassafrasdale.gateway.events import EventSplitter
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
-from sassafrasdale.gateway.failures import (
-    CONNECTION_LOST,
-    NO_RESPONSE_IN_TIME,
-    NOT_CONNECTED,
-    AttemptFailed,
-    AttemptOutcome,
-    reason_of,
-)
+from sassafrasdale.gateway.failure_recorder import FailureRecorder, SendState
+from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome, reason_of
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import (
-    FORWARDER_LOST,
     MAX_FORWARDERS,
     EndpointPaths,
     ForwarderRefused,
-    ForwardWithheld,
-    Hop,
     Path,
 )
+from sassafrasdale.gateway.hedger import OUTRUN, RequestHedger
 from sassafrasdale.gateway.hedges import Hedge, HedgeResponse
-from sassafrasdale.gateway.quarantine.fingerprints import RequestFeatures
 from sassafrasdale.gateway.quarantine.quarantine import (
     QUARANTINE_RETRY_AFTER,
     QUARANTINED,
     RequestQuarantine,
 )
 from sassafrasdale.gateway.quarantine.soundness import RunProgress
-from sassafrasdale.gateway.silence_watch import SilenceWatch
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
-from sassafrasdale.green import spawn
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
     HttpError,
     MalformedResponse,
-    NotConnected,
 )
-from sassafrasdale.http.messages import Request, ResponseHead
+from sassafrasdale.http.messages import ResponseHead
 from sassafrasdale.http.server import ServerConnection
-from sassafrasdale.logs import request_context
-from sassafrasdale.platform.headers import (
-    REQUEST_ID,
-    EndpointHeaders,
-    caller_headers,
-    endpoint_request,
-    is_signed,
-    states_not_run,
-)
-from sassafrasdale.platform.signals import read_signals
+from sassafrasdale.platform.headers import caller_headers
 
 log = Logger("exchange")
 
-# Reason of an attempt whose hedge has responded first.
-OUTRUN = "hedge responded first"
 # Reason and Retry-After while this gateway is stopping; the balancer sends the retry to
 # another one.
 STOPPING = "stopping"
 STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 # Fraction of the time left after which a body that isn't whole is hedged.
 LONG_BODY_SHARE = 0.5
-# Most parts of a prompt in one log line.
-MAX_LOGGED_PARTS = 16
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
 MAX_EVENT_GAPS = 64
 
@@ -127,26 +94,40 @@
         self._last_end = last_end
         self._continuations = continuations
         self._quarantine = quarantine
-        self._paths = paths
         self._admitted = admitted
         self._caller = caller
         self._fleet = fleet
         self._clock = clock
-        self._attempts = 0
         self._tried: set[str] = set(admitted.avoided)
-        self._endpoint_crashed = False
         self._progress = RunProgress()
-        self._may_have_run = False
         self._splitter = EventSplitter(admitted.traits.resume_after)
         self._first_byte_at: timedelta | None = None
         self._waited = timedelta()
-        self._last_failure = ""
         self._not_retried = ""
-        self._endpoint: str | None = None
         self._last_attempt: Attempt | None = None
-        self._path: Path | None = None
-        self._watch: SilenceWatch | None = None
-        self._hedge: Hedge | None = None
+        self._failed_response: HedgeResponse | None = None
+        self._failures = FailureRecorder(admitted, fleet, quarantine, paths, clock)
+        self._sender = AttemptSender(
+            admitted,
+            fleet,
+            quarantine,
+            paths,
+            lambda: self._failures.features.fingerprint,
+            lambda: self._splitter.last_id,
+            clock,
+        )
+        self._hedger = RequestHedger(
+            admitted,
+            caller,
+            fleet,
+            paths,
+            starter,
+            self._sender,
+            self._failures,
+            self._state,
+            self._tried,
+            clock,
+        )
 
     @property
     def last_attempt(self) -> Attempt | None:
@@ -156,7 +137,8 @@
     @property
     def endpoint(self) -> str | None:
         """Name of the endpoint of the last attempt."""
-        return self._endpoint
+        attempt = self._last_attempt
+        return None if attempt is None else attempt.record.name
 
     @property
     def waited(self) -> timedelta:
@@ -166,7 +148,7 @@
     @property
     def attempts(self) -> int:
         """Number of attempts."""
-        return self._attempts
+        return self._sender.sent
 
     @property
     def first_byte_after(self) -> timedelta | None:
@@ -183,31 +165,34 @@
         :raises StreamBrokenOff: if a stream that has begun can't be resumed.
         :raises CallerDisconnected: if the caller disconnects.
         """
+        try:
+            return self._run_attempts()
+        except RequestRefused:
+            if self._failed_response is None:
+                raise
+            return self._answer(self._failed_response)
+
+    def _run_attempts(self) -> int:
         attempt, hedge = self._start_attempt(), None
         while True:
             try:
                 return self._run_attempt(attempt, hedge)
             except AttemptFailed as failure:
-                hedge, self._hedge = self._hedge, None
-                if hedge is not None:
-                    attempt = self._adopt(hedge)
-                    continue
-                if not self._may_send_again(failure):
-                    self._give_up(failure)
+                hedge = self._hedger.take()
+                if hedge is None:
+                    self._check_retry(failure)
             finally:
-                self._cancel_hedge()
-            attempt = self._start_attempt()
-
-    def _adopt(self, hedge: Hedge) -> Attempt:
-        """Have the request go on with its hedge."""
-        hedge.is_adopted = True
-        self._use(hedge.attempt)
-        return hedge.attempt
+                self._hedger.cancel()
+            if hedge is None:
+                attempt = self._start_attempt()
+            else:
+                attempt = hedge.attempt
+                self._use(attempt)
 
     def _start_attempt(self) -> Attempt:
         admitted = self._admitted
         self._give_up_if_quarantined()
-        is_retry = self._attempts > 0
+        is_retry = self._sender.sent > 0
         attempt = self._starter.start(
             AttemptRequest(
                 admitted.service,
@@ -236,7 +221,6 @@
                 software=attempt.record.endpoint.version or None,
                 events=self._splitter.count,
             )
-        self._endpoint = attempt.record.name
         self._last_attempt = attempt
 
     def _terms(self) -> AdmissionTerms | None:
@@ -251,7 +235,7 @@
         began_at = admitted.received_at - admitted.time_spent
         return AdmissionTerms(
             admitted.customer_name,
-            self._queue_priority(),
+            self._sender.priority,
             began_at,
             began_at + objective,
             admitted.deadline,
@@ -276,7 +260,7 @@
                 return self._run_on_path(attempt, hedge.path, hedge)
             return self._try_forwarders(attempt)
         except AttemptFailed as failure:
-            self._record_failure(attempt, failure, self._progress)
+            self._record_failure(attempt, failure)
             raise
         finally:
             self._fleet.finish_attempt(attempt)
@@ -285,16 +269,19 @@
         """Run an attempt, where it is forwarded by another peer if one refuses."""
         for _ in range(MAX_FORWARDERS - 1):
             try:
-                return self._run_on_path(attempt, self._open_path(attempt))
+                return self._run_on_path(attempt, self._sender.open_path(attempt))
             except ForwarderRefused as refusal:
                 log.info("forwarder refused", why=refusal.reason)
-        return self._run_on_path(attempt, self._open_path(attempt))
+        return self._run_on_path(attempt, self._sender.open_path(attempt))
 
     def _run_on_path(
         self, attempt: Attempt, path: Path, hedge: Hedge | None = None
     ) -> int:
-        self._path = path
-        self._caller.on_disconnect(self._close_paths)
+        def cancel() -> None:
+            path.close()
+            self._hedger.cancel()
+
+        self._caller.on_disconnect(cancel)
         try:
             if self._caller.is_disconnected:
                 raise CallerDisconnected
@@ -304,55 +291,28 @@
             self._fleet.record_disconnect(attempt)
             raise
         finally:
-            self._path = None
-            path.while_reading(None)
             self._caller.on_disconnect(None)
+            path.while_reading(None)
             path.release()
 
-    def _close_paths(self) -> None:
-        """Cancel what runs for a caller that has disconnected."""
-        if self._path is not None:
-            self._path.close()
-        self._cancel_hedge()
-
-    def _open_path(self, attempt: Attempt) -> Path:
-        admitted = self._admitted
-        hop = Hop(
-            attempt.record.name,
-            lambda: self._features.fingerprint,
-            admitted.route.repeatable,
-            admitted.deadline,
-            "" if attempt.binding is None else attempt.binding.version,
-            admitted.is_trial,
-        )
-        try:
-            path = self._paths.open(attempt.record, hop)
-        except NotConnected as error:
-            raise AttemptFailed(AttemptOutcome.NOT_SENT, NOT_CONNECTED) from error
-        attempt.forwarder = path.forwarder
-        return path
-
     def _forward(self, path: Path, attempt: Attempt, hedge: Hedge | None) -> int:
-        self._endpoint_crashed = False
+        self._failures.note_send()
         self._progress = RunProgress()
         if hedge is None:
             self._check_sendable(attempt)
-        self._watch_for_silence(path, attempt)
+        self._hedger.watch(path, attempt)
         try:
-            if hedge is not None:
-                response = hedge.wait()
+            if hedge is None:
+                response = HedgeResponse(self._sender.send(path, attempt))
             else:
-                head = self._send(path, self._endpoint_request(attempt), attempt)
-                response = HedgeResponse(head)
-            self._fleet.record_signals(attempt, read_signals(response.head))
+                response = hedge.wait()
             return self._relay_response(path, response, attempt)
         except HttpError as error:
             path.close()
             if isinstance(error, CallerDisconnected) or self._caller.is_disconnected:
                 raise CallerDisconnected from error
-            raise AttemptFailed(
-                AttemptOutcome.UNKNOWN, self._reason_of(error)
-            ) from error
+            reason = OUTRUN if self._hedger.outrun_by else reason_of(error)
+            raise AttemptFailed(AttemptOutcome.UNKNOWN, reason) from error
 
     def _check_sendable(self, attempt: Attempt) -> None:
         """Check that an attempt may be sent now.
@@ -363,288 +323,61 @@
             raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
         # It may have waited for its endpoint since it was checked.
         self._give_up_if_quarantined()
-        if self._admitted.deadline <= self._clock.elapsed():
+        if self._sender.time_left <= timedelta():
             raise AttemptFailed(AttemptOutcome.WITHHELD, "no time left")
 
-    def _endpoint_request(self, attempt: Attempt) -> Request:
-        admitted = self._admitted
-        headers = EndpointHeaders(
-            endpoint=attempt.record.name,
-            customer=admitted.customer_name,
-            time_left=admitted.deadline - self._clock.elapsed(),
-            priority=self._priority(),
-            resume_after=self._splitter.last_id,
-            fetch_from=attempt.source.endpoint.address if attempt.source else None,
-        )
-        return endpoint_request(admitted.request, headers)
-
-    def _reason_of(self, error: HttpError) -> str:
-        hedge = self._hedge
-        if hedge is not None and hedge.has_responded:
-            return OUTRUN
-        return reason_of(error)
-
-    def _send(self, path: Path, request: Request, attempt: Attempt) -> ResponseHead:
-        """Send a request and return the head of the endpoint's response.
-
-        A forwarded attempt that did not reach the endpoint does not count.
-        """
-        admitted = self._admitted
-        self._attempts += 1
-        is_retry = self._attempts > 1
-        if not path.forwarder:
-            self._fleet.count_attempt(attempt, is_retry=is_retry)
-        try:
-            path.send(request)
-            echoed = (REQUEST_ID, admitted.request.header(REQUEST_ID))
-            head = path.read_head(admitted.deadline, echoed)
-        except (ForwarderRefused, ForwardWithheld):
-            self._attempts -= 1
-            raise
-        except HttpError:
-            if path.forwarder:
-                self._fleet.count_attempt(attempt, is_retry=is_retry)
-            raise
-        if path.forwarder:
-            self._fleet.count_attempt(attempt, is_retry=is_retry)
-        return head
-
-    def _watch_for_silence(self, path: Path, attempt: Attempt) -> None:
-        """Have the attempt's reader consider a hedge now and then."""
-        admitted = self._admitted
-        if not admitted.route.repeatable or admitted.route.max_attempts < 2:
-            return
-        self._watch = SilenceWatch(
-            attempt.record,
-            self._alternatives,
-            self._paths.is_partitioned,
-            self._paths.begin_checks,
-            self._clock,
-        )
-        path.while_reading(self._consider_hedge)
-
-    def _alternatives(self) -> list[EndpointRecord]:
-        admitted = self._admitted
-        return self._fleet.alternatives(admitted.service, admitted.traits, self._tried)
-
-    def _may_hedge(self) -> bool:
-        admitted = self._admitted
-        return (
-            self._hedge is None
-            and self._attempts < admitted.route.max_attempts
-            and self._fleet.retry_budgets.allow_hedge(admitted.service, spend=False)
-        )
-
-    def _consider_hedge(self) -> None:
-        """Start a hedge if the silence of the response justifies one."""
-        watch = self._watch
-        if watch is None or not self._may_hedge():
-            return
-        match watch.judge():
-            case StartHedge(cause):
-                self._start_hedge(cause, watch)
-
-    def _start_hedge(self, cause: SilenceCause, watch: SilenceWatch) -> None:
-        """Start a hedge if all that it needs is there: endpoint, connection, budget."""
-        silence = watch.last
-        attempt = self._start_elsewhere(watch.unresponsive())
-        if attempt is None:
-            return
-        path = self._open_hedge_path(attempt)
-        if path is None:
-            self._fleet.finish_attempt(attempt)
-            return
-        self._tried.add(attempt.record.name)
-        hedge = self._hedge = Hedge(attempt, path, cause)
-        log.info(
-            "hedge started",
-            endpoint=attempt.record.name,
-            beside=self._endpoint,
-            cause=str(cause),
-            silent_ms=milliseconds(silence.lasted),
-            endpoint_heard_ms=optional_milliseconds(silence.heard),
-            others_responding_ms=optional_milliseconds(silence.others_responding),
-            retries_left=self._fleet.retry_budgets.left(attempt.service),
-            begun=self._caller.response_started,
-            events=self._splitter.count or None,
-        )
-        spawn(self._run_hedge, hedge)
-
-    def _open_hedge_path(self, attempt: Attempt) -> Path | None:
-        """Return a way to a hedge's endpoint; None if it may not be sent now."""
-        if self._is_quarantined():
-            return None
-        try:
-            path = self._open_path(attempt)
-        except AttemptFailed as failure:
-            log.info(
-                "hedge not started", endpoint=attempt.record.name, why=failure.reason
-            )
-            return None
-        budgets = self._fleet.retry_budgets
-        may_send = not self._caller.is_disconnected and self._fleet.may_send(attempt)
-        if may_send and budgets.allow_hedge(attempt.service, spend=True):
-            return path
-        path.release()
-        return None
-
-    def _start_elsewhere(self, excluded: set[str]) -> Attempt | None:
-        """Return a further attempt at an endpoint that was neither tried nor excluded.
-
-        It is not waited for if none has room.
-        """
-        admitted = self._admitted
-        try:
-            return self._starter.start(
-                AttemptRequest(
-                    admitted.service,
-                    admitted.traits,
-                    self._tried | excluded,
-                    admitted.route.name,
-                    is_retry=True,
-                )
-            )
-        except RequestRefused:
-            return None
-
-    def _run_hedge(self, hedge: Hedge) -> None:
-        """Run a hedge until its response has come; it then takes over."""
-        with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
-            try:
-                hedge.succeed(self._hedge_response(hedge))
-            except (HttpError, AttemptFailed) as error:
-                self._end_hedge(hedge, error)
-                return
-            if not hedge.is_adopted and self._path is not None:
-                # Wakes the reader of the first attempt, which then adopts the hedge.
-                self._path.close()
-
-    def _hedge_response(self, hedge: Hedge) -> HedgeResponse:
-        path, attempt = hedge.path, hedge.attempt
-        head = self._send(path, self._endpoint_request(attempt), attempt)
-        self._check_head(path, head)
-        succeeded = 200 <= head.status < 300
-        if head.status >= 500 or (self._caller.response_started and not succeeded):
-            raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
-        if self._admitted.route.kind is RequestKind.STREAM and succeeded:
-            return HedgeResponse(head)
-        return HedgeResponse(head, self._read_whole_body(path))
-
-    def _end_hedge(self, hedge: Hedge, error: HttpError | AttemptFailed) -> None:
-        """Record that a hedge has failed, unless it was cancelled."""
-        failure = error
-        if isinstance(error, HttpError):
-            failure = AttemptFailed(AttemptOutcome.UNKNOWN, self._reason_of(error))
-        hedge.fail(failure)
-        if hedge.is_adopted:
-            return
-        if self._hedge is hedge:
-            self._hedge = None
-        if not hedge.is_cancelled:
-            self._record_failure(hedge.attempt, failure, RunProgress())
-        self._release_hedge(hedge)
-
-    def _cancel_hedge(self) -> None:
-        hedge, self._hedge = self._hedge, None
-        if hedge is None:
-            return
-        log.info("hedge cancelled", endpoint=hedge.attempt.record.name)
-        hedge.cancel()
-        if hedge.has_responded:
-            self._release_hedge(hedge)
-
-    def _release_hedge(self, hedge: Hedge) -> None:
-        hedge.path.close()
-        hedge.path.release()
-        self._fleet.finish_attempt(hedge.attempt)
-
-    def _note_progress(self, patience: timedelta = STALL_TIME) -> None:
-        if self._watch is not None:
-            self._watch.note_progress(patience)
-
-    def _priority(self) -> int | None:
-        """Return the priority of a stream at its engine; None for plain services."""
-        if self._admitted.route.kind is not RequestKind.STREAM:
-            return None
-        return self._queue_priority()
-
-    def _queue_priority(self) -> int:
-        admitted = self._admitted
-        priority = admitted.route.priority
-        if admitted.customer is not None and admitted.customer.priority is not None:
-            priority = admitted.customer.priority
-        return max(priority, 0)
-
     def _relay_response(
         self, path: Path, response: HedgeResponse, attempt: Attempt
     ) -> int:
         head = response.head
-        self._check_head(path, head)
-        succeeded = 200 <= head.status < 300
-        if self._admitted.route.kind is RequestKind.STREAM and succeeded:
+        if self._sender.is_stream(head):
             return self._relay_stream(path, head, attempt)
-        body = response.body
-        if body is None:
+        if response.body is None:
             # A body may be long, so only one that takes much of the time is hedged.
-            time_left = self._admitted.deadline - self._clock.elapsed()
-            self._note_progress(time_left * LONG_BODY_SHARE)
-            body = self._read_whole_body(path)
-        self._cancel_hedge()
-        self._record_first_byte(attempt, is_prefilled=succeeded)
+            self._hedger.note_progress(self._sender.time_left * LONG_BODY_SHARE)
+            response = HedgeResponse(head, self._sender.read_body(path))
+        self._hedger.cancel()
+        self._record_first_byte(attempt, is_prefilled=head.succeeded)
         if head.status >= 500 and self._may_retry_status():
+            self._failed_response = response
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
         self._fleet.record_response(
             attempt, head.status, self._clock.elapsed() - attempt.began_at
         )
-        if succeeded:
+        if head.succeeded:
             self._record_success()
-        self._caller.answer(head.status, caller_headers(head), body)
-        return head.status
-
-    def _check_head(self, path: Path, head: ResponseHead) -> None:
-        """Check that a response is one of the endpoint that ran the request.
-
-        :raises AttemptFailed: if it states that the request did not run.
-        :raises MalformedResponse: if it is not signed.
-        """
-        if states_not_run(head):
-            path.read_body(self._admitted.deadline)
-            raise AttemptFailed(AttemptOutcome.NOT_RUN, f"refused with {head.status}")
-        if 200 <= head.status < 300 and not is_signed(head):
-            raise MalformedResponse("a success without a signature")
+        return self._answer(response)
 
-    def _read_whole_body(self, path: Path) -> bytes:
-        body = path.read_body(self._admitted.deadline)
-        path.check_complete(self._quarantine.is_serving)
-        return body
+    def _answer(self, response: HedgeResponse) -> int:
+        """Send a whole response to the caller, and return its status."""
+        head = response.head
+        self._caller.answer(head.status, caller_headers(head), response.body)
+        return head.status
 
     def _relay_stream(self, path: Path, head: ResponseHead, attempt: Attempt) -> int:
         """Relay a stream, complete events only."""
-        admitted = self._admitted
         splitter = self._splitter
         gaps: list[timedelta] = []
         last_at: timedelta | None = None
         try:
-            while data := path.read_data(admitted.deadline):
+            while data := path.read_data(self._admitted.deadline):
                 complete = splitter.feed(data)
                 if not complete:
                     # Bytes that end no event are no progress.
                     continue
-                # What the hedge would go on after is outdated.
-                self._cancel_hedge()
-                self._note_progress()
+                self._hedger.note_progress()
                 self._bind_stream(attempt)
                 now = self._clock.elapsed()
                 if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
                     gaps.append(now - last_at)
                 last_at = now
                 if self._progress.note_data(now):
-                    self._quarantine.record_progress(admitted.traits.parts)
+                    self._quarantine.record_progress(self._admitted.traits.parts)
                 self._record_first_byte(attempt)
                 if not self._caller.response_started:
                     self._caller.begin(head.status, caller_headers(head))
                 self._caller.write(complete)
-            self._cancel_hedge()
+            self._hedger.cancel()
             path.check_complete(self._quarantine.is_serving)
         except HttpError:
             splitter.drop_partial()
@@ -682,113 +415,34 @@
             self._first_byte_at = self._clock.elapsed()
             self._fleet.count_usage(self._admitted.customer)
 
-    def _record_failure(
-        self, attempt: Attempt, failure: AttemptFailed, progress: RunProgress
-    ) -> None:
-        if failure.outcome is AttemptOutcome.UNKNOWN:
-            self._may_have_run = True
-        is_counted = failure.outcome is not AttemptOutcome.WITHHELD
-        if failure.reason == OUTRUN:
-            is_counted = self._hedge.cause is SilenceCause.ENDPOINT
-        is_fault = failure.outcome is not AttemptOutcome.NOT_RUN
-        if is_counted:
-            self._fleet.record_failure(attempt, is_fault)
-        # This probes the endpoint, which takes time, so the failure is counted first.
-        crashed = self._check_crash(attempt, failure, progress)
-        if is_counted and is_fault and not crashed:
-            self._attribute_failure(attempt, failure)
-        if failure.reason in (CONNECTION_LOST, NOT_CONNECTED):
-            self._fleet.doubt_version(attempt)
-        self._last_failure = failure.reason
-        log.info(
-            "send failed",
-            endpoint=attempt.record.name,
-            software=attempt.record.endpoint.version or None,
-            endpoint_ended=crashed,
-            forwarder=attempt.forwarder or None,
-            fingerprint=self._features.fingerprint,
-            parts=self._logged_parts() if crashed else None,
-            outcome=str(failure.outcome),
-            why=failure.reason,
-            send=self._attempts,
-            begun=self._caller.response_started,
-            events=self._splitter.count or None,
-            left_ms=milliseconds(self._admitted.deadline - self._clock.elapsed()),
-            endpoint_silent_ms=self._silence_of(attempt.record),
-            all_silent_ms=optional_milliseconds(self._fleet.since_receipt()),
-        )
-
-    def _attribute_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
-        """Count a failure against the endpoint's version, or excuse the endpoint.
-
-        A lost link of this gateway says nothing of the endpoint, and the forwarder
-        knows best whether an endpoint that it has lost has crashed.
-        """
-        if failure.reason == FORWARDER_LOST:
-            self._fleet.excuse_failure(attempt)
-        elif attempt.forwarder:
-            if failure.outcome is AttemptOutcome.NOT_SENT:
-                self._fleet.withhold_report(attempt)
-        elif self._paths.is_partitioned(attempt.record):
-            self._fleet.excuse_failure(attempt)
-        elif failure.reason == NO_RESPONSE_IN_TIME:
-            if blames_version(self._fleet.since_receipt()):
-                self._fleet.record_version_failure(attempt)
-        elif failure.reason != OUTRUN:
-            self._fleet.record_version_failure(attempt)
-
-    def _silence_of(self, record: EndpointRecord) -> int | None:
-        received_at = record.pool.received_at
-        if received_at is None:
-            return None
-        return milliseconds(self._clock.elapsed() - received_at)
-
-    def _check_crash(
-        self, attempt: Attempt, failure: AttemptFailed, progress: RunProgress
-    ) -> bool | None:
-        """Return whether the endpoint has crashed; None if nothing suggests it."""
-        if failure.reason != CONNECTION_LOST or attempt.forwarder:
-            return None
-        self._paths.record_lost_connection(attempt.record)
-        record = attempt.record
-        self._endpoint_crashed = self._quarantine.record_lost_connection(
-            self._features,
-            record,
-            progress,
-            registered=self._fleet.is_registered(record),
-        )
-        return self._endpoint_crashed
+    def _record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
+        hedge = self._hedger.outrun_by
+        if failure.reason == OUTRUN and hedge is not None:
+            is_fault = hedge.cause is SilenceCause.ENDPOINT
+            self._failures.record_outrun(
+                attempt, failure, self._state(), is_fault=is_fault
+            )
+        else:
+            self._failures.record(attempt, failure, self._progress, self._state())
 
-    @cached_property
-    def _features(self) -> RequestFeatures:
-        admitted = self._admitted
-        return self._quarantine.features_of(
-            admitted.request, admitted.customer_name, admitted.traits.parts
+    def _state(self) -> SendState:
+        return SendState(
+            self._sender.sent, self._caller.response_started, self._splitter.count
         )
 
     def _give_up_if_quarantined(self) -> None:
         """End the request if it was quarantined after it was admitted."""
-        if self._is_quarantined():
+        if self._failures.is_quarantined:
             self._give_up(
                 AttemptFailed(AttemptOutcome.WITHHELD, QUARANTINED),
                 QUARANTINE_RETRY_AFTER,
             )
 
-    def _is_quarantined(self) -> bool:
-        if self._admitted.is_trial or self._quarantine.is_empty:
-            return False
-        return bool(self._quarantine.refused_feature(self._features))
-
-    def _logged_parts(self) -> list[str] | None:
-        """Return the first parts of the prompt that other requests may share."""
-        shared = self._features.parts[:MAX_LOGGED_PARTS]
-        return [part.removeprefix(PART_PREFIX) for part in shared] or None
-
     def _may_retry_status(self) -> bool:
         """Return whether a 5xx response may be retried at another endpoint."""
         return (
             self._admitted.route.repeatable
-            and self._attempts < self._admitted.route.max_attempts
+            and self._sender.may_send_more
             and self._fleet.has_alternative(
                 self._admitted.service, self._admitted.traits, self._tried
             )
@@ -797,9 +451,11 @@
             )
         )
 
-    def _may_send_again(self, failure: AttemptFailed) -> bool:
+    def _check_retry(self, failure: AttemptFailed) -> None:
+        """Give the request up unless it may be sent again after a failure."""
         self._not_retried = self._obstacle_to_retry(failure)
-        return not self._not_retried
+        if self._not_retried:
+            self._give_up(failure)
 
     def _obstacle_to_retry(self, failure: AttemptFailed) -> str:
         """Return why a failed request may not be sent again; empty if it may.
@@ -809,13 +465,13 @@
         admitted = self._admitted
         if failure.outcome is AttemptOutcome.UNKNOWN and not admitted.route.repeatable:
             return "may have run"
-        if self._endpoint_crashed and not self._quarantine.may_retry(self._features):
+        if self._failures.is_crash_suspect:
             return "may crash endpoints"
-        if self._clock.elapsed() >= admitted.deadline:
+        if self._sender.time_left <= timedelta():
             return "no time left"
-        if self._attempts == 0:
+        if self._sender.sent == 0:
             return ""
-        if self._attempts >= admitted.route.max_attempts:
+        if not self._sender.may_send_more:
             return "no attempt left"
         if failure.outcome is AttemptOutcome.WITHHELD:
             return ""
@@ -841,22 +497,22 @@
 
         :param retry_after: time after which its caller may come back.
         """
+        reason = self._failures.last_reason or failure.reason
         if self._caller.response_started:
             log.info(
                 "stream broken off",
-                why=self._last_failure or failure.reason,
+                why=reason,
                 not_continued=self._not_retried or failure.reason,
                 retries_left=self._fleet.retry_budgets.left(self._admitted.service),
                 events=self._splitter.count,
-                sends=self._attempts,
-                left_ms=milliseconds(self._admitted.deadline - self._clock.elapsed()),
+                sends=self._sender.sent,
+                left_ms=milliseconds(self._sender.time_left),
                 all_silent_ms=optional_milliseconds(self._fleet.since_receipt()),
             )
             self._caller.abort()
             raise StreamInterrupted(failure.reason)
-        reason = self._last_failure or failure.reason
-        if not self._may_have_run:
+        if not self._failures.may_have_run:
             raise RequestRefused(503, reason, retry_after=retry_after)
-        if self._clock.elapsed() >= self._admitted.deadline:
+        if self._sender.time_left <= timedelta():
             raise RequestRefused(504, reason)
         raise RequestRefused(502, reason)
--- /dev/null
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -0,0 +1,255 @@
+"""Hedging of one request's stalled attempts."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from logbook import Logger
+
+from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
+from sassafrasdale.decisions.silence import STALL_TIME, SilenceCause, StartHedge
+from sassafrasdale.gateway.admission.attempt_starter import (
+    AttemptRequest,
+    AttemptStarter,
+)
+from sassafrasdale.gateway.admitted_requests import AdmittedRequest
+from sassafrasdale.gateway.attempt_sender import AttemptSender
+from sassafrasdale.gateway.attempts import Attempt
+from sassafrasdale.gateway.directory import EndpointRecord
+from sassafrasdale.gateway.exceptions import RequestRefused
+from sassafrasdale.gateway.failure_recorder import FailureRecorder, SendState
+from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome, reason_of
+from sassafrasdale.gateway.fleet import Fleet
+from sassafrasdale.gateway.forwarding.paths import EndpointPaths, Path
+from sassafrasdale.gateway.hedges import Hedge, HedgeResponse
+from sassafrasdale.gateway.quarantine.soundness import RunProgress
+from sassafrasdale.gateway.silence_watch import SilenceWatch
+from sassafrasdale.green import spawn
+from sassafrasdale.http.exceptions import HttpError
+from sassafrasdale.http.server import ServerConnection
+from sassafrasdale.logs import request_context
+from sassafrasdale.platform.headers import REQUEST_ID
+
+log = Logger("exchange")
+
+# Reason of an attempt whose hedge has responded first.
+OUTRUN = "hedge responded first"
+
+
+class RequestHedger:
+    """Runs a second attempt of a request beside one that has stalled.
+
+    :param admitted: the request.
+    :param caller: the caller's connection.
+    :param fleet: knows endpoints and budgets.
+    :param paths: opens the way to an endpoint.
+    :param starter: starts attempts.
+    :param sender: sends them.
+    :param failures: records their failures.
+    :param state: returns what is logged of the request.
+    :param tried: names of the endpoints that the request was sent to.
+    :param clock: source of elapsed time.
+    """
+
+    def __init__(
+        self,
+        admitted: AdmittedRequest,
+        caller: ServerConnection,
+        fleet: Fleet,
+        paths: EndpointPaths,
+        starter: AttemptStarter,
+        sender: AttemptSender,
+        failures: FailureRecorder,
+        state: Callable[[], SendState],
+        tried: set[str],
+        clock: Clock,
+    ) -> None:
+        self._admitted = admitted
+        self._caller = caller
+        self._fleet = fleet
+        self._paths = paths
+        self._starter = starter
+        self._sender = sender
+        self._failures = failures
+        self._state = state
+        self._tried = tried
+        self._clock = clock
+        self._watch: SilenceWatch | None = None
+        self._first: Path | None = None
+        self._first_endpoint = ""
+        self._hedge: Hedge | None = None
+
+    @property
+    def outrun_by(self) -> Hedge | None:
+        """The hedge that has responded; None if none has."""
+        hedge = self._hedge
+        return hedge if hedge is not None and hedge.has_responded else None
+
+    def watch(self, path: Path, attempt: Attempt) -> None:
+        """Have the attempt's reader consider a hedge now and then."""
+        admitted = self._admitted
+        if not admitted.route.repeatable or admitted.route.max_attempts < 2:
+            return
+        self._first = path
+        self._first_endpoint = attempt.record.name
+        self._watch = SilenceWatch(
+            attempt.record,
+            self._alternatives,
+            self._paths.is_partitioned,
+            self._paths.begin_checks,
+            self._clock,
+        )
+        path.while_reading(self._consider)
+
+    def note_progress(self, patience: timedelta = STALL_TIME) -> None:
+        """Record that the attempt's response has made progress.
+
+        A hedge is cancelled: it would go on after what is outdated.
+
+        :param patience: time without progress that is usual from now on.
+        """
+        self.cancel()
+        if self._watch is not None:
+            self._watch.note_progress(patience)
+
+    def take(self) -> Hedge | None:
+        """Return the hedge, which the request goes on with; None if there is none."""
+        hedge, self._hedge = self._hedge, None
+        if hedge is not None:
+            hedge.is_adopted = True
+        return hedge
+
+    def cancel(self) -> None:
+        """Cancel the hedge, if there is one."""
+        hedge, self._hedge = self._hedge, None
+        if hedge is None:
+            return
+        log.info("hedge cancelled", endpoint=hedge.attempt.record.name)
+        hedge.cancel()
+        if hedge.has_responded:
+            self._release(hedge)
+
+    def _alternatives(self) -> list[EndpointRecord]:
+        admitted = self._admitted
+        return self._fleet.alternatives(admitted.service, admitted.traits, self._tried)
+
+    def _may_hedge(self) -> bool:
+        budgets = self._fleet.retry_budgets
+        return (
+            self._hedge is None
+            and self._sender.may_send_more
+            and budgets.allow_hedge(self._admitted.service, spend=False)
+        )
+
+    def _consider(self) -> None:
+        """Start a hedge if the silence of the response justifies one."""
+        if not self._may_hedge():
+            return
+        match self._watch.judge():
+            case StartHedge(cause):
+                self._start(cause)
+
+    def _start(self, cause: SilenceCause) -> None:
+        """Start a hedge if all that it needs is there: endpoint, connection, budget."""
+        silence = self._watch.last
+        attempt = self._start_attempt(self._watch.unresponsive())
+        if attempt is None:
+            return
+        path = self._open_path(attempt)
+        if path is None:
+            self._fleet.finish_attempt(attempt)
+            return
+        self._tried.add(attempt.record.name)
+        hedge = self._hedge = Hedge(attempt, path, cause)
+        state = self._state()
+        log.info(
+            "hedge started",
+            endpoint=attempt.record.name,
+            beside=self._first_endpoint,
+            cause=str(cause),
+            silent_ms=milliseconds(silence.lasted),
+            endpoint_heard_ms=optional_milliseconds(silence.heard),
+            others_responding_ms=optional_milliseconds(silence.others_responding),
+            retries_left=self._fleet.retry_budgets.left(attempt.service),
+            begun=state.has_begun,
+            events=state.events or None,
+        )
+        spawn(self._run, hedge)
+
+    def _start_attempt(self, excluded: set[str]) -> Attempt | None:
+        """Return an attempt at an endpoint that was neither tried nor is excluded.
+
+        It does not wait for room.
+        """
+        admitted = self._admitted
+        try:
+            return self._starter.start(
+                AttemptRequest(
+                    admitted.service,
+                    admitted.traits,
+                    self._tried | excluded,
+                    admitted.route.name,
+                    is_retry=True,
+                )
+            )
+        except RequestRefused as refusal:
+            log.info("hedge not started", why=refusal.reason)
+            return None
+
+    def _open_path(self, attempt: Attempt) -> Path | None:
+        """Return a way to the hedge's endpoint; None if it may not be sent now."""
+        if self._failures.is_quarantined:
+            return None
+        try:
+            path = self._sender.open_path(attempt)
+        except AttemptFailed as failure:
+            log.info(
+                "hedge not started", endpoint=attempt.record.name, why=failure.reason
+            )
+            return None
+        budgets = self._fleet.retry_budgets
+        may_send = not self._caller.is_disconnected and self._fleet.may_send(attempt)
+        if may_send and budgets.allow_hedge(attempt.service, spend=True):
+            return path
+        path.release()
+        return None
+
+    def _run(self, hedge: Hedge) -> None:
+        """Run a hedge until its response has come; it then takes over."""
+        with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
+            try:
+                hedge.succeed(self._response(hedge))
+            except (HttpError, AttemptFailed) as error:
+                self._end(hedge, error)
+                return
+            if not hedge.is_adopted and self._first is not None:
+                # Wakes the reader of the first attempt, which then takes the hedge.
+                self._first.close()
+
+    def _response(self, hedge: Hedge) -> HedgeResponse:
+        head = self._sender.send(hedge.path, hedge.attempt)
+        is_failure = self._caller.response_started and not head.succeeded
+        if head.status >= 500 or is_failure:
+            raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
+        if self._sender.is_stream(head):
+            return HedgeResponse(head)
+        return HedgeResponse(head, self._sender.read_body(hedge.path))
+
+    def _end(self, hedge: Hedge, error: HttpError | AttemptFailed) -> None:
+        """Record that a hedge has failed, unless it was cancelled."""
+        failure = error
+        if isinstance(error, HttpError):
+            reason = reason_of(error) if self.outrun_by is None else OUTRUN
+            failure = AttemptFailed(AttemptOutcome.UNKNOWN, reason)
+        hedge.fail(failure)
+        if hedge.is_adopted:
+            return
+        if self._hedge is hedge:
+            self._hedge = None
+        if not hedge.is_cancelled:
+            self._failures.record(hedge.attempt, failure, RunProgress(), self._state())
+        self._release(hedge)
+
+    def _release(self, hedge: Hedge) -> None:
+        hedge.path.close()
+        hedge.path.release()
+        self._fleet.finish_attempt(hedge.attempt)
--- a/src/sassafrasdale/http/messages.py
+++ b/src/sassafrasdale/http/messages.py
@@ -31,6 +31,11 @@
     status: int
     headers: Headers = ()
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the status is one of success."""
+        return 200 <= self.status < 300
+
     def header(self, name: str, default: str = "") -> str:
         """Return the first value of a header."""
         return find_header(self.headers, name, default)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 
 import pytest
 
@@ -147,6 +148,27 @@
         assert status_of(response) == 200
 
 
+def test_an_error_response_is_relayed_if_its_retry_fails():
+    """Guards against a response that is given up before a better one is there."""
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(respond_with(b"broken", "500 Error")))
+    caller = world.caller()
+    world.add("i-2", "records", ScriptedEndpoint(reset))
+    world.fleet.start_local_attempt = partial(
+        _prefer, "i-1", world.fleet.start_local_attempt
+    )
+    caller.send(request("/reports/open/7"))
+    response = caller.read()
+    assert status_of(response) == 500
+    assert response.endswith(b"broken")
+
+
+def _prefer(name, start, service, traits, tried, *args, **kwargs):
+    """Start an attempt at one endpoint first."""
+    others = {name} if tried else {"i-2"}
+    return start(service, traits, {*tried, *others}, *args, **kwargs)
+
+
 def test_attempts_are_limited_by_the_route():
     world = World()
     endpoints = [ScriptedEndpoint(reset) for _ in range(5)]
