Evidence checks notice kept connections that have died while new ones work

A stream whose connections died without a reset was hedged late: the checks that were to show another engine responding took kept connections, which had died as well, one after the other. A check that finds a kept connection silent is repeated on a new one; if that responds, the kept ones are dropped. After a mere stall both are silent, and all stay.

--- a/src/sassafrasdale/decisions/silence.py
+++ b/src/sassafrasdale/decisions/silence.py
@@ -30,6 +30,8 @@
 # An endpoint that accepts connections and does not respond may just be busy. Its link
 # is suspicious only if no endpoint at all has sent a byte for this time.
 TOTAL_SILENCE = timedelta(milliseconds=800)
+# Silences that are shorter justify nothing.
+MIN_SILENCE = min(PLAIN_SILENCE, EVIDENCE_TIME)
 
 
 class SilenceCause(StrEnum):
--- a/src/sassafrasdale/gateway/forwarding/checks.py
+++ b/src/sassafrasdale/gateway/forwarding/checks.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from random import Random
 
+from logbook import Logger
+
 from sassafrasdale.clock import Clock
 from sassafrasdale.deployment import Service
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
@@ -12,6 +14,8 @@
 from sassafrasdale.http.connections import ProbeResult
 from sassafrasdale.platform.signals import health_request
 
+log = Logger("links")
+
 # Time in which an endpoint must respond to a check.
 CHECK_TIMEOUT = timedelta(milliseconds=400)
 # Time in which other endpoints' responses that are on their way show that this gateway
@@ -86,7 +90,8 @@
     def begin(self, records: Sequence[EndpointRecord]) -> None:
         """Check some endpoints in the background, for the bytes of their responses.
 
-        Where a check would only open a connection, it shows nothing.
+        Where a check would only open a connection, it shows nothing. Where only new
+        connections respond, the kept ones are dropped.
         """
         for record in self._rng.sample(records, len(records)):
             if self._in_background >= MAX_BACKGROUND_CHECKS:
@@ -97,7 +102,11 @@
 
     def _check_in_background(self, record: EndpointRecord) -> None:
         try:
-            self.check(record, is_new=False)
+            if self.check(record, is_new=False) is not ProbeResult.SILENT:
+                return
+            if self.check(record, is_new=True) is ProbeResult.OPEN:
+                log.info("kept connections died", endpoint=record.name)
+                record.pool.close()
         finally:
             self._in_background -= 1
 
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -142,7 +142,7 @@
 
     def _consider(self) -> None:
         """Start a hedge if the silence of the response justifies one."""
-        if not self._may_hedge():
+        if not self._watch.is_quiet or not self._may_hedge():
             return
         match self._watch.judge():
             case StartHedge(cause):
--- a/src/sassafrasdale/gateway/silence_watch.py
+++ b/src/sassafrasdale/gateway/silence_watch.py
@@ -5,6 +5,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.silence import (
+    MIN_SILENCE,
     STALL_TIME,
     CollectEvidence,
     Responsiveness,
@@ -54,6 +55,11 @@
         """The silence that was judged last."""
         return self._last
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the response has made no progress for long enough to be judged."""
+        return self._clock.elapsed() - self._progress_at >= MIN_SILENCE
+
     def note_progress(self, patience: timedelta = STALL_TIME) -> None:
         """Record that the response has begun, or has made progress.
 
