--- a/src/sassafrasdale/gateway/attempt_sender.py
+++ b/src/sassafrasdale/gateway/attempt_sender.py
@@ -110,14 +110,26 @@
         attempt.forwarder = path.forwarder
         return path
 
+    def check(self, attempt: Attempt) -> None:
+        """Check that an attempt may be sent now.
+
+        :raises AttemptFailed: if its endpoint takes none, or no time is left.
+        """
+        if not self._fleet.may_send(attempt):
+            raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
+        if self.time_left <= timedelta():
+            raise AttemptFailed(AttemptOutcome.WITHHELD, "no time left")
+
     def send(self, path: Path, attempt: Attempt) -> ResponseHead:
         """Send the request and return the head of the endpoint's response.
 
         A forwarded attempt that did not reach the endpoint does not count.
 
-        :raises AttemptFailed: if the endpoint states that it did not run the request.
+        :raises AttemptFailed: if the endpoint takes no request now, or states that it
+            did not run this one.
         :raises HttpError: if there is no response.
         """
+        self.check(attempt)
         self._sent += 1
         is_retry = self._sent > 1
         if not path.forwarder:
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -299,7 +299,9 @@
         self._failures.note_send()
         self._progress = RunProgress()
         if hedge is None:
-            self._check_sendable(attempt)
+            self._sender.check(attempt)
+            # It may have waited for its endpoint since it was checked.
+            self._give_up_if_quarantined()
         self._hedger.watch(path, attempt)
         try:
             if hedge is None:
@@ -314,18 +316,6 @@
             reason = OUTRUN if self._hedger.outrun_by else reason_of(error)
             raise AttemptFailed(AttemptOutcome.UNKNOWN, reason) from error
 
-    def _check_sendable(self, attempt: Attempt) -> None:
-        """Check that an attempt may be sent now.
-
-        :raises AttemptFailed: if it may not.
-        """
-        if not self._fleet.may_send(attempt):
-            raise AttemptFailed(AttemptOutcome.WITHHELD, "endpoint takes none now")
-        # It may have waited for its endpoint since it was checked.
-        self._give_up_if_quarantined()
-        if self._sender.time_left <= timedelta():
-            raise AttemptFailed(AttemptOutcome.WITHHELD, "no time left")
-
     def _relay_response(
         self, path: Path, response: HedgeResponse, attempt: Attempt
     ) -> int:
--- a/tests/gateway/advertisements/test_endpoint_gate.py
+++ b/tests/gateway/advertisements/test_endpoint_gate.py
@@ -49,7 +49,7 @@
     assert not any(endpoint.requests for endpoint in endpoints)
 
 
-def test_only_the_exchange_sends_to_endpoints():
+def test_only_one_module_sends_to_endpoints():
     """Guards against another module that sends to them, and doesn't ask."""
     folder = Path(sassafrasdale.gateway.__file__).parent
     texts = {path.name: path.read_text("utf-8") for path in folder.rglob("*.py")}
@@ -57,12 +57,13 @@
     def users(text: str) -> set[str]:
         return {name for name, content in texts.items() if text in content}
 
-    # Connections are opened for requests by the exchange's paths, and for a peer's by
+    # Connections are opened for requests by the sender's paths, and for a peer's by
     # the receiver, which both ask the gate as they send.
     assert users(".pool.acquire(") == {"paths.py", "receiver.py"}
-    assert users("_paths.open(") == {"exchange.py"}
+    assert users("_paths.open(") == {"attempt_sender.py"}
+    assert users("path.send(") == {"attempt_sender.py", "receiver.py"}
     assert users("DirectPath(") - {"paths.py"} == {"receiver.py"}
-    assert "self._fleet.may_send(attempt)" in texts["exchange.py"]
+    assert "if not self._fleet.may_send(attempt)" in texts["attempt_sender.py"]
     assert "self._takes_requests(record)" in texts["receiver.py"]
 
 
