A request that arrives in a pause of the gateway is answered, not closed upon

What callers could see: a connection closed without a response although the request had been sent in time. It was idle, or half a head or a head without its body had come, as the gateway itself did not run (SIGSTOP, no processor time); after the pause the timer of the idle or header timeout was due before what had arrived was read.

Cause: the parser waits on a queue that the reading task fills, and the event loop runs expired timers before readable sockets.

Change: when the wait is over, the socket is looked at; if there are bytes, the reader is waited for. A caller that has sent nothing is still closed.

Measured: the three cases of test_a_request_that_arrives_as_the_server_stalls_is_answered failed before (connection closed, no response) and pass; that a half-sent head still times out after a pause passes before and after. Also tested, and sound as it was: a shorter timeout of a new configuration ends no wait that has begun.

--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -329,7 +329,8 @@
         try:
             return self._reads.get(timeout=limit.total_seconds())
         except Empty:
-            return b""
+            # After a stall of the process, timers are due before bytes are read.
+            return self._reads.get() if self._has_unread() else b""
 
     def _reject(self, error: MalformedRequest) -> None:
         log.info("malformed request rejected", why=error.message, status=error.status)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -9,7 +9,7 @@
 from sassafrasdale.http.server import HttpServer, ServerLimits
 from standins.gateway_fleet import wait_for
 from tests.http.wires import LOOPBACK, RawCaller, bound_address
-from tests.stalls import green_pair
+from tests.stalls import green_pair, hold_up
 
 CLOCK = SystemClock()
 
@@ -203,3 +203,66 @@
     caller.send(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
     sleep(timedelta(milliseconds=20))
     assert service.requests == []
+
+
+def stall_over(limit: timedelta, send) -> None:
+    """Block the process for longer than a limit; the caller's bytes come meanwhile."""
+    hold_up(2 * limit, send)
+
+
+@pytest.mark.parametrize(
+    ("before", "during"),
+    [
+        (b"", b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"),
+        (b"GET /a/ HTTP/1.1\r\n", b"Host: h\r\n\r\n"),
+        (
+            b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n",
+            b"ab",
+        ),
+    ],
+    ids=["no byte yet", "half a head", "a head without its body"],
+)
+def test_a_request_that_arrives_as_the_server_stalls_is_answered(before, during):
+    """Guards against closing connections whose requests came in a pause of the process.
+
+    After the pause its timers are due before it has read what has arrived.
+    """
+    limit = timedelta(milliseconds=150)
+    limits = ServerLimits(header_timeout=limit, idle_timeout=limit)
+    service = RecordingServer(limits=lambda: limits)
+    caller = RawCaller(service.address)
+    if before:
+        caller.send(before)
+    sleep(timedelta(milliseconds=20))
+    stall_over(limit, lambda: caller.send(during))
+    assert caller.read_some().startswith(b"HTTP/1.1 200")
+
+
+def test_a_stalled_request_still_times_out_after_a_pause():
+    """Guards against connections that stay open as the process has stalled."""
+    limit = timedelta(milliseconds=150)
+    limits = ServerLimits(header_timeout=limit, idle_timeout=limit)
+    service = RecordingServer(limits=lambda: limits)
+    caller = RawCaller(service.address)
+    caller.send(b"GET /a/ HT")
+    sleep(timedelta(milliseconds=20))
+    stall_over(limit, lambda: None)
+    assert caller.read(timedelta(seconds=1)) == b""
+
+
+@pytest.mark.parametrize("begun", [b"", b"GET /a/ HT"])
+def test_a_shorter_timeout_ends_no_wait_that_has_begun(begun):
+    """Guards against a configuration that closes connections under their callers."""
+    limits = ServerLimits(
+        header_timeout=timedelta(seconds=5), idle_timeout=timedelta(seconds=5)
+    )
+    service = RecordingServer(limits=lambda: limits)
+    caller = RawCaller(service.address)
+    if begun:
+        caller.send(begun)
+    sleep(timedelta(milliseconds=20))
+    short = timedelta(milliseconds=50)
+    limits = ServerLimits(header_timeout=short, idle_timeout=short)
+    sleep(timedelta(milliseconds=150))
+    caller.send(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"[len(begun) :])
+    assert caller.read_some().startswith(b"HTTP/1.1 200")
