A gateway that stops accepts what has connected before it closes its listener

What callers could see: a connection reset without a response in a planned stop. Their connection was established, in the listener's backlog, and their request sent, as the time for new connections ended; more likely after a pause of the gateway, as the timer that closes the listener is due before the accepting task runs. A request that had arrived on an idle connection and was not parsed yet did not count as busy either, so the process could exit under it.

Change: closing the server accepts the connections that are established and counts them from then on; a connection on which bytes have arrived is busy.

Measured: test_a_connection_in_the_backlog_is_served_as_the_server_closes failed before with ConnectionResetError, and passes.

--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -15,7 +15,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import Empty, Queue, receive, sleep, spawn
+from sassafrasdale.green import Empty, Queue, make_green, receive, sleep, spawn
 from sassafrasdale.http.exceptions import CallerDisconnected, MalformedRequest
 from sassafrasdale.http.messages import (
     Headers,
@@ -78,8 +78,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being received or handled."""
-        return self._busy
+        """Whether a request is being received or handled, or bytes have arrived."""
+        return self._busy or self._reads.qsize() > 0 or self._has_unread()
 
     @property
     def response_started(self) -> bool:
@@ -167,7 +167,7 @@
         A request whose bytes have arrived must be answered. One that arrives after the
         close must not be handled, or it would run without a response.
         """
-        if self._busy or self._reads.qsize() or self._has_unread():
+        if self.is_busy:
             return
         self._closed_while_idle = True
         self.close()
@@ -400,8 +400,7 @@
                 log.warning("accepting a connection failed", why=str(error))
                 sleep(ACCEPT_RETRY_DELAY)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            spawn(self._run, ServerConnection(sock, self))
+            self._start(sock)
 
     def handle(self, connection: ServerConnection, request: Request) -> None:
         """Pass a request to the handler."""
@@ -413,11 +412,27 @@
             connection.close_if_idle()
 
     def close(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections, after those that are established.
+
+        Closing the listener resets them, and their callers may have sent requests.
+        """
+        try:
+            while True:
+                sock, _ = self._listener.fd.accept()
+                self._start(make_green(sock))
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            log.warning("accepting a connection failed", why=str(error))
         self._listener.close()
 
-    def _run(self, connection: ServerConnection) -> None:
+    def _start(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = ServerConnection(sock, self)
         self._connections.add(connection)
+        spawn(self._run, connection)
+
+    def _run(self, connection: ServerConnection) -> None:
         try:
             connection.run()
         finally:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,5 +1,6 @@
 """The HTTP server against malformed requests, slow callers and disconnects."""
 
+import socket
 from datetime import timedelta
 
 import pytest
@@ -266,3 +267,29 @@
     sleep(timedelta(milliseconds=150))
     caller.send(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"[len(begun) :])
     assert caller.read_some().startswith(b"HTTP/1.1 200")
+
+
+def test_a_connection_in_the_backlog_is_served_as_the_server_closes():
+    """Guards against a reset of callers that connected before the listener closed."""
+    service = RecordingServer()
+    sleep()
+    callers = []
+
+    def connect_and_send():
+        for _ in range(3):
+            caller = socket.create_connection(
+                (service.address.host, service.address.port)
+            )
+            caller.sendall(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+            callers.append(caller)
+        # The process stalled; the timer that closes the listener is due first.
+        service.server.close()
+        service.server.close_idle()
+        assert service.server.busy_connections == 3
+
+    spawn(connect_and_send).wait()
+    for caller in callers:
+        sleep(timedelta(milliseconds=50))
+        caller.settimeout(2)
+        assert caller.recv(65536).startswith(b"HTTP/1.1 200")
+        caller.close()
