A stall of all endpoints ejects none of them

What callers could see: after a stall of all endpoints that outlasts the requests' own timeouts, most endpoints were left out for five to ten seconds, and the rest got all requests.

Cause: each response that does not come in time counts as a failure of its endpoint, two in a row eject it, and up to 70 % may be ejected. A stall of all says nothing of one of them.

Change: decisions/silence.py decides whether a silence is one of all: a request waits elsewhere as well, no byte has come from any endpoint for 0.4 s; it lasts until a byte comes. In it, a missing response is neutral, for this gateway and in its report to the dispatcher. An endpoint that alone is silent is blamed as before.

--- a/src/sassafrasdale/decisions/silence.py
+++ b/src/sassafrasdale/decisions/silence.py
@@ -131,6 +131,33 @@
     return all_silent is not None and all_silent < TOTAL_SILENCE
 
 
+class CommonStall:
+    """Whether all endpoints, or this gateway's network, have stalled.
+
+    It shows by requests that wait at several endpoints while no byte comes from any,
+    and lasts until one does. A response that does not come in it is no fault of its
+    endpoint.
+    """
+
+    def __init__(self) -> None:
+        self._seen_at: timedelta | None = None
+
+    def lasts(
+        self, all_silent: timedelta | None, waited_elsewhere: timedelta, now: timedelta
+    ) -> bool:
+        """Return whether there is one, for a response that an endpoint owes.
+
+        :param all_silent: time since bytes came from any endpoint; None if none ever
+            did.
+        :param waited_elsewhere: longest time for which a request waits at another
+            endpoint.
+        """
+        silent = now if all_silent is None else all_silent
+        if min(silent, waited_elsewhere) >= PLAIN_SILENCE:
+            self._seen_at = now
+        return self._seen_at is not None and now - self._seen_at <= silent
+
+
 class Responsiveness:
     """For how long endpoints have been responding, by samples of their last bytes."""
 
--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -211,6 +211,18 @@
         times = [at for at in times if at is not None]
         return self._clock.elapsed() - max(times) if times else None
 
+    def waited_elsewhere(self, record: EndpointRecord) -> timedelta:
+        """Return the longest time for which a request waits at another endpoint."""
+        now = self._clock.elapsed()
+        sent = [
+            connection.sent_at
+            for other in self._records.values()
+            if other is not record
+            for connection in other.connections
+            if connection.sent_at is not None
+        ]
+        return now - min(sent, default=now)
+
     def health_of(self, service: str) -> Health:
         """Return the health of a service's endpoints."""
         health = self._health.get(service)
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -6,6 +6,7 @@
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.request_times import RequestTimes
 from sassafrasdale.decisions.shares import DemandShares
+from sassafrasdale.decisions.silence import CommonStall
 from sassafrasdale.decisions.step_times import EngineStepTimes, low_gap
 from sassafrasdale.decisions.stream_versions import UNRESUMABLE_RETRY_AFTER
 from sassafrasdale.deployment import (
@@ -110,6 +111,7 @@
             self._prefill_times,
             self._peer_loads,
         )
+        self._common_stall = CommonStall()
         self._capacities: dict[str, float] = {}
         self._plain_endpoints = PlainEndpoints(directory, peering, configuration, clock)
         self._endpoint_times = EndpointTimes(
@@ -615,10 +617,13 @@
     def record_failure(self, attempt: Attempt, is_fault: bool) -> None:
         """Record an attempt without a response.
 
-        A refusal is no fault, but brittle endpoints bear few of them.
+        A refusal is no fault, but brittle endpoints bear few of them. Nor is a stall of
+        all endpoints a fault of one.
         """
         record = attempt.record
-        if is_fault:
+        if is_fault and self._has_stalled_with_others(record):
+            attempt.result = AttemptResult.NEUTRAL
+        elif is_fault:
             attempt.result = AttemptResult.FAILED
             self._directory.health_of(record.endpoint.service).observe(
                 record.name,
@@ -629,6 +634,14 @@
         else:
             self._gate.rooms.record_rejection(record.name)
 
+    def _has_stalled_with_others(self, record: EndpointRecord) -> bool:
+        directory = self._directory
+        return self._common_stall.lasts(
+            directory.since_receipt(),
+            directory.waited_elsewhere(record),
+            self._clock.elapsed(),
+        )
+
     def excuse_failure(self, attempt: Attempt) -> None:
         """Take back a failure that was not the endpoint's."""
         attempt.result = AttemptResult.NEUTRAL
--- a/tests/decisions/test_silence.py
+++ b/tests/decisions/test_silence.py
@@ -13,6 +13,7 @@
     STALL_TIME,
     TOTAL_SILENCE,
     CollectEvidence,
+    CommonStall,
     Responsiveness,
     Silence,
     SilenceCause,
@@ -117,3 +118,27 @@
     assert responsiveness.responding(MINUTE) == {}
     responsiveness.sample({"m-1": MINUTE}, MINUTE)
     assert responsiveness.responding(MINUTE) == {"m-1": timedelta()}
+
+
+@pytest.mark.parametrize(
+    ("all_silent", "waited_elsewhere", "lasts"),
+    [
+        (PLAIN_SILENCE, PLAIN_SILENCE, True),
+        (None, PLAIN_SILENCE, True),
+        (PLAIN_SILENCE - MILLISECOND, MINUTE, False),
+        (MINUTE, PLAIN_SILENCE - MILLISECOND, False),
+        (None, timedelta(), False),
+    ],
+)
+def test_a_stall_of_all_endpoints_shows(all_silent, waited_elsewhere, lasts):
+    """Guards against ejections of sound endpoints for a stall of all of them."""
+    assert CommonStall().lasts(all_silent, waited_elsewhere, MINUTE) == lasts
+
+
+def test_a_stall_of_all_endpoints_lasts_until_a_byte_comes():
+    """Guards against blame on the endpoint that owes the last response of a stall."""
+    stall = CommonStall()
+    assert stall.lasts(PLAIN_SILENCE, PLAIN_SILENCE, MINUTE)
+    later = MINUTE + MILLISECOND
+    assert stall.lasts(PLAIN_SILENCE + MILLISECOND, timedelta(), later)
+    assert not stall.lasts(timedelta(), timedelta(), later)
