A dispatcher that answers others is not passed over for one lost call

What callers could see: requests placed by their gateways' own data, next to the dispatcher's, for 0.5 s: engines chosen twice, places in the queue given up.

Cause: one call without an answer in 40 ms suspended the dispatcher for all requests of the gateway, even if it answered them meanwhile.

Change: it is suspended if nothing has come from it since the call, neither an answer nor the confirmation of a report (decisions/silence.py). The log line says whether it was. The request whose call was lost still chooses at once.

Measured: test_a_dispatcher_that_answers_others_is_asked_again failed before; that one which answers nobody is not asked passes before and after.

--- a/src/sassafrasdale/decisions/silence.py
+++ b/src/sassafrasdale/decisions/silence.py
@@ -131,6 +131,16 @@
     return all_silent is not None and all_silent < TOTAL_SILENCE
 
 
+def has_peer_stalled(asked_at: timedelta, heard_at: timedelta | None) -> bool:
+    """Return whether a peer that has not answered a call in time answers nobody.
+
+    :param asked_at: elapsed time at which the call was made.
+    :param heard_at: elapsed time of the peer's last answer to any call; None without
+        one.
+    """
+    return heard_at is None or heard_at <= asked_at
+
+
 class CommonStall:
     """Whether all endpoints, or this gateway's network, have stalled.
 
--- a/src/sassafrasdale/gateway/dispatcher_client.py
+++ b/src/sassafrasdale/gateway/dispatcher_client.py
@@ -9,6 +9,7 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.decisions.queued_requests import RequestKey
+from sassafrasdale.decisions.silence import has_peer_stalled
 from sassafrasdale.deployment import RequestTraits
 from sassafrasdale.gateway.admission.terms import AdmissionTerms
 from sassafrasdale.gateway.dispatcher_messages import (
@@ -24,8 +25,8 @@
 
 log = Logger("asking")
 
-# Time after an unanswered request in which the gateway chooses endpoints itself. Its
-# reports find out meanwhile whether there is another dispatcher.
+# Time in which the gateway chooses endpoints itself after the dispatcher has answered
+# none of its calls. Its reports find out meanwhile whether there is another dispatcher.
 FALLBACK_TIME = timedelta(milliseconds=500)
 # Results are batched for this long. A dispatcher that learns of a first token so much
 # later overestimates an engine's queue by two thousand tokens at the most.
@@ -62,6 +63,7 @@
         self._numbers = count(1)
         self._current: Contact | None = None
         self._suspended_until = timedelta()
+        self._heard_at: timedelta | None = None
         self._open: dict[int, Callable[[], None]] = {}
         self._first: list[FirstToken] = []
         self._ended: list[AttemptEnded] = []
@@ -128,16 +130,30 @@
         if terms is not None:
             now = self._clock.elapsed()
             request = request.with_terms(terms, now, is_queued=is_queued)
+        asked_at = self._clock.elapsed()
         reply = self._ask(contact, request)
-        if reply is None:
-            self._suspended_until = self._clock.elapsed() + FALLBACK_TIME
-            log.info("dispatcher gave no answer", peer=contact.name)
+        self._record_answer(contact, asked_at, is_answered=reply is not None)
         if reply is None or self._current != contact:
             # The dispatcher may have counted the attempt, and must not keep doing so.
             self.cancel(number)
             return None
         return reply
 
+    def _record_answer(
+        self, contact: Contact, asked_at: timedelta, *, is_answered: bool
+    ) -> None:
+        """Record whether a call was answered; suspend a dispatcher that has stalled."""
+        if self._current != contact:
+            return
+        now = self._clock.elapsed()
+        if is_answered:
+            self._heard_at = now
+            return
+        is_suspended = has_peer_stalled(asked_at, self._heard_at)
+        if is_suspended:
+            self._suspended_until = now + FALLBACK_TIME
+        log.info("dispatcher gave no answer", peer=contact.name, suspended=is_suspended)
+
     def cancel(self, number: int) -> None:
         """Record that an attempt is not wanted any more, whether it was assigned."""
         self._queue_end(AttemptEnded(number, AttemptResult.NEUTRAL))
@@ -200,13 +216,17 @@
         own = self._own
         # A lost report is made up for by the next load report, which lists the open
         # attempts.
-        self._report(contact, AttemptReport(own.name, own.incarnation, first, ended))
+        report = AttemptReport(own.name, own.incarnation, first, ended)
+        asked_at = self._clock.elapsed()
+        if self._report(contact, report):
+            self._record_answer(contact, asked_at, is_answered=True)
 
     def _switch_dispatcher(self, contact: Contact | None) -> None:
         """Count the open attempts locally if the dispatcher has changed."""
         if contact == self._current:
             return
         self._current = contact
+        self._heard_at = None
         self._first.clear()
         self._ended.clear()
         former, self._open = self._open, {}
--- a/tests/decisions/test_silence.py
+++ b/tests/decisions/test_silence.py
@@ -21,6 +21,7 @@
     Wait,
     blames_version,
     cause_of,
+    has_peer_stalled,
     is_link_suspicious,
     judge,
 )
@@ -142,3 +143,12 @@
     later = MINUTE + MILLISECOND
     assert stall.lasts(PLAIN_SILENCE + MILLISECOND, timedelta(), later)
     assert not stall.lasts(timedelta(), timedelta(), later)
+
+
+@pytest.mark.parametrize(
+    ("heard_at", "stalled"),
+    [(None, True), (MINUTE, True), (MINUTE + MILLISECOND, False)],
+)
+def test_a_peer_that_answers_others_has_not_stalled(heard_at, stalled):
+    """Guards against peers passed over as one of many calls has no answer in time."""
+    assert has_peer_stalled(MINUTE, heard_at) == stalled
--- a/tests/gateway/test_dispatcher_client.py
+++ b/tests/gateway/test_dispatcher_client.py
@@ -12,6 +12,7 @@
     DispatcherClient,
 )
 from sassafrasdale.gateway.dispatcher_messages import NO_ASSIGNMENT, AttemptResult
+from sassafrasdale.gateway.peer_calls import ASSIGNMENT_TIMEOUT
 from sassafrasdale.green import sleep, spawn
 from tests.gateway.fleets import contact
 
@@ -94,3 +95,50 @@
         reply = client.request_assignment(number, "models", RequestTraits("r"), ())
         assert reply == NO_ASSIGNMENT
     assert asked == [1, 2, 3]
+
+
+class SlowDispatcher:
+    """A dispatcher that answers calls after a time, or never in time."""
+
+    def __init__(self, takes):
+        self.asked = []
+        self._takes = takes
+        self._client = DispatcherClient(
+            contact("g-1"),
+            lambda: contact("central"),
+            self._ask,
+            lambda *_: True,
+            SystemClock(),
+        )
+
+    def _ask(self, _, request):
+        self.asked.append(request.number)
+        takes = self._takes[request.number - 1]
+        sleep(min(takes, ASSIGNMENT_TIMEOUT))
+        return None if takes > ASSIGNMENT_TIMEOUT else NO_ASSIGNMENT
+
+    def request(self):
+        number = self._client.next_number()
+        return self._client.request_assignment(number, "models", RequestTraits("r"), ())
+
+
+def test_a_dispatcher_that_answers_others_is_asked_again():
+    """Guards against a gateway that chooses alone as one call has no answer."""
+    never = 2 * ASSIGNMENT_TIMEOUT
+    dispatcher = SlowDispatcher([never, ASSIGNMENT_TIMEOUT / 4, timedelta()])
+    lost, answered = spawn(dispatcher.request), spawn(dispatcher.request)
+    assert lost.wait() is None
+    assert answered.wait() == NO_ASSIGNMENT
+    assert dispatcher.request() == NO_ASSIGNMENT
+    assert dispatcher.asked == [1, 2, 3]
+
+
+def test_a_dispatcher_that_answers_nobody_is_not_asked_for_a_while():
+    """Guards against requests that each wait for a dispatcher that has stalled."""
+    never = 2 * ASSIGNMENT_TIMEOUT
+    dispatcher = SlowDispatcher([timedelta(), never, never, timedelta()])
+    assert dispatcher.request() == NO_ASSIGNMENT
+    for task in [spawn(dispatcher.request) for _ in range(2)]:
+        assert task.wait() is None
+    assert dispatcher.request() is None
+    assert dispatcher.asked == [1, 2, 3]
