--- a/src/sassafrasdale/decisions/silence.py
+++ b/src/sassafrasdale/decisions/silence.py
@@ -133,6 +133,43 @@
     return all_silent is not None and all_silent < TOTAL_SILENCE
 
 
+def has_peer_stalled(asked_at: timedelta, heard_at: timedelta | None) -> bool:
+    """Return whether a peer that has not answered a call in time answers nobody.
+
+    :param asked_at: elapsed time at which the call was made.
+    :param heard_at: elapsed time of the peer's last answer to any call; None without
+        one.
+    """
+    return heard_at is None or heard_at <= asked_at
+
+
+class CommonStall:
+    """Whether all endpoints, or this gateway's network, have stalled.
+
+    It shows by requests that wait at several endpoints while no byte comes from any,
+    and lasts until one does. A response that does not come in it is no fault of its
+    endpoint.
+    """
+
+    def __init__(self) -> None:
+        self._seen_at: timedelta | None = None
+
+    def lasts(
+        self, all_silent: timedelta | None, waited_elsewhere: timedelta, now: timedelta
+    ) -> bool:
+        """Return whether there is one, for a response that an endpoint owes.
+
+        :param all_silent: time since bytes came from any endpoint; None if none ever
+            did.
+        :param waited_elsewhere: longest time for which a request waits at another
+            endpoint.
+        """
+        silent = now if all_silent is None else all_silent
+        if min(silent, waited_elsewhere) >= PLAIN_SILENCE:
+            self._seen_at = now
+        return self._seen_at is not None and now - self._seen_at <= silent
+
+
 class Responsiveness:
     """For how long endpoints have been responding, by samples of their last bytes."""
 
