What a plain service took in an overload no longer rejects all requests after it

What callers saw: after a moment in which all responses of a service took nearly as long as its deadline, a zone's dispatcher rejected every request with "would miss its deadline", with nothing ahead and all slots free. It did so until it was restarted, since no request started and so no response could correct the estimate. Where the estimate was only near the deadline, a third to a half of the room was used.

Cause: the time allowed for a response is a high quantile of the last 128 responses, however old they are. test_pressed_endpoints_do_not_fall_over runs into that beside other busy processes, since its endpoints are overloaded until they say that they are brittle. It is not the stand-in: pause() changes nothing where nobody pauses.

Change: the high time is that of the last second's responses, of at least sixteen. After a second without a response it is the time of quick responses, and after five seconds it is unknown. The usual time is as before.

--- a/src/sassafrasdale/decisions/latencies.py
+++ b/src/sassafrasdale/decisions/latencies.py
@@ -24,8 +24,15 @@
         self._recent.append(latency)
         insort(self._sorted, latency)
         if len(self._recent) > self._size:
-            oldest = self._recent.popleft()
-            del self._sorted[bisect_left(self._sorted, oldest)]
+            self.remove_oldest()
+
+    def remove_oldest(self) -> None:
+        """Remove the oldest latency.
+
+        :raises IndexError: if the window is empty.
+        """
+        oldest = self._recent.popleft()
+        del self._sorted[bisect_left(self._sorted, oldest)]
 
     def quantile(self, share: float) -> timedelta:
         """Return the latency that a fraction ``share`` of the window lies below.
--- a/src/sassafrasdale/decisions/response_times.py
+++ b/src/sassafrasdale/decisions/response_times.py
@@ -24,19 +24,63 @@
 KEPT_USUAL = 128
 MIN_KNOWN = 4
 MIN_USUAL = 16
-# Quantile of the response times by which nearly all requests end.
+# Quantile of the response times by which nearly all requests end, and that of requests
+# that no other ones delay.
 HIGH_QUANTILE = 0.9
+LOW_QUANTILE = 0.1
+# Time without any response, besides a usual one's, after which the earlier ones say
+# nothing about the next.
+RETENTION_TIME = timedelta(seconds=5)
 # Factors below this are within the variation of requests, and don't count.
 MIN_SLOWNESS = 1.5
 # An endpoint that seems slower than this has a fault, which its health shows better.
 MAX_SLOWNESS = 5.0
 
 
+class HighTime:
+    """Time that most of the latest responses take at the most.
+
+    Requests that would take too long are rejected. So what an overload has shown must
+    not outlast it: while all requests are rejected, no response can correct it.
+    """
+
+    def __init__(self) -> None:
+        self._recent = LatencyWindow(KEPT_USUAL)
+        self._observed_at: deque[timedelta] = deque(maxlen=KEPT_USUAL)
+
+    def observe(self, took: timedelta, now: timedelta) -> None:
+        """Record a response."""
+        self._recent.add(took)
+        self._observed_at.append(now)
+        self._remove_outdated(now)
+
+    def clear(self) -> None:
+        """Forget all responses."""
+        self._recent = LatencyWindow(KEPT_USUAL)
+        self._observed_at.clear()
+
+    def value(self) -> timedelta | None:
+        """Return the time; None if too few responses are known."""
+        if len(self._recent) < MIN_KNOWN:
+            return None
+        return self._recent.quantile(HIGH_QUANTILE)
+
+    def _remove_outdated(self, now: timedelta) -> None:
+        """Remove what is not recent, except the last responses of a slow service."""
+        while (
+            len(self._recent) > MIN_USUAL and now - self._observed_at[0] > RECENT_TIME
+        ):
+            self._recent.remove_oldest()
+            self._observed_at.popleft()
+
+
 class ResponseTimes:
     """Response times of one service's endpoints, as seen by one dispatcher."""
 
     def __init__(self) -> None:
         self._usual = LatencyWindow(KEPT_USUAL)
+        self._high = HighTime()
+        self._observed_at = timedelta()
         self._latest: dict[str, deque[tuple[timedelta, timedelta]]] = {}
 
     def observe(self, endpoint: str, took: timedelta, now: timedelta) -> None:
@@ -44,7 +88,11 @@
 
         :param took: time that the request took at the endpoint.
         """
+        if self._silence(now) > RECENT_TIME:
+            self._high.clear()
         self._usual.add(took)
+        self._high.observe(took, now)
+        self._observed_at = now
         latest = self._latest.setdefault(endpoint, deque(maxlen=KEPT_RESPONSES))
         latest.append((now, took))
 
@@ -54,11 +102,24 @@
             return None
         return self._usual.quantile(0.5)
 
-    def high_time(self) -> timedelta | None:
-        """Return the time that most responses take at the most; None if unknown."""
+    def high_time(self, now: timedelta) -> timedelta | None:
+        """Return the time that most responses take at the most; None if unknown.
+
+        If there has been no response for a while, it is the time of quick ones, and is
+        unknown later.
+        """
         if len(self._usual) < MIN_KNOWN:
             return None
-        return self._usual.quantile(HIGH_QUANTILE)
+        silence = self._silence(now)
+        if silence > RETENTION_TIME:
+            return None
+        high = self._high.value() if silence <= RECENT_TIME else None
+        return self._usual.quantile(LOW_QUANTILE) if high is None else high
+
+    def _silence(self, now: timedelta) -> timedelta:
+        """Return the time without a response, besides what a response takes."""
+        usual = self.usual_time() or timedelta()
+        return now - self._observed_at - usual
 
     def slowness(
         self, endpoints: Collection[str], now: timedelta
--- a/src/sassafrasdale/gateway/plain_endpoints.py
+++ b/src/sassafrasdale/gateway/plain_endpoints.py
@@ -76,7 +76,7 @@
 
     def high_time(self, service: str) -> timedelta | None:
         """Return the time that most responses of a service take at the most."""
-        return self._times_of(service).high_time()
+        return self._times_of(service).high_time(self._clock.elapsed())
 
     def observe(self, service: str, endpoint: str, took: timedelta) -> None:
         """Record a response of a plain service whose requests may wait."""
--- a/tests/decisions/test_response_times.py
+++ b/tests/decisions/test_response_times.py
@@ -9,6 +9,7 @@
     MIN_RESPONSES,
     MIN_SLOWNESS,
     RECENT_TIME,
+    RETENTION_TIME,
     ResponseTimes,
 )
 
@@ -79,3 +80,32 @@
     respond(times, "i-1", 4, 75, 50 * MS)
     times.forget("i-1")
     assert not times.slowness(NAMES, 60 * MS)
+
+
+def test_an_overload_that_is_over_leaves_no_high_time(times: ResponseTimes) -> None:
+    """Guards against requests that are all rejected for what earlier ones took.
+
+    Without requests there are no responses that could correct the estimate.
+    """
+    respond(times, "i-1", 100, 590, 50 * MS)
+    assert times.high_time(60 * MS) == 590 * MS
+    later = 700 * MS + RECENT_TIME
+    assert times.high_time(later) <= 40 * MS
+
+
+def test_a_few_responses_after_an_overload_correct_the_high_time(
+    times: ResponseTimes,
+) -> None:
+    """Guards against an estimate that takes a hundred responses to fall."""
+    respond(times, "i-1", 100, 590, 50 * MS)
+    later = 700 * MS + RECENT_TIME
+    respond(times, "i-1", 4, 30, later)
+    assert times.high_time(later) == 30 * MS
+
+
+def test_a_service_that_only_ever_overran_is_tried_again() -> None:
+    """Guards against a service that never recovers from a slow start."""
+    times = ResponseTimes()
+    respond(times, "i-1", 200, 590, timedelta())
+    assert times.high_time(MS) == 590 * MS
+    assert times.high_time(591 * MS + RETENTION_TIME) is None
--- a/tests/gateway/test_plain_dispatch.py
+++ b/tests/gateway/test_plain_dispatch.py
@@ -116,3 +116,14 @@
     for _ in range(MIN_USUAL):
         gateway.run(30 * MS, "p-a")
     assert gateway.fleet.endpoint_times.cost_of("records", TRAITS) == 30 * MS / 6
+
+
+def test_an_overload_that_is_over_leaves_no_long_time():
+    """Guards against requests that are all rejected for what earlier ones took."""
+    gateway = PlainGateway()
+    for number in range(100):
+        gateway.run((30 if number < MIN_USUAL else 590) * MS, "p-a")
+    times = gateway.fleet.endpoint_times
+    gateway.clock.advance(timedelta(seconds=2))
+    allowed = times.cost_of("records", TRAITS) + times.delay_of("records", 1)
+    assert allowed == 30 * MS + SEND_TIME
