No refusal tells its caller to come back after zero seconds

What callers saw: 503 with "retry-after: 0.00". A request that is rejected as its deadline passes has no time left, and the queue derives Retry-After from the time left; two decimals make a zero of what is below 5 ms. A caller that heeds it comes back at once.

Change: the frontend sends at least 0.01 s, its resolution. The queue's own value stays, since callers with little time left may retry in a third of it.

The new test failed before the change and passes after it.

--- a/src/sassafrasdale/gateway/frontend.py
+++ b/src/sassafrasdale/gateway/frontend.py
@@ -49,6 +49,9 @@
 
 # Retry-After while this gateway has no configuration yet.
 NOT_READY_RETRY_AFTER = timedelta(milliseconds=500)
+# Shortest Retry-After; a caller whose time is up gets no zero, which would have it come
+# back at once.
+MIN_RETRY_AFTER = timedelta(milliseconds=10)
 # Longest time that a request waits for a gateway that has just started.
 STARTUP_WAIT = timedelta(milliseconds=150)
 STARTUP_POLL_INTERVAL = timedelta(milliseconds=10)
@@ -263,7 +266,7 @@
         record.queue = refusal.inputs or None
         headers = []
         if refusal.retry_after is not None:
-            seconds = refusal.retry_after.total_seconds()
+            seconds = max(refusal.retry_after, MIN_RETRY_AFTER).total_seconds()
             headers.append(("retry-after", f"{seconds:.2f}"))
         try:
             caller.answer(refusal.status, headers)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -113,6 +113,15 @@
     assert float(header(response, "retry-after")) > 0
 
 
+def test_no_refusal_has_a_retry_after_of_zero():
+    """Guards against callers that come back at once, again and again."""
+    world = World()
+    world.quotas.admit = lambda *request: timedelta(milliseconds=3)
+    response = world.ask(request("/certificates/7"))
+    assert status_of(response) == 429
+    assert float(header(response, "retry-after")) > 0
+
+
 def test_a_non_idempotent_request_runs_at_most_once():
     """Guards against running a non-idempotent request twice.
 
