Streams without the end of an event: bounded, at constant cost per byte

Cause: the splitter concatenated and scanned the whole partial event at each read, and had no limit. Comments and repeated events counted as progress for ever, and an id of more than 4300 digits raised a ValueError.

Change: EventBlocks searches only new bytes. 1 MiB that do not advance the stream, by an id above all before or by data where there are no ids, are a malformed response. Only what advances a stream is progress for the watch; part of a first event, or a comment, begins its patience once.

--- a/src/sassafrasdale/gateway/events.py
+++ b/src/sassafrasdale/gateway/events.py
@@ -6,8 +6,16 @@
 
 import re
 
-_END = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"(?:^|\n)id:\s*(\d+)")
+from sassafrasdale.http.event_blocks import EventBlocks
+from sassafrasdale.http.exceptions import MalformedResponse
+
+# Maximum number of bytes in a row that don't advance the stream: an incomplete event,
+# comments, and events that repeat an id. Keep-alive comments take some bytes a second.
+MAX_IDLE_BYTES = 1024 * 1024
+# Ids count events, so longer ones are no ids.
+MAX_ID_DIGITS = 18
+_ID = re.compile(rb"(?:^|\n)id:[ \t]*(\d+)")
+_DATA = re.compile(rb"(?:^|\n)data:")
 
 
 class EventSplitter:
@@ -17,9 +25,12 @@
     """
 
     def __init__(self, last_id: int | None = None) -> None:
-        self._partial = b""
+        self._blocks = EventBlocks(MAX_IDLE_BYTES)
         self._last_id = last_id
+        self._highest_id = last_id
         self._count = 0
+        self._idle_bytes = 0
+        self._has_advanced = False
 
     @property
     def last_id(self) -> int | None:
@@ -34,20 +45,48 @@
     @property
     def has_partial(self) -> bool:
         """Whether bytes of an incomplete event are buffered."""
-        return bool(self._partial)
+        return self._blocks.partial_bytes > 0
+
+    @property
+    def has_advanced(self) -> bool:
+        """Whether the last bytes have advanced the stream.
+
+        Comments don't, nor do events without a new id in a stream that has ids.
+        """
+        return self._has_advanced
 
     def feed(self, data: bytes) -> bytes:
-        """Return the bytes of the events that are now complete."""
-        data = self._partial + data
-        end = 0
-        for match in _END.finditer(data):
-            end = match.end()
+        """Return the bytes of the events that are now complete.
+
+        :raises MalformedResponse: if too many bytes don't advance the stream, or an id
+            is too long.
+        """
+        self._has_advanced = False
+        complete = self._blocks.feed(data)
+        for block in complete:
             self._count += 1
-        complete, self._partial = data[:end], data[end:]
-        for match in _ID.finditer(complete):
-            self._last_id = int(match.group(1))
-        return complete
+            self._note(block)
+        self._idle_bytes = 0 if self._has_advanced else self._idle_bytes + len(data)
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            raise MalformedResponse(f"{MAX_IDLE_BYTES} bytes without a new event")
+        return b"".join(complete)
 
     def drop_partial(self) -> None:
         """Discard an incomplete event; the next endpoint sends all of it."""
-        self._partial = b""
+        self._blocks.drop_partial()
+        self._idle_bytes = 0
+
+    def _note(self, block: bytes) -> None:
+        """Record the id of a complete event, and whether it advances the stream."""
+        for match in _ID.finditer(block):
+            self._note_id(match.group(1))
+        if self._last_id is None and _DATA.search(block):
+            self._has_advanced = True
+
+    def _note_id(self, digits: bytes) -> None:
+        if len(digits) > MAX_ID_DIGITS:
+            raise MalformedResponse("the id of an event is too long")
+        self._last_id = int(digits)
+        if self._highest_id is None or self._last_id > self._highest_id:
+            self._highest_id = self._last_id
+            self._has_advanced = True
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -562,6 +562,17 @@
         if self._watch is not None:
             self._watch.note_progress(patience)
 
+    def _note_begun(self, *, is_event: bool) -> None:
+        """Have a stream that has sent no event be hedged if none is complete in time.
+
+        :param is_event: whether part of an event has come. Otherwise an engine sends
+            comments while it prefills, which may take long.
+        """
+        if self._watch is None or self._watch.has_begun:
+            return
+        time_left = self._admitted.deadline - self._clock.elapsed()
+        self._note_progress(STALL_TIME if is_event else time_left * LONG_BODY_SHARE)
+
     def _priority(self) -> int | None:
         """Return the priority of a stream at its engine; None for plain services."""
         if self._admitted.route.kind is not RequestKind.STREAM:
@@ -627,12 +638,14 @@
         try:
             while data := path.read_data(admitted.deadline):
                 complete = splitter.feed(data)
+                if splitter.has_advanced:
+                    # What the hedge would go on after is outdated.
+                    self._cancel_hedge()
+                    self._note_progress()
+                else:
+                    self._note_begun(is_event=not complete)
                 if not complete:
-                    # Bytes that end no event are no progress.
                     continue
-                # What the hedge would go on after is outdated.
-                self._cancel_hedge()
-                self._note_progress()
                 self._bind_stream(attempt)
                 now = self._clock.elapsed()
                 if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
--- a/src/sassafrasdale/gateway/silence_watch.py
+++ b/src/sassafrasdale/gateway/silence_watch.py
@@ -54,6 +54,11 @@
         """The silence that was judged last."""
         return self._last
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the response has begun."""
+        return self._has_begun
+
     def note_progress(self, patience: timedelta = STALL_TIME) -> None:
         """Record that the response has begun, or has made progress.
 
