--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -11,7 +11,7 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
-from sassafrasdale.decisions.silence import SilenceCause
+from sassafrasdale.decisions.silence import STALL_TIME, SilenceCause
 from sassafrasdale.decisions.stream_versions import StreamBinding
 from sassafrasdale.gateway.admission.attempt_starter import (
     AttemptRequest,
@@ -352,10 +352,12 @@
         try:
             while data := path.read_data(self._admitted.deadline):
                 complete = splitter.feed(data)
+                if splitter.has_advanced:
+                    self._hedger.note_progress()
+                else:
+                    self._note_begun(is_event=not complete)
                 if not complete:
-                    # Bytes that end no event are no progress.
                     continue
-                self._hedger.note_progress()
                 self._bind_stream(attempt)
                 now = self._clock.elapsed()
                 if last_at is not None and len(gaps) < MAX_EVENT_GAPS:
@@ -382,6 +384,15 @@
         self._record_success()
         return head.status
 
+    def _note_begun(self, *, is_event: bool) -> None:
+        """Have a stream that has sent no event be hedged if none is complete in time.
+
+        :param is_event: whether part of an event has come. Otherwise an engine sends
+            comments while it prefills, which may take long.
+        """
+        time_left = self._sender.time_left
+        self._hedger.note_begun(STALL_TIME if is_event else time_left * LONG_BODY_SHARE)
+
     def _record_success(self) -> None:
         admitted = self._admitted
         self._quarantine.record_success(
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -100,6 +100,14 @@
         )
         path.while_reading(self._consider)
 
+    def note_begun(self, patience: timedelta) -> None:
+        """Record that the attempt's response has begun, unless it had before.
+
+        :param patience: time without progress that is usual from now on.
+        """
+        if self._watch is not None and not self._watch.has_begun:
+            self._watch.note_progress(patience)
+
     def note_progress(self, patience: timedelta = STALL_TIME) -> None:
         """Record that the attempt's response has made progress.
 
--- a/src/sassafrasdale/gateway/silence_watch.py
+++ b/src/sassafrasdale/gateway/silence_watch.py
@@ -60,6 +60,11 @@
         """Whether the response has made no progress for long enough to be judged."""
         return self._clock.elapsed() - self._progress_at >= MIN_SILENCE
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the response has begun."""
+        return self._has_begun
+
     def note_progress(self, patience: timedelta = STALL_TIME) -> None:
         """Record that the response has begun, or has made progress.
 
