Hedges are started in a task of their own, so that the response is read meanwhile

A callback that took longer than its interval was due again at once, so the reader never read: a stream that went on was not relayed while a hedge could not connect.

--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -33,6 +33,9 @@
 
 # Reason of an attempt whose hedge has responded first.
 OUTRUN = "hedge responded first"
+# Time from a hedge that could not be started to the next try. Each may ask the
+# dispatcher and open a connection.
+START_INTERVAL = timedelta(milliseconds=500)
 
 
 class RequestHedger:
@@ -77,6 +80,8 @@
         self._first: Path | None = None
         self._first_endpoint = ""
         self._hedge: Hedge | None = None
+        self._starting: object | None = None
+        self._next_start_at = timedelta()
 
     @property
     def outrun_by(self) -> Hedge | None:
@@ -119,7 +124,8 @@
         return hedge
 
     def cancel(self) -> None:
-        """Cancel the hedge, if there is one."""
+        """Cancel the hedge, if there is one or one is being started."""
+        self._starting = None
         hedge, self._hedge = self._hedge, None
         if hedge is None:
             return
@@ -136,6 +142,8 @@
         budgets = self._fleet.retry_budgets
         return (
             self._hedge is None
+            and self._starting is None
+            and self._clock.elapsed() >= self._next_start_at
             and self._sender.may_send_more
             and budgets.allow_hedge(self._admitted.service, spend=False)
         )
@@ -146,15 +154,34 @@
             return
         match self._watch.judge():
             case StartHedge(cause):
-                self._start(cause)
+                # This may take long, and the response must be read meanwhile.
+                self._starting = token = object()
+                spawn(self._start_in_task, cause, token, self._watch)
 
-    def _start(self, cause: SilenceCause) -> None:
-        """Start a hedge if all that it needs is there: endpoint, connection, budget."""
-        silence = self._watch.last
-        attempt = self._start_attempt(self._watch.unresponsive())
+    def _start_in_task(
+        self, cause: SilenceCause, token: object, watch: SilenceWatch
+    ) -> None:
+        with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
+            try:
+                self._start(cause, token, watch)
+            finally:
+                self._next_start_at = self._clock.elapsed() + START_INTERVAL
+                if self._starting is token:
+                    self._starting = None
+
+    def _start(self, cause: SilenceCause, token: object, watch: SilenceWatch) -> None:
+        """Start a hedge if all that it needs is there: endpoint, connection, budget.
+
+        :param token: marks this start; another one is kept if it is no longer wanted.
+        """
+        silence = watch.last
+        attempt = self._start_attempt(watch.unresponsive())
         if attempt is None:
             return
-        path = self._open_path(attempt)
+        if self._starting is not token:
+            self._fleet.finish_attempt(attempt)
+            return
+        path = self._open_path(attempt, token)
         if path is None:
             self._fleet.finish_attempt(attempt)
             return
@@ -195,7 +222,7 @@
             log.info("hedge not started", why=refusal.reason)
             return None
 
-    def _open_path(self, attempt: Attempt) -> Path | None:
+    def _open_path(self, attempt: Attempt, token: object) -> Path | None:
         """Return a way to the hedge's endpoint; None if it may not be sent now."""
         if self._failures.is_quarantined:
             return None
@@ -207,8 +234,12 @@
             )
             return None
         budgets = self._fleet.retry_budgets
-        may_send = not self._caller.is_disconnected and self._fleet.may_send(attempt)
-        if may_send and budgets.allow_hedge(attempt.service, spend=True):
+        is_wanted = self._starting is token and not self._caller.is_disconnected
+        if (
+            is_wanted
+            and self._fleet.may_send(attempt)
+            and budgets.allow_hedge(attempt.service, spend=True)
+        ):
             return path
         path.release()
         return None
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -350,8 +350,9 @@
                 with suppress(ResponseTimeout):
                     return self._receive_within(min(deadline, self._callback_due) - now)
                 continue
-            self._callback_due = now + CALLBACK_INTERVAL
             self._while_reading()
+            # Counted from its end, so that data are read even if it takes long.
+            self._callback_due = self._clock.elapsed() + CALLBACK_INTERVAL
 
     def _receive_within(self, limit: timedelta) -> bytes:
         if self._closed:
--- a/tests/gateway/test_hedge_faults.py
+++ b/tests/gateway/test_hedge_faults.py
@@ -143,6 +143,7 @@
     wait_for(lambda: runs(first), "not sent")
     second = ScriptedEndpoint(healthy(streamed(2)))
     world.add("i-1", "models", second)
+    assert world.directory.records["i-1"].pool.probe()
     caller.read(4 * STALL_TIME)
     assert not runs(second)
 
