--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -292,7 +292,7 @@
             raise
         finally:
             self._caller.on_disconnect(None)
-            path.while_reading(None)
+            self._hedger.unwatch(path)
             path.release()
 
     def _forward(self, path: Path, attempt: Attempt, hedge: Hedge | None) -> int:
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -105,6 +105,11 @@
         )
         path.while_reading(self._consider)
 
+    def unwatch(self, path: Path) -> None:
+        """End the watch of an attempt whose connection may serve another request now."""
+        path.while_reading(None)
+        self._first = None
+
     def note_progress(self, patience: timedelta = STALL_TIME) -> None:
         """Record that the attempt's response has made progress.
 
@@ -248,10 +253,14 @@
         """Run a hedge until its response has come; it then takes over."""
         with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
             try:
-                hedge.succeed(self._response(hedge))
+                response = self._response(hedge)
             except (HttpError, AttemptFailed) as error:
                 self._end(hedge, error)
                 return
+            if hedge.is_cancelled and not hedge.is_adopted:
+                self._release(hedge)
+                return
+            hedge.succeed(response)
             if not hedge.is_adopted and self._first is not None:
                 # Wakes the reader of the first attempt, which then takes the hedge.
                 self._first.close()
