--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -96,10 +96,15 @@
             return
         self._first = path
         self._first_endpoint = attempt.record.name
+
+        def is_link_lost(record: EndpointRecord) -> bool:
+            # A peer that forwards uses its own link.
+            return not path.forwarder and self._paths.is_partitioned(record)
+
         self._watch = SilenceWatch(
             attempt.record,
             self._alternatives,
-            self._paths.is_partitioned,
+            is_link_lost,
             self._paths.begin_checks,
             self._clock,
         )
