A stream's hedge takes over with its first event, not with its head

An engine that fails between the two left nothing: the first attempt, which went on, had been closed, and the route's attempts were used up.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -4,7 +4,7 @@
 sent, the endpoint reports that it did not run the request, or it may have run.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from datetime import timedelta
 
@@ -47,7 +47,6 @@
     HttpError,
     MalformedResponse,
 )
-from sassafrasdale.http.messages import ResponseHead
 from sassafrasdale.http.server import ServerConnection
 from sassafrasdale.platform.headers import caller_headers
 
@@ -331,7 +330,7 @@
     ) -> int:
         head = response.head
         if self._sender.is_stream(head):
-            return self._relay_stream(path, head, attempt)
+            return self._relay_stream(path, response, attempt)
         if response.body is None:
             # A body may be long, so only one that takes much of the time is hedged.
             self._hedger.note_progress(self._sender.time_left * LONG_BODY_SHARE)
@@ -354,13 +353,23 @@
         self._caller.answer(head.status, caller_headers(head), response.body)
         return head.status
 
-    def _relay_stream(self, path: Path, head: ResponseHead, attempt: Attempt) -> int:
+    def _stream_data(self, path: Path, response: HedgeResponse) -> Iterator[bytes]:
+        """Yield a stream's data, those first that were read before."""
+        yield from filter(None, response.received)
+        if b"" not in response.received:
+            while data := path.read_data(self._admitted.deadline):
+                yield data
+
+    def _relay_stream(
+        self, path: Path, response: HedgeResponse, attempt: Attempt
+    ) -> int:
         """Relay a stream, complete events only."""
+        head = response.head
         splitter = self._splitter
         gaps: list[timedelta] = []
         last_at: timedelta | None = None
         try:
-            while data := path.read_data(self._admitted.deadline):
+            for data in self._stream_data(path, response):
                 complete = splitter.feed(data)
                 if not complete:
                     # Bytes that end no event are no progress.
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -15,6 +15,7 @@
 from sassafrasdale.gateway.attempt_sender import AttemptSender
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.directory import EndpointRecord
+from sassafrasdale.gateway.events import EventSplitter
 from sassafrasdale.gateway.exceptions import RequestRefused
 from sassafrasdale.gateway.failure_recorder import FailureRecorder, SendState
 from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome, reason_of
@@ -111,7 +112,7 @@
         path.while_reading(self._consider)
 
     def unwatch(self, path: Path) -> None:
-        """End the watch of an attempt whose connection may serve another request now."""
+        """End the watch; the connection may serve another request from now on."""
         path.while_reading(None)
         self._first = None
 
@@ -276,9 +277,22 @@
         if head.status >= 500 or is_failure:
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
         if self._sender.is_stream(head):
-            return HedgeResponse(head)
+            return HedgeResponse(head, received=self._read_event(hedge.path))
         return HedgeResponse(head, self._sender.read_body(hedge.path))
 
+    def _read_event(self, path: Path) -> tuple[bytes, ...]:
+        """Return a stream's data up to its first event, or to its end.
+
+        An engine may send a head long before its first event, and fail in between.
+        """
+        splitter = EventSplitter()
+        received = []
+        while True:
+            data = path.read_data(self._admitted.deadline)
+            received.append(data)
+            if not data or splitter.feed(data):
+                return tuple(received)
+
     def _end(self, hedge: Hedge, error: HttpError | AttemptFailed) -> None:
         """Record that a hedge has failed, unless it was cancelled."""
         failure = error
--- a/src/sassafrasdale/gateway/hedges.py
+++ b/src/sassafrasdale/gateway/hedges.py
@@ -19,10 +19,13 @@
     """What a hedge has received.
 
     :param body: the whole body; None for a stream, whose body is still to be read.
+    :param received: what was read of a stream's body so far; ends with no bytes if that
+        was all.
     """
 
     head: ResponseHead
     body: bytes | None = None
+    received: tuple[bytes, ...] = ()
 
 
 @dataclass(slots=True)
