--- a/tests/gateway/test_hedge_faults.py
+++ b/tests/gateway/test_hedge_faults.py
@@ -1,6 +1,7 @@
 """Hedges that fail, are cancelled late, or have no reason."""
 
 from datetime import timedelta
+from unittest.mock import patch
 
 from sassafrasdale.decisions.silence import STALL_TIME
 from sassafrasdale.green import sleep
@@ -224,3 +225,52 @@
 
     paths.open = open_slowly
     assert_relayed_at_once(stream)
+
+
+def test_a_hedge_never_responds_after_the_stream_has_gone_on():
+    """Guards against events that come twice: the hedge goes on after the first one."""
+
+    def slowly(sock, raw):
+        sock.sendall(stream_head(raw) + chunk(event(1)))
+        sleep(LONG_STALL)
+        sock.sendall(chunk(event(2)))
+        sleep(SECOND)
+        sock.sendall(chunk(event(3)) + END)
+
+    def late(sock, raw):
+        sleep(LONG_STALL - STALL_TIME + 300 * MILLISECOND)
+        streamed(2, 3)(sock, raw)
+
+    stream = StalledStream(slowly, healthy(late))
+    assert_whole(stream.read(), 1, 2, 3)
+    assert len(runs(stream.second)) == 1
+
+
+def test_a_failure_of_a_hedge_is_not_the_callers():
+    """Guards against a 5xx of a hedge that ends a sound run."""
+    failing = respond_with(status="500 Internal Server Error")
+    stream = StalledStream(stalling(LONG_STALL, 2, 3), healthy(failing))
+    assert_whole(stream.read(), 1, 2, 3)
+    assert len(runs(stream.second)) == 1
+
+
+def test_a_quarantined_request_is_not_hedged():
+    """Guards against a request that crashes one engine after the other by hedges."""
+    stream = StalledStream(stalling(LONG_STALL, 2), healthy(streamed(2)))
+    quarantine = type(stream.world.quarantine)
+    with (
+        patch.object(quarantine, "is_empty", property(lambda self: False)),
+        patch.object(quarantine, "refused_feature", lambda self, features: "f"),
+    ):
+        assert_whole(stream.read(), 1, 2)
+    assert not runs(stream.second)
+
+
+def test_an_engine_that_alone_has_stalled_is_no_crash_of_the_request():
+    """Guards against strikes for a stalled engine whose connection was closed here."""
+    stream = StalledStream(stalling(5 * STALL_TIME, 2), healthy(streamed(2, 3)))
+    strikes = []
+    quarantine = stream.world.quarantine
+    quarantine.record_lost_connection = lambda *args, **kwargs: strikes.append(args)
+    assert_whole(stream.read(), 1, 2, 3)
+    assert not strikes
