--- a/src/sassafrasdale/decisions/silence.py
+++ b/src/sassafrasdale/decisions/silence.py
@@ -59,6 +59,7 @@
     :param others_responding: longest time for which an endpoint that could take over
         has been responding; None if none does.
     :param is_link_lost: whether the link to its endpoint is known to be lost.
+    :param is_engine: whether its endpoint is an engine, which prefills first.
     """
 
     lasted: timedelta
@@ -66,6 +67,7 @@
     heard: timedelta | None = None
     others_responding: timedelta | None = None
     is_link_lost: bool = False
+    is_engine: bool = False
     patience: timedelta = STALL_TIME
 
 
@@ -91,7 +93,7 @@
 
 def cause_of(silence: Silence) -> SilenceCause:
     """Return what a silence is most likely due to."""
-    if silence.is_link_lost:
+    if silence.is_link_lost and _is_link_silent(silence):
         return SilenceCause.LINK
     responding = silence.others_responding
     if responding is None or responding < RESPONDING_TIME:
@@ -101,6 +103,16 @@
     return SilenceCause.ENDPOINT
 
 
+def _is_link_silent(silence: Silence) -> bool:
+    """Return whether no byte has come over a link for long.
+
+    Some lost links refuse new connections only.
+    """
+    heard = silence.lasted if silence.heard is None else silence.heard
+    limit = ENGINE_SILENCE if silence.is_engine else PLAIN_SILENCE
+    return min(silence.lasted, heard) >= limit
+
+
 def judge(silence: Silence) -> SilenceVerdict:
     """Return what a silence justifies.
 
@@ -109,7 +121,7 @@
     """
     cause = cause_of(silence)
     if cause is SilenceCause.LINK:
-        return StartHedge(cause) if silence.lasted >= PLAIN_SILENCE else Wait()
+        return StartHedge(cause)
     if not silence.has_begun or silence.lasted < min(EVIDENCE_TIME, silence.patience):
         return Wait()
     if silence.lasted < silence.patience or cause is SilenceCause.SERVICE:
--- a/src/sassafrasdale/gateway/forwarding/checks.py
+++ b/src/sassafrasdale/gateway/forwarding/checks.py
@@ -102,14 +102,27 @@
 
     def _check_in_background(self, record: EndpointRecord) -> None:
         try:
-            if self.check(record, is_new=False) is not ProbeResult.SILENT:
-                return
-            if self.check(record, is_new=True) is ProbeResult.OPEN:
+            if self._have_kept_connections_died(record):
                 log.info("kept connections died", endpoint=record.name)
                 record.pool.close()
         finally:
             self._in_background -= 1
 
+    def _have_kept_connections_died(self, record: EndpointRecord) -> bool:
+        """Check an endpoint on a kept connection, and on a new one if that is silent.
+
+        If the endpoint goes on after a stall, both respond at the same time.
+        """
+        kept = spawn(self.check, record, is_new=False)
+        sleep(CHECK_TIMEOUT / 2)
+        if kept.dead:
+            return False
+        is_open = self.check(record, is_new=True) is ProbeResult.OPEN
+        opened_at = self._clock.elapsed()
+        is_silent = kept.wait() is ProbeResult.SILENT
+        silent_on = self._clock.elapsed() - opened_at
+        return is_open and is_silent and silent_on >= CHECK_TIMEOUT / 4
+
     def _has_health_check(self, record: EndpointRecord) -> bool:
         path = self._service(record.endpoint.service).health_path
         return bool(path) and not self._is_brittle(record.name)
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -7,6 +7,7 @@
 
 from sassafrasdale.clock import Clock, milliseconds, optional_milliseconds
 from sassafrasdale.decisions.silence import STALL_TIME, SilenceCause, StartHedge
+from sassafrasdale.deployment import RequestKind
 from sassafrasdale.gateway.admission.attempt_starter import (
     AttemptRequest,
     AttemptStarter,
@@ -15,6 +16,7 @@
 from sassafrasdale.gateway.attempt_sender import AttemptSender
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.directory import EndpointRecord
+from sassafrasdale.gateway.events import EventSplitter
 from sassafrasdale.gateway.exceptions import RequestRefused
 from sassafrasdale.gateway.failure_recorder import FailureRecorder, SendState
 from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome, reason_of
@@ -33,6 +35,9 @@
 
 # Reason of an attempt whose hedge has responded first.
 OUTRUN = "hedge responded first"
+# Time from a hedge that could not be started to the next try. Each may ask the
+# dispatcher and open a connection.
+START_INTERVAL = timedelta(milliseconds=500)
 
 
 class RequestHedger:
@@ -77,6 +82,8 @@
         self._first: Path | None = None
         self._first_endpoint = ""
         self._hedge: Hedge | None = None
+        self._starting: object | None = None
+        self._next_start_at = timedelta()
 
     @property
     def outrun_by(self) -> Hedge | None:
@@ -91,12 +98,18 @@
             return
         self._first = path
         self._first_endpoint = attempt.record.name
+
+        def is_link_lost(record: EndpointRecord) -> bool:
+            # A peer that forwards uses its own link.
+            return not path.forwarder and self._paths.is_partitioned(record)
+
         self._watch = SilenceWatch(
             attempt.record,
             self._alternatives,
-            self._paths.is_partitioned,
+            is_link_lost,
             self._paths.begin_checks,
             self._clock,
+            is_engine=admitted.route.kind is RequestKind.STREAM,
         )
         path.while_reading(self._consider)
 
@@ -108,6 +121,11 @@
         if self._watch is not None and not self._watch.has_begun:
             self._watch.note_progress(patience)
 
+    def unwatch(self, path: Path) -> None:
+        """End the watch; the connection may serve another request from now on."""
+        path.while_reading(None)
+        self._first = None
+
     def note_progress(self, patience: timedelta = STALL_TIME) -> None:
         """Record that the attempt's response has made progress.
 
@@ -127,7 +145,8 @@
         return hedge
 
     def cancel(self) -> None:
-        """Cancel the hedge, if there is one."""
+        """Cancel the hedge, if there is one or one is being started."""
+        self._starting = None
         hedge, self._hedge = self._hedge, None
         if hedge is None:
             return
@@ -144,6 +163,8 @@
         budgets = self._fleet.retry_budgets
         return (
             self._hedge is None
+            and self._starting is None
+            and self._clock.elapsed() >= self._next_start_at
             and self._sender.may_send_more
             and budgets.allow_hedge(self._admitted.service, spend=False)
         )
@@ -154,15 +175,34 @@
             return
         match self._watch.judge():
             case StartHedge(cause):
-                self._start(cause)
+                # This may take long, and the response must be read meanwhile.
+                self._starting = token = object()
+                spawn(self._start_in_task, cause, token, self._watch)
+
+    def _start_in_task(
+        self, cause: SilenceCause, token: object, watch: SilenceWatch
+    ) -> None:
+        with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
+            try:
+                self._start(cause, token, watch)
+            finally:
+                self._next_start_at = self._clock.elapsed() + START_INTERVAL
+                if self._starting is token:
+                    self._starting = None
+
+    def _start(self, cause: SilenceCause, token: object, watch: SilenceWatch) -> None:
+        """Start a hedge if all that it needs is there: endpoint, connection, budget.
 
-    def _start(self, cause: SilenceCause) -> None:
-        """Start a hedge if all that it needs is there: endpoint, connection, budget."""
-        silence = self._watch.last
-        attempt = self._start_attempt(self._watch.unresponsive())
+        :param token: marks this start; another one is kept if it is no longer wanted.
+        """
+        silence = watch.last
+        attempt = self._start_attempt(watch.unresponsive())
         if attempt is None:
             return
-        path = self._open_path(attempt)
+        if self._starting is not token:
+            self._fleet.finish_attempt(attempt)
+            return
+        path = self._open_path(attempt, token)
         if path is None:
             self._fleet.finish_attempt(attempt)
             return
@@ -203,7 +243,7 @@
             log.info("hedge not started", why=refusal.reason)
             return None
 
-    def _open_path(self, attempt: Attempt) -> Path | None:
+    def _open_path(self, attempt: Attempt, token: object) -> Path | None:
         """Return a way to the hedge's endpoint; None if it may not be sent now."""
         if self._failures.is_quarantined:
             return None
@@ -215,8 +255,12 @@
             )
             return None
         budgets = self._fleet.retry_budgets
-        may_send = not self._caller.is_disconnected and self._fleet.may_send(attempt)
-        if may_send and budgets.allow_hedge(attempt.service, spend=True):
+        is_wanted = self._starting is token and not self._caller.is_disconnected
+        if (
+            is_wanted
+            and self._fleet.may_send(attempt)
+            and budgets.allow_hedge(attempt.service, spend=True)
+        ):
             return path
         path.release()
         return None
@@ -225,10 +269,14 @@
         """Run a hedge until its response has come; it then takes over."""
         with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
             try:
-                hedge.succeed(self._response(hedge))
+                response = self._response(hedge)
             except (HttpError, AttemptFailed) as error:
                 self._end(hedge, error)
                 return
+            if hedge.is_cancelled and not hedge.is_adopted:
+                self._release(hedge)
+                return
+            hedge.succeed(response)
             if not hedge.is_adopted and self._first is not None:
                 # Wakes the reader of the first attempt, which then takes the hedge.
                 self._first.close()
@@ -239,9 +287,23 @@
         if head.status >= 500 or is_failure:
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
         if self._sender.is_stream(head):
-            return HedgeResponse(head)
+            return HedgeResponse(head, received=self._read_event(hedge.path))
         return HedgeResponse(head, self._sender.read_body(hedge.path))
 
+    def _read_event(self, path: Path) -> tuple[bytes, ...]:
+        """Return a stream's data up to its first event, or to its end.
+
+        An engine may send a head long before its first event, and fail in between.
+        """
+        splitter = EventSplitter()
+        received = []
+        while True:
+            data = path.read_data(self._admitted.deadline)
+            received.append(data)
+            splitter.feed(data)
+            if not data or splitter.has_advanced:
+                return tuple(received)
+
     def _end(self, hedge: Hedge, error: HttpError | AttemptFailed) -> None:
         """Record that a hedge has failed, unless it was cancelled."""
         failure = error
--- a/src/sassafrasdale/gateway/silence_watch.py
+++ b/src/sassafrasdale/gateway/silence_watch.py
@@ -27,6 +27,7 @@
     :param record: the attempt's endpoint.
     :param alternatives: returns the endpoints that could take over.
     :param is_link_lost: returns whether the link to the endpoint is known to be lost.
+    :param is_engine: whether the endpoint is an engine.
     :param begin_checks: begins checks whether endpoints respond.
     :param clock: source of elapsed time.
     """
@@ -38,7 +39,10 @@
         is_link_lost: Callable[[EndpointRecord], bool],
         begin_checks: Callable[[Records], None],
         clock: Clock,
+        *,
+        is_engine: bool,
     ) -> None:
+        self._is_engine = is_engine
         self._record = record
         self._alternatives = alternatives
         self._is_link_lost = is_link_lost
@@ -103,6 +107,7 @@
             None if received_at is None else now - received_at,
             max(responding.values(), default=None),
             self._is_link_lost(self._record),
+            self._is_engine,
             self._patience,
         )
         return judge(self._last)
