Entry: a silent engine is given up only for one that responds

What callers could see: in a silence of all engines of some five seconds, a generation that runs only once ends with an unknown outcome though its engine goes on, and one that may be repeated is computed anew.

Cause: 2 s without an event, then 2 s without an answer on a fresh connection and a health check that times out count as the engine's death, whether another engine responds or not.

Change: a refused health check is a death as before. For a silent one, decisions/silence.py is asked: another engine that could take over has to respond for RESPONDING_TIME, the request has to be one that may be repeated, and this engine must still not respond then. Otherwise the stream is requested again there, to the caller's deadline. A line 'engine silent' says what was decided. The 2 s are a constant of decisions/silence.py now.

Measured: test_engines_that_stall_together_keep_their_streams, test_a_stream_that_may_not_run_twice_waits_for_its_silent_engine and test_engines_that_go_on_together_keep_their_streams failed before; that an engine which alone is silent is replaced passes before and after. tests/requests, tests/callers, tests/endpoints: 144 passed; guarantees/test_unresponsive_connections, test_streams, test_reclaims: 13 passed.

--- a/src/sassafrasdale/decisions/silence.py
+++ b/src/sassafrasdale/decisions/silence.py
@@ -23,6 +23,9 @@
 # Time for which another endpoint must have responded while this one has not. Endpoints
 # that have stalled together don't go on in the same instant.
 RESPONDING_TIME = timedelta(milliseconds=200)
+# Time without an event after which a stream that its engine keeps is requested on a
+# fresh connection: the old one may be dead while the engine still runs.
+REATTACH_TIME = timedelta(seconds=2)
 # Time without a byte, while requests wait, after which the link is diagnosed. An engine
 # prefills before it sends anything.
 PLAIN_SILENCE = timedelta(milliseconds=400)
--- a/src/sassafrasdale/requests/generation.py
+++ b/src/sassafrasdale/requests/generation.py
@@ -14,6 +14,7 @@
 
 from sassafrasdale.charts import Lifecycle, load_chart
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.silence import REATTACH_TIME, RESPONDING_TIME
 from sassafrasdale.endpoints.adapters import EventStream
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import (
@@ -34,7 +35,11 @@
 from sassafrasdale.requests.exceptions import EndpointLeaving
 from sassafrasdale.requests.gate import Gate
 from sassafrasdale.requests.placement import Placement, Progress
-from sassafrasdale.requests.stream_source import StreamSource
+from sassafrasdale.requests.stream_source import (
+    EngineState,
+    StreamSource,
+    check_engine,
+)
 from sassafrasdale.requests.structures import (
     Answered,
     ModelCall,
@@ -47,9 +52,6 @@
 
 log = Logger("generation")
 
-# Maximum time without events before the stream is requested again on a fresh
-# connection: the old one may be unresponsive for good while the engine still runs.
-SILENCE_TIMEOUT = timedelta(seconds=2)
 # Number of engines that may fail in one generation before it is given up.
 MAX_INTERRUPTIONS = 8
 RETRY_AFTER = timedelta(seconds=1)
@@ -361,7 +363,7 @@
                 self._call.call.request_id,
                 self._call.body,
                 self._source.start,
-                min(SILENCE_TIMEOUT, max(remaining, timedelta(milliseconds=1))),
+                min(REATTACH_TIME, max(remaining, timedelta(milliseconds=1))),
             )
             self._source.record_response()
             return self._collect_events(stream)
@@ -398,12 +400,28 @@
 
         :returns: False if the engine is considered dead.
         """
-        if self._source.resume_after_break(endpoint):
+        excluded = frozenset({*avoid, endpoint.name})
+        if self._source.resume_after_break(
+            endpoint, lambda: self._others_responding(excluded)
+        ):
             return True
         self._observe(endpoint, ok=False)
         self._source.switch_endpoint(endpoint, avoid)
         return False
 
+    def _others_responding(self, excluded: frozenset[str]) -> timedelta | None:
+        """Return for how long an engine that could take over has been responding.
+
+        :param excluded: engines that can't.
+        """
+        other = self._choose(excluded)
+        if other is None or check_engine(other) is not EngineState.RESPONDS:
+            return None
+        responded_at = self._clock.elapsed()
+        # Engines that have stalled together don't go on in the same instant.
+        sleep(RESPONDING_TIME)
+        return self._clock.elapsed() - responded_at
+
     def _answer(self) -> Outcome:
         ending = self._transcript.ending()
         if ending is None:
--- a/src/sassafrasdale/requests/stream_source.py
+++ b/src/sassafrasdale/requests/stream_source.py
@@ -1,5 +1,17 @@
 """The engine that runs a generation's stream, and how the next one starts it."""
 
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum, auto
+
+from logbook import Logger
+
+from sassafrasdale.decisions.silence import (
+    REATTACH_TIME,
+    Silence,
+    SilenceCause,
+    cause_of,
+)
 from sassafrasdale.endpoints.directory import Endpoint
 from sassafrasdale.endpoints.engines import (
     FromCache,
@@ -16,6 +28,17 @@
 from sassafrasdale.requests.structures import ModelCall
 from sassafrasdale.requests.transcript import Transcript
 
+log = Logger("stream source")
+
+
+class EngineState(Enum):
+    """What a health check shows of an engine."""
+
+    RESPONDS = auto()
+    # It may have stalled, or be gone without a reset.
+    SILENT = auto()
+    GONE = auto()
+
 
 class StreamSource:
     """The engines that run a generation's stream, one after the other.
@@ -113,9 +136,15 @@
             return False
         return self._call.call.idempotent
 
-    def resume_after_break(self, endpoint: Endpoint) -> bool:
+    def resume_after_break(
+        self,
+        endpoint: Endpoint,
+        others_responding: Callable[[], timedelta | None] = lambda: None,
+    ) -> bool:
         """Choose how to continue an interrupted or unresponsive stream.
 
+        :param others_responding: returns for how long an engine that could take over
+            has been responding; None if none does.
         :returns: False if the engine is considered dead.
         """
         self.wait_for_export()
@@ -131,12 +160,44 @@
         # unresponsive. So the stream is requested on a fresh connection before its
         # tokens are recomputed.
         reattach_failed = isinstance(self._start, Reattach) and not self._opened
-        if reattach_failed and not _is_alive(endpoint):
+        if reattach_failed and self._is_dead(endpoint, others_responding):
             return False
         endpoint.adapter.drop_connections()
         self._start = Reattach(received.tokens)
         return True
 
+    def _is_dead(
+        self, endpoint: Endpoint, others_responding: Callable[[], timedelta | None]
+    ) -> bool:
+        """Return whether an engine is considered dead.
+
+        One that is silent may have stalled and go on. It is given up only if another
+        one responds, may run the request, and this one has still not responded then.
+        """
+        state = check_engine(endpoint)
+        if state is not EngineState.SILENT:
+            return state is EngineState.GONE
+        cause = SilenceCause.SERVICE
+        if self._call.call.idempotent:
+            silence = Silence(
+                REATTACH_TIME,
+                has_begun=bool(self._transcript.events),
+                others_responding=others_responding(),
+            )
+            cause = cause_of(silence)
+        is_dead = (
+            cause is not SilenceCause.SERVICE
+            and check_engine(endpoint) is not EngineState.RESPONDS
+        )
+        log.info(
+            "engine silent",
+            endpoint=endpoint.name,
+            request_id=self._call.call.request_id,
+            cause=str(cause),
+            given_up=is_dead,
+        )
+        return is_dead
+
     def switch_endpoint(self, endpoint: Endpoint, avoid: set[str]) -> None:
         """Choose how to continue on another endpoint than ``endpoint``.
 
@@ -153,8 +214,8 @@
         self._start = Recompute(received.tokens, received.text)
 
 
-def _is_alive(endpoint: Endpoint) -> bool:
-    """Return whether the engine responds to a health check.
+def check_engine(endpoint: Endpoint) -> EngineState:
+    """Return what a health check shows of an engine.
 
     A queued stream has no events for a long time. Considering its engine dead would
     send the request to one engine after the other while their queues are long, and
@@ -162,6 +223,8 @@
     """
     try:
         check_health(endpoint.adapter)
+    except ResponseLost:
+        return EngineState.SILENT
     except EndpointError:
-        return False
-    return True
+        return EngineState.GONE
+    return EngineState.RESPONDS
--- a/tests/requests/test_generation.py
+++ b/tests/requests/test_generation.py
@@ -71,6 +71,83 @@
     assert b'"continuation": "a"' in other.requests[0].body
 
 
+class StallingAdapter(FakeAdapter):
+    """Connections to an engine whose health checks time out until a stall ends."""
+
+    def __init__(self, streams, timeouts):
+        super().__init__(streams, {"health": {}})
+        self._timeouts = timeouts
+
+    def ask(self, method, target, *, document=None, limit=None):
+        response = super().ask(method, target, document=document, limit=limit)
+        if len(self.asked) <= self._timeouts:
+            raise ResponseLost("no answer in time")
+        return response
+
+
+def _stalled_stream(reattachments):
+    broken = [[token("a")], ResponseLost("silent")]
+    silent = [ResponseLost("silent")] * reattachments
+    return [broken, *silent, [WHOLE[1:]]]
+
+
+def test_engines_that_stall_together_keep_their_streams():
+    """Guards against a stream computed anew as all engines are silent for seconds."""
+    engine = StallingAdapter(_stalled_stream(2), timeouts=9)
+    other = StallingAdapter([], timeouts=9)
+    made = generation(
+        Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
+        clock=SystemClock(),
+        call=_call_from_now(),
+    )
+    made.run()
+    assert made.events == WHOLE
+    assert other.requests == []
+
+
+def test_a_stream_that_may_not_run_twice_waits_for_its_silent_engine():
+    """Guards against a sound run given up although nothing may replace it."""
+    engine = StallingAdapter(_stalled_stream(2), timeouts=9)
+    other = StallingAdapter([], timeouts=0)
+    seconds = SystemClock().elapsed().total_seconds() + 30
+    made = generation(
+        Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
+        clock=SystemClock(),
+        call=model_call(key="key-1", seconds=seconds),
+    )
+    made.run()
+    assert made.events == WHOLE
+    assert other.requests == []
+
+
+def test_engines_that_go_on_together_keep_their_streams():
+    """Guards against a stream computed anew at the first engine that goes on."""
+    engine = StallingAdapter(_stalled_stream(1), timeouts=1)
+    other = StallingAdapter([], timeouts=0)
+    made = generation(
+        Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
+        clock=SystemClock(),
+        call=_call_from_now(),
+    )
+    made.run()
+    assert made.events == WHOLE
+    assert other.requests == []
+
+
+def test_an_engine_that_alone_is_silent_is_replaced():
+    """Guards against streams that wait for an engine that is gone without a reset."""
+    engine = StallingAdapter(_stalled_stream(1)[:2], timeouts=9)
+    other = StallingAdapter([[WHOLE[1:]]], timeouts=0)
+    made = generation(
+        Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
+        clock=SystemClock(),
+        call=_call_from_now(),
+    )
+    made.run()
+    assert made.events == WHOLE
+    assert b'"continuation": "a"' in other.requests[0].body
+
+
 def test_a_started_request_waits_for_an_engine():
     """A started stream ends with an error during a reclaim.
 
