A connection that opened while the process was stalled is used

What callers could see: after a pause of the gateway itself, requests that were just connecting were sent elsewhere or refused, and the endpoints that they were meant for lost weight: 'not connected' counts as a failure of the endpoint, of its version, and starts a diagnosis of the link.

Cause: the timer of the connection is due before the event loop has seen that the socket is connected.

Change: as its time is over, the socket itself is asked: connected, refused, or neither yet.

Measured: test_a_connection_that_opened_while_the_process_stalled_is_used failed before with TimeoutError (the kernel's second SYN is answered in the stall); test_a_connection_that_is_not_accepted_times_out passes before and after. tests/test_green.py 10 passed; tests/http, gateway/quarantine and gateway/forwarding, with the bounds of the test file, 221 passed.

--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -117,13 +117,35 @@
 
     :raises OSError: if the connection is not established within ``limit``.
     """
-    sock = green_socket.create_connection(
-        (address.host, address.port), limit.total_seconds()
-    )
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = green_socket.socket(family, socket.SOCK_STREAM)
+    sock.settimeout(limit.total_seconds())
+    try:
+        _connect(sock, address)
+    except BaseException:
+        sock.close()
+        raise
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
+def _connect(sock: socket.socket, address: Address) -> None:
+    """Connect a green socket, also if that was done while the process was stalled.
+
+    The event loop runs expired timers before writable sockets.
+    """
+    try:
+        sock.connect((address.host, address.port))
+    except TimeoutError as error:
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, os.strerror(code)) from error
+        try:
+            sock.getpeername()
+        except OSError:
+            raise error from None
+
+
 def receive(sock: socket.socket, size: int, limit: timedelta | None = None) -> bytes:
     """Receive bytes from a green socket, waiting if there are none.
 
--- a/tests/guarantees/test_stalled_engines.py
+++ b/tests/guarantees/test_stalled_engines.py
@@ -33,7 +33,7 @@
 
 @pytest.mark.parametrize("seconds", [2.5, 6.0])
 def test_generations_that_begin_in_a_stall_of_all_engines(seconds):
-    """Guards against new generations broken off, or sent to one engine after another."""
+    """Guards against new generations broken off, or sent from engine to engine."""
     with start_fleet(step_ms=40) as fleet, CallerPool(Balancer(fleet.entries)) as crowd:
         engines = fleet.endpoints_of(MODEL)
         for engine in engines:
--- a/tests/test_green.py
+++ b/tests/test_green.py
@@ -101,3 +101,28 @@
         address = Address(*listener.getsockname())
     with pytest.raises(ConnectionRefusedError):
         connect(address, LIMIT)
+
+
+# The kernel repeats the first packet of a connection after a second.
+SYN_REPETITION = timedelta(seconds=1)
+
+
+def test_a_connection_that_opened_while_the_process_stalled_is_used():
+    """Guards against endpoints blamed for a pause of this process."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        address = Address(*listener.getsockname())
+        filler = socket.create_connection(listener.getsockname())
+        task = spawn(connect, address, SYN_REPETITION / 2)
+        hold_up(1.4 * SYN_REPETITION, listener.accept)
+        task.wait().close()
+        filler.close()
+
+
+def test_a_connection_that_is_not_accepted_times_out():
+    """Guards against a time-out that is taken for a connection."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        address = Address(*listener.getsockname())
+        filler = socket.create_connection(listener.getsockname())
+        with pytest.raises(TimeoutError):
+            connect(address, LIMIT)
+        filler.close()
