An endpoint that is silent as it is asked whether it leaves is asked again

What callers could see: an endpoint that said it leaves and stayed was left out for 30 s more each time that its check fell into a stall of half a second.

Cause: no answer counted as a statement that it leaves.

Change: a silence decides nothing, and the endpoint is asked at the next step, a second later. A refused or broken connection counts as before.

Measured: test_an_endpoint_that_is_silent_as_it_is_checked_is_checked_again failed before; the file's 8 pass.

--- a/src/sassafrasdale/gateway/advertisements/departure_checks.py
+++ b/src/sassafrasdale/gateway/advertisements/departure_checks.py
@@ -15,7 +15,7 @@
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.green import sleep
 from sassafrasdale.http.connections import HttpClient
-from sassafrasdale.http.exceptions import HttpError
+from sassafrasdale.http.exceptions import HttpError, ResponseTimeout
 from sassafrasdale.platform.signals import health_request, says_it_stays
 
 log = Logger("departure checks")
@@ -75,16 +75,25 @@
 
     def _check(self, record: EndpointRecord) -> None:
         stays = self._says_it_stays(record)
+        if stays is None:
+            return
         value = None if stays else True
         self._departures.set(record.name, value, "health check")
 
-    def _says_it_stays(self, record: EndpointRecord) -> bool:
+    def _says_it_stays(self, record: EndpointRecord) -> bool | None:
+        """Return whether an endpoint says that it stays; None if it is silent.
+
+        One that is silent may have stalled, so it is asked again at the next step.
+        """
         path = self._service(record.endpoint.service).health_path
         if not path:
             return False
         client = HttpClient(record.endpoint.address, self._clock, CHECK_TIMEOUT)
         try:
             response = client.call(health_request(path), CHECK_TIMEOUT)
+        except ResponseTimeout as error:
+            log.info("no answer", endpoint=record.name, why=error.message)
+            return None
         except HttpError as error:
             log.info("no answer", endpoint=record.name, why=error.message)
             return False
--- a/tests/gateway/advertisements/test_departure_checks.py
+++ b/tests/gateway/advertisements/test_departure_checks.py
@@ -13,9 +13,12 @@
 )
 from sassafrasdale.gateway.advertisements.departure_checks import (
     CHECK_AFTER,
+    CHECK_TIMEOUT,
+    STEP_INTERVAL,
     DepartureChecks,
 )
 from sassafrasdale.gateway.directory import Directory
+from sassafrasdale.green import sleep
 from sassafrasdale.structures import Address
 from tests.gateway.fleets import single_gate
 from tests.gateway.world import ScriptedEndpoint, respond_with
@@ -85,3 +88,19 @@
 def test_an_endpoint_without_an_answer_stays_unused():
     checked = Checked(Address("127.0.0.1", 1))
     assert checked.is_leaving_after(CHECK_AFTER)
+
+
+def test_an_endpoint_that_is_silent_as_it_is_checked_is_checked_again():
+    """Guards against a silence that counts as a statement to leave."""
+    silences = [True]
+    answer = respond_with(extra=OWN_ID)
+
+    def script(sock, request):
+        if silences:
+            silences.pop()
+            sleep(2 * CHECK_TIMEOUT)
+        answer(sock, request)
+
+    checked = Checked(ScriptedEndpoint(script).address)
+    assert checked.is_leaving_after(CHECK_AFTER)
+    assert not checked.is_leaving_after(STEP_INTERVAL)
