A leader that has just started knows how long the full share of a rollout has lasted

What operators saw: a rollout that completed up to 0.7 s after its deadline, if the leader was killed shortly before the completion and restarted at once on a busy machine.

Trace (three gateways, killed at 10.51 s of 14 s, load 6 with three busy processes): the killed gateway needed 1.15 s to start, until the lease had just expired (1.25 s), and acquired it itself; the others wait until its claim is 1.5 s old. It learned from them that the full share had begun, but not when, and counted from then: the full share's 0.56 s and 1.5 s for reports began anew, and it completed at 13.95 s. A slower start, or a slower step, makes that later than 14 s.

Change: reports on a rollout carry how long the full share has lasted, and each gateway keeps the earliest beginning. The age of a report isn't added: it is an upper bound, and exchanged back and forth the beginning would move. Reports without the new field count as before.

The new unit tests use the new field, so they can't run on the former code.

--- a/src/sassafrasdale/gateway/canary_reports.py
+++ b/src/sassafrasdale/gateway/canary_reports.py
@@ -16,6 +16,7 @@
 
 # Rejects negative counts, so that a faulty gateway cannot lower the sums.
 Count = Annotated[int, Meta(ge=0)]
+Seconds = Annotated[float, Meta(ge=0)]
 # Number of groups into which the canary endpoints are hashed.
 ENDPOINT_GROUPS = 4
 # Group of all endpoints of other versions.
@@ -46,6 +47,7 @@
     :param rejected: whether the version was rejected as faulty.
     :param suspect: whether it would be rejected if the test ended now.
     :param is_full_share: whether the leader gives the canary its full share.
+    :param full_share_s: time since that began, in seconds.
     """
 
     service: str
@@ -54,6 +56,7 @@
     rejected: bool = False
     suspect: bool = False
     is_full_share: bool = False
+    full_share_s: Seconds = 0.0
 
 
 def group_of(endpoint: str) -> str:
@@ -79,15 +82,18 @@
 def sum_reports(reports: Iterable[CanaryReport]) -> tuple[CanaryReport, ...]:
     """Return the sums of reports from several gateways, by order."""
     tables: dict[tuple[str, int], OutcomeTable] = {}
-    flags: dict[tuple[str, int], tuple[bool, bool, bool]] = {}
+    flags: dict[tuple[str, int], tuple[bool, bool, bool, float]] = {}
     for report in reports:
         key = (report.service, report.order)
         add_rows(tables.setdefault(key, {}), report.rows)
-        rejected, suspect, full_share = flags.get(key, (False, False, False))
+        rejected, suspect, full_share, full_share_s = flags.get(
+            key, (False, False, False, 0.0)
+        )
         flags[key] = (
             rejected or report.rejected,
             suspect or report.suspect,
             full_share or report.is_full_share,
+            max(full_share_s, report.full_share_s),
         )
     return tuple(
         CanaryReport(service, order, rows_of(table), *flags[service, order])
--- a/src/sassafrasdale/gateway/rollout.py
+++ b/src/sassafrasdale/gateway/rollout.py
@@ -114,8 +114,13 @@
             key = (group, "")
         return self.table.setdefault(key, Outcomes())
 
-    def report(self) -> CanaryReport:
+    def full_share_for(self, now: timedelta) -> timedelta | None:
+        """Return the time since the full share began; None before that."""
+        return None if self.full_share_at is None else now - self.full_share_at
+
+    def report(self, now: timedelta) -> CanaryReport:
         """Return the report to send to the other gateways."""
+        full_share_for = self.full_share_for(now) or timedelta()
         return CanaryReport(
             self.order.service,
             self.revision,
@@ -123,4 +128,5 @@
             self.is_rejected,
             self.is_suspect,
             self.has_full_share,
+            full_share_for.total_seconds(),
         )
--- a/src/sassafrasdale/gateway/rollouts.py
+++ b/src/sassafrasdale/gateway/rollouts.py
@@ -246,7 +246,8 @@
 
     def canary_reports(self) -> tuple[CanaryReport, ...]:
         """Return the canary reports to send to the other gateways."""
-        return tuple(rollout.report() for rollout in self.open())
+        now = self._clock.elapsed()
+        return tuple(rollout.report(now) for rollout in self.open())
 
     def receive_groups(self, groups: Sequence[ReceivedGroup]) -> None:
         """Merge the reports of the other gateways, and evaluate the canaries."""
@@ -258,10 +259,24 @@
                 if report.service == rollout.order.service
                 and report.order == rollout.revision
             ]
-            if any(report.is_full_share for report in reports):
-                self._begin_full_share(rollout, "at full load, another gateway reports")
+            self._receive_full_share(rollout, reports)
             self._evaluate(rollout, reports)
 
+    def _receive_full_share(
+        self, rollout: Rollout, reports: Sequence[CanaryReport]
+    ) -> None:
+        """Record that the full share has begun, and since when.
+
+        The ages of the reports are not added: they are upper bounds, and gateways that
+        add them to each other's times would move the beginning further and further.
+        """
+        lasted = [report.full_share_s for report in reports if report.is_full_share]
+        if not lasted:
+            return
+        began_at = self._clock.elapsed() - timedelta(seconds=max(lasted))
+        reason = "at full load, another gateway reports"
+        self._begin_full_share(rollout, began_at, reason)
+
     def _evaluate(self, rollout: Rollout, reports: Sequence[CanaryReport]) -> None:
         if rollout.is_rejected:
             return
@@ -309,21 +324,22 @@
 
     def start_full_share(self, rollout: Rollout) -> None:
         """Give the canary its full share from now on, as the leader."""
-        self._begin_full_share(rollout, "at full load")
+        self._begin_full_share(rollout, self._clock.elapsed(), "at full load")
 
-    def _begin_full_share(self, rollout: Rollout, reason: str) -> None:
+    def _begin_full_share(
+        self, rollout: Rollout, began_at: timedelta, reason: str
+    ) -> None:
         """Record the beginning, which outlasts the leader that decided on it."""
-        if not rollout.has_full_share:
-            rollout.full_share_at = self._clock.elapsed()
-            self._log_state(rollout, reason=reason)
+        if rollout.full_share_at is not None:
+            rollout.full_share_at = min(rollout.full_share_at, began_at)
+            return
+        rollout.full_share_at = began_at
+        self._log_state(rollout, reason=reason)
 
     def view(self, rollout: Rollout) -> RolloutView:
         """Return the input for the leader's decision."""
         listed = self._listed(rollout.order.service)
         targets = len(rollout.targets(listed))
-        filled_for = None
-        if rollout.full_share_at is not None:
-            filled_for = self._clock.elapsed() - rollout.full_share_at
         return RolloutView(
             duration=rollout.order.duration,
             takeover=self._takeover,
@@ -332,7 +348,7 @@
             is_rejected=rollout.is_rejected,
             is_suspect=rollout.is_suspect or rollout.is_suspected_elsewhere,
             age=timedelta(seconds=self._time.seconds - rollout.first_seen),
-            full_share_for=filled_for,
+            full_share_for=rollout.full_share_for(self._clock.elapsed()),
             targets=targets,
             others=len(listed) - targets,
         )
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -12,7 +12,7 @@
     RolloutStatus,
 )
 from sassafrasdale.deployment import EndpointState
-from sassafrasdale.gateway.canary_reports import CanaryReport, rows_of
+from sassafrasdale.gateway.canary_reports import CanaryReport, rows_of, sum_reports
 from sassafrasdale.gateway.groups import Group
 from sassafrasdale.gateway.peer_states import ReceivedGroup
 from sassafrasdale.gateway.rollout import DELISTING_TIME
@@ -137,7 +137,37 @@
     served.rollouts.receive_groups([ReceivedGroup(received)])
     served.rollouts.receive_groups(())
     assert served.rollouts.view(served.rollout).full_share_for is not None
-    assert served.rollout.report().is_full_share
+    [reported] = served.rollouts.canary_reports()
+    assert reported.is_full_share
+
+
+def test_a_gateway_that_starts_anew_knows_how_long_the_full_share_has_lasted(served):
+    """Guards against a next leader that has just started and completes too late.
+
+    It acquires the lease before it has heard of the full share.
+    """
+    served.order()
+    served.set_status(RolloutState.RUNNING)
+    served.start_new()
+    served.rollouts.start_full_share(served.rollout)
+    for lasted in (30.0, 20.0):
+        report = CanaryReport("records", 5, is_full_share=True, full_share_s=lasted)
+        received = group_of(member("b-1", canary_reports=(report,)))
+        served.rollouts.receive_groups([ReceivedGroup(received)])
+    known = served.rollouts.view(served.rollout).full_share_for
+    assert 30 * SECOND <= known < 31 * SECOND
+    [reported] = served.rollouts.canary_reports()
+    assert 30 <= reported.full_share_s < 31
+
+
+def test_the_longest_full_share_of_several_reports_counts():
+    """Guards against a sum that hides since when the full share has lasted."""
+    reports = (
+        CanaryReport("records", 5, is_full_share=True, full_share_s=lasted)
+        for lasted in (0.0, 3.0, 2.0)
+    )
+    [total] = sum_reports(reports)
+    assert total.full_share_s == 3.0
 
 
 def test_a_report_on_another_order_rejects_nothing(served):
@@ -268,7 +298,7 @@
     served.set_status(RolloutState.RUNNING)
     served.start_new()
     served.ask_repeatedly(200)
-    report = served.rollout.report()
+    [report] = served.rollouts.canary_reports()
     total = group_of(
         member("a-1", canary_reports=(report,)), member("a-2", canary_reports=(report,))
     )
@@ -303,7 +333,7 @@
     served.start_new()
     served.ask_repeatedly(60)
     group = Group(5 * SECOND, ManualClock())
-    group.record_report(member("a-2", canary_reports=(served.rollout.report(),)))
+    group.record_report(member("a-2", canary_reports=served.rollouts.canary_reports()))
     [report] = group.totals(contact("a-1"), concise=True).canary_reports
     assert report.rows == ()
     assert report.order == 5
