--- a/tests/gateway/test_hedge_faults.py
+++ b/tests/gateway/test_hedge_faults.py
@@ -266,11 +266,14 @@
     assert not runs(stream.second)
 
 
-def test_an_engine_that_alone_has_stalled_is_no_crash_of_the_request():
-    """Guards against strikes for a stalled engine whose connection was closed here."""
+def test_an_engine_that_alone_has_stalled_blames_neither_request_nor_version():
+    """Guards against strikes and roll-backs for a connection that was closed here."""
     stream = StalledStream(stalling(5 * STALL_TIME, 2), healthy(streamed(2, 3)))
     strikes = []
     quarantine = stream.world.quarantine
     quarantine.record_lost_connection = lambda *args, **kwargs: strikes.append(args)
+    blamed = []
+    stream.world.fleet.record_version_failure = blamed.append
     assert_whole(stream.read(), 1, 2, 3)
     assert not strikes
+    assert not blamed
