--- a/tests/gateway/test_hedge_faults.py
+++ b/tests/gateway/test_hedge_faults.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 from sassafrasdale.decisions.silence import STALL_TIME
+from sassafrasdale.gateway.retry_budgets import KEPT_FOR_FAILURES
 from sassafrasdale.green import sleep
 from sassafrasdale.http.exceptions import NotConnected
 from sassafrasdale.platform.signals import health_request
@@ -277,3 +278,31 @@
     assert_whole(stream.read(), 1, 2, 3)
     assert not strikes
     assert not blamed
+
+
+def test_stalled_streams_ask_for_no_more_endpoints_than_retries_are_left():
+    """Guards against a burst of assignments, connections and permits for one retry."""
+    world = World(routes=only_reports())
+    first = ScriptedEndpoint(stalling(2 * STALL_TIME, 2))
+    world.add("i-0", "models", first)
+    callers = [world.caller() for _ in range(6)]
+    for number, caller in enumerate(callers):
+        caller.send(request("/reports/7", f"r-{number}", **STREAM))
+    wait_for(lambda: len(runs(first)) == 6, "not sent")
+    world.add("i-1", "models", ScriptedEndpoint(healthy(streamed(2))))
+    budgets = world.fleet.retry_budgets
+    budget = budgets._budget("models")
+    budget._share = 0.0
+    budget._tokens = 1 + KEPT_FOR_FAILURES * (budget.depth - 1) + 0.5
+    start = world.starter.start
+    asked = []
+
+    def start_slowly(request):
+        asked.append(request)
+        sleep(50 * MILLISECOND)
+        return start(request)
+
+    world.starter.start = start_slowly
+    for caller in callers:
+        caller.read(4 * STALL_TIME)
+    assert len(asked) <= 1
