--- a/tests/gateway/test_hedge_faults.py
+++ b/tests/gateway/test_hedge_faults.py
@@ -306,3 +306,12 @@
     for caller in callers:
         caller.read(4 * STALL_TIME)
     assert len(asked) <= 1
+
+
+def test_a_stream_moves_though_no_endpoint_can_be_checked():
+    """Guards against a stream that waits for a dead engine beside idle brittle ones."""
+    stream = StalledStream(stalling(5 * STALL_TIME, 2), streamed(2, 3))
+    stream.world.links._checks._is_brittle = lambda name: True
+    began_at = CLOCK.elapsed()
+    assert_whole(stream.read(), 1, 2, 3)
+    assert CLOCK.elapsed() - began_at < 3 * STALL_TIME
