Responses without end are bounded: interim responses, tiny parts, bodies, all bodies

Callers saw: one of six plain endpoints sends a body without end at 2 MB/s, and 2 of 60 requests got 504 after their whole timeout of 1 s. Gateways saw: an engine of endless interim responses or tiny chunks took more than 12 s of processor time in 17 s.

Cause: interim responses were skipped without a count; a response to another request was skipped however long; a body was kept in as many parts as it came in, up to 64 MiB for each response of a process of 300 MB; and a connection that always had bytes kept all other tasks waiting.

Change: at most 16 interim responses; 8 MiB for an endpoint's body, 32 MiB for one of the store or a peer, and 48 MiB for all of each kind together, where the largest that is being read is given up; a given length is checked at once; parts of less than 8 bytes on average are malformed after 4096; other tasks run after 32 events; the body of a refusal is read for 100 ms at most, and the refusal counts without it.

--- a/src/sassafrasdale/gateway/advertisements/departure_checks.py
+++ b/src/sassafrasdale/gateway/advertisements/departure_checks.py
@@ -14,7 +14,7 @@
 from sassafrasdale.gateway.advertisements.endpoint_beliefs import Departures
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.green import sleep
-from sassafrasdale.http.connections import HttpClient
+from sassafrasdale.http.connections import MAX_UNUSED_BODY_BYTES, HttpClient
 from sassafrasdale.http.exceptions import HttpError
 from sassafrasdale.platform.signals import health_request, says_it_stays
 
@@ -82,7 +82,12 @@
         path = self._service(record.endpoint.service).health_path
         if not path:
             return False
-        client = HttpClient(record.endpoint.address, self._clock, CHECK_TIMEOUT)
+        client = HttpClient(
+            record.endpoint.address,
+            self._clock,
+            CHECK_TIMEOUT,
+            MAX_UNUSED_BODY_BYTES,
+        )
         try:
             response = client.call(health_request(path), CHECK_TIMEOUT)
         except HttpError as error:
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -571,7 +571,8 @@
         if self._watch is None or self._watch.has_begun:
             return
         time_left = self._admitted.deadline - self._clock.elapsed()
-        self._note_progress(STALL_TIME if is_event else time_left * LONG_BODY_SHARE)
+        patience = STALL_TIME if is_event else time_left * LONG_BODY_SHARE
+        self._note_progress(max(patience, STALL_TIME))
 
     def _priority(self) -> int | None:
         """Return the priority of a stream at its engine; None for plain services."""
@@ -619,7 +620,7 @@
         :raises MalformedResponse: if it is not signed.
         """
         if states_not_run(head):
-            path.read_body(self._admitted.deadline)
+            path.skip_body(self._admitted.deadline)
             raise AttemptFailed(AttemptOutcome.NOT_RUN, f"refused with {head.status}")
         if 200 <= head.status < 300 and not is_signed(head):
             raise MalformedResponse("a success without a signature")
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -125,6 +125,10 @@
         """Return the whole body."""
         return self._connection.read_body(deadline)
 
+    def skip_body(self, deadline: timedelta) -> None:
+        """Skip a body that is of no use."""
+        self._connection.skip_body(deadline)
+
     def check_complete(self, is_serving: Callable[[EndpointRecord], bool]) -> None:
         """Check that a response that was read to its end is complete.
 
@@ -234,7 +238,7 @@
         if outcome is None:
             state.is_proven = True
             return ResponseHead(head.status, without_own_headers(head.headers))
-        self._connection.read_body(deadline)
+        self._connection.skip_body(deadline)
         reason = reason_in(head)
         match outcome:
             case ForwardOutcome.UNKNOWN:
@@ -273,6 +277,10 @@
         if outcome_of(end) is not None:
             raise ForwardFailed(reason_in(end))
 
+    def skip_body(self, deadline: timedelta) -> None:
+        """Skip a body that is of no use."""
+        self._connection.skip_body(deadline)
+
     def check_complete(self, is_serving: Callable[[EndpointRecord], bool]) -> None:
         """Do nothing: the peer has checked it, and the connection is the peer's."""
 
--- a/src/sassafrasdale/gateway/silence_watch.py
+++ b/src/sassafrasdale/gateway/silence_watch.py
@@ -66,7 +66,7 @@
         """
         self._has_begun = True
         self._progress_at = self._clock.elapsed()
-        self._patience = max(patience, STALL_TIME)
+        self._patience = patience
         self._last = None
 
     def judge(self) -> SilenceVerdict:
--- a/src/sassafrasdale/gateway/value_transfers.py
+++ b/src/sassafrasdale/gateway/value_transfers.py
@@ -13,7 +13,7 @@
     StoreValues,
     encode,
 )
-from sassafrasdale.http.connections import MAX_BODY_BYTES
+from sassafrasdale.http.body_budget import MAX_CONTROL_BODY_BYTES
 from sassafrasdale.http.messages import Request, Response
 
 # Content coding of HTTP for the zlib format.
@@ -57,9 +57,11 @@
 def _decompress(body: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(body, MAX_BODY_BYTES)
+        data = decompressor.decompress(body, MAX_CONTROL_BODY_BYTES)
     except zlib.error as error:
         raise MessageMalformed(f"malformed values: {error}") from error
     if not decompressor.eof:
-        raise MessageMalformed(f"values cut off, or over {MAX_BODY_BYTES} bytes")
+        raise MessageMalformed(
+            f"values cut off, or over {MAX_CONTROL_BODY_BYTES} bytes"
+        )
     return data
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -12,10 +12,20 @@
 from enum import Enum, auto
 
 import h11
+from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import connect, receive, spawn
+from sassafrasdale.green import connect, receive, sleep, spawn
+from sassafrasdale.http.body_budget import (
+    CONTROL_BODIES,
+    ENDPOINT_BODIES,
+    MAX_BODY_BYTES,
+    MAX_CONTROL_BODY_BYTES,
+    BodyBudget,
+    BodyLease,
+)
 from sassafrasdale.http.exceptions import (
+    BodyTooLarge,
     ConnectionLost,
     ConnectionRefused,
     HttpError,
@@ -33,14 +43,32 @@
 )
 from sassafrasdale.structures import Address
 
+log = Logger("http")
+
 READ_BYTES = 65_536
 # A request up to this size fits into the socket's buffers, so sending it can't block on
 # a server that responds before it has read everything.
 MAX_INLINE_SEND_BYTES = 4096
 # Responses to other requests that are skipped while waiting for the right one.
 MAX_STRAY_RESPONSES = 4
-# Maximum size of a response body that is read into memory.
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# Interim responses before one response. Few servers send more than one.
+MAX_INTERIM_RESPONSES = 16
+# Maximum size of a head, of the trailers, and of a chunk's extensions.
+MAX_HEAD_BYTES = 16_384
+# Events of the codec after which other tasks run, some milliseconds of work. Reads
+# don't wait as long as a server sends faster than it is read.
+EVENTS_PER_TURN = 32
+# Parts of a body that may be tiny, and least average size of a part beyond these. The
+# cost of a part is that of some kilobytes. An event of a stream has 15 bytes or more.
+MAX_TINY_PARTS = 4096
+MIN_PART_BYTES = 8
+# Maximum size of a health check's body, and of the body of a refusal: what is beyond is
+# not worth reading, and the connection is closed.
+MAX_UNUSED_BODY_BYTES = 65_536
+# Time for the body of a refusal, whose head says all.
+UNUSED_BODY_TIME = timedelta(milliseconds=100)
+# Digits of a number of seconds in the server's keep-alive header; more are ignored.
+MAX_KEEP_ALIVE_DIGITS = 6
 # Subtracted from the server's keep-alive timeout, so that no request is sent as the
 # server closes the connection.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
@@ -74,6 +102,8 @@
     :param sock: a connected green socket.
     :param clock: source of elapsed time.
     :param on_receive: called each time that bytes have arrived.
+    :param budget: limit on all bodies that are read at the same time.
+    :param max_body_bytes: maximum size of one body.
     """
 
     def __init__(
@@ -81,11 +111,20 @@
         sock: socket.socket,
         clock: Clock,
         on_receive: Callable[[], None] = lambda: None,
+        budget: BodyBudget = ENDPOINT_BODIES,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
+        self._budget = budget
+        self._max_body_bytes = max_body_bytes
+        self._lease: BodyLease | None = None
+        self._gave_body_up = False
+        self._events_read = 0
+        self._parts = 0
+        self._part_bytes = 0
         self._sock = sock
         self._clock = clock
         self._on_receive = on_receive
-        self._codec = h11.Connection(h11.CLIENT)
+        self._codec = _new_codec()
         self._head: ResponseHead | None = None
         self._events: list[h11.Request | h11.Data | h11.EndOfMessage] = []
         self._closed = False
@@ -107,17 +146,20 @@
         limit: timedelta,
         clock: Clock,
         on_receive: Callable[[], None] = lambda: None,
+        budget: BodyBudget = ENDPOINT_BODIES,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> "HttpConnection":
         """Return a new connection.
 
         :raises NotConnected: if there is none within ``limit``.
         """
         try:
-            return cls(connect(address, limit), clock, on_receive)
+            sock = connect(address, limit)
         except ConnectionRefusedError as error:
             raise ConnectionRefused(f"{address}: {error}") from error
         except OSError as error:
             raise NotConnected(f"{address}: {error}") from error
+        return cls(sock, clock, on_receive, budget, max_body_bytes)
 
     @property
     def is_closed(self) -> bool:
@@ -184,6 +226,7 @@
             request.
         """
         self._head = None
+        self._events_read = 0
         self.sent_at = self._clock.elapsed()
         framing = [("content-length", str(len(request.body)))]
         needs_length = request.body or request.method not in ("GET", "HEAD", "DELETE")
@@ -235,6 +278,7 @@
         event = self._next_event(deadline)
         match event:
             case h11.Data():
+                self._check_part(len(event.data))
                 return bytes(event.data)
             case h11.EndOfMessage():
                 self.trailers = decoded_headers(event.headers)
@@ -244,18 +288,37 @@
     def read_body(
         self, deadline: timedelta, idle_limit: timedelta | None = None
     ) -> bytes:
-        """Return the whole body.
+        """Return the whole body; it counts against the budget until `release_body`.
 
         :param idle_limit: maximum time without data; None for no such limit.
+        :raises BodyTooLarge: if it is too long, or all bodies together are.
         """
-        parts = []
+        self._check_length()
+        self.release_body()
+        lease = self._lease = self._budget.lease(self._give_body_up)
+        try:
+            return self._read_leased(lease, deadline, idle_limit)
+        except BaseException:
+            self.release_body()
+            raise
+
+    def skip_body(self, deadline: timedelta) -> None:
+        """Skip a body that is of no use; close the connection if it is long or late."""
+        deadline = min(deadline, self._clock.elapsed() + UNUSED_BODY_TIME)
         size = 0
-        while data := self.read_data(self.next_deadline(deadline, idle_limit)):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BODY_BYTES:
-                raise MalformedResponse(f"the body is over {MAX_BODY_BYTES} bytes")
-        return b"".join(parts)
+        try:
+            while data := self.read_data(deadline):
+                size += len(data)
+                self._check_size(size, MAX_UNUSED_BODY_BYTES)
+        except HttpError as error:
+            log.info("unused body not read to its end", why=error.message)
+            self.close()
+
+    def release_body(self) -> None:
+        """Give back what the last body took of the budget."""
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            lease.release()
 
     def next_deadline(
         self, deadline: timedelta, idle_limit: timedelta | None
@@ -267,6 +330,7 @@
 
     def close(self) -> None:
         """Close the connection, even while another task waits on it."""
+        self.release_body()
         if self._closed:
             return
         self._closed = True
@@ -282,6 +346,41 @@
         with suppress(OSError):
             self._sock.close()
 
+    def _read_leased(
+        self, lease: BodyLease, deadline: timedelta, idle_limit: timedelta | None
+    ) -> bytes:
+        body = bytearray()
+        while data := self.read_data(self.next_deadline(deadline, idle_limit)):
+            self._check_open()
+            lease.grow(len(data))
+            body += data
+            self._check_size(len(body), self._max_body_bytes)
+        lease.complete()
+        return bytes(body)
+
+    def _give_body_up(self) -> None:
+        """End the reading of a body in favour of others."""
+        self._gave_body_up = True
+        self.close()
+
+    def _check_length(self) -> None:
+        """Check the length that the head gives, before any of the body is read."""
+        length = self._head.header("content-length") if self._head else ""
+        if length.isdecimal():
+            self._check_size(int(length), self._max_body_bytes)
+
+    def _check_size(self, size: int, limit: int) -> None:
+        if size > limit:
+            raise BodyTooLarge(f"the body is over {limit} bytes")
+
+    def _check_part(self, size: int) -> None:
+        """Check that a body does not come in parts that are tiny on average."""
+        self._parts += 1
+        self._part_bytes += size
+        beyond = self._parts - MAX_TINY_PARTS
+        if beyond * MIN_PART_BYTES > self._part_bytes:
+            raise MalformedResponse("the body comes in tiny parts")
+
     def _finish_response(self) -> None:
         self.responses += 1
         self.used_at = self._clock.elapsed()
@@ -294,31 +393,37 @@
         value = self._head.header("keep-alive") if self._head else ""
         for part in value.split(","):
             name, _, number = part.strip().partition("=")
-            if name.lower() == "timeout" and number.isdecimal():
+            is_number = number.isdecimal() and len(number) <= MAX_KEEP_ALIVE_DIGITS
+            if name.lower() == "timeout" and is_number:
                 limit = timedelta(seconds=int(number))
                 self._reusable_until = self.used_at + max(
                     limit - KEEP_ALIVE_MARGIN, limit / 2
                 )
 
     def _next_head(self, deadline: timedelta) -> ResponseHead:
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = self._next_event(deadline)
             match event:
                 case h11.InformationalResponse():
                     continue
                 case h11.Response():
+                    self._parts = self._part_bytes = 0
                     return ResponseHead(
                         event.status_code, decoded_headers(event.headers)
                     )
                 case _:
                     raise MalformedResponse("expected the head of a response")
+        raise MalformedResponse("too many interim responses")
 
     def _skip_response(self, deadline: timedelta) -> None:
         """Skip a response to another request, and restart the codec after it."""
-        while not isinstance(self._next_event(deadline), h11.EndOfMessage):
-            pass
+        size = 0
+        while isinstance(event := self._next_event(deadline), h11.Data):
+            self._check_part(len(event.data))
+            size += len(event.data)
+            self._check_size(size, self._max_body_bytes)
         rest = self._codec.trailing_data[0]
-        self._codec = h11.Connection(h11.CLIENT)
+        self._codec = _new_codec()
         for event in self._events:
             self._codec.send(event)
         if rest:
@@ -337,6 +442,9 @@
                 raise MalformedResponse(str(error)) from error
             if isinstance(event, h11.ConnectionClosed):
                 raise ConnectionLost("the connection was closed without a response")
+            self._events_read += 1
+            if self._events_read % EVENTS_PER_TURN == 0:
+                sleep()
             return event
 
     def _receive(self, deadline: timedelta) -> bytes:
@@ -354,26 +462,31 @@
             self._while_reading()
 
     def _receive_within(self, limit: timedelta) -> bytes:
-        if self._closed:
-            raise ConnectionLost("closed on this side")
+        self._check_open()
         self._reading = True
         try:
             data = receive(self._sock, READ_BYTES, limit)
         except TimeoutError as error:
             raise ResponseTimeout("no answer in time") from error
         except OSError as error:
+            self._check_open()
             raise ConnectionLost(str(error)) from error
         finally:
             self._reading = False
             if self._closed:
                 self._close_socket()
-        if self._closed:
-            raise ConnectionLost("closed on this side")
+        self._check_open()
         self._closed_by_peer = not data
         if data:
             self._on_receive()
         return data
 
+    def _check_open(self) -> None:
+        if self._gave_body_up:
+            raise BodyTooLarge("given up, as all bodies together are too large")
+        if self._closed:
+            raise ConnectionLost("closed on this side")
+
     def _send_bytes(self, data: bytes) -> None:
         try:
             self._sock.settimeout(None)
@@ -399,6 +512,8 @@
     :param connect_limit: maximum time to connect.
     :param clock: source of elapsed time.
     :param opened: called for each connection that is opened.
+    :param budget: limit on all bodies that are read at the same time.
+    :param max_body_bytes: maximum size of one body.
     """
 
     def __init__(
@@ -407,7 +522,11 @@
         connect_limit: timedelta,
         clock: Clock,
         opened: Callable[[], None] = lambda: None,
+        budget: BodyBudget = ENDPOINT_BODIES,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
+        self._budget = budget
+        self._max_body_bytes = max_body_bytes
         self._address = address
         self._connect_limit = connect_limit
         self._clock = clock
@@ -450,7 +569,12 @@
     def _open(self) -> HttpConnection:
         self._opened()
         return HttpConnection.open(
-            self._address, self._connect_limit, self._clock, self._record_receipt
+            self._address,
+            self._connect_limit,
+            self._clock,
+            self._record_receipt,
+            self._budget,
+            self._max_body_bytes,
         )
 
     def _record_receipt(self) -> None:
@@ -488,7 +612,7 @@
         try:
             connection.send(with_host(request, self._address))
             connection.read_head(deadline)
-            connection.read_body(deadline)
+            connection.skip_body(deadline)
         except ResponseTimeout:
             connection.close()
             return ProbeResult.SILENT
@@ -500,6 +624,7 @@
 
     def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
+        connection.release_body()
         if connection.is_reusable:
             self._idle.append(connection)
         else:
@@ -519,6 +644,8 @@
 
         client = HttpClient(address, clock)
         answer = client.call(Request("GET", "/state"), timedelta(seconds=1))
+
+    :param max_body_bytes: maximum size of a response's body.
     """
 
     def __init__(
@@ -526,10 +653,17 @@
         address: Address,
         clock: Clock,
         connect_limit: timedelta = timedelta(seconds=1),
+        max_body_bytes: int = MAX_CONTROL_BODY_BYTES,
     ) -> None:
         self._address = address
         self._clock = clock
-        self._pool = ConnectionPool(address, connect_limit, clock)
+        self._pool = ConnectionPool(
+            address,
+            connect_limit,
+            clock,
+            budget=CONTROL_BODIES,
+            max_body_bytes=max_body_bytes,
+        )
         self._active: set[HttpConnection] = set()
 
     @property
@@ -580,6 +714,10 @@
         self._pool.close()
 
 
+def _new_codec() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
 def with_host(request: Request, address: Address) -> Request:
     """Return a request with the Host header of a server."""
     headers = (("host", str(address)), *request.headers)
--- a/src/sassafrasdale/http/exceptions.py
+++ b/src/sassafrasdale/http/exceptions.py
@@ -27,6 +27,10 @@
     """The server sent bytes that are not a valid response."""
 
 
+class BodyTooLarge(MalformedResponse):
+    """A body, or all bodies together, take more memory than they may."""
+
+
 class MalformedRequest(HttpError):
     """A caller sent bytes that are not a valid request.
 
