--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -32,6 +32,8 @@
 from sassafrasdale.endpoints.pools import ReplaceablePool
 from sassafrasdale.green import Timeout, timeout
 from sassafrasdale.green_http import GreenHttpConnection
+from sassafrasdale.http.event_blocks import EventBlocks
+from sassafrasdale.http.exceptions import MalformedResponse
 from sassafrasdale.structures import Address
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -144,12 +146,13 @@
         self._released = False
 
     def __iter__(self) -> Iterator[list[bytes]]:
-        buffer = b""
+        blocks = EventBlocks()
         try:
             while chunk := self._response.read1(READ_BYTES):
-                *events, buffer = (buffer + chunk).split(b"\n\n")
-                if events:
-                    yield events
+                if events := blocks.feed(chunk):
+                    yield [event.rstrip(b"\r\n") for event in events]
+        except MalformedResponse as error:
+            raise ResponseLost(f"the stream is malformed: {error}") from error
         except _CONNECTION_ERRORS as error:
             raise ResponseLost(f"the stream broke off: {error}") from error
         finally:
--- a/src/sassafrasdale/http/body_budget.py
+++ b/src/sassafrasdale/http/body_budget.py
@@ -84,6 +84,8 @@
 
         :raises BodyTooLarge: if there is none.
         """
+        if lease not in self._leases:
+            raise BodyTooLarge("given up, as all bodies together are too large")
         while self.used + size > self._limit_bytes:
             largest = max(
                 (each for each in self._leases if each.stop is not None),
--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -16,7 +16,12 @@
 
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import Empty, Queue, receive, sleep, spawn
-from sassafrasdale.http.exceptions import CallerDisconnected, MalformedRequest
+from sassafrasdale.http.body_budget import REQUEST_BODIES, BodyBudget, BodyLease
+from sassafrasdale.http.exceptions import (
+    BodyTooLarge,
+    CallerDisconnected,
+    MalformedRequest,
+)
 from sassafrasdale.http.messages import (
     Headers,
     Request,
@@ -35,6 +40,13 @@
 LINGER = timedelta(seconds=1)
 # Delay after a failed accept, usually for lack of file descriptors.
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=20)
+# Least average rate of a request's body, in bytes per second, after the idle timeout.
+MIN_BODY_RATE = 1024
+# Events of the codec after which other tasks run, some milliseconds of work.
+EVENTS_PER_TURN = 32
+# Parts of a body that may be tiny, and least average size of a part beyond these.
+MAX_TINY_PARTS = 4096
+MIN_PART_BYTES = 8
 # Time within which a caller must read some bytes of a response.
 WRITE_TIMEOUT = timedelta(seconds=10)
 
@@ -70,6 +82,7 @@
         self._aborted = False
         self._closed_while_idle = False
         self._unsent_head = b""
+        self._lease: BodyLease | None = None
 
     @property
     def is_disconnected(self) -> bool:
@@ -103,6 +116,7 @@
         except CallerDisconnected:
             pass
         finally:
+            self._release_body()
             reader.kill()
             self.close()
             with suppress(OSError):
@@ -232,6 +246,7 @@
             self._server.handle(self, request)
         finally:
             self._busy = False
+            self._release_body()
             self.on_disconnect(None)
         return not self._aborted and self._start_next_cycle()
 
@@ -262,7 +277,7 @@
         )
 
     def _read_head(self, limits: ServerLimits) -> h11.Request | None:
-        wait = limits.idle_timeout
+        deadline = self._server.clock.elapsed() + limits.idle_timeout
         while True:
             event = self._next_event()
             match event:
@@ -274,32 +289,69 @@
             if event is not h11.NEED_DATA:
                 raise MalformedRequest("expected the head of a request")
             # The header timeout starts with the first byte.
-            if self._codec.trailing_data[0]:
+            if self._codec.trailing_data[0] and not self._busy:
                 self._busy = True
-                wait = limits.header_timeout
-            data = self._wait_for_bytes(wait)
+                deadline = self._server.clock.elapsed() + limits.header_timeout
+            data = self._wait_for_bytes(deadline - self._server.clock.elapsed())
             if not data:
                 return None
             self._codec.receive_data(data)
 
     def _read_body(self, limits: ServerLimits) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
+        lease = self._lease = self._server.budget.lease(self.close)
+        began_at = self._server.clock.elapsed()
+        events = 0
         while True:
             event = self._next_event()
+            events += 1
+            if events % EVENTS_PER_TURN == 0:
+                sleep()
             match event:
                 case h11.Data():
-                    parts.append(bytes(event.data))
-                    size += len(event.data)
-                    if size > limits.body_bytes:
+                    self._take(lease, len(event.data))
+                    body += event.data
+                    if len(body) > limits.body_bytes:
                         raise MalformedRequest("the body is too long", 413)
+                    if (events - MAX_TINY_PARTS) * MIN_PART_BYTES > len(body):
+                        raise MalformedRequest("the body comes in tiny parts")
                 case h11.EndOfMessage():
-                    return b"".join(parts)
+                    lease.complete()
+                    return bytes(body)
                 case _:
-                    data = self._wait_for_bytes(limits.idle_timeout)
-                    if not data:
-                        raise CallerDisconnected
-                    self._codec.receive_data(data)
+                    self._receive_body(limits, began_at, len(body))
+
+    def _receive_body(
+        self, limits: ServerLimits, began_at: timedelta, size: int
+    ) -> None:
+        """Receive more bytes of a body.
+
+        :param size: size of the body so far.
+        :raises CallerDisconnected: if none come in time, or too few came so far.
+        """
+        allowed = limits.idle_timeout + timedelta(seconds=size / MIN_BODY_RATE)
+        left = began_at + allowed - self._server.clock.elapsed()
+        data = self._wait_for_bytes(min(left, limits.idle_timeout))
+        if not data:
+            raise CallerDisconnected
+        self._codec.receive_data(data)
+
+    def _take(self, lease: BodyLease, size: int) -> None:
+        """Take bytes of a body from the budget.
+
+        :raises MalformedRequest: if there is no room.
+        """
+        try:
+            lease.grow(size)
+        except BodyTooLarge as error:
+            # The request has not run.
+            raise MalformedRequest(error.message, 503) from error
+
+    def _release_body(self) -> None:
+        """Give back what the last request's body took of the budget."""
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            lease.release()
 
     def _check(self, head: h11.Request, headers: Headers) -> None:
         """Reject requests that another HTTP parser might interpret differently.
@@ -327,7 +379,7 @@
 
     def _wait_for_bytes(self, limit: timedelta) -> bytes:
         try:
-            return self._reads.get(timeout=limit.total_seconds())
+            return self._reads.get(timeout=max(limit.total_seconds(), 0))
         except Empty:
             return b""
 
@@ -364,6 +416,7 @@
     :param limits: returns the limits in force.
     :param is_draining: whether responses close their connections.
     :param clock: source of elapsed time.
+    :param budget: limit on all requests' bodies together.
     """
 
     def __init__(
@@ -374,7 +427,9 @@
         *,
         limits: Callable[[], ServerLimits] = ServerLimits,
         is_draining: Callable[[], bool] = lambda: False,
+        budget: BodyBudget = REQUEST_BODIES,
     ) -> None:
+        self.budget = budget
         self._listener = listener
         self._handle = handle
         self._connections: set[ServerConnection] = set()
--- a/tests/endpoints/test_adapters.py
+++ b/tests/endpoints/test_adapters.py
@@ -112,6 +112,18 @@
         HttpAdapter(address).send(ASK, LIMIT)
 
 
+def test_an_event_without_end_is_given_up():
+    """Guards against partial events that take more and more memory and time."""
+    part = b"x" * 65_536
+    body = (b"10000\r\n" + part + b"\r\n") * 40
+    head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    with (
+        endpoint(head + body) as address,
+        pytest.raises(ResponseLost, match="malformed"),
+    ):
+        _read_into([], HttpAdapter(address).stream(ASK, LIMIT))
+
+
 def test_a_complete_stream_returns_its_connection():
     """Each stream opens a connection of its own, which costs more than the call."""
     listener = socket.create_server(("127.0.0.1", 0))
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import pytest
+from logbook import TestHandler as LogRecorder
 
 from sassafrasdale.gateway.datagrams import MAX_DATAGRAM_BYTES, ReportDatagrams
 from sassafrasdale.gateway.dispatcher_messages import (
@@ -96,3 +97,13 @@
     assert sender.send(dispatcher(receiver), REPORT)
     sleep(timedelta(milliseconds=50))
     assert receiver.reports == [REPORT]
+
+
+def test_malformed_datagrams_fill_no_log(sender, receiver):
+    """Guards against a line of the log for each of very many stray datagrams."""
+    stray = datagram_socket(LOOPBACK)
+    with LogRecorder().applicationbound() as handler:
+        for _ in range(50):
+            stray.sendto(b"\xff\x00", ("127.0.0.1", receiver.port))
+        sleep(timedelta(milliseconds=50))
+    assert len([r for r in handler.records if r.channel == "datagrams"]) == 1
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,12 +1,14 @@
 """The HTTP server against malformed requests, slow callers and disconnects."""
 
+from contextlib import suppress
 from datetime import timedelta
 
 import pytest
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import listen, receive, sleep, spawn
-from sassafrasdale.http.server import HttpServer, ServerLimits
+from sassafrasdale.http.body_budget import BodyBudget
+from sassafrasdale.http.server import LINGER, HttpServer, ServerLimits
 from standins.gateway_fleet import wait_for
 from tests.http.wires import LOOPBACK, RawCaller, bound_address
 from tests.stalls import green_pair
@@ -113,6 +115,56 @@
     assert exchange(service, b"GET /a/ HT") == b""
 
 
+def send_slowly(service: RecordingServer, first: bytes, part: bytes) -> timedelta:
+    """Send a part each 10 ms until the server closes, and return for how long."""
+    caller = RawCaller(service.address)
+    caller.send(first)
+    began_at = CLOCK.elapsed()
+    with suppress(OSError):
+        while CLOCK.elapsed() - began_at < 3 * LINGER:
+            caller.send(part)
+            sleep(timedelta(milliseconds=10))
+    return CLOCK.elapsed() - began_at
+
+
+def test_a_head_that_comes_byte_by_byte_closes_the_connection():
+    """Guards against a time-out of the head that starts anew with each byte."""
+    limits = ServerLimits(header_timeout=timedelta(milliseconds=50))
+    service = RecordingServer(limits=lambda: limits)
+    assert send_slowly(service, b"GET /", b"a") < 2 * LINGER
+
+
+def test_a_body_that_comes_byte_by_byte_closes_the_connection():
+    """Guards against callers that hold a body open for ever."""
+    limits = ServerLimits(idle_timeout=timedelta(milliseconds=50))
+    service = RecordingServer(limits=lambda: limits)
+    head = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n"
+    assert send_slowly(service, head, b"a") < 2 * LINGER
+    assert not service.requests
+
+
+def test_a_body_in_tiny_chunks_is_rejected():
+    """Guards against bodies whose parts cost much more than their bytes."""
+    head = b"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    response = exchange(RecordingServer(), head + b"1\r\nx\r\n" * 8000)
+    assert response.startswith(b"HTTP/1.1 400")
+
+
+def test_all_bodies_together_are_bounded():
+    """Guards against callers whose bodies together take all of the memory."""
+    budget = BodyBudget(1000)
+    service = RecordingServer(budget=budget)
+    head = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+    assert exchange(service, head + b"x" * 1500).startswith(b"HTTP/1.1 503")
+    small = head.replace(b"2000", b"10") + b"x" * 10
+    caller = RawCaller(service.address)
+    for _ in range(2):
+        caller.send(small)
+        assert caller.read_some().startswith(b"HTTP/1.1 200")
+    assert budget.used == 0
+    assert len(service.requests) == 2
+
+
 def test_a_disconnect_is_detected_while_the_request_runs():
     """Guards against an endpoint that continues to work for a disconnected caller.
 
