--- a/src/sassafrasdale/gateway/attempt_sender.py
+++ b/src/sassafrasdale/gateway/attempt_sender.py
@@ -171,7 +171,7 @@
         :raises MalformedResponse: if it is not signed.
         """
         if states_not_run(head):
-            path.read_body(self._admitted.deadline)
+            path.skip_body(self._admitted.deadline)
             raise AttemptFailed(AttemptOutcome.NOT_RUN, f"refused with {head.status}")
         if head.succeeded and not is_signed(head):
             raise MalformedResponse("a success without a signature")
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -399,8 +399,8 @@
         :param is_event: whether part of an event has come. Otherwise an engine sends
             comments while it prefills, which may take long.
         """
-        time_left = self._sender.time_left
-        self._hedger.note_begun(STALL_TIME if is_event else time_left * LONG_BODY_SHARE)
+        patience = self._sender.time_left * LONG_BODY_SHARE
+        self._hedger.note_begun(STALL_TIME if is_event else max(patience, STALL_TIME))
 
     def _record_success(self) -> None:
         admitted = self._admitted
