Stand-in endpoints whose responses have no end

An endpoint with `endless` set sends a status line, a head, interim responses, a body in chunks or without a length, tiny chunks or comments, 2 MB per second until its connection is closed. A gateway's process tells its id, so that tests can measure it.

--- a/standins/gateway_endpoints.py
+++ b/standins/gateway_endpoints.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import StrEnum
 from random import Random
 
 from sassafrasdale.clock import Clock
@@ -26,6 +27,51 @@
 RESTART_DELAY = timedelta(milliseconds=700)
 EVENT_TIME = timedelta(milliseconds=20)
 PLAIN_TIME = timedelta(milliseconds=15)
+# An endless response comes in parts of this size at this interval, 2 MB per second.
+ENDLESS_PART_BYTES = 20_000
+ENDLESS_INTERVAL = timedelta(milliseconds=10)
+
+
+class Endless(StrEnum):
+    """A response without an end: what it sends until its connection is closed."""
+
+    STATUS_LINE = "status line"
+    HEAD = "head"
+    INTERIM = "interim responses"
+    # A whole head, and a body in chunks that ends no event.
+    CHUNKED = "chunked body"
+    # A whole head without a length or chunks, and a body that ends no event.
+    UNFRAMED = "unframed body"
+    # Chunks of one byte.
+    TINY_CHUNKS = "tiny chunks"
+    # Complete events that are only comments.
+    COMMENTS = "comments"
+
+    def bytes_for(self, headers: list[tuple[str, str]]) -> tuple[bytes, bytes]:
+        """Return what comes first, and the part that is then repeated.
+
+        :param headers: headers of a whole head.
+        """
+        ok = b"HTTP/1.1 200 OK\r\n"
+        lines = b"".join(f"{name}: {value}\r\n".encode() for name, value in headers)
+        chunked = ok + lines + b"transfer-encoding: chunked\r\n\r\n"
+        match self:
+            case Endless.STATUS_LINE:
+                return b"HTTP/1.1 200 ", b"O" * ENDLESS_PART_BYTES
+            case Endless.HEAD:
+                return ok, b"filler: x\r\n" * (ENDLESS_PART_BYTES // 11)
+            case Endless.INTERIM:
+                interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+                return b"", interim * (ENDLESS_PART_BYTES // len(interim))
+            case Endless.UNFRAMED:
+                return ok + lines + b"\r\n", b"x" * ENDLESS_PART_BYTES
+            case Endless.TINY_CHUNKS:
+                return chunked, b"1\r\nx\r\n" * (ENDLESS_PART_BYTES // 6)
+            case Endless.COMMENTS:
+                part = b": filler\n\n" * (ENDLESS_PART_BYTES // 10)
+            case Endless.CHUNKED:
+                part = b"x" * ENDLESS_PART_BYTES
+        return chunked, b"%x\r\n%b\r\n" % (len(part), part)
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +171,7 @@
     :ivar event_time: time between two events of a stream.
     :ivar names_version: whether each event tells the version that wrote it.
     :ivar backoff: if set, it refuses all requests and asks for back-off of this length.
+    :ivar endless: if set, all its responses are endless, of this kind.
     """
 
     def __init__(
@@ -168,6 +215,7 @@
         self.silent_until = timedelta()
         self.paused_until = timedelta()
         self.backoff: timedelta | None = None
+        self.endless: Endless | None = None
         self.brittleness: Brittleness | None = None
         self.capacity: EngineCapacity | None = None
         self.part_defect: PartDefect | None = None
@@ -393,7 +441,9 @@
             return
         self._keep_silent()
         try:
-            if not slowdown:
+            if self.endless is not None:
+                self._send_endlessly(connection, *self.endless.bytes_for(headers))
+            elif not slowdown:
                 connection.answer(500, headers, b"failed")
             elif self._streams:
                 self._stream(connection, request, headers, slowdown)
@@ -407,6 +457,19 @@
         finally:
             self._connections.discard(connection)
 
+    def _send_endlessly(
+        self, connection: ServerConnection, first: bytes, part: bytes
+    ) -> None:
+        """Send bytes until the connection is closed."""
+        # The codec of the connection sends only valid responses.
+        sock = connection._sock
+        with suppress(OSError, EOFError):
+            sock.sendall(first)
+            while not connection.is_disconnected:
+                sock.sendall(part)
+                sleep(ENDLESS_INTERVAL)
+        connection.abort()
+
     def _crash_on(
         self,
         defect: PartDefect,
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -101,6 +101,11 @@
         """Return the exit code, or None while the process runs."""
         return self._process.poll()
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
     def log_lines(self) -> list[dict]:
         """Return the log records so far."""
         lines = self._log_path.read_text("utf-8").splitlines()
