The soak pauses endpoints and has them send bytes without end

Callers saw streams broken off in a silence of a second, and gateways that served nobody while one endpoint's bytes had no end. The soak found neither: its endpoints never paused as a whole, and their responses always ended.

A plan now draws pauses of endpoints (all of a service, some, one; 0.3 to 5 s; alone or three in a row; half of them 0.1 s after a change of the configuration), releases (an endpoint leaves and is replaced by another version) and endless responses, each from a generator of its own, so that the other draws of a seed stay. Streams have 20 events, so that a pause finds some midway. New checks: a stream whose endpoints only paused, at an undisturbed gateway, is not broken off before its deadline; events come once and in order, also of streams that were not finished; no caller of an undisturbed gateway gives up, whatever endpoints and the store did; a gateway stays under 300 MiB, and under half a core over 5 s. Disruptions of endpoints name the endpoint, so that others still count.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from bench.soak.callers import SentRequest
+from bench.soak.callers import GIVE_UP_DELAY, SentRequest
 from bench.soak.deployment import (
     APPLY_TIME,
     BUSY,
@@ -21,7 +21,7 @@
     STREAM_EVENTS,
     VERSIONS,
 )
-from bench.soak.records import ENDPOINT_SPANS, STORE_SPANS, Record
+from bench.soak.records import ENDPOINT_SPANS, STORE_SPANS, Record, Usage
 from standins.gateway_endpoints import CRASH_DELAY
 
 # Statuses that guarantee that the request has not run and never will.
@@ -31,6 +31,11 @@
 ANSWER_SLACK = timedelta(milliseconds=500)
 # Responses of one soak that may be later than that without a disruption as cause.
 MAX_LATE = 3
+# Most memory of a gateway, and the most processor time that it may use of any time
+# span of this length.
+MAX_RESIDENT_BYTES = 300 * 2**20
+USAGE_WINDOW = timedelta(seconds=5)
+MAX_PROCESSOR_SHARE = 0.5
 # A gateway that has applied a version must not apply an older one later than this after
 # it; a disturbed gateway, such as one that was paused, gets DISTURBED_FACTOR times as
 # long.
@@ -57,6 +62,19 @@
     seen: str
 
 
+@dataclass(frozen=True, slots=True)
+class Peak:
+    """The most that a process of a gateway has used.
+
+    :param resident: resident memory in bytes.
+    :param processor_share: processor time over USAGE_WINDOW, as a share of one core.
+    """
+
+    gateway: int
+    resident: int
+    processor_share: float
+
+
 def violations(record: Record) -> list[Violation]:
     """Return all guarantees that were broken."""
     checks = (
@@ -66,6 +84,11 @@
         _mixed_streams,
         _unrequested_runs,
         _lost_responses,
+        _broken_streams,
+        _unordered_streams,
+        _unanswered,
+        _excessive_memory,
+        _excessive_processor_time,
         _late_responses,
         _denied_requests,
         _configuration_rollbacks,
@@ -172,6 +195,88 @@
             yield Violation("none lost", _describe(each))
 
 
+def _broken_streams(record: Record) -> Iterator[Violation]:
+    """Find streams that ended midway though their endpoints at most paused."""
+    for each in record.requests:
+        ended_early = each.ended_at - each.sent_at < each.spec.kind.timeout
+        if not each.events or each.complete or each.has_left or not ended_early:
+            continue
+        if record.has_sound_endpoints(each) and record.undisturbed(
+            each.listener.gateway,
+            each.sent_at,
+            each.ended_at,
+            ignoring=STORE_SPANS | ENDPOINT_SPANS,
+        ):
+            names = sorted(record.endpoints_by_id[each.request_id])
+            seen = f"{_describe(each)}, {len(each.events)} events of {names}"
+            yield Violation("streams go on", seen)
+
+
+def _unordered_streams(record: Record) -> Iterator[Violation]:
+    for each in record.requests:
+        before = [
+            attempt.events[-1] for attempt in each.spec.taken_up if attempt.events
+        ]
+        first = max(before, default=0) + 1
+        if each.events != list(range(first, first + len(each.events))):
+            yield Violation("events in order", f"{each.request_id}: {each.events}")
+
+
+def _unanswered(record: Record) -> Iterator[Violation]:
+    """Find callers of undisturbed gateways that gave up, whatever endpoints did."""
+    for each in record.requests:
+        took = each.ended_at - each.sent_at
+        if each.complete or took < each.spec.kind.timeout + GIVE_UP_DELAY:
+            continue
+        if record.undisturbed(
+            each.listener.gateway,
+            each.sent_at,
+            each.ended_at,
+            ignoring=STORE_SPANS | ENDPOINT_SPANS,
+        ):
+            yield Violation("a final answer", _describe(each))
+
+
+def _excessive_memory(record: Record) -> Iterator[Violation]:
+    for each in peaks(record.usage):
+        if each.resident > MAX_RESIDENT_BYTES:
+            yield Violation("memory", f"front-{each.gateway}: {each.resident} bytes")
+
+
+def _excessive_processor_time(record: Record) -> Iterator[Violation]:
+    for each in peaks(record.usage):
+        if each.processor_share > MAX_PROCESSOR_SHARE:
+            seen = f"front-{each.gateway}: {each.processor_share:.2f} of a core"
+            yield Violation("processor time", seen)
+
+
+def peaks(usage: Iterable[Usage]) -> list[Peak]:
+    """Return the most that each process of a gateway has used."""
+    processes = defaultdict(list)
+    for each in usage:
+        processes[each.gateway, each.incarnation].append(each)
+    return [
+        Peak(
+            gateway,
+            max(each.resident for each in samples),
+            max(_processor_shares(samples), default=0.0),
+        )
+        for (gateway, _), samples in processes.items()
+    ]
+
+
+def _processor_shares(samples: list[Usage]) -> Iterator[float]:
+    """Yield the processor share of each time span of at least USAGE_WINDOW."""
+    last = 0
+    for first in samples:
+        while last < len(samples) and samples[last].at - first.at < USAGE_WINDOW:
+            last += 1
+        if last == len(samples):
+            return
+        seconds = (samples[last].at - first.at).total_seconds()
+        yield (samples[last].processor_time - first.processor_time) / seconds
+
+
 def _late_responses(record: Record) -> Iterator[Violation]:
     late = [
         each
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -16,7 +16,7 @@
 RESYNC_TIME = timedelta(seconds=3)
 ZONES = ("a", "b")
 # Events of each stream.
-STREAM_EVENTS = 8
+STREAM_EVENTS = 20
 # Objective of each route, as a fraction of its timeout. Requests of such routes wait at
 # the dispatcher of their zone while endpoints have no room.
 OBJECTIVE_FRACTION = 0.15
@@ -24,6 +24,8 @@
 VERSIONS = ("v1", "v2")
 MODELS = "models"
 RECORDS = "records"
+# Every third endpoint is a plain service, the others are engines.
+RECORDS_INTERVAL = 3
 
 SETTINGS: dict[str, Any] = {
     "zones": dict.fromkeys(ZONES, "here"),
@@ -107,6 +109,11 @@
 )
 
 
+def is_plain(endpoint: int) -> bool:
+    """Return whether an endpoint, by its number, is a plain service."""
+    return endpoint % RECORDS_INTERVAL == 0
+
+
 def added_route_kind(number: int) -> RequestKind:
     """Return the kind of request of a route that is added during the soak."""
     timeout = timedelta(seconds=2)
--- a/bench/soak/fleets.py
+++ b/bench/soak/fleets.py
@@ -2,13 +2,14 @@
 
 from collections import deque
 from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from datetime import timedelta
 from pathlib import Path
 from random import Random
 
 from logbook import Logger
 
+from bench.capacity.usage import cpu_of, resident_bytes
 from bench.soak.callers import Listener
 from bench.soak.deployment import (
     CRASH_MARKER,
@@ -17,17 +18,22 @@
     MODELS,
     RECORDS,
     SETTINGS,
+    STREAM_EVENTS,
     VERSIONS,
     ZONES,
     Configuration,
+    is_plain,
 )
 from bench.soak.gateways import Gateway
 from bench.soak.plans import (
     ClockStep,
     Disruption,
+    EndlessResponses,
     EndpointCrash,
     EndpointDrain,
     EndpointLinkFault,
+    EndpointPause,
+    EndpointRelease,
     Kill,
     KillAll,
     NewRoute,
@@ -40,13 +46,18 @@
     StoreOutage,
     StoreRestore,
 )
-from bench.soak.records import ConfigurationChange, DrainPeriod, Span
+from bench.soak.records import ConfigurationChange, DrainPeriod, Span, Usage
 from bench.soak.stepping import PROGRAM, STEP_BACK, STEP_FORWARD
 from sassafrasdale.clock import Clock
 from sassafrasdale.green import GreenThread, sleep, spawn
 from sassafrasdale.structures import Address
 from standins.duty_calls import DutyCall
-from standins.gateway_endpoints import RESTART_DELAY, PartDefect, StandInEndpoint
+from standins.gateway_endpoints import (
+    RESTART_DELAY,
+    Endless,
+    PartDefect,
+    StandInEndpoint,
+)
 from standins.gateway_fleet import CONT, KILL, STOP, TERM, GatewayFleet, wait_for
 from standins.kv_store import Copy, Fault
 from standins.links import Link
@@ -59,11 +70,13 @@
 READY_TIMEOUT = timedelta(seconds=10)
 # Time between two checks of a gateway's state.
 POLL_INTERVAL = timedelta(milliseconds=50)
-# Every third endpoint is a plain service, the others are engines.
-RECORDS_INTERVAL = 3
 # Interval between copies of the store, and how many are kept.
 COPY_INTERVAL = timedelta(milliseconds=200)
 MAX_COPIES = 100
+# Interval between measurements of what gateways use.
+USAGE_INTERVAL = timedelta(milliseconds=250)
+# Time that an endpoint says that it leaves, before it is replaced in a release.
+RELEASE_LEAD = timedelta(seconds=2)
 # Time after which operators and endpoints repeat what a restored store has lost.
 REPEAT_DELAY = timedelta(milliseconds=700)
 
@@ -86,6 +99,7 @@
         self.spans: list[Span] = []
         self.changes: list[ConfigurationChange] = []
         self.drains: list[DrainPeriod] = []
+        self.usage: list[Usage] = []
         self._links: list[Link] = []
         self._draining: set[StandInEndpoint] = set()
         self.endpoints = [self._endpoint(n) for n in range(plan.endpoints)]
@@ -93,6 +107,7 @@
         self._tasks: list[GreenThread] = []
         self._copies: deque[tuple[timedelta, Copy]] = deque(maxlen=MAX_COPIES)
         spawn(self._take_copies)
+        spawn(self._measure_usage)
 
     @property
     def duty_calls(self) -> list[DutyCall]:
@@ -144,18 +159,19 @@
         return all(gateway.process.is_ready() for gateway in self.gateways)
 
     def _endpoint(self, number: int) -> StandInEndpoint:
-        is_plain = number % RECORDS_INTERVAL == 0
+        plain = is_plain(number)
         endpoint = self._fleet.add_endpoint(
-            f"{'r' if is_plain else 'm'}-{number}",
-            RECORDS if is_plain else MODELS,
+            f"{'r' if plain else 'm'}-{number}",
+            RECORDS if plain else MODELS,
             ZONES[number % len(ZONES)],
-            streams=not is_plain,
+            streams=not plain,
             crash_marker=CRASH_MARKER,
             proxy=lambda address: _link_to(address, self._links),
             version=VERSIONS[number % len(VERSIONS)],
         )
         endpoint.names_version = True
-        if not is_plain:
+        endpoint.events = STREAM_EVENTS
+        if not plain:
             endpoint.part_defect = PartDefect(CRASH_PART, down_time=RESTART_DELAY)
         return endpoint
 
@@ -189,10 +205,16 @@
                 with self._span("store link", number):
                     self.gateways[number].link.inject(link_fault, duration)
             case EndpointLinkFault(number, link_fault, duration):
-                with self._span("endpoint link"):
+                with self._span("endpoint link", endpoint=self.endpoints[number].name):
                     self._links[number].inject(link_fault, duration)
             case EndpointCrash(number):
                 self.endpoints[number].crash()
+            case EndpointRelease(number):
+                self._release(self.endpoints[number], VERSIONS[(number + 1) % 2])
+            case EndpointPause(numbers, duration):
+                self._pause_endpoints([self.endpoints[n] for n in numbers], duration)
+            case EndlessResponses(numbers, kind, duration):
+                self._make_endless([self.endpoints[n] for n in numbers], kind, duration)
             case EndpointDrain(number, duration):
                 self._drain(self.endpoints[number], duration)
             case ClockStep(number, ahead):
@@ -204,15 +226,17 @@
                 self._revoke()
 
     @contextmanager
-    def _span(self, what: str, gateway: int | None = None) -> Iterator[None]:
-        span = self._begin_span(what, gateway)
+    def _span(
+        self, what: str, gateway: int | None = None, endpoint: str = ""
+    ) -> Iterator[None]:
+        span = self._begin_span(what, gateway, endpoint)
         try:
             yield
         finally:
             span.ended = self._clock.elapsed()
 
-    def _begin_span(self, what: str, gateway: int | None) -> Span:
-        span = Span(what, self._clock.elapsed(), gateway)
+    def _begin_span(self, what: str, gateway: int | None, endpoint: str = "") -> Span:
+        span = Span(what, self._clock.elapsed(), gateway, endpoint=endpoint)
         self.spans.append(span)
         return span
 
@@ -291,6 +315,53 @@
             self._copies.append((self._clock.elapsed(), self._fleet.store.take_copy()))
             sleep(COPY_INTERVAL)
 
+    def _measure_usage(self) -> None:
+        while True:
+            sleep(USAGE_INTERVAL)
+            for gateway in self.gateways:
+                # A process that has just ended has no memory any more.
+                with suppress(KeyError, OSError):
+                    self.usage.append(self._usage_of(gateway))
+
+    def _usage_of(self, gateway: Gateway) -> Usage:
+        pid = gateway.process.pid
+        return Usage(
+            gateway.number,
+            gateway.incarnation,
+            self._clock.elapsed(),
+            resident_bytes(pid),
+            cpu_of(pid),
+        )
+
+    def _pause_endpoints(
+        self, endpoints: list[StandInEndpoint], duration: timedelta
+    ) -> None:
+        for endpoint in endpoints:
+            endpoint.pause(duration)
+        sleep(duration)
+
+    def _make_endless(
+        self, endpoints: list[StandInEndpoint], kind: Endless, duration: timedelta
+    ) -> None:
+        # Responses that have begun by then go on until their connections are closed.
+        with ExitStack() as stack:
+            for endpoint in endpoints:
+                stack.enter_context(self._span("endless", endpoint=endpoint.name))
+                endpoint.endless = kind
+            sleep(duration)
+            for endpoint in endpoints:
+                endpoint.endless = None
+
+    def _release(self, endpoint: StandInEndpoint, version: str) -> None:
+        """Have an endpoint leave, and restart it at another version."""
+        if endpoint in self._draining:
+            return
+        self._draining.add(endpoint)
+        endpoint.register("draining")
+        sleep(RELEASE_LEAD)
+        endpoint.crash_into(version)
+        self._draining.discard(endpoint)
+
     def _drain(self, endpoint: StandInEndpoint, duration: timedelta) -> None:
         if endpoint in self._draining:
             return
--- a/bench/soak/plans.py
+++ b/bench/soak/plans.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from random import Random
 
+from bench.soak.deployment import is_plain
+from standins.gateway_endpoints import Endless
 from standins.kv_store import Fault
 from standins.links import LinkFault
 
@@ -20,6 +22,16 @@
 # Most callers with a part that crashes engines in one soak, and how long they send.
 MAX_PARTS = 2
 MAX_PART_SECONDS = 12
+# Pauses of endpoints begin about this often, in some cases several in a row, in others
+# right after a change of the configuration.
+PAUSE_INTERVAL = 5 * SECOND
+MAX_PAUSE_SERIES = 3
+PAUSE_RANGE = (0.3, 5)
+PAUSE_GAP_RANGE = (0.3, 2)
+PAUSE_AFTER_CHANGE = SECOND / 10
+# Most releases, and most times that responses are endless, in one soak.
+MAX_RELEASES = 2
+MAX_ENDLESS = 2
 
 # Faults that a plan may draw for a link.
 LINK_FAULTS = (
@@ -109,6 +121,30 @@
     endpoint: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRelease:
+    """An endpoint leaves, and restarts at another version."""
+
+    endpoint: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointPause:
+    """The processes of endpoints stop for a while, and then go on where they were."""
+
+    endpoints: tuple[int, ...]
+    duration: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class EndlessResponses:
+    """Responses of endpoints have no end, for a while."""
+
+    endpoints: tuple[int, ...]
+    kind: Endless
+    duration: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class CrashingRequest:
     """A caller repeats a request that crashes each endpoint which runs it.
@@ -164,6 +200,9 @@
     | StoreLinkFault
     | EndpointLinkFault
     | EndpointCrash
+    | EndpointRelease
+    | EndpointPause
+    | EndlessResponses
     | CrashingRequest
     | CrashingPart
     | EndpointDrain
@@ -220,6 +259,9 @@
         at += rng.uniform(0, 1) ** 2 * (MAX_PAUSE - MIN_PAUSE) + MIN_PAUSE
     steps += _draw_restores(seed, duration)
     steps += _draw_crashing_parts(seed, duration)
+    steps += _draw_pauses(seed, duration, endpoints)
+    steps += _draw_releases(seed, duration, endpoints)
+    steps += _draw_endless(seed, duration, endpoints)
     steps.sort(key=lambda step: step.at)
     return SoakPlan(seed, gateways, endpoints, duration, tuple(steps))
 
@@ -248,6 +290,59 @@
     ]
 
 
+def _draw_pauses(seed: int, duration: timedelta, endpoints: int) -> list[Step]:
+    """Return pauses of endpoints; other draws of a seed don't depend on them."""
+    rng = Random(f"pauses {seed}")
+    steps = []
+    for _ in range(rng.randint(1, 1 + duration // PAUSE_INTERVAL)):
+        paused = _draw_endpoints(rng, endpoints)
+        at = _draw_time(rng, duration)
+        for _ in range(rng.choice([1, 1, MAX_PAUSE_SERIES])):
+            if rng.random() < 0.5:
+                steps.append(Step(at - PAUSE_AFTER_CHANGE, NewRoute()))
+            lasts = rng.uniform(*PAUSE_RANGE) * SECOND
+            steps.append(Step(at, EndpointPause(paused, lasts)))
+            at += lasts + rng.uniform(*PAUSE_GAP_RANGE) * SECOND
+    return [step for step in steps if step.at < duration]
+
+
+def _draw_releases(seed: int, duration: timedelta, endpoints: int) -> list[Step]:
+    """Return releases; other draws of a seed don't depend on them."""
+    rng = Random(f"releases {seed}")
+    return [
+        Step(_draw_time(rng, duration), EndpointRelease(rng.randrange(endpoints)))
+        for _ in range(rng.randrange(MAX_RELEASES + 1))
+    ]
+
+
+def _draw_endless(seed: int, duration: timedelta, endpoints: int) -> list[Step]:
+    """Return endless responses; other draws of a seed don't depend on them."""
+    rng = Random(f"endless {seed}")
+    return [
+        Step(
+            _draw_time(rng, duration),
+            EndlessResponses(
+                (rng.randrange(endpoints),),
+                rng.choice(list(Endless)),
+                _draw_duration(rng, 5),
+            ),
+        )
+        for _ in range(rng.randrange(MAX_ENDLESS + 1))
+    ]
+
+
+def _draw_time(rng: Random, duration: timedelta) -> timedelta:
+    return QUIET_START + rng.random() * (duration - QUIET_START)
+
+
+def _draw_endpoints(rng: Random, endpoints: int) -> tuple[int, ...]:
+    """Return endpoints of one service: all, some or one."""
+    plain = rng.random() < 0.3
+    service = [n for n in range(endpoints) if is_plain(n) == plain]
+    count = rng.choice([len(service), rng.randint(1, len(service)), 1])
+    return tuple(sorted(rng.sample(service, count)))
+
+
 @dataclass(frozen=True, slots=True)
 class Draw:
     """A kind of disruption and its weight in the draw."""
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -1,5 +1,6 @@
 """The observations of a soak, and the disruptions meanwhile."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -13,7 +14,7 @@
 # Disruptions of the store, during which no request may be lost.
 STORE_SPANS = frozenset({"store out", "store link"})
 # Disruptions of endpoints, during which gateways still exchange what they know.
-ENDPOINT_SPANS = frozenset({"endpoint link", "endpoint crash"})
+ENDPOINT_SPANS = frozenset({"endpoint link", "endpoint crash", "endless"})
 
 
 @dataclass(slots=True)
@@ -22,17 +23,23 @@
 
     :param gateway: number of the affected gateway; None for all.
     :param ended: end of the disruption; None while it lasts.
+    :param endpoint: name of the endpoint that has the fault; empty for none.
     """
 
     what: str
     began: timedelta
     gateway: int | None = None
     ended: timedelta | None = None
+    endpoint: str = ""
 
     def affects(self, gateway: int, since: timedelta, until: timedelta) -> bool:
         """Return whether it disrupted a gateway in a time span."""
         if self.gateway is not None and self.gateway != gateway:
             return False
+        return self.overlaps(since, until)
+
+    def overlaps(self, since: timedelta, until: timedelta) -> bool:
+        """Return whether it lasted at some point of a time span."""
         return self.began <= until and (self.ended is None or self.ended >= since)
 
 
@@ -66,6 +73,22 @@
     run: Run
 
 
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a gateway's process uses.
+
+    :param incarnation: number of starts of the process so far.
+    :param resident: resident memory in bytes.
+    :param processor_time: in seconds, since its start.
+    """
+
+    gateway: int
+    incarnation: int
+    at: timedelta
+    resident: int
+    processor_time: float
+
+
 @dataclass(frozen=True)
 class Record:
     """All observations of a soak."""
@@ -76,6 +99,7 @@
     changes: Sequence[ConfigurationChange]
     drains: Sequence[DrainPeriod]
     duty_calls: Sequence[DutyCall]
+    usage: Sequence[Usage] = ()
 
     @cached_property
     def by_id(self) -> dict[str, SentRequest]:
@@ -87,6 +111,25 @@
         """Ids of the requests that ran."""
         return frozenset(arrival.run.request_id for arrival in self.arrivals)
 
+    @cached_property
+    def endpoints_by_id(self) -> dict[str, set[str]]:
+        """Names of the endpoints that ran a request, by its id."""
+        names = defaultdict(set)
+        for arrival in self.arrivals:
+            names[arrival.run.request_id].add(arrival.endpoint)
+        return names
+
+    def has_sound_endpoints(self, request: SentRequest) -> bool:
+        """Return whether no endpoint that ran a request had a fault meanwhile.
+
+        A pause is none.
+        """
+        names = self.endpoints_by_id[request.request_id]
+        return not any(
+            span.endpoint in names and span.overlaps(request.sent_at, request.ended_at)
+            for span in self.spans
+        )
+
     def undisturbed(
         self,
         gateway: int,
--- a/bench/soak/soaks.py
+++ b/bench/soak/soaks.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from bench.soak.callers import Caller, Listener, RequestSpec, SentRequest
-from bench.soak.checks import Violation, unserved, violations
+from bench.soak.checks import Peak, Violation, peaks, unserved, violations
 from bench.soak.deployment import (
     BUSY,
     CALL,
@@ -50,12 +50,15 @@
     requests: int
     served: int
     violations: tuple[Violation, ...]
+    peaks: tuple[Peak, ...]
 
     def lines(self) -> list[str]:
         """Return it as text, one line per violation after the first."""
         head = (
             f"seed {self.plan.seed}: {self.requests} requests, {self.served} served,"
-            f" {len(self.violations)} guarantees broken"
+            f" {len(self.violations)} guarantees broken; a gateway used"
+            f" {max(each.resident for each in self.peaks) >> 20} MiB,"
+            f" {max(each.processor_share for each in self.peaks):.2f} of a core"
         )
         return [head, *(f"  {each.guarantee}: {each.seen}" for each in self.violations)]
 
@@ -194,15 +197,23 @@
             self._fleet.changes,
             self._fleet.drains,
             self._fleet.duty_calls,
+            self._fleet.usage,
         )
         found = violations(record) + unserved(_requests(final), self._plan.gateways)
         served = sum(each.served for each in requests)
-        return Verdict(self._plan, len(requests), served, tuple(found))
+        return Verdict(
+            self._plan, len(requests), served, tuple(found), tuple(peaks(record.usage))
+        )
 
     def _crashes(self) -> list[Span]:
         """Return the crashes of endpoints, whatever their cause."""
         return [
-            Span("endpoint crash", at, ended=at + 2 * RESTART_DELAY)
+            Span(
+                "endpoint crash",
+                at,
+                ended=at + 2 * RESTART_DELAY,
+                endpoint=endpoint.name,
+            )
             for endpoint in self._fleet.endpoints
             for at in endpoint.crashed_at
         ]
--- a/bench/soak/unguarded.py
+++ b/bench/soak/unguarded.py
@@ -11,10 +11,12 @@
 
 from sassafrasdale.coordination import leases
 from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.decisions.silence import STALL_TIME
 from sassafrasdale.gateway import eligibility
 from sassafrasdale.gateway.exchange import RequestExchange
 from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome
 from sassafrasdale.gateway.routing import RouteTable
+from sassafrasdale.http.exceptions import ResponseTimeout
 
 PROGRAM = "bench.soak.unguarded"
 
@@ -28,6 +30,7 @@
     REVOCATION = "revocation"
     QUARANTINE = "quarantine"
     VERSIONS = "versions"
+    SILENCE = "silence"
 
 
 def disable(guard: Guard) -> None:
@@ -45,6 +48,8 @@
             StrikeLedger._update_quarantine = lambda self, changed: None
         case Guard.VERSIONS:
             eligibility.may_continue = lambda binding, service, version: True
+        case Guard.SILENCE:
+            _abandon_silent_streams()
 
 
 def _retry_regardless_of_outcome() -> None:
@@ -88,6 +93,18 @@
     RouteTable.__init__ = patched
 
 
+def _abandon_silent_streams() -> None:
+    """End attempts before another endpoint has responded."""
+
+    def patched(self: RequestExchange) -> None:
+        self._watch.judge()
+        silence = self._watch.last
+        if silence.has_begun and silence.lasted >= STALL_TIME:
+            raise ResponseTimeout("abandoned")
+
+    RequestExchange._consider_hedge = patched
+
+
 if __name__ == "__main__":
     disable(Guard(sys.argv.pop(1)))
     runpy.run_module("sassafrasdale", run_name="__main__", alter_sys=True)
--- a/tests/guarantees/test_soak.py
+++ b/tests/guarantees/test_soak.py
@@ -8,6 +8,7 @@
     CrashingPart,
     CrashingRequest,
     EndpointLinkFault,
+    EndpointPause,
     Kill,
     Revocation,
     SoakPlan,
@@ -21,6 +22,7 @@
 SECOND = timedelta(seconds=1)
 # Indices of the endpoints that are plain services.
 RECORDS = (0, 3, 6)
+ENGINES = (1, 2, 4, 5, 7)
 
 
 def plan_of(*steps: Step) -> SoakPlan:
@@ -49,6 +51,11 @@
     Step(8 * SECOND, Kill(0, SECOND)),
 )
 CRASHES = plan_of(Step(SECOND, CrashingRequest(1, 14 * SECOND)))
+# All engines pause for longer than a stream may be without progress, three times in a
+# row, so that a gateway's retries don't suffice for all streams.
+STALLS = plan_of(
+    *(Step(at * SECOND, EndpointPause(ENGINES, 1.3 * SECOND)) for at in (0.3, 1.8, 3.3))
+)
 CRASHING_PARTS = plan_of(Step(SECOND, CrashingPart(14 * SECOND)))
 
 
@@ -69,6 +76,7 @@
         (Guard.QUARANTINE, CRASHES, "crashing requests"),
         (Guard.QUARANTINE, CRASHING_PARTS, "crashing requests"),
         (Guard.VERSIONS, CRASHES, "one version"),
+        (Guard.SILENCE, STALLS, "streams go on"),
     ],
 )
 def test_a_soak_detects_a_disabled_safeguard(guard, plan, promise):
