--- a/src/sassafrasdale/decisions/budgets.py
+++ b/src/sassafrasdale/decisions/budgets.py
@@ -67,6 +67,10 @@
         self._tokens -= 1
         return True
 
+    def give_back(self) -> None:
+        """Give back a retry that was consumed and not used."""
+        self._tokens = min(self._tokens + 1, self._depth)
+
     def _refill(self, now: timedelta) -> None:
         elapsed = max((now - self._updated).total_seconds(), 0.0)
         self._updated = max(now, self._updated)
--- a/src/sassafrasdale/decisions/silence.py
+++ b/src/sassafrasdale/decisions/silence.py
@@ -16,7 +16,7 @@
 # Time without progress after which a response is unlikely to go on soon. Callers give
 # up after a gap of two seconds or more, and another engine has to prefill first.
 STALL_TIME = timedelta(seconds=1.2)
-# Evidence of the other endpoints is collected from then on.
+# Age of a silence from which evidence of the other endpoints is collected.
 EVIDENCE_TIME = timedelta(milliseconds=800)
 # Bytes from an endpoint show for this long that it responds.
 RESPONSE_AGE = timedelta(milliseconds=300)
@@ -57,8 +57,9 @@
 
     :param lasted: time since it last made progress.
     :param has_begun: whether it has begun.
-    :param patience: time without progress that is usual for it.
-    :param heard: age of the last bytes from its endpoint; None if there were none.
+    :param stall_time: time without progress after which it counts as stalled.
+    :param since_receipt: time since bytes came from its endpoint, on any connection;
+        None if none ever did.
     :param others_responding: longest time for which an endpoint that could take over
         has been responding; None if none does.
     :param is_link_lost: whether the link to its endpoint is known to be lost.
@@ -67,11 +68,11 @@
 
     lasted: timedelta
     has_begun: bool
-    heard: timedelta | None = None
+    since_receipt: timedelta | None = None
     others_responding: timedelta | None = None
     is_link_lost: bool = False
     is_engine: bool = False
-    patience: timedelta = STALL_TIME
+    stall_time: timedelta = STALL_TIME
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +102,7 @@
     responding = silence.others_responding
     if responding is None or responding < RESPONDING_TIME:
         return SilenceCause.SERVICE
-    if silence.heard is not None and silence.heard <= RESPONSE_AGE:
+    if silence.since_receipt is not None and silence.since_receipt <= RESPONSE_AGE:
         return SilenceCause.CONNECTION
     return SilenceCause.ENDPOINT
 
@@ -111,9 +112,9 @@
 
     Some lost links refuse new connections only.
     """
-    heard = silence.lasted if silence.heard is None else silence.heard
-    limit = ENGINE_SILENCE if silence.is_engine else PLAIN_SILENCE
-    return min(silence.lasted, heard) >= limit
+    received = silence.since_receipt
+    silent = silence.lasted if received is None else min(silence.lasted, received)
+    return silent >= (ENGINE_SILENCE if silence.is_engine else PLAIN_SILENCE)
 
 
 def judge(silence: Silence) -> SilenceVerdict:
@@ -125,9 +126,9 @@
     cause = cause_of(silence)
     if cause is SilenceCause.LINK:
         return StartHedge(cause)
-    if not silence.has_begun or silence.lasted < min(EVIDENCE_TIME, silence.patience):
+    if not silence.has_begun or silence.lasted < min(EVIDENCE_TIME, silence.stall_time):
         return Wait()
-    if silence.lasted < silence.patience or cause is SilenceCause.SERVICE:
+    if silence.lasted < silence.stall_time or cause is SilenceCause.SERVICE:
         return CollectEvidence()
     return StartHedge(cause)
 
--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -33,7 +33,7 @@
     ForwarderRefused,
     Path,
 )
-from sassafrasdale.gateway.hedger import OUTRUN, RequestHedger
+from sassafrasdale.gateway.hedger import SUPERSEDED, RequestHedger
 from sassafrasdale.gateway.hedges import Hedge, HedgeResponse
 from sassafrasdale.gateway.quarantine.quarantine import (
     QUARANTINE_RETRY_AFTER,
@@ -161,7 +161,7 @@
 
         :raises RequestRefused: if no endpoint responds and no response has begun; with
             status 503 the request did not run.
-        :raises StreamBrokenOff: if a stream that has begun can't be resumed.
+        :raises StreamInterrupted: if a stream that has begun can't be resumed.
         :raises CallerDisconnected: if the caller disconnects.
         """
         try:
@@ -298,6 +298,8 @@
         self._failures.note_send()
         self._progress = RunProgress()
         if hedge is None:
+            if self._hedger.superseded_by is not None:
+                raise AttemptFailed(AttemptOutcome.WITHHELD, SUPERSEDED)
             self._sender.check(attempt)
             # It may have waited for its endpoint since it was checked.
             self._give_up_if_quarantined()
@@ -312,7 +314,7 @@
             path.close()
             if isinstance(error, CallerDisconnected) or self._caller.is_disconnected:
                 raise CallerDisconnected from error
-            reason = OUTRUN if self._hedger.outrun_by else reason_of(error)
+            reason = SUPERSEDED if self._hedger.superseded_by else reason_of(error)
             raise AttemptFailed(AttemptOutcome.UNKNOWN, reason) from error
 
     def _relay_response(
@@ -399,8 +401,8 @@
         :param is_event: whether part of an event has come. Otherwise an engine sends
             comments while it prefills, which may take long.
         """
-        patience = self._sender.time_left * LONG_BODY_SHARE
-        self._hedger.note_begun(STALL_TIME if is_event else max(patience, STALL_TIME))
+        stall_time = self._sender.time_left * LONG_BODY_SHARE
+        self._hedger.note_begun(STALL_TIME if is_event else max(stall_time, STALL_TIME))
 
     def _record_success(self) -> None:
         admitted = self._admitted
@@ -426,10 +428,10 @@
             self._fleet.count_usage(self._admitted.customer)
 
     def _record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
-        hedge = self._hedger.outrun_by
-        if failure.reason == OUTRUN and hedge is not None:
+        hedge = self._hedger.superseded_by
+        if failure.reason == SUPERSEDED and hedge is not None:
             is_fault = hedge.cause is SilenceCause.ENDPOINT
-            self._failures.record_outrun(
+            self._failures.record_superseded(
                 attempt, failure, self._state(), is_fault=is_fault
             )
         else:
--- a/src/sassafrasdale/gateway/failure_recorder.py
+++ b/src/sassafrasdale/gateway/failure_recorder.py
@@ -131,7 +131,7 @@
         self._last_reason = failure.reason
         self._log(attempt, failure, state, crashed)
 
-    def record_outrun(
+    def record_superseded(
         self,
         attempt: Attempt,
         failure: AttemptFailed,
@@ -139,7 +139,7 @@
         *,
         is_fault: bool,
     ) -> None:
-        """Record an attempt that its hedge has outrun.
+        """Record an attempt that its hedge has superseded.
 
         It speaks neither against the version nor of a crash.
 
--- a/src/sassafrasdale/gateway/forwarding/checks.py
+++ b/src/sassafrasdale/gateway/forwarding/checks.py
@@ -96,7 +96,7 @@
         for record in self._rng.sample(records, len(records)):
             if self._in_background >= MAX_BACKGROUND_CHECKS:
                 return
-            if self._has_health_check(record):
+            if self.can_check(record):
                 self._in_background += 1
                 spawn(self._check_in_background, record)
 
@@ -123,7 +123,11 @@
         silent_on = self._clock.elapsed() - opened_at
         return is_open and is_silent and silent_on >= CHECK_TIMEOUT / 4
 
-    def _has_health_check(self, record: EndpointRecord) -> bool:
+    def can_check(self, record: EndpointRecord) -> bool:
+        """Return whether a check shows that an endpoint responds.
+
+        Otherwise it only opens a connection.
+        """
         path = self._service(record.endpoint.service).health_path
         return bool(path) and not self._is_brittle(record.name)
 
@@ -131,7 +135,7 @@
         path = self._service(record.endpoint.service).health_path
         result = ProbeResult.UNANSWERED
         try:
-            if self._has_health_check(record):
+            if self.can_check(record):
                 result = record.pool.check(
                     health_request(path), CHECK_TIMEOUT, is_new=is_new
                 )
--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -135,6 +135,10 @@
         """Begin checks whether endpoints respond to this gateway."""
         self._checks.begin(records)
 
+    def can_check(self, record: EndpointRecord) -> bool:
+        """Return whether a check shows that an endpoint responds."""
+        return self._checks.can_check(record)
+
     def confirm_crash(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint that seems to have crashed here has crashed.
 
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -99,7 +99,7 @@
         """Name of the peer that forwards; empty here."""
         return ""
 
-    def while_reading(self, callback: Callable[[], None] | None) -> None:
+    def while_reading(self, callback: Callable[[], timedelta] | None) -> None:
         """Set a callback that runs now and then while a task reads; None for none."""
         self._connection.while_reading(callback)
 
@@ -186,7 +186,7 @@
         """Name of the peer that forwards."""
         return self._contact.name
 
-    def while_reading(self, callback: Callable[[], None] | None) -> None:
+    def while_reading(self, callback: Callable[[], timedelta] | None) -> None:
         """Set a callback that runs now and then while a task reads; None for none."""
         self._connection.while_reading(callback)
 
@@ -355,6 +355,10 @@
         """Begin checks whether endpoints respond to this gateway."""
         self._links.begin_checks(records)
 
+    def can_check(self, record: EndpointRecord) -> bool:
+        """Return whether a check shows that an endpoint responds."""
+        return self._links.can_check(record)
+
     def record_lost_connection(self, record: EndpointRecord) -> None:
         """Record that a connection of this gateway's own was lost."""
         self._links.record_lost_connection(record)
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -34,10 +34,12 @@
 log = Logger("exchange")
 
 # Reason of an attempt whose hedge has responded first.
-OUTRUN = "hedge responded first"
+SUPERSEDED = "hedge responded first"
 # Time from a hedge that could not be started to the next try. Each may ask the
 # dispatcher and open a connection.
 START_INTERVAL = timedelta(milliseconds=500)
+# Interval at which the silence of a response is judged.
+CONSIDER_INTERVAL = timedelta(milliseconds=100)
 
 
 class RequestHedger:
@@ -86,7 +88,7 @@
         self._next_start_at = timedelta()
 
     @property
-    def outrun_by(self) -> Hedge | None:
+    def superseded_by(self) -> Hedge | None:
         """The hedge that has responded; None if none has."""
         hedge = self._hedge
         return hedge if hedge is not None and hedge.has_responded else None
@@ -107,35 +109,35 @@
             attempt.record,
             self._alternatives,
             is_link_lost,
-            self._paths.begin_checks,
+            self._paths,
             self._clock,
             is_engine=admitted.route.kind is RequestKind.STREAM,
         )
         path.while_reading(self._consider)
 
-    def note_begun(self, patience: timedelta) -> None:
+    def note_begun(self, stall_time: timedelta) -> None:
         """Record that the attempt's response has begun, unless it had before.
 
-        :param patience: time without progress that is usual from now on.
+        :param stall_time: time without progress after which it counts as stalled.
         """
         if self._watch is not None and not self._watch.has_begun:
-            self._watch.note_progress(patience)
+            self._watch.note_progress(stall_time)
 
     def unwatch(self, path: Path) -> None:
         """End the watch; the connection may serve another request from now on."""
         path.while_reading(None)
         self._first = None
 
-    def note_progress(self, patience: timedelta = STALL_TIME) -> None:
+    def note_progress(self, stall_time: timedelta = STALL_TIME) -> None:
         """Record that the attempt's response has made progress.
 
-        A hedge is cancelled: it would go on after what is outdated.
+        A hedge is cancelled: it would send again what has just come.
 
-        :param patience: time without progress that is usual from now on.
+        :param stall_time: time without progress after which it counts as stalled.
         """
         self.cancel()
         if self._watch is not None:
-            self._watch.note_progress(patience)
+            self._watch.note_progress(stall_time)
 
     def take(self) -> Hedge | None:
         """Return the hedge, which the request goes on with; None if there is none."""
@@ -169,43 +171,62 @@
             and budgets.allow_hedge(self._admitted.service, spend=False)
         )
 
-    def _consider(self) -> None:
-        """Start a hedge if the silence of the response justifies one."""
-        if not self._watch.is_quiet or not self._may_hedge():
-            return
+    def _consider(self) -> timedelta:
+        """Start a hedge if the silence of the response justifies one.
+
+        :returns: the time until this is to be considered again.
+        """
+        quiet_in = self._watch.quiet_in
+        if quiet_in > timedelta():
+            return quiet_in
+        if not self._may_hedge():
+            return CONSIDER_INTERVAL
         match self._watch.judge():
             case StartHedge(cause):
-                # This may take long, and the response must be read meanwhile.
-                self._starting = token = object()
-                spawn(self._start_in_task, cause, token, self._watch)
+                self._begin_start(cause)
+        return CONSIDER_INTERVAL
+
+    def _begin_start(self, cause: SilenceCause) -> None:
+        """Start a hedge in a task, as the response must be read meanwhile.
+
+        Its retry is taken from the budget now: all that stall at the same time would
+        ask for an endpoint otherwise.
+        """
+        if self._fleet.retry_budgets.allow_hedge(self._admitted.service, spend=True):
+            self._starting = token = object()
+            spawn(self._start_in_task, cause, token, self._watch)
 
     def _start_in_task(
         self, cause: SilenceCause, token: object, watch: SilenceWatch
     ) -> None:
+        hedge = None
         with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
             try:
-                self._start(cause, token, watch)
+                hedge = self._start(cause, token, watch)
             finally:
                 self._next_start_at = self._clock.elapsed() + START_INTERVAL
                 if self._starting is token:
                     self._starting = None
+                if hedge is None:
+                    self._fleet.retry_budgets.give_back(self._admitted.service)
+            if hedge is not None:
+                self._run(hedge)
 
-    def _start(self, cause: SilenceCause, token: object, watch: SilenceWatch) -> None:
-        """Start a hedge if all that it needs is there: endpoint, connection, budget.
+    def _start(
+        self, cause: SilenceCause, token: object, watch: SilenceWatch
+    ) -> Hedge | None:
+        """Return a hedge if all that it needs is there: endpoint and connection.
 
         :param token: marks this start; another one is kept if it is no longer wanted.
         """
         silence = watch.last
         attempt = self._start_attempt(watch.unresponsive())
         if attempt is None:
-            return
-        if self._starting is not token:
-            self._fleet.finish_attempt(attempt)
-            return
+            return None
         path = self._open_path(attempt, token)
         if path is None:
             self._fleet.finish_attempt(attempt)
-            return
+            return None
         self._tried.add(attempt.record.name)
         hedge = self._hedge = Hedge(attempt, path, cause)
         state = self._state()
@@ -215,13 +236,13 @@
             beside=self._first_endpoint,
             cause=str(cause),
             silent_ms=milliseconds(silence.lasted),
-            endpoint_heard_ms=optional_milliseconds(silence.heard),
+            endpoint_silent_ms=optional_milliseconds(silence.since_receipt),
             others_responding_ms=optional_milliseconds(silence.others_responding),
             retries_left=self._fleet.retry_budgets.left(attempt.service),
             begun=state.has_begun,
             events=state.events or None,
         )
-        spawn(self._run, hedge)
+        return hedge
 
     def _start_attempt(self, excluded: set[str]) -> Attempt | None:
         """Return an attempt at an endpoint that was neither tried nor is excluded.
@@ -245,7 +266,7 @@
 
     def _open_path(self, attempt: Attempt, token: object) -> Path | None:
         """Return a way to the hedge's endpoint; None if it may not be sent now."""
-        if self._failures.is_quarantined:
+        if self._starting is not token or self._failures.is_quarantined:
             return None
         try:
             path = self._sender.open_path(attempt)
@@ -254,32 +275,30 @@
                 "hedge not started", endpoint=attempt.record.name, why=failure.reason
             )
             return None
-        budgets = self._fleet.retry_budgets
         is_wanted = self._starting is token and not self._caller.is_disconnected
-        if (
-            is_wanted
-            and self._fleet.may_send(attempt)
-            and budgets.allow_hedge(attempt.service, spend=True)
-        ):
+        if is_wanted and self._fleet.may_send(attempt):
             return path
         path.release()
         return None
 
     def _run(self, hedge: Hedge) -> None:
         """Run a hedge until its response has come; it then takes over."""
-        with request_context(self._admitted.request.header(REQUEST_ID) or "none"):
-            try:
-                response = self._response(hedge)
-            except (HttpError, AttemptFailed) as error:
-                self._end(hedge, error)
-                return
-            if hedge.is_cancelled and not hedge.is_adopted:
-                self._release(hedge)
-                return
-            hedge.succeed(response)
-            if not hedge.is_adopted and self._first is not None:
-                # Wakes the reader of the first attempt, which then takes the hedge.
-                self._first.close()
+        try:
+            response = self._response(hedge)
+        except (HttpError, AttemptFailed) as error:
+            self._end(hedge, error)
+            return
+        except Exception as error:
+            log.exception("unhandled exception in a hedge")
+            self._end(hedge, AttemptFailed(AttemptOutcome.UNKNOWN, repr(error)))
+            return
+        if hedge.is_cancelled and not hedge.is_adopted:
+            self._release(hedge)
+            return
+        hedge.succeed(response)
+        if not hedge.is_adopted and self._first is not None:
+            # Wakes the reader of the first attempt, which then takes the hedge.
+            self._first.close()
 
     def _response(self, hedge: Hedge) -> HedgeResponse:
         head = self._sender.send(hedge.path, hedge.attempt)
@@ -308,7 +327,7 @@
         """Record that a hedge has failed, unless it was cancelled."""
         failure = error
         if isinstance(error, HttpError):
-            reason = reason_of(error) if self.outrun_by is None else OUTRUN
+            reason = reason_of(error) if self.superseded_by is None else SUPERSEDED
             failure = AttemptFailed(AttemptOutcome.UNKNOWN, reason)
         hedge.fail(failure)
         if hedge.is_adopted:
--- a/src/sassafrasdale/gateway/retry_budgets.py
+++ b/src/sassafrasdale/gateway/retry_budgets.py
@@ -57,6 +57,10 @@
         kept = KEPT_FOR_FAILURES * (budget.depth - 1)
         return budget.tokens >= 1 + kept and self.allow_retry(service, spend=spend)
 
+    def give_back(self, service: str) -> None:
+        """Give back a retry that was taken and not sent."""
+        self._budget(service).give_back()
+
     def left(self, service: str) -> int:
         """Return how many retries the budget allows now."""
         return int(self._budget(service).tokens)
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -72,8 +72,8 @@
 # Subtracted from the server's keep-alive timeout, so that no request is sent as the
 # server closes the connection.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
-# Interval of the callback that runs while a task reads.
-CALLBACK_INTERVAL = timedelta(milliseconds=100)
+# Time until the first call of the callback that runs while a task reads.
+FIRST_CALLBACK_DELAY = timedelta(milliseconds=400)
 # Statuses of responses without a body.
 _BODILESS = frozenset({204, 304})
 
@@ -132,7 +132,7 @@
         self._closed_by_peer = False
         self._reading = False
         self._reusable_until: timedelta | None = None
-        self._while_reading: Callable[[], None] | None = None
+        self._while_reading: Callable[[], timedelta] | None = None
         self._callback_due = timedelta()
         self.used_at = clock.elapsed()
         self.sent_at: timedelta | None = None
@@ -211,13 +211,14 @@
             return False
         return False
 
-    def while_reading(self, callback: Callable[[], None] | None) -> None:
+    def while_reading(self, callback: Callable[[], timedelta] | None) -> None:
         """Set a callback that runs now and then while a task reads; None for none.
 
-        It runs in that task, whether bytes come or not.
+        It runs in that task, whether bytes come or not, must not wait, and returns the
+        time until it is to run again.
         """
         self._while_reading = callback
-        self._callback_due = self._clock.elapsed() + CALLBACK_INTERVAL
+        self._callback_due = self._clock.elapsed() + FIRST_CALLBACK_DELAY
 
     def send(self, request: Request) -> None:
         """Send a request; a long body is sent in the background.
@@ -458,9 +459,7 @@
                 with suppress(ResponseTimeout):
                     return self._receive_within(min(deadline, self._callback_due) - now)
                 continue
-            self._while_reading()
-            # Counted from its end, so that data are read even if it takes long.
-            self._callback_due = self._clock.elapsed() + CALLBACK_INTERVAL
+            self._callback_due = now + self._while_reading()
 
     def _receive_within(self, limit: timedelta) -> bytes:
         self._check_open()
--- a/tests/decisions/test_silence.py
+++ b/tests/decisions/test_silence.py
@@ -33,7 +33,7 @@
 STALLED = Silence(
     STALL_TIME,
     has_begun=True,
-    heard=STALL_TIME,
+    since_receipt=STALL_TIME,
     others_responding=RESPONDING_TIME,
 )
 
@@ -44,14 +44,16 @@
 
 def test_a_response_that_alone_has_stalled_is_hedged():
     """Guards against connections that die without a reset while new ones work."""
-    silence = replace(STALLED, heard=RESPONSE_AGE)
+    silence = replace(STALLED, since_receipt=RESPONSE_AGE)
     assert judge(silence) == StartHedge(SilenceCause.CONNECTION)
 
 
 @pytest.mark.parametrize("lasted", [STALL_TIME, MINUTE])
 def test_endpoints_that_are_silent_together_are_waited_for(lasted):
     """Guards against sound runs that are abandoned in a stall of all endpoints."""
-    silence = replace(STALLED, lasted=lasted, heard=lasted, others_responding=None)
+    silence = replace(
+        STALLED, lasted=lasted, since_receipt=lasted, others_responding=None
+    )
     assert judge(silence) == CollectEvidence()
 
 
@@ -74,7 +76,7 @@
 
 
 def test_what_usually_takes_long_is_not_hedged_early():
-    slow = replace(STALLED, patience=MINUTE)
+    slow = replace(STALLED, stall_time=MINUTE)
     assert judge(slow) == CollectEvidence()
     assert judge(replace(slow, lasted=MINUTE)) == StartHedge(SilenceCause.ENDPOINT)
 
@@ -95,7 +97,9 @@
 
 def test_a_lost_link_on_which_bytes_come_justifies_nothing():
     """Guards against requests that run twice where only new connections are refused."""
-    lost = Silence(MINUTE, has_begun=False, heard=timedelta(), is_link_lost=True)
+    lost = Silence(
+        MINUTE, has_begun=False, since_receipt=timedelta(), is_link_lost=True
+    )
     assert judge(lost) == Wait()
 
 
