A stall that ends between two checks loses no link

What callers could see: as engines went on after a stall of all, gateways took links to some of them for lost ('endpoint link lost', evidence silent, silent_ms 0 to 13, up to four at a gateway), sent their requests through peers for a second, and allowed hedges of their streams as of a lost link.

Cause: this gateway's check ends silent in the stall, the peers' checks come through after it, and nobody looked whether bytes had come here meanwhile.

Change: a link whose endpoint accepts connections and is silent is lost only if no byte comes from it for RESPONDING_TIME after peers reached it. That adds 0.2 s to the finding of such a link; refused, unanswered and new connections are judged as before.

--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -18,6 +18,7 @@
 from sassafrasdale.decisions.silence import (
     ENGINE_SILENCE,
     PLAIN_SILENCE,
+    RESPONDING_TIME,
     is_link_suspicious,
 )
 from sassafrasdale.deployment import Service
@@ -31,6 +32,7 @@
 
 CONNECTION_FAILED = "connection failed"
 TICK_INTERVAL = timedelta(milliseconds=100)
+RECEIPT_POLL = timedelta(milliseconds=10)
 # Minimum interval between two diagnoses of one link.
 DIAGNOSIS_INTERVAL = timedelta(seconds=1)
 # Time that a request waits for a diagnosis before it goes to another endpoint.
@@ -242,15 +244,36 @@
         try:
             is_new = evidence == CONNECTION_FAILED
             own = self._checks.check(link.record, is_new=is_new)
+            checked_at = self._clock.elapsed()
             if own is ProbeResult.OPEN or not self._is_suspicious(own):
                 return
             answers = self._ask(link)
-            if is_link_lost(Reachability.NOT_REACHED, tuple(answers.values())):
-                self._mark_lost(link, evidence, answers)
+            if not is_link_lost(Reachability.NOT_REACHED, tuple(answers.values())):
+                return
+            is_silent = own is ProbeResult.SILENT and not is_new
+            if is_silent and self._goes_on(link.record, checked_at):
+                log.info("silent endpoint goes on", endpoint=link.record.name)
+                return
+            self._mark_lost(link, evidence, answers)
         finally:
             link.diagnosis = None
             diagnosis.send(None)
 
+    def _goes_on(self, record: EndpointRecord, since: timedelta) -> bool:
+        """Return whether bytes come from an endpoint that was silent.
+
+        Peers may have reached it as a stall of it ended. Its requests here go on then,
+        too, if not in the same instant.
+        """
+        deadline = self._clock.elapsed() + RESPONDING_TIME
+        while True:
+            received_at = record.pool.received_at
+            if received_at is not None and received_at > since:
+                return True
+            if self._clock.elapsed() >= deadline:
+                return False
+            sleep(RECEIPT_POLL)
+
     def _ask(self, link: _Link) -> dict[str, Reachability]:
         """Ask peers whether they reach an endpoint that this gateway does not reach.
 
