Tests of responses without end: what callers get, and what gateways use

Callers of requests that may not be repeated get 502 at once, an endpoint is ejected after two endless responses, and a refusal counts as one whatever its body.

--- a/src/sassafrasdale/endpoints/adapters.py
+++ b/src/sassafrasdale/endpoints/adapters.py
@@ -32,7 +32,7 @@
 from sassafrasdale.endpoints.pools import ReplaceablePool
 from sassafrasdale.green import Timeout, timeout
 from sassafrasdale.green_http import GreenHttpConnection
-from sassafrasdale.http.event_blocks import EventBlocks
+from sassafrasdale.http.event_blocks import EventBlocks, split_blocks
 from sassafrasdale.http.exceptions import MalformedResponse
 from sassafrasdale.structures import Address
 
@@ -149,8 +149,8 @@
         blocks = EventBlocks()
         try:
             while chunk := self._response.read1(READ_BYTES):
-                if events := blocks.feed(chunk):
-                    yield [event.rstrip(b"\r\n") for event in events]
+                if complete := blocks.feed(chunk):
+                    yield split_blocks(complete)
         except MalformedResponse as error:
             raise ResponseLost(f"the stream is malformed: {error}") from error
         except _CONNECTION_ERRORS as error:
--- a/src/sassafrasdale/gateway/events.py
+++ b/src/sassafrasdale/gateway/events.py
@@ -28,7 +28,6 @@
         self._blocks = EventBlocks(MAX_IDLE_BYTES)
         self._last_id = last_id
         self._highest_id = last_id
-        self._count = 0
         self._idle_bytes = 0
         self._has_advanced = False
 
@@ -40,7 +39,7 @@
     @property
     def count(self) -> int:
         """Number of complete events."""
-        return self._count
+        return self._blocks.count
 
     @property
     def has_partial(self) -> bool:
@@ -63,24 +62,23 @@
         """
         self._has_advanced = False
         complete = self._blocks.feed(data)
-        for block in complete:
-            self._count += 1
-            self._note(block)
+        if complete:
+            self._note(complete)
         self._idle_bytes = 0 if self._has_advanced else self._idle_bytes + len(data)
         if self._idle_bytes > MAX_IDLE_BYTES:
             raise MalformedResponse(f"{MAX_IDLE_BYTES} bytes without a new event")
-        return b"".join(complete)
+        return complete
 
     def drop_partial(self) -> None:
         """Discard an incomplete event; the next endpoint sends all of it."""
         self._blocks.drop_partial()
         self._idle_bytes = 0
 
-    def _note(self, block: bytes) -> None:
-        """Record the id of a complete event, and whether it advances the stream."""
-        for match in _ID.finditer(block):
+    def _note(self, complete: bytes) -> None:
+        """Record the ids of complete events, and whether they advance the stream."""
+        for match in _ID.finditer(complete):
             self._note_id(match.group(1))
-        if self._last_id is None and _DATA.search(block):
+        if self._last_id is None and _DATA.search(complete):
             self._has_advanced = True
 
     def _note_id(self, digits: bytes) -> None:
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -62,6 +62,9 @@
 # cost of a part is that of some kilobytes. An event of a stream has 15 bytes or more.
 MAX_TINY_PARTS = 4096
 MIN_PART_BYTES = 8
+# Bytes between a body's data, such as the extensions of chunks, that may come beyond as
+# many as the data has.
+MAX_FRAMING_BYTES = 1024 * 1024
 # Maximum size of a health check's body, and of the body of a refusal: what is beyond is
 # not worth reading, and the connection is closed.
 MAX_UNUSED_BODY_BYTES = 65_536
@@ -121,6 +124,7 @@
         self._events_read = 0
         self._parts = 0
         self._part_bytes = 0
+        self._received_bytes = 0
         self._sock = sock
         self._clock = clock
         self._on_receive = on_receive
@@ -380,6 +384,8 @@
         beyond = self._parts - MAX_TINY_PARTS
         if beyond * MIN_PART_BYTES > self._part_bytes:
             raise MalformedResponse("the body comes in tiny parts")
+        if self._received_bytes > MAX_FRAMING_BYTES + 2 * self._part_bytes:
+            raise MalformedResponse("the body has more framing than data")
 
     def _finish_response(self) -> None:
         self.responses += 1
@@ -407,7 +413,7 @@
                 case h11.InformationalResponse():
                     continue
                 case h11.Response():
-                    self._parts = self._part_bytes = 0
+                    self._parts = self._part_bytes = self._received_bytes = 0
                     return ResponseHead(
                         event.status_code, decoded_headers(event.headers)
                     )
@@ -477,6 +483,7 @@
                 self._close_socket()
         self._check_open()
         self._closed_by_peer = not data
+        self._received_bytes += len(data)
         if data:
             self._on_receive()
         return data
--- a/src/sassafrasdale/http/event_blocks.py
+++ b/src/sassafrasdale/http/event_blocks.py
@@ -15,6 +15,11 @@
 _END_OVERLAP = len(b"\r\n\r\n") - 1
 
 
+def split_blocks(complete: bytes) -> list[bytes]:
+    """Return complete blocks one by one, without the blank lines that end them."""
+    return _END.split(complete)[:-1]
+
+
 class EventBlocks:
     """Collects bytes into complete blocks.
 
@@ -24,28 +29,34 @@
     def __init__(self, max_bytes: int = MAX_BLOCK_BYTES) -> None:
         self._max_bytes = max_bytes
         self._partial = bytearray()
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """Number of complete blocks."""
+        return self._count
 
     @property
     def partial_bytes(self) -> int:
         """Size of the incomplete block that is buffered."""
         return len(self._partial)
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """Return the blocks that are now complete.
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes of the blocks that are now complete.
 
         :raises MalformedResponse: if the incomplete block is too long.
         """
         searched_from = max(len(self._partial) - _END_OVERLAP, 0)
         self._partial += data
-        blocks = []
-        start = 0
+        end = 0
         for match in _END.finditer(self._partial, searched_from):
-            blocks.append(bytes(self._partial[start : match.end()]))
-            start = match.end()
-        del self._partial[:start]
+            end = match.end()
+            self._count += 1
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         if len(self._partial) > self._max_bytes:
             raise MalformedResponse(f"an event is over {self._max_bytes} bytes")
-        return blocks
+        return complete
 
     def drop_partial(self) -> None:
         """Discard the incomplete block."""
--- /dev/null
+++ b/tests/gateway/test_endless_responses.py
@@ -0,0 +1,155 @@
+"""What callers get where endpoints send bytes without end."""
+
+from datetime import timedelta
+
+import pytest
+
+from sassafrasdale.clock import SystemClock
+from sassafrasdale.decisions.silence import STALL_TIME
+from sassafrasdale.green import sleep
+from standins.gateway_endpoints import Endless
+from standins.gateway_fleet import status_of
+from tests.gateway.test_exchange import STREAM, body_of, only_reports
+from tests.gateway.test_hedges import END, StalledStream, healthy
+from tests.gateway.world import (
+    ScriptedEndpoint,
+    World,
+    chunk,
+    event,
+    header,
+    request,
+    respond_with,
+    stream_head,
+    streamed,
+)
+from tests.platform.documents import configuration
+
+CLOCK = SystemClock()
+# A plain service tells nothing of its bodies, so only their size can be too much.
+MALFORMED = [
+    Endless.STATUS_LINE,
+    Endless.HEAD,
+    Endless.INTERIM,
+    Endless.CHUNKED,
+    Endless.UNFRAMED,
+    Endless.TINY_CHUNKS,
+]
+
+
+def endless(kind: Endless, *, status: bytes = b"200 OK", extra: str = ""):
+    """Return a script that sends without end, as fast as it is read."""
+
+    def script(sock, raw):
+        headers = [("request-id", header(raw, "request-id"))]
+        headers += [("replica-stamp", "stamp")] if not extra else [(extra, "1")]
+        first, part = kind.bytes_for(headers)
+        sock.sendall(first.replace(b"200 OK", status))
+        while True:
+            sock.sendall(part)
+            sleep()
+
+    return script
+
+
+@pytest.mark.parametrize("kind", MALFORMED)
+def test_a_request_that_may_not_be_repeated_fails_at_once(kind):
+    """Guards against callers that wait until the deadline for bytes without end."""
+    routes = [{**route, "timeoutMs": 8000} for route in configuration()["routes"]]
+    world = World(routes=routes)
+    endpoint = ScriptedEndpoint(endless(kind))
+    world.add("i-1", "records", endpoint)
+    began_at = CLOCK.elapsed()
+    response = world.ask(request("/certificates/7", deadline_ms="8000"))
+    assert status_of(response) == 502
+    assert CLOCK.elapsed() - began_at < timedelta(seconds=3)
+    assert len(endpoint.requests) == 1
+
+
+@pytest.mark.parametrize("kind", MALFORMED)
+def test_an_endpoint_that_sends_without_end_is_soon_ejected(kind):
+    """Guards against one endpoint whose endless responses cost many requests."""
+    routes = [{**route, "timeoutMs": 8000} for route in configuration()["routes"]]
+    world = World(routes=routes)
+    failing = ScriptedEndpoint(endless(kind))
+    world.add("i-1", "records", failing)
+    world.add("i-2", "records", ScriptedEndpoint(respond_with()))
+    for number in range(10):
+        response = world.ask(
+            request("/reports/open/7", f"r-{number}", deadline_ms="8000")
+        )
+        assert status_of(response) == 200
+    assert len(failing.requests) <= 2
+
+
+@pytest.mark.parametrize("kind", [Endless.CHUNKED, Endless.COMMENTS])
+def test_a_stream_of_bytes_without_end_goes_on_elsewhere(kind):
+    """Guards against streams that an engine keeps busy and never brings further."""
+    world = World(routes=only_reports())
+    world.add("i-0", "models", ScriptedEndpoint(endless(kind)))
+    world.add("i-1", "models", ScriptedEndpoint(streamed(1, 2)))
+    began_at = CLOCK.elapsed()
+    response = world.ask(request("/reports/7", **STREAM))
+    assert body_of(response).endswith(event(1) + event(2))
+    assert response.endswith(END)
+    assert CLOCK.elapsed() - began_at < timedelta(seconds=3)
+
+
+def sending_now_and_then(part: bytes, *, events: int = 1):
+    """Return a script: some events, and then a part again and again."""
+
+    def script(sock, raw):
+        sock.sendall(stream_head(raw))
+        for number in range(1, events + 1):
+            sock.sendall(chunk(event(number)))
+        while True:
+            sock.sendall(chunk(part))
+            sleep(timedelta(milliseconds=50))
+
+    return script
+
+
+@pytest.mark.parametrize("part", [b": filler\n\n", event(1), b"x", b"data: x\n\n"])
+def test_bytes_now_and_then_are_no_progress_of_a_stream(part):
+    """Guards against comments and repeated events that keep a stalled stream alive."""
+    began_at = CLOCK.elapsed()
+    stream = StalledStream(healthy(sending_now_and_then(part)), healthy(streamed(2, 3)))
+    response = stream.read()
+    assert response.endswith(END)
+    assert event(2) + event(3) in body_of(response)
+    assert CLOCK.elapsed() - began_at < 3 * STALL_TIME
+
+
+def test_part_of_a_first_event_is_not_waited_for_for_ever():
+    """Guards against engines that begin an event and never end it."""
+    began_at = CLOCK.elapsed()
+    stream = StalledStream(
+        healthy(sending_now_and_then(b"x", events=0)), healthy(streamed(1, 2))
+    )
+    response = stream.read()
+    assert response.endswith(END)
+    assert body_of(response) == event(1) + event(2)
+    assert CLOCK.elapsed() - began_at < 3 * STALL_TIME
+
+
+def test_keep_alive_comments_of_a_prefill_start_no_hedge():
+    """Guards against a second run of each prompt that takes long to prefill."""
+
+    def prefilling(sock, raw):
+        sock.sendall(stream_head(raw))
+        for _ in range(20):
+            sock.sendall(chunk(b": filler\n\n"))
+            sleep(timedelta(milliseconds=100))
+        sock.sendall(chunk(event(1)) + END)
+
+    stream = StalledStream(healthy(prefilling), healthy(streamed(1)))
+    assert body_of(stream.read()).endswith(event(1))
+    assert not [raw for raw in stream.second.requests if b"/reports/" in raw]
+
+
+def test_a_refusal_with_a_body_without_end_is_a_refusal():
+    """Guards against a request that has not run and is taken for one that may have."""
+    world = World()
+    refusing = endless(Endless.CHUNKED, status=b"503 Busy", extra="not-run")
+    world.add("i-1", "records", ScriptedEndpoint(refusing))
+    response = world.ask(request("/certificates/7"))
+    assert status_of(response) == 503
