A closed listener wakes the task that waits for its connections

Three tests of peers/bridge failed in two runs after tests/http (a run of all unit tests, and tests/http with tests/peers): the event loop still held the server's task for the closed listener's descriptor, whose number a new socket had got, and refused its reader.

--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -70,6 +70,17 @@
     return listener
 
 
+def close_listener(listener: socket.socket) -> None:
+    """Close a listening socket, and wake the task that waits for its connections.
+
+    Otherwise the event loop would keep that task for the descriptor, whose number may
+    be another socket's by then.
+    """
+    # Its `notify_close` does nothing; this one wakes whoever waits for the descriptor.
+    eventlet.hubs.notify_opened(listener.fileno())
+    listener.close()
+
+
 def datagram_socket(address: Address) -> socket.socket:
     """Return a green datagram socket bound to ``address``.
 
--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -15,7 +15,15 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import Empty, Queue, make_green, receive, sleep, spawn
+from sassafrasdale.green import (
+    Empty,
+    Queue,
+    close_listener,
+    make_green,
+    receive,
+    sleep,
+    spawn,
+)
 from sassafrasdale.http.body_budget import REQUEST_BODIES, BodyBudget, BodyLease
 from sassafrasdale.http.exceptions import (
     BodyTooLarge,
@@ -479,7 +487,7 @@
             pass
         except OSError as error:
             log.warning("accepting a connection failed", why=str(error))
-        self._listener.close()
+        close_listener(self._listener)
 
     def _start(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
