Guards of the soak follow the modules; a sound part that late strikes convict is listed

A unit test shows it; not mended, as a gateway that has just started must not wait to heed convictions.

--- a/bench/soak/unguarded.py
+++ b/bench/soak/unguarded.py
@@ -6,6 +6,7 @@
 
 import runpy
 import sys
+from datetime import timedelta
 from enum import StrEnum
 from typing import Any
 
@@ -15,6 +16,7 @@
 from sassafrasdale.gateway import eligibility
 from sassafrasdale.gateway.exchange import RequestExchange
 from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome
+from sassafrasdale.gateway.hedger import CONSIDER_INTERVAL, RequestHedger
 from sassafrasdale.gateway.routing import RouteTable
 from sassafrasdale.http.exceptions import ResponseTimeout
 
@@ -53,21 +55,21 @@
 
 
 def _retry_regardless_of_outcome() -> None:
-    original = RequestExchange._may_send_again
+    original = RequestExchange._obstacle_to_retry
 
-    def patched(self: RequestExchange, failure: AttemptFailed) -> bool:
+    def patched(self: RequestExchange, failure: AttemptFailed) -> str:
         failure.outcome = AttemptOutcome.NOT_RUN
         return original(self, failure)
 
-    RequestExchange._may_send_again = patched
+    RequestExchange._obstacle_to_retry = patched
 
 
 def _report_all_as_not_run() -> None:
     original = RequestExchange._give_up
 
-    def patched(self: RequestExchange, failure: AttemptFailed) -> None:
-        self._may_have_run = False
-        original(self, failure)
+    def patched(self: RequestExchange, failure: AttemptFailed, *args: Any) -> None:
+        self._failures._may_have_run = False
+        original(self, failure, *args)
 
     RequestExchange._give_up = patched
 
@@ -96,13 +98,14 @@
 def _abandon_silent_streams() -> None:
     """End attempts before another endpoint has responded."""
 
-    def patched(self: RequestExchange) -> None:
+    def patched(self: RequestHedger) -> timedelta:
         self._watch.judge()
         silence = self._watch.last
         if silence.has_begun and silence.lasted >= STALL_TIME:
             raise ResponseTimeout("abandoned")
+        return CONSIDER_INTERVAL
 
-    RequestExchange._consider_hedge = patched
+    RequestHedger._consider = patched
 
 
 if __name__ == "__main__":
--- a/tests/decisions/test_quarantine.py
+++ b/tests/decisions/test_quarantine.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sassafrasdale.decisions.blame import WHOLE_REQUEST
+from sassafrasdale.decisions.blame import KNOWN_SOUND_PART, WHOLE_REQUEST
 from sassafrasdale.decisions.quarantine import (
     StrikeLedger,
     is_trial_due,
@@ -247,3 +247,16 @@
                 refused.add(name)
                 del running[name]
     assert len(refused) <= began / 200
+
+
+def test_strikes_that_are_learnt_late_leave_time_to_clear_a_sound_part():
+    """Guards against a sound part that is quarantined as old strikes become known.
+
+    What clears it was heard before the strikes, and had nothing to clear.
+    """
+    now = 1000.0
+    ledger = StrikeLedger(now=lambda: now, is_sound=lambda feature: True)
+    ledger.clear("part-aa")
+    for end in range(KNOWN_SOUND_PART.crashes):
+        ledger.add(strike("part-aa", end, at=now - 6, request=f"r-{end}"))
+    assert ledger.quarantined == set()
