What an endpoint has responded has a name that fits the first attempt, too

The exchange used HedgeResponse for every response. It is EndpointResponse now, in gateway/responses. A rename only; 485 tests of gateway and the platform's boundary pass.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -34,13 +34,14 @@
     Path,
 )
 from sassafrasdale.gateway.hedger import SUPERSEDED, RequestHedger
-from sassafrasdale.gateway.hedges import Hedge, HedgeResponse
+from sassafrasdale.gateway.hedges import Hedge
 from sassafrasdale.gateway.quarantine.quarantine import (
     QUARANTINE_RETRY_AFTER,
     QUARANTINED,
     RequestQuarantine,
 )
 from sassafrasdale.gateway.quarantine.soundness import RunProgress
+from sassafrasdale.gateway.responses import EndpointResponse
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
@@ -104,7 +105,7 @@
         self._waited = timedelta()
         self._not_retried = ""
         self._last_attempt: Attempt | None = None
-        self._failed_response: HedgeResponse | None = None
+        self._failed_response: EndpointResponse | None = None
         self._failures = FailureRecorder(admitted, fleet, quarantine, paths, clock)
         self._sender = AttemptSender(
             admitted,
@@ -306,7 +307,7 @@
         self._hedger.watch(path, attempt)
         try:
             if hedge is None:
-                response = HedgeResponse(self._sender.send(path, attempt))
+                response = EndpointResponse(self._sender.send(path, attempt))
             else:
                 response = hedge.wait()
             return self._relay_response(path, response, attempt)
@@ -318,7 +319,7 @@
             raise AttemptFailed(AttemptOutcome.UNKNOWN, reason) from error
 
     def _relay_response(
-        self, path: Path, response: HedgeResponse, attempt: Attempt
+        self, path: Path, response: EndpointResponse, attempt: Attempt
     ) -> int:
         head = response.head
         if self._sender.is_stream(head):
@@ -326,7 +327,7 @@
         if response.body is None:
             # A body may be long, so only one that takes much of the time is hedged.
             self._hedger.note_progress(self._sender.time_left * LONG_BODY_SHARE)
-            response = HedgeResponse(head, self._sender.read_body(path))
+            response = EndpointResponse(head, self._sender.read_body(path))
         self._hedger.cancel()
         self._record_first_byte(attempt, is_prefilled=head.succeeded)
         if head.status >= 500 and self._may_retry_status():
@@ -339,13 +340,13 @@
             self._record_success()
         return self._answer(response)
 
-    def _answer(self, response: HedgeResponse) -> int:
+    def _answer(self, response: EndpointResponse) -> int:
         """Send a whole response to the caller, and return its status."""
         head = response.head
         self._caller.answer(head.status, caller_headers(head), response.body)
         return head.status
 
-    def _stream_data(self, path: Path, response: HedgeResponse) -> Iterator[bytes]:
+    def _stream_data(self, path: Path, response: EndpointResponse) -> Iterator[bytes]:
         """Yield a stream's data, those first that were read before."""
         yield from filter(None, response.received)
         if b"" not in response.received:
@@ -353,7 +354,7 @@
                 yield data
 
     def _relay_stream(
-        self, path: Path, response: HedgeResponse, attempt: Attempt
+        self, path: Path, response: EndpointResponse, attempt: Attempt
     ) -> int:
         """Relay a stream, complete events only."""
         head = response.head
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -22,8 +22,9 @@
 from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome, reason_of
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import EndpointPaths, Path
-from sassafrasdale.gateway.hedges import Hedge, HedgeResponse
+from sassafrasdale.gateway.hedges import Hedge
 from sassafrasdale.gateway.quarantine.soundness import RunProgress
+from sassafrasdale.gateway.responses import EndpointResponse
 from sassafrasdale.gateway.silence_watch import SilenceWatch
 from sassafrasdale.green import spawn
 from sassafrasdale.http.exceptions import HttpError
@@ -300,14 +301,14 @@
             # Wakes the reader of the first attempt, which then takes the hedge.
             self._first.close()
 
-    def _response(self, hedge: Hedge) -> HedgeResponse:
+    def _response(self, hedge: Hedge) -> EndpointResponse:
         head = self._sender.send(hedge.path, hedge.attempt)
         is_failure = self._caller.response_started and not head.succeeded
         if head.status >= 500 or is_failure:
             raise AttemptFailed(AttemptOutcome.UNKNOWN, f"failed with {head.status}")
         if self._sender.is_stream(head):
-            return HedgeResponse(head, received=self._read_event(hedge.path))
-        return HedgeResponse(head, self._sender.read_body(hedge.path))
+            return EndpointResponse(head, received=self._read_event(hedge.path))
+        return EndpointResponse(head, self._sender.read_body(hedge.path))
 
     def _read_event(self, path: Path) -> tuple[bytes, ...]:
         """Return a stream's data up to its first event, or to its end.
--- a/src/sassafrasdale/gateway/hedges.py
+++ b/src/sassafrasdale/gateway/hedges.py
@@ -10,22 +10,8 @@
 from sassafrasdale.gateway.attempts import Attempt
 from sassafrasdale.gateway.failures import AttemptFailed
 from sassafrasdale.gateway.forwarding.paths import Path
+from sassafrasdale.gateway.responses import EndpointResponse
 from sassafrasdale.green import Event
-from sassafrasdale.http.messages import ResponseHead
-
-
-@dataclass(frozen=True, slots=True)
-class HedgeResponse:
-    """What a hedge has received.
-
-    :param body: the whole body; None for a stream, whose body is still to be read.
-    :param received: what was read of a stream's body so far; ends with no bytes if that
-        was all.
-    """
-
-    head: ResponseHead
-    body: bytes | None = None
-    received: tuple[bytes, ...] = ()
 
 
 @dataclass(slots=True)
@@ -44,7 +30,7 @@
     cause: SilenceCause
     is_adopted: bool = False
     is_cancelled: bool = False
-    _response: HedgeResponse | None = None
+    _response: EndpointResponse | None = None
     _failure: AttemptFailed | None = None
     _ended: Event = field(default_factory=Event)
 
@@ -53,7 +39,7 @@
         """Whether its response has come."""
         return self._response is not None
 
-    def succeed(self, response: HedgeResponse) -> None:
+    def succeed(self, response: EndpointResponse) -> None:
         """Record that its response has come."""
         self._response = response
         self._ended.send(None)
@@ -68,7 +54,7 @@
         self.is_cancelled = True
         self.path.close()
 
-    def wait(self) -> HedgeResponse:
+    def wait(self) -> EndpointResponse:
         """Return its response, once that has come.
 
         :raises AttemptFailed: if it fails.
