--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -41,6 +41,7 @@
     decoded_headers,
     encoded_headers,
 )
+from sassafrasdale.http.parts import EVENTS_PER_TURN, are_tiny
 from sassafrasdale.structures import Address
 
 log = Logger("http")
@@ -55,13 +56,6 @@
 MAX_INTERIM_RESPONSES = 16
 # Maximum size of a head, of the trailers, and of a chunk's extensions.
 MAX_HEAD_BYTES = 16_384
-# Events of the codec after which other tasks run, some milliseconds of work. Reads
-# don't wait as long as a server sends faster than it is read.
-EVENTS_PER_TURN = 32
-# Parts of a body that may be tiny, and least average size of a part beyond these. The
-# cost of a part is that of some kilobytes. An event of a stream has 15 bytes or more.
-MAX_TINY_PARTS = 4096
-MIN_PART_BYTES = 8
 # Bytes between a body's data, such as the extensions of chunks, that may come beyond as
 # many as the data has.
 MAX_FRAMING_BYTES = 1024 * 1024
@@ -382,8 +376,7 @@
         """Check that a body does not come in parts that are tiny on average."""
         self._parts += 1
         self._part_bytes += size
-        beyond = self._parts - MAX_TINY_PARTS
-        if beyond * MIN_PART_BYTES > self._part_bytes:
+        if are_tiny(self._parts, self._part_bytes):
             raise MalformedResponse("the body comes in tiny parts")
         if self._received_bytes > MAX_FRAMING_BYTES + 2 * self._part_bytes:
             raise MalformedResponse("the body has more framing than data")
--- a/src/sassafrasdale/http/server.py
+++ b/src/sassafrasdale/http/server.py
@@ -36,6 +36,7 @@
     decoded_headers,
     encoded_headers,
 )
+from sassafrasdale.http.parts import EVENTS_PER_TURN, are_tiny
 
 log = Logger("http")
 
@@ -50,11 +51,6 @@
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=20)
 # Least average rate of a request's body, in bytes per second, after the idle timeout.
 MIN_BODY_RATE = 1024
-# Events of the codec after which other tasks run, some milliseconds of work.
-EVENTS_PER_TURN = 32
-# Parts of a body that may be tiny, and least average size of a part beyond these.
-MAX_TINY_PARTS = 4096
-MIN_PART_BYTES = 8
 # Time within which a caller must read some bytes of a response.
 WRITE_TIMEOUT = timedelta(seconds=10)
 
@@ -321,7 +317,7 @@
                     body += event.data
                     if len(body) > limits.body_bytes:
                         raise MalformedRequest("the body is too long", 413)
-                    if (events - MAX_TINY_PARTS) * MIN_PART_BYTES > len(body):
+                    if are_tiny(events, len(body)):
                         raise MalformedRequest("the body comes in tiny parts")
                 case h11.EndOfMessage():
                     lease.complete()
--- a/tests/requests/test_generation.py
+++ b/tests/requests/test_generation.py
@@ -91,16 +91,22 @@
     return [broken, *silent, [WHOLE[1:]]]
 
 
-def test_engines_that_stall_together_keep_their_streams():
-    """Guards against a stream computed anew as all engines are silent for seconds."""
-    engine = StallingAdapter(_stalled_stream(2), timeouts=9)
-    other = StallingAdapter([], timeouts=9)
+def _run_beside(engine, other, call):
+    """Run a generation that begins at one engine and may go on at another."""
     made = generation(
         Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
         clock=SystemClock(),
-        call=_call_from_now(),
+        call=call,
     )
     made.run()
+    return made
+
+
+def test_engines_that_stall_together_keep_their_streams():
+    """Guards against a stream computed anew as all engines are silent for seconds."""
+    engine = StallingAdapter(_stalled_stream(2), timeouts=9)
+    other = StallingAdapter([], timeouts=9)
+    made = _run_beside(engine, other, _call_from_now())
     assert made.events == WHOLE
     assert other.requests == []
 
@@ -110,12 +116,7 @@
     engine = StallingAdapter(_stalled_stream(2), timeouts=9)
     other = StallingAdapter([], timeouts=0)
     seconds = SystemClock().elapsed().total_seconds() + 30
-    made = generation(
-        Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
-        clock=SystemClock(),
-        call=model_call(key="key-1", seconds=seconds),
-    )
-    made.run()
+    made = _run_beside(engine, other, model_call(key="key-1", seconds=seconds))
     assert made.events == WHOLE
     assert other.requests == []
 
@@ -124,12 +125,7 @@
     """Guards against a stream computed anew at the first engine that goes on."""
     engine = StallingAdapter(_stalled_stream(1), timeouts=1)
     other = StallingAdapter([], timeouts=0)
-    made = generation(
-        Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
-        clock=SystemClock(),
-        call=_call_from_now(),
-    )
-    made.run()
+    made = _run_beside(engine, other, _call_from_now())
     assert made.events == WHOLE
     assert other.requests == []
 
@@ -138,12 +134,7 @@
     """Guards against streams that wait for an engine that is gone without a reset."""
     engine = StallingAdapter(_stalled_stream(1)[:2], timeouts=9)
     other = StallingAdapter([[WHOLE[1:]]], timeouts=0)
-    made = generation(
-        Choices(*[endpoint("one", engine), *[endpoint("two", other)] * 9]),
-        clock=SystemClock(),
-        call=_call_from_now(),
-    )
-    made.run()
+    made = _run_beside(engine, other, _call_from_now())
     assert made.events == WHOLE
     assert b'"continuation": "a"' in other.requests[0].body
 
