A gateway that has stored a strike also deletes it

Cause: a witness deletes its strikes from the store as a quarantine is lifted. An aggregator that has not yet heard of it stores them again, as overdue. It then hears that they are cleared and deleted, and so nobody deletes what it stored: the next gateway to start reads the strikes and refuses the request. The same holds for a create whose response is lost.

Change: who stores a strike deletes it once it is cleared, whoever else has done so.

Measured: the test of two gateways at one store failed before.

--- a/src/sassafrasdale/gateway/quarantine/records.py
+++ b/src/sassafrasdale/gateway/quarantine/records.py
@@ -77,6 +77,9 @@
         self._clock = clock
         self._rng = rng
         self._is_loaded = False
+        # Strikes that this gateway has stored. It also deletes them: another one may
+        # have done so before they were stored here.
+        self._own: set[Strike] = set()
         self._checked_at: timedelta | None = None
         self._checked_version = 0
         self._has_pending = False
@@ -114,7 +117,7 @@
             self._trials.forget(fingerprint)
         dropped = self._dropped()
         for tracked in dropped:
-            self._store.delete(_key(tracked.strike))
+            self._delete(tracked.strike)
         return bool(due or dropped)
 
     def _dropped(self) -> list[TrackedStrike]:
@@ -122,9 +125,12 @@
         return [
             tracked
             for tracked in self._ledger.pop_dropped()
-            if StrikeState.STORED in tracked.state
-            and StrikeState.UNSTORED not in tracked.state
-            and self._is_responsible(tracked)
+            if tracked.strike in self._own
+            or (
+                StrikeState.STORED in tracked.state
+                and StrikeState.UNSTORED not in tracked.state
+                and self._is_responsible(tracked)
+            )
         ]
 
     def _load(self) -> None:
@@ -161,7 +167,7 @@
         for strikes in list(self._ledger.by_feature()):
             self._clear_expired(strikes)
             pending += [
-                tracked for tracked in strikes if _is_out_of_date(tracked, strikes)
+                tracked for tracked in strikes if self._is_out_of_date(tracked, strikes)
             ]
         self._has_pending = bool(pending)
         due = (tracked for tracked in pending if self._is_responsible(tracked))
@@ -171,11 +177,11 @@
         newest = max(tracked.strike.at for tracked in strikes)
         if self._age(newest) > MAX_AGE and any(tracked.is_open for tracked in strikes):
             fingerprint = strikes[0].strike.fingerprint
-            self._ledger.clear(fingerprint)
+            self._ledger.expire(fingerprint)
             log.info("strikes cleared", fingerprint=fingerprint, why="too old")
 
     def _is_responsible(self, tracked: TrackedStrike) -> bool:
-        if tracked.strike.witness == self._name:
+        if tracked.strike.witness == self._name or tracked.strike in self._own:
             return True
         is_overdue = self._age(tracked.strike.at) > WITNESS_TIMEOUT
         return is_overdue and self._peering.is_aggregator
@@ -186,31 +192,37 @@
     def _update_store(self, tracked: TrackedStrike) -> None:
         strike = tracked.strike
         fingerprint = strike.fingerprint
-        key = _key(strike)
         if tracked.is_open:
-            self._store.create(key, _ENCODE(StrikeRow.of(tracked)))
+            self._own.add(strike)
+            self._store.create(_key(strike), _ENCODE(StrikeRow.of(tracked)))
             self._ledger.add(strike, StrikeState.STORED)
             log.info("strike stored", fingerprint=fingerprint, endpoint=strike.endpoint)
             return
-        self._store.delete(key)
+        self._delete(strike)
         self._ledger.add(strike, StrikeState.UNSTORED)
         log.info("strike removed", fingerprint=fingerprint, endpoint=strike.endpoint)
 
+    def _delete(self, strike: Strike) -> None:
+        self._store.delete(_key(strike))
+        self._own.discard(strike)
+
+    def _is_out_of_date(
+        self, tracked: TrackedStrike, strikes: list[TrackedStrike]
+    ) -> bool:
+        """Return whether the store's state of a strike is out of date.
+
+        :param strikes: all of the same feature.
+        """
+        if tracked.is_open:
+            known = tracked.is_known_sound
+            least = MIN_KNOWN_SOUND_STRIKES if known else MIN_STRIKES
+            has_enough = sum(other.is_open for other in strikes) >= least
+            return has_enough and not tracked.state & StrikeState.STORED
+        stored = tracked.state & (StrikeState.STORED | StrikeState.UNSTORED)
+        return stored == StrikeState.STORED or tracked.strike in self._own
+
 
 def _key(strike: Strike) -> str:
     # Names may be too long for the store's keys.
     crash = f"{strike.endpoint} {strike.at} {strike.witness}"
     return f"{STRIKES_PREFIX}{strike.fingerprint}/{xxh64_hexdigest(crash.encode())}"
-
-
-def _is_out_of_date(tracked: TrackedStrike, strikes: list[TrackedStrike]) -> bool:
-    """Return whether the store's state of a strike is out of date.
-
-    :param strikes: all of the same feature.
-    """
-    if tracked.is_open:
-        least = MIN_KNOWN_SOUND_STRIKES if tracked.is_known_sound else MIN_STRIKES
-        has_enough = sum(other.is_open for other in strikes) >= least
-        return has_enough and not tracked.state & StrikeState.STORED
-    stored = tracked.state & (StrikeState.STORED | StrikeState.UNSTORED)
-    return stored == StrikeState.STORED
--- a/tests/gateway/quarantine/test_records.py
+++ b/tests/gateway/quarantine/test_records.py
@@ -8,6 +8,7 @@
 from sassafrasdale.clock import ManualClock
 from sassafrasdale.coordination.exceptions import StoreNotReached
 from sassafrasdale.decisions.quarantine import MAX_STRIKES, StrikeLedger
+from sassafrasdale.decisions.strikes import StrikeState
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.quarantine.records import (
     MAX_AGE,
@@ -160,6 +161,34 @@
     assert store.calls == calls
 
 
+def test_a_strike_stored_after_its_deletion_is_deleted(store, gateway):
+    """Guards against a lifted quarantine that is read again by the next gateway.
+
+    An aggregator stores the strikes of a witness that has just deleted them.
+    """
+    aggregator = Gateway(store, "g-2")
+    aggregator.peering.is_aggregator = True
+    aggregator.records.step()
+    gateway.strike(1, 2)
+    strikes = [each.strike for each in gateway.ledger.open_strikes("crashing")]
+    for each in strikes:
+        aggregator.ledger.add(each)
+    gateway.records.step()
+    gateway.ledger.clear("crashing")
+    gateway.records.step()
+    assert stored(store) == []
+    store.clock.advance(WITNESS_TIMEOUT * 2)
+    aggregator.records.step()
+    assert len(stored(store)) == 2
+    for each in strikes:
+        aggregator.ledger.add(each, StrikeState.CLEARED | StrikeState.UNSTORED)
+    aggregator.records.step()
+    assert stored(store) == []
+    calls = store.calls
+    aggregator.records.step()
+    assert store.calls == calls
+
+
 def test_old_strikes_are_deleted(store, gateway):
     gateway.strike(1, 2, 3)
     gateway.records.step()
