A success clears the earlier crashes that are heard of later

Cause: strikes that become known late, as after an outage of the store, convict a part at once, as their age counts from the crash. The successes since then, which would have cleared them, had been heard already and were forgotten. So a sound part of all prompts was quarantined, no stream was served, and nothing could clear it.

Change: the ledger remembers when a request with a part last succeeded, and strikes of earlier crashes are cleared as they arrive. Both orders now give the same result. What expires for its age clears nothing else.

--- a/src/sassafrasdale/decisions/quarantine.py
+++ b/src/sassafrasdale/decisions/quarantine.py
@@ -9,7 +9,8 @@
 features. Strikes are only added and their states only grow, so gateways that exchange
 them in any order, repeatedly or late converge. A success shows that a feature is sound
 and clears its strikes: nearly all requests that were in flight during a crash succeed
-on their next endpoint.
+on their next endpoint. A success of a part counts whichever is heard first, it or the
+crash before it.
 """
 
 import math
@@ -26,6 +27,7 @@
     assess,
     distinct_crashes,
 )
+from sassafrasdale.decisions.clearances import Clearances
 from sassafrasdale.decisions.strikes import (
     Strike,
     StrikeState,
@@ -65,6 +67,7 @@
         self._capacity = max_strikes
         self._now = now
         self._is_sound = is_sound
+        self._clearances = Clearances()
         self._by_feature: dict[str, dict[Strike, TrackedStrike]] = {}
         # Those that count.
         self._open: dict[str, dict[Strike, TrackedStrike]] = {}
@@ -106,9 +109,26 @@
         return is_new
 
     def clear(self, fingerprint: str) -> bool:
-        """Clear the strikes of a feature, and return whether it had any."""
+        """Clear the strikes of a feature, and return whether it had any.
+
+        For a part, that includes strikes of earlier crashes that become known later.
+        """
+        self.note_answered([fingerprint])
+        return self.expire(fingerprint)
+
+    def expire(self, fingerprint: str) -> bool:
+        """Clear the known strikes of a feature, and return whether it had any."""
         return self._add_state(fingerprint, StrikeState.CLEARED)
 
+    def note_answered(self, features: Iterable[str]) -> None:
+        """Note that a request with some features has just succeeded.
+
+        Only parts are remembered: a whole request is seldom sent again.
+        """
+        now = self._now()
+        for feature in filter(is_part, features):
+            self._clearances.note(feature, now)
+
     def note_sound(self, fingerprint: str) -> None:
         """Note that a request with a feature runs well."""
         self._add_state(fingerprint, StrikeState.KNOWN_SOUND)
@@ -163,6 +183,8 @@
         tracked = strikes.get(strike)
         if is_part(feature) and self._is_sound(feature):
             state |= StrikeState.KNOWN_SOUND
+        if self._clearances.covers(feature, strike.at):
+            state |= StrikeState.CLEARED
         if tracked is not None and tracked.state | state == tracked.state:
             return False
         if tracked is None:
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -257,6 +257,7 @@
         """Clear the strikes of a request's features as an endpoint has completed it."""
         features = part_features(parts)
         self._sound_parts.note(features)
+        self._ledger.note_answered(features)
         if not self._ledger.has_open_strikes:
             return
         for feature in (fingerprint_of(request, customer), *features):
--- a/tests/decisions/test_quarantine.py
+++ b/tests/decisions/test_quarantine.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sassafrasdale.decisions.blame import KNOWN_SOUND_PART, WHOLE_REQUEST
+from sassafrasdale.decisions.blame import KNOWN_SOUND_PART, PART, WHOLE_REQUEST
 from sassafrasdale.decisions.quarantine import (
     StrikeLedger,
     is_trial_due,
@@ -18,9 +18,15 @@
 
 
 def strike(
-    name: str, end: int, *, begun: bool = False, at: float = 0.0, witness: str = "g-1"
+    name: str,
+    end: int,
+    *,
+    begun: bool = False,
+    at: float = 0.0,
+    witness: str = "g-1",
+    request: str = "",
 ) -> Strike:
-    return Strike(name, f"i-{end}", "v1", begun, at, witness)
+    return Strike(name, f"i-{end}", "v1", begun, at, witness, request)
 
 
 def ledger_of(*strikes: Strike) -> StrikeLedger:
@@ -260,3 +266,43 @@
     for end in range(KNOWN_SOUND_PART.crashes):
         ledger.add(strike("part-aa", end, at=now - 6, request=f"r-{end}"))
     assert ledger.quarantined == set()
+
+
+def test_a_success_clears_no_later_crash():
+    """Guards against a part that crashes endpoints after it was once run well."""
+    now = 1000.0
+    ledger = StrikeLedger(now=lambda: now)
+    ledger.clear("part-aa")
+    for end in range(PART.crashes):
+        ledger.add(strike("part-aa", end, at=now + 0.1, request=f"r-{end}"))
+    now += 2
+    assert ledger.quarantined == {"part-aa"}
+
+
+def test_a_success_clears_late_strikes_in_any_order():
+    """Guards against gateways that differ by the order in which they hear of both."""
+    now = 1000.0
+    early, late = (StrikeLedger(now=lambda: now) for _ in range(2))
+    strikes = [
+        strike("part-aa", end, at=now - 6, request=f"r-{end}")
+        for end in range(PART.crashes)
+    ]
+    for each in strikes:
+        early.add(each)
+    early.clear("part-aa")
+    late.clear("part-aa")
+    for each in strikes:
+        late.add(each)
+    for ledger in (early, late):
+        assert ledger.quarantined == set()
+        assert ledger.open_strikes("part-aa") == []
+
+
+def test_strikes_that_expire_clear_no_others():
+    """Guards against old strikes whose end hides newer ones that are heard later."""
+    now = 1000.0
+    ledger = StrikeLedger(now=lambda: now)
+    ledger.add(strike("part-aa", 1, at=now - 100))
+    assert ledger.expire("part-aa")
+    ledger.add(strike("part-aa", 2, at=now - 6))
+    assert len(ledger.open_strikes("part-aa")) == 1
--- a/tests/gateway/quarantine/test_quarantined_parts.py
+++ b/tests/gateway/quarantine/test_quarantined_parts.py
@@ -120,6 +120,14 @@
     assert gateway.sound_parts.is_sound("part-own")
 
 
+def test_an_answer_clears_the_earlier_crashes_that_are_heard_later(gateway):
+    """Guards against sound parts that are refused as an outage of the store ends."""
+    gateway.quarantine.record_success(OTHER, "lab-a", prompt("system", "own"))
+    quarantine(gateway, "part-system")
+    assert not gateway.verdict(CRASHING, "system", "own").is_refused
+    assert gateway.ledger.open_strikes("part-system") == []
+
+
 def test_a_stream_that_is_being_written_clears_nothing(gateway):
     """Guards against a part that is cleared by events that came before its crash."""
     quarantine(gateway, ago=0.0)
