--- a/src/sassafrasdale/gateway/admission/attempt_starter.py
+++ b/src/sassafrasdale/gateway/admission/attempt_starter.py
@@ -188,7 +188,8 @@
         if left >= attempt.needed:
             return
         self._fleet.finish_attempt(attempt)
-        inputs = f"left {left.total_seconds():.3f} s, needed {attempt.needed}"
+        needed = attempt.needed.total_seconds()
+        inputs = f"left {left.total_seconds():.3f} s, needed {needed:.3f} s"
         retry_after = max(left, timedelta()) * RETRY_AFTER_FRACTION
         raise _refusal(DEADLINE_UNREACHABLE, retry_after, inputs)
 
