A copy of an earlier registration is not taken for a restart

Cause: any start time but the known one counted as a restart. After a restore of the store from a copy made before an endpoint's restart, the listing holds its earlier registration. The directory dropped the endpoint's record, connections and health, listed the earlier version, and let streams of that version go on at a process of the later one, until the endpoint had registered again.

Change: a registration from a restored listing whose start time is earlier than the known one is ignored. Other writes come in order, so an earlier start time still counts as a restart there, as after the endpoint's clock was set back.

Measured: test_an_older_registration_in_a_restored_store_changes_nothing fails before the change, as a new record replaces the known one. Two tests of the directory fail before it, as put() has no such argument.

--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -237,16 +237,29 @@
             return False
         return record.endpoint.state is EndpointState.DRAINING
 
-    def put(self, endpoint: Endpoint) -> bool:
+    def put(self, endpoint: Endpoint, *, is_restored: bool = False) -> bool:
         """Add an endpoint or update its registration.
 
         An endpoint that crashed may restart under the same name. Its connections are
         dead then, and its load and failures no longer count.
 
+        :param is_restored: whether the registration comes from a restored store, so
+            that it may be older than the known one.
         :returns: whether it has restarted since it was last seen here.
         """
         record = self._records.get(endpoint.name)
         former = None
+        if is_restored and record is not None and _is_older(endpoint, record.endpoint):
+            # Writes that aren't restored come in order, also after the endpoint's
+            # clock was set back, so their start times are not compared.
+            log.info(
+                "older registration ignored",
+                born=endpoint.born,
+                held=record.endpoint.born,
+                held_software=record.endpoint.version or None,
+                **_log_fields(endpoint),
+            )
+            return False
         self._fallback.pop(endpoint.name, None)
         has_restarted = record is not None and _has_restarted(record.endpoint, endpoint)
         if has_restarted:
@@ -347,6 +360,12 @@
     return before.born != now.born
 
 
+def _is_older(endpoint: Endpoint, known: Endpoint) -> bool:
+    if endpoint.born is None or known.born is None:
+        return False
+    return endpoint.born < known.born
+
+
 def _names(records: Iterable[EndpointRecord]) -> frozenset[str]:
     return frozenset(record.name for record in records)
 
--- a/src/sassafrasdale/gateway/store_view.py
+++ b/src/sassafrasdale/gateway/store_view.py
@@ -274,7 +274,7 @@
         if is_restored and self._directory.is_draining(endpoint):
             # The copy is older: an endpoint that drains does so until its end.
             return
-        if self._directory.put(endpoint):
+        if self._directory.put(endpoint, is_restored=is_restored):
             self._forget_engine(endpoint.name)
 
     def _check_zone(self, endpoint: Endpoint) -> None:
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -132,6 +132,38 @@
     assert health.weights(world.clock.elapsed())["i-1"] == 1
 
 
+def test_a_copy_of_an_earlier_registration_is_not_taken_for_a_restart(world):
+    """Guards against streams that go on at a version that the endpoint left."""
+    world.directory.put(endpoint("i-1", born=2, version="v2"))
+    record = world.directory.records["i-1"]
+    record.in_flight = 3
+    world.directory.health_of("records").observe(
+        "i-1", ok=False, now=world.clock.elapsed()
+    )
+    weights = world.directory.health_of("records").weights(world.clock.elapsed())
+    older = endpoint("i-1", port=2, born=1, version="v1")
+    assert not world.directory.put(older, is_restored=True)
+    assert world.directory.records["i-1"] is record
+    assert record.known_version == "v2"
+    assert world.directory.versions_of("records") == {"", "v2"}
+    after = world.directory.health_of("records").weights(world.clock.elapsed())
+    assert after == weights
+
+
+def test_a_restart_that_a_restored_store_knows_counts(world):
+    """Guards against resumed streams at an endpoint that restarted in a restore."""
+    world.directory.put(endpoint("i-1", born=1, version="v1"))
+    assert world.directory.put(endpoint("i-1", born=2, version="v2"), is_restored=True)
+    assert world.directory.records["i-1"].known_version == "v2"
+
+
+def test_a_restart_after_its_clock_was_set_back_counts(world):
+    """Guards against the version of a process that has ended, at its successor."""
+    world.directory.put(endpoint("i-1", born=2, version="v1"))
+    assert world.directory.put(endpoint("i-1", born=1, version="v2"))
+    assert world.directory.records["i-1"].known_version == "v2"
+
+
 def test_a_renewed_registration_keeps_the_record(world):
     world.directory.put(endpoint("i-1", born=1))
     before = world.directory.records["i-1"]
--- a/tests/gateway/test_store_view.py
+++ b/tests/gateway/test_store_view.py
@@ -56,12 +56,13 @@
             ("a", "b"),
         )
 
-    def write(self, name, value):
-        written = {f"servers/{name}": value}
-        self.store_view._apply_endpoint_changes(PrefixChanges(written, frozenset()))
+    def write(self, name, value, *, is_restored=False):
+        changes = PrefixChanges({f"servers/{name}": value}, frozenset(), is_restored)
+        self.store_view._apply_endpoint_changes(changes)
 
-    def register(self, name, **changed):
-        self.write(name, json.dumps(REGISTRATION | changed).encode())
+    def register(self, name, *, is_restored=False, **changed):
+        value = json.dumps(REGISTRATION | changed).encode()
+        self.write(name, value, is_restored=is_restored)
 
     def names(self):
         return sorted(rec.name for rec in self.directory.of_service("models"))
@@ -120,6 +121,20 @@
     assert world.cache.cached_tokens("i-1", PARTS) == 0
 
 
+def test_an_older_registration_in_a_restored_store_changes_nothing(world):
+    """Guards against streams that go on at a version that the endpoint left."""
+    world.register("i-1", born=2, version="v2")
+    world.cache.record_prompt("i-1", PARTS, 10_000)
+    cached = world.cache.cached_tokens("i-1", PARTS)
+    record = world.directory.records["i-1"]
+    world.register("i-1", born=1, version="v1", is_restored=True)
+    assert world.directory.records["i-1"] is record
+    assert record.known_version == "v2"
+    assert world.cache.cached_tokens("i-1", PARTS) == cached > 0
+    world.register("i-1", born=2, version="v2")
+    assert world.directory.records["i-1"] is record
+
+
 def test_the_view_of_a_silent_store_logs_nothing(world):
     """Guards against a task that outlives its test and logs into another one."""
     with LogRecorder().applicationbound() as handler:
