Versions that a restore of the store lost are registered again without endpoints, too

Cause: after a restore, each gateway registers again the versions that it lists. A version whose last endpoint has left is not listed. If the copy was older than its registration, the record named the other version alone, so a stream of the version that left could be resumed at the other one once no gateway knew it any more.

Change: what a gateway knew to be stored before a restore is registered again, until the usual time without an endpoint is over. It is remembered before the first value that is read from the restored store replaces it.

Measured: test_a_version_without_endpoints_is_stored_again_after_a_restore fails in both cases before the change (only_version says v1), and passes with it; all 72 tests of tests/gateway/streams pass.

--- a/src/sassafrasdale/gateway/streams/version_register.py
+++ b/src/sassafrasdale/gateway/streams/version_register.py
@@ -77,6 +77,8 @@
         self._registered: dict[str, set[str]] = {}
         self._checked: dict[str, set[str]] = {}
         self._stored: dict[str, frozenset[str]] = {}
+        # Versions that the store held before a restore, until it holds them again.
+        self._unrestored: dict[str, frozenset[str]] = {}
         self._unlisted_since: dict[tuple[str, str], timedelta] = {}
         self._epoch = store.epoch
         self._restored_at: timedelta | None = None
@@ -164,17 +166,18 @@
         changes = self._directory.change_count
         is_listed = self._is_listed()
         has_called = False
-        services = {*self._directory.services, *self._registered}
+        services = {*self._directory.services, *self._registered, *self._unrestored}
         for service in services:
             listed = self._directory.versions_of(service)
             has_called |= self._register(service, listed)
             has_called |= self._retire(service, listed)
         self._is_loaded = self._is_loaded or is_listed
-        is_complete = is_listed and all(
+        is_checked = all(
             # A restore that was noticed meanwhile has cleared what was checked.
             self._directory.versions_of(service) <= self._checked.get(service, set())
             for service in services
         )
+        is_complete = is_listed and is_checked and not self._unrestored
         self._checked_changes = changes if is_complete else None
         self._checked_at = self._clock.elapsed()
         return has_called
@@ -191,18 +194,25 @@
         # One that comes back later may have been taken off the record meanwhile.
         registered &= listed
         checked &= listed
-        missing = listed - checked
+        unrestored = self._unrestored.get(service, frozenset())
+        missing = (listed - checked) | unrestored
         if not missing:
             return False
         for _ in range(MAX_WRITES):
             versions, revision = self._read(service)
             wanted = versions | missing
             if wanted == versions or self._write(service, wanted, revision):
-                registered |= missing
-                checked |= missing
+                registered |= missing & listed
+                checked |= missing & listed
+                self._end_restore(service, unrestored)
                 return True
         return True
 
+    def _end_restore(self, service: str, versions: frozenset[str]) -> None:
+        """Take versions for restored, unless another restore has come meanwhile."""
+        if self._unrestored.get(service) is versions:
+            del self._unrestored[service]
+
     def _retire(self, service: str, listed: set[str]) -> bool:
         """Take versions off the record that have had no endpoint for long."""
         now = self._clock.elapsed()
@@ -228,6 +238,8 @@
 
     def _read(self, service: str) -> tuple[frozenset[str], int]:
         stored = self._store.get(_key(service))
+        # What was stored before a restore must be kept before it is replaced.
+        self._note_restore()
         if stored is None:
             return frozenset(), ABSENT
         try:
@@ -251,6 +263,11 @@
             return
         self._epoch = self._store.epoch
         self._restored_at = self._clock.elapsed()
+        # A version without endpoints is not listed, but its streams may be resumed.
+        for service, versions in self._stored.items():
+            if versions:
+                known = self._unrestored.get(service, frozenset())
+                self._unrestored[service] = known | versions
         self._checked.clear()
         self._checked_changes = None
 
--- a/tests/gateway/streams/test_version_register.py
+++ b/tests/gateway/streams/test_version_register.py
@@ -275,3 +275,41 @@
     store.keys.clear()
     one.register.step()
     assert len(store.keys) == 1
+
+
+@pytest.mark.parametrize("is_noticed_late", [False, True])
+def test_a_version_without_endpoints_is_stored_again_after_a_restore(
+    gateways, store, clock, monkeypatch, is_noticed_late
+):
+    """Guards against streams of a version that only the lost writes had named.
+
+    Its last endpoint has left, but its streams may yet be resumed. A gateway may learn
+    of the restore as it reads what is left.
+    """
+    one, other = gateways
+    one.list("m-1", "v1")
+    one.register.step()
+    copy = dict(store.keys)
+    one.list("m-2", "v2")
+    one.register.step()
+    one.directory.remove("m-2")
+    one.register.step()
+    store.keys = copy
+    if is_noticed_late:
+        read = store.get
+
+        def read_restored(key: str):
+            store.restores = 1
+            return read(key)
+
+        with monkeypatch.context() as patched:
+            patched.setattr(store, "get", read_restored)
+            one.register.only_version("models")
+    store.restores = 1
+    assert other.register.only_version("models") is None
+    one.register.step()
+    clock.advance(RESTORE_TIME)
+    assert other.register.only_version("models") == ""
+    clock.advance(RETENTION_TIME)
+    one.register.step()
+    assert other.register.only_version("models") == "v1"
