A version that only a restored store names is not relied on at once

Cause: a gateway that starts has no later registration to compare with what it lists. If the store was restored shortly before, it may list an earlier version of an endpoint, bind streams to it and resume those of that version there. A gateway that had heard of a restart only from the restored store could do the same with the next one.

Change: the first listing of a store that was ever restored counts as restored, too, as the time of the restore isn't known. An endpoint that a restored listing shows for the first time, or as restarted, has an unknown version until a later registration would have come (RESTART_TIME). It gets requests meanwhile, but resumes no stream.

--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -285,7 +285,10 @@
             )
             self._records[endpoint.name] = record
             self._on_registration(endpoint.name, endpoint.born)
-            log.info("endpoint listed", **_log_fields(endpoint))
+            if is_restored:
+                # A later registration may have been lost.
+                self.doubt_version(record)
+            log.info("endpoint listed", restored=is_restored, **_log_fields(endpoint))
         elif record.endpoint.state is not endpoint.state:
             log.info("endpoint changed state", **_log_fields(endpoint))
         record.confirm_version(self._clock.elapsed() - REGISTRATION_DELAY)
--- a/src/sassafrasdale/gateway/follower.py
+++ b/src/sassafrasdale/gateway/follower.py
@@ -68,8 +68,8 @@
 
     :param written: new values by key.
     :param deleted: deleted keys.
-    :param is_restored: whether they come from a restored store, so that they may be
-        older than what was known before.
+    :param is_restored: whether they come from the first listing of a restored store,
+        so that they may be older than what was known before, here or elsewhere.
     """
 
     written: Mapping[str, bytes]
@@ -303,6 +303,8 @@
             known_revisions,
             revision,
             changed_revision,
+            # When the store was restored is not known at the first listing.
+            is_restored=not self._revision and epoch_of(revision) > 0,
         )
 
     def _merge_restored(
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -303,6 +303,17 @@
     sleep(SETTLED)
 
 
+@pytest.mark.parametrize("epoch", [0, 1])
+def test_a_first_listing_tells_whether_its_store_was_restored(
+    store, follower, seen, epoch
+):
+    """Guards against trust in a copy's older values at a gateway that starts."""
+    revision = in_epoch(20, epoch)
+    store.snapshots = [Snapshot((item("p/a", b"1", revision),), revision)]
+    follower.step()
+    assert seen[0].is_restored == bool(epoch)
+
+
 @pytest.fixture
 def restored(store):
     """Return a follower of a store that was restored."""
