Strikes in a restored store are compared with what the gateways know

Cause: a strike known to be stored is not stored again, and one known to be deleted is not deleted again. A restore of the store from an older copy loses the former and returns the latter. Gateways that run don't mind, but one that starts reads the strikes: it lets a quarantined request crash more endpoints, or refuses one whose quarantine was lifted.

Change: after a restore, gateways list the strikes once and repeat the lost writes and deletions for which they are responsible, as many per step as of new strikes.

Measured: three tests in test_records.py fail before the change (nothing is stored again, nothing is deleted); the 97 tests of strike records, quarantine and its model, fleets, replication and trials pass with it.

--- a/src/sassafrasdale/gateway/quarantine/records.py
+++ b/src/sassafrasdale/gateway/quarantine/records.py
@@ -77,6 +77,9 @@
         self._clock = clock
         self._rng = rng
         self._is_loaded = False
+        self._epoch = store.epoch
+        # Strikes whose stored state a restore has set back.
+        self._set_back: list[TrackedStrike] = []
         # Strikes that this gateway has stored. It also deletes them: another one may
         # have done so before they were stored here.
         self._own: set[Strike] = set()
@@ -108,7 +111,9 @@
         if not self._is_loaded:
             self._load()
             return True
-        due = self._due()
+        compared = self._store.epoch != self._epoch and self._compare_restored()
+        repeated = self._repeat_writes()
+        due = self._due() if not repeated else []
         for tracked in due:
             self._update_store(tracked)
         for fingerprint in {
@@ -118,7 +123,39 @@
         dropped = self._dropped()
         for tracked in dropped:
             self._delete(tracked.strike)
-        return bool(due or dropped)
+        return compared or repeated or bool(due or dropped)
+
+    def _compare_restored(self) -> bool:
+        """Find strikes that a restored store lacks, or has though they are cleared.
+
+        :returns: whether the store was called.
+        """
+        # Taken before the call, so that a restore meanwhile is noticed afterwards.
+        epoch = self._store.epoch
+        has_strikes = len(self._ledger) > 0
+        if has_strikes:
+            keys = {item.key for item in self._store.list(STRIKES_PREFIX)}
+            self._set_back = [
+                tracked
+                for strikes in self._ledger.by_feature()
+                for tracked in strikes
+                if StrikeState.STORED in tracked.state
+                and tracked.is_open != (_key(tracked.strike) in keys)
+            ]
+            log.info("strikes of a restored store compared", differ=len(self._set_back))
+        self._epoch = epoch
+        return has_strikes
+
+    def _repeat_writes(self) -> bool:
+        """Repeat writes that a restore has lost, and return whether there were any."""
+        self._set_back = [
+            tracked for tracked in self._set_back if self._is_responsible(tracked)
+        ]
+        repeated = self._set_back[:MAX_WRITES]
+        for tracked in repeated:
+            self._update_store(tracked)
+        del self._set_back[: len(repeated)]
+        return bool(repeated)
 
     def _dropped(self) -> list[TrackedStrike]:
         """Return stored strikes that the ledger has dropped for lack of space."""
@@ -134,6 +171,7 @@
         ]
 
     def _load(self) -> None:
+        self._epoch = self._store.epoch
         for item in self._store.list(STRIKES_PREFIX):
             self._load_strike(item)
         self._is_loaded = True
--- a/tests/gateway/quarantine/test_records.py
+++ b/tests/gateway/quarantine/test_records.py
@@ -23,6 +23,21 @@
 from tests.decisions.test_quarantine import strike
 
 
+class RestorableStore(FakeStore):
+    """Store in memory that counts its restores."""
+
+    restores = 0
+
+    @property
+    def epoch(self) -> int:
+        return self.restores
+
+    def restore(self, copy: dict) -> None:
+        """Go back to a copy of the keys."""
+        self.keys = dict(copy)
+        self.restores += 1
+
+
 class Peering:
     """Tells whether the gateway is an aggregator."""
 
@@ -63,7 +78,7 @@
 
 @pytest.fixture
 def store():
-    return FakeStore(ManualClock())
+    return RestorableStore(ManualClock())
 
 
 @pytest.fixture
@@ -221,6 +236,52 @@
     assert len(stored(store)) <= 60
 
 
+def test_strikes_that_a_restore_has_lost_are_stored_again(store, gateway):
+    """Guards against three more crashes after a restore and a restart of all."""
+    for number in range(MAX_WRITES):
+        gateway.strike(1, 2, 3, name=f"crashing-{number}")
+    for _ in range(4):
+        gateway.records.step()
+    store.restore({})
+    calls = store.calls
+    gateway.records.step()
+    assert store.calls - calls <= MAX_WRITES + 1
+    store.faults = ["unreached"]
+    with pytest.raises(StoreNotReached):
+        gateway.records.step()
+    for _ in range(4):
+        gateway.records.step()
+    assert len(stored(store)) == 3 * MAX_WRITES
+    calls = store.calls
+    gateway.records.step()
+    assert store.calls == calls
+
+
+def test_cleared_strikes_that_a_restore_returns_are_deleted(store, gateway):
+    """Guards against a lifted quarantine that is read again by the next gateway."""
+    gateway.strike(1, 2, 3)
+    gateway.records.step()
+    copy = dict(store.keys)
+    gateway.ledger.clear("crashing")
+    gateway.records.step()
+    store.restore(copy)
+    gateway.records.step()
+    assert stored(store) == []
+
+
+def test_an_aggregator_repeats_what_a_witness_that_is_gone_had_stored(store, gateway):
+    """Guards against strikes that a restore loses after their witness has ended."""
+    gateway.strike(1, 2, 3)
+    gateway.records.step()
+    aggregator = Gateway(store, "g-2")
+    aggregator.records.step()
+    store.clock.advance(WITNESS_TIMEOUT * 2)
+    store.restore({})
+    aggregator.peering.is_aggregator = True
+    aggregator.records.step()
+    assert len(stored(store)) == 3
+
+
 def test_malformed_strikes_are_skipped(store):
     store.create(STRIKES_PREFIX + "x/i-1/0", b"\xff")
     gateway = Gateway(store)
