An older rollout order in a restored store doesn't end a later one

Cause: a restored store may have a service's order before the known one. It was taken as a new order, which replaced the known one, and that then began anew as operators repeated it: a version that had been rolled back was ordered again.

Change: an order that isn't the known one is left out for the time in which writers repeat what was lost, like keys that were deleted. Then it is taken as it is. The configuration and registrations are not affected: they tell which of two is later.

--- a/src/sassafrasdale/gateway/follower.py
+++ b/src/sassafrasdale/gateway/follower.py
@@ -87,6 +87,8 @@
     :param should_watch: whether this gateway has to watch the store itself, once it has
         listed all values.
     :param restore_times: times until a restored store's values are taken as they are.
+    :param is_left_out: whether a key's value is left out for a while, too, if it isn't
+        the one known before a restore.
     """
 
     def __init__(
@@ -99,8 +101,10 @@
         rng: Random,
         should_watch: Callable[[], bool] = lambda: True,
         restore_times: RestoreTimes = RESTORE_TIMES,
+        is_left_out: Callable[[str], bool] = lambda key: False,
     ) -> None:
         self._restore_times = restore_times
+        self._is_left_out = is_left_out
         self._should_watch = should_watch
         self._prefix = prefix
         self._store = store
@@ -318,10 +322,15 @@
 
         The copy lacks the latest writes, which most of their writers repeat. So keys
         that it lacks are kept for a while, and those that it has again are left out for
-        a while, unless they are written or deleted meanwhile.
+        a while, unless they are written or deleted meanwhile. So are earlier values of
+        some keys.
         """
         lacking = self._values.keys() - values.keys()
-        returned = {key for key in values if key in self._deleted}
+        returned = {
+            key
+            for key, value in values.items()
+            if key in self._deleted or self._is_set_back(key, value)
+        }
         log.warning(
             "restored store listed",
             prefix=self._prefix,
@@ -341,6 +350,10 @@
         )
         spawn(self._settle_restored, epoch_of(revision))
 
+    def _is_set_back(self, key: str, value: bytes) -> bool:
+        known = self._values.get(key, value)
+        return value != known and self._is_left_out(key)
+
     def _settle_restored(self, epoch: int) -> None:
         """Take what the restored store has, once writers have had time."""
         times = self._restore_times
--- a/src/sassafrasdale/gateway/store_view.py
+++ b/src/sassafrasdale/gateway/store_view.py
@@ -94,7 +94,16 @@
         self._malformed: set[str] = set()
         self._followers = {
             prefix: Follower(
-                prefix, store, changed, store_health, clock, rng, should_watch, times
+                prefix,
+                store,
+                changed,
+                store_health,
+                clock,
+                rng,
+                should_watch,
+                times,
+                # An earlier order would end the known one, which is then repeated.
+                is_left_out=lambda key: key.startswith(ORDERS_PREFIX),
             )
             for prefix, changed, times in (
                 (OPERATORS_PREFIX, self._apply_operator_changes, RESTORE_TIMES),
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -57,7 +57,7 @@
 SETTLED = timedelta(milliseconds=200)
 
 
-def new_follower(store, on_change, seed: int = 1) -> Follower:
+def new_follower(store, on_change, seed: int = 1, **options) -> Follower:
     clock = ManualClock()
     return Follower(
         "p/",
@@ -67,6 +67,7 @@
         clock,
         Random(seed),
         restore_times=TIMES,
+        **options,
     )
 
 
@@ -360,6 +361,23 @@
     assert restored.values == {"p/gone": b"1"}
 
 
+def test_an_earlier_value_that_is_left_out_after_a_restore_is_taken_in_the_end(store):
+    """Guards against gateways that disagree for good if no writer repeats a value."""
+    follower = new_follower(
+        store, lambda changes: None, is_left_out=lambda key: key == "p/order"
+    )
+    for value, revision in ((b"new", 10), (b"old", in_epoch(5))):
+        held = item("p/order", value, revision)
+        other = item("p/other", value, revision)
+        store.snapshots = [Snapshot((held, other), revision)]
+        follower._needs_listing = True
+        follower.step()
+    assert follower.values == {"p/order": b"new", "p/other": b"old"}
+    sleep(SETTLED)
+    assert follower.values == {"p/order": b"old", "p/other": b"old"}
+    assert follower.revision_of("p/order") == in_epoch(5)
+
+
 def test_a_peer_that_still_holds_the_old_epoch_changes_nothing(restored, store):
     """Guards against gateways that were partitioned from the store in a restore."""
     before = dict(restored.values)
--- a/tests/gateway/test_store_view.py
+++ b/tests/gateway/test_store_view.py
@@ -8,6 +8,7 @@
 from logbook import TestHandler as LogRecorder
 
 from sassafrasdale.clock import ManualClock
+from sassafrasdale.coordination.stores import ordered_revision
 from sassafrasdale.deployment import PromptPart
 from sassafrasdale.gateway.dependencies import Dependency
 from sassafrasdale.gateway.directory import Directory
@@ -141,3 +142,35 @@
         world.store_view._watch_rollouts()
         sleep(timedelta(milliseconds=200))
     assert not handler.formatted_records
+
+
+def test_an_older_order_in_a_restored_store_ends_no_later_one(world):
+    """Guards against a version that was rolled back and is rolled out once more.
+
+    The restored store has the order before, until operators repeat the later one.
+    """
+    follower = world.store_view._followers["op/"]
+    world.store_view._watches_rollouts = True
+
+    def listed(target: str, configuration: int, revision: int) -> None:
+        order = {"service": "models", "target": target, "overS": 12}
+        values = {
+            "op/rollout/models": json.dumps(order).encode(),
+            "op/note": str(configuration).encode(),
+        }
+        follower.replace_all(
+            values, revision, revision, dict.fromkeys(values, revision)
+        )
+
+    listed("v2", 1, 10)
+    listed("v3", 2, 20)
+    rollout = world.rollouts.get("models")
+    rollout.fire("roll_back")
+    listed("v2", 1, ordered_revision(1, 10))
+    assert world.rollouts.get("models") is rollout
+    # What isn't an order is taken at once.
+    assert follower.values["op/note"] == b"1"
+    listed("v3", 2, ordered_revision(1, 12))
+    assert world.rollouts.get("models") is rollout
+    assert rollout.state == "rolled_back"
+    assert rollout.revision == ordered_revision(1, 12)
