--- a/src/sassafrasdale/gateway/follower.py
+++ b/src/sassafrasdale/gateway/follower.py
@@ -68,8 +68,8 @@
 
     :param written: new values by key.
     :param deleted: deleted keys.
-    :param is_restored: whether they come from a restored store, so that they may be
-        older than what was known before.
+    :param is_restored: whether they come from the first listing of a restored store,
+        so that they may be older than what was known before, here or elsewhere.
     """
 
     written: Mapping[str, bytes]
@@ -87,6 +87,8 @@
     :param should_watch: whether this gateway has to watch the store itself, once it has
         listed all values.
     :param restore_times: times until a restored store's values are taken as they are.
+    :param is_left_out: whether a key's value is left out for a while, too, if it isn't
+        the one known before a restore.
     """
 
     def __init__(
@@ -99,8 +101,10 @@
         rng: Random,
         should_watch: Callable[[], bool] = lambda: True,
         restore_times: RestoreTimes = RESTORE_TIMES,
+        is_left_out: Callable[[str], bool] = lambda key: False,
     ) -> None:
         self._restore_times = restore_times
+        self._is_left_out = is_left_out
         self._should_watch = should_watch
         self._prefix = prefix
         self._store = store
@@ -303,6 +307,8 @@
             known_revisions,
             revision,
             changed_revision,
+            # When the store was restored is not known at the first listing.
+            is_restored=not self._revision and epoch_of(revision) > 0,
         )
 
     def _merge_restored(
@@ -316,10 +322,15 @@
 
         The copy lacks the latest writes, which most of their writers repeat. So keys
         that it lacks are kept for a while, and those that it has again are left out for
-        a while, unless they are written or deleted meanwhile.
+        a while, unless they are written or deleted meanwhile. So are earlier values of
+        some keys.
         """
         lacking = self._values.keys() - values.keys()
-        returned = {key for key in values if key in self._deleted}
+        returned = {
+            key
+            for key, value in values.items()
+            if key in self._deleted or self._is_set_back(key, value)
+        }
         log.warning(
             "restored store listed",
             prefix=self._prefix,
@@ -339,6 +350,10 @@
         )
         spawn(self._settle_restored, epoch_of(revision))
 
+    def _is_set_back(self, key: str, value: bytes) -> bool:
+        known = self._values.get(key, value)
+        return value != known and self._is_left_out(key)
+
     def _settle_restored(self, epoch: int) -> None:
         """Take what the restored store has, once writers have had time."""
         times = self._restore_times
--- a/src/sassafrasdale/gateway/store_view.py
+++ b/src/sassafrasdale/gateway/store_view.py
@@ -94,7 +94,16 @@
         self._malformed: set[str] = set()
         self._followers = {
             prefix: Follower(
-                prefix, store, changed, store_health, clock, rng, should_watch, times
+                prefix,
+                store,
+                changed,
+                store_health,
+                clock,
+                rng,
+                should_watch,
+                times,
+                # An earlier order would end the known one, which is then repeated.
+                is_left_out=lambda key: key.startswith(ORDERS_PREFIX),
             )
             for prefix, changed, times in (
                 (OPERATORS_PREFIX, self._apply_operator_changes, RESTORE_TIMES),
@@ -274,7 +283,7 @@
         if is_restored and self._directory.is_draining(endpoint):
             # The copy is older: an endpoint that drains does so until its end.
             return
-        if self._directory.put(endpoint):
+        if self._directory.put(endpoint, is_restored=is_restored):
             self._forget_engine(endpoint.name)
 
     def _check_zone(self, endpoint: Endpoint) -> None:
