Answers that came in a pause of the gateway count in a stream's lookup

Cause: the lookup waited for each answer with a timeout of the queue. The event loop runs expired timers before readable sockets, so after a pause of the process of 0.4 s the lookup ended as incomplete while the answers were in the sockets. A caller that resumed its stream then got 503, "version of the stream not known", with a Retry-After of 0.3 s, unless its service has only ever had one version.

Change: the whole lookup has one timeout of the scheduler's wrapper, whose grace period lets sockets be polled once more. It no longer needs a clock.

--- a/src/sassafrasdale/gateway/components.py
+++ b/src/sassafrasdale/gateway/components.py
@@ -297,7 +297,6 @@
             self._stream_replicator,
             self.peering.aggregators,
             self._calls.query_stream,
-            clock,
         )
         self._continuations = StreamContinuations(
             self._stream_replicator,
--- a/src/sassafrasdale/gateway/streams/lookup.py
+++ b/src/sassafrasdale/gateway/streams/lookup.py
@@ -4,13 +4,12 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from sassafrasdale.clock import Clock
 from sassafrasdale.exceptions import SassafrasdaleError
 from sassafrasdale.gateway.peer_states import Contact
 from sassafrasdale.gateway.streams.messages import StreamAnswer, StreamQuery
 from sassafrasdale.gateway.streams.records import StreamRecord, StreamRecords
 from sassafrasdale.gateway.streams.replication import StreamReplicator
-from sassafrasdale.green import Empty, Queue, spawn
+from sassafrasdale.green import Queue, Timeout, spawn, timeout
 
 _HERE = "this gateway"
 # Time until a stream counts as unknown: the time for which a query waits at an
@@ -52,13 +51,11 @@
         replicator: StreamReplicator,
         aggregators: Callable[[], list[Contact]],
         query: Callable[[Contact, StreamQuery], StreamAnswer | None],
-        clock: Clock,
     ) -> None:
         self._records = records
         self._replicator = replicator
         self._aggregators = aggregators
         self._query = query
-        self._clock = clock
         self._count = 0
 
     def find(self, name: bytes) -> LookupResult:
@@ -84,14 +81,18 @@
             spawn(self._ask_one, contact, name, answers)
         # This gateway may be an aggregator whose members have yet to report.
         spawn(self._wait_here, name, answers)
-        deadline = self._clock.elapsed() + LOOKUP_TIMEOUT
+        try:
+            # Leaves answers that came in a pause of this process time to be read.
+            with timeout(LOOKUP_TIMEOUT):
+                return self._collect(name, answers, len(contacts) + 1)
+        except Timeout:
+            return LookupResult(is_complete=False)
+
+    def _collect(self, name: bytes, answers: Queue, count: int) -> LookupResult:
+        """Return what the answers say, up to the first with a record."""
         is_complete = True
-        for _ in range(len(contacts) + 1):
-            left = max(deadline - self._clock.elapsed(), timedelta())
-            try:
-                source = answers.get(timeout=left.total_seconds())
-            except Empty:
-                return LookupResult(is_complete=False)
+        for _ in range(count):
+            source = answers.get()
             record = self._records.get(name)
             if source and record is not None:
                 return LookupResult(record, source)
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -183,7 +183,6 @@
             self.streams,
             self.peering.aggregators,
             calls.query_stream,
-            fleet.clock,
         )
 
     def _state(self, own: Contact) -> MemberState:
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -333,7 +333,6 @@
                 self.streams,
                 lambda: [],
                 lambda contact, query: None,
-                CLOCK,
             ),
             lambda service: self.only_version,
             CLOCK,
