What peers reach is evidence for hedges of a gateway without links

Cause: only bytes of the gateway's own connections showed that another endpoint responds. A gateway whose links to a service are lost sees none, and its checks go over the same lost links. So a stream that a peer forwarded, and whose endpoint stalled, counted as one of a stall of all endpoints, and was never hedged.

Change: an endpoint's record holds when a peer last reached it: as a response comes through a peer, or as a peer that is asked has reached it. Peers are asked about alternatives behind a lost link in place of the own check, two at once at most. Whether the own link is silent or lost is still judged by own bytes only.

--- a/src/sassafrasdale/gateway/directory.py
+++ b/src/sassafrasdale/gateway/directory.py
@@ -64,6 +64,7 @@
         self.in_flight = 0
         self.prefill_tokens = 0
         self._doubted_at: timedelta | None = None
+        self._reached_by_peer_at: timedelta | None = None
 
     @property
     def name(self) -> str:
@@ -83,6 +84,19 @@
         """Version of its software; empty if it is not known for sure."""
         return "" if self.is_doubted else self.endpoint.version
 
+    @property
+    def responded_at(self) -> timedelta | None:
+        """Elapsed time of its last sign of response, here or at a peer; None if none.
+
+        What a peer reports says nothing of the link from here, unlike the pool's bytes.
+        """
+        times = (self.pool.received_at, self._reached_by_peer_at)
+        return max((at for at in times if at is not None), default=None)
+
+    def note_reached_by_peer(self, now: timedelta) -> None:
+        """Record that a peer has passed on a response, or has reached it in a check."""
+        self._reached_by_peer_at = now
+
     @property
     def is_doubted(self) -> bool:
         """Whether it may have restarted since it registered."""
--- a/src/sassafrasdale/gateway/forwarding/links.py
+++ b/src/sassafrasdale/gateway/forwarding/links.py
@@ -45,6 +45,8 @@
 # Interval at which peers are asked while links are lost: some may have recovered, or
 # were never asked.
 SEARCH_INTERVAL = timedelta(milliseconds=500)
+# Endpoints about which peers are asked in the background at the same time.
+MAX_BACKGROUND_QUESTIONS = 2
 
 
 @dataclass(slots=True)
@@ -96,6 +98,7 @@
         self._count = count
         self._links: dict[str, _Link] = {}
         self._next_search_at = timedelta()
+        self._asking = 0
 
     def is_partitioned(self, record: EndpointRecord) -> bool:
         """Return whether the link to an endpoint is lost."""
@@ -134,8 +137,27 @@
             self._begin_diagnosis(link, "connections lost")
 
     def begin_checks(self, records: Sequence[EndpointRecord]) -> None:
-        """Begin checks whether endpoints respond to this gateway."""
-        self._checks.begin(records)
+        """Begin checks whether endpoints respond.
+
+        Peers are asked about those that this gateway does not reach itself.
+        """
+        own = [record for record in records if not self.is_partitioned(record)]
+        self._checks.begin(own)
+        lost = [record for record in records if self.is_partitioned(record)]
+        for record in self._rng.sample(lost, len(lost)):
+            if self._asking >= MAX_BACKGROUND_QUESTIONS:
+                return
+            if self.can_check(record):
+                self._asking += 1
+                spawn(self._ask_in_background, record)
+
+    def _ask_in_background(self, record: EndpointRecord) -> None:
+        try:
+            answers = self._forwarders.ask(record.name)
+            if Reachability.REACHED in answers.values():
+                record.note_reached_by_peer(self._clock.elapsed())
+        finally:
+            self._asking -= 1
 
     def can_check(self, record: EndpointRecord) -> bool:
         """Return whether a check shows that an endpoint responds."""
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -154,6 +154,7 @@
     """A connection to a peer that forwards to an endpoint.
 
     :param hop: what the peer must know of the attempt.
+    :param record: the endpoint.
     :param contact: the peer.
     :param forwarders: what is known of it.
     :param pool: connections to it.
@@ -165,6 +166,7 @@
     def __init__(
         self,
         hop: Hop,
+        record: EndpointRecord,
         contact: Contact,
         forwarders: Forwarders,
         pool: ConnectionPool,
@@ -173,6 +175,7 @@
         clock: Clock,
     ) -> None:
         self._hop = hop
+        self._record = record
         self._contact = contact
         self._forwarders = forwarders
         self._pool = pool
@@ -237,6 +240,7 @@
         outcome = outcome_of(head)
         if outcome is None:
             state.is_proven = True
+            self._record.note_reached_by_peer(self._clock.elapsed())
             return ResponseHead(head.status, without_own_headers(head.headers))
         self._connection.skip_body(deadline)
         reason = reason_in(head)
@@ -255,7 +259,9 @@
             data = self._connection.read_data(deadline)
         except ConnectionLost as error:
             raise self._lost() from error
-        if not data:
+        if data:
+            self._record.note_reached_by_peer(self._clock.elapsed())
+        else:
             self._check_end()
         return data
 
@@ -345,14 +351,14 @@
             connection = record.pool.acquire_idle(max_idle)
             if connection is not None:
                 return DirectPath(record, connection)
-        return self._open_forwarded(hop)
+        return self._open_forwarded(record, hop)
 
     def is_partitioned(self, record: EndpointRecord) -> bool:
         """Return whether this gateway's own link to an endpoint is lost."""
         return self._links.is_partitioned(record)
 
     def begin_checks(self, records: Sequence[EndpointRecord]) -> None:
-        """Begin checks whether endpoints respond to this gateway."""
+        """Begin checks whether endpoints respond, to this gateway or to a peer."""
         self._links.begin_checks(records)
 
     def can_check(self, record: EndpointRecord) -> bool:
@@ -363,7 +369,7 @@
         """Record that a connection of this gateway's own was lost."""
         self._links.record_lost_connection(record)
 
-    def _open_forwarded(self, hop: Hop) -> ForwardedPath:
+    def _open_forwarded(self, record: EndpointRecord, hop: Hop) -> ForwardedPath:
         tried: set[str] = set()
         max_idle = max_idle_time(is_repeatable=hop.is_repeatable)
         while len(tried) < MAX_FORWARDERS:
@@ -382,6 +388,7 @@
             self._count("attempt forwarded")
             return ForwardedPath(
                 hop,
+                record,
                 contact,
                 self._forwarders,
                 pool,
--- a/src/sassafrasdale/gateway/silence_watch.py
+++ b/src/sassafrasdale/gateway/silence_watch.py
@@ -27,7 +27,7 @@
 
 
 class EndpointChecks(Protocol):
-    """Checks whether endpoints respond to this gateway."""
+    """Checks whether endpoints respond to this gateway, or to its peers."""
 
     def begin_checks(self, records: Records) -> None:
         """Begin checks of some endpoints."""
@@ -136,10 +136,10 @@
     def _sample(self, now: timedelta) -> dict[str, timedelta]:
         """Return the alternatives that respond; check some if none has just done so."""
         records = self._records(now)
-        received_at = {each.name: self._last_response(each, now) for each in records}
-        self._responsiveness.sample(received_at, now)
+        responded_at = {each.name: self._last_response(each, now) for each in records}
+        self._responsiveness.sample(responded_at, now)
         responding = self._responsiveness.responding(now)
-        if not any(at and now - at < FRESH for at in received_at.values()):
+        if not any(at and now - at < FRESH for at in responded_at.values()):
             responders = [each for each in records if each.name in responding]
             self._checks.begin_checks(responders or records)
         return responding
@@ -152,7 +152,7 @@
         One that can't be checked, and owes no response, is taken for responding.
         """
         if record.connections or self._checks.can_check(record):
-            return record.pool.received_at
+            return record.responded_at
         return now
 
     def _records(self, now: timedelta) -> Records:
