A response that is cancelled says nothing of the peer that forwards it

Cause: a forwarded response ends with the error of a lost connection also if this gateway has closed it, as its caller has left or its hedge has responded. The peer was avoided for a second then, and no longer known to reach endpoints. So each hedge that took over had new forwards sent through other peers.

Change: a path that was closed here does not have its peer avoided.

--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -182,6 +182,7 @@
         self._connection = connection
         self._cluster_time = cluster_time
         self._clock = clock
+        self._is_cancelled = False
         forwarders.state_of(contact.name).in_flight += 1
 
     @property
@@ -292,6 +293,7 @@
 
     def close(self) -> None:
         """Close the connection, which cancels the request."""
+        self._is_cancelled = True
         self._connection.close()
 
     def release(self) -> None:
@@ -300,7 +302,8 @@
         self._pool.release(self._connection)
 
     def _lost(self) -> ForwarderLost:
-        self._forwarders.state_of(self._contact.name).avoid(self._clock.elapsed())
+        if not self._is_cancelled:
+            self._forwarders.state_of(self._contact.name).avoid(self._clock.elapsed())
         return ForwarderLost(FORWARDER_LOST)
 
 
--- a/tests/gateway/forwarding/test_hop.py
+++ b/tests/gateway/forwarding/test_hop.py
@@ -240,6 +240,22 @@
     wait_for(lambda: not hop.forwarders[0].receiver.in_flight, "it is still counted")
 
 
+def test_a_response_that_is_cancelled_says_nothing_of_the_forwarder():
+    """Guards against sound peers avoided as a caller leaves or a hedge responds."""
+    hop = Hop()
+    endpoint = ScriptedEndpoint(lambda sock, raw: sock.recv(100))
+    hop.add("i-1", "records", endpoint)
+    hop.prove(0)
+    caller = hop.origin.caller()
+    caller.send(request(NON_IDEMPOTENT))
+    wait_for(lambda: endpoint.requests, "the request has not arrived")
+    caller.close()
+    state = hop.origin.forwarders.state_of("front-b-0")
+    wait_for(lambda: not state.in_flight, "the request was not cancelled")
+    assert state.is_proven
+    assert state.avoided_until == timedelta()
+
+
 def refusing_address() -> Address:
     """Return an address at which nothing listens."""
     listener = listen(LOOPBACK)
