A hedge avoids the peer through which the response has stalled

Cause: a hedge chose its forwarding peer as any attempt does. A peer that has stalled, its connections open, stays the preferred one if the others have more to do, so the hedge waited there as well.

Change: the time of a peer's last bytes is kept, of responses that it passes on and of its answers. Nothing in progress ends for that, and an avoided peer is still better than none.

A peer that answers while an endpoint stalls is not avoided; the test of that fails if the peer is avoided without regard to its bytes.

--- a/src/sassafrasdale/decisions/forwarders.py
+++ b/src/sassafrasdale/decisions/forwarders.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from random import Random
 
+from sassafrasdale.decisions.silence import RESPONSE_AGE
+
 # A peer that has failed or refused a forward is avoided for this time.
 AVOID_TIME = timedelta(seconds=1)
 # Extra forwards in flight that a peer of another zone looks like having: the traffic
@@ -22,18 +24,28 @@
     :param reported: all forwards in flight there, as of its last response.
     :param is_proven: whether it reached endpoints when last asked.
     :param avoided_until: elapsed time until which it is avoided.
+    :param heard_at: elapsed time of its last bytes; None if there were none.
     """
 
     in_flight: int = 0
     reported: int = 0
     is_proven: bool = False
     avoided_until: timedelta = timedelta()
+    heard_at: timedelta | None = None
 
     def avoid(self, now: timedelta) -> None:
         """Record that it has failed or refused a forward."""
         self.is_proven = False
         self.avoided_until = now + AVOID_TIME
 
+    def avoid_if_silent(self, now: timedelta) -> None:
+        """Record that a response through it has stalled.
+
+        If other bytes have just come from it, its endpoint has stalled.
+        """
+        if self.heard_at is None or now - self.heard_at > RESPONSE_AGE:
+            self.avoid(now)
+
 
 @dataclass(frozen=True, slots=True)
 class ForwarderCandidate:
--- a/src/sassafrasdale/gateway/forwarding/forwarders.py
+++ b/src/sassafrasdale/gateway/forwarding/forwarders.py
@@ -173,6 +173,8 @@
 
     def _ask_one(self, contact: Contact, endpoint: str, answers: Queue) -> None:
         response = self._get(contact, REACHABILITY_TARGET + endpoint)
+        if response is not None:
+            self.state_of(contact.name).heard_at = self._clock.elapsed()
         decoded = self._decode(contact, response, ENDPOINT_REACHABILITY.decode)
         answer = None if decoded is None else decoded.reachability
         if answer is not None:
--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -241,7 +241,7 @@
         outcome = outcome_of(head)
         if outcome is None:
             state.is_proven = True
-            self._record.note_reached_by_peer(self._clock.elapsed())
+            self._note_received()
             return ResponseHead(head.status, without_own_headers(head.headers))
         self._connection.skip_body(deadline)
         reason = reason_in(head)
@@ -261,7 +261,7 @@
         except ConnectionLost as error:
             raise self._lost() from error
         if data:
-            self._record.note_reached_by_peer(self._clock.elapsed())
+            self._note_received()
         else:
             self._check_end()
         return data
@@ -301,6 +301,12 @@
         self._forwarders.state_of(self._contact.name).in_flight -= 1
         self._pool.release(self._connection)
 
+    def _note_received(self) -> None:
+        """Record that bytes of the endpoint have come through the peer."""
+        now = self._clock.elapsed()
+        self._record.note_reached_by_peer(now)
+        self._forwarders.state_of(self._contact.name).heard_at = now
+
     def _lost(self) -> ForwarderLost:
         if not self._is_cancelled:
             self._forwarders.state_of(self._contact.name).avoid(self._clock.elapsed())
@@ -368,6 +374,12 @@
         """Return whether a check shows that an endpoint responds."""
         return self._links.can_check(record)
 
+    def record_stall(self, path: Path) -> None:
+        """Record that the response on a path has stalled, for what is sent next."""
+        if path.forwarder:
+            state = self._forwarders.state_of(path.forwarder)
+            state.avoid_if_silent(self._clock.elapsed())
+
     def record_lost_connection(self, record: EndpointRecord) -> None:
         """Record that a connection of this gateway's own was lost."""
         self._links.record_lost_connection(record)
--- a/src/sassafrasdale/gateway/hedger.py
+++ b/src/sassafrasdale/gateway/hedger.py
@@ -269,6 +269,8 @@
         """Return a way to the hedge's endpoint; None if it may not be sent now."""
         if self._starting is not token or self._failures.is_quarantined:
             return None
+        if self._first is not None:
+            self._paths.record_stall(self._first)
         try:
             path = self._sender.open_path(attempt)
         except AttemptFailed as failure:
--- a/tests/gateway/forwarding/test_forwarded_stalls.py
+++ b/tests/gateway/forwarding/test_forwarded_stalls.py
@@ -19,9 +19,13 @@
 from tests.gateway.world import (
     ScriptedEndpoint,
     World,
+    chunk,
+    event,
     request,
+    stream_head,
     streamed,
 )
+from tests.http.wires import read_request, serve_raw
 
 CLOCK = SystemClock()
 # A hedge is considered every 0.1 s, and asks peers before.
@@ -98,3 +102,38 @@
     assert_whole(stream.read(), 1, 2)
     assert record.responded_at - at_head > STALL_TIME / 4
     assert record.pool.received_at is None
+
+
+def test_a_hedge_is_not_sent_through_the_peer_that_has_stalled():
+    """Guards against a hedge that waits at the same peer as the stalled stream."""
+    stream = ForwardedStream(healthy(streamed(1)), healthy(streamed(2, 3)))
+
+    def stall(sock):
+        raw = read_request(sock)
+        if raw.startswith(b"POST /forward"):
+            head = stream_head(raw).replace(b"\r\n", b"\r\nForward-In-Flight: 1\r\n", 1)
+            sock.sendall(head + chunk(event(1)))
+        sleep(6 * STALL_TIME)
+        sock.close()
+
+    hop = stream.hop
+    hop.add_peer("front-b-stalled", serve_raw(stall))
+    hop.origin.forwarders.state_of("front-b-stalled").is_proven = True
+    stream.begin()
+    # The other peer has more to do.
+    hop.origin.forwarders.state_of("front-b-0").reported = 50
+    assert stream.wait_for_hedge() < HEDGED_WITHIN
+    assert_whole(stream.read(), 1, 2, 3)
+
+
+def test_a_peer_that_answers_is_not_avoided_as_an_endpoint_stalls():
+    """Guards against peers that are all passed over in a stall of an endpoint."""
+    stream = ForwardedStream(
+        healthy(stalling(5 * STALL_TIME)), healthy(streamed(2)), forwarders=2
+    )
+    stream.begin()
+    stream.wait_for_hedge()
+    forwarders = stream.hop.origin.forwarders
+    now = CLOCK.elapsed()
+    for name in ("front-b-0", "front-b-1"):
+        assert forwarders.state_of(name).avoided_until < now
