Peers' answers that came in a pause of the gateway count

Cause: as in the lookup of streams, the question to peers whether they reach an endpoint waited with a timeout of the queue, which the event loop runs before it reads sockets. After a pause of the process, answers that had come were not counted. Without one that reaches the endpoint, and with another endpoint that responds, a refused connection is then taken for a confirmed crash, which strikes the request that ran there.

Change: the question has one timeout of the scheduler's wrapper, whose grace period lets sockets be polled once more.

Result: tests/gateway/forwarding/test_forwarders.py: the answer that came in the pause was missing before, and is returned now; without an answer the question ends in time, before and now. That the confirmation then differs is by reading decisions/links.py, not by a run.

--- a/src/sassafrasdale/gateway/forwarding/forwarders.py
+++ b/src/sassafrasdale/gateway/forwarding/forwarders.py
@@ -1,6 +1,7 @@
 """Peers that are asked for their links and that may forward."""
 
 from collections.abc import Callable, Collection
+from contextlib import suppress
 from datetime import timedelta
 from random import Random
 
@@ -22,7 +23,7 @@
 )
 from sassafrasdale.gateway.peer_states import Contact
 from sassafrasdale.gateway.roster import Roster
-from sassafrasdale.green import Empty, Queue, spawn
+from sassafrasdale.green import Queue, Timeout, spawn, timeout
 from sassafrasdale.http.connections import ConnectionPool, HttpClient
 from sassafrasdale.http.exceptions import HttpError
 from sassafrasdale.http.messages import Request, Response
@@ -105,18 +106,15 @@
         answers: Queue = Queue()
         for contact in asked:
             spawn(self._ask_one, contact, endpoint, answers)
-        deadline = self._clock.elapsed() + ASK_TIMEOUT
         received: dict[str, Reachability] = {}
-        for _ in asked:
-            left = max(deadline - self._clock.elapsed(), timedelta())
-            try:
-                name, answer = answers.get(timeout=left.total_seconds())
-            except Empty:
-                break
-            if answer is not None:
-                received[name] = answer
-            if answer is Reachability.REACHED:
-                break
+        # Leaves answers that came in a pause of this process time to be read.
+        with suppress(Timeout), timeout(ASK_TIMEOUT):
+            for _ in asked:
+                name, answer = answers.get()
+                if answer is not None:
+                    received[name] = answer
+                if answer is Reachability.REACHED:
+                    break
         return received
 
     def extend(self) -> None:
