An endpoint that accepts no connections is not taken for one that leaves

A stall with a full backlog, or a partition of the zone's aggregator, is silence as well; only silent responses had been told apart.

Change: it is asked again at the next step, as after a response that does not come. A refused or lost connection confirms the departure as before.

--- a/src/sassafrasdale/gateway/advertisements/departure_checks.py
+++ b/src/sassafrasdale/gateway/advertisements/departure_checks.py
@@ -15,7 +15,12 @@
 from sassafrasdale.gateway.directory import Directory, EndpointRecord
 from sassafrasdale.green import sleep
 from sassafrasdale.http.connections import MAX_UNUSED_BODY_BYTES, HttpClient
-from sassafrasdale.http.exceptions import HttpError, ResponseTimeout
+from sassafrasdale.http.exceptions import (
+    ConnectionRefused,
+    HttpError,
+    NotConnected,
+    ResponseTimeout,
+)
 from sassafrasdale.platform.signals import health_request, says_it_stays
 
 log = Logger("departure checks")
@@ -83,7 +88,8 @@
     def _says_it_stays(self, record: EndpointRecord) -> bool | None:
         """Return whether an endpoint says that it stays; None if it is silent.
 
-        One that is silent may have stalled, so it is asked again at the next step.
+        One that is silent, or accepts no connections, may have stalled or be cut off,
+        so it is asked again at the next step.
         """
         path = self._service(record.endpoint.service).health_path
         if not path:
@@ -96,12 +102,11 @@
         )
         try:
             response = client.call(health_request(path), CHECK_TIMEOUT)
-        except ResponseTimeout as error:
-            log.info("no answer", endpoint=record.name, why=error.message)
-            return None
         except HttpError as error:
             log.info("no answer", endpoint=record.name, why=error.message)
-            return False
+            is_silent = isinstance(error, NotConnected | ResponseTimeout)
+            is_refused = isinstance(error, ConnectionRefused)
+            return None if is_silent and not is_refused else False
         finally:
             client.close()
         return says_it_stays(response, record.name)
--- a/tests/gateway/advertisements/test_departure_checks.py
+++ b/tests/gateway/advertisements/test_departure_checks.py
@@ -1,5 +1,6 @@
 """Endpoints that said that they leave and stay are used again."""
 
+import socket
 from datetime import timedelta
 
 import pytest
@@ -18,10 +19,11 @@
     DepartureChecks,
 )
 from sassafrasdale.gateway.directory import Directory
-from sassafrasdale.green import sleep
+from sassafrasdale.green import listen, sleep, spawn
 from sassafrasdale.structures import Address
 from tests.gateway.fleets import single_gate
 from tests.gateway.world import ScriptedEndpoint, respond_with
+from tests.http.wires import LOOPBACK, bound_address, read_request
 
 CONFIGURATION = Configuration(
     1, (), {"records": Service("records", health_path="/healthz")}
@@ -104,3 +106,40 @@
     checked = Checked(ScriptedEndpoint(script).address)
     assert checked.is_leaving_after(CHECK_AFTER)
     assert not checked.is_leaving_after(STEP_INTERVAL)
+
+
+class FullBacklog:
+    """An endpoint whose socket accepts no connections until it goes on."""
+
+    def __init__(self) -> None:
+        self._listener = listen(LOOPBACK, backlog=0)
+        self.address = bound_address(self._listener)
+        self._fillers = [socket.socket() for _ in range(4)]
+        for filler in self._fillers:
+            filler.setblocking(False)
+            filler.connect_ex((self.address.host, self.address.port))
+
+    def go_on(self) -> None:
+        """Serve what has connected, and what will."""
+        for filler in self._fillers:
+            filler.close()
+        spawn(self._accept)
+        # A connection that finds the backlog full is tried again only a second later.
+        sleep(CHECK_TIMEOUT / 5)
+
+    def _accept(self) -> None:
+        answer = respond_with(extra=OWN_ID)
+        while True:
+            sock, _ = self._listener.accept()
+            if request := read_request(sock):
+                answer(sock, request)
+            sock.close()
+
+
+def test_an_endpoint_that_accepts_no_connections_is_checked_again():
+    """Guards against a stall or a partition that counts as a statement to leave."""
+    endpoint = FullBacklog()
+    checked = Checked(endpoint.address)
+    assert checked.is_leaving_after(CHECK_AFTER)
+    endpoint.go_on()
+    assert not checked.is_leaving_after(STEP_INTERVAL)
