--- a/src/sassafrasdale/gateway/forwarding/paths.py
+++ b/src/sassafrasdale/gateway/forwarding/paths.py
@@ -154,6 +154,7 @@
     """A connection to a peer that forwards to an endpoint.
 
     :param hop: what the peer must know of the attempt.
+    :param record: the endpoint.
     :param contact: the peer.
     :param forwarders: what is known of it.
     :param pool: connections to it.
@@ -165,6 +166,7 @@
     def __init__(
         self,
         hop: Hop,
+        record: EndpointRecord,
         contact: Contact,
         forwarders: Forwarders,
         pool: ConnectionPool,
@@ -173,12 +175,14 @@
         clock: Clock,
     ) -> None:
         self._hop = hop
+        self._record = record
         self._contact = contact
         self._forwarders = forwarders
         self._pool = pool
         self._connection = connection
         self._cluster_time = cluster_time
         self._clock = clock
+        self._is_cancelled = False
         forwarders.state_of(contact.name).in_flight += 1
 
     @property
@@ -237,6 +241,7 @@
         outcome = outcome_of(head)
         if outcome is None:
             state.is_proven = True
+            self._note_received()
             return ResponseHead(head.status, without_own_headers(head.headers))
         self._connection.skip_body(deadline)
         reason = reason_in(head)
@@ -255,7 +260,9 @@
             data = self._connection.read_data(deadline)
         except ConnectionLost as error:
             raise self._lost() from error
-        if not data:
+        if data:
+            self._note_received()
+        else:
             self._check_end()
         return data
 
@@ -286,6 +293,7 @@
 
     def close(self) -> None:
         """Close the connection, which cancels the request."""
+        self._is_cancelled = True
         self._connection.close()
 
     def release(self) -> None:
@@ -293,8 +301,15 @@
         self._forwarders.state_of(self._contact.name).in_flight -= 1
         self._pool.release(self._connection)
 
+    def _note_received(self) -> None:
+        """Record that bytes of the endpoint have come through the peer."""
+        now = self._clock.elapsed()
+        self._record.note_reached_by_peer(now)
+        self._forwarders.state_of(self._contact.name).heard_at = now
+
     def _lost(self) -> ForwarderLost:
-        self._forwarders.state_of(self._contact.name).avoid(self._clock.elapsed())
+        if not self._is_cancelled:
+            self._forwarders.state_of(self._contact.name).avoid(self._clock.elapsed())
         return ForwarderLost(FORWARDER_LOST)
 
 
@@ -345,25 +360,31 @@
             connection = record.pool.acquire_idle(max_idle)
             if connection is not None:
                 return DirectPath(record, connection)
-        return self._open_forwarded(hop)
+        return self._open_forwarded(record, hop)
 
     def is_partitioned(self, record: EndpointRecord) -> bool:
         """Return whether this gateway's own link to an endpoint is lost."""
         return self._links.is_partitioned(record)
 
     def begin_checks(self, records: Sequence[EndpointRecord]) -> None:
-        """Begin checks whether endpoints respond to this gateway."""
+        """Begin checks whether endpoints respond, to this gateway or to a peer."""
         self._links.begin_checks(records)
 
     def can_check(self, record: EndpointRecord) -> bool:
         """Return whether a check shows that an endpoint responds."""
         return self._links.can_check(record)
 
+    def record_stall(self, path: Path) -> None:
+        """Record that the response on a path has stalled, for what is sent next."""
+        if path.forwarder:
+            state = self._forwarders.state_of(path.forwarder)
+            state.avoid_if_silent(self._clock.elapsed())
+
     def record_lost_connection(self, record: EndpointRecord) -> None:
         """Record that a connection of this gateway's own was lost."""
         self._links.record_lost_connection(record)
 
-    def _open_forwarded(self, hop: Hop) -> ForwardedPath:
+    def _open_forwarded(self, record: EndpointRecord, hop: Hop) -> ForwardedPath:
         tried: set[str] = set()
         max_idle = max_idle_time(is_repeatable=hop.is_repeatable)
         while len(tried) < MAX_FORWARDERS:
@@ -382,6 +403,7 @@
             self._count("attempt forwarded")
             return ForwardedPath(
                 hop,
+                record,
                 contact,
                 self._forwarders,
                 pool,
