Read what had arrived when a passed deadline is noticed

Cause: HttpConnection._receive raised ResponseTimeout as soon as its deadline had passed. Only the read that waits over the deadline looked at the socket once more. After a pause of the gateway's process, a response longer than one read (64 KiB) was dropped, though all of it had arrived, and its request ended with 504.

Change: the bytes in the socket's buffer are counted once when the passed deadline is noticed; just these are still read, and the end of the connection after them. What comes later is not read, so a server that sends without a break can't move the deadline. What is still in the server's buffers then is lost as before.

Measured: three new tests (two of the connection, one of the exchange, 504 instead of 200) failed before and pass now. The fourth, of bytes that come after the deadline, fails with a last look without a bound. tests/http/test_connections.py, test_endless_responses.py, test_closes_model.py, tests/gateway/test_exchange.py, test_hedges.py and forwarding/test_hop.py pass. Not run: tests with processes.

--- a/src/sassafrasdale/green.py
+++ b/src/sassafrasdale/green.py
@@ -4,8 +4,11 @@
 library is unchanged for the thread that runs the peers' asyncio loop.
 """
 
+import fcntl
 import os
 import socket
+import sys
+import termios
 import warnings
 from collections.abc import Callable
 from datetime import timedelta
@@ -182,6 +185,15 @@
             return _receive_now(sock, size, error)
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes have arrived at a green socket and were not received.
+
+    :raises OSError: if it is closed.
+    """
+    size = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    return int.from_bytes(size, sys.byteorder)
+
+
 def _receive_now(sock: socket.socket, size: int, error: TimeoutError) -> bytes:
     """Return bytes that arrived while the process was stalled, or raise ``error``.
 
--- a/src/sassafrasdale/http/connections.py
+++ b/src/sassafrasdale/http/connections.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum, auto
 
@@ -15,7 +16,13 @@
 from logbook import Logger
 
 from sassafrasdale.clock import Clock
-from sassafrasdale.green import connect, receive, sleep, spawn
+from sassafrasdale.green import (
+    connect,
+    receive,
+    sleep,
+    spawn,
+    unread_bytes,
+)
 from sassafrasdale.http.body_budget import (
     CONTROL_BODIES,
     ENDPOINT_BODIES,
@@ -85,6 +92,18 @@
     SILENT = auto()
 
 
+@dataclass(slots=True)
+class _LateBytes:
+    """Bytes that had arrived when a passed deadline was noticed.
+
+    :param deadline: the deadline; None if none has passed.
+    :param left: how many of them are still to be read.
+    """
+
+    deadline: timedelta | None = None
+    left: int = 0
+
+
 class HttpConnection:
     """One connection to a server.
 
@@ -119,6 +138,7 @@
         self._parts = 0
         self._part_bytes = 0
         self._received_bytes = 0
+        self._late = _LateBytes()
         self._sock = sock
         self._clock = clock
         self._on_receive = on_receive
@@ -226,6 +246,7 @@
         """
         self._head = None
         self._events_read = 0
+        self._late = _LateBytes()
         self.sent_at = self._clock.elapsed()
         framing = [("content-length", str(len(request.body)))]
         needs_length = request.body or request.method not in ("GET", "HEAD", "DELETE")
@@ -451,7 +472,7 @@
         while True:
             now = self._clock.elapsed()
             if now >= deadline:
-                raise ResponseTimeout("no answer in time")
+                return self._receive_late(deadline)
             if self._while_reading is None:
                 return self._receive_within(deadline - now)
             if now < self._callback_due:
@@ -460,11 +481,28 @@
                 continue
             self._callback_due = now + self._while_reading()
 
-    def _receive_within(self, limit: timedelta) -> bytes:
+    def _receive_late(self, deadline: timedelta) -> bytes:
+        """Return bytes that had arrived when a passed deadline was noticed.
+
+        The process may have paused over the deadline. What comes later is not read, or
+        a server that sends without a break could move the deadline.
+        """
+        self._check_open()
+        late = self._late
+        if late.deadline != deadline:
+            late.deadline, late.left = deadline, unread_bytes(self._sock)
+        # Without any left, the end of the connection may have come.
+        if not late.left and unread_bytes(self._sock):
+            raise ResponseTimeout("no answer in time")
+        data = self._receive_within(timedelta(), min(max(late.left, 1), READ_BYTES))
+        late.left -= min(len(data), late.left)
+        return data
+
+    def _receive_within(self, limit: timedelta, size: int = READ_BYTES) -> bytes:
         self._check_open()
         self._reading = True
         try:
-            data = receive(self._sock, READ_BYTES, limit)
+            data = receive(self._sock, size, limit)
         except TimeoutError as error:
             raise ResponseTimeout("no answer in time") from error
         except OSError as error:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -1,5 +1,6 @@
 """Forwarding of a request to endpoints that fail in various ways."""
 
+import time
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
@@ -82,6 +83,21 @@
     assert 0 < int(header(sent, "deadline-ms")) <= 600
 
 
+def test_a_response_in_time_is_relayed_after_a_pause_of_the_gateway():
+    """Guards against 504 for a response that came before the gateway's pause."""
+    body = b"x" * 100_000
+
+    def respond(sock, raw):
+        respond_with(body)(sock, raw)
+        time.sleep(0.8)
+
+    world = World()
+    world.add("i-1", "records", ScriptedEndpoint(respond))
+    response = world.ask(request("/certificates/7"))
+    assert status_of(response) == 200
+    assert response.endswith(body)
+
+
 def test_an_endpoints_error_response_is_relayed():
     world = World()
     world.add("i-1", "records", ScriptedEndpoint(respond_with(b"no", "500 Error")))
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -1,13 +1,20 @@
 """HTTP client connections against misbehaving servers."""
 
 import socket
+import time
+from contextlib import suppress
 from datetime import timedelta
 
 import pytest
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.green import sleep, spawn
-from sassafrasdale.http.connections import ConnectionPool, HttpClient, HttpConnection
+from sassafrasdale.http.connections import (
+    READ_BYTES,
+    ConnectionPool,
+    HttpClient,
+    HttpConnection,
+)
 from sassafrasdale.http.exceptions import (
     ConnectionLost,
     MalformedResponse,
@@ -19,12 +26,20 @@
 from tests.http.wires import LIMIT, read_request, serve_raw
 
 CLOCK = SystemClock()
+# Limit of a response that is read late.
+LATE_LIMIT = timedelta(milliseconds=200)
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 def deadline() -> timedelta:
     return CLOCK.elapsed() + LIMIT
 
 
+def pause_process(pause: timedelta) -> None:
+    """Block the event loop, as a pause of the process does."""
+    time.sleep(pause.total_seconds())
+
+
 def response(request_id: str, body: bytes = b"ok", extra: str = "") -> bytes:
     head = (
         f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
@@ -304,3 +319,67 @@
     with pytest.raises(ResponseTimeout):
         client.call(Request("GET", "/"), LIMIT / 4, idle_limit=LIMIT / 10)
     assert CLOCK.elapsed() - began < LIMIT / 2
+
+
+def test_a_response_that_came_before_a_pause_is_read_after_its_deadline():
+    """Guards against whole responses that a pause of this process turns into 504."""
+    body = b"x" * (READ_BYTES + 20_000)
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(response("1", body))
+        pause_process(2 * LATE_LIMIT)
+
+    connection = HttpConnection.open(serve_raw(script), LIMIT, CLOCK)
+    late = CLOCK.elapsed() + LATE_LIMIT
+    connection.send(make_request("1"))
+    connection.read_head(late, echoed=("request-id", "1"))
+    assert connection.read_body(late) == body
+    assert CLOCK.elapsed() > late
+    assert connection.is_reusable
+
+
+def test_an_unframed_response_that_came_before_a_pause_is_read_to_its_end():
+    """Guards against a pause that hides the end of the connection."""
+    body = b"x" * (READ_BYTES + 20_000)
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n" + body)
+        sock.close()
+        pause_process(2 * LATE_LIMIT)
+
+    connection = HttpConnection.open(serve_raw(script), LIMIT, CLOCK)
+    late = CLOCK.elapsed() + LATE_LIMIT
+    connection.send(make_request("1"))
+    connection.read_head(late, echoed=("request-id", "1"))
+    assert connection.read_body(late) == body
+    assert CLOCK.elapsed() > late
+
+
+def read_until(connection: HttpConnection, end: timedelta) -> None:
+    """Read data with a deadline, and go on for a while after it if there are more."""
+    while CLOCK.elapsed() < end + LIMIT:
+        connection.read_data(end)
+
+
+def test_what_comes_after_the_deadline_is_not_read():
+    """Guards against deadlines that a server moves by sending without a break."""
+    part = b"%x\r\n%b\r\n" % (READ_BYTES, b"x" * READ_BYTES)
+
+    def script(sock):
+        read_request(sock)
+        with suppress(OSError):
+            sock.sendall(CHUNKED_HEAD)
+            while True:
+                sock.sendall(part)
+                sleep()
+
+    connection = HttpConnection.open(serve_raw(script), LIMIT, CLOCK)
+    late = CLOCK.elapsed() + LATE_LIMIT
+    connection.send(make_request("1"))
+    connection.read_head(late)
+    with pytest.raises(ResponseTimeout):
+        read_until(connection, late)
+    assert CLOCK.elapsed() < late + LIMIT
+    connection.close()
