Have requests with a malformed response wait for a retry

Cause: a malformed response, such as one without end, is retried from the gateway's share of the retry budget like any other failure. With the share spent, by other such endpoints or by earlier failures, the request ended at once: a stream that had begun was broken off, any other got 502, though another endpoint of its version was up and seconds were left.

Change: such a request waits for a retry for up to half of the time left, as long as another endpoint may take it and its caller is there. Each retry is still taken from the budget, so the limit on retries holds. A hedge that is being started is cancelled before, so that none runs beside the retry.

Measured: a stream before and after its first event is continued (two tests that failed before: 502, and broken off after one event). Two more tests hold that the wait ends before the deadline and with the caller; both fail without these bounds. The tests of endless responses, exchange, hedges, stalled endpoints and retry budgets pass (96). Requests whose connection is lost do not wait, as before.

--- a/src/sassafrasdale/gateway/exchange.py
+++ b/src/sassafrasdale/gateway/exchange.py
@@ -25,7 +25,12 @@
 from sassafrasdale.gateway.events import EventSplitter
 from sassafrasdale.gateway.exceptions import RequestRefused, StreamInterrupted
 from sassafrasdale.gateway.failure_recorder import FailureRecorder, SendState
-from sassafrasdale.gateway.failures import AttemptFailed, AttemptOutcome, reason_of
+from sassafrasdale.gateway.failures import (
+    MALFORMED,
+    AttemptFailed,
+    AttemptOutcome,
+    reason_of,
+)
 from sassafrasdale.gateway.fleet import Fleet
 from sassafrasdale.gateway.forwarding.paths import (
     MAX_FORWARDERS,
@@ -43,6 +48,7 @@
 from sassafrasdale.gateway.quarantine.soundness import RunProgress
 from sassafrasdale.gateway.responses import EndpointResponse
 from sassafrasdale.gateway.streams.continuations import StreamContinuations
+from sassafrasdale.green import sleep
 from sassafrasdale.http.exceptions import (
     CallerDisconnected,
     HttpError,
@@ -59,6 +65,10 @@
 STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 # Fraction of the time left after which a body that isn't whole is hedged.
 LONG_BODY_SHARE = 0.5
+# Fraction of the time left for which a request waits for a retry; the rest is for the
+# attempt. Other requests save up retries as they come, so the budget is polled.
+RETRY_WAIT_SHARE = 0.5
+RETRY_WAIT_INTERVAL = timedelta(milliseconds=100)
 # Most gaps between a stream's events that are recorded to estimate the engine's speed.
 MAX_EVENT_GAPS = 64
 
@@ -180,6 +190,8 @@
             except AttemptFailed as failure:
                 hedge = self._hedger.take()
                 if hedge is None:
+                    # One that is being started would run beside the retry.
+                    self._hedger.cancel()
                     self._check_retry(failure)
             finally:
                 self._hedger.cancel()
@@ -488,10 +500,32 @@
             return "no attempt left"
         if failure.outcome is AttemptOutcome.WITHHELD:
             return ""
-        if not self._fleet.retry_budgets.allow_retry(admitted.service, spend=True):
+        if not self._take_retry(failure):
             return "retry budget spent"
         return ""
 
+    def _take_retry(self, failure: AttemptFailed) -> bool:
+        """Take a retry from the budget; return whether there was one.
+
+        Where an endpoint's response was malformed, and another endpoint may take the
+        request, it waits for a retry. Otherwise a few such endpoints would spend the
+        budget, and requests would end long before their deadlines.
+        """
+        admitted, budgets = self._admitted, self._fleet.retry_budgets
+        until = self._clock.elapsed()
+        if failure.reason == MALFORMED:
+            until += self._sender.time_left * RETRY_WAIT_SHARE
+        while not budgets.allow_retry(admitted.service, spend=True):
+            is_over = self._clock.elapsed() >= until
+            if is_over or not self._fleet.has_alternative(
+                admitted.service, admitted.traits, self._tried
+            ):
+                return False
+            sleep(RETRY_WAIT_INTERVAL)
+            if self._caller.is_disconnected:
+                raise CallerDisconnected
+        return True
+
     def _give_up_unsent(self) -> None:
         """End the request because no endpoint takes it now."""
         admitted = self._admitted
--- a/src/sassafrasdale/gateway/failures.py
+++ b/src/sassafrasdale/gateway/failures.py
@@ -14,6 +14,9 @@
 NOT_CONNECTED = "not connected"
 CONNECTION_LOST = "connection lost"
 NO_RESPONSE_IN_TIME = "no answer in time"
+# Reason of an attempt whose response breaks the protocol or a bound: the endpoint is at
+# fault, whatever the others do.
+MALFORMED = "malformed answer"
 
 
 class AttemptOutcome(StrEnum):
@@ -47,6 +50,6 @@
         case ConnectionLost():
             return CONNECTION_LOST
         case MalformedResponse():
-            return "malformed answer"
+            return MALFORMED
         case _:
             return error.message
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -8,7 +8,7 @@
 from sassafrasdale.decisions.silence import STALL_TIME
 from sassafrasdale.green import sleep
 from standins.gateway_endpoints import Endless
-from standins.gateway_fleet import status_of
+from standins.gateway_fleet import status_of, wait_for
 from tests.gateway.test_exchange import STREAM, body_of, only_reports
 from tests.gateway.test_hedges import END, StalledStream, healthy
 from tests.gateway.world import (
@@ -22,6 +22,7 @@
     stream_head,
     streamed,
 )
+from tests.http.wires import RawCaller
 from tests.platform.documents import configuration
 
 CLOCK = SystemClock()
@@ -153,3 +154,83 @@
     world.add("i-1", "records", ScriptedEndpoint(refusing))
     response = world.ask(request("/certificates/7"))
     assert status_of(response) == 503
+
+
+def sending_without_end_after(*numbers: int):
+    """Return a script: some events, a pause, and then bytes that end no event."""
+
+    def script(sock, raw):
+        sock.sendall(stream_head(raw) + b"".join(chunk(event(n)) for n in numbers))
+        sleep(timedelta(milliseconds=200))
+        while True:
+            sock.sendall(chunk(b"x" * 65_536))
+            sleep()
+
+    return script
+
+
+def spend_retries(world: World, service: str) -> None:
+    """Spend all retries that the budget of a service allows."""
+    while world.fleet.retry_budgets.allow_retry(service, spend=True):
+        pass
+
+
+def resuming(sock, raw):
+    """Send the events up to the second that the caller does not have."""
+    streamed(*range(int(header(raw, "last-event-id") or 0) + 1, 3))(sock, raw)
+
+
+def broken_stream(
+    world: World, *events: int, **headers: str
+) -> tuple[RawCaller, ScriptedEndpoint]:
+    """Return the caller of a stream that has failed, and an endpoint that is up."""
+    bad = ScriptedEndpoint(sending_without_end_after(*events))
+    other = ScriptedEndpoint(resuming)
+    world.add("i-0", "models", bad)
+    spend_retries(world, "models")
+    caller = world.caller()
+    caller.send(request("/reports/7", **STREAM, **headers))
+    wait_for(lambda: bad.requests, "not sent")
+    world.add("i-1", "models", other)
+    wait_for(lambda: bad.ended, "not failed")
+    return caller, other
+
+
+def save_retry(world: World, service: str) -> None:
+    """Have other requests save up one retry."""
+    while not world.fleet.retry_budgets.left(service):
+        world.fleet.retry_budgets.count_attempt(service, is_retry=False)
+
+
+@pytest.mark.parametrize("events", [(), (1,)])
+def test_a_stream_that_breaks_the_protocol_waits_for_a_retry(events):
+    """Guards against streams broken off for a retry that is allowed soon after."""
+    world = World(routes=only_reports())
+    caller, _ = broken_stream(world, *events)
+    sleep(timedelta(milliseconds=200))
+    save_retry(world, "models")
+    response = caller.read(4 * STALL_TIME)
+    assert response.endswith(END)
+    assert body_of(response) == event(1) + event(2)
+
+
+def test_a_stream_without_a_retry_ends_before_its_deadline():
+    """Guards against callers that wait until the deadline for a retry in vain."""
+    world = World(routes=only_reports())
+    began_at = CLOCK.elapsed()
+    caller, other = broken_stream(world, 1, deadline_ms="3000")
+    assert not caller.read(timedelta(seconds=5)).endswith(END)
+    assert CLOCK.elapsed() - began_at < timedelta(seconds=3)
+    assert not other.requests
+
+
+def test_a_stream_that_waits_for_a_retry_ends_with_its_caller():
+    """Guards against retries that are spent on callers who have left."""
+    world = World(routes=only_reports())
+    caller, other = broken_stream(world, 1, deadline_ms="3000")
+    caller.close()
+    sleep(timedelta(milliseconds=300))
+    save_retry(world, "models")
+    sleep(timedelta(milliseconds=300))
+    assert world.fleet.retry_budgets.left("models") == 1
+    assert not other.requests
