Send retries to endpoints that have responded

Cause: a retry chose its endpoint like a first attempt, so the second of two attempts could meet another endpoint that sends without end: one that no request had met yet is as good as any, and one failure lowers an endpoint's weight only a little. The request is lost then, though other endpoints respond and retries are left.

Change: retries prefer endpoints with room whose last outcome is a success; if there is none, all are candidates as before. First attempts and ejection are unchanged.

Measured: two tests of the choice failed before; two hold the fallback.

--- a/src/sassafrasdale/decisions/health.py
+++ b/src/sassafrasdale/decisions/health.py
@@ -60,6 +60,7 @@
     latency: timedelta | None = None
     failure_rate: float = 0.0
     outcome_at: timedelta = timedelta()
+    has_succeeded_last: bool = False
 
 
 def _chart() -> Chart:
@@ -130,6 +131,14 @@
         self._advance(record, now)
         return record.lifecycle.state != "ejected"
 
+    def has_succeeded_last(self, name: str) -> bool:
+        """Return whether the last outcome at an endpoint was a success.
+
+        That of an endpoint without any is not known.
+        """
+        record = self._records.get(name)
+        return record is not None and record.has_succeeded_last
+
     def weights(self, now: timedelta) -> Mapping[str, float]:
         """Return each endpoint's weight: 0 ejected, 1 healthy, between on probation."""
         for record in self._records.values():
@@ -156,6 +165,7 @@
             outcome - failure_rate
         )
         record.outcome_at = now
+        record.has_succeeded_last = ok
 
     def _failure_rate(self, record: _EndpointRecord, now: timedelta) -> float:
         age = now - record.outcome_at
--- a/src/sassafrasdale/gateway/fleet.py
+++ b/src/sassafrasdale/gateway/fleet.py
@@ -349,6 +349,8 @@
                 eligible, service, is_any=not backed_off and candidates == registered
             )
         permitted = self._gate.with_permit(eligible)
+        if is_retry:
+            permitted = self._responding(permitted, service)
         record = self._choose(permitted, service, traits, weights, connected)
         if record is None or not self._gate.take(record):
             return None
@@ -373,6 +375,17 @@
         healthy = [rec for rec in candidates if weights.get(rec.name, 1.0) > 0]
         return healthy or candidates
 
+    def _responding(
+        self, candidates: Sequence[EndpointRecord], service: str
+    ) -> Sequence[EndpointRecord]:
+        """Return the candidates with room whose last outcome is a success, or all.
+
+        Few attempts are allowed, so a retry should not meet a second faulty endpoint.
+        """
+        health = self._directory.health_of(service)
+        known = [rec for rec in candidates if health.has_succeeded_last(rec.name)]
+        return self._free_capacity.with_room(service, known) or candidates
+
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent.
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -6,6 +6,7 @@
 
 from sassafrasdale.clock import SystemClock
 from sassafrasdale.decisions.silence import STALL_TIME
+from sassafrasdale.deployment import RequestTraits
 from sassafrasdale.green import sleep
 from standins.gateway_endpoints import Endless
 from standins.gateway_fleet import status_of, wait_for
@@ -234,3 +235,41 @@
     sleep(timedelta(milliseconds=300))
     assert world.fleet.retry_budgets.left("models") == 1
     assert not other.requests
+
+
+@pytest.mark.parametrize("has_failed", [True, False])
+def test_a_retry_goes_to_an_endpoint_that_has_responded(has_failed):
+    """Guards against a last attempt at a second endpoint that sends without end."""
+    world = World()
+    names = ("i-0", "i-1", "i-2")
+    for name in names:
+        world.add(name, "records", ScriptedEndpoint(respond_with()))
+    health = world.directory.health_of("records")
+    health.observe("i-1", ok=True, now=CLOCK.elapsed())
+    world.directory.records["i-1"].in_flight = 3
+    if has_failed:
+        health.observe("i-2", ok=False, now=CLOCK.elapsed())
+    assert chosen(world, is_retry=True) == "i-1"
+    assert chosen(world, is_retry=False) == "i-2"
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+def test_a_retry_goes_to_any_endpoint_where_none_that_responded_is_left(is_known):
+    """Guards against requests that end for want of an endpoint known to respond."""
+    world = World()
+    for name in ("i-0", "i-2"):
+        world.add(name, "records", ScriptedEndpoint(respond_with()))
+    if is_known:
+        health = world.directory.health_of("records")
+        health.observe("i-2", ok=False, now=CLOCK.elapsed())
+    assert chosen(world, is_retry=True) == "i-2"
+
+
+def chosen(world: World, *, is_retry: bool) -> str:
+    """Return the endpoint of a request that was sent to i-0 before."""
+    traits = RequestTraits("r-1")
+    attempt = world.fleet.start_local_attempt(
+        "records", traits, {"i-0"}, (), is_retry=is_retry
+    )
+    world.fleet.finish_attempt(attempt)
+    return attempt.record.name
