One map keeps what was set most recently; a success is noted once; one question for what is stored

The times of the latest successes of parts repeated what soundness.py and strike_recorder.py had: a dict whose oldest key goes first. RecentMap serves all three now. A success noted its parts twice while strikes were open. Whether the store may hold a strike stood in two forms in records.py.

--- a/src/sassafrasdale/decisions/clearances.py
+++ b/src/sassafrasdale/decisions/clearances.py
@@ -5,6 +5,8 @@
 was heard before them.
 """
 
+from sassafrasdale.decisions.recent_map import RecentMap
+
 # Most features that are remembered; those shown the longest ago are forgotten first.
 MAX_FEATURES = 8192
 
@@ -13,9 +15,8 @@
     """Latest successes of requests, by their features."""
 
     def __init__(self, max_features: int = MAX_FEATURES) -> None:
-        self._max_features = max_features
-        # In seconds since 1970, latest last.
-        self._cleared_at: dict[str, float] = {}
+        # In seconds since 1970.
+        self._cleared_at: RecentMap[str, float] = RecentMap(max_features)
 
     def __len__(self) -> int:
         return len(self._cleared_at)
@@ -25,10 +26,7 @@
 
         :param now: in seconds since 1970.
         """
-        self._cleared_at.pop(feature, None)
-        self._cleared_at[feature] = now
-        if len(self._cleared_at) > self._max_features:
-            del self._cleared_at[next(iter(self._cleared_at))]
+        self._cleared_at.set(feature, now)
 
     def covers(self, feature: str, at: float) -> bool:
         """Return whether a request with a feature has succeeded since a time.
--- a/src/sassafrasdale/gateway/quarantine/quarantine.py
+++ b/src/sassafrasdale/gateway/quarantine/quarantine.py
@@ -257,8 +257,8 @@
         """Clear the strikes of a request's features as an endpoint has completed it."""
         features = part_features(parts)
         self._sound_parts.note(features)
-        self._ledger.note_answered(features)
         if not self._ledger.has_open_strikes:
+            self._ledger.note_answered(features)
             return
         for feature in (fingerprint_of(request, customer), *features):
             if self._ledger.clear(feature):
--- a/src/sassafrasdale/gateway/quarantine/records.py
+++ b/src/sassafrasdale/gateway/quarantine/records.py
@@ -162,12 +162,7 @@
         return [
             tracked
             for tracked in self._ledger.pop_dropped()
-            if tracked.strike in self._own
-            or (
-                StrikeState.STORED in tracked.state
-                and StrikeState.UNSTORED not in tracked.state
-                and self._is_responsible(tracked)
-            )
+            if self._may_be_stored(tracked) and self._is_responsible(tracked)
         ]
 
     def _load(self) -> None:
@@ -256,6 +251,10 @@
             least = MIN_KNOWN_SOUND_STRIKES if known else MIN_STRIKES
             has_enough = sum(other.is_open for other in strikes) >= least
             return has_enough and not tracked.state & StrikeState.STORED
+        return self._may_be_stored(tracked)
+
+    def _may_be_stored(self, tracked: TrackedStrike) -> bool:
+        """Return whether the store may hold a strike."""
         stored = tracked.state & (StrikeState.STORED | StrikeState.UNSTORED)
         return stored == StrikeState.STORED or tracked.strike in self._own
 
--- a/src/sassafrasdale/gateway/quarantine/soundness.py
+++ b/src/sassafrasdale/gateway/quarantine/soundness.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from sassafrasdale.clock import Clock
+from sassafrasdale.decisions.recent_map import RecentMap
 
 # An answer that has been written for this long shows that its prompt is sound: an
 # engine that a prompt crashes ends as it begins the answer.
@@ -46,10 +47,8 @@
 
     def __init__(self, clock: Clock, max_parts: int = MAX_PARTS) -> None:
         self._clock = clock
-        self._max_parts = max_parts
         self._started_at = clock.elapsed()
-        # Most recently seen last.
-        self._seen_at: dict[str, timedelta] = {}
+        self._seen_at: RecentMap[str, timedelta] = RecentMap(max_parts)
 
     @property
     def is_learning(self) -> bool:
@@ -59,12 +58,8 @@
     def note(self, features: Iterable[str]) -> None:
         """Note that a request with these parts runs well."""
         now = self._clock.elapsed()
-        seen_at = self._seen_at
         for feature in features:
-            seen_at.pop(feature, None)
-            seen_at[feature] = now
-        while len(seen_at) > self._max_parts:
-            del seen_at[next(iter(seen_at))]
+            self._seen_at.set(feature, now)
 
     def is_sound(self, feature: str) -> bool:
         """Return whether a request with a part has run well lately."""
--- a/src/sassafrasdale/gateway/quarantine/strike_recorder.py
+++ b/src/sassafrasdale/gateway/quarantine/strike_recorder.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from math import inf
 
 from sassafrasdale.decisions.quarantine import StrikeLedger
+from sassafrasdale.decisions.recent_map import RecentMap
 from sassafrasdale.decisions.strikes import SAME_CRASH_WINDOW, Strike, StrikeState
 from sassafrasdale.gateway.quarantine.fingerprints import RequestFeatures
 from sassafrasdale.gateway.quarantine.soundness import RunProgress, SoundParts
@@ -57,7 +57,9 @@
         self._time = time
         # When the crash of an endpoint was last recorded against a part, by whether
         # the run had sent events.
-        self._struck_at: dict[tuple[str, str, bool], float] = {}
+        self._struck_at: RecentMap[tuple[str, str, bool], float] = RecentMap(
+            MAX_RECENT_STRIKES
+        )
 
     def record(self, run: LostRun, age: timedelta) -> None:
         """Record the crash of an endpoint against each feature of a request.
@@ -81,13 +83,11 @@
     def _strike_part(self, part: str, run: LostRun, at: float) -> None:
         """Strike a part, once for all requests with it that a crash has ended."""
         key = (part, run.endpoint, run.begun)
-        apart = abs(at - self._struck_at.get(key, -inf))
-        if apart <= SAME_CRASH_WINDOW.total_seconds():
+        struck_at = self._struck_at.get(key)
+        window = SAME_CRASH_WINDOW.total_seconds()
+        if struck_at is not None and abs(at - struck_at) <= window:
             return
-        self._struck_at.pop(key, None)
-        self._struck_at[key] = at
-        if len(self._struck_at) > MAX_RECENT_STRIKES:
-            del self._struck_at[next(iter(self._struck_at))]
+        self._struck_at.set(key, at)
         is_learning = self._sound_parts.is_learning
         self._ledger.add(
             self._strike(part, run, at, run.features.fingerprint),
