--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -11,9 +11,12 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
@@ -66,10 +69,33 @@
 
 
 def free_port(host: str) -> int:
-    """Return a port that nothing listens on at a loopback address."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a port that nothing uses at a loopback address.
+
+    It is below those that the kernel gives to outgoing connections.
+    """
+    while True:
+        port = random.randint(12_000, 32_000)
+        if _is_free(host, port):
+            return port
+
+
+def _is_free(host: str, port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
+def exit_status(run: Callable[[], int]) -> int:
+    """Return the status of a case; 2 if an error ends it, as it then couldn't run."""
+    try:
+        return run()
+    except Exception:
+        traceback.print_exc()
+        return 2
 
 
 class Gateway:
@@ -82,7 +108,7 @@
         self.ip = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.1"
         self.front = free_port(self.ip)
         self.ready = free_port(self.ip)
-        first = random.randint(20_000, 30_000)
+        first = free_port(self.ip)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._settings = self.folder / "settings.json"
         self._log = self.folder / "log"
@@ -220,6 +246,8 @@
     """
 
     def __init__(self, configuration: dict, store: type[KvStore] = KvStore) -> None:
+        # Whoever ends the script early must not leave its processes behind.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
         clock = SystemClock()
         self.store = store(clock)
         self._duties = DutyCalls(clock)
--- a/review/lib/wire.py
+++ b/review/lib/wire.py
@@ -1,9 +1,12 @@
 """A client's connection and a replica's connection, in plain HTTP/1.1."""
 
 import socket
+from datetime import timedelta
 
 from eventlet.green import socket as green_socket
 
+from sassafrasdale.green import receive
+
 
 def read_head(sock: socket.socket, buffered: bytes = b"") -> tuple[bytes, bytes]:
     """Return a message's head and what came after it; no head at the end."""
@@ -67,6 +70,15 @@
     data += part
 
 
+def _read_to_end(sock: socket.socket) -> bytes:
+    """Return what comes until the connection ends; a reset is no end."""
+    data = b""
+    limit = timedelta(seconds=sock.gettimeout() or 0)
+    while part := receive(sock, 65536, limit):
+        data += part
+    return data
+
+
 class Client:
     """A client that keeps its connection for many requests.
 
@@ -107,9 +119,11 @@
             status = int(answer[9:12])
             if header(answer, "transfer-encoding") == "chunked":
                 data = read_chunks(self._sock, rest)
+            elif length := header(answer, "content-length"):
+                data = read_exactly(self._sock, int(length), rest)
             else:
-                size = int(header(answer, "content-length") or 0)
-                data = read_exactly(self._sock, size, rest)
+                data = rest + _read_to_end(self._sock)
+                self.close()
         except OSError:
             self.close()
             raise
