--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -3,6 +3,7 @@
 The store and the duty calls are the project's own stand-ins.
 """
 
+import atexit
 import json
 import os
 import random
@@ -63,20 +64,61 @@
 }
 
 
+# The port of the deploy file's metrics, and the ports between gateways.
+METRICS_PORT = 9464
+RANGE_PORTS = 16
+
+_processes: list[subprocess.Popen] = []
+_folders: list[Path] = []
+
+
+def start_process(command: list[str], **options: object) -> subprocess.Popen:
+    """Start a process that ends with this one at the latest."""
+    process = subprocess.Popen(command, **options)
+    _processes.append(process)
+    return process
+
+
+def new_folder() -> Path:
+    """Return a temporary folder, which is deleted at the end of this process."""
+    folder = Path(tempfile.mkdtemp(prefix="review-"))
+    _folders.append(folder)
+    return folder
+
+
+def end_all() -> None:
+    """End all processes that were started, and delete the temporary folders."""
+    for process in _processes:
+        if process.poll() is None:
+            process.kill()
+    for process in _processes:
+        process.wait()
+    for folder in _folders:
+        shutil.rmtree(folder, ignore_errors=True)
+
+
 def pause(seconds: float) -> None:
     """Wait while the stand-ins of this process run on."""
     sleep(timedelta(seconds=seconds))
 
 
-def free_port(host: str) -> int:
-    """Return a port that nothing uses at a loopback address.
+def free_port(host: str, count: int = 1) -> int:
+    """Return the first of some ports in a row that nothing uses at a loopback address.
 
-    It is below those that the kernel gives to outgoing connections.
+    They are below those that the kernel gives to outgoing connections.
     """
     while True:
-        port = random.randint(12_000, 32_000)
-        if _is_free(host, port):
-            return port
+        first = random.randint(12_000, 32_000)
+        if all(_is_free(host, first + number) for number in range(count)):
+            return first
+
+
+def free_address() -> str:
+    """Return a loopback address at which the deploy file's metrics port is free."""
+    while True:
+        ip = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.1"
+        if _is_free(ip, METRICS_PORT):
+            return ip
 
 
 def _is_free(host: str, port: int) -> bool:
@@ -104,16 +146,14 @@
     def __init__(self, name: str, zone: str, store: Address, cloud: Address) -> None:
         self.name = name
         self.zone = zone
-        # An address of its own, so that the deploy file's metrics port is free.
-        self.ip = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.1"
+        self.ip = free_address()
         self.front = free_port(self.ip)
         self.ready = free_port(self.ip)
-        first = free_port(self.ip)
-        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self._settings = self.folder / "settings.json"
-        self._log = self.folder / "log"
+        first = free_port(self.ip, RANGE_PORTS)
+        folder = new_folder()
+        self._settings = folder / "settings.json"
+        self._log = folder / "log"
         self.process: subprocess.Popen | None = None
-        self.starts = 0
         fields = {
             "node": name,
             "role": "gateway",
@@ -127,7 +167,7 @@
                 "front": f"{self.ip}:{self.front}",
                 "ready": f"{self.ip}:{self.ready}",
             },
-            "portRange": [first, first + 15],
+            "portRange": [first, first + RANGE_PORTS - 1],
             "seedNodes": [],
             "bootstrap": True,
             "lossCounts": False,
@@ -172,9 +212,8 @@
         environment = {key: os.environ[key] for key in kept if key in os.environ}
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["SASSAFRASDALE_BOOT"] = str(self._settings)
-        self.starts += 1
         with self._log.open("ab") as log:
-            self.process = subprocess.Popen(
+            self.process = start_process(
                 command,
                 cwd=ROOT,
                 env=environment,
@@ -209,13 +248,6 @@
         if self.process is not None:
             self.process.wait()
 
-    def descriptors(self) -> int:
-        """Return the number of the process's open descriptors; 0 if it has ended."""
-        try:
-            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
-        except OSError:
-            return 0
-
     def memory_mb(self) -> int:
         """Return the process's resident memory; 0 if it has ended."""
         try:
@@ -227,13 +259,6 @@
                 return int(line.split()[1]) // 1024
         return 0
 
-    def log_lines(self) -> list[dict]:
-        """Return the records of the process's log."""
-        if not self._log.exists():
-            return []
-        lines = self._log.read_text("utf-8", "replace").splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
-
 
 def _limit_descriptors() -> None:
     resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
@@ -247,7 +272,9 @@
 
     def __init__(self, configuration: dict, store: type[KvStore] = KvStore) -> None:
         # Whoever ends the script early must not leave its processes behind.
-        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+        atexit.register(end_all)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda number, frame: sys.exit(2))
         clock = SystemClock()
         self.store = store(clock)
         self._duties = DutyCalls(clock)
@@ -276,12 +303,6 @@
             pause(0.1)
         return False
 
-    def close(self) -> None:
-        """End all processes, and delete their files."""
-        for gateway in self.gateways:
-            gateway.kill()
-            shutil.rmtree(gateway.folder, ignore_errors=True)
-
 
 class Record:
     """The record of a run: what was sent, answered and run."""
